--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes, load tool, bench scenarios and reports."""
--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/__main__.py
@@ -0,0 +1,24 @@
+"""Runs the scenario named first: ``dev/bench NAME [options]``."""
+
+from __future__ import annotations
+
+import importlib
+import pkgutil
+import sys
+
+from sycamorestand_bench import scenarios
+
+
+def main(arguments: list[str]) -> int:
+    """Run one scenario with the remaining arguments; return its status."""
+    names = sorted(m.name for m in pkgutil.iter_modules(scenarios.__path__))
+    if not arguments or arguments[0] not in names:
+        print(f"usage: dev/bench NAME [options]; NAME is one of {names}")
+        return 2
+    module = importlib.import_module(f"{scenarios.__name__}.{arguments[0]}")
+    result: int = module.main(arguments[1:])
+    return result
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each name that dev/bench takes."""
--- /dev/null
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: agreement core, segments and snapshots."""
--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: voter, hub for entries, operator interface."""
--- /dev/null
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: pure functions over explicit state and time."""
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: callers, relay, dispatch, announcements."""
--- /dev/null
+++ b/packages/sycamorestand-model/src/sycamorestand_model/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations as typed data, their check and their difference."""
--- /dev/null
+++ b/packages/sycamorestand-model/src/sycamorestand_model/keys.py
@@ -0,0 +1,48 @@
+"""Salted hashes of customers' and operators' keys, never the keys."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import secrets
+from typing import Final
+
+HASH_SCHEME: Final = "b2"
+SALT_BYTES: Final = 8
+DIGEST_BYTES: Final = 20
+
+
+def hash_key(key: str, salt: bytes | None = None) -> str:
+    """Return the form of a key that declarations carry.
+
+    Keys are random tokens made by the system, not passwords, so one keyed
+    hash is enough and costs an entry a microsecond a request.
+
+    Example: ``hash_key("guild-1", b"12345678")`` starts with ``b2$``.
+    """
+    chosen = secrets.token_bytes(SALT_BYTES) if salt is None else salt
+    digest = _digest(key, chosen)
+    return f"{HASH_SCHEME}${chosen.hex()}${digest.hex()}"
+
+
+def key_matches(key: str, stored: str) -> bool:
+    """Compare a presented key with a stored hash in constant time."""
+    scheme, _, rest = stored.partition("$")
+    salt_text, _, digest_text = rest.partition("$")
+    if scheme != HASH_SCHEME:
+        return False
+    try:
+        salt = bytes.fromhex(salt_text)
+        expected = bytes.fromhex(digest_text)
+    except ValueError:
+        return False
+    return hmac.compare_digest(_digest(key, salt), expected)
+
+
+def _digest(key: str, salt: bytes) -> bytes:
+    return hashlib.blake2b(
+        key.encode(), digest_size=DIGEST_BYTES, salt=salt
+    ).digest()
+
+
+__all__ = ["hash_key", "key_matches"]
--- /dev/null
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes: links, heartbeats, authentication."""
--- /dev/null
+++ b/packages/sycamorestand-state/src/sycamorestand_state/__init__.py
@@ -0,0 +1,1 @@
+"""State machines on the log: configuration, ledger, membership."""
--- /dev/null
+++ b/packages/sycamorestand/src/sycamorestand/__init__.py
@@ -0,0 +1,1 @@
+"""The two binaries: settings, logging and wiring."""
