--- a/packages/sycamorestand-model/src/sycamorestand_model/in_force.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/in_force.py
@@ -21,6 +21,7 @@
 
     ``withdrawn`` and ``quarantined`` hold version identities and
     ``shares`` is by model. ``session_key`` signs session tokens.
+    ``ledger_shards`` is fixed by the first start of the cluster.
     """
 
     revision: int = 0
@@ -30,6 +31,7 @@
     shares: dict[str, RolloutShare] = {}
     draining_vms: tuple[str, ...] = ()
     session_key: bytes = b""
+    ledger_shards: int = 1
 
 
 __all__ = ["InForce", "RolloutShare"]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -31,7 +31,7 @@
     18: messages.JoinRequest,
 }
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
-_DECODERS: Final = {
+_DECODERS: Final[dict[int, msgspec.msgpack.Decoder[Any]]] = {
     code: msgspec.msgpack.Decoder(kind) for code, kind in _TYPES.items()
 }
 _ENCODER: Final = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/packages/sycamorestand/tests/test_settings.py
@@ -0,0 +1,57 @@
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from sycamorestand.process_settings import CONTROL_SETTINGS
+from sycamorestand.process_settings import ENTRY_SETTINGS
+from sycamorestand.settings import read_settings
+from sycamorestand.settings import SettingsError
+
+
+class TestReadSettings:
+    def test_a_flag_goes_before_the_environment(self, tmp_path: Path) -> None:
+        key_file = tmp_path / "keys"
+        key_file.write_text("a" * 32)
+        values = read_settings(
+            ENTRY_SETTINGS,
+            {"vm": "entry-1", "cluster_key_file": str(key_file)},
+            {
+                "SYCAMORESTAND_VM": "other",
+                "SYCAMORESTAND_DATA_CENTRE": "Dalton",
+                "SYCAMORESTAND_PEER_ADDRESS": "127.0.0.1:1",
+            },
+        )
+        assert values["vm"] == "entry-1"
+        assert values["data_centre"] == "Dalton"
+        assert values["cluster_key_file"] == (b"a" * 32,)
+
+    def test_all_findings_come_together(self) -> None:
+        """An operator starts a control process with four mistakes.
+
+        One run names all of them with the flag or variable to mend, so
+        that nobody has to start the process once for each.
+        """
+        with pytest.raises(SettingsError) as caught:
+            read_settings(
+                CONTROL_SETTINGS,
+                {"vm": "c1", "voters_wanted": "9", "peer_address": "host:1"},
+                {"SYCAMORESTAND_FIRST_START": "maybe"},
+            )
+        message = str(caught.value)
+        for place in (
+            "--voters-wanted: 9",
+            "--peer-address",
+            "SYCAMORESTAND_FIRST_START: 'maybe'",
+            "--data-centre or SYCAMORESTAND_DATA_CENTRE is required",
+        ):
+            assert place in message
+
+    def test_a_short_cluster_key_is_refused(self, tmp_path: Path) -> None:
+        key_file = tmp_path / "keys"
+        key_file.write_text("short")
+        with pytest.raises(SettingsError, match="under 16 bytes"):
+            read_settings(
+                CONTROL_SETTINGS, {"cluster_key_file": str(key_file)}, {}
+            )
