--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/processes.py
@@ -0,0 +1,237 @@
+"""Starts the product's own processes on loopback, as an operator would."""
+
+from __future__ import annotations
+
+from contextlib import ExitStack
+import os
+from pathlib import Path
+from signal import Signals
+import socket
+import subprocess
+import sys
+import time
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import httpcore
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+CLUSTER_KEY: Final = "bench-cluster-key-0123456789abcdef"
+BACKEND_KEY: Final = "bench-backend-key-0123456789abcdef"
+READY_BOUND_S: Final = 30.0
+STOP_BOUND_S: Final = 40.0
+POLL_S: Final = 0.05
+
+
+class ControlNode(NamedTuple):
+    """A control process that was started, and where it listens."""
+
+    vm: str
+    data_centre: str
+    peer_address: str
+    operator_port: int
+    data_folder: Path
+
+
+class EntryNode(NamedTuple):
+    """An entry process that was started, and where it listens."""
+
+    vm: str
+    data_centre: str
+    peer_address: str
+    port: int
+
+
+class Cluster:
+    """Processes of one system below a folder; leaving it ends them.
+
+    Only processes that it started itself are ended, by their id.
+    """
+
+    def __init__(self, folder: Path, log_level: str = "INFO") -> None:
+        self.folder = folder
+        self.controls: dict[str, ControlNode] = {}
+        self.entries: dict[str, EntryNode] = {}
+        self._log_level = log_level
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+        self._files = ExitStack()
+        (folder / "cluster.key").write_text(CLUSTER_KEY)
+        (folder / "backend.key").write_text(BACKEND_KEY)
+
+    def __enter__(self) -> Cluster:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for name in list(self._running):
+            self.kill(name)
+        self._files.close()
+
+    def start_control(
+        self,
+        vm: str,
+        data_centre: str,
+        *,
+        first: bool = False,
+        admin_key_hash: str = "",
+        voters_wanted: int = 3,
+        ledger_shards: int = 1,
+    ) -> ControlNode:
+        """Start a control process; a known name starts on its old data."""
+        node = self.controls.get(vm)
+        if node is None:
+            data_folder = self.folder / vm
+            data_folder.mkdir()
+            node = ControlNode(
+                vm, data_centre, _free_address(), _free_port(), data_folder
+            )
+            self.controls[vm] = node
+        self._start(
+            vm,
+            "control",
+            vm=vm,
+            data_centre=data_centre,
+            peer_address=node.peer_address,
+            control_addresses=self._control_addresses(excluding=vm),
+            data_folder=str(node.data_folder),
+            operator_port=str(node.operator_port),
+            first_start="yes" if first else "no",
+            first_operator_key_hash=admin_key_hash,
+            voters_wanted=str(voters_wanted),
+            ledger_shards=str(ledger_shards),
+        )
+        return node
+
+    def start_entry(
+        self,
+        vm: str,
+        data_centre: str,
+        *,
+        rating_url: str = "",
+        address_ttl_s: float = 1.0,
+    ) -> EntryNode:
+        """Start an entry process that knows every control process."""
+        node = self.entries.get(vm)
+        if node is None:
+            node = EntryNode(vm, data_centre, _free_address(), _free_port())
+            self.entries[vm] = node
+        self._start(
+            vm,
+            "entry",
+            vm=vm,
+            data_centre=data_centre,
+            peer_address=node.peer_address,
+            control_addresses=self._control_addresses(near=data_centre),
+            port=str(node.port),
+            backend_key_file=str(self.folder / "backend.key"),
+            address_ttl_s=str(address_ttl_s),
+            rating_url=rating_url,
+        )
+        return node
+
+    def pid(self, name: str) -> int:
+        """Return the process id of a running node."""
+        return self._running[name].pid
+
+    def send_signal(self, name: str, number: Signals) -> None:
+        """Send a signal to one node, for example SIGSTOP."""
+        self._running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End a node at once, as a lost VM does."""
+        process = self._running.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self, name: str) -> int:
+        """Ask a node to stop as planned; return its exit status."""
+        process = self._running.pop(name)
+        process.terminate()
+        return process.wait(timeout=STOP_BOUND_S)
+
+    def log_text(self, name: str) -> str:
+        """Return what a node has logged."""
+        return (self.folder / f"{name}.log").read_text()
+
+    def wait_ready(self, *names: str) -> None:
+        """Wait until nodes answer their readiness question with 200."""
+        for name in names:
+            port = (
+                self.controls[name].operator_port
+                if name in self.controls
+                else self.entries[name].port
+            )
+            self._wait_port_ready(name, port)
+
+    def _wait_port_ready(self, name: str, port: int) -> None:
+        until = time.monotonic() + READY_BOUND_S
+        while time.monotonic() < until:
+            if self._running[name].poll() is not None:
+                raise RuntimeError(f"{name} ended: {self.log_text(name)}")
+            if _is_ready(port):
+                return
+            time.sleep(POLL_S)
+        raise RuntimeError(f"{name} is not ready: {self.log_text(name)}")
+
+    def _control_addresses(self, excluding: str = "", near: str = "") -> str:
+        nodes = [n for n in self.controls.values() if n.vm != excluding]
+        nodes.sort(key=lambda node: node.data_centre != near)
+        return ",".join(node.peer_address for node in nodes)
+
+    def _start(self, name: str, role: str, **settings: str) -> None:
+        settings["cluster_key_file"] = str(self.folder / "cluster.key")
+        settings["log_level"] = self._log_level
+        environment = dict(os.environ)
+        for key, value in settings.items():
+            environment["SYCAMORESTAND_" + key.upper()] = value
+        log = self._files.enter_context(
+            (self.folder / f"{name}.log").open("ab")
+        )
+        self._running[name] = subprocess.Popen(
+            [str(Path(sys.executable).parent / "sycamorestand"), role],
+            env=environment,
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+        )
+
+
+def _is_ready(port: int) -> bool:
+    try:
+        response = httpcore.request(
+            "GET",
+            f"http://127.0.0.1:{port}/readyz",
+            extensions={"timeout": {"connect": 1, "read": 1}},
+        )
+    except (httpcore.NetworkError, httpcore.TimeoutException):
+        return False
+    except httpcore.RemoteProtocolError:
+        return False
+    return response.status == 200
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def _free_address() -> str:
+    return f"127.0.0.1:{_free_port()}"
+
+
+__all__ = [
+    "BACKEND_KEY",
+    "Cluster",
+    "CLUSTER_KEY",
+    "ControlNode",
+    "EntryNode",
+]
--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/groups.py
@@ -0,0 +1,199 @@
+"""The replicated logs of a control process and the way to their leaders."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+
+from sycamorestand_consensus.errors import ConsensusError
+from sycamorestand_consensus.errors import NotLeader
+from sycamorestand_consensus.errors import ProposalLost
+from sycamorestand_consensus.replica import Replica
+from sycamorestand_control.errors import NoLeader
+from sycamorestand_control.errors import OutcomeUnknown
+from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.errors import PeerTimeout
+from sycamorestand_peer.messages import CallReply
+from sycamorestand_peer.messages import ProposalForward
+from sycamorestand_peer.messages import ReplicaPayload
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from pathlib import Path
+
+    from sycamorestand_consensus.replica import StateMachine
+    from sycamorestand_consensus.settings import ReplicaSettings
+    from sycamorestand_peer.mesh import PeerMesh
+
+LOG: Final = logging.getLogger(__name__)
+CONFIGURATION_GROUP: Final = 0
+FIRST_LEDGER_GROUP: Final = 1
+FORWARD_TIMEOUT_S: Final = 1.5
+# An election takes up to 1.4 s; a question asked in the middle of one is
+# repeated this often until the leader is known.
+RETRY_PAUSE_S: Final = 0.05
+
+NOT_LEADER: Final = "not_leader"
+LOST: Final = "lost"
+
+
+class Group(NamedTuple):
+    """One log: its machine and how its results travel between voters."""
+
+    machine: StateMachine
+    result_type: Any
+
+
+class LogGroups:
+    """Every replicated log that this process is a member of.
+
+    All logs share the links between processes; the group number in each
+    message tells them apart.
+    """
+
+    def __init__(
+        self,
+        mesh: PeerMesh,
+        folder: Path,
+        settings: ReplicaSettings,
+        groups: Mapping[int, Group],
+    ) -> None:
+        self._mesh = mesh
+        self._groups = dict(groups)
+        self._addresses: dict[str, str] = {}
+        self.replicas = {
+            number: Replica(
+                folder,
+                number,
+                settings,
+                group.machine,
+                self._sender(number),
+                boottime_s,
+            )
+            for number, group in groups.items()
+        }
+
+    @property
+    def member_id(self) -> str:
+        """Return the id under which this folder is a member."""
+        return self.replicas[CONFIGURATION_GROUP].member_id
+
+    async def run(self) -> None:
+        """Take part in every log until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for replica in self.replicas.values():
+                tasks.start_soon(replica.run)
+
+    def receive(self, address: str, message: ReplicaPayload) -> None:
+        """Hand a voter's bytes to the log that they are for."""
+        self._addresses[message.sender] = address
+        replica = self.replicas.get(message.group)
+        if replica is not None:
+            replica.receive(message.sender, message.payload)
+
+    def is_leader(self, group: int) -> bool:
+        """Tell whether this process leads a log, as far as it knows."""
+        return self.replicas[group].status().role == "leader"
+
+    def leader_address(self, group: int) -> str:
+        """Return the leader's peer address, empty where it is unknown."""
+        return self.address_of(self.replicas[group].status().leader_id)
+
+    def address_of(self, member_id: str) -> str:
+        """Return a member's peer address, empty where it is unknown."""
+        if member_id and member_id not in self._addresses:
+            self._learn_addresses()
+        return self._addresses.get(member_id, "")
+
+    async def propose(
+        self, group: int, command: bytes, timeout_s: float
+    ) -> Any:
+        """Commit a command through whichever voter leads.
+
+        The command must be safe to commit twice (a change id, a claim, a
+        charge): an answer that was lost is asked for again. Raises
+        `NoLeader` where nothing can have been committed and
+        `OutcomeUnknown` where it may have been.
+        """
+        until_s = boottime_s() + timeout_s
+        maybe_committed = False
+        while boottime_s() < until_s:
+            try:
+                return await self._propose_once(group, command)
+            except (ProposalLost, PeerTimeout):
+                maybe_committed = True
+            except ConsensusError as error:
+                LOG.debug("not proposed", extra={"reason": str(error)})
+            await anyio.sleep(RETRY_PAUSE_S)
+        if maybe_committed:
+            raise OutcomeUnknown("the change may have been made; resend it")
+        raise NoLeader("no leader answered; nothing was changed")
+
+    async def answer_forward(
+        self, sender: str, message: ProposalForward
+    ) -> None:
+        """Propose for another control process and send it the result."""
+        reply = await self._answer(message)
+        self._mesh.send(sender, reply)
+
+    async def _answer(self, message: ProposalForward) -> CallReply:
+        replica = self.replicas.get(message.group)
+        if replica is None:
+            return CallReply(message.call_id, NOT_LEADER, b"")
+        try:
+            result = await replica.propose(message.command)
+        except ProposalLost:
+            return CallReply(message.call_id, LOST, b"")
+        except ConsensusError:
+            return CallReply(message.call_id, NOT_LEADER, b"")
+        payload = msgspec.msgpack.encode(result)
+        return CallReply(message.call_id, "", payload)
+
+    async def _propose_once(self, group: int, command: bytes) -> Any:
+        replica = self.replicas[group]
+        if self.is_leader(group):
+            return await replica.propose(command)
+        address = self.leader_address(group)
+        if not address:
+            raise NotLeader("")
+        call_id = self._mesh.next_call_id()
+        reply = await self._mesh.call(
+            address,
+            call_id,
+            ProposalForward(call_id, group, command),
+            FORWARD_TIMEOUT_S,
+        )
+        if reply.failure == NOT_LEADER:
+            raise NotLeader("")
+        if reply.failure:
+            raise ProposalLost(reply.failure)
+        result_type = self._groups[group].result_type
+        return msgspec.msgpack.decode(reply.payload, type=result_type)
+
+    def _sender(self, group: int) -> Any:
+        def send(member_id: str, payload: bytes) -> None:
+            address = self.address_of(member_id)
+            if address:
+                message = ReplicaPayload(group, self.member_id, payload)
+                self._mesh.send(address, message)
+
+        return send
+
+    def _learn_addresses(self) -> None:
+        for replica in self.replicas.values():
+            for member in replica.status().members:
+                self._addresses.setdefault(member.member_id, member.address)
+
+
+__all__ = [
+    "CONFIGURATION_GROUP",
+    "FIRST_LEDGER_GROUP",
+    "Group",
+    "LogGroups",
+]
--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/ledger_writer.py
@@ -0,0 +1,125 @@
+"""Many small ledger batches into few proposals, at the shard's leader."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sycamorestand_control.errors import ControlError
+from sycamorestand_model.errors import SycamorestandError
+from sycamorestand_state.ledger import decode_batch
+from sycamorestand_state.ledger import encode_batch
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from sycamorestand_model.ledger import LedgerRecord
+    from sycamorestand_model.ledger import LedgerResult
+
+# Under the log's largest command, with room for the envelope.
+MAX_BATCH_BYTES: Final = 512 * 1024
+# One proposal waits for the disk while the next one is being gathered; a
+# third or fourth keeps the leader's disk busy while followers answer.
+# More in flight would only make batches smaller.
+MAX_IN_FLIGHT: Final = 4
+
+
+class _Waiting(NamedTuple):
+    records: tuple[LedgerRecord, ...]
+    size_bytes: int
+    done: anyio.Event
+    outcome: list[Any]
+
+
+class LedgerWriter:
+    """Gathers the batches of many entries while the log is busy.
+
+    The load is thousands of entries' small batches a second. Proposed
+    one by one, each would cost its own frame to every follower and its
+    own record; gathered, the cost of a sync is shared by all that came
+    meanwhile. The time in a command is this process's clock, so that an
+    entry with a wrong clock cannot age the ledger.
+    """
+
+    def __init__(
+        self, propose: Callable[[bytes], Awaitable[list[LedgerResult]]]
+    ) -> None:
+        self._propose = propose
+        self._queue: list[_Waiting] = []
+        self._wake = anyio.Event()
+        self.records = 0
+        self.proposals = 0
+
+    async def submit(self, batch: bytes) -> list[LedgerResult]:
+        """Make one encoded batch durable; return its results in order.
+
+        Raises the error of the proposal that carried it.
+        """
+        records = decode_batch(batch).records
+        waiting = _Waiting(tuple(records), len(batch), anyio.Event(), [])
+        self._queue.append(waiting)
+        self._wake.set()
+        await waiting.done.wait()
+        outcome = waiting.outcome[0]
+        if isinstance(outcome, Exception):
+            raise outcome
+        results: list[LedgerResult] = outcome
+        return results
+
+    async def run(self) -> None:
+        """Propose what was gathered, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for _ in range(MAX_IN_FLIGHT):
+                tasks.start_soon(self._serve)
+
+    async def _serve(self) -> None:
+        while True:
+            while not self._queue:
+                self._wake = anyio.Event()
+                await self._wake.wait()
+            taken = self._take()
+            outcomes = await self._propose_all(taken)
+            for waiting, outcome in zip(taken, outcomes, strict=True):
+                waiting.outcome.append(outcome)
+                waiting.done.set()
+
+    def _take(self) -> list[_Waiting]:
+        taken: list[_Waiting] = []
+        size = 0
+        while self._queue and (
+            not taken or size + self._queue[0].size_bytes <= MAX_BATCH_BYTES
+        ):
+            waiting = self._queue.pop(0)
+            size += waiting.size_bytes
+            taken.append(waiting)
+        return taken
+
+    async def _propose_all(self, taken: list[_Waiting]) -> list[Any]:
+        records = [record for item in taken for record in item.records]
+        self.records += len(records)
+        self.proposals += 1
+        try:
+            results = await self._propose(encode_batch(records, time.time()))
+        except (SycamorestandError, ControlError) as error:
+            return [error] * len(taken)
+        return _split(results, [len(item.records) for item in taken])
+
+
+def _split(
+    results: list[LedgerResult], counts: list[int]
+) -> list[list[LedgerResult]]:
+    parts = []
+    start = 0
+    for count in counts:
+        parts.append(results[start : start + count])
+        start += count
+    return parts
+
+
+__all__ = ["LedgerWriter"]
--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/settings.py
@@ -0,0 +1,28 @@
+"""What a control process must be told."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import NamedTuple
+
+
+class ControlSettings(NamedTuple):
+    """Settings of one control process, see ``sycamorestand control``."""
+
+    vm: str
+    data_centre: str
+    peer_address: str
+    data_folder: Path
+    cluster_keys: tuple[bytes, ...]
+    peer_listen: str = ""
+    control_addresses: tuple[str, ...] = ()
+    operator_host: str = "127.0.0.1"
+    operator_port: int = 0
+    first_start: bool = False
+    first_operator_key_hash: str = ""
+    voters_wanted: int = 3
+    ledger_shards: int = 1
+    weight_store_loads: int = 2
+
+
+__all__ = ["ControlSettings"]
