Configuration as a state machine on the log

Cause: operators race with equal numbers and resend after lost answers, and a new leader must go on with a roll-out where the last one committed it. Every change carries a change id and a base revision; handlers are pure functions from one immutable state to the next, so a refusal leaves nothing behind.

RecordOrder does not raise the revision: orders to engines change nothing that entries act on, and would make every plan of an operator stale.

--- a/packages/sycamorestand-state/src/sycamorestand_state/codec.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/codec.py
@@ -90,6 +90,11 @@
         raise SnapshotUnreadable(f"{kind.__name__}: {error}") from error
 
 
+def encoded_bytes(content: Any) -> int:
+    """Return how many bytes the content takes in the log."""
+    return len(_PLAIN.encode(content))
+
+
 def fingerprint(content: Any) -> bytes:
     """Return a hash that does not depend on the order of mappings."""
     return hashlib.blake2b(
@@ -102,6 +107,7 @@
     "decode_fields",
     "decode_state",
     "encode_state",
+    "encoded_bytes",
     "fingerprint",
     "make_codec",
 ]
--- /dev/null
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
@@ -0,0 +1,331 @@
+"""The configuration as a state machine on the replicated log.
+
+What it answers: operators race with equal numbers, and resend a change
+after its answer was lost. Every change therefore names itself (change id)
+and what it was based on (revision). Without the first a resend runs twice;
+without the second the later of two operators silently undoes the other.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+from sycamorestand_model.in_force import InForce
+from sycamorestand_state.change_ids import Answered
+from sycamorestand_state.change_ids import drop_old
+from sycamorestand_state.change_ids import MAX_CHANGE_ID_CHARACTERS
+from sycamorestand_state.change_ids import remember
+from sycamorestand_state.changes import apply_declarations
+from sycamorestand_state.changes import create_cluster
+from sycamorestand_state.changes import drain_vm
+from sycamorestand_state.changes import lift_quarantine
+from sycamorestand_state.changes import quarantine
+from sycamorestand_state.changes import reinstate
+from sycamorestand_state.changes import rotate_session_key
+from sycamorestand_state.changes import undrain_vm
+from sycamorestand_state.changes import withdraw
+from sycamorestand_state.codec import decode_state
+from sycamorestand_state.codec import encode_state
+from sycamorestand_state.codec import fingerprint
+from sycamorestand_state.commands import ANY_REVISION
+from sycamorestand_state.commands import ApplyDeclarations
+from sycamorestand_state.commands import Change
+from sycamorestand_state.commands import CreateCluster
+from sycamorestand_state.commands import decode_command
+from sycamorestand_state.commands import DrainVm
+from sycamorestand_state.commands import LiftQuarantine
+from sycamorestand_state.commands import Quarantine
+from sycamorestand_state.commands import RecordOrder
+from sycamorestand_state.commands import Reinstate
+from sycamorestand_state.commands import RolloutStep
+from sycamorestand_state.commands import RotateSessionKey
+from sycamorestand_state.commands import StartRollout
+from sycamorestand_state.commands import StopRollout
+from sycamorestand_state.commands import SYSTEM
+from sycamorestand_state.commands import UNBASED_KINDS
+from sycamorestand_state.commands import UndrainVm
+from sycamorestand_state.commands import Withdraw
+from sycamorestand_state.configuration_state import ConfigurationState
+from sycamorestand_state.configuration_state import Decision
+from sycamorestand_state.configuration_state import refused
+from sycamorestand_state.configuration_state import to_in_force
+from sycamorestand_state.order_book import OrderBook
+from sycamorestand_state.order_book import record_order
+from sycamorestand_state.results import AuditEntry
+from sycamorestand_state.results import ChangeResult
+from sycamorestand_state.results import ClusterIdentity
+from sycamorestand_state.results import OrderRecord
+from sycamorestand_state.results import Outcome
+from sycamorestand_state.results import RolloutState
+from sycamorestand_state.rollouts import start_rollout
+from sycamorestand_state.rollouts import step_rollout
+from sycamorestand_state.rollouts import stop_rollout
+
+# About 10 MB at 500 bytes an entry: years of operators' changes, months
+# with a busy roll-out a day. Older ones are dropped from the front.
+MAX_AUDIT_ENTRIES: Final = 20_000
+MAX_EVIDENCE_CHARACTERS: Final = 2_000
+# How many of the changes in between a conflict names.
+CONFLICT_LINES: Final = 5
+
+_HANDLERS: Final[dict[type[Any], Any]] = {
+    CreateCluster: create_cluster,
+    ApplyDeclarations: apply_declarations,
+    Withdraw: withdraw,
+    Reinstate: reinstate,
+    StartRollout: start_rollout,
+    RolloutStep: step_rollout,
+    StopRollout: stop_rollout,
+    Quarantine: quarantine,
+    LiftQuarantine: lift_quarantine,
+    DrainVm: drain_vm,
+    UndrainVm: undrain_vm,
+    RotateSessionKey: rotate_session_key,
+}
+
+
+class _Snapshot(NamedTuple):
+    state: ConfigurationState
+    answers: list[tuple[str, Answered]]
+    audit: list[AuditEntry]
+    orders: list[OrderRecord]
+    order_fence: tuple[int, int]
+    clock_s: float
+
+
+class ConfigurationMachine:
+    """Applies committed commands in the order of the log."""
+
+    def __init__(self) -> None:
+        self._state = ConfigurationState()
+        self._answers: dict[str, Answered] = {}
+        self._audit: list[AuditEntry] = []
+        self._book = OrderBook()
+        self._clock_s = 0.0
+        self._in_force = to_in_force(self._state)
+
+    @property
+    def revision(self) -> int:
+        """The revision in force; it never falls."""
+        return self._state.revision
+
+    @property
+    def cluster(self) -> ClusterIdentity | None:
+        """What the first start settled, None before it."""
+        return self._state.cluster
+
+    @property
+    def previous_session_key(self) -> bytes:
+        """The key before the last rotation, for tokens handed out."""
+        return self._state.previous_session_key
+
+    def in_force(self) -> InForce:
+        """Return what entries act on; the same object until it changes."""
+        return self._in_force
+
+    def rollout(self, model: str) -> RolloutState | None:
+        """Return the committed roll-out of a model."""
+        return self._state.rollouts.get(model)
+
+    def rollouts(self) -> tuple[RolloutState, ...]:
+        """Return all committed roll-outs, also stopped ones."""
+        return tuple(self._state.rollouts.values())
+
+    def orders(self) -> tuple[OrderRecord, ...]:
+        """Return the orders to engines, oldest change first."""
+        return tuple(self._book.orders.values())
+
+    def audit(self, after_index: int, limit: int) -> list[AuditEntry]:
+        """Return at most ``limit`` entries after an index of the log."""
+        later = [
+            entry for entry in self._audit if entry.log_index > after_index
+        ]
+        return later[:limit]
+
+    def apply(self, index: int, command: bytes) -> ChangeResult:
+        """Apply the command at this index of the log."""
+        decoded = decode_command(command)
+        # Leaders' wall clocks differ; ages must not run backwards.
+        self._clock_s = max(self._clock_s, decoded.now_s)
+        if isinstance(decoded, RecordOrder):
+            return self._apply_order(index, decoded)
+        return self._apply_change(index, decoded)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state; equal state gives equal bytes."""
+        return encode_state(
+            _Snapshot(
+                self._state,
+                list(self._answers.items()),
+                self._audit,
+                list(self._book.orders.values()),
+                (self._book.term, self._book.sequence),
+                self._clock_s,
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Take the state of a snapshot in place of one's own."""
+        loaded = decode_state(data, _Snapshot)
+        self._state = loaded.state
+        self._answers = dict(loaded.answers)
+        self._audit = loaded.audit
+        orders = {order.order_id: order for order in loaded.orders}
+        self._book = OrderBook(orders, *loaded.order_fence)
+        self._clock_s = loaded.clock_s
+        self._in_force = to_in_force(self._state)
+
+    def _apply_change(self, index: int, command: Change) -> ChangeResult:
+        drop_old(self._answers, self._clock_s)
+        content = fingerprint((type(command).__name__, _content(command)))
+        known = self._answers.get(command.change_id)
+        if known is not None:
+            return self._answer_again(known, content)
+        decision = self._decide(command)
+        result = self._commit(index, command, decision)
+        remember(
+            self._answers,
+            command.change_id,
+            Answered(content, result, self._clock_s),
+        )
+        return result
+
+    def _answer_again(self, known: Answered, content: bytes) -> ChangeResult:
+        if known.fingerprint == content:
+            return known.result._replace(duplicate=True)
+        return ChangeResult(
+            "refused",
+            self.revision,
+            "this change id was used for another change; choose a new one",
+        )
+
+    def _decide(self, command: Change) -> Decision:
+        finding = self._envelope_finding(command)
+        if finding:
+            return refused(self._state, finding)
+        conflict = self._conflict(command)
+        if conflict:
+            return Decision("conflict", self._state, findings=conflict)
+        handler = _HANDLERS[type(command)]
+        decision: Decision = handler(self._state, command)
+        return decision
+
+    def _envelope_finding(self, command: Change) -> str:
+        if not 0 < len(command.change_id) <= MAX_CHANGE_ID_CHARACTERS:
+            return f"change_id: has 1 to {MAX_CHANGE_ID_CHARACTERS} characters"
+        if isinstance(command, CreateCluster):
+            return ""
+        if self._state.cluster is None:
+            return "there is no cluster yet; create it first"
+        return ""
+
+    def _conflict(self, command: Change) -> tuple[str, ...]:
+        if isinstance(command, CreateCluster):
+            return ()
+        base = command.base_revision
+        if base == ANY_REVISION and isinstance(command, UNBASED_KINDS):
+            return ()
+        if base == self.revision:
+            return ()
+        return (
+            f"based on revision {base}, but {self.revision} is in force",
+            *self._changes_since(base),
+        )
+
+    def _changes_since(self, base_revision: int) -> list[str]:
+        since = [
+            f"revision {entry.revision} by {entry.operator}: {entry.kind}, "
+            + "; ".join(entry.difference[:CONFLICT_LINES])
+            for entry in self._audit
+            if entry.outcome == "applied"
+            and entry.revision > base_revision
+            and entry.kind != RecordOrder.__name__
+        ]
+        return since[-CONFLICT_LINES:]
+
+    def _commit(
+        self, index: int, command: Change, decision: Decision
+    ) -> ChangeResult:
+        if decision.outcome == "applied":
+            self._state = decision.state._replace(revision=self.revision + 1)
+            self._in_force = to_in_force(self._state)
+        self._record(
+            index,
+            command.operator,
+            command.change_id,
+            type(command).__name__,
+            decision.difference or decision.findings or decision.notes,
+            decision.outcome,
+            decision.evidence,
+        )
+        return ChangeResult(
+            decision.outcome,
+            self.revision,
+            "\n".join(decision.findings),
+            decision.findings,
+            decision.notes,
+        )
+
+    def _apply_order(self, index: int, command: RecordOrder) -> ChangeResult:
+        decision = record_order(self._book, command)
+        self._book = decision.book
+        outcome: Outcome = "applied" if decision.changed else "unchanged"
+        if decision.finding:
+            outcome = "refused"
+        # A resend that changed nothing is left out, as every retry of the
+        # leader would add a line.
+        if outcome != "unchanged":
+            self._record(
+                index,
+                SYSTEM,
+                command.order_id,
+                type(command).__name__,
+                (decision.finding or _order_line(command),),
+                outcome,
+                command.detail,
+            )
+        findings = (decision.finding,) if decision.finding else ()
+        return ChangeResult(outcome, self.revision, decision.finding, findings)
+
+    def _record(
+        self,
+        index: int,
+        operator: str,
+        change_id: str,
+        kind: str,
+        difference: tuple[str, ...],
+        outcome: Outcome,
+        evidence: str,
+    ) -> None:
+        self._audit.append(
+            AuditEntry(
+                index,
+                self.revision,
+                self._clock_s,
+                operator,
+                change_id,
+                kind,
+                difference,
+                outcome,
+                evidence[:MAX_EVIDENCE_CHARACTERS],
+            )
+        )
+        del self._audit[:-MAX_AUDIT_ENTRIES]
+
+
+def _content(command: Change) -> Change:
+    # The leader stamps the time anew at each resend.
+    return command._replace(now_s=0.0)
+
+
+def _order_line(command: RecordOrder) -> str:
+    return (
+        f"order {command.order_id} {command.term}.{command.sequence}: "
+        f"{command.action} {command.target} at {command.backend_server}, "
+        f"{command.phase}"
+    )
+
+
+__all__ = ["ConfigurationMachine", "MAX_AUDIT_ENTRIES"]
--- /dev/null
+++ b/packages/sycamorestand-state/src/sycamorestand_state/difference.py
@@ -0,0 +1,80 @@
+"""The difference of two declarations in lines for the audit trail."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+from typing import Final
+
+from sycamorestand_model.declarations import Declarations
+
+# Bounds an entry of the audit trail; the first lines tell what was meant.
+MAX_LINES: Final = 200
+MAX_VALUE_CHARACTERS: Final = 80
+# Salted hashes could still be tried against guessed keys by whoever may
+# read the audit trail, so only their number is told.
+SECRET_FIELDS: Final = frozenset({"key_hashes"})
+
+
+def describe_difference(
+    old: Declarations, new: Declarations
+) -> tuple[str, ...]:
+    """Return one line for each part that came, went or changed.
+
+    Example: ``models.nest.stable: '1' -> '2'``.
+    """
+    lines = list(_differences("", old, new))
+    left_out = len(lines) - MAX_LINES
+    if left_out > 0:
+        return (*lines[:MAX_LINES], f"and {left_out} more differences")
+    return tuple(lines)
+
+
+def _differences(path: str, old: Any, new: Any) -> Iterator[str]:
+    if old == new:
+        return
+    if isinstance(old, dict):
+        yield from _mapping_differences(path, old, new)
+    elif hasattr(old, "_fields"):
+        for field in old._fields:
+            yield from _field_differences(_join(path, field), field, old, new)
+    else:
+        yield f"{path}: {_short(old)} -> {_short(new)}"
+
+
+def _mapping_differences(
+    path: str, old: dict[str, Any], new: dict[str, Any]
+) -> Iterator[str]:
+    for name in sorted({*old, *new}):
+        item_path = _join(path, name)
+        if name not in new:
+            yield f"{item_path}: removed"
+        elif name not in old:
+            yield f"{item_path}: added"
+        else:
+            yield from _differences(item_path, old[name], new[name])
+
+
+def _field_differences(
+    path: str, field: str, old: Any, new: Any
+) -> Iterator[str]:
+    before = getattr(old, field)
+    after = getattr(new, field)
+    if field not in SECRET_FIELDS:
+        yield from _differences(path, before, after)
+    elif before != after:
+        yield f"{path}: changed, {len(before)} -> {len(after)} keys"
+
+
+def _join(path: str, name: str) -> str:
+    return f"{path}.{name}" if path else name
+
+
+def _short(value: Any) -> str:
+    text = repr(value)
+    if len(text) <= MAX_VALUE_CHARACTERS:
+        return text
+    return f"{text[:MAX_VALUE_CHARACTERS]}..."
+
+
+__all__ = ["describe_difference", "MAX_LINES"]
--- /dev/null
+++ b/packages/sycamorestand-state/src/sycamorestand_state/order_book.py
@@ -0,0 +1,118 @@
+"""Orders to engines as the log knows them; pure transitions.
+
+An order is recorded as ``intended`` before it is sent, and its outcome
+after it. The book refuses a fencing number that is not above all before
+it, so that a deposed leader cannot record, and hence not send, an order
+after its successor has begun.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import NamedTuple
+
+from sycamorestand_state.commands import RecordOrder
+from sycamorestand_state.results import OrderRecord
+
+INTENDED: Final = "intended"
+UNFINISHED_PHASES: Final = frozenset({INTENDED, "unknown"})
+FINISHED_PHASES: Final = frozenset({"done", "failed", "superseded"})
+# Finished orders are kept for operators to look at; the audit trail has
+# them as well.
+MAX_FINISHED_ORDERS: Final = 500
+
+
+class OrderBook(NamedTuple):
+    """Orders by id, and the highest fencing number recorded."""
+
+    orders: dict[str, OrderRecord] = {}
+    term: int = 0
+    sequence: int = 0
+
+
+class OrderDecision(NamedTuple):
+    """What became of a `RecordOrder`; ``finding`` where it was refused."""
+
+    book: OrderBook
+    changed: bool
+    finding: str = ""
+
+
+def record_order(book: OrderBook, command: RecordOrder) -> OrderDecision:
+    """Record the intent or the outcome of an order."""
+    record = OrderRecord(*command)
+    known = book.orders.get(command.order_id)
+    if known is not None and known._replace(now_s=record.now_s) == record:
+        return OrderDecision(book, changed=False)
+    finding = _finding(book, known, record)
+    if finding:
+        return OrderDecision(book, changed=False, finding=finding)
+    return OrderDecision(_with_order(book, record), changed=True)
+
+
+def _finding(
+    book: OrderBook, known: OrderRecord | None, record: OrderRecord
+) -> str:
+    if record.phase == INTENDED:
+        return _intent_finding(book, known, record)
+    if record.phase not in UNFINISHED_PHASES | FINISHED_PHASES:
+        return f"order {record.order_id}: unknown phase {record.phase!r}"
+    if known is None:
+        return f"order {record.order_id}: was never recorded as intended"
+    if (known.term, known.sequence) != (record.term, record.sequence):
+        return (
+            f"order {record.order_id}: was sent again as "
+            f"{known.term}.{known.sequence}"
+        )
+    if known.phase in FINISHED_PHASES:
+        return f"order {record.order_id}: is {known.phase} already"
+    return ""
+
+
+def _intent_finding(
+    book: OrderBook, known: OrderRecord | None, record: OrderRecord
+) -> str:
+    fence = (record.term, record.sequence)
+    if fence <= (book.term, book.sequence):
+        return (
+            f"order {record.order_id}: fencing number {record.term}."
+            f"{record.sequence} is not above {book.term}.{book.sequence}"
+        )
+    if known is not None and known.phase in FINISHED_PHASES:
+        return f"order {record.order_id}: is {known.phase} already"
+    for other in book.orders.values():
+        same_server = other.backend_server == record.backend_server
+        if other.order_id == record.order_id or not same_server:
+            continue
+        if other.phase in UNFINISHED_PHASES:
+            return (
+                f"order {other.order_id} to {record.backend_server} is not "
+                "finished"
+            )
+    return ""
+
+
+def _with_order(book: OrderBook, record: OrderRecord) -> OrderBook:
+    orders = dict(book.orders)
+    orders.pop(record.order_id, None)
+    orders[record.order_id] = record
+    finished = [
+        order_id
+        for order_id, order in orders.items()
+        if order.phase in FINISHED_PHASES
+    ]
+    for order_id in finished[: len(finished) - MAX_FINISHED_ORDERS]:
+        del orders[order_id]
+    fence = max((book.term, book.sequence), (record.term, record.sequence))
+    return OrderBook(orders, *fence)
+
+
+__all__ = [
+    "FINISHED_PHASES",
+    "INTENDED",
+    "MAX_FINISHED_ORDERS",
+    "OrderBook",
+    "OrderDecision",
+    "record_order",
+    "UNFINISHED_PHASES",
+]
