--- /dev/null
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/admission.py
@@ -0,0 +1,276 @@
+"""Admission: what starts, what waits and for how long, what is refused.
+
+The load patterns are a burst, a few customers that send most of the load,
+and saturation. Without admission every request is sent on at once: the
+backend servers queue first come first served, a flooding customer fills
+that queue for all others, and answers come after their deadlines, so that
+the servers are busy with work that nobody waits for.
+
+Each pool (a model version or a service) has a number of slots. A request
+starts while a slot is free; otherwise it waits in the queue of its
+customer. Freed slots go to the priority, and inside it to the customer,
+that has had the least service for its weight (start-time fair queueing).
+A request that cannot start early enough to be answered by its deadline is
+refused when it is offered, with the time after which to come back; one
+that waits is refused as soon as that becomes true for it.
+
+Thresholds, shown by ``dev/bench decisions --scenario burst`` and
+``--scenario saturation-3x``:
+
+* `MAX_WAIT_S`: a longer wait adds latency and no throughput, since the
+  slots are busy anyway. An interactive wait of 4 s at half load clears
+  within 8 s after a burst has ended.
+* `BATCH_SHARE`: batch work gets a tenth of the starts under pressure,
+  enough not to starve, too little for interactive callers to notice.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import NamedTuple
+
+from sycamorestand_decisions.fair_queue import FairQueue
+from sycamorestand_decisions.fair_queue import Ticket
+from sycamorestand_decisions.service_times import ServiceTimes
+
+MAX_WAIT_S: Final = {"interactive": 4.0, "batch": 60.0}
+MAX_WAITING_PER_CUSTOMER: Final = 512
+MAX_WAITING_PER_POOL: Final = 2048
+BATCH_SHARE: Final = 0.1
+# A caller told to come back at once would only be refused again.
+MIN_RETRY_AFTER_S: Final = 0.5
+MAX_RETRY_AFTER_S: Final = 30.0
+# Waiting requests are estimated again this often: shares change only as
+# customers come and go, and a walk over the queue costs its length.
+RECHECK_S: Final = 0.25
+
+
+class Started(NamedTuple):
+    """The request holds a slot from now on."""
+
+    ticket_id: int
+
+
+class Waiting(NamedTuple):
+    """The request waits; ``expected_wait_s`` is an estimate."""
+
+    ticket_id: int
+    expected_wait_s: float
+
+
+class Refused(NamedTuple):
+    """The final answer to a request that did not run."""
+
+    reason: str
+    retry_after_s: float
+
+
+class PoolMetrics(NamedTuple):
+    """Counters of one pool since the start, and its state now."""
+
+    slots: int
+    in_flight: int
+    waiting: int
+    started: int
+    refused_deadline: int
+    refused_full: int
+    refused_expired: int
+    cancelled: int
+
+
+class Admission:
+    """Slots, queues and refusals of every pool of one entry process.
+
+    ``offer`` decides on a new request. After ``finish``, ``cancel`` or
+    ``set_capacity`` the caller asks ``start_ready`` for the requests that
+    may start now, and at least every `RECHECK_S` ``expire`` for those to
+    refuse. Exactly one of start, refusal or cancel ends every wait.
+
+    >>> admission = Admission()
+    >>> admission.set_capacity("nest@1", 1)
+    >>> first = Ticket(1, "guild", 1.0, "nest@1", "interactive", 9.0, 1.0)
+    >>> admission.offer(first, 0.0)
+    Started(ticket_id=1)
+    """
+
+    def __init__(self) -> None:
+        self._pools: dict[str, _Pool] = {}
+        self._pool_of: dict[int, _Pool] = {}
+
+    def set_capacity(self, pool: str, slots: int) -> None:
+        """Set how many requests of a pool may run at the same time."""
+        known = self._pool(pool)
+        if slots < known.slots:
+            known.next_recheck_s = 0.0
+        known.slots = slots
+
+    def offer(
+        self, ticket: Ticket, now_s: float
+    ) -> Started | Waiting | Refused:
+        """Start the request, let it wait, or refuse it for good."""
+        pool = self._pool(ticket.pool)
+        if now_s + pool.times.mean_s(ticket.expected_s) > ticket.deadline_s:
+            pool.refused_deadline += 1
+            return Refused("cannot finish in time", MIN_RETRY_AFTER_S)
+        if pool.free() > 0 and not pool.queue.waiting:
+            pool.queue.charge(ticket)
+            self._start(pool, ticket)
+            return Started(ticket.ticket_id)
+        if pool.slots < 1:
+            pool.refused_full += 1
+            return Refused("no backend server for it", MIN_RETRY_AFTER_S)
+        if _is_full(pool, ticket):
+            pool.refused_full += 1
+            return Refused("queue full", _retry_after_s(pool, ticket))
+        wait_s = pool.expected_wait_s(ticket)
+        if wait_s > _allowed_wait_s(pool, ticket, now_s):
+            pool.refused_deadline += 1
+            reason = "cannot start in time"
+            return Refused(reason, _retry_after_s(pool, ticket))
+        pool.queue.push(ticket, now_s + _allowed_wait_s(pool, ticket, now_s))
+        self._pool_of[ticket.ticket_id] = pool
+        return Waiting(ticket.ticket_id, wait_s)
+
+    def start_ready(self, now_s: float) -> list[Ticket]:
+        """Return the waiting requests that hold a slot from now on."""
+        ready: list[Ticket] = []
+        for pool in self._pools.values():
+            while pool.queue.waiting and pool.free() > 0:
+                ticket = pool.queue.pop()
+                if ticket is None:
+                    break
+                self._start(pool, ticket)
+                ready.append(ticket)
+        return ready
+
+    def finish(
+        self, ticket_id: int, now_s: float, latency_s: float, failed: bool
+    ) -> None:
+        """Free the slot of a started request and learn from its time."""
+        pool = self._pool_of.pop(ticket_id, None)
+        if pool is None:
+            return
+        ticket = pool.in_flight.pop(ticket_id, None)
+        if ticket is not None and not failed:
+            pool.times.observe(ticket.expected_s, latency_s)
+
+    def expire(self, now_s: float) -> list[tuple[Ticket, Refused]]:
+        """Take out the waiting requests that cannot start in time."""
+        refused: list[tuple[Ticket, Refused]] = []
+        for pool in self._pools.values():
+            if not pool.queue.waiting:
+                continue
+            for ticket in pool.hopeless(now_s):
+                pool.queue.remove(ticket.ticket_id)
+                self._pool_of.pop(ticket.ticket_id, None)
+                pool.refused_expired += 1
+                retry_after_s = _retry_after_s(pool, ticket)
+                answer = Refused("cannot start in time", retry_after_s)
+                refused.append((ticket, answer))
+        return refused
+
+    def cancel(self, ticket_id: int, now_s: float) -> None:
+        """Forget a request whose caller has gone, waiting or started."""
+        pool = self._pool_of.pop(ticket_id, None)
+        if pool is None:
+            return
+        pool.cancelled += 1
+        if pool.in_flight.pop(ticket_id, None) is None:
+            pool.queue.remove(ticket_id)
+
+    def metrics(self) -> dict[str, PoolMetrics]:
+        """Return the counters of every pool."""
+        return {name: pool.metrics() for name, pool in self._pools.items()}
+
+    def _start(self, pool: _Pool, ticket: Ticket) -> None:
+        pool.in_flight[ticket.ticket_id] = ticket
+        pool.started += 1
+        self._pool_of[ticket.ticket_id] = pool
+
+    def _pool(self, name: str) -> _Pool:
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = self._pools[name] = _Pool()
+        return pool
+
+
+class _Pool:
+    """State of one pool."""
+
+    def __init__(self) -> None:
+        self.slots = 0
+        self.in_flight: dict[int, Ticket] = {}
+        self.queue = FairQueue(BATCH_SHARE)
+        self.times = ServiceTimes()
+        self.next_recheck_s = 0.0
+        self.started = 0
+        self.refused_deadline = 0
+        self.refused_full = 0
+        self.refused_expired = 0
+        self.cancelled = 0
+
+    def free(self) -> int:
+        return self.slots - len(self.in_flight)
+
+    def expected_wait_s(self, ticket: Ticket) -> float:
+        """Estimate the wait behind the customer's own waiting work."""
+        ahead_s = self.queue.waiting_s(ticket.customer, ticket.priority)
+        slots = self.slots * self.queue.share(ticket)
+        next_free_s = ticket.expected_s / max(1, self.slots)
+        return self.times.mean_s(ahead_s) / max(slots, 0.01) + next_free_s
+
+    def hopeless(self, now_s: float) -> list[Ticket]:
+        """Return the waiting requests that cannot start in time."""
+        late = self.queue.late(now_s)
+        if now_s < self.next_recheck_s or self.slots < 1:
+            return late
+        self.next_recheck_s = now_s + RECHECK_S
+        known = {ticket.ticket_id for ticket in late}
+        for ticket, ahead_s, latest_s in self.queue.walk():
+            slots = max(self.slots * self.queue.share(ticket), 0.01)
+            wait_s = self.times.mean_s(ahead_s) / slots
+            if now_s + wait_s > latest_s and ticket.ticket_id not in known:
+                late.append(ticket)
+        return late
+
+    def metrics(self) -> PoolMetrics:
+        return PoolMetrics(
+            slots=self.slots,
+            in_flight=len(self.in_flight),
+            waiting=self.queue.waiting,
+            started=self.started,
+            refused_deadline=self.refused_deadline,
+            refused_full=self.refused_full,
+            refused_expired=self.refused_expired,
+            cancelled=self.cancelled,
+        )
+
+
+def _is_full(pool: _Pool, ticket: Ticket) -> bool:
+    if pool.queue.waiting >= MAX_WAITING_PER_POOL:
+        return True
+    own = pool.queue.count(ticket.customer, ticket.priority)
+    return own >= MAX_WAITING_PER_CUSTOMER
+
+
+def _allowed_wait_s(pool: _Pool, ticket: Ticket, now_s: float) -> float:
+    slack_s = ticket.deadline_s - now_s - pool.times.high_s(ticket.expected_s)
+    return min(slack_s, MAX_WAIT_S[ticket.priority])
+
+
+def _retry_after_s(pool: _Pool, ticket: Ticket) -> float:
+    wait_s = pool.expected_wait_s(ticket) if pool.slots else 0.0
+    return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+
+
+__all__ = [
+    "Admission",
+    "MAX_WAIT_S",
+    "MAX_WAITING_PER_CUSTOMER",
+    "MAX_WAITING_PER_POOL",
+    "PoolMetrics",
+    "Refused",
+    "Started",
+    "Ticket",
+    "Waiting",
+]
--- /dev/null
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ejection.py
@@ -0,0 +1,113 @@
+"""Which backend servers get no work for a while, and how they come back.
+
+The load pattern is one server that fails or answers several times slower
+than its peers. Without ejection it keeps its share of the requests, and
+that share sets the 99th percentile of all. An ejection without a cap does
+the reverse harm: when all servers slow down together, taking some out
+makes the rest fail.
+
+Shown by ``dev/bench decisions --scenario slow-server`` and
+``--scenario server-lost``.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+FAILURES_TO_EJECT: Final = 5
+# Three times the typical latency of the pool: long requests among short
+# ones move a server's average by less than a factor of two.
+SLOW_RATIO: Final = 3.0
+MIN_SAMPLES: Final = 10
+FIRST_EJECTION_S: Final = 5.0
+MAX_EJECTION_S: Final = 60.0
+# At most this share of a pool is out: where more servers look bad, the
+# cause is the load or the network, and fewer servers would not help.
+MAX_EJECTED_SHARE: Final = 1.0 / 3.0
+# A server that comes back takes its full share only after this time: its
+# caches are cold, and a wave of requests would make it look slow again.
+SLOW_START_S: Final = 10.0
+SLOW_START_FLOOR: Final = 0.1
+LATENCY_STEP: Final = 0.1
+
+
+class ServerHealth:
+    """Failures, latency and ejection of one backend server."""
+
+    def __init__(self) -> None:
+        self.latency_s = 0.0
+        self.samples = 0
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until_s = float("-inf")
+        self.half_open = False
+        self.probing = False
+        self.warm_since_s = float("-inf")
+
+    def is_out(self, now_s: float) -> bool:
+        """Tell whether the server gets no work now.
+
+        After its time out one request goes to it as a probe.
+        """
+        if now_s < self.ejected_until_s:
+            return True
+        return self.half_open and self.probing
+
+    def warmth(self, now_s: float) -> float:
+        """Return the share of full load, 0 to 1, during slow start."""
+        elapsed = (now_s - self.warm_since_s) / SLOW_START_S
+        return min(1.0, max(SLOW_START_FLOOR, elapsed))
+
+    def started(self) -> None:
+        """Note a request; on a half-open server it is the probe."""
+        if self.half_open:
+            self.probing = True
+
+    def succeeded(
+        self, now_s: float, latency_s: float, typical_s: float
+    ) -> None:
+        """Learn from an answer; a good probe starts the slow start."""
+        self.failures = 0
+        self._learn(latency_s)
+        if not self.half_open:
+            return
+        if typical_s and latency_s > SLOW_RATIO * typical_s:
+            self.eject(now_s)
+            return
+        self.half_open = self.probing = False
+        self.ejections = 0
+        self.samples = 0
+        self.warm_since_s = now_s
+
+    def failed(self) -> None:
+        """Count a failure."""
+        self.failures += 1
+
+    def should_eject(self, typical_s: float) -> bool:
+        """Tell whether failures or latency stand out from the pool."""
+        if self.half_open:
+            return self.failures > 0
+        if self.failures >= FAILURES_TO_EJECT:
+            return True
+        if self.samples < MIN_SAMPLES or not typical_s:
+            return False
+        return self.latency_s > SLOW_RATIO * typical_s
+
+    def eject(self, now_s: float) -> None:
+        """Take the server out, longer each time in a row."""
+        time_out_s = FIRST_EJECTION_S * 2**self.ejections
+        self.ejected_until_s = now_s + min(time_out_s, MAX_EJECTION_S)
+        self.ejections = min(self.ejections + 1, 8)
+        self.half_open = True
+        self.probing = False
+        self.failures = 0
+
+    def _learn(self, latency_s: float) -> None:
+        # Plain mean first: a moving average that begins with one long
+        # answer would look slow for dozens of requests.
+        self.samples += 1
+        step = max(LATENCY_STEP, 1.0 / self.samples)
+        self.latency_s += step * (latency_s - self.latency_s)
+
+
+__all__ = ["MAX_EJECTED_SHARE", "ServerHealth"]
--- /dev/null
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/fair_queue.py
@@ -0,0 +1,237 @@
+"""Fair queues of one pool: by priority, inside it by customer.
+
+Start-time fair queueing: each customer carries the virtual time up to
+which it has been served, which grows by expected service time over weight
+with every start. The customer that is furthest behind goes next, and one
+that was idle joins at the current virtual time, so that idling saves
+nothing up. Without it, one queue for all gives a customer the share of the
+servers that it asks for, not the share that it is due.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+import heapq
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MIN_WEIGHT: Final = 0.001
+MIN_COST_S: Final = 0.001
+
+
+class Ticket(NamedTuple):
+    """A request as admission sees it.
+
+    ``pool`` is the model version or service that it wants, ``deadline_s``
+    an absolute time, ``expected_s`` its expected time in service, and
+    ``priority`` is "interactive" or "batch".
+    """
+
+    ticket_id: int
+    customer: str
+    weight: float
+    pool: str
+    priority: str
+    deadline_s: float
+    expected_s: float
+
+
+class FairQueue:
+    """The waiting requests of one pool.
+
+    A removed request is only forgotten by id; its place in a customer's
+    queue is dropped when it comes up, so that a removal costs no search.
+    """
+
+    def __init__(self, batch_share: float) -> None:
+        self._classes = {
+            "interactive": _PriorityClass(1.0 - batch_share),
+            "batch": _PriorityClass(batch_share),
+        }
+        self._latest_s: dict[int, float] = {}
+        self._tickets: dict[int, Ticket] = {}
+        self._by_latest: list[tuple[float, int]] = []
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait."""
+        return len(self._tickets)
+
+    def count(self, customer: str, priority: str) -> int:
+        """How many requests of this customer wait."""
+        flow = self._classes[priority].flows.get(customer)
+        return 0 if flow is None else flow.count
+
+    def waiting_s(self, customer: str, priority: str) -> float:
+        """Expected service time of what this customer has waiting."""
+        flow = self._classes[priority].flows.get(customer)
+        return 0.0 if flow is None else flow.waiting_s
+
+    def share(self, ticket: Ticket) -> float:
+        """Return the share of the pool that a customer gets next."""
+        own = self._classes[ticket.priority]
+        total = sum(c.share for c in self._classes.values() if c.weight > 0)
+        total += 0.0 if own.weight > 0 else own.share
+        weight = own.weight
+        flow = own.flows.get(ticket.customer)
+        if flow is None or not flow.count:
+            weight += ticket.weight
+        return own.share / total * ticket.weight / max(weight, MIN_WEIGHT)
+
+    def push(self, ticket: Ticket, latest_s: float) -> None:
+        """Let a request wait, at most until ``latest_s``."""
+        self._tickets[ticket.ticket_id] = ticket
+        self._latest_s[ticket.ticket_id] = latest_s
+        heapq.heappush(self._by_latest, (latest_s, ticket.ticket_id))
+        self._classes[ticket.priority].push(ticket)
+
+    def charge(self, ticket: Ticket) -> None:
+        """Account for a request that started without waiting."""
+        self._classes[ticket.priority].charge(ticket)
+
+    def pop(self) -> Ticket | None:
+        """Take out the request that is due next."""
+        waiting = [c for c in self._classes.values() if c.weight > 0]
+        for chosen in sorted(waiting, key=_served_for_share):
+            ticket = chosen.pop(self._tickets)
+            if ticket is not None:
+                self._catch_up(chosen)
+                self._forget(ticket.ticket_id)
+                return ticket
+        return None
+
+    def remove(self, ticket_id: int) -> None:
+        """Forget a waiting request."""
+        ticket = self._tickets.get(ticket_id)
+        if ticket is not None:
+            self._classes[ticket.priority].drop(ticket)
+            self._forget(ticket_id)
+
+    def late(self, now_s: float) -> list[Ticket]:
+        """Return the requests whose latest start has passed."""
+        late: list[Ticket] = []
+        while self._by_latest and self._by_latest[0][0] < now_s:
+            _, ticket_id = heapq.heappop(self._by_latest)
+            ticket = self._tickets.get(ticket_id)
+            if ticket is not None:
+                late.append(ticket)
+        return late
+
+    def walk(self) -> Iterator[tuple[Ticket, float, float]]:
+        """Yield each request, the work ahead of it, its latest start."""
+        for priority in self._classes.values():
+            for flow in priority.flows.values():
+                ahead_s = 0.0
+                for ticket in flow.tickets:
+                    if ticket.ticket_id in self._tickets:
+                        yield ticket, ahead_s, self._latest_s[ticket.ticket_id]
+                        ahead_s += ticket.expected_s
+
+    def _forget(self, ticket_id: int) -> None:
+        self._tickets.pop(ticket_id, None)
+        self._latest_s.pop(ticket_id, None)
+
+    def _catch_up(self, served: _PriorityClass) -> None:
+        # A class without waiting work must not save up service: back
+        # from a pause it would shut the other class out.
+        for other in self._classes.values():
+            if other is not served and not other.weight:
+                other.served = max(other.served, served.served)
+
+
+class _Flow:
+    """What one customer has waiting in one priority class."""
+
+    def __init__(self, virtual_s: float) -> None:
+        self.tickets: deque[Ticket] = deque()
+        self.virtual_s = virtual_s
+        self.waiting_s = 0.0
+        self.weight = 0.0
+        self.count = 0
+
+
+class _PriorityClass:
+    """The customers of one priority, and which of them is due."""
+
+    def __init__(self, share: float) -> None:
+        self.share = share
+        self.served = 0.0
+        self.virtual_s = 0.0
+        self.weight = 0.0
+        self.flows: dict[str, _Flow] = {}
+        self._order: list[tuple[float, str]] = []
+
+    def push(self, ticket: Ticket) -> None:
+        flow = self._flow(ticket.customer)
+        if not flow.count:
+            flow.weight = ticket.weight
+            self.weight += ticket.weight
+            flow.virtual_s = max(flow.virtual_s, self.virtual_s)
+            heapq.heappush(self._order, (flow.virtual_s, ticket.customer))
+        flow.tickets.append(ticket)
+        flow.count += 1
+        flow.waiting_s += ticket.expected_s
+
+    def charge(self, ticket: Ticket) -> None:
+        flow = self._flow(ticket.customer)
+        start_s = max(flow.virtual_s, self.virtual_s)
+        flow.virtual_s = start_s + _cost_s(ticket)
+        self.served += ticket.expected_s / self.share
+
+    def pop(self, known: dict[int, Ticket]) -> Ticket | None:
+        while self._order:
+            virtual_s, customer = heapq.heappop(self._order)
+            flow = self.flows[customer]
+            if not flow.count or virtual_s != flow.virtual_s:
+                continue
+            ticket = _next_known(flow, known)
+            if ticket is None:
+                continue
+            self.virtual_s = max(self.virtual_s, virtual_s)
+            self.charge(ticket)
+            self.drop(ticket)
+            if flow.count:
+                heapq.heappush(self._order, (flow.virtual_s, customer))
+            return ticket
+        return None
+
+    def drop(self, ticket: Ticket) -> None:
+        flow = self.flows[ticket.customer]
+        flow.count -= 1
+        flow.waiting_s = max(0.0, flow.waiting_s - ticket.expected_s)
+        if not flow.count:
+            flow.tickets.clear()
+            flow.waiting_s = 0.0
+            self.weight -= flow.weight
+            if self.weight < MIN_WEIGHT / 2:
+                self.weight = 0.0
+
+    def _flow(self, customer: str) -> _Flow:
+        flow = self.flows.get(customer)
+        if flow is None:
+            flow = self.flows[customer] = _Flow(self.virtual_s)
+        return flow
+
+
+def _next_known(flow: _Flow, known: dict[int, Ticket]) -> Ticket | None:
+    while flow.tickets:
+        ticket = flow.tickets.popleft()
+        if ticket.ticket_id in known:
+            return ticket
+    return None
+
+
+def _cost_s(ticket: Ticket) -> float:
+    weight = max(ticket.weight, MIN_WEIGHT)
+    return max(ticket.expected_s, MIN_COST_S) / weight
+
+
+def _served_for_share(priority: _PriorityClass) -> float:
+    return priority.served
+
+
+__all__ = ["FairQueue", "Ticket"]
--- /dev/null
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/retry.py
@@ -0,0 +1,127 @@
+"""Budgets for retries and hedges.
+
+The load pattern is a pool that fails or slows down as a whole. Without a
+budget each failed request is tried again, which multiplies the load at the
+moment when there is least capacity, and the pool cannot recover. With it
+retries stay under a tenth of the successes, whatever fails. Overload
+signals are never retried: the next server is most likely as full.
+
+Shown by ``dev/bench decisions --scenario server-lost``.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+# A tenth: a lost server of nine fails 11 % of the requests once, and all
+# of them are tried again out of the savings; a pool that fails as a whole
+# gets 10 % more load.
+RETRY_SHARE: Final = 0.1
+CUSTOMER_SAVINGS: Final = 20.0
+FLEET_SAVINGS: Final = 100.0
+# A customer with few requests earns too little to ever retry; this gives
+# it one retry in five seconds, which no pool notices.
+TRICKLE_PER_S: Final = 0.2
+# Two in a hundred requests may be sent twice: those beyond the 98th
+# percentile of the wait for the first byte are the ones that gain.
+HEDGE_SHARE: Final = 0.02
+HEDGE_SAVINGS: Final = 10.0
+OVERLOAD_CAUSES: Final = frozenset({"overloaded", "refused", "cancelled"})
+MAX_CUSTOMERS: Final = 10_000
+
+
+class RetryBudget:
+    """Retries that each customer, and all together, may still make."""
+
+    def __init__(self) -> None:
+        self._fleet = _Savings(FLEET_SAVINGS, TRICKLE_PER_S * 10)
+        self._customers: dict[str, _Savings] = {}
+        self.granted = 0
+        self.denied = 0
+
+    def may_retry(self, customer: str, now_s: float, cause: str) -> bool:
+        """Spend one retry if both budgets allow it."""
+        own = self._own(customer)
+        if cause in OVERLOAD_CAUSES or not (
+            own.has_one(now_s) and self._fleet.has_one(now_s)
+        ):
+            self.denied += 1
+            return False
+        own.spend()
+        self._fleet.spend()
+        self.granted += 1
+        return True
+
+    def succeeded(self, customer: str, now_s: float) -> None:
+        """Earn a share of a retry with each success."""
+        self._own(customer).earn(RETRY_SHARE, now_s)
+        self._fleet.earn(RETRY_SHARE, now_s)
+
+    def _own(self, customer: str) -> _Savings:
+        own = self._customers.get(customer)
+        if own is None:
+            if len(self._customers) >= MAX_CUSTOMERS:
+                self._customers.clear()
+            own = _Savings(CUSTOMER_SAVINGS, TRICKLE_PER_S)
+            self._customers[customer] = own
+        return own
+
+
+class HedgeBudget:
+    """Second attempts of idempotent requests that wait unusually long."""
+
+    def __init__(self) -> None:
+        self._savings = _Savings(HEDGE_SAVINGS, 0.0)
+        self._high_s = 1.0
+
+    def delay_s(self) -> float:
+        """Return how long to wait for a first byte before a hedge."""
+        return self._high_s
+
+    def observe(self, first_byte_s: float, now_s: float) -> None:
+        """Learn the usual wait from a request and earn its share."""
+        above = first_byte_s > self._high_s
+        step = 1.0 - HEDGE_SHARE if above else -HEDGE_SHARE
+        self._high_s = max(0.001, self._high_s * (1.0 + 0.05 * step))
+        self._savings.earn(HEDGE_SHARE, now_s)
+
+    def may_hedge(
+        self, now_s: float, waited_s: float, idempotent: bool
+    ) -> bool:
+        """Spend one hedge for a request that has waited this long."""
+        if not idempotent or waited_s < self._high_s:
+            return False
+        if not self._savings.has_one(now_s):
+            return False
+        self._savings.spend()
+        return True
+
+
+class _Savings:
+    """A token bucket filled by successes and, slowly, by time."""
+
+    def __init__(self, most: float, per_s: float) -> None:
+        self._most = most
+        self._per_s = per_s
+        self._tokens = most / 2
+        self._filled_s: float | None = None
+
+    def has_one(self, now_s: float) -> bool:
+        self._fill(now_s)
+        return self._tokens >= 1.0
+
+    def spend(self) -> None:
+        self._tokens -= 1.0
+
+    def earn(self, amount: float, now_s: float) -> None:
+        self._fill(now_s)
+        self._tokens = min(self._most, self._tokens + amount)
+
+    def _fill(self, now_s: float) -> None:
+        last_s = now_s if self._filled_s is None else self._filled_s
+        gained = max(0.0, now_s - last_s) * self._per_s
+        self._tokens = min(self._most, self._tokens + gained)
+        self._filled_s = now_s
+
+
+__all__ = ["HedgeBudget", "RetryBudget"]
--- /dev/null
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
@@ -0,0 +1,186 @@
+"""How a roll-out goes on: wait, next step, or stop and quarantine.
+
+The load pattern is a new version that is worse than the old one: wrong
+answers, errors, slow, or bad for one class of requests only. A roll-out by
+time alone shows it to everybody before anyone looks. Here the new version
+is compared with the old one on the same classes in the same blocks of
+time, after every batch of counts, with a test that may be read at any
+time; it advances only on enough healthy evidence.
+
+A rating service that is down gives no ratings: the roll-out holds. One
+that is biased lowers the old version's ratings in the same blocks: no
+difference, no stop.
+
+Thresholds, shown by ``dev/bench decisions --scenario rollout``: the chance
+of a false stop of the whole roll-out comes from the profile's weight of
+exposure (`objective.false_stop_probability`, at most 8 in 10,000) and is
+shared by all signals and classes.
+"""
+
+from __future__ import annotations
+
+from math import log
+from typing import Final
+from typing import NamedTuple
+
+from sycamorestand_decisions.comparison import compare_all
+from sycamorestand_decisions.comparison import Evidence
+from sycamorestand_decisions.objective import false_stop_probability
+from sycamorestand_decisions.verdicts import Advance
+from sycamorestand_decisions.verdicts import Continue
+from sycamorestand_decisions.verdicts import Stop
+from sycamorestand_decisions.verdicts import Verdict
+from sycamorestand_decisions.version_stats import add_late_rating
+from sycamorestand_decisions.version_stats import add_sample
+from sycamorestand_decisions.version_stats import empty_stats
+from sycamorestand_decisions.version_stats import merge
+from sycamorestand_decisions.version_stats import VersionStats
+from sycamorestand_decisions.version_watch import VersionWatch
+from sycamorestand_model.declarations import Objective
+from sycamorestand_model.declarations import Rollout
+
+# Evidence of ten to one for harm is no proof, but no time to advance.
+SUSPECT_LOG_EVIDENCE: Final = log(10.0)
+# Ratings that a step needs where ratings come at all: thirty show a drop
+# of 20 points to about two standard deviations.
+MIN_RATED: Final = 30
+
+
+class StepStart(NamedTuple):
+    """Where the counts stood when the current step began."""
+
+    started_s: float = 0.0
+    requests: int = 0
+    rated: int = 0
+
+
+FROM_THE_START: Final = StepStart()
+EQUAL_WEIGHTS: Final = Objective()
+
+
+def judge(
+    old: VersionStats,
+    new: VersionStats,
+    rollout: Rollout,
+    now_s: float,
+    start: StepStart = FROM_THE_START,
+    objective: Objective = EQUAL_WEIGHTS,
+) -> Verdict:
+    """Return what the counts say about the new version now."""
+    evidence = compare_all(old, new)
+    limit = log(len(evidence) / false_stop_probability(objective))
+    harmful = [e for e in evidence if e.log_evidence >= limit]
+    if harmful:
+        worst = max(harmful, key=_strength)
+        reason = f"worse {worst.signal} than the old version"
+        return Stop(reason, tuple(e.text() for e in harmful))
+    return _pace(old, new, rollout, now_s, start, evidence)
+
+
+class RolloutMonitor:
+    """Counts and the current step of one running roll-out.
+
+    After an interruption a new monitor is made with the step that was
+    committed; its counts begin anew, so a step may take longer but none
+    is skipped.
+    """
+
+    def __init__(
+        self,
+        rollout: Rollout,
+        now_s: float,
+        step: int = 0,
+        objective: Objective = EQUAL_WEIGHTS,
+    ) -> None:
+        self.rollout = rollout
+        self.step = step
+        self._objective = objective
+        self._start = StepStart(started_s=now_s)
+        self.old = empty_stats()
+        self.new = empty_stats()
+
+    @property
+    def share(self) -> float:
+        """Return the share of new work that the new version gets."""
+        return self.rollout.shares[self.step]
+
+    def observe(
+        self,
+        is_new: bool,
+        request_class: str,
+        now_s: float,
+        failed: bool,
+        latency_ms: float,
+        passed: bool | None,
+    ) -> None:
+        """Count one request of either version."""
+        stats = self.new if is_new else self.old
+        add_sample(stats, request_class, now_s, failed, latency_ms, passed)
+
+    def add(self, old: VersionStats, new: VersionStats) -> None:
+        """Add what an entry counted since its last report."""
+        self.old = merge((self.old, old))
+        self.new = merge((self.new, new))
+
+    def check(self, now_s: float) -> Verdict:
+        """Judge the counts so far."""
+        return judge(
+            self.old,
+            self.new,
+            self.rollout,
+            now_s,
+            self._start,
+            self._objective,
+        )
+
+    def advance(self, now_s: float) -> bool:
+        """Go to the next step; False when the roll-out is complete."""
+        if self.step + 1 >= len(self.rollout.shares):
+            return False
+        self.step += 1
+        self._start = StepStart(now_s, self.new.requests, self.new.rated)
+        return True
+
+
+def _pace(
+    old: VersionStats,
+    new: VersionStats,
+    rollout: Rollout,
+    now_s: float,
+    start: StepStart,
+    evidence: list[Evidence],
+) -> Verdict:
+    elapsed_s = now_s - start.started_s
+    if elapsed_s < rollout.min_step_s:
+        return Continue(f"{elapsed_s:.0f} s of {rollout.min_step_s:.0f} s")
+    requests = new.requests - start.requests
+    if requests < rollout.min_samples:
+        return Continue(f"{requests} of {rollout.min_samples} requests")
+    rated = new.rated - start.rated
+    if old.rated and rated < MIN_RATED:
+        return Continue(f"{rated} of {MIN_RATED} ratings")
+    worst = max(evidence, key=_strength)
+    if worst.log_evidence >= SUSPECT_LOG_EVIDENCE:
+        return Continue(f"suspect {worst.text()}")
+    return Advance(f"healthy after {requests} requests, {rated} rated")
+
+
+def _strength(evidence: Evidence) -> float:
+    return evidence.log_evidence
+
+
+__all__ = [
+    "add_late_rating",
+    "add_sample",
+    "Advance",
+    "Continue",
+    "empty_stats",
+    "judge",
+    "merge",
+    "RolloutMonitor",
+    "StepStart",
+    "Stop",
+    "Verdict",
+    "VersionStats",
+    "VersionWatch",
+]
--- /dev/null
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -0,0 +1,349 @@
+"""Choice of a backend server among the candidates for one attempt.
+
+The load patterns are late load reports, one slow server, hot session keys
+and servers that come back. Without this choice (round robin or least
+reported load) a slow server keeps a full share of the requests, entries
+follow reports that are seconds old all at once, and a hot key overloads
+the server that holds it.
+
+Two servers are drawn and the one with the lower expected wait taken (power
+of two choices): the estimated load times the server's observed latency
+over its limit. Two are enough to avoid loaded servers, and drawing keeps
+entries from choosing alike. A server known to hold the session or prefix
+is preferred up to `AFFINITY_GAIN` times the better of the two drawn.
+
+Shown by ``dev/bench decisions --scenario late-reports``, ``hot-keys`` and
+``slow-server``; decision cost by ``--scenario decision-cost``.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Final
+from typing import Literal
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from sycamorestand_decisions.affinity import CacheHints
+from sycamorestand_decisions.affinity import HashRing
+from sycamorestand_decisions.concurrency_limit import ConcurrencyLimit
+from sycamorestand_decisions.ejection import MAX_EJECTED_SHARE
+from sycamorestand_decisions.ejection import ServerHealth
+from sycamorestand_decisions.load_estimate import estimated_load
+from sycamorestand_decisions.load_estimate import OwnLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+Outcome = Literal["ok", "error", "timeout", "overloaded", "cancelled"]
+
+DRAWN: Final = 2
+# Draws before every candidate is looked at; with a third of them out,
+# eight draws miss two usable servers once in a few thousand choices.
+MAX_DRAWS: Final = 8
+# A cached prefix saves the prefill, about a third of a typical request's
+# time: waiting longer than that for the cache would cost more.
+AFFINITY_GAIN: Final = 1.5
+# With nearly idle servers a ratio of loads says little: one request more
+# or less must not drive a session away from its cache.
+AFFINITY_SLACK: Final = 0.25
+AFFINITY_OWNERS: Final = 2
+TYPICAL_STEP: Final = 0.01
+# The pool's typical latency is learned from servers' averages, each time
+# over this many answers, so that the median needs no sort on each choice.
+TYPICAL_EVERY: Final = 32
+
+
+class Candidate(NamedTuple):
+    """A backend server that could run the request, as last reported.
+
+    ``running`` and ``queued`` are the server's own counts, ``age_s`` how
+    old they are now.
+    """
+
+    name: str
+    capacity: int
+    running: int = 0
+    queued: int = 0
+    age_s: float = 0.0
+
+
+class ServerMetrics(NamedTuple):
+    """What an entry knows about one backend server."""
+
+    in_flight: int
+    limit: int
+    latency_s: float
+    ejected: bool
+
+
+class Choice(NamedTuple):
+    """One choice with what decided it, for `explain`."""
+
+    name: str
+    reason: str
+    scores: tuple[tuple[str, float], ...]
+
+
+class ServerSelector:
+    """State of one entry process about the backend servers it uses.
+
+    >>> selector = ServerSelector(Random(1))
+    >>> selector.choose([Candidate("a", 4)], 0.0)
+    'a'
+    """
+
+    def __init__(self, random: Random | None = None) -> None:
+        self._random = random or Random()
+        self._servers: dict[str, _Server] = {}
+        self._rings: dict[tuple[str, ...], HashRing] = {}
+        self._hints = CacheHints()
+        self._typical_s = 0.0
+        self._answers = 0
+
+    def choose(
+        self,
+        candidates: Sequence[Candidate],
+        now_s: float,
+        affinity_key: str | None = None,
+        exclude: frozenset[str] = frozenset(),
+    ) -> str | None:
+        """Return the server for one attempt, None where none is usable."""
+        drawn = self._draw(candidates, now_s, exclude)
+        if not drawn:
+            return None
+        scored = [(self._score(c, now_s), c.name) for c in drawn]
+        best_score, best = min(scored)
+        if affinity_key is None:
+            return best
+        bound = best_score * AFFINITY_GAIN + AFFINITY_SLACK * self._unit()
+        near = self._near(candidates, affinity_key, now_s, exclude)
+        for candidate in near:
+            if self._score(candidate, now_s) <= bound:
+                return candidate.name
+        return best
+
+    def explain(
+        self,
+        candidates: Sequence[Candidate],
+        now_s: float,
+        exclude: frozenset[str] = frozenset(),
+    ) -> tuple[Choice, ...]:
+        """Return every candidate's score and state, lowest score first."""
+        choices = [
+            Choice(c.name, self._state(c, now_s, exclude), ())
+            for c in sorted(candidates, key=lambda c: self._score(c, now_s))
+        ]
+        scores = tuple((c.name, self._score(c, now_s)) for c in candidates)
+        return tuple(choice._replace(scores=scores) for choice in choices)
+
+    def started(self, name: str, now_s: float) -> None:
+        """Count a request that was sent to the server."""
+        server = self._server(name)
+        server.own.change(1, now_s)
+        server.health.started()
+
+    def first_byte(self, name: str, now_s: float, latency_s: float) -> None:
+        """Learn from the time to the first byte."""
+        self._server(name).limit.first_byte(now_s, latency_s)
+
+    def finished(
+        self, name: str, now_s: float, latency_s: float, outcome: Outcome
+    ) -> None:
+        """Count the end of an attempt and learn from its outcome."""
+        server = self._server(name)
+        in_flight = server.own.in_flight
+        server.own.change(-1, now_s)
+        if outcome == "ok":
+            server.limit.succeeded(now_s, in_flight)
+            server.health.succeeded(now_s, latency_s, self._typical_s)
+            self._learn_typical()
+        elif outcome == "overloaded":
+            # A refusal says that the server is full, not that it fails:
+            # ejecting it would push its load onto the others.
+            server.limit.overloaded(now_s)
+        elif outcome in ("error", "timeout"):
+            server.health.failed()
+        if outcome == "cancelled" or outcome == "overloaded":
+            server.health.probing = False
+        self._eject_outlier(server, now_s)
+
+    def limit(self, name: str) -> int:
+        """Return how many requests this entry may run on the server."""
+        return self._server(name).limit.limit
+
+    def capacity(self, candidates: Sequence[Candidate], now_s: float) -> int:
+        """Return the slots for admission: limits of the servers not out."""
+        total = 0
+        for candidate in candidates:
+            server = self._server(candidate.name, candidate.capacity)
+            if not server.health.is_out(now_s):
+                warmth = server.health.warmth(now_s)
+                total += max(1, int(server.limit.limit * warmth))
+        return total
+
+    def cache_event(
+        self, name: str, prefix_keys: Sequence[str], stored: bool, now_s: float
+    ) -> None:
+        """Take in a hint that the server holds, or lost, prefixes."""
+        self._hints.event(name, prefix_keys, stored, now_s)
+
+    def forget(self, name: str) -> None:
+        """Drop the state of a server that left for good."""
+        self._servers.pop(name, None)
+
+    def metrics(self, now_s: float) -> dict[str, ServerMetrics]:
+        """Return what is known about every server."""
+        return {
+            name: ServerMetrics(
+                in_flight=server.own.in_flight,
+                limit=server.limit.limit,
+                latency_s=server.health.latency_s,
+                ejected=server.health.is_out(now_s),
+            )
+            for name, server in self._servers.items()
+        }
+
+    def _draw(
+        self,
+        candidates: Sequence[Candidate],
+        now_s: float,
+        exclude: frozenset[str],
+    ) -> list[Candidate]:
+        drawn: list[Candidate] = []
+        count = len(candidates)
+        for _ in range(MAX_DRAWS if count > DRAWN else 0):
+            candidate = candidates[int(self._random.random() * count)]
+            if candidate in drawn:
+                continue
+            if self._usable(candidate, now_s, exclude):
+                drawn.append(candidate)
+                if len(drawn) == DRAWN:
+                    return drawn
+        usable = [c for c in candidates if self._usable(c, now_s, exclude)]
+        if not usable:
+            # Admission bounds the sum; a limit that shrank since must not
+            # turn a request that was let in into an error.
+            usable = [c for c in candidates if self._is_in(c, now_s, exclude)]
+        if len(usable) <= DRAWN:
+            return usable
+        return self._random.sample(usable, DRAWN)
+
+    def _usable(
+        self, candidate: Candidate, now_s: float, exclude: frozenset[str]
+    ) -> bool:
+        if not self._is_in(candidate, now_s, exclude):
+            return False
+        server = self._servers[candidate.name]
+        warmth = server.health.warmth(now_s)
+        return server.own.in_flight < max(1.0, server.limit.limit * warmth)
+
+    def _is_in(
+        self, candidate: Candidate, now_s: float, exclude: frozenset[str]
+    ) -> bool:
+        if candidate.name in exclude:
+            return False
+        server = self._server(candidate.name, candidate.capacity)
+        return not server.health.is_out(now_s)
+
+    def _score(self, candidate: Candidate, now_s: float) -> float:
+        server = self._server(candidate.name, candidate.capacity)
+        reported = candidate.running + candidate.queued
+        load = estimated_load(server.own, reported, candidate.age_s, now_s)
+        latency_s = server.health.latency_s or self._typical_s or 1.0
+        warmth = server.health.warmth(now_s)
+        return (load + 1.0) / (candidate.capacity * warmth) * latency_s
+
+    def _unit(self) -> float:
+        return self._typical_s or 1.0
+
+    def _near(
+        self,
+        candidates: Sequence[Candidate],
+        key: str,
+        now_s: float,
+        exclude: frozenset[str],
+    ) -> list[Candidate]:
+        by_name = {c.name: c for c in candidates}
+        names = self._hints.holders(key, now_s, by_name)
+        if not names:
+            ring = self._ring(tuple(by_name))
+            names = ring.owners(key, AFFINITY_OWNERS)
+        near = [by_name[name] for name in names]
+        return [c for c in near if self._usable(c, now_s, exclude)]
+
+    def _ring(self, names: tuple[str, ...]) -> HashRing:
+        ring = self._rings.get(names)
+        if ring is None:
+            if len(self._rings) >= MAX_RINGS:
+                self._rings.clear()
+            ring = self._rings[names] = HashRing()
+            ring.set_names(names)
+        return ring
+
+    def _state(
+        self, candidate: Candidate, now_s: float, exclude: frozenset[str]
+    ) -> str:
+        server = self._server(candidate.name, candidate.capacity)
+        if candidate.name in exclude:
+            return "tried before"
+        if server.health.is_out(now_s):
+            return "ejected"
+        if not self._usable(candidate, now_s, exclude):
+            return "at its limit"
+        if server.health.warmth(now_s) < 1.0:
+            return "slow start"
+        return "usable"
+
+    def _learn_typical(self) -> None:
+        self._answers += 1
+        if self._answers % TYPICAL_EVERY and self._typical_s:
+            return
+        averages = sorted(
+            server.health.latency_s
+            for server in self._servers.values()
+            if server.health.samples
+        )
+        if averages:
+            self._typical_s = averages[len(averages) // 2]
+
+    def _eject_outlier(self, server: _Server, now_s: float) -> None:
+        if not server.health.should_eject(self._typical_s):
+            return
+        if server.health.half_open:
+            server.health.eject(now_s)
+            return
+        out = sum(s.health.half_open for s in self._servers.values())
+        if out + 1 <= len(self._servers) * MAX_EJECTED_SHARE:
+            server.health.eject(now_s)
+
+    def _server(self, name: str, capacity: int | None = None) -> _Server:
+        server = self._servers.get(name)
+        if server is None:
+            server = self._servers[name] = _Server(capacity or 1)
+        elif capacity is not None:
+            server.limit.set_capacity(capacity)
+        return server
+
+
+# Candidate sets differ by model and by who is leaving; more than this
+# many at once means that servers come and go, and old rings are waste.
+MAX_RINGS: Final = 64
+
+
+class _Server:
+    """What the entry knows about one backend server."""
+
+    def __init__(self, capacity: int) -> None:
+        self.own = OwnLoad()
+        self.limit = ConcurrencyLimit(capacity)
+        self.health = ServerHealth()
+
+
+__all__ = [
+    "Candidate",
+    "Choice",
+    "Outcome",
+    "ServerMetrics",
+    "ServerSelector",
+]
--- /dev/null
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_stats.py
@@ -0,0 +1,157 @@
+"""Counts of what a version did, which entries send and the leader merges.
+
+Counts are kept by request class and by block of time. A class whose share
+changes, or a rating service that is worse for an hour, then shows in the
+old and the new version alike, and is not taken for a worse version.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Two minutes: the mix and the rating service rarely change within, and a
+# day of six classes is a few thousand counts.
+BLOCK_S: Final = 120.0
+# Upper edges of latency buckets; each is about 1.4 times the one before.
+LATENCY_EDGES_MS: Final = tuple(round(10 * 2 ** (i / 2)) for i in range(30))
+
+
+class Stratum(NamedTuple):
+    """One request class in one block of time."""
+
+    request_class: str
+    block: int
+
+
+class ClassStats(NamedTuple):
+    """Counts of one stratum; latencies are of answers without error."""
+
+    requests: int = 0
+    errors: int = 0
+    latency_sum_ms: float = 0.0
+    latency_counts: tuple[int, ...] = (0,) * (len(LATENCY_EDGES_MS) + 1)
+    rated: int = 0
+    passed: int = 0
+
+
+class VersionStats(NamedTuple):
+    """Counts of one version by stratum."""
+
+    strata: dict[Stratum, ClassStats]
+
+    @property
+    def requests(self) -> int:
+        """Requests in all strata."""
+        return sum(counts.requests for counts in self.strata.values())
+
+    @property
+    def rated(self) -> int:
+        """Ratings in all strata."""
+        return sum(counts.rated for counts in self.strata.values())
+
+    def classes(self) -> tuple[str, ...]:
+        """Return the request classes, sorted."""
+        return tuple(sorted({s.request_class for s in self.strata}))
+
+
+def empty_stats() -> VersionStats:
+    """Return counts of nothing."""
+    return VersionStats({})
+
+
+def add_sample(
+    stats: VersionStats,
+    request_class: str,
+    now_s: float,
+    failed: bool,
+    latency_ms: float,
+    passed: bool | None,
+) -> None:
+    """Count one request in place."""
+    stratum = Stratum(request_class, int(now_s // BLOCK_S))
+    known = stats.strata.get(stratum, ClassStats())
+    counts = known.latency_counts
+    latency_sum_ms = known.latency_sum_ms
+    if not failed:
+        place = bisect_left(LATENCY_EDGES_MS, latency_ms)
+        counts = (*counts[:place], counts[place] + 1, *counts[place + 1 :])
+        latency_sum_ms += latency_ms
+    stats.strata[stratum] = ClassStats(
+        requests=known.requests + 1,
+        errors=known.errors + failed,
+        latency_sum_ms=latency_sum_ms,
+        latency_counts=counts,
+        rated=known.rated + (passed is not None),
+        passed=known.passed + bool(passed),
+    )
+
+
+def add_late_rating(
+    stats: VersionStats, request_class: str, answered_s: float, passed: bool
+) -> None:
+    """Count a rating of an answer that was counted before, in place."""
+    stratum = Stratum(request_class, int(answered_s // BLOCK_S))
+    known = stats.strata.get(stratum, ClassStats())
+    stats.strata[stratum] = known._replace(
+        rated=known.rated + 1, passed=known.passed + passed
+    )
+
+
+def merge(parts: Iterable[VersionStats]) -> VersionStats:
+    """Return the sum of several counts, for example of every entry."""
+    strata: dict[Stratum, ClassStats] = {}
+    for part in parts:
+        for stratum, counts in part.strata.items():
+            known = strata.get(stratum)
+            strata[stratum] = counts if known is None else _sum(known, counts)
+    return VersionStats(strata)
+
+
+def select(
+    stats: VersionStats,
+    request_class: str | None = None,
+    first_block: int | None = None,
+    end_block: int | None = None,
+) -> VersionStats:
+    """Return the strata of one class or of some blocks."""
+    return VersionStats(
+        {
+            stratum: counts
+            for stratum, counts in stats.strata.items()
+            if (request_class in (None, stratum.request_class))
+            and (first_block is None or stratum.block >= first_block)
+            and (end_block is None or stratum.block < end_block)
+        }
+    )
+
+
+def _sum(one: ClassStats, two: ClassStats) -> ClassStats:
+    counts = zip(one.latency_counts, two.latency_counts, strict=True)
+    return ClassStats(
+        requests=one.requests + two.requests,
+        errors=one.errors + two.errors,
+        latency_sum_ms=one.latency_sum_ms + two.latency_sum_ms,
+        latency_counts=tuple(a + b for a, b in counts),
+        rated=one.rated + two.rated,
+        passed=one.passed + two.passed,
+    )
+
+
+__all__ = [
+    "add_late_rating",
+    "add_sample",
+    "BLOCK_S",
+    "ClassStats",
+    "empty_stats",
+    "LATENCY_EDGES_MS",
+    "merge",
+    "select",
+    "Stratum",
+    "VersionStats",
+]
--- /dev/null
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_watch.py
@@ -0,0 +1,167 @@
+"""Finds a version that turns bad long after its roll-out.
+
+There is no old version to compare with any more. Each version's last
+minutes are compared with its own past, and with what the other versions
+did in the same minutes: where all fell alike, the rating service, the
+network or the load is the likely cause, and withdrawing versions would
+take away what still answers. Where no other version has counts, nothing
+tells these apart, and only a reason for operators is given.
+
+Thresholds, shown by ``dev/bench decisions --scenario version-turns-bad``
+and ``--scenario rating-down``: evidence of `LIMIT` is reached by chance
+about once in a million looks, which is once in some years for a dozen
+versions looked at every two minutes.
+"""
+
+from __future__ import annotations
+
+from math import log
+from typing import Final
+
+from sycamorestand_decisions.comparison import compare
+from sycamorestand_decisions.comparison import Evidence
+from sycamorestand_decisions.comparison import MIN_TOTAL
+from sycamorestand_decisions.comparison import rise
+from sycamorestand_decisions.comparison import Signal
+from sycamorestand_decisions.comparison import SIGNALS
+from sycamorestand_decisions.verdicts import Continue
+from sycamorestand_decisions.verdicts import Stop
+from sycamorestand_decisions.version_stats import BLOCK_S
+from sycamorestand_decisions.version_stats import ClassStats
+from sycamorestand_decisions.version_stats import merge
+from sycamorestand_decisions.version_stats import select
+from sycamorestand_decisions.version_stats import Stratum
+from sycamorestand_decisions.version_stats import VersionStats
+
+LIMIT: Final = log(1e6)
+SUSPECT: Final = log(100.0)
+# Recent blocks that are looked at together: one finds a sudden failure
+# under much traffic, sixteen (half an hour) a slow one under little.
+WINDOWS: Final = (1, 4, 16)
+# The past that counts as normal. It ends before the longest window, so
+# that a slow fall does not become what is normal.
+PAST_REQUESTS: Final = 20_000
+
+
+class VersionWatch:
+    """Past and recent counts of every version in use."""
+
+    def __init__(self) -> None:
+        self._past: dict[str, VersionStats] = {}
+        self._recent: dict[str, VersionStats] = {}
+
+    def add(self, version: str, stats: VersionStats) -> None:
+        """Add what an entry counted since its last report."""
+        known = self._recent.get(version, VersionStats({}))
+        self._recent[version] = merge((known, stats))
+
+    def forget(self, version: str) -> None:
+        """Drop the counts of a version that is no longer in use."""
+        self._past.pop(version, None)
+        self._recent.pop(version, None)
+
+    def check(self, now_s: float) -> dict[str, Continue | Stop]:
+        """Return a verdict for each version that does not look healthy."""
+        block = int(now_s // BLOCK_S)
+        self._age(block)
+        verdicts: dict[str, Continue | Stop] = {}
+        for version in self._recent:
+            verdict = self._judge(version, block)
+            if verdict is not None:
+                verdicts[version] = verdict
+        return verdicts
+
+    def _judge(self, version: str, block: int) -> Continue | Stop | None:
+        past = self._past.get(version)
+        if past is None:
+            return None
+        found: list[Evidence] = []
+        unconfirmed: list[Evidence] = []
+        for window in WINDOWS:
+            recent = select(self._recent[version], None, block - window + 1)
+            for signal in SIGNALS:
+                common = self._common_rise(version, signal, block, window)
+                for group in (None, *recent.classes()):
+                    evidence = compare(
+                        past, recent, signal, group, max(0.0, common or 0.0)
+                    )
+                    if common is None:
+                        unconfirmed.append(evidence)
+                    else:
+                        found.append(evidence)
+        return _verdict(found, unconfirmed)
+
+    def _common_rise(
+        self, version: str, signal: Signal, block: int, window: int
+    ) -> float | None:
+        """Return the rise in the other versions, None where none tells."""
+        weighted = totals = 0.0
+        for other, counts in self._recent.items():
+            past = self._past.get(other)
+            if other == version or past is None:
+                continue
+            recent = select(counts, None, block - window + 1)
+            risen, total = rise(past, recent, signal)
+            if total >= MIN_TOTAL:
+                weighted += risen * total
+                totals += total
+        return weighted / totals if totals else None
+
+    def _age(self, block: int) -> None:
+        first_recent = block - max(WINDOWS) + 1
+        for version, counts in self._recent.items():
+            old = select(counts, None, None, first_recent)
+            if not old.strata:
+                continue
+            self._recent[version] = select(counts, None, first_recent)
+            past = self._past.get(version, VersionStats({}))
+            self._past[version] = _fade(merge((past, _one_block(old))))
+
+
+def _one_block(stats: VersionStats) -> VersionStats:
+    """Return the counts by class alone; the past needs no times."""
+    return merge(
+        VersionStats({Stratum(stratum.request_class, 0): counts})
+        for stratum, counts in stats.strata.items()
+    )
+
+
+def _fade(stats: VersionStats) -> VersionStats:
+    total = stats.requests
+    if total <= PAST_REQUESTS:
+        return stats
+    keep = PAST_REQUESTS / total
+    faded = {s: _scaled(c, keep) for s, c in stats.strata.items()}
+    return VersionStats(faded)
+
+
+def _scaled(counts: ClassStats, keep: float) -> ClassStats:
+    return ClassStats(
+        requests=int(counts.requests * keep),
+        errors=int(counts.errors * keep),
+        latency_sum_ms=counts.latency_sum_ms * keep,
+        latency_counts=tuple(int(n * keep) for n in counts.latency_counts),
+        rated=int(counts.rated * keep),
+        passed=int(counts.passed * keep),
+    )
+
+
+def _verdict(
+    found: list[Evidence], unconfirmed: list[Evidence]
+) -> Continue | Stop | None:
+    harmful = [e for e in found if e.log_evidence >= LIMIT]
+    if harmful:
+        worst = max(harmful, key=lambda e: e.log_evidence)
+        reason = f"worse {worst.signal} than in its own past"
+        return Stop(reason, tuple(e.text() for e in harmful))
+    for evidence in unconfirmed:
+        if evidence.log_evidence >= LIMIT:
+            text = "no other version tells the rating service or network"
+            return Continue(f"{text} from the version: {evidence.text()}")
+    for evidence in found:
+        if evidence.log_evidence >= SUSPECT:
+            return Continue(f"suspect {evidence.text()}")
+    return None
+
+
+__all__ = ["VersionWatch"]
