--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP interface of the control process."""
