--- /dev/null
+++ b/packages/sycamorestand-model/src/sycamorestand_model/check_subject.py
@@ -0,0 +1,87 @@
+"""What the checks of declarations share."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+from typing import NamedTuple
+
+from sycamorestand_model.declarations import CascadeStep
+from sycamorestand_model.declarations import Declarations
+from sycamorestand_model.declarations import Model
+from sycamorestand_model.findings import ERROR
+from sycamorestand_model.findings import Finding
+from sycamorestand_model.findings import Findings
+from sycamorestand_model.findings import Place
+from sycamorestand_model.load import Loaded
+
+UNKNOWN_REMEDY: Final = "correct the name or declare it"
+
+
+class Subject(NamedTuple):
+    """What the checks share: the declarations and where each stands.
+
+    ``broken`` names those whose reading gave an error. What is left of
+    them says nothing about what they lack, so checks for something
+    missing pass over them.
+    """
+
+    declarations: Declarations
+    files: dict[str, str]
+    broken: frozenset[str]
+    findings: Findings
+
+
+def subject_of(loaded: Loaded, findings: Findings) -> Subject:
+    """Return the subject that every check gets."""
+    broken = _broken(loaded.findings, loaded.files)
+    return Subject(loaded.declarations, loaded.files, broken, findings)
+
+
+def usable_versions(model: Model, step: CascadeStep) -> list[str]:
+    """Return the versions that a step may use and that are in service."""
+    names = step.versions or tuple(model.versions)
+    return [
+        name
+        for name in names
+        if name in model.versions and not model.versions[name].withdrawn
+    ]
+
+
+def report_unknown(
+    subject: Subject, section: str, name: str, place: Place
+) -> None:
+    """Add a finding for a name that nothing declares."""
+    if f"{section}.{name}" in subject.files:
+        # It is declared but broken, which has its own finding.
+        return
+    subject.findings.error(
+        place, f"no {section} declares {name!r}", UNKNOWN_REMEDY
+    )
+
+
+def place_of(subject: Subject, section: str, name: str) -> Place:
+    """Return where a declaration stands."""
+    key_path = f"{section}.{name}"
+    return Place(subject.files.get(key_path, ""), key_path)
+
+
+def _broken(
+    findings: Iterable[Finding], files: dict[str, str]
+) -> frozenset[str]:
+    paths = [f.key_path for f in findings if f.severity == ERROR]
+    return frozenset(
+        identity
+        for identity in files
+        if any(f"{path}.".startswith(f"{identity}.") for path in paths)
+    )
+
+
+__all__ = [
+    "place_of",
+    "report_unknown",
+    "Subject",
+    "subject_of",
+    "UNKNOWN_REMEDY",
+    "usable_versions",
+]
--- /dev/null
+++ b/packages/sycamorestand-model/src/sycamorestand_model/consequences.py
@@ -0,0 +1,139 @@
+"""What a change of declarations does to requests and sessions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Any
+from typing import Final
+
+from sycamorestand_model.declarations import Customer
+from sycamorestand_model.declarations import customer_allows
+from sycamorestand_model.declarations import Declarations
+from sycamorestand_model.declarations import Model
+from sycamorestand_model.declarations import version_id
+
+
+def consequences(old: Declarations, new: Declarations) -> tuple[str, ...]:
+    """Return notes for the operator who is about to apply ``new``."""
+    return tuple(note for rule in _RULES for note in rule(old, new))
+
+
+def _of_models(old: Declarations, new: Declarations) -> Iterator[str]:
+    for name, before in old.models.items():
+        after = new.models.get(name)
+        if after is None:
+            yield f"model {name} is removed: its sessions will be refused"
+            continue
+        yield from _of_versions(before, after)
+        if before.stable != after.stable:
+            yield (
+                f"new work on {name} moves from {before.stable} to "
+                f"{after.stable} at once; a roll-out would go in steps"
+            )
+
+
+def _of_versions(before: Model, after: Model) -> Iterator[str]:
+    for name, version in before.versions.items():
+        identity = version_id(before.name, name)
+        kept = after.versions.get(name)
+        if kept is None:
+            yield f"{identity} is removed: its sessions will be refused"
+        elif kept.withdrawn and not version.withdrawn:
+            yield (
+                f"{identity} is withdrawn: it gets no new work and its "
+                "sessions will be refused"
+            )
+        elif version.withdrawn and not kept.withdrawn:
+            yield f"{identity} is reinstated: it gets new work again"
+
+
+def _of_customers(old: Declarations, new: Declarations) -> Iterator[str]:
+    for name, before in old.customers.items():
+        after = new.customers.get(name)
+        if after is None:
+            yield f"customer {name} is removed: all its calls are refused"
+            continue
+        if set(before.key_hashes) - set(after.key_hashes):
+            yield f"customer {name} loses a key: calls with it are refused"
+        lost = _lost_versions(before, after, old)
+        if lost:
+            yield (
+                f"customer {name} loses {', '.join(lost)}: its sessions "
+                "there will be refused"
+            )
+
+
+def _lost_versions(
+    before: Customer, after: Customer, old: Declarations
+) -> list[str]:
+    identities = [
+        version_id(model.name, name)
+        for model in old.models.values()
+        for name in model.versions
+    ]
+    return [
+        identity
+        for identity in identities
+        if customer_allows(before, identity)
+        and not customer_allows(after, identity)
+    ]
+
+
+def _of_profiles(old: Declarations, new: Declarations) -> Iterator[str]:
+    for name in _removed(old.profiles, new.profiles):
+        yield f"profile {name} is removed: requests naming it are refused"
+
+
+def _of_services(old: Declarations, new: Declarations) -> Iterator[str]:
+    for name in _removed(old.services, new.services):
+        yield f"service {name} is removed: requests to it are refused"
+    for name, before in old.services.items():
+        after = new.services.get(name)
+        if after is None:
+            continue
+        came = set(after.idempotent_methods) - set(before.idempotent_methods)
+        if came:
+            yield (
+                f"{', '.join(sorted(came))} calls to {name} may now be "
+                "repeated: be sure that doing them twice is harmless"
+            )
+
+
+def _of_rollouts(old: Declarations, new: Declarations) -> Iterator[str]:
+    for name in _removed(old.rollouts, new.rollouts):
+        yield f"roll-out of {name} ends: new work goes to its stable version"
+    for name, before in old.rollouts.items():
+        after = new.rollouts.get(name)
+        if after is not None and after.version != before.version:
+            yield (
+                f"roll-out of {name} starts over with {after.version} "
+                f"instead of {before.version}"
+            )
+
+
+def _of_operators(old: Declarations, new: Declarations) -> Iterator[str]:
+    for name, before in old.operators.items():
+        after = new.operators.get(name)
+        if after is None:
+            yield f"operator {name} is removed: that key is refused"
+        elif set(before.key_hashes) - set(after.key_hashes):
+            yield f"operator {name} loses a key: it is refused"
+
+
+def _removed(old: dict[str, Any], new: dict[str, Any]) -> list[str]:
+    return [name for name in old if name not in new]
+
+
+_RULES: Final[
+    tuple[Callable[[Declarations, Declarations], Iterator[str]], ...]
+] = (
+    _of_models,
+    _of_customers,
+    _of_profiles,
+    _of_services,
+    _of_rollouts,
+    _of_operators,
+)
+
+__all__ = ["consequences"]
--- a/packages/sycamorestand-model/src/sycamorestand_model/findings.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/findings.py
@@ -7,8 +7,13 @@
 from typing import Literal
 from typing import NamedTuple
 
+from sycamorestand_model.limits import MAX_FINDINGS
+
 ERROR: Final = "error"
 WARNING: Final = "warning"
+MAX_KEY_PATH_CHARACTERS: Final = 160
+
+Severity = Literal["error", "warning"]
 
 
 class Finding(NamedTuple):
@@ -19,13 +24,72 @@
     ``customers.acme.profiles[0]``. Messages never repeat a key.
     """
 
-    severity: Literal["error", "warning"]
+    severity: Severity
     file: str
     key_path: str
     message: str
     remedy: str = ""
 
 
+class Place(NamedTuple):
+    """Where a value stands: its file and the path of keys to it."""
+
+    file: str = ""
+    key_path: str = ""
+
+
+class Findings:
+    """Collects findings, so that one run reports all of them.
+
+    After `MAX_FINDINGS` it keeps one more that says so and drops the rest.
+    """
+
+    def __init__(self) -> None:
+        self._findings: list[Finding] = []
+
+    def error(self, place: Place, message: str, remedy: str = "") -> None:
+        """Add a fault that keeps the declarations from being applied."""
+        self._add(Finding(ERROR, *place, message, remedy))
+
+    def warning(self, place: Place, message: str, remedy: str = "") -> None:
+        """Add a doubt that does not stop the operator."""
+        self._add(Finding(WARNING, *place, message, remedy))
+
+    def extend(self, findings: Iterable[Finding]) -> None:
+        """Add findings that were collected elsewhere."""
+        for finding in findings:
+            self._add(finding)
+
+    def all(self) -> tuple[Finding, ...]:
+        """Return the findings in the order in which they were found."""
+        return tuple(self._findings)
+
+    def _add(self, finding: Finding) -> None:
+        if len(self._findings) < MAX_FINDINGS:
+            self._findings.append(finding)
+        elif len(self._findings) == MAX_FINDINGS:
+            self._findings.append(
+                Finding(
+                    ERROR,
+                    "",
+                    "",
+                    f"more than {MAX_FINDINGS} findings",
+                    "mend those above and check again",
+                )
+            )
+
+
+def inside(place: Place, key: str) -> Place:
+    """Return the place of a key of the table that stands at ``place``."""
+    path = f"{place.key_path}.{key}" if place.key_path else key
+    return place._replace(key_path=path[:MAX_KEY_PATH_CHARACTERS])
+
+
+def item(place: Place, index: int) -> Place:
+    """Return the place of an item of the list that stands at ``place``."""
+    return place._replace(key_path=f"{place.key_path}[{index}]")
+
+
 def has_errors(findings: Iterable[Finding]) -> bool:
     """Tell whether the declarations may not be applied as they are."""
     return any(finding.severity == ERROR for finding in findings)
@@ -33,9 +97,21 @@
 
 def finding_line(finding: Finding) -> str:
     """Return one finding as a line of text for people."""
-    place = ":".join(part for part in finding[1:3] if part)
-    line = f"{finding.severity}: {place}: {finding.message}"
+    place = ": ".join(part for part in finding[1:3] if part)
+    head = f"{finding.severity}: {place}" if place else finding.severity
+    line = f"{head}: {finding.message}"
     return f"{line}; {finding.remedy}" if finding.remedy else line
 
 
-__all__ = ["ERROR", "Finding", "finding_line", "has_errors", "WARNING"]
+__all__ = [
+    "ERROR",
+    "Finding",
+    "finding_line",
+    "Findings",
+    "has_errors",
+    "inside",
+    "item",
+    "Place",
+    "Severity",
+    "WARNING",
+]
--- /dev/null
+++ b/packages/sycamorestand-model/src/sycamorestand_model/limits.py
@@ -0,0 +1,62 @@
+"""Bounds on declarations, so that one bad folder cannot fill a voter.
+
+Every declaration travels to every entry and lies in every snapshot. At
+the bounds below the msgpack form stays within a few megabytes; the users
+of today declare about twenty things.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+MAX_FILES: Final = 1_000
+MAX_FILE_BYTES: Final = 1_048_576
+MAX_TOTAL_BYTES: Final = 8_388_608
+MAX_FOLDER_DEPTH: Final = 2
+MAX_NAME_CHARACTERS: Final = 63
+MAX_VERSION_CHARACTERS: Final = 63
+MAX_KEYS: Final = 8
+MAX_LIST_ITEMS: Final = 500
+MAX_STEPS: Final = 8
+MAX_SHARES: Final = 20
+MAX_VERSIONS: Final = 64
+MAX_WEIGHT: Final = 1_000_000.0
+MAX_DEADLINE_MS: Final = 3_600_000
+MAX_STEP_S: Final = 604_800.0
+MAX_SAMPLES: Final = 10_000_000
+# 1,000 currency units a million tokens; a higher price is a slip of units.
+MAX_MICROS: Final = 1_000_000_000
+MAX_PINNED_SERVERS: Final = 1_000
+# A finding for each line of a large wrong file would hide the first ones.
+MAX_FINDINGS: Final = 500
+
+MAX_DECLARATIONS: Final[dict[str, int]] = {
+    "models": 500,
+    "profiles": 1_000,
+    "customers": 5_000,
+    "services": 1_000,
+    "rollouts": 500,
+    "operators": 500,
+}
+
+__all__ = [
+    "MAX_DEADLINE_MS",
+    "MAX_DECLARATIONS",
+    "MAX_FILE_BYTES",
+    "MAX_FILES",
+    "MAX_FINDINGS",
+    "MAX_FOLDER_DEPTH",
+    "MAX_KEYS",
+    "MAX_LIST_ITEMS",
+    "MAX_MICROS",
+    "MAX_NAME_CHARACTERS",
+    "MAX_PINNED_SERVERS",
+    "MAX_SAMPLES",
+    "MAX_SHARES",
+    "MAX_STEP_S",
+    "MAX_STEPS",
+    "MAX_TOTAL_BYTES",
+    "MAX_VERSION_CHARACTERS",
+    "MAX_VERSIONS",
+    "MAX_WEIGHT",
+]
--- /dev/null
+++ b/packages/sycamorestand-model/src/sycamorestand_model/load.py
@@ -0,0 +1,211 @@
+"""Declarations from a folder of TOML files or from one document.
+
+A folder holds ``*.toml`` files at its top or one folder below. Each file
+holds tables ``[models.NAME]``, ``[profiles.NAME]`` and so on; the folder
+that it lies in is for people, but where that bears a section's name the
+file may hold only that section. For example ``customers/acme.toml``::
+
+    [customers.acme]
+    key_hashes = ["b2$..."]
+    profiles = ["quote-helper"]
+    versions = ["nest-small"]
+
+The same tables as one JSON object are a document.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+import tomllib
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+from sycamorestand_model.declarations import Declarations
+from sycamorestand_model.findings import Finding
+from sycamorestand_model.findings import Findings
+from sycamorestand_model.findings import inside
+from sycamorestand_model.findings import Place
+from sycamorestand_model.limits import MAX_DECLARATIONS
+from sycamorestand_model.limits import MAX_FILE_BYTES
+from sycamorestand_model.limits import MAX_FILES
+from sycamorestand_model.limits import MAX_FOLDER_DEPTH
+from sycamorestand_model.limits import MAX_TOTAL_BYTES
+from sycamorestand_model.shapes import SECTIONS
+
+SUFFIX: Final = ".toml"
+# Other files that may lie beside the declarations without a finding.
+COMPANION_SUFFIXES: Final = (".md", ".txt")
+
+
+class Loaded(NamedTuple):
+    """What could be read, and every finding of the reading.
+
+    ``files`` gives the file of each declaration by ``section.name``, also
+    of those that are broken and therefore not in ``declarations``.
+    """
+
+    declarations: Declarations
+    findings: tuple[Finding, ...] = ()
+    files: dict[str, str] = {}
+
+
+class _RawDeclaration(NamedTuple):
+    section: str
+    name: str
+    table: object
+    place: Place
+
+
+def load_folder(folder: Path) -> Loaded:
+    """Read every declaration under a folder."""
+    findings = Findings()
+    raw: list[_RawDeclaration] = []
+    for path in _files_of(folder, findings):
+        relative = path.relative_to(folder).as_posix()
+        document = _parse(path, Place(relative), findings)
+        raw.extend(_raw_declarations(document, relative, findings))
+    return _assemble(raw, findings)
+
+
+def load_document(document: object) -> Loaded:
+    """Read declarations from one JSON-able object."""
+    findings = Findings()
+    return _assemble(_raw_declarations(document, "", findings), findings)
+
+
+def _files_of(folder: Path, findings: Findings) -> list[Path]:
+    if not folder.is_dir():
+        findings.error(
+            Place(str(folder)), "is no folder", "name the declarations folder"
+        )
+        return []
+    files = []
+    for path in sorted(folder.rglob("*")):
+        relative = path.relative_to(folder)
+        if any(part.startswith(".") for part in relative.parts):
+            continue
+        if not path.is_file() or path.suffix in COMPANION_SUFFIXES:
+            continue
+        place = Place(relative.as_posix())
+        if path.suffix != SUFFIX:
+            findings.warning(place, "is not read", f"end it in {SUFFIX}")
+        elif len(relative.parts) > MAX_FOLDER_DEPTH:
+            findings.error(place, "lies too deep", "move it one folder up")
+        else:
+            files.append(path)
+    return _bounded(files, folder, findings)
+
+
+def _bounded(
+    files: list[Path], folder: Path, findings: Findings
+) -> list[Path]:
+    if not files:
+        findings.error(
+            Place(str(folder)), "holds no .toml file", "add declarations"
+        )
+    if len(files) > MAX_FILES:
+        findings.error(
+            Place(str(folder)),
+            f"holds {len(files)} files",
+            f"use at most {MAX_FILES}",
+        )
+        return []
+    if sum(path.stat().st_size for path in files) > MAX_TOTAL_BYTES:
+        findings.error(
+            Place(str(folder)),
+            "is too large",
+            f"use at most {MAX_TOTAL_BYTES:,} bytes together",
+        )
+        return []
+    return files
+
+
+def _parse(path: Path, place: Place, findings: Findings) -> object:
+    try:
+        with path.open("rb") as stream:
+            content = stream.read(MAX_FILE_BYTES + 1)
+    except OSError as error:
+        findings.error(place, f"cannot be read: {error.strerror}")
+        return {}
+    if len(content) > MAX_FILE_BYTES:
+        findings.error(
+            place, "is too large", f"use at most {MAX_FILE_BYTES:,} bytes"
+        )
+        return {}
+    try:
+        return tomllib.loads(content.decode())
+    except UnicodeDecodeError:
+        findings.error(place, "is not UTF-8 text", "save it as UTF-8")
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        findings.error(place, f"is not TOML: {error}", "mend the syntax")
+    return {}
+
+
+def _raw_declarations(
+    document: object, file: str, findings: Findings
+) -> list[_RawDeclaration]:
+    if not isinstance(document, dict):
+        findings.error(Place(file), "is no table", "give one JSON object")
+        return []
+    raw: list[_RawDeclaration] = []
+    for section, tables in document.items():
+        place = Place(file, str(section))
+        if section not in SECTIONS:
+            findings.error(
+                place, "unknown section", f"use {', '.join(SECTIONS)}"
+            )
+        elif not isinstance(tables, dict):
+            findings.error(place, "is no table", f"use [{section}.NAME]")
+        else:
+            _report_misplaced(section, place, findings)
+            raw.extend(
+                _RawDeclaration(section, name, table, inside(place, name))
+                for name, table in tables.items()
+            )
+    return raw
+
+
+def _report_misplaced(section: str, place: Place, findings: Findings) -> None:
+    folder = place.file.rpartition("/")[0]
+    if folder in SECTIONS and folder != section:
+        findings.error(
+            place,
+            f"{section} stand in the folder {folder}/",
+            f"move them to {section}/",
+        )
+
+
+def _assemble(raw: list[_RawDeclaration], findings: Findings) -> Loaded:
+    sections: dict[str, dict[str, Any]] = {key: {} for key in SECTIONS}
+    files: dict[str, str] = {}
+    for declaration in raw:
+        section, name, table, place = declaration
+        identity = f"{section}.{name}"
+        if identity in files:
+            findings.error(
+                place,
+                f"is declared in {files[identity]} too",
+                "keep one of them",
+            )
+            continue
+        files[identity] = place.file
+        value = SECTIONS[section](name, table, place, findings)
+        if value is not None:
+            sections[section][name] = value
+    _report_too_many(files, findings)
+    return Loaded(Declarations(**sections), findings.all(), files)
+
+
+def _report_too_many(files: dict[str, str], findings: Findings) -> None:
+    for section, bound in MAX_DECLARATIONS.items():
+        count = sum(key.startswith(f"{section}.") for key in files)
+        if count > bound:
+            findings.error(
+                Place("", section),
+                f"{count} declarations are too many",
+                f"use at most {bound}",
+            )
+
+
+__all__ = ["load_document", "load_folder", "Loaded"]
--- /dev/null
+++ b/packages/sycamorestand-model/src/sycamorestand_model/plan.py
@@ -0,0 +1,96 @@
+"""The difference between two declarations, as typed lines with notes.
+
+``plan(in_force, wanted)`` says what would be added, removed and changed,
+and what follows from it for customers and sessions. Key hashes are shown
+as counts only, so a plan can be kept in the audit trail.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Final
+from typing import Literal
+from typing import NamedTuple
+
+from sycamorestand_model.codec import to_document
+from sycamorestand_model.consequences import consequences
+from sycamorestand_model.declarations import Declarations
+
+SECRET_FIELDS: Final = ("key_hashes",)
+MAX_TEXT_CHARACTERS: Final = 120
+
+
+class PlanLine(NamedTuple):
+    """One difference; ``before`` and ``after`` are texts for people."""
+
+    action: Literal["added", "removed", "changed"]
+    key_path: str
+    before: str = ""
+    after: str = ""
+
+
+class Plan(NamedTuple):
+    """All differences, and the notes on their consequences."""
+
+    lines: tuple[PlanLine, ...]
+    notes: tuple[str, ...]
+
+
+def plan(old: Declarations, new: Declarations) -> Plan:
+    """Return what changes from one revision's declarations to another's."""
+    lines = _differences("", to_document(old), to_document(new))
+    return Plan(tuple(lines), consequences(old, new))
+
+
+def plan_line_text(line: PlanLine) -> str:
+    """Return one difference as a line, for example in the audit trail."""
+    if line.action == "changed":
+        return f"changed {line.key_path}: {line.before} -> {line.after}"
+    return f"{line.action} {line.key_path}"
+
+
+def _differences(path: str, old: Any, new: Any) -> list[PlanLine]:
+    if path.rpartition(".")[2] in SECRET_FIELDS:
+        return _key_differences(path, old, new)
+    if isinstance(old, dict) and isinstance(new, dict):
+        return _table_differences(path, old, new)
+    if old == new:
+        return []
+    return [PlanLine("changed", path, _text(old), _text(new))]
+
+
+def _table_differences(
+    path: str, old: dict[str, Any], new: dict[str, Any]
+) -> list[PlanLine]:
+    lines: list[PlanLine] = []
+    for key in sorted({**old, **new}):
+        here = f"{path}.{key}" if path else key
+        if key not in old:
+            lines.append(PlanLine("added", here))
+        elif key not in new:
+            lines.append(PlanLine("removed", here))
+        else:
+            lines.extend(_differences(here, old[key], new[key]))
+    return lines
+
+
+def _key_differences(
+    path: str, old: list[str], new: list[str]
+) -> list[PlanLine]:
+    if old == new:
+        return []
+    gone = len(set(old) - set(new))
+    came = len(set(new) - set(old))
+    before = f"{len(old)} keys"
+    after = f"{len(new)} keys ({came} new, {gone} removed)"
+    return [PlanLine("changed", path, before, after)]
+
+
+def _text(value: Any) -> str:
+    text = repr(value)
+    if len(text) <= MAX_TEXT_CHARACTERS:
+        return text
+    return f"{text[:MAX_TEXT_CHARACTERS]}..."
+
+
+__all__ = ["Plan", "plan", "plan_line_text", "PlanLine"]
--- /dev/null
+++ b/packages/sycamorestand-model/tests/test_check.py
@@ -0,0 +1,302 @@
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from sycamorestand_model.check import check
+from sycamorestand_model.check import check_declarations
+from sycamorestand_model.findings import finding_line
+from sycamorestand_model.findings import has_errors
+from sycamorestand_model.limits import MAX_FILE_BYTES
+from sycamorestand_model.limits import MAX_FINDINGS
+from sycamorestand_model.load import load_document
+from sycamorestand_model.load import load_folder
+
+HASH = "b2$0011223344556677$00112233445566778899aabbccddeeff00112233"
+OTHER_HASH = "b2$0011223344556678$00112233445566778899aabbccddeeff00112233"
+
+MODELS = """
+[models.cheap]
+stable = "1"
+[models.cheap.versions.1]
+input_micros_per_mtoken = 100
+output_micros_per_mtoken = 200
+[models.cheap.versions.2]
+input_micros_per_mtoken = 100
+output_micros_per_mtoken = 200
+[models.strong]
+stable = "1"
+[models.strong.versions.1]
+input_micros_per_mtoken = 1000
+output_micros_per_mtoken = 2000
+"""
+PROFILES = """
+[profiles.help]
+steps = [{model = "cheap"}, {model = "strong"}]
+quality_target = 0.9
+"""
+CUSTOMERS = f"""
+[customers.acme]
+key_hashes = ["{HASH}"]
+profiles = ["help"]
+versions = ["cheap", "strong@1"]
+services = ["portal"]
+"""
+SERVICES = """
+[services.portal]
+call_micros = 5
+"""
+ROLLOUTS = """
+[rollouts.cheap]
+version = "2"
+"""
+OPERATORS = f"""
+[operators.ann]
+key_hashes = ["{OTHER_HASH}"]
+role = "admin"
+"""
+SOUND = {
+    "models/all.toml": MODELS,
+    "profiles/help.toml": PROFILES,
+    "customers/acme.toml": CUSTOMERS,
+    "services.toml": SERVICES,
+    "rollouts/cheap.toml": ROLLOUTS,
+    "operators/ann.toml": OPERATORS,
+}
+
+# What replaces which file, and what every finding has to contain.
+BAD = {
+    "unknown field": (
+        {"services.toml": "[services.portal]\ncall_micro = 5"},
+        ["error: services.toml: services.portal.call_micro: unknown field"],
+    ),
+    "unknown section": (
+        {"services.toml": f"{SERVICES}\n[customer.x]\na = 1"},
+        ["error: services.toml: customer: unknown section"],
+    ),
+    "wrong types": (
+        {
+            "profiles/help.toml": "[profiles.help]\nsteps = 3\n"
+            'quality_target = "high"\ndefault_deadline_ms = true'
+        },
+        [
+            "profiles.help.steps: is int; give a list",
+            "profiles.help.quality_target: is str; give a number",
+            "profiles.help.default_deadline_ms: is bool",
+        ],
+    ),
+    "out of range": (
+        {
+            "profiles/help.toml": PROFILES.replace("0.9", "1.5"),
+            "services.toml": "[services.portal]\ncall_micros = -1",
+            "rollouts/cheap.toml": f"{ROLLOUTS}min_step_s = nan",
+        },
+        [
+            "profiles.help.quality_target: out of range",
+            "rollouts.cheap.min_step_s: out of range",
+            "services.portal.call_micros: out of range",
+        ],
+    ),
+    "bad names": (
+        {
+            "extra.toml": f"[services.{'a' * 64}]\n[services.A]\n"
+            '[services."../x"]'
+        },
+        [
+            "name of 64 characters is too long",
+            "services.A: name holds a character",
+            "services.../x: name holds a character",
+        ],
+    ),
+    "doubled name": (
+        {"services/portal.toml": SERVICES},
+        ["services.portal: is declared in services/portal.toml too"],
+    ),
+    "misplaced": (
+        {"models/portal.toml": "[services.other]"},
+        ["services: services stand in the folder models/"],
+    ),
+    "dangling references": (
+        {
+            "customers/acme.toml": f"""
+[customers.acme]
+key_hashes = ["{HASH}"]
+profiles = ["halp"]
+versions = ["chaep", "strong@9"]
+services = ["portla"]
+""",
+            "rollouts/cheap.toml": '[rollouts.none]\nversion = "1"',
+        },
+        [
+            "customers.acme.profiles[0]: no profiles declares 'halp'",
+            "customers.acme.services[0]: no services declares 'portla'",
+            "customers.acme.versions[0]: no models declares 'chaep'",
+            "customers.acme.versions[1]: unknown version of strong",
+            "rollouts.none: no models declares 'none'",
+        ],
+    ),
+    "customer without a step": (
+        {"customers/acme.toml": CUSTOMERS.replace('"cheap", "strong@1"', "")},
+        ["customers.acme.profiles[0]: acme may use no step of profile help"],
+    ),
+    "customer that skips a step": (
+        {"customers/acme.toml": CUSTOMERS.replace(', "strong@1"', "")},
+        ["warning: customers/acme.toml: customers.acme.profiles[0]: acme"],
+    ),
+    "pattern": (
+        {"customers/acme.toml": CUSTOMERS.replace("strong@1", "str*")},
+        [
+            "customers.acme.versions[1]: patterns are not authorised",
+        ],
+    ),
+    "plain key": (
+        {"customers/acme.toml": CUSTOMERS.replace(HASH, "hunter2")},
+        ["customers.acme.key_hashes[0]: this is not a salted key hash"],
+    ),
+    "shares": (
+        {"rollouts/cheap.toml": f"{ROLLOUTS}shares = [0.0, 0.5, 0.5]"},
+        [
+            "rollouts.cheap.shares[2]: share does not increase",
+            "rollouts.cheap.shares[0]: the first share is 0",
+            "warning: rollouts/cheap.toml: rollouts.cheap.shares: the last",
+        ],
+    ),
+    "roll-out version": (
+        {"rollouts/cheap.toml": '[rollouts.cheap]\nversion = "7"'},
+        ["rollouts.cheap.version: unknown version of cheap"],
+    ),
+    "withdrawn stable version": (
+        {
+            "models/all.toml": MODELS.replace(
+                "[models.cheap.versions.2]",
+                "withdrawn = true\n[models.cheap.versions.2]",
+            )
+        },
+        ["models.cheap.stable: the stable version is withdrawn"],
+    ),
+    "no such stable version": (
+        {"models/all.toml": MODELS.replace('stable = "1"', 'stable = "4"')},
+        [
+            "models.cheap.stable: names no version",
+            "models.strong.stable: names no version",
+        ],
+    ),
+    "price of zero": (
+        {"models/all.toml": MODELS.replace("= 1000", "= 0")},
+        [
+            "warning: models/all.toml: models.strong.versions.1."
+            "input_micros_per_mtoken: price is 0"
+        ],
+    ),
+    "step order": (
+        {"models/all.toml": MODELS.replace("2000", "200")},
+        ["warning: profiles/help.toml: profiles.help.steps[1]: costs no more"],
+    ),
+    "step on withdrawn versions": (
+        {
+            "models/all.toml": f"{MODELS}withdrawn = true",
+            "profiles/help.toml": PROFILES.replace(
+                '"strong"', '"strong", versions = ["1"]'
+            ),
+        },
+        [
+            "models.strong.stable: the stable version is withdrawn",
+            "profiles.help.steps[1]: every version that the step may use",
+        ],
+    ),
+    "doubled key": (
+        {"operators/ann.toml": OPERATORS.replace(OTHER_HASH, HASH)},
+        ["operators.ann.key_hashes[0]: customers.acme has the same key"],
+    ),
+    "no admin": (
+        {"operators/ann.toml": OPERATORS.replace('"admin"', '"viewer"')},
+        ["warning: operators: no operator with a key has the role admin"],
+    ),
+    "a missing field names nothing else": (
+        {"profiles/help.toml": "[profiles.help]\nquality_target = 0.9"},
+        ["profiles.help.steps: missing; add this field"],
+    ),
+    "broken syntax": (
+        {"services.toml": f"{SERVICES}\n= 5"},
+        ["error: services.toml: is not TOML", "no services declares 'portal'"],
+    ),
+    "truncated": (
+        {"services.toml": "[services.portal]\ncall_micros = "},
+        ["error: services.toml: is not TOML", "no services declares 'portal'"],
+    ),
+    "not text": (
+        {"extra.toml": b"\xff\xfe"},
+        ["error: extra.toml: is not UTF-8 text"],
+    ),
+    "oversized": (
+        {"extra.toml": "#" * (MAX_FILE_BYTES + 1)},
+        ["error: extra.toml: is too large"],
+    ),
+    "other files": (
+        {"customers/old.yaml": "a: 1", "a/b/c.toml": ""},
+        ["a/b/c.toml: lies too deep", "warning: customers/old.yaml: is not"],
+    ),
+}
+
+
+def write_folder(folder: Path, files: dict[str, str | bytes]) -> None:
+    for name, content in files.items():
+        path = folder / name
+        path.parent.mkdir(parents=True, exist_ok=True)
+        if isinstance(content, str):
+            path.write_text(content)
+        else:
+            path.write_bytes(content)
+
+
+class TestCheck:
+    def test_a_sound_folder_has_no_findings(self, tmp_path: Path) -> None:
+        write_folder(tmp_path, {**SOUND})
+        loaded = load_folder(tmp_path)
+        assert check(loaded) == ()
+        assert check_declarations(loaded.declarations) == ()
+
+    @pytest.mark.parametrize("case", BAD)
+    def test_bad_input_gives_exactly_its_findings(
+        self, tmp_path: Path, case: str
+    ) -> None:
+        replaced, expected = BAD[case]
+        write_folder(tmp_path, {**SOUND, **replaced})
+        lines = [finding_line(f) for f in check(load_folder(tmp_path))]
+        missing = [
+            text for text in expected if not any(text in one for one in lines)
+        ]
+        assert missing == []
+        assert len(lines) == len(expected)
+
+    def test_all_faults_are_reported_together(self, tmp_path: Path) -> None:
+        write_folder(tmp_path, {**SOUND})
+        for case in ("wrong types", "plain key", "shares", "no admin"):
+            write_folder(tmp_path, {**BAD[case][0]})
+        lines = [finding_line(f) for f in check(load_folder(tmp_path))]
+        for case in ("wrong types", "plain key", "shares", "no admin"):
+            for text in BAD[case][1]:
+                assert any(text in line for line in lines), text
+
+    def test_a_plain_key_is_never_repeated(self, tmp_path: Path) -> None:
+        write_folder(tmp_path, {**SOUND, **BAD["plain key"][0]})
+        assert "hunter2" not in repr(check(load_folder(tmp_path)))
+
+    def test_no_folder_and_an_empty_one_are_errors(
+        self, tmp_path: Path
+    ) -> None:
+        assert has_errors(check(load_folder(tmp_path)))
+        assert has_errors(check(load_folder(tmp_path / "none")))
+
+    def test_findings_are_bounded(self) -> None:
+        services = {f"s{n}": 1 for n in range(MAX_FINDINGS + 50)}
+        findings = check(load_document({"services": services}))
+        assert len(findings) == MAX_FINDINGS + 1
+        assert "more than" in findings[-1].message
+
+    @pytest.mark.parametrize("document", [None, [], "x", {"models": []}])
+    def test_a_document_of_another_shape_is_a_finding(
+        self, document: object
+    ) -> None:
+        assert has_errors(check(load_document(document)))
