Entry: thin path from a chat request to a billed answer

Callers, relay, gate, charge, announcements, listings, and the fakes of an engine, a plain service and a control port.

--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
@@ -0,0 +1,276 @@
+"""A model engine with OpenAI's streaming interface and fault switches."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+from typing import Final
+
+import anyio
+import msgspec
+
+from sycamorestand_bench.fakes.faults import Fault
+from sycamorestand_bench.fakes.faults import FaultSwitch
+from sycamorestand_bench.fakes.hosting import read_body
+from sycamorestand_bench.fakes.hosting import send_answer
+from sycamorestand_bench.fakes.hosting import send_json
+from sycamorestand_bench.fakes.hosting import serve_application
+from sycamorestand_bench.fakes.hosting import Stopped
+
+DEFAULT_TOKENS: Final = 8
+CHARACTERS_PER_TOKEN: Final = 4
+EVENT_STREAM: Final = b"text/event-stream"
+
+
+class EngineRecord:
+    """What one run did; a resumed run keeps its record."""
+
+    def __init__(self, headers: dict[str, str], version: str) -> None:
+        self.request_key = headers.get("x-request-key", "")
+        self.customer = headers.get("x-customer", "")
+        self.run_id = headers.get("x-run", "")
+        self.version = version
+        self.sent_tokens = 0
+        self.resumes = 0
+        self.whole = False
+        self.cancelled = False
+
+    def as_dict(self) -> dict[str, Any]:
+        """Return the record for `GET /fake/runs`."""
+        return dict(vars(self))
+
+
+class FakeEngine:
+    """State of one engine; `application` serves it.
+
+    A ``tokens_per_s`` of zero sends as fast as the connection takes it.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        versions: tuple[str, ...],
+        tokens_per_s: float = 0.0,
+        can_resume: bool = False,
+    ) -> None:
+        self.name = name
+        self.versions = versions
+        self.tokens_per_s = tokens_per_s
+        self.can_resume = can_resume
+        self.switch = FaultSwitch()
+        self.records: list[EngineRecord] = []
+        self.running = 0
+
+    async def application(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one request."""
+        body = await read_body(receive)
+        path = scope["path"]
+        if path == "/fake/fault":
+            self.switch.fault = msgspec.convert(
+                msgspec.json.decode(body, type=list[Any]), Fault
+            )
+            await send_json(send, 200, {})
+        elif path == "/fake/runs":
+            records = [record.as_dict() for record in self.records]
+            await send_json(send, 200, records)
+        elif path == "/v1/chat/completions":
+            headers = {
+                name.decode(): value.decode()
+                for name, value in scope["headers"]
+            }
+            await self._complete(headers, body, receive, send)
+        else:
+            await send_json(send, 404, {})
+
+    async def _complete(
+        self, headers: dict[str, str], body: bytes, receive: Any, send: Any
+    ) -> None:
+        fault = self.switch.take()
+        if fault.kind == "refuse":
+            refusal = ((b"x-not-run", b"1"),)
+            await send_answer(send, 503, b"{}", headers=refusal)
+            return
+        content = msgspec.json.decode(body)
+        if content["model"] not in self.versions:
+            await send_json(send, 404, {"error": {"message": "no model"}})
+            return
+        record = self._find_record(headers, content["model"])
+        self.running += 1
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(_watch, receive, record, group)
+                start = int(headers.get("x-resume-from", "0"))
+                stream = _EventStream(self, record, content, fault, send)
+                await stream.send_all(start)
+                group.cancel_scope.cancel()
+        finally:
+            self.running -= 1
+
+    def _find_record(
+        self, headers: dict[str, str], version: str
+    ) -> EngineRecord:
+        run_id = headers.get("x-resume-run")
+        if run_id and self.can_resume:
+            for record in self.records:
+                if record.run_id == run_id:
+                    record.resumes += 1
+                    return record
+        record = EngineRecord(headers, version)
+        self.records.append(record)
+        return record
+
+
+class _EventStream:
+    def __init__(
+        self,
+        engine: FakeEngine,
+        record: EngineRecord,
+        content: dict[str, Any],
+        fault: Fault,
+        send: Any,
+    ) -> None:
+        self._engine = engine
+        self._record = record
+        self._content = content
+        self._fault = fault
+        self._send = send
+
+    async def send_all(self, start: int) -> None:
+        fault = self._fault
+        if fault.kind == "error":
+            await send_json(self._send, 500, {"error": {"message": "fault"}})
+            return
+        if fault.kind == "late":
+            await anyio.sleep(fault.pause_s)
+        kind = b"text/html" if fault.kind == "wrong_type" else EVENT_STREAM
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [(b"content-type", kind)],
+            }
+        )
+        tokens = self._content.get("max_tokens", DEFAULT_TOKENS)
+        await self._send_tokens(start, tokens)
+        await self._send_ending(tokens)
+
+    async def _send_tokens(self, start: int, tokens: int) -> None:
+        rate = self._engine.tokens_per_s
+        begin_s = anyio.current_time()
+        for index in range(start, tokens):
+            if rate:
+                due_s = begin_s + (index - start) / rate
+                await anyio.sleep(max(0.0, due_s - anyio.current_time()))
+            if index == self._fault.after:
+                await self._show_fault()
+            text = token_text(self._record, index)
+            await self._write(_token_event(self._record, text))
+            self._record.sent_tokens += 1
+
+    async def _send_ending(self, tokens: int) -> None:
+        if self._fault.kind == "no_end":
+            await self._send({"type": "http.response.body", "body": b""})
+            return
+        ending = b"data: [DONE]\n\n"
+        if self._fault.kind != "no_usage":
+            sent = prompt_tokens(self._content)
+            ending = _usage_event(self._record, sent, tokens) + ending
+        self._record.whole = True
+        await self._send({"type": "http.response.body", "body": ending})
+
+    async def _show_fault(self) -> None:
+        match self._fault.kind:
+            case "cut":
+                raise Stopped
+            case "silent" | "slow":
+                await anyio.sleep(self._fault.pause_s)
+            case "garbage":
+                await self._write(b"\x00\xff<html>" * 4 + b"\n\n")
+            case "error_event":
+                await self._write(b'data: {"error":{"message":"bad"}}\n\n')
+
+    async def _write(self, body: bytes) -> None:
+        await self._send(
+            {"type": "http.response.body", "body": body, "more_body": True}
+        )
+
+
+def token_text(record: EngineRecord, index: int) -> str:
+    """Return a token that shows whose answer it belongs to."""
+    return expected_token(record.version, record.request_key, index)
+
+
+def expected_token(version: str, request_key: str, index: int) -> str:
+    """Return the token at this place of a request's answer."""
+    return f"{version}/{request_key}/{index} "
+
+
+def expected_text(version: str, request_key: str, tokens: int) -> str:
+    """Return the whole answer to a request."""
+    return "".join(
+        expected_token(version, request_key, index) for index in range(tokens)
+    )
+
+
+def prompt_tokens(content: dict[str, Any]) -> int:
+    """Return how many tokens the fake counts for a request's messages."""
+    messages = msgspec.json.encode(content["messages"])
+    return len(messages) // CHARACTERS_PER_TOKEN
+
+
+async def _watch(
+    receive: Any, record: EngineRecord, group: anyio.abc.TaskGroup
+) -> None:
+    await receive()
+    if not record.whole:
+        record.cancelled = True
+    group.cancel_scope.cancel()
+
+
+def _token_event(record: EngineRecord, text: str) -> bytes:
+    choice = {"index": 0, "delta": {"content": text}, "finish_reason": None}
+    return _event(record, {"choices": [choice]})
+
+
+def _usage_event(record: EngineRecord, sent: int, tokens: int) -> bytes:
+    usage = {
+        "prompt_tokens": sent,
+        "completion_tokens": tokens,
+        "total_tokens": sent + tokens,
+    }
+    return _event(record, {"choices": [], "usage": usage})
+
+
+def _event(record: EngineRecord, content: dict[str, Any]) -> bytes:
+    whole = {
+        "id": f"chatcmpl-{record.run_id}",
+        "object": "chat.completion.chunk",
+        "created": 0,
+        "model": record.version,
+        **content,
+    }
+    return b"data: " + msgspec.json.encode(whole) + b"\n\n"
+
+
+async def _main(arguments: list[str]) -> None:
+    port, rate, *versions = arguments
+    engine = FakeEngine("fake-engine", tuple(versions), float(rate))
+    async with anyio.create_task_group() as group:
+        address = await group.start(
+            serve_application, engine.application, int(port)
+        )
+        print(address, flush=True)
+
+
+if __name__ == "__main__":
+    anyio.run(_main, sys.argv[1:])
+
+
+__all__ = [
+    "EngineRecord",
+    "expected_text",
+    "expected_token",
+    "FakeEngine",
+    "prompt_tokens",
+    "token_text",
+]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/billing.py
@@ -0,0 +1,80 @@
+"""What a request costs, and its one charge in the ledger."""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sycamorestand_entry.errors import LedgerFailed
+from sycamorestand_model.declarations import find_version
+from sycamorestand_model.errors import LedgerUnavailable
+from sycamorestand_model.ledger import Charge
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sycamorestand_entry.context import EntryContext
+    from sycamorestand_entry.sse import Usage
+    from sycamorestand_model.declarations import Declarations
+    from sycamorestand_model.ledger import LedgerRecord
+    from sycamorestand_model.ledger import LedgerResult
+
+TOKENS_PER_PRICE: Final = 1_000_000
+LEDGER_RETRY_S: Final = 1.0
+
+
+def cost_micros(
+    declarations: Declarations, identity: str, usage: Usage
+) -> int:
+    """Return the price of the tokens, rounded up to a whole micro-unit."""
+    version = find_version(declarations, identity)
+    if version is None:
+        return 0
+    price = usage.input_tokens * version.input_micros_per_mtoken
+    price += usage.output_tokens * version.output_micros_per_mtoken
+    return -(-price // TOKENS_PER_PRICE)
+
+
+async def charge_once(context: EntryContext, charge: Charge) -> int:
+    """Make the charge durable and return what the request cost.
+
+    Where the key has been charged before, by an earlier attempt or
+    another entry, that charge stands and its cost is returned.
+    """
+    result = (await write_ledger(context, [charge], run="ran"))[0]
+    context.metrics.charges.inc({"state": result.state})
+    context.metrics.tokens.add(
+        {"version": charge.version}, charge.output_tokens
+    )
+    if result.state == "exists":
+        return result.cost_micros
+    return charge.cost_micros
+
+
+async def write_ledger(
+    context: EntryContext,
+    records: Sequence[LedgerRecord],
+    run: str,
+) -> list[LedgerResult]:
+    """Return the ledger's answer to records that may safely be resent."""
+    try:
+        with anyio.fail_after(context.settings.ledger_timeout_s):
+            return await context.control.ledger(records)
+    except (LedgerUnavailable, TimeoutError):
+        context.metrics.ledger_failures.inc({})
+        raise LedgerFailed(
+            "the ledger gave no answer in time; ask again with this key",
+            LEDGER_RETRY_S,
+            run="ran" if run == "ran" else "not_run",
+        ) from None
+
+
+def now_s() -> float:
+    """Return the wall-clock time that records carry."""
+    return time.time()
+
+
+__all__ = ["charge_once", "cost_micros", "now_s", "write_ledger"]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -0,0 +1,31 @@
+"""State that the requests of one entry process share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorestand_entry.callers import Authenticator
+from sycamorestand_entry.metrics import Metrics
+from sycamorestand_entry.upstream import UpstreamPool
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.ports import ControlPort
+    from sycamorestand_entry.settings import EntrySettings
+
+
+class EntryContext:
+    """What handlers of requests need; made once for a process."""
+
+    def __init__(self, settings: EntrySettings, control: ControlPort) -> None:
+        self.settings = settings
+        self.control = control
+        self.metrics = Metrics()
+        self.authenticator = Authenticator()
+        self.pool = UpstreamPool(
+            settings.connect_timeout_s, settings.pool_idle_s
+        )
+        self.in_flight: dict[str, int] = {}
+        self.stopping = False
+
+
+__all__ = ["EntryContext"]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
@@ -0,0 +1,139 @@
+"""The one place that decides that a request may be dispatched.
+
+It runs synchronously right before the first byte is written. Whatever
+was true when the request came may have changed while it waited in a
+queue, for a connection or for the ledger: a version was withdrawn, the
+lease ran out while the process was suspended, the server left. Retries,
+later cascade steps and resumed streams pass it again for the same cause.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from sycamorestand_entry.errors import NoBackendServer
+from sycamorestand_entry.errors import NoLease
+from sycamorestand_entry.errors import NotAllowed
+from sycamorestand_entry.errors import NoVersion
+from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.errors import SessionNotAllowed
+from sycamorestand_entry.errors import SessionWithdrawn
+from sycamorestand_model.declarations import customer_allows
+from sycamorestand_model.declarations import find_version
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.ports import ControlPort
+    from sycamorestand_model.in_force import InForce
+
+LEASE_RETRY_S = 1.0
+SERVER_RETRY_S = 1.0
+
+
+class DispatchIntent(NamedTuple):
+    """What is about to be written, and to which backend server.
+
+    ``target`` is a version identity or the name of a plain service.
+    ``claim_held`` is None where the request needs no claim.
+    """
+
+    customer: str
+    profile: str
+    target: str
+    backend_server: str
+    in_session: bool = False
+    claim_held: bool | None = None
+
+
+def may_dispatch(
+    control: ControlPort, intent: DispatchIntent
+) -> RequestError | None:
+    """Return why the request may not be dispatched now, None if it may."""
+    if control.lease_remaining_s() <= 0:
+        return NoLease(
+            "this entry's configuration may be out of date", LEASE_RETRY_S
+        )
+    if intent.claim_held is False:
+        return NotAllowed("another attempt holds the request's claim")
+    in_force = control.in_force()
+    if intent.profile:
+        refusal = check_version(in_force, intent)
+    else:
+        refusal = _check_service(in_force, intent)
+    return refusal or _check_server(control, intent)
+
+
+def check_version(
+    in_force: InForce, intent: DispatchIntent
+) -> RequestError | None:
+    """Return why the customer may not use the version now."""
+    customer = in_force.declarations.customers.get(intent.customer)
+    if customer is None or intent.profile not in customer.profiles:
+        return NotAllowed("the customer may not use this profile")
+    if not version_is_offered(in_force, intent.target):
+        if intent.in_session:
+            return SessionWithdrawn(
+                f"version {intent.target} of this session is withdrawn"
+            )
+        return NoVersion(f"version {intent.target} is withdrawn")
+    allowed = customer_allows(customer, intent.target)
+    if allowed and _profile_has(in_force, intent):
+        return None
+    if intent.in_session:
+        return SessionNotAllowed(
+            f"version {intent.target} of this session is no longer allowed"
+        )
+    return NotAllowed(f"version {intent.target} is not allowed")
+
+
+def version_is_offered(in_force: InForce, identity: str) -> bool:
+    """Tell whether new work may go to the version at all."""
+    if identity in in_force.withdrawn or identity in in_force.quarantined:
+        return False
+    version = find_version(in_force.declarations, identity)
+    return version is not None and not version.withdrawn
+
+
+def _profile_has(in_force: InForce, intent: DispatchIntent) -> bool:
+    profile = in_force.declarations.profiles.get(intent.profile)
+    if profile is None:
+        return False
+    model, _, name = intent.target.partition("@")
+    return any(
+        step.model == model and (not step.versions or name in step.versions)
+        for step in profile.steps
+    )
+
+
+def _check_service(
+    in_force: InForce, intent: DispatchIntent
+) -> RequestError | None:
+    customer = in_force.declarations.customers.get(intent.customer)
+    if customer is None or intent.target not in customer.services:
+        return NotAllowed("the customer may not use this service")
+    if intent.target not in in_force.declarations.services:
+        return NotAllowed("the service is no longer declared")
+    return None
+
+
+def _check_server(
+    control: ControlPort, intent: DispatchIntent
+) -> RequestError | None:
+    server = control.backend_servers().get(intent.backend_server)
+    if server is None or server.leaving:
+        return NoBackendServer(
+            "the chosen backend server has left", SERVER_RETRY_S
+        )
+    if intent.target not in server.versions:
+        return NoBackendServer(
+            "the chosen backend server no longer holds it", SERVER_RETRY_S
+        )
+    return None
+
+
+__all__ = [
+    "check_version",
+    "DispatchIntent",
+    "may_dispatch",
+    "version_is_offered",
+]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/http_messages.py
@@ -0,0 +1,172 @@
+"""Requests and answers of the HTTP server, as the interfaces see them."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import MutableMapping
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+import msgspec
+
+from sycamorestand_entry.errors import BadRequest
+from sycamorestand_entry.errors import BodyTooLarge
+from sycamorestand_entry.errors import HeadersTooLarge
+from sycamorestand_entry.errors import RequestError
+
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+
+JSON: Final = b"application/json"
+EVENT_STREAM: Final = b"text/event-stream"
+# Headers that decide something; a second one would be ambiguous.
+SINGLE_HEADERS: Final = frozenset(
+    {
+        b"authorization",
+        b"idempotency-key",
+        b"x-deadline-ms",
+        b"x-priority",
+        b"x-session",
+        b"x-session-token",
+    }
+)
+
+
+class CallerGone(Exception):
+    """The caller closed its connection before its request was whole."""
+
+
+class Request(NamedTuple):
+    """One request; its body is read later, with a limit."""
+
+    method: str
+    path: str
+    query: bytes
+    headers: dict[bytes, bytes]
+    receive: Receive
+
+
+class Responder:
+    """Sends one answer and remembers whether it has begun."""
+
+    def __init__(self, send: Send, closing: bool) -> None:
+        self.started = False
+        self._send = send
+        self._closing = closing
+
+    async def start(
+        self, status: int, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Send status and headers."""
+        self.started = True
+        if self._closing:
+            headers.append((b"connection", b"close"))
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+
+    async def write(self, body: bytes) -> None:
+        """Send a part of the body; waits while the caller reads slowly."""
+        await self._send(
+            {"type": "http.response.body", "body": body, "more_body": True}
+        )
+
+    async def finish(self, body: bytes = b"") -> None:
+        """Send the last part of the body."""
+        await self._send({"type": "http.response.body", "body": body})
+
+    async def answer(
+        self,
+        status: int,
+        content_type: bytes,
+        body: bytes,
+        headers: list[tuple[bytes, bytes]] | None = None,
+    ) -> None:
+        """Send a whole answer."""
+        whole = [
+            (b"content-type", content_type),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        await self.start(status, whole + (headers or []))
+        await self.finish(body)
+
+    async def refuse(self, error: RequestError) -> None:
+        """Send a refusal as JSON with its code and ``Retry-After``."""
+        headers = []
+        if error.retry_after_s is not None:
+            seconds = max(1, round(error.retry_after_s + 0.499))
+            headers.append((b"retry-after", b"%d" % seconds))
+        body = msgspec.json.encode(error_content(error))
+        await self.answer(error.status, JSON, body, headers)
+
+
+def read_headers(
+    raw: list[tuple[bytes, bytes]], limit_bytes: int
+) -> dict[bytes, bytes]:
+    """Return the headers by lower-case name, within the limit."""
+    headers: dict[bytes, bytes] = {}
+    size = 0
+    for name, value in raw:
+        size += len(name) + len(value)
+        if name in headers and name in SINGLE_HEADERS:
+            raise BadRequest(f"header {name.decode('latin-1')} came twice")
+        headers[name] = value
+    if size > limit_bytes:
+        raise HeadersTooLarge(f"headers are limited to {limit_bytes} bytes")
+    return headers
+
+
+async def read_body(request: Request, limit_bytes: int) -> bytes:
+    """Return the whole body, refusing one that is over the limit."""
+    declared = request.headers.get(b"content-length", b"0")
+    if not declared.isdigit():
+        raise BadRequest("content-length is no number")
+    if int(declared) > limit_bytes:
+        raise BodyTooLarge(f"bodies are limited to {limit_bytes} bytes")
+    parts: list[bytes] = []
+    size = 0
+    more = True
+    while more:
+        message = await request.receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGone
+        parts.append(message["body"])
+        size += len(parts[-1])
+        if size > limit_bytes:
+            raise BodyTooLarge(f"bodies are limited to {limit_bytes} bytes")
+        more = message["more_body"]
+    return b"".join(parts)
+
+
+def error_content(error: RequestError) -> dict[str, Any]:
+    """Return the JSON content that tells of an error."""
+    content: dict[str, Any] = {
+        "code": error.code,
+        "message": error.message,
+        "run": error.run,
+    }
+    if error.retry_after_s is not None:
+        content["retry_after_s"] = round(error.retry_after_s, 3)
+    return {"error": content}
+
+
+__all__ = [
+    "CallerGone",
+    "error_content",
+    "EVENT_STREAM",
+    "JSON",
+    "Message",
+    "read_body",
+    "read_headers",
+    "Receive",
+    "Request",
+    "Responder",
+    "Send",
+]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -0,0 +1,123 @@
+"""Answers that only read: models, addresses, health and metrics."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from sycamorestand_entry.http_messages import JSON
+from sycamorestand_entry.http_messages import Request
+from sycamorestand_entry.http_messages import Responder
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.context import EntryContext
+    from sycamorestand_entry.ports import EntryAddress
+
+PROMETHEUS_TEXT = b"text/plain; version=0.0.4; charset=utf-8"
+
+
+async def answer_models(
+    context: EntryContext, request: Request, responder: Responder
+) -> None:
+    """List the profiles of the customer, in the form of OpenAI's API."""
+    in_force = context.control.in_force()
+    customer = context.authenticator.customer(request.headers, in_force)
+    names = [
+        name
+        for name in in_force.declarations.profiles
+        if name in customer.profiles
+    ]
+    content = {
+        "object": "list",
+        "data": [
+            {"id": name, "object": "model", "owned_by": customer.name}
+            for name in sorted(names)
+        ],
+    }
+    await _answer_json(responder, content)
+
+
+async def answer_addresses(
+    context: EntryContext, request: Request, responder: Responder
+) -> None:
+    """List the entry addresses to use, best first.
+
+    VMs that are stopping or draining are left out, so that callers have
+    turned away from them when their time-to-live is over.
+    """
+    draining = context.control.in_force().draining_vms
+    usable = [
+        address
+        for address in context.control.addresses()
+        if not address.stopping and address.vm not in draining
+    ]
+    usable.sort(key=lambda address: _rank(context, address))
+    content = {
+        "ttl_s": context.settings.address_ttl_s,
+        "addresses": [
+            {
+                "vm": address.vm,
+                "data_centre": address.data_centre,
+                "url": f"http://{address.host}:{address.port}",
+            }
+            for address in usable
+        ],
+    }
+    await _answer_json(responder, content)
+
+
+async def answer_health(
+    context: EntryContext, request: Request, responder: Responder
+) -> None:
+    """Tell that the process answers."""
+    await _answer_json(responder, {"status": "ok"})
+
+
+async def answer_readiness(
+    context: EntryContext, request: Request, responder: Responder
+) -> None:
+    """Tell whether new work is accepted here."""
+    lease_s = context.control.lease_remaining_s()
+    ready = lease_s > 0 and not context.stopping
+    content = {
+        "ready": ready,
+        "stopping": context.stopping,
+        "lease_remaining_s": round(lease_s, 3),
+        "revision": context.control.in_force().revision,
+    }
+    await _answer_json(responder, content, 200 if ready else 503)
+
+
+async def answer_metrics(
+    context: EntryContext, request: Request, responder: Responder
+) -> None:
+    """Show all counters to Prometheus."""
+    metrics = context.metrics
+    metrics.lease_remaining.set({}, context.control.lease_remaining_s())
+    for name, count in context.in_flight.items():
+        metrics.in_flight.set({"backend_server": name}, count)
+    await responder.answer(200, PROMETHEUS_TEXT, metrics.render())
+
+
+def _rank(
+    context: EntryContext, address: EntryAddress
+) -> tuple[bool, float, str]:
+    elsewhere = address.data_centre != context.settings.data_centre
+    return (elsewhere, round(address.load, 1), address.vm)
+
+
+async def _answer_json(
+    responder: Responder, content: dict[str, Any], status: int = 200
+) -> None:
+    await responder.answer(status, JSON, msgspec.json.encode(content))
+
+
+__all__ = [
+    "answer_addresses",
+    "answer_health",
+    "answer_metrics",
+    "answer_models",
+    "answer_readiness",
+]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -0,0 +1,66 @@
+"""Counters of an entry, one for each promise and decision."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from aioprometheus.collectors import Counter
+from aioprometheus.collectors import Gauge
+from aioprometheus.collectors import Registry
+from aioprometheus.renderer import render
+
+PREFIX: Final = "sycamorestand_entry_"
+
+
+class Metrics:
+    """The collectors of one entry process in a registry of their own."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self.requests = self._counter(
+            "requests_total", "Requests by interface and result code"
+        )
+        self.dispatches = self._counter(
+            "dispatches_total", "Requests written to a backend server"
+        )
+        self.refused_dispatches = self._counter(
+            "refused_dispatches_total", "Refusals of the gate by code"
+        )
+        self.recoveries = self._counter(
+            "recoveries_total", "Resumed, restarted and broken runs"
+        )
+        self.charges = self._counter(
+            "charges_total", "Charges by the ledger's answer"
+        )
+        self.tokens = self._counter(
+            "output_tokens_total", "Tokens of whole answers by version"
+        )
+        self.ledger_failures = self._counter(
+            "ledger_failures_total", "Ledger writes without an answer"
+        )
+        self.announcements = self._counter(
+            "announcements_total", "Announcements by result code"
+        )
+        self.ratings = self._counter(
+            "ratings_total", "Ratings asked for, by result"
+        )
+        self.lease_remaining = self._gauge(
+            "lease_remaining_seconds", "What is left of the lease"
+        )
+        self.in_flight = self._gauge(
+            "in_flight", "Requests that run, by backend server"
+        )
+
+    def render(self) -> bytes:
+        """Return the text format that Prometheus reads."""
+        body, _ = render(self._registry, [])
+        return body
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(PREFIX + name, doc, registry=self._registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(PREFIX + name, doc, registry=self._registry)
+
+
+__all__ = ["Metrics"]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -0,0 +1,122 @@
+"""Runs an entry: the HTTP server, and its planned stop."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import contextlib
+import logging
+import socket
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+from anyio.abc import TaskStatus
+import uvicorn
+
+from sycamorestand_entry.application import make_application
+from sycamorestand_entry.context import EntryContext
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.ports import ControlPort
+    from sycamorestand_entry.settings import EntrySettings
+
+_LOG = logging.getLogger(__name__)
+
+
+class RunningEntry:
+    """A started entry: where it listens, and how to stop it."""
+
+    def __init__(self, context: EntryContext, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+        self._context = context
+        self._stop = anyio.Event()
+
+    def begin_stop(self) -> None:
+        """Begin the planned stop; `serve_entry` returns at its end.
+
+        Callers keep the addresses that they were given for their
+        time-to-live, so the entry first leaves the address answers and
+        goes on accepting for that long.
+        """
+        if self._context.stopping:
+            return
+        self._context.stopping = True
+        self._context.control.set_stopping()
+        _LOG.info("planned stop begins")
+        self._stop.set()
+
+    async def wait_for_stop(self) -> None:
+        """Return when new connections need not be accepted any more."""
+        await self._stop.wait()
+        await anyio.sleep(self._context.settings.address_ttl_s)
+
+
+async def serve_entry(
+    settings: EntrySettings,
+    control: ControlPort,
+    *,
+    task_status: TaskStatus[RunningEntry] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve callers and backend servers until a planned stop has ended.
+
+    Example: ``entry = await group.start(serve_entry, settings, control)``
+    returns a `RunningEntry` as soon as the entry accepts connections.
+    """
+    context = EntryContext(settings, control)
+    listener = _listen(settings)
+    host, port = listener.getsockname()[:2]
+    server = _Server(_uvicorn_config(context))
+    entry = RunningEntry(context, host, port)
+    try:
+        async with anyio.create_task_group() as group:
+            group.start_soon(_stop_later, entry, server)
+            task_status.started(entry)
+            await server.serve(sockets=[listener])
+            group.cancel_scope.cancel()
+    finally:
+        context.pool.close()
+    _LOG.info("entry stopped")
+
+
+class _Server(uvicorn.Server):
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        # Signals belong to the process that runs the entry; it turns
+        # them into a planned stop, which uvicorn knows nothing of.
+        yield
+
+
+async def _stop_later(entry: RunningEntry, server: uvicorn.Server) -> None:
+    await entry.wait_for_stop()
+    server.should_exit = True
+
+
+def _listen(settings: EntrySettings) -> socket.socket:
+    family = socket.AF_INET6 if ":" in settings.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((settings.host, settings.port))
+    listener.listen(2048)
+    listener.setblocking(False)
+    return listener
+
+
+def _uvicorn_config(context: EntryContext) -> uvicorn.Config:
+    application: Any = make_application(context)
+    return uvicorn.Config(
+        application,
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        interface="asgi3",
+        log_config=None,
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=context.settings.keep_alive_s,
+    )
+
+
+__all__ = ["RunningEntry", "serve_entry"]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/sse.py
@@ -0,0 +1,109 @@
+"""Server-sent events of engines, cut at event boundaries only.
+
+A token's event is forwarded as the bytes that came; JSON is parsed only
+for the events that end an answer or carry an error.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+import msgspec
+
+EVENT_END: Final = b"\n\n"
+DATA: Final = b"data:"
+DONE: Final = b"data: [DONE]\n\n"
+# Inside of generated text quotes are escaped, so these byte strings can
+# only be members of the event itself.
+_MARKS: Final = (b'"usage":{', b'"usage": {', b'"error":', b"[DONE]")
+MAX_EVENT_BYTES: Final = 1024 * 1024
+
+
+class MalformedStream(ValueError):
+    """The bytes are no event stream of the expected form."""
+
+
+class Usage(NamedTuple):
+    """Tokens as the engine counted them."""
+
+    input_tokens: int
+    output_tokens: int
+
+
+class EventCutter:
+    """Keeps the beginning of an event until its end has arrived."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Return all whole events, those of one read in one piece."""
+        if self._rest:
+            data = self._rest + data
+        if b"\r\n" in data:
+            data = data.replace(b"\r\n", b"\n")
+        cut = data.rfind(EVENT_END) + len(EVENT_END)
+        if cut < len(EVENT_END):
+            cut = 0
+        self._rest = data[cut:]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise MalformedStream("an event has no end")
+        if cut and not data.startswith((DATA, b":")):
+            raise MalformedStream("an event has no data")
+        return data[:cut]
+
+
+def is_plain(events: bytes) -> bool:
+    """Tell whether none of the events ends the answer or is an error."""
+    return not any(mark in events for mark in _MARKS)
+
+
+def split_events(events: bytes) -> list[bytes]:
+    """Return the events one by one, each with its end."""
+    parts = events.split(EVENT_END)
+    return [part + EVENT_END for part in parts if part]
+
+
+def decode_event(event: bytes) -> dict[str, Any]:
+    """Return the JSON object of one event."""
+    try:
+        decoded = msgspec.json.decode(event[len(DATA) :])
+    except msgspec.DecodeError as error:
+        raise MalformedStream("an event has no JSON") from error
+    if not isinstance(decoded, dict):
+        raise MalformedStream("an event has no JSON object")
+    return decoded
+
+
+def encode_event(content: dict[str, Any]) -> bytes:
+    """Return one event with this JSON."""
+    return b"data: " + msgspec.json.encode(content) + EVENT_END
+
+
+def read_usage(content: dict[str, Any]) -> Usage | None:
+    """Return the usage of an event, None where it has no sound one."""
+    usage = content.get("usage")
+    if not isinstance(usage, dict):
+        return None
+    sent = usage.get("prompt_tokens")
+    received = usage.get("completion_tokens")
+    if not isinstance(sent, int) or not isinstance(received, int):
+        return None
+    if sent < 0 or received < 0:
+        return None
+    return Usage(sent, received)
+
+
+__all__ = [
+    "decode_event",
+    "DONE",
+    "encode_event",
+    "EventCutter",
+    "is_plain",
+    "MalformedStream",
+    "read_usage",
+    "split_events",
+    "Usage",
+]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -0,0 +1,293 @@
+"""HTTP connections to backend servers, parsed by httptools.
+
+The relay is the hottest path of an entry. One asyncio protocol with the
+parser of httptools hands a whole read to the relay at once, without an
+event object, a lock or a trace context for each chunk; the figures are
+in ``docs/design/relay.md``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+from typing import NamedTuple
+
+import httptools
+
+from sycamorestand_model.errors import SycamorestandError
+
+# One caller that reads slowly must not let its backend server's answer
+# pile up here: reading stops at this many buffered bytes.
+READ_AHEAD_BYTES: Final = 64 * 1024
+MAX_HEAD_BYTES: Final = 64 * 1024
+
+
+class UpstreamError(SycamorestandError):
+    """The connection or the answer on it cannot be used any more."""
+
+
+class ConnectFailed(UpstreamError):
+    """No connection came about, so no byte was sent."""
+
+
+class SilentConnection(UpstreamError):
+    """No byte came within the time that was allowed."""
+
+
+class BrokenConnection(UpstreamError):
+    """The connection ended before the answer did."""
+
+
+class MalformedAnswer(UpstreamError):
+    """The bytes received are no HTTP answer."""
+
+
+class ResponseHead(NamedTuple):
+    """Status and headers of an answer; header names are lower case."""
+
+    status: int
+    headers: dict[bytes, bytes]
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """One connection, which carries one request at a time."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.reusable = False
+        self.idle_since_s = 0.0
+        self._loop = loop
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: dict[bytes, bytes] = {}
+        self._head: ResponseHead | None = None
+        self._head_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._paused = False
+        self._complete = False
+        self._error: UpstreamError | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._give_up_at_s = 0.0
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether another request may be sent on this connection."""
+        return self.reusable and self._error is None
+
+    def send(self, request: bytes) -> None:
+        """Write a whole request; from here on it may have run."""
+        assert self._transport is not None
+        self._headers = {}
+        self._head = None
+        self._head_bytes = 0
+        self._complete = False
+        self.reusable = False
+        self._transport.write(request)
+
+    async def read_head(self, limit_s: float) -> ResponseHead:
+        """Wait for the answer's status and headers."""
+        while self._head is None:
+            if self._error is not None:
+                raise self._error
+            await self._wait(limit_s)
+        return self._head
+
+    async def read_body(self, limit_s: float) -> bytes:
+        """Return all bytes that are there, at the answer's end none."""
+        while not self._body:
+            if self._complete:
+                return b""
+            if self._error is not None:
+                raise self._error
+            await self._wait(limit_s)
+        body = self._body
+        data = body[0] if len(body) == 1 else b"".join(body)
+        body.clear()
+        self._body_bytes = 0
+        if self._paused:
+            self._resume()
+        return data
+
+    def close(self) -> None:
+        """Close at once; an answer that still runs is cancelled by it."""
+        self.reusable = False
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        if self._head is None:
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self._fail(MalformedAnswer("its headers are too large"))
+                return
+        elif self._complete:
+            self._fail(MalformedAnswer("bytes after the answer's end"))
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._fail(MalformedAnswer("its answer is no HTTP"))
+            return
+        self._wake()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self._complete and self._ends_at_eof():
+            self._complete = True
+        self._fail(BrokenConnection("it closed the connection"))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.lower()] = value.strip()
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status >= 200:
+            self._head = ResponseHead(status, self._headers)
+        self._headers = {}
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > READ_AHEAD_BYTES and not self._paused:
+            assert self._transport is not None
+            self._paused = True
+            self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        if self._head is None:
+            return
+        self._complete = True
+        self.reusable = self._parser.should_keep_alive()
+
+    def _ends_at_eof(self) -> bool:
+        if self._head is None:
+            return False
+        headers = self._head.headers
+        framed = (
+            b"content-length" in headers or b"transfer-encoding" in headers
+        )
+        return not framed
+
+    def _resume(self) -> None:
+        self._paused = False
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _fail(self, error: UpstreamError) -> None:
+        if self._error is None:
+            self._error = error
+        self.reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+        self._wake()
+
+    def _wake(self) -> None:
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    async def _wait(self, limit_s: float) -> None:
+        # One timer for the connection moves on lazily; a timer for each
+        # chunk would cost more than the parsing of the chunk.
+        self._give_up_at_s = self._loop.time() + limit_s
+        if self._timer is None:
+            self._timer = self._loop.call_at(
+                self._give_up_at_s, self._check_silence
+            )
+        elif self._timer.when() > self._give_up_at_s:
+            self._timer.cancel()
+            self._timer = self._loop.call_at(
+                self._give_up_at_s, self._check_silence
+            )
+        self._waiter = self._loop.create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _check_silence(self) -> None:
+        self._timer = None
+        if self._waiter is None:
+            return
+        if self._loop.time() >= self._give_up_at_s:
+            self._fail(SilentConnection("it sent nothing for too long"))
+            return
+        self._timer = self._loop.call_at(
+            self._give_up_at_s, self._check_silence
+        )
+
+
+class UpstreamPool:
+    """Idle connections by address, used again while they are young."""
+
+    def __init__(self, connect_timeout_s: float, idle_s: float) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._idle_s = idle_s
+        self._idle: dict[str, list[UpstreamConnection]] = {}
+
+    async def acquire(
+        self, address: str, max_idle_s: float
+    ) -> UpstreamConnection:
+        """Return a connection that was idle at most this long, or new.
+
+        A bound of zero always gives a new one.
+        """
+        loop = asyncio.get_running_loop()
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            age_s = loop.time() - connection.idle_since_s
+            if connection.usable and age_s < min(max_idle_s, self._idle_s):
+                return connection
+            connection.close()
+        return await self._connect(address, loop)
+
+    def release(self, address: str, connection: UpstreamConnection) -> None:
+        """Keep the connection for another request, or close it."""
+        if not connection.usable:
+            connection.close()
+            return
+        connection.idle_since_s = asyncio.get_running_loop().time()
+        self._idle.setdefault(address, []).append(connection)
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.close()
+        self._idle.clear()
+
+    async def _connect(
+        self, address: str, loop: asyncio.AbstractEventLoop
+    ) -> UpstreamConnection:
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                _, connection = await loop.create_connection(
+                    lambda: UpstreamConnection(loop), host, int(port)
+                )
+        except (OSError, ValueError) as error:
+            raise ConnectFailed("it takes no connection") from error
+        return connection
+
+
+__all__ = [
+    "BrokenConnection",
+    "ConnectFailed",
+    "MalformedAnswer",
+    "ResponseHead",
+    "SilentConnection",
+    "UpstreamConnection",
+    "UpstreamError",
+    "UpstreamPool",
+]
--- /dev/null
+++ b/packages/sycamorestand-entry/tests/test_chat.py
@@ -0,0 +1,43 @@
+"""Chat completions from a request to a billed answer."""
+
+from __future__ import annotations
+
+import pytest
+
+from sycamorestand_bench.fakes.declared import LARGE
+from sycamorestand_bench.fakes.engine import expected_text
+from sycamorestand_bench.fakes.engine import FakeEngine
+from sycamorestand_bench.fakes.loopback import start_loopback
+
+pytestmark = pytest.mark.anyio
+
+
+class TestStreamedAnswer:
+    async def test_whole_answer_is_billed_and_told(self) -> None:
+        async with start_loopback() as loopback:
+            engine = FakeEngine("engine-1", (LARGE,))
+            await loopback.add_engine(engine)
+            answer = await loopback.chat(stream=True, Idempotency_Key="k-1")
+            assert answer.status == 200
+            assert answer.headers["x-version"] == LARGE
+            assert answer.text() == expected_text(LARGE, "k-1", 8)
+            *_, ending, done = answer.events()
+            assert done == "[DONE]"
+            charge = loopback.ledger.charges["guild", "k-1"]
+            told = ending["sycamorestand"]
+            assert told["cost_micros"] == charge.cost_micros > 0
+            assert told["request_key"] == "k-1"
+
+
+class TestPlainAnswer:
+    async def test_whole_answer_is_billed_and_told(self) -> None:
+        async with start_loopback() as loopback:
+            await loopback.add_engine(FakeEngine("engine-1", (LARGE,)))
+            answer = await loopback.chat(Idempotency_Key="k-1")
+            assert answer.status == 200
+            content = answer.json()
+            text = content["choices"][0]["message"]["content"]
+            assert text == expected_text(LARGE, "k-1", 8)
+            charge = loopback.ledger.charges["guild", "k-1"]
+            assert answer.headers["x-cost-micros"] == str(charge.cost_micros)
+            assert content["usage"]["completion_tokens"] == 8
