--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/explore/node.py
@@ -0,0 +1,180 @@
+"""One simulated member: core, disk that loses unsynced writes, clock."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+import random
+
+from sycamorestand_bench.explore.checks import Checker
+from sycamorestand_bench.explore.checks import MachineFactory
+from sycamorestand_consensus.core import Core
+from sycamorestand_consensus.core import Output
+from sycamorestand_consensus.disk_image import DiskImage
+from sycamorestand_consensus.messages import Batch
+from sycamorestand_consensus.messages import EntryKind
+from sycamorestand_consensus.messages import Message
+from sycamorestand_consensus.settings import ReplicaSettings
+
+
+class Disk:
+    """Holds what was synced, and the batches that were not."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self._image = DiskImage()
+        self._unsynced: deque[Batch] = deque()
+        self.full = False
+
+    def write(self, batch: Batch) -> None:
+        """Queue a batch, as a write without fsync does."""
+        self._unsynced.append(batch)
+
+    def sync(self, count: int) -> int:
+        """Sync up to ``count`` batches; return the last sequence."""
+        last = 0
+        while self._unsynced and count > 0:
+            batch = self._unsynced.popleft()
+            for record in batch.records:
+                self._image.replay(record)
+            last = batch.sequence
+            count -= 1
+        return last
+
+    def lose_unsynced(self, kept: int) -> None:
+        """Crash: ``kept`` batches happened to reach the disk anyway."""
+        self.sync(kept)
+        self._unsynced.clear()
+
+    @property
+    def unsynced(self) -> int:
+        """Return how many batches wait for their sync."""
+        return len(self._unsynced)
+
+    def image(self) -> DiskImage:
+        """Return what a restart finds."""
+        return self._image
+
+
+class Node:
+    """A member that runs, or is down with its disk."""
+
+    def __init__(
+        self,
+        name: str,
+        settings: ReplicaSettings,
+        checker: Checker,
+        make_machine: MachineFactory,
+        seed: int,
+        rate: float,
+        post: Callable[[Message], None],
+    ) -> None:
+        """Make the member without starting it."""
+        self.name = name
+        self.disk = Disk()
+        self.up = False
+        self.wiped = False
+        self.applied_index = 0
+        self.barriers: dict[int, int] = {}
+        self._settings = settings
+        self._checker = checker
+        self._make_machine = make_machine
+        self._machine = make_machine()
+        self._random = random.Random(seed)
+        self._rate = rate
+        self._offset_s = self._random.uniform(0.0, 1000.0)
+        self._post = post
+        self._true_s = 0.0
+        self.core = self._new_core()
+
+    @property
+    def local_s(self) -> float:
+        """Return the node's own clock."""
+        return self._offset_s + self._rate * self._true_s
+
+    def true_time_of(self, local_s: float) -> float:
+        """Convert a reading of the node's clock."""
+        return (local_s - self._offset_s) / self._rate
+
+    def set_time(self, true_s: float) -> None:
+        """Move the clock on."""
+        self._true_s = true_s
+
+    def start(self) -> None:
+        """Start from what the disk holds."""
+        self.up = True
+        self.core = self._new_core()
+        snapshot = self.core.state.snapshot
+        self.applied_index = snapshot.last_index
+        self._machine = self._make_machine()
+        if snapshot.last_index > 0:
+            self._restore(snapshot.last_index, snapshot.data)
+        self.core.set_blocked(self.disk.full, self.local_s)
+
+    def crash(self, kept: int) -> None:
+        """Stop at once; unsynced writes are gone but for ``kept``."""
+        self.up = False
+        self.barriers.clear()
+        self.disk.lose_unsynced(kept)
+
+    def sync(self, count: int) -> None:
+        """End the sync of some batches."""
+        if self.disk.full:
+            return
+        sequence = self.disk.sync(count)
+        if sequence and self.up:
+            self.core.stored(sequence, self.local_s)
+
+    def set_disk_full(self, full: bool) -> None:
+        """Fill the disk or free it."""
+        self.disk.full = full
+        if self.up:
+            self.core.set_blocked(full, self.local_s)
+
+    def compact(self) -> None:
+        """Take a snapshot after the last applied entry."""
+        data = self._machine.snapshot()
+        self._checker.check_snapshot(self, self.applied_index, data)
+        self.core.compact(self.applied_index, data, self.local_s)
+
+    def pump(self) -> None:
+        """Carry out what the core asks for and check the promises."""
+        if not self.up:
+            return
+        output = self.core.drain(self.local_s)
+        for message in output.messages:
+            self._post(message)
+        if output.batch is not None:
+            self.disk.write(output.batch)
+        if output.install is not None:
+            snapshot = output.install
+            self._restore(snapshot.last_index, snapshot.data)
+        self._apply(output)
+        self._checker.check_node(self, self._true_s)
+
+    def _new_core(self) -> Core:
+        return Core(
+            self.name,
+            self._settings,
+            self._random.getrandbits(32),
+            self.disk.image().recovered(),
+            self.local_s,
+        )
+
+    def _restore(self, index: int, data: bytes) -> None:
+        self._checker.check_snapshot(self, index, data)
+        self._machine.restore(data)
+        self.applied_index = index
+
+    def _apply(self, output: Output) -> None:
+        for entry in output.committed:
+            self._checker.note_committed(self, entry)
+            if entry.kind == EntryKind.COMMAND:
+                self._machine.apply(entry.log_index, entry.data)
+            self.applied_index = entry.log_index
+        for barrier in output.confirmed:
+            floor = self.barriers.pop(barrier.barrier_id, 0)
+            self._checker.check_barrier(self, barrier.read_index, floor)
+
+
+__all__ = ["Node"]
--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/explore/run.py
@@ -0,0 +1,319 @@
+"""Draws faults at random and plays them; equal seeds play equal runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+from typing import Final
+from typing import NamedTuple
+
+from sycamorestand_bench.explore.checks import FaultFound
+from sycamorestand_bench.explore.checks import HashMachine
+from sycamorestand_bench.explore.checks import MachineFactory
+from sycamorestand_bench.explore.cluster import Cluster
+from sycamorestand_bench.explore.node import Node
+from sycamorestand_consensus.errors import ConsensusError
+from sycamorestand_consensus.settings import ReplicaSettings
+
+# A run ends after this many steps and the next one begins afresh: most
+# faults need few entries and elections, and many short runs vary more.
+STEPS_A_RUN: Final = 1500
+MOST_NODES: Final = 9
+
+Action = Callable[[Cluster, random.Random], None]
+
+
+class Fault(NamedTuple):
+    """A broken promise and how to play it again."""
+
+    seed: int
+    step: int
+    reason: str
+
+
+class RunResult(NamedTuple):
+    """What one run did."""
+
+    steps: int
+    committed: int
+    elections: int
+    fault: Fault | None
+
+
+def play(
+    seed: int, steps: int, make_machine: MachineFactory = HashMachine
+) -> RunResult:
+    """Play one run; at its end everything heals and must go on."""
+    draw = random.Random(seed)
+    cluster = _make_cluster(seed, draw, make_machine)
+    names = list(ACTIONS)
+    weights = [_weight(name, draw) for name in names]
+    fault = None
+    step = 0
+    try:
+        while step < steps:
+            step += 1
+            name = draw.choices(names, weights)[0]
+            ACTIONS[name](cluster, draw)
+        if not cluster.settle():
+            fault = Fault(seed, step, "no progress after all faults healed")
+    except (FaultFound, ConsensusError) as error:
+        fault = Fault(seed, step, f"{type(error).__name__}: {error}")
+    terms = max(node.core.state.term for node in cluster.nodes)
+    committed = len(cluster.checker.committed)
+    return RunResult(step, committed, terms, fault)
+
+
+def _make_cluster(
+    seed: int, draw: random.Random, make_machine: MachineFactory
+) -> Cluster:
+    settings = ReplicaSettings(
+        max_append_bytes=draw.choice((1, 100, 100_000)),
+        max_inflight_messages=draw.choice((1, 4, 64)),
+        snapshot_chunk_bytes=draw.choice((5, 100_000)),
+        trailing_entries=draw.choice((0, 3)),
+    )
+    voters = draw.choice((3, 3, 3, 5))
+    grown = draw.random() < 0.2
+    cluster = Cluster(voters, settings, seed, make_machine)
+    cluster.bootstrap(cluster.nodes[:1] if grown else cluster.nodes)
+    return cluster
+
+
+def _weight(name: str, draw: random.Random) -> float:
+    # Each run stresses other faults: a weight that is the same in all of
+    # them would leave the rare combinations unplayed.
+    scale = draw.choice((0.0, 0.3, 1.0, 1.0, 3.0))
+    if name in ALWAYS:
+        scale = draw.choice((0.5, 1.0, 2.0))
+    return WEIGHTS[name] * scale
+
+
+def _pick(cluster: Cluster, draw: random.Random) -> Node | None:
+    running = cluster.running()
+    return draw.choice(running) if running else None
+
+
+def _leader(cluster: Cluster, draw: random.Random) -> Node | None:
+    leaders = cluster.leaders()
+    return draw.choice(leaders) if leaders else _pick(cluster, draw)
+
+
+def _deliver(cluster: Cluster, draw: random.Random) -> None:
+    if cluster.messages:
+        cluster.deliver(0)
+
+
+def _deliver_late(cluster: Cluster, draw: random.Random) -> None:
+    if cluster.messages:
+        cluster.deliver(draw.randrange(len(cluster.messages)))
+
+
+def _deliver_twice(cluster: Cluster, draw: random.Random) -> None:
+    if cluster.messages:
+        position = draw.randrange(len(cluster.messages))
+        cluster.deliver(position, keep=True)
+
+
+def _lose(cluster: Cluster, draw: random.Random) -> None:
+    if cluster.messages:
+        cluster.messages.pop(draw.randrange(len(cluster.messages)))
+
+
+def _advance(cluster: Cluster, draw: random.Random) -> None:
+    cluster.advance(draw.choice((0.001, 0.02, 0.1, 0.3)))
+
+
+def _advance_far(cluster: Cluster, draw: random.Random) -> None:
+    cluster.advance(draw.uniform(0.5, 3.0))
+
+
+def _sync(cluster: Cluster, draw: random.Random) -> None:
+    node = _pick(cluster, draw)
+    if node is not None:
+        cluster.sync(node, draw.choice((1, 1, 100)))
+
+
+def _crash(cluster: Cluster, draw: random.Random) -> None:
+    node = _pick(cluster, draw)
+    if node is not None:
+        cluster.crash(node, draw.choice((0, 0, 1)))
+
+
+def _crash_leader(cluster: Cluster, draw: random.Random) -> None:
+    node = _leader(cluster, draw)
+    if node is not None:
+        cluster.crash(node, draw.choice((0, 0, 1)))
+
+
+def _restart(cluster: Cluster, draw: random.Random) -> None:
+    down = [n for n in cluster.nodes if not n.up and not n.wiped]
+    if down:
+        node = draw.choice(down)
+        node.start()
+        node.pump()
+
+
+def _propose(cluster: Cluster, draw: random.Random) -> None:
+    node = _leader(cluster, draw)
+    if node is not None:
+        cluster.propose(node)
+
+
+def _read(cluster: Cluster, draw: random.Random) -> None:
+    node = _leader(cluster, draw)
+    if node is not None:
+        cluster.read(node)
+
+
+def _isolate(cluster: Cluster, draw: random.Random) -> None:
+    node = _pick(cluster, draw)
+    if node is not None:
+        inward, outward = draw.choice(
+            ((True, True), (True, False), (False, True))
+        )
+        cluster.isolate(node, inward=inward, outward=outward)
+
+
+def _isolate_leader(cluster: Cluster, draw: random.Random) -> None:
+    node = _leader(cluster, draw)
+    if node is not None:
+        cluster.isolate(node, inward=True, outward=True)
+
+
+def _heal(cluster: Cluster, draw: random.Random) -> None:
+    cluster.cut.clear()
+
+
+def _fill_disk(cluster: Cluster, draw: random.Random) -> None:
+    node = _pick(cluster, draw)
+    if node is not None:
+        node.set_disk_full(not node.disk.full)
+        node.pump()
+
+
+def _free_disks(cluster: Cluster, draw: random.Random) -> None:
+    for node in cluster.running():
+        node.set_disk_full(False)
+
+
+def _compact(cluster: Cluster, draw: random.Random) -> None:
+    node = _pick(cluster, draw)
+    if node is not None:
+        node.compact()
+        node.pump()
+
+
+def _wipe(cluster: Cluster, draw: random.Random) -> None:
+    node = _pick(cluster, draw)
+    if node is None or len(cluster.nodes) >= MOST_NODES:
+        return
+    if node.core.is_blank:
+        return
+    if cluster.wipe(node):
+        cluster.add_node()
+
+
+def _admit(cluster: Cluster, draw: random.Random) -> None:
+    leader = _leader(cluster, draw)
+    alive = [n for n in cluster.nodes if not n.wiped]
+    if leader is not None:
+        cluster.admit(leader, draw.choice(alive).name)
+
+
+def _promote(cluster: Cluster, draw: random.Random) -> None:
+    leader = _leader(cluster, draw)
+    if leader is not None:
+        learners = [m for m in leader.core.state.membership if not m.voter]
+        if learners:
+            cluster.promote(leader, draw.choice(learners).member_id)
+
+
+def _remove(cluster: Cluster, draw: random.Random) -> None:
+    leader = _leader(cluster, draw)
+    gone = [n for n in cluster.nodes if n.wiped]
+    if leader is None:
+        return
+    candidates = gone or cluster.nodes
+    cluster.remove(leader, draw.choice(candidates).name)
+
+
+def _transfer(cluster: Cluster, draw: random.Random) -> None:
+    leader = _leader(cluster, draw)
+    if leader is not None:
+        target = draw.choice((None, draw.choice(cluster.nodes).name))
+        cluster.transfer(leader, target)
+
+
+ACTIONS: Final[dict[str, Action]] = {
+    "deliver": _deliver,
+    "deliver_late": _deliver_late,
+    "deliver_twice": _deliver_twice,
+    "lose": _lose,
+    "advance": _advance,
+    "advance_far": _advance_far,
+    "sync": _sync,
+    "crash": _crash,
+    "crash_leader": _crash_leader,
+    "restart": _restart,
+    "propose": _propose,
+    "read": _read,
+    "isolate": _isolate,
+    "isolate_leader": _isolate_leader,
+    "heal": _heal,
+    "fill_disk": _fill_disk,
+    "free_disks": _free_disks,
+    "compact": _compact,
+    "wipe": _wipe,
+    "admit": _admit,
+    "promote": _promote,
+    "remove": _remove,
+    "transfer": _transfer,
+}
+
+WEIGHTS: Final[dict[str, float]] = {
+    "deliver": 30.0,
+    "deliver_late": 10.0,
+    "deliver_twice": 2.0,
+    "lose": 2.0,
+    "advance": 8.0,
+    "advance_far": 0.5,
+    "sync": 20.0,
+    "crash": 0.5,
+    "crash_leader": 0.5,
+    "restart": 3.0,
+    "propose": 4.0,
+    "read": 1.0,
+    "isolate": 0.3,
+    "isolate_leader": 0.3,
+    "heal": 0.8,
+    "fill_disk": 0.2,
+    "free_disks": 0.5,
+    "compact": 1.0,
+    "wipe": 0.3,
+    "admit": 1.0,
+    "promote": 1.0,
+    "remove": 0.5,
+    "transfer": 0.5,
+}
+
+# Without these a run stands still and finds nothing.
+ALWAYS: Final = frozenset(
+    {
+        "deliver",
+        "advance",
+        "sync",
+        "restart",
+        "propose",
+        "heal",
+        "free_disks",
+    }
+)
+
+
+__all__ = [
+    "STEPS_A_RUN",
+    "Fault",
+    "RunResult",
+    "play",
+]
--- /dev/null
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/change.py
@@ -0,0 +1,161 @@
+"""Changes of membership and hand-overs of leadership.
+
+A change takes effect when it is appended, and only one may be under way.
+Two memberships that differ by one member have no two majorities without a
+common voter, so no second leader can be elected across one change; across
+two it could.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from sycamorestand_consensus.errors import MembershipRefused
+from sycamorestand_consensus.errors import NotLeader
+from sycamorestand_consensus.errors import TransferFailed
+from sycamorestand_consensus.lease import claim_lease_s
+from sycamorestand_consensus.membership import encode_membership
+from sycamorestand_consensus.membership import find_member
+from sycamorestand_consensus.membership import voters
+from sycamorestand_consensus.membership import with_member
+from sycamorestand_consensus.membership import without_member
+from sycamorestand_consensus.messages import Entry
+from sycamorestand_consensus.messages import EntryKind
+from sycamorestand_consensus.messages import Member
+from sycamorestand_consensus.messages import Membership
+from sycamorestand_consensus.messages import TimeoutNow
+from sycamorestand_consensus.progress import Transfer
+from sycamorestand_consensus.raft_state import append_entries
+from sycamorestand_consensus.raft_state import RaftState
+from sycamorestand_consensus.raft_state import Role
+from sycamorestand_consensus.raft_state import send_now
+from sycamorestand_consensus.replication import sync_progress
+
+# A learner under load is always a few batches behind. Fewer entries than
+# this are sent in one message, so the new voter delays no commit.
+PROMOTE_LAG_ENTRIES: Final = 64
+
+
+def add_learner(state: RaftState, member_id: str, address: str) -> int:
+    """Admit a learner, or change the address of a member."""
+    _check_change(state)
+    found = find_member(state.membership, member_id)
+    voter = found is not None and found.voter
+    member = Member(member_id, address, voter)
+    return _append_change(state, with_member(state.membership, member))
+
+
+def promote(state: RaftState, member_id: str) -> int:
+    """Make a learner a voter."""
+    _check_change(state)
+    found = find_member(state.membership, member_id)
+    if found is None:
+        raise MembershipRefused(f"{member_id} is not a member")
+    if found.voter:
+        raise MembershipRefused(f"{member_id} votes already")
+    synced = state.progress[member_id].match_index
+    behind = state.commit_index - synced
+    if behind > PROMOTE_LAG_ENTRIES:
+        # A voter that has not synced the log counts towards majorities
+        # which then hold fewer copies than the number says.
+        raise MembershipRefused(f"{member_id} is {behind} entries behind")
+    if synced < state.memberships[-1][0]:
+        # A member votes only once its own log names it. Promoted earlier
+        # it would give no vote, and after the leader's restart the two
+        # would wait for each other for good.
+        raise MembershipRefused(f"{member_id} has not synced its admission")
+    member = found._replace(voter=True)
+    return _append_change(state, with_member(state.membership, member))
+
+
+def remove(state: RaftState, member_id: str) -> int:
+    """Remove a member that is not the leader."""
+    _check_change(state)
+    if member_id == state.member_id:
+        raise MembershipRefused("the leader must hand over before it leaves")
+    if find_member(state.membership, member_id) is None:
+        raise MembershipRefused(f"{member_id} is not a member")
+    return _append_change(state, without_member(state.membership, member_id))
+
+
+def start_transfer(state: RaftState, target: str | None) -> None:
+    """Stop proposals and hand over once the target has caught up."""
+    _check_leader(state)
+    if state.transfer is not None:
+        raise TransferFailed("a hand-over is under way")
+    chosen = _most_caught_up(state) if target is None else target
+    member = find_member(state.membership, chosen)
+    if member is None or not member.voter or chosen == state.member_id:
+        raise TransferFailed(f"{chosen or 'nobody'} is no other voter")
+    deadline_s = state.now_s + state.settings.election_max_s
+    state.transfer = Transfer(chosen, deadline_s, ordered=False)
+    advance_transfer(state)
+
+
+def advance_transfer(state: RaftState) -> bool:
+    """Order the target to campaign, or give up after the deadline.
+
+    Returns whether this leader must step down. Once the order is out it
+    may arrive late and pass over every promise, so the leader claims no
+    lease in this term again and steps down rather than lead on.
+    """
+    transfer = state.transfer
+    if transfer is None:
+        return False
+    progress = state.progress.get(transfer.target)
+    if progress is None or state.now_s >= transfer.deadline_s:
+        state.transfer = None
+        return transfer.ordered
+    caught_up = progress.match_index == state.log.last_index
+    if caught_up and not transfer.ordered:
+        claim_lease_s(state)
+        state.transfer = transfer._replace(ordered=True)
+        send_now(state, transfer.target, TimeoutNow())
+    return False
+
+
+def _check_leader(state: RaftState) -> None:
+    if state.role != Role.LEADER:
+        raise NotLeader(state.leader_id)
+
+
+def _check_change(state: RaftState) -> None:
+    _check_leader(state)
+    if state.transfer is not None:
+        raise MembershipRefused("leadership is being handed over")
+    if state.commit_index < state.term_start_index:
+        # A change of an earlier leader may be uncommitted without being
+        # known here; one more on top of it could split the voters.
+        raise MembershipRefused("no entry of this term is committed yet")
+    if state.memberships[-1][0] > state.commit_index:
+        raise MembershipRefused("another change is not committed yet")
+
+
+def _append_change(state: RaftState, membership: Membership) -> int:
+    index = state.log.last_index + 1
+    data = encode_membership(membership)
+    entry = Entry(index, state.term, EntryKind.MEMBERSHIP, data)
+    append_entries(state, (entry,))
+    sync_progress(state)
+    return index
+
+
+def _most_caught_up(state: RaftState) -> str:
+    others = [m for m in voters(state.membership) if m != state.member_id]
+    if not others:
+        return ""
+
+    def freshness(member_id: str) -> tuple[int, float]:
+        progress = state.progress[member_id]
+        return progress.match_index, progress.acked_sent_s
+
+    return max(others, key=freshness)
+
+
+__all__ = [
+    "add_learner",
+    "advance_transfer",
+    "promote",
+    "remove",
+    "start_transfer",
+]
--- /dev/null
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/commit.py
@@ -0,0 +1,75 @@
+"""When a leader may call an entry committed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from sycamorestand_consensus.membership import majority_value
+from sycamorestand_consensus.membership import voters
+from sycamorestand_consensus.progress import Barrier
+from sycamorestand_consensus.raft_state import RaftState
+from sycamorestand_consensus.raft_state import Role
+
+
+def advance_commit(state: RaftState) -> None:
+    """Commit what a majority of voters has synced."""
+    if state.role != Role.LEADER or not voters(state.membership):
+        return
+    index = int(majority_value(state.membership, _synced_index(state)))
+    if index > state.commit_index and is_of_own_term(state, index):
+        _release_bytes(state, index)
+        state.commit_index = index
+
+
+def is_of_own_term(state: RaftState, index: int) -> bool:
+    """Tell whether this leader itself appended the entry.
+
+    An entry of an earlier term may sit on a majority and still be
+    overwritten by a leader that never saw it. An entry of the own term
+    cannot: whoever wins later needs a vote from that majority, and so has
+    the entry and everything before it.
+    """
+    return state.log.term_at(index) == state.term
+
+
+def confirm_barriers(state: RaftState) -> None:
+    """Move the read barriers whose round a majority has answered."""
+    if not state.barriers:
+        return
+    reached = majority_value(state.membership, _answered_round(state))
+    waiting: list[Barrier] = []
+    for barrier in state.barriers:
+        target = state.confirmed if barrier.round <= reached else waiting
+        target.append(barrier)
+    state.barriers = waiting
+
+
+def _synced_index(state: RaftState) -> Callable[[str], float]:
+    def synced_index(member_id: str) -> float:
+        if member_id == state.member_id:
+            return state.stable_index
+        return state.progress[member_id].match_index
+
+    return synced_index
+
+
+def _answered_round(state: RaftState) -> Callable[[str], float]:
+    def answered_round(member_id: str) -> float:
+        if member_id == state.member_id:
+            return state.round
+        return state.progress[member_id].acked_round
+
+    return answered_round
+
+
+def _release_bytes(state: RaftState, index: int) -> None:
+    entries = state.log.between(state.commit_index + 1, index)
+    released = sum(len(entry.data) for entry in entries)
+    state.uncommitted_bytes = max(0, state.uncommitted_bytes - released)
+
+
+__all__ = [
+    "advance_commit",
+    "confirm_barriers",
+    "is_of_own_term",
+]
--- /dev/null
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/core.py
@@ -0,0 +1,275 @@
+"""The agreement core: Raft's rules without clock, network or disk.
+
+Inputs are messages, ticks, proposals and syncs that ended; every input
+carries the time. ``drain`` returns what the owner has to do since. The
+same inputs and seed give the same outputs, so a fault that an exploration
+finds can be played again.
+
+Example: a lone member elects itself once its first batch is synced::
+
+    core = Core("a", settings, seed=1, found=found, now_s=0.0)
+    core.bootstrap((("a", "10.0.0.1:7000"),), 0.0)
+    batch = core.drain(0.0).batch
+    core.stored(batch.sequence, 0.1)
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from sycamorestand_consensus import change
+from sycamorestand_consensus.commit import advance_commit
+from sycamorestand_consensus.commit import confirm_barriers
+from sycamorestand_consensus.election import become_follower
+from sycamorestand_consensus.election import can_campaign
+from sycamorestand_consensus.election import set_election_deadline
+from sycamorestand_consensus.election import start_pre_vote
+from sycamorestand_consensus.errors import BootstrapRefused
+from sycamorestand_consensus.errors import NotLeader
+from sycamorestand_consensus.errors import ProposalRefused
+from sycamorestand_consensus.inbox import handle_message
+from sycamorestand_consensus.lease import claim_lease_s
+from sycamorestand_consensus.lease import quorum_sent_s
+from sycamorestand_consensus.membership import cluster_id
+from sycamorestand_consensus.messages import Batch
+from sycamorestand_consensus.messages import Entry
+from sycamorestand_consensus.messages import EntryKind
+from sycamorestand_consensus.messages import HardState
+from sycamorestand_consensus.messages import Member
+from sycamorestand_consensus.messages import Message
+from sycamorestand_consensus.messages import Recovered
+from sycamorestand_consensus.messages import Snapshot
+from sycamorestand_consensus.progress import Barrier
+from sycamorestand_consensus.raft_state import append_entries
+from sycamorestand_consensus.raft_state import membership_at
+from sycamorestand_consensus.raft_state import note_stored
+from sycamorestand_consensus.raft_state import RaftState
+from sycamorestand_consensus.raft_state import Role
+from sycamorestand_consensus.raft_state import save_snapshot
+from sycamorestand_consensus.raft_state import set_hard
+from sycamorestand_consensus.raft_state import take_batch
+from sycamorestand_consensus.replication import replicate
+from sycamorestand_consensus.replication import send_heartbeats
+from sycamorestand_consensus.settings import ReplicaSettings
+
+
+class Output(NamedTuple):
+    """What the owner does after some inputs, in the order of the fields.
+
+    Messages may leave at once. ``batch`` is to be written and synced, then
+    reported with ``stored``. ``install`` replaces the state machine before
+    ``committed`` is applied to it. A barrier in ``confirmed`` is passed
+    once its index is applied.
+    """
+
+    messages: tuple[Message, ...]
+    batch: Batch | None
+    install: Snapshot | None
+    committed: tuple[Entry, ...]
+    confirmed: tuple[Barrier, ...]
+
+
+class Core:
+    """One member's agreement core."""
+
+    def __init__(
+        self,
+        member_id: str,
+        settings: ReplicaSettings,
+        seed: int,
+        found: Recovered,
+        now_s: float,
+    ) -> None:
+        """Start from what was found on disk."""
+        self.state = RaftState(member_id, settings, seed, found, now_s)
+        set_election_deadline(self.state)
+        if not self.is_blank:
+            # The member may have answered a leader just before it
+            # stopped, and a lease may rest on that answer.
+            until_s = now_s + settings.election_min_s
+            self.state.promise_until_s = until_s
+
+    @property
+    def is_blank(self) -> bool:
+        """Tell whether this member belongs to no group yet."""
+        return self.state.hard.cluster == ""
+
+    def bootstrap(
+        self, members: Sequence[tuple[str, str]], now_s: float
+    ) -> None:
+        """Start a new group; see ``Replica.bootstrap``."""
+        state = self.state
+        state.now_s = now_s
+        ids = {member_id for member_id, _ in members}
+        if not self.is_blank:
+            raise BootstrapRefused("this member belongs to a group already")
+        if state.member_id not in ids or len(ids) != len(members):
+            raise BootstrapRefused("the list must name each member once")
+        membership = tuple(sorted(Member(m, a, True) for m, a in members))
+        set_hard(state, HardState(0, "", cluster_id(members)))
+        save_snapshot(state, Snapshot(0, 0, membership, b""))
+        state.memberships = [(0, membership)]
+        set_election_deadline(state)
+        if len(ids) == 1:
+            state.election_deadline_s = now_s
+        self.tick(now_s)
+
+    def receive(self, message: Message, now_s: float) -> None:
+        """Take in a message from another member."""
+        self.state.now_s = now_s
+        handle_message(self.state, message)
+        self._settle()
+
+    def stored(self, sequence: int, now_s: float) -> None:
+        """Take in that all batches up to ``sequence`` are synced."""
+        state = self.state
+        state.now_s = now_s
+        note_stored(state, sequence)
+        advance_commit(state)
+        self._settle()
+
+    def tick(self, now_s: float) -> None:
+        """Take in that time has passed."""
+        state = self.state
+        state.now_s = now_s
+        if state.role == Role.LEADER:
+            self._tick_leader()
+        elif now_s >= self.next_wake_s():
+            self._tick_without_leader()
+        self._settle()
+
+    def next_wake_s(self) -> float:
+        """Return when the next tick is due."""
+        state = self.state
+        if state.role == Role.LEADER:
+            return state.heartbeat_due_s
+        return max(state.election_deadline_s, state.promise_until_s)
+
+    def propose(self, command: bytes, now_s: float) -> Entry:
+        """Append a command; it is committed later or lost."""
+        state = self.state
+        state.now_s = now_s
+        if state.role != Role.LEADER:
+            raise NotLeader(state.leader_id)
+        if state.transfer is not None:
+            raise NotLeader(state.transfer.target)
+        settings = state.settings
+        if len(command) > settings.max_command_bytes:
+            raise ProposalRefused(f"{len(command)} bytes are too many")
+        if state.uncommitted_bytes > settings.max_uncommitted_bytes:
+            raise ProposalRefused("too many bytes wait for their commit")
+        index = state.log.last_index + 1
+        entry = Entry(index, state.term, EntryKind.COMMAND, command)
+        state.uncommitted_bytes += len(command)
+        append_entries(state, (entry,))
+        return entry
+
+    def read_barrier(self, barrier_id: int, now_s: float) -> None:
+        """Ask a majority to confirm that this member leads."""
+        state = self.state
+        state.now_s = now_s
+        if state.role != Role.LEADER:
+            raise NotLeader(state.leader_id)
+        state.round += 1
+        index = max(state.commit_index, state.term_start_index)
+        state.barriers.append(Barrier(barrier_id, state.round, index))
+        state.heartbeat_due_s = now_s
+
+    def add_learner(self, member_id: str, address: str, now_s: float) -> int:
+        """Append a change; return its index."""
+        self.state.now_s = now_s
+        return change.add_learner(self.state, member_id, address)
+
+    def promote(self, member_id: str, now_s: float) -> int:
+        """Append a change; return its index."""
+        self.state.now_s = now_s
+        return change.promote(self.state, member_id)
+
+    def remove(self, member_id: str, now_s: float) -> int:
+        """Append a change; return its index."""
+        self.state.now_s = now_s
+        return change.remove(self.state, member_id)
+
+    def transfer(self, target: str | None, now_s: float) -> None:
+        """Start to hand leadership over."""
+        self.state.now_s = now_s
+        change.start_transfer(self.state, target)
+
+    def set_blocked(self, blocked: bool, now_s: float) -> None:
+        """Step aside while the disk takes no writes, or come back."""
+        state = self.state
+        state.now_s = now_s
+        state.blocked = blocked
+        if blocked and state.role != Role.FOLLOWER:
+            become_follower(state, state.term, "")
+
+    def compact(self, index: int, data: bytes, now_s: float) -> None:
+        """Take a snapshot of the state machine after ``index``."""
+        state = self.state
+        state.now_s = now_s
+        term = state.log.term_at(index)
+        if term is None or index <= state.snapshot.last_index:
+            return
+        membership = membership_at(state, index)
+        save_snapshot(state, Snapshot(index, term, membership, data))
+
+    def lease_until_s(self, now_s: float) -> float:
+        """Return when the leader's lease ends, 0 where there is none."""
+        self.state.now_s = now_s
+        return claim_lease_s(self.state)
+
+    def drain(self, now_s: float) -> Output:
+        """Return what is to be done since the last call."""
+        state = self.state
+        state.now_s = now_s
+        self._settle()
+        if state.role == Role.LEADER:
+            if now_s >= state.heartbeat_due_s:
+                send_heartbeats(state)
+            replicate(state)
+            confirm_barriers(state)
+        output = Output(
+            messages=tuple(state.outgoing),
+            batch=take_batch(state),
+            install=state.install,
+            committed=_take_committed(state),
+            confirmed=tuple(state.confirmed),
+        )
+        state.outgoing.clear()
+        state.confirmed.clear()
+        state.install = None
+        return output
+
+    def _tick_leader(self) -> None:
+        state = self.state
+        silent_s = state.now_s - quorum_sent_s(state)
+        # A leader that no majority answers cannot commit; stepping down
+        # lets its callers look for another one instead of waiting.
+        if silent_s > state.settings.election_max_s:
+            become_follower(state, state.term, "")
+
+    def _tick_without_leader(self) -> None:
+        state = self.state
+        if can_campaign(state):
+            start_pre_vote(state)
+        else:
+            state.leader_id = ""
+            set_election_deadline(state)
+
+    def _settle(self) -> None:
+        state = self.state
+        while state.loopback:
+            handle_message(state, state.loopback.popleft())
+        if state.role == Role.LEADER and change.advance_transfer(state):
+            become_follower(state, state.term, "")
+
+
+def _take_committed(state: RaftState) -> tuple[Entry, ...]:
+    first = state.emitted_index + 1
+    committed = state.log.between(first, state.commit_index)
+    state.emitted_index = state.commit_index
+    return committed
+
+
+__all__ = ["Core", "Output"]
--- /dev/null
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/election.py
@@ -0,0 +1,193 @@
+"""Elections: who may ask for votes, who gives one, who has won.
+
+A member first asks whether it could win (pre-vote) and raises its term
+only then. A member that was cut off for long thus comes back with the
+term that it left with and cannot depose a leader that works.
+"""
+
+from __future__ import annotations
+
+from sycamorestand_consensus.lease import is_promised
+from sycamorestand_consensus.lease import lease_start_s
+from sycamorestand_consensus.membership import find_member
+from sycamorestand_consensus.membership import voters
+from sycamorestand_consensus.messages import Entry
+from sycamorestand_consensus.messages import EntryKind
+from sycamorestand_consensus.messages import HardState
+from sycamorestand_consensus.messages import Message
+from sycamorestand_consensus.messages import VoteReply
+from sycamorestand_consensus.messages import VoteRequest
+from sycamorestand_consensus.raft_state import append_entries
+from sycamorestand_consensus.raft_state import RaftState
+from sycamorestand_consensus.raft_state import Role
+from sycamorestand_consensus.raft_state import send_after_sync
+from sycamorestand_consensus.raft_state import send_now
+from sycamorestand_consensus.raft_state import set_hard
+from sycamorestand_consensus.replication import sync_progress
+
+
+def set_election_deadline(state: RaftState) -> None:
+    """Draw the next election timeout.
+
+    It is random, so that two candidates rarely split the votes twice.
+    """
+    settings = state.settings
+    wait_s = state.random.uniform(
+        settings.election_min_s, settings.election_max_s
+    )
+    state.election_deadline_s = state.now_s + wait_s
+
+
+def become_follower(state: RaftState, term: int, leader_id: str) -> None:
+    """Follow ``leader_id``, or nobody yet, in ``term``."""
+    if term > state.term:
+        cluster = state.hard.cluster
+        set_hard(state, HardState(term, "", cluster))
+    if state.role != Role.FOLLOWER:
+        set_election_deadline(state)
+    state.role = Role.FOLLOWER
+    state.leader_id = leader_id
+    state.ballots.clear()
+    state.progress.clear()
+    state.barriers.clear()
+    state.transfer = None
+    state.transfer_campaign = False
+
+
+def can_campaign(state: RaftState) -> bool:
+    """Tell whether this member is a voter that can write."""
+    member = find_member(state.membership, state.member_id)
+    return member is not None and member.voter and not state.blocked
+
+
+def start_pre_vote(state: RaftState) -> None:
+    """Ask whether an election could be won, without raising the term."""
+    set_election_deadline(state)
+    state.role = Role.PRE_CANDIDATE
+    state.leader_id = ""
+    state.ballots = {state.member_id: True}
+    _ask_for_votes(state, pre=True)
+    _count_votes(state)
+
+
+def start_campaign(state: RaftState, *, transfer: bool) -> None:
+    """Raise the term and ask for votes, the own one included.
+
+    The requests leave after the sync as well: a candidate that forgot its
+    own vote in a crash could give it to another one in the same term.
+    """
+    set_election_deadline(state)
+    state.role = Role.CANDIDATE
+    state.leader_id = ""
+    state.ballots = {}
+    state.transfer_campaign = transfer
+    cluster = state.hard.cluster
+    set_hard(state, HardState(state.term + 1, state.member_id, cluster))
+    own_vote = VoteReply(state.term, pre=False, granted=True)
+    send_after_sync(state, state.member_id, own_vote)
+    _ask_for_votes(state, pre=False)
+
+
+def on_vote_request(
+    state: RaftState, message: Message, request: VoteRequest
+) -> None:
+    """Give or refuse a vote; the term was taken over before."""
+    granted = _may_vote(state, message.sender, request)
+    reply = VoteReply(request.campaign_term, request.pre, granted)
+    if granted and not request.pre:
+        cluster = state.hard.cluster
+        set_hard(state, HardState(state.term, message.sender, cluster))
+        set_election_deadline(state)
+    send_after_sync(state, message.sender, reply)
+
+
+def on_vote_reply(
+    state: RaftState, message: Message, reply: VoteReply
+) -> None:
+    """Count a vote for the election that is still going on."""
+    expected = Role.PRE_CANDIDATE if reply.pre else Role.CANDIDATE
+    campaign_term = state.term + 1 if reply.pre else state.term
+    if state.role != expected or reply.campaign_term != campaign_term:
+        return
+    state.ballots[message.sender] = reply.granted
+    _count_votes(state)
+
+
+def _may_vote(state: RaftState, candidate: str, request: VoteRequest) -> bool:
+    if state.blocked:
+        return False
+    # A member that its own log does not know has either lost its disk or
+    # was never admitted. Its empty log would let any candidate win. A
+    # learner does vote when asked: it may have been promoted by an entry
+    # that it has not received, and without its vote nobody could win.
+    if find_member(state.membership, state.member_id) is None:
+        return False
+    if is_promised(state) and not request.transfer:
+        return False
+    if not _is_up_to_date(state, request):
+        return False
+    if request.pre:
+        return request.campaign_term > state.term
+    return request.campaign_term == state.term and (
+        state.hard.voted_for in ("", candidate)
+    )
+
+
+def _is_up_to_date(state: RaftState, request: VoteRequest) -> bool:
+    theirs = (request.last_term, request.last_index)
+    return theirs >= (state.log.last_term, state.log.last_index)
+
+
+def _ask_for_votes(state: RaftState, *, pre: bool) -> None:
+    request = VoteRequest(
+        campaign_term=state.term + 1 if pre else state.term,
+        last_index=state.log.last_index,
+        last_term=state.log.last_term,
+        pre=pre,
+        transfer=state.transfer_campaign and not pre,
+    )
+    send = send_now if pre else send_after_sync
+    for member_id in voters(state.membership):
+        if member_id != state.member_id:
+            send(state, member_id, request)
+
+
+def _count_votes(state: RaftState) -> None:
+    ids = voters(state.membership)
+    granted = sum(state.ballots.get(member_id, False) for member_id in ids)
+    if granted <= len(ids) // 2:
+        return
+    if state.role == Role.PRE_CANDIDATE:
+        start_campaign(state, transfer=False)
+    else:
+        _become_leader(state)
+
+
+def _become_leader(state: RaftState) -> None:
+    state.role = Role.LEADER
+    state.leader_id = state.member_id
+    state.ballots.clear()
+    state.lease_from_s = lease_start_s(state)
+    state.transfer_campaign = False
+    state.round += 1
+    state.uncommitted_bytes = 0
+    state.progress.clear()
+    sync_progress(state)
+    # Entries of earlier terms are committed through an entry of the own
+    # term only; without this one they would wait for the next proposal.
+    index = state.log.last_index + 1
+    state.term_start_index = index
+    no_op = Entry(index, state.term, EntryKind.NO_OP, b"")
+    append_entries(state, (no_op,))
+    state.heartbeat_due_s = state.now_s + state.settings.heartbeat_s
+
+
+__all__ = [
+    "become_follower",
+    "can_campaign",
+    "on_vote_reply",
+    "on_vote_request",
+    "set_election_deadline",
+    "start_campaign",
+    "start_pre_vote",
+]
--- /dev/null
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/lease.py
@@ -0,0 +1,98 @@
+"""Promises that keep a second leader away while a lease runs.
+
+A follower that hears a leader promises not to vote for ``election_min_s``.
+A leader whose message was answered by a majority thus knows that nobody
+else can win an election until ``election_min_s`` after it *sent* that
+message, and claims the shorter ``lease_s`` of it. The difference covers
+clocks that run at different rates. Promises are not taken back: a leader
+that steps down keeps its own, and a member that restarts assumes that it
+made one just before it stopped. So whatever was granted under a lease
+ends before another leader holds one.
+"""
+
+from __future__ import annotations
+
+from sycamorestand_consensus.membership import majority_value
+from sycamorestand_consensus.membership import voters
+from sycamorestand_consensus.raft_state import RaftState
+from sycamorestand_consensus.raft_state import Role
+from sycamorestand_consensus.settings import CLOCK_RATE_MARGIN
+
+
+def promise_to_leader(state: RaftState) -> None:
+    """Promise the leader that was just heard not to vote for a while."""
+    until_s = state.now_s + state.settings.election_min_s
+    state.promise_until_s = max(state.promise_until_s, until_s)
+
+
+def is_promised(state: RaftState) -> bool:
+    """Tell whether a vote now could break a leader's lease."""
+    until_s = state.promise_until_s
+    if state.role == Role.LEADER:
+        fresh_s = quorum_sent_s(state) + state.settings.election_min_s
+        until_s = max(until_s, fresh_s)
+    return state.now_s < until_s
+
+
+def quorum_sent_s(state: RaftState) -> float:
+    """Return the send time that a majority of voters has answered."""
+    if not voters(state.membership):
+        return state.lease_from_s
+
+    def answered_s(member_id: str) -> float:
+        if member_id == state.member_id:
+            return state.now_s
+        return state.progress[member_id].acked_sent_s
+
+    return majority_value(state.membership, answered_s)
+
+
+def lease_until_s(state: RaftState) -> float:
+    """Return when the leader's lease ends; it may have ended already."""
+    if state.role != Role.LEADER:
+        return 0.0
+    if state.commit_index < state.term_start_index:
+        # Until an entry of the own term is committed, the membership that
+        # the majority was counted in may itself be replaced.
+        return 0.0
+    if state.transfer is not None and state.transfer.ordered:
+        return 0.0
+    if state.now_s < state.lease_from_s:
+        return 0.0
+    return quorum_sent_s(state) + state.settings.lease_s
+
+
+def claim_lease_s(state: RaftState) -> float:
+    """Return when the leader's lease ends, and promise to honour it.
+
+    Without the promise a deposed leader could elect its successor at once
+    while leases that were granted under its own still run. The promise
+    keeps the longest claim: a majority of a larger membership may have
+    answered earlier messages only.
+    """
+    until_s = lease_until_s(state)
+    state.promise_until_s = max(state.promise_until_s, until_s)
+    return until_s
+
+
+def lease_start_s(state: RaftState) -> float:
+    """Return when a new leader may claim its first lease.
+
+    An election that the old leader asked for passes over the promises, so
+    its winner waits until any lease of the old leader has run out, on the
+    slowest clock that the margin allows for.
+    """
+    if not state.transfer_campaign:
+        return state.now_s
+    spread = (1 + CLOCK_RATE_MARGIN) / (1 - CLOCK_RATE_MARGIN)
+    return state.now_s + state.settings.lease_s * spread
+
+
+__all__ = [
+    "claim_lease_s",
+    "is_promised",
+    "lease_start_s",
+    "lease_until_s",
+    "promise_to_leader",
+    "quorum_sent_s",
+]
--- /dev/null
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/log.py
@@ -0,0 +1,113 @@
+"""The part of the log that is held in memory."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+from sycamorestand_consensus.errors import SafetyViolated
+from sycamorestand_consensus.messages import Entry
+
+# Index, term, kind and framing of an entry on the wire, rounded up.
+ENTRY_OVERHEAD_BYTES: Final = 32
+
+
+class MemoryLog:
+    """Entries after ``start_index``, which a snapshot covers."""
+
+    def __init__(
+        self,
+        start_index: int,
+        start_term: int,
+        entries: Iterable[Entry] = (),
+    ) -> None:
+        """Begin after a snapshot with the entries that follow it."""
+        self.start_index = start_index
+        self.start_term = start_term
+        self._entries: list[Entry] = []
+        self.append(entries)
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.start_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self.start_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None where it is not held."""
+        if index == self.start_index:
+            return self.start_term
+        if self.start_index < index <= self.last_index:
+            return self._entries[index - self.start_index - 1].term
+        return None
+
+    def first_index_of_term_at(self, index: int) -> int:
+        """Return the first held index of the term that ``index`` has."""
+        term = self.term_at(index)
+        while self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def last_index_of_term(self, term: int, below: int) -> int | None:
+        """Return the last index under ``below`` that has this term."""
+        index = min(below - 1, self.last_index)
+        found = self.term_at(index)
+        while found is not None and found > term:
+            index -= 1
+            found = self.term_at(index)
+        return index if found == term else None
+
+    def append(self, entries: Iterable[Entry]) -> None:
+        """Add entries that follow the last one without a gap."""
+        for entry in entries:
+            if entry.log_index != self.last_index + 1:
+                reason = f"entry {entry.log_index} follows {self.last_index}"
+                raise SafetyViolated(reason)
+            self._entries.append(entry)
+
+    def between(self, first: int, last: int) -> tuple[Entry, ...]:
+        """Return the entries from ``first`` to ``last``, both included."""
+        offset = self.start_index + 1
+        return tuple(self._entries[first - offset : last + 1 - offset])
+
+    def batch_from(self, first: int, max_bytes: int) -> tuple[Entry, ...]:
+        """Return at least one entry, and more while they fit the size."""
+        chosen: list[Entry] = []
+        size_bytes = 0
+        position = first - self.start_index - 1
+        while position < len(self._entries):
+            entry = self._entries[position]
+            size_bytes += len(entry.data) + ENTRY_OVERHEAD_BYTES
+            if chosen and size_bytes > max_bytes:
+                break
+            chosen.append(entry)
+            position += 1
+        return tuple(chosen)
+
+    def truncate_from(self, index: int) -> None:
+        """Drop the entries from ``index`` on."""
+        del self._entries[index - self.start_index - 1 :]
+
+    def compact_to(self, index: int) -> None:
+        """Forget the entries up to ``index``, which a snapshot covers."""
+        if index <= self.start_index:
+            return
+        term = self.term_at(index)
+        if term is None:
+            raise SafetyViolated(f"entry {index} to compact is not held")
+        del self._entries[: index - self.start_index]
+        self.start_index = index
+        self.start_term = term
+
+    def reset(self, index: int, term: int) -> None:
+        """Drop everything and begin after a snapshot."""
+        self._entries.clear()
+        self.start_index = index
+        self.start_term = term
+
+
+__all__ = ["MemoryLog"]
--- /dev/null
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/raft_state.py
@@ -0,0 +1,292 @@
+"""What a member knows while it runs, and how it changes what it keeps.
+
+Every durable change goes through the functions here: they put records
+into the open batch and hold back the messages that depend on its sync.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import StrEnum
+import random
+from typing import NamedTuple
+
+from sycamorestand_consensus.errors import SafetyViolated
+from sycamorestand_consensus.log import MemoryLog
+from sycamorestand_consensus.membership import decode_membership
+from sycamorestand_consensus.messages import Batch
+from sycamorestand_consensus.messages import Body
+from sycamorestand_consensus.messages import Entry
+from sycamorestand_consensus.messages import EntryKind
+from sycamorestand_consensus.messages import HardState
+from sycamorestand_consensus.messages import LogAppend
+from sycamorestand_consensus.messages import LogTruncate
+from sycamorestand_consensus.messages import Membership
+from sycamorestand_consensus.messages import Message
+from sycamorestand_consensus.messages import Record
+from sycamorestand_consensus.messages import Recovered
+from sycamorestand_consensus.messages import SaveSnapshot
+from sycamorestand_consensus.messages import Snapshot
+from sycamorestand_consensus.progress import Barrier
+from sycamorestand_consensus.progress import Progress
+from sycamorestand_consensus.progress import Transfer
+from sycamorestand_consensus.settings import ReplicaSettings
+
+
+class Role(StrEnum):
+    """What a member is doing in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class _Inflight(NamedTuple):
+    sequence: int
+    epoch: int
+    last_index: int
+
+
+class RaftState:
+    """The fields of one member; the modules around it hold the rules."""
+
+    def __init__(
+        self,
+        member_id: str,
+        settings: ReplicaSettings,
+        seed: int,
+        found: Recovered,
+        now_s: float,
+    ) -> None:
+        """Start as a follower from what was found on disk."""
+        self.member_id = member_id
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.now_s = now_s
+        self.blocked = False
+
+        self.hard = found.hard
+        self.snapshot = found.snapshot
+        self.log = MemoryLog(
+            found.snapshot.last_index, found.snapshot.last_term
+        )
+        self.memberships = [
+            (found.snapshot.last_index, found.snapshot.membership)
+        ]
+        self.commit_index = found.snapshot.last_index
+        self.emitted_index = found.snapshot.last_index
+        self.install: Snapshot | None = None
+
+        self.role = Role.FOLLOWER
+        self.leader_id = ""
+        self.promise_until_s = now_s
+        self.election_deadline_s = now_s
+        self.ballots: dict[str, bool] = {}
+        self.transfer_campaign = False
+        self.incoming: tuple[int, int, bytearray] | None = None
+
+        self.progress: dict[str, Progress] = {}
+        self.heartbeat_due_s = now_s
+        self.term_start_index = 0
+        self.lease_from_s = now_s
+        self.round = 0
+        self.barriers: list[Barrier] = []
+        self.confirmed: list[Barrier] = []
+        self.transfer: Transfer | None = None
+        self.uncommitted_bytes = 0
+
+        self.epoch = 0
+        self.open_sequence = 1
+        self.stored_sequence = 0
+        self.hard_sequence = 0
+        self.records: list[Record] = []
+        self.in_writing: deque[_Inflight] = deque()
+        self.held: deque[tuple[int, Message]] = deque()
+        self.outgoing: list[Message] = []
+        self.loopback: deque[Message] = deque()
+
+        self.log.append(found.entries)
+        _note_memberships(self, found.entries)
+        self.stable_index = self.log.last_index
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.hard.term
+
+    @property
+    def membership(self) -> Membership:
+        """Return the membership in effect: the last one in the log."""
+        return self.memberships[-1][1]
+
+
+def is_synced(state: RaftState) -> bool:
+    """Tell whether everything that was recorded so far is on disk."""
+    return not state.records and (
+        state.stored_sequence == state.open_sequence - 1
+    )
+
+
+def send_now(state: RaftState, to: str, body: Body) -> None:
+    """Send a message that promises nothing about the disk."""
+    _put(state, _addressed(state, to, body))
+
+
+def send_after_sync(state: RaftState, to: str, body: Body) -> None:
+    """Send a message once everything recorded so far is synced.
+
+    A vote or acknowledgement that left earlier could be forgotten in a
+    crash: the member would vote twice in one term, or the leader would
+    count an entry that a majority no longer holds.
+    """
+    message = _addressed(state, to, body)
+    if is_synced(state):
+        _put(state, message)
+        return
+    last = state.open_sequence - (0 if state.records else 1)
+    state.held.append((last, message))
+
+
+def send_after_term_sync(state: RaftState, to: str, body: Body) -> None:
+    """Send a message that depends on term and vote, not on entries."""
+    if state.stored_sequence >= state.hard_sequence:
+        send_now(state, to, body)
+    else:
+        send_after_sync(state, to, body)
+
+
+def set_hard(state: RaftState, hard: HardState) -> None:
+    """Change term, vote or cluster, and record it."""
+    if hard == state.hard:
+        return
+    state.hard = hard
+    state.hard_sequence = state.open_sequence
+    state.records.append(hard)
+
+
+def append_entries(state: RaftState, entries: tuple[Entry, ...]) -> None:
+    """Add entries to the log and record them."""
+    state.log.append(entries)
+    state.records.append(LogAppend(entries))
+    _note_memberships(state, entries)
+
+
+def truncate_from(state: RaftState, index: int) -> None:
+    """Drop entries that another leader has replaced."""
+    if index <= state.commit_index:
+        raise SafetyViolated(
+            f"entry {index} is committed and was to be overwritten"
+        )
+    state.log.truncate_from(index)
+    state.records.append(LogTruncate(index))
+    state.stable_index = min(state.stable_index, index - 1)
+    # Writes that are still under way may sync entries which this
+    # truncation removes; the epoch keeps them from being counted.
+    state.epoch += 1
+    while state.memberships[-1][0] >= index:
+        state.memberships.pop()
+
+
+def save_snapshot(state: RaftState, snapshot: Snapshot) -> None:
+    """Record a snapshot of the own state machine and shorten the log."""
+    state.snapshot = snapshot
+    state.records.append(SaveSnapshot(snapshot, keep_log=True))
+    kept = snapshot.last_index - state.settings.trailing_entries
+    state.log.compact_to(max(kept, state.log.start_index))
+    _forget_memberships(state)
+
+
+def install_snapshot(state: RaftState, snapshot: Snapshot) -> None:
+    """Take the leader's snapshot in place of the own state."""
+    keep_log = state.log.term_at(snapshot.last_index) == snapshot.last_term
+    if keep_log:
+        state.log.compact_to(snapshot.last_index)
+        _forget_memberships(state)
+    else:
+        state.log.reset(snapshot.last_index, snapshot.last_term)
+        state.memberships = [(snapshot.last_index, snapshot.membership)]
+        state.stable_index = 0
+        state.epoch += 1
+    state.snapshot = snapshot
+    state.records.append(SaveSnapshot(snapshot, keep_log=keep_log))
+    state.commit_index = snapshot.last_index
+    state.emitted_index = snapshot.last_index
+    state.install = snapshot
+
+
+def membership_at(state: RaftState, index: int) -> Membership:
+    """Return the membership that was in effect at a committed index."""
+    found = state.memberships[0][1]
+    for since, membership in state.memberships:
+        if since <= index:
+            found = membership
+    return found
+
+
+def take_batch(state: RaftState) -> Batch | None:
+    """Close the open batch and return it for writing."""
+    if not state.records:
+        return None
+    batch = Batch(state.open_sequence, tuple(state.records))
+    state.records.clear()
+    written = _Inflight(batch.sequence, state.epoch, state.log.last_index)
+    state.in_writing.append(written)
+    state.open_sequence += 1
+    return batch
+
+
+def note_stored(state: RaftState, sequence: int) -> None:
+    """Take in that batches up to ``sequence`` are synced."""
+    while state.in_writing and state.in_writing[0].sequence <= sequence:
+        written = state.in_writing.popleft()
+        if written.epoch == state.epoch:
+            state.stable_index = written.last_index
+    state.stored_sequence = max(state.stored_sequence, sequence)
+    while state.held and state.held[0][0] <= sequence:
+        _, message = state.held.popleft()
+        if message.term == state.term:
+            _put(state, message)
+
+
+def _addressed(state: RaftState, to: str, body: Body) -> Message:
+    hard = state.hard
+    return Message(state.member_id, to, hard.cluster, hard.term, body)
+
+
+def _put(state: RaftState, message: Message) -> None:
+    if message.to == state.member_id:
+        state.loopback.append(message)
+    else:
+        state.outgoing.append(message)
+
+
+def _note_memberships(state: RaftState, entries: tuple[Entry, ...]) -> None:
+    for entry in entries:
+        if entry.kind == EntryKind.MEMBERSHIP:
+            membership = decode_membership(entry.data)
+            state.memberships.append((entry.log_index, membership))
+
+
+def _forget_memberships(state: RaftState) -> None:
+    found = state.memberships
+    while len(found) > 1 and found[1][0] <= state.log.start_index:
+        found.pop(0)
+
+
+__all__ = [
+    "RaftState",
+    "Role",
+    "append_entries",
+    "install_snapshot",
+    "is_synced",
+    "membership_at",
+    "note_stored",
+    "save_snapshot",
+    "send_after_sync",
+    "send_after_term_sync",
+    "send_now",
+    "set_hard",
+    "take_batch",
+    "truncate_from",
+]
--- /dev/null
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/replication.py
@@ -0,0 +1,237 @@
+"""How a leader sends its log and learns what its members have synced.
+
+A member is probed until the logs are known to agree, then entries are
+pipelined without waiting for answers, and a member whose next entry is
+compacted away gets the snapshot in chunks. Every message is stamped, so
+each answer also counts as a sign of life and dates the lease.
+"""
+
+from __future__ import annotations
+
+from sycamorestand_consensus.commit import advance_commit
+from sycamorestand_consensus.messages import Append
+from sycamorestand_consensus.messages import AppendReply
+from sycamorestand_consensus.messages import Entry
+from sycamorestand_consensus.messages import Message
+from sycamorestand_consensus.messages import SnapshotChunk
+from sycamorestand_consensus.messages import SnapshotReply
+from sycamorestand_consensus.messages import Stamp
+from sycamorestand_consensus.progress import Progress
+from sycamorestand_consensus.progress import SendMode
+from sycamorestand_consensus.raft_state import RaftState
+from sycamorestand_consensus.raft_state import send_now
+
+
+def replicate(state: RaftState) -> None:
+    """Send every member what it can take now."""
+    for member_id, progress in state.progress.items():
+        _send_entries(state, member_id, progress)
+
+
+def send_heartbeats(state: RaftState) -> None:
+    """Send every member a sign of life that also finds lost messages."""
+    state.heartbeat_due_s = state.now_s + state.settings.heartbeat_s
+    for member_id, progress in state.progress.items():
+        if progress.mode == SendMode.SNAPSHOT:
+            _send_chunk(state, member_id, progress, with_data=False)
+        else:
+            _send_append(state, member_id, progress, with_entries=False)
+
+
+def sync_progress(state: RaftState) -> None:
+    """Follow a change of membership."""
+    wanted = {m.member_id for m in state.membership}
+    wanted.discard(state.member_id)
+    for member_id in wanted - state.progress.keys():
+        next_index = state.log.last_index + 1
+        state.progress[member_id] = Progress(next_index, state.now_s)
+    for member_id in state.progress.keys() - wanted:
+        del state.progress[member_id]
+
+
+def on_append_reply(
+    state: RaftState, message: Message, reply: AppendReply
+) -> None:
+    """Take in what a member has synced, or where the logs part."""
+    progress = state.progress.get(message.sender)
+    if progress is None:
+        return
+    _note_answer(progress, reply.stamp)
+    if reply.success:
+        _on_success(state, progress, reply)
+    else:
+        _on_mismatch(state, progress, reply)
+
+
+def on_snapshot_reply(
+    state: RaftState, message: Message, reply: SnapshotReply
+) -> None:
+    """Send the part of the snapshot that the member asks for."""
+    progress = state.progress.get(message.sender)
+    if progress is None:
+        return
+    _note_answer(progress, reply.stamp)
+    snapshot = progress.snapshot
+    if progress.mode != SendMode.SNAPSHOT or snapshot is None:
+        return
+    if reply.last_index != snapshot.last_index:
+        return
+    if reply.offset_bytes == progress.offset_bytes and progress.probe_sent:
+        # The part may be under way still; sending it for every heartbeat
+        # that is answered meanwhile would multiply it.
+        progress.probe_sent = False
+        return
+    progress.offset_bytes = reply.offset_bytes
+    _send_chunk(state, message.sender, progress, with_data=True)
+
+
+def _note_answer(progress: Progress, stamp: Stamp) -> None:
+    progress.acked_round = max(progress.acked_round, stamp.round)
+    progress.acked_sent_s = max(progress.acked_sent_s, stamp.sent_s)
+
+
+def _on_success(
+    state: RaftState, progress: Progress, reply: AppendReply
+) -> None:
+    progress.match_index = max(progress.match_index, reply.match_index)
+    inflight = progress.inflight
+    while inflight and inflight[0] <= progress.match_index:
+        inflight.popleft()
+    if progress.mode == SendMode.PROBE:
+        progress.mode = SendMode.PIPELINE
+        progress.next_index = progress.match_index + 1
+    elif progress.mode == SendMode.SNAPSHOT:
+        _leave_snapshot(progress)
+    advance_commit(state)
+
+
+def _leave_snapshot(progress: Progress) -> None:
+    snapshot = progress.snapshot
+    if snapshot is None or progress.match_index < snapshot.last_index:
+        return
+    progress.snapshot = None
+    progress.mode = SendMode.PIPELINE
+    progress.next_index = progress.match_index + 1
+
+
+def _on_mismatch(
+    state: RaftState, progress: Progress, reply: AppendReply
+) -> None:
+    if progress.mode == SendMode.SNAPSHOT:
+        return
+    if reply.rejected_index <= progress.match_index:
+        return
+    if progress.mode == SendMode.PROBE and (
+        reply.rejected_index != progress.next_index - 1
+    ):
+        return
+    hint = _next_from_hint(state, reply)
+    below = min(hint, reply.rejected_index)
+    progress.next_index = max(progress.match_index + 1, below)
+    progress.mode = SendMode.PROBE
+    progress.probe_sent = False
+    progress.inflight.clear()
+
+
+def _next_from_hint(state: RaftState, reply: AppendReply) -> int:
+    if reply.hint_term == 0:
+        return reply.hint_index
+    below = min(reply.rejected_index, state.log.last_index) + 1
+    last = state.log.last_index_of_term(reply.hint_term, below)
+    return reply.hint_index if last is None else last + 1
+
+
+def _send_entries(
+    state: RaftState, member_id: str, progress: Progress
+) -> None:
+    if progress.mode == SendMode.SNAPSHOT:
+        return
+    if progress.next_index <= state.log.start_index:
+        _begin_snapshot(state, member_id, progress)
+        return
+    if progress.mode == SendMode.PROBE:
+        if not progress.probe_sent:
+            _send_append(state, member_id, progress, with_entries=True)
+            progress.probe_sent = True
+        return
+    limit = state.settings.max_inflight_messages
+    while (
+        progress.next_index <= state.log.last_index
+        and len(progress.inflight) < limit
+    ):
+        last = _send_append(state, member_id, progress, with_entries=True)
+        progress.inflight.append(last)
+        progress.next_index = last + 1
+
+
+def _send_append(
+    state: RaftState,
+    member_id: str,
+    progress: Progress,
+    *,
+    with_entries: bool,
+) -> int:
+    previous = progress.next_index - 1
+    previous_term = state.log.term_at(previous)
+    if previous_term is None:
+        # The entry was compacted away since; the next pass begins the
+        # snapshot, and its first chunk is a sign of life as well.
+        return previous
+    entries: tuple[Entry, ...] = ()
+    if with_entries:
+        limit = state.settings.max_append_bytes
+        entries = state.log.batch_from(progress.next_index, limit)
+    body = Append(
+        previous, previous_term, entries, state.commit_index, _stamp(state)
+    )
+    send_now(state, member_id, body)
+    return previous + len(entries)
+
+
+def _begin_snapshot(
+    state: RaftState, member_id: str, progress: Progress
+) -> None:
+    progress.mode = SendMode.SNAPSHOT
+    progress.snapshot = state.snapshot
+    progress.offset_bytes = 0
+    progress.inflight.clear()
+    _send_chunk(state, member_id, progress, with_data=True)
+
+
+def _send_chunk(
+    state: RaftState,
+    member_id: str,
+    progress: Progress,
+    *,
+    with_data: bool,
+) -> None:
+    snapshot = progress.snapshot
+    if snapshot is None:
+        return
+    if with_data:
+        progress.probe_sent = True
+    start = progress.offset_bytes
+    size = state.settings.snapshot_chunk_bytes if with_data else 0
+    body = SnapshotChunk(
+        last_index=snapshot.last_index,
+        last_term=snapshot.last_term,
+        membership=snapshot.membership,
+        offset_bytes=start,
+        total_bytes=len(snapshot.data),
+        data=snapshot.data[start : start + size],
+        stamp=_stamp(state),
+    )
+    send_now(state, member_id, body)
+
+
+def _stamp(state: RaftState) -> Stamp:
+    return Stamp(state.round, state.now_s)
+
+
+__all__ = [
+    "on_append_reply",
+    "on_snapshot_reply",
+    "replicate",
+    "send_heartbeats",
+    "sync_progress",
+]
