--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/cascade.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/cascade.py
@@ -26,6 +26,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorestand_decisions.objective import penalty
+from sycamorestand_decisions.pass_rates import MAX_CLASSES
 from sycamorestand_decisions.pass_rates import PassRate
 from sycamorestand_decisions.pass_rates import PassRates
 from sycamorestand_decisions.request_class import request_class
@@ -42,11 +43,16 @@
 # classes at the target are just below it.
 MARGIN_DEVIATIONS: Final = 1.0
 EXPLORED_RATINGS: Final = 40.0
-EXPLORE_UNKNOWN: Final = 0.2
+# While a step is unknown, or may yet prove good enough. The rarer ratings
+# are, the longer this lasts; its price is the cheap step's each time.
+EXPLORE_UNDECIDED: Final = 0.2
 # A class given up on may become easy again with a new version; two in a
 # hundred requests find that out within a day and cost little.
 EXPLORE_FLOOR: Final = 0.02
 INLINE_STEP: Final = 0.02
+# A plan is kept for this many answers of its class: one answer hardly
+# moves an estimate, and planning costs more than the rest of a decision.
+PLAN_EVERY: Final = 10
 LATENCY_PRIOR_MS: Final = 500.0
 # The bound on added latency holds for slow answers too, not the average
 # one: token counts give answers twice the average in about one of ten.
@@ -83,6 +89,8 @@
         self._rates = PassRates()
         self._inline: dict[tuple[str, str], float] = {}
         self._prices: dict[str, tuple[StepPrice, ...]] = {}
+        self._plans: dict[tuple[str, str, bool], Plan] = {}
+        self._changes: dict[str, int] = {}
 
     def first_step(
         self,
@@ -98,16 +106,16 @@
         A call that is not idempotent gets exactly one step: running it
         again at the next one would run it twice.
         """
-        self._prices[profile.name] = tuple(prices)
+        self._set_prices(profile.name, prices)
         plan = self.plan(profile, request_class, idempotent)
         if not idempotent or not plan.first_step:
             return plan.first_step
         step = plan.first_step - 1
-        if not self._may_explore(profile, step, request_class):
+        if not self._in_time(profile, request_class, step):
             return plan.first_step
-        rate = self._rates.rate(prices[step].version, request_class)
-        unknown = rate.ratings < EXPLORED_RATINGS
-        share = EXPLORE_UNKNOWN if unknown else EXPLORE_FLOOR
+        share = self._explored_share(
+            profile, prices[step].version, request_class
+        )
         return step if random.random() < share else plan.first_step
 
     def accept(
@@ -147,6 +155,7 @@
             self._rates.observe_use(
                 step_version, request_class, cost_micros, latency_ms
             )
+        self._count_change(request_class)
         if passed is not None:
             subject = _escalated(step_version) if escalated else step_version
             self._rates.observe(subject, request_class, passed)
@@ -155,14 +164,12 @@
         self, profile: Profile, request_class: str, idempotent: bool = True
     ) -> Plan:
         """Return the plan that new requests of a class follow."""
-        plans = self.plans(profile, request_class, idempotent)
-        good = [
-            p for p in plans if p.known and p.quality >= profile.quality_target
-        ]
-        if not good:
-            return max(plans, key=lambda p: (p.first_step, p.quality))
-        strongest = plans[-1]
-        return min(good, key=lambda p: _penalty(profile, p, strongest))
+        key = (profile.name, request_class, idempotent)
+        plan = self._plans.get(key)
+        if plan is None:
+            plan = self._choose_plan(profile, request_class, idempotent)
+            self._plans[key] = plan
+        return plan
 
     def plans(
         self, profile: Profile, request_class: str, idempotent: bool = True
@@ -182,6 +189,35 @@
         ]
         return [*plans, self._single(profile, request_class, last)]
 
+    def _choose_plan(
+        self, profile: Profile, request_class: str, idempotent: bool
+    ) -> Plan:
+        plans = self.plans(profile, request_class, idempotent)
+        good = [
+            p for p in plans if p.known and p.quality >= profile.quality_target
+        ]
+        if not good:
+            return max(plans, key=lambda p: (p.first_step, p.quality))
+        strongest = plans[-1]
+        return min(good, key=lambda p: _penalty(profile, p, strongest))
+
+    def _set_prices(
+        self, profile_name: str, prices: Sequence[StepPrice]
+    ) -> None:
+        if self._prices.get(profile_name) != tuple(prices):
+            self._prices[profile_name] = tuple(prices)
+            self._plans.clear()
+
+    def _count_change(self, request_class: str) -> None:
+        changes = self._changes.get(request_class, 0) + 1
+        self._changes[request_class] = changes
+        if changes % PLAN_EVERY and len(self._changes) < MAX_CLASSES:
+            return
+        if len(self._changes) >= MAX_CLASSES:
+            self._changes.clear()
+        for key in [key for key in self._plans if key[1] == request_class]:
+            del self._plans[key]
+
     def _evaluate(
         self, profile: Profile, request_class: str, step: int, accepts: bool
     ) -> Plan:
@@ -225,10 +261,14 @@
             known=rate.ratings >= EXPLORED_RATINGS,
         )
 
-    def _may_explore(
-        self, profile: Profile, step: int, request_class: str
-    ) -> bool:
-        return self._in_time(profile, request_class, step)
+    def _explored_share(
+        self, profile: Profile, version: str, request_class: str
+    ) -> float:
+        rate = self._rates.rate(version, request_class)
+        may_be_good = rate.mean + rate.deviation >= profile.quality_target
+        if rate.ratings < EXPLORED_RATINGS or may_be_good:
+            return EXPLORE_UNDECIDED
+        return EXPLORE_FLOOR
 
     def _in_time(
         self, profile: Profile, request_class: str, first_step: int
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/pass_rates.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/pass_rates.py
@@ -121,4 +121,4 @@
         values[key] = known + AVERAGE_STEP * (value - known)
 
 
-__all__ = ["PassRate", "PassRates"]
+__all__ = ["MAX_CLASSES", "PassRate", "PassRates"]
