Operator interface: ASGI application over the narrow backend

An answer to a change can be lost and a voter can be without a leader, so every outcome has its own status and stable code, and a change that breaks off is told as unknown with the hint to resend its id. A role below admin cannot change the operators: the comparison is bound to the base revision, so a race cannot outrun it.

Tests: tables of 25 bad requests and 16 bad changes; after each the next request is served.

--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/app.py
@@ -0,0 +1,194 @@
+"""The operators' interface as an ASGI application.
+
+``make_operator_app(backend, authenticate)`` is served by uvicorn in the
+control process. It needs a bearer key on every path but the two health
+paths, and answers every fault with JSON and a stable code, for example
+``{"error": {"code": "forbidden", "message": "..."}}``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import logging
+from typing import Any
+from typing import Final
+
+from sycamorestand_control.operator_api.asgi import answer_lifespan
+from sycamorestand_control.operator_api.asgi import AsgiApp
+from sycamorestand_control.operator_api.asgi import header
+from sycamorestand_control.operator_api.asgi import query
+from sycamorestand_control.operator_api.asgi import read_json
+from sycamorestand_control.operator_api.asgi import Receive
+from sycamorestand_control.operator_api.asgi import respond
+from sycamorestand_control.operator_api.asgi import Response
+from sycamorestand_control.operator_api.asgi import Scope
+from sycamorestand_control.operator_api.asgi import Send
+from sycamorestand_control.operator_api.authentication import Authenticate
+from sycamorestand_control.operator_api.backend import NoLeader
+from sycamorestand_control.operator_api.backend import OperatorBackend
+from sycamorestand_control.operator_api.backend import OutcomeUnknown
+from sycamorestand_control.operator_api.backend import UnknownSubject
+from sycamorestand_control.operator_api.errors import ApiError
+from sycamorestand_control.operator_api.errors import FORBIDDEN
+from sycamorestand_control.operator_api.errors import INTERNAL_ERROR
+from sycamorestand_control.operator_api.errors import METHOD_NOT_ALLOWED
+from sycamorestand_control.operator_api.errors import NO_LEADER
+from sycamorestand_control.operator_api.errors import OUTCOME_UNKNOWN
+from sycamorestand_control.operator_api.errors import UNAUTHENTICATED
+from sycamorestand_control.operator_api.errors import UNKNOWN_PATH
+from sycamorestand_control.operator_api.errors import UNKNOWN_SUBJECT
+from sycamorestand_control.operator_api.plain import to_plain
+from sycamorestand_control.operator_api.routes import Call
+from sycamorestand_control.operator_api.routes import role_suffices
+from sycamorestand_control.operator_api.routes import Route
+from sycamorestand_control.operator_api.routes import ROUTES
+from sycamorestand_model.errors import SycamorestandError
+
+logger = logging.getLogger(__name__)
+
+BEARER: Final = "bearer "
+RESEND_HINT: Final = (
+    "the outcome is unknown; resend the same change id to any control "
+    "process to learn it"
+)
+
+
+def _count_nothing(code: str) -> None:
+    """Stand in where nobody counts refusals."""
+
+
+def make_operator_app(
+    backend: OperatorBackend,
+    authenticate: Authenticate,
+    count_refusal: Callable[[str], None] = _count_nothing,
+) -> AsgiApp:
+    """Return the application; refusals are counted by their code."""
+
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await answer_lifespan(receive, send)
+        elif scope["type"] == "http":
+            response = await answer(scope, receive)
+            await respond(send, response)
+        else:
+            await send({"type": "websocket.close"})
+
+    async def answer(scope: Scope, receive: Receive) -> Response:
+        try:
+            return await _answer(backend, authenticate, scope, receive)
+        except ApiError as error:
+            count_refusal(error.code)
+            return _error_response(error)
+
+    return app
+
+
+async def _answer(
+    backend: OperatorBackend,
+    authenticate: Authenticate,
+    scope: Scope,
+    receive: Receive,
+) -> Response:
+    health = _health(backend, scope["method"], scope["path"])
+    if health is not None:
+        return health
+    # The key comes first, so that nobody without one learns the paths.
+    identity = authenticate(_bearer_key(scope))
+    if identity is None:
+        raise ApiError(401, UNAUTHENTICATED, "no valid operator key")
+    route = _route(scope["method"], scope["path"])
+    if not role_suffices(identity.role, route.role):
+        raise ApiError(403, FORBIDDEN, f"this takes the role {route.role}")
+    fields = query(scope)
+    body = None
+    if route.max_body_bytes:
+        body = await read_json(scope, receive, route.max_body_bytes)
+    return await _call(route, Call(backend, identity, fields, body))
+
+
+async def _call(route: Route, call: Call) -> Response:
+    try:
+        return await route.answer(call)
+    except ApiError:
+        raise
+    except NoLeader as error:
+        raise ApiError(
+            503,
+            NO_LEADER,
+            str(error),
+            retry_after_s=error.retry_after_s,
+            leader_address=error.leader_address,
+        ) from error
+    except OutcomeUnknown as error:
+        raise _outcome_unknown(str(error)) from error
+    except UnknownSubject as error:
+        raise ApiError(404, UNKNOWN_SUBJECT, str(error)) from error
+    except SycamorestandError as error:
+        raise _fault(route, str(error)) from error
+    except Exception as error:
+        # A fault of ours: its text may hold anything, so it is logged and
+        # not answered, and the process goes on with the next request.
+        logger.exception("operator request failed")
+        raise _fault(route, "an internal error, see the log") from error
+
+
+def _fault(route: Route, message: str) -> ApiError:
+    if route.changes:
+        return _outcome_unknown(message)
+    return ApiError(500, INTERNAL_ERROR, message)
+
+
+def _outcome_unknown(message: str) -> ApiError:
+    return ApiError(
+        503, OUTCOME_UNKNOWN, f"{message}; {RESEND_HINT}", retry_after_s=1
+    )
+
+
+def _health(
+    backend: OperatorBackend, method: str, path: str
+) -> Response | None:
+    if method not in ("GET", "HEAD"):
+        return None
+    if path == "/healthz":
+        return Response(200, {"alive": True})
+    if path == "/readyz":
+        ready = backend.ready()
+        return Response(200 if ready else 503, {"ready": ready})
+    return None
+
+
+def _bearer_key(scope: Scope) -> str:
+    value = header(scope, b"authorization")
+    if value[: len(BEARER)].lower() != BEARER:
+        return ""
+    return value[len(BEARER) :].strip()
+
+
+def _route(method: str, path: str) -> Route:
+    route = ROUTES.get((method, path))
+    if route is not None:
+        return route
+    allowed = [known for known, at in ROUTES if at == path]
+    if not allowed:
+        raise ApiError(404, UNKNOWN_PATH, "there is nothing at this path")
+    raise ApiError(
+        405, METHOD_NOT_ALLOWED, f"this path takes {', '.join(allowed)}"
+    )
+
+
+def _error_response(error: ApiError) -> Response:
+    body: dict[str, Any] = {"code": error.code, "message": str(error)}
+    headers: list[tuple[bytes, bytes]] = []
+    if error.findings:
+        body["findings"] = to_plain(error.findings)
+    if error.leader_address:
+        body["leader_address"] = error.leader_address
+    if error.retry_after_s:
+        body["retry_after_s"] = error.retry_after_s
+        headers.append((b"retry-after", str(error.retry_after_s).encode()))
+    if error.status == 401:
+        headers.append((b"www-authenticate", b"Bearer"))
+    return Response(error.status, {"error": body}, tuple(headers))
+
+
+__all__ = ["make_operator_app"]
--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/asgi.py
@@ -0,0 +1,154 @@
+"""Requests and responses over ASGI, with bounds on what is read."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import MutableMapping
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from urllib.parse import parse_qs
+
+import anyio
+import msgspec
+
+from sycamorestand_control.operator_api.errors import ApiError
+from sycamorestand_control.operator_api.errors import BODY_TOO_LARGE
+from sycamorestand_control.operator_api.errors import BODY_TOO_SLOW
+from sycamorestand_control.operator_api.errors import INVALID_REQUEST
+from sycamorestand_control.operator_api.errors import MALFORMED_JSON
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+AsgiApp = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+MAX_QUERY_BYTES: Final = 2_048
+MAX_QUERY_FIELDS: Final = 16
+# A client that stops halfway would otherwise hold its buffer for ever.
+BODY_TIMEOUT_S: Final = 20.0
+
+
+class Response(NamedTuple):
+    """A status and a JSON-able body."""
+
+    status: int
+    body: Any
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+def header(scope: Scope, name: bytes) -> str:
+    """Return a header's only value; a doubled one counts as absent.
+
+    Two values would be read differently by a proxy and by us.
+    """
+    values = [value for key, value in scope["headers"] if key == name]
+    return values[0].decode("latin-1") if len(values) == 1 else ""
+
+
+def query(scope: Scope) -> dict[str, str]:
+    """Return the query's fields; doubled and oversized ones are refused."""
+    raw = scope.get("query_string", b"")
+    if len(raw) > MAX_QUERY_BYTES:
+        raise ApiError(400, INVALID_REQUEST, "the query is too long")
+    try:
+        fields = parse_qs(
+            raw.decode("ascii"),
+            keep_blank_values=True,
+            strict_parsing=bool(raw),
+            errors="strict",
+            max_num_fields=MAX_QUERY_FIELDS,
+        )
+    except ValueError as error:
+        raise ApiError(
+            400, INVALID_REQUEST, "the query cannot be read"
+        ) from error
+    if any(len(values) > 1 for values in fields.values()):
+        raise ApiError(400, INVALID_REQUEST, "a query field is given twice")
+    return {key: values[0] for key, values in fields.items()}
+
+
+async def read_json(scope: Scope, receive: Receive, max_bytes: int) -> Any:
+    """Return the request's JSON body."""
+    body = await _read_body(scope, receive, max_bytes)
+    try:
+        return msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise ApiError(
+            400, MALFORMED_JSON, f"the body is not JSON: {error}"
+        ) from error
+
+
+async def respond(send: Send, response: Response) -> None:
+    """Send a whole response."""
+    content = msgspec.json.encode(response.body)
+    await send(
+        {
+            "type": "http.response.start",
+            "status": response.status,
+            "headers": [
+                (b"content-type", b"application/json"),
+                (b"content-length", str(len(content)).encode()),
+                (b"cache-control", b"no-store"),
+                *response.headers,
+            ],
+        }
+    )
+    await send({"type": "http.response.body", "body": content})
+
+
+async def answer_lifespan(receive: Receive, send: Send) -> None:
+    """Answer the server's start and stop; there is nothing to prepare."""
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _read_body(scope: Scope, receive: Receive, max_bytes: int) -> bytes:
+    announced = header(scope, b"content-length")
+    if announced.isdecimal() and int(announced) > max_bytes:
+        raise _too_large(max_bytes)
+    try:
+        with anyio.fail_after(BODY_TIMEOUT_S):
+            return await _read_chunks(receive, max_bytes)
+    except TimeoutError as error:
+        raise ApiError(
+            408, BODY_TOO_SLOW, "the body did not arrive in time"
+        ) from error
+
+
+async def _read_chunks(receive: Receive, max_bytes: int) -> bytes:
+    body = bytearray()
+    more = True
+    while more:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise ApiError(400, INVALID_REQUEST, "the client went away")
+        body += message.get("body", b"")
+        more = message.get("more_body", False)
+        if len(body) > max_bytes:
+            raise _too_large(max_bytes)
+    return bytes(body)
+
+
+def _too_large(max_bytes: int) -> ApiError:
+    return ApiError(
+        413, BODY_TOO_LARGE, f"the body has more than {max_bytes:,} bytes"
+    )
+
+
+__all__ = [
+    "answer_lifespan",
+    "AsgiApp",
+    "header",
+    "query",
+    "read_json",
+    "Receive",
+    "respond",
+    "Response",
+    "Scope",
+    "Send",
+]
--- /dev/null
+++ b/packages/sycamorestand-control/tests/operator_api/test_app.py
@@ -0,0 +1,408 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from sycamorestand_control.operator_api.backend import NoLeader
+from sycamorestand_control.operator_api.backend import OutcomeUnknown
+from sycamorestand_control.operator_api.backend import UnknownSubject
+from sycamorestand_control.operator_api.plain import from_plain
+from sycamorestand_control.operator_api.plain import to_plain
+from sycamorestand_control.operator_api.types import AuditPage
+from sycamorestand_control.operator_api.types import ChangeAnswer
+from sycamorestand_control.operator_api.types import Conflict
+from sycamorestand_control.operator_api.types import StatusAnswer
+from sycamorestand_model.declarations import Declarations
+from sycamorestand_model.errors import WireError
+
+Caller = Callable[..., Any]
+
+V1 = "/operator/v1"
+CHANGES = f"{V1}/changes"
+WITHDRAW: dict[str, Any] = {
+    "change_id": "c-1",
+    "kind": "withdraw",
+    "subject": "cheap@1",
+}
+REPLACE = {"change_id": "c-3", "old_id": "v1", "new_id": "v4"}
+
+# method, path, body, key, then the status and code of the refusal.
+BAD_REQUESTS = {
+    "no key": ("GET", f"{V1}/status", b"", "", 401, "unauthenticated"),
+    "wrong key": ("GET", f"{V1}/status", b"", "x", 401, "unauthenticated"),
+    "odd key": ("GET", f"{V1}/status", b"", "é" * 999, 401, "unauthenticated"),
+    "no path without a key": ("GET", "/x", b"", "", 401, "unauthenticated"),
+    "unknown path": ("GET", f"{V1}/x", b"", "key-admin", 404, "unknown-path"),
+    "climbing path": (
+        "GET",
+        f"{V1}/../status",
+        b"",
+        "key-admin",
+        404,
+        "unknown-path",
+    ),
+    "wrong method": (
+        "GET",
+        CHANGES,
+        b"",
+        "key-admin",
+        405,
+        "method-not-allowed",
+    ),
+    "viewer changes": ("POST", CHANGES, WITHDRAW, "key-viewer", 403, None),
+    "viewer reads bills": ("GET", f"{V1}/bills", b"", "key-viewer", 403, None),
+    "operator replaces a voter": (
+        "POST",
+        f"{V1}/replace-voter",
+        REPLACE,
+        "key-operator",
+        403,
+        "forbidden",
+    ),
+    "operator rotates the key": (
+        "POST",
+        CHANGES,
+        {"change_id": "c", "kind": "rotate-session-key"},
+        "key-operator",
+        403,
+        "forbidden",
+    ),
+    "no JSON": ("POST", CHANGES, b"{", "key-admin", 400, "malformed-json"),
+    "empty body": ("POST", CHANGES, b"", "key-admin", 400, "malformed-json"),
+    "not UTF-8": ("POST", CHANGES, b"\xff", "key-admin", 400, None),
+    "deep JSON": ("POST", CHANGES, b"[" * 9_999, "key-admin", 400, None),
+    "no object": ("POST", CHANGES, b"[]", "key-admin", 422, "invalid-request"),
+    "oversized": (
+        "POST",
+        f"{V1}/replace-voter",
+        b" " * 65_537,
+        "key-admin",
+        413,
+        "body-too-large",
+    ),
+    "query field": ("GET", f"{V1}/status?x=1", b"", "key-admin", 422, None),
+    "query twice": (
+        "GET",
+        f"{V1}/audit?after=1&after=2",
+        b"",
+        "key-admin",
+        400,
+        "invalid-request",
+    ),
+    "query rubbish": ("GET", f"{V1}/audit?&&%ff", b"", "key-admin", 400, None),
+    "query too long": (
+        "GET",
+        f"{V1}/explain?subject={'a' * 3000}",
+        b"",
+        "key-admin",
+        400,
+        "invalid-request",
+    ),
+    "no number": ("GET", f"{V1}/audit?after=-1", b"", "key-admin", 422, None),
+    "page too large": (
+        "GET",
+        f"{V1}/audit?limit=1001",
+        b"",
+        "key-admin",
+        422,
+        "invalid-request",
+    ),
+    "no subject": ("GET", f"{V1}/explain", b"", "key-admin", 422, None),
+    "same voter": (
+        "POST",
+        f"{V1}/replace-voter",
+        {**REPLACE, "new_id": "v1"},
+        "key-admin",
+        422,
+        "invalid-request",
+    ),
+}
+
+# What a change body adds to WITHDRAW, and the key path that is found.
+BAD_CHANGES: dict[str, tuple[dict[str, Any], str]] = {
+    "unknown field": ({"subjekt": "a"}, "subjekt"),
+    "operator in the body": ({"operator": "ada"}, "operator"),
+    "no change id": ({"change_id": ""}, "change_id"),
+    "long change id": ({"change_id": "a" * 65}, "change_id"),
+    "change id of another type": ({"change_id": 5}, "change_id"),
+    "unknown kind": ({"kind": "erase"}, "kind"),
+    "negative revision": ({"base_revision": -1}, "base_revision"),
+    "revision as a text": ({"base_revision": "5"}, "base_revision"),
+    "huge revision": ({"base_revision": 2**70}, "base_revision"),
+    "no subject": ({"subject": ""}, "subject"),
+    "subject with a control character": ({"subject": "a\x1b@1"}, "subject"),
+    "subject without a version": ({"subject": "cheap"}, "subject"),
+    "a subject too many": ({"kind": "rotate-session-key"}, "subject"),
+    "declarations too many": ({"declarations": {}}, "declarations"),
+    "long message": ({"message": "m" * 501}, "message"),
+    "apply without declarations": (
+        {"kind": "apply", "subject": ""},
+        "declarations",
+    ),
+}
+
+
+class TestReading:
+    @pytest.mark.parametrize(
+        "path",
+        [
+            "status",
+            "declarations",
+            "in-force?revision=5",
+            "audit?after=3&limit=2",
+            "nodes",
+            "backends",
+            "rollouts",
+            "explain?subject=cheap@1",
+        ],
+    )
+    def test_a_viewer_reads(self, call: Caller, path: str) -> None:
+        assert call("GET", f"{V1}/{path}", key="key-viewer").status == 200
+
+    def test_answers_read_back_as_their_types(self, call: Caller) -> None:
+        status = from_plain(StatusAnswer, call("GET", f"{V1}/status").body)
+        assert status == StatusAnswer("a", 3, "a", 5, 5, ())
+        page = from_plain(AuditPage, call("GET", f"{V1}/audit").body)
+        assert page.entries[0].operator == "ada"
+
+    def test_a_newer_field_is_passed_over(self) -> None:
+        answer = to_plain(ChangeAnswer("accepted", 6))
+        newer = {**answer, "added": 1}
+        assert from_plain(ChangeAnswer, newer) == ChangeAnswer("accepted", 6)
+
+    @pytest.mark.parametrize(
+        "bad", [None, [], {}, {"outcome": "maybe", "revision": 1}]
+    )
+    def test_another_shape_is_a_wire_error(self, bad: object) -> None:
+        with pytest.raises(WireError):
+            from_plain(ChangeAnswer, bad)
+
+    def test_key_hashes_are_for_admins_only(
+        self, call: Caller, declared: Declarations
+    ) -> None:
+        key_hash = declared.customers["acme"].key_hashes[0]
+        path = f"{V1}/declarations"
+        for key in ("key-viewer", "key-operator"):
+            assert key_hash not in repr(call("GET", path, key=key).body)
+        assert key_hash in repr(call("GET", path).body)
+
+    def test_a_plan_shows_the_difference_and_no_hash(
+        self, call: Caller, declared: Declarations
+    ) -> None:
+        body = {"declarations": {}}
+        reply = call("POST", f"{V1}/plan", body, key="key-viewer")
+        assert reply.body["revision"] == 5
+        paths = [line["key_path"] for line in reply.body["lines"]]
+        assert paths == ["customers.acme", "operators.ada"]
+        key_hash = declared.customers["acme"].key_hashes[0]
+        assert key_hash not in repr(reply.body)
+
+    def test_health_needs_no_key(self, call: Caller, backend: Any) -> None:
+        assert call("GET", "/healthz", key="").status == 200
+        assert call("GET", "/readyz", key="").status == 200
+        backend.is_ready = False
+        assert call("GET", "/readyz", key="").status == 503
+
+
+class TestChanges:
+    @pytest.mark.parametrize(
+        ("outcome", "status"),
+        [
+            ("accepted", 200),
+            ("duplicate", 200),
+            ("conflict", 409),
+            ("refused", 422),
+        ],
+    )
+    def test_each_outcome_has_its_status(
+        self, call: Caller, backend: Any, outcome: Any, status: int
+    ) -> None:
+        who = Conflict(6, "ben", "c-0", "apply")
+        backend.answer = ChangeAnswer(outcome, 6, conflicts=(who,))
+        reply = call("POST", CHANGES, WITHDRAW)
+        assert reply.status == status
+        assert from_plain(ChangeAnswer, reply.body) == backend.answer
+
+    def test_the_operator_is_the_owner_of_the_key(
+        self, call: Caller, backend: Any
+    ) -> None:
+        call("POST", CHANGES, WITHDRAW, key="key-operator")
+        call("POST", f"{V1}/replace-voter", REPLACE)
+        assert backend.changes[0].operator == "otto"
+        assert backend.replacements[0].operator == "ada"
+
+    def test_an_apply_passes_its_declarations_on(
+        self,
+        call: Caller,
+        backend: Any,
+        declared: Declarations,
+        apply_body: dict[str, Any],
+    ) -> None:
+        assert call("POST", CHANGES, apply_body).status == 200
+        assert backend.changes[0].declarations == declared
+        assert backend.changes[0].base_revision == 5
+
+    def test_all_errors_of_declarations_come_back_together(
+        self, call: Caller, backend: Any, apply_body: dict[str, Any]
+    ) -> None:
+        bad = {
+            "services": {"portal": {"call_micros": -1}},
+            "rollouts": {"none": {"version": "1"}},
+        }
+        reply = call("POST", CHANGES, {**apply_body, "declarations": bad})
+        answer = from_plain(ChangeAnswer, reply.body)
+        assert (reply.status, answer.outcome) == (422, "refused")
+        assert [f.key_path for f in answer.findings if f[0] == "error"] == [
+            "services.portal.call_micros",
+            "rollouts.none",
+        ]
+        assert backend.changes == []
+
+    def test_a_message_cannot_steer_a_terminal(
+        self, call: Caller, backend: Any
+    ) -> None:
+        call("POST", CHANGES, {**WITHDRAW, "message": "a\x1b[2Jb\n"})
+        assert backend.changes[0].message == "a [2Jb "
+
+    @pytest.mark.parametrize("case", BAD_CHANGES)
+    def test_a_bad_change_names_the_field(
+        self, call: Caller, backend: Any, case: str
+    ) -> None:
+        added, key_path = BAD_CHANGES[case]
+        reply = call("POST", CHANGES, {**WITHDRAW, **added})
+        assert (reply.status, reply.code) == (422, "invalid-request")
+        found = [f["key_path"] for f in reply.body["error"]["findings"]]
+        assert found == [key_path]
+        assert backend.changes == []
+
+    def test_all_faults_of_a_change_come_together(self, call: Caller) -> None:
+        reply = call("POST", CHANGES, {"kind": "x", "a": 1, "message": 2})
+        found = {f["key_path"] for f in reply.body["error"]["findings"]}
+        assert found == {"kind", "a", "message", "change_id"}
+
+
+class TestRoles:
+    @pytest.fixture
+    def without_operators(self, apply_body: dict[str, Any]) -> dict[str, Any]:
+        document = {**apply_body["declarations"], "operators": {}}
+        return {**apply_body, "declarations": document}
+
+    def test_an_operator_cannot_make_himself_an_admin(
+        self, call: Caller, backend: Any, without_operators: dict[str, Any]
+    ) -> None:
+        """An operator applies declarations with other operators in them.
+
+        He is refused before anything is proposed. With no base revision
+        he is refused too, as the comparison could then be outrun by a
+        change that is committed between it and his own.
+        """
+        body = without_operators
+        reply = call("POST", CHANGES, body, key="key-operator")
+        assert (reply.status, reply.code) == (403, "forbidden")
+        body["base_revision"] = None
+        reply = call("POST", CHANGES, body, key="key-operator")
+        assert (reply.status, reply.code) == (422, "invalid-request")
+        assert backend.changes == []
+        assert call("POST", CHANGES, body).status == 200
+
+    def test_an_operator_applies_what_leaves_operators_alone(
+        self, call: Caller, backend: Any, apply_body: dict[str, Any]
+    ) -> None:
+        reply = call("POST", CHANGES, apply_body, key="key-operator")
+        assert reply.status == 200
+        assert len(backend.changes) == 1
+
+    def test_a_resend_on_an_older_base_reaches_the_backend(
+        self, call: Caller, backend: Any, without_operators: dict[str, Any]
+    ) -> None:
+        """The first answer was lost and an admin has changed operators.
+
+        The resend differs from the operators of now, but it cannot be
+        committed on an old base: the backend answers duplicate or
+        conflict, and a 403 here would hide that it was accepted.
+        """
+        backend.answer = ChangeAnswer("duplicate", 5)
+        body = {**without_operators, "base_revision": 4}
+        reply = call("POST", CHANGES, body, key="key-operator")
+        assert reply.body["outcome"] == "duplicate"
+
+    def test_a_process_that_is_behind_says_so(
+        self, call: Caller, apply_body: dict[str, Any]
+    ) -> None:
+        body = {**apply_body, "base_revision": 9}
+        reply = call("POST", CHANGES, body, key="key-operator")
+        assert (reply.status, reply.code) == (503, "behind")
+
+
+class TestRefusals:
+    @pytest.mark.parametrize("case", BAD_REQUESTS)
+    def test_a_bad_request_gets_its_code_and_the_next_one_is_served(
+        self,
+        call: Caller,
+        backend: Any,
+        refusals: list[str],
+        case: str,
+    ) -> None:
+        method, path, body, key, status, code = BAD_REQUESTS[case]
+        reply = call(method, path, body, key=key)
+        assert reply.status == status
+        assert code is None or reply.code == code
+        assert refusals == [reply.code]
+        assert (backend.changes, backend.replacements) == ([], [])
+        assert call("GET", f"{V1}/status").status == 200
+
+    def test_two_authorization_headers_are_none(self, call: Caller) -> None:
+        again = ((b"authorization", b"Bearer key-admin"),)
+        assert call("GET", f"{V1}/status", headers=again).status == 401
+
+    def test_an_announced_length_is_refused_at_once(
+        self, call: Caller
+    ) -> None:
+        length = ((b"content-length", b"99999999"),)
+        reply = call("POST", CHANGES, WITHDRAW, headers=length)
+        assert reply.code == "body-too-large"
+
+
+class TestFaultsOfTheBackend:
+    def test_no_leader_tells_when_to_try_again(
+        self, call: Caller, backend: Any
+    ) -> None:
+        backend.failure = NoLeader("an election runs", 2, "10.0.0.2:7000")
+        reply = call("POST", CHANGES, WITHDRAW)
+        assert (reply.status, reply.code) == (503, "no-leader")
+        assert reply.headers["retry-after"] == "2"
+        assert reply.body["error"]["leader_address"] == "10.0.0.2:7000"
+
+    @pytest.mark.parametrize(
+        "failure", [OutcomeUnknown("no answer"), ValueError("secret")]
+    )
+    def test_a_change_that_breaks_off_is_an_unknown_outcome(
+        self, call: Caller, backend: Any, failure: Exception
+    ) -> None:
+        """The change was proposed and then the answer went missing.
+
+        It may be committed, so neither "done" nor "not done" would be
+        true. The caller learns the outcome by a resend of the same id.
+        """
+        backend.failure = failure
+        reply = call("POST", CHANGES, WITHDRAW)
+        assert (reply.status, reply.code) == (503, "outcome-unknown")
+        assert "resend the same change id" in reply.body["error"]["message"]
+        assert "secret" not in repr(reply.body)
+
+    def test_a_question_that_breaks_off_is_an_internal_error(
+        self, call: Caller, backend: Any
+    ) -> None:
+        backend.failure = ValueError("secret")
+        reply = call("GET", f"{V1}/status")
+        assert (reply.status, reply.code) == (500, "internal-error")
+        assert "secret" not in repr(reply.body)
+
+    def test_an_unknown_subject_is_not_found(
+        self, call: Caller, backend: Any
+    ) -> None:
+        backend.failure = UnknownSubject("no such VM")
+        reply = call("GET", f"{V1}/explain?subject=vm-9")
+        assert (reply.status, reply.code) == (404, "unknown-subject")
