Entry: plain services, at most once by claim, dispatch and outcome

A call that must not be repeated is claimed, its dispatch is durable before the first byte, its outcome before the answer is released; it is listened to past the caller's deadline. Calls that may be repeated go out once more on a new connection.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/application.py
@@ -25,6 +25,8 @@
 from sycamorestand_entry.listings import answer_metrics
 from sycamorestand_entry.listings import answer_models
 from sycamorestand_entry.listings import answer_readiness
+from sycamorestand_entry.services import answer_service
+from sycamorestand_entry.services import PREFIX as SERVICES
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
@@ -66,7 +68,7 @@
                 raise
             await responder.refuse(InternalError("the entry failed"))
         finally:
-            interface = path if path in _ROUTES else "other"
+            interface = _interface(path)
             context.metrics.requests.inc(
                 {"interface": interface, "result": result}
             )
@@ -80,14 +82,28 @@
     headers = read_headers(scope["headers"], context.settings.max_header_bytes)
     path = scope["path"]
     request = Request(
-        scope["method"], path, scope["query_string"], headers, receive
+        scope["method"],
+        path,
+        scope["raw_path"],
+        scope["query_string"],
+        headers,
+        receive,
     )
+    if request.raw_path.startswith(SERVICES):
+        await answer_service(context, request, responder)
+        return
     method, handler = _find_handler(path)
     if request.method != method:
         raise UnknownMethod(f"{path} takes {method}")
     await handler(context, request, responder)
 
 
+def _interface(path: str) -> str:
+    if path in _ROUTES:
+        return path
+    return "/services" if path.startswith("/services/") else "other"
+
+
 def _find_handler(path: str) -> tuple[str, Handler]:
     try:
         return _ROUTES[path]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/billing.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/billing.py
@@ -17,6 +17,8 @@
     from collections.abc import Sequence
 
     from sycamorestand_entry.context import EntryContext
+    from sycamorestand_entry.errors import Run
+    from sycamorestand_entry.service_call import ServiceCall
     from sycamorestand_entry.sse import Usage
     from sycamorestand_model.declarations import Declarations
     from sycamorestand_model.ledger import LedgerRecord
@@ -24,6 +26,7 @@
 
 TOKENS_PER_PRICE: Final = 1_000_000
 LEDGER_RETRY_S: Final = 1.0
+RESEND_PAUSE_S: Final = 0.05
 
 
 def cost_micros(
@@ -57,24 +60,58 @@
 async def write_ledger(
     context: EntryContext,
     records: Sequence[LedgerRecord],
-    run: str,
+    run: Run,
 ) -> list[LedgerResult]:
-    """Return the ledger's answer to records that may safely be resent."""
+    """Return the ledger's answer, resending while there is time.
+
+    Every record may be resent: a second one with the same content is
+    answered like the first. ``run`` is what a refusal says of the
+    request where the ledger stays silent.
+    """
     try:
         with anyio.fail_after(context.settings.ledger_timeout_s):
-            return await context.control.ledger(records)
-    except (LedgerUnavailable, TimeoutError):
-        context.metrics.ledger_failures.inc({})
+            return await _write_until_answered(context, records)
+    except TimeoutError:
         raise LedgerFailed(
             "the ledger gave no answer in time; ask again with this key",
             LEDGER_RETRY_S,
-            run="ran" if run == "ran" else "not_run",
+            run,
         ) from None
 
 
+async def _write_until_answered(
+    context: EntryContext, records: Sequence[LedgerRecord]
+) -> list[LedgerResult]:
+    while True:
+        try:
+            return await context.control.ledger(records)
+        except LedgerUnavailable:
+            context.metrics.ledger_failures.inc({})
+            await anyio.sleep(RESEND_PAUSE_S)
+
+
+def service_charge(call: ServiceCall, cost_micros: int) -> Charge:
+    """Return the charge of a service's call that was answered."""
+    return Charge(
+        call.customer,
+        call.request_key,
+        call.service,
+        cost_micros,
+        0,
+        0,
+        now_s(),
+    )
+
+
 def now_s() -> float:
     """Return the wall-clock time that records carry."""
     return time.time()
 
 
-__all__ = ["charge_once", "cost_micros", "now_s", "write_ledger"]
+__all__ = [
+    "charge_once",
+    "cost_micros",
+    "now_s",
+    "service_charge",
+    "write_ledger",
+]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -9,16 +9,28 @@
 from sycamorestand_entry.upstream import UpstreamPool
 
 if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
     from sycamorestand_entry.ports import ControlPort
     from sycamorestand_entry.settings import EntrySettings
 
 
 class EntryContext:
-    """What handlers of requests need; made once for a process."""
-
-    def __init__(self, settings: EntrySettings, control: ControlPort) -> None:
+    """What handlers of requests need; made once for a process.
+
+    ``background`` runs what must outlive its request; a planned stop
+    waits for it.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        control: ControlPort,
+        background: TaskGroup,
+    ) -> None:
         self.settings = settings
         self.control = control
+        self.background = background
         self.metrics = Metrics()
         self.authenticator = Authenticator()
         self.pool = UpstreamPool(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -14,6 +14,7 @@
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import NoBackendServer
 from sycamorestand_entry.errors import Overloaded
+from sycamorestand_entry.errors import Run
 from sycamorestand_entry.gate import DispatchIntent
 from sycamorestand_entry.gate import may_dispatch
 from sycamorestand_entry.sse import decode_event
@@ -76,17 +77,15 @@
         self._attempts = 0
         self._run_id = ""
         self._failed_servers: set[str] = set()
+        self._sent = False
         self._done = False
 
     async def start(self) -> None:
         """Dispatch the request; raises the refusal where that fails."""
-        while True:
-            try:
-                await self._dispatch()
-                return
-            except UpstreamError as error:
-                self._leave_server(broken=True)
-                self._prepare_restart(error)
+        try:
+            await self._dispatch()
+        except UpstreamError as error:
+            await self._recover(error)
 
     async def next_events(self) -> bytes:
         """Return whole events, none at the end of a whole answer."""
@@ -107,6 +106,7 @@
         settings = self._context.settings
         server = self._server if resume else self._choose_server()
         assert server is not None
+        self._server = server
         # An attempt after a failure takes a new connection: the old one
         # may have gone silent while new ones work.
         idle_s = settings.pool_idle_s if self._attempts == 0 else 0.0
@@ -120,6 +120,7 @@
             )
             raise refusal
         self._enter_server(server, connection)
+        self._sent = True
         connection.send(self._encode_request(server, resume))
         head = await connection.read_head(
             self._limit_s(settings.first_byte_timeout_s)
@@ -172,44 +173,46 @@
 
     async def _recover(self, error: Exception) -> None:
         while True:
-            server = self._server
+            resume = self._may_resume()
             self._leave_server(broken=True)
+            self._check_attempts(error, resume)
+            if not resume:
+                self._forget_attempt()
+            kind = "resumed" if resume else "restarted"
+            self._context.metrics.recoveries.inc({"kind": kind})
+            self._cutter = EventCutter()
             try:
-                if self._may_resume(server):
-                    self._server = server
-                    self._context.metrics.recoveries.inc({"kind": "resumed"})
-                    self._cutter = EventCutter()
-                    await self._dispatch(resume=True)
-                    return
-                self._server = server
-                self._prepare_restart(error)
-                await self._dispatch()
+                await self._dispatch(resume)
                 return
             except UpstreamError as another:
                 error = another
 
-    def _may_resume(self, server: Announcement | None) -> bool:
-        if server is None or not server.can_resume:
-            return False
-        return self._attempts < MAX_ATTEMPTS and self._events > 0
+    def _may_resume(self) -> bool:
+        server = self._server
+        return server is not None and server.can_resume and self._events > 0
 
-    def _prepare_restart(self, error: Exception) -> None:
+    def _check_attempts(self, error: Exception, resume: bool) -> None:
+        run: Run = "unknown" if self._sent else "not_run"
+        late = remaining_s(self._work.deadline_at_s) <= 0
         # After a part of the answer has been released, another run would
         # put the rest of a different answer behind it.
-        if self.released or self._attempts >= MAX_ATTEMPTS:
-            self._context.metrics.recoveries.inc({"kind": "broken"})
-            if remaining_s(self._work.deadline_at_s) <= 0:
-                raise DeadlineExceeded("the deadline passed") from error
-            raise BackendFailed(
-                f"the backend server failed: {error}", SERVER_RETRY_S
-            ) from error
-        self._context.metrics.recoveries.inc({"kind": "restarted"})
+        unsafe = self.released and not resume
+        if not late and not unsafe and self._attempts < MAX_ATTEMPTS:
+            return
+        self._context.metrics.recoveries.inc({"kind": "broken"})
+        if late:
+            raise DeadlineExceeded("the deadline passed", run=run) from error
+        raise BackendFailed(
+            f"the backend server failed: {error}", SERVER_RETRY_S, run
+        ) from error
+
+    def _forget_attempt(self) -> None:
         if self._server is not None:
             self._failed_servers.add(self._server.name)
         self._server = None
-        self._cutter = EventCutter()
         self._events = 0
         self.usage = None
+        self.ending = {}
         self.attempt += 1
 
     def _choose_server(self) -> Announcement:
@@ -234,7 +237,6 @@
     def _enter_server(
         self, server: Announcement, connection: UpstreamConnection
     ) -> None:
-        self._server = server
         self._connection = connection
         in_flight = self._context.in_flight
         in_flight[server.name] = in_flight.get(server.name, 0) + 1
@@ -270,8 +272,9 @@
                 return
             raise MalformedAnswer("its answer is no event stream")
         if head.status in (429, 503):
+            run: Run = "not_run" if b"x-not-run" in head.headers else "unknown"
             raise Overloaded(
-                "the backend servers are overloaded", SERVER_RETRY_S
+                "the backend servers are overloaded", SERVER_RETRY_S, run
             )
         if 400 <= head.status < 500:
             raise BadRequest(f"the engine refused with status {head.status}")
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
@@ -47,6 +47,12 @@
     code = "bad_request"
 
 
+class RequestKeyMissing(BadRequest):
+    """The call must not be repeated and has no request key."""
+
+    code = "request_key_missing"
+
+
 class Unauthorised(RequestError):
     """No key, or a key that nobody has."""
 
@@ -224,6 +230,7 @@
     "Overloaded",
     "RequestError",
     "RequestKeyExpired",
+    "RequestKeyMissing",
     "Run",
     "SessionNotAllowed",
     "SessionWithdrawn",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/http_messages.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/http_messages.py
@@ -44,6 +44,7 @@
 
     method: str
     path: str
+    raw_path: bytes
     query: bytes
     headers: dict[bytes, bytes]
     receive: Receive
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -63,19 +63,20 @@
     Example: ``entry = await group.start(serve_entry, settings, control)``
     returns a `RunningEntry` as soon as the entry accepts connections.
     """
-    context = EntryContext(settings, control)
     listener = _listen(settings)
     host, port = listener.getsockname()[:2]
-    server = _Server(_uvicorn_config(context))
-    entry = RunningEntry(context, host, port)
-    try:
-        async with anyio.create_task_group() as group:
-            group.start_soon(_stop_later, entry, server)
-            task_status.started(entry)
-            await server.serve(sockets=[listener])
-            group.cancel_scope.cancel()
-    finally:
-        context.pool.close()
+    async with anyio.create_task_group() as background:
+        context = EntryContext(settings, control, background)
+        entry = RunningEntry(context, host, port)
+        server = _Server(_uvicorn_config(context))
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(_stop_later, entry, server)
+                task_status.started(entry)
+                await server.serve(sockets=[listener])
+                group.cancel_scope.cancel()
+        finally:
+            context.pool.close()
     _LOG.info("entry stopped")
 
 
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
@@ -0,0 +1,121 @@
+"""One HTTP exchange with a plain service, after passing the gate."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from sycamorestand_entry.gate import DispatchIntent
+from sycamorestand_entry.gate import may_dispatch
+from sycamorestand_entry.upstream import MalformedAnswer
+from sycamorestand_entry.upstream import UpstreamError
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.context import EntryContext
+    from sycamorestand_entry.upstream import UpstreamConnection
+    from sycamorestand_model.backend_servers import Announcement
+
+FORWARDED_HEADERS = (b"content-type", b"accept", b"accept-language")
+
+
+class ServiceCall(NamedTuple):
+    """What is asked of a plain service; ``target`` has the query."""
+
+    customer: str
+    service: str
+    request_key: str
+    method: str
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+    deadline_at_s: float
+
+
+class ServiceAnswer(NamedTuple):
+    """A whole answer of a plain service.
+
+    ``not_run`` is set where the service itself said so.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    not_run: bool
+
+
+class CallFailed(UpstreamError):
+    """The call was written and no whole answer came."""
+
+
+async def exchange(
+    context: EntryContext,
+    call: ServiceCall,
+    server: Announcement,
+    connection: UpstreamConnection,
+    limit_s: float,
+    claim_held: bool | None,
+) -> ServiceAnswer:
+    """Write the call and return its answer.
+
+    Raises a `RequestError` where the gate refuses, before any byte, and
+    `CallFailed` where the call may have run.
+    """
+    intent = DispatchIntent(
+        call.customer, "", call.service, server.name, claim_held=claim_held
+    )
+    refusal = may_dispatch(context.control, intent)
+    if refusal is not None:
+        context.pool.release(server.address, connection)
+        context.metrics.refused_dispatches.inc({"code": refusal.code})
+        raise refusal
+    context.metrics.dispatches.inc({"version": call.service})
+    in_flight = context.in_flight
+    in_flight[server.name] = in_flight.get(server.name, 0) + 1
+    try:
+        connection.send(_encode(call, server), call.method == "HEAD")
+        answer = await _read_answer(context, connection, limit_s)
+    except UpstreamError as error:
+        raise CallFailed(str(error)) from error
+    finally:
+        in_flight[server.name] -= 1
+        context.pool.release(server.address, connection)
+    return answer
+
+
+async def _read_answer(
+    context: EntryContext, connection: UpstreamConnection, limit_s: float
+) -> ServiceAnswer:
+    head = await connection.read_head(limit_s)
+    parts: list[bytes] = []
+    size = 0
+    while part := await connection.read_body(limit_s):
+        parts.append(part)
+        size += len(part)
+        if size > context.settings.max_answer_bytes:
+            connection.close()
+            raise MalformedAnswer("its answer is too large")
+    kind = head.headers.get(b"content-type", b"").decode("latin-1")
+    not_run = head.status in (429, 503) and b"x-not-run" in head.headers
+    return ServiceAnswer(head.status, kind, b"".join(parts), not_run)
+
+
+def _encode(call: ServiceCall, server: Announcement) -> bytes:
+    lines = [
+        b"%s %s HTTP/1.1" % (call.method.encode(), call.target),
+        b"host: " + server.address.encode(),
+        b"content-length: %d" % len(call.body),
+        b"x-request-key: " + call.request_key.encode(),
+        b"x-customer: " + call.customer.encode(),
+    ]
+    for name in FORWARDED_HEADERS:
+        if name in call.headers:
+            lines.append(name + b": " + call.headers[name])
+    return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
+
+
+__all__ = [
+    "CallFailed",
+    "exchange",
+    "ServiceAnswer",
+    "ServiceCall",
+]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/services.py
@@ -0,0 +1,182 @@
+"""``/services/{service}/{path}``: calls to plain services."""
+
+from __future__ import annotations
+
+import secrets
+from typing import Final
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sycamorestand_entry.billing import charge_once
+from sycamorestand_entry.billing import service_charge
+from sycamorestand_entry.callers import deadline_after
+from sycamorestand_entry.callers import read_options
+from sycamorestand_entry.callers import remaining_s
+from sycamorestand_entry.claims import RecordedAnswer
+from sycamorestand_entry.errors import BackendFailed
+from sycamorestand_entry.errors import BadRequest
+from sycamorestand_entry.errors import DeadlineExceeded
+from sycamorestand_entry.errors import NotAllowed
+from sycamorestand_entry.errors import Overloaded
+from sycamorestand_entry.errors import RequestKeyMissing
+from sycamorestand_entry.errors import UnknownService
+from sycamorestand_entry.http_messages import read_body
+from sycamorestand_entry.once import ClaimedCall
+from sycamorestand_entry.service_call import CallFailed
+from sycamorestand_entry.service_call import exchange
+from sycamorestand_entry.service_call import ServiceAnswer
+from sycamorestand_entry.service_call import ServiceCall
+from sycamorestand_entry.service_servers import choose_service_server
+from sycamorestand_entry.upstream import ConnectFailed
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.context import EntryContext
+    from sycamorestand_entry.http_messages import Request
+    from sycamorestand_entry.http_messages import Responder
+    from sycamorestand_model.declarations import Service
+
+PREFIX: Final = b"/services/"
+# The first try and one on a new connection, as with engines.
+MAX_ATTEMPTS: Final = 2
+SERVER_RETRY_S: Final = 1.0
+
+
+async def answer_service(
+    context: EntryContext, request: Request, responder: Responder
+) -> None:
+    """Answer one call; what may be repeated is, the rest runs once."""
+    in_force = context.control.in_force()
+    customer = context.authenticator.customer(request.headers, in_force)
+    name, target = _split_target(request)
+    service = in_force.declarations.services.get(name)
+    if service is None:
+        raise UnknownService(f"there is no service {name!r}")
+    if name not in customer.services:
+        raise NotAllowed(f"service {name!r} is not yours to use")
+    options = read_options(request.headers)
+    idempotent = request.method in service.idempotent_methods
+    if not idempotent and not options.request_key:
+        raise RequestKeyMissing("send an Idempotency-Key with this call")
+    body = await read_body(request, context.settings.max_body_bytes)
+    call = ServiceCall(
+        customer.name,
+        name,
+        options.request_key or secrets.token_hex(16),
+        request.method,
+        target,
+        request.headers,
+        body,
+        deadline_after(options.deadline_ms, service.default_deadline_ms),
+    )
+    if idempotent:
+        await _answer_repeatable(context, call, service, responder)
+    else:
+        await _answer_once(context, call, service, responder)
+
+
+def _split_target(request: Request) -> tuple[str, bytes]:
+    rest = request.raw_path[len(PREFIX) :]
+    name, _, path = rest.partition(b"/")
+    parts = path.lower().replace(b"%2e", b".").split(b"/")
+    if b".." in parts or b"." in parts:
+        raise BadRequest("the path must not hold '.' or '..' segments")
+    target = b"/" + path
+    if request.query:
+        target += b"?" + request.query
+    return name.decode("latin-1"), target
+
+
+async def _answer_repeatable(
+    context: EntryContext,
+    call: ServiceCall,
+    service: Service,
+    responder: Responder,
+) -> None:
+    answer = await _call_repeatable(context, call)
+    if answer.not_run:
+        raise Overloaded("the service is overloaded", SERVER_RETRY_S)
+    cost = 0
+    if answer.status < 500:
+        cost = await charge_once(
+            context, service_charge(call, service.call_micros)
+        )
+    recorded = RecordedAnswer(answer.status, answer.content_type, answer.body)
+    await _send(responder, call, recorded, cost)
+
+
+async def _call_repeatable(
+    context: EntryContext, call: ServiceCall
+) -> ServiceAnswer:
+    failed: set[str] = set()
+    sent = False
+    error: Exception | None = None
+    settings = context.settings
+    for attempt in range(MAX_ATTEMPTS):
+        limit_s = remaining_s(call.deadline_at_s)
+        if limit_s <= 0:
+            raise DeadlineExceeded(
+                "the deadline passed", run="unknown" if sent else "not_run"
+            )
+        # The first byte has a budget of its own while another attempt is
+        # left: the connection may have gone silent while new ones work.
+        if attempt + 1 < MAX_ATTEMPTS:
+            limit_s = min(limit_s, settings.first_byte_timeout_s)
+        server = choose_service_server(context, call.service, failed)
+        failed.add(server.name)
+        idle_s = settings.pool_idle_s if attempt == 0 else 0.0
+        try:
+            connection = await context.pool.acquire(server.address, idle_s)
+            sent = True
+            return await exchange(
+                context, call, server, connection, limit_s, None
+            )
+        except (ConnectFailed, CallFailed) as failure:
+            error = failure
+    raise BackendFailed(
+        f"the service failed: {error}",
+        SERVER_RETRY_S,
+        "unknown" if sent else "not_run",
+    )
+
+
+async def _answer_once(
+    context: EntryContext,
+    call: ServiceCall,
+    service: Service,
+    responder: Responder,
+) -> None:
+    claimed = ClaimedCall(context, call, service)
+    # The call goes on in a task of the entry when the caller has left or
+    # its deadline has passed, so that a late answer is still recorded.
+    context.background.start_soon(claimed.run)
+    with anyio.move_on_after(remaining_s(call.deadline_at_s)):
+        await claimed.finished.wait()
+    if not claimed.finished.is_set():
+        claimed.abandon()
+        raise DeadlineExceeded(
+            "no answer yet; ask again with this key to get it",
+            SERVER_RETRY_S,
+            claimed.run_state,
+        )
+    if claimed.refusal is not None:
+        raise claimed.refusal
+    assert claimed.answer is not None
+    await _send(responder, call, claimed.answer, claimed.cost_micros)
+
+
+async def _send(
+    responder: Responder, call: ServiceCall, answer: RecordedAnswer, cost: int
+) -> None:
+    await responder.answer(
+        answer.status,
+        answer.content_type.encode("latin-1"),
+        answer.body,
+        [
+            (b"x-cost-micros", b"%d" % cost),
+            (b"x-request-key", call.request_key.encode()),
+        ],
+    )
+
+
+__all__ = ["answer_service", "PREFIX"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -65,6 +65,7 @@
         self._body_bytes = 0
         self._paused = False
         self._complete = False
+        self._bodiless = False
         self._error: UpstreamError | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -75,9 +76,14 @@
         """Tell whether another request may be sent on this connection."""
         return self.reusable and self._error is None
 
-    def send(self, request: bytes) -> None:
-        """Write a whole request; from here on it may have run."""
+    def send(self, request: bytes, bodiless: bool = False) -> None:
+        """Write a whole request; from here on it may have run.
+
+        ``bodiless`` tells that the answer has no body whatever its
+        headers say, as it is with ``HEAD``.
+        """
         assert self._transport is not None
+        self._bodiless = bodiless
         self._headers = {}
         self._head = None
         self._head_bytes = 0
@@ -153,6 +159,7 @@
         status = self._parser.get_status_code()
         if status >= 200:
             self._head = ResponseHead(status, self._headers)
+            self._complete = self._bodiless
         self._headers = {}
 
     def on_body(self, body: bytes) -> None:
