Entry: sessions, cascade, recovery of streams, planned stop

Sessions by signed token or by a pin in the ledger; a cascade step is collected and rated before it is given; broken streams are resumed, run again or end with an error event; a planned stop leaves idle connections to their timer, as closing them at once would cut a request under way.

Tests found two faults while this was written: whole events that came in one read with a broken one were lost on resume, and garbage between two sound events of one read was forwarded.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/loopback.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/loopback.py
@@ -164,6 +164,15 @@
     return msgspec.json.encode(content)
 
 
+@asynccontextmanager
+async def serve_on_port(application: Any) -> AsyncIterator[str]:
+    """Serve the application of a fake and return its address."""
+    async with anyio.create_task_group() as group:
+        address = await group.start(serve_application, application)
+        yield address
+        group.cancel_scope.cancel()
+
+
 @asynccontextmanager
 async def start_loopback(
     settings: EntrySettings = SETTINGS,
@@ -182,4 +191,11 @@
         yield loopback
 
 
-__all__ = ["Answer", "chat_body", "Loopback", "SETTINGS", "start_loopback"]
+__all__ = [
+    "Answer",
+    "chat_body",
+    "Loopback",
+    "serve_on_port",
+    "SETTINGS",
+    "start_loopback",
+]
--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/rating.py
@@ -0,0 +1,49 @@
+"""A rating service that rates versions as it was told."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import msgspec
+
+from sycamorestand_bench.fakes.faults import FaultSwitch
+from sycamorestand_bench.fakes.hosting import read_body
+from sycamorestand_bench.fakes.hosting import send_answer
+from sycamorestand_bench.fakes.hosting import send_json
+from sycamorestand_bench.fakes.hosting import Stopped
+
+
+class FakeRating:
+    """State of the rating service; `application` serves it."""
+
+    def __init__(self, ratings: dict[str, float]) -> None:
+        self.ratings = ratings
+        self.switch = FaultSwitch()
+        self.asked: list[dict[str, Any]] = []
+
+    async def application(self, scope: Any, receive: Any, send: Any) -> None:
+        """Rate one answer."""
+        asked = msgspec.json.decode(await read_body(receive))
+        self.asked.append(asked)
+        fault = self.switch.take()
+        rating = self.ratings.get(asked["version"], 0.0)
+        match fault.kind:
+            case "refuse":
+                await send_json(send, 503, {})
+            case "error":
+                await send_json(send, 500, {"rating": rating})
+            case "garbage":
+                await send_answer(send, 200, b'{"rating": "good"}')
+            case "wrong_type":
+                await send_json(send, 200, {"rating": 7})
+            case "cut":
+                raise Stopped
+            case "silent" | "late" | "slow":
+                await anyio.sleep(fault.pause_s)
+                await send_json(send, 200, {"rating": rating})
+            case _:
+                await send_json(send, 200, {"rating": rating})
+
+
+__all__ = ["FakeRating"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/answers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/answers.py
@@ -30,6 +30,12 @@
     return answer
 
 
+def answer_text(events: bytes) -> str:
+    """Return the text of the first choice, as a rating sees it."""
+    choices = assemble(events, {"sycamorestand": None})["choices"]
+    return (choices[0]["message"].get("content") or "") if choices else ""
+
+
 def _add_choice(
     choices: dict[int, dict[str, Any]], part: dict[str, Any]
 ) -> None:
@@ -69,4 +75,4 @@
             call["function"][name] += function.get(name) or ""
 
 
-__all__ = ["assemble"]
+__all__ = ["answer_text", "assemble"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -6,6 +6,7 @@
 
 from sycamorestand_entry.callers import Authenticator
 from sycamorestand_entry.metrics import Metrics
+from sycamorestand_entry.rating import RatingClient
 from sycamorestand_entry.upstream import UpstreamPool
 
 if TYPE_CHECKING:
@@ -36,6 +37,10 @@
         self.pool = UpstreamPool(
             settings.connect_timeout_s, settings.pool_idle_s
         )
+        self.rating = RatingClient(
+            settings.rating_url, settings.rating_timeout_s, self.metrics
+        )
+        self.pins: dict[tuple[str, str], str] = {}
         self.in_flight: dict[str, int] = {}
         self.stopping = False
 
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/delivery.py
@@ -0,0 +1,145 @@
+"""Gives an answer to its caller: charged before its last bytes go out."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from sycamorestand_entry.answers import assemble
+from sycamorestand_entry.billing import charge_once
+from sycamorestand_entry.billing import now_s
+from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.http_messages import error_content
+from sycamorestand_entry.http_messages import EVENT_STREAM
+from sycamorestand_entry.http_messages import JSON
+from sycamorestand_entry.sessions import Session
+from sycamorestand_entry.sessions import sign_session
+from sycamorestand_entry.sse import DONE
+from sycamorestand_entry.sse import encode_event
+from sycamorestand_model.ledger import Charge
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.chat_request import ChatRequest
+    from sycamorestand_entry.context import EntryContext
+    from sycamorestand_entry.engine_run import EngineRun
+    from sycamorestand_entry.http_messages import Responder
+
+
+class Delivery(NamedTuple):
+    """What every way to give the answer needs."""
+
+    context: EntryContext
+    chat: ChatRequest
+    responder: Responder
+    session_name: str
+    version: str
+    run: EngineRun
+    cost_micros: int
+
+
+async def collect(run: EngineRun) -> bytes:
+    """Return all events of a run, none of an attempt that was dropped."""
+    parts: list[bytes] = []
+    attempt = run.attempt
+    while events := await run.next_events():
+        if run.attempt != attempt:
+            attempt = run.attempt
+            parts.clear()
+        parts.append(events)
+    return b"".join(parts)
+
+
+async def stream_directly(delivery: Delivery) -> None:
+    """Forward events as they come; what fails then is told as an event."""
+    run = delivery.run
+    responder = delivery.responder
+    try:
+        while events := await run.next_events():
+            if not run.released:
+                run.released = True
+                await responder.start(200, _headers(delivery, EVENT_STREAM))
+            await responder.write(events)
+        ending = await _charge(delivery)
+        if not run.released:
+            await responder.start(200, _headers(delivery, EVENT_STREAM))
+        await responder.finish(encode_event(ending) + DONE)
+    except RequestError as error:
+        if not responder.started:
+            raise
+        # Without this event the caller could take what it has for whole.
+        await responder.finish(encode_event(error_content(error)))
+        raise
+
+
+async def give_collected(delivery: Delivery, events: bytes) -> None:
+    """Give an answer that is whole already, in the form asked for."""
+    ending = await _charge(delivery)
+    responder = delivery.responder
+    if delivery.chat.stream:
+        await responder.start(200, _headers(delivery, EVENT_STREAM))
+        await responder.finish(events + encode_event(ending) + DONE)
+        return
+    body = msgspec.json.encode(assemble(events, ending))
+    cost = ending["sycamorestand"]["cost_micros"]
+    headers = _headers(delivery, JSON)
+    headers.append((b"content-length", b"%d" % len(body)))
+    headers.append((b"x-cost-micros", b"%d" % cost))
+    await responder.start(200, headers)
+    await responder.finish(body)
+
+
+async def _charge(delivery: Delivery) -> dict[str, Any]:
+    run = delivery.run
+    chat = delivery.chat
+    usage = run.usage
+    assert usage is not None
+    cost = await charge_once(
+        delivery.context,
+        Charge(
+            chat.customer.name,
+            chat.request_key,
+            delivery.version,
+            delivery.cost_micros + run.cost_micros(),
+            usage.input_tokens,
+            usage.output_tokens,
+            now_s(),
+        ),
+    )
+    ending = run.ending or {
+        "choices": [],
+        "usage": {
+            "prompt_tokens": usage.input_tokens,
+            "completion_tokens": usage.output_tokens,
+            "total_tokens": sum(usage),
+        },
+    }
+    ending["sycamorestand"] = {
+        "cost_micros": cost,
+        "version": delivery.version,
+        "request_key": chat.request_key,
+        "session_token": _session_token(delivery),
+    }
+    return ending
+
+
+def _session_token(delivery: Delivery) -> str:
+    session = Session(
+        delivery.chat.customer.name, delivery.session_name, delivery.version
+    )
+    key = delivery.context.control.in_force().session_key
+    return sign_session(session, key)
+
+
+def _headers(delivery: Delivery, kind: bytes) -> list[tuple[bytes, bytes]]:
+    return [
+        (b"content-type", kind),
+        (b"x-request-key", delivery.chat.request_key.encode()),
+        (b"x-session-token", _session_token(delivery).encode()),
+        (b"x-version", delivery.version.encode()),
+    ]
+
+
+__all__ = ["collect", "Delivery", "give_collected", "stream_directly"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from sycamorestand_entry.billing import cost_micros
 from sycamorestand_entry.callers import remaining_s
 from sycamorestand_entry.errors import BackendFailed
 from sycamorestand_entry.errors import BadRequest
@@ -73,6 +74,7 @@
         self._server: Announcement | None = None
         self._connection: UpstreamConnection | None = None
         self._cutter = EventCutter()
+        self._failure: MalformedStream | None = None
         self._events = 0
         self._attempts = 0
         self._run_id = ""
@@ -91,8 +93,7 @@
         """Return whole events, none at the end of a whole answer."""
         while not self._done:
             try:
-                events = await self._read_events()
-                if events:
+                if events := await self._read_events():
                     return events
             except (UpstreamError, MalformedStream) as error:
                 await self._recover(error)
@@ -102,6 +103,13 @@
         """Give the server back; a run that goes on is cancelled."""
         self._leave_server(broken=not self._done)
 
+    def cost_micros(self) -> int:
+        """Return the price of the tokens of a whole answer."""
+        if self.usage is None:
+            return 0
+        declarations = self._context.control.in_force().declarations
+        return cost_micros(declarations, self._work.version, self.usage)
+
     async def _dispatch(self, resume: bool = False) -> None:
         settings = self._context.settings
         server = self._server if resume else self._choose_server()
@@ -129,6 +137,8 @@
 
     async def _read_events(self) -> bytes:
         assert self._connection is not None
+        if self._failure is not None:
+            raise self._failure
         data = await self._connection.read_body(
             self._limit_s(self._context.settings.chunk_gap_s)
         )
@@ -144,24 +154,36 @@
 
     def _read_ending(self, events: bytes) -> bytes:
         plain: list[bytes] = []
-        for event in split_events(events):
-            if event.startswith(b":"):
-                continue
-            if event == DONE:
-                self._finish()
-                break
-            self._events += 1
-            content = decode_event(event)
-            if "error" in content:
-                raise MalformedStream("the engine reported an error")
-            usage = read_usage(content)
-            if usage is None:
-                plain.append(event)
-                continue
-            self.usage = usage
-            self.ending = content
+        try:
+            for event in split_events(events):
+                self._read_event(event, plain)
+        except MalformedStream as error:
+            # What came whole before it has been counted, so it must go
+            # out before the run is resumed behind it.
+            self._failure = error
+        if self._failure is not None and not plain:
+            raise self._failure
         return b"".join(plain)
 
+    def _read_event(self, event: bytes, plain: list[bytes]) -> None:
+        if self._done or event.startswith(b":"):
+            return
+        if event == DONE:
+            self._finish()
+            return
+        content = decode_event(event)
+        if "error" in content:
+            raise MalformedStream("the engine reported an error")
+        usage = read_usage(content)
+        if usage is not None:
+            self.usage = usage
+            # Some engines count in events that carry text as well.
+            if not content.get("choices"):
+                self.ending = content
+                return
+        self._events += 1
+        plain.append(event)
+
     def _finish(self) -> None:
         self._done = True
         if self.usage is None:
@@ -181,6 +203,7 @@
             kind = "resumed" if resume else "restarted"
             self._context.metrics.recoveries.inc({"kind": kind})
             self._cutter = EventCutter()
+            self._failure = None
             try:
                 await self._dispatch(resume)
                 return
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -47,11 +47,13 @@
     VMs that are stopping or draining are left out, so that callers have
     turned away from them when their time-to-live is over.
     """
-    draining = context.control.in_force().draining_vms
+    leaving = set(context.control.in_force().draining_vms)
+    if context.stopping:
+        leaving.add(context.settings.vm)
     usable = [
         address
         for address in context.control.addresses()
-        if not address.stopping and address.vm not in draining
+        if not address.stopping and address.vm not in leaving
     ]
     usable.sort(key=lambda address: _rank(context, address))
     content = {
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/rating.py
@@ -0,0 +1,94 @@
+"""Ratings of answers, asked for with a bounded wait."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import anyio
+import httpcore
+import msgspec
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.metrics import Metrics
+
+# More at once than this means that the rating service does not keep up;
+# waiting for a connection then counts as an absent rating.
+MAX_CONNECTIONS: Final = 32
+MAX_REPLY_BYTES: Final = 4096
+
+
+class RatedAnswer(NamedTuple):
+    """What the rating service sees of a request and its answer."""
+
+    customer: str
+    version: str
+    request_class: str
+    messages: list[Any]
+    answer: str
+
+
+class RatingClient:
+    """Asks the rating service; an absent rating is None, never an error."""
+
+    def __init__(self, url: str, timeout_s: float, metrics: Metrics) -> None:
+        self.configured = bool(url)
+        self._url = url.rstrip("/") + "/rate"
+        self._timeout_s = timeout_s
+        self._metrics = metrics
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, keepalive_expiry=5.0
+        )
+
+    async def rate(self, rated: RatedAnswer) -> float | None:
+        """Return a rating from 0 to 1, or None where none came in time."""
+        result = "garbage"
+        rating = None
+        try:
+            with anyio.fail_after(self._timeout_s):
+                rating = _read_rating(await self._ask(rated))
+        except TimeoutError:
+            result = "late"
+        except (OSError, httpcore.NetworkError, httpcore.ProtocolError):
+            result = "unreachable"
+        if rating is not None:
+            result = "ok"
+        self._metrics.ratings.inc({"result": result})
+        return rating
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def _ask(self, rated: RatedAnswer) -> bytes:
+        body = msgspec.json.encode(rated._asdict())
+        async with self._pool.stream(
+            "POST",
+            self._url,
+            headers={"Content-Type": "application/json"},
+            content=body,
+        ) as response:
+            if response.status != 200:
+                return b""
+            reply = b""
+            async for part in response.aiter_stream():
+                reply += part
+                if len(reply) > MAX_REPLY_BYTES:
+                    return b""
+            return reply
+
+
+def _read_rating(reply: bytes) -> float | None:
+    try:
+        content = msgspec.json.decode(reply, type=dict[str, Any])
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    rating = content.get("rating")
+    if isinstance(rating, bool) or not isinstance(rating, int | float):
+        return None
+    return float(rating) if 0 <= rating <= 1 else None
+
+
+__all__ = ["RatedAnswer", "RatingClient"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -7,6 +7,7 @@
 import logging
 import socket
 from typing import Any
+from typing import Final
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,6 +21,7 @@
     from sycamorestand_entry.ports import ControlPort
     from sycamorestand_entry.settings import EntrySettings
 
+TICK_S: Final = 0.05
 _LOG = logging.getLogger(__name__)
 
 
@@ -29,6 +31,7 @@
     def __init__(self, context: EntryContext, host: str, port: int) -> None:
         self.host = host
         self.port = port
+        self.stopped = anyio.Event()
         self._context = context
         self._stop = anyio.Event()
 
@@ -77,6 +80,9 @@
                 group.cancel_scope.cancel()
         finally:
             context.pool.close()
+            with anyio.CancelScope(shield=True):
+                await context.rating.close()
+    entry.stopped.set()
     _LOG.info("entry stopped")
 
 
@@ -87,6 +93,20 @@
         # them into a planned stop, which uvicorn knows nothing of.
         yield
 
+    async def shutdown(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        # uvicorn closes idle connections at once. A request that is on
+        # its way on one of them would be cut without an answer. They are
+        # left to their keep-alive timer instead, while no new ones come.
+        for listener in self.servers:
+            listener.close()
+        grace_s = self.config.timeout_keep_alive + TICK_S
+        with anyio.move_on_after(grace_s):
+            while self.server_state.connections:
+                await anyio.sleep(TICK_S)
+        await super().shutdown(sockets)
+
 
 async def _stop_later(entry: RunningEntry, server: uvicorn.Server) -> None:
     await entry.wait_for_stop()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/sse.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/sse.py
@@ -14,6 +14,7 @@
 
 EVENT_END: Final = b"\n\n"
 DATA: Final = b"data:"
+_NEXT_DATA: Final = EVENT_END + DATA
 DONE: Final = b"data: [DONE]\n\n"
 # Inside of generated text quotes are escaped, so these byte strings can
 # only be members of the event itself.
@@ -50,13 +51,16 @@
         self._rest = data[cut:]
         if len(self._rest) > MAX_EVENT_BYTES:
             raise MalformedStream("an event has no end")
-        if cut and not data.startswith((DATA, b":")):
-            raise MalformedStream("an event has no data")
         return data[:cut]
 
 
 def is_plain(events: bytes) -> bool:
-    """Tell whether none of the events ends the answer or is an error."""
+    """Tell whether all events are data that neither ends nor fails."""
+    count = events.count(EVENT_END)
+    if not events.startswith(DATA):
+        return False
+    if count > 1 and events.count(_NEXT_DATA) != count - 1:
+        return False
     return not any(mark in events for mark in _MARKS)
 
 
@@ -68,9 +72,11 @@
 
 def decode_event(event: bytes) -> dict[str, Any]:
     """Return the JSON object of one event."""
+    if not event.startswith(DATA):
+        raise MalformedStream("an event has no data")
     try:
         decoded = msgspec.json.decode(event[len(DATA) :])
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise MalformedStream("an event has no JSON") from error
     if not isinstance(decoded, dict):
         raise MalformedStream("an event has no JSON object")
--- /dev/null
+++ b/packages/sycamorestand-entry/tests/test_stop.py
@@ -0,0 +1,155 @@
+"""A planned stop cuts no request."""
+
+from __future__ import annotations
+
+import anyio
+import httpcore
+import pytest
+
+from sycamorestand_bench.fakes.declared import LARGE
+from sycamorestand_bench.fakes.engine import expected_text
+from sycamorestand_bench.fakes.engine import FakeEngine
+from sycamorestand_bench.fakes.faults import Fault
+from sycamorestand_bench.fakes.loopback import Answer
+from sycamorestand_bench.fakes.loopback import Loopback
+from sycamorestand_bench.fakes.loopback import SETTINGS
+from sycamorestand_bench.fakes.loopback import start_loopback
+from sycamorestand_bench.fakes.service import FakeService
+from sycamorestand_entry.ports import EntryAddress
+
+pytestmark = pytest.mark.anyio
+
+
+def address(vm: str, data_centre: str = "marietta") -> EntryAddress:
+    """Return the address of an entry on this VM."""
+    return EntryAddress(vm, data_centre, "127.0.0.1", 1)
+
+
+async def listed(loopback: Loopback) -> list[str]:
+    """Return the VMs of the address answer in their order."""
+    answer = await loopback.call("GET", "/v1/addresses", key="")
+    return [entry["vm"] for entry in answer.json()["addresses"]]
+
+
+async def wait_until_gone(loopback: Loopback) -> None:
+    """Return when the entry takes no connection any more."""
+    with anyio.fail_after(20):
+        while True:
+            try:
+                await anyio.connect_tcp("127.0.0.1", loopback.entry.port)
+            except OSError:
+                return
+            await anyio.sleep(0.02)
+
+
+class TestPlannedStop:
+    async def test_leaves_the_addresses_and_goes_on_accepting(self) -> None:
+        """The entry begins its stop while callers still know its address.
+
+        It names itself to nobody any more, answers those who come all
+        the same and has their connections closed.
+        """
+        settings = SETTINGS._replace(address_ttl_s=1.0)
+        async with start_loopback(settings) as loopback:
+            await loopback.add_engine(FakeEngine("engine-1", (LARGE,)))
+            loopback.control.entry_addresses = (
+                address("vm-1"),
+                address("vm-2"),
+            )
+            assert await listed(loopback) == ["vm-1", "vm-2"]
+            loopback.entry.begin_stop()
+            assert await listed(loopback) == ["vm-2"]
+            answer = await loopback.chat()
+            assert answer.status == 200
+            assert answer.headers["connection"] == "close"
+            ready = await loopback.call("GET", "/readyz")
+            assert ready.status == 503
+            assert loopback.control.stopping
+
+    async def test_running_answers_are_finished(self) -> None:
+        """A stream and an order run when the entry's time is over.
+
+        New connections are refused; both answers come whole, and the
+        stream is charged before the process ends.
+        """
+        settings = SETTINGS._replace(keep_alive_s=1, chunk_gap_s=10)
+        async with start_loopback(settings) as loopback:
+            engine = FakeEngine("engine-1", (LARGE,))
+            engine.switch.fault = Fault("slow", after=2, pause_s=1.5)
+            service = FakeService("s-1", ("orders",))
+            service.switch.fault = Fault("slow", pause_s=1.5)
+            await loopback.add_engine(engine)
+            await loopback.add_service(service)
+            answers: list[Answer] = []
+
+            async def stream() -> None:
+                answers.append(
+                    await loopback.chat(stream=True, Idempotency_Key="k")
+                )
+
+            async def order() -> None:
+                answers.append(
+                    await loopback.call(
+                        "POST", "/services/orders/x", Idempotency_Key="k-2"
+                    )
+                )
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(stream)
+                group.start_soon(order)
+                with anyio.fail_after(10):
+                    while not (engine.records and service.records):
+                        await anyio.sleep(0.01)
+                loopback.entry.begin_stop()
+                await wait_until_gone(loopback)
+                assert not answers
+            texts = [a.text() for a in answers if b"data:" in a.body]
+            assert texts == [expected_text(LARGE, "k", 8)]
+            assert len(loopback.ledger.charges) == 2
+
+    async def test_late_answer_is_recorded_before_the_end(self) -> None:
+        """An order's caller has left; the entry stops before its answer.
+
+        The process stays until the answer has come and is recorded.
+        """
+        async with start_loopback() as loopback:
+            service = FakeService("s-1", ("orders",))
+            service.switch.fault = Fault("slow", pause_s=0.8)
+            await loopback.add_service(service)
+            await loopback.call(
+                "POST",
+                "/services/orders/x",
+                Idempotency_Key="k",
+                X_Deadline_Ms="50",
+            )
+            loopback.entry.begin_stop()
+            with anyio.fail_after(20):
+                await loopback.entry.stopped.wait()
+            claim = loopback.ledger.claims["guild", "k"]
+            assert claim.claim_state == "done"
+
+
+class TestAddresses:
+    async def test_own_data_centre_comes_first(self) -> None:
+        async with start_loopback() as loopback:
+            loopback.control.entry_addresses = (
+                address("vm-9", "dalton"),
+                address("vm-3")._replace(load=0.9),
+                address("vm-2"),
+                address("vm-4")._replace(stopping=True),
+                address("vm-5"),
+            )
+            configuration = loopback.control.configuration
+            loopback.control.configuration = configuration._replace(
+                draining_vms=("vm-5",)
+            )
+            assert await listed(loopback) == ["vm-2", "vm-3", "vm-9"]
+
+
+class TestStoppedEntry:
+    async def test_new_connections_are_refused(self) -> None:
+        async with start_loopback() as loopback:
+            loopback.entry.begin_stop()
+            await wait_until_gone(loopback)
+            with pytest.raises(httpcore.ConnectError):
+                await loopback.call("GET", "/healthz")
