sycactl: check, plan, apply, changes and questions

One list of settings serves flags and variables. A change is resent with its id to the next control process when no answer comes; only a definite answer ends it, and what may have run is never told as 'not changed': that is exit code 7 with the flags to resend. Each outcome has its own exit code.

--- /dev/null
+++ b/packages/sycamorestand/src/sycamorestand/operator/__init__.py
@@ -0,0 +1,1 @@
+"""``sycactl``, the operators' command line."""
--- /dev/null
+++ b/packages/sycamorestand/src/sycamorestand/operator/changes.py
@@ -0,0 +1,263 @@
+"""Commands that change the configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+from typing import Final
+
+from sycamorestand.operator.client import ControlClient
+from sycamorestand.operator.context import Action
+from sycamorestand.operator.context import Context
+from sycamorestand.operator.context import new_change_id
+from sycamorestand.operator.exits import CONFLICT
+from sycamorestand.operator.exits import DONE
+from sycamorestand.operator.exits import OutcomeLost
+from sycamorestand.operator.exits import REFUSED
+from sycamorestand.operator.waiting import wait_in_force
+from sycamorestand_control.operator_api.plain import from_plain
+from sycamorestand_control.operator_api.types import ChangeAnswer
+from sycamorestand_control.operator_api.types import TransferAnswer
+from sycamorestand_model.errors import WireError
+from sycamorestand_model.findings import finding_line
+
+OUTCOME_EXITS: Final = {
+    "accepted": DONE,
+    "duplicate": DONE,
+    "conflict": CONFLICT,
+    "refused": REFUSED,
+}
+
+
+def withdraw(
+    version: str,
+    *,
+    wait: bool = False,
+    change_id: str = "",
+    message: str = "",
+) -> Action:
+    """Withdraw a version: it gets no new work, its sessions are refused.
+
+    :param version: the version, as model@version
+    :param wait: wait until the change is in force everywhere
+    :param change_id: the id of a change that is sent again
+    :param message: why, for the audit trail
+    """
+    return _change("withdraw", version, wait, change_id, message)
+
+
+def reinstate(
+    version: str,
+    *,
+    wait: bool = False,
+    change_id: str = "",
+    message: str = "",
+) -> Action:
+    """Let a withdrawn version get work again.
+
+    :param version: the version, as model@version
+    :param wait: wait until the change is in force everywhere
+    :param change_id: the id of a change that is sent again
+    :param message: why, for the audit trail
+    """
+    return _change("reinstate", version, wait, change_id, message)
+
+
+def quarantine(
+    version: str, *, change_id: str = "", message: str = ""
+) -> Action:
+    """Keep new sessions off a version while it is looked into.
+
+    :param version: the version, as model@version
+    :param change_id: the id of a change that is sent again
+    :param message: why, for the audit trail
+    """
+    return _change("quarantine", version, False, change_id, message)
+
+
+def lift_quarantine(
+    version: str, *, change_id: str = "", message: str = ""
+) -> Action:
+    """End the quarantine of a version.
+
+    :param version: the version, as model@version
+    :param change_id: the id of a change that is sent again
+    :param message: why, for the audit trail
+    """
+    return _change("lift-quarantine", version, False, change_id, message)
+
+
+def start_rollout(
+    model: str, *, change_id: str = "", message: str = ""
+) -> Action:
+    """Start the declared roll-out of a model, or go on with it.
+
+    :param model: the model
+    :param change_id: the id of a change that is sent again
+    :param message: why, for the audit trail
+    """
+    return _change("start-rollout", model, False, change_id, message)
+
+
+def stop_rollout(
+    model: str, *, wait: bool = False, change_id: str = "", message: str = ""
+) -> Action:
+    """Stop a roll-out: new work goes to the stable version.
+
+    :param model: the model
+    :param wait: wait until the change is in force everywhere
+    :param change_id: the id of a change that is sent again
+    :param message: why, for the audit trail
+    """
+    return _change("stop-rollout", model, wait, change_id, message)
+
+
+def drain(
+    vm: str, *, wait: bool = False, change_id: str = "", message: str = ""
+) -> Action:
+    """Prepare a VM's entry process for a planned stop.
+
+    :param vm: the VM
+    :param wait: wait until the change is in force everywhere
+    :param change_id: the id of a change that is sent again
+    :param message: why, for the audit trail
+    """
+    return _change("drain", vm, wait, change_id, message)
+
+
+def undrain(
+    vm: str, *, wait: bool = False, change_id: str = "", message: str = ""
+) -> Action:
+    """Let a drained VM's entry process take callers again.
+
+    :param vm: the VM
+    :param wait: wait until the change is in force everywhere
+    :param change_id: the id of a change that is sent again
+    :param message: why, for the audit trail
+    """
+    return _change("undrain", vm, wait, change_id, message)
+
+
+def rotate_session_key(*, change_id: str = "", message: str = "") -> Action:
+    """Change the key that signs session tokens.
+
+    :param change_id: the id of a change that is sent again
+    :param message: why, for the audit trail
+    """
+    return _change("rotate-session-key", "", False, change_id, message)
+
+
+def replace_voter(old: str, new: str, *, change_id: str = "") -> Action:
+    """Admit one control process as a voter and remove another.
+
+    :param old: the id of the voter that is gone
+    :param new: the id of the control process that takes its place
+    :param change_id: the id of a change that is sent again
+    """
+    chosen = change_id or new_change_id()
+    body = {"change_id": chosen, "old_id": old, "new_id": new}
+
+    async def act(context: Context) -> int:
+        client = context.client()
+        return await send_change(
+            context, client, "/replace-voter", body, wait=False
+        )
+
+    return act
+
+
+def transfer_leadership() -> Action:
+    """Hand leadership to another voter, before a planned stop."""
+
+    async def act(context: Context) -> int:
+        client = context.client()
+        body = await client.change("/transfer-leadership", {})
+        answer = from_plain(TransferAnswer, body)
+        line = f"{answer.leader} leads in term {answer.term}"
+        context.output.answer(answer, [line])
+        return DONE
+
+    return act
+
+
+async def send_change(
+    context: Context,
+    client: ControlClient,
+    path: str,
+    body: dict[str, Any],
+    wait: bool,
+) -> int:
+    """Send one change, print its outcome and return the exit code."""
+    change_id = body["change_id"]
+    context.output.notice(f"change id {change_id}")
+    try:
+        reply = await client.change(path, body)
+        answer = from_plain(ChangeAnswer, reply)
+    except (OutcomeLost, WireError) as error:
+        # An answer that cannot be read says nothing about the outcome.
+        raise OutcomeLost(f"{error}; {resend_hint(body)}") from error
+    code = OUTCOME_EXITS[answer.outcome]
+    try:
+        if wait and code == DONE:
+            context.output.notice(_outcome_line(answer))
+            await wait_in_force(context, client, answer.revision)
+    finally:
+        context.output.answer(answer, _answer_lines(answer))
+    return code
+
+
+def resend_hint(body: dict[str, Any]) -> str:
+    """Return the flags with which the same change can be sent again."""
+    flags = f"--change-id {body['change_id']}"
+    if body.get("base_revision") is not None:
+        flags += f" --base-revision {body['base_revision']}"
+    return f"run the same command with {flags} to learn the outcome"
+
+
+def _change(
+    kind: str, subject: str, wait: bool, change_id: str, message: str
+) -> Action:
+    body = {
+        "change_id": change_id or new_change_id(),
+        "kind": kind,
+        "subject": subject,
+        "message": message,
+    }
+
+    async def act(context: Context) -> int:
+        client = context.client()
+        return await send_change(context, client, "/changes", body, wait)
+
+    return act
+
+
+def _answer_lines(answer: ChangeAnswer) -> Iterable[str]:
+    for finding in answer.findings:
+        yield finding_line(finding)
+    for other in answer.conflicts:
+        yield (
+            f"revision {other.revision} by {other.operator}: {other.summary}"
+        )
+    yield _outcome_line(answer)
+
+
+def _outcome_line(answer: ChangeAnswer) -> str:
+    tail = f": {answer.message}" if answer.message else ""
+    return f"{answer.outcome}, revision {answer.revision}{tail}"
+
+
+__all__ = [
+    "drain",
+    "lift_quarantine",
+    "quarantine",
+    "reinstate",
+    "replace_voter",
+    "resend_hint",
+    "rotate_session_key",
+    "send_change",
+    "start_rollout",
+    "stop_rollout",
+    "transfer_leadership",
+    "undrain",
+    "withdraw",
+]
--- /dev/null
+++ b/packages/sycamorestand/src/sycamorestand/operator/questions.py
@@ -0,0 +1,182 @@
+"""Commands that only ask."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Iterable
+from typing import Any
+from typing import Final
+
+from sycamorestand.operator.client import ControlClient
+from sycamorestand.operator.context import Action
+from sycamorestand.operator.context import Context
+from sycamorestand.operator.exits import DONE
+from sycamorestand_control.operator_api.plain import from_plain
+from sycamorestand_control.operator_api.types import AuditEntry
+from sycamorestand_control.operator_api.types import AuditPage
+from sycamorestand_control.operator_api.types import BackendRow
+from sycamorestand_control.operator_api.types import BillPage
+from sycamorestand_control.operator_api.types import BillRow
+from sycamorestand_control.operator_api.types import Explanation
+from sycamorestand_control.operator_api.types import NodeRow
+from sycamorestand_control.operator_api.types import RolloutRow
+from sycamorestand_control.operator_api.types import StatusAnswer
+from sycamorestand_control.operator_api.types import VoterRow
+from sycamorestand_model.errors import WireError
+
+CSV_PAGE_ROWS: Final = 1_000
+
+
+def status() -> Action:
+    """Show the voters, the revision and what needs an operator."""
+
+    async def act(context: Context) -> int:
+        body = await context.client().ask("/status", {})
+        answer = from_plain(StatusAnswer, body)
+        context.output.answer(answer, _status_lines(answer))
+        context.output.table(answer.voters, VoterRow)
+        return DONE
+
+    return act
+
+
+def nodes() -> Action:
+    """Show the entry processes and their configuration leases."""
+    return _list("/nodes", "nodes", NodeRow)
+
+
+def backends() -> Action:
+    """Show the backend servers as they announced themselves."""
+    return _list("/backends", "backends", BackendRow)
+
+
+def rollout_status() -> Action:
+    """Show the roll-outs and why they stand where they do."""
+    return _list("/rollouts", "rollouts", RolloutRow)
+
+
+def audit(*, after: int = 0, limit: int = 100) -> Action:
+    """Show who changed what, and what the system changed by itself.
+
+    :param after: show entries after this sequence number
+    :param limit: show at most this many
+    """
+
+    async def act(context: Context) -> int:
+        fields = {"after": after, "limit": limit}
+        body = await context.client().ask("/audit", fields)
+        page = from_plain(AuditPage, body)
+        context.output.rows("audit", page.entries, AuditEntry)
+        _say_more(context, page.more, page.next_after)
+        return DONE
+
+    return act
+
+
+def bills(
+    customer: str = "",
+    *,
+    csv: bool = False,
+    after: int = 0,
+    limit: int = 100,
+) -> Action:
+    """Show the charges; with --csv print all of them for a spreadsheet.
+
+    :param customer: only this customer's
+    :param csv: print every charge as CSV, also beyond the limit
+    :param after: show charges after this sequence number
+    :param limit: show at most this many
+    """
+
+    async def act(context: Context) -> int:
+        client = context.client()
+        if csv:
+            rows = [row async for row in _all_bills(client, customer, after)]
+            context.output.csv(rows, BillRow)
+            return DONE
+        page = await _bill_page(client, customer, after, limit)
+        context.output.rows("bills", page.rows, BillRow)
+        _say_more(context, page.more, page.next_after)
+        return DONE
+
+    return act
+
+
+def explain(subject: str) -> Action:
+    """Say why the system treats a subject as it does.
+
+    :param subject: a version, model, profile, customer, VM or backend server
+    """
+
+    async def act(context: Context) -> int:
+        fields = {"subject": subject}
+        body = await context.client().ask("/explain", fields)
+        answer = from_plain(Explanation, body)
+        context.output.answer(answer, answer.lines)
+        return DONE
+
+    return act
+
+
+def _list(path: str, name: str, columns: Any) -> Action:
+    async def act(context: Context) -> int:
+        body = await context.client().ask(path, {})
+        if not isinstance(body, dict) or not isinstance(body.get(name), list):
+            raise WireError(f"the answer holds no {name}")
+        rows = [from_plain(columns, row) for row in body[name]]
+        context.output.rows(name, rows, columns)
+        return DONE
+
+    return act
+
+
+async def _all_bills(
+    client: ControlClient, customer: str, after: int
+) -> AsyncIterator[BillRow]:
+    more = True
+    while more:
+        page = await _bill_page(client, customer, after, CSV_PAGE_ROWS)
+        for row in page.rows:
+            yield row
+        # A page that does not move on would be asked for without end.
+        more = page.more and page.next_after > after
+        after = page.next_after
+
+
+async def _bill_page(
+    client: ControlClient, customer: str, after: int, limit: int
+) -> BillPage:
+    fields = {"customer": customer, "after": after, "limit": limit}
+    return from_plain(BillPage, await client.ask("/bills", fields))
+
+
+def _status_lines(answer: StatusAnswer) -> Iterable[str]:
+    yield (
+        f"revision {answer.revision}, in force everywhere: "
+        f"{answer.in_force_revision}"
+    )
+    yield f"leader {answer.leader or 'none'}, term {answer.term}"
+    yield (
+        f"{answer.entry_count} entry processes, "
+        f"{answer.backend_server_count} backend servers"
+    )
+    for name in ("withdrawn", "quarantined", "draining_vms", "alarms"):
+        values = getattr(answer, name)
+        if values:
+            yield f"{name.replace('_', ' ')}: {', '.join(values)}"
+
+
+def _say_more(context: Context, more: bool, next_after: int) -> None:
+    if more:
+        context.output.notice(f"there are more: --after {next_after}")
+
+
+__all__ = [
+    "audit",
+    "backends",
+    "bills",
+    "explain",
+    "nodes",
+    "rollout_status",
+    "status",
+]
--- /dev/null
+++ b/packages/sycamorestand/src/sycamorestand/operator/run.py
@@ -0,0 +1,130 @@
+"""Entry point of ``sycactl``."""
+
+from __future__ import annotations
+
+import os
+import sys
+from typing import Any
+from typing import Final
+
+import anyio
+import defopt
+
+from sycamorestand.operator.applying import apply
+from sycamorestand.operator.applying import plan
+from sycamorestand.operator.changes import drain
+from sycamorestand.operator.changes import lift_quarantine
+from sycamorestand.operator.changes import quarantine
+from sycamorestand.operator.changes import reinstate
+from sycamorestand.operator.changes import replace_voter
+from sycamorestand.operator.changes import rotate_session_key
+from sycamorestand.operator.changes import start_rollout
+from sycamorestand.operator.changes import stop_rollout
+from sycamorestand.operator.changes import transfer_leadership
+from sycamorestand.operator.changes import undrain
+from sycamorestand.operator.changes import withdraw
+from sycamorestand.operator.context import Action
+from sycamorestand.operator.context import Context
+from sycamorestand.operator.exits import EXIT_MEANINGS
+from sycamorestand.operator.exits import INTERNAL
+from sycamorestand.operator.exits import INTERRUPTED
+from sycamorestand.operator.exits import SycactlError
+from sycamorestand.operator.offline import check
+from sycamorestand.operator.offline import hash_key
+from sycamorestand.operator.offline import new_key
+from sycamorestand.operator.output import Output
+from sycamorestand.operator.questions import audit
+from sycamorestand.operator.questions import backends
+from sycamorestand.operator.questions import bills
+from sycamorestand.operator.questions import explain
+from sycamorestand.operator.questions import nodes
+from sycamorestand.operator.questions import rollout_status
+from sycamorestand.operator.questions import status
+from sycamorestand.operator.settings import settings_help
+from sycamorestand.operator.settings import take_settings
+from sycamorestand_model.errors import SycamorestandError
+
+COMMANDS: Final[dict[str, Any]] = {
+    "check": check,
+    "plan": plan,
+    "apply": apply,
+    "status": status,
+    "withdraw": withdraw,
+    "reinstate": reinstate,
+    "quarantine": quarantine,
+    "lift-quarantine": lift_quarantine,
+    "rollout": {
+        "start": start_rollout,
+        "stop": stop_rollout,
+        "status": rollout_status,
+    },
+    "drain": drain,
+    "undrain": undrain,
+    "audit": audit,
+    "bills": bills,
+    "nodes": nodes,
+    "backends": backends,
+    "replace-voter": replace_voter,
+    "transfer-leadership": transfer_leadership,
+    "rotate-session-key": rotate_session_key,
+    "explain": explain,
+    "hash-key": hash_key,
+    "new-key": new_key,
+}
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run ``sycactl`` and exit with the code of the outcome."""
+    given = sys.argv[1:] if arguments is None else arguments
+    sys.exit(run(given))
+
+
+def run(arguments: list[str]) -> int:
+    """Run one command and return its exit code."""
+    output = Output("--json" in arguments)
+    try:
+        settings, rest = take_settings(arguments, os.environ)
+        output = Output(settings.json)
+        action = _parse(rest)
+        return anyio.run(action, Context(settings, output))
+    except SycactlError as error:
+        output.failure(error.code, str(error))
+        return error.exit_code
+    except SycamorestandError as error:
+        output.failure("internal", str(error))
+        return INTERNAL
+    except KeyboardInterrupt:
+        output.failure("interrupted", "interrupted; see the change id above")
+        return INTERRUPTED
+
+
+def _parse(arguments: list[str]) -> Action:
+    """Return the action that the arguments ask for.
+
+    Exits with status 2 on wrong arguments and with 0 after ``--help``.
+    """
+    wants_help = "-h" in arguments or "--help" in arguments
+    try:
+        return defopt.run(
+            COMMANDS,
+            argv=arguments or ["--help"],
+            short={},
+            no_negated_flags=True,
+            argparse_kwargs={"prog": "sycactl", "allow_abbrev": False},
+        )
+    except SystemExit as error:
+        if error.code == 0 and (wants_help or not arguments):
+            sys.stdout.write(f"\n{settings_help()}\n\n{_exit_help()}\n")
+        raise
+
+
+def _exit_help() -> str:
+    lines = ["exit codes:"]
+    lines += [f"  {code}  {text}" for code, text in EXIT_MEANINGS.items()]
+    return "\n".join(lines)
+
+
+__all__ = ["main", "run"]
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/sycamorestand/tests/operator/test_run.py
@@ -0,0 +1,324 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+import json
+from pathlib import Path
+import socket
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+
+from sycamorestand.operator.settings import SETTINGS
+from sycamorestand_model.keys import key_matches
+
+Command = Callable[..., Any]
+
+EXAMPLES = Path(__file__).parents[4] / "examples"
+KEY = "the-operators-secret"
+QUESTIONS = {
+    ("status",): "leader v1",
+    ("nodes",): "no-lease",
+    ("backends",): "leaving",
+    ("audit",): "ben",
+    ("bills",): "cheap@1",
+    ("rollout", "status"): "running",
+    ("explain", "cheap@1"): "withdrawn in revision 4",
+}
+
+
+class TestCheck:
+    @pytest.mark.parametrize("name", ["guild", "authority"])
+    def test_the_examples_pass(self, name: str) -> None:
+        command = [str(Path(sys.executable).parent / "sycactl"), "check"]
+        ended = subprocess.run(
+            [*command, str(EXAMPLES / name)], capture_output=True, text=True
+        )
+        assert ended.returncode == 0
+        assert ended.stdout == "0 errors, 0 warnings\n"
+
+    def test_every_finding_is_printed_with_its_place(
+        self, sycactl: Command, folder: Path
+    ) -> None:
+        (folder / "more.toml").write_text("[services.a]\nb = 1\n[x]\ny = 1")
+        ended = sycactl("check", folder)
+        assert ended.code == 3
+        assert "more.toml: services.a.b: unknown field" in ended.out
+        assert "more.toml: x: unknown section" in ended.out
+        answer = json.loads(sycactl("check", folder, "--json").out)
+        assert answer["errors"] == 2
+        assert answer["findings"][0]["file"] == "more.toml"
+
+
+class TestKeys:
+    def test_a_new_key_goes_to_a_private_file_only(
+        self, sycactl: Command, tmp_path: Path
+    ) -> None:
+        path = tmp_path / "new"
+        ended = sycactl("new-key", path)
+        key = path.read_text().strip()
+        assert path.stat().st_mode & 0o777 == 0o600
+        assert key_matches(key, ended.out.strip())
+        assert key not in ended.out + ended.err
+        assert sycactl("new-key", path).code == 2
+
+    def test_hash_key_reads_the_key_from_stdin(self) -> None:
+        command = [str(Path(sys.executable).parent / "sycactl"), "hash-key"]
+        ended = subprocess.run(
+            command, input=f"{KEY}\n", capture_output=True, text=True
+        )
+        assert key_matches(KEY, ended.stdout.strip())
+        assert KEY not in ended.stdout + ended.stderr
+
+
+class TestSettings:
+    def test_help_shows_both_names_of_every_setting(
+        self, sycactl: Command
+    ) -> None:
+        for arguments in (["--help"], ["apply", "--help"], []):
+            ended = sycactl(*arguments)
+            assert ended.code == 0
+            for setting in SETTINGS:
+                assert f"{setting.flag}, {setting.variable}" in ended.out
+
+    @pytest.mark.parametrize(
+        "arguments",
+        [
+            ["status", "--controls", "nowhere"],
+            ["status", "--controls", ""],
+            ["status", "--controls", "ftp://a:1"],
+            ["status", "--attempt-s", "0"],
+            ["status", "--attempt-s", "nan"],
+            ["status", "--attempt-s"],
+            ["status", "--key-file", "/none"],
+            ["status", "--key-file", "/dev/null"],
+            ["status", "--ca-file", "/none"],
+            ["status", "--json=maybe"],
+            ["status", "more"],
+            ["statu"],
+            ["apply", ".", "--change-id", "c-1"],
+        ],
+    )
+    def test_wrong_ones_are_told_apart_from_refusals(
+        self, sycactl: Command, arguments: list[str]
+    ) -> None:
+        ended = sycactl(*arguments)
+        assert ended.code == 2
+        assert ended.err
+
+    def test_an_unknown_variable_is_no_silence(
+        self, sycactl: Command, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setenv("SYCACTL_CONTROL", "127.0.0.1:1")
+        ended = sycactl("status")
+        assert ended.code == 2
+        assert "SYCACTL_CONTROL" in ended.err
+
+
+class TestQuestions:
+    @pytest.mark.parametrize("arguments", QUESTIONS)
+    def test_answers_are_tables_or_json(
+        self, online: Command, arguments: tuple[str, ...]
+    ) -> None:
+        ended = online(*arguments)
+        assert ended.code == 0
+        assert QUESTIONS[arguments] in ended.out
+        assert json.loads(online(*arguments, "--json").out)
+
+    def test_text_from_others_steers_no_terminal(
+        self, online: Command
+    ) -> None:
+        ended = online("audit")
+        assert "\x1b" not in ended.out
+        assert "[red]" in ended.out
+
+    def test_csv_holds_all_pages_and_no_formula(self, online: Command) -> None:
+        lines = online("bills", "--csv").out.splitlines()
+        assert lines[0].startswith("sequence,at_s,customer,request_key")
+        assert len(lines) == 4
+        assert lines[1].split(",")[3] == "'=1"
+
+
+class TestChanges:
+    def test_plan_and_apply_until_in_force(
+        self, online: Command, folder: Path, state: Any
+    ) -> None:
+        shown = online("plan", folder)
+        assert "added models.nest-large" in shown.out
+        assert "differences to revision 5" in shown.out
+        ended = online(
+            "apply", folder, "--wait", "--base-revision", 5, "--message", "go"
+        )
+        assert ended.code == 0
+        assert ended.out == "accepted, revision 6\n"
+        assert "waiting for vm-3" in ended.err
+        assert "in force everywhere" in ended.err
+        assert (state.changes[0].operator, state.changes[0].message) == (
+            "ann",
+            "go",
+        )
+        assert "0 differences" in online("plan", folder).out
+
+    def test_a_folder_with_errors_is_not_sent(
+        self, online: Command, folder: Path, state: Any
+    ) -> None:
+        (folder / "more.toml").write_text("[services.a]\nb = 1")
+        assert online("apply", folder).code == 3
+        assert state.changes == []
+
+    def test_a_conflict_names_who_was_first(
+        self, online: Command, folder: Path
+    ) -> None:
+        ended = online("apply", folder, "--base-revision", 4)
+        assert ended.code == 4
+        assert "revision 5 by ben: apply" in ended.out
+
+    @pytest.mark.parametrize(
+        "arguments",
+        [
+            ["withdraw", "cheap@1", "--wait"],
+            ["reinstate", "cheap@1"],
+            ["quarantine", "cheap@1"],
+            ["lift-quarantine", "cheap@1"],
+            ["rollout", "start", "cheap"],
+            ["rollout", "stop", "cheap"],
+            ["drain", "vm-1"],
+            ["undrain", "vm-1"],
+            ["rotate-session-key"],
+            ["transfer-leadership"],
+        ],
+    )
+    def test_each_change_has_a_command(
+        self, online: Command, arguments: list[str]
+    ) -> None:
+        assert online(*arguments).code == 0
+
+    @pytest.mark.parametrize(
+        "arguments",
+        [
+            ["withdraw", "none@1"],
+            ["withdraw", "cheap"],
+            ["replace-voter", "v1", "v4"],
+            ["audit", "--limit", "5000"],
+        ],
+    )
+    def test_a_refusal_has_its_exit_code(
+        self, online: Command, arguments: list[str]
+    ) -> None:
+        ended = online(*arguments)
+        assert ended.code == 5
+        assert ended.out or ended.err
+
+    def test_a_wrong_key_is_refused_and_never_printed(
+        self, online: Command, tmp_path: Path
+    ) -> None:
+        (tmp_path / "key").write_text("wrong-secret")
+        ended = online("status")
+        assert ended.code == 5
+        assert "wrong-secret" not in ended.out + ended.err
+
+    def test_waiting_ends_with_its_own_code(
+        self, online: Command, servers: Any
+    ) -> None:
+        """A VM is behind a partition and its lease has not run out.
+
+        The change is accepted, so the outcome is printed; the exit code
+        and stderr say that it is not in force everywhere yet.
+        """
+        for server in servers:
+            server.control.fault = "never in force"
+        ended = online("withdraw", "cheap@1", "--wait", "--json")
+        assert ended.code == 8
+        assert json.loads(ended.out)["outcome"] == "accepted"
+        assert "waiting for vm-9" in ended.err
+
+
+class TestFailures:
+    @pytest.mark.parametrize("fault", ["answer lost", "garbage"])
+    def test_a_lost_answer_is_asked_for_at_the_next_one(
+        self, online: Command, servers: Any, state: Any, fault: str
+    ) -> None:
+        """The first control process commits and its answer is lost.
+
+        The change is sent to the second one with the same id, which
+        gives the first outcome: the operator sees one accepted change.
+        """
+        servers[0].control.fault = fault
+        ended = online("withdraw", "cheap@1")
+        assert ended.code == 0
+        assert ended.out == "duplicate, revision 6\n"
+        assert len(state.changes) == 1
+
+    def test_without_a_leader_the_next_one_is_asked(
+        self, online: Command, servers: Any
+    ) -> None:
+        """The first control process is cut off and knows no leader.
+
+        It refuses without having run anything, and the second accepts.
+        """
+        servers[0].control.has_leader = False
+        ended = online("withdraw", "cheap@1")
+        assert ended.code == 0
+        assert "no-leader" in ended.err
+
+    def test_no_leader_anywhere_means_nothing_was_changed(
+        self, online: Command, servers: Any
+    ) -> None:
+        for server in servers:
+            server.control.has_leader = False
+        assert online("withdraw", "cheap@1").code == 6
+
+    def test_a_silent_first_one_delays_a_question_only(
+        self, online: Command, servers: Any
+    ) -> None:
+        servers[0].control.fault = "silent"
+        ended = online("status")
+        assert ended.code == 0
+        assert "silent" in ended.err
+
+    def test_when_nobody_answers_the_outcome_is_unknown(
+        self, online: Command, servers: Any, state: Any, folder: Path
+    ) -> None:
+        """Both control processes commit or may have, and neither answers.
+
+        "Not changed" would be false. The operator is told the change id
+        and base revision; the same command with them, sent later, gives
+        the first outcome and changes nothing a second time.
+        """
+        for server in servers:
+            server.control.fault = "answer lost"
+        arguments = ["apply", folder, "--base-revision", 5]
+        ended = online(*arguments)
+        assert ended.code == 7
+        hint = ended.err.partition("with --change-id ")[2].split()
+        assert hint[1:3] == ["--base-revision", "5"]
+        for server in servers:
+            server.control.fault = ""
+        again = online(*arguments, "--change-id", hint[0])
+        assert again.code == 0
+        assert again.out == "duplicate, revision 6\n"
+        assert len(state.changes) == 1
+
+    def test_a_refusal_after_a_lost_answer_stays_unknown(
+        self, online: Command, servers: Any
+    ) -> None:
+        """The first one commits silently and the second refuses the key.
+
+        Its copy of the operators is old. "Refused" would say that nothing
+        was changed, which nobody knows.
+        """
+        servers[0].control.fault = "answer lost"
+        servers[1].control.fault = "knows no key"
+        assert online("withdraw", "cheap@1").code == 7
+
+    def test_nobody_listening_is_unreachable(
+        self, sycactl: Command, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{unused.getsockname()[1]}"
+        monkeypatch.setenv("SYCACTL_PATIENCE_S", "0.1")
+        ended = sycactl("withdraw", "a@1", "--controls", address, "--json")
+        assert ended.code == 6
+        assert json.loads(ended.out)["error"]["code"] == "unreachable"
