--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/__init__.py
@@ -0,0 +1,1 @@
+"""Three VMs on loopback, mixed requests, faults, every promise checked."""
--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
@@ -0,0 +1,227 @@
+"""Callers of the quickstart, as a service at a user would call."""
+
+from __future__ import annotations
+
+import secrets
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import anyio
+import httpcore
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+ATTEMPTS: Final = 12
+RETRY_PAUSE_S: Final = 0.3
+MAX_PAUSE_S: Final = 2.0
+ADDRESSES_TTL_S: Final = 1.0
+# The session's version was withdrawn: asking again cannot help.
+FINAL_CODES: Final = ("session_version_withdrawn",)
+TIMEOUT: Final = {"connect": 2.0, "read": 30.0, "write": 5.0, "pool": 30.0}
+
+
+class Call(NamedTuple):
+    """One request as its caller means it, whatever attempts it takes."""
+
+    kind: str
+    customer: str
+    request_key: str
+    tokens: int = 0
+    session: str = ""
+    stream: bool = True
+    profile: str = ""
+    path: str = ""
+
+
+class Answer(NamedTuple):
+    """The last answer that a caller got.
+
+    ``run`` is ``answered``, or what the refusal said: ``not_run``,
+    ``ran`` or ``unknown``; ``cut`` where a stream ended without its end.
+    """
+
+    call: Call
+    run: str
+    code: str = ""
+    text: str = ""
+    version: str = ""
+    cost_micros: int = 0
+    attempts: int = 1
+    cuts: int = 0
+
+
+class Callers:
+    """Asks the system which addresses to use and keeps the answer."""
+
+    def __init__(self, first_addresses: Iterable[str]) -> None:
+        self._known = list(first_addresses)
+        self._addresses = list(self._known)
+        self._asked_s = float("-inf")
+        self._pool = httpcore.AsyncConnectionPool(max_connections=200)
+        self._turn = 0
+
+    async def call(self, call: Call, at: str | None = None) -> Answer:
+        """Make a call until it is answered, with the same request key."""
+        answer = Answer(call, "not_run", "never_asked")
+        cuts = 0
+        for attempt in range(ATTEMPTS):
+            address = at if at and attempt == 0 else await self._address()
+            answer, pause_s = await self._attempt(call, address)
+            cuts += answer.run == "cut"
+            answer = answer._replace(attempts=attempt + 1, cuts=cuts)
+            if answer.run == "answered" or answer.code in FINAL_CODES:
+                return answer
+            await anyio.sleep(min(pause_s, MAX_PAUSE_S))
+        return answer
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def _address(self) -> str:
+        now_s = anyio.current_time()
+        if now_s - self._asked_s > ADDRESSES_TTL_S:
+            await self._ask_addresses(now_s)
+        self._turn += 1
+        return self._addresses[self._turn % len(self._addresses)]
+
+    async def _ask_addresses(self, now_s: float) -> None:
+        for address in (*self._addresses, *self._known):
+            try:
+                response = await self._pool.request(
+                    "GET",
+                    f"http://{address}/v1/addresses",
+                    extensions={"timeout": TIMEOUT},
+                )
+            except (httpcore.NetworkError, httpcore.ProtocolError):
+                continue
+            if response.status != 200:
+                continue
+            content = msgspec.json.decode(response.content)
+            found = [
+                f"{row['host']}:{row['port']}" for row in content["addresses"]
+            ]
+            if found:
+                self._addresses = found
+                self._asked_s = now_s
+                return
+        self._addresses = list(self._known)
+
+    async def _attempt(
+        self, call: Call, address: str
+    ) -> tuple[Answer, float]:
+        try:
+            if call.kind == "chat":
+                return await self._chat(call, address)
+            return await self._service(call, address)
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            code = type(error).__name__
+            return Answer(call, "cut", code), RETRY_PAUSE_S
+
+    async def _chat(self, call: Call, address: str) -> tuple[Answer, float]:
+        headers = _headers(call)
+        if call.session:
+            headers["X-Session"] = call.session
+        body = {
+            "model": call.profile,
+            "stream": call.stream,
+            "max_tokens": call.tokens,
+            "messages": [{"role": "user", "content": "review " * 20}],
+        }
+        async with self._pool.stream(
+            "POST",
+            f"http://{address}/v1/chat/completions",
+            headers=headers,
+            content=msgspec.json.encode(body),
+            extensions={"timeout": TIMEOUT},
+        ) as response:
+            content = await response.aread()
+        if response.status != 200:
+            return _refused(call, response.headers, content)
+        told = _told(response.headers)
+        if call.stream:
+            return _read_stream(call, content, told)
+        message = msgspec.json.decode(content)
+        text = message["choices"][0]["message"]["content"]
+        version = told.get("x-version", "")
+        return Answer(call, "answered", "", text, version), 0.0
+
+    async def _service(
+        self, call: Call, address: str
+    ) -> tuple[Answer, float]:
+        method = "POST" if call.kind == "order" else "GET"
+        response = await self._pool.request(
+            method,
+            f"http://{address}/services/portal{call.path}",
+            headers=_headers(call),
+            content=b'{"sheet": "16ga"}' if method == "POST" else None,
+            extensions={"timeout": TIMEOUT},
+        )
+        if response.status != 200:
+            return _refused(call, response.headers, response.content)
+        text = response.content.decode()
+        return Answer(call, "answered", "", text), 0.0
+
+
+def new_key(prefix: str) -> str:
+    """Return a request key that no other caller chooses."""
+    return f"{prefix}-{secrets.token_hex(6)}"
+
+
+def _headers(call: Call) -> dict[str, str]:
+    return {
+        "Authorization": f"Bearer demo-{call.customer}",
+        "Idempotency-Key": call.request_key,
+        "Content-Type": "application/json",
+    }
+
+
+def _told(headers: list[tuple[bytes, bytes]]) -> dict[str, str]:
+    return {name.decode().lower(): value.decode() for name, value in headers}
+
+
+def _refused(
+    call: Call, headers: list[tuple[bytes, bytes]], content: bytes
+) -> tuple[Answer, float]:
+    pause_s = float(_told(headers).get("retry-after", RETRY_PAUSE_S))
+    try:
+        error = msgspec.json.decode(content)["error"]
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return Answer(call, "unknown", "unreadable"), pause_s
+    return Answer(call, error["run"], error["code"]), pause_s
+
+
+def _read_stream(
+    call: Call, content: bytes, told: dict[str, str]
+) -> tuple[Answer, float]:
+    parts: list[str] = []
+    ended = False
+    for line in content.split(b"\n"):
+        if not line.startswith(b"data: "):
+            continue
+        data = line.removeprefix(b"data: ")
+        if data == b"[DONE]":
+            ended = True
+            continue
+        event: dict[str, Any] = msgspec.json.decode(data)
+        if "error" in event:
+            error = event["error"]
+            code = error.get("code", "")
+            return Answer(call, error.get("run", "unknown"), code), 0.1
+        for choice in event.get("choices", ()):
+            parts.append(choice["delta"].get("content") or "")
+    if not ended:
+        return Answer(call, "cut", "no_end"), 0.1
+    version = told.get("x-version", "")
+    return Answer(call, "answered", "", "".join(parts), version), 0.0
+
+
+__all__ = ["Answer", "Call", "Callers", "FINAL_CODES", "new_key"]
--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/load.py
@@ -0,0 +1,107 @@
+"""The mixed requests of the quickstart."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Final
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sycamorestand_bench.quickstart.caller import Answer
+from sycamorestand_bench.quickstart.caller import Call
+from sycamorestand_bench.quickstart.caller import Callers
+from sycamorestand_bench.quickstart.caller import new_key
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CUSTOMERS: Final = (
+    "dalton-duct",
+    "peachtree-fab",
+    "gainesville-steel",
+    "marietta-metal",
+    "athens-ornamental",
+)
+PROFILES: Final = ("nest-review", "quote-helper")
+TOKENS: Final = (8, 16, 40)
+SESSIONS: Final = 16
+PAUSE_S: Final = 0.1
+CHAT_WORKERS: Final = 12
+ORDER_WORKERS: Final = 3
+
+
+class Load:
+    """Sends requests until told to stop and keeps every answer."""
+
+    def __init__(
+        self, callers: Callers, entries: Callable[[], list[str]], seed: int
+    ) -> None:
+        self.answers: list[Answer] = []
+        self._callers = callers
+        self._entries = entries
+        self._random = Random(seed)
+        self._stop = False
+
+    def stop(self) -> None:
+        """Send nothing new; requests under way end."""
+        self._stop = True
+
+    async def run(self) -> None:
+        """Send until `stop`; returns when all requests have ended."""
+        async with anyio.create_task_group() as tasks:
+            for worker in range(CHAT_WORKERS):
+                tasks.start_soon(self._chat_worker, worker)
+            for worker in range(SESSIONS):
+                tasks.start_soon(self._session_worker, worker)
+            for worker in range(ORDER_WORKERS):
+                tasks.start_soon(self._order_worker, worker)
+
+    async def _chat_worker(self, worker: int) -> None:
+        while not self._stop:
+            call = self._chat(worker, "")
+            self.answers.append(await self._callers.call(call))
+            await anyio.sleep(PAUSE_S)
+
+    async def _session_worker(self, worker: int) -> None:
+        session = ""
+        while not self._stop:
+            session = session or new_key("session")
+            call = self._chat(worker, session)
+            answer = await self._callers.call(call)
+            self.answers.append(answer)
+            if answer.run != "answered":
+                session = ""
+            await anyio.sleep(PAUSE_S * 4)
+
+    async def _order_worker(self, worker: int) -> None:
+        """Order a sheet twice at once, at two entries, with one key."""
+        while not self._stop:
+            customer = CUSTOMERS[worker % len(CUSTOMERS)]
+            key = new_key("order")
+            call = Call("order", customer, key, path=f"/orders/{key}")
+            entries = self._random.sample(self._entries(), 2)
+            async with anyio.create_task_group() as tasks:
+                for entry in entries:
+                    tasks.start_soon(self._order, call, entry)
+            key = new_key("status")
+            status = Call("status", customer, key, path=f"/jobs/{key}")
+            self.answers.append(await self._callers.call(status))
+            await anyio.sleep(PAUSE_S * 2)
+
+    async def _order(self, call: Call, entry: str) -> None:
+        self.answers.append(await self._callers.call(call, at=entry))
+
+    def _chat(self, worker: int, session: str) -> Call:
+        return Call(
+            "chat",
+            CUSTOMERS[worker % len(CUSTOMERS)],
+            new_key("chat"),
+            tokens=self._random.choice(TOKENS),
+            session=session,
+            stream=self._random.random() < 0.8,
+            profile=self._random.choice(PROFILES),
+        )
+
+
+__all__ = ["Load"]
--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/run.py
@@ -0,0 +1,228 @@
+"""The quickstart's order of events."""
+
+from __future__ import annotations
+
+import functools
+from pathlib import Path
+import shutil
+import sys
+from typing import Any
+from typing import Final
+
+import anyio
+
+from sycamorestand_bench.processes import Cluster
+from sycamorestand_bench.quickstart.caller import Callers
+from sycamorestand_bench.quickstart.checks import compare
+from sycamorestand_bench.quickstart.checks import Marks
+from sycamorestand_bench.quickstart.load import Load
+from sycamorestand_bench.quickstart.operator import ADMIN_KEY
+from sycamorestand_bench.quickstart.operator import Operator
+from sycamorestand_bench.quickstart.world import DATA_CENTRES
+from sycamorestand_bench.quickstart.world import STRONG
+from sycamorestand_bench.quickstart.world import World
+from sycamorestand_model.keys import hash_key
+from sycamorestand_model.load import load_folder
+
+ENTRIES: Final = ("entry-1", "entry-2", "entry-3")
+CONTROLS: Final = ("control-1", "control-2", "control-3")
+ROLLED_OUT: Final = "nest-small@4"
+LEAVING: Final = "small-2"
+LEAVING_BOUND_S: Final = 2.0
+FORM_BOUND_S: Final = 30.0
+# What one real minute of a roll-out is in the quickstart.
+FAST_ROLLOUT: Final = """\
+[rollouts.nest-small]
+version = "4"
+shares = [0.2, 0.5, 1.0]
+min_samples = 20
+min_step_s = 2.0
+"""
+
+
+async def run_quickstart(
+    examples: Path, folder: Path, requests: int, seed: int
+) -> dict[str, Any]:
+    """Run everything and return the figures of the last line."""
+    with Cluster(folder) as cluster:
+        _say("starting three control processes and three entries")
+        _start_processes(cluster)
+        async with anyio.create_task_group() as tasks:
+            world = World()
+            rating_url = await world.start_rating(tasks)
+            # Ratings: the cheap model passes most of the time.
+            world.rating.ratings = {
+                "nest-small@3": 0.9,
+                "nest-small@4": 0.9,
+                "nest-large@2": 0.97,
+            }
+            entries = _start_entries(cluster, rating_url)
+            result = await _run_events(
+                cluster, world, entries, examples, requests, seed
+            )
+            tasks.cancel_scope.cancel()
+    return result
+
+
+async def _run_events(
+    cluster: Cluster,
+    world: World,
+    entries: dict[str, str],
+    examples: Path,
+    requests: int,
+    seed: int,
+) -> dict[str, Any]:
+    operator = _operator(cluster)
+    await _wait_for_voters(operator)
+    folder = _declarations(cluster.folder, examples)
+    _say("applying examples/guild with a fast roll-out")
+    await operator.run("apply", str(folder), "--wait")
+    operator.use_key("demo-guild-admin")
+    async with anyio.create_task_group() as tasks:
+        addresses = list(entries.values())
+        await world.start_engines(tasks, addresses)
+        await world.start_services(tasks, addresses)
+        callers = Callers(addresses)
+        load = Load(callers, lambda: list(entries.values()), seed)
+        await _wait_for_backends(operator, len(world.servers))
+        tasks.start_soon(load.run)
+        marks = await _disturb(cluster, world, entries, operator, load)
+        _say("going on until the load has its size")
+        while len(load.answers) < requests:
+            await anyio.sleep(0.1)
+        load.stop()
+        await _wait_until_idle(load)
+        bills = await _all_bills(operator)
+        declared = load_folder(folder).declarations
+        allowed = {
+            name: frozenset(
+                f"{model}@{version}"
+                for model in customer.versions
+                for version in declared.models[model].versions
+            )
+            for name, customer in declared.customers.items()
+        }
+        strong = declared.models[STRONG]
+        price = strong.versions[strong.stable]
+        strong_micros = sum(
+            row["input_tokens"] * price.input_micros_per_mtoken
+            + row["output_tokens"] * price.output_micros_per_mtoken
+            for row in bills
+        )
+        await callers.close()
+        tasks.cancel_scope.cancel()
+    return compare(
+        load.answers, world, bills, marks, allowed, strong_micros // 1_000_000
+    )
+
+
+async def _disturb(
+    cluster: Cluster,
+    world: World,
+    entries: dict[str, str],
+    operator: Operator,
+    load: Load,
+) -> Marks:
+    await anyio.sleep(2)
+    _say("starting the roll-out of nest-small 4")
+    await operator.run("rollout", "start", "nest-small")
+    await anyio.sleep(4)
+    _say(f"backend server {LEAVING} leaves")
+    world.leave(LEAVING)
+    await anyio.sleep(LEAVING_BOUND_S)
+    runs_at_leaving = world.runs_at(LEAVING)
+    _say("killing entry-3")
+    cluster.kill("entry-3")
+    entries.pop("entry-3")
+    await anyio.sleep(2)
+    _say("starting entry-3 again")
+    node = cluster.start_entry(
+        "entry-3", DATA_CENTRES[2], rating_url=world.rating_address
+    )
+    await anyio.to_thread.run_sync(cluster.wait_ready, "entry-3")
+    entries["entry-3"] = f"127.0.0.1:{node.port}"
+    _say("withdrawing nest-small 4")
+    await operator.run("withdraw", ROLLED_OUT, "--wait")
+    runs_at_withdrawal = world.runs_of(ROLLED_OUT)
+    _say("stopping entry-2 as planned")
+    stopped = entries.pop("entry-2")
+    cuts_before = sum(answer.cuts for answer in load.answers)
+    status = await anyio.to_thread.run_sync(cluster.stop, "entry-2")
+    await anyio.sleep(1)
+    cuts = sum(answer.cuts for answer in load.answers) - cuts_before
+    _say(f"entry at {stopped} has ended with status {status}")
+    return Marks(
+        ROLLED_OUT,
+        runs_at_withdrawal,
+        LEAVING,
+        runs_at_leaving,
+        status,
+        cuts,
+    )
+
+
+def _start_processes(cluster: Cluster) -> None:
+    for number, vm in enumerate(CONTROLS):
+        cluster.start_control(
+            vm,
+            DATA_CENTRES[number],
+            first=number == 0,
+            admin_key_hash=hash_key(ADMIN_KEY) if number == 0 else "",
+        )
+    cluster.wait_ready(*CONTROLS)
+
+
+def _start_entries(cluster: Cluster, rating_url: str) -> dict[str, str]:
+    for number, vm in enumerate(ENTRIES):
+        cluster.start_entry(vm, DATA_CENTRES[number], rating_url=rating_url)
+    cluster.wait_ready(*ENTRIES)
+    return {vm: f"127.0.0.1:{cluster.entries[vm].port}" for vm in ENTRIES}
+
+
+def _operator(cluster: Cluster) -> Operator:
+    controls = [
+        f"127.0.0.1:{node.operator_port}" for node in cluster.controls.values()
+    ]
+    return Operator(cluster.folder, controls)
+
+
+async def _wait_for_voters(operator: Operator) -> None:
+    with anyio.fail_after(FORM_BOUND_S):
+        while True:
+            status = await operator.run("status")
+            roles = [row["role"] for row in status["voters"]]
+            if roles.count("follower") == len(CONTROLS) - 1:
+                return
+            await anyio.sleep(0.2)
+
+
+async def _wait_for_backends(operator: Operator, count: int) -> None:
+    with anyio.fail_after(FORM_BOUND_S):
+        while len(await operator.run("backends")) < count:
+            await anyio.sleep(0.2)
+
+
+def _declarations(folder: Path, examples: Path) -> Path:
+    copy = folder / "declarations"
+    shutil.copytree(examples / "guild", copy)
+    rollout = copy / "rollouts" / "nest-small.toml"
+    rollout.write_text(FAST_ROLLOUT)
+    return copy
+
+
+async def _wait_until_idle(load: Load) -> None:
+    before = -1
+    while before != len(load.answers):
+        before = len(load.answers)
+        await anyio.sleep(3)
+
+
+async def _all_bills(operator: Operator) -> list[dict[str, Any]]:
+    page = await operator.run("bills")
+    rows: list[dict[str, Any]] = page["rows"]
+    return rows
+
+
+_say = functools.partial(print, "quickstart:", file=sys.stderr, flush=True)
+
+__all__ = ["run_quickstart"]
