--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/change_commands.py
@@ -0,0 +1,147 @@
+"""Operators' changes as commands of the log, and results as answers."""
+
+from __future__ import annotations
+
+import secrets
+from typing import Final
+from typing import TYPE_CHECKING
+
+from sycamorestand_control.operator_api.types import ChangeAnswer
+from sycamorestand_control.operator_api.types import Conflict
+from sycamorestand_model.findings import ERROR
+from sycamorestand_model.findings import Finding
+from sycamorestand_state.commands import ANY_REVISION
+from sycamorestand_state.commands import ApplyDeclarations
+from sycamorestand_state.commands import DrainVm
+from sycamorestand_state.commands import LiftQuarantine
+from sycamorestand_state.commands import Quarantine
+from sycamorestand_state.commands import Reinstate
+from sycamorestand_state.commands import RotateSessionKey
+from sycamorestand_state.commands import StartRollout
+from sycamorestand_state.commands import StopRollout
+from sycamorestand_state.commands import UndrainVm
+from sycamorestand_state.commands import Withdraw
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorestand_control.operator_api.types import ChangeRequest
+    from sycamorestand_state.commands import Command
+    from sycamorestand_state.results import ChangeResult
+
+SESSION_KEY_BYTES: Final = 32
+
+Maker = "Callable[[ChangeRequest, int, float], Command]"
+
+
+def make_command(
+    request: ChangeRequest, revision: int, now_s: float
+) -> Command:
+    """Return the command for a change.
+
+    ``revision`` stands in where the client gave no base revision. A
+    change that only takes work away needs none at all.
+    """
+    base = request.base_revision
+    if base is None:
+        base = ANY_REVISION if request.kind in _UNBASED else revision
+    return _MAKERS[request.kind](request, base, now_s)
+
+
+def make_answer(
+    result: ChangeResult, conflicts: tuple[Conflict, ...]
+) -> ChangeAnswer:
+    """Return what the operator reads of a committed change's result."""
+    message = "; ".join(part for part in (result.message, *result.notes))
+    if result.duplicate and result.outcome in ("applied", "unchanged"):
+        return ChangeAnswer("duplicate", result.revision, message)
+    if result.outcome in ("applied", "unchanged"):
+        return ChangeAnswer("accepted", result.revision, message)
+    findings = tuple(
+        Finding(ERROR, "", "", finding) for finding in result.findings
+    )
+    if result.outcome == "conflict":
+        return ChangeAnswer(
+            "conflict", result.revision, message, (), conflicts
+        )
+    return ChangeAnswer("refused", result.revision, message, findings)
+
+
+def _apply(request: ChangeRequest, base: int, now_s: float) -> Command:
+    if request.declarations is None:
+        raise ValueError("an apply carries declarations")
+    return ApplyDeclarations(
+        request.change_id,
+        request.operator,
+        base,
+        request.declarations,
+        request.message,
+        now_s,
+    )
+
+
+def _start_rollout(request: ChangeRequest, base: int, now_s: float) -> Command:
+    return StartRollout(
+        request.change_id,
+        request.operator,
+        base,
+        request.subject,
+        request.message,
+        now_s,
+    )
+
+
+def _stop_rollout(request: ChangeRequest, base: int, now_s: float) -> Command:
+    return StopRollout(
+        request.change_id,
+        request.operator,
+        base,
+        request.subject,
+        ANY_REVISION,
+        request.message or f"stopped by {request.operator}",
+        "",
+        now_s,
+    )
+
+
+def _rotate(request: ChangeRequest, base: int, now_s: float) -> Command:
+    return RotateSessionKey(
+        request.change_id,
+        request.operator,
+        base,
+        secrets.token_bytes(SESSION_KEY_BYTES),
+        now_s,
+    )
+
+
+def _with_reason(kind: Callable[..., Command]) -> Maker:
+    """Return the maker of a command that has a subject and a reason."""
+
+    def make(request: ChangeRequest, base: int, now_s: float) -> Command:
+        return kind(
+            request.change_id,
+            request.operator,
+            base,
+            request.subject,
+            request.message,
+            now_s,
+        )
+
+    return make
+
+
+_UNBASED: Final = ("withdraw", "quarantine", "stop-rollout")
+_MAKERS: Final[dict[str, Maker]] = {
+    "apply": _apply,
+    "withdraw": _with_reason(Withdraw),
+    "reinstate": _with_reason(Reinstate),
+    "start-rollout": _start_rollout,
+    "stop-rollout": _stop_rollout,
+    "quarantine": _with_reason(Quarantine),
+    "lift-quarantine": _with_reason(LiftQuarantine),
+    "drain": _with_reason(DrainVm),
+    "undrain": _with_reason(UndrainVm),
+    "rotate-session-key": _rotate,
+}
+
+__all__ = ["make_answer", "make_command"]
--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/explain.py
@@ -0,0 +1,128 @@
+"""Why the system treats a subject as it does, for ``sycactl explain``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorestand_model.declarations import find_version
+from sycamorestand_model.declarations import VERSION_SEPARATOR
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from sycamorestand_control.ledger_reader import LedgerReader
+    from sycamorestand_control.tables import SharedTables
+    from sycamorestand_state.configuration import ConfigurationMachine
+
+
+def explain_subject(
+    subject: str,
+    configuration: ConfigurationMachine,
+    tables: SharedTables,
+    ledger: LedgerReader,
+    verdicts: Mapping[str, str],
+) -> tuple[str, ...]:
+    """Return lines about a version, model, request, server or VM.
+
+    No line at all means that nothing is known of the subject.
+    """
+    lines = [
+        *_explain_version(subject, configuration, tables),
+        *_explain_model(subject, configuration),
+        *_explain_request(subject, ledger),
+        *_explain_server(subject, tables),
+        *_explain_vm(subject, configuration, tables),
+    ]
+    if lines and subject in verdicts:
+        lines.append(f"the leader's last finding: {verdicts[subject]}")
+    return tuple(lines)
+
+
+def _explain_version(
+    subject: str, configuration: ConfigurationMachine, tables: SharedTables
+) -> list[str]:
+    in_force = configuration.in_force()
+    version = find_version(in_force.declarations, subject)
+    if version is None:
+        return []
+    model = in_force.declarations.models[version.model]
+    lines = [f"{subject} is declared at revision {in_force.revision}"]
+    if model.stable == version.name:
+        lines.append("it is the stable version: new work goes to it")
+    share = in_force.shares.get(version.model)
+    if share is not None and share.version == version.name:
+        lines.append(
+            f"its roll-out is {share.state} at step {share.step},"
+            f" share {share.share:.2%} of new work"
+        )
+    if subject in in_force.withdrawn:
+        lines.append("it is withdrawn: it gets no new work")
+    if subject in in_force.quarantined:
+        lines.append("it is quarantined: it gets no new work")
+    holders = [
+        server.name
+        for server in tables.servers().values()
+        if subject in server.versions and not server.leaving
+    ]
+    lines.append(f"{len(holders)} backend servers hold it: {holders}")
+    return lines
+
+
+def _explain_model(
+    subject: str, configuration: ConfigurationMachine
+) -> list[str]:
+    model = configuration.in_force().declarations.models.get(subject)
+    if model is None:
+        return []
+    lines = [
+        f"model {subject}: stable version {model.stable},"
+        f" versions {', '.join(sorted(model.versions))}"
+    ]
+    rollout = configuration.rollout(subject)
+    if rollout is not None:
+        lines.append(
+            f"roll-out of {rollout.version} is {rollout.state} at step"
+            f" {rollout.step}: {rollout.reason or rollout.evidence}"
+        )
+    return lines
+
+
+def _explain_request(subject: str, ledger: LedgerReader) -> list[str]:
+    customer, separator, request_key = subject.partition("/")
+    if not separator or VERSION_SEPARATOR in customer:
+        return []
+    row = ledger.find(customer, request_key)
+    if row is None:
+        return [f"no charge of {customer} has the request key {request_key}"]
+    return [
+        f"charged once, {row.cost_micros} micros on {row.version}:"
+        f" {row.input_tokens} tokens in, {row.output_tokens} out"
+    ]
+
+
+def _explain_server(subject: str, tables: SharedTables) -> list[str]:
+    server = tables.servers().get(subject)
+    if server is None:
+        return []
+    state = "leaving: no new work" if server.leaving else "serving"
+    return [
+        f"backend server {subject} at {server.address} is {state}",
+        f"it holds {', '.join(server.versions) or 'nothing'},"
+        f" capacity {server.capacity}, reported {server.load.running} running"
+        f" and {server.load.queued} queued",
+    ]
+
+
+def _explain_vm(
+    subject: str, configuration: ConfigurationMachine, tables: SharedTables
+) -> list[str]:
+    draining = configuration.in_force().draining_vms
+    return [
+        f"VM {row.vm}: {row.state}, revision {row.revision},"
+        f" attached to {row.control or 'no control process'}"
+        for row in tables.node_rows(draining)
+        if row.vm == subject
+    ]
+
+
+__all__ = ["explain_subject"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/groups.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/groups.py
@@ -39,6 +39,8 @@
 # repeated this often until the leader is known.
 RETRY_PAUSE_S: Final = 0.05
 
+BLANK: Final = "blank"
+OPENING: Final = "opening"
 NOT_LEADER: Final = "not_leader"
 LOST: Final = "lost"
 
@@ -90,6 +92,21 @@
             for replica in self.replicas.values():
                 tasks.start_soon(replica.run)
 
+    async def bootstrap_blank(self, members: list[tuple[str, str]]) -> None:
+        """Start every log whose files belong to no group yet."""
+        for replica in self.replicas.values():
+            while replica.status().state == OPENING:
+                await anyio.sleep(RETRY_PAUSE_S)
+            if replica.status().state == BLANK:
+                await replica.bootstrap(members)
+
+    async def hand_over(self) -> None:
+        """Give up leadership of every log that this process leads."""
+        for replica in self.replicas.values():
+            others = [m for m in replica.status().members if m.voter]
+            if replica.status().role == "leader" and len(others) > 1:
+                await replica.transfer_leadership(None)
+
     def receive(self, address: str, message: ReplicaPayload) -> None:
         """Hand a voter's bytes to the log that they are for."""
         self._addresses[message.sender] = address
--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/hub.py
@@ -0,0 +1,183 @@
+"""What a control process does for the entries attached to it."""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.messages import AddressList
+from sycamorestand_peer.messages import ConfigurationPush
+from sycamorestand_peer.messages import LeaseDenied
+from sycamorestand_peer.messages import LeaseGrantMessage
+from sycamorestand_state.nodes import NodeRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorestand_control.lease_service import LeaseService
+    from sycamorestand_control.tables import SharedTables
+    from sycamorestand_model.in_force import InForce
+    from sycamorestand_peer.mesh import PeerMesh
+    from sycamorestand_peer.messages import LeaseRequest
+
+LOG: Final = logging.getLogger(__name__)
+TICK_S: Final = 0.1
+# Longer than an entry's lease: a silent entry is told nothing more.
+DETACH_AFTER_S: Final = 5.0
+# A push that was lost is repeated with a renewal, yet not with each of
+# them: the whole configuration is the largest message there is.
+PUSH_AGAIN_S: Final = 0.3
+ADDRESSES_INTERVAL_S: Final = 1.0
+# Callers need a few addresses to choose among, not all of 330.
+ADDRESSES_FOR_CALLERS: Final = 8
+
+
+class _Attached:
+    def __init__(self, address: str, vm: str, data_centre: str) -> None:
+        self.address = address
+        self.vm = vm
+        self.data_centre = data_centre
+        self.heard_s = 0.0
+        self.pushed_revision = 0
+        self.pushed_s = 0.0
+        self.directory_version = 0
+        self.addresses: AddressList | None = None
+
+
+class EntryHub:
+    """Leases, configuration, backend servers and addresses for entries."""
+
+    def __init__(
+        self,
+        mesh: PeerMesh,
+        leases: LeaseService,
+        tables: SharedTables,
+        in_force: Callable[[], InForce],
+        other_controls: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self._mesh = mesh
+        self._leases = leases
+        self._tables = tables
+        self._in_force = in_force
+        self._other_controls = other_controls
+        self._attached: dict[str, _Attached] = {}
+        self.denied = 0
+
+    def attached_vms(self) -> tuple[str, ...]:
+        """Return the VMs of the entries that this process serves."""
+        return tuple(entry.vm for entry in self._attached.values())
+
+    def lease_requested(self, sender: str, message: LeaseRequest) -> None:
+        """Renew an entry's lease, and send it what it lacks."""
+        entry = self._entry(sender, message)
+        self._tables.node_heard(_record(sender, message))
+        self._answer_lease(sender, message)
+        self._push_configuration(entry, message.acked_revision)
+        if self._tables.is_out_of_step(
+            message.directory_epoch,
+            message.directory_version,
+            message.directory_digest,
+        ):
+            entry.directory_version = 0
+        self._push_directory(entry)
+
+    def revision_applied(self) -> None:
+        """Send the new revision to every entry at once."""
+        for entry in self._attached.values():
+            self._push_configuration(entry, entry.pushed_revision)
+
+    async def run(self) -> None:
+        """Keep entries' tables and addresses fresh, until cancelled."""
+        next_addresses_s = 0.0
+        while True:
+            await anyio.sleep(TICK_S)
+            now_s = boottime_s()
+            self._detach_silent(now_s)
+            for entry in self._attached.values():
+                self._push_directory(entry)
+            if now_s >= next_addresses_s:
+                next_addresses_s = now_s + ADDRESSES_INTERVAL_S
+                self._push_addresses()
+
+    def _entry(self, sender: str, message: LeaseRequest) -> _Attached:
+        entry = self._attached.get(sender)
+        if entry is None:
+            address = message.address
+            entry = _Attached(sender, address.vm, address.data_centre)
+            self._attached[sender] = entry
+            LOG.info("entry attached", extra={"entry": address.vm})
+        entry.heard_s = boottime_s()
+        return entry
+
+    def _answer_lease(self, sender: str, message: LeaseRequest) -> None:
+        grant = self._leases.grant_entry(sender, message.acked_revision)
+        if grant is not None:
+            self._mesh.send(
+                sender,
+                LeaseGrantMessage(
+                    message.sent_at_s, grant.length_s, grant.revision
+                ),
+            )
+            return
+        self.denied += 1
+        reason = "behind"
+        if self._leases.remaining_s() <= 0:
+            reason = "no_quorum"
+        self._mesh.send(
+            sender,
+            LeaseDenied(message.sent_at_s, reason, self._other_controls()),
+        )
+
+    def _push_configuration(
+        self, entry: _Attached, acked_revision: int
+    ) -> None:
+        in_force = self._in_force()
+        if acked_revision >= in_force.revision:
+            return
+        now_s = boottime_s()
+        pushed = entry.pushed_revision >= in_force.revision
+        if pushed and now_s - entry.pushed_s < PUSH_AGAIN_S:
+            return
+        entry.pushed_revision = in_force.revision
+        entry.pushed_s = now_s
+        self._mesh.send(entry.address, ConfigurationPush(in_force))
+
+    def _push_directory(self, entry: _Attached) -> None:
+        update, version = self._tables.update_for_entry(
+            entry.directory_version
+        )
+        if update is not None:
+            self._mesh.send(entry.address, update)
+        entry.directory_version = version
+
+    def _push_addresses(self) -> None:
+        draining = self._in_force().draining_vms
+        for entry in self._attached.values():
+            addresses = AddressList(
+                self._tables.addresses(
+                    entry.data_centre,
+                    entry.vm,
+                    ADDRESSES_FOR_CALLERS,
+                    draining,
+                )
+            )
+            if addresses != entry.addresses:
+                entry.addresses = addresses
+                self._mesh.send(entry.address, addresses)
+
+    def _detach_silent(self, now_s: float) -> None:
+        for address, entry in list(self._attached.items()):
+            if now_s - entry.heard_s > DETACH_AFTER_S:
+                del self._attached[address]
+                LOG.info("entry detached", extra={"entry": entry.vm})
+
+
+def _record(sender: str, message: LeaseRequest) -> NodeRecord:
+    raise NotImplementedError
+
+
+__all__ = ["EntryHub"]
--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/ledger_reader.py
@@ -0,0 +1,76 @@
+"""Reading the ledger's shards for operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorestand_control.operator_api.types import BillPage
+from sycamorestand_control.operator_api.types import BillRow
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sycamorestand_state.ledger import LedgerMachine
+
+
+class LedgerReader:
+    """Pages through the charges of all shards as one sequence.
+
+    A charge's sequence is its shard's own number times the number of
+    shards plus the shard, so that one number pages through all of them.
+    """
+
+    def __init__(self, machines: Sequence[LedgerMachine]) -> None:
+        self._machines = machines
+
+    def bills(self, customer: str, after: int, limit: int) -> BillPage:
+        """Return single charges after a sequence, in their order."""
+        rows = [
+            row
+            for shard, machine in enumerate(self._machines)
+            for row in self._shard_rows(shard, machine, customer, after, limit)
+        ]
+        rows.sort(key=lambda row: row.sequence)
+        page = tuple(rows[:limit])
+        next_after = page[-1].sequence if page else after
+        return BillPage(page, next_after, len(rows) > limit)
+
+    def find(self, customer: str, request_key: str) -> BillRow | None:
+        """Return the charge of one request, None where there is none."""
+        after = 0
+        while True:
+            page = self.bills(customer, after, 1_000)
+            for row in page.rows:
+                if row.request_key == request_key:
+                    return row
+            if not page.more:
+                return None
+            after = page.next_after
+
+    def _shard_rows(
+        self,
+        shard: int,
+        machine: LedgerMachine,
+        customer: str,
+        after: int,
+        limit: int,
+    ) -> list[BillRow]:
+        count = len(self._machines)
+        own_after = max(0, (after - shard) // count)
+        bills = machine.bills(customer or None, own_after, limit + 1)
+        return [
+            BillRow(
+                sequence=line.number * count + shard,
+                at_s=line.charged_s,
+                customer=line.customer,
+                request_key=line.request_key,
+                version=line.version,
+                cost_micros=line.cost_micros,
+                input_tokens=line.input_tokens,
+                output_tokens=line.output_tokens,
+            )
+            for line in bills.charges
+        ]
+
+
+__all__ = ["LedgerReader"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/membership.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/membership.py
@@ -103,9 +103,7 @@
         learners = [member for member in members if not member.voter]
         if learners:
             await replica.promote(learners[0].member_id)
-            LOG.info(
-                "voter admitted", extra={"member": learners[0].member_id}
-            )
+            LOG.info("voter admitted", extra={"member": learners[0].member_id})
             return
         if len(voters) >= self._voters_wanted:
             return
@@ -113,9 +111,7 @@
         for joiner in self._joiners.values():
             if joiner.member_id not in known and self._is_alive(joiner):
                 await replica.add_learner(joiner.member_id, joiner.address)
-                LOG.info(
-                    "learner added", extra={"member": joiner.member_id}
-                )
+                LOG.info("learner added", extra={"member": joiner.member_id})
                 return
 
 
@@ -133,9 +129,7 @@
     while not _is_member_everywhere(groups):
         for address in controls:
             call_id = mesh.next_call_id()
-            request = JoinRequest(
-                call_id, groups.member_id, mesh.address, vm
-            )
+            request = JoinRequest(call_id, groups.member_id, mesh.address, vm)
             try:
                 await mesh.call(address, call_id, request, JOIN_TIMEOUT_S)
             except PeerTimeout:
--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -0,0 +1,359 @@
+"""One control process: its logs, its entries and its operators."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import contextlib
+import logging
+import secrets
+import time
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+import anyio
+from anyio.abc import TaskStatus
+import msgspec
+import uvicorn
+
+from sycamorestand_consensus.errors import ConsensusError
+from sycamorestand_consensus.settings import ReplicaSettings
+from sycamorestand_control.errors import ControlError
+from sycamorestand_control.errors import StartRefused
+from sycamorestand_control.groups import CONFIGURATION_GROUP
+from sycamorestand_control.groups import FIRST_LEDGER_GROUP
+from sycamorestand_control.groups import Group
+from sycamorestand_control.groups import LogGroups
+from sycamorestand_control.hub import EntryHub
+from sycamorestand_control.lease_service import LeaseService
+from sycamorestand_control.ledger_reader import LedgerReader
+from sycamorestand_control.ledger_writer import LedgerWriter
+from sycamorestand_control.membership import Admissions
+from sycamorestand_control.membership import ask_to_join
+from sycamorestand_control.operator_api.app import make_operator_app
+from sycamorestand_control.operator_api.authentication import (
+    make_authenticate,
+)
+from sycamorestand_control.operator_backend import ControlBackend
+from sycamorestand_control.operator_backend import Parts
+from sycamorestand_control.tables import SharedTables
+from sycamorestand_control.version_keeper import VersionKeeper
+from sycamorestand_model.ledger import LedgerResult
+from sycamorestand_peer import messages
+from sycamorestand_peer.mesh import PeerMesh
+from sycamorestand_state.commands import CreateCluster
+from sycamorestand_state.commands import encode_command
+from sycamorestand_state.configuration import ConfigurationMachine
+from sycamorestand_state.ledger import LedgerMachine
+from sycamorestand_state.results import ChangeResult
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorestand_consensus.replica import StateMachine
+    from sycamorestand_control.settings import ControlSettings
+
+LOG: Final = logging.getLogger(__name__)
+CREATE_TIMEOUT_S: Final = 10.0
+LEDGER_TIMEOUT_S: Final = 1.4
+SESSION_KEY_BYTES: Final = 32
+FIRST_OPERATOR: Final = "first-admin"
+
+
+class ControlProcess:
+    """Builds the parts of a control process and joins them."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self._settings = settings
+        self.configuration = ConfigurationMachine()
+        self.shards = [
+            LedgerMachine(number) for number in range(settings.ledger_shards)
+        ]
+        self.mesh = PeerMesh(
+            settings.peer_address,
+            lambda: settings.cluster_keys,
+            self._received,
+            settings.peer_listen or None,
+        )
+        self.groups = LogGroups(
+            self.mesh,
+            settings.data_folder,
+            ReplicaSettings(),
+            self._group_table(),
+        )
+        self.tables = SharedTables(
+            self.mesh, settings.vm, settings.data_centre, self._others
+        )
+        self.leases = LeaseService(
+            self.mesh, self.groups, lambda: self.configuration.revision
+        )
+        self.hub = EntryHub(
+            self.mesh,
+            self.leases,
+            self.tables,
+            self.configuration.in_force,
+            self._others,
+        )
+        self.keeper = VersionKeeper(self.groups, self.configuration)
+        self.admissions = Admissions(
+            self.mesh, self.groups, settings.voters_wanted
+        )
+        self.writers = [
+            LedgerWriter(self._shard_proposer(number))
+            for number in range(settings.ledger_shards)
+        ]
+        self.backend = ControlBackend(
+            Parts(
+                settings.vm,
+                settings.data_centre,
+                self.mesh,
+                self.groups,
+                self.configuration,
+                self.leases,
+                self.tables,
+                LedgerReader(self.shards),
+                self.admissions,
+                self.keeper,
+            )
+        )
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._handlers = self._handler_table()
+
+    async def run(
+        self,
+        stop: anyio.Event,
+        *,
+        task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until ``stop`` is set, then hand over and end."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await tasks.start(self.mesh.run)
+            for part in (
+                self.groups.run,
+                self.leases.run,
+                self.hub.run,
+                self.tables.run,
+                self.keeper.run,
+                self.admissions.run,
+                *(writer.run for writer in self.writers),
+            ):
+                tasks.start_soon(part)
+            server = _operator_server(self)
+            tasks.start_soon(server.serve)
+            await self._form_cluster()
+            task_status.started()
+            await stop.wait()
+            await self._stop(server)
+            tasks.cancel_scope.cancel()
+
+    async def _form_cluster(self) -> None:
+        if self._settings.first_start:
+            await self._create_cluster()
+            return
+        if not self._settings.control_addresses:
+            return
+        assert self._tasks is not None
+        self._tasks.start_soon(
+            ask_to_join,
+            self.mesh,
+            self.groups,
+            self._settings.control_addresses,
+            self._settings.vm,
+        )
+
+    async def _create_cluster(self) -> None:
+        """Make a new cluster, unless this folder belongs to one already.
+
+        A process that is restarted with the setting still in place finds
+        its log and goes on with it.
+        """
+        own = [(self.groups.member_id, self._settings.peer_address)]
+        await self.groups.bootstrap_blank(own)
+        if self.configuration.cluster is not None:
+            return
+        command = CreateCluster(
+            change_id="create-cluster",
+            operator=FIRST_OPERATOR,
+            now_s=time.time(),
+            cluster_id=secrets.token_hex(8),
+            session_key=secrets.token_bytes(SESSION_KEY_BYTES),
+            shard_count=self._settings.ledger_shards,
+            admin_key_hash=self._settings.first_operator_key_hash,
+        )
+        result = await self.groups.propose(
+            CONFIGURATION_GROUP, encode_command(command), CREATE_TIMEOUT_S
+        )
+        if result.outcome == "refused" and self.configuration.cluster is None:
+            raise StartRefused(result.message)
+
+    async def _stop(self, server: uvicorn.Server) -> None:
+        LOG.info("planned stop begins")
+        try:
+            await self.groups.hand_over()
+        except ConsensusError as error:
+            LOG.warning("leadership kept", extra={"reason": str(error)})
+        server.should_exit = True
+
+    def _others(self) -> tuple[str, ...]:
+        """Return the peer addresses of all other control processes."""
+        replica = self.groups.replicas[CONFIGURATION_GROUP]
+        members = {member.address for member in replica.status().members}
+        members.update(self._settings.control_addresses)
+        members.discard(self.mesh.address)
+        return tuple(sorted(members))
+
+    def _group_table(self) -> dict[int, Group]:
+        groups = {
+            CONFIGURATION_GROUP: Group(
+                _Observed(self.configuration, self._revision_applied),
+                ChangeResult,
+            )
+        }
+        for number, machine in enumerate(self.shards):
+            groups[FIRST_LEDGER_GROUP + number] = Group(
+                machine, list[LedgerResult]
+            )
+        return groups
+
+    def _revision_applied(self) -> None:
+        self.leases.revision_applied()
+        self.hub.revision_applied()
+
+    def _shard_proposer(self, shard: int) -> Any:
+        async def propose(command: bytes) -> Any:
+            return await self.groups.propose(
+                FIRST_LEDGER_GROUP + shard, command, LEDGER_TIMEOUT_S
+            )
+
+        return propose
+
+    def _received(self, sender: str, message: Any) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(sender, message)
+
+    def _handler_table(self) -> dict[type, Callable[[str, Any], None]]:
+        return {
+            messages.ReplicaPayload: self.groups.receive,
+            messages.LeaseRequest: self.hub.lease_requested,
+            messages.AnnouncementRelay: self._announced,
+            messages.TableUpdate: self.tables.update_received,
+            messages.TableResync: self.tables.resync_received,
+            messages.ControlLeaseRequest: self.leases.request_received,
+            messages.ControlLeaseGranted: self._lease_granted,
+            messages.JoinRequest: self.admissions.receive,
+            messages.SampleReport: self._sampled,
+            messages.LedgerBatch: self._ledger_batch,
+            messages.ProposalForward: self._forwarded,
+            messages.Query: self._queried,
+        }
+
+    def _announced(
+        self, sender: str, message: messages.AnnouncementRelay
+    ) -> None:
+        self.tables.announced(message.announcement)
+
+    def _lease_granted(
+        self, sender: str, message: messages.ControlLeaseGranted
+    ) -> None:
+        self.leases.granted(message)
+
+    def _sampled(self, sender: str, message: messages.SampleReport) -> None:
+        """Take an entry's counts, and pass them on to the leader."""
+        self.keeper.report(message)
+        leader = self.groups.leader_address(CONFIGURATION_GROUP)
+        forwarded = sender in self._others()
+        if leader and leader != self.mesh.address and not forwarded:
+            self.mesh.send(leader, message)
+
+    def _ledger_batch(
+        self, sender: str, message: messages.LedgerBatch
+    ) -> None:
+        self._start(self._answer_batch, sender, message)
+
+    def _forwarded(
+        self, sender: str, message: messages.ProposalForward
+    ) -> None:
+        self._start(self.groups.answer_forward, sender, message)
+
+    def _queried(self, sender: str, message: messages.Query) -> None:
+        self._start(self.backend.answer_query, sender, message)
+
+    def _start(self, function: Any, *arguments: Any) -> None:
+        assert self._tasks is not None
+        self._tasks.start_soon(function, *arguments)
+
+    async def _answer_batch(
+        self, sender: str, message: messages.LedgerBatch
+    ) -> None:
+        if not 0 <= message.shard < len(self.writers):
+            reply = messages.CallReply(message.call_id, "no such shard", b"")
+            self.mesh.send(sender, reply)
+            return
+        try:
+            results = await self.writers[message.shard].submit(message.command)
+        except ControlError as error:
+            reply = messages.CallReply(message.call_id, str(error), b"")
+        else:
+            payload = msgspec.msgpack.encode(results)
+            reply = messages.CallReply(message.call_id, "", payload)
+        self.mesh.send(sender, reply)
+
+
+class _Observed:
+    """A state machine that tells when its revision has risen."""
+
+    def __init__(
+        self, machine: ConfigurationMachine, risen: Callable[[], None]
+    ) -> None:
+        self._machine = machine
+        self._risen = risen
+
+    def apply(self, index: int, command: bytes) -> object:
+        before = self._machine.revision
+        result = self._machine.apply(index, command)
+        if self._machine.revision > before:
+            self._risen()
+        return result
+
+    def snapshot(self) -> bytes:
+        return self._machine.snapshot()
+
+    def restore(self, data: bytes) -> None:
+        self._machine.restore(data)
+        self._risen()
+
+
+class _Server(uvicorn.Server):
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        # Signals belong to the process, which turns them into a planned
+        # stop.
+        yield
+
+
+def _operator_server(process: ControlProcess) -> uvicorn.Server:
+    settings = process._settings
+    authenticate = make_authenticate(
+        lambda: process.configuration.in_force().declarations,
+        settings.first_operator_key_hash,
+    )
+    application: Any = make_operator_app(process.backend, authenticate)
+    return _Server(
+        uvicorn.Config(
+            application,
+            host=settings.operator_host,
+            port=settings.operator_port,
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+        )
+    )
+
+
+
+__all__ = ["ControlProcess"]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/__init__.py
@@ -0,0 +1,1 @@
+"""The way from an entry to its control process."""
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/ledger_client.py
@@ -0,0 +1,153 @@
+"""Records of many requests gathered into few batches for the ledger."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+
+from sycamorestand_model.errors import LedgerUnavailable
+from sycamorestand_model.ledger import LedgerResult
+from sycamorestand_model.ledger import Pin
+from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.errors import PeerTimeout
+from sycamorestand_peer.messages import LedgerBatch
+from sycamorestand_state.ledger import encode_batch
+from sycamorestand_state.ledger import shard_of
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from sycamorestand_model.ledger import LedgerRecord
+    from sycamorestand_peer.mesh import PeerMesh
+
+# Records that come within this time travel together. It is far under the
+# sync that each batch waits for, and at 40 requests a second it already
+# halves the messages.
+GATHER_S: Final = 0.002
+ATTEMPT_TIMEOUT_S: Final = 1.5
+# Two attempts outlive a leader change; a request that waits longer is
+# better answered with what is known.
+TOTAL_TIMEOUT_S: Final = 4.0
+MAX_BATCH_RECORDS: Final = 512
+# A ledger that answers slowly must not gather an unbounded queue here.
+MAX_WAITING_RECORDS: Final = 20_000
+
+
+class _Waiting(NamedTuple):
+    record: LedgerRecord
+    done: anyio.Event
+    outcome: list[LedgerResult]
+
+
+class LedgerClient:
+    """Sends records to the ledger's shards through the control process.
+
+    A batch whose answer is lost is sent again: every record is safe to
+    repeat, as claims, dispatches and outcomes carry their attempt's owner
+    and a charge or a pin is made once a key.
+    """
+
+    def __init__(
+        self,
+        mesh: PeerMesh,
+        control_address: Callable[[], str],
+        shard_count: Callable[[], int],
+    ) -> None:
+        self._mesh = mesh
+        self._control_address = control_address
+        self._shard_count = shard_count
+        self._waiting: dict[int, list[_Waiting]] = {}
+        self._wake = anyio.Event()
+        self.records = 0
+        self.batches = 0
+        self.resends = 0
+
+    async def submit(
+        self, records: Sequence[LedgerRecord]
+    ) -> list[LedgerResult]:
+        """Return the results once the records are durable.
+
+        Raises `LedgerUnavailable` where that could not be established.
+        """
+        queued = sum(len(items) for items in self._waiting.values())
+        if queued + len(records) > MAX_WAITING_RECORDS:
+            raise LedgerUnavailable("too many records wait for the ledger")
+        items = [self._queue(record) for record in records]
+        self._wake.set()
+        for item in items:
+            await item.done.wait()
+        if any(not item.outcome for item in items):
+            raise LedgerUnavailable("the ledger gave no answer in time")
+        return [item.outcome[0] for item in items]
+
+    async def run(self) -> None:
+        """Send what was gathered, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._wake.wait()
+                await anyio.sleep(GATHER_S)
+                self._wake = anyio.Event()
+                for shard, batch in self._take_all():
+                    tasks.start_soon(self._send, shard, batch)
+
+    def _queue(self, record: LedgerRecord) -> _Waiting:
+        key = record.session if isinstance(record, Pin) else record.request_key
+        shard = shard_of(record.customer, key, self._shard_count())
+        item = _Waiting(record, anyio.Event(), [])
+        self._waiting.setdefault(shard, []).append(item)
+        return item
+
+    def _take_all(self) -> list[tuple[int, list[_Waiting]]]:
+        batches = []
+        for shard, items in self._waiting.items():
+            for start in range(0, len(items), MAX_BATCH_RECORDS):
+                batches.append((shard, items[start:][:MAX_BATCH_RECORDS]))
+        self._waiting = {}
+        return batches
+
+    async def _send(self, shard: int, batch: list[_Waiting]) -> None:
+        command = encode_batch([item.record for item in batch], 0.0)
+        try:
+            results = await self._send_until_answered(shard, command)
+            for item, result in zip(batch, results, strict=True):
+                item.outcome.append(result)
+        except LedgerUnavailable:
+            pass
+        finally:
+            for item in batch:
+                item.done.set()
+
+    async def _send_until_answered(
+        self, shard: int, command: bytes
+    ) -> list[LedgerResult]:
+        until_s = boottime_s() + TOTAL_TIMEOUT_S
+        while boottime_s() < until_s:
+            self.batches += 1
+            answer = await self._send_once(shard, command)
+            if answer is not None:
+                return answer
+            self.resends += 1
+        raise LedgerUnavailable("no answer")
+
+    async def _send_once(self, shard: int, command: bytes) -> Any:
+        call_id = self._mesh.next_call_id()
+        message = LedgerBatch(call_id, shard, command)
+        address = self._control_address()
+        try:
+            reply = await self._mesh.call(
+                address, call_id, message, ATTEMPT_TIMEOUT_S
+            )
+        except PeerTimeout:
+            return None
+        if reply.failure:
+            return None
+        return msgspec.msgpack.decode(reply.payload, type=list[LedgerResult])
+
+
+__all__ = ["LedgerClient"]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -0,0 +1,264 @@
+"""An entry's view of its control process, kept over the network."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import anyio
+from anyio.abc import TaskStatus
+import msgspec
+
+from sycamorestand_entry.control.ledger_client import LedgerClient
+from sycamorestand_entry.control.sample_counts import SampleCounts
+from sycamorestand_model.in_force import InForce
+from sycamorestand_peer import messages
+from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.mesh import PeerMesh
+from sycamorestand_state.directory import BackendDirectory
+from sycamorestand_state.directory import DirectoryDelta
+from sycamorestand_state.leases import HeldLease
+from sycamorestand_state.leases import LeaseGrant
+from sycamorestand_state.leases import RENEW_INTERVAL_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from sycamorestand_model.backend_servers import Announcement
+    from sycamorestand_model.ledger import LedgerRecord
+    from sycamorestand_model.ledger import LedgerResult
+    from sycamorestand_model.nodes import EntryAddress
+    from sycamorestand_model.nodes import VersionSample
+
+LOG: Final = logging.getLogger(__name__)
+# Three renewals without a grant: one may be lost, and a control process
+# may be busy, but after this the lease of 2 s needs another granter now.
+MOVE_AFTER_S: Final = 1.2
+REPORT_INTERVAL_S: Final = 2.0
+EXPIRE_INTERVAL_S: Final = 0.2
+BACKEND_SERVERS: Final = "backend_servers"
+
+
+class LinkSettings(NamedTuple):
+    """What an entry needs to find its control process.
+
+    ``control_addresses`` has the nearest first; the first one that
+    answers is kept.
+    """
+
+    vm: str
+    data_centre: str
+    peer_address: str
+    control_addresses: tuple[str, ...]
+    cluster_keys: tuple[bytes, ...]
+    peer_listen: str = ""
+
+
+class ControlLink:
+    """Holds the lease, the configuration, the directory and the addresses.
+
+    It is the entry's `ControlPort`. ``address`` returns where callers
+    reach this entry, with its load.
+    """
+
+    def __init__(
+        self, settings: LinkSettings, address: Callable[[], EntryAddress]
+    ) -> None:
+        self._settings = settings
+        self._address = address
+        self._controls = list(settings.control_addresses)
+        self._control = 0
+        self._lease = HeldLease()
+        self._granted_s = boottime_s()
+        self._in_force = InForce()
+        self._addresses: tuple[EntryAddress, ...] = ()
+        self._stopping = False
+        self._samples = SampleCounts()
+        self._kicked = anyio.Event()
+        self._ready = anyio.Event()
+        self.mesh = PeerMesh(
+            settings.peer_address,
+            lambda: settings.cluster_keys,
+            self._received,
+            settings.peer_listen or None,
+        )
+        self._directory = self._new_directory()
+        self._ledger = LedgerClient(
+            self.mesh,
+            self.control_address,
+            lambda: self._in_force.ledger_shards,
+        )
+        self.moves = 0
+        self.denials = 0
+
+    def in_force(self) -> InForce:
+        """Return the newest configuration that this entry has applied."""
+        return self._in_force
+
+    def lease_remaining_s(self) -> float:
+        """Return how long new work may be accepted; reads the clock."""
+        return self._lease.remaining_s(boottime_s())
+
+    def backend_servers(self) -> Mapping[str, Announcement]:
+        """Return the live backend servers by name."""
+        return self._directory.servers()
+
+    def addresses(self) -> tuple[EntryAddress, ...]:
+        """Return what callers may use, ranked for this data centre."""
+        return self._addresses
+
+    def report(self, sample: VersionSample) -> None:
+        """Count what an attempt on a version showed."""
+        self._samples.add(sample, time.time())
+
+    def set_stopping(self) -> None:
+        """Leave the address answers, beginning with the next renewal."""
+        self._stopping = True
+        self._kicked.set()
+
+    def control_address(self) -> str:
+        """Return the control process that this entry is attached to."""
+        return self._controls[self._control]
+
+    async def announce(self, announcement: Announcement) -> None:
+        """Pass a backend server's announcement on.
+
+        The entry's own directory takes it at once: a server that leaves
+        gets no more work from here, whatever the way through control
+        takes.
+        """
+        self._directory.announce(announcement, boottime_s())
+        message = messages.AnnouncementRelay(announcement)
+        self.mesh.send(self.control_address(), message)
+
+    async def ledger(
+        self, records: Sequence[LedgerRecord]
+    ) -> list[LedgerResult]:
+        """Return the results once the records are durable."""
+        return await self._ledger.submit(records)
+
+    async def run(
+        self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Keep the link until cancelled; started with the first lease."""
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(self.mesh.run)
+            tasks.start_soon(self._renew)
+            tasks.start_soon(self._ledger.run)
+            tasks.start_soon(self._send_reports)
+            tasks.start_soon(self._expire_servers)
+            await self._ready.wait()
+            task_status.started()
+
+    async def _renew(self) -> None:
+        while True:
+            self._kicked = anyio.Event()
+            now_s = boottime_s()
+            if now_s - self._granted_s > MOVE_AFTER_S:
+                self._move(now_s)
+            self.mesh.send(self.control_address(), self._request(now_s))
+            with anyio.move_on_after(RENEW_INTERVAL_S):
+                await self._kicked.wait()
+
+    def _request(self, now_s: float) -> messages.LeaseRequest:
+        epoch, version, digest = self._directory_state()
+        return messages.LeaseRequest(
+            self._address()._replace(stopping=self._stopping),
+            self.mesh.incarnation,
+            now_s,
+            self._in_force.revision,
+            epoch,
+            version,
+            digest,
+        )
+
+    def _move(self, now_s: float) -> None:
+        """Attach to the next control process; this one is silent."""
+        self._control = (self._control + 1) % len(self._controls)
+        self._granted_s = now_s
+        self.moves += 1
+        LOG.info("control changed", extra={"control": self.control_address()})
+
+    def _received(self, sender: str, message: Any) -> None:
+        match message:
+            case messages.LeaseGrantMessage():
+                self._take_grant(message)
+            case messages.LeaseDenied():
+                self._take_denial(sender, message)
+            case messages.ConfigurationPush():
+                self._take_configuration(message.in_force)
+            case messages.TableUpdate():
+                self._take_table(sender, message)
+            case messages.AddressList():
+                self._addresses = message.addresses
+
+    def _take_grant(self, message: messages.LeaseGrantMessage) -> None:
+        self._granted_s = boottime_s()
+        grant = LeaseGrant(message.length_s, message.revision)
+        self._lease.renewed(message.sent_at_s, grant)
+        self._ready.set()
+
+    def _take_denial(
+        self, sender: str, message: messages.LeaseDenied
+    ) -> None:
+        self.denials += 1
+        for address in message.controls:
+            if address not in self._controls:
+                self._controls.append(address)
+        if message.reason == "behind" and sender == self.control_address():
+            # It answers and sends the revision that is missing.
+            self._granted_s = max(self._granted_s, boottime_s() - 0.8)
+
+    def _take_configuration(self, in_force: InForce) -> None:
+        if in_force.revision <= self._in_force.revision:
+            # A control process that lags, or a frame from before a move:
+            # a configuration never reverts.
+            return
+        self._in_force = in_force
+        self._kicked.set()
+
+    def _take_table(self, sender: str, message: messages.TableUpdate) -> None:
+        raise NotImplementedError
+
+    def _directory_state(self) -> tuple[int, int, str]:
+        raise NotImplementedError
+
+    def _new_directory(self) -> BackendDirectory:
+        return BackendDirectory(
+            self._settings.peer_address, self.mesh.incarnation
+        )
+
+    async def _send_reports(self) -> None:
+        sequence = 0
+        while True:
+            await anyio.sleep(REPORT_INTERVAL_S)
+            rows = self._samples.take()
+            if not rows:
+                continue
+            sequence += 1
+            report = messages.SampleReport(
+                self._settings.vm,
+                self.mesh.incarnation,
+                sequence,
+                msgspec.msgpack.encode(rows),
+            )
+            self.mesh.send(self.control_address(), report)
+
+    async def _expire_servers(self) -> None:
+        while True:
+            await anyio.sleep(EXPIRE_INTERVAL_S)
+            for name in self._directory.expire(boottime_s()):
+                LOG.info("backend server gone", extra={"server": name})
+
+
+def _decode_delta(payload: bytes) -> DirectoryDelta:
+    return msgspec.msgpack.decode(payload, type=DirectoryDelta)
+
+
+__all__ = ["ControlLink", "LinkSettings"]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/sample_counts.py
@@ -0,0 +1,54 @@
+"""Samples of versions added up between two reports."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import TYPE_CHECKING
+
+from sycamorestand_decisions.stats_rows import StatsRow
+from sycamorestand_decisions.stats_rows import to_rows
+from sycamorestand_decisions.version_stats import add_sample
+from sycamorestand_decisions.version_stats import empty_stats
+from sycamorestand_decisions.version_stats import VersionStats
+
+if TYPE_CHECKING:
+    from sycamorestand_model.nodes import VersionSample
+
+# An answer rated below this counts as failed; ratings are 0 to 1.
+PASSING_RATING: Final = 0.5
+# A flood of made-up request classes must not grow the report beyond what
+# control may cost; what is over it is left out of the counts.
+MAX_CLASSES: Final = 16
+
+
+class SampleCounts:
+    """Adds samples up, so that a report's size does not follow the load."""
+
+    def __init__(self) -> None:
+        self._stats: dict[str, VersionStats] = {}
+
+    def add(self, sample: VersionSample, now_s: float) -> None:
+        """Count one attempt on a version; ``now_s`` is wall-clock time."""
+        stats = self._stats.setdefault(sample.version, empty_stats())
+        if len(stats.strata) >= MAX_CLASSES:
+            return
+        passed = None
+        if sample.rating is not None:
+            passed = sample.rating >= PASSING_RATING
+        add_sample(
+            stats,
+            sample.request_class,
+            now_s,
+            sample.failed,
+            sample.first_token_ms,
+            passed,
+        )
+
+    def take(self) -> tuple[StatsRow, ...]:
+        """Return all rows and start over."""
+        rows = to_rows(self._stats)
+        self._stats = {}
+        return rows
+
+
+__all__ = ["SampleCounts"]
--- a/packages/sycamorestand-model/src/sycamorestand_model/in_force.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/in_force.py
@@ -20,7 +20,9 @@
     """One revision as entries apply it; a lower revision is ignored.
 
     ``withdrawn`` and ``quarantined`` hold version identities and
-    ``shares`` is by model. ``session_key`` signs session tokens.
+    ``shares`` is by model. ``session_key`` signs session tokens;
+    those that ``previous_session_key`` signed stay valid, as a session
+    outlives a rotation.
     ``ledger_shards`` is fixed by the first start of the cluster.
     """
 
@@ -32,6 +34,7 @@
     draining_vms: tuple[str, ...] = ()
     session_key: bytes = b""
     ledger_shards: int = 1
+    previous_session_key: bytes = b""
 
 
 __all__ = ["InForce", "RolloutShare"]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -17,16 +17,17 @@
     """An entry asks its control process for a configuration lease.
 
     ``sent_at_s`` is the entry's own clock and comes back in the grant,
-    which counts from there. ``directory_version`` belongs to
-    ``directory_origin``, the incarnation of the control process.
+    which counts from there. The directory fields name the state of the
+    entry's directory, so that a gap shows at the next renewal.
     """
 
     address: EntryAddress
     incarnation: int
     sent_at_s: float
     acked_revision: int
-    directory_origin: int = 0
+    directory_epoch: int = 0
     directory_version: int = 0
+    directory_digest: str = ""
 
 
 class LeaseGrantMessage(NamedTuple):
@@ -51,39 +52,23 @@
     in_force: InForce
 
 
-class DirectoryUpdate(NamedTuple):
-    """A change of the directory of backend servers.
+class TableUpdate(NamedTuple):
+    """Encoded changes of a table of soft state, such as backend servers."""
 
-    A ``full`` update replaces all; any other applies only on top of
-    ``from_version``. ``digest`` is over the result, to find gaps.
-    """
-
-    origin: int
-    from_version: int
-    to_version: int
-    full: bool
-    announcements: tuple[Announcement, ...]
-    removed: tuple[str, ...]
-    digest: str
+    table: str
+    payload: bytes
 
 
-class DirectoryResync(NamedTuple):
-    """An entry asks for the whole directory after a gap."""
+class TableResync(NamedTuple):
+    """Asks for the whole table, after a gap in its changes."""
 
-    origin: int
-    version: int
+    table: str
 
 
 class AnnouncementRelay(NamedTuple):
-    """An announcement on its way to every control process.
-
-    ``received_age_s`` is how long ago the first process received it, so
-    that a relayed lease does not start anew.
-    """
+    """A backend server's announcement, from an entry to its control."""
 
     announcement: Announcement
-    received_age_s: float
-    hops: int
 
 
 class AddressList(NamedTuple):
@@ -92,13 +77,6 @@
     addresses: tuple[EntryAddress, ...]
 
 
-class NodeReport(NamedTuple):
-    """One control process tells the others which entries it serves."""
-
-    control: str
-    addresses: tuple[EntryAddress, ...]
-
-
 class LedgerBatch(NamedTuple):
     """Records of one ledger shard, encoded by the state package."""
 
@@ -137,6 +115,15 @@
     control: str
     sent_at_s: float
     acked_revision: int
+    held_revision: int
+
+
+class Query(NamedTuple):
+    """A question that only the leader can answer, as encoded fields."""
+
+    call_id: int
+    kind: str
+    payload: bytes
 
 
 class ControlLeaseGranted(NamedTuple):
@@ -147,27 +134,16 @@
     revision: int
 
 
-class VersionCounts(NamedTuple):
-    """Counts of one version and request class since the last report."""
-
-    version: str
-    request_class: str
-    requests: int
-    errors: int
-    rated: int
-    passed: int
-    first_token_ms_sum: float
-    first_token_ms_max: float
-    first_token_ms_squares: float
-
-
 class SampleReport(NamedTuple):
-    """What a VM saw of versions since its last report."""
+    """What a VM saw of versions since its last report, as encoded rows.
+
+    ``sequence`` grows with each report, so that a doubled one is dropped.
+    """
 
     vm: str
     incarnation: int
     sequence: int
-    counts: tuple[VersionCounts, ...]
+    rows: bytes
 
 
 class JoinRequest(NamedTuple):
@@ -185,18 +161,18 @@
     | LeaseGrantMessage
     | LeaseDenied
     | ConfigurationPush
-    | DirectoryUpdate
-    | DirectoryResync
     | AnnouncementRelay
     | AddressList
-    | NodeReport
     | LedgerBatch
     | ProposalForward
     | CallReply
     | ReplicaPayload
     | ControlLeaseRequest
     | ControlLeaseGranted
+    | Query
     | SampleReport
+    | TableResync
+    | TableUpdate
     | JoinRequest
 )
 
@@ -207,8 +183,6 @@
     "ConfigurationPush",
     "ControlLeaseGranted",
     "ControlLeaseRequest",
-    "DirectoryResync",
-    "DirectoryUpdate",
     "Heartbeat",
     "JoinRequest",
     "LeaseDenied",
@@ -216,9 +190,10 @@
     "LeaseRequest",
     "LedgerBatch",
     "Message",
-    "NodeReport",
     "ProposalForward",
+    "Query",
     "ReplicaPayload",
     "SampleReport",
-    "VersionCounts",
+    "TableResync",
+    "TableUpdate",
 ]
--- /dev/null
+++ b/packages/sycamorestand/src/sycamorestand/entry_process.py
@@ -0,0 +1,66 @@
+"""Joins an entry's data path and its link to control."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sycamorestand_entry.control.link import ControlLink
+from sycamorestand_entry.control.link import LinkSettings
+from sycamorestand_entry.server import serve_entry
+from sycamorestand_entry.settings import EntrySettings
+from sycamorestand_model.keys import hash_key
+from sycamorestand_model.nodes import EntryAddress
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.server import RunningEntry
+
+
+async def run_entry(values: dict[str, Any], stop: anyio.Event) -> None:
+    """Serve callers until ``stop`` is set and the planned stop has ended."""
+    address = EntryAddress(
+        values["vm"], values["data_centre"], values["host"], values["port"]
+    )
+    link = ControlLink(_link_settings(values), lambda: address)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(link.run)
+        async with anyio.create_task_group() as serving:
+            entry = await serving.start(
+                serve_entry, _entry_settings(values), link
+            )
+            serving.start_soon(_stop_when_asked, stop, entry)
+        tasks.cancel_scope.cancel()
+
+
+async def _stop_when_asked(stop: anyio.Event, entry: RunningEntry) -> None:
+    await stop.wait()
+    entry.begin_stop()
+
+
+def _link_settings(values: dict[str, Any]) -> LinkSettings:
+    return LinkSettings(
+        vm=values["vm"],
+        data_centre=values["data_centre"],
+        peer_address=values["peer_address"],
+        control_addresses=values["control_addresses"],
+        cluster_keys=values["cluster_key_file"],
+        peer_listen=values["peer_listen"],
+    )
+
+
+def _entry_settings(values: dict[str, Any]) -> EntrySettings:
+    keys = values["backend_key_file"]
+    return EntrySettings(
+        vm=values["vm"],
+        data_centre=values["data_centre"],
+        host=values["host"],
+        port=values["port"],
+        backend_key_hash=hash_key(keys[0].decode()) if keys else "",
+        rating_url=values["rating_url"],
+        address_ttl_s=values["address_ttl_s"],
+    )
+
+
+__all__ = ["run_entry"]
--- /dev/null
+++ b/packages/sycamorestand/src/sycamorestand/run.py
@@ -0,0 +1,113 @@
+"""The ``sycamorestand`` program: one entry or one control process."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+import logging
+import os
+import signal
+import sys
+from typing import Any
+from typing import Final
+
+import anyio
+import defopt
+
+from sycamorestand.entry_process import run_entry
+from sycamorestand.logs import configure_logging
+from sycamorestand.process_settings import CONTROL_SETTINGS
+from sycamorestand.process_settings import ENTRY_SETTINGS
+from sycamorestand.settings import make_command
+from sycamorestand.settings import read_settings
+from sycamorestand.settings import Setting
+from sycamorestand.settings import SettingsError
+from sycamorestand_control.process import ControlProcess
+from sycamorestand_control.settings import ControlSettings
+from sycamorestand_model.errors import SycamorestandError
+
+LOG: Final = logging.getLogger(__name__)
+EXIT_SETTINGS: Final = 2
+EXIT_FAILED: Final = 1
+
+Serve = Callable[[dict[str, Any], anyio.Event], Awaitable[None]]
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run one process until it is asked to stop; return its status."""
+    commands = {
+        "entry": make_command(
+            "entry",
+            "Stand in front of callers and backend servers.",
+            ENTRY_SETTINGS,
+            _runner("entry", ENTRY_SETTINGS, run_entry),
+        ),
+        "control": make_command(
+            "control",
+            "Be one voter of the replicated log, and serve entries.",
+            CONTROL_SETTINGS,
+            _runner("control", CONTROL_SETTINGS, _run_control),
+        ),
+    }
+    result: int = defopt.run(commands, argv=arguments)
+    return result
+
+
+def _runner(
+    role: str, settings: tuple[Setting, ...], serve: Serve
+) -> Callable[[Mapping[str, str]], int]:
+    def run(flags: Mapping[str, str]) -> int:
+        try:
+            values = read_settings(settings, flags, os.environ)
+        except SettingsError as error:
+            sys.stderr.write(f"{error}\n")
+            return EXIT_SETTINGS
+        configure_logging(values["vm"], role, values["log_level"])
+        return _run_loop(serve, values)
+
+    return run
+
+
+def _run_loop(serve: Serve, values: dict[str, Any]) -> int:
+    # uvloop asks for io_uring at its first loop unless it is told not to;
+    # the product must not use it.
+    os.environ["UV_USE_IO_URING"] = "0"
+    try:
+        anyio.run(
+            _serve_until_signal,
+            serve,
+            values,
+            backend_options={"use_uvloop": True},
+        )
+    except* SycamorestandError as group:
+        for error in group.exceptions:
+            LOG.error("ended", extra={"reason": str(error)})
+        return EXIT_FAILED
+    return 0
+
+
+async def _serve_until_signal(serve: Serve, values: dict[str, Any]) -> None:
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_watch_signals, stop)
+        await serve(values, stop)
+        tasks.cancel_scope.cancel()
+
+
+async def _watch_signals(stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT
+    ) as received:
+        async for _ in received:
+            stop.set()
+
+
+async def _run_control(values: dict[str, Any], stop: anyio.Event) -> None:
+    values = dict(values)
+    values.pop("log_level")
+    values["cluster_keys"] = values.pop("cluster_key_file")
+    await ControlProcess(ControlSettings(**values)).run(stop)
+
+
+__all__ = ["main"]
