A declared fallback takes new work from a quarantined stable version

Cause: a version that turns bad long after its roll-out is quarantined; without a declared successor every request to its model was turned away, so the leader could not act on its own evidence. Before: choose_version gave None.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
@@ -111,9 +111,7 @@
                 return
         self._addresses = list(self._known)
 
-    async def _attempt(
-        self, call: Call, address: str
-    ) -> tuple[Answer, float]:
+    async def _attempt(self, call: Call, address: str) -> tuple[Answer, float]:
         try:
             if call.kind == "chat":
                 return await self._chat(call, address)
@@ -154,9 +152,7 @@
         version = told.get("x-version", "")
         return Answer(call, "answered", "", text, version), 0.0
 
-    async def _service(
-        self, call: Call, address: str
-    ) -> tuple[Answer, float]:
+    async def _service(self, call: Call, address: str) -> tuple[Answer, float]:
         method = "POST" if call.kind == "order" else "GET"
         response = await self._pool.request(
             method,
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/world.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/world.py
@@ -49,9 +49,7 @@
 
     async def start_rating(self, tasks: TaskGroup) -> str:
         """Serve the rating service; return its URL."""
-        address = await tasks.start(
-            serve_application, self.rating.application
-        )
+        address = await tasks.start(serve_application, self.rating.application)
         self.rating_address = f"http://{address}/rate"
         return self.rating_address
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/change_commands.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/change_commands.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import secrets
+import hashlib
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -31,17 +31,17 @@
 
 SESSION_KEY_BYTES: Final = 32
 
-Maker = "Callable[[ChangeRequest, int, float], Command]"
-
 
 def make_command(
-    request: ChangeRequest, revision: int, now_s: float
+    request: ChangeRequest, revision: int, now_s: float, cluster_key: bytes
 ) -> Command:
     """Return the command for a change.
 
     ``revision`` stands in where the client gave no base revision. A
     change that only takes work away needs none at all.
     """
+    if request.kind == "rotate-session-key":
+        return _rotate(request, revision, now_s, cluster_key)
     base = request.base_revision
     if base is None:
         base = ANY_REVISION if request.kind in _UNBASED else revision
@@ -104,17 +104,32 @@
     )
 
 
-def _rotate(request: ChangeRequest, base: int, now_s: float) -> Command:
+def _rotate(
+    request: ChangeRequest, revision: int, now_s: float, cluster_key: bytes
+) -> Command:
+    """Return a rotation whose key follows from the change id.
+
+    A resend through another control process must be the same change, so
+    the new key cannot be drawn anew; it is as secret as the cluster key.
+    """
+    session_key = hashlib.blake2b(
+        request.change_id.encode(),
+        digest_size=SESSION_KEY_BYTES,
+        key=cluster_key[:64],
+    ).digest()
+    base = request.base_revision
     return RotateSessionKey(
         request.change_id,
         request.operator,
-        base,
-        secrets.token_bytes(SESSION_KEY_BYTES),
+        revision if base is None else base,
+        session_key,
         now_s,
     )
 
 
-def _with_reason(kind: Callable[..., Command]) -> Maker:
+def _with_reason(
+    kind: Callable[..., Command],
+) -> Callable[[ChangeRequest, int, float], Command]:
     """Return the maker of a command that has a subject and a reason."""
 
     def make(request: ChangeRequest, base: int, now_s: float) -> Command:
@@ -131,7 +146,7 @@
 
 
 _UNBASED: Final = ("withdraw", "quarantine", "stop-rollout")
-_MAKERS: Final[dict[str, Maker]] = {
+_MAKERS: Final = {
     "apply": _apply,
     "withdraw": _with_reason(Withdraw),
     "reinstate": _with_reason(Reinstate),
@@ -141,7 +156,6 @@
     "lift-quarantine": _with_reason(LiftQuarantine),
     "drain": _with_reason(DrainVm),
     "undrain": _with_reason(UndrainVm),
-    "rotate-session-key": _rotate,
 }
 
 __all__ = ["make_answer", "make_command"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -11,9 +11,11 @@
 import msgspec
 
 from sycamorestand_consensus.errors import ConsensusError
-from sycamorestand_control import errors
 from sycamorestand_control.change_commands import make_answer
 from sycamorestand_control.change_commands import make_command
+from sycamorestand_control.errors import ControlError
+from sycamorestand_control.errors import NoLeader as NoLeaderAnswered
+from sycamorestand_control.errors import OutcomeUnknown as ProposalUnknown
 from sycamorestand_control.explain import explain_subject
 from sycamorestand_control.groups import CONFIGURATION_GROUP
 from sycamorestand_control.operator_api.backend import NoLeader
@@ -39,6 +41,8 @@
 from sycamorestand_state.commands import encode_command
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sycamorestand_control.groups import LogGroups
     from sycamorestand_control.lease_service import LeaseService
     from sycamorestand_control.ledger_reader import LedgerReader
@@ -72,11 +76,15 @@
     ledger: LedgerReader
     admissions: Admissions
     keeper: VersionKeeper
+    cluster_key: Callable[[], bytes]
 
 
 class ControlBackend:
-    """Answers operators at any control process; the leader is asked where
-    only it can know, so that an operator need not find it."""
+    """Answers operators at any control process.
+
+    The leader is asked where only it can know, so that an operator need
+    not find it.
+    """
 
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
@@ -84,14 +92,19 @@
     async def change(self, request: ChangeRequest) -> ChangeAnswer:
         """Commit one change through whichever voter leads."""
         configuration = self._parts.configuration
-        command = make_command(request, configuration.revision, time.time())
+        command = make_command(
+            request,
+            configuration.revision,
+            time.time(),
+            self._parts.cluster_key(),
+        )
         try:
             result = await self._parts.groups.propose(
                 CONFIGURATION_GROUP, encode_command(command), PROPOSE_TIMEOUT_S
             )
-        except errors.NoLeader as error:
+        except NoLeaderAnswered as error:
             raise NoLeader(str(error)) from error
-        except errors.OutcomeUnknown as error:
+        except ProposalUnknown as error:
             raise OutcomeUnknown(str(error)) from error
         return make_answer(result, self._conflicts(request.base_revision))
 
@@ -234,7 +247,7 @@
             return CallReply(message.call_id, "this voter does not lead", b"")
         try:
             payload = await self._lead(message.kind, message.payload)
-        except (ConsensusError, errors.ControlError) as error:
+        except (ConsensusError, ControlError) as error:
             return CallReply(message.call_id, str(error), b"")
         return CallReply(message.call_id, "", payload)
 
@@ -244,7 +257,7 @@
             revision = msgspec.msgpack.decode(payload, type=int)
             answer = self._answer_in_force(revision)
             if answer is None:
-                raise errors.NoLeader("the leader has not caught up yet")
+                raise NoLeaderAnswered("the leader has not caught up yet")
             return msgspec.msgpack.encode(answer)
         if kind == REPLACE:
             old_id, new_id = msgspec.msgpack.decode(
@@ -255,7 +268,7 @@
         if kind == TRANSFER:
             await self._parts.groups.hand_over()
             return b""
-        raise errors.NoLeader(f"question {kind!r} is unknown")
+        raise NoLeaderAnswered(f"question {kind!r} is unknown")
 
     async def _lead_or_ask(
         self, kind: str, payload: bytes, timeout_s: float
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -31,16 +31,26 @@
 from sycamorestand_control.membership import Admissions
 from sycamorestand_control.membership import ask_to_join
 from sycamorestand_control.operator_api.app import make_operator_app
-from sycamorestand_control.operator_api.authentication import (
-    make_authenticate,
-)
+from sycamorestand_control.operator_api.authentication import make_authenticate
 from sycamorestand_control.operator_backend import ControlBackend
 from sycamorestand_control.operator_backend import Parts
 from sycamorestand_control.tables import SharedTables
 from sycamorestand_control.version_keeper import VersionKeeper
 from sycamorestand_model.ledger import LedgerResult
-from sycamorestand_peer import messages
 from sycamorestand_peer.mesh import PeerMesh
+from sycamorestand_peer.messages import AnnouncementRelay
+from sycamorestand_peer.messages import CallReply
+from sycamorestand_peer.messages import ControlLeaseGranted
+from sycamorestand_peer.messages import ControlLeaseRequest
+from sycamorestand_peer.messages import JoinRequest
+from sycamorestand_peer.messages import LeaseRequest
+from sycamorestand_peer.messages import LedgerBatch
+from sycamorestand_peer.messages import ProposalForward
+from sycamorestand_peer.messages import Query
+from sycamorestand_peer.messages import ReplicaPayload
+from sycamorestand_peer.messages import SampleReport
+from sycamorestand_peer.messages import TableResync
+from sycamorestand_peer.messages import TableUpdate
 from sycamorestand_state.commands import CreateCluster
 from sycamorestand_state.commands import encode_command
 from sycamorestand_state.configuration import ConfigurationMachine
@@ -50,7 +60,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sycamorestand_consensus.replica import StateMachine
     from sycamorestand_control.settings import ControlSettings
 
 LOG: Final = logging.getLogger(__name__)
@@ -114,6 +123,7 @@
                 LedgerReader(self.shards),
                 self.admissions,
                 self.keeper,
+                lambda: settings.cluster_keys[0],
             )
         )
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -235,31 +245,29 @@
 
     def _handler_table(self) -> dict[type, Callable[[str, Any], None]]:
         return {
-            messages.ReplicaPayload: self.groups.receive,
-            messages.LeaseRequest: self.hub.lease_requested,
-            messages.AnnouncementRelay: self._announced,
-            messages.TableUpdate: self.tables.update_received,
-            messages.TableResync: self.tables.resync_received,
-            messages.ControlLeaseRequest: self.leases.request_received,
-            messages.ControlLeaseGranted: self._lease_granted,
-            messages.JoinRequest: self.admissions.receive,
-            messages.SampleReport: self._sampled,
-            messages.LedgerBatch: self._ledger_batch,
-            messages.ProposalForward: self._forwarded,
-            messages.Query: self._queried,
+            ReplicaPayload: self.groups.receive,
+            LeaseRequest: self.hub.lease_requested,
+            AnnouncementRelay: self._announced,
+            TableUpdate: self.tables.update_received,
+            TableResync: self.tables.resync_received,
+            ControlLeaseRequest: self.leases.request_received,
+            ControlLeaseGranted: self._lease_granted,
+            JoinRequest: self.admissions.receive,
+            SampleReport: self._sampled,
+            LedgerBatch: self._ledger_batch,
+            ProposalForward: self._forwarded,
+            Query: self._queried,
         }
 
-    def _announced(
-        self, sender: str, message: messages.AnnouncementRelay
-    ) -> None:
+    def _announced(self, sender: str, message: AnnouncementRelay) -> None:
         self.tables.announced(message.announcement)
 
     def _lease_granted(
-        self, sender: str, message: messages.ControlLeaseGranted
+        self, sender: str, message: ControlLeaseGranted
     ) -> None:
         self.leases.granted(message)
 
-    def _sampled(self, sender: str, message: messages.SampleReport) -> None:
+    def _sampled(self, sender: str, message: SampleReport) -> None:
         """Take an entry's counts, and pass them on to the leader."""
         self.keeper.report(message)
         leader = self.groups.leader_address(CONFIGURATION_GROUP)
@@ -267,37 +275,31 @@
         if leader and leader != self.mesh.address and not forwarded:
             self.mesh.send(leader, message)
 
-    def _ledger_batch(
-        self, sender: str, message: messages.LedgerBatch
-    ) -> None:
+    def _ledger_batch(self, sender: str, message: LedgerBatch) -> None:
         self._start(self._answer_batch, sender, message)
 
-    def _forwarded(
-        self, sender: str, message: messages.ProposalForward
-    ) -> None:
+    def _forwarded(self, sender: str, message: ProposalForward) -> None:
         self._start(self.groups.answer_forward, sender, message)
 
-    def _queried(self, sender: str, message: messages.Query) -> None:
+    def _queried(self, sender: str, message: Query) -> None:
         self._start(self.backend.answer_query, sender, message)
 
     def _start(self, function: Any, *arguments: Any) -> None:
         assert self._tasks is not None
         self._tasks.start_soon(function, *arguments)
 
-    async def _answer_batch(
-        self, sender: str, message: messages.LedgerBatch
-    ) -> None:
+    async def _answer_batch(self, sender: str, message: LedgerBatch) -> None:
         if not 0 <= message.shard < len(self.writers):
-            reply = messages.CallReply(message.call_id, "no such shard", b"")
+            reply = CallReply(message.call_id, "no such shard", b"")
             self.mesh.send(sender, reply)
             return
         try:
             results = await self.writers[message.shard].submit(message.command)
         except ControlError as error:
-            reply = messages.CallReply(message.call_id, str(error), b"")
+            reply = CallReply(message.call_id, str(error), b"")
         else:
             payload = msgspec.msgpack.encode(results)
-            reply = messages.CallReply(message.call_id, "", payload)
+            reply = CallReply(message.call_id, "", payload)
         self.mesh.send(sender, reply)
 
 
@@ -355,5 +357,4 @@
     )
 
 
-
 __all__ = ["ControlProcess"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
@@ -20,6 +20,7 @@
 from sycamorestand_decisions.verdicts import Stop
 from sycamorestand_decisions.version_stats import empty_stats
 from sycamorestand_decisions.version_watch import VersionWatch
+from sycamorestand_decisions.versions import choose_version
 from sycamorestand_decisions.versions import may_run
 from sycamorestand_model.declarations import version_id
 from sycamorestand_model.declarations import VERSION_SEPARATOR
@@ -110,9 +111,7 @@
                 commands.append(_quarantine(version, verdict, now_s))
         return commands
 
-    def _judge(
-        self, model: str, run: _Run, now_s: float
-    ) -> Command | None:
+    def _judge(self, model: str, run: _Run, now_s: float) -> Command | None:
         verdict = run.monitor.check(now_s)
         self.verdicts[model] = verdict.reason
         if isinstance(verdict, Stop):
@@ -214,12 +213,10 @@
         model = in_force.declarations.models.get(model_name)
         if model is None or not may_run(identity, model, in_force):
             return False
-        others = (
-            version_id(model_name, name)
-            for name in model.versions
-            if version_id(model_name, name) != identity
+        without = in_force._replace(
+            quarantined=(*in_force.quarantined, identity)
         )
-        return any(may_run(other, model, in_force) for other in others)
+        return choose_version(model, without, 0.0) is not None
 
 
 def _quarantine(version: str, verdict: Stop, now_s: float) -> Quarantine:
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/versions.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/versions.py
@@ -33,14 +33,15 @@
     stable = version_id(model.name, model.stable)
     usable = _usable(stable, model, in_force, allowed)
     rollout = in_force.shares.get(model.name)
-    if rollout is None:
-        return stable if usable else None
-    new = _identity(model.name, rollout.version)
-    if not _usable(new, model, in_force, allowed):
-        return stable if usable else None
-    if random_unit < rollout.share or (not usable and rollout.share > 0):
-        return new
-    return stable if usable else None
+    if rollout is not None:
+        new = _identity(model.name, rollout.version)
+        wanted = random_unit < rollout.share
+        wanted = wanted or (not usable and rollout.share > 0)
+        if wanted and _usable(new, model, in_force, allowed):
+            return new
+    if usable:
+        return stable
+    return _fallback(model, in_force, allowed)
 
 
 def may_run(identity: str, model: Model, in_force: InForce) -> bool:
@@ -63,6 +64,20 @@
     return allowed is None or identity in allowed
 
 
+def _fallback(
+    model: Model, in_force: InForce, allowed: Collection[str] | None
+) -> str | None:
+    """Return the declared fallback where it may be used.
+
+    Which version takes over is the operators' word: one that is declared
+    and not rolled out yet must not get all the work by chance.
+    """
+    if not model.fallback:
+        return None
+    identity = version_id(model.name, model.fallback)
+    return identity if _usable(identity, model, in_force, allowed) else None
+
+
 def _identity(model_name: str, version: str) -> str:
     if VERSION_SEPARATOR in version:
         return version
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -16,9 +16,16 @@
 from sycamorestand_entry.control.ledger_client import LedgerClient
 from sycamorestand_entry.control.sample_counts import SampleCounts
 from sycamorestand_model.in_force import InForce
-from sycamorestand_peer import messages
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.mesh import PeerMesh
+from sycamorestand_peer.messages import AddressList
+from sycamorestand_peer.messages import AnnouncementRelay
+from sycamorestand_peer.messages import ConfigurationPush
+from sycamorestand_peer.messages import LeaseDenied
+from sycamorestand_peer.messages import LeaseGrantMessage
+from sycamorestand_peer.messages import LeaseRequest
+from sycamorestand_peer.messages import SampleReport
+from sycamorestand_peer.messages import TableUpdate
 from sycamorestand_state.directory import BackendDirectory
 from sycamorestand_state.directory import DirectoryDelta
 from sycamorestand_state.leases import HeldLease
@@ -134,7 +141,7 @@
         takes.
         """
         self._directory.announce(announcement, boottime_s())
-        message = messages.AnnouncementRelay(announcement)
+        message = AnnouncementRelay(announcement)
         self.mesh.send(self.control_address(), message)
 
     async def ledger(
@@ -166,9 +173,9 @@
             with anyio.move_on_after(RENEW_INTERVAL_S):
                 await self._kicked.wait()
 
-    def _request(self, now_s: float) -> messages.LeaseRequest:
+    def _request(self, now_s: float) -> LeaseRequest:
         epoch, version, digest = self._directory_state()
-        return messages.LeaseRequest(
+        return LeaseRequest(
             self._address()._replace(stopping=self._stopping),
             self.mesh.incarnation,
             now_s,
@@ -187,26 +194,24 @@
 
     def _received(self, sender: str, message: Any) -> None:
         match message:
-            case messages.LeaseGrantMessage():
+            case LeaseGrantMessage():
                 self._take_grant(message)
-            case messages.LeaseDenied():
+            case LeaseDenied():
                 self._take_denial(sender, message)
-            case messages.ConfigurationPush():
+            case ConfigurationPush():
                 self._take_configuration(message.in_force)
-            case messages.TableUpdate():
+            case TableUpdate():
                 self._take_table(sender, message)
-            case messages.AddressList():
+            case AddressList():
                 self._addresses = message.addresses
 
-    def _take_grant(self, message: messages.LeaseGrantMessage) -> None:
+    def _take_grant(self, message: LeaseGrantMessage) -> None:
         self._granted_s = boottime_s()
         grant = LeaseGrant(message.length_s, message.revision)
         self._lease.renewed(message.sent_at_s, grant)
         self._ready.set()
 
-    def _take_denial(
-        self, sender: str, message: messages.LeaseDenied
-    ) -> None:
+    def _take_denial(self, sender: str, message: LeaseDenied) -> None:
         self.denials += 1
         for address in message.controls:
             if address not in self._controls:
@@ -223,7 +228,7 @@
         self._in_force = in_force
         self._kicked.set()
 
-    def _take_table(self, sender: str, message: messages.TableUpdate) -> None:
+    def _take_table(self, sender: str, message: TableUpdate) -> None:
         raise NotImplementedError
 
     def _directory_state(self) -> tuple[int, int, str]:
@@ -242,7 +247,7 @@
             if not rows:
                 continue
             sequence += 1
-            report = messages.SampleReport(
+            report = SampleReport(
                 self._settings.vm,
                 self.mesh.incarnation,
                 sequence,
--- a/packages/sycamorestand-model/src/sycamorestand_model/check.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/check.py
@@ -51,6 +51,7 @@
     for model in subject.declarations.models.values():
         place = place_of(subject, "models", model.name)
         _check_stable(model, place, subject.findings)
+        _check_fallback(model, place, subject.findings)
         _check_prices(model, place, subject.findings)
 
 
@@ -67,6 +68,18 @@
         )
 
 
+def _check_fallback(model: Model, place: Place, findings: Findings) -> None:
+    here = inside(place, "fallback")
+    if model.fallback and model.fallback not in model.versions:
+        findings.error(here, "names no version of the model", UNKNOWN_REMEDY)
+    elif model.fallback and model.fallback == model.stable:
+        findings.error(
+            here,
+            "the fallback is the stable version itself",
+            "name another version, or leave it out",
+        )
+
+
 def _check_prices(model: Model, place: Place, findings: Findings) -> None:
     for version in model.versions.values():
         here = inside(inside(place, "versions"), version.name)
--- a/packages/sycamorestand-model/src/sycamorestand_model/declarations.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/declarations.py
@@ -25,12 +25,17 @@
 
 
 class Model(NamedTuple):
-    """A model, its versions by name, and the one that new work goes to."""
+    """A model, its versions by name, and the one that new work goes to.
+
+    ``fallback`` takes the new work while ``stable`` is quarantined or
+    withdrawn; empty means that such work is turned away.
+    """
 
     name: str
     stable: str
     versions: dict[str, Version]
     pinned_servers: int = 1
+    fallback: str = ""
 
 
 class CascadeStep(NamedTuple):
--- a/packages/sycamorestand-model/src/sycamorestand_model/readers.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/readers.py
@@ -48,6 +48,15 @@
     return read
 
 
+def optional(reader: Reader) -> Reader:
+    """Read an empty text as nothing, anything else as ``reader`` does."""
+
+    def read(raw: object, place: Place, findings: Findings) -> Any:
+        return "" if raw == "" else reader(raw, place, findings)
+
+    return read
+
+
 def check_name(
     text: str, max_characters: int, place: Place, findings: Findings
 ) -> bool:
@@ -251,6 +260,7 @@
     "key_hash",
     "name",
     "number",
+    "optional",
     "Reader",
     "record",
     "whole",
--- a/packages/sycamorestand-model/src/sycamorestand_model/shapes.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/shapes.py
@@ -40,6 +40,7 @@
 from sycamorestand_model.readers import key_hash
 from sycamorestand_model.readers import name
 from sycamorestand_model.readers import number
+from sycamorestand_model.readers import optional
 from sycamorestand_model.readers import Reader
 from sycamorestand_model.readers import record
 from sycamorestand_model.readers import whole
@@ -162,6 +163,7 @@
         "stable": Field(_VERSION_NAME, required=True),
         "versions": Field(_versions, required=True),
         "pinned_servers": Field(whole(0, MAX_PINNED_SERVERS)),
+        "fallback": Field(optional(_VERSION_NAME)),
     },
 )
 
--- a/packages/sycamorestand-model/tests/test_plan.py
+++ b/packages/sycamorestand-model/tests/test_plan.py
@@ -28,7 +28,7 @@
 def declarations() -> Declarations:
     versions = {name: Version("cheap", name, 10, 20) for name in ("1", "2")}
     return Declarations(
-        models={"cheap": Model("cheap", "1", versions)},
+        models={"cheap": Model("cheap", "1", versions, fallback="2")},
         profiles={"help": Profile("help", (CascadeStep("cheap"),), 0.9)},
         customers={
             "acme": Customer("acme", (KEY_HASH,), ("help",), ("cheap",))
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -8,27 +8,45 @@
 import msgspec
 
 from sycamorestand_model.errors import WireError
-from sycamorestand_peer import messages
+from sycamorestand_peer.messages import AddressList
+from sycamorestand_peer.messages import AnnouncementRelay
+from sycamorestand_peer.messages import CallReply
+from sycamorestand_peer.messages import ConfigurationPush
+from sycamorestand_peer.messages import ControlLeaseGranted
+from sycamorestand_peer.messages import ControlLeaseRequest
+from sycamorestand_peer.messages import Heartbeat
+from sycamorestand_peer.messages import JoinRequest
+from sycamorestand_peer.messages import LeaseDenied
+from sycamorestand_peer.messages import LeaseGrantMessage
+from sycamorestand_peer.messages import LeaseRequest
+from sycamorestand_peer.messages import LedgerBatch
+from sycamorestand_peer.messages import Message
+from sycamorestand_peer.messages import ProposalForward
+from sycamorestand_peer.messages import Query
+from sycamorestand_peer.messages import ReplicaPayload
+from sycamorestand_peer.messages import SampleReport
+from sycamorestand_peer.messages import TableResync
+from sycamorestand_peer.messages import TableUpdate
 
 _TYPES: Final[dict[int, type]] = {
-    1: messages.Heartbeat,
-    2: messages.LeaseRequest,
-    3: messages.LeaseGrantMessage,
-    4: messages.LeaseDenied,
-    5: messages.ConfigurationPush,
-    6: messages.TableUpdate,
-    7: messages.Query,
-    8: messages.AnnouncementRelay,
-    9: messages.AddressList,
-    10: messages.TableResync,
-    11: messages.LedgerBatch,
-    12: messages.ProposalForward,
-    13: messages.CallReply,
-    14: messages.ReplicaPayload,
-    15: messages.ControlLeaseRequest,
-    16: messages.ControlLeaseGranted,
-    17: messages.SampleReport,
-    18: messages.JoinRequest,
+    1: Heartbeat,
+    2: LeaseRequest,
+    3: LeaseGrantMessage,
+    4: LeaseDenied,
+    5: ConfigurationPush,
+    6: TableUpdate,
+    7: Query,
+    8: AnnouncementRelay,
+    9: AddressList,
+    10: TableResync,
+    11: LedgerBatch,
+    12: ProposalForward,
+    13: CallReply,
+    14: ReplicaPayload,
+    15: ControlLeaseRequest,
+    16: ControlLeaseGranted,
+    17: SampleReport,
+    18: JoinRequest,
 }
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
 _DECODERS: Final[dict[int, msgspec.msgpack.Decoder[Any]]] = {
@@ -37,7 +55,7 @@
 _ENCODER: Final = msgspec.msgpack.Encoder()
 
 
-def encode(message: messages.Message) -> tuple[int, bytes]:
+def encode(message: Message) -> tuple[int, bytes]:
     """Return a message's type code and its bytes."""
     return _CODES[type(message)], _ENCODER.encode(message)
 
--- a/packages/sycamorestand-state/src/sycamorestand_state/configuration_state.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration_state.py
@@ -87,6 +87,10 @@
         shares=shares,
         draining_vms=tuple(sorted(state.draining_vms)),
         session_key=state.session_key,
+        previous_session_key=state.previous_session_key,
+        ledger_shards=(
+            state.cluster.shard_count if state.cluster is not None else 1
+        ),
     )
 
 
--- a/packages/sycamorestand/src/sycamorestand/run.py
+++ b/packages/sycamorestand/src/sycamorestand/run.py
@@ -96,9 +96,7 @@
 
 
 async def _watch_signals(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT
-    ) as received:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
         async for _ in received:
             stop.set()
 
