Roll-outs and watches measured; references carry three deviations

Cause: at 1.6 deviations of the reference one of five healthy watches was stopped (an error in the reference is the same at every look), and one of five roll-outs bad for one class was completed. Change: three deviations, a past of at least 1,000 requests, ratings of each class before each step, blocks of ten minutes, one pass a signal.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/comparison.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/comparison.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from functools import reduce
 from math import sqrt
 from typing import Final
 from typing import Literal
@@ -36,9 +36,11 @@
     "ratings": 0.02,
     "latency": 0.05,
 }
-# Standard deviations added for the reference's own uncertainty: 1.6 is
-# its 95 % bound, which the margin then adds to.
-REFERENCE_DEVIATIONS: Final = 1.6
+# Standard deviations added for the reference's own uncertainty. An error
+# in the reference is the same at every look, so the test does not average
+# it out: at 1.6 a watch of healthy versions stopped one of five.
+REFERENCE_DEVIATIONS: Final = 3.0
+MIN_VARIANCE: Final = 1e-4
 # A stratum with few requests leans on its class with this weight.
 CLASS_WEIGHT: Final = 50.0
 SLOW_SHARE: Final = 0.1
@@ -74,87 +76,118 @@
     reference: VersionStats,
     version: VersionStats,
     signal: Signal,
-    request_class: str | None = None,
     extra: float = 0.0,
-) -> Evidence:
-    """Return the evidence that the version is worse in one signal.
+) -> list[Evidence]:
+    """Return the evidence in one signal, overall first, then by class.
 
     ``extra`` is added to the expected rate: harm that hits every version
     alike and thus is not this version's.
     """
     count = _counter(reference, signal)
-    by_class: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
-    for stratum, counts in reference.strata.items():
-        bad, total = count(stratum.request_class, counts)
-        by_class[stratum.request_class][0] += bad
-        by_class[stratum.request_class][1] += total
-    bads = totals = 0
-    expected = variance = 0.0
+    by_class = _totals_by_class(reference, count)
+    sums: dict[str, _Sums] = {}
     for stratum, counts in version.strata.items():
-        if request_class not in (None, stratum.request_class):
-            continue
-        class_bad, class_total = by_class[stratum.request_class]
-        bad, total = count(stratum.request_class, counts)
-        if not class_total or not total:
+        name = stratum.request_class
+        whole = by_class.get(name, NOTHING)
+        bad, total = count(name, counts)
+        if not whole.total or not total:
             continue
         own = reference.strata.get(stratum)
-        own_bad, own_total = (
-            count(stratum.request_class, own) if own else (0, 0)
+        own_bad, own_total = count(name, own) if own else NOTHING
+        weight = min(CLASS_WEIGHT, whole.total)
+        class_rate = (whole.bad + 0.5) / (whole.total + 1.0)
+        rate = (own_bad + weight * class_rate) / (own_total + weight)
+        spread = max(rate * (1.0 - rate), MIN_VARIANCE)
+        found = _Sums(
+            bad, total, total * rate, total**2 * spread / (own_total + weight)
         )
-        weight = min(CLASS_WEIGHT, class_total)
-        class_rate = (class_bad + 0.5) / (class_total + 1.0)
-        rate = own_bad + weight * class_rate
-        rate /= own_total + weight
-        bads += bad
-        totals += total
-        expected += total * rate
-        spread = max(rate * (1.0 - rate), 1e-4) / (own_total + weight)
-        variance += total * total * spread
-    if totals < MIN_TOTAL:
-        return Evidence(signal, request_class, bads, totals, 1.0, 0.0)
-    bound = (expected + REFERENCE_DEVIATIONS * sqrt(variance)) / totals
-    bound = min(1.0, bound + MARGINS[signal] + extra)
-    found = log_evidence(bads, totals, bound)
-    return Evidence(signal, request_class, bads, totals, bound, found)
+        sums[name] = _added(sums.get(name, NO_SUMS), found)
+    overall = reduce(_added, sums.values(), NO_SUMS)
+    evidence = [_evidence(signal, None, overall, extra)]
+    if len(sums) > 1:
+        for name in sorted(sums):
+            evidence.append(_evidence(signal, name, sums[name], extra))
+    return evidence
 
 
 def compare_all(
     reference: VersionStats, version: VersionStats
 ) -> list[Evidence]:
     """Return the evidence of every signal, overall and by class."""
-    groups: tuple[str | None, ...] = (None, *version.classes())
-    if len(groups) == 2:
-        groups = (None,)
     return [
-        compare(reference, version, signal, group)
+        evidence
         for signal in SIGNALS
-        for group in groups
+        for evidence in compare(reference, version, signal)
     ]
 
 
-def rate_of(stats: VersionStats, signal: Signal) -> tuple[float, int]:
-    """Return a signal's rate and count; latency against its own edge."""
-    count = _counter(stats, signal)
-    bads = totals = 0
-    for stratum, counts in stats.strata.items():
-        bad, total = count(stratum.request_class, counts)
-        bads += bad
-        totals += total
-    return (bads / totals if totals else 0.0), totals
-
-
 def rise(
     reference: VersionStats, recent: VersionStats, signal: Signal
 ) -> tuple[float, int]:
     """Return how much a signal's rate rose since, and out of how many."""
     count = _counter(reference, signal)
-    rates = []
-    for stats in (reference, recent):
-        pairs = [count(s.request_class, c) for s, c in stats.strata.items()]
-        bad = sum(pair[0] for pair in pairs)
-        total = sum(pair[1] for pair in pairs)
-        rates.append((bad / total if total else 0.0, total))
-    return rates[1][0] - rates[0][0], min(rates[0][1], rates[1][1])
+    before = _totals(reference, count)
+    after = _totals(recent, count)
+    if not before.total or not after.total:
+        return 0.0, 0
+    risen = after.bad / after.total - before.bad / before.total
+    return risen, min(before.total, after.total)
+
+
+class _Count(NamedTuple):
+    bad: int
+    total: int
+
+
+class _Sums(NamedTuple):
+    bad: int
+    total: int
+    expected: float
+    variance: float
+
+
+NOTHING: Final = _Count(0, 0)
+NO_SUMS: Final = _Sums(0, 0, 0.0, 0.0)
+
+
+def _added(one: _Sums, two: _Sums) -> _Sums:
+    return _Sums(
+        one.bad + two.bad,
+        one.total + two.total,
+        one.expected + two.expected,
+        one.variance + two.variance,
+    )
+
+
+def _evidence(
+    signal: Signal, name: str | None, sums: _Sums, extra: float
+) -> Evidence:
+    if sums.total < MIN_TOTAL:
+        return Evidence(signal, name, sums.bad, sums.total, 1.0, 0.0)
+    unsure = REFERENCE_DEVIATIONS * sqrt(sums.variance)
+    bound = (sums.expected + unsure) / sums.total
+    bound = min(1.0, bound + MARGINS[signal] + extra)
+    found = log_evidence(sums.bad, sums.total, bound)
+    return Evidence(signal, name, sums.bad, sums.total, bound, found)
+
+
+def _totals(stats: VersionStats, count: Counter) -> _Count:
+    bad = total = 0
+    for stratum, counts in stats.strata.items():
+        found = count(stratum.request_class, counts)
+        bad += found[0]
+        total += found[1]
+    return _Count(bad, total)
+
+
+def _totals_by_class(stats: VersionStats, count: Counter) -> dict[str, _Count]:
+    totals: dict[str, _Count] = {}
+    for stratum, counts in stats.strata.items():
+        name = stratum.request_class
+        bad, total = count(name, counts)
+        known = totals.get(name, NOTHING)
+        totals[name] = _Count(known.bad + bad, known.total + total)
+    return totals
 
 
 def _counter(reference: VersionStats, signal: Signal) -> Counter:
@@ -209,7 +242,6 @@
     "compare_all",
     "Evidence",
     "MIN_TOTAL",
-    "rate_of",
     "rise",
     "Signal",
     "SIGNALS",
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
@@ -34,6 +34,7 @@
 from sycamorestand_decisions.version_stats import add_sample
 from sycamorestand_decisions.version_stats import empty_stats
 from sycamorestand_decisions.version_stats import merge
+from sycamorestand_decisions.version_stats import rated_by_class
 from sycamorestand_decisions.version_stats import VersionStats
 from sycamorestand_decisions.version_watch import VersionWatch
 from sycamorestand_model.declarations import Objective
@@ -44,11 +45,18 @@
 # Ratings that a step needs where ratings come at all: thirty show a drop
 # of 20 points to about two standard deviations.
 MIN_RATED: Final = 30
+# Ratings of each class that the last step needs, half as many for each
+# step before. A class 20 points worse is found after about 120; without
+# this one roll-out of five that was bad for one class was completed.
+CLASS_RATED_AT_LAST: Final = 120
+# Classes under this share of the ratings would hold every roll-out up.
+SMALL_CLASS_SHARE: Final = 0.05
 
 
 class StepStart(NamedTuple):
     """Where the counts stood when the current step began."""
 
+    step: int = 0
     started_s: float = 0.0
     requests: int = 0
     rated: int = 0
@@ -95,7 +103,7 @@
         self.rollout = rollout
         self.step = step
         self._objective = objective
-        self._start = StepStart(started_s=now_s)
+        self._start = StepStart(step, now_s)
         self.old = empty_stats()
         self.new = empty_stats()
 
@@ -138,7 +146,9 @@
         if self.step + 1 >= len(self.rollout.shares):
             return False
         self.step += 1
-        self._start = StepStart(now_s, self.new.requests, self.new.rated)
+        self._start = StepStart(
+            self.step, now_s, self.new.requests, self.new.rated
+        )
         return True
 
 
@@ -159,12 +169,30 @@
     rated = new.rated - start.rated
     if old.rated and rated < MIN_RATED:
         return Continue(f"{rated} of {MIN_RATED} ratings")
+    lacking = _class_lacking_ratings(old, new, len(rollout.shares), start)
+    if lacking is not None:
+        return Continue(f"too few ratings of class {lacking}")
     worst = max(evidence, key=_strength)
     if worst.log_evidence >= SUSPECT_LOG_EVIDENCE:
         return Continue(f"suspect {worst.text()}")
     return Advance(f"healthy after {requests} requests, {rated} rated")
 
 
+def _class_lacking_ratings(
+    old: VersionStats, new: VersionStats, steps: int, start: StepStart
+) -> str | None:
+    """Return a class that is rated too little for the next step."""
+    needed = CLASS_RATED_AT_LAST / 2 ** max(0, steps - 1 - start.step)
+    old_rated, new_rated = rated_by_class(old), rated_by_class(new)
+    total = sum(old_rated.values())
+    for name, rated in sorted(old_rated.items()):
+        if rated < SMALL_CLASS_SHARE * total:
+            continue
+        if new_rated.get(name, 0) < needed:
+            return name
+    return None
+
+
 def _strength(evidence: Evidence) -> float:
     return evidence.log_evidence
 
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_stats.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_stats.py
@@ -15,9 +15,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Two minutes: the mix and the rating service rarely change within, and a
-# day of six classes is a few thousand counts.
-BLOCK_S: Final = 120.0
+# Ten minutes: what changes within a block hits both versions by their
+# shares, which are steady within it, and a day of six classes is under a
+# thousand counts.
+BLOCK_S: Final = 600.0
 # Upper edges of latency buckets; each is about 1.4 times the one before.
 LATENCY_EDGES_MS: Final = tuple(round(10 * 2 ** (i / 2)) for i in range(30))
 
@@ -113,6 +114,15 @@
     return VersionStats(strata)
 
 
+def rated_by_class(stats: VersionStats) -> dict[str, int]:
+    """Return the ratings of each class."""
+    rated: dict[str, int] = {}
+    for stratum, counts in stats.strata.items():
+        known = rated.get(stratum.request_class, 0)
+        rated[stratum.request_class] = known + counts.rated
+    return rated
+
+
 def select(
     stats: VersionStats,
     request_class: str | None = None,
@@ -151,6 +161,7 @@
     "empty_stats",
     "LATENCY_EDGES_MS",
     "merge",
+    "rated_by_class",
     "select",
     "Stratum",
     "VersionStats",
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_watch.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_watch.py
@@ -35,9 +35,12 @@
 
 LIMIT: Final = log(1e6)
 SUSPECT: Final = log(100.0)
-# Recent blocks that are looked at together: one finds a sudden failure
-# under much traffic, sixteen (half an hour) a slow one under little.
-WINDOWS: Final = (1, 4, 16)
+# Recent blocks of ten minutes that are looked at together: one finds a
+# sudden failure, six (an hour) one under little traffic or in one class.
+WINDOWS: Final = (1, 3, 6)
+# A past of fewer requests is no measure: what is slow for a version, for
+# example, would come from a few dozen answers.
+MIN_PAST: Final = 1_000
 # The past that counts as normal. It ends before the longest window, so
 # that a slow fall does not become what is normal.
 PAST_REQUESTS: Final = 20_000
@@ -73,7 +76,7 @@
 
     def _judge(self, version: str, block: int) -> Continue | Stop | None:
         past = self._past.get(version)
-        if past is None:
+        if past is None or past.requests < MIN_PAST:
             return None
         found: list[Evidence] = []
         unconfirmed: list[Evidence] = []
@@ -81,14 +84,9 @@
             recent = select(self._recent[version], None, block - window + 1)
             for signal in SIGNALS:
                 common = self._common_rise(version, signal, block, window)
-                for group in (None, *recent.classes()):
-                    evidence = compare(
-                        past, recent, signal, group, max(0.0, common or 0.0)
-                    )
-                    if common is None:
-                        unconfirmed.append(evidence)
-                    else:
-                        found.append(evidence)
+                extra = max(0.0, common or 0.0)
+                evidence = compare(past, recent, signal, extra)
+                (unconfirmed if common is None else found).extend(evidence)
         return _verdict(found, unconfirmed)
 
     def _common_rise(
