Relay: plain events are written without waking the stream's task

A wake-up of the task passes five nested coroutines, an ASGI message and uvicorn's send for each token. The upstream protocol now hands a read to a sink, which forwards it at once if it is the plain middle of a stream and the caller reads; all else wakes the task as before. The callers' side gets its own protocol class: limits on the head, and refusals of malformed requests as JSON.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/application.py
@@ -20,6 +20,7 @@
 from sycamorestand_entry.http_messages import Request
 from sycamorestand_entry.http_messages import Responder
 from sycamorestand_entry.http_messages import Send
+from sycamorestand_entry.http_protocol import WRITE_NOW
 from sycamorestand_entry.listings import answer_addresses
 from sycamorestand_entry.listings import answer_health
 from sycamorestand_entry.listings import answer_metrics
@@ -50,7 +51,8 @@
     """Return the application that answers every request of the entry."""
 
     async def application(scope: Any, receive: Receive, send: Send) -> None:
-        responder = Responder(send, context.stopping)
+        write_now = scope.get("extensions", {}).get(WRITE_NOW)
+        responder = Responder(send, context.stopping, write_now)
         path = scope["path"]
         result = "ok"
         try:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/delivery.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/delivery.py
@@ -60,6 +60,7 @@
         while events := await run.next_events():
             if not run.released:
                 run.released = True
+                run.write_now = responder.write_now
                 await responder.start(200, _headers(delivery, EVENT_STREAM))
             await responder.write(events)
         ending = await _charge(delivery)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -20,6 +20,7 @@
 from sycamorestand_entry.gate import may_dispatch
 from sycamorestand_entry.sse import decode_event
 from sycamorestand_entry.sse import DONE
+from sycamorestand_entry.sse import EVENT_END
 from sycamorestand_entry.sse import EventCutter
 from sycamorestand_entry.sse import is_plain
 from sycamorestand_entry.sse import MalformedStream
@@ -32,6 +33,7 @@
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_entry.upstream import ResponseHead
+    from sycamorestand_entry.upstream import Sink
     from sycamorestand_entry.upstream import UpstreamConnection
     from sycamorestand_model.backend_servers import Announcement
 
@@ -61,11 +63,13 @@
     The consumer sets ``released`` as soon as a part of the answer has
     gone to the caller; from then on only a resumed stream may follow.
     ``attempt`` grows with each start from the beginning, so that a
-    consumer that collects the answer drops what it has.
+    consumer that collects the answer drops what it has. ``write_now``
+    may be set with the first release; events then go through it.
     """
 
     def __init__(self, context: EntryContext, work: EngineWork) -> None:
         self.released = False
+        self.write_now: Sink | None = None
         self.attempt = 0
         self.usage: Usage | None = None
         self.ending: dict[str, Any] = {}
@@ -140,7 +144,9 @@
         if self._failure is not None:
             raise self._failure
         data = await self._connection.read_body(
-            self._limit_s(self._context.settings.chunk_gap_s)
+            self._limit_s(self._context.settings.chunk_gap_s),
+            remaining_s(self._work.deadline_at_s),
+            self._forward if self.write_now is not None else None,
         )
         if not data:
             raise MalformedStream("the stream ended without its last event")
@@ -148,10 +154,21 @@
         if not events:
             return b""
         if is_plain(events):
-            self._events += events.count(b"\n\n")
+            self._events += events.count(EVENT_END)
             return events
         return self._read_ending(events)
 
+    def _forward(self, data: bytes) -> bool:
+        # Whatever is not the plain middle of a stream is left to the
+        # task, which waits in `_read_events`.
+        if not self._cutter.is_whole(data) or not is_plain(data):
+            return False
+        assert self.write_now is not None
+        if not self.write_now(data):
+            return False
+        self._events += data.count(EVENT_END)
+        return True
+
     def _read_ending(self, events: bytes) -> bytes:
         plain: list[bytes] = []
         try:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/http_messages.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/http_messages.py
@@ -51,10 +51,20 @@
 
 
 class Responder:
-    """Sends one answer and remembers whether it has begun."""
+    """Sends one answer and remembers whether it has begun.
 
-    def __init__(self, send: Send, closing: bool) -> None:
+    ``write_now`` writes a part of a chunked body at once and tells
+    whether it could; see `sycamorestand_entry.http_protocol`.
+    """
+
+    def __init__(
+        self,
+        send: Send,
+        closing: bool,
+        write_now: Callable[[bytes], bool] | None = None,
+    ) -> None:
         self.started = False
+        self.write_now = write_now
         self._send = send
         self._closing = closing
 
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/http_protocol.py
@@ -0,0 +1,85 @@
+"""The callers' side of a connection: uvicorn's protocol and its limits.
+
+uvicorn bounds neither the request line nor the headers and answers a
+malformed request as plain text. Both are mended here, and a stream gets
+a way to write a part of its body without the ASGI message, see
+``docs/design/relay.md``. It rests on the names that uvicorn's httptools
+protocol has in the pinned version; the tests of streams cover them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from typing import Final
+
+import msgspec
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from sycamorestand_entry.errors import BadRequest
+from sycamorestand_entry.errors import HeadersTooLarge
+from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.http_messages import error_content
+
+WRITE_NOW: Final = "sycamorestand.write_now"
+# Somewhat more than what `read_headers` takes, as this counts the bytes
+# of the request line and the separators too, and ends the connection.
+MAX_HEAD_BYTES: Final = 64 * 1024
+
+
+class EntryProtocol(HttpToolsProtocol):
+    """One connection of a caller or a backend server."""
+
+    _head_bytes = 0
+    _in_head = True
+
+    def data_received(self, data: bytes) -> None:
+        if self._in_head:
+            self._head_bytes += len(data)
+        super().data_received(data)
+        if self._in_head and self._head_bytes > MAX_HEAD_BYTES:
+            self._refuse(HeadersTooLarge("the headers are too large"))
+
+    def on_message_begin(self) -> None:
+        self._in_head = True
+        self._head_bytes = 0
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        super().on_headers_complete()
+        extensions: dict[str, Any] = {WRITE_NOW: _make_write_now(self.cycle)}
+        self.scope["extensions"] = extensions
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse bytes that are no HTTP request; uvicorn calls this."""
+        self._refuse(BadRequest("the bytes received are no HTTP request"))
+
+    def _refuse(self, error: RequestError) -> None:
+        if self.transport.is_closing():
+            return
+        body = msgspec.json.encode(error_content(error))
+        head = (
+            f"HTTP/1.1 {error.status} Refused\r\n"
+            "content-type: application/json\r\n"
+            f"content-length: {len(body)}\r\n"
+            "connection: close\r\n\r\n"
+        )
+        self.transport.write(head.encode() + body)
+        self.transport.close()
+
+
+def _make_write_now(cycle: Any) -> Callable[[bytes], bool]:
+    transport = cycle.transport
+    flow = cycle.flow
+
+    def write_now(body: bytes) -> bool:
+        if flow.write_paused or cycle.disconnected:
+            return False
+        transport.write(b"%x\r\n%b\r\n" % (len(body), body))
+        return True
+
+    return write_now
+
+
+__all__ = ["EntryProtocol", "WRITE_NOW"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -16,6 +16,7 @@
 
 from sycamorestand_entry.application import make_application
 from sycamorestand_entry.context import EntryContext
+from sycamorestand_entry.http_protocol import EntryProtocol
 
 if TYPE_CHECKING:
     from sycamorestand_entry.ports import ControlPort
@@ -129,7 +130,7 @@
     application: Any = make_application(context)
     return uvicorn.Config(
         application,
-        http="httptools",
+        http=EntryProtocol,
         ws="none",
         lifespan="off",
         interface="asgi3",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/sse.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/sse.py
@@ -39,6 +39,10 @@
     def __init__(self) -> None:
         self._rest = b""
 
+    def is_whole(self, data: bytes) -> bool:
+        """Tell whether the data begins and ends with whole events."""
+        return not self._rest and data.endswith(EVENT_END)
+
     def feed(self, data: bytes) -> bytes:
         """Return all whole events, those of one read in one piece."""
         if self._rest:
@@ -106,6 +110,7 @@
     "decode_event",
     "DONE",
     "encode_event",
+    "EVENT_END",
     "EventCutter",
     "is_plain",
     "MalformedStream",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import cast
 from typing import Final
 from typing import NamedTuple
@@ -17,6 +18,8 @@
 
 from sycamorestand_model.errors import SycamorestandError
 
+Sink = Callable[[bytes], bool]
+
 # One caller that reads slowly must not let its backend server's answer
 # pile up here: reading stops at this many buffered bytes.
 READ_AHEAD_BYTES: Final = 64 * 1024
@@ -71,6 +74,9 @@
         self._waiter: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._give_up_at_s = 0.0
+        self._limit_s = 0.0
+        self._total_until_s = 0.0
+        self._sink: Sink | None = None
 
     @property
     def usable(self) -> bool:
@@ -100,14 +106,26 @@
             await self._wait(limit_s)
         return self._head
 
-    async def read_body(self, limit_s: float) -> bytes:
-        """Return all bytes that are there, at the answer's end none."""
+    async def read_body(
+        self,
+        limit_s: float,
+        total_s: float = 0.0,
+        sink: Sink | None = None,
+    ) -> bytes:
+        """Return all bytes that are there, at the answer's end none.
+
+        While this waits, ``sink`` gets each read as it comes and tells
+        whether it took it. The waiting task is woken only for what the
+        sink did not take; a wake-up costs more than the rest of a token.
+        ``limit_s`` bounds the silence, ``total_s`` the whole wait.
+        """
         while not self._body:
             if self._complete:
                 return b""
             if self._error is not None:
                 raise self._error
-            await self._wait(limit_s)
+            self._sink = sink
+            await self._wait(limit_s, total_s)
         body = self._body
         data = body[0] if len(body) == 1 else b"".join(body)
         body.clear()
@@ -143,6 +161,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(MalformedAnswer("its answer is no HTTP"))
             return
+        if self._sink is not None and self._forward():
+            return
         self._wake()
 
     def eof_received(self) -> bool:
@@ -177,6 +197,22 @@
         self._complete = True
         self.reusable = self._parser.should_keep_alive()
 
+    def _forward(self) -> bool:
+        body = self._body
+        if len(body) != 1 or self._complete:
+            self._sink = None
+            return False
+        assert self._sink is not None
+        if not self._sink(body[0]):
+            self._sink = None
+            return False
+        body.clear()
+        self._body_bytes = 0
+        self._give_up_at_s = min(
+            self._loop.time() + self._limit_s, self._total_until_s
+        )
+        return True
+
     def _ends_at_eof(self) -> bool:
         if self._head is None:
             return False
@@ -204,24 +240,29 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
-    async def _wait(self, limit_s: float) -> None:
-        # One timer for the connection moves on lazily; a timer for each
-        # chunk would cost more than the parsing of the chunk.
-        self._give_up_at_s = self._loop.time() + limit_s
-        if self._timer is None:
-            self._timer = self._loop.call_at(
-                self._give_up_at_s, self._check_silence
-            )
-        elif self._timer.when() > self._give_up_at_s:
-            self._timer.cancel()
-            self._timer = self._loop.call_at(
-                self._give_up_at_s, self._check_silence
-            )
+    async def _wait(self, limit_s: float, total_s: float = 0.0) -> None:
+        now_s = self._loop.time()
+        self._limit_s = limit_s
+        self._total_until_s = now_s + max(limit_s, total_s)
+        self._give_up_at_s = now_s + limit_s
+        self._set_timer()
         self._waiter = self._loop.create_future()
         try:
             await self._waiter
         finally:
             self._waiter = None
+            self._sink = None
+
+    def _set_timer(self) -> None:
+        # One timer for the connection moves on lazily; a timer for each
+        # chunk would cost more than the parsing of the chunk.
+        if self._timer is not None:
+            if self._timer.when() <= self._give_up_at_s:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_at(
+            self._give_up_at_s, self._check_silence
+        )
 
     def _check_silence(self) -> None:
         self._timer = None
@@ -295,6 +336,7 @@
     "MalformedAnswer",
     "ResponseHead",
     "SilentConnection",
+    "Sink",
     "UpstreamConnection",
     "UpstreamError",
     "UpstreamPool",
