--- /dev/null
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/comparison.py
@@ -0,0 +1,248 @@
+"""Compares what a version did with a reference, signal by signal.
+
+Each signal counts bad ones out of a total: failed requests, answers slower
+than nine of ten of the reference, ratings not passed. The rate expected
+of a healthy version is the reference's, weighed with the version's own mix
+of classes and blocks of time, plus a margin that is no harm, plus what the
+reference's own count leaves uncertain.
+"""
+
+from __future__ import annotations
+
+from functools import reduce
+from math import sqrt
+from typing import Final
+from typing import Literal
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+from sycamorestand_decisions.evidence import log_evidence
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorestand_decisions.version_stats import ClassStats
+    from sycamorestand_decisions.version_stats import VersionStats
+
+Signal = Literal["errors", "ratings", "latency"]
+Counter: TypeAlias = "Callable[[str, ClassStats], tuple[int, int]]"
+
+SIGNALS: Final[tuple[Signal, ...]] = ("errors", "ratings", "latency")
+# Differences that no user would act on: half an error in a hundred, two
+# answers in a hundred rated worse, one in twenty more that is slow.
+MARGINS: Final[dict[Signal, float]] = {
+    "errors": 0.005,
+    "ratings": 0.02,
+    "latency": 0.05,
+}
+# Standard deviations added for the reference's own uncertainty. An error
+# in the reference is the same at every look, so the test does not average
+# it out: at 1.6 a watch of healthy versions stopped one of five.
+REFERENCE_DEVIATIONS: Final = 3.0
+MIN_VARIANCE: Final = 1e-4
+# A stratum with few requests leans on its class with this weight.
+CLASS_WEIGHT: Final = 50.0
+SLOW_SHARE: Final = 0.1
+MIN_TOTAL: Final = 20
+
+
+class Evidence(NamedTuple):
+    """What one comparison found.
+
+    ``log_evidence`` is the natural logarithm of how many times better a
+    worse version explains the counts than a healthy one.
+    """
+
+    signal: Signal
+    request_class: str | None
+    bad: int
+    total: int
+    expected_rate: float
+    log_evidence: float
+
+    def text(self) -> str:
+        """Return one line for operators and the audit trail."""
+        share = 100.0 * self.bad / self.total if self.total else 0.0
+        where = f" of class {self.request_class}" if self.request_class else ""
+        return (
+            f"{self.signal}{where}: {self.bad} of {self.total} bad "
+            f"({share:.1f} %), at most {100 * self.expected_rate:.1f} % "
+            f"expected; log evidence {self.log_evidence:.1f}"
+        )
+
+
+def compare(
+    reference: VersionStats,
+    version: VersionStats,
+    signal: Signal,
+    extra: float = 0.0,
+) -> list[Evidence]:
+    """Return the evidence in one signal, overall first, then by class.
+
+    ``extra`` is added to the expected rate: harm that hits every version
+    alike and thus is not this version's.
+    """
+    count = _counter(reference, signal)
+    by_class = _totals_by_class(reference, count)
+    sums: dict[str, _Sums] = {}
+    for stratum, counts in version.strata.items():
+        name = stratum.request_class
+        whole = by_class.get(name, NOTHING)
+        bad, total = count(name, counts)
+        if not whole.total or not total:
+            continue
+        own = reference.strata.get(stratum)
+        own_bad, own_total = count(name, own) if own else NOTHING
+        weight = min(CLASS_WEIGHT, whole.total)
+        class_rate = (whole.bad + 0.5) / (whole.total + 1.0)
+        rate = (own_bad + weight * class_rate) / (own_total + weight)
+        spread = max(rate * (1.0 - rate), MIN_VARIANCE)
+        found = _Sums(
+            bad, total, total * rate, total**2 * spread / (own_total + weight)
+        )
+        sums[name] = _added(sums.get(name, NO_SUMS), found)
+    overall = reduce(_added, sums.values(), NO_SUMS)
+    evidence = [_evidence(signal, None, overall, extra)]
+    if len(sums) > 1:
+        for name in sorted(sums):
+            evidence.append(_evidence(signal, name, sums[name], extra))
+    return evidence
+
+
+def compare_all(
+    reference: VersionStats, version: VersionStats
+) -> list[Evidence]:
+    """Return the evidence of every signal, overall and by class."""
+    return [
+        evidence
+        for signal in SIGNALS
+        for evidence in compare(reference, version, signal)
+    ]
+
+
+def rise(
+    reference: VersionStats, recent: VersionStats, signal: Signal
+) -> tuple[float, int]:
+    """Return how much a signal's rate rose since, and out of how many."""
+    count = _counter(reference, signal)
+    before = _totals(reference, count)
+    after = _totals(recent, count)
+    if not before.total or not after.total:
+        return 0.0, 0
+    risen = after.bad / after.total - before.bad / before.total
+    return risen, min(before.total, after.total)
+
+
+class _Count(NamedTuple):
+    bad: int
+    total: int
+
+
+class _Sums(NamedTuple):
+    bad: int
+    total: int
+    expected: float
+    variance: float
+
+
+NOTHING: Final = _Count(0, 0)
+NO_SUMS: Final = _Sums(0, 0, 0.0, 0.0)
+
+
+def _added(one: _Sums, two: _Sums) -> _Sums:
+    return _Sums(
+        one.bad + two.bad,
+        one.total + two.total,
+        one.expected + two.expected,
+        one.variance + two.variance,
+    )
+
+
+def _evidence(
+    signal: Signal, name: str | None, sums: _Sums, extra: float
+) -> Evidence:
+    if sums.total < MIN_TOTAL:
+        return Evidence(signal, name, sums.bad, sums.total, 1.0, 0.0)
+    unsure = REFERENCE_DEVIATIONS * sqrt(sums.variance)
+    bound = (sums.expected + unsure) / sums.total
+    bound = min(1.0, bound + MARGINS[signal] + extra)
+    found = log_evidence(sums.bad, sums.total, bound)
+    return Evidence(signal, name, sums.bad, sums.total, bound, found)
+
+
+def _totals(stats: VersionStats, count: Counter) -> _Count:
+    bad = total = 0
+    for stratum, counts in stats.strata.items():
+        found = count(stratum.request_class, counts)
+        bad += found[0]
+        total += found[1]
+    return _Count(bad, total)
+
+
+def _totals_by_class(stats: VersionStats, count: Counter) -> dict[str, _Count]:
+    totals: dict[str, _Count] = {}
+    for stratum, counts in stats.strata.items():
+        name = stratum.request_class
+        bad, total = count(name, counts)
+        known = totals.get(name, NOTHING)
+        totals[name] = _Count(known.bad + bad, known.total + total)
+    return totals
+
+
+def _counter(reference: VersionStats, signal: Signal) -> Counter:
+    if signal == "errors":
+        return _count_errors
+    if signal == "ratings":
+        return _count_not_passed
+    edges = _slow_edges(reference)
+
+    def count_slow(request_class: str, counts: ClassStats) -> tuple[int, int]:
+        edge = edges.get(request_class)
+        answered = counts.requests - counts.errors
+        if edge is None:
+            return 0, 0
+        return sum(counts.latency_counts[edge:]), answered
+
+    return count_slow
+
+
+def _count_errors(_: str, counts: ClassStats) -> tuple[int, int]:
+    return counts.errors, counts.requests
+
+
+def _count_not_passed(_: str, counts: ClassStats) -> tuple[int, int]:
+    return counts.rated - counts.passed, counts.rated
+
+
+def _slow_edges(reference: VersionStats) -> dict[str, int]:
+    """Return by class the first bucket that is slow for the reference."""
+    sums: dict[str, list[int]] = {}
+    for stratum, counts in reference.strata.items():
+        known = sums.setdefault(
+            stratum.request_class, [0] * len(counts.latency_counts)
+        )
+        for index, count in enumerate(counts.latency_counts):
+            known[index] += count
+    return {name: _edge(counts) for name, counts in sums.items()}
+
+
+def _edge(counts: list[int]) -> int:
+    allowed = SLOW_SHARE * sum(counts)
+    above = 0
+    for index in range(len(counts) - 1, -1, -1):
+        above += counts[index]
+        if above > allowed:
+            return index + 1
+    return 0
+
+
+__all__ = [
+    "compare",
+    "compare_all",
+    "Evidence",
+    "MIN_TOTAL",
+    "rise",
+    "Signal",
+    "SIGNALS",
+]
