--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -16,6 +16,7 @@
 
 from sycamorestand_entry.application import make_application
 from sycamorestand_entry.context import EntryContext
+from sycamorestand_entry.http_protocol import EntryProtocol
 
 if TYPE_CHECKING:
     from sycamorestand_entry.ports import ControlPort
@@ -114,8 +115,10 @@
 
 
 def _listen(settings: EntrySettings) -> socket.socket:
+    # Without the protocol's number asyncio leaves Nagle's algorithm on:
+    # the first token then waits 40 ms for the client's delayed ACK.
     family = socket.AF_INET6 if ":" in settings.host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((settings.host, settings.port))
     listener.listen(2048)
@@ -127,7 +130,7 @@
     application: Any = make_application(context)
     return uvicorn.Config(
         application,
-        http="httptools",
+        http=EntryProtocol,
         ws="none",
         lifespan="off",
         interface="asgi3",
