--- a/packages/sycamorestand/src/sycamorestand/operator/run.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/run.py
@@ -86,13 +86,20 @@
         settings, rest = take_settings(arguments, os.environ)
         output = Output(settings.json)
         action = _parse(rest)
-        return anyio.run(action, Context(settings, output))
+        code = anyio.run(action, Context(settings, output))
+        sys.stdout.flush()
+        return code
     except SycactlError as error:
         output.failure(error.code, str(error))
         return error.exit_code
     except SycamorestandError as error:
         output.failure("internal", str(error))
         return INTERNAL
+    except BrokenPipeError:
+        # The reader of a pipe went away, as `head` does. Without this the
+        # flush at exit would print a second fault.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return INTERNAL
     except KeyboardInterrupt:
         output.failure("interrupted", "interrupted; see the change id above")
         return INTERRUPTED
--- a/packages/sycamorestand/tests/operator/test_run.py
+++ b/packages/sycamorestand/tests/operator/test_run.py
@@ -139,6 +139,22 @@
         assert len(lines) == 4
         assert lines[1].split(",")[3] == "'=1"
 
+    def test_a_reader_that_goes_away_gets_no_traceback(
+        self, folder: Path
+    ) -> None:
+        """``sycactl check DIR | head -0``: the pipe closes at once."""
+        command = [str(Path(sys.executable).parent / "sycactl"), "check"]
+        running = subprocess.Popen(
+            [*command, str(folder)],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+        assert running.stdout is not None
+        running.stdout.close()
+        _, err = running.communicate()
+        assert err == b""
+        assert running.returncode == 1
+
 
 class TestChanges:
     def test_plan_and_apply_until_in_force(
