Declarations: what cannot be read is an error, not silence

Cause: a broken link, an unreadable folder or a linked folder was passed over without a finding, so the next apply would have removed what is declared there. The walk also read whole trees below the allowed depth. Now each is a finding and the walk ends one level below the bound.

--- a/packages/sycamorestand-model/src/sycamorestand_model/load.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/load.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from pathlib import Path
 import tomllib
 from typing import Any
@@ -81,22 +82,44 @@
         )
         return []
     files = []
-    for path in sorted(folder.rglob("*")):
+    for path in _walk(folder, folder, findings):
         relative = path.relative_to(folder)
-        if any(part.startswith(".") for part in relative.parts):
-            continue
-        if not path.is_file() or path.suffix in COMPANION_SUFFIXES:
+        if path.suffix in COMPANION_SUFFIXES:
             continue
         place = Place(relative.as_posix())
         if path.suffix != SUFFIX:
             findings.warning(place, "is not read", f"end it in {SUFFIX}")
         elif len(relative.parts) > MAX_FOLDER_DEPTH:
             findings.error(place, "lies too deep", "move it one folder up")
+        elif not path.is_file():
+            findings.error(place, "is no file", "mend the link or remove it")
         else:
             files.append(path)
     return _bounded(files, folder, findings)
 
 
+def _walk(root: Path, folder: Path, findings: Findings) -> Iterator[Path]:
+    """Yield what lies under a folder, one level below the depth allowed.
+
+    What cannot be read is an error: passed over in silence, an apply
+    would remove everything that is declared there.
+    """
+    place = Place(folder.relative_to(root).as_posix())
+    try:
+        paths = sorted(folder.iterdir())
+    except OSError as error:
+        findings.error(place, f"cannot be read: {error.strerror}")
+        return
+    for path in paths:
+        depth = len(path.relative_to(root).parts)
+        if path.name.startswith("."):
+            continue
+        if not path.is_dir():
+            yield path
+        elif depth <= MAX_FOLDER_DEPTH:
+            yield from _walk(root, path, findings)
+
+
 def _bounded(
     files: list[Path], folder: Path, findings: Findings
 ) -> list[Path]:
--- a/packages/sycamorestand-model/tests/test_check.py
+++ b/packages/sycamorestand-model/tests/test_check.py
@@ -289,6 +289,18 @@
         assert has_errors(check(load_folder(tmp_path)))
         assert has_errors(check(load_folder(tmp_path / "none")))
 
+    def test_what_cannot_be_read_is_no_silence(self, tmp_path: Path) -> None:
+        """A link to a customer's file is broken, a folder links to its own.
+
+        Passed over in silence, the next apply would remove the customer.
+        """
+        write_folder(tmp_path, {**SOUND})
+        (tmp_path / "customers" / "gone.toml").symlink_to("nowhere")
+        (tmp_path / "loop").symlink_to(tmp_path, target_is_directory=True)
+        lines = [finding_line(f) for f in check(load_folder(tmp_path))]
+        assert any("customers/gone.toml: is no file" in one for one in lines)
+        assert any("loop/models/all.toml: lies too deep" in o for o in lines)
+
     def test_findings_are_bounded(self) -> None:
         services = {f"s{n}": 1 for n in range(MAX_FINDINGS + 50)}
         findings = check(load_document({"services": services}))
--- a/packages/sycamorestand/src/sycamorestand/operator/output.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/output.py
@@ -110,13 +110,17 @@
 def _table(rows: Iterable[Any], fields: tuple[str, ...]) -> Table:
     table = Table(box=None, pad_edge=False)
     for field in fields:
-        table.add_column(field.replace("_", " "), overflow="fold")
+        table.add_column(_heading(field), overflow="fold")
     for row in rows:
         cells = zip(fields, row, strict=True)
         table.add_row(*(_cell(field, value) for field, value in cells))
     return table
 
 
+def _heading(field: str) -> str:
+    return "time" if field == "at_s" else field.replace("_", " ")
+
+
 def _cell(field: str, value: Any) -> Text:
     if field == "at_s":
         return Text(time_text(value))
