sycactl: the end of patience no longer hides an attempt in flight

Cause: the time to try all control processes cancelled the attempt that was in flight and forgot that it may have run, so the command ended with 'nothing was changed' although the change could be committed. The end is now looked at between attempts only, and a test holds it.

--- a/packages/sycamorestand/src/sycamorestand/operator/client.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/client.py
@@ -97,19 +97,23 @@
     ) -> Reply:
         may_have_run = False
         reasons: dict[str, str] = {}
-        with anyio.move_on_after(self._settings.patience_s):
-            while True:
-                for address in tuple(self._addresses):
-                    attempt = await self._try(address, method, target, content)
-                    if attempt.reply is not None:
-                        _refuse_doubt(attempt.reply, may_have_run and changes)
-                        self._prefer(address)
-                        return attempt.reply
-                    may_have_run |= attempt.may_have_run
-                    if reasons.get(address) != attempt.reason:
-                        self._notice(f"{address}: {attempt.reason}")
-                    reasons[address] = attempt.reason
-                await anyio.sleep(ROUND_PAUSE_S)
+        # The end is looked at between attempts only: cancelling one in
+        # flight would forget that it may have run.
+        end_s = anyio.current_time() + self._settings.patience_s
+        while True:
+            for address in tuple(self._addresses):
+                attempt = await self._try(address, method, target, content)
+                if attempt.reply is not None:
+                    _refuse_doubt(attempt.reply, may_have_run and changes)
+                    self._prefer(address)
+                    return attempt.reply
+                may_have_run |= attempt.may_have_run
+                if reasons.get(address) != attempt.reason:
+                    self._notice(f"{address}: {attempt.reason}")
+                reasons[address] = attempt.reason
+            if anyio.current_time() + ROUND_PAUSE_S >= end_s:
+                break
+            await anyio.sleep(ROUND_PAUSE_S)
         text = "; ".join(f"{at}: {why}" for at, why in reasons.items())
         if changes and may_have_run:
             raise OutcomeLost(f"no control process gave the outcome: {text}")
--- a/packages/sycamorestand/tests/operator/conftest.py
+++ b/packages/sycamorestand/tests/operator/conftest.py
@@ -262,7 +262,15 @@
     """Return the command with both control processes in its settings."""
     addresses = ",".join(server.address for server in servers)
     monkeypatch.setenv("SYCACTL_CONTROLS", addresses)
-    monkeypatch.setenv("SYCACTL_ATTEMPT_S", "0.5")
+    return sycactl
+
+
+@pytest.fixture
+def impatient(
+    online: Callable[..., Ended], monkeypatch: pytest.MonkeyPatch
+) -> Callable[..., Ended]:
+    """Return the command with short waits, for faults that never end."""
+    monkeypatch.setenv("SYCACTL_ATTEMPT_S", "1")
     monkeypatch.setenv("SYCACTL_PATIENCE_S", "1")
     monkeypatch.setenv("SYCACTL_WAIT_S", "1")
-    return sycactl
+    return online
--- a/packages/sycamorestand/tests/operator/test_run.py
+++ b/packages/sycamorestand/tests/operator/test_run.py
@@ -235,7 +235,7 @@
         assert "wrong-secret" not in ended.out + ended.err
 
     def test_waiting_ends_with_its_own_code(
-        self, online: Command, servers: Any
+        self, impatient: Command, servers: Any
     ) -> None:
         """A VM is behind a partition and its lease has not run out.
 
@@ -244,7 +244,7 @@
         """
         for server in servers:
             server.control.fault = "never in force"
-        ended = online("withdraw", "cheap@1", "--wait", "--json")
+        ended = impatient("withdraw", "cheap@1", "--wait", "--json")
         assert ended.code == 8
         assert json.loads(ended.out)["outcome"] == "accepted"
         assert "waiting for vm-9" in ended.err
@@ -253,7 +253,7 @@
 class TestFailures:
     @pytest.mark.parametrize("fault", ["answer lost", "garbage"])
     def test_a_lost_answer_is_asked_for_at_the_next_one(
-        self, online: Command, servers: Any, state: Any, fault: str
+        self, impatient: Command, servers: Any, state: Any, fault: str
     ) -> None:
         """The first control process commits and its answer is lost.
 
@@ -261,40 +261,40 @@
         gives the first outcome: the operator sees one accepted change.
         """
         servers[0].control.fault = fault
-        ended = online("withdraw", "cheap@1")
+        ended = impatient("withdraw", "cheap@1")
         assert ended.code == 0
         assert ended.out == "duplicate, revision 6\n"
         assert len(state.changes) == 1
 
     def test_without_a_leader_the_next_one_is_asked(
-        self, online: Command, servers: Any
+        self, impatient: Command, servers: Any
     ) -> None:
         """The first control process is cut off and knows no leader.
 
         It refuses without having run anything, and the second accepts.
         """
         servers[0].control.has_leader = False
-        ended = online("withdraw", "cheap@1")
+        ended = impatient("withdraw", "cheap@1")
         assert ended.code == 0
         assert "no-leader" in ended.err
 
     def test_no_leader_anywhere_means_nothing_was_changed(
-        self, online: Command, servers: Any
+        self, impatient: Command, servers: Any
     ) -> None:
         for server in servers:
             server.control.has_leader = False
-        assert online("withdraw", "cheap@1").code == 6
+        assert impatient("withdraw", "cheap@1").code == 6
 
     def test_a_silent_first_one_delays_a_question_only(
-        self, online: Command, servers: Any
+        self, impatient: Command, servers: Any
     ) -> None:
         servers[0].control.fault = "silent"
-        ended = online("status")
+        ended = impatient("status")
         assert ended.code == 0
         assert "silent" in ended.err
 
     def test_when_nobody_answers_the_outcome_is_unknown(
-        self, online: Command, servers: Any, state: Any, folder: Path
+        self, impatient: Command, servers: Any, state: Any, folder: Path
     ) -> None:
         """Both control processes commit or may have, and neither answers.
 
@@ -305,19 +305,19 @@
         for server in servers:
             server.control.fault = "answer lost"
         arguments = ["apply", folder, "--base-revision", 5]
-        ended = online(*arguments)
+        ended = impatient(*arguments)
         assert ended.code == 7
         hint = ended.err.partition("with --change-id ")[2].split()
         assert hint[1:3] == ["--base-revision", "5"]
         for server in servers:
             server.control.fault = ""
-        again = online(*arguments, "--change-id", hint[0])
+        again = impatient(*arguments, "--change-id", hint[0])
         assert again.code == 0
         assert again.out == "duplicate, revision 6\n"
         assert len(state.changes) == 1
 
     def test_a_refusal_after_a_lost_answer_stays_unknown(
-        self, online: Command, servers: Any
+        self, impatient: Command, servers: Any
     ) -> None:
         """The first one commits silently and the second refuses the key.
 
@@ -326,7 +326,21 @@
         """
         servers[0].control.fault = "answer lost"
         servers[1].control.fault = "knows no key"
-        assert online("withdraw", "cheap@1").code == 7
+        assert impatient("withdraw", "cheap@1").code == 7
+
+    def test_the_end_of_patience_hides_no_attempt(
+        self, impatient: Command, servers: Any
+    ) -> None:
+        """The time to try is shorter than one attempt takes.
+
+        It runs out while the first control process holds the change. That
+        one may have committed it, so the outcome is unknown; giving up in
+        the middle of the attempt would say that nothing was changed.
+        """
+        for server in servers:
+            server.control.fault = "answer lost"
+        ended = impatient("withdraw", "cheap@1", "--patience-s", "0.2")
+        assert ended.code == 7
 
     def test_nobody_listening_is_unreachable(
         self, sycactl: Command, monkeypatch: pytest.MonkeyPatch
