Tables of control processes, first form: announcements passed on

This form sends each announcement to every control process and whole lists to entries, which does not fit 910 servers.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
@@ -24,6 +24,9 @@
 TIMEOUT: Final = {"connect": 2.0, "read": 30.0, "write": 5.0, "pool": 30.0}
 
 
+Headers = dict[bytes | str, bytes | str]
+
+
 class Call(NamedTuple):
     """One request as its caller means it, whatever attempts it takes."""
 
@@ -172,7 +175,7 @@
     return f"{prefix}-{secrets.token_hex(6)}"
 
 
-def _headers(call: Call) -> dict[str, str]:
+def _headers(call: Call) -> Headers:
     return {
         "Authorization": f"Bearer demo-{call.customer}",
         "Idempotency-Key": call.request_key,
--- a/packages/sycamorestand-control/src/sycamorestand_control/hub.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/hub.py
@@ -8,12 +8,12 @@
 
 import anyio
 
+from sycamorestand_control.tables import NodeRecord
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import ConfigurationPush
 from sycamorestand_peer.messages import LeaseDenied
 from sycamorestand_peer.messages import LeaseGrantMessage
-from sycamorestand_state.nodes import NodeRecord
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -74,7 +74,11 @@
     def lease_requested(self, sender: str, message: LeaseRequest) -> None:
         """Renew an entry's lease, and send it what it lacks."""
         entry = self._entry(sender, message)
-        self._tables.node_heard(_record(sender, message))
+        self._tables.node_heard(
+            NodeRecord(
+                message.address, message.acked_revision, self._mesh.address
+            )
+        )
         self._answer_lease(sender, message)
         self._push_configuration(entry, message.acked_revision)
         if self._tables.is_out_of_step(
@@ -176,8 +180,4 @@
                 LOG.info("entry detached", extra={"entry": entry.vm})
 
 
-def _record(sender: str, message: LeaseRequest) -> NodeRecord:
-    raise NotImplementedError
-
-
 __all__ = ["EntryHub"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -15,6 +15,8 @@
 
 from sycamorestand_entry.control.ledger_client import LedgerClient
 from sycamorestand_entry.control.sample_counts import SampleCounts
+from sycamorestand_model.backend_servers import Announcement
+from sycamorestand_model.backend_servers import supersedes
 from sycamorestand_model.in_force import InForce
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.mesh import PeerMesh
@@ -26,8 +28,6 @@
 from sycamorestand_peer.messages import LeaseRequest
 from sycamorestand_peer.messages import SampleReport
 from sycamorestand_peer.messages import TableUpdate
-from sycamorestand_state.directory import BackendDirectory
-from sycamorestand_state.directory import DirectoryDelta
 from sycamorestand_state.leases import HeldLease
 from sycamorestand_state.leases import LeaseGrant
 from sycamorestand_state.leases import RENEW_INTERVAL_S
@@ -37,7 +37,6 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
-    from sycamorestand_model.backend_servers import Announcement
     from sycamorestand_model.ledger import LedgerRecord
     from sycamorestand_model.ledger import LedgerResult
     from sycamorestand_model.nodes import EntryAddress
@@ -95,7 +94,7 @@
             self._received,
             settings.peer_listen or None,
         )
-        self._directory = self._new_directory()
+        self._directory = _Directory()
         self._ledger = LedgerClient(
             self.mesh,
             self.control_address,
@@ -229,15 +228,13 @@
         self._kicked.set()
 
     def _take_table(self, sender: str, message: TableUpdate) -> None:
-        raise NotImplementedError
+        for announcement in msgspec.msgpack.decode(
+            message.payload, type=list[Announcement]
+        ):
+            self._directory.announce(announcement, boottime_s())
 
     def _directory_state(self) -> tuple[int, int, str]:
-        raise NotImplementedError
-
-    def _new_directory(self) -> BackendDirectory:
-        return BackendDirectory(
-            self._settings.peer_address, self.mesh.incarnation
-        )
+        return 0, 0, ""
 
     async def _send_reports(self) -> None:
         sequence = 0
@@ -262,8 +259,24 @@
                 LOG.info("backend server gone", extra={"server": name})
 
 
-def _decode_delta(payload: bytes) -> DirectoryDelta:
-    return msgspec.msgpack.decode(payload, type=DirectoryDelta)
+class _Directory:
+    def __init__(self) -> None:
+        self._servers: dict[str, tuple[Announcement, float]] = {}
+
+    def announce(self, announcement: Announcement, now_s: float) -> None:
+        known = self._servers.get(announcement.name)
+        if known is None or supersedes(announcement, known[0]):
+            expires_s = now_s + announcement.lease_s
+            self._servers[announcement.name] = (announcement, expires_s)
+
+    def servers(self) -> dict[str, Announcement]:
+        return {name: row[0] for name, row in self._servers.items()}
+
+    def expire(self, now_s: float) -> list[str]:
+        gone = [n for n, row in self._servers.items() if row[1] <= now_s]
+        for name in gone:
+            del self._servers[name]
+        return gone
 
 
 __all__ = ["ControlLink", "LinkSettings"]
