--- a/packages/sycamorestand-bench/src/sycamorestand_bench/explore/cluster.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/explore/cluster.py
@@ -177,11 +177,15 @@
 
     def exchange(self) -> None:
         """Deliver what is under way in order, and end all syncs."""
-        for _ in range(len(self.messages)):
-            self.deliver(0)
+        self.deliver_all()
         for node in self.running():
             self.sync(node, node.disk.unsynced)
 
+    def deliver_all(self) -> None:
+        """Deliver what is under way in order."""
+        for _ in range(len(self.messages)):
+            self.deliver(0)
+
     def settle(self) -> bool:
         """Heal everything and run fairly until a proposal commits.
 
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/explore/run.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/explore/run.py
@@ -129,7 +129,12 @@
 
 
 def _exchange(cluster: Cluster, draw: random.Random) -> None:
-    cluster.exchange()
+    # Without the syncs answers run ahead of the disks, which is when a
+    # crash loses most.
+    if draw.random() < 0.5:
+        cluster.exchange()
+    else:
+        cluster.deliver_all()
 
 
 def _campaign(cluster: Cluster, draw: random.Random) -> None:
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica.py
@@ -1,62 +1,59 @@
-"""One member of one group, as the control process uses it."""
+"""One member of one group, as the control process uses it.
+
+The replica carries out what the agreement core asks for: it sends, writes
+in a thread, applies. While one group commit is being synced the core goes
+on, and what it records meanwhile becomes the next group commit.
+
+Example: the first voter of a new group::
+
+    replica = Replica(folder, 0, ReplicaSettings(), machine, send, now)
+    tasks.start_soon(replica.run)
+    await replica.bootstrap([(replica.member_id, "10.0.0.1:7000")])
+    await replica.propose(b"command")
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from collections.abc import Sequence
+import logging
 from pathlib import Path
-from typing import NamedTuple
-from typing import Protocol
-
+import secrets
+from typing import Final
+
+import anyio
+from anyio import lowlevel
+from anyio import to_thread
+
+from sycamorestand_consensus.applier import Applier
+from sycamorestand_consensus.core import Core
+from sycamorestand_consensus.errors import DiskFull
+from sycamorestand_consensus.errors import NotLeader
+from sycamorestand_consensus.errors import TransferFailed
+from sycamorestand_consensus.identity import note_group
+from sycamorestand_consensus.identity import open_identity
+from sycamorestand_consensus.messages import Batch
+from sycamorestand_consensus.messages import Record
+from sycamorestand_consensus.raft_state import is_synced
+from sycamorestand_consensus.raft_state import Role
+from sycamorestand_consensus.replica_types import MemberStatus
+from sycamorestand_consensus.replica_types import ReplicaStatus
+from sycamorestand_consensus.replica_types import StateMachine
+from sycamorestand_consensus.settings import check_settings
 from sycamorestand_consensus.settings import ReplicaSettings
+from sycamorestand_consensus.storage import Storage
+from sycamorestand_consensus.waiters import Proposals
+from sycamorestand_consensus.waiters import Reads
+from sycamorestand_consensus.wire import decode_message
+from sycamorestand_consensus.wire import encode_message
+from sycamorestand_consensus.wire import PayloadRefused
 
+LOG: Final = logging.getLogger(__name__)
 
-class StateMachine(Protocol):
-    """What the log drives; every member applies the same commands."""
-
-    def apply(self, index: int, command: bytes) -> object:
-        """Apply a committed command; must be deterministic, not raise."""
-        ...
-
-    def snapshot(self) -> bytes:
-        """Return the whole state after the last applied command."""
-        ...
-
-    def restore(self, data: bytes) -> None:
-        """Replace the whole state by an earlier ``snapshot``."""
-        ...
-
-
-class MemberStatus(NamedTuple):
-    """One member as this replica knows it.
-
-    ``match_index`` is the last entry known to be synced there; it is
-    filled in at the leader only.
-    """
-
-    member_id: str
-    address: str
-    voter: bool
-    match_index: int
-
-
-class ReplicaStatus(NamedTuple):
-    """A replica at one moment.
-
-    ``role`` is ``follower``, ``pre_candidate``, ``candidate`` or
-    ``leader``. ``state`` is ``blank`` (belongs to no group yet), ``ok``
-    or ``disk_full``. ``leader_id`` is empty where none is known.
-    """
-
-    member_id: str
-    role: str
-    term: int
-    leader_id: str
-    commit_index: int
-    applied_index: int
-    last_index: int
-    members: tuple[MemberStatus, ...]
-    state: str
+# Payloads beyond this many are dropped, as a network may: a member that
+# cannot keep up is served again by later messages.
+INBOX_PAYLOADS: Final = 4096
+SEED_BITS: Final = 64
 
 
 class Replica:
@@ -81,12 +78,37 @@
         ``now`` must go on while the machine is suspended, as
         ``CLOCK_BOOTTIME`` does: leases are measured with it.
         """
-        raise NotImplementedError
+        check_settings(settings)
+        identity = open_identity(folder)
+        self._member_id = identity.member_id
+        self._known = group in identity.groups
+        self._folder = folder
+        self._group = group
+        self._settings = settings
+        self._send = send
+        self._now = now
+        self._storage = Storage(
+            folder / f"group-{group}", settings.segment_bytes
+        )
+        self._proposals = Proposals()
+        self._reads = Reads()
+        self._applier = Applier(machine, self._proposals)
+        self._core: Core | None = None
+        self._inbox: list[tuple[str, bytes]] = []
+        self._batches: list[Batch] = []
+        self._refused = 0
+        self._led_term = 0
+        self._last_barrier = 0
+        self._reported: tuple[str, str] = ("", "")
+        self._work = anyio.Event()
+        self._to_write = anyio.Event()
+        self._changed = anyio.Event()
+        self._opened = anyio.Event()
 
     @property
     def member_id(self) -> str:
         """Return the id under which this data folder is a member."""
-        raise NotImplementedError
+        return self._member_id
 
     async def run(self) -> None:
         """Open the files and take part until cancelled.
@@ -94,23 +116,42 @@
         Raises ``LogCorrupted`` or ``StorageError`` where files cannot be
         trusted; the process should then stop.
         """
-        raise NotImplementedError
+        try:
+            core = await self._open()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write_batches, core)
+                tasks.start_soon(self._work_on, core)
+        except ExceptionGroup as group:
+            raise group.exceptions[0] from group
+        finally:
+            self._core = None
+            self._proposals.drop_after(0, but_term=0)
+            self._reads.drop_all()
+            self._storage.close()
 
     def receive(self, sender: str, payload: bytes) -> None:
         """Take a payload that the member ``sender`` gave to its send.
 
         Payloads before ``run`` has opened the files are dropped.
         """
-        raise NotImplementedError
+        if self._core is None or len(self._inbox) >= INBOX_PAYLOADS:
+            return
+        self._inbox.append((sender, payload))
+        self._work.set()
 
     async def bootstrap(self, members: Sequence[tuple[str, str]]) -> None:
         """Start a new group of voters, as (member id, address) pairs.
 
         Only a blank member may; every listed voter must be given the same
         list. Usual is one member alone, which then admits the others with
-        ``add_learner`` and ``promote``.
+        ``add_learner`` and ``promote``. Waits for ``run`` to begin and
+        returns once the membership is synced.
         """
-        raise NotImplementedError
+        await self._opened.wait()
+        core = self._running()
+        core.bootstrap(members, self._now())
+        self._work.set()
+        await self._until(lambda: is_synced(core.state))
 
     async def propose(self, command: bytes) -> object:
         """Commit a command; return what ``apply`` returned here.
@@ -118,7 +159,9 @@
         Raises ``NotLeader`` or ``ProposalRefused`` where nothing was
         appended and ``ProposalLost`` where the outcome is unknown.
         """
-        raise NotImplementedError
+        core = self._running()
+        entry = core.propose(command, self._now())
+        return await self._applied(entry.log_index, entry.term)
 
     async def read_barrier(self) -> None:
         """Return once the state machine holds all that was committed.
@@ -126,30 +169,63 @@
         Confirms with a majority that this member still leads, so a read
         after it is linearizable. Raises ``NotLeader``.
         """
-        raise NotImplementedError
+        core = self._running()
+        self._last_barrier += 1
+        core.read_barrier(self._last_barrier, self._now())
+        waiter = self._reads.add(self._last_barrier)
+        self._work.set()
+        await waiter.wait()
 
     def leader_lease_remaining_s(self) -> float:
         """Return how long no other member can lead; 0 where unsure."""
-        raise NotImplementedError
+        if self._core is None:
+            return 0.0
+        now_s = self._now()
+        return max(0.0, self._core.lease_until_s(now_s) - now_s)
 
     def status(self) -> ReplicaStatus:
         """Return the member's view of the group."""
-        raise NotImplementedError
+        if self._core is None:
+            return ReplicaStatus(
+                self._member_id, "follower", 0, "", 0, 0, 0, (), "starting"
+            )
+        state = self._core.state
+        return ReplicaStatus(
+            member_id=self._member_id,
+            role=state.role.value,
+            term=state.term,
+            leader_id=state.leader_id,
+            commit_index=state.commit_index,
+            applied_index=self._applier.applied_index,
+            last_index=state.log.last_index,
+            members=_member_statuses(self._core),
+            state=_state_name(self._core),
+            payloads_refused=self._refused,
+        )
 
     async def add_learner(self, member_id: str, address: str) -> None:
         """Admit a member that receives entries and does not vote.
 
-        Also changes the address of a learner that is already there.
+        Also changes the address of a member that is already there.
         """
-        raise NotImplementedError
+        core = self._running()
+        index = core.add_learner(member_id, address, self._now())
+        await self._applied(index, core.state.term)
 
     async def promote(self, member_id: str) -> None:
-        """Make a learner that has caught up and synced a voter."""
-        raise NotImplementedError
+        """Make a learner that has caught up and synced a voter.
+
+        Raises ``MembershipRefused`` while it has not: ask again.
+        """
+        core = self._running()
+        index = core.promote(member_id, self._now())
+        await self._applied(index, core.state.term)
 
     async def remove(self, member_id: str) -> None:
         """Remove a member; the leader itself must hand over first."""
-        raise NotImplementedError
+        core = self._running()
+        index = core.remove(member_id, self._now())
+        await self._applied(index, core.state.term)
 
     async def transfer_leadership(self, target: str | None) -> None:
         """Hand leadership to ``target``, or to the most caught-up voter.
@@ -157,7 +233,163 @@
         Returns once this member no longer leads; raises ``NotLeader`` or
         ``TransferFailed``.
         """
-        raise NotImplementedError
+        core = self._running()
+        core.transfer(target, self._now())
+        state = core.state
+        self._work.set()
+        await self._until(
+            lambda: state.role != Role.LEADER or state.transfer is None
+        )
+        if state.role == Role.LEADER:
+            raise TransferFailed("the other voter did not catch up in time")
+
+    async def _open(self) -> Core:
+        found = await to_thread.run_sync(
+            lambda: self._storage.open(known=self._known)
+        )
+        note_group(self._folder, self._group)
+        self._applier.begin(found.snapshot)
+        seed = secrets.randbits(SEED_BITS)
+        core = Core(self._member_id, self._settings, seed, found, self._now())
+        self._core = core
+        self._opened.set()
+        return core
+
+    async def _work_on(self, core: Core) -> None:
+        while True:
+            self._take_inbox(core)
+            core.tick(self._now())
+            self._drain(core)
+            wait_s = max(0.0, core.next_wake_s() - self._now())
+            if self._applier.has_more:
+                await lowlevel.checkpoint()
+            else:
+                with anyio.move_on_after(wait_s):
+                    await self._work.wait()
+            self._work = anyio.Event()
+
+    def _take_inbox(self, core: Core) -> None:
+        payloads = self._inbox
+        self._inbox = []
+        for sender, payload in payloads:
+            try:
+                message = decode_message(payload)
+            except PayloadRefused:
+                self._refused += 1
+                continue
+            if message.sender != sender:
+                self._refused += 1
+                continue
+            core.receive(message, self._now())
+
+    def _drain(self, core: Core) -> None:
+        output = core.drain(self._now())
+        for message in output.messages:
+            self._send(message.to, encode_message(message))
+        if output.batch is not None:
+            self._batches.append(output.batch)
+            self._to_write.set()
+        self._applier.take(output.install, output.committed)
+        self._applier.apply_some()
+        for barrier in output.confirmed:
+            self._reads.confirm(barrier.barrier_id, barrier.read_index)
+        self._reads.applied(self._applier.applied_index)
+        self._drop_lost(core)
+        self._compact(core)
+        self._report(core)
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _drop_lost(self, core: Core) -> None:
+        state = core.state
+        led_term = state.term if state.role == Role.LEADER else 0
+        if led_term and led_term == self._led_term:
+            return
+        self._led_term = led_term
+        self._proposals.drop_after(state.commit_index, but_term=led_term)
+        self._reads.drop_unconfirmed(state.leader_id)
+
+    def _compact(self, core: Core) -> None:
+        applied = self._applier.applied_index
+        since = applied - core.state.snapshot.last_index
+        if core.state.blocked or since < self._settings.snapshot_every_entries:
+            return
+        data = self._applier.snapshot()
+        core.compact(applied, data, self._now())
+        self._work.set()
+
+    def _report(self, core: Core) -> None:
+        seen = (core.state.role.value, _state_name(core))
+        if seen == self._reported:
+            return
+        self._reported = seen
+        LOG.info(
+            "group %d, member %s: %s in term %d, disk and group %s",
+            self._group,
+            self._member_id,
+            seen[0],
+            core.state.term,
+            seen[1],
+        )
+
+    async def _write_batches(self, core: Core) -> None:
+        while True:
+            await self._to_write.wait()
+            self._to_write = anyio.Event()
+            batches = self._batches
+            self._batches = []
+            records = [r for batch in batches for r in batch.records]
+            await self._write(core, records)
+            core.stored(batches[-1].sequence, self._now())
+            self._work.set()
+
+    async def _write(self, core: Core, records: list[Record]) -> None:
+        while True:
+            try:
+                await to_thread.run_sync(self._storage.write, records)
+            except DiskFull:
+                # The records stay here, and so do the answers that depend
+                # on them: nothing was promised that could be lost.
+                core.set_blocked(True, self._now())
+                self._work.set()
+                await anyio.sleep(self._settings.disk_retry_s)
+                continue
+            if core.state.blocked:
+                core.set_blocked(False, self._now())
+            return
+
+    async def _applied(self, index: int, term: int) -> object:
+        waiter = self._proposals.add(index, term)
+        self._work.set()
+        return await waiter.wait()
+
+    async def _until(self, done: Callable[[], bool]) -> None:
+        while not done():
+            await self._changed.wait()
+
+    def _running(self) -> Core:
+        if self._core is None:
+            raise NotLeader("")
+        return self._core
+
+
+def _state_name(core: Core) -> str:
+    if core.state.blocked:
+        return "disk_full"
+    return "blank" if core.is_blank else "ok"
+
+
+def _member_statuses(core: Core) -> tuple[MemberStatus, ...]:
+    state = core.state
+    statuses = []
+    for member in state.membership:
+        match_index = 0
+        if member.member_id in state.progress:
+            match_index = state.progress[member.member_id].match_index
+        elif member.member_id == state.member_id:
+            match_index = state.stable_index
+        statuses.append(MemberStatus(*member, match_index))
+    return tuple(statuses)
 
 
 __all__ = [
--- /dev/null
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/waiters.py
@@ -0,0 +1,134 @@
+"""Callers that wait for an entry to be applied or a read to be confirmed."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import anyio
+
+from sycamorestand_consensus.errors import NotLeader
+from sycamorestand_consensus.errors import ProposalLost
+from sycamorestand_consensus.messages import Entry
+
+
+class Waiter:
+    """One caller, and what it will be told."""
+
+    def __init__(self) -> None:
+        """Begin without an outcome."""
+        self._done = anyio.Event()
+        self._result: object = None
+        self._error: Exception | None = None
+
+    def succeed(self, result: object) -> None:
+        """Wake the caller with a result."""
+        self._result = result
+        self._done.set()
+
+    def fail(self, error: Exception) -> None:
+        """Wake the caller with an error."""
+        self._error = error
+        self._done.set()
+
+    async def wait(self) -> object:
+        """Return the result or raise the error."""
+        await self._done.wait()
+        if self._error is not None:
+            raise self._error
+        return self._result
+
+
+class _Proposal(NamedTuple):
+    term: int
+    waiter: Waiter
+
+
+class Proposals:
+    """Waiters by the index of the entry that they proposed."""
+
+    def __init__(self) -> None:
+        """Begin without any."""
+        self._by_index: dict[int, _Proposal] = {}
+
+    def add(self, index: int, term: int) -> Waiter:
+        """Return a waiter for an entry that was just appended."""
+        waiter = Waiter()
+        self._by_index[index] = _Proposal(term, waiter)
+        return waiter
+
+    def applied(self, entry: Entry, result: object) -> None:
+        """Tell the caller, if the entry is still the one it proposed."""
+        found = self._by_index.pop(entry.log_index, None)
+        if found is None:
+            return
+        if found.term == entry.term:
+            found.waiter.succeed(result)
+        else:
+            found.waiter.fail(ProposalLost("another entry took the place"))
+
+    def drop_after(self, index: int, *, but_term: int) -> None:
+        """Give up those after ``index`` that are not of ``but_term``."""
+        lost = [
+            found
+            for found, proposal in self._by_index.items()
+            if found > index and proposal.term != but_term
+        ]
+        for position in lost:
+            proposal = self._by_index.pop(position)
+            proposal.waiter.fail(ProposalLost("leadership was lost"))
+
+    def drop_through(self, index: int) -> None:
+        """Give up those that a snapshot has passed over."""
+        passed = [found for found in self._by_index if found <= index]
+        for position in passed:
+            proposal = self._by_index.pop(position)
+            proposal.waiter.fail(ProposalLost("a snapshot hides the outcome"))
+
+
+class Reads:
+    """Read barriers by number, then by the index that they wait for."""
+
+    def __init__(self) -> None:
+        """Begin without any."""
+        self._unconfirmed: dict[int, Waiter] = {}
+        self._confirmed: list[tuple[int, Waiter]] = []
+
+    def add(self, barrier_id: int) -> Waiter:
+        """Return a waiter for a new barrier."""
+        waiter = Waiter()
+        self._unconfirmed[barrier_id] = waiter
+        return waiter
+
+    def confirm(self, barrier_id: int, index: int) -> None:
+        """Note that a read is safe once ``index`` is applied."""
+        waiter = self._unconfirmed.pop(barrier_id, None)
+        if waiter is not None:
+            self._confirmed.append((index, waiter))
+
+    def applied(self, index: int) -> None:
+        """Wake the callers whose index is applied."""
+        if not self._confirmed:
+            return
+        waiting = []
+        for wanted, waiter in self._confirmed:
+            if wanted <= index:
+                waiter.succeed(None)
+            else:
+                waiting.append((wanted, waiter))
+        self._confirmed = waiting
+
+    def drop_unconfirmed(self, leader_id: str) -> None:
+        """Tell the callers that this member no longer leads."""
+        for waiter in self._unconfirmed.values():
+            waiter.fail(NotLeader(leader_id))
+        self._unconfirmed.clear()
+
+    def drop_all(self) -> None:
+        """Tell all callers that this member stops."""
+        self.drop_unconfirmed("")
+        for _, waiter in self._confirmed:
+            waiter.fail(NotLeader(""))
+        self._confirmed.clear()
+
+
+__all__ = ["Proposals", "Reads", "Waiter"]
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/wire.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import cast
 from typing import Final
 from typing import NamedTuple
 
@@ -10,6 +11,7 @@
 from sycamorestand_consensus.errors import ConsensusError
 from sycamorestand_consensus.messages import Append
 from sycamorestand_consensus.messages import AppendReply
+from sycamorestand_consensus.messages import Body
 from sycamorestand_consensus.messages import HardState
 from sycamorestand_consensus.messages import LogAppend
 from sycamorestand_consensus.messages import LogTruncate
@@ -96,14 +98,20 @@
         body = _BODIES[found.kind].decode(found.body)
     except (msgspec.MsgspecError, IndexError) as error:
         raise PayloadRefused(f"payload refused: {error}") from error
-    return Message(found.sender, found.to, found.cluster, found.term, body)
+    return Message(
+        found.sender,
+        found.to,
+        found.cluster,
+        found.term,
+        cast(Body, body),
+    )
 
 
 def encode_records(records: list[StoredRecord]) -> bytes:
     """Return the records of one group commit."""
     frames = [
         _Frame(
-            RECORD_TYPES.index(type(record)),  # type: ignore[arg-type]
+            RECORD_TYPES.index(type(record)),
             msgspec.Raw(_ENCODER.encode(record)),
         )
         for record in records
@@ -114,7 +122,7 @@
 def decode_records(data: bytes) -> list[StoredRecord]:
     """Read the records of one group commit; may raise MsgspecError."""
     return [
-        _RECORDS[frame.kind].decode(frame.body)
+        cast(StoredRecord, _RECORDS[frame.kind].decode(frame.body))
         for frame in _FRAMES.decode(data)
     ]
 
