--- /dev/null
+++ b/packages/sycamorestand-state/src/sycamorestand_state/charges.py
@@ -0,0 +1,217 @@
+"""Charges: one for each customer and request key, and what they add up to.
+
+Single charges are kept while there is room and the window lasts; after
+that the key is a tombstone, and a second charge for it is answered as
+``expired``, which means charged before. Daily totals are kept for good:
+one line for each customer, version and day.
+"""
+
+from __future__ import annotations
+
+from datetime import datetime
+from datetime import UTC
+from typing import Final
+from typing import NamedTuple
+
+from sycamorestand_model.ledger import Charge
+from sycamorestand_model.ledger import LedgerResult
+from sycamorestand_state.claims import CREATED
+from sycamorestand_state.claims import EXISTS
+from sycamorestand_state.claims import EXPIRED
+from sycamorestand_state.claims import FULL
+from sycamorestand_state.tombstones import Tombstones
+from sycamorestand_state.tombstones import WINDOW_S
+
+MAX_CHARGES: Final = 100_000
+DAY_S: Final = 86_400.0
+
+
+class ChargeLine(NamedTuple):
+    """One charge; ``number`` counts the charges of a shard from 1."""
+
+    number: int
+    customer: str
+    request_key: str
+    version: str
+    cost_micros: int
+    input_tokens: int
+    output_tokens: int
+    charged_s: float
+
+
+class DayTotal(NamedTuple):
+    """What a customer was charged for a version on a day (UTC)."""
+
+    customer: str
+    version: str
+    day: str
+    charges: int
+    cost_micros: int
+    input_tokens: int
+    output_tokens: int
+
+
+class Bills(NamedTuple):
+    """Totals, and a page of single charges.
+
+    ``next_after`` asks for the next page. Charges up to
+    ``dropped_until`` are in the totals alone.
+    """
+
+    totals: tuple[DayTotal, ...]
+    charges: tuple[ChargeLine, ...]
+    next_after: int
+    dropped_until: int
+
+
+TotalKey = tuple[str, str, int]
+
+
+class ChargesState(NamedTuple):
+    """The part of a snapshot that holds the charges."""
+
+    lines: list[ChargeLine]
+    totals: list[DayTotal]
+    number: int
+    dropped_until: int
+
+
+class ChargeBook:
+    """All charges of a shard, in the order in which they were made."""
+
+    def __init__(
+        self, tombstones: Tombstones, limit: int = MAX_CHARGES
+    ) -> None:
+        self._limit = limit
+        self._tombstones = tombstones
+        self._lines: dict[tuple[str, str], ChargeLine] = {}
+        self._totals: dict[tuple[str, str, str], DayTotal] = {}
+        self._number = 0
+        self._dropped_until = 0
+
+    def __len__(self) -> int:
+        return len(self._lines)
+
+    def charge(self, record: Charge, clock_s: float) -> LedgerResult:
+        """Charge a request key once; tell the first cost after that."""
+        key = (record.customer, record.request_key)
+        known = self._lines.get(key)
+        if known is not None:
+            return LedgerResult(
+                EXISTS,
+                version=known.version,
+                cost_micros=known.cost_micros,
+            )
+        if self._tombstones.holds(*key):
+            return LedgerResult(EXPIRED)
+        if not self._make_room():
+            return LedgerResult(FULL)
+        self._add(key, record, clock_s)
+        return LedgerResult(
+            CREATED, version=record.version, cost_micros=record.cost_micros
+        )
+
+    def expire(self, clock_s: float) -> None:
+        """Drop single charges that are past the window."""
+        oldest_s = clock_s - WINDOW_S
+        while self._lines:
+            key = next(iter(self._lines))
+            if self._lines[key].charged_s >= oldest_s:
+                return
+            self._drop(key)
+
+    def bills(self, customer: str | None, after: int, limit: int) -> Bills:
+        """Return totals and at most ``limit`` charges after a number."""
+        chosen: list[ChargeLine] = []
+        for line in self._lines.values():
+            if len(chosen) == limit:
+                break
+            if line.number > after and customer in (None, line.customer):
+                chosen.append(line)
+        totals = (
+            total
+            for total in self._totals.values()
+            if customer in (None, total.customer)
+        )
+        next_after = chosen[-1].number if chosen else after
+        return Bills(
+            tuple(sorted(totals)),
+            tuple(chosen),
+            next_after,
+            self._dropped_until,
+        )
+
+    def state(self) -> ChargesState:
+        """Return the charges as a snapshot holds them."""
+        return ChargesState(
+            list(self._lines.values()),
+            sorted(self._totals.values()),
+            self._number,
+            self._dropped_until,
+        )
+
+    def load(self, state: ChargesState) -> None:
+        """Take the charges of a snapshot in place of one's own."""
+        self._lines = {
+            (line.customer, line.request_key): line for line in state.lines
+        }
+        self._totals = {
+            (total.customer, total.version, total.day): total
+            for total in state.totals
+        }
+        self._number = state.number
+        self._dropped_until = state.dropped_until
+
+    def _add(
+        self, key: tuple[str, str], record: Charge, clock_s: float
+    ) -> None:
+        self._number += 1
+        self._lines[key] = ChargeLine(
+            self._number,
+            record.customer,
+            record.request_key,
+            record.version,
+            record.cost_micros,
+            record.input_tokens,
+            record.output_tokens,
+            clock_s,
+        )
+        day = _day(clock_s)
+        total_key = (record.customer, record.version, day)
+        total = self._totals.get(total_key)
+        if total is None:
+            total = DayTotal(*total_key, 0, 0, 0, 0)
+        self._totals[total_key] = DayTotal(
+            *total_key,
+            total.charges + 1,
+            total.cost_micros + record.cost_micros,
+            total.input_tokens + record.input_tokens,
+            total.output_tokens + record.output_tokens,
+        )
+
+    def _make_room(self) -> bool:
+        if len(self._lines) < self._limit:
+            return True
+        if self._tombstones.full:
+            return False
+        key = next(iter(self._lines))
+        self._tombstones.add(*key, self._lines[key].charged_s)
+        self._drop(key)
+        return True
+
+    def _drop(self, key: tuple[str, str]) -> None:
+        self._dropped_until = self._lines.pop(key).number
+
+
+def _day(now_s: float) -> str:
+    return datetime.fromtimestamp(now_s, UTC).date().isoformat()
+
+
+__all__ = [
+    "Bills",
+    "ChargeBook",
+    "ChargeLine",
+    "ChargesState",
+    "DayTotal",
+    "MAX_CHARGES",
+]
