--- a/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/routing.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/routing.py
@@ -34,6 +34,7 @@
 POOL: Final = "model@1"
 TICK_S: Final = 0.1
 MAX_ATTEMPTS: Final = 3
+FILLED: Final = 0.75
 
 
 class Result(NamedTuple):
@@ -289,6 +290,28 @@
             self.send(self._waiting.pop(ticket.ticket_id))
 
 
+class ConcentratingEntry(ProductEntry):
+    """As the product, but fills one server before it uses the next.
+
+    The paper's advice (concentrate one model's traffic, section 9) as a
+    rule of choice, to compare with spreading.
+    """
+
+    def choose(self, attempt: Attempt) -> str | None:
+        """Take the first server that is not filled up."""
+        now_s = self.clock.now_s
+        known = self.selector.metrics(now_s)
+        for candidate in self.pool.candidates(now_s):
+            state = known.get(candidate.name)
+            if candidate.name in attempt.tried:
+                continue
+            # The entries fill the same servers, each its part of them.
+            filled = FILLED * candidate.capacity / self._entries
+            if state is None or state.in_flight < filled:
+                return candidate.name
+        return super().choose(attempt)
+
+
 def round_robin() -> Callable[[Sequence[Candidate]], str]:
     """Return a rule that takes the servers in turn."""
     turn = 0
@@ -320,6 +343,7 @@
 __all__ = [
     "at_random",
     "BaselineEntry",
+    "ConcentratingEntry",
     "least_reported",
     "Pool",
     "ProductEntry",
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/simulation.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/simulation.py
@@ -13,6 +13,7 @@
 from sycamorestand_bench.decisions.queue_model import ModelServer
 from sycamorestand_bench.decisions.routing import at_random
 from sycamorestand_bench.decisions.routing import BaselineEntry
+from sycamorestand_bench.decisions.routing import ConcentratingEntry
 from sycamorestand_bench.decisions.routing import least_reported
 from sycamorestand_bench.decisions.routing import ProductEntry
 from sycamorestand_bench.decisions.routing import round_robin
@@ -26,7 +27,9 @@
 if TYPE_CHECKING:
     from sycamorestand_bench.decisions.routing import Result
 
-Policy = Literal["product", "round-robin", "random", "least-reported"]
+Policy = Literal[
+    "product", "round-robin", "random", "least-reported", "concentrate"
+]
 
 DRAIN_S: Final = 100.0
 REPORT_EVERY_S: Final = 1.0
@@ -168,6 +171,8 @@
 ) -> BaselineEntry:
     if policy == "product":
         return ProductEntry(clock, pool, results, random, size.entries)
+    if policy == "concentrate":
+        return ConcentratingEntry(clock, pool, results, random, size.entries)
     rules = {
         "round-robin": round_robin(),
         "random": at_random(random),
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/concurrency_limit.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/concurrency_limit.py
@@ -42,8 +42,8 @@
     """The adaptive limit of one backend server as one entry sees it."""
 
     def __init__(self, capacity: int) -> None:
-        self._capacity = max(1, capacity)
-        self._limit = float(self._capacity)
+        self.capacity = max(1, capacity)
+        self._limit = float(self.capacity)
         self._floor_s: float | None = None
         self._recent_s = 0.0
         self._samples = 0
@@ -56,9 +56,9 @@
 
     def set_capacity(self, capacity: int) -> None:
         """Follow a changed announcement."""
-        if capacity != self._capacity:
-            self._limit *= max(1, capacity) / self._capacity
-            self._capacity = max(1, capacity)
+        capacity = max(1, capacity)
+        self._limit *= capacity / self.capacity
+        self.capacity = capacity
 
     def first_byte(self, now_s: float, latency_s: float) -> None:
         """Learn from the time to the first byte of one answer."""
@@ -86,7 +86,7 @@
         made_s = now_s - age_s
         if not queued or made_s - self._decreased_s < REPORT_AFTER_S:
             return
-        factor = self._capacity / max(1, running + queued)
+        factor = self.capacity / max(1, running + queued)
         self._decreased_s = now_s
         self._limit = max(1.0, self._limit * max(MAX_CUT, min(1.0, factor)))
 
@@ -102,7 +102,7 @@
             return
         if in_flight >= IN_USE_SHARE * self._limit:
             raised = self._limit + 1.0 / self._limit
-            self._limit = min(float(self._capacity), raised)
+            self._limit = min(float(self.capacity), raised)
 
 
 __all__ = ["ConcurrencyLimit"]
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ejection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ejection.py
@@ -67,8 +67,10 @@
 
     def warmth(self, now_s: float) -> float:
         """Return the share of full load, 0 to 1, during slow start."""
-        elapsed = (now_s - self.warm_since_s) / SLOW_START_S
-        return min(1.0, max(SLOW_START_FLOOR, elapsed))
+        elapsed_s = now_s - self.warm_since_s
+        if elapsed_s >= SLOW_START_S:
+            return 1.0
+        return max(SLOW_START_FLOOR, elapsed_s / SLOW_START_S)
 
     def started(self) -> None:
         """Note a request; on a half-open server it is the probe."""
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -98,6 +98,9 @@
         self._random = random or Random()
         self._servers: dict[str, _Server] = {}
         self._rings: dict[tuple[str, ...], HashRing] = {}
+        self._ring = HashRing()
+        self._indexed: Sequence[Candidate] = ()
+        self._by_name: dict[str, Candidate] = {}
         self._hints = CacheHints()
         self._typical = Typical()
         self._answers = 0
@@ -109,7 +112,11 @@
         affinity_key: str | None = None,
         exclude: frozenset[str] = frozenset(),
     ) -> str | None:
-        """Return the server for one attempt, None where none is usable."""
+        """Return the server for one attempt, None where none is usable.
+
+        Given the same sequence again, the index by name is used again: a
+        caller makes a new one when reports come, and changes none.
+        """
         drawn = self._draw(candidates, now_s, exclude)
         if not drawn:
             return None
@@ -118,8 +125,9 @@
         if affinity_key is None:
             return best
         bound = best_score * AFFINITY_GAIN + AFFINITY_SLACK * self._unit()
-        near = self._near(candidates, affinity_key, now_s, exclude)
-        for candidate in near:
+        for candidate in self._near(candidates, affinity_key, now_s):
+            if not self._usable(candidate, now_s, exclude):
+                continue
             if self._score(candidate, now_s) <= bound:
                 return candidate.name
         return best
@@ -273,24 +281,25 @@
         candidates: Sequence[Candidate],
         key: str,
         now_s: float,
-        exclude: frozenset[str],
     ) -> list[Candidate]:
-        by_name = {c.name: c for c in candidates}
-        names = self._hints.holders(key, now_s, by_name)
+        if candidates is not self._indexed:
+            self._index(candidates)
+        names = self._hints.holders(key, now_s, self._by_name)
         if not names:
-            ring = self._ring(tuple(by_name))
-            names = ring.owners(key, AFFINITY_OWNERS)
-        near = [by_name[name] for name in names]
-        return [c for c in near if self._usable(c, now_s, exclude)]
+            names = self._ring.owners(key, AFFINITY_OWNERS)
+        return [self._by_name[name] for name in names]
 
-    def _ring(self, names: tuple[str, ...]) -> HashRing:
+    def _index(self, candidates: Sequence[Candidate]) -> None:
+        self._indexed = candidates
+        self._by_name = {c.name: c for c in candidates}
+        names = tuple(self._by_name)
         ring = self._rings.get(names)
         if ring is None:
             if len(self._rings) >= MAX_RINGS:
                 self._rings.clear()
             ring = self._rings[names] = HashRing()
             ring.set_names(names)
-        return ring
+        self._ring = ring
 
     def _state(
         self, candidate: Candidate, now_s: float, exclude: frozenset[str]
@@ -330,7 +339,7 @@
         server = self._servers.get(name)
         if server is None:
             server = self._servers[name] = _Server(capacity or 1)
-        elif capacity is not None:
+        elif capacity is not None and capacity != server.limit.capacity:
             server.limit.set_capacity(capacity)
         return server
 
