The first end-to-end run: three voters, three entries, apply in force

Cause: roles of the parts met for the first time. Found by running it: the first admin was removed by the first apply, so the operator who ran it could not ask whether it was in force; the quickstart now uses an admin that the example declares.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/operator.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/operator.py
@@ -12,7 +12,9 @@
 import anyio
 import msgspec
 
-ADMIN_KEY: Final = "quickstart-admin-key"
+# An admin of the example, so that the first apply does not remove the
+# operator who runs it.
+ADMIN_KEY: Final = "demo-guild-admin"
 COMMAND_BOUND_S: Final = 40
 
 
@@ -25,12 +27,8 @@
 
     def __init__(self, folder: Path, controls: list[str]) -> None:
         self._key_file = folder / "operator.key"
+        self._key_file.write_text(ADMIN_KEY)
         self._controls = controls
-        self.use_key(ADMIN_KEY)
-
-    def use_key(self, key: str) -> None:
-        """Use another operator's key from now on."""
-        self._key_file.write_text(key)
 
     async def run(self, *arguments: str) -> Any:
         """Run one command with ``--json`` and return what it printed."""
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/run.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/run.py
@@ -29,6 +29,7 @@
 ROLLED_OUT: Final = "nest-small@4"
 LEAVING: Final = "small-2"
 LEAVING_BOUND_S: Final = 2.0
+BILLS_A_PAGE: Final = 500
 FORM_BOUND_S: Final = 30.0
 # What one real minute of a roll-out is in the quickstart.
 FAST_ROLLOUT: Final = """\
@@ -77,7 +78,6 @@
     folder = _declarations(cluster.folder, examples)
     _say("applying examples/guild with a fast roll-out")
     await operator.run("apply", str(folder), "--wait")
-    operator.use_key("demo-guild-admin")
     async with anyio.create_task_group() as tasks:
         addresses = list(entries.values())
         await world.start_engines(tasks, addresses)
@@ -198,7 +198,7 @@
 
 async def _wait_for_backends(operator: Operator, count: int) -> None:
     with anyio.fail_after(FORM_BOUND_S):
-        while len(await operator.run("backends")) < count:
+        while len((await operator.run("backends"))["backends"]) < count:
             await anyio.sleep(0.2)
 
 
@@ -218,9 +218,15 @@
 
 
 async def _all_bills(operator: Operator) -> list[dict[str, Any]]:
-    page = await operator.run("bills")
-    rows: list[dict[str, Any]] = page["rows"]
-    return rows
+    rows: list[dict[str, Any]] = []
+    while True:
+        after = rows[-1]["sequence"] if rows else 0
+        page = await operator.run(
+            "bills", "--after", str(after), "--limit", str(BILLS_A_PAGE)
+        )
+        rows += page["bills"]
+        if len(page["bills"]) < BILLS_A_PAGE:
+            return rows
 
 
 _say = functools.partial(print, "quickstart:", file=sys.stderr, flush=True)
--- a/packages/sycamorestand-control/src/sycamorestand_control/groups.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/groups.py
@@ -27,7 +27,7 @@
     from collections.abc import Mapping
     from pathlib import Path
 
-    from sycamorestand_consensus.replica import StateMachine
+    from sycamorestand_consensus.replica_types import StateMachine
     from sycamorestand_consensus.settings import ReplicaSettings
     from sycamorestand_peer.mesh import PeerMesh
 
@@ -40,7 +40,7 @@
 RETRY_PAUSE_S: Final = 0.05
 
 BLANK: Final = "blank"
-OPENING: Final = "opening"
+STARTING: Final = "starting"
 NOT_LEADER: Final = "not_leader"
 LOST: Final = "lost"
 
@@ -95,7 +95,7 @@
     async def bootstrap_blank(self, members: list[tuple[str, str]]) -> None:
         """Start every log whose files belong to no group yet."""
         for replica in self.replicas.values():
-            while replica.status().state == OPENING:
+            while replica.status().state == STARTING:
                 await anyio.sleep(RETRY_PAUSE_S)
             if replica.status().state == BLANK:
                 await replica.bootstrap(members)
--- a/packages/sycamorestand/src/sycamorestand/run.py
+++ b/packages/sycamorestand/src/sycamorestand/run.py
@@ -23,6 +23,7 @@
 from sycamorestand.settings import read_settings
 from sycamorestand.settings import Setting
 from sycamorestand.settings import SettingsError
+from sycamorestand_consensus.errors import ConsensusError
 from sycamorestand_control.process import ControlProcess
 from sycamorestand_control.settings import ControlSettings
 from sycamorestand_model.errors import SycamorestandError
@@ -80,13 +81,22 @@
             values,
             backend_options={"use_uvloop": True},
         )
-    except* SycamorestandError as group:
-        for error in group.exceptions:
+    except ExceptionGroup as group:
+        known, other = group.split((SycamorestandError, ConsensusError))
+        for error in _leaves(known):
             LOG.error("ended", extra={"reason": str(error)})
+        if other is not None:
+            raise other from None
         return EXIT_FAILED
     return 0
 
 
+def _leaves(group: BaseException | None) -> list[BaseException]:
+    if isinstance(group, BaseExceptionGroup):
+        return [e for part in group.exceptions for e in _leaves(part)]
+    return [] if group is None else [group]
+
+
 async def _serve_until_signal(serve: Serve, values: dict[str, Any]) -> None:
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
