sycactl: tests of two ways to misstate an accepted change

An answer of another shape and a silence after the acceptance must not end as 'nothing was changed'.

--- a/packages/sycamorestand/tests/operator/conftest.py
+++ b/packages/sycamorestand/tests/operator/conftest.py
@@ -38,6 +38,7 @@
 
 EXAMPLES = Path(__file__).parents[4] / "examples"
 KEY = "the-operators-secret"
+BODIES = {"garbage": b"<html>", "another shape": b'{"outcome": "maybe"}'}
 ANN = OperatorIdentity("ann", "admin")
 
 
@@ -88,6 +89,8 @@
         return DeclarationsAnswer(self.state.revision, self.state.declarations)
 
     async def in_force(self, revision: int) -> InForceAnswer:
+        if self.fault == "no word on in force":
+            raise NoLeader("an election runs")
         waiting, self.state.waiting = self.state.waiting, ()
         if self.fault == "never in force":
             waiting = ("vm-9",)
@@ -164,10 +167,10 @@
         elif fault == "answer lost":
             await app(scope, receive, drop)
             await hang(receive)
-        elif fault == "garbage":
+        elif fault in BODIES:
             await app(scope, receive, drop)
             await send({"type": "http.response.start", "status": 200})
-            await send({"type": "http.response.body", "body": b"<html>"})
+            await send({"type": "http.response.body", "body": BODIES[fault]})
         else:
             await app(scope, receive, send)
 
--- a/packages/sycamorestand/tests/operator/test_run.py
+++ b/packages/sycamorestand/tests/operator/test_run.py
@@ -342,6 +342,32 @@
         ended = impatient("withdraw", "cheap@1", "--patience-s", "0.2")
         assert ended.code == 7
 
+    def test_an_answer_of_another_shape_is_no_outcome(
+        self, impatient: Command, servers: Any
+    ) -> None:
+        """Something between answers a change with JSON of its own.
+
+        That says nothing about the change, which may be committed.
+        """
+        servers[0].control.fault = "another shape"
+        ended = impatient("withdraw", "cheap@1", "--json")
+        assert ended.code == 7
+        assert json.loads(ended.out)["error"]["code"] == "unknown-outcome"
+
+    def test_silence_after_the_acceptance_leaves_it_accepted(
+        self, impatient: Command, servers: Any
+    ) -> None:
+        """The change is accepted and the leader is lost right afterwards.
+
+        Nobody can say whether it is in force. The command must not end
+        with "nothing was changed", which unreachable means elsewhere.
+        """
+        for server in servers:
+            server.control.fault = "no word on in force"
+        ended = impatient("withdraw", "cheap@1", "--wait")
+        assert ended.code == 8
+        assert ended.out == "accepted, revision 6\n"
+
     def test_nobody_listening_is_unreachable(
         self, sycactl: Command, monkeypatch: pytest.MonkeyPatch
     ) -> None:
