--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
@@ -106,7 +106,8 @@
                 continue
             content = msgspec.json.decode(response.content)
             found = [
-                f"{row['host']}:{row['port']}" for row in content["addresses"]
+                row["url"].removeprefix("http://")
+                for row in content["addresses"]
             ]
             if found:
                 self._addresses = found
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/run.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/run.py
@@ -21,6 +21,9 @@
 from sycamorestand_bench.quickstart.world import DATA_CENTRES
 from sycamorestand_bench.quickstart.world import STRONG
 from sycamorestand_bench.quickstart.world import World
+from sycamorestand_model.declarations import customer_allows
+from sycamorestand_model.declarations import Declarations
+from sycamorestand_model.declarations import version_id
 from sycamorestand_model.keys import hash_key
 from sycamorestand_model.load import load_folder
 
@@ -94,14 +97,7 @@
         await _wait_until_idle(load)
         bills = await _all_bills(operator)
         declared = load_folder(folder).declarations
-        allowed = {
-            name: frozenset(
-                f"{model}@{version}"
-                for model in customer.versions
-                for version in declared.models[model].versions
-            )
-            for name, customer in declared.customers.items()
-        }
+        allowed = _allowed(declared)
         strong = declared.models[STRONG]
         price = strong.versions[strong.stable]
         strong_micros = sum(
@@ -116,6 +112,18 @@
     )
 
 
+def _allowed(declared: Declarations) -> dict[str, frozenset[str]]:
+    identities = [
+        version_id(model.name, version)
+        for model in declared.models.values()
+        for version in model.versions
+    ]
+    return {
+        name: frozenset(i for i in identities if customer_allows(customer, i))
+        for name, customer in declared.customers.items()
+    }
+
+
 async def _disturb(
     cluster: Cluster,
     world: World,
