--- a/packages/sycamorestand-state/src/sycamorestand_state/claims.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/claims.py
@@ -77,6 +77,17 @@
 ClaimKey = tuple[str, str]
 
 
+class ClaimsState(NamedTuple):
+    """The part of a snapshot that holds the claims.
+
+    Two lists of what exists already: a list of new pairs made the garbage
+    collector walk the whole heap, 0.2 s for 50,000 claims.
+    """
+
+    keys: list[ClaimKey]
+    records: list[ClaimRecord]
+
+
 class ClaimBook:
     """All claims of a shard, the one changed last at the end."""
 
@@ -152,16 +163,16 @@
                 return
             self._drop(key)
 
-    def state(self) -> list[tuple[ClaimKey, ClaimRecord]]:
+    def state(self) -> ClaimsState:
         """Return all claims in order, as a snapshot holds them."""
-        return list(self._records.items())
+        return ClaimsState(list(self._records), list(self._records.values()))
 
-    def load(self, state: list[tuple[ClaimKey, ClaimRecord]]) -> None:
+    def load(self, state: ClaimsState) -> None:
         """Take the claims of a snapshot in place of one's own."""
         self._records = {}
         self._answered = {}
         self._answers_bytes = 0
-        for key, record in state:
+        for key, record in zip(*state, strict=True):
             self._put(key, record)
 
     def _create(
@@ -307,6 +318,7 @@
     "ClaimKey",
     "ClaimLimits",
     "ClaimRecord",
+    "ClaimsState",
     "CONFLICT",
     "CREATED",
     "DISPATCHED",
--- a/packages/sycamorestand-state/src/sycamorestand_state/ledger.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/ledger.py
@@ -31,9 +31,8 @@
 from sycamorestand_state.charges import ChargesState
 from sycamorestand_state.charges import MAX_CHARGES
 from sycamorestand_state.claims import ClaimBook
-from sycamorestand_state.claims import ClaimKey
 from sycamorestand_state.claims import ClaimLimits
-from sycamorestand_state.claims import ClaimRecord
+from sycamorestand_state.claims import ClaimsState
 from sycamorestand_state.codec import decode_fields
 from sycamorestand_state.codec import decode_state
 from sycamorestand_state.codec import encode_state
@@ -41,8 +40,7 @@
 from sycamorestand_state.errors import SnapshotUnreadable
 from sycamorestand_state.pins import MAX_PINS
 from sycamorestand_state.pins import PinBook
-from sycamorestand_state.pins import PinKey
-from sycamorestand_state.pins import PinRecord
+from sycamorestand_state.pins import PinsState
 from sycamorestand_state.tombstones import MAX_TOMBSTONES
 from sycamorestand_state.tombstones import Tombstones
 
@@ -95,11 +93,11 @@
 class _Snapshot(NamedTuple):
     shard: int
     clock_s: float
-    claims: list[tuple[ClaimKey, ClaimRecord]]
+    claims: ClaimsState
     claim_tombstones: list[tuple[int, bytes]]
     charges: ChargesState
     charge_tombstones: list[tuple[int, bytes]]
-    pins: list[tuple[PinKey, PinRecord]]
+    pins: PinsState
 
 
 class LedgerMachine:
--- a/packages/sycamorestand-state/src/sycamorestand_state/pins.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/pins.py
@@ -30,6 +30,17 @@
 PinKey = tuple[str, str]
 
 
+class PinsState(NamedTuple):
+    """The part of a snapshot that holds the pins.
+
+    Two lists of what exists already: a list of new pairs made the garbage
+    collector walk the whole heap, 0.2 s for 50,000 claims.
+    """
+
+    keys: list[PinKey]
+    records: list[PinRecord]
+
+
 class PinBook:
     """All pins of a shard, the one used last at the end."""
 
@@ -63,13 +74,13 @@
                 return
             del self._records[key]
 
-    def state(self) -> list[tuple[PinKey, PinRecord]]:
+    def state(self) -> PinsState:
         """Return all pins in order, as a snapshot holds them."""
-        return list(self._records.items())
+        return PinsState(list(self._records), list(self._records.values()))
 
-    def load(self, state: list[tuple[PinKey, PinRecord]]) -> None:
+    def load(self, state: PinsState) -> None:
         """Take the pins of a snapshot in place of one's own."""
-        self._records = dict(state)
+        self._records = dict(zip(*state, strict=True))
 
 
-__all__ = ["IDLE_S", "MAX_PINS", "PinBook", "PinKey", "PinRecord"]
+__all__ = ["IDLE_S", "MAX_PINS", "PinBook", "PinKey", "PinRecord", "PinsState"]
