Directory of backend servers and registry of entries

Cause: servers announce themselves and nobody has a list; each must be seen to come, leave and die without telling 330 nodes of 910 servers a second. One generic registry serves both: first-hand leases are judged only where they are heard, deltas with version, epoch and digest carry membership, loads go apart, coarse and for a subset. A leaving record outlives its removal as a floor, so that another origin's older one does not show the server again; a dropped origin keeps its newest version, so that a full delta that was held up is stale.

--- /dev/null
+++ b/packages/sycamorestand-state/src/sycamorestand_state/versioned_map.py
@@ -0,0 +1,242 @@
+"""Records by name with a version, so that copies can follow by deltas.
+
+What it answers: telling each of 330 nodes of 910 servers each second does
+not fit the network. The owner counts its changes; a copy asks for what
+came after the version that it has. A digest of the whole goes with every
+delta, also an empty one: a copy that lost, or mixed up, anything sees it
+by the next one and asks for everything.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+import hashlib
+from typing import Any
+from typing import Final
+from typing import Generic
+from typing import Literal
+from typing import NamedTuple
+from typing import TypeVar
+
+import msgspec
+
+T = TypeVar("T")
+DeltaOutcome = Literal["applied", "stale", "resync"]
+
+# Changes that a copy may miss before it needs everything: more than one
+# restart of all servers of the target size.
+HISTORY_LENGTH: Final = 2_048
+HASH_BYTES: Final = 8
+UNKNOWN_VERSION: Final = -1
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+
+
+class MapDelta(NamedTuple, Generic[T]):
+    """What changed after ``from_version``, up to ``to_version``.
+
+    ``epoch`` grows with each start of the origin, as its versions begin
+    anew. ``stream`` tells an origin's own records from the merged ones
+    that it relays. A ``full`` delta replaces what a copy has.
+    """
+
+    origin: str
+    stream: str
+    epoch: int
+    from_version: int
+    to_version: int
+    changed: dict[str, T]
+    removed: tuple[str, ...]
+    digest: int
+    full: bool = False
+
+
+class VersionedMap(Generic[T]):
+    """The owner's side: records, their version and the last changes."""
+
+    def __init__(self, origin: str, stream: str, epoch: int) -> None:
+        self._origin = origin
+        self._stream = stream
+        self._epoch = epoch
+        self._records: dict[str, T] = {}
+        self._version = 0
+        self._digest = 0
+        self._history: deque[str] = deque(maxlen=HISTORY_LENGTH)
+
+    @property
+    def records(self) -> dict[str, T]:
+        """The records by name; not to be changed by the reader."""
+        return self._records
+
+    @property
+    def version(self) -> int:
+        """How many changes there have been."""
+        return self._version
+
+    @property
+    def digest(self) -> int:
+        """A hash of all records that does not depend on their order."""
+        return self._digest
+
+    def put(self, name: str, record: T) -> None:
+        """Set a record; nothing happens where it is so already."""
+        known = self._records.get(name)
+        if known == record:
+            return
+        if known is not None:
+            self._digest ^= record_hash(name, known)
+        self._records[name] = record
+        self._digest ^= record_hash(name, record)
+        self._changed(name)
+
+    def remove(self, name: str) -> None:
+        """Remove a record if it is there."""
+        known = self._records.pop(name, None)
+        if known is not None:
+            self._digest ^= record_hash(name, known)
+            self._changed(name)
+
+    def delta_since(self, version: int) -> MapDelta[T] | None:
+        """Return the changes after a version, None where it is too old."""
+        missed = self._version - version
+        if not 0 <= missed <= len(self._history):
+            return None
+        names = set(list(self._history)[len(self._history) - missed :])
+        changed = {
+            name: self._records[name]
+            for name in sorted(names)
+            if name in self._records
+        }
+        removed = tuple(sorted(names - set(changed)))
+        return self._delta(version, changed, removed)
+
+    def full(self) -> MapDelta[T]:
+        """Return everything."""
+        whole = self._delta(UNKNOWN_VERSION, dict(self._records), ())
+        return whole._replace(full=True)
+
+    def _changed(self, name: str) -> None:
+        self._version += 1
+        self._history.append(name)
+
+    def _delta(
+        self, version: int, changed: dict[str, T], removed: tuple[str, ...]
+    ) -> MapDelta[T]:
+        return MapDelta(
+            self._origin,
+            self._stream,
+            self._epoch,
+            version,
+            self._version,
+            changed,
+            removed,
+            self._digest,
+        )
+
+
+class MapCopy(Generic[T]):
+    """The follower's side of one origin's stream."""
+
+    def __init__(self) -> None:
+        self._epoch = UNKNOWN_VERSION
+        self._version = UNKNOWN_VERSION
+        self._newest = UNKNOWN_VERSION
+        self._heard_s = float("-inf")
+        self._digest = 0
+        self.records: dict[str, T] = {}
+
+    @property
+    def version(self) -> int:
+        """The origin's version that this copy has; -1 asks for all."""
+        return self._version
+
+    @property
+    def heard_s(self) -> float:
+        """When the origin was last heard of, on the follower's clock."""
+        return self._heard_s
+
+    def apply(self, delta: MapDelta[T], now_s: float) -> DeltaOutcome:
+        """Take a delta in, whatever was lost or doubled before it.
+
+        After ``resync`` the records stay as they are, and only a full
+        delta is taken.
+        """
+        if self._is_stale(delta):
+            return "stale"
+        if delta.full:
+            records = dict(delta.changed)
+            digest = digest_of(records)
+        elif self._has_gap(delta):
+            return "resync"
+        else:
+            records, digest = self._changed(delta)
+        if digest != delta.digest:
+            self._version = UNKNOWN_VERSION
+            return "resync"
+        self.records = records
+        self._digest = digest
+        self._epoch = delta.epoch
+        self._version = delta.to_version
+        self._newest = delta.to_version
+        self._heard_s = now_s
+        return "applied"
+
+    def drop(self) -> None:
+        """Forget the records, but not how new they were.
+
+        A full delta that was held up on the way would otherwise be taken
+        for news and bring back servers that are gone.
+        """
+        self.records = {}
+        self._digest = 0
+        self._version = UNKNOWN_VERSION
+
+    def _changed(self, delta: MapDelta[T]) -> tuple[dict[str, T], int]:
+        records = {**self.records, **delta.changed}
+        digest = self._digest
+        for name in delta.removed:
+            records.pop(name, None)
+        for name in (*delta.changed, *delta.removed):
+            if name in self.records:
+                digest ^= record_hash(name, self.records[name])
+        for name, record in delta.changed.items():
+            digest ^= record_hash(name, record)
+        return records, digest
+
+    def _is_stale(self, delta: MapDelta[T]) -> bool:
+        if delta.epoch != self._epoch:
+            return delta.epoch < self._epoch
+        return delta.to_version < self._newest
+
+    def _has_gap(self, delta: MapDelta[T]) -> bool:
+        if delta.epoch != self._epoch:
+            return True
+        return not 0 <= delta.from_version <= self._version
+
+
+def record_hash(name: str, record: Any) -> int:
+    """Return the hash of one record; records are combined by xor."""
+    digest = hashlib.blake2b(
+        _ENCODER.encode((name, record)), digest_size=HASH_BYTES
+    ).digest()
+    return int.from_bytes(digest, "big")
+
+
+def digest_of(records: dict[str, T]) -> int:
+    """Return the digest that an owner of these records has."""
+    digest = 0
+    for name, record in records.items():
+        digest ^= record_hash(name, record)
+    return digest
+
+
+__all__ = [
+    "DeltaOutcome",
+    "digest_of",
+    "HISTORY_LENGTH",
+    "MapCopy",
+    "MapDelta",
+    "record_hash",
+    "UNKNOWN_VERSION",
+    "VersionedMap",
+]
--- /dev/null
+++ b/packages/sycamorestand-state/tests/test_directory.py
@@ -0,0 +1,363 @@
+from __future__ import annotations
+
+from typing import Any
+
+from hypothesis import settings
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+import hypothesis.strategies as st
+import msgspec
+import pytest
+
+from sycamorestand_model.backend_servers import Announcement
+from sycamorestand_model.backend_servers import LoadReport
+from sycamorestand_state.directory import BackendDirectory
+from sycamorestand_state.directory import DirectoryDelta
+from sycamorestand_state.directory import subset
+from sycamorestand_state.loads import coarse_count
+from sycamorestand_state.loads import MAX_LOADS
+from sycamorestand_state.registry import MEMORY_S
+from sycamorestand_state.registry import ORIGIN_LEASE_S
+from sycamorestand_state.versioned_map import HISTORY_LENGTH
+
+
+def server(
+    name: str = "b1", incarnation: int = 1, sequence: int = 1, **fields: Any
+) -> Announcement:
+    return Announcement(
+        name,
+        "engine",
+        "10.0.0.1:80",
+        "Dalton",
+        incarnation,
+        sequence,
+        ("nest@1",),
+    )._replace(**fields)
+
+
+@pytest.fixture
+def control() -> BackendDirectory:
+    return BackendDirectory("c1", 1)
+
+
+@pytest.fixture
+def entry() -> BackendDirectory:
+    return BackendDirectory("e1", 1)
+
+
+class TestAnnouncements:
+    def test_late_and_doubled_ones_are_told_apart(
+        self, control: BackendDirectory
+    ) -> None:
+        assert control.announce(server(sequence=2), 0.0)
+        assert not control.announce(server(sequence=2), 0.0)
+        assert not control.announce(server(sequence=1, capacity=1), 0.0)
+        assert control.announce(server(incarnation=2, capacity=8), 0.0)
+        assert control.servers()["b1"].capacity == 8
+
+    def test_renewals_are_no_news(self, control: BackendDirectory) -> None:
+        for sequence in range(1, 20):
+            load = LoadReport(running=sequence)
+            control.announce(server(sequence=sequence, load=load), 0.0)
+        assert control.version == 1
+
+    def test_a_lease_runs_out_on_the_local_clock(
+        self, control: BackendDirectory
+    ) -> None:
+        control.announce(server(lease_s=3.0), 10.0)
+        assert control.expire(12.9) == ()
+        assert control.expire(13.0) == ("b1",)
+
+    def test_a_late_announcement_does_not_bring_a_server_back(
+        self, control: BackendDirectory
+    ) -> None:
+        """New work would go to a server that is gone.
+
+        The server leaves and its lease runs out; an announcement from
+        before was held up on the way and arrives last.
+        """
+        control.announce(server(sequence=1), 0.0)
+        control.announce(server(sequence=3, leaving=True), 1.0)
+        control.expire(5.0)
+        assert not control.announce(server(sequence=2), 5.0)
+        assert control.servers() == {}
+
+    def test_what_left_is_not_shown_by_another_origin(
+        self, control: BackendDirectory
+    ) -> None:
+        """One control process heard the server leave, another did not.
+
+        The record of the first ends with the lease; that of the other
+        is older and still says that the server takes work.
+        """
+        other = BackendDirectory("c2", 1)
+        other.announce(server(sequence=1, lease_s=9.0), 0.0)
+        control.apply_delta(other.own_full(), 0.0)
+        control.announce(server(sequence=2, leaving=True), 1.0)
+        assert control.servers()["b1"].leaving
+        control.apply_delta(other.own_full(), 2.0)
+        assert control.expire(4.0) == ("b1",)
+        assert control.servers() == {}
+
+    def test_a_server_that_stays_after_all_comes_back(
+        self, control: BackendDirectory
+    ) -> None:
+        control.announce(server(sequence=1, leaving=True), 0.0)
+        control.announce(server(sequence=2), 0.0)
+        assert not control.servers()["b1"].leaving
+
+
+class TestDeltas:
+    def test_they_carry_what_came_and_went(
+        self, control: BackendDirectory, entry: BackendDirectory
+    ) -> None:
+        control.announce(server("b1"), 0.0)
+        assert entry.apply_delta(control.full(), 0.0) == "applied"
+        control.announce(server("b2"), 1.0)
+        control.expire(3.0)
+        delta = control.delta_since(entry.copied_version("c1"))
+        assert delta is not None
+        assert (set(delta.changed), delta.removed) == ({"b2"}, ("b1",))
+        assert entry.apply_delta(delta, 3.0) == "applied"
+        assert set(entry.servers()) == {"b2"}
+        assert entry.digest() == control.digest()
+
+    def test_a_gap_or_a_new_epoch_asks_for_all(
+        self, control: BackendDirectory, entry: BackendDirectory
+    ) -> None:
+        """An entry would miss a server for good, without noticing.
+
+        First a delta is lost, then the control process restarts and its
+        versions begin anew; each time all is asked for and taken.
+        """
+        entry.apply_delta(control.full(), 0.0)
+        control.announce(server("b1"), 0.0)
+        control.announce(server("b2"), 0.0)
+        second = control.delta_since(1)
+        assert second is not None
+        assert entry.apply_delta(second, 0.0) == "resync"
+        assert entry.apply_delta(control.full(), 0.0) == "applied"
+        restarted = BackendDirectory("c1", 2)
+        beat = restarted.delta_since(0)
+        assert beat is not None
+        assert entry.apply_delta(beat, 0.0) == "resync"
+        assert entry.apply_delta(restarted.full(), 0.0) == "applied"
+        assert entry.apply_delta(second, 0.0) == "stale"
+        assert entry.servers() == {}
+
+    def test_a_digest_that_differs_asks_for_all(
+        self, control: BackendDirectory, entry: BackendDirectory
+    ) -> None:
+        control.announce(server("b1"), 0.0)
+        entry.apply_delta(control.full(), 0.0)
+        beat = control.delta_since(1)
+        assert beat is not None
+        damaged = beat._replace(digest=beat.digest ^ 1)
+        assert entry.apply_delta(damaged, 0.0) == "resync"
+        assert entry.apply_delta(beat, 0.0) == "resync"
+        assert entry.apply_delta(control.full(), 0.0) == "applied"
+
+    def test_too_old_a_version_has_no_delta(
+        self, control: BackendDirectory
+    ) -> None:
+        for number in range(HISTORY_LENGTH + 1):
+            control.announce(server(f"b{number}"), 0.0)
+        assert control.delta_since(0) is None
+        assert control.delta_since(1) is not None
+        assert control.delta_since(control.version + 1) is None
+
+    def test_a_silent_origin_is_dropped_and_its_late_news_are_stale(
+        self, control: BackendDirectory, entry: BackendDirectory
+    ) -> None:
+        control.announce(server("b1"), 0.0)
+        old = control.full()
+        control.announce(server("b2"), 0.0)
+        entry.apply_delta(control.full(), 0.0)
+        assert entry.expire(ORIGIN_LEASE_S) == ("b1", "b2")
+        assert entry.apply_delta(old, ORIGIN_LEASE_S) == "stale"
+        assert entry.apply_delta(control.full(), 4.0) == "applied"
+
+    def test_a_delta_survives_the_wire(
+        self, control: BackendDirectory
+    ) -> None:
+        control.announce(server("b1"), 0.0)
+        data = msgspec.msgpack.encode(control.full())
+        assert msgspec.msgpack.decode(data, type=DirectoryDelta) == (
+            control.full()
+        )
+
+
+class TestLoads:
+    def test_they_are_bounded_coarse_and_aged(
+        self, control: BackendDirectory, entry: BackendDirectory
+    ) -> None:
+        names = [f"b{number}" for number in range(MAX_LOADS + 5)]
+        for name in names:
+            load = LoadReport(running=13, age_s=0.5)
+            control.announce(server(name, load=load), 0.0)
+        update = control.loads(names, 1.0)
+        assert len(update.loads) == MAX_LOADS
+        entry.apply_loads(update, 7.0)
+        told = entry.load("b0", 8.0)
+        assert told is not None
+        assert (told.running, told.age_s) == (12, 2.5)
+        assert entry.load("b0", 90.0) is None
+
+    @pytest.mark.parametrize(
+        ("count", "told"), [(0, 0), (3, 3), (9, 8), (13, 12), (27, 24)]
+    )
+    def test_steps_are_about_a_quarter(self, count: int, told: int) -> None:
+        assert coarse_count(count) == told
+
+
+class TestSubset:
+    def test_a_server_that_goes_moves_nobody_else(self) -> None:
+        names = [f"b{number}" for number in range(50)]
+        before = subset("vm-3", names, 8)
+        names.remove(before[2])
+        after = subset("vm-3", names, 8)
+        assert set(before) - set(after) == {before[2]}
+        assert len(set(after) - set(before)) == 1
+
+
+CONTROLS = ("c1", "c2")
+SERVERS = ("b1", "b2")
+
+
+class DirectoryRules(RuleBasedStateMachine):
+    """Announcements and deltas are lost, doubled and reordered.
+
+    Whoever has seen a server leave never shows it as staying for an older
+    announcement, and an exchange by digest makes all agree again.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.numbers = {name: (1, 0) for name in SERVERS}
+        self.leaving = dict.fromkeys(SERVERS, False)
+        self.epochs = {"c1": 1, "c2": 1}
+        self.all = {name: BackendDirectory(name, 1) for name in CONTROLS}
+        self.all["e1"] = BackendDirectory("e1", 1)
+        self.late: list[tuple[float, Announcement]] = []
+        self.deltas: list[tuple[str, DirectoryDelta]] = []
+        self.left: dict[tuple[str, str], tuple[int, int]] = {}
+
+    @rule(
+        name=st.sampled_from(SERVERS),
+        control=st.sampled_from((*CONTROLS, "lost")),
+        capacity=st.integers(1, 2),
+    )
+    def announce(self, name: str, control: str, capacity: int) -> None:
+        incarnation, sequence = self.numbers[name]
+        self.numbers[name] = (incarnation, sequence + 1)
+        announcement = server(
+            name,
+            incarnation,
+            sequence + 1,
+            capacity=capacity,
+            leaving=self.leaving[name],
+        )
+        self.late.append((self.now_s, announcement))
+        if control != "lost":
+            self.all[control].announce(announcement, self.now_s)
+
+    @rule(name=st.sampled_from(SERVERS), leaving=st.booleans())
+    def leave_or_stay(self, name: str, leaving: bool) -> None:
+        self.leaving[name] = leaving
+
+    @rule(name=st.sampled_from(SERVERS))
+    def restart_server(self, name: str) -> None:
+        self.numbers[name] = (self.numbers[name][0] + 1, 0)
+        self.leaving[name] = False
+
+    @precondition(lambda self: self.late)
+    @rule(recent=st.integers(1, 6), control=st.sampled_from(CONTROLS))
+    def announcement_comes_late(self, recent: int, control: str) -> None:
+        sent_s, announcement = self.late[-recent:][0]
+        if self.now_s - sent_s < MEMORY_S:
+            self.all[control].announce(announcement, self.now_s)
+
+    @rule(step_s=st.sampled_from([0.5, 2.0, 4.0]))
+    def pass_time(self, step_s: float) -> None:
+        self.now_s += step_s
+        for directory in self.all.values():
+            directory.expire(self.now_s)
+
+    @rule(control=st.sampled_from(CONTROLS), whole=st.booleans())
+    def send(self, control: str, whole: bool) -> None:
+        other = CONTROLS[1 - CONTROLS.index(control)]
+        origin = self.all[control]
+        version = self.all[other].copied_version(control)
+        own = None if whole else origin.own_delta_since(version)
+        self.deltas.append((other, own or origin.own_full()))
+        if control == "c1":
+            version = self.all["e1"].copied_version(control)
+            merged = None if whole else origin.delta_since(version)
+            self.deltas.append(("e1", merged or origin.full()))
+
+    @precondition(lambda self: self.deltas)
+    @rule(recent=st.integers(1, 6))
+    def deliver(self, recent: int) -> None:
+        receiver, delta = self.deltas[-recent:][0]
+        self.all[receiver].apply_delta(delta, self.now_s)
+
+    @rule(control=st.sampled_from(CONTROLS))
+    def restart_control(self, control: str) -> None:
+        self.epochs[control] += 1
+        self.all[control] = BackendDirectory(control, self.epochs[control])
+        for name in SERVERS:
+            self.left.pop((control, name), None)
+
+    @invariant()
+    def what_left_stays_away(self) -> None:
+        for process, directory in self.all.items():
+            for name, shown in directory.servers().items():
+                number = (shown.incarnation, shown.sequence)
+                seen = self.left.get((process, name), (0, 0))
+                if shown.leaving:
+                    self.left[process, name] = max(seen, number)
+                elif process != "e1":
+                    assert number > seen
+
+    @rule()
+    def agree(self) -> None:
+        for _ in range(4):
+            self._exchange("c1", "c2")
+            self._exchange("c2", "c1")
+        self._tell_entry()
+        entry, control = self.all["e1"], self.all["c1"]
+        assert entry.servers() == control.servers()
+        assert entry.digest() == control.digest()
+        for name in SERVERS:
+            self._same_or_left(name)
+
+    def _exchange(self, sender: str, receiver: str) -> None:
+        origin, target = self.all[sender], self.all[receiver]
+        delta = origin.own_delta_since(target.copied_version(sender))
+        if delta is None or target.apply_delta(delta, self.now_s) != "applied":
+            outcome = target.apply_delta(origin.own_full(), self.now_s)
+            assert outcome == "applied"
+
+    def _tell_entry(self) -> None:
+        origin, target = self.all["c1"], self.all["e1"]
+        delta = origin.delta_since(target.copied_version("c1"))
+        if delta is None or target.apply_delta(delta, self.now_s) != "applied":
+            assert target.apply_delta(origin.full(), self.now_s) == "applied"
+
+    def _same_or_left(self, name: str) -> None:
+        one = self.all["c1"].servers().get(name)
+        other = self.all["c2"].servers().get(name)
+        # One that has seen it leave hides it longer than the other, which
+        # holds an older record until its lease there runs out.
+        if one is None or other is None:
+            return
+        assert one == other
+
+
+DirectoryRules.TestCase.settings = settings(
+    max_examples=200, stateful_step_count=40
+)
+TestDirectoryRules = DirectoryRules.TestCase
