Backend servers and entries spread as versioned deltas with a digest

Now renewals stay at the process that hears them, membership travels as deltas with an empty one a second, loads as coarse reports of the 24 servers that an entry uses. Ruled out: a version and digest in each lease request (the digest goes with every delta already, and a gap is asked for at once).

--- a/packages/sycamorestand-control/src/sycamorestand_control/explain.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/explain.py
@@ -105,24 +105,36 @@
     if server is None:
         return []
     state = "leaving: no new work" if server.leaving else "serving"
-    return [
+    lines = [
         f"backend server {subject} at {server.address} is {state}",
         f"it holds {', '.join(server.versions) or 'nothing'},"
-        f" capacity {server.capacity}, reported {server.load.running} running"
-        f" and {server.load.queued} queued",
+        f" capacity {server.capacity}",
     ]
+    load = tables.load(subject)
+    if load is not None:
+        lines.append(
+            f"{load.age_s:.1f} s ago it reported {load.running} running"
+            f" and {load.queued} queued"
+        )
+    return lines
 
 
 def _explain_vm(
     subject: str, configuration: ConfigurationMachine, tables: SharedTables
 ) -> list[str]:
+    node = tables.entries().get(subject)
+    if node is None:
+        return []
     draining = configuration.in_force().draining_vms
-    return [
-        f"VM {row.vm}: {row.state}, revision {row.revision},"
-        f" attached to {row.control or 'no control process'}"
-        for row in tables.node_rows(draining)
-        if row.vm == subject
-    ]
+    lines = [f"VM {subject} serves callers at {node.host}:{node.port}"]
+    if node.stopping:
+        lines.append("it is stopping as planned: callers are sent elsewhere")
+    if subject in draining:
+        lines.append("it is draining: callers are sent elsewhere")
+    state = tables.entry_state(subject)
+    if state is not None:
+        lines.append(f"it acts on revision {state.acked_revision}")
+    return lines
 
 
 __all__ = ["explain_subject"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/hub.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/hub.py
@@ -8,7 +8,6 @@
 
 import anyio
 
-from sycamorestand_control.tables import NodeRecord
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import ConfigurationPush
@@ -31,7 +30,8 @@
 # A push that was lost is repeated with a renewal, yet not with each of
 # them: the whole configuration is the largest message there is.
 PUSH_AGAIN_S: Final = 0.3
-ADDRESSES_INTERVAL_S: Final = 1.0
+# Loads and addresses are coarse and late by nature.
+SLOW_INTERVAL_S: Final = 1.0
 # Callers need a few addresses to choose among, not all of 330.
 ADDRESSES_FOR_CALLERS: Final = 8
 
@@ -44,7 +44,6 @@
         self.heard_s = 0.0
         self.pushed_revision = 0
         self.pushed_s = 0.0
-        self.directory_version = 0
         self.addresses: AddressList | None = None
 
 
@@ -74,20 +73,10 @@
     def lease_requested(self, sender: str, message: LeaseRequest) -> None:
         """Renew an entry's lease, and send it what it lacks."""
         entry = self._entry(sender, message)
-        self._tables.node_heard(
-            NodeRecord(
-                message.address, message.acked_revision, self._mesh.address
-            )
-        )
+        self._tables.entry_heard(sender, message)
         self._answer_lease(sender, message)
         self._push_configuration(entry, message.acked_revision)
-        if self._tables.is_out_of_step(
-            message.directory_epoch,
-            message.directory_version,
-            message.directory_digest,
-        ):
-            entry.directory_version = 0
-        self._push_directory(entry)
+        self._tables.send_to_entry(sender)
 
     def revision_applied(self) -> None:
         """Send the new revision to every entry at once."""
@@ -96,16 +85,17 @@
 
     async def run(self) -> None:
         """Keep entries' tables and addresses fresh, until cancelled."""
-        next_addresses_s = 0.0
+        next_slow_s = 0.0
         while True:
             await anyio.sleep(TICK_S)
             now_s = boottime_s()
             self._detach_silent(now_s)
             for entry in self._attached.values():
-                self._push_directory(entry)
-            if now_s >= next_addresses_s:
-                next_addresses_s = now_s + ADDRESSES_INTERVAL_S
+                self._tables.send_to_entry(entry.address)
+            if now_s >= next_slow_s:
+                next_slow_s = now_s + SLOW_INTERVAL_S
                 self._push_addresses()
+                self._push_loads()
 
     def _entry(self, sender: str, message: LeaseRequest) -> _Attached:
         entry = self._attached.get(sender)
@@ -150,13 +140,9 @@
         entry.pushed_s = now_s
         self._mesh.send(entry.address, ConfigurationPush(in_force))
 
-    def _push_directory(self, entry: _Attached) -> None:
-        update, version = self._tables.update_for_entry(
-            entry.directory_version
-        )
-        if update is not None:
-            self._mesh.send(entry.address, update)
-        entry.directory_version = version
+    def _push_loads(self) -> None:
+        for entry in self._attached.values():
+            self._tables.send_loads_to_entry(entry.address, entry.vm)
 
     def _push_addresses(self) -> None:
         draining = self._in_force().draining_vms
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -35,6 +35,8 @@
 from sycamorestand_control.operator_api.types import StatusAnswer
 from sycamorestand_control.operator_api.types import TransferAnswer
 from sycamorestand_control.operator_api.types import VoterRow
+from sycamorestand_control.rows import backend_rows
+from sycamorestand_control.rows import node_rows
 from sycamorestand_peer.errors import PeerTimeout
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import Query
@@ -144,7 +146,7 @@
             withdrawn=in_force.withdrawn,
             quarantined=in_force.quarantined,
             draining_vms=in_force.draining_vms,
-            entry_count=len(parts.tables.nodes()),
+            entry_count=len(parts.tables.entries()),
             backend_server_count=len(parts.tables.servers()),
             alarms=self._alarms(),
         )
@@ -177,13 +179,15 @@
 
     async def nodes(self) -> tuple[NodeRow, ...]:
         """Return the entry processes that any control process hears."""
-        return self._parts.tables.node_rows(
-            self._parts.configuration.in_force().draining_vms
+        return node_rows(
+            self._parts.tables,
+            self._parts.configuration.in_force().draining_vms,
+            self._parts.vm,
         )
 
     async def backends(self) -> tuple[BackendRow, ...]:
         """Return the backend servers that are announced."""
-        return self._parts.tables.backend_rows()
+        return backend_rows(self._parts.tables)
 
     async def replace_voter(
         self, request: ReplaceVoterRequest
@@ -297,7 +301,7 @@
             return None
         live = self._parts.leases.live_controls()
         waiting = tuple(
-            self._parts.tables.control_vm(address)
+            self._parts.tables.control_name(address).vm or address
             for address in status.missing
         )
         return InForceAnswer(
@@ -335,8 +339,7 @@
             rows.append(
                 VoterRow(
                     member.member_id,
-                    self._parts.tables.control_vm(member.address),
-                    self._parts.tables.control_data_centre(member.address),
+                    *self._parts.tables.control_name(member.address),
                     member.address,
                     role,  # type: ignore[arg-type]
                     status.applied_index if own else member.match_index,
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -34,6 +34,7 @@
 from sycamorestand_control.operator_api.authentication import make_authenticate
 from sycamorestand_control.operator_backend import ControlBackend
 from sycamorestand_control.operator_backend import Parts
+from sycamorestand_control.tables import ControlName
 from sycamorestand_control.tables import SharedTables
 from sycamorestand_control.version_keeper import VersionKeeper
 from sycamorestand_model.ledger import LedgerResult
@@ -91,7 +92,9 @@
             self._group_table(),
         )
         self.tables = SharedTables(
-            self.mesh, settings.vm, settings.data_centre, self._others
+            self.mesh,
+            ControlName(settings.vm, settings.data_centre),
+            self._others,
         )
         self.leases = LeaseService(
             self.mesh, self.groups, lambda: self.configuration.revision
--- a/packages/sycamorestand-control/src/sycamorestand_control/tables.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/tables.py
@@ -1,7 +1,16 @@
-"""Soft state that control processes share: backend servers and entries."""
+"""Soft state that control processes share: backend servers and entries.
+
+Each process hears some announcers at first hand and tells the others of
+them by versioned deltas; what it merges goes to its entries, by deltas
+too. Nothing here is on disk: after a restart announcers are heard again
+within their leases.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+import logging
+from typing import Any
 from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -9,194 +18,269 @@
 import anyio
 import msgspec
 
-from sycamorestand_control.operator_api.types import BackendRow
-from sycamorestand_control.operator_api.types import NodeRow
-from sycamorestand_model.backend_servers import Announcement
-from sycamorestand_model.backend_servers import supersedes
 from sycamorestand_model.nodes import EntryAddress
 from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
+from sycamorestand_state.directory import BackendDirectory
+from sycamorestand_state.directory import DirectoryDelta
+from sycamorestand_state.loads import LoadUpdate
+from sycamorestand_state.loads import MAX_LOADS
+from sycamorestand_state.nodes import NodeDelta
+from sycamorestand_state.nodes import NodeRecord
+from sycamorestand_state.nodes import NodeRegistry
+from sycamorestand_state.rendezvous import subset
+from sycamorestand_state.versioned_map import UNKNOWN_VERSION
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sycamorestand_model.backend_servers import Announcement
     from sycamorestand_peer.mesh import PeerMesh
-    from sycamorestand_peer.messages import TableResync
-
-SPREAD_INTERVAL_S: Final = 0.2
+    from sycamorestand_peer.messages import LeaseRequest
+    from sycamorestand_state.registry import Registry
+
+LOG: Final = logging.getLogger(__name__)
+SPREAD_INTERVAL_S: Final = 0.1
+# An origin that has nothing new says so, so that it is known to live: its
+# records are dropped elsewhere after three of these.
+EMPTY_INTERVAL_S: Final = 1.0
+LOADS_INTERVAL_S: Final = 1.0
 BACKEND_SERVERS: Final = "backend_servers"
-NODES: Final = "nodes"
+ENTRIES: Final = "entries"
+LOADS: Final = "loads"
+CONTROLS: Final = "controls"
 NODE_LEASE_S: Final = 3.0
+# Servers whose load an entry is told; it chooses between two at a time,
+# and with more it would only hear of servers that it hardly uses.
+LOADS_AN_ENTRY: Final = 24
+
+
+class ControlName(NamedTuple):
+    """Where a control process runs, for people."""
+
+    vm: str
+    data_centre: str
 
 
-class NodeRecord(NamedTuple):
-    """One entry process as a control process hears of it."""
+UNNAMED: Final = ControlName("", "")
 
-    address: EntryAddress
-    revision: int
-    control: str
 
+class EntryState(NamedTuple):
+    """What the control process that serves an entry knows of it."""
 
-class _Held(NamedTuple):
-    announcement: Announcement
-    expires_s: float
+    acked_revision: int
+    open_requests: int = 0
 
 
 class SharedTables:
-    """Announcements and entries, spread to every control process."""
+    """Backend servers and entries, as far as this process has heard."""
 
     def __init__(
         self,
         mesh: PeerMesh,
-        vm: str,
-        data_centre: str,
+        name: ControlName,
         others: Callable[[], tuple[str, ...]],
     ) -> None:
         self._mesh = mesh
-        self._vm = vm
-        self._data_centre = data_centre
+        self._names = {mesh.address: name}
         self._others = others
-        self._servers: dict[str, _Held] = {}
-        self._nodes: dict[str, tuple[NodeRecord, float]] = {}
-        self._version = 1
+        self._servers = BackendDirectory(mesh.address, mesh.incarnation)
+        self._entries = NodeRegistry(mesh.address, mesh.incarnation)
+        self._states: dict[str, EntryState] = {}
+        self._streams = {
+            BACKEND_SERVERS: _Streams(mesh, BACKEND_SERVERS, self._servers),
+            ENTRIES: _Streams(mesh, ENTRIES, self._entries),
+        }
+        self.resyncs = 0
 
     def announced(self, announcement: Announcement) -> None:
-        """Take an announcement that an entry has received."""
-        if self._take(announcement):
-            update = _encode(BACKEND_SERVERS, [announcement])
-            for address in self._others():
-                self._mesh.send(address, update)
-
-    def node_heard(self, record: NodeRecord) -> None:
-        """Note that an entry is alive."""
-        expires_s = boottime_s() + NODE_LEASE_S
-        self._nodes[record.address.vm] = (record, expires_s)
+        """Take an announcement that an entry of this process received."""
+        self._servers.announce(announcement, boottime_s())
+
+    def entry_heard(self, sender: str, message: LeaseRequest) -> None:
+        """Note that an entry of this process is alive, and its state."""
+        address = message.address
+        record = NodeRecord(
+            address.vm,
+            address.vm,
+            address.data_centre,
+            message.incarnation,
+            message.sequence,
+            address.host,
+            address.port,
+            sender,
+            address.stopping,
+            address.load,
+            NODE_LEASE_S,
+        )
+        self._entries.announce(record, boottime_s())
+        self._states[address.vm] = EntryState(message.acked_revision)
 
     def servers(self) -> dict[str, Announcement]:
-        """Return the live backend servers."""
-        now_s = boottime_s()
-        return {
-            name: held.announcement
-            for name, held in self._servers.items()
-            if held.expires_s > now_s
-        }
+        """Return the backend servers that are known, by name."""
+        return self._servers.servers()
 
-    def nodes(self) -> tuple[NodeRecord, ...]:
-        """Return the live entries."""
-        now_s = boottime_s()
-        return tuple(
-            r for r, expires_s in self._nodes.values() if expires_s > now_s
-        )
+    def entries(self) -> dict[str, NodeRecord]:
+        """Return the entries that are known, by VM."""
+        return self._entries.nodes()
 
-    def update_received(self, sender: str, message: TableUpdate) -> None:
-        """Take what another control process has spread."""
-        if message.table == BACKEND_SERVERS:
-            for announcement in msgspec.msgpack.decode(
-                message.payload, type=list[Announcement]
-            ):
-                self._take(announcement)
-        elif message.table == NODES:
-            for record in msgspec.msgpack.decode(
-                message.payload, type=list[NodeRecord]
-            ):
-                self.node_heard(record)
-
-    def resync_received(self, sender: str, message: TableResync) -> None:
-        """Send everything again."""
+    def entry_state(self, vm: str) -> EntryState | None:
+        """Return an entry's state, None where another process serves it."""
+        return self._states.get(vm)
 
-    def update_for_entry(self, version: int) -> tuple[TableUpdate | None, int]:
-        """Return what an entry lacks that has seen ``version``."""
-        if version == self._version:
-            return None, version
-        return _encode(
-            BACKEND_SERVERS, list(self.servers().values())
-        ), self._version
+    def control_name(self, address: str) -> ControlName:
+        """Return where the control process with a peer address runs."""
+        return self._names.get(address, UNNAMED)
 
-    def is_out_of_step(self, epoch: int, version: int, digest: str) -> bool:
-        """Tell whether an entry's directory has a gap."""
-        return False
+    def load(self, name: str) -> Any:
+        """Return the load last heard of a backend server."""
+        return self._servers.load(name, boottime_s())
 
     def addresses(
         self,
         data_centre: str,
-        vm: str,
+        caller: str,
         limit: int,
         draining_vms: tuple[str, ...],
     ) -> tuple[EntryAddress, ...]:
-        """Return addresses for callers, the entry's data centre first."""
-        found = [
-            record.address
-            for record in self.nodes()
-            if not record.address.stopping
-            and record.address.vm not in draining_vms
-        ]
-        found.sort(key=lambda a: (a.data_centre != data_centre, a.load, a.vm))
-        return tuple(found[:limit])
-
-    def control_vm(self, address: str) -> str:
-        """Return a name for a control process."""
-        return self._vm if address == self._mesh.address else address
-
-    def control_data_centre(self, address: str) -> str:
-        """Return a control process's data centre."""
-        return self._data_centre if address == self._mesh.address else ""
-
-    def node_rows(self, draining: tuple[str, ...]) -> tuple[NodeRow, ...]:
-        """Return the entries as operators read them."""
+        """Return entry addresses, the one to try first ahead."""
         return tuple(
-            NodeRow(
-                record.address.vm,
-                record.address.data_centre,
-                f"{record.address.host}:{record.address.port}",
-                "draining"
-                if record.address.vm in draining or record.address.stopping
-                else "serving",
-                record.revision,
-                0,
-                record.control,
+            EntryAddress(
+                node.vm,
+                node.data_centre,
+                node.host,
+                node.port,
+                node.stopping,
+                node.load,
+            )
+            for node in self._entries.addresses(
+                caller, data_centre, limit, draining_vms
             )
-            for record in self.nodes()
         )
 
-    def backend_rows(self) -> tuple[BackendRow, ...]:
-        """Return the backend servers as operators read them."""
-        return tuple(
-            BackendRow(
-                server.name,
-                server.kind,
-                server.address,
-                server.data_centre,
-                server.versions,
-                "leaving" if server.leaving else "serving",
-                server.capacity,
-                server.load.running,
-                server.load.queued,
+    def update_received(self, sender: str, message: TableUpdate) -> None:
+        """Take what another control process tells; ask again after a gap."""
+        now_s = boottime_s()
+        if message.table == LOADS:
+            update = msgspec.msgpack.decode(message.payload, type=LoadUpdate)
+            self._servers.apply_loads(update, now_s)
+            return
+        if message.table == CONTROLS:
+            name = msgspec.msgpack.decode(message.payload, type=ControlName)
+            self._names[sender] = name
+            return
+        if message.table == BACKEND_SERVERS:
+            delta = msgspec.msgpack.decode(
+                message.payload, type=DirectoryDelta
             )
-            for server in self.servers().values()
-        )
+            outcome = self._servers.apply_delta(delta, now_s)
+        else:
+            node_delta = msgspec.msgpack.decode(
+                message.payload, type=NodeDelta
+            )
+            outcome = self._entries.apply_delta(node_delta, now_s)
+        if outcome == "resync":
+            self.resyncs += 1
+            self._mesh.send(sender, TableResync(message.table))
+
+    def resync_received(self, sender: str, message: TableResync) -> None:
+        """Send everything to whoever has a gap, with the next delta."""
+        stream = self._streams.get(message.table)
+        if stream is not None:
+            stream.forget(sender)
+
+    def send_to_entry(self, address: str) -> None:
+        """Send an entry the changes of backend servers that it lacks."""
+        stream = self._streams[BACKEND_SERVERS]
+        stream.send(address, merged=True)
+
+    def send_loads_to_entry(self, address: str, vm: str) -> None:
+        """Send an entry the loads of the servers that it uses most."""
+        names = subset(vm, self.servers(), LOADS_AN_ENTRY)
+        self._send_loads(address, names)
 
     async def run(self) -> None:
-        """Spread this process's entries to the others."""
+        """Tell the other control processes, until cancelled."""
+        next_loads_s = 0.0
         while True:
             await anyio.sleep(SPREAD_INTERVAL_S)
-            own = [r for r in self.nodes() if r.control == self._mesh.address]
+            now_s = boottime_s()
+            for name in self._servers.expire(now_s):
+                LOG.info("backend server gone", extra={"server": name})
+            for vm in self._entries.expire(now_s):
+                self._states.pop(vm, None)
+                LOG.info("entry gone", extra={"entry": vm})
+            for address in self._others():
+                for stream in self._streams.values():
+                    stream.send(address, merged=False)
+            if now_s >= next_loads_s:
+                next_loads_s = now_s + LOADS_INTERVAL_S
+                self._spread_loads()
+                self._spread_name()
+
+    def _spread_name(self) -> None:
+        payload = msgspec.msgpack.encode(self._names[self._mesh.address])
+        for address in self._others():
+            self._mesh.send(address, TableUpdate(CONTROLS, payload))
+
+    def _spread_loads(self) -> None:
+        own = self._servers.own_full().changed
+        names = tuple(own)
+        for start in range(0, len(names), MAX_LOADS):
             for address in self._others():
-                self._mesh.send(address, _encode(NODES, own))
+                self._send_loads(address, names[start:][:MAX_LOADS])
 
-    def _take(self, announcement: Announcement) -> bool:
-        held = self._servers.get(announcement.name)
-        if held is not None and not supersedes(
-            announcement, held.announcement
-        ):
-            return False
-        expires_s = boottime_s() + announcement.lease_s
-        self._servers[announcement.name] = _Held(announcement, expires_s)
-        self._version += 1
-        return True
+    def _send_loads(self, address: str, names: Iterable[str]) -> None:
+        update = self._servers.loads(names, boottime_s())
+        if update.loads:
+            payload = msgspec.msgpack.encode(update)
+            self._mesh.send(address, TableUpdate(LOADS, payload))
 
 
-def _encode(table: str, rows: object) -> TableUpdate:
-    return TableUpdate(table, msgspec.msgpack.encode(rows))
+class _Sent(NamedTuple):
+    version: int
+    at_s: float
 
 
-__all__ = ["NodeRecord", "SharedTables"]
+class _Streams:
+    """What of one table each peer has been sent."""
+
+    def __init__(
+        self, mesh: PeerMesh, table: str, registry: Registry[Any]
+    ) -> None:
+        self._mesh = mesh
+        self._table = table
+        self._registry = registry
+        self._sent: dict[str, _Sent] = {}
+
+    def forget(self, address: str) -> None:
+        """Have the next delta to a peer hold everything."""
+        self._sent.pop(address, None)
+
+    def send(self, address: str, *, merged: bool) -> None:
+        """Send a delta where there is news, or a sign of life is due."""
+        registry = self._registry
+        version = registry.version if merged else registry.own_version
+        sent = self._sent.get(address, _Sent(UNKNOWN_VERSION, 0.0))
+        now_s = boottime_s()
+        if version == sent.version and now_s - sent.at_s < EMPTY_INTERVAL_S:
+            return
+        if merged:
+            delta = registry.delta_since(sent.version) or registry.full()
+        else:
+            delta = (
+                registry.own_delta_since(sent.version) or registry.own_full()
+            )
+        self._sent[address] = _Sent(version, now_s)
+        payload = msgspec.msgpack.encode(delta)
+        self._mesh.send(address, TableUpdate(self._table, payload))
+
+
+__all__ = [
+    "BACKEND_SERVERS",
+    "ControlName",
+    "EntryState",
+    "LOADS",
+    "SharedTables",
+]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -15,8 +15,7 @@
 
 from sycamorestand_entry.control.ledger_client import LedgerClient
 from sycamorestand_entry.control.sample_counts import SampleCounts
-from sycamorestand_model.backend_servers import Announcement
-from sycamorestand_model.backend_servers import supersedes
+from sycamorestand_entry.control.server_view import ServerView
 from sycamorestand_model.in_force import InForce
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.mesh import PeerMesh
@@ -27,6 +26,7 @@
 from sycamorestand_peer.messages import LeaseGrantMessage
 from sycamorestand_peer.messages import LeaseRequest
 from sycamorestand_peer.messages import SampleReport
+from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
 from sycamorestand_state.leases import HeldLease
 from sycamorestand_state.leases import LeaseGrant
@@ -37,6 +37,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from sycamorestand_model.backend_servers import Announcement
     from sycamorestand_model.ledger import LedgerRecord
     from sycamorestand_model.ledger import LedgerResult
     from sycamorestand_model.nodes import EntryAddress
@@ -48,7 +49,7 @@
 MOVE_AFTER_S: Final = 1.2
 REPORT_INTERVAL_S: Final = 2.0
 EXPIRE_INTERVAL_S: Final = 0.2
-BACKEND_SERVERS: Final = "backend_servers"
+LOADS: Final = "loads"
 
 
 class LinkSettings(NamedTuple):
@@ -94,13 +95,17 @@
             self._received,
             settings.peer_listen or None,
         )
-        self._directory = _Directory()
+        self._servers = ServerView(
+            settings.peer_address, self.mesh.incarnation
+        )
         self._ledger = LedgerClient(
             self.mesh,
             self.control_address,
             lambda: self._in_force.ledger_shards,
         )
+        self._requests = 0
         self.moves = 0
+        self.resyncs = 0
         self.denials = 0
 
     def in_force(self) -> InForce:
@@ -113,7 +118,7 @@
 
     def backend_servers(self) -> Mapping[str, Announcement]:
         """Return the live backend servers by name."""
-        return self._directory.servers()
+        return self._servers.servers()
 
     def addresses(self) -> tuple[EntryAddress, ...]:
         """Return what callers may use, ranked for this data centre."""
@@ -139,7 +144,7 @@
         gets no more work from here, whatever the way through control
         takes.
         """
-        self._directory.announce(announcement, boottime_s())
+        self._servers.announce(announcement, boottime_s())
         message = AnnouncementRelay(announcement)
         self.mesh.send(self.control_address(), message)
 
@@ -173,15 +178,13 @@
                 await self._kicked.wait()
 
     def _request(self, now_s: float) -> LeaseRequest:
-        epoch, version, digest = self._directory_state()
+        self._requests += 1
         return LeaseRequest(
             self._address()._replace(stopping=self._stopping),
             self.mesh.incarnation,
+            self._requests,
             now_s,
             self._in_force.revision,
-            epoch,
-            version,
-            digest,
         )
 
     def _move(self, now_s: float) -> None:
@@ -228,13 +231,14 @@
         self._kicked.set()
 
     def _take_table(self, sender: str, message: TableUpdate) -> None:
-        for announcement in msgspec.msgpack.decode(
-            message.payload, type=list[Announcement]
-        ):
-            self._directory.announce(announcement, boottime_s())
-
-    def _directory_state(self) -> tuple[int, int, str]:
-        return 0, 0, ""
+        now_s = boottime_s()
+        if sender != self.control_address():
+            return
+        if message.table == LOADS:
+            self._servers.take_loads(message.payload, now_s)
+        elif not self._servers.follow(sender, message.payload, now_s):
+            self.resyncs += 1
+            self.mesh.send(sender, TableResync(message.table))
 
     async def _send_reports(self) -> None:
         sequence = 0
@@ -255,28 +259,8 @@
     async def _expire_servers(self) -> None:
         while True:
             await anyio.sleep(EXPIRE_INTERVAL_S)
-            for name in self._directory.expire(boottime_s()):
+            for name in self._servers.expire(boottime_s()):
                 LOG.info("backend server gone", extra={"server": name})
 
 
-class _Directory:
-    def __init__(self) -> None:
-        self._servers: dict[str, tuple[Announcement, float]] = {}
-
-    def announce(self, announcement: Announcement, now_s: float) -> None:
-        known = self._servers.get(announcement.name)
-        if known is None or supersedes(announcement, known[0]):
-            expires_s = now_s + announcement.lease_s
-            self._servers[announcement.name] = (announcement, expires_s)
-
-    def servers(self) -> dict[str, Announcement]:
-        return {name: row[0] for name, row in self._servers.items()}
-
-    def expire(self, now_s: float) -> list[str]:
-        gone = [n for n, row in self._servers.items() if row[1] <= now_s]
-        for name in gone:
-            del self._servers[name]
-        return gone
-
-
 __all__ = ["ControlLink", "LinkSettings"]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -17,17 +17,14 @@
     """An entry asks its control process for a configuration lease.
 
     ``sent_at_s`` is the entry's own clock and comes back in the grant,
-    which counts from there. The directory fields name the state of the
-    entry's directory, so that a gap shows at the next renewal.
+    which counts from there. ``sequence`` counts the entry's requests.
     """
 
     address: EntryAddress
     incarnation: int
+    sequence: int
     sent_at_s: float
     acked_revision: int
-    directory_epoch: int = 0
-    directory_version: int = 0
-    directory_digest: str = ""
 
 
 class LeaseGrantMessage(NamedTuple):
