Directory rules with unlike leases and exchanges

The rule-based machine did not notice a missing floor: with equal leases an older record never outlives a newer one. Leases of 1 and 9 s and whole exchanges as one rule make it notice.

--- a/packages/sycamorestand-state/tests/test_directory.py
+++ b/packages/sycamorestand-state/tests/test_directory.py
@@ -104,8 +104,16 @@
     def test_a_server_that_stays_after_all_comes_back(
         self, control: BackendDirectory
     ) -> None:
-        control.announce(server(sequence=1, leaving=True), 0.0)
-        control.announce(server(sequence=2), 0.0)
+        """A server that takes work would stay without any.
+
+        It says that it leaves to one control process and, later, that it
+        stays to another, which learns of the first only after that.
+        """
+        other = BackendDirectory("c2", 1)
+        other.announce(server(sequence=2, leaving=True), 0.0)
+        control.announce(server(sequence=1), 0.0)
+        control.announce(server(sequence=3), 0.0)
+        control.apply_delta(other.own_full(), 0.0)
         assert not control.servers()["b1"].leaving
 
 
@@ -249,8 +257,11 @@
         name=st.sampled_from(SERVERS),
         control=st.sampled_from((*CONTROLS, "lost")),
         capacity=st.integers(1, 2),
+        lease_s=st.sampled_from([1.0, 9.0]),
     )
-    def announce(self, name: str, control: str, capacity: int) -> None:
+    def announce(
+        self, name: str, control: str, capacity: int, lease_s: float
+    ) -> None:
         incarnation, sequence = self.numbers[name]
         self.numbers[name] = (incarnation, sequence + 1)
         announcement = server(
@@ -258,6 +269,7 @@
             incarnation,
             sequence + 1,
             capacity=capacity,
+            lease_s=lease_s,
             leaving=self.leaving[name],
         )
         self.late.append((self.now_s, announcement))
@@ -322,6 +334,10 @@
                 elif process != "e1":
                     assert number > seen
 
+    @rule(sender=st.sampled_from(CONTROLS))
+    def exchange(self, sender: str) -> None:
+        self._exchange(sender, CONTROLS[1 - CONTROLS.index(sender)])
+
     @rule()
     def agree(self) -> None:
         for _ in range(4):
