--- a/packages/sycamorestand-state/src/sycamorestand_state/order_book.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/order_book.py
@@ -101,7 +101,8 @@
         for order_id, order in orders.items()
         if order.phase in FINISHED_PHASES
     ]
-    for order_id in finished[: len(finished) - MAX_FINISHED_ORDERS]:
+    surplus = max(0, len(finished) - MAX_FINISHED_ORDERS)
+    for order_id in finished[:surplus]:
         del orders[order_id]
     fence = max((book.term, book.sequence), (record.term, record.sequence))
     return OrderBook(orders, *fence)
