Tests of the decisions; two faults that they found are mended

Cause: a priority class without waiting work saved up service and got 15 of the next 50 starts in place of its tenth; a deployment without any ratings never advanced a roll-out. Change: a class joins at the service of the other; classes without ratings need none.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/fair_queue.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/fair_queue.py
@@ -87,7 +87,12 @@
         self._tickets[ticket.ticket_id] = ticket
         self._latest_s[ticket.ticket_id] = latest_s
         heapq.heappush(self._by_latest, (latest_s, ticket.ticket_id))
-        self._classes[ticket.priority].push(ticket)
+        own = self._classes[ticket.priority]
+        if not own.weight:
+            # A class without waiting work must not save up service: back
+            # from a pause it would shut the other class out.
+            own.served = max(c.served for c in self._classes.values())
+        own.push(ticket)
 
     def charge(self, ticket: Ticket) -> None:
         """Account for a request that started without waiting."""
@@ -99,7 +104,6 @@
         for chosen in sorted(waiting, key=_served_for_share):
             ticket = chosen.pop(self._tickets)
             if ticket is not None:
-                self._catch_up(chosen)
                 self._forget(ticket.ticket_id)
                 return ticket
         return None
@@ -135,13 +139,6 @@
         self._tickets.pop(ticket_id, None)
         self._latest_s.pop(ticket_id, None)
 
-    def _catch_up(self, served: _PriorityClass) -> None:
-        # A class without waiting work must not save up service: back
-        # from a pause it would shut the other class out.
-        for other in self._classes.values():
-            if other is not served and not other.weight:
-                other.served = max(other.served, served.served)
-
 
 class _Flow:
     """What one customer has waiting in one priority class."""
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
@@ -186,7 +186,7 @@
     old_rated, new_rated = rated_by_class(old), rated_by_class(new)
     total = sum(old_rated.values())
     for name, rated in sorted(old_rated.items()):
-        if rated < SMALL_CLASS_SHARE * total:
+        if not rated or rated < SMALL_CLASS_SHARE * total:
             continue
         if new_rated.get(name, 0) < needed:
             return name
--- /dev/null
+++ b/packages/sycamorestand-decisions/tests/test_rollout.py
@@ -0,0 +1,202 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from sycamorestand_decisions.evidence import log_evidence
+from sycamorestand_decisions.rollout import add_sample
+from sycamorestand_decisions.rollout import Advance
+from sycamorestand_decisions.rollout import Continue
+from sycamorestand_decisions.rollout import empty_stats
+from sycamorestand_decisions.rollout import judge
+from sycamorestand_decisions.rollout import merge
+from sycamorestand_decisions.rollout import RolloutMonitor
+from sycamorestand_decisions.rollout import Stop
+from sycamorestand_decisions.rollout import VersionStats
+from sycamorestand_decisions.rollout import VersionWatch
+from sycamorestand_model.declarations import Rollout
+
+ROLLOUT = Rollout("nest", "nest@2")
+
+
+def stats(
+    seed: int,
+    requests: int,
+    passes: float = 0.9,
+    errors: float = 0.0,
+    latency_ms: float = 500.0,
+    rated: bool = True,
+    now_s: float = 0.0,
+    request_class: str = "chat",
+) -> VersionStats:
+    random = Random(seed)
+    counted = empty_stats()
+    for _ in range(requests):
+        failed = random.random() < errors
+        passed = random.random() < passes if rated and not failed else None
+        spread_ms = latency_ms * random.uniform(0.5, 2.0)
+        add_sample(counted, request_class, now_s, failed, spread_ms, passed)
+    return counted
+
+
+class TestJudge:
+    @pytest.mark.parametrize(
+        ("worse", "signal"),
+        [
+            (stats(2, 300, passes=0.7), "ratings"),
+            (stats(2, 600, errors=0.05), "errors"),
+            (stats(2, 300, latency_ms=1_500.0), "latency"),
+        ],
+    )
+    def test_stops_what_is_worse(
+        self, worse: VersionStats, signal: str
+    ) -> None:
+        verdict = judge(stats(1, 5_000), worse, ROLLOUT, 100.0)
+        assert isinstance(verdict, Stop)
+        assert signal in verdict.reason
+        assert verdict.evidence
+
+    def test_stops_what_is_bad_for_one_class_only(self) -> None:
+        """One class of ten in a hundred requests gets wrong answers.
+
+        Overall ratings fall by two points, which is no harm in itself;
+        the class's own ratings show it.
+        """
+        old = merge((stats(1, 9_000), stats(2, 1_000, request_class="review")))
+        new = merge(
+            (
+                stats(3, 1_800),
+                stats(4, 200, passes=0.6, request_class="review"),
+            )
+        )
+        verdict = judge(old, new, ROLLOUT, 100.0)
+        assert isinstance(verdict, Stop)
+        assert any("review" in line for line in verdict.evidence)
+
+    def test_advances_a_healthy_version(self) -> None:
+        verdict = judge(stats(1, 5_000), stats(2, 400), ROLLOUT, 100.0)
+        assert isinstance(verdict, Advance)
+
+    def test_waits_for_time_and_samples(self) -> None:
+        old = stats(1, 5_000)
+        assert isinstance(judge(old, stats(2, 400), ROLLOUT, 10.0), Continue)
+        assert isinstance(judge(old, stats(2, 50), ROLLOUT, 100.0), Continue)
+
+    def test_holds_while_the_rating_service_is_down(self) -> None:
+        """The rating service goes down in the middle of a roll-out.
+
+        Nothing shows harm and nothing shows health. The roll-out neither
+        stops nor goes on until ratings come again.
+        """
+        new = stats(2, 2_000, rated=False)
+        verdict = judge(stats(1, 5_000), new, ROLLOUT, 9_999.0)
+        assert isinstance(verdict, Continue)
+        assert "ratings" in verdict.reason
+
+    def test_a_biased_rating_service_stops_nothing(self) -> None:
+        """Half-way through, the rating service rates all answers lower.
+
+        The new version has most of its requests in the bad hour, the old
+        one before it. Compared block by block they are the same.
+        """
+        old = merge(
+            (stats(1, 9_000), stats(2, 1_000, passes=0.6, now_s=7_200.0))
+        )
+        new = merge(
+            (stats(3, 100), stats(4, 1_000, passes=0.6, now_s=7_200.0))
+        )
+        verdict = judge(old, new, ROLLOUT, 7_300.0)
+        assert not isinstance(verdict, Stop)
+
+    def test_a_version_without_any_ratings_may_advance(self) -> None:
+        old, new = stats(1, 5_000, rated=False), stats(2, 400, rated=False)
+        assert isinstance(judge(old, new, ROLLOUT, 100.0), Advance)
+
+
+class TestRolloutMonitor:
+    def test_resumes_at_the_committed_step(self) -> None:
+        """The leader is lost during the third step.
+
+        The next one begins with that step's share and no counts: it waits
+        for new evidence, and skips no step.
+        """
+        monitor = RolloutMonitor(ROLLOUT, 500.0, step=2)
+        assert monitor.share == ROLLOUT.shares[2]
+        assert isinstance(monitor.check(500.0), Continue)
+
+    def test_goes_through_every_step(self) -> None:
+        monitor = RolloutMonitor(ROLLOUT, 0.0)
+        shares = [monitor.share]
+        for number in range(1, 50):
+            now_s = 100.0 * number
+            monitor.add(
+                stats(number, 2_000, now_s=now_s),
+                stats(number + 99, 400, now_s=now_s),
+            )
+            verdict = monitor.check(now_s)
+            assert not isinstance(verdict, Stop)
+            if isinstance(verdict, Advance) and not monitor.advance(now_s):
+                break
+            shares.append(monitor.share)
+        assert tuple(dict.fromkeys(shares)) == ROLLOUT.shares
+
+
+class TestVersionWatch:
+    def test_finds_a_version_that_turned_bad(self) -> None:
+        verdicts = self._watch(0.6, 0.9)
+        assert isinstance(verdicts["nest@1"], Stop)
+        assert "portal@1" not in verdicts
+
+    def test_a_biased_rating_service_withdraws_nothing(self) -> None:
+        """All versions' ratings fall in the same minutes.
+
+        Withdrawing them all would leave the callers without any answer,
+        because of a fault in the rating service.
+        """
+        verdicts = self._watch(0.6, 0.6)
+        assert not any(isinstance(v, Stop) for v in verdicts.values())
+
+    def test_alone_it_tells_operators_and_withdraws_nothing(self) -> None:
+        """One version is in use, and its ratings fall.
+
+        Nothing tells whether it or the rating service changed. Operators
+        get the reason; new work goes on.
+        """
+        watch = VersionWatch()
+        self._history(watch, "nest@1")
+        watch.add("nest@1", stats(9, 500, passes=0.6, now_s=20_000.0))
+        verdict = watch.check(20_000.0)["nest@1"]
+        assert isinstance(verdict, Continue)
+        assert "rating service" in verdict.reason
+
+    def test_a_forgotten_version_is_not_judged(self) -> None:
+        watch = VersionWatch()
+        self._history(watch, "nest@1")
+        watch.forget("nest@1")
+        assert watch.check(20_000.0) == {}
+
+    def _watch(
+        self, passes: float, other_passes: float
+    ) -> dict[str, Continue | Stop]:
+        watch = VersionWatch()
+        for version in ("nest@1", "portal@1"):
+            self._history(watch, version)
+        now_s = 20_000.0
+        watch.add("nest@1", stats(7, 500, passes=passes, now_s=now_s))
+        watch.add("portal@1", stats(8, 500, passes=other_passes, now_s=now_s))
+        return watch.check(now_s)
+
+    def _history(self, watch: VersionWatch, version: str) -> None:
+        for block in range(5):
+            now_s = 600.0 * block
+            watch.add(version, stats(block, 1_000, now_s=now_s))
+
+
+class TestEvidence:
+    def test_grows_with_the_harm(self) -> None:
+        small = log_evidence(15, 100, 0.1)
+        assert log_evidence(40, 100, 0.1) > small
+
+    def test_no_count_is_no_evidence(self) -> None:
+        assert log_evidence(0, 0, 0.1) == 0.0
--- /dev/null
+++ b/packages/sycamorestand-decisions/tests/test_selection.py
@@ -0,0 +1,223 @@
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from sycamorestand_decisions.ejection import FIRST_EJECTION_S
+from sycamorestand_decisions.selection import Candidate
+from sycamorestand_decisions.selection import ServerSelector
+
+NINE = [Candidate(f"s{index}", 16) for index in range(9)]
+
+
+def selector_of(seed: int = 1) -> ServerSelector:
+    return ServerSelector(Random(seed))
+
+
+def serve(
+    selector: ServerSelector,
+    name: str,
+    now_s: float,
+    latency_s: float = 1.0,
+    outcome: str = "ok",
+) -> None:
+    selector.started(name, now_s)
+    if outcome == "ok":
+        selector.first_byte(name, now_s, latency_s / 10)
+    selector.finished(name, now_s, latency_s, outcome)  # type: ignore
+
+
+class TestChoose:
+    def test_no_candidate_gives_none(self) -> None:
+        assert selector_of().choose([], 0.0) is None
+
+    def test_excluded_servers_are_not_chosen(self) -> None:
+        selector = selector_of()
+        tried = frozenset(c.name for c in NINE[1:])
+        for _ in range(20):
+            assert selector.choose(NINE, 0.0, None, tried) == "s0"
+        everything = frozenset(c.name for c in NINE)
+        assert selector.choose(NINE, 0.0, None, everything) is None
+
+    def test_own_requests_spread_under_a_stale_report(self) -> None:
+        """The last report, two seconds old, shows one server idle.
+
+        Following it, every request would go there until the next report.
+        Own requests in flight count at once, so they spread.
+        """
+        selector = selector_of()
+        candidates = [
+            Candidate(c.name, 16, 0 if c.name == "s0" else 4, 0, 2.0)
+            for c in NINE
+        ]
+        counts: Counter[str] = Counter()
+        for _ in range(45):
+            name = selector.choose(candidates, 0.0)
+            assert name is not None
+            selector.started(name, 0.0)
+            counts[name] += 1
+        assert counts["s0"] <= 15
+        assert len(counts) == 9
+
+    def test_a_slow_server_gets_little(self) -> None:
+        selector = selector_of()
+        for candidate in NINE:
+            slow = candidate.name == "s0"
+            for _ in range(5):
+                serve(selector, candidate.name, 0.0, 2.5 if slow else 1.0)
+        counts: Counter[str | None] = Counter()
+        for _ in range(90):
+            name = selector.choose(NINE, 0.0)
+            assert name is not None
+            selector.started(name, 0.0)
+            counts[name] += 1
+        assert counts["s0"] <= 6
+
+    def test_limits_that_shrank_cause_no_error(self) -> None:
+        """A request was let in, then every server's limit shrank.
+
+        The caller would see an error for a request that no server has
+        refused. A server past its limit is still chosen; it queues one
+        request for a moment.
+        """
+        selector = selector_of()
+        one = [Candidate("s0", 1)]
+        selector.started("s0", 0.0)
+        assert selector.choose(one, 0.0) == "s0"
+
+
+class TestAffinity:
+    def test_a_key_keeps_its_server(self) -> None:
+        selector = selector_of()
+        chosen = {selector.choose(NINE, 0.0, "session-7") for _ in range(20)}
+        assert len(chosen) == 1
+
+    def test_a_hot_key_does_not_overload_its_server(self) -> None:
+        """Every request carries the same session key.
+
+        Affinity without a bound sends all to one server until it is at
+        its limit. Here the others take over once it is clearly busier.
+        """
+        selector = selector_of()
+        counts: Counter[str] = Counter()
+        for _ in range(72):
+            name = selector.choose(NINE, 0.0, "hot")
+            assert name is not None
+            selector.started(name, 0.0)
+            counts[name] += 1
+        assert max(counts.values()) <= 20
+
+    def test_a_cache_event_names_a_better_server(self) -> None:
+        selector = selector_of()
+        home = selector.choose(NINE, 0.0, "prefix")
+        other = "s1" if home != "s1" else "s2"
+        selector.cache_event(other, ["prefix"], True, 0.0)
+        assert selector.choose(NINE, 1.0, "prefix") == other
+
+    def test_an_event_for_a_lost_server_changes_nothing(self) -> None:
+        """The event that a prefix was stored comes after its server left.
+
+        Hints are only hints: the key goes to its place on the ring.
+        """
+        selector = selector_of()
+        home = selector.choose(NINE, 0.0, "prefix")
+        selector.cache_event("gone", ["prefix"], True, 0.0)
+        assert selector.choose(NINE, 1.0, "prefix") == home
+
+    def test_an_old_hint_is_forgotten(self) -> None:
+        selector = selector_of()
+        home = selector.choose(NINE, 0.0, "prefix")
+        other = "s1" if home != "s1" else "s2"
+        selector.cache_event(other, ["prefix"], True, 0.0)
+        assert selector.choose(NINE, 500.0, "prefix") == home
+
+
+class TestEjection:
+    def test_a_failing_server_is_out_then_probed_once(self) -> None:
+        """A server fails five requests in a row.
+
+        Callers see five retries, then it gets nothing. After its time out
+        one request probes it; the others wait for that outcome, so that a
+        server still broken costs one request, not a wave.
+        """
+        selector = selector_of()
+        for candidate in NINE:
+            serve(selector, candidate.name, 0.0)
+        for _ in range(5):
+            serve(selector, "s0", 1.0, outcome="error")
+        names = {selector.choose(NINE, 2.0) for _ in range(200)}
+        assert "s0" not in names
+        later_s = 2.0 + FIRST_EJECTION_S
+        only = [NINE[0]]
+        assert selector.choose(only, later_s) == "s0"
+        selector.started("s0", later_s)
+        assert selector.choose(only, later_s) is None
+
+    def test_a_good_probe_starts_slowly(self) -> None:
+        selector = selector_of()
+        for candidate in NINE:
+            serve(selector, candidate.name, 0.0)
+        for _ in range(5):
+            serve(selector, "s0", 1.0, outcome="error")
+        back_s = 2.0 + FIRST_EJECTION_S
+        serve(selector, "s0", back_s)
+        at_once = selector.capacity(NINE, back_s)
+        assert at_once < 9 * 16
+        assert selector.capacity(NINE, back_s + 60.0) == 9 * 16
+
+    def test_no_more_than_a_third_is_out(self) -> None:
+        """Every server fails at once, as when the network is down.
+
+        Ejecting all of them would turn a short fault into a long one: six
+        of nine stay in use.
+        """
+        selector = selector_of()
+        for candidate in NINE:
+            serve(selector, candidate.name, 0.0)
+            for _ in range(8):
+                serve(selector, candidate.name, 1.0, outcome="error")
+        metrics = selector.metrics(2.0)
+        assert sum(m.ejected for m in metrics.values()) == 3
+
+    def test_overload_lowers_the_limit_and_ejects_nobody(self) -> None:
+        selector = selector_of()
+        selector.capacity(NINE, 0.0)
+        for second in range(1, 20):
+            serve(selector, "s0", float(second), outcome="overloaded")
+        assert selector.limit("s0") < 16
+        assert not selector.metrics(20.0)["s0"].ejected
+
+
+class TestLimit:
+    def test_follows_a_queue_that_the_server_reports(self) -> None:
+        """Three entries each send a server its whole capacity.
+
+        The server reports a queue; every entry lowers its limit by the
+        same factor until they fit together, and one report is answered
+        once.
+        """
+        selector = selector_of()
+        full = [Candidate("s0", 16, 16, 32, 0.2)]
+        selector.capacity(full, 10.0)
+        assert selector.limit("s0") == 9
+        selector.capacity(full, 10.1)
+        assert selector.limit("s0") == 9
+
+    def test_grows_back_while_in_use(self) -> None:
+        selector = selector_of()
+        selector.capacity([Candidate("s0", 16, 16, 32, 0.2)], 10.0)
+        for _ in range(9):
+            selector.started("s0", 11.0)
+        for step in range(300):
+            selector.started("s0", 12.0)
+            selector.finished("s0", 12.0 + step, 1.0, "ok")
+        assert selector.limit("s0") > 9
+
+
+class TestExplain:
+    def test_names_every_candidate_and_its_state(self) -> None:
+        selector = selector_of()
+        choices = selector.explain(NINE, 0.0, frozenset({"s3"}))
+        states = {choice.name: choice.reason for choice in choices}
+        assert len(states) == 9
+        assert states["s3"] == "tried before"
