Outcomes from before an ejection no longer count as its probe

Cause: requests under way when a server was ejected ended its half-open state (good ones) or doubled its time out (slow ones). Change: outcomes during the time out are ignored, and only a request sent after it is the probe. The new test fails without the change.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ejection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ejection.py
@@ -72,15 +72,19 @@
             return 1.0
         return max(SLOW_START_FLOOR, elapsed_s / SLOW_START_S)
 
-    def started(self) -> None:
+    def started(self, now_s: float) -> None:
         """Note a request; on a half-open server it is the probe."""
-        if self.half_open:
+        if self.half_open and now_s >= self.ejected_until_s:
             self.probing = True
 
     def succeeded(
         self, now_s: float, latency_s: float, typical: Typical
     ) -> None:
         """Learn from an answer; a good probe starts the slow start."""
+        if now_s < self.ejected_until_s:
+            # It was sent before the ejection. Taken for a probe, a good
+            # one would end the time out, a slow one double it.
+            return
         self.failures = 0
         self._learn(latency_s)
         if not self.half_open:
@@ -94,9 +98,10 @@
         self.samples = self.first_bytes = 0
         self.warm_since_s = now_s
 
-    def failed(self) -> None:
-        """Count a failure."""
-        self.failures += 1
+    def failed(self, now_s: float) -> None:
+        """Count a failure, but for those sent before an ejection."""
+        if now_s >= self.ejected_until_s:
+            self.failures += 1
 
     def first_byte(self, latency_s: float) -> None:
         """Learn from the time to a first byte, long before the end."""
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -152,7 +152,7 @@
         """Count a request that was sent to the server."""
         server = self._server(name)
         server.own.change(1, now_s)
-        server.health.started()
+        server.health.started(now_s)
 
     def first_byte(self, name: str, now_s: float, latency_s: float) -> None:
         """Learn from the time to the first byte."""
@@ -177,7 +177,7 @@
             # ejecting it would push its load onto the others.
             server.limit.overloaded(now_s)
         elif outcome in ("error", "timeout"):
-            server.health.failed()
+            server.health.failed(now_s)
         if outcome == "cancelled" or outcome == "overloaded":
             server.health.probing = False
         self._eject_outlier(server, now_s)
--- a/packages/sycamorestand-decisions/tests/test_selection.py
+++ b/packages/sycamorestand-decisions/tests/test_selection.py
@@ -165,6 +165,28 @@
         assert at_once < 9 * 16
         assert selector.capacity(NINE, back_s + 60.0) == 9 * 16
 
+    def test_answers_from_before_the_ejection_change_nothing(self) -> None:
+        """Five requests fail while two more are under way on the server.
+
+        One of these ends well, one fails. Neither is the probe: the server
+        stays out for its time, and then gets one request, not a wave.
+        """
+        selector = selector_of()
+        for candidate in NINE:
+            serve(selector, candidate.name, 0.0)
+        for _ in range(2):
+            selector.started("s0", 0.5)
+        for _ in range(5):
+            serve(selector, "s0", 1.0, outcome="error")
+        selector.finished("s0", 2.0, 1.5, "ok")
+        selector.finished("s0", 3.0, 2.5, "error")
+        only = [NINE[0]]
+        assert selector.choose(only, FIRST_EJECTION_S) is None
+        probed_s = 1.1 + FIRST_EJECTION_S
+        assert selector.choose(only, probed_s) == "s0"
+        selector.started("s0", probed_s)
+        assert selector.choose(only, probed_s) is None
+
     def test_no_more_than_a_third_is_out(self) -> None:
         """Every server fails at once, as when the network is down.
 
