Entry: decisions of sycamorestand_decisions wired

Admission gives every run a slot of its version or service, a selector for each model or service chooses the server, retries spend a budget, the learner chooses where a cascade begins and what may go out, new work meets the version of a roll-out by its request key. A refusal of the admission is answered at once with the time to come back. A refusal after an earlier attempt or cascade step was written says 'unknown' instead of 'not_run', as the request may have run.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/loopback.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/loopback.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from contextlib import AsyncExitStack
+from random import Random
 from typing import Any
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -177,6 +178,7 @@
 async def start_loopback(
     settings: EntrySettings = SETTINGS,
     ledger: FakeLedger | None = None,
+    random: Random | None = None,
 ) -> AsyncIterator[Loopback]:
     """Start an entry with a fake control process and no servers."""
     control = FakeControlPort(guild_configuration(), ledger or FakeLedger())
@@ -184,7 +186,9 @@
         group = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(group.cancel_scope.cancel)
         loopback = Loopback(control, group)
-        loopback.entry = await group.start(serve_entry, settings, control)
+        loopback.entry = await group.start(
+            serve_entry, settings, control, random
+        )
         loopback.pool = await stack.enter_async_context(
             httpcore.AsyncConnectionPool(max_connections=256)
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/chat_request.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/chat_request.py
@@ -2,20 +2,26 @@
 
 from __future__ import annotations
 
+import hashlib
 import secrets
 from typing import Any
+from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from sycamorestand_decisions.request_class import request_class
+from sycamorestand_decisions.request_class import RequestFeatures
 from sycamorestand_entry.callers import deadline_after
 from sycamorestand_entry.callers import read_options
-from sycamorestand_entry.engine_run import EngineWork
+from sycamorestand_entry.engine_wire import EngineWork
 from sycamorestand_entry.errors import BadRequest
 from sycamorestand_entry.errors import NotAllowed
 from sycamorestand_entry.errors import UnknownProfile
 from sycamorestand_entry.http_messages import read_body
+from sycamorestand_entry.slots import DEFAULT_TOKENS
+from sycamorestand_entry.slots import expected_chat_s
 
 if TYPE_CHECKING:
     from sycamorestand_entry.callers import CallerOptions
@@ -24,9 +30,17 @@
     from sycamorestand_model.declarations import Customer
     from sycamorestand_model.declarations import Profile
 
+BYTES_PER_TOKEN: Final = 4
+MAX_TOKENS: Final = 1_000_000
+PREFIX_KEY_BYTES: Final = 8
+
 
 class ChatRequest(NamedTuple):
-    """What a caller asks for, and who it is."""
+    """What a caller asks for, and who it is.
+
+    ``prefix_key`` stands for the beginning that the request shares with
+    others; ``input_tokens`` is an estimate from the body's size.
+    """
 
     customer: Customer
     profile: Profile
@@ -35,6 +49,10 @@
     content: dict[str, Any]
     stream: bool
     deadline_at_s: float
+    input_tokens: int
+    max_tokens: int
+    request_class: str
+    prefix_key: str
 
 
 async def read_chat(context: EntryContext, request: Request) -> ChatRequest:
@@ -50,6 +68,7 @@
         raise UnknownProfile(f"there is no profile {name!r}")
     if name not in customer.profiles:
         raise NotAllowed(f"profile {name!r} is not yours to use")
+    input_tokens = len(body) // BYTES_PER_TOKEN
     return ChatRequest(
         customer,
         profile,
@@ -58,26 +77,36 @@
         content,
         content.get("stream", False),
         deadline_after(options.deadline_ms, profile.default_deadline_ms),
+        input_tokens,
+        _max_tokens(content),
+        request_class(_features(content, input_tokens)),
+        _prefix_key(customer.name, content["messages"]),
     )
 
 
 def engine_work(
-    chat: ChatRequest, version: str, in_session: bool
+    chat: ChatRequest, version: str, session_name: str
 ) -> EngineWork:
-    """Return what is asked of an engine of this version."""
+    """Return what is asked of an engine of this version.
+
+    ``session_name`` is empty where the request belongs to no session.
+    """
     content = dict(chat.content)
     content["model"] = version
     content["stream"] = True
     content["stream_options"] = {"include_usage": True}
     return EngineWork(
         chat.customer.name,
+        chat.customer.weight,
         chat.profile.name,
         version,
         chat.request_key,
         msgspec.json.encode(content),
         chat.options.priority,
         chat.deadline_at_s,
-        in_session,
+        expected_chat_s(chat.max_tokens),
+        session_name or chat.prefix_key,
+        bool(session_name),
     )
 
 
@@ -96,9 +125,40 @@
         findings.append("'messages' must hold objects")
     if not isinstance(content.get("stream", False), bool):
         findings.append("'stream' must be true or false")
+    tokens = content.get("max_tokens")
+    sound = isinstance(tokens, int) and not isinstance(tokens, bool)
+    if tokens is not None and not (sound and 0 < tokens <= MAX_TOKENS):
+        findings.append(f"'max_tokens' must be 1 to {MAX_TOKENS}")
     if findings:
         raise BadRequest("; ".join(findings))
     return content
 
 
+def _max_tokens(content: dict[str, Any]) -> int:
+    return content.get("max_tokens") or DEFAULT_TOKENS
+
+
+def _features(content: dict[str, Any], input_tokens: int) -> RequestFeatures:
+    metadata = content.get("metadata")
+    task = metadata.get("task") if isinstance(metadata, dict) else None
+    turns = sum(
+        message.get("role") == "user" for message in content["messages"]
+    )
+    return RequestFeatures(
+        task if isinstance(task, str) else "",
+        input_tokens,
+        turns,
+        bool(content.get("tools")),
+    )
+
+
+def _prefix_key(customer: str, messages: list[dict[str, Any]]) -> str:
+    first = messages[0]
+    if first.get("role") != "system":
+        return ""
+    digest = hashlib.blake2b(customer.encode(), digest_size=PREFIX_KEY_BYTES)
+    digest.update(msgspec.json.encode(first))
+    return digest.hexdigest()
+
+
 __all__ = ["ChatRequest", "engine_work", "read_chat"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.cascade import CascadeLearner
+from sycamorestand_decisions.retry import RetryBudget
 from sycamorestand_entry.callers import Authenticator
 from sycamorestand_entry.metrics import Metrics
 from sycamorestand_entry.rating import RatingClient
+from sycamorestand_entry.servers import Servers
+from sycamorestand_entry.slots import Slots
 from sycamorestand_entry.upstream import UpstreamPool
 
 if TYPE_CHECKING:
@@ -28,6 +33,7 @@
         settings: EntrySettings,
         control: ControlPort,
         background: TaskGroup,
+        random: Random | None = None,
     ) -> None:
         self.settings = settings
         self.control = control
@@ -40,8 +46,12 @@
         self.rating = RatingClient(
             settings.rating_url, settings.rating_timeout_s, self.metrics
         )
+        self.random = random or Random()
+        self.servers = Servers(control, self.random)
+        self.slots = Slots(self.servers, self.metrics)
+        self.retries = RetryBudget()
+        self.cascade = CascadeLearner()
         self.pins: dict[tuple[str, str], str] = {}
-        self.in_flight: dict[str, int] = {}
         self.stopping = False
 
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -3,36 +3,34 @@
 from __future__ import annotations
 
 import secrets
+import time
 from typing import Any
 from typing import Final
-from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from sycamorestand_entry.billing import cost_micros
 from sycamorestand_entry.callers import remaining_s
+from sycamorestand_entry.engine_wire import check_head
+from sycamorestand_entry.engine_wire import encode_engine_request
 from sycamorestand_entry.errors import BackendFailed
-from sycamorestand_entry.errors import BadRequest
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import NoBackendServer
 from sycamorestand_entry.errors import Overloaded
+from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import Run
+from sycamorestand_entry.event_reader import EventReader
 from sycamorestand_entry.gate import DispatchIntent
 from sycamorestand_entry.gate import may_dispatch
-from sycamorestand_entry.sse import decode_event
-from sycamorestand_entry.sse import DONE
-from sycamorestand_entry.sse import EVENT_END
-from sycamorestand_entry.sse import EventCutter
-from sycamorestand_entry.sse import is_plain
+from sycamorestand_entry.slots import SlotRequest
 from sycamorestand_entry.sse import MalformedStream
-from sycamorestand_entry.sse import read_usage
-from sycamorestand_entry.sse import split_events
-from sycamorestand_entry.sse import Usage
-from sycamorestand_entry.upstream import MalformedAnswer
+from sycamorestand_entry.upstream import SilentConnection
 from sycamorestand_entry.upstream import UpstreamError
 
 if TYPE_CHECKING:
+    from sycamorestand_decisions.selection import Outcome
     from sycamorestand_entry.context import EntryContext
-    from sycamorestand_entry.upstream import ResponseHead
+    from sycamorestand_entry.engine_wire import EngineWork
+    from sycamorestand_entry.sse import Usage
     from sycamorestand_entry.upstream import Sink
     from sycamorestand_entry.upstream import UpstreamConnection
     from sycamorestand_model.backend_servers import Announcement
@@ -41,20 +39,6 @@
 # load where many servers fail at once.
 MAX_ATTEMPTS: Final = 3
 SERVER_RETRY_S: Final = 1.0
-CHARACTERS_PER_TOKEN: Final = 4
-
-
-class EngineWork(NamedTuple):
-    """What is asked of an engine; ``body`` always asks for a stream."""
-
-    customer: str
-    profile: str
-    version: str
-    request_key: str
-    body: bytes
-    priority: str
-    deadline_at_s: float
-    in_session: bool = False
 
 
 class EngineRun:
@@ -64,30 +48,55 @@
     gone to the caller; from then on only a resumed stream may follow.
     ``attempt`` grows with each start from the beginning, so that a
     consumer that collects the answer drops what it has. ``write_now``
-    may be set with the first release; events then go through it.
+    may be set with the first release; events then go through it. A list
+    in ``kept`` gets a copy of the answer's events.
     """
 
     def __init__(self, context: EntryContext, work: EngineWork) -> None:
+        self.version = work.version
         self.released = False
+        self.done = False
+        self.kept: list[bytes] | None = None
         self.write_now: Sink | None = None
         self.attempt = 0
-        self.usage: Usage | None = None
-        self.ending: dict[str, Any] = {}
+        self.first_byte_ms = 0.0
         self._context = context
         self._work = work
         self._server: Announcement | None = None
         self._connection: UpstreamConnection | None = None
-        self._cutter = EventCutter()
-        self._failure: MalformedStream | None = None
-        self._events = 0
+        self._reader = EventReader()
         self._attempts = 0
         self._run_id = ""
         self._failed_servers: set[str] = set()
-        self._sent = False
-        self._done = False
+        self._may_have_run = False
+        self._dispatched_s = 0.0
+        self._slot: int | None = None
+        self._slot_since_s = 0.0
+
+    @property
+    def usage(self) -> Usage | None:
+        """The tokens of a whole answer."""
+        return self._reader.usage
+
+    @property
+    def ending(self) -> dict[str, Any]:
+        """The engine's last event, empty where it sent none."""
+        return self._reader.ending
 
     async def start(self) -> None:
-        """Dispatch the request; raises the refusal where that fails."""
+        """Wait for a slot and dispatch the request, or refuse."""
+        work = self._work
+        self._slot = await self._context.slots.acquire(
+            SlotRequest(
+                work.customer,
+                work.weight,
+                work.version,
+                work.priority,
+                work.deadline_at_s,
+                work.expected_s,
+            )
+        )
+        self._slot_since_s = time.monotonic()
         try:
             await self._dispatch()
         except UpstreamError as error:
@@ -95,17 +104,20 @@
 
     async def next_events(self) -> bytes:
         """Return whole events, none at the end of a whole answer."""
-        while not self._done:
+        while not self.done:
             try:
                 if events := await self._read_events():
+                    if self.kept is not None:
+                        self.kept.append(events)
                     return events
             except (UpstreamError, MalformedStream) as error:
                 await self._recover(error)
         return b""
 
     def close(self) -> None:
-        """Give the server back; a run that goes on is cancelled."""
-        self._leave_server(broken=not self._done)
+        """Give server and slot back; a run that goes on is cancelled."""
+        self._leave_server("ok" if self.done else "cancelled")
+        self._give_slot_back()
 
     def cost_micros(self) -> int:
         """Return the price of the tokens of a whole answer."""
@@ -116,111 +128,109 @@
 
     async def _dispatch(self, resume: bool = False) -> None:
         settings = self._context.settings
-        server = self._server if resume else self._choose_server()
-        assert server is not None
-        self._server = server
         # An attempt after a failure takes a new connection: the old one
         # may have gone silent while new ones work.
         idle_s = settings.pool_idle_s if self._attempts == 0 else 0.0
         self._attempts += 1
-        connection = await self._context.pool.acquire(server.address, idle_s)
-        refusal = may_dispatch(self._context.control, self._intent(server))
-        if refusal is not None:
-            self._context.pool.release(server.address, connection)
-            self._context.metrics.refused_dispatches.inc(
-                {"code": refusal.code}
-            )
-            raise refusal
+        server, connection = await self._pass_gate(resume, idle_s)
         self._enter_server(server, connection)
-        self._sent = True
-        connection.send(self._encode_request(server, resume))
+        if not resume:
+            self._run_id = secrets.token_hex(8)
+        connection.send(
+            encode_engine_request(
+                self._work, server, self._run_id, resume, self._reader.events
+            )
+        )
         head = await connection.read_head(
             self._limit_s(settings.first_byte_timeout_s)
         )
-        self._check_head(head)
+        self._note_first_byte(server)
+        try:
+            check_head(head)
+        except Overloaded as error:
+            self._leave_server("overloaded")
+            raise self._truthful(error) from None
+
+    async def _pass_gate(
+        self, resume: bool, idle_s: float
+    ) -> tuple[Announcement, UpstreamConnection]:
+        while True:
+            server = self._server if resume else self._choose_server()
+            assert server is not None
+            self._server = server
+            connection = await self._context.pool.acquire(
+                server.address, idle_s
+            )
+            refusal = may_dispatch(self._context.control, self._intent(server))
+            if refusal is None:
+                return server, connection
+            self._context.pool.release(server.address, connection)
+            code = refusal.code
+            self._context.metrics.refused_dispatches.inc({"code": code})
+            if resume or not isinstance(refusal, NoBackendServer):
+                raise self._truthful(refusal)
+            # It left while the connection was made; nothing was sent.
+            self._failed_servers.add(server.name)
+
+    def _truthful(self, error: RequestError) -> RequestError:
+        # An earlier attempt was written, so the request may have run
+        # whatever this attempt's refusal knows of itself.
+        if self._may_have_run and error.run == "not_run":
+            error.run = "unknown"
+        return error
+
+    def _note_first_byte(self, server: Announcement) -> None:
+        now_s = time.monotonic()
+        latency_s = now_s - self._dispatched_s
+        if not self.first_byte_ms:
+            self.first_byte_ms = latency_s * 1000
+        self._context.servers.first_byte(
+            self._work.version, server.name, now_s, latency_s
+        )
 
     async def _read_events(self) -> bytes:
         assert self._connection is not None
-        if self._failure is not None:
-            raise self._failure
+        self._reader.check()
         data = await self._connection.read_body(
             self._limit_s(self._context.settings.chunk_gap_s),
             remaining_s(self._work.deadline_at_s),
             self._forward if self.write_now is not None else None,
         )
-        if not data:
-            raise MalformedStream("the stream ended without its last event")
-        events = self._cutter.feed(data)
-        if not events:
-            return b""
-        if is_plain(events):
-            self._events += events.count(EVENT_END)
-            return events
-        return self._read_ending(events)
+        events = self._reader.feed(data)
+        if self._reader.done:
+            self._finish()
+        return events
 
     def _forward(self, data: bytes) -> bool:
         # Whatever is not the plain middle of a stream is left to the
         # task, which waits in `_read_events`.
-        if not self._cutter.is_whole(data) or not is_plain(data):
+        if not self._reader.is_forwardable(data):
             return False
         assert self.write_now is not None
         if not self.write_now(data):
             return False
-        self._events += data.count(EVENT_END)
+        if self.kept is not None:
+            self.kept.append(data)
+        self._reader.count(data)
         return True
 
-    def _read_ending(self, events: bytes) -> bytes:
-        plain: list[bytes] = []
-        try:
-            for event in split_events(events):
-                self._read_event(event, plain)
-        except MalformedStream as error:
-            # What came whole before it has been counted, so it must go
-            # out before the run is resumed behind it.
-            self._failure = error
-        if self._failure is not None and not plain:
-            raise self._failure
-        return b"".join(plain)
-
-    def _read_event(self, event: bytes, plain: list[bytes]) -> None:
-        if self._done or event.startswith(b":"):
-            return
-        if event == DONE:
-            self._finish()
-            return
-        content = decode_event(event)
-        if "error" in content:
-            raise MalformedStream("the engine reported an error")
-        usage = read_usage(content)
-        if usage is not None:
-            self.usage = usage
-            # Some engines count in events that carry text as well.
-            if not content.get("choices"):
-                self.ending = content
-                return
-        self._events += 1
-        plain.append(event)
-
     def _finish(self) -> None:
-        self._done = True
-        if self.usage is None:
-            # The answer is whole, so it is billed; without the engine's
-            # count one event stands for one token.
+        self.done = True
+        if self._reader.estimate_usage(len(self._work.body)):
             self._context.metrics.recoveries.inc({"kind": "usage_missing"})
-            sent = len(self._work.body) // CHARACTERS_PER_TOKEN
-            self.usage = Usage(sent, self._events)
 
     async def _recover(self, error: Exception) -> None:
         while True:
+            sent = self._connection is not None
+            self._may_have_run = self._may_have_run or sent
             resume = self._may_resume()
-            self._leave_server(broken=True)
-            self._check_attempts(error, resume)
+            self._leave_server(_outcome_of(error))
+            self._check_attempts(error, resume, sent)
             if not resume:
                 self._forget_attempt()
             kind = "resumed" if resume else "restarted"
             self._context.metrics.recoveries.inc({"kind": kind})
-            self._cutter = EventCutter()
-            self._failure = None
+            self._reader.go_on()
             try:
                 await self._dispatch(resume)
                 return
@@ -229,69 +239,97 @@
 
     def _may_resume(self) -> bool:
         server = self._server
-        return server is not None and server.can_resume and self._events > 0
+        return (
+            server is not None
+            and server.can_resume
+            and self._reader.events > 0
+        )
 
-    def _check_attempts(self, error: Exception, resume: bool) -> None:
-        run: Run = "unknown" if self._sent else "not_run"
+    def _check_attempts(
+        self, error: Exception, resume: bool, sent: bool
+    ) -> None:
         late = remaining_s(self._work.deadline_at_s) <= 0
         # After a part of the answer has been released, another run would
         # put the rest of a different answer behind it.
         unsafe = self.released and not resume
-        if not late and not unsafe and self._attempts < MAX_ATTEMPTS:
+        allowed = not late and not unsafe and self._attempts < MAX_ATTEMPTS
+        if allowed and (resume or not sent or self._spend_retry(error)):
             return
         self._context.metrics.recoveries.inc({"kind": "broken"})
+        run: Run = "unknown" if self._may_have_run else "not_run"
         if late:
             raise DeadlineExceeded("the deadline passed", run=run) from error
         raise BackendFailed(
             f"the backend server failed: {error}", SERVER_RETRY_S, run
         ) from error
 
+    def _spend_retry(self, error: Exception) -> bool:
+        # A connection that was refused put no load on the server and
+        # needs no budget; a run that is done again does.
+        now_s = time.monotonic()
+        cause = _outcome_of(error)
+        customer = self._work.customer
+        granted = self._context.retries.may_retry(customer, now_s, cause)
+        result = "granted" if granted else "denied"
+        self._context.metrics.retries.inc({"result": result})
+        return granted
+
     def _forget_attempt(self) -> None:
         if self._server is not None:
             self._failed_servers.add(self._server.name)
         self._server = None
-        self._events = 0
-        self.usage = None
-        self.ending = {}
+        self._reader.begin_again()
         self.attempt += 1
+        if self.kept is not None:
+            self.kept.clear()
 
     def _choose_server(self) -> Announcement:
-        servers = self._context.control.backend_servers()
-        holders = [
-            server
-            for server in servers.values()
-            if self._work.version in server.versions and not server.leaving
-        ]
-        if not holders:
-            raise NoBackendServer(
-                f"no backend server holds {self._work.version}",
-                SERVER_RETRY_S,
-            )
-        fresh = [s for s in holders if s.name not in self._failed_servers]
-        in_flight = self._context.in_flight
-        return min(
-            fresh or holders,
-            key=lambda s: in_flight.get(s.name, 0) / s.capacity,
+        return self._context.servers.choose(
+            self._work.version,
+            time.monotonic(),
+            self._failed_servers,
+            self._work.affinity_key,
+            again=True,
         )
 
     def _enter_server(
         self, server: Announcement, connection: UpstreamConnection
     ) -> None:
         self._connection = connection
-        in_flight = self._context.in_flight
-        in_flight[server.name] = in_flight.get(server.name, 0) + 1
-        self._context.metrics.dispatches.inc({"version": self._work.version})
+        self._dispatched_s = time.monotonic()
+        version = self._work.version
+        self._context.servers.started(version, server.name, self._dispatched_s)
+        self._context.metrics.dispatches.inc({"version": version})
 
-    def _leave_server(self, broken: bool) -> None:
+    def _leave_server(self, outcome: Outcome) -> None:
         if self._server is None or self._connection is None:
             return
-        self._context.in_flight[self._server.name] -= 1
-        if broken:
-            self._connection.close()
-        else:
+        now_s = time.monotonic()
+        self._context.servers.finished(
+            self._work.version,
+            self._server.name,
+            now_s,
+            now_s - self._dispatched_s,
+            outcome,
+        )
+        if outcome == "ok":
             self._context.pool.release(self._server.address, self._connection)
+        else:
+            self._connection.close()
         self._connection = None
 
+    def _give_slot_back(self) -> None:
+        if self._slot is None:
+            return
+        if self.done:
+            now_s = time.monotonic()
+            latency_s = now_s - self._slot_since_s
+            self._context.slots.finish(self._slot, latency_s, failed=False)
+            self._context.retries.succeeded(self._work.customer, now_s)
+        else:
+            self._context.slots.cancel(self._slot)
+        self._slot = None
+
     def _intent(self, server: Announcement) -> DispatchIntent:
         work = self._work
         return DispatchIntent(
@@ -305,39 +343,9 @@
     def _limit_s(self, limit_s: float) -> float:
         return max(0.0, min(limit_s, remaining_s(self._work.deadline_at_s)))
 
-    def _check_head(self, head: ResponseHead) -> None:
-        if head.status == 200:
-            kind = head.headers.get(b"content-type", b"")
-            if kind.startswith(b"text/event-stream"):
-                return
-            raise MalformedAnswer("its answer is no event stream")
-        if head.status in (429, 503):
-            run: Run = "not_run" if b"x-not-run" in head.headers else "unknown"
-            raise Overloaded(
-                "the backend servers are overloaded", SERVER_RETRY_S, run
-            )
-        if 400 <= head.status < 500:
-            raise BadRequest(f"the engine refused with status {head.status}")
-        raise MalformedAnswer(f"it answered with status {head.status}")
 
-    def _encode_request(self, server: Announcement, resume: bool) -> bytes:
-        work = self._work
-        if not resume:
-            self._run_id = secrets.token_hex(8)
-        lines = [
-            "POST /v1/chat/completions HTTP/1.1",
-            f"Host: {server.address}",
-            "Content-Type: application/json",
-            f"Content-Length: {len(work.body)}",
-            f"X-Request-Key: {work.request_key}",
-            f"X-Customer: {work.customer}",
-            f"X-Run: {self._run_id}",
-            f"X-Priority: {work.priority}",
-        ]
-        if resume:
-            lines.append(f"X-Resume-Run: {self._run_id}")
-            lines.append(f"X-Resume-From: {self._events}")
-        return "\r\n".join(lines).encode() + b"\r\n\r\n" + work.body
-
-
-__all__ = ["EngineRun", "EngineWork"]
+def _outcome_of(error: Exception) -> Outcome:
+    return "timeout" if isinstance(error, SilentConnection) else "error"
+
+
+__all__ = ["EngineRun"]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/event_reader.py
@@ -0,0 +1,116 @@
+"""Reads an engine's stream: passes text on, takes out what ends it."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Final
+
+from sycamorestand_entry.sse import decode_event
+from sycamorestand_entry.sse import DONE
+from sycamorestand_entry.sse import EVENT_END
+from sycamorestand_entry.sse import EventCutter
+from sycamorestand_entry.sse import is_plain
+from sycamorestand_entry.sse import MalformedStream
+from sycamorestand_entry.sse import read_usage
+from sycamorestand_entry.sse import split_events
+from sycamorestand_entry.sse import Usage
+
+BYTES_PER_TOKEN: Final = 4
+
+
+class EventReader:
+    """How far one answer has come, over all connections that carried it.
+
+    ``events`` counts the whole events passed on, which is where a run
+    is resumed. ``usage`` and ``ending`` are the engine's own account; they
+    are held back until the answer is charged.
+    """
+
+    def __init__(self) -> None:
+        self.done = False
+        self.events = 0
+        self.usage: Usage | None = None
+        self.ending: dict[str, Any] = {}
+        self._cutter = EventCutter()
+        self._failure: MalformedStream | None = None
+
+    def check(self) -> None:
+        """Raise what was found behind the events returned last."""
+        if self._failure is not None:
+            raise self._failure
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events to pass on."""
+        if not data:
+            raise MalformedStream("the stream ended without its last event")
+        events = self._cutter.feed(data)
+        if not events:
+            return b""
+        if is_plain(events):
+            self.events += events.count(EVENT_END)
+            return events
+        return self._read_each(events)
+
+    def is_forwardable(self, data: bytes) -> bool:
+        """Tell whether a read is whole events of plain text."""
+        return self._cutter.is_whole(data) and is_plain(data)
+
+    def count(self, data: bytes) -> None:
+        """Count events that were passed on without `feed`."""
+        self.events += data.count(EVENT_END)
+
+    def go_on(self) -> None:
+        """Expect the rest of the answer on another connection."""
+        self._cutter = EventCutter()
+        self._failure = None
+
+    def begin_again(self) -> None:
+        """Expect another answer from its beginning."""
+        self.go_on()
+        self.events = 0
+        self.usage = None
+        self.ending = {}
+
+    def estimate_usage(self, sent_bytes: int) -> bool:
+        """Fill in a missing usage; tell whether it was missing."""
+        if self.usage is not None:
+            return False
+        # The answer is whole, so it is billed; without the engine's
+        # count one event stands for one token.
+        self.usage = Usage(sent_bytes // BYTES_PER_TOKEN, self.events)
+        return True
+
+    def _read_each(self, events: bytes) -> bytes:
+        plain: list[bytes] = []
+        try:
+            for event in split_events(events):
+                self._read(event, plain)
+        except MalformedStream as error:
+            # What came whole before it has been counted, so it must go
+            # out before the run is resumed behind it.
+            self._failure = error
+            if not plain:
+                raise
+        return b"".join(plain)
+
+    def _read(self, event: bytes, plain: list[bytes]) -> None:
+        if self.done or event.startswith(b":"):
+            return
+        if event == DONE:
+            self.done = True
+            return
+        content = decode_event(event)
+        if "error" in content:
+            raise MalformedStream("the engine reported an error")
+        usage = read_usage(content)
+        if usage is not None:
+            self.usage = usage
+            # Some engines count in events that carry text as well.
+            if not content.get("choices"):
+                self.ending = content
+                return
+        self.events += 1
+        plain.append(event)
+
+
+__all__ = ["EventReader"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -96,11 +97,22 @@
     context: EntryContext, request: Request, responder: Responder
 ) -> None:
     """Show all counters to Prometheus."""
+    _set_gauges(context)
+    await responder.answer(200, PROMETHEUS_TEXT, context.metrics.render())
+
+
+def _set_gauges(context: EntryContext) -> None:
     metrics = context.metrics
     metrics.lease_remaining.set({}, context.control.lease_remaining_s())
-    for name, count in context.in_flight.items():
-        metrics.in_flight.set({"backend_server": name}, count)
-    await responder.answer(200, PROMETHEUS_TEXT, metrics.render())
+    for target, pool in context.slots.metrics().items():
+        for state in ("slots", "in_flight", "waiting"):
+            labels = {"target": target, "state": state}
+            metrics.pool.set(labels, getattr(pool, state))
+    for group, servers in context.servers.metrics(time.monotonic()).items():
+        for name, server in servers.items():
+            labels = {"backend_server": name, "group": group}
+            metrics.in_flight.set(labels, server.in_flight)
+            metrics.ejected.set(labels, int(server.ejected))
 
 
 def _rank(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -44,6 +44,27 @@
         self.ratings = self._counter(
             "ratings_total", "Ratings asked for, by result"
         )
+        self.admissions = self._counter(
+            "admissions_total", "Slots given and refused, by result"
+        )
+        self.queue_wait = self._counter(
+            "queue_wait_seconds_total", "Time that requests waited for slots"
+        )
+        self.retries = self._counter(
+            "retries_total", "Retries asked of the budget, by result"
+        )
+        self.cascade = self._counter(
+            "cascade_steps_total", "Answers of earlier steps, by result"
+        )
+        self.ledger_wait = self._counter(
+            "ledger_wait_seconds_total", "Time spent waiting for the ledger"
+        )
+        self.pool = self._gauge(
+            "admission", "Slots, running and waiting requests by target"
+        )
+        self.ejected = self._gauge(
+            "ejected", "Backend servers that get no work for a while"
+        )
         self.lease_remaining = self._gauge(
             "lease_remaining_seconds", "What is left of the lease"
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/once.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/once.py
@@ -10,6 +10,7 @@
 
 import logging
 import secrets
+import time
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -27,14 +28,15 @@
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import InternalError
 from sycamorestand_entry.errors import LedgerFailed
+from sycamorestand_entry.errors import NoBackendServer
 from sycamorestand_entry.errors import Overloaded
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import Run
 from sycamorestand_entry.errors import StillRunning
+from sycamorestand_entry.service_call import acquire_slot
 from sycamorestand_entry.service_call import CallFailed
 from sycamorestand_entry.service_call import exchange
 from sycamorestand_entry.service_call import ServiceAnswer
-from sycamorestand_entry.service_servers import choose_service_server
 from sycamorestand_entry.upstream import ConnectFailed
 from sycamorestand_model.errors import LedgerUnavailable
 from sycamorestand_model.ledger import Dispatch
@@ -109,7 +111,7 @@
             return
         self.run_state = "not_run"
         try:
-            answer = await self._dispatch()
+            answer = await self._dispatch_in_slot()
         except CallFailed as error:
             self._settle_later([self._outcome("unknown")])
             raise BackendFailed(
@@ -120,17 +122,33 @@
             raise
         await self._record(answer)
 
+    async def _dispatch_in_slot(self) -> ServiceAnswer:
+        slot = await acquire_slot(self._context, self._call)
+        begin_s = time.monotonic()
+        failed = True
+        try:
+            answer = await self._dispatch()
+            failed = False
+            return answer
+        finally:
+            latency_s = time.monotonic() - begin_s
+            self._context.slots.finish(slot, latency_s, failed)
+
     async def _dispatch(self) -> ServiceAnswer:
         failed: set[str] = set()
         for _ in range(MAX_ATTEMPTS):
-            server = choose_service_server(
-                self._context, self._call.service, failed
-            )
-            failed.add(server.name)
             try:
+                server = self._context.servers.choose(
+                    self._call.service, time.monotonic(), failed
+                )
+                failed.add(server.name)
                 answer = await self._attempt(server)
             except ConnectFailed:
                 continue
+            except NoBackendServer:
+                if failed:
+                    break
+                raise
             if not answer.not_run:
                 return answer
             self.run_state = "not_run"
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/planning.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/planning.py
@@ -5,14 +5,20 @@
 from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
+from zlib import crc32
 
+from sycamorestand_decisions.cascade import StepPrice
+from sycamorestand_decisions.versions import choose_version
+from sycamorestand_entry.billing import cost_micros
 from sycamorestand_entry.billing import now_s
 from sycamorestand_entry.billing import write_ledger
 from sycamorestand_entry.errors import NotAllowed
 from sycamorestand_entry.errors import NoVersion
+from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.gate import check_version
 from sycamorestand_entry.gate import DispatchIntent
 from sycamorestand_entry.sessions import verify_session
+from sycamorestand_entry.sse import Usage
 from sycamorestand_model.declarations import version_id
 from sycamorestand_model.ledger import Pin
 
@@ -20,20 +26,24 @@
     from sycamorestand_entry.chat_request import ChatRequest
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_model.declarations import CascadeStep
+    from sycamorestand_model.declarations import Model
 
 # A pin never changes, so it may be remembered; the bound keeps callers
 # that invent session names from filling the memory.
 MAX_REMEMBERED_PINS: Final = 10_000
 VERSION_RETRY_S: Final = 5.0
+UNIT: Final = 2.0**32
 
 
 class Plan(NamedTuple):
-    """Version identities from the cheaper to the stronger step.
+    """The version of each step that may run, from cheap to strong.
 
-    A session has one version and never a second step.
+    A step that has no version now is left out; ``steps`` holds the
+    places in the profile. A session has one version and never cascades.
     """
 
     versions: tuple[str, ...]
+    steps: tuple[int, ...]
     session_name: str
     in_session: bool = False
 
@@ -41,21 +51,38 @@
 async def plan_chat(context: EntryContext, chat: ChatRequest) -> Plan:
     """Return the versions for the request, or refuse."""
     options = chat.options
+    if not options.session_token and not options.session_name:
+        return _plan_steps(context, chat)
     if options.session_token:
         key = context.control.in_force().session_key
         session = verify_session(
             options.session_token, chat.customer.name, key
         )
-        plan = Plan((session.version,), session.name, True)
-    elif options.session_name:
-        version = await _pinned_version(context, chat)
-        plan = Plan((version,), options.session_name, True)
+        name, version = session.name, session.version
     else:
-        return Plan(_step_versions(context, chat), chat.request_key)
-    refusal = _refusal(context, chat, plan.versions[0], in_session=True)
+        name = options.session_name
+        version = await _pinned_version(context, chat)
+    refusal = _refusal(context, chat, version, in_session=True)
     if refusal is not None:
         raise refusal
-    return plan
+    return Plan((version,), (len(chat.profile.steps) - 1,), name, True)
+
+
+def first_step(context: EntryContext, chat: ChatRequest, plan: Plan) -> int:
+    """Return the index into the plan at which the cascade begins."""
+    last = len(plan.versions) - 1
+    # Without a rating service nothing could accept an earlier step.
+    if plan.in_session or not last or not context.rating.configured:
+        return last
+    begin = context.cascade.first_step(
+        chat.profile,
+        chat.request_class,
+        _step_prices(context, chat, plan),
+        0.0,
+        context.random,
+    )
+    later = [i for i, step in enumerate(plan.steps) if step >= begin]
+    return later[0] if later else last
 
 
 async def _pinned_version(context: EntryContext, chat: ChatRequest) -> str:
@@ -65,7 +92,8 @@
         return known
     # Two entries may see the first request of a session at once. The
     # ledger keeps one version and tells it to both.
-    offered = _step_versions(context, chat)[-1]
+    plan = _plan_steps(context, chat)
+    offered = plan.versions[_session_step(context, chat, plan)]
     pin = Pin(*key, offered, now_s())
     result = (await write_ledger(context, [pin], run="not_run"))[0]
     if len(context.pins) >= MAX_REMEMBERED_PINS:
@@ -74,15 +102,31 @@
     return result.version
 
 
-def _step_versions(
-    context: EntryContext, chat: ChatRequest
-) -> tuple[str, ...]:
-    found = [_step_version(context, chat, step) for step in chat.profile.steps]
-    versions = tuple(version for version in found if version)
-    if versions:
-        return versions
-    allowed = _any_allowed(chat)
-    if not allowed:
+def _session_step(context: EntryContext, chat: ChatRequest, plan: Plan) -> int:
+    # A session can't escalate later, so its version must meet the
+    # quality target by itself: a call of exactly one step.
+    begin = context.cascade.first_step(
+        chat.profile,
+        chat.request_class,
+        _step_prices(context, chat, plan),
+        0.0,
+        context.random,
+        idempotent=False,
+    )
+    later = [i for i, step in enumerate(plan.steps) if step >= begin]
+    return later[0] if later else len(plan.versions) - 1
+
+
+def _plan_steps(context: EntryContext, chat: ChatRequest) -> Plan:
+    found = [
+        (_step_version(context, chat, step), index)
+        for index, step in enumerate(chat.profile.steps)
+    ]
+    usable = [(version, index) for version, index in found if version]
+    if usable:
+        versions, steps = zip(*usable, strict=True)
+        return Plan(versions, steps, "")
+    if not _any_allowed(chat):
         raise NotAllowed("you may use no version of this profile")
     raise NoVersion(
         "every version that you may use is withdrawn", VERSION_RETRY_S
@@ -92,14 +136,49 @@
 def _step_version(
     context: EntryContext, chat: ChatRequest, step: CascadeStep
 ) -> str:
-    model = context.control.in_force().declarations.models.get(step.model)
+    in_force = context.control.in_force()
+    model = in_force.declarations.models.get(step.model)
     if model is None:
         return ""
-    for name in (model.stable, *sorted(model.versions)):
-        identity = version_id(model.name, name)
-        if _refusal(context, chat, identity, in_session=False) is None:
-            return identity
-    return ""
+    allowed = [
+        identity
+        for identity in (version_id(model.name, n) for n in model.versions)
+        if _refusal(context, chat, identity, in_session=False) is None
+    ]
+    chosen = choose_version(model, in_force, _unit(chat, model), allowed)
+    if chosen is not None:
+        return chosen
+    # The stable version is withdrawn or not this customer's. Another one
+    # that the customer may use serves, but none that a roll-out holds.
+    share = in_force.shares.get(model.name)
+    held = share.version if share is not None else ""
+    others = [
+        identity
+        for identity in allowed
+        if held not in (identity, identity.partition("@")[2])
+    ]
+    return others[0] if others else ""
+
+
+def _unit(chat: ChatRequest, model: Model) -> float:
+    # A request that is sent again with its key meets the same version.
+    name = chat.options.session_name or chat.request_key
+    text = f"{chat.customer.name}/{name}/{model.name}"
+    return crc32(text.encode()) / UNIT
+
+
+def _step_prices(
+    context: EntryContext, chat: ChatRequest, plan: Plan
+) -> list[StepPrice]:
+    declarations = context.control.in_force().declarations
+    usage = Usage(chat.input_tokens, chat.max_tokens)
+    by_step = dict(zip(plan.steps, plan.versions, strict=True))
+    prices = []
+    for index, step in enumerate(chat.profile.steps):
+        version = by_step.get(index, "")
+        cost = cost_micros(declarations, version, usage) if version else 0
+        prices.append(StepPrice(version or step.model, float(cost)))
+    return prices
 
 
 def _any_allowed(chat: ChatRequest) -> bool:
@@ -115,11 +194,11 @@
     chat: ChatRequest,
     identity: str,
     in_session: bool,
-) -> Exception | None:
+) -> RequestError | None:
     intent = DispatchIntent(
         chat.customer.name, chat.profile.name, identity, "", in_session
     )
     return check_version(context.control.in_force(), intent)
 
 
-__all__ = ["Plan", "plan_chat"]
+__all__ = ["first_step", "Plan", "plan_chat"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 import contextlib
 import logging
+from random import Random
 import socket
 from typing import Any
 from typing import Final
@@ -59,6 +60,7 @@
 async def serve_entry(
     settings: EntrySettings,
     control: ControlPort,
+    random: Random | None = None,
     *,
     task_status: TaskStatus[RunningEntry] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -66,15 +68,17 @@
 
     Example: ``entry = await group.start(serve_entry, settings, control)``
     returns a `RunningEntry` as soon as the entry accepts connections.
+    ``random`` is what its decisions draw from.
     """
     listener = _listen(settings)
     host, port = listener.getsockname()[:2]
     async with anyio.create_task_group() as background:
-        context = EntryContext(settings, control, background)
+        context = EntryContext(settings, control, background, random)
         entry = RunningEntry(context, host, port)
         server = _Server(_uvicorn_config(context))
         try:
             async with anyio.create_task_group() as group:
+                group.start_soon(context.slots.keep_ticking)
                 group.start_soon(_stop_later, entry, server)
                 task_status.started(entry)
                 await server.serve(sockets=[listener])
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import time
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from sycamorestand_entry.gate import DispatchIntent
 from sycamorestand_entry.gate import may_dispatch
+from sycamorestand_entry.slots import SERVICE_CALL_S
+from sycamorestand_entry.slots import SlotRequest
 from sycamorestand_entry.upstream import MalformedAnswer
+from sycamorestand_entry.upstream import SilentConnection
 from sycamorestand_entry.upstream import UpstreamError
 
 if TYPE_CHECKING:
+    from sycamorestand_decisions.selection import Outcome
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_entry.upstream import UpstreamConnection
     from sycamorestand_model.backend_servers import Announcement
@@ -22,12 +27,14 @@
     """What is asked of a plain service; ``target`` has the query."""
 
     customer: str
+    weight: float
     service: str
     request_key: str
     method: str
     target: bytes
     headers: dict[bytes, bytes]
     body: bytes
+    priority: str
     deadline_at_s: float
 
 
@@ -69,17 +76,24 @@
         context.metrics.refused_dispatches.inc({"code": refusal.code})
         raise refusal
     context.metrics.dispatches.inc({"version": call.service})
-    in_flight = context.in_flight
-    in_flight[server.name] = in_flight.get(server.name, 0) + 1
+    outcome: Outcome = "cancelled"
+    begin_s = time.monotonic()
+    context.servers.started(call.service, server.name, begin_s)
     try:
         connection.send(_encode(call, server), call.method == "HEAD")
         answer = await _read_answer(context, connection, limit_s)
+        outcome = "overloaded" if answer.not_run else "ok"
+        return answer
     except UpstreamError as error:
+        silent = isinstance(error, SilentConnection)
+        outcome = "timeout" if silent else "error"
         raise CallFailed(str(error)) from error
     finally:
-        in_flight[server.name] -= 1
+        now_s = time.monotonic()
+        context.servers.finished(
+            call.service, server.name, now_s, now_s - begin_s, outcome
+        )
         context.pool.release(server.address, connection)
-    return answer
 
 
 async def _read_answer(
@@ -99,6 +113,20 @@
     return ServiceAnswer(head.status, kind, b"".join(parts), not_run)
 
 
+async def acquire_slot(context: EntryContext, call: ServiceCall) -> int:
+    """Wait until the call may start, or refuse."""
+    return await context.slots.acquire(
+        SlotRequest(
+            call.customer,
+            call.weight,
+            call.service,
+            call.priority,
+            call.deadline_at_s,
+            SERVICE_CALL_S,
+        )
+    )
+
+
 def _encode(call: ServiceCall, server: Announcement) -> bytes:
     lines = [
         b"%s %s HTTP/1.1" % (call.method.encode(), call.target),
@@ -114,6 +142,7 @@
 
 
 __all__ = [
+    "acquire_slot",
     "CallFailed",
     "exchange",
     "ServiceAnswer",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/services.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+import time
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -23,11 +24,11 @@
 from sycamorestand_entry.errors import UnknownService
 from sycamorestand_entry.http_messages import read_body
 from sycamorestand_entry.once import ClaimedCall
+from sycamorestand_entry.service_call import acquire_slot
 from sycamorestand_entry.service_call import CallFailed
 from sycamorestand_entry.service_call import exchange
 from sycamorestand_entry.service_call import ServiceAnswer
 from sycamorestand_entry.service_call import ServiceCall
-from sycamorestand_entry.service_servers import choose_service_server
 from sycamorestand_entry.upstream import ConnectFailed
 
 if TYPE_CHECKING:
@@ -61,12 +62,14 @@
     body = await read_body(request, context.settings.max_body_bytes)
     call = ServiceCall(
         customer.name,
+        customer.weight,
         name,
         options.request_key or secrets.token_hex(16),
         request.method,
         target,
         request.headers,
         body,
+        options.priority,
         deadline_after(options.deadline_ms, service.default_deadline_ms),
     )
     if idempotent:
@@ -93,7 +96,14 @@
     service: Service,
     responder: Responder,
 ) -> None:
-    answer = await _call_repeatable(context, call)
+    slot = await acquire_slot(context, call)
+    begin_s = time.monotonic()
+    failed = True
+    try:
+        answer = await _call_repeatable(context, call)
+        failed = answer.not_run
+    finally:
+        context.slots.finish(slot, time.monotonic() - begin_s, failed)
     if answer.not_run:
         raise Overloaded("the service is overloaded", SERVER_RETRY_S)
     cost = 0
@@ -122,17 +132,26 @@
         # left: the connection may have gone silent while new ones work.
         if attempt + 1 < MAX_ATTEMPTS:
             limit_s = min(limit_s, settings.first_byte_timeout_s)
-        server = choose_service_server(context, call.service, failed)
+        server = context.servers.choose(
+            call.service, time.monotonic(), failed, again=True
+        )
         failed.add(server.name)
         idle_s = settings.pool_idle_s if attempt == 0 else 0.0
         try:
             connection = await context.pool.acquire(server.address, idle_s)
             sent = True
-            return await exchange(
+            answer = await exchange(
                 context, call, server, connection, limit_s, None
             )
-        except (ConnectFailed, CallFailed) as failure:
+        except ConnectFailed as failure:
+            error = failure
+        except CallFailed as failure:
             error = failure
+            if not _may_retry(context, call):
+                break
+        else:
+            context.retries.succeeded(call.customer, time.monotonic())
+            return answer
     raise BackendFailed(
         f"the service failed: {error}",
         SERVER_RETRY_S,
@@ -140,6 +159,15 @@
     )
 
 
+def _may_retry(context: EntryContext, call: ServiceCall) -> bool:
+    granted = context.retries.may_retry(
+        call.customer, time.monotonic(), "error"
+    )
+    result = "granted" if granted else "denied"
+    context.metrics.retries.inc({"result": result})
+    return granted
+
+
 async def _answer_once(
     context: EntryContext,
     call: ServiceCall,
--- a/packages/sycamorestand-entry/tests/test_cascade.py
+++ b/packages/sycamorestand-entry/tests/test_cascade.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from random import Random
 
 import pytest
 
@@ -22,6 +23,13 @@
 pytestmark = pytest.mark.anyio
 
 
+class Exploring(Random):
+    """Makes the learner try the cheap step of an unknown class."""
+
+    def random(self) -> float:
+        return 0.0
+
+
 @asynccontextmanager
 async def start_cascade(
     rating: FakeRating,
@@ -31,7 +39,7 @@
         settings = SETTINGS._replace(
             rating_url=f"http://{address}", rating_timeout_s=0.3
         )
-        async with start_loopback(settings) as loopback:
+        async with start_loopback(settings, random=Exploring()) as loopback:
             small = FakeEngine("engine-small", (SMALL,))
             large = FakeEngine("engine-large", (LARGE,))
             await loopback.add_engine(small)
