--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
@@ -60,6 +60,7 @@
         self.switch = FaultSwitch()
         self.records: list[EngineRecord] = []
         self.running = 0
+        self.most_running = 0
 
     async def application(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one request."""
@@ -96,6 +97,7 @@
             return
         record = self._find_record(headers, content["model"])
         self.running += 1
+        self.most_running = max(self.most_running, self.running)
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(_watch, receive, record, group)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/cascade.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/cascade.py
@@ -95,15 +95,14 @@
 
 async def _run_early_step(step: Step, until_s: float) -> int | None:
     """Return what the step cost, None where its answer went out."""
-    run = EngineRun(step.context, _work(step))
+    context = step.context
+    run = EngineRun(context, _work(step))
     begin_s = time.monotonic()
     rating = None
-    failed = True
     accepted = False
     try:
         events = await _collect(run, until_s)
         if events is not None:
-            failed = False
             rating, accepted = await _judge(step, run, events, until_s)
         if accepted:
             await give_collected(_delivery(step, run), events or b"")
@@ -111,10 +110,11 @@
         return run.cost_micros()
     finally:
         run.close()
-        shown = _shown(step, run, begin_s, failed)
-        report(step.context, step.chat, shown, rating)
-        result = "accepted" if accepted else "failed" if failed else "rejected"
-        step.context.metrics.cascade.inc({"result": result})
+        if run.done or run.failed:
+            shown = _shown(step, run, begin_s)
+            report(context, step.chat, shown, rating)
+        result = "accepted" if accepted else "sent_on"
+        context.metrics.cascade.inc({"result": result})
 
 
 async def _run_last_step(step: Step) -> None:
@@ -133,18 +133,20 @@
             await give_collected(_delivery(step, run), events)
     finally:
         run.close()
-        shown = _shown(step, run, begin_s, not run.done)
-        if kept is None or not run.done:
-            report(context, step.chat, shown, None)
-        else:
-            context.background.start_soon(
-                rate_and_report,
-                context,
-                step.chat,
-                run,
-                shown,
-                b"".join(kept),
-            )
+        _report_last(step, run, begin_s, kept)
+
+
+def _report_last(
+    step: Step, run: EngineRun, begin_s: float, kept: list[bytes] | None
+) -> None:
+    context = step.context
+    shown = _shown(step, run, begin_s)
+    if run.done and kept is not None:
+        context.background.start_soon(
+            rate_and_report, context, step.chat, run, shown, b"".join(kept)
+        )
+    elif run.done or run.failed:
+        report(context, step.chat, shown, None)
 
 
 async def _collect(run: EngineRun, until_s: float) -> bytes | None:
@@ -189,10 +191,10 @@
     )
 
 
-def _shown(step: Step, run: EngineRun, begin_s: float, failed: bool) -> Shown:
+def _shown(step: Step, run: EngineRun, begin_s: float) -> Shown:
     return Shown(
         step.version,
-        failed,
+        run.failed,
         run.first_byte_ms,
         (time.monotonic() - begin_s) * 1000,
         run.cost_micros(),
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -49,13 +49,15 @@
     ``attempt`` grows with each start from the beginning, so that a
     consumer that collects the answer drops what it has. ``write_now``
     may be set with the first release; events then go through it. A list
-    in ``kept`` gets a copy of the answer's events.
+    in ``kept`` gets a copy of the answer's events. ``failed`` is only
+    set where backend servers are at fault, for those who judge versions.
     """
 
     def __init__(self, context: EntryContext, work: EngineWork) -> None:
         self.version = work.version
         self.released = False
         self.done = False
+        self.failed = False
         self.kept: list[bytes] | None = None
         self.write_now: Sink | None = None
         self.attempt = 0
@@ -255,6 +257,7 @@
         allowed = not late and not unsafe and self._attempts < MAX_ATTEMPTS
         if allowed and (resume or not sent or self._spend_retry(error)):
             return
+        self.failed = self._may_have_run
         self._context.metrics.recoveries.inc({"kind": "broken"})
         run: Run = "unknown" if self._may_have_run else "not_run"
         if late:
--- /dev/null
+++ b/packages/sycamorestand-entry/tests/test_slots.py
@@ -0,0 +1,81 @@
+"""Admission at work: who waits, who is refused, and when they hear."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from sycamorestand_bench.fakes.declared import LARGE
+from sycamorestand_bench.fakes.engine import FakeEngine
+from sycamorestand_bench.fakes.faults import Fault
+from sycamorestand_bench.fakes.loopback import Answer
+from sycamorestand_bench.fakes.loopback import Loopback
+from sycamorestand_bench.fakes.loopback import SETTINGS
+from sycamorestand_bench.fakes.loopback import start_loopback
+
+pytestmark = pytest.mark.anyio
+
+
+async def ask_many(
+    loopback: Loopback, count: int, **headers: str
+) -> list[Answer]:
+    """Send as many requests at once and return the answers."""
+    answers: list[Answer] = []
+
+    async def ask() -> None:
+        answers.append(await loopback.chat(**headers))
+
+    async with anyio.create_task_group() as group:
+        for _ in range(count):
+            group.start_soon(ask)
+    return answers
+
+
+class TestSlots:
+    async def test_burst_waits_and_is_answered(self) -> None:
+        """Twenty requests meet a server that runs two at a time.
+
+        The rest waits in the entry; the server never has more than two.
+        """
+        async with start_loopback() as loopback:
+            engine = FakeEngine("engine-1", (LARGE,), tokens_per_s=400)
+            await loopback.add_engine(engine, capacity=2)
+            answers = await ask_many(loopback, 20)
+            assert {answer.status for answer in answers} == {200}
+            assert engine.most_running <= 2
+
+    async def test_hopeless_request_is_refused_at_once(self) -> None:
+        """Requests come that can't start before their deadline.
+
+        They are told so when they come, not when the deadline is over,
+        with ``not_run`` and the time to come back.
+        """
+        settings = SETTINGS._replace(chunk_gap_s=60)
+        async with start_loopback(settings) as loopback:
+            engine = FakeEngine("engine-1", (LARGE,))
+            engine.switch.fault = Fault("slow", pause_s=2)
+            await loopback.add_engine(engine, capacity=1)
+            answers = await ask_many(loopback, 40, X_Deadline_Ms="1500")
+            refused = [a for a in answers if a.status == 429]
+            assert len(refused) > 20
+            for answer in refused:
+                assert answer.json()["error"]["code"] == "overloaded"
+                assert answer.json()["error"]["run"] == "not_run"
+                assert int(answer.headers["retry-after"]) >= 1
+            assert len(engine.records) <= 2
+
+    async def test_leaving_callers_give_their_places_back(self) -> None:
+        """Callers go away, one that runs and some that wait.
+
+        Their slots and places in the queue are free for the next one.
+        """
+        settings = SETTINGS._replace(chunk_gap_s=60)
+        async with start_loopback(settings) as loopback:
+            engine = FakeEngine("engine-1", (LARGE,))
+            engine.switch.fault = Fault("slow", times=1)
+            await loopback.add_engine(engine, capacity=1)
+            with anyio.move_on_after(0.5):
+                await ask_many(loopback, 3)
+            with anyio.fail_after(10):
+                answer = await loopback.chat()
+            assert answer.status == 200
