--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/loopback.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/loopback.py
@@ -127,10 +127,12 @@
     ) -> Answer:
         """Call the entry; header names take ``_`` for ``-``."""
         sent: list[tuple[bytes | str, bytes | str]] = [
-            (name.replace("_", "-"), value) for name, value in headers.items()
+            (name.replace("_", "-"), value.encode("latin-1"))
+            for name, value in headers.items()
         ]
         if key:
-            sent.append(("Authorization", f"Bearer {key}"))
+            bearer = f"Bearer {key}".encode("latin-1")
+            sent.append(("Authorization", bearer))
         response = await self.pool.request(
             method, self.url + path, headers=sent, content=body
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
@@ -101,6 +101,13 @@
     code = "unknown_service"
 
 
+class RequestTimeout(RequestError):
+    """The caller did not send the rest of its request."""
+
+    status = 408
+    code = "request_timeout"
+
+
 class SessionWithdrawn(RequestError):
     """The version that the session keeps has been withdrawn."""
 
@@ -231,6 +238,7 @@
     "RequestError",
     "RequestKeyExpired",
     "RequestKeyMissing",
+    "RequestTimeout",
     "Run",
     "SessionNotAllowed",
     "SessionWithdrawn",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/http_messages.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/http_messages.py
@@ -9,17 +9,21 @@
 from typing import Final
 from typing import NamedTuple
 
+import anyio
 import msgspec
 
 from sycamorestand_entry.errors import BadRequest
 from sycamorestand_entry.errors import BodyTooLarge
 from sycamorestand_entry.errors import HeadersTooLarge
 from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.errors import RequestTimeout
 
 Message = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
 
+# Long enough for a large body over a poor line.
+BODY_TIMEOUT_S: Final = 30.0
 JSON: Final = b"application/json"
 EVENT_STREAM: Final = b"text/event-stream"
 # Headers that decide something; a second one would be ambiguous.
@@ -141,11 +145,19 @@
         raise BadRequest("content-length is no number")
     if int(declared) > limit_bytes:
         raise BodyTooLarge(f"bodies are limited to {limit_bytes} bytes")
+    try:
+        with anyio.fail_after(BODY_TIMEOUT_S):
+            return await _read_parts(request.receive, limit_bytes)
+    except TimeoutError:
+        raise RequestTimeout("the request's body did not come") from None
+
+
+async def _read_parts(receive: Receive, limit_bytes: int) -> bytes:
     parts: list[bytes] = []
     size = 0
     more = True
     while more:
-        message = await request.receive()
+        message = await receive()
         if message["type"] == "http.disconnect":
             raise CallerGone
         parts.append(message["body"])
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/http_protocol.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/http_protocol.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 from typing import Final
@@ -19,6 +20,7 @@
 from sycamorestand_entry.errors import BadRequest
 from sycamorestand_entry.errors import HeadersTooLarge
 from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.errors import RequestTimeout
 from sycamorestand_entry.http_messages import error_content
 
 WRITE_NOW: Final = "sycamorestand.write_now"
@@ -27,11 +29,28 @@
 MAX_HEAD_BYTES: Final = 64 * 1024
 
 
+# uvicorn waits without end for the rest of a head; connections that
+# send half of one would use up the process's descriptors.
+HEAD_TIMEOUT_S: Final = 10.0
+
+
 class EntryProtocol(HttpToolsProtocol):
     """One connection of a caller or a backend server."""
 
+    head_timeout_s = HEAD_TIMEOUT_S
     _head_bytes = 0
     _in_head = True
+    _head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        super().connection_made(transport)
+        self._await_head()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._end_head()
+        super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         if self._in_head:
@@ -41,21 +60,38 @@
             self._refuse(HeadersTooLarge("the headers are too large"))
 
     def on_message_begin(self) -> None:
-        self._in_head = True
-        self._head_bytes = 0
+        self._await_head()
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
-        self._in_head = False
+        self._end_head()
         super().on_headers_complete()
         extensions: dict[str, Any] = {WRITE_NOW: _make_write_now(self.cycle)}
         self.scope["extensions"] = extensions
 
+    def _await_head(self) -> None:
+        self._end_head()
+        self._in_head = True
+        self._head_bytes = 0
+        self._head_timer = self.loop.call_later(
+            self.head_timeout_s, self._give_up_head
+        )
+
+    def _end_head(self) -> None:
+        self._in_head = False
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _give_up_head(self) -> None:
+        self._refuse(RequestTimeout("the request's head did not come"))
+
     def send_400_response(self, msg: str) -> None:
         """Refuse bytes that are no HTTP request; uvicorn calls this."""
         self._refuse(BadRequest("the bytes received are no HTTP request"))
 
     def _refuse(self, error: RequestError) -> None:
+        self._end_head()
         if self.transport.is_closing():
             return
         body = msgspec.json.encode(error_content(error))
