--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
@@ -102,6 +102,8 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(_watch, receive, record, group)
                 start = int(headers.get("x-resume-from", "0"))
+                if fault.kind == "begin_again":
+                    start = 0
                 stream = _EventStream(self, record, content, fault, send)
                 await stream.send_all(start)
                 group.cancel_scope.cancel()
@@ -145,11 +147,14 @@
         if fault.kind == "late":
             await anyio.sleep(fault.pause_s)
         kind = b"text/html" if fault.kind == "wrong_type" else EVENT_STREAM
+        headers = [(b"content-type", kind)]
+        if start and fault.kind != "begin_again":
+            headers.append((b"x-resume-from", b"%d" % start))
         await self._send(
             {
                 "type": "http.response.start",
                 "status": 200,
-                "headers": [(b"content-type", kind)],
+                "headers": headers,
             }
         )
         tokens = self._content.get("max_tokens", DEFAULT_TOKENS)
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/faults.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/faults.py
@@ -7,6 +7,7 @@
 
 FaultKind = Literal[
     "none",
+    "begin_again",
     "cut",
     "error",
     "error_event",
--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/raw_server.py
@@ -0,0 +1,60 @@
+"""Answers HTTP requests with any bytes, for faults below HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import re
+
+import anyio
+from anyio.abc import SocketStream
+from anyio.abc import TaskStatus
+
+# What to write for the n-th request, counted over all connections; None
+# closes the connection without an answer.
+Script = Callable[[int, bytes], bytes | None]
+
+_LENGTH = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
+
+
+async def serve_script(
+    script: Script,
+    *,
+    task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until cancelled; starts with the address as ``host:port``."""
+    count = 0
+
+    async def handle(stream: SocketStream) -> None:
+        nonlocal count
+        async with stream:
+            while True:
+                try:
+                    request = await _read_request(stream)
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+                count += 1
+                answer = script(count, request)
+                if answer is None:
+                    return
+                await stream.send(answer)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener:
+        task_status.started(f"127.0.0.1:{port}")
+        await listener.serve(handle)
+
+
+async def _read_request(stream: SocketStream) -> bytes:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += await stream.receive()
+    match = _LENGTH.search(data)
+    length = int(match.group(1)) if match else 0
+    end = data.index(b"\r\n\r\n") + 4 + length
+    while len(data) < end:
+        data += await stream.receive()
+    return data
+
+
+__all__ = ["Script", "serve_script"]
--- /dev/null
+++ b/packages/sycamorestand-bench/tests/fakes/test_engine.py
@@ -0,0 +1,170 @@
+"""Contract of a model engine, with a table of its faults."""
+
+from __future__ import annotations
+
+import re
+from typing import NamedTuple
+
+import pytest
+
+from sycamorestand_bench.fakes.declared import LARGE
+from sycamorestand_bench.fakes.engine import expected_text
+from sycamorestand_bench.fakes.engine import FakeEngine
+from sycamorestand_bench.fakes.faults import Fault
+from sycamorestand_bench.fakes.loopback import Answer
+from sycamorestand_bench.fakes.loopback import start_loopback
+from sycamorestand_bench.fakes.raw_server import serve_script
+from sycamorestand_model.backend_servers import Announcement
+
+pytestmark = pytest.mark.anyio
+
+
+class Case(NamedTuple):
+    """A fault of the engine and what the caller of a stream gets.
+
+    ``end`` is ``[DONE]`` for a whole answer, or the code of the error.
+    """
+
+    fault: Fault
+    end: str
+    can_resume: bool = False
+    name: str = ""
+
+
+CASES = [
+    Case(Fault("refuse", times=1), "overloaded"),
+    Case(Fault("late", times=1), "[DONE]"),
+    Case(Fault("late"), "backend_failed"),
+    Case(Fault("slow", after=3, pause_s=0.1), "[DONE]"),
+    Case(Fault("silent", after=3), "backend_failed"),
+    Case(Fault("silent", after=3, times=1), "[DONE]", True),
+    Case(Fault("cut", after=3), "backend_failed"),
+    Case(Fault("cut", after=3, times=1), "[DONE]", True),
+    Case(Fault("garbage", after=3), "backend_failed"),
+    Case(Fault("garbage", after=0, times=1), "[DONE]"),
+    Case(Fault("wrong_type", times=1), "[DONE]"),
+    Case(Fault("error", times=1), "[DONE]"),
+    Case(Fault("error"), "backend_failed"),
+    Case(Fault("error_event", after=3), "backend_failed"),
+    Case(Fault("no_end"), "backend_failed"),
+    Case(Fault("no_usage"), "[DONE]"),
+]
+
+
+def end_of(answer: Answer) -> str:
+    """Return how an answer ended."""
+    if answer.status != 200:
+        code: str = answer.json()["error"]["code"]
+        return code
+    last = answer.events()[-1]
+    return last if isinstance(last, str) else last["error"]["code"]
+
+
+class TestEngineFaults:
+    @pytest.mark.parametrize("case", CASES)
+    async def test_caller_gets_a_whole_answer_or_an_error(
+        self, case: Case
+    ) -> None:
+        """The engine shows one fault of the table.
+
+        The caller gets the whole answer to its own request and one
+        charge, or an error and no charge; and the next request works.
+        """
+        async with start_loopback() as loopback:
+            engine = FakeEngine(
+                "engine-1", (LARGE,), can_resume=case.can_resume
+            )
+            engine.switch.fault = case.fault
+            await loopback.add_engine(engine)
+            answer = await loopback.chat(stream=True, Idempotency_Key="k")
+            assert end_of(answer) == case.end
+            whole = case.end == "[DONE]"
+            if whole:
+                assert answer.text() == expected_text(LARGE, "k", 8)
+            assert len(loopback.ledger.charges) == int(whole)
+            engine.switch.fault = Fault()
+            again = await loopback.chat(stream=True, Idempotency_Key="k2")
+            assert again.text() == expected_text(LARGE, "k2", 8)
+
+    async def test_resume_that_begins_again_is_not_taken(self) -> None:
+        """The engine breaks off, then begins again instead of resuming.
+
+        Its answer does not name the event that was asked for. Taking it
+        would give the caller the first tokens twice.
+        """
+        async with start_loopback() as loopback:
+            engine = FakeEngine("engine-1", (LARGE,), can_resume=True)
+            engine.switch.fault = Fault("cut", after=3, times=1)
+            await loopback.add_engine(engine)
+
+            def next_fault() -> Fault:
+                fault = Fault("begin_again") if engine.records else first
+                return fault
+
+            first = engine.switch.fault
+            engine.switch.take = next_fault  # type: ignore[method-assign]
+            answer = await loopback.chat(stream=True, Idempotency_Key="k")
+            assert end_of(answer) == "backend_failed"
+            assert answer.text() == expected_text(LARGE, "k", 3)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+_KEY = re.compile(rb"X-Request-Key: (\S+)")
+
+
+def raw_answer(request: bytes, whole: bool = True) -> bytes:
+    """Return a short answer that names the request's key."""
+    match = _KEY.search(request)
+    key = match.group(1) if match else b""
+    delta = b'{"choices":[{"delta":{"content":"' + key + b'"}}]}'
+    body = b"data: " + delta + b"\n\ndata: [DONE]\n\n"
+    length = len(body) if whole else len(body) + 7
+    return HEAD + b"content-length: %d\r\n\r\n" % length + body
+
+
+def first_only(fault: bytes | None) -> object:
+    """Return a script that shows the fault to the first request."""
+
+    def script(count: int, request: bytes) -> bytes | None:
+        return fault if count == 1 else raw_answer(request)
+
+    return script
+
+
+def twice(count: int, request: bytes) -> bytes:
+    """Answer every request twice on its connection."""
+    return raw_answer(request) * 2
+
+
+SCRIPTS = {
+    "twice": twice,
+    "closed": first_only(None),
+    "no HTTP": first_only(b"\x00\x01 hello\r\n\r\n"),
+    "huge head": first_only(HEAD + b"x: " + b"x" * 100_000),
+    "bad chunk": first_only(
+        HEAD + b"transfer-encoding: chunked\r\n\r\nzz\r\nabc"
+    ),
+    "cut head": first_only(HEAD[:20]),
+    "upgrade": first_only(
+        b"HTTP/1.1 101 Switching\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n"
+    ),
+}
+
+
+class TestWireFaults:
+    @pytest.mark.parametrize("name", SCRIPTS)
+    async def test_each_request_gets_its_own_answer(self, name: str) -> None:
+        """The engine answers twice, or with bytes that are no HTTP.
+
+        A second answer must not become the answer to the next request;
+        broken ones are asked for again on a new connection.
+        """
+        async with start_loopback() as loopback:
+            address = await loopback.group.start(serve_script, SCRIPTS[name])
+            loopback.control.servers["raw"] = Announcement(
+                "raw", "engine", address, "marietta", 1, 1, (LARGE,)
+            )
+            for key in ("k1", "k2", "k3"):
+                answer = await loopback.chat(stream=True, Idempotency_Key=key)
+                assert answer.text() == key
+                assert end_of(answer) == "[DONE]"
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -148,7 +148,7 @@
         )
         self._note_first_byte(server)
         try:
-            check_head(head)
+            check_head(head, self._reader.events if resume else None)
         except Overloaded as error:
             self._leave_server("overloaded")
             raise self._truthful(error) from None
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_wire.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_wire.py
@@ -18,6 +18,7 @@
 OVERLOADED_RETRY_S: Final = 1.0
 # The server itself says with this header that it did not run a request.
 NOT_RUN_HEADER: Final = b"x-not-run"
+RESUMED_HEADER: Final = b"x-resume-from"
 
 
 class EngineWork(NamedTuple):
@@ -63,9 +64,18 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + work.body
 
 
-def check_head(head: ResponseHead) -> None:
-    """Raise where the answer is not the stream that was asked for."""
+def check_head(head: ResponseHead, resumed_at: int | None = None) -> None:
+    """Raise where the answer is not the stream that was asked for.
+
+    A resumed stream must say from which event it goes on. An engine that
+    knows nothing of resuming would begin again, and the caller would get
+    the first tokens twice.
+    """
     if head.status == 200:
+        if resumed_at is not None:
+            told = head.headers.get(RESUMED_HEADER, b"")
+            if told != b"%d" % resumed_at:
+                raise MalformedAnswer("it resumed from another event")
         kind = head.headers.get(b"content-type", b"")
         if kind.startswith(b"text/event-stream"):
             return
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -70,6 +70,7 @@
         self._paused = False
         self._complete = False
         self._bodiless = False
+        self._surplus = False
         self._error: UpstreamError | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -161,9 +162,10 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(MalformedAnswer("its answer is no HTTP"))
             return
-        if self._sink is not None and self._forward():
-            return
-        self._wake()
+        if self._surplus:
+            self._fail(MalformedAnswer("bytes after the answer's end"))
+        elif self._sink is None or not self._forward():
+            self._wake()
 
     def eof_received(self) -> bool:
         return False
@@ -173,17 +175,25 @@
             self._complete = True
         self._fail(BrokenConnection("it closed the connection"))
 
+    def on_message_begin(self) -> None:
+        # An answer that nobody asked for must not be taken for a part of
+        # this one, or for the answer to the next request.
+        if self._complete:
+            self._surplus = True
+
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.lower()] = value.strip()
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
-        if status >= 200:
+        if status >= 200 and not self._surplus:
             self._head = ResponseHead(status, self._headers)
             self._complete = self._bodiless
         self._headers = {}
 
     def on_body(self, body: bytes) -> None:
+        if self._surplus:
+            return
         self._body.append(body)
         self._body_bytes += len(body)
         if self._body_bytes > READ_AHEAD_BYTES and not self._paused:
@@ -192,7 +202,7 @@
             self._transport.pause_reading()
 
     def on_message_complete(self) -> None:
-        if self._head is None:
+        if self._head is None or self._surplus:
             return
         self._complete = True
         self.reusable = self._parser.should_keep_alive()
