--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
@@ -60,6 +60,7 @@
         self.switch = FaultSwitch()
         self.records: list[EngineRecord] = []
         self.running = 0
+        self.most_running = 0
 
     async def application(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one request."""
@@ -96,10 +97,13 @@
             return
         record = self._find_record(headers, content["model"])
         self.running += 1
+        self.most_running = max(self.most_running, self.running)
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(_watch, receive, record, group)
                 start = int(headers.get("x-resume-from", "0"))
+                if fault.kind == "begin_again":
+                    start = 0
                 stream = _EventStream(self, record, content, fault, send)
                 await stream.send_all(start)
                 group.cancel_scope.cancel()
@@ -143,11 +147,14 @@
         if fault.kind == "late":
             await anyio.sleep(fault.pause_s)
         kind = b"text/html" if fault.kind == "wrong_type" else EVENT_STREAM
+        headers = [(b"content-type", kind)]
+        if start and fault.kind != "begin_again":
+            headers.append((b"x-resume-from", b"%d" % start))
         await self._send(
             {
                 "type": "http.response.start",
                 "status": 200,
-                "headers": [(b"content-type", kind)],
+                "headers": headers,
             }
         )
         tokens = self._content.get("max_tokens", DEFAULT_TOKENS)
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/loopback.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/loopback.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from contextlib import AsyncExitStack
+from random import Random
 from typing import Any
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -126,10 +127,12 @@
     ) -> Answer:
         """Call the entry; header names take ``_`` for ``-``."""
         sent: list[tuple[bytes | str, bytes | str]] = [
-            (name.replace("_", "-"), value) for name, value in headers.items()
+            (name.replace("_", "-"), value.encode("latin-1"))
+            for name, value in headers.items()
         ]
         if key:
-            sent.append(("Authorization", f"Bearer {key}"))
+            bearer = f"Bearer {key}".encode("latin-1")
+            sent.append(("Authorization", bearer))
         response = await self.pool.request(
             method, self.url + path, headers=sent, content=body
         )
@@ -177,6 +180,7 @@
 async def start_loopback(
     settings: EntrySettings = SETTINGS,
     ledger: FakeLedger | None = None,
+    random: Random | None = None,
 ) -> AsyncIterator[Loopback]:
     """Start an entry with a fake control process and no servers."""
     control = FakeControlPort(guild_configuration(), ledger or FakeLedger())
@@ -184,7 +188,9 @@
         group = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(group.cancel_scope.cancel)
         loopback = Loopback(control, group)
-        loopback.entry = await group.start(serve_entry, settings, control)
+        loopback.entry = await group.start(
+            serve_entry, settings, control, random
+        )
         loopback.pool = await stack.enter_async_context(
             httpcore.AsyncConnectionPool(max_connections=256)
         )
