A stopping entry accepts until the last caller sent to it has moved on

Other entries hand its address out until they hear of the stop, up to 1.2 s, and a caller keeps it for the time-to-live from then on; the entry counted from its own stop. Ruled out: Connection: close not honoured (all cuts were ConnectError).

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/loopback.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/loopback.py
@@ -36,6 +36,7 @@
     data_centre="marietta",
     backend_key_hash=BACKEND_KEY_HASH,
     address_ttl_s=0.2,
+    address_spread_s=0.0,
     first_byte_timeout_s=0.5,
     chunk_gap_s=0.5,
 )
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
@@ -45,6 +45,7 @@
 
     ``run`` is ``answered``, or what the refusal said: ``not_run``,
     ``ran`` or ``unknown``; ``cut`` where a stream ended without its end.
+    ``cuts`` tells each attempt that ended so, and at which entry.
     """
 
     call: Call
@@ -54,7 +55,7 @@
     version: str = ""
     cost_micros: int = 0
     attempts: int = 1
-    cuts: int = 0
+    cuts: tuple[str, ...] = ()
 
 
 class Callers:
@@ -70,12 +71,13 @@
     async def call(self, call: Call, at: str | None = None) -> Answer:
         """Make a call until it is answered, with the same request key."""
         answer = Answer(call, "not_run", "never_asked")
-        cuts = 0
+        cuts: list[str] = []
         for attempt in range(ATTEMPTS):
             address = at if at and attempt == 0 else await self._address()
             answer, pause_s = await self._attempt(call, address)
-            cuts += answer.run == "cut"
-            answer = answer._replace(attempts=attempt + 1, cuts=cuts)
+            if answer.run == "cut":
+                cuts.append(f"{answer.code} at {address}")
+            answer = answer._replace(attempts=attempt + 1, cuts=tuple(cuts))
             if answer.run == "answered" or answer.code in FINAL_CODES:
                 return answer
             await anyio.sleep(min(pause_s, MAX_PAUSE_S))
--- a/packages/sycamorestand-control/src/sycamorestand_control/hub.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/hub.py
@@ -86,9 +86,15 @@
     async def run(self) -> None:
         """Keep entries' tables and addresses fresh, until cancelled."""
         next_slow_s = 0.0
+        stopping: frozenset[str] = frozenset()
         while True:
             await anyio.sleep(TICK_S)
             now_s = boottime_s()
+            if stopping != self._tables.stopping_vms():
+                # Callers must be sent elsewhere before the VM is gone; a
+                # change of load alone can wait.
+                stopping = self._tables.stopping_vms()
+                self._push_addresses()
             self._detach_silent(now_s)
             for entry in self._attached.values():
                 self._tables.send_to_entry(entry.address)
--- a/packages/sycamorestand-control/src/sycamorestand_control/tables.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/tables.py
@@ -125,6 +125,11 @@
         """Return the entries that are known, by VM."""
         return self._entries.nodes()
 
+    def stopping_vms(self) -> frozenset[str]:
+        """Return the VMs whose entry is in a planned stop."""
+        nodes = self._entries.nodes().values()
+        return frozenset(node.vm for node in nodes if node.stopping)
+
     def entry_state(self, vm: str) -> EntryState | None:
         """Return an entry's state, None where another process serves it."""
         return self._states.get(vm)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -54,7 +54,17 @@
     async def wait_for_stop(self) -> None:
         """Return when new connections need not be accepted any more."""
         await self._stop.wait()
-        await anyio.sleep(self._context.settings.address_ttl_s)
+        await anyio.sleep(accepting_s(self._context.settings))
+
+
+def accepting_s(settings: EntrySettings) -> float:
+    """Return how long a stopping entry still takes new connections.
+
+    Other entries go on handing out its address until they hear of the
+    stop, and the last caller to get it keeps it for the time-to-live. With
+    less, that caller finds nobody at an address it was told to use.
+    """
+    return settings.address_spread_s + settings.address_ttl_s
 
 
 async def serve_entry(
@@ -147,4 +157,4 @@
     )
 
 
-__all__ = ["RunningEntry", "serve_entry"]
+__all__ = ["accepting_s", "RunningEntry", "serve_entry"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
@@ -8,9 +8,11 @@
 class EntrySettings(NamedTuple):
     """What an entry process is told at its start.
 
-    ``address_ttl_s`` is how long callers may keep an address answer; a
-    planned stop goes on accepting for that long. ``backend_key_hash`` is
-    the salted hash of the key that backend servers announce with.
+    ``address_ttl_s`` is how long callers may keep an address answer, and
+    ``address_spread_s`` how long other entries may still hand out this
+    one after it began to stop; a planned stop goes on accepting for both.
+    ``backend_key_hash`` is the salted hash of the key that backend servers
+    announce with.
     ``silent_idle_s`` is how long a connection may have been idle and
     still carry a request that must not be repeated.
     """
@@ -22,6 +24,7 @@
     backend_key_hash: str = ""
     rating_url: str = ""
     address_ttl_s: float = 15.0
+    address_spread_s: float = 2.0
     keep_alive_s: int = 5
     connect_timeout_s: float = 1.0
     first_byte_timeout_s: float = 5.0
--- a/packages/sycamorestand-entry/tests/test_stop.py
+++ b/packages/sycamorestand-entry/tests/test_stop.py
@@ -16,6 +16,7 @@
 from sycamorestand_bench.fakes.loopback import start_loopback
 from sycamorestand_bench.fakes.service import FakeService
 from sycamorestand_entry.ports import EntryAddress
+from sycamorestand_entry.server import accepting_s
 
 pytestmark = pytest.mark.anyio
 
@@ -42,6 +43,17 @@
             await anyio.sleep(0.02)
 
 
+class TestAcceptingTime:
+    async def test_it_covers_the_last_caller_sent_here(self) -> None:
+        """Another entry hands out this address just before it hears.
+
+        Its caller keeps the address for the time-to-live from then on, so
+        the time-to-live counted from the stop alone is too short.
+        """
+        settings = SETTINGS._replace(address_spread_s=2.0, address_ttl_s=5.0)
+        assert accepting_s(settings) >= 7.0
+
+
 class TestPlannedStop:
     async def test_leaves_the_addresses_and_goes_on_accepting(self) -> None:
         """The entry begins its stop while callers still know its address.
