--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica.py
@@ -27,15 +27,15 @@
 
 from sycamorestand_consensus.applier import Applier
 from sycamorestand_consensus.core import Core
-from sycamorestand_consensus.errors import DiskFull
 from sycamorestand_consensus.errors import NotLeader
 from sycamorestand_consensus.errors import TransferFailed
 from sycamorestand_consensus.identity import note_group
 from sycamorestand_consensus.identity import open_identity
-from sycamorestand_consensus.messages import Batch
-from sycamorestand_consensus.messages import Record
 from sycamorestand_consensus.raft_state import is_synced
 from sycamorestand_consensus.raft_state import Role
+from sycamorestand_consensus.replica_status import running_status
+from sycamorestand_consensus.replica_status import starting_status
+from sycamorestand_consensus.replica_status import state_name
 from sycamorestand_consensus.replica_types import MemberStatus
 from sycamorestand_consensus.replica_types import ReplicaStatus
 from sycamorestand_consensus.replica_types import StateMachine
@@ -47,6 +47,7 @@
 from sycamorestand_consensus.wire import decode_message
 from sycamorestand_consensus.wire import encode_message
 from sycamorestand_consensus.wire import PayloadRefused
+from sycamorestand_consensus.writer import Writer
 
 LOG: Final = logging.getLogger(__name__)
 
@@ -90,18 +91,19 @@
         self._storage = Storage(
             folder / f"group-{group}", settings.segment_bytes
         )
+        self._writer = Writer(
+            self._storage, now, self._wake, settings.disk_retry_s
+        )
         self._proposals = Proposals()
         self._reads = Reads()
         self._applier = Applier(machine, self._proposals)
         self._core: Core | None = None
         self._inbox: list[tuple[str, bytes]] = []
-        self._batches: list[Batch] = []
         self._refused = 0
         self._led_term = 0
         self._last_barrier = 0
         self._reported: tuple[str, str] = ("", "")
         self._work = anyio.Event()
-        self._to_write = anyio.Event()
         self._changed = anyio.Event()
         self._opened = anyio.Event()
 
@@ -119,7 +121,7 @@
         try:
             core = await self._open()
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._write_batches, core)
+                tasks.start_soon(self._writer.run, core)
                 tasks.start_soon(self._work_on, core)
         except ExceptionGroup as group:
             raise group.exceptions[0] from group
@@ -137,7 +139,7 @@
         if self._core is None or len(self._inbox) >= INBOX_PAYLOADS:
             return
         self._inbox.append((sender, payload))
-        self._work.set()
+        self._wake()
 
     async def bootstrap(self, members: Sequence[tuple[str, str]]) -> None:
         """Start a new group of voters, as (member id, address) pairs.
@@ -150,7 +152,7 @@
         await self._opened.wait()
         core = self._running()
         core.bootstrap(members, self._now())
-        self._work.set()
+        self._wake()
         await self._until(lambda: is_synced(core.state))
 
     async def propose(self, command: bytes) -> object:
@@ -173,7 +175,7 @@
         self._last_barrier += 1
         core.read_barrier(self._last_barrier, self._now())
         waiter = self._reads.add(self._last_barrier)
-        self._work.set()
+        self._wake()
         await waiter.wait()
 
     def leader_lease_remaining_s(self) -> float:
@@ -186,21 +188,9 @@
     def status(self) -> ReplicaStatus:
         """Return the member's view of the group."""
         if self._core is None:
-            return ReplicaStatus(
-                self._member_id, "follower", 0, "", 0, 0, 0, (), "starting"
-            )
-        state = self._core.state
-        return ReplicaStatus(
-            member_id=self._member_id,
-            role=state.role.value,
-            term=state.term,
-            leader_id=state.leader_id,
-            commit_index=state.commit_index,
-            applied_index=self._applier.applied_index,
-            last_index=state.log.last_index,
-            members=_member_statuses(self._core),
-            state=_state_name(self._core),
-            payloads_refused=self._refused,
+            return starting_status(self._member_id)
+        return running_status(
+            self._core, self._applier.applied_index, self._refused
         )
 
     async def add_learner(self, member_id: str, address: str) -> None:
@@ -236,7 +226,7 @@
         core = self._running()
         core.transfer(target, self._now())
         state = core.state
-        self._work.set()
+        self._wake()
         await self._until(
             lambda: state.role != Role.LEADER or state.transfer is None
         )
@@ -287,8 +277,7 @@
         for message in output.messages:
             self._send(message.to, encode_message(message))
         if output.batch is not None:
-            self._batches.append(output.batch)
-            self._to_write.set()
+            self._writer.put(output.batch)
         self._applier.take(output.install, output.committed)
         self._applier.apply_some()
         for barrier in output.confirmed:
@@ -316,10 +305,10 @@
             return
         data = self._applier.snapshot()
         core.compact(applied, data, self._now())
-        self._work.set()
+        self._wake()
 
     def _report(self, core: Core) -> None:
-        seen = (core.state.role.value, _state_name(core))
+        seen = (core.state.role.value, state_name(core))
         if seen == self._reported:
             return
         self._reported = seen
@@ -332,35 +321,12 @@
             seen[1],
         )
 
-    async def _write_batches(self, core: Core) -> None:
-        while True:
-            await self._to_write.wait()
-            self._to_write = anyio.Event()
-            batches = self._batches
-            self._batches = []
-            records = [r for batch in batches for r in batch.records]
-            await self._write(core, records)
-            core.stored(batches[-1].sequence, self._now())
-            self._work.set()
-
-    async def _write(self, core: Core, records: list[Record]) -> None:
-        while True:
-            try:
-                await to_thread.run_sync(self._storage.write, records)
-            except DiskFull:
-                # The records stay here, and so do the answers that depend
-                # on them: nothing was promised that could be lost.
-                core.set_blocked(True, self._now())
-                self._work.set()
-                await anyio.sleep(self._settings.disk_retry_s)
-                continue
-            if core.state.blocked:
-                core.set_blocked(False, self._now())
-            return
+    def _wake(self) -> None:
+        self._work.set()
 
     async def _applied(self, index: int, term: int) -> object:
         waiter = self._proposals.add(index, term)
-        self._work.set()
+        self._wake()
         return await waiter.wait()
 
     async def _until(self, done: Callable[[], bool]) -> None:
@@ -373,25 +339,6 @@
         return self._core
 
 
-def _state_name(core: Core) -> str:
-    if core.state.blocked:
-        return "disk_full"
-    return "blank" if core.is_blank else "ok"
-
-
-def _member_statuses(core: Core) -> tuple[MemberStatus, ...]:
-    state = core.state
-    statuses = []
-    for member in state.membership:
-        match_index = 0
-        if member.member_id in state.progress:
-            match_index = state.progress[member.member_id].match_index
-        elif member.member_id == state.member_id:
-            match_index = state.stable_index
-        statuses.append(MemberStatus(*member, match_index))
-    return tuple(statuses)
-
-
 __all__ = [
     "MemberStatus",
     "Replica",
--- /dev/null
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/writer.py
@@ -0,0 +1,68 @@
+"""Writes batches in a thread, all that wait in one group commit."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+from anyio import to_thread
+
+from sycamorestand_consensus.core import Core
+from sycamorestand_consensus.errors import DiskFull
+from sycamorestand_consensus.messages import Batch
+from sycamorestand_consensus.messages import Record
+from sycamorestand_consensus.storage import Storage
+
+
+class Writer:
+    """Batches on their way to the disk."""
+
+    def __init__(
+        self,
+        storage: Storage,
+        now: Callable[[], float],
+        wake: Callable[[], None],
+        retry_s: float,
+    ) -> None:
+        """Write to ``storage``; call ``wake`` when the core has news."""
+        self._storage = storage
+        self._now = now
+        self._wake = wake
+        self._retry_s = retry_s
+        self._batches: list[Batch] = []
+        self._filled = anyio.Event()
+
+    def put(self, batch: Batch) -> None:
+        """Queue a batch behind those that wait."""
+        self._batches.append(batch)
+        self._filled.set()
+
+    async def run(self, core: Core) -> None:
+        """Write what is put and tell the core, until cancelled."""
+        while True:
+            await self._filled.wait()
+            self._filled = anyio.Event()
+            batches = self._batches
+            self._batches = []
+            records = [r for batch in batches for r in batch.records]
+            await self._write(core, records)
+            core.stored(batches[-1].sequence, self._now())
+            self._wake()
+
+    async def _write(self, core: Core, records: list[Record]) -> None:
+        while True:
+            try:
+                await to_thread.run_sync(self._storage.write, records)
+            except DiskFull:
+                # The records stay here, and so do the answers that depend
+                # on them: nothing was promised that could be lost.
+                core.set_blocked(True, self._now())
+                self._wake()
+                await anyio.sleep(self._retry_s)
+                continue
+            if core.state.blocked:
+                core.set_blocked(False, self._now())
+            return
+
+
+__all__ = ["Writer"]
