Closed tombstones, bounded charges, encoding refusals

Commands that the format cannot carry (found by generated declarations: an integer below -2**63) raise MalformedCommand before they reach the log. The second use of a change id for other content is in the audit trail now.

--- a/packages/sycamorestand-state/src/sycamorestand_state/charges.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/charges.py
@@ -15,6 +15,7 @@
 
 from sycamorestand_model.ledger import Charge
 from sycamorestand_model.ledger import LedgerResult
+from sycamorestand_state.claims import CONFLICT
 from sycamorestand_state.claims import CREATED
 from sycamorestand_state.claims import EXISTS
 from sycamorestand_state.claims import EXPIRED
@@ -23,6 +24,10 @@
 from sycamorestand_state.tombstones import WINDOW_S
 
 MAX_CHARGES: Final = 100_000
+# A request that costs, or counts, more is a fault of the entry; totals of
+# such figures would outgrow the 64 bits that a snapshot can hold.
+MAX_COST_MICROS: Final = 1_000_000_000_000
+MAX_TOKENS: Final = 1_000_000_000
 DAY_S: Final = 86_400.0
 
 
@@ -104,6 +109,8 @@
             )
         if self._tombstones.holds(*key):
             return LedgerResult(EXPIRED)
+        if not _is_plausible(record):
+            return LedgerResult(CONFLICT)
         if not self._make_room():
             return LedgerResult(FULL)
         self._add(key, record, clock_s)
@@ -203,6 +210,14 @@
         self._dropped_until = self._lines.pop(key).number
 
 
+def _is_plausible(record: Charge) -> bool:
+    return (
+        0 <= record.cost_micros <= MAX_COST_MICROS
+        and 0 <= record.input_tokens <= MAX_TOKENS
+        and 0 <= record.output_tokens <= MAX_TOKENS
+    )
+
+
 def _day(now_s: float) -> str:
     return datetime.fromtimestamp(now_s, UTC).date().isoformat()
 
@@ -214,4 +229,6 @@
     "ChargesState",
     "DayTotal",
     "MAX_CHARGES",
+    "MAX_COST_MICROS",
+    "MAX_TOKENS",
 ]
--- a/packages/sycamorestand-state/src/sycamorestand_state/codec.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/codec.py
@@ -47,7 +47,7 @@
     }
 
     def encode(command: Any) -> bytes:
-        return _PLAIN.encode((codes[type(command)], command))
+        return encode_fields((codes[type(command)], command))
 
     def decode(data: bytes) -> Any:
         try:
@@ -59,6 +59,14 @@
     return Codec(encode, decode)
 
 
+def encode_fields(command: Any) -> bytes:
+    """Return the bytes, or refuse what the format cannot carry."""
+    try:
+        return _PLAIN.encode(command)
+    except (OverflowError, UnicodeError) as error:
+        raise MalformedCommand(f"cannot be written: {error}") from error
+
+
 def decode_fields(
     decoders: Mapping[int, msgspec.msgpack.Decoder[Any]],
     code: int,
@@ -106,6 +114,7 @@
     "Codec",
     "decode_fields",
     "decode_state",
+    "encode_fields",
     "encode_state",
     "encoded_bytes",
     "fingerprint",
--- a/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
@@ -182,7 +182,7 @@
         content = fingerprint((type(command).__name__, _content(command)))
         known = self._answers.get(command.change_id)
         if known is not None:
-            return self._answer_again(known, content)
+            return self._answer_again(index, command, known, content)
         decision = self._decide(command)
         result = self._commit(index, command, decision)
         remember(
@@ -192,14 +192,16 @@
         )
         return result
 
-    def _answer_again(self, known: Answered, content: bytes) -> ChangeResult:
+    def _answer_again(
+        self, index: int, command: Change, known: Answered, content: bytes
+    ) -> ChangeResult:
         if known.fingerprint == content:
             return known.result._replace(duplicate=True)
-        return ChangeResult(
-            "refused",
-            self.revision,
+        decision = refused(
+            self._state,
             "this change id was used for another change; choose a new one",
         )
+        return self._commit(index, command, decision)
 
     def _decide(self, command: Change) -> Decision:
         finding = self._envelope_finding(command)
--- a/packages/sycamorestand-state/src/sycamorestand_state/errors.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/errors.py
@@ -19,7 +19,7 @@
 
 
 class MalformedCommand(StateError):
-    """A command in the log has a known code but unreadable fields."""
+    """A command cannot be written, or its fields cannot be read."""
 
 
 class SnapshotUnreadable(StateError):
--- a/packages/sycamorestand-state/src/sycamorestand_state/ledger.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/ledger.py
@@ -35,12 +35,14 @@
 from sycamorestand_state.claims import ClaimsState
 from sycamorestand_state.codec import decode_fields
 from sycamorestand_state.codec import decode_state
+from sycamorestand_state.codec import encode_fields
 from sycamorestand_state.codec import encode_state
 from sycamorestand_state.errors import MalformedCommand
 from sycamorestand_state.errors import SnapshotUnreadable
 from sycamorestand_state.pins import MAX_PINS
 from sycamorestand_state.pins import PinBook
 from sycamorestand_state.pins import PinsState
+from sycamorestand_state.tombstones import GenerationState
 from sycamorestand_state.tombstones import MAX_TOMBSTONES
 from sycamorestand_state.tombstones import Tombstones
 
@@ -57,7 +59,6 @@
 _DECODERS: Final = {
     code: msgspec.msgpack.Decoder(kind) for code, kind in CODES.items()
 }
-_ENCODER: Final = msgspec.msgpack.Encoder()
 _BATCH: Final = msgspec.msgpack.Decoder(
     tuple[float, list[tuple[int, msgspec.Raw]]]
 )
@@ -94,9 +95,9 @@
     shard: int
     clock_s: float
     claims: ClaimsState
-    claim_tombstones: list[tuple[int, bytes]]
+    claim_tombstones: list[GenerationState]
     charges: ChargesState
-    charge_tombstones: list[tuple[int, bytes]]
+    charge_tombstones: list[GenerationState]
     pins: PinsState
 
 
@@ -205,7 +206,7 @@
 def encode_batch(records: Sequence[LedgerRecord], now_s: float) -> bytes:
     """Return the batch as it is proposed, with the leader's wall clock."""
     coded = [(_KINDS[type(record)], record) for record in records]
-    return _ENCODER.encode((now_s, coded))
+    return encode_fields((now_s, coded))
 
 
 def decode_batch(data: bytes) -> LedgerBatch:
--- a/packages/sycamorestand-state/src/sycamorestand_state/tombstones.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/tombstones.py
@@ -22,16 +22,27 @@
 # 32 MB in closed groups; about 46 keys a second over the whole window.
 MAX_TOMBSTONES: Final = 4_000_000
 HASH_BYTES: Final = 8
+# An open hash takes ten times the bytes of a closed one, and a snapshot
+# sorts all open ones; to close them costs a walk over their group.
+CLOSE_AT: Final = 16_384
 _UNSIGNED_64: Final = "Q"
 
 
 class _Generation(NamedTuple):
-    """Keys by the time of their last change; sorted once it is closed."""
+    """Keys by the time of their last change; ``closed`` is sorted."""
 
     opened: set[int]
     closed: array[int]
 
 
+class GenerationState(NamedTuple):
+    """The part of a snapshot that holds one group of hashes."""
+
+    number: int
+    opened: bytes
+    closed: bytes
+
+
 class Tombstones:
     """Hashes of used keys, in groups that are dropped when they are old."""
 
@@ -53,7 +64,6 @@
         number = int(changed_s // GENERATION_S)
         generation = self._generations.get(number)
         if generation is None:
-            self._close_others()
             generation = _Generation(set(), array(_UNSIGNED_64))
             self._generations[number] = generation
         hashed = _hash(customer, key)
@@ -63,6 +73,8 @@
             return
         generation.opened.add(hashed)
         self._count += 1
+        if len(generation.opened) >= CLOSE_AT:
+            self._generations[number] = _closed(generation)
 
     def holds(self, customer: str, key: str) -> bool:
         """Tell whether the key was used within the window."""
@@ -81,36 +93,36 @@
             generation = self._generations.pop(number)
             self._count -= len(generation.opened) + len(generation.closed)
 
-    def state(self) -> list[tuple[int, bytes]]:
+    def state(self) -> list[GenerationState]:
         """Return the groups in the form that a snapshot holds."""
         return [
-            (number, _sorted_hashes(generation).tobytes())
+            GenerationState(
+                number,
+                array(_UNSIGNED_64, sorted(generation.opened)).tobytes(),
+                generation.closed.tobytes(),
+            )
             for number, generation in self._generations.items()
         ]
 
-    def load(self, state: list[tuple[int, bytes]]) -> None:
+    def load(self, state: list[GenerationState]) -> None:
         """Take the groups of a snapshot in place of one's own."""
         self._generations = {}
         self._count = 0
-        for number, data in state:
-            closed = array(_UNSIGNED_64)
-            closed.frombytes(data)
-            self._generations[number] = _Generation(set(), closed)
-            self._count += len(closed)
+        for number, opened, closed in state:
+            generation = _Generation(set(_hashes(opened)), _hashes(closed))
+            self._generations[number] = generation
+            self._count += len(generation.opened) + len(generation.closed)
+
 
-    def _close_others(self) -> None:
-        for number, generation in self._generations.items():
-            if generation.opened:
-                closed = _sorted_hashes(generation)
-                self._generations[number] = _Generation(set(), closed)
+def _closed(generation: _Generation) -> _Generation:
+    merged = sorted((*generation.closed, *sorted(generation.opened)))
+    return _Generation(set(), array(_UNSIGNED_64, merged))
 
 
-def _sorted_hashes(generation: _Generation) -> array[int]:
-    if not generation.opened:
-        return generation.closed
-    return array(
-        _UNSIGNED_64, sorted((*generation.opened, *generation.closed))
-    )
+def _hashes(data: bytes) -> array[int]:
+    hashes = array(_UNSIGNED_64)
+    hashes.frombytes(data)
+    return hashes
 
 
 def _found(hashes: array[int], wanted: int) -> bool:
@@ -124,4 +136,10 @@
     return int.from_bytes(digest, "big")
 
 
-__all__ = ["GENERATION_S", "MAX_TOMBSTONES", "Tombstones", "WINDOW_S"]
+__all__ = [
+    "GENERATION_S",
+    "GenerationState",
+    "MAX_TOMBSTONES",
+    "Tombstones",
+    "WINDOW_S",
+]
--- a/packages/sycamorestand-state/tests/test_configuration.py
+++ b/packages/sycamorestand-state/tests/test_configuration.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from hypothesis import given
 from hypothesis.stateful import initialize
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
@@ -7,6 +8,7 @@
 import hypothesis.strategies as st
 import pytest
 
+from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.declarations import Rollout
 from sycamorestand_model.declarations import Version
 from sycamorestand_state.change_ids import MAX_CHANGE_ID_AGE_S
@@ -24,6 +26,7 @@
 from sycamorestand_state.commands import UndrainVm
 from sycamorestand_state.commands import Withdraw
 from sycamorestand_state.configuration import ConfigurationMachine
+from sycamorestand_state.errors import MalformedCommand
 from sycamorestand_state.errors import SnapshotUnreadable
 from sycamorestand_state.results import ChangeResult
 
@@ -66,6 +69,7 @@
         cluster.run(DrainVm("d", "ann", 1, "vm-1", "", 2.0))
         other = cluster.run(DrainVm("d", "ann", 2, "vm-2", "", 2.0))
         assert (other.outcome, other.duplicate) == ("refused", False)
+        assert cluster.machine.audit(2, 9)[0].outcome == "refused"
 
     @pytest.mark.parametrize(
         ("changes_between", "later_s"),
@@ -239,6 +243,25 @@
             ConfigurationMachine().restore(b"\x93\x01")
 
 
+class TestAnyDeclarations:
+    @given(st.from_type(Declarations))
+    def test_they_are_answered_and_never_raise(
+        self, declarations: Declarations
+    ) -> None:
+        """An exception here would stop every replica at the same command.
+
+        Whatever the types allow may reach the log from a faulty client.
+        """
+        cluster = Cluster()
+        try:
+            result = cluster.declare(declarations)
+        except MalformedCommand:
+            assert cluster.log[1:] == []
+            return
+        assert result.outcome in ("applied", "refused")
+        cluster.machine.snapshot()
+
+
 BASES = st.sampled_from([0, -1])
 VERSIONS = st.sampled_from(["nest@1", "nest@2", "nest@3"])
 
--- a/packages/sycamorestand-state/tests/test_ledger.py
+++ b/packages/sycamorestand-state/tests/test_ledger.py
@@ -270,6 +270,13 @@
         assert (again.state, again.cost_micros) == ("exists", 5)
         assert shard.machine.bills(None, 0, 9).totals[0].cost_micros == 5
 
+    @pytest.mark.parametrize("cost_micros", [-1, 2**62])
+    def test_no_charge_is_taken_that_cannot_be(
+        self, shard: Shard, cost_micros: int
+    ) -> None:
+        assert shard.charge(cost_micros=cost_micros).state == "conflict"
+        assert shard.machine.bills(None, 0, 9).totals == ()
+
     def test_totals_outlive_the_single_charges(self, shard: Shard) -> None:
         shard.charge("k1", 5)
         shard.now_s += WINDOW_S + 1.0
