--- /dev/null
+++ b/packages/sycamorestand-state/bench/measure_state.py
@@ -0,0 +1,146 @@
+"""Measures the configuration machine and the directory at target size.
+
+.venv/bin/python packages/sycamorestand-state/bench/measure_state.py
+"""
+
+from __future__ import annotations
+
+import sys
+from time import process_time
+from typing import Final
+
+import msgspec
+
+from sycamorestand_model.backend_servers import Announcement
+from sycamorestand_model.declarations import CascadeStep
+from sycamorestand_model.declarations import Customer
+from sycamorestand_model.declarations import Declarations
+from sycamorestand_model.declarations import Model
+from sycamorestand_model.declarations import Operator
+from sycamorestand_model.declarations import Profile
+from sycamorestand_model.declarations import Version
+from sycamorestand_state.commands import ApplyDeclarations
+from sycamorestand_state.commands import CreateCluster
+from sycamorestand_state.commands import encode_command
+from sycamorestand_state.configuration import ConfigurationMachine
+from sycamorestand_state.directory import BackendDirectory
+
+CHANGES: Final = 500
+SERVERS: Final = 910
+SECONDS: Final = 20
+
+
+def main() -> None:
+    """Measure and write a line for each figure."""
+    _measure_configuration("today", 10, 20)
+    _measure_configuration("target", 300, 1_000)
+    _measure_directory()
+
+
+def _declarations(models: int, customers: int) -> Declarations:
+    names = [f"model-{number}" for number in range(models)]
+    versions = {v: ("1", "2", "3") for v in names}
+    return Declarations(
+        models={
+            name: Model(
+                name,
+                "1",
+                {v: Version(name, v, 100, 200) for v in versions[name]},
+            )
+            for name in names
+        },
+        profiles={
+            name: Profile(name, (CascadeStep(name),), 0.9) for name in names
+        },
+        customers={
+            f"customer-{number}": Customer(
+                f"customer-{number}",
+                ("b2$0011223344556677$" + "ab" * 20,),
+                tuple(names[:4]),
+                tuple(names[:4]),
+            )
+            for number in range(customers)
+        },
+        operators={"ann": Operator("ann", ("b2$x$y",), "admin")},
+    )
+
+
+def _measure_configuration(name: str, models: int, customers: int) -> None:
+    machine = ConfigurationMachine()
+    created = CreateCluster("c", "ann", 1.0, "c", b"k", 1, "b2$x$y")
+    machine.apply(1, encode_command(created))
+    declarations = _declarations(models, customers)
+    commands = []
+    for number in range(CHANGES):
+        model = declarations.models["model-0"]
+        changed = model._replace(pinned_servers=number + 1)
+        parts = {**declarations.models, "model-0": changed}
+        declared = declarations._replace(models=parts)
+        change = ApplyDeclarations(
+            f"{number}", "ann", number + 1, declared, "", float(number)
+        )
+        commands.append(encode_command(change))
+    begun_s = process_time()
+    for index, command in enumerate(commands, start=2):
+        machine.apply(index, command)
+    applied_s = process_time()
+    snapshot = machine.snapshot()
+    ConfigurationMachine().restore(snapshot)
+    restored_s = process_time()
+    sys.stdout.write(
+        f"configuration {name}: {models} models, {customers} customers\n"
+        f"  command {len(commands[0])} bytes, "
+        f"apply {(applied_s - begun_s) / CHANGES * 1e3:.2f} ms\n"
+        f"  after {CHANGES} changes: revision {machine.revision}, "
+        f"snapshot {len(snapshot)} bytes, "
+        f"written and read in {(restored_s - applied_s) * 1e3:.1f} ms\n"
+    )
+
+
+def _measure_directory() -> None:
+    control = BackendDirectory("c1", 1)
+    entry = BackendDirectory("e1", 1)
+    servers = [_server(number) for number in range(SERVERS)]
+    for announcement in servers:
+        control.announce(announcement, 0.0)
+    full = control.full()
+    begun_s = process_time()
+    entry.apply_delta(full, 0.0)
+    full_s = process_time()
+    for second in range(1, SECONDS + 1):
+        for announcement in servers:
+            renewed = announcement._replace(sequence=second + 1)
+            control.announce(renewed, float(second))
+        control.expire(float(second))
+    renewed_s = process_time()
+    beat = control.delta_since(control.version)
+    assert beat is not None
+    beat_bytes = len(msgspec.msgpack.encode(beat))
+    entry.apply_delta(beat, 1.0)
+    beaten_s = process_time()
+    sys.stdout.write(
+        f"directory: {SERVERS} servers\n"
+        f"  full {len(msgspec.msgpack.encode(full))} bytes, "
+        f"taken in {(full_s - begun_s) * 1e3:.1f} ms\n"
+        f"  a second of renewals at their control process "
+        f"{(renewed_s - full_s) / SECONDS * 1e3:.1f} ms, "
+        f"version still {control.version}\n"
+        f"  empty delta {beat_bytes} bytes, "
+        f"taken in {(beaten_s - renewed_s) * 1e6:.0f} us\n"
+    )
+
+
+def _server(number: int) -> Announcement:
+    return Announcement(
+        f"server-{number}",
+        "engine",
+        f"10.0.{number // 250}.{number % 250}:8000",
+        "Marietta",
+        1,
+        1,
+        ("nest@1", "nest@2"),
+    )
+
+
+if __name__ == "__main__":
+    main()
