--- a/packages/sycamorestand-state/src/sycamorestand_state/commands.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/commands.py
@@ -162,8 +162,10 @@
 class RecordOrder(NamedTuple):
     """Record an order to an engine before it is sent, and how it ended.
 
-    ``phase`` is ``intended`` before sending, then ``done``, ``failed``,
-    ``unknown`` or ``superseded``. ``action`` is ``load``, ``unload`` or
+    ``phase`` is ``intended`` before sending, then ``done``, ``failed`` or
+    ``unknown``. ``failed`` means that nothing of it can still reach the
+    engine: it said so, nothing was sent, or its time of flight is over;
+    anything else is ``unknown``. ``action`` is ``load``, ``unload`` or
     ``change_role``; ``target`` a version identity or a role.
     """
 
--- a/packages/sycamorestand-state/src/sycamorestand_state/order_book.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/order_book.py
@@ -16,7 +16,7 @@
 
 INTENDED: Final = "intended"
 UNFINISHED_PHASES: Final = frozenset({INTENDED, "unknown"})
-FINISHED_PHASES: Final = frozenset({"done", "failed", "superseded"})
+FINISHED_PHASES: Final = frozenset({"done", "failed"})
 # Finished orders are kept for operators to look at; the audit trail has
 # them as well.
 MAX_FINISHED_ORDERS: Final = 500
--- a/packages/sycamorestand-state/src/sycamorestand_state/orders.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/orders.py
@@ -144,12 +144,15 @@
     def outcome(
         self, record: RecordOrder, phase: str, detail: str, wall_now_s: float
     ) -> RecordOrder:
-        """Return the record of how an order ended, to be committed."""
+        """Return the record of how an order ended, to be committed.
+
+        ``done`` and ``failed`` free the server for its next order, so
+        they are only for an order of which nothing is on its way.
+        """
         fence = _fence_key(record)
         self._intended_s.pop(fence, None)
         self._sent.discard(fence)
-        if phase in FINISHED_PHASES and phase != "superseded":
-            # The engine has answered, so nothing of it is on its way.
+        if phase in FINISHED_PHASES:
             self._settled_s.pop(record.backend_server, None)
         return record._replace(phase=phase, detail=detail, now_s=wall_now_s)
 
--- a/packages/sycamorestand-state/tests/test_orders.py
+++ b/packages/sycamorestand-state/tests/test_orders.py
@@ -157,8 +157,8 @@
         known = OrderRecord(*record)
         assert ask(issuer, 110.0, [known]) is None
         issuer.may_send(110.0, 1.0, record)
-        failed = issuer.outcome(record, "superseded", "no answer", WALL_S)
-        assert failed.phase == "superseded"
+        unknown = issuer.outcome(record, "unknown", "no answer", WALL_S)
+        assert ask(issuer, 117.0, [OrderRecord(*unknown)]) is None
         assert ask(issuer, 110.0 + ORDER_FLIGHT_S) is None
         assert ask(issuer, 117.0) is not None
 
