An answer that is not kept says so

Cause: a claim whose answer was dropped for the bound on bytes read as done with its content type and an empty body, so an entry would have handed out the empty body as the whole answer. The content type is NOT_KEPT now, the value that the entry sends for answers that it does not keep itself.

--- a/packages/sycamorestand-state/src/sycamorestand_state/claims.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/claims.py
@@ -51,6 +51,10 @@
 MAX_ANSWERS_BYTES: Final = 33_554_432
 # Attempts that a claim remembers; a retry budget ends far below it.
 MAX_ATTEMPTS: Final = 16
+# Takes the place of the content type where an answer was not, or is no
+# longer, kept. With the type left as it was, an entry would hand out an
+# empty body as the whole answer.
+NOT_KEPT: Final = "application/x-sycamorestand-not-kept"
 
 
 class ClaimLimits(NamedTuple):
@@ -246,12 +250,13 @@
             return ended._replace(spent=(*known.spent, known.owner))
         if record.state != DONE:
             return ended
-        small = len(record.answer) <= self._limits.answer_bytes
-        return ended._replace(
+        done = ended._replace(
             status=record.status,
             content_type=record.content_type,
-            answer=record.answer if small else b"",
+            answer=record.answer,
         )
+        small = len(record.answer) <= self._limits.answer_bytes
+        return done if small else _without_answer(done)
 
     def _make_room(self) -> bool:
         if len(self._records) < self._limits.claims:
@@ -268,7 +273,7 @@
             key = next(iter(self._answered))
             self._answers_bytes -= self._answered.pop(key)
             # In its place, as the order is that of the last change.
-            self._records[key] = self._records[key]._replace(answer=b"")
+            self._records[key] = _without_answer(self._records[key])
 
     def _put(self, key: ClaimKey, record: ClaimRecord) -> None:
         self._drop(key)
@@ -301,6 +306,10 @@
 )
 
 
+def _without_answer(record: ClaimRecord) -> ClaimRecord:
+    return record._replace(content_type=NOT_KEPT, answer=b"")
+
+
 def _told(state: str, known: ClaimRecord) -> LedgerResult:
     return LedgerResult(
         state=state,
@@ -332,6 +341,7 @@
     "MAX_ATTEMPTS",
     "MAX_CLAIMS",
     "MAX_DELAY_S",
+    "NOT_KEPT",
     "NOT_RUN",
     "OK",
     "TAKEOVER_AGE_S",
