Watch uses all of a version's past; roll-outs compare matched blocks

Change: the watch errs with the past's whole count, added over blocks; a roll-out compares only blocks that both versions have; 200 ratings of each class at the last step in place of 120.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/scenario_table.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/scenario_table.py
@@ -157,7 +157,7 @@
         "rollout-one-class",
         of_fault(rollout, "one-class"),
         EXPOSURE_SHOWN,
-        (EXPOSED_GOAL,),
+        (EXPOSED_GOAL, STOPPED_GOAL),
     ),
     Scenario(
         "rollout-interrupted",
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/comparison.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/comparison.py
@@ -77,11 +77,15 @@
     version: VersionStats,
     signal: Signal,
     extra: float = 0.0,
+    by_block: bool = True,
 ) -> list[Evidence]:
     """Return the evidence in one signal, overall first, then by class.
 
-    ``extra`` is added to the expected rate: harm that hits every version
-    alike and thus is not this version's.
+    With ``by_block`` only blocks in which the reference has counts are
+    compared: in others nothing tells a worse version from a changed
+    rating service. Else the reference is another time, and ``extra`` is
+    what the other versions show of such a change; it is added to the
+    expected rate.
     """
     count = _counter(reference, signal)
     by_class = _totals_by_class(reference, count)
@@ -92,14 +96,21 @@
         bad, total = count(name, counts)
         if not whole.total or not total:
             continue
-        own = reference.strata.get(stratum)
-        own_bad, own_total = count(name, own) if own else NOTHING
-        weight = min(CLASS_WEIGHT, whole.total)
-        class_rate = (whole.bad + 0.5) / (whole.total + 1.0)
-        rate = (own_bad + weight * class_rate) / (own_total + weight)
+        expected = _Expected(whole.bad, whole.total)
+        if by_block:
+            own = reference.strata.get(stratum)
+            if own is None:
+                continue
+            expected = _lean_on_class(count(name, own), whole)
+        rate = (expected.bad + 0.5) / (expected.total + 1.0)
         spread = max(rate * (1.0 - rate), MIN_VARIANCE)
+        unsure = total * sqrt(spread / expected.total)
         found = _Sums(
-            bad, total, total * rate, total**2 * spread / (own_total + weight)
+            bad,
+            total,
+            total * rate,
+            unsure**2 if by_block else 0.0,
+            0.0 if by_block else unsure,
         )
         sums[name] = _added(sums.get(name, NO_SUMS), found)
     overall = reduce(_added, sums.values(), NO_SUMS)
@@ -139,15 +150,30 @@
     total: int
 
 
+class _Expected(NamedTuple):
+    """A reference's counts; they need not be whole."""
+
+    bad: float
+    total: float
+
+
 class _Sums(NamedTuple):
+    """Sums over strata.
+
+    Blocks compared with their own reference err each by itself, and
+    ``variance`` sums their squares. Those compared with one reference all
+    err the same way, and ``unsure`` sums their deviations.
+    """
+
     bad: int
     total: int
     expected: float
     variance: float
+    unsure: float
 
 
 NOTHING: Final = _Count(0, 0)
-NO_SUMS: Final = _Sums(0, 0, 0.0, 0.0)
+NO_SUMS: Final = _Sums(0, 0, 0.0, 0.0, 0.0)
 
 
 def _added(one: _Sums, two: _Sums) -> _Sums:
@@ -156,15 +182,23 @@
         one.total + two.total,
         one.expected + two.expected,
         one.variance + two.variance,
+        one.unsure + two.unsure,
     )
 
 
+def _lean_on_class(own: tuple[int, int], whole: _Count) -> _Expected:
+    """Return a block's counts, its class added with a bounded weight."""
+    weight = min(CLASS_WEIGHT, whole.total)
+    bad = own[0] + weight * whole.bad / whole.total
+    return _Expected(bad, own[1] + weight)
+
+
 def _evidence(
     signal: Signal, name: str | None, sums: _Sums, extra: float
 ) -> Evidence:
     if sums.total < MIN_TOTAL:
         return Evidence(signal, name, sums.bad, sums.total, 1.0, 0.0)
-    unsure = REFERENCE_DEVIATIONS * sqrt(sums.variance)
+    unsure = REFERENCE_DEVIATIONS * (sqrt(sums.variance) + sums.unsure)
     bound = (sums.expected + unsure) / sums.total
     bound = min(1.0, bound + MARGINS[signal] + extra)
     found = log_evidence(sums.bad, sums.total, bound)
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
@@ -48,7 +48,7 @@
 # Ratings of each class that the last step needs, half as many for each
 # step before. A class 20 points worse is found after about 120; without
 # this one roll-out of five that was bad for one class was completed.
-CLASS_RATED_AT_LAST: Final = 120
+CLASS_RATED_AT_LAST: Final = 200
 # Classes under this share of the ratings would hold every roll-out up.
 SMALL_CLASS_SHARE: Final = 0.05
 
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_watch.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_watch.py
@@ -85,7 +85,7 @@
             for signal in SIGNALS:
                 common = self._common_rise(version, signal, block, window)
                 extra = max(0.0, common or 0.0)
-                evidence = compare(past, recent, signal, extra)
+                evidence = compare(past, recent, signal, extra, False)
                 (unconfirmed if common is None else found).extend(evidence)
         return _verdict(found, unconfirmed)
 
