A change without a base revision is the same change at every voter

The voter that was asked put its own revision in for a missing base. A follower one entry behind answered 409 to a reinstate right after a withdraw, and a resend through another voter was refused as other content although the first was accepted. Ruled out: reading the leader's revision first (still a race, and the resend stays different); leaving the base out of the fingerprint (the conflict would be remembered under the id). The check that a drain with no base conflicts was wrong: the interface says that None skips the comparison. In its place: an apply must have its base (0, 3 and none conflict), and a drain resent after another change gets its first answer.

--- a/packages/sycamorestand-control/src/sycamorestand_control/change_commands.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/change_commands.py
@@ -33,18 +33,19 @@
 
 
 def make_command(
-    request: ChangeRequest, revision: int, now_s: float, cluster_key: bytes
+    request: ChangeRequest, now_s: float, cluster_key: bytes
 ) -> Command:
     """Return the command for a change.
 
-    ``revision`` stands in where the client gave no base revision. A
-    change that only takes work away needs none at all.
+    Without a base revision the change is compared with none. The
+    revision of the voter that was asked must not stand in for it: a
+    resend through another voter would then be another change.
     """
-    if request.kind == "rotate-session-key":
-        return _rotate(request, revision, now_s, cluster_key)
     base = request.base_revision
     if base is None:
-        base = ANY_REVISION if request.kind in _UNBASED else revision
+        base = ANY_REVISION
+    if request.kind == "rotate-session-key":
+        return _rotate(request, base, now_s, cluster_key)
     return _MAKERS[request.kind](request, base, now_s)
 
 
@@ -105,7 +106,7 @@
 
 
 def _rotate(
-    request: ChangeRequest, revision: int, now_s: float, cluster_key: bytes
+    request: ChangeRequest, base: int, now_s: float, cluster_key: bytes
 ) -> Command:
     """Return a rotation whose key follows from the change id.
 
@@ -117,11 +118,10 @@
         digest_size=SESSION_KEY_BYTES,
         key=cluster_key[:64],
     ).digest()
-    base = request.base_revision
     return RotateSessionKey(
         request.change_id,
         request.operator,
-        revision if base is None else base,
+        base,
         session_key,
         now_s,
     )
@@ -145,7 +145,6 @@
     return make
 
 
-_UNBASED: Final = ("withdraw", "quarantine", "stop-rollout")
 _MAKERS: Final = {
     "apply": _apply,
     "withdraw": _with_reason(Withdraw),
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -94,12 +94,13 @@
     async def change(self, request: ChangeRequest) -> ChangeAnswer:
         """Commit one change through whichever voter leads."""
         configuration = self._parts.configuration
-        command = make_command(
-            request,
-            configuration.revision,
-            time.time(),
-            self._parts.cluster_key(),
-        )
+        if request.kind == "apply" and request.base_revision is None:
+            return ChangeAnswer(
+                "refused",
+                configuration.revision,
+                "an apply needs the revision that it was planned against",
+            )
+        command = make_command(request, time.time(), self._parts.cluster_key())
         try:
             result = await self._parts.groups.propose(
                 CONFIGURATION_GROUP, encode_command(command), PROPOSE_TIMEOUT_S
--- a/packages/sycamorestand-state/src/sycamorestand_state/commands.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/commands.py
@@ -2,8 +2,8 @@
 
 Every command carries the change id that its sender keeps for resends,
 who asks, the revision it was based on, and the time that the leader
-stamped. ``ANY_REVISION`` as base is for changes that carry their own
-guard or only take work away: see `UNBASED_KINDS`.
+stamped. ``ANY_REVISION`` as base skips the comparison; see `BASED_KINDS`
+for the changes that may not.
 """
 
 from __future__ import annotations
@@ -196,10 +196,12 @@
 )
 Command = Change | RecordOrder
 
-# These may carry ANY_REVISION. Each takes work away, so that a second
-# run of a forgotten resend errs on the safe side, or is guarded by the
-# revision and step of its roll-out.
-UNBASED_KINDS: Final = (Withdraw, Quarantine, StopRollout, RolloutStep)
+# These need the revision that they were worked out against: each replaces
+# everything, and would undo silently what another operator did meanwhile.
+# Any other change says by itself what it does to one subject, so it may
+# carry ANY_REVISION; with a base of the voter that happened to be asked, a
+# resend through another voter would be another change.
+BASED_KINDS: Final = (CreateCluster, ApplyDeclarations)
 
 CODES: Final = {
     1: CreateCluster,
@@ -233,6 +235,7 @@
 __all__ = [
     "ANY_REVISION",
     "ApplyDeclarations",
+    "BASED_KINDS",
     "Change",
     "CODES",
     "Command",
@@ -249,7 +252,6 @@
     "StartRollout",
     "StopRollout",
     "SYSTEM",
-    "UNBASED_KINDS",
     "UndrainVm",
     "Withdraw",
 ]
--- a/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
@@ -31,6 +31,7 @@
 from sycamorestand_state.codec import fingerprint
 from sycamorestand_state.commands import ANY_REVISION
 from sycamorestand_state.commands import ApplyDeclarations
+from sycamorestand_state.commands import BASED_KINDS
 from sycamorestand_state.commands import Change
 from sycamorestand_state.commands import CreateCluster
 from sycamorestand_state.commands import decode_command
@@ -44,7 +45,6 @@
 from sycamorestand_state.commands import StartRollout
 from sycamorestand_state.commands import StopRollout
 from sycamorestand_state.commands import SYSTEM
-from sycamorestand_state.commands import UNBASED_KINDS
 from sycamorestand_state.commands import UndrainVm
 from sycamorestand_state.commands import Withdraw
 from sycamorestand_state.configuration_state import ConfigurationState
@@ -227,7 +227,7 @@
         if isinstance(command, CreateCluster):
             return ()
         base = command.base_revision
-        if base == ANY_REVISION and isinstance(command, UNBASED_KINDS):
+        if base == ANY_REVISION and not isinstance(command, BASED_KINDS):
             return ()
         if base == self.revision:
             return ()
--- a/packages/sycamorestand-state/tests/test_configuration.py
+++ b/packages/sycamorestand-state/tests/test_configuration.py
@@ -111,12 +111,32 @@
         assert "revision 2 by ann: ApplyDeclarations" in late.message
         assert cluster.machine.revision == 2
 
-    @pytest.mark.parametrize("base", [0, 3, ANY_REVISION])
+    @pytest.mark.parametrize("base", [0, 3])
     def test_no_other_base_revision_is_taken(self, base: int) -> None:
         cluster = Cluster()
         drain = DrainVm("d", "ann", base, "vm-1", "", 2.0)
         assert cluster.run(drain).outcome == "conflict"
 
+    @pytest.mark.parametrize("base", [0, 3, ANY_REVISION])
+    def test_an_apply_needs_the_revision_in_force(self, base: int) -> None:
+        cluster = Cluster()
+        apply = ApplyDeclarations("a", "ann", base, declare(), "", 2.0)
+        assert cluster.run(apply).outcome == "conflict"
+
+    def test_a_change_of_one_subject_needs_no_base(self) -> None:
+        """A change is accepted, its answer is lost, another one follows.
+
+        The resend reaches a voter that has applied more since. It is the
+        same change with no base of its own, and gets the first answer.
+        """
+        cluster = Cluster()
+        drain = DrainVm("d", "ann", ANY_REVISION, "vm-1", "", 2.0)
+        first = cluster.run(drain)
+        assert first.outcome == "applied"
+        cluster.run(DrainVm("e", "bob", ANY_REVISION, "vm-2", "", 2.0))
+        again = cluster.run(drain._replace(now_s=3.0))
+        assert again == first._replace(duplicate=True)
+
 
 class TestWithdrawal:
     def test_declarations_do_not_bring_a_version_back(self) -> None:
