--- a/packages/sycamorestand-entry/src/sycamorestand_entry/announcements.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/announcements.py
@@ -34,10 +34,7 @@
     context: EntryContext, request: Request, responder: Responder
 ) -> None:
     """Check an announcement and hand it to the control process."""
-    key = bearer_key(request.headers).decode("latin-1")
-    if not key_matches(key, context.settings.backend_key_hash):
-        context.metrics.announcements.inc({"result": "unauthorised"})
-        raise Unauthorised("this is not the key of backend servers")
+    check_backend_key(context, request)
     body = await read_body(request, MAX_ANNOUNCEMENT_BYTES)
     announcement = decode_announcement(body)
     await context.control.announce(announcement)
@@ -46,6 +43,14 @@
     await responder.answer(200, JSON, msgspec.json.encode(content))
 
 
+def check_backend_key(context: EntryContext, request: Request) -> None:
+    """Refuse whoever does not hold the key of backend servers."""
+    key = bearer_key(request.headers).decode("latin-1")
+    if not key_matches(key, context.settings.backend_key_hash):
+        context.metrics.announcements.inc({"result": "unauthorised"})
+        raise Unauthorised("this is not the key of backend servers")
+
+
 def decode_announcement(body: bytes) -> Announcement:
     """Return the announcement; raises with all findings together."""
     try:
@@ -128,4 +133,4 @@
     return port.isdecimal() and 0 < int(port) < 65536
 
 
-__all__ = ["answer_announcement", "decode_announcement"]
+__all__ = ["answer_announcement", "check_backend_key", "decode_announcement"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/application.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorestand_entry.announcements import answer_announcement
+from sycamorestand_entry.cache_events import answer_cache_events
 from sycamorestand_entry.chat import answer_chat
 from sycamorestand_entry.errors import InternalError
 from sycamorestand_entry.errors import RequestError
@@ -41,6 +42,7 @@
     "/v1/models": ("GET", answer_models),
     "/v1/addresses": ("GET", answer_addresses),
     "/backend/v1/announce": ("POST", answer_announcement),
+    "/backend/v1/cache-events": ("POST", answer_cache_events),
     "/healthz": ("GET", answer_health),
     "/readyz": ("GET", answer_readiness),
     "/metrics": ("GET", answer_metrics),
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/billing.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/billing.py
@@ -68,6 +68,7 @@
     answered like the first. ``run`` is what a refusal says of the
     request where the ledger stays silent.
     """
+    begin_s = time.monotonic()
     try:
         with anyio.fail_after(context.settings.ledger_timeout_s):
             return await _write_until_answered(context, records)
@@ -77,6 +78,9 @@
             LEDGER_RETRY_S,
             run,
         ) from None
+    finally:
+        waited_s = time.monotonic() - begin_s
+        context.metrics.ledger_wait.add({}, waited_s)
 
 
 async def _write_until_answered(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/slots.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/slots.py
@@ -36,6 +36,9 @@
 FIRST_TOKEN_S: Final = 0.05
 TOKEN_S: Final = 0.005
 DEFAULT_TOKENS: Final = 256
+# Callers send limits that they never expect to reach; taken as they are,
+# every such request would be refused as impossible by its deadline.
+LIKELY_TOKENS: Final = 1024
 
 
 class SlotRequest(NamedTuple):
@@ -142,7 +145,7 @@
 
 def expected_chat_s(max_tokens: int) -> float:
     """Return the expected time of an answer of at most so many tokens."""
-    return FIRST_TOKEN_S + TOKEN_S * max_tokens
+    return FIRST_TOKEN_S + TOKEN_S * min(max_tokens, LIKELY_TOKENS)
 
 
 __all__ = [
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -149,12 +149,7 @@
         self._transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
-        if self._head is None:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES:
-                self._fail(MalformedAnswer("its headers are too large"))
-                return
-        elif self._complete:
+        if self._complete:
             self._fail(MalformedAnswer("bytes after the answer's end"))
             return
         try:
@@ -162,7 +157,13 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(MalformedAnswer("its answer is no HTTP"))
             return
-        if self._surplus:
+        if self._head is None:
+            # Counted after parsing: one read may hold a head and a part
+            # of the body that is larger than the limit.
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self._fail(MalformedAnswer("its headers are too large"))
+        elif self._surplus:
             self._fail(MalformedAnswer("bytes after the answer's end"))
         elif self._sink is None or not self._forward():
             self._wake()
--- a/packages/sycamorestand-entry/tests/test_bad_input.py
+++ b/packages/sycamorestand-entry/tests/test_bad_input.py
@@ -77,6 +77,12 @@
     return Bad(name, "POST", ANNOUNCE, 400, "bad_request", body, BACKEND_KEY)
 
 
+def bad_cache(name: str, body: bytes) -> Bad:
+    """Return bad cache events."""
+    path = "/backend/v1/cache-events"
+    return Bad(name, "POST", path, 400, "bad_request", body, BACKEND_KEY)
+
+
 def unauthorised(path: str, key: str) -> Bad:
     """Return a request with a key that belongs to nobody."""
     name = f"{path} key {key[:8]!r}"
@@ -145,6 +151,11 @@
     bad_engine("no lease", engine(lease_s=-1)),
     bad_engine("capacity", engine(capacity=0)),
     bad_engine("versions", engine(versions="all")),
+    bad_cache("empty", b""),
+    bad_cache("unknown field", b'{"name": "engine-1", "x": 1}'),
+    bad_cache("number", b'{"name": "engine-1", "stored": [1]}'),
+    bad_cache("stranger", b'{"name": "engine-9", "stored": []}'),
+    unauthorised("/backend/v1/cache-events", CALLER_KEY),
     bad_engine("many versions", engine(versions=["v"] * 1000)),
 ]
 HEAD = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
