--- a/packages/sycamorestand-entry/src/sycamorestand_entry/once.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/once.py
@@ -181,7 +181,7 @@
             server.name,
         )
         results = await write_ledger(self._context, [record], run="not_run")
-        return results[0].state in ("ok", "exists")
+        return results[0].state not in ("conflict", "expired")
 
     async def _write(
         self,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -18,6 +18,7 @@
 from sycamorestand_entry.application import make_application
 from sycamorestand_entry.context import EntryContext
 from sycamorestand_entry.http_protocol import EntryProtocol
+from sycamorestand_entry.state_log import log_changes
 
 if TYPE_CHECKING:
     from sycamorestand_entry.ports import ControlPort
@@ -79,6 +80,7 @@
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(context.slots.keep_ticking)
+                group.start_soon(log_changes, context)
                 group.start_soon(_stop_later, entry, server)
                 task_status.started(entry)
                 await server.serve(sockets=[listener])
