--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -98,6 +98,9 @@
         self._random = random or Random()
         self._servers: dict[str, _Server] = {}
         self._rings: dict[tuple[str, ...], HashRing] = {}
+        self._ring = HashRing()
+        self._indexed: Sequence[Candidate] = ()
+        self._by_name: dict[str, Candidate] = {}
         self._hints = CacheHints()
         self._typical = Typical()
         self._answers = 0
@@ -109,7 +112,11 @@
         affinity_key: str | None = None,
         exclude: frozenset[str] = frozenset(),
     ) -> str | None:
-        """Return the server for one attempt, None where none is usable."""
+        """Return the server for one attempt, None where none is usable.
+
+        Given the same sequence again, the index by name is used again: a
+        caller makes a new one when reports come, and changes none.
+        """
         drawn = self._draw(candidates, now_s, exclude)
         if not drawn:
             return None
@@ -118,8 +125,9 @@
         if affinity_key is None:
             return best
         bound = best_score * AFFINITY_GAIN + AFFINITY_SLACK * self._unit()
-        near = self._near(candidates, affinity_key, now_s, exclude)
-        for candidate in near:
+        for candidate in self._near(candidates, affinity_key, now_s):
+            if not self._usable(candidate, now_s, exclude):
+                continue
             if self._score(candidate, now_s) <= bound:
                 return candidate.name
         return best
@@ -131,6 +139,8 @@
         exclude: frozenset[str] = frozenset(),
     ) -> tuple[Choice, ...]:
         """Return every candidate's score and state, lowest score first."""
+        for candidate in candidates:
+            self._known(candidate)
         choices = [
             Choice(c.name, self._state(c, now_s, exclude), ())
             for c in sorted(candidates, key=lambda c: self._score(c, now_s))
@@ -142,7 +152,7 @@
         """Count a request that was sent to the server."""
         server = self._server(name)
         server.own.change(1, now_s)
-        server.health.started()
+        server.health.started(now_s)
 
     def first_byte(self, name: str, now_s: float, latency_s: float) -> None:
         """Learn from the time to the first byte."""
@@ -167,7 +177,7 @@
             # ejecting it would push its load onto the others.
             server.limit.overloaded(now_s)
         elif outcome in ("error", "timeout"):
-            server.health.failed()
+            server.health.failed(now_s)
         if outcome == "cancelled" or outcome == "overloaded":
             server.health.probing = False
         self._eject_outlier(server, now_s)
@@ -184,7 +194,7 @@
         """
         total = 0
         for candidate in candidates:
-            server = self._server(candidate.name, candidate.capacity)
+            server = self._known(candidate)
             server.limit.reported(
                 now_s, candidate.running, candidate.queued, candidate.age_s
             )
@@ -246,19 +256,18 @@
         if not self._is_in(candidate, now_s, exclude):
             return False
         server = self._servers[candidate.name]
-        warmth = server.health.warmth(now_s)
-        return server.own.in_flight < max(1.0, server.limit.limit * warmth)
+        limit = server.limit.limit * server.health.warmth(now_s)
+        return server.own.in_flight < limit or server.own.in_flight < 1
 
     def _is_in(
         self, candidate: Candidate, now_s: float, exclude: frozenset[str]
     ) -> bool:
         if candidate.name in exclude:
             return False
-        server = self._server(candidate.name, candidate.capacity)
-        return not server.health.is_out(now_s)
+        return not self._known(candidate).health.is_out(now_s)
 
     def _score(self, candidate: Candidate, now_s: float) -> float:
-        server = self._server(candidate.name, candidate.capacity)
+        server = self._servers[candidate.name]
         reported = candidate.running + candidate.queued
         load = estimated_load(server.own, reported, candidate.age_s, now_s)
         latency_s = server.health.latency_s or self._unit()
@@ -273,29 +282,30 @@
         candidates: Sequence[Candidate],
         key: str,
         now_s: float,
-        exclude: frozenset[str],
     ) -> list[Candidate]:
-        by_name = {c.name: c for c in candidates}
-        names = self._hints.holders(key, now_s, by_name)
+        if candidates is not self._indexed:
+            self._index(candidates)
+        names = self._hints.holders(key, now_s, self._by_name)
         if not names:
-            ring = self._ring(tuple(by_name))
-            names = ring.owners(key, AFFINITY_OWNERS)
-        near = [by_name[name] for name in names]
-        return [c for c in near if self._usable(c, now_s, exclude)]
+            names = self._ring.owners(key, AFFINITY_OWNERS)
+        return [self._by_name[name] for name in names]
 
-    def _ring(self, names: tuple[str, ...]) -> HashRing:
+    def _index(self, candidates: Sequence[Candidate]) -> None:
+        self._indexed = candidates
+        self._by_name = {c.name: c for c in candidates}
+        names = tuple(self._by_name)
         ring = self._rings.get(names)
         if ring is None:
             if len(self._rings) >= MAX_RINGS:
                 self._rings.clear()
             ring = self._rings[names] = HashRing()
             ring.set_names(names)
-        return ring
+        self._ring = ring
 
     def _state(
         self, candidate: Candidate, now_s: float, exclude: frozenset[str]
     ) -> str:
-        server = self._server(candidate.name, candidate.capacity)
+        server = self._servers[candidate.name]
         if candidate.name in exclude:
             return "tried before"
         if server.health.is_out(now_s):
@@ -326,12 +336,16 @@
         if out + 1 <= len(self._servers) * MAX_EJECTED_SHARE:
             server.health.eject(now_s)
 
-    def _server(self, name: str, capacity: int | None = None) -> _Server:
+    def _server(self, name: str) -> _Server:
         server = self._servers.get(name)
         if server is None:
-            server = self._servers[name] = _Server(capacity or 1)
-        elif capacity is not None:
-            server.limit.set_capacity(capacity)
+            server = self._servers[name] = _Server(1)
+        return server
+
+    def _known(self, candidate: Candidate) -> _Server:
+        server = self._server(candidate.name)
+        if candidate.capacity != server.limit.capacity:
+            server.limit.set_capacity(candidate.capacity)
         return server
 
 
