An owner dispatches once; a charge not taken releases no answer

Cause: found by reading the entry against the ledger's rules. After a server's 'not run' the entry dispatched again under the same owner; the ledger refuses that, and the caller got 409 'still running' for a call that had not run. A 'full' or 'conflict' charge counted as charged, an unpinned session took an empty version, tokens died with a rotation. The fake ledger had its own rules and hid the first; it now runs the ledger's own machine.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Final
+import time
 from typing import TYPE_CHECKING
 
 import anyio
@@ -12,12 +12,11 @@
 from sycamorestand_model.errors import LedgerUnavailable
 from sycamorestand_model.in_force import InForce
 from sycamorestand_model.ledger import Charge
-from sycamorestand_model.ledger import Claim
-from sycamorestand_model.ledger import Dispatch
 from sycamorestand_model.ledger import LedgerRecord
 from sycamorestand_model.ledger import LedgerResult
 from sycamorestand_model.ledger import Outcome
-from sycamorestand_model.ledger import Pin
+from sycamorestand_state.ledger import encode_batch
+from sycamorestand_state.ledger import LedgerMachine
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -25,83 +24,38 @@
     from sycamorestand_entry.ports import EntryAddress
     from sycamorestand_entry.ports import VersionSample
 
-MISSING: Final = LedgerResult("conflict")
-
 
 class FakeLedger:
-    """Records of the ledger; entries that share it share their claims."""
+    """The ledger's own state machine without a log beneath it.
+
+    Entries that share it share their claims. A copy of its rules here
+    would drift from them: one did, and hid that an owner dispatches once.
+    """
 
     def __init__(self) -> None:
         self.charges: dict[tuple[str, str], Charge] = {}
+        self.outcomes: dict[tuple[str, str], Outcome] = {}
         self.repeated_charges = 0
-        self.pins: dict[tuple[str, str], str] = {}
-        self.claims: dict[tuple[str, str], LedgerResult] = {}
-        self.fingerprints: dict[tuple[str, str], str] = {}
-        self.log: list[LedgerRecord] = []
-
-    def apply(self, record: LedgerRecord) -> LedgerResult:
-        """Apply one record and answer it as the ledger does."""
-        self.log.append(record)
-        match record:
-            case Charge():
-                return self._charge(record)
-            case Pin():
-                return self._pin(record)
-            case Claim():
-                return self._claim(record)
-            case Dispatch():
-                return self._dispatch(record)
-            case Outcome():
-                return self._outcome(record)
-
-    def _charge(self, record: Charge) -> LedgerResult:
-        key = (record.customer, record.request_key)
-        known = self.charges.get(key)
-        if known is not None:
-            self.repeated_charges += 1
-            return LedgerResult("exists", cost_micros=known.cost_micros)
-        self.charges[key] = record
-        return LedgerResult("created", cost_micros=record.cost_micros)
-
-    def _pin(self, record: Pin) -> LedgerResult:
-        key = (record.customer, record.session)
-        state = "exists" if key in self.pins else "created"
-        version = self.pins.setdefault(key, record.version)
-        return LedgerResult(state, version=version)
-
-    def _claim(self, record: Claim) -> LedgerResult:
-        key = (record.customer, record.request_key)
-        known = self.claims.get(key)
-        if known is None or known.claim_state == "not_run":
-            self.fingerprints[key] = record.fingerprint
-            self.claims[key] = LedgerResult(
-                "created", claim_state="claimed", owner=record.owner
-            )
-            return self.claims[key]
-        if self.fingerprints[key] != record.fingerprint:
-            return LedgerResult("conflict", owner=known.owner)
-        return known._replace(state="exists")
-
-    def _dispatch(self, record: Dispatch) -> LedgerResult:
-        key = (record.customer, record.request_key)
-        known = self.claims.get(key)
-        if known is None or known.owner != record.owner:
-            return MISSING
-        self.claims[key] = known._replace(claim_state="dispatched")
-        return LedgerResult("ok")
-
-    def _outcome(self, record: Outcome) -> LedgerResult:
-        key = (record.customer, record.request_key)
-        known = self.claims.get(key)
-        if known is None or known.owner != record.owner:
-            return MISSING
-        self.claims[key] = known._replace(
-            claim_state=record.state,
-            status=record.status,
-            content_type=record.content_type,
-            answer=record.answer,
-        )
-        return LedgerResult("ok")
+        self._machine = LedgerMachine(0)
+        self._index = 0
+
+    def apply(self, records: Sequence[LedgerRecord]) -> list[LedgerResult]:
+        """Apply a batch of records and answer it as the ledger does."""
+        self._index += 1
+        batch = encode_batch(records, time.time())
+        results = self._machine.apply(self._index, batch)
+        for record, result in zip(records, results, strict=True):
+            self._note(record, result)
+        return results
+
+    def _note(self, record: LedgerRecord, result: LedgerResult) -> None:
+        if isinstance(record, Charge):
+            if result.state == "created":
+                self.charges[record.customer, record.request_key] = record
+            else:
+                self.repeated_charges += 1
+        elif isinstance(record, Outcome) and result.state == "ok":
+            self.outcomes[record.customer, record.request_key] = record
 
 
 class FakeControlPort:
@@ -155,7 +109,7 @@
             self.ledger_failures -= 1
         if failing and not self.lose_answers:
             raise LedgerUnavailable("the fake ledger is told to fail")
-        results = [self.records.apply(record) for record in records]
+        results = self.records.apply(records)
         if failing:
             raise LedgerUnavailable("the fake ledger lost its answer")
         return results
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/billing.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/billing.py
@@ -26,6 +26,8 @@
 
 TOKENS_PER_PRICE: Final = 1_000_000
 LEDGER_RETRY_S: Final = 1.0
+# ``expired``: the key was charged so long ago that only that is known.
+CHARGED: Final = ("created", "exists", "expired")
 RESEND_PAUSE_S: Final = 0.05
 
 
@@ -49,6 +51,7 @@
     """
     result = (await write_ledger(context, [charge], run="ran"))[0]
     context.metrics.charges.inc({"state": result.state})
+    require_charged(result)
     context.metrics.tokens.add(
         {"version": charge.version}, charge.output_tokens
     )
@@ -57,6 +60,21 @@
     return charge.cost_micros
 
 
+def require_charged(result: LedgerResult) -> None:
+    """Raise where the ledger did not take the charge.
+
+    A full shard, or a charge that it refuses, has charged nothing: the
+    answer would go out unbilled. The caller asks again with its key.
+    """
+    if result.state not in CHARGED:
+        raise LedgerFailed(
+            f"the ledger took no charge ({result.state}); ask again with"
+            " this key",
+            LEDGER_RETRY_S,
+            "ran",
+        )
+
+
 async def write_ledger(
     context: EntryContext,
     records: Sequence[LedgerRecord],
@@ -64,9 +82,10 @@
 ) -> list[LedgerResult]:
     """Return the ledger's answer, resending while there is time.
 
-    Every record may be resent: a second one with the same content is
-    answered like the first. ``run`` is what a refusal says of the
-    request where the ledger stays silent.
+    Every record may be resent: a second one with the same content does
+    no harm, and is answered like the first but for a dispatch, whose
+    ``conflict`` names its own owner. ``run`` is what a refusal says of
+    the request where the ledger stays silent.
     """
     begin_s = time.monotonic()
     try:
@@ -116,6 +135,7 @@
     "charge_once",
     "cost_micros",
     "now_s",
+    "require_charged",
     "service_charge",
     "write_ledger",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/claims.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/claims.py
@@ -18,17 +18,19 @@
 from sycamorestand_entry.errors import AnswerNotKept
 from sycamorestand_entry.errors import KeyReused
 from sycamorestand_entry.errors import OutcomeUnknown
+from sycamorestand_entry.errors import Overloaded
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import RequestKeyExpired
 from sycamorestand_entry.errors import StillRunning
 from sycamorestand_model.ledger import Claim
+from sycamorestand_model.ledger import NOT_KEPT
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_model.ledger import LedgerResult
 
-NOT_KEPT: Final = "application/x-sycamorestand-not-kept"
 RUNNING_RETRY_S: Final = 1.0
+FULL_RETRY_S: Final = 10.0
 FINGERPRINT_BYTES: Final = 16
 
 
@@ -86,6 +88,8 @@
 def _find_refusal(result: LedgerResult) -> RequestError:
     if result.state == "conflict":
         return KeyReused("this request key came with other content before")
+    if result.state == "full":
+        return Overloaded("the ledger takes no new keys now", FULL_RETRY_S)
     if result.state == "expired":
         return RequestKeyExpired(
             "this request key is older than what is remembered"
@@ -97,8 +101,8 @@
 
 __all__ = [
     "fingerprint",
+    "FULL_RETRY_S",
     "make_claim",
-    "NOT_KEPT",
     "RecordedAnswer",
     "take_claim",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/once.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/once.py
@@ -16,12 +16,12 @@
 
 import anyio
 
+from sycamorestand_entry.billing import require_charged
 from sycamorestand_entry.billing import service_charge
 from sycamorestand_entry.billing import write_ledger
 from sycamorestand_entry.callers import remaining_s
 from sycamorestand_entry.claims import fingerprint
 from sycamorestand_entry.claims import make_claim
-from sycamorestand_entry.claims import NOT_KEPT
 from sycamorestand_entry.claims import RecordedAnswer
 from sycamorestand_entry.claims import take_claim
 from sycamorestand_entry.errors import BackendFailed
@@ -40,6 +40,7 @@
 from sycamorestand_entry.upstream import ConnectFailed
 from sycamorestand_model.errors import LedgerUnavailable
 from sycamorestand_model.ledger import Dispatch
+from sycamorestand_model.ledger import NOT_KEPT
 from sycamorestand_model.ledger import Outcome
 
 if TYPE_CHECKING:
@@ -49,6 +50,7 @@
     from sycamorestand_model.backend_servers import Announcement
     from sycamorestand_model.declarations import Service
     from sycamorestand_model.ledger import LedgerRecord
+    from sycamorestand_model.ledger import LedgerResult
 
 _LOG = logging.getLogger(__name__)
 MAX_ATTEMPTS: Final = 3
@@ -74,7 +76,8 @@
         self._context = context
         self._call = call
         self._service = service
-        self._owner = secrets.token_hex(8)
+        self._owner = _new_owner()
+        self._owner_spent = False
         self._abandoned = False
 
     def abandon(self) -> None:
@@ -152,6 +155,7 @@
             if not answer.not_run:
                 return answer
             self.run_state = "not_run"
+            self._owner_spent = True
         raise Overloaded(
             "no backend server of the service took the call", SERVER_RETRY_S
         )
@@ -174,14 +178,41 @@
         return await self._write(server, connection, limit_s, held)
 
     async def _mark_dispatch(self, server: Announcement) -> bool:
-        record = Dispatch(
-            self._call.customer,
-            self._call.request_key,
-            self._owner,
-            server.name,
+        call = self._call
+        records = self._renewed_claim()
+        records.append(
+            Dispatch(call.customer, call.request_key, self._owner, server.name)
         )
-        results = await write_ledger(self._context, [record], run="not_run")
-        return results[0].state not in ("conflict", "expired")
+        results = await write_ledger(self._context, records, run="not_run")
+        return self._holds(results[-1])
+
+    def _renewed_claim(self) -> list[LedgerRecord]:
+        """Return what claims the key anew after a server did not run it.
+
+        An owner dispatches once: the ledger could not tell a second
+        dispatch from a late first one. Outcome, claim and dispatch go in
+        one batch, so that no other attempt comes in between.
+        """
+        if not self._owner_spent:
+            return []
+        call = self._call
+        outcome = self._outcome("not_run")
+        self._owner = _new_owner()
+        self._owner_spent = False
+        content = fingerprint(call.method.encode(), call.target, call.body)
+        claim = make_claim(
+            call.customer, call.request_key, content, self._owner
+        )
+        return [outcome, claim]
+
+    def _holds(self, result: LedgerResult) -> bool:
+        if result.state == "ok":
+            return True
+        # The first send of this very dispatch was applied and its answer
+        # was lost. Nothing has been written under this owner yet, and
+        # nobody else knows it, so the call may go.
+        own = result.owner == self._owner
+        return own and result.claim_state == "dispatched"
 
     async def _write(
         self,
@@ -220,8 +251,9 @@
             self._settle_later(records)
             raise
         if charged:
-            self.cost_micros = results[1].cost_micros
             self._context.metrics.charges.inc({"state": results[1].state})
+            require_charged(results[1])
+            self.cost_micros = results[1].cost_micros
         self.answer = recorded
 
     async def _charge_recorded(self, recorded: RecordedAnswer) -> None:
@@ -229,6 +261,7 @@
         if recorded.status < 500:
             charge = service_charge(self._call, self._service.call_micros)
             results = await write_ledger(self._context, [charge], run="ran")
+            require_charged(results[0])
             self.cost_micros = results[0].cost_micros
         self.answer = recorded
 
@@ -252,6 +285,10 @@
         self._context.background.start_soon(_settle, self._context, records)
 
 
+def _new_owner() -> str:
+    return secrets.token_hex(8)
+
+
 async def _settle(context: EntryContext, records: list[LedgerRecord]) -> None:
     with anyio.move_on_after(context.settings.late_answer_s):
         while True:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/planning.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/planning.py
@@ -12,8 +12,10 @@
 from sycamorestand_entry.billing import cost_micros
 from sycamorestand_entry.billing import now_s
 from sycamorestand_entry.billing import write_ledger
+from sycamorestand_entry.claims import FULL_RETRY_S
 from sycamorestand_entry.errors import NotAllowed
 from sycamorestand_entry.errors import NoVersion
+from sycamorestand_entry.errors import Overloaded
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.gate import check_version
 from sycamorestand_entry.gate import DispatchIntent
@@ -54,9 +56,10 @@
     if not options.session_token and not options.session_name:
         return _plan_steps(context, chat)
     if options.session_token:
-        key = context.control.in_force().session_key
+        in_force = context.control.in_force()
+        keys = (in_force.session_key, in_force.previous_session_key)
         session = verify_session(
-            options.session_token, chat.customer.name, key
+            options.session_token, chat.customer.name, keys
         )
         name, version = session.name, session.version
     else:
@@ -96,6 +99,8 @@
     offered = plan.versions[_session_step(context, chat, plan)]
     pin = Pin(*key, offered, now_s())
     result = (await write_ledger(context, [pin], run="not_run"))[0]
+    if not result.version:
+        raise Overloaded("the ledger takes no new sessions now", FULL_RETRY_S)
     if len(context.pins) >= MAX_REMEMBERED_PINS:
         context.pins.clear()
     context.pins[key] = result.version
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/sessions.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/sessions.py
@@ -30,15 +30,23 @@
     return base64.urlsafe_b64encode(_digest(content, key) + content).decode()
 
 
-def verify_session(token: str, customer: str, key: bytes) -> Session:
-    """Return the session of a token that was signed for this customer."""
+def verify_session(
+    token: str, customer: str, keys: tuple[bytes, ...]
+) -> Session:
+    """Return the session of a token that was signed for this customer.
+
+    ``keys`` are those that are valid now; an empty one is none. A token
+    that was handed out before a rotation must go on, as its session
+    would otherwise end with it.
+    """
     try:
         raw = base64.b64decode(token.encode(), altchars=b"-_", validate=True)
     except (binascii.Error, ValueError):
         raise BadRequest("the session token is malformed") from None
     digest = raw[:DIGEST_BYTES]
     content = raw[DIGEST_BYTES:]
-    if not hmac.compare_digest(digest, _digest(content, key)):
+    valid = [_digest(content, key) for key in keys if key]
+    if not any(hmac.compare_digest(digest, one) for one in valid):
         raise BadRequest("the session token was not made by this system")
     parts = content.decode().split(SEPARATOR.decode())
     session = Session(*parts)
--- a/packages/sycamorestand-entry/tests/test_sessions.py
+++ b/packages/sycamorestand-entry/tests/test_sessions.py
@@ -106,7 +106,7 @@
             "text": "no token",
         }
         with pytest.raises(BadRequest):
-            verify_session(changed[change], "guild", b"key")
+            verify_session(changed[change], "guild", (b"key",))
 
 
 class TestSessionName:
--- a/packages/sycamorestand-entry/tests/test_stop.py
+++ b/packages/sycamorestand-entry/tests/test_stop.py
@@ -137,8 +137,8 @@
             loopback.entry.begin_stop()
             with anyio.fail_after(20):
                 await loopback.entry.stopped.wait()
-            claim = loopback.ledger.claims["guild", "k"]
-            assert claim.claim_state == "done"
+            outcome = loopback.ledger.outcomes["guild", "k"]
+            assert outcome.state == "done"
 
 
 class TestAddresses:
--- a/packages/sycamorestand-model/src/sycamorestand_model/ledger.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/ledger.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from typing import Final
 from typing import NamedTuple
 
+# The content type that stands for an answer too large to be kept.
+NOT_KEPT: Final = "application/x-sycamorestand-not-kept"
+
 
 class Claim(NamedTuple):
     """Get or create the claim of a non-idempotent request.
@@ -71,10 +75,11 @@
 class LedgerResult(NamedTuple):
     """The ledger's answer to one record, in the order of the batch.
 
-    ``state`` is ``created``, ``exists``, ``ok``, ``conflict`` or
-    ``expired``; for a claim that exists, ``claim_state`` is ``claimed``,
-    ``dispatched``, ``done`` or ``unknown`` and the recorded answer is
-    filled in. For a pin, ``version`` is the one to keep.
+    ``state`` is ``created``, ``exists``, ``ok``, ``conflict``,
+    ``expired``, or ``full`` where the shard takes nothing new. For a claim
+    that exists, ``claim_state`` is ``claimed``, ``dispatched``, ``done``
+    or ``unknown`` and the recorded answer is filled in. For a pin,
+    ``version`` is the one to keep.
     """
 
     state: str
@@ -93,6 +98,7 @@
     "Dispatch",
     "LedgerRecord",
     "LedgerResult",
+    "NOT_KEPT",
     "Outcome",
     "Pin",
 ]
--- a/packages/sycamorestand-state/src/sycamorestand_state/claims.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/claims.py
@@ -19,6 +19,7 @@
 from sycamorestand_model.ledger import Claim
 from sycamorestand_model.ledger import Dispatch
 from sycamorestand_model.ledger import LedgerResult
+from sycamorestand_model.ledger import NOT_KEPT
 from sycamorestand_model.ledger import Outcome
 from sycamorestand_state.tombstones import Tombstones
 from sycamorestand_state.tombstones import WINDOW_S
@@ -54,7 +55,6 @@
 # Takes the place of the content type where an answer was not, or is no
 # longer, kept. With the type left as it was, an entry would hand out an
 # empty body as the whole answer.
-NOT_KEPT: Final = "application/x-sycamorestand-not-kept"
 
 
 class ClaimLimits(NamedTuple):
@@ -341,7 +341,6 @@
     "MAX_ATTEMPTS",
     "MAX_CLAIMS",
     "MAX_DELAY_S",
-    "NOT_KEPT",
     "NOT_RUN",
     "OK",
     "TAKEOVER_AGE_S",
