Waits follow the virtual time; use of an idle pool is forgotten

Cause: the estimated wait left out a customer's place in the fair order and took the request's own length for the time until a slot is free, so requests were let in and refused later, and long ones of small customers refused at once; and what a customer used while nothing waited was held against it once a queue formed. Change: the wait is the virtual time until the customer's turn; starts without a queue move the virtual time on; the next slot takes a typical time.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/admission.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/admission.py
@@ -44,13 +44,17 @@
 HOPELESS_SHARE: Final = 0.5
 # A long request may wait this long for the next free slot, as it would
 # have been started with a slot free.
-MIN_SLACK_S: Final = 0.5
+MIN_SLACK_S: Final = 1.0
 MAX_WAITING_PER_CUSTOMER: Final = 512
 MAX_WAITING_PER_POOL: Final = 2048
 BATCH_SHARE: Final = 0.1
 # A caller told to come back at once would only be refused again.
 MIN_RETRY_AFTER_S: Final = 0.5
 MAX_RETRY_AFTER_S: Final = 30.0
+# A waiting request is refused early where even this part of its estimated
+# wait is too long: estimates of a few slots are off by as much, and half
+# of those given up on at the whole estimate would have started in time.
+SURE_SHARE: Final = 0.6
 # Waiting requests are estimated again this often: shares change only as
 # customers come and go, and a walk over the queue costs its length.
 RECHECK_S: Final = 0.25
@@ -227,11 +231,9 @@
         return self.slots - len(self.in_flight)
 
     def expected_wait_s(self, ticket: Ticket) -> float:
-        """Estimate the wait behind the customer's own waiting work."""
-        ahead_s = self.queue.waiting_s(ticket.customer, ticket.priority)
-        slots = self.slots * self.queue.share(ticket)
-        next_free_s = ticket.expected_s / max(1, self.slots)
-        return self.times.mean_s(ahead_s) / max(slots, 0.01) + next_free_s
+        """Estimate the wait for the customer's turn and a free slot."""
+        before_s = self.times.mean_s(self.queue.work_before_s(ticket))
+        return (before_s + self.times.typical_s) / max(1, self.slots)
 
     def hopeless(self, now_s: float) -> list[Ticket]:
         """Return the waiting requests that cannot start in time."""
@@ -240,9 +242,8 @@
             return late
         self.next_recheck_s = now_s + RECHECK_S
         known = {ticket.ticket_id for ticket in late}
-        for ticket, ahead_s, latest_s in self.queue.walk():
-            slots = max(self.slots * self.queue.share(ticket), 0.01)
-            wait_s = self.times.mean_s(ahead_s) / slots
+        for ticket, before_s, latest_s in self.queue.walk():
+            wait_s = SURE_SHARE * self.times.mean_s(before_s) / self.slots
             if now_s + wait_s > latest_s and ticket.ticket_id not in known:
                 late.append(ticket)
         return late
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/fair_queue.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/fair_queue.py
@@ -66,21 +66,21 @@
         flow = self._classes[priority].flows.get(customer)
         return 0 if flow is None else flow.count
 
-    def waiting_s(self, customer: str, priority: str) -> float:
-        """Expected service time of what this customer has waiting."""
-        flow = self._classes[priority].flows.get(customer)
-        return 0.0 if flow is None else flow.waiting_s
+    def work_before_s(self, ticket: Ticket) -> float:
+        """Return the service time that goes before a new request.
 
-    def share(self, ticket: Ticket) -> float:
-        """Return the share of the pool that a customer gets next."""
+        The request's turn comes when the virtual time has reached its
+        customer's, its own waiting work included; until then the others
+        are served in proportion to their weights.
+        """
         own = self._classes[ticket.priority]
-        total = sum(c.share for c in self._classes.values() if c.weight > 0)
-        total += 0.0 if own.weight > 0 else own.share
-        weight = own.weight
         flow = own.flows.get(ticket.customer)
-        if flow is None or not flow.count:
-            weight += ticket.weight
-        return own.share / total * ticket.weight / max(weight, MIN_WEIGHT)
+        if flow is None:
+            return 0.0
+        weight = own.weight if flow.count else own.weight + ticket.weight
+        own_s = flow.waiting_s / max(ticket.weight, MIN_WEIGHT)
+        ahead = max(0.0, flow.virtual_s - own.virtual_s) + own_s
+        return ahead * weight / self._share(own)
 
     def push(self, ticket: Ticket, latest_s: float) -> None:
         """Let a request wait, at most until ``latest_s``."""
@@ -126,14 +126,22 @@
         return late
 
     def walk(self) -> Iterator[tuple[Ticket, float, float]]:
-        """Yield each request, the work ahead of it, its latest start."""
-        for priority in self._classes.values():
-            for flow in priority.flows.values():
-                ahead_s = 0.0
+        """Yield each request, the work before it, its latest start."""
+        for own in self._classes.values():
+            rate = own.weight / self._share(own)
+            for flow in own.flows.values():
+                ahead = max(0.0, flow.virtual_s - own.virtual_s)
                 for ticket in flow.tickets:
                     if ticket.ticket_id in self._tickets:
-                        yield ticket, ahead_s, self._latest_s[ticket.ticket_id]
-                        ahead_s += ticket.expected_s
+                        latest_s = self._latest_s[ticket.ticket_id]
+                        yield ticket, ahead * rate, latest_s
+                        ahead += _cost_s(ticket)
+
+    def _share(self, own: _PriorityClass) -> float:
+        """Return the part of the starts that a priority gets now."""
+        active = [c.share for c in self._classes.values() if c.weight > 0]
+        total = sum(active) + (0.0 if own.weight > 0 else own.share)
+        return own.share / total
 
     def _forget(self, ticket_id: int) -> None:
         self._tickets.pop(ticket_id, None)
@@ -177,6 +185,9 @@
         flow = self._flow(ticket.customer)
         start_s = max(flow.virtual_s, self.virtual_s)
         flow.virtual_s = start_s + _cost_s(ticket)
+        # Also while nothing waits: else what a customer used of an idle
+        # pool would be held against it when a queue forms, for as long.
+        self.virtual_s = start_s
         self.served += ticket.expected_s / self.share
 
     def pop(self, known: dict[int, Ticket]) -> Ticket | None:
@@ -188,7 +199,6 @@
             ticket = _next_known(flow, known)
             if ticket is None:
                 continue
-            self.virtual_s = max(self.virtual_s, virtual_s)
             self.charge(ticket)
             self.drop(ticket)
             if flow.count:
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/service_times.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/service_times.py
@@ -22,14 +22,20 @@
 
 
 class ServiceTimes:
-    """Learned ratio of real to expected service time, mean and high."""
+    """Learned ratio of real to expected service time, mean and high.
+
+    ``typical_s`` is the average real time, zero while unknown.
+    """
 
     def __init__(self) -> None:
+        self.typical_s = 0.0
         self._mean_ratio = 1.0
         self._high_ratio = 1.5
 
     def observe(self, expected_s: float, real_s: float) -> None:
         """Learn from one finished request."""
+        step = MEAN_STEP if self.typical_s else 1.0
+        self.typical_s += step * (real_s - self.typical_s)
         ratio = real_s / max(expected_s, 0.001)
         ratio = min(max(ratio, MIN_RATIO), MAX_RATIO)
         self._mean_ratio += MEAN_STEP * (ratio - self._mean_ratio)
