Entries learn from each other's ratings

Ruled out: a weaker prior (the quality target is a constraint). Ratings are counts and add up: entries report them with their samples, control processes exchange them each 2 s, nobody gets its own back.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
@@ -19,10 +19,12 @@
 from sycamorestand_state.ledger import LedgerMachine
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from sycamorestand_entry.ports import EntryAddress
     from sycamorestand_entry.ports import VersionSample
+    from sycamorestand_model.nodes import RatingCount
 
 
 class FakeLedger:
@@ -88,6 +90,11 @@
     def report(self, sample: VersionSample) -> None:
         self.samples.append(sample)
 
+    def listen_ratings(
+        self, listener: Callable[[Sequence[RatingCount]], None]
+    ) -> None:
+        self.rating_listener = listener
+
     def set_stopping(self) -> None:
         self.stopping = True
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/hub.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/hub.py
@@ -70,6 +70,10 @@
         """Return the VMs of the entries that this process serves."""
         return tuple(entry.vm for entry in self._attached.values())
 
+    def attached_addresses(self) -> tuple[str, ...]:
+        """Return the peer addresses of the entries served here."""
+        return tuple(self._attached)
+
     def lease_requested(self, sender: str, message: LeaseRequest) -> None:
         """Renew an entry's lease, and send it what it lacks."""
         entry = self._entry(sender, message)
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -34,6 +34,7 @@
 from sycamorestand_control.operator_api.authentication import make_authenticate
 from sycamorestand_control.operator_backend import ControlBackend
 from sycamorestand_control.operator_backend import Parts
+from sycamorestand_control.rating_exchange import RatingExchange
 from sycamorestand_control.tables import ControlName
 from sycamorestand_control.tables import SharedTables
 from sycamorestand_control.version_keeper import VersionKeeper
@@ -50,6 +51,7 @@
 from sycamorestand_peer.messages import Query
 from sycamorestand_peer.messages import ReplicaPayload
 from sycamorestand_peer.messages import SampleReport
+from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
 from sycamorestand_state.commands import CreateCluster
@@ -107,6 +109,9 @@
             self._others,
         )
         self.keeper = VersionKeeper(self.groups, self.configuration)
+        self.ratings = RatingExchange(
+            self.mesh, self.hub.attached_addresses, self._others
+        )
         self.admissions = Admissions(
             self.mesh, self.groups, settings.voters_wanted
         )
@@ -149,6 +154,7 @@
                 self.tables.run,
                 self.keeper.run,
                 self.admissions.run,
+                self.ratings.run,
                 *(writer.run for writer in self.writers),
             ):
                 tasks.start_soon(part)
@@ -257,6 +263,7 @@
             ControlLeaseGranted: self._lease_granted,
             JoinRequest: self.admissions.receive,
             SampleReport: self._sampled,
+            SharedRatings: self._ratings_shared,
             LedgerBatch: self._ledger_batch,
             ProposalForward: self._forwarded,
             Query: self._queried,
@@ -271,12 +278,21 @@
         self.leases.granted(message)
 
     def _sampled(self, sender: str, message: SampleReport) -> None:
-        """Take an entry's counts, and pass them on to the leader."""
+        """Take an entry's counts, and pass them on to the leader.
+
+        Ratings go round by the exchange, so the leader's copy has none.
+        """
         self.keeper.report(message)
         leader = self.groups.leader_address(CONFIGURATION_GROUP)
         forwarded = sender in self._others()
-        if leader and leader != self.mesh.address and not forwarded:
-            self.mesh.send(leader, message)
+        if forwarded:
+            return
+        self.ratings.reported(sender, message.ratings)
+        if leader and leader != self.mesh.address:
+            self.mesh.send(leader, message._replace(ratings=()))
+
+    def _ratings_shared(self, sender: str, message: SharedRatings) -> None:
+        self.ratings.reported(sender, message.ratings)
 
     def _ledger_batch(self, sender: str, message: LedgerBatch) -> None:
         self._start(self._answer_batch, sender, message)
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/cascade.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/cascade.py
@@ -33,9 +33,11 @@
 from sycamorestand_decisions.request_class import RequestFeatures
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from sycamorestand_model.declarations import Profile
+    from sycamorestand_model.nodes import RatingCount
 
 PASS_RATING: Final = 0.5
 # One deviation: at two, a class five points above the target needs
@@ -160,6 +162,22 @@
             subject = _escalated(step_version) if escalated else step_version
             self._rates.observe(subject, request_class, passed)
 
+    def learn(self, counts: Iterable[RatingCount]) -> None:
+        """Take in ratings that other entries were given.
+
+        Each entry alone sees few requests of a class: with ten of them
+        it would take each ten times as long to learn that the cheap step
+        is good enough, and the strong one is paid for meanwhile.
+        """
+        for count in counts:
+            subject = count.version
+            if count.escalated:
+                subject = _escalated(subject)
+            self._rates.observe_counts(
+                subject, count.request_class, count.passed, count.rated
+            )
+            self._count_change(count.request_class, count.rated)
+
     def plan(
         self, profile: Profile, request_class: str, idempotent: bool = True
     ) -> Plan:
@@ -208,10 +226,11 @@
             self._prices[profile_name] = tuple(prices)
             self._plans.clear()
 
-    def _count_change(self, request_class: str) -> None:
-        changes = self._changes.get(request_class, 0) + 1
-        self._changes[request_class] = changes
-        if changes % PLAN_EVERY and len(self._changes) < MAX_CLASSES:
+    def _count_change(self, request_class: str, count: int = 1) -> None:
+        before = self._changes.get(request_class, 0)
+        self._changes[request_class] = before + count
+        due = (before + count) // PLAN_EVERY > before // PLAN_EVERY
+        if not due and len(self._changes) < MAX_CLASSES:
             return
         if len(self._changes) >= MAX_CLASSES:
             self._changes.clear()
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/pass_rates.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/pass_rates.py
@@ -49,10 +49,15 @@
 
     def observe(self, subject: str, request_class: str, passed: bool) -> None:
         """Take in one rating."""
-        key = self._key(subject, request_class)
-        self._rated.setdefault(key, _Faded()).add(passed)
-        model_key = self._key(_model(subject), request_class)
-        self._rated.setdefault(model_key, _Faded()).add(passed)
+        self.observe_counts(subject, request_class, int(passed), 1)
+
+    def observe_counts(
+        self, subject: str, request_class: str, passed: int, ratings: int
+    ) -> None:
+        """Take in several ratings at once, as another entry tells them."""
+        for name in (subject, _model(subject)):
+            key = self._key(name, request_class)
+            self._rated.setdefault(key, _Faded()).add(passed, ratings)
 
     def observe_use(
         self, subject: str, request_class: str, cost: float, latency: float
@@ -101,10 +106,13 @@
         self.passed = 0.0
         self.ratings = 0.0
 
-    def add(self, passed: bool) -> None:
-        keep = 1.0 - 1.0 / MEMORY_RATINGS
-        self.passed = self.passed * keep + passed
-        self.ratings = self.ratings * keep + 1.0
+    def add(self, passed: int, ratings: int) -> None:
+        # Of a batch larger than the memory only its share counts: what
+        # 300 entries rate in two seconds must not outweigh it.
+        kept = min(float(ratings), MEMORY_RATINGS)
+        keep = 1.0 - kept / MEMORY_RATINGS
+        self.passed = self.passed * keep + kept * passed / ratings
+        self.ratings = self.ratings * keep + kept
 
 
 def _model(subject: str) -> str:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -51,6 +51,7 @@
         self.slots = Slots(self.servers, self.metrics)
         self.retries = RetryBudget()
         self.cascade = CascadeLearner()
+        control.listen_ratings(self.cascade.learn)
         self.pins: dict[tuple[str, str], str] = {}
         self.stopping = False
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -26,6 +26,7 @@
 from sycamorestand_peer.messages import LeaseGrantMessage
 from sycamorestand_peer.messages import LeaseRequest
 from sycamorestand_peer.messages import SampleReport
+from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
 from sycamorestand_state.leases import HeldLease
@@ -41,6 +42,7 @@
     from sycamorestand_model.ledger import LedgerRecord
     from sycamorestand_model.ledger import LedgerResult
     from sycamorestand_model.nodes import EntryAddress
+    from sycamorestand_model.nodes import RatingCount
     from sycamorestand_model.nodes import VersionSample
 
 LOG: Final = logging.getLogger(__name__)
@@ -104,6 +106,9 @@
             lambda: self._in_force.ledger_shards,
         )
         self._requests = 0
+        self._rating_listener: Callable[[Sequence[RatingCount]], None] = (
+            _ignore_ratings
+        )
         self.moves = 0
         self.resyncs = 0
         self.denials = 0
@@ -128,6 +133,12 @@
         """Count what an attempt on a version showed."""
         self._samples.add(sample, time.time())
 
+    def listen_ratings(
+        self, listener: Callable[[Sequence[RatingCount]], None]
+    ) -> None:
+        """Call ``listener`` with the ratings that other entries got."""
+        self._rating_listener = listener
+
     def set_stopping(self) -> None:
         """Leave the address answers, beginning with the next renewal."""
         self._stopping = True
@@ -204,6 +215,8 @@
                 self._take_configuration(message.in_force)
             case TableUpdate():
                 self._take_table(sender, message)
+            case SharedRatings():
+                self._rating_listener(message.ratings)
             case AddressList():
                 self._addresses = message.addresses
 
@@ -245,7 +258,8 @@
         while True:
             await anyio.sleep(REPORT_INTERVAL_S)
             rows = self._samples.take()
-            if not rows:
+            ratings = self._samples.take_ratings()
+            if not rows and not ratings:
                 continue
             sequence += 1
             report = SampleReport(
@@ -253,6 +267,7 @@
                 self.mesh.incarnation,
                 sequence,
                 msgspec.msgpack.encode(rows),
+                ratings,
             )
             self.mesh.send(self.control_address(), report)
 
@@ -263,4 +278,8 @@
                 LOG.info("backend server gone", extra={"server": name})
 
 
+def _ignore_ratings(ratings: Sequence[RatingCount]) -> None:
+    """Stand in until the data path listens."""
+
+
 __all__ = ["ControlLink", "LinkSettings"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/sample_counts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/sample_counts.py
@@ -10,6 +10,7 @@
 from sycamorestand_decisions.version_stats import add_sample
 from sycamorestand_decisions.version_stats import empty_stats
 from sycamorestand_decisions.version_stats import VersionStats
+from sycamorestand_model.nodes import RatingCount
 
 if TYPE_CHECKING:
     from sycamorestand_model.nodes import VersionSample
@@ -19,6 +20,7 @@
 # A flood of made-up request classes must not grow the report beyond what
 # control may cost; what is over it is left out of the counts.
 MAX_CLASSES: Final = 16
+MAX_RATINGS: Final = 256
 
 
 class SampleCounts:
@@ -26,9 +28,11 @@
 
     def __init__(self) -> None:
         self._stats: dict[str, VersionStats] = {}
+        self._ratings: dict[tuple[str, str, bool], tuple[int, int]] = {}
 
     def add(self, sample: VersionSample, now_s: float) -> None:
         """Count one attempt on a version; ``now_s`` is wall-clock time."""
+        self._add_rating(sample)
         stats = self._stats.setdefault(sample.version, empty_stats())
         if len(stats.strata) >= MAX_CLASSES:
             return
@@ -44,6 +48,24 @@
             passed,
         )
 
+    def take_ratings(self) -> tuple[RatingCount, ...]:
+        """Return the ratings for other entries and start over."""
+        counts = tuple(
+            RatingCount(*key, *row) for key, row in self._ratings.items()
+        )
+        self._ratings = {}
+        return counts
+
+    def _add_rating(self, sample: VersionSample) -> None:
+        if sample.rating is None:
+            return
+        key = (sample.version, sample.request_class, sample.escalated)
+        if key not in self._ratings and len(self._ratings) >= MAX_RATINGS:
+            return
+        passed, rated = self._ratings.get(key, (0, 0))
+        passed += sample.rating >= PASSING_RATING
+        self._ratings[key] = (passed, rated + 1)
+
     def take(self) -> tuple[StatsRow, ...]:
         """Return all rows and start over."""
         rows = to_rows(self._stats)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
@@ -9,6 +9,7 @@
 from sycamorestand_model.nodes import VersionSample
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
     from collections.abc import Sequence
 
@@ -16,6 +17,7 @@
     from sycamorestand_model.in_force import InForce
     from sycamorestand_model.ledger import LedgerRecord
     from sycamorestand_model.ledger import LedgerResult
+    from sycamorestand_model.nodes import RatingCount
 
 
 class ControlPort(Protocol):
@@ -36,6 +38,12 @@
 
     def report(self, sample: VersionSample) -> None: ...
 
+    def listen_ratings(
+        self, listener: Callable[[Sequence[RatingCount]], None]
+    ) -> None:
+        """Call ``listener`` with the ratings that other entries got."""
+        ...
+
     def set_stopping(self) -> None: ...
 
     async def announce(self, announcement: Announcement) -> None: ...
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/samples.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/samples.py
@@ -83,6 +83,7 @@
             shown.total_ms,
             rating,
             shown.cost_micros,
+            shown.escalated,
         )
     )
 
--- a/packages/sycamorestand-model/src/sycamorestand_model/nodes.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/nodes.py
@@ -30,6 +30,21 @@
     total_ms: float
     rating: float | None
     cost_micros: int
+    escalated: bool = False
 
 
-__all__ = ["EntryAddress", "VersionSample"]
+class RatingCount(NamedTuple):
+    """Ratings of one subject and class, counted since the last message.
+
+    ``escalated`` counts answers to requests that an earlier step failed;
+    those are harder, so a version's rate is learned apart for them.
+    """
+
+    version: str
+    request_class: str
+    escalated: bool
+    passed: int
+    rated: int
+
+
+__all__ = ["EntryAddress", "RatingCount", "VersionSample"]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -25,6 +25,7 @@
 from sycamorestand_peer.messages import Query
 from sycamorestand_peer.messages import ReplicaPayload
 from sycamorestand_peer.messages import SampleReport
+from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
 
@@ -47,6 +48,7 @@
     16: ControlLeaseGranted,
     17: SampleReport,
     18: JoinRequest,
+    19: SharedRatings,
 }
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
 _DECODERS: Final[dict[int, msgspec.msgpack.Decoder[Any]]] = {
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -7,6 +7,7 @@
 from sycamorestand_model.backend_servers import Announcement
 from sycamorestand_model.in_force import InForce
 from sycamorestand_model.nodes import EntryAddress
+from sycamorestand_model.nodes import RatingCount
 
 
 class Heartbeat(NamedTuple):
@@ -141,6 +142,13 @@
     incarnation: int
     sequence: int
     rows: bytes
+    ratings: tuple[RatingCount, ...] = ()
+
+
+class SharedRatings(NamedTuple):
+    """Ratings that other entries were given since the last such message."""
+
+    ratings: tuple[RatingCount, ...]
 
 
 class JoinRequest(NamedTuple):
@@ -168,6 +176,7 @@
     | ControlLeaseGranted
     | Query
     | SampleReport
+    | SharedRatings
     | TableResync
     | TableUpdate
     | JoinRequest
@@ -191,6 +200,7 @@
     "Query",
     "ReplicaPayload",
     "SampleReport",
+    "SharedRatings",
     "TableResync",
     "TableUpdate",
 ]
