Voter replacement: lost ids, silent joiners and other leaders

Cause, found by the system tests: a VM that lost its disk twice was shown under its first id, and replace-voter put that in as a learner for good; a voter on an empty disk answered operators 401, which sycactl takes as final. Found by reading: replace ran every log at the leader of the first, though another voter may lead the ledger's. Now a new id at an address drops the earlier one, an unknown or silent joiner is refused, a learner that does not catch up in 20 s is removed again, each log is asked at its own leader, and a voter without a configuration answers 503 'behind'.

--- a/packages/sycamorestand-control/src/sycamorestand_control/membership.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/membership.py
@@ -9,7 +9,9 @@
 import anyio
 
 from sycamorestand_consensus.errors import ConsensusError
+from sycamorestand_consensus.errors import MembershipRefused
 from sycamorestand_control.groups import CONFIGURATION_GROUP
+from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.errors import PeerTimeout
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import JoinRequest
@@ -27,6 +29,9 @@
 ADMIT_INTERVAL_S: Final = 0.2
 # A process that asked to join and then fell silent is not waited for.
 JOINER_SILENCE_S: Final = 5.0
+# A learner that lags longer keeps the operator waiting for nothing, and
+# would stay a member that no quorum can count on.
+CATCH_UP_S: Final = 20.0
 
 
 class Admissions:
@@ -59,6 +64,11 @@
 
     def receive(self, sender: str, request: JoinRequest) -> None:
         """Note a joiner and tell it that it was heard."""
+        # One process listens at an address, so an earlier id there was
+        # lost with its disk: as a learner it would never catch up.
+        for member_id, earlier in list(self._joiners.items()):
+            if earlier.address == request.address:
+                del self._joiners[member_id]
         self._joiners[request.member_id] = request
         self._mesh.send(sender, CallReply(request.call_id, "", b""))
 
@@ -74,22 +84,31 @@
                 except ConsensusError as error:
                     LOG.debug("not admitted", extra={"reason": str(error)})
 
-    async def replace(self, old_id: str, new_id: str) -> None:
-        """Make a joiner a voter in every log, then remove the old voter.
+    async def replace(self, group: int, old_id: str, new_id: str) -> None:
+        """Make a joiner a voter of a log, then remove the old voter.
 
         The new voter is a learner until it has caught up and synced, so
         that at no moment a quorum rests on a disk without the entries.
-        Raises `ConsensusError` where a log refuses.
+        Safe to repeat; raises `ConsensusError` where the log refuses or
+        this process does not lead it.
         """
-        for replica in self._groups.replicas.values():
-            members = {m.member_id: m for m in replica.status().members}
-            if new_id not in members:
-                joiner = self._joiners[new_id]
-                await replica.add_learner(new_id, joiner.address)
-            if not _is_voter(replica, new_id):
-                await _promote_when_ready(replica, new_id)
-            if old_id in members:
-                await replica.remove(old_id)
+        replica = self._groups.replicas[group]
+        members = _member_ids(replica)
+        if new_id not in members:
+            await self._add_learner(replica, new_id)
+        if not _is_voter(replica, new_id):
+            await _promote_when_ready(replica, new_id)
+        if old_id in members:
+            await replica.remove(old_id)
+
+    async def _add_learner(self, replica: Replica, member_id: str) -> None:
+        joiner = self._joiners.get(member_id)
+        if joiner is None or not self._is_alive(joiner):
+            raise MembershipRefused(
+                f"{member_id} does not ask to join; see the alarms of"
+                " sycactl status for who does"
+            )
+        await replica.add_learner(member_id, joiner.address)
 
     def _configuration(self) -> Replica:
         return self._groups.replicas[CONFIGURATION_GROUP]
@@ -138,6 +157,7 @@
 
 
 async def _promote_when_ready(replica: Replica, member_id: str) -> None:
+    until_s = boottime_s() + CATCH_UP_S
     while True:
         try:
             await replica.promote(member_id)
@@ -146,7 +166,13 @@
             # Not caught up yet, or leadership moved: the latter ends it.
             if replica.status().role != "leader":
                 raise
-            await anyio.sleep(ADMIT_INTERVAL_S)
+        if boottime_s() > until_s:
+            await replica.remove(member_id)
+            raise MembershipRefused(
+                f"{member_id} did not catch up in {CATCH_UP_S:.0f} s and was"
+                " removed again"
+            )
+        await anyio.sleep(ADMIT_INTERVAL_S)
 
 
 def _is_member_everywhere(groups: LogGroups) -> bool:
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/app.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/app.py
@@ -31,6 +31,7 @@
 from sycamorestand_control.operator_api.backend import OutcomeUnknown
 from sycamorestand_control.operator_api.backend import UnknownSubject
 from sycamorestand_control.operator_api.errors import ApiError
+from sycamorestand_control.operator_api.errors import BEHIND
 from sycamorestand_control.operator_api.errors import FORBIDDEN
 from sycamorestand_control.operator_api.errors import INTERNAL_ERROR
 from sycamorestand_control.operator_api.errors import METHOD_NOT_ALLOWED
@@ -99,7 +100,7 @@
     # The key comes first, so that nobody without one learns the paths.
     identity = authenticate(_bearer_key(scope))
     if identity is None:
-        raise ApiError(401, UNAUTHENTICATED, "no valid operator key")
+        raise _unknown_key(backend)
     route = _route(scope["method"], scope["path"])
     if not role_suffices(identity.role, route.role):
         raise ApiError(403, FORBIDDEN, f"this takes the role {route.role}")
@@ -110,6 +111,23 @@
     return await _call(route, Call(backend, identity, fields, body, checks))
 
 
+def _unknown_key(backend: OperatorBackend) -> ApiError:
+    """Return what a key that fits no operator is told.
+
+    A voter on an empty disk knows no operator at all. A 401 from it would
+    be final for the client, and no command would work for as long as the
+    repair lasts; it has to ask the next voter.
+    """
+    if backend.knows_operators():
+        return ApiError(401, UNAUTHENTICATED, "no valid operator key")
+    return ApiError(
+        503,
+        BEHIND,
+        "this voter has no configuration yet; ask another one",
+        retry_after_s=1,
+    )
+
+
 async def _call(route: Route, call: Call) -> Response:
     try:
         return await route.answer(call)
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/backend.py
@@ -95,6 +95,9 @@
     async def transfer_leadership(self, operator: str) -> TransferAnswer:
         """Hand leadership to another voter, before a planned stop."""
 
+    def knows_operators(self) -> bool:
+        """Tell whether this process can judge an operator's key."""
+
     def ready(self) -> bool:
         """Tell whether this process can answer operators now."""
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -194,11 +194,17 @@
         self, request: ReplaceVoterRequest
     ) -> ChangeAnswer:
         """Have the leader replace a voter by one that asked to join."""
-        payload = msgspec.msgpack.encode((request.old_id, request.new_id))
-        reply = await self._lead_or_ask(REPLACE, payload, REPLACE_TIMEOUT_S)
         revision = self._parts.configuration.revision
-        if reply.failure:
-            return ChangeAnswer("refused", revision, reply.failure)
+        for group in sorted(self._parts.groups.replicas):
+            payload = msgspec.msgpack.encode(
+                (group, request.old_id, request.new_id)
+            )
+            reply = await self._lead_or_ask(
+                REPLACE, payload, REPLACE_TIMEOUT_S, group
+            )
+            if reply.failure:
+                message = f"log {group}: {reply.failure}; it is safe to repeat"
+                return ChangeAnswer("refused", revision, message)
         return ChangeAnswer("accepted", revision, "the voter is replaced")
 
     async def rollouts(self) -> tuple[RolloutRow, ...]:
@@ -238,6 +244,10 @@
         status = self._parts.groups.replicas[CONFIGURATION_GROUP].status()
         return TransferAnswer(status.leader_id, status.term)
 
+    def knows_operators(self) -> bool:
+        """Tell whether a configuration has reached this process."""
+        return self._parts.configuration.cluster is not None
+
     def ready(self) -> bool:
         """Tell whether this process holds a lease to serve entries with."""
         return self._parts.leases.remaining_s() > 0
@@ -248,8 +258,6 @@
         self._parts.mesh.send(sender, reply)
 
     async def _answer(self, message: Query) -> CallReply:
-        if not self._parts.groups.is_leader(CONFIGURATION_GROUP):
-            return CallReply(message.call_id, "this voter does not lead", b"")
         try:
             payload = await self._lead(message.kind, message.payload)
         except (ConsensusError, ControlError) as error:
@@ -257,7 +265,7 @@
         return CallReply(message.call_id, "", payload)
 
     async def _lead(self, kind: str, payload: bytes) -> bytes:
-        """Answer as the leader; raises where it cannot."""
+        """Answer as the leader; raises where this voter is none."""
         if kind == IN_FORCE:
             revision = msgspec.msgpack.decode(payload, type=int)
             answer = self._answer_in_force(revision)
@@ -265,10 +273,10 @@
                 raise NoLeaderAnswered("the leader has not caught up yet")
             return msgspec.msgpack.encode(answer)
         if kind == REPLACE:
-            old_id, new_id = msgspec.msgpack.decode(
-                payload, type=tuple[str, str]
+            group, old_id, new_id = msgspec.msgpack.decode(
+                payload, type=tuple[int, str, str]
             )
-            await self._parts.admissions.replace(old_id, new_id)
+            await self._parts.admissions.replace(group, old_id, new_id)
             return b""
         if kind == TRANSFER:
             await self._parts.groups.hand_over()
@@ -276,16 +284,24 @@
         raise NoLeaderAnswered(f"question {kind!r} is unknown")
 
     async def _lead_or_ask(
-        self, kind: str, payload: bytes, timeout_s: float
+        self,
+        kind: str,
+        payload: bytes,
+        timeout_s: float,
+        group: int = CONFIGURATION_GROUP,
     ) -> CallReply:
-        if self._parts.groups.is_leader(CONFIGURATION_GROUP):
+        if self._parts.groups.is_leader(group):
             return await self._answer(Query(0, kind, payload))
-        return await self._ask_leader(kind, payload, timeout_s)
+        return await self._ask_leader(kind, payload, timeout_s, group)
 
     async def _ask_leader(
-        self, kind: str, payload: bytes, timeout_s: float
+        self,
+        kind: str,
+        payload: bytes,
+        timeout_s: float,
+        group: int = CONFIGURATION_GROUP,
     ) -> CallReply:
-        address = self._parts.groups.leader_address(CONFIGURATION_GROUP)
+        address = self._parts.groups.leader_address(group)
         if not address:
             raise NoLeader("no leader is known")
         call_id = self._parts.mesh.next_call_id()
--- /dev/null
+++ b/packages/sycamorestand-control/tests/conftest.py
@@ -0,0 +1,8 @@
+from __future__ import annotations
+
+import pytest
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
--- a/packages/sycamorestand-control/tests/operator_api/conftest.py
+++ b/packages/sycamorestand-control/tests/operator_api/conftest.py
@@ -103,6 +103,9 @@
     async def transfer_leadership(self, operator: str) -> TransferAnswer:
         return TransferAnswer("b", 4)
 
+    def knows_operators(self) -> bool:
+        return True
+
     def ready(self) -> bool:
         return self.is_ready
 
--- a/packages/sycamorestand/tests/operator/conftest.py
+++ b/packages/sycamorestand/tests/operator/conftest.py
@@ -136,6 +136,9 @@
     async def transfer_leadership(self, operator: str) -> TransferAnswer:
         return TransferAnswer("v2", 4)
 
+    def knows_operators(self) -> bool:
+        return True
+
     def ready(self) -> bool:
         return True
 
