--- a/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/log.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/log.py
@@ -26,6 +26,7 @@
 GROUP: Final = 0
 VOTERS: Final = 3
 COMMAND: Final = b"x" * 100
+IDLE_S: Final = 3.0
 POLL_S: Final = 0.005
 # No snapshot is taken, so that a restart replays every entry.
 SETTINGS: Final = ReplicaSettings(snapshot_every_entries=10_000_000)
@@ -45,6 +46,7 @@
     """What one run measured."""
 
     throughput: tuple[Throughput, ...]
+    idle_cpu_share: float
     entries_replayed: int
     read_ms: float
     restart_ms: float
@@ -95,6 +97,10 @@
             f"{line.callers} callers: {line.per_s:.0f} proposals/s, "
             f"p50 {line.p50_ms:.1f} ms, p99 {line.p99_ms:.1f} ms"
         )
+    print(
+        f"idle, {VOTERS} voters in one process: "
+        f"{100 * report.idle_cpu_share:.1f} % of a core"
+    )
     print(
         f"restart of a lone voter with {report.entries_replayed} entries: "
         f"{report.read_ms:.0f} ms to read its files, "
@@ -121,12 +127,13 @@
             await _admit(leader, replica.member_id)
         for count in callers:
             results.append(await _propose_all(leader, count, proposals))
+        idle = await _idle_cpu_share()
         tasks.cancel_scope.cancel()
     alone = base / "alone"
     await _fill(alone, proposals)
     read_ms = _read(alone)
     replayed, restart_ms = await _restart(alone, proposals)
-    return Report(tuple(results), replayed, read_ms, restart_ms)
+    return Report(tuple(results), idle, replayed, read_ms, restart_ms)
 
 
 def _make_replicas(base: Path) -> list[Replica]:
@@ -187,6 +194,12 @@
     )
 
 
+async def _idle_cpu_share() -> float:
+    begin_s = time.process_time()
+    await anyio.sleep(IDLE_S)
+    return (time.process_time() - begin_s) / IDLE_S
+
+
 async def _fill(folder: Path, entries: int) -> None:
     async with anyio.create_task_group() as tasks:
         replica = _make_replica(folder, {})
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/wire.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import cast
 from typing import Final
 from typing import NamedTuple
@@ -95,7 +96,7 @@
     """Read a payload; raise ``PayloadRefused`` where it is none."""
     try:
         found = _ENVELOPE.decode(payload)
-        body = _BODIES[found.kind].decode(found.body)
+        body = _typed(_BODIES, found.kind).decode(found.body)
     except (msgspec.MsgspecError, IndexError) as error:
         raise PayloadRefused(f"payload refused: {error}") from error
     return Message(
@@ -122,7 +123,7 @@
 def decode_records(data: bytes) -> list[StoredRecord]:
     """Read the records of one group commit; may raise MsgspecError."""
     return [
-        cast(StoredRecord, _RECORDS[frame.kind].decode(frame.body))
+        cast(StoredRecord, _typed(_RECORDS, frame.kind).decode(frame.body))
         for frame in _FRAMES.decode(data)
     ]
 
@@ -137,6 +138,14 @@
     return _SNAPSHOT.decode(data)
 
 
+def _typed(
+    decoders: Sequence[msgspec.msgpack.Decoder], kind: int
+) -> msgspec.msgpack.Decoder:
+    if kind < 0:
+        raise IndexError(f"kind {kind} is not known")
+    return decoders[kind]
+
+
 __all__ = [
     "LogReset",
     "PayloadRefused",
