Exploration plays alike in every process; crashes at any byte

After: sorted; a test plays one run under three hash seeds. Conclusion: a seed that finds a fault can be played again anywhere.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/explore/actions.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/explore/actions.py
@@ -180,6 +180,19 @@
         cluster.cut.add((other.name, leader.name))
 
 
+def _cut_and_bounce(cluster: Cluster, draw: random.Random) -> None:
+    # One member loses its leader while another one, whose answers hold
+    # the leader's lease, restarts and may have forgotten them.
+    _cut_pair(cluster, draw)
+    for _ in range(draw.randrange(16)):
+        cluster.advance(0.1)
+        cluster.exchange()
+    _bounce(cluster, draw)
+    for _ in range(draw.randrange(8)):
+        cluster.advance(0.1)
+        cluster.exchange()
+
+
 def _heal(cluster: Cluster, draw: random.Random) -> None:
     cluster.cut.clear()
 
@@ -271,6 +284,7 @@
     "isolate": _isolate,
     "isolate_leader": _isolate_leader,
     "cut_pair": _cut_pair,
+    "cut_and_bounce": _cut_and_bounce,
     "heal": _heal,
     "fill_disk": _fill_disk,
     "free_disks": _free_disks,
@@ -304,6 +318,7 @@
     "isolate": 0.1,
     "isolate_leader": 0.2,
     "cut_pair": 0.3,
+    "cut_and_bounce": 0.1,
     "heal": 2.0,
     "fill_disk": 0.05,
     "free_disks": 1.0,
--- a/packages/sycamorestand-bench/tests/test_explore.py
+++ b/packages/sycamorestand-bench/tests/test_explore.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 import json
+import subprocess
+import sys
 from typing import Final
 
 import pytest
@@ -19,20 +21,20 @@
 
 # A seed whose run misses the safeguard. Changes of core or draws shift
 # them; then find another one with
-#   dev/bench explore --without NAME --steps 2250000
+#   dev/bench explore --without NAME --steps 9000000
 SEEDS_THAT_MISS: Final = {
-    "answer-before-sync": 82,
-    "claim-without-promise": 312,
-    "commit-earlier-terms": 520,
-    "count-own-unsynced-entries": 27,
-    "forget-promise-in-restart": 1298,
-    "lease-at-once-after-transfer": 44,
-    "read-without-round": 1142,
-    "truncate-without-conflict": 197,
-    "two-changes-at-once": 90,
-    "vote-before-sync": 498,
-    "vote-despite-promise": 93,
-    "vote-for-anyone": 2,
+    "answer-before-sync": 37,
+    "claim-without-promise": 54,
+    "commit-earlier-terms": 5876,
+    "count-own-unsynced-entries": 12,
+    "forget-promise-in-restart": 351,
+    "lease-at-once-after-transfer": 4,
+    "read-without-round": 264,
+    "truncate-without-conflict": 151,
+    "two-changes-at-once": 193,
+    "vote-before-sync": 87,
+    "vote-despite-promise": 37,
+    "vote-for-anyone": 5,
     "vote-twice": 2,
 }
 
@@ -60,7 +62,22 @@
         assert play(seed, STEPS_A_RUN).fault is None
 
     def test_equal_seeds_play_equal_runs(self) -> None:
-        assert play(3, 600) == play(3, 600)
+        # In another process sets of names have another order. A run that
+        # depended on it could not be played again after it found a fault.
+        program = (
+            "from sycamorestand_bench.explore.run import play;"
+            "print(play(520, 1500))"
+        )
+        found = {
+            subprocess.run(
+                [sys.executable, "-c", program],
+                env={"PYTHONHASHSEED": str(number)},
+                capture_output=True,
+                check=True,
+            ).stdout
+            for number in range(3)
+        }
+        assert len(found) == 1
 
     def test_the_last_line_is_json(
         self, capsys: pytest.CaptureFixture[str]
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/replication.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/replication.py
@@ -42,7 +42,9 @@
     """Follow a change of membership."""
     wanted = {m.member_id for m in state.membership}
     wanted.discard(state.member_id)
-    for member_id in wanted - state.progress.keys():
+    # Sorted, as the order of a set differs from process to process and a
+    # run that found a fault could not be played again.
+    for member_id in sorted(wanted - state.progress.keys()):
         next_index = state.log.last_index + 1
         state.progress[member_id] = Progress(next_index, state.now_s)
     for member_id in state.progress.keys() - wanted:
--- a/packages/sycamorestand-consensus/tests/test_storage.py
+++ b/packages/sycamorestand-consensus/tests/test_storage.py
@@ -5,8 +5,14 @@
 import os
 from pathlib import Path
 
+from hypothesis import given
+from hypothesis.strategies import data
+from hypothesis.strategies import DataObject
+from hypothesis.strategies import integers
+from hypothesis.strategies import sampled_from
 import pytest
 
+from sycamorestand_consensus.disk_image import DiskImage
 from sycamorestand_consensus.errors import DiskFull
 from sycamorestand_consensus.errors import LogCorrupted
 from sycamorestand_consensus.errors import StorageError
@@ -157,6 +163,40 @@
         assert indexes(reopen(tmp_path)) == [1]
 
 
+class TestAnyCrash:
+    @given(data())
+    def test_a_restart_finds_what_was_synced(
+        self, tmp_path_factory: pytest.TempPathFactory, draw: DataObject
+    ) -> None:
+        # Group commits of any shape, then a crash that leaves any part of
+        # the last one. What was synced before is there, and the last one
+        # is there as a whole or not at all.
+        folder = tmp_path_factory.mktemp("any")
+        opened = Storage(folder, SEGMENT_BYTES)
+        opened.open(known=False)
+        model = DiskImage()
+        last = 0
+        term = 1
+        for _ in range(draw.draw(integers(1, 12))):
+            batch, last, term = draw_batch(draw, last, term, model)
+            before = model.recovered()
+            paths = set(segments(folder))
+            size = segments(folder)[-1].stat().st_size
+            opened.write(batch)
+            for record in batch:
+                model.replay(record)
+        opened.close()
+        after = model.recovered()
+        path = segments(folder)[-1]
+        saved = any(isinstance(r, SaveSnapshot) for r in batch)
+        if path in paths and not saved:
+            kept = draw.draw(integers(size, path.stat().st_size))
+            path.write_bytes(path.read_bytes()[:kept])
+            assert reopen(folder) in (before, after)
+        else:
+            assert reopen(folder) == after
+
+
 class TestDamage:
     def test_a_flipped_byte_in_the_middle_stops_with_its_place(
         self, tmp_path: Path
@@ -364,6 +404,30 @@
             open_identity(tmp_path)
 
 
+def draw_batch(
+    draw: DataObject, last: int, term: int, model: DiskImage
+) -> tuple[list[Record], int, int]:
+    batch: list[Record] = []
+    first = model.recovered().snapshot.last_index + 1
+    kind = draw.draw(sampled_from(("append", "truncate", "save", "install")))
+    if kind == "truncate" and last > first:
+        last = draw.draw(integers(first, last)) - 1
+        term += 1
+        batch.append(LogTruncate(last + 1))
+        batch.append(HardState(term, "b", "c"))
+    if kind == "install":
+        last += draw.draw(integers(1, 20))
+        term += 1
+        batch.append(SaveSnapshot(snapshot(last, term), keep_log=False))
+        return batch, last, term
+    count = draw.draw(integers(1, 20))
+    batch.append(append(last + 1, last + count, term))
+    last += count
+    if kind == "save":
+        batch.append(SaveSnapshot(snapshot(last, term), keep_log=True))
+    return batch, last, term
+
+
 class SyncedNames:
     """Remembers which names each folder had at its last sync."""
 
