A customer with nothing running may use a tenth beyond the slots

Cause: with eight slots an entry the next free one is a quarter of a second away, which the flood cost small customers.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/admission.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/admission.py
@@ -27,6 +27,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Final
 from typing import NamedTuple
 
@@ -45,6 +46,11 @@
 # A long request may wait this long for the next free slot, as it would
 # have been started with a slot free.
 MIN_SLACK_S: Final = 1.0
+# A customer with nothing running or waiting may use this much more than
+# the slots. With the few slots of one entry the next free one is a quarter
+# of a second away, which others' floods would cost it. Pools of up to five
+# slots get nothing: there, one more is a large part.
+EXTRA_SHARE: Final = 0.1
 MAX_WAITING_PER_CUSTOMER: Final = 512
 MAX_WAITING_PER_POOL: Final = 2048
 BATCH_SHARE: Final = 0.1
@@ -128,7 +134,7 @@
         if now_s + least_s > ticket.deadline_s:
             pool.refused_deadline += 1
             return Refused("cannot finish in time", MIN_RETRY_AFTER_S)
-        if pool.free() > 0 and not pool.queue.waiting:
+        if pool.may_start_at_once(ticket):
             pool.queue.charge(ticket)
             self._start(pool, ticket)
             return Started(ticket.ticket_id)
@@ -168,7 +174,7 @@
         pool = self._pool_of.pop(ticket_id, None)
         if pool is None:
             return
-        ticket = pool.in_flight.pop(ticket_id, None)
+        ticket = pool.release(ticket_id)
         if ticket is not None and not failed:
             pool.times.observe(ticket.expected_s, latency_s)
 
@@ -193,7 +199,7 @@
         if pool is None:
             return
         pool.cancelled += 1
-        if pool.in_flight.pop(ticket_id, None) is None:
+        if pool.release(ticket_id) is None:
             pool.queue.remove(ticket_id)
 
     def metrics(self) -> dict[str, PoolMetrics]:
@@ -202,6 +208,7 @@
 
     def _start(self, pool: _Pool, ticket: Ticket) -> None:
         pool.in_flight[ticket.ticket_id] = ticket
+        pool.running[ticket.customer] += 1
         pool.started += 1
         self._pool_of[ticket.ticket_id] = pool
 
@@ -218,6 +225,7 @@
     def __init__(self) -> None:
         self.slots = 0
         self.in_flight: dict[int, Ticket] = {}
+        self.running: Counter[str] = Counter()
         self.queue = FairQueue(BATCH_SHARE)
         self.times = ServiceTimes()
         self.next_recheck_s = 0.0
@@ -230,6 +238,23 @@
     def free(self) -> int:
         return self.slots - len(self.in_flight)
 
+    def release(self, ticket_id: int) -> Ticket | None:
+        ticket = self.in_flight.pop(ticket_id, None)
+        if ticket is not None:
+            self.running[ticket.customer] -= 1
+            if not self.running[ticket.customer]:
+                del self.running[ticket.customer]
+        return ticket
+
+    def may_start_at_once(self, ticket: Ticket) -> bool:
+        if self.free() > 0 and not self.queue.waiting:
+            return True
+        if not self.slots or ticket.customer in self.running:
+            return False
+        extra = round(EXTRA_SHARE * self.slots)
+        waiting = self.queue.count(ticket.customer, ticket.priority)
+        return self.free() > -extra and not waiting
+
     def expected_wait_s(self, ticket: Ticket) -> float:
         """Estimate the wait for the customer's turn and a free slot."""
         before_s = self.times.mean_s(self.queue.work_before_s(ticket))
--- a/packages/sycamorestand-decisions/tests/test_admission.py
+++ b/packages/sycamorestand-decisions/tests/test_admission.py
@@ -137,6 +137,20 @@
         starts = self._drain(admission, 60, 20)
         assert sum(t.priority == "batch" for t in starts) <= 4
 
+    def test_an_idle_customer_need_not_wait_for_a_slot(self) -> None:
+        """All ten slots are taken by one customer's long requests.
+
+        Another one's request starts in the one slot that is kept beyond
+        them; its second waits like everybody's.
+        """
+        admission = admission_of(10)
+        for number in range(12):
+            admission.offer(ticket(number, "flood"), 0.0)
+        assert admission.metrics()[POOL].waiting == 2
+        assert admission.offer(ticket(50, "small"), 0.0) == Started(50)
+        assert isinstance(admission.offer(ticket(51, "small"), 0.0), Waiting)
+        assert isinstance(admission.offer(ticket(52, "third"), 0.0), Waiting)
+
     def test_starts_follow_the_weights(self) -> None:
         counts = self._starts({"a": 3.0, "b": 1.0}, 40)
         assert 28 <= counts["a"] <= 32
