First bytes tell of a slow server until its answers have ended

Cause: with ten entries each sees a slow server's first answer end only after several requests were sent to it.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ejection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ejection.py
@@ -109,6 +109,19 @@
         step = max(LATENCY_STEP, 1.0 / self.first_bytes)
         self.first_byte_s += step * (latency_s - self.first_byte_s)
 
+    def expected_s(self, typical: Typical) -> float:
+        """Return the latency to expect, from first bytes if need be.
+
+        A slow server's first answers end long after its first bytes came;
+        until then it would be taken for a typical one.
+        """
+        if not typical.latency_s or not typical.first_byte_s:
+            return self.latency_s or 1.0
+        ratio = self.latency_s / typical.latency_s if self.samples else 1.0
+        if self.first_bytes and self.samples < MIN_SAMPLES:
+            ratio = max(ratio, self.first_byte_s / typical.first_byte_s)
+        return ratio * typical.latency_s
+
     def should_eject(self, typical: Typical) -> bool:
         """Tell whether failures or latency stand out from the pool."""
         if self.half_open:
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -49,7 +49,6 @@
 # or less must not drive a session away from its cache.
 AFFINITY_SLACK: Final = 0.25
 AFFINITY_OWNERS: Final = 2
-TYPICAL_STEP: Final = 0.01
 # The pool's typical latency is learned from servers' averages, each time
 # over this many answers, so that the median needs no sort on each choice.
 TYPICAL_EVERY: Final = 32
@@ -270,7 +269,7 @@
         server = self._servers[candidate.name]
         reported = candidate.running + candidate.queued
         load = estimated_load(server.own, reported, candidate.age_s, now_s)
-        latency_s = server.health.latency_s or self._unit()
+        latency_s = server.health.expected_s(self._typical)
         warmth = server.health.warmth(now_s)
         return (load + 1.0) / (candidate.capacity * warmth) * latency_s
 
