--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/retry.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/retry.py
@@ -18,15 +18,16 @@
 # of them are tried again out of the savings; a pool that fails as a whole
 # gets 10 % more load.
 RETRY_SHARE: Final = 0.1
-CUSTOMER_SAVINGS: Final = 10.0
-# A lost server fails one full batch, 16 requests, over all entries; each
-# has savings for it. Three times as much let an entry with little traffic
-# retry three of ten requests through ten seconds of errors.
-FLEET_SAVINGS: Final = 30.0
+CUSTOMER_SAVINGS: Final = 5.0
+# What one entry holds. A lost server fails one full batch, 16 requests,
+# over ten entries, and as much until its lease ends. With 30, ten entries
+# of little traffic retried a quarter of all requests through ten seconds
+# of errors.
+FLEET_SAVINGS: Final = 10.0
 # A customer with few requests earns too little to ever retry; this gives
-# it one retry in five seconds, and all together one in two.
-TRICKLE_PER_S: Final = 0.2
-FLEET_TRICKLE_PER_S: Final = 0.5
+# it one retry in ten seconds, and all together the same.
+TRICKLE_PER_S: Final = 0.1
+FLEET_TRICKLE_PER_S: Final = 0.1
 # Two in a hundred requests may be sent twice: those beyond the 98th
 # percentile of the wait for the first byte are the ones that gain.
 HEDGE_SHARE: Final = 0.02
