--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/admission.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/admission.py
@@ -27,6 +27,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Final
 from typing import NamedTuple
 
@@ -44,13 +45,22 @@
 HOPELESS_SHARE: Final = 0.5
 # A long request may wait this long for the next free slot, as it would
 # have been started with a slot free.
-MIN_SLACK_S: Final = 0.5
+MIN_SLACK_S: Final = 1.0
+# A customer with nothing running or waiting may use this much more than
+# the slots. With the few slots of one entry the next free one is a quarter
+# of a second away, which others' floods would cost it. Pools of up to five
+# slots get nothing: there, one more is a large part.
+EXTRA_SHARE: Final = 0.1
 MAX_WAITING_PER_CUSTOMER: Final = 512
 MAX_WAITING_PER_POOL: Final = 2048
 BATCH_SHARE: Final = 0.1
 # A caller told to come back at once would only be refused again.
 MIN_RETRY_AFTER_S: Final = 0.5
 MAX_RETRY_AFTER_S: Final = 30.0
+# A waiting request is refused early where even this part of its estimated
+# wait is too long: estimates of a few slots are off by as much, and half
+# of those given up on at the whole estimate would have started in time.
+SURE_SHARE: Final = 0.6
 # Waiting requests are estimated again this often: shares change only as
 # customers come and go, and a walk over the queue costs its length.
 RECHECK_S: Final = 0.25
@@ -124,7 +134,7 @@
         if now_s + least_s > ticket.deadline_s:
             pool.refused_deadline += 1
             return Refused("cannot finish in time", MIN_RETRY_AFTER_S)
-        if pool.free() > 0 and not pool.queue.waiting:
+        if pool.may_start_at_once(ticket):
             pool.queue.charge(ticket)
             self._start(pool, ticket)
             return Started(ticket.ticket_id)
@@ -164,7 +174,7 @@
         pool = self._pool_of.pop(ticket_id, None)
         if pool is None:
             return
-        ticket = pool.in_flight.pop(ticket_id, None)
+        ticket = pool.release(ticket_id)
         if ticket is not None and not failed:
             pool.times.observe(ticket.expected_s, latency_s)
 
@@ -189,7 +199,7 @@
         if pool is None:
             return
         pool.cancelled += 1
-        if pool.in_flight.pop(ticket_id, None) is None:
+        if pool.release(ticket_id) is None:
             pool.queue.remove(ticket_id)
 
     def metrics(self) -> dict[str, PoolMetrics]:
@@ -198,6 +208,7 @@
 
     def _start(self, pool: _Pool, ticket: Ticket) -> None:
         pool.in_flight[ticket.ticket_id] = ticket
+        pool.running[ticket.customer] += 1
         pool.started += 1
         self._pool_of[ticket.ticket_id] = pool
 
@@ -214,6 +225,7 @@
     def __init__(self) -> None:
         self.slots = 0
         self.in_flight: dict[int, Ticket] = {}
+        self.running: Counter[str] = Counter()
         self.queue = FairQueue(BATCH_SHARE)
         self.times = ServiceTimes()
         self.next_recheck_s = 0.0
@@ -226,12 +238,27 @@
     def free(self) -> int:
         return self.slots - len(self.in_flight)
 
+    def release(self, ticket_id: int) -> Ticket | None:
+        ticket = self.in_flight.pop(ticket_id, None)
+        if ticket is not None:
+            self.running[ticket.customer] -= 1
+            if not self.running[ticket.customer]:
+                del self.running[ticket.customer]
+        return ticket
+
+    def may_start_at_once(self, ticket: Ticket) -> bool:
+        if self.free() > 0 and not self.queue.waiting:
+            return True
+        if not self.slots or ticket.customer in self.running:
+            return False
+        extra = round(EXTRA_SHARE * self.slots)
+        waiting = self.queue.count(ticket.customer, ticket.priority)
+        return self.free() > -extra and not waiting
+
     def expected_wait_s(self, ticket: Ticket) -> float:
-        """Estimate the wait behind the customer's own waiting work."""
-        ahead_s = self.queue.waiting_s(ticket.customer, ticket.priority)
-        slots = self.slots * self.queue.share(ticket)
-        next_free_s = ticket.expected_s / max(1, self.slots)
-        return self.times.mean_s(ahead_s) / max(slots, 0.01) + next_free_s
+        """Estimate the wait for the customer's turn and a free slot."""
+        before_s = self.times.mean_s(self.queue.work_before_s(ticket))
+        return (before_s + self.times.typical_s) / max(1, self.slots)
 
     def hopeless(self, now_s: float) -> list[Ticket]:
         """Return the waiting requests that cannot start in time."""
@@ -240,9 +267,8 @@
             return late
         self.next_recheck_s = now_s + RECHECK_S
         known = {ticket.ticket_id for ticket in late}
-        for ticket, ahead_s, latest_s in self.queue.walk():
-            slots = max(self.slots * self.queue.share(ticket), 0.01)
-            wait_s = self.times.mean_s(ahead_s) / slots
+        for ticket, before_s, latest_s in self.queue.walk():
+            wait_s = SURE_SHARE * self.times.mean_s(before_s) / self.slots
             if now_s + wait_s > latest_s and ticket.ticket_id not in known:
                 late.append(ticket)
         return late
