Entry: 'not_run' is taken back wherever an earlier attempt was written

Calls to services that may be repeated said 'not_run' when the second attempt was refused after the first had been written, and so did a chat whose last server left before its retry.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -18,6 +18,7 @@
 from sycamorestand_entry.errors import Overloaded
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import Run
+from sycamorestand_entry.errors import truthful
 from sycamorestand_entry.event_reader import EventReader
 from sycamorestand_entry.gate import DispatchIntent
 from sycamorestand_entry.gate import may_dispatch
@@ -149,9 +150,9 @@
         self._note_first_byte(server)
         try:
             check_head(head, self._reader.events if resume else None)
-        except Overloaded as error:
+        except Overloaded:
             self._leave_server("overloaded")
-            raise self._truthful(error) from None
+            raise
 
     async def _pass_gate(
         self, resume: bool, idle_s: float
@@ -170,17 +171,10 @@
             code = refusal.code
             self._context.metrics.refused_dispatches.inc({"code": code})
             if resume or not isinstance(refusal, NoBackendServer):
-                raise self._truthful(refusal)
+                raise refusal
             # It left while the connection was made; nothing was sent.
             self._failed_servers.add(server.name)
 
-    def _truthful(self, error: RequestError) -> RequestError:
-        # An earlier attempt was written, so the request may have run
-        # whatever this attempt's refusal knows of itself.
-        if self._may_have_run and error.run == "not_run":
-            error.run = "unknown"
-        return error
-
     def _note_first_byte(self, server: Announcement) -> None:
         now_s = time.monotonic()
         latency_s = now_s - self._dispatched_s
@@ -238,6 +232,8 @@
                 return
             except UpstreamError as another:
                 error = another
+            except RequestError as refusal:
+                raise truthful(refusal, self._may_have_run) from None
 
     def _may_resume(self) -> bool:
         server = self._server
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
@@ -219,6 +219,17 @@
     default_run = "unknown"
 
 
+def truthful(error: RequestError, may_have_run: bool) -> RequestError:
+    """Return the error without a ``not_run`` that is not certain.
+
+    A refusal knows of its own attempt only. Where an earlier attempt of
+    the same request was written, the request may have run.
+    """
+    if may_have_run and error.run == "not_run":
+        error.run = "unknown"
+    return error
+
+
 __all__ = [
     "AnswerNotKept",
     "BackendFailed",
@@ -243,6 +254,7 @@
     "SessionNotAllowed",
     "SessionWithdrawn",
     "StillRunning",
+    "truthful",
     "Unauthorised",
     "UnknownMethod",
     "UnknownPath",
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/repeatable.py
@@ -0,0 +1,103 @@
+"""Calls to plain services that may be repeated: two attempts at most."""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+from typing import TYPE_CHECKING
+
+from sycamorestand_entry.callers import remaining_s
+from sycamorestand_entry.errors import BackendFailed
+from sycamorestand_entry.errors import DeadlineExceeded
+from sycamorestand_entry.errors import Overloaded
+from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.errors import truthful
+from sycamorestand_entry.service_call import acquire_slot
+from sycamorestand_entry.service_call import CallFailed
+from sycamorestand_entry.service_call import exchange
+from sycamorestand_entry.service_call import ServiceAnswer
+from sycamorestand_entry.service_call import ServiceCall
+from sycamorestand_entry.upstream import ConnectFailed
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.context import EntryContext
+
+# The first try and one on a new connection, as with engines.
+MAX_ATTEMPTS: Final = 2
+SERVER_RETRY_S: Final = 1.0
+
+
+async def call_repeatable(
+    context: EntryContext, call: ServiceCall
+) -> ServiceAnswer:
+    """Return the service's answer, or refuse."""
+    slot = await acquire_slot(context, call)
+    begin_s = time.monotonic()
+    failed = True
+    try:
+        answer = await _call_in_slot(context, call)
+        failed = False
+        return answer
+    finally:
+        context.slots.finish(slot, time.monotonic() - begin_s, failed)
+
+
+async def _call_in_slot(
+    context: EntryContext, call: ServiceCall
+) -> ServiceAnswer:
+    tried: set[str] = set()
+    may_have_run = False
+    error: Exception | None = None
+    for attempt in range(MAX_ATTEMPTS):
+        try:
+            answer = await _attempt(context, call, attempt, tried)
+            context.retries.succeeded(call.customer, time.monotonic())
+            return answer
+        except ConnectFailed as failure:
+            error = failure
+        except CallFailed as failure:
+            error = failure
+            may_have_run = True
+            if not _may_retry(context, call):
+                break
+        except RequestError as refusal:
+            raise truthful(refusal, may_have_run) from None
+    failed = BackendFailed(
+        f"the service failed: {error}", SERVER_RETRY_S, "not_run"
+    )
+    raise truthful(failed, may_have_run)
+
+
+async def _attempt(
+    context: EntryContext, call: ServiceCall, attempt: int, tried: set[str]
+) -> ServiceAnswer:
+    settings = context.settings
+    limit_s = remaining_s(call.deadline_at_s)
+    if limit_s <= 0:
+        raise DeadlineExceeded("the deadline passed", run="not_run")
+    # The first byte has a budget of its own while another attempt is
+    # left: the connection may have gone silent while new ones work.
+    if attempt + 1 < MAX_ATTEMPTS:
+        limit_s = min(limit_s, settings.first_byte_timeout_s)
+    server = context.servers.choose(
+        call.service, time.monotonic(), tried, again=True
+    )
+    tried.add(server.name)
+    idle_s = settings.pool_idle_s if attempt == 0 else 0.0
+    connection = await context.pool.acquire(server.address, idle_s)
+    answer = await exchange(context, call, server, connection, limit_s, None)
+    if answer.not_run:
+        raise Overloaded("the service is overloaded", SERVER_RETRY_S)
+    return answer
+
+
+def _may_retry(context: EntryContext, call: ServiceCall) -> bool:
+    granted = context.retries.may_retry(
+        call.customer, time.monotonic(), "error"
+    )
+    result = "granted" if granted else "denied"
+    context.metrics.retries.inc({"result": result})
+    return granted
+
+
+__all__ = ["call_repeatable"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/services.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/services.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import secrets
-import time
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -15,21 +14,15 @@
 from sycamorestand_entry.callers import read_options
 from sycamorestand_entry.callers import remaining_s
 from sycamorestand_entry.claims import RecordedAnswer
-from sycamorestand_entry.errors import BackendFailed
 from sycamorestand_entry.errors import BadRequest
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import NotAllowed
-from sycamorestand_entry.errors import Overloaded
 from sycamorestand_entry.errors import RequestKeyMissing
 from sycamorestand_entry.errors import UnknownService
 from sycamorestand_entry.http_messages import read_body
 from sycamorestand_entry.once import ClaimedCall
-from sycamorestand_entry.service_call import acquire_slot
-from sycamorestand_entry.service_call import CallFailed
-from sycamorestand_entry.service_call import exchange
-from sycamorestand_entry.service_call import ServiceAnswer
+from sycamorestand_entry.repeatable import call_repeatable
 from sycamorestand_entry.service_call import ServiceCall
-from sycamorestand_entry.upstream import ConnectFailed
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
@@ -38,8 +31,6 @@
     from sycamorestand_model.declarations import Service
 
 PREFIX: Final = b"/services/"
-# The first try and one on a new connection, as with engines.
-MAX_ATTEMPTS: Final = 2
 SERVER_RETRY_S: Final = 1.0
 
 
@@ -96,16 +87,7 @@
     service: Service,
     responder: Responder,
 ) -> None:
-    slot = await acquire_slot(context, call)
-    begin_s = time.monotonic()
-    failed = True
-    try:
-        answer = await _call_repeatable(context, call)
-        failed = answer.not_run
-    finally:
-        context.slots.finish(slot, time.monotonic() - begin_s, failed)
-    if answer.not_run:
-        raise Overloaded("the service is overloaded", SERVER_RETRY_S)
+    answer = await call_repeatable(context, call)
     cost = 0
     if answer.status < 500:
         cost = await charge_once(
@@ -115,59 +97,6 @@
     await _send(responder, call, recorded, cost)
 
 
-async def _call_repeatable(
-    context: EntryContext, call: ServiceCall
-) -> ServiceAnswer:
-    failed: set[str] = set()
-    sent = False
-    error: Exception | None = None
-    settings = context.settings
-    for attempt in range(MAX_ATTEMPTS):
-        limit_s = remaining_s(call.deadline_at_s)
-        if limit_s <= 0:
-            raise DeadlineExceeded(
-                "the deadline passed", run="unknown" if sent else "not_run"
-            )
-        # The first byte has a budget of its own while another attempt is
-        # left: the connection may have gone silent while new ones work.
-        if attempt + 1 < MAX_ATTEMPTS:
-            limit_s = min(limit_s, settings.first_byte_timeout_s)
-        server = context.servers.choose(
-            call.service, time.monotonic(), failed, again=True
-        )
-        failed.add(server.name)
-        idle_s = settings.pool_idle_s if attempt == 0 else 0.0
-        try:
-            connection = await context.pool.acquire(server.address, idle_s)
-            sent = True
-            answer = await exchange(
-                context, call, server, connection, limit_s, None
-            )
-        except ConnectFailed as failure:
-            error = failure
-        except CallFailed as failure:
-            error = failure
-            if not _may_retry(context, call):
-                break
-        else:
-            context.retries.succeeded(call.customer, time.monotonic())
-            return answer
-    raise BackendFailed(
-        f"the service failed: {error}",
-        SERVER_RETRY_S,
-        "unknown" if sent else "not_run",
-    )
-
-
-def _may_retry(context: EntryContext, call: ServiceCall) -> bool:
-    granted = context.retries.may_retry(
-        call.customer, time.monotonic(), "error"
-    )
-    result = "granted" if granted else "denied"
-    context.metrics.retries.inc({"result": result})
-    return granted
-
-
 async def _answer_once(
     context: EntryContext,
     call: ServiceCall,
--- a/packages/sycamorestand-entry/tests/test_gate.py
+++ b/packages/sycamorestand-entry/tests/test_gate.py
@@ -119,6 +119,32 @@
             assert (error["code"], error["run"]) == ("no_version", "unknown")
             assert len(engine.records) == 1
 
+    async def test_last_server_leaves_before_a_retry(self) -> None:
+        """The only engine breaks off and leaves before the retry.
+
+        There is nobody to retry at, and the first attempt may have run.
+        """
+        async with start_loopback() as loopback:
+            engine = FakeEngine("engine-1", (LARGE,))
+            engine.switch.fault = Fault("late")
+            await loopback.add_engine(engine)
+            answers: list[Answer] = []
+
+            async def ask() -> None:
+                answers.append(await loopback.chat())
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                with anyio.fail_after(10):
+                    while not engine.records:
+                        await anyio.sleep(0.01)
+                loopback.control.servers.clear()
+            error = answers[0].json()["error"]
+            assert (error["code"], error["run"]) == (
+                "no_backend_server",
+                "unknown",
+            )
+
     async def test_leaving_server_gets_no_new_work(self) -> None:
         async with start_loopback() as loopback:
             engine = FakeEngine("engine-1", (LARGE,))
