--- a/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/scenario_table.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/scenario_table.py
@@ -115,12 +115,12 @@
     Scenario(
         "saturation-1.5x",
         saturation_1_5,
-        (*ROUTING_SHOWN, "useful", "refusal_p99_ms"),
+        (*ROUTING_SHOWN, "useful", "refused_at_once"),
     ),
     Scenario(
         "saturation-3x",
         saturation_3,
-        (*ROUTING_SHOWN, "useful", "refusal_p99_ms"),
+        (*ROUTING_SHOWN, "useful", "refused_at_once"),
         SATURATION_GOALS,
     ),
     Scenario("server-lost", server_lost, ROUTING_SHOWN),
@@ -157,7 +157,7 @@
         "rollout-one-class",
         of_fault(rollout, "one-class"),
         EXPOSURE_SHOWN,
-        (EXPOSED_GOAL,),
+        (EXPOSED_GOAL, STOPPED_GOAL),
     ),
     Scenario(
         "rollout-interrupted",
--- a/packages/sycamorestand-control/src/sycamorestand_control/hub.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/hub.py
@@ -70,6 +70,10 @@
         """Return the VMs of the entries that this process serves."""
         return tuple(entry.vm for entry in self._attached.values())
 
+    def attached_addresses(self) -> tuple[str, ...]:
+        """Return the peer addresses of the entries served here."""
+        return tuple(self._attached)
+
     def lease_requested(self, sender: str, message: LeaseRequest) -> None:
         """Renew an entry's lease, and send it what it lacks."""
         entry = self._entry(sender, message)
@@ -86,9 +90,15 @@
     async def run(self) -> None:
         """Keep entries' tables and addresses fresh, until cancelled."""
         next_slow_s = 0.0
+        stopping: frozenset[str] = frozenset()
         while True:
             await anyio.sleep(TICK_S)
             now_s = boottime_s()
+            if stopping != self._tables.stopping_vms():
+                # Callers must be sent elsewhere before the VM is gone; a
+                # change of load alone can wait.
+                stopping = self._tables.stopping_vms()
+                self._push_addresses()
             self._detach_silent(now_s)
             for entry in self._attached.values():
                 self._tables.send_to_entry(entry.address)
@@ -163,6 +173,7 @@
         for address, entry in list(self._attached.items()):
             if now_s - entry.heard_s > DETACH_AFTER_S:
                 del self._attached[address]
+                self._mesh.forget(address)
                 LOG.info("entry detached", extra={"entry": entry.vm})
 
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -18,6 +18,7 @@
 from sycamorestand_entry.application import make_application
 from sycamorestand_entry.context import EntryContext
 from sycamorestand_entry.http_protocol import EntryProtocol
+from sycamorestand_entry.state_log import log_changes
 
 if TYPE_CHECKING:
     from sycamorestand_entry.ports import ControlPort
@@ -54,7 +55,17 @@
     async def wait_for_stop(self) -> None:
         """Return when new connections need not be accepted any more."""
         await self._stop.wait()
-        await anyio.sleep(self._context.settings.address_ttl_s)
+        await anyio.sleep(accepting_s(self._context.settings))
+
+
+def accepting_s(settings: EntrySettings) -> float:
+    """Return how long a stopping entry still takes new connections.
+
+    Other entries go on handing out its address until they hear of the
+    stop, and the last caller to get it keeps it for the time-to-live. With
+    less, that caller finds nobody at an address it was told to use.
+    """
+    return settings.address_spread_s + settings.address_ttl_s
 
 
 async def serve_entry(
@@ -79,6 +90,7 @@
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(context.slots.keep_ticking)
+                group.start_soon(log_changes, context)
                 group.start_soon(_stop_later, entry, server)
                 task_status.started(entry)
                 await server.serve(sockets=[listener])
@@ -147,4 +159,4 @@
     )
 
 
-__all__ = ["RunningEntry", "serve_entry"]
+__all__ = ["accepting_s", "RunningEntry", "serve_entry"]
--- a/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
@@ -31,6 +31,7 @@
 from sycamorestand_state.codec import fingerprint
 from sycamorestand_state.commands import ANY_REVISION
 from sycamorestand_state.commands import ApplyDeclarations
+from sycamorestand_state.commands import BASED_KINDS
 from sycamorestand_state.commands import Change
 from sycamorestand_state.commands import CreateCluster
 from sycamorestand_state.commands import decode_command
@@ -44,7 +45,6 @@
 from sycamorestand_state.commands import StartRollout
 from sycamorestand_state.commands import StopRollout
 from sycamorestand_state.commands import SYSTEM
-from sycamorestand_state.commands import UNBASED_KINDS
 from sycamorestand_state.commands import UndrainVm
 from sycamorestand_state.commands import Withdraw
 from sycamorestand_state.configuration_state import ConfigurationState
@@ -182,7 +182,7 @@
         content = fingerprint((type(command).__name__, _content(command)))
         known = self._answers.get(command.change_id)
         if known is not None:
-            return self._answer_again(known, content)
+            return self._answer_again(index, command, known, content)
         decision = self._decide(command)
         result = self._commit(index, command, decision)
         remember(
@@ -192,14 +192,16 @@
         )
         return result
 
-    def _answer_again(self, known: Answered, content: bytes) -> ChangeResult:
+    def _answer_again(
+        self, index: int, command: Change, known: Answered, content: bytes
+    ) -> ChangeResult:
         if known.fingerprint == content:
             return known.result._replace(duplicate=True)
-        return ChangeResult(
-            "refused",
-            self.revision,
+        decision = refused(
+            self._state,
             "this change id was used for another change; choose a new one",
         )
+        return self._commit(index, command, decision)
 
     def _decide(self, command: Change) -> Decision:
         finding = self._envelope_finding(command)
@@ -225,7 +227,7 @@
         if isinstance(command, CreateCluster):
             return ()
         base = command.base_revision
-        if base == ANY_REVISION and isinstance(command, UNBASED_KINDS):
+        if base == ANY_REVISION and not isinstance(command, BASED_KINDS):
             return ()
         if base == self.revision:
             return ()
