--- a/packages/sycamorestand-bench/src/sycamorestand_bench/control_bench/system.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/control_bench/system.py
@@ -34,6 +34,7 @@
         self.cluster = cluster
         self._document = to_document(load_folder(EXAMPLE).declarations)
         self._price = 100
+        self._revision = 0
         self._killed: set[str] = set()
 
     def start(self, ledger_shards: int = 1) -> None:
@@ -85,15 +86,22 @@
                 await anyio.sleep(POLL_S)
 
     async def apply(self, client: ControlClient) -> int:
-        """Apply declarations with another price; return the revision."""
+        """Apply declarations with another price; return the revision.
+
+        Only the first apply has to ask for its base: nobody else makes
+        changes here.
+        """
+        if not self._revision:
+            status = await client.ask("/status", {})
+            self._revision = status["revision"]
         self._price += 1
         version = self._document["models"][PRICED_MODEL]["versions"]["3"]
         version["input_micros_per_mtoken"] = self._price
         answer = await client.change("/changes", self._change())
         if answer["outcome"] not in ("accepted", "duplicate"):
             raise RuntimeError(f"the bench's change: {answer}")
-        revision: int = answer["revision"]
-        return revision
+        self._revision = int(answer["revision"])
+        return self._revision
 
     async def wait_in_force(
         self, client: ControlClient, revision: int
@@ -127,6 +135,7 @@
         return {
             "change_id": secrets.token_hex(8),
             "kind": "apply",
+            "base_revision": self._revision,
             "declarations": self._document,
             "message": "bench",
         }
