Metrics of the control process; its operators' address bound at start

Cause: an operator sees a control process by its metrics, and it had none. Found by the first test that restarts one in place: uvicorn ends the whole process with SystemExit where its port is taken, and a planned stop cut operators' requests that ran. Four tests run a real control process alone: change and restart, in force only after the old leases, metrics, taken address.

--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -0,0 +1,144 @@
+"""What a control process shows to Prometheus, read when it is asked."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import TYPE_CHECKING
+
+from aioprometheus.collectors import Counter
+from aioprometheus.collectors import Gauge
+from aioprometheus.collectors import Registry
+from aioprometheus.renderer import render
+
+if TYPE_CHECKING:
+    from sycamorestand_control.ledger_writer import LedgerWriter
+    from sycamorestand_control.operator_backend import Parts
+
+PREFIX: Final = "sycamorestand_control_"
+PROMETHEUS_TEXT: Final = ["text/plain"]
+
+
+class ControlMetrics:
+    """The gauges of one control process in a registry of their own.
+
+    The parts keep plain counters; copying them at each scrape costs the
+    event loop nothing in between.
+    """
+
+    def __init__(self, parts: Parts, writers: list[LedgerWriter]) -> None:
+        self._parts = parts
+        self._writers = writers
+        self._registry = Registry()
+        self.refusals = Counter(
+            PREFIX + "operator_refusals_total",
+            "Operators' requests refused, by code",
+            registry=self._registry,
+        )
+        self._gauges: dict[str, Gauge] = {}
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        self._read_logs()
+        self._read_leases()
+        self._read_tables()
+        self._read_links()
+        self._read_ledger()
+        content: bytes = render(self._registry, PROMETHEUS_TEXT)[0]
+        return content
+
+    def _read_logs(self) -> None:
+        for group, replica in self._parts.groups.replicas.items():
+            status = replica.status()
+            labels = {"log": str(group)}
+            self._set("log_term", "Term of a log", status.term, labels)
+            self._set(
+                "log_commit_index",
+                "Committed entries of a log",
+                status.commit_index,
+                labels,
+            )
+            self._set(
+                "log_leads",
+                "1 where this voter leads the log",
+                status.role == "leader",
+                labels,
+            )
+            self._set(
+                "log_disk_full",
+                "1 where the voter steps aside for want of disk",
+                status.state == "disk_full",
+                labels,
+            )
+
+    def _read_leases(self) -> None:
+        parts = self._parts
+        revision = parts.configuration.revision
+        answer = parts.leases.in_force(revision)
+        self._set("revision", "Configuration revision applied here", revision)
+        self._set(
+            "in_force",
+            "1 where the leader knows the revision in force everywhere",
+            bool(answer and answer.in_force),
+        )
+        self._set(
+            "lease_remaining_seconds",
+            "How long this process may still grant leases",
+            parts.leases.remaining_s(),
+        )
+        self._set(
+            "live_entry_leases",
+            "Entries of this process whose lease may run",
+            len(parts.leases.live_entries()),
+        )
+
+    def _read_tables(self) -> None:
+        tables = self._parts.tables
+        self._set("entries", "Entries known", len(tables.entries()))
+        self._set(
+            "backend_servers", "Backend servers known", len(tables.servers())
+        )
+        self._set(
+            "table_resyncs_total", "Gaps found by digest", tables.resyncs
+        )
+        self._set(
+            "joiners_waiting",
+            "Control processes that ask to replace a voter",
+            len(self._parts.admissions.waiting()),
+        )
+
+    def _read_links(self) -> None:
+        for name, count in vars(self._parts.mesh.counters).items():
+            if isinstance(count, int):
+                self._set(f"link_{name}_total", f"Links: {name}", count)
+
+    def _read_ledger(self) -> None:
+        for shard, writer in enumerate(self._writers):
+            labels = {"shard": str(shard)}
+            self._set(
+                "ledger_records_total",
+                "Ledger records gathered here",
+                writer.records,
+                labels,
+            )
+            self._set(
+                "ledger_proposals_total",
+                "Proposals that carried them",
+                writer.proposals,
+                labels,
+            )
+
+    def _set(
+        self,
+        name: str,
+        help_text: str,
+        value: float,
+        labels: dict[str, str] | None = None,
+    ) -> None:
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = Gauge(PREFIX + name, help_text, registry=self._registry)
+            self._gauges[name] = gauge
+        gauge.set(labels or {}, float(value))
+
+
+__all__ = ["ControlMetrics"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/app.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/app.py
@@ -22,6 +22,7 @@
 from sycamorestand_control.operator_api.asgi import read_json
 from sycamorestand_control.operator_api.asgi import Receive
 from sycamorestand_control.operator_api.asgi import respond
+from sycamorestand_control.operator_api.asgi import respond_text
 from sycamorestand_control.operator_api.asgi import Response
 from sycamorestand_control.operator_api.asgi import Scope
 from sycamorestand_control.operator_api.asgi import Send
@@ -50,6 +51,7 @@
 logger = logging.getLogger(__name__)
 
 BEARER: Final = "bearer "
+METRICS_PATH: Final = "/metrics"
 RESEND_HINT: Final = (
     "the outcome is unknown; resend the same change id to any control "
     "process to learn it"
@@ -60,10 +62,16 @@
     """Stand in where nobody counts refusals."""
 
 
+def _render_nothing() -> bytes:
+    """Stand in where there are no metrics."""
+    return b""
+
+
 def make_operator_app(
     backend: OperatorBackend,
     authenticate: Authenticate,
     count_refusal: Callable[[str], None] = _count_nothing,
+    render_metrics: Callable[[], bytes] = _render_nothing,
 ) -> AsgiApp:
     """Return the application; refusals are counted by their code."""
     checks = CapacityLimiter(1)
@@ -71,6 +79,8 @@
     async def app(scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] == "lifespan":
             await answer_lifespan(receive, send)
+        elif scope["type"] == "http" and scope["path"] == METRICS_PATH:
+            await respond_text(send, render_metrics())
         elif scope["type"] == "http":
             response = await answer(scope, receive)
             await respond(send, response)
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/asgi.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/asgi.py
@@ -83,19 +83,14 @@
 async def respond(send: Send, response: Response) -> None:
     """Send a whole response."""
     content = msgspec.json.encode(response.body)
-    await send(
-        {
-            "type": "http.response.start",
-            "status": response.status,
-            "headers": [
-                (b"content-type", b"application/json"),
-                (b"content-length", str(len(content)).encode()),
-                (b"cache-control", b"no-store"),
-                *response.headers,
-            ],
-        }
+    await _send_whole(
+        send, response.status, b"application/json", content, response.headers
     )
-    await send({"type": "http.response.body", "body": content})
+
+
+async def respond_text(send: Send, content: bytes) -> None:
+    """Send a page of plain text, such as the metrics."""
+    await _send_whole(send, 200, b"text/plain; version=0.0.4", content, ())
 
 
 async def answer_lifespan(receive: Receive, send: Send) -> None:
@@ -140,6 +135,28 @@
     )
 
 
+async def _send_whole(
+    send: Send,
+    status: int,
+    content_type: bytes,
+    content: bytes,
+    headers: tuple[tuple[bytes, bytes], ...],
+) -> None:
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [
+                (b"content-type", content_type),
+                (b"content-length", str(len(content)).encode()),
+                (b"cache-control", b"no-store"),
+                *headers,
+            ],
+        }
+    )
+    await send({"type": "http.response.body", "body": content})
+
+
 __all__ = [
     "answer_lifespan",
     "AsgiApp",
@@ -148,6 +165,7 @@
     "read_json",
     "Receive",
     "respond",
+    "respond_text",
     "Response",
     "Scope",
     "Send",
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-import contextlib
 import logging
 import secrets
 import time
@@ -14,7 +12,6 @@
 import anyio
 from anyio.abc import TaskStatus
 import msgspec
-import uvicorn
 
 from sycamorestand_consensus.errors import ConsensusError
 from sycamorestand_consensus.settings import ReplicaSettings
@@ -30,10 +27,12 @@
 from sycamorestand_control.ledger_writer import LedgerWriter
 from sycamorestand_control.membership import Admissions
 from sycamorestand_control.membership import ask_to_join
+from sycamorestand_control.metrics import ControlMetrics
 from sycamorestand_control.operator_api.app import make_operator_app
 from sycamorestand_control.operator_api.authentication import make_authenticate
 from sycamorestand_control.operator_backend import ControlBackend
 from sycamorestand_control.operator_backend import Parts
+from sycamorestand_control.operator_server import OperatorServer
 from sycamorestand_control.rating_exchange import RatingExchange
 from sycamorestand_control.tables import ControlName
 from sycamorestand_control.tables import SharedTables
@@ -119,21 +118,21 @@
             LedgerWriter(self._shard_proposer(number))
             for number in range(settings.ledger_shards)
         ]
-        self.backend = ControlBackend(
-            Parts(
-                settings.vm,
-                settings.data_centre,
-                self.mesh,
-                self.groups,
-                self.configuration,
-                self.leases,
-                self.tables,
-                LedgerReader(self.shards),
-                self.admissions,
-                self.keeper,
-                lambda: settings.cluster_keys[0],
-            )
+        parts = Parts(
+            settings.vm,
+            settings.data_centre,
+            self.mesh,
+            self.groups,
+            self.configuration,
+            self.leases,
+            self.tables,
+            LedgerReader(self.shards),
+            self.admissions,
+            self.keeper,
+            lambda: settings.cluster_keys[0],
         )
+        self.backend = ControlBackend(parts)
+        self.metrics = ControlMetrics(parts, self.writers)
         self._tasks: anyio.abc.TaskGroup | None = None
         self._handlers = self._handler_table()
 
@@ -158,12 +157,14 @@
                 *(writer.run for writer in self.writers),
             ):
                 tasks.start_soon(part)
-            server = _operator_server(self)
-            tasks.start_soon(server.serve)
+            operators = self._operator_server()
+            tasks.start_soon(operators.run)
             await self._form_cluster()
             task_status.started()
             await stop.wait()
-            await self._stop(server)
+            LOG.info("planned stop begins")
+            await self._hand_over()
+            await operators.stop()
             tasks.cancel_scope.cancel()
 
     async def _form_cluster(self) -> None:
@@ -206,13 +207,27 @@
         if result.outcome == "refused" and self.configuration.cluster is None:
             raise StartRefused(result.message)
 
-    async def _stop(self, server: uvicorn.Server) -> None:
-        LOG.info("planned stop begins")
+    async def _hand_over(self) -> None:
         try:
             await self.groups.hand_over()
         except ConsensusError as error:
             LOG.warning("leadership kept", extra={"reason": str(error)})
-        server.should_exit = True
+
+    def _operator_server(self) -> OperatorServer:
+        settings = self._settings
+        authenticate = make_authenticate(
+            lambda: self.configuration.in_force().declarations,
+            settings.first_operator_key_hash,
+        )
+        application = make_operator_app(
+            self.backend,
+            authenticate,
+            lambda code: self.metrics.refusals.inc({"code": code}),
+            self.metrics.render,
+        )
+        return OperatorServer(
+            application, settings.operator_host, settings.operator_port
+        )
 
     def _others(self) -> tuple[str, ...]:
         """Return the peer addresses of all other control processes."""
@@ -346,34 +361,4 @@
         self._risen()
 
 
-class _Server(uvicorn.Server):
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        # Signals belong to the process, which turns them into a planned
-        # stop.
-        yield
-
-
-def _operator_server(process: ControlProcess) -> uvicorn.Server:
-    settings = process._settings
-    authenticate = make_authenticate(
-        lambda: process.configuration.in_force().declarations,
-        settings.first_operator_key_hash,
-    )
-    application: Any = make_operator_app(process.backend, authenticate)
-    return _Server(
-        uvicorn.Config(
-            application,
-            host=settings.operator_host,
-            port=settings.operator_port,
-            http="httptools",
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            server_header=False,
-        )
-    )
-
-
 __all__ = ["ControlProcess"]
--- /dev/null
+++ b/packages/sycamorestand-control/tests/test_process.py
@@ -0,0 +1,137 @@
+"""One control process, alone, on loopback: the smallest real cluster."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import contextlib
+from pathlib import Path
+import socket
+
+import anyio
+import httpcore
+import pytest
+
+from sycamorestand_control.errors import StartRefused
+from sycamorestand_control.operator_api.types import ChangeRequest
+from sycamorestand_control.process import ControlProcess
+from sycamorestand_control.settings import ControlSettings
+from sycamorestand_model.keys import hash_key
+
+pytestmark = pytest.mark.anyio
+WAIT_S = 20
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def settings_in(folder: Path, **changes: object) -> ControlSettings:
+    settings = ControlSettings(
+        vm="control-1",
+        data_centre="dalton",
+        peer_address=f"127.0.0.1:{free_port()}",
+        data_folder=folder,
+        cluster_keys=(b"k" * 32,),
+        operator_port=free_port(),
+        first_start=True,
+        first_operator_key_hash=hash_key("admin"),
+        voters_wanted=1,
+    )
+    return settings._replace(**changes)
+
+
+@contextlib.asynccontextmanager
+async def running(
+    settings: ControlSettings,
+) -> AsyncIterator[ControlProcess]:
+    process = ControlProcess(settings)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(process.run, stop)
+        with anyio.fail_after(WAIT_S):
+            while not process.backend.ready():
+                await anyio.sleep(0.02)
+        yield process
+        stop.set()
+
+
+def drain(change_id: str, vm: str) -> ChangeRequest:
+    return ChangeRequest(change_id, "drain", None, vm, operator="ann")
+
+
+class TestControlProcess:
+    async def test_a_change_is_in_force_and_survives_a_restart(
+        self, tmp_path: Path
+    ) -> None:
+        """A change is accepted, the process ends, another one starts.
+
+        It reads the change from its folder; the setting that made the
+        cluster is still there and makes no second one.
+        """
+        settings = settings_in(tmp_path)
+        async with running(settings) as process:
+            answer = await process.backend.change(drain("1", "vm-9"))
+            assert answer.outcome == "accepted"
+            cluster = process.configuration.cluster
+        async with running(settings) as process:
+            in_force = process.configuration.in_force()
+            assert in_force.revision == answer.revision
+            assert in_force.draining_vms == ("vm-9",)
+            assert process.configuration.cluster == cluster
+
+    async def test_a_lone_process_says_in_force_only_after_old_leases(
+        self, tmp_path: Path
+    ) -> None:
+        """The process was restarted; entries may hold its old leases.
+
+        It cannot know them, so it says nothing is in force until the
+        longest of them has run out, and then it does.
+        """
+        async with running(settings_in(tmp_path)) as process:
+            answer = await process.backend.change(drain("1", "vm-9"))
+            first = await process.backend.in_force(answer.revision)
+            assert not first.in_force
+            with anyio.fail_after(WAIT_S):
+                while not (
+                    await process.backend.in_force(answer.revision)
+                ).in_force:
+                    await anyio.sleep(0.05)
+
+    async def test_metrics_and_health_need_no_key(
+        self, tmp_path: Path
+    ) -> None:
+        settings = settings_in(tmp_path)
+        async with running(settings) as process:
+            base = f"http://127.0.0.1:{settings.operator_port}"
+            async with httpcore.AsyncConnectionPool() as pool:
+                refused = await pool.request(
+                    "GET", f"{base}/operator/v1/status"
+                )
+                assert refused.status == 401
+                page = await pool.request("GET", f"{base}/metrics")
+                ready = await pool.request("GET", f"{base}/readyz")
+            text = page.content.decode()
+            revision = process.configuration.revision
+        assert ready.status == 200
+        assert f"sycamorestand_control_revision {revision}" in text
+        assert 'operator_refusals_total{code="unauthenticated"} 1' in text
+        assert 'sycamorestand_control_log_leads{log="0"} 1' in text
+
+    async def test_a_taken_address_is_one_clear_error(
+        self, tmp_path: Path
+    ) -> None:
+        """Another program listens where operators are to connect."""
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            port = taken.getsockname()[1]
+            settings = settings_in(tmp_path, operator_port=port)
+            process = ControlProcess(settings)
+            with pytest.raises(ExceptionGroup) as caught:
+                await process.run(anyio.Event())
+        refused = caught.value.subgroup(StartRefused)
+        assert refused is not None
+        assert str(port) in str(refused.exceptions[0])
