replace-voter tells a half-made change from a refused one

Cause: after the configuration's log had its new voter, a refusal of the ledger's log was answered as 'refused', which says nothing was changed. Now the outcome is unknown with what is done and what to repeat.

--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -202,9 +202,14 @@
             reply = await self._lead_or_ask(
                 REPLACE, payload, REPLACE_TIMEOUT_S, group
             )
+            if reply.failure and group == CONFIGURATION_GROUP:
+                return ChangeAnswer("refused", revision, reply.failure)
             if reply.failure:
-                message = f"log {group}: {reply.failure}; it is safe to repeat"
-                return ChangeAnswer("refused", revision, message)
+                # "Refused" would say that nothing was changed.
+                raise OutcomeUnknown(
+                    f"earlier logs are done, log {group} is not:"
+                    f" {reply.failure}; repeat the command"
+                )
         return ChangeAnswer("accepted", revision, "the voter is replaced")
 
     async def rollouts(self) -> tuple[RolloutRow, ...]:
