Ledger batches stay under the log's largest command

Cause, found by reading: 512 records with 64 KB answers gathered into one command are 32 MB; the log refuses above 1 MB, and the client sent the same batch again until its records were given up.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/ledger_client.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/ledger_client.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
     from collections.abc import Sequence
 
     from sycamorestand_model.ledger import LedgerRecord
@@ -36,6 +37,10 @@
 # better answered with what is known.
 TOTAL_TIMEOUT_S: Final = 4.0
 MAX_BATCH_RECORDS: Final = 512
+# Recorded answers make records large. A command above the log's bound is
+# refused however often it is sent, and all that were gathered with it.
+MAX_BATCH_BYTES: Final = 256 * 1024
+RECORD_BYTES: Final = 256
 # A ledger that answers slowly must not gather an unbounded queue here.
 MAX_WAITING_RECORDS: Final = 20_000
 
@@ -107,12 +112,13 @@
         return item
 
     def _take_all(self) -> list[tuple[int, list[_Waiting]]]:
-        batches = []
-        for shard, items in self._waiting.items():
-            for start in range(0, len(items), MAX_BATCH_RECORDS):
-                batches.append((shard, items[start:][:MAX_BATCH_RECORDS]))
+        waiting = self._waiting
         self._waiting = {}
-        return batches
+        return [
+            (shard, batch)
+            for shard, items in waiting.items()
+            for batch in _bounded_batches(items)
+        ]
 
     async def _send(self, shard: int, batch: list[_Waiting]) -> None:
         command = encode_batch([item.record for item in batch], 0.0)
@@ -153,4 +159,19 @@
         return msgspec.msgpack.decode(reply.payload, type=list[LedgerResult])
 
 
+def _bounded_batches(items: list[_Waiting]) -> Iterator[list[_Waiting]]:
+    batch: list[_Waiting] = []
+    size_bytes = 0
+    for item in items:
+        item_bytes = RECORD_BYTES + len(getattr(item.record, "answer", b""))
+        over = size_bytes + item_bytes > MAX_BATCH_BYTES
+        if batch and (over or len(batch) >= MAX_BATCH_RECORDS):
+            yield batch
+            batch, size_bytes = [], 0
+        batch.append(item)
+        size_bytes += item_bytes
+    if batch:
+        yield batch
+
+
 __all__ = ["LedgerClient"]
