Tests of leases and hub over a clock and a log in memory

Cause: both levels of leases were only run with real processes, where a cut-off control process or a deposed leader are rare. Nine tests play them: behind, no quorum, ends before its granter's, in force only after the last live entry, a new leader's wait, a deposed leader's silence.

--- /dev/null
+++ b/packages/sycamorestand-control/tests/test_hub.py
@@ -0,0 +1,257 @@
+"""The hub and the lease service, over a log and a mesh in memory."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from sycamorestand_control.hub import EntryHub
+from sycamorestand_control.lease_service import LeaseService
+from sycamorestand_control.tables import ControlName
+from sycamorestand_control.tables import SharedTables
+from sycamorestand_model.in_force import InForce
+from sycamorestand_model.nodes import EntryAddress
+from sycamorestand_peer.messages import AddressList
+from sycamorestand_peer.messages import ConfigurationPush
+from sycamorestand_peer.messages import ControlLeaseGranted
+from sycamorestand_peer.messages import ControlLeaseRequest
+from sycamorestand_peer.messages import LeaseDenied
+from sycamorestand_peer.messages import LeaseGrantMessage
+from sycamorestand_peer.messages import LeaseRequest
+
+pytestmark = pytest.mark.anyio
+ENTRY = "127.0.0.1:9001"
+# Longer than any lease that a granter may have forgotten.
+AFTER_OLD_LEASES_S = 10.0
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_s = 1_000.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+class FakeMesh:
+    address = "127.0.0.1:8001"
+    incarnation = 1
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, Any]] = []
+
+    def send(self, address: str, message: Any) -> None:
+        self.sent.append((address, message))
+
+    def forget(self, address: str) -> None: ...
+
+    def take(self, kind: type) -> list[Any]:
+        """Return the messages of a kind that were sent since."""
+        found = [m for _, m in self.sent if isinstance(m, kind)]
+        self.sent = [(a, m) for a, m in self.sent if not isinstance(m, kind)]
+        return found
+
+
+class FakeReplica:
+    """A log that this process leads while it has a quorum."""
+
+    def __init__(self) -> None:
+        self.role = "leader"
+        self.term = 1
+        self.lease_s = 0.7
+
+    def status(self) -> FakeReplica:
+        return self
+
+    def leader_lease_remaining_s(self) -> float:
+        return self.lease_s
+
+    async def read_barrier(self) -> None: ...
+
+
+class FakeGroups:
+    def __init__(self, replica: FakeReplica) -> None:
+        self.replicas = {0: replica}
+
+    def leader_address(self, group: int) -> str:
+        return "127.0.0.1:8002"
+
+
+class Scene:
+    """One control process that leads, and the entries that ask it."""
+
+    def __init__(self) -> None:
+        self.mesh = FakeMesh()
+        self.replica = FakeReplica()
+        self.configuration = InForce(revision=1)
+        mesh: Any = self.mesh
+        groups: Any = FakeGroups(self.replica)
+        self.leases = LeaseService(
+            mesh, groups, lambda: self.configuration.revision
+        )
+        self.tables = SharedTables(mesh, ControlName("c", "d"), lambda: ())
+        self.hub = EntryHub(
+            mesh,
+            self.leases,
+            self.tables,
+            lambda: self.configuration,
+            lambda: ("127.0.0.1:8002",),
+        )
+        self._sequence = 0
+
+    async def renew_own(self) -> None:
+        await self.leases._follow_term()
+        self.leases._renew()
+
+    def apply(self, revision: int) -> None:
+        self.configuration = InForce(revision=revision)
+        self.leases.revision_applied()
+        self.hub.revision_applied()
+
+    def ask(
+        self, acked_revision: int, vm: str = "vm-1", sender: str = ENTRY
+    ) -> None:
+        self._sequence += 1
+        address = EntryAddress(vm, "dalton", "127.0.0.1", 80)
+        request = LeaseRequest(
+            address, 5, self._sequence, 77.0, acked_revision
+        )
+        self.hub.lease_requested(sender, request)
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    for module in ("hub", "lease_service"):
+        name = f"sycamorestand_control.{module}.boottime_s"
+        monkeypatch.setattr(name, clock)
+    return clock
+
+
+@pytest.fixture
+async def scene(clock: Clock) -> Scene:
+    scene = Scene()
+    await scene.renew_own()
+    clock.now_s += AFTER_OLD_LEASES_S
+    await scene.renew_own()
+    return scene
+
+
+class TestEntryLease:
+    async def test_an_entry_with_the_newest_revision_gets_one(
+        self, scene: Scene
+    ) -> None:
+        scene.ask(1)
+        (grant,) = scene.mesh.take(LeaseGrantMessage)
+        assert grant.sent_at_s == 77.0
+        assert 0 < grant.length_s <= 2.0
+
+    async def test_an_entry_behind_gets_the_revision_first(
+        self, scene: Scene
+    ) -> None:
+        """An entry starts, or was cut off while a version was withdrawn.
+
+        It is refused a lease and sent the newest configuration; once it
+        has acknowledged that, it gets the lease.
+        """
+        scene.ask(0)
+        (denied,) = scene.mesh.take(LeaseDenied)
+        assert denied.reason == "behind"
+        (push,) = scene.mesh.take(ConfigurationPush)
+        assert push.in_force.revision == 1
+        scene.ask(1)
+        assert scene.mesh.take(LeaseGrantMessage)
+
+    async def test_without_a_quorum_no_lease_is_granted(
+        self, scene: Scene, clock: Clock
+    ) -> None:
+        """The process is on the far side of a partition for long.
+
+        Its own lease runs out, and with it every lease that it gives;
+        the entry is told of the other control processes.
+        """
+        scene.replica.lease_s = 0.0
+        for _ in range(10):
+            clock.now_s += 0.4
+            await scene.renew_own()
+        scene.ask(1)
+        (denied,) = scene.mesh.take(LeaseDenied)
+        assert denied.reason == "no_quorum"
+        assert denied.controls == ("127.0.0.1:8002",)
+
+    async def test_an_entry_lease_ends_before_its_granters(
+        self, scene: Scene, clock: Clock
+    ) -> None:
+        scene.replica.lease_s = 0.0
+        clock.now_s += 1.5
+        scene.ask(1)
+        (grant,) = scene.mesh.take(LeaseGrantMessage)
+        assert grant.length_s < scene.leases.remaining_s()
+
+
+class TestInForce:
+    async def test_it_waits_for_the_last_live_entry(
+        self, scene: Scene, clock: Clock
+    ) -> None:
+        """A version is withdrawn while one entry is silent.
+
+        The revision is in force only when that entry's lease has run
+        out: until then it may give the version new work.
+        """
+        scene.ask(1)
+        scene.ask(1, "vm-2", "127.0.0.1:9002")
+        await scene.renew_own()
+        scene.apply(2)
+        scene.ask(2)
+        await scene.renew_own()
+        status = scene.leases.in_force(2)
+        assert status is not None
+        assert not status.in_force
+        clock.now_s += 2.1
+        scene.ask(2)
+        await scene.renew_own()
+        status = scene.leases.in_force(2)
+        assert status is not None
+        assert status.in_force
+
+    async def test_a_new_leader_waits_out_its_predecessors_leases(
+        self, scene: Scene
+    ) -> None:
+        scene.replica.term = 2
+        await scene.renew_own()
+        status = scene.leases.in_force(1)
+        assert status is not None
+        assert not status.in_force
+
+    async def test_a_deposed_leader_says_nothing(self, scene: Scene) -> None:
+        scene.replica.role = "follower"
+        assert scene.leases.in_force(1) is None
+        request = ControlLeaseRequest("127.0.0.1:8003", 1.0, 1, 1)
+        scene.leases.request_received("127.0.0.1:8003", request)
+        assert scene.mesh.take(ControlLeaseGranted) == []
+
+
+class TestAddresses:
+    async def test_a_stopping_entry_is_left_out(self, scene: Scene) -> None:
+        scene.ask(1)
+        scene.ask(1, "vm-2", "127.0.0.1:9002")
+        scene.hub._push_addresses()
+        first = scene.mesh.take(AddressList)
+        assert {a.vm for a in first[0].addresses} == {"vm-1", "vm-2"}
+        scene._sequence += 1
+        stopping = EntryAddress("vm-2", "dalton", "127.0.0.1", 80, True)
+        request = LeaseRequest(stopping, 5, scene._sequence, 1.0, 1)
+        scene.hub.lease_requested("127.0.0.1:9002", request)
+        assert scene.tables.stopping_vms() == {"vm-2"}
+        scene.hub._push_addresses()
+        second = scene.mesh.take(AddressList)
+        assert {a.vm for a in second[0].addresses} == {"vm-1"}
+
+    async def test_a_silent_entry_is_let_go(
+        self, scene: Scene, clock: Clock
+    ) -> None:
+        scene.ask(1)
+        clock.now_s += 60.0
+        scene.hub._detach_silent(clock())
+        assert scene.hub.attached_vms() == ()
