The leader sends orders to engines through a fenced, bounded channel

Cause: the issuer and the book of orders were there, but nothing sent an order; a new leader had nothing to resume. OrderChannel commits the intent, asks may_send after the connection is made and before the first byte, sends once within 4 s, closes the connection and commits the outcome. An order without an answer goes again after its flight, three times at most. Announcements carry max_versions, last as they travel by position; the entry read the load as the last field of the row and now finds it by name.

--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ordered_engine.py
@@ -0,0 +1,126 @@
+"""An engine that takes orders to load and unload versions.
+
+It keeps every order that reached it and every one that it acted on, so
+that a test compares what the sender believes with what happened.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+
+import anyio
+import msgspec
+
+from sycamorestand_bench.fakes.faults import FaultSwitch
+from sycamorestand_bench.fakes.hosting import read_body
+from sycamorestand_bench.fakes.hosting import send_answer
+from sycamorestand_bench.fakes.hosting import send_json
+from sycamorestand_bench.fakes.hosting import Stopped
+from sycamorestand_model.backend_servers import Announcement
+
+
+class ReceivedOrder(NamedTuple):
+    """The body of ``POST /orders``."""
+
+    order_id: str
+    term: int
+    sequence: int
+    fencing_number: int
+    action: str
+    target: str
+
+
+class FakeOrderedEngine:
+    """State of one engine; `application` takes its orders.
+
+    ``deliveries`` above one acts on each order that often, as a network
+    does that delivers a request twice.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        versions: tuple[str, ...] = (),
+        *,
+        honours_fencing: bool = True,
+        max_versions: int = 2,
+        deliveries: int = 1,
+    ) -> None:
+        self.name = name
+        self.versions = versions
+        self.honours_fencing = honours_fencing
+        self.max_versions = max_versions
+        self.deliveries = deliveries
+        self.switch = FaultSwitch()
+        self.received: list[ReceivedOrder] = []
+        self.applied: list[ReceivedOrder] = []
+        self.highest_number = 0
+
+    def announcement(self, address: str, sequence: int = 1) -> Announcement:
+        """Return what the engine announces of itself now."""
+        return Announcement(
+            self.name,
+            "engine",
+            address,
+            "marietta",
+            1,
+            sequence,
+            self.versions,
+            honours_fencing=self.honours_fencing,
+            max_versions=self.max_versions,
+        )
+
+    async def application(self, scope: Any, receive: Any, send: Any) -> None:
+        """Take one order."""
+        body = await read_body(receive)
+        fields = msgspec.json.decode(body, type=dict[str, Any])
+        order = ReceivedOrder(**fields)
+        self.received.append(order)
+        fault = self.switch.take()
+        match fault.kind:
+            case "refuse":
+                await send_json(send, 503, {})
+            case "error":
+                self._act(order)
+                await send_json(send, 500, {})
+            case "garbage":
+                self._act(order)
+                await send_answer(send, 200, b"\x00\xff")
+            case "cut":
+                self._act(order)
+                raise Stopped
+            case "silent":
+                await anyio.sleep(fault.pause_s)
+            case "late":
+                status = self._act(order)
+                await anyio.sleep(fault.pause_s)
+                await send_json(send, status, {})
+            case "slow":
+                await anyio.sleep(fault.pause_s)
+                await send_json(send, self._act(order), {})
+            case _:
+                await send_json(send, self._act(order), {})
+
+    def _act(self, order: ReceivedOrder) -> int:
+        status = 202
+        for _ in range(self.deliveries):
+            status = self._act_once(order)
+        return status
+
+    def _act_once(self, order: ReceivedOrder) -> int:
+        if self.honours_fencing and order.fencing_number < self.highest_number:
+            return 409
+        self.highest_number = max(self.highest_number, order.fencing_number)
+        self.applied.append(order)
+        others = tuple(v for v in self.versions if v != order.target)
+        if order.action == "load":
+            if len(others) >= self.max_versions:
+                return 400
+            self.versions = (*others, order.target)
+        elif order.action == "unload":
+            self.versions = others
+        return 202
+
+
+__all__ = ["FakeOrderedEngine", "ReceivedOrder"]
--- /dev/null
+++ b/packages/sycamorestand-bench/tests/fakes/leading.py
@@ -0,0 +1,89 @@
+"""Leaders on one log in memory, with clocks that tests set."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from sycamorestand_consensus.errors import NotLeader
+from sycamorestand_control.errors import NoLeader
+from sycamorestand_control.errors import OutcomeUnknown
+from sycamorestand_control.orders.channel import OrderChannel
+from sycamorestand_control.orders.log import LeaderLog
+from sycamorestand_model.backend_servers import Announcement
+from sycamorestand_state.commands import encode_command
+from sycamorestand_state.commands import RecordOrder
+from sycamorestand_state.configuration import ConfigurationMachine
+from sycamorestand_state.results import ChangeResult
+
+
+class Cluster:
+    """The log, the clock, and the servers that all leaders see."""
+
+    def __init__(self) -> None:
+        self.machine = ConfigurationMachine()
+        self.index = 0
+        self.term = 0
+        self.now_s = 100.0
+        self.servers: dict[str, Announcement] = {}
+
+    def phases(self) -> list[str]:
+        return [order.phase for order in self.machine.orders()]
+
+
+class Leader:
+    """One process; `elect` has it lead in a new term.
+
+    ``lost_after`` names a phase after whose commit the answer is lost and
+    the process is cut off, ``cut_off_before`` one that it cannot commit;
+    it still believes to lead. ``after_intent`` runs before the sending.
+    """
+
+    def __init__(self, cluster: Cluster, loads_at_once: int = 2) -> None:
+        self.cluster = cluster
+        self.term: int | None = None
+        self.lease_s = 0.7
+        self.cut_off = False
+        self.cut_off_before = ""
+        self.lost_after = ""
+        self.after_intent: Callable[[], Awaitable[None]] | None = None
+        self.wanted = True
+        self.channel = OrderChannel(
+            LeaderLog(
+                lambda: self.term,
+                self._barrier,
+                lambda: self.lease_s,
+                cluster.machine.orders,
+                self._commit,
+            ),
+            lambda: cluster.servers,
+            loads_at_once,
+            lambda _version: self.wanted,
+            lambda: cluster.now_s,
+            lambda: cluster.now_s,
+        )
+
+    async def elect(self) -> None:
+        """Lead in a new term, with the predecessor's lease run out."""
+        self.cluster.term += 1
+        self.term = self.cluster.term
+        await self.channel.step()
+        self.cluster.now_s += 1.0
+
+    async def _barrier(self) -> None:
+        if self.cut_off:
+            raise NotLeader("")
+
+    async def _commit(self, record: RecordOrder) -> ChangeResult:
+        if self.cut_off or record.phase == self.cut_off_before:
+            self.cut_off = True
+            raise NoLeader("no quorum")
+        cluster = self.cluster
+        cluster.index += 1
+        result = cluster.machine.apply(cluster.index, encode_command(record))
+        if record.phase == self.lost_after:
+            self.cut_off = True
+            raise OutcomeUnknown("the answer was lost")
+        if record.phase == "intended" and self.after_intent is not None:
+            await self.after_intent()
+        return result
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/announcements.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/announcements.py
@@ -82,9 +82,10 @@
 
 def _as_rows(content: dict[str, Any]) -> list[Any]:
     row = _as_row(content, Announcement)
-    load = row[-1]
+    place = Announcement._fields.index("load")
+    load = row[place]
     if isinstance(load, dict):
-        row[-1] = _as_row(load, LoadReport)
+        row[place] = _as_row(load, LoadReport)
     elif "load" in content:
         raise msgspec.ValidationError("'load' must be an object")
     return row
--- a/packages/sycamorestand-model/src/sycamorestand_model/backend_servers.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/backend_servers.py
@@ -26,6 +26,8 @@
     with every announcement, so late and doubled ones are told apart.
     ``lease_s`` is how long it holds without renewal. ``versions`` are
     version identities for engines, service names for plain services.
+    ``max_versions`` is how many an engine that takes load orders holds at
+    once; 0 takes none. New fields go last: they travel by position.
     """
 
     name: str
@@ -44,6 +46,7 @@
     can_cancel: bool = True
     honours_priority: bool = False
     load: LoadReport = LoadReport()
+    max_versions: int = 0
 
 
 def supersedes(new: Announcement, old: Announcement) -> bool:
