A load asks the weight store first and waits where it says so

Cause: the weight store is rate-limited and nothing asked it; a load that it turns away holds an engine's slot and one of the places for loads.

--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/weight_store.py
@@ -0,0 +1,60 @@
+"""A weight store that says whether a load may begin."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+
+from sycamorestand_bench.fakes.faults import FaultSwitch
+from sycamorestand_bench.fakes.hosting import read_body
+from sycamorestand_bench.fakes.hosting import send_answer
+from sycamorestand_bench.fakes.hosting import send_json
+from sycamorestand_bench.fakes.hosting import Stopped
+
+
+class FakeWeightStore:
+    """State of the weight store; `application` serves it.
+
+    ``size_bytes`` is by path below ``/weights/``. ``retry_after`` is the
+    header's value of a store that is at its rate.
+    """
+
+    def __init__(self, size_bytes: dict[str, int]) -> None:
+        self.size_bytes = size_bytes
+        self.switch = FaultSwitch()
+        self.retry_after = ""
+        self.asked: list[str] = []
+
+    async def application(self, scope: Any, receive: Any, send: Any) -> None:
+        """Tell of one version's weights."""
+        await read_body(receive)
+        name = scope["path"].removeprefix("/weights/")
+        self.asked.append(name)
+        fault = self.switch.take()
+        match fault.kind:
+            case "refuse":
+                header = (b"retry-after", self.retry_after.encode())
+                headers = (header,) if self.retry_after else ()
+                await send_answer(send, 429, b"{}", headers=headers)
+            case "error":
+                await send_json(send, 500, {})
+            case "garbage":
+                await send_answer(send, 200, b"\x00\xff")
+            case "wrong_type":
+                await send_json(send, 200, {"bytes": "many"})
+            case "cut":
+                raise Stopped
+            case "silent" | "late" | "slow":
+                await anyio.sleep(fault.pause_s)
+                await self._answer(name, send)
+            case _:
+                await self._answer(name, send)
+
+    async def _answer(self, name: str, send: Any) -> None:
+        size_bytes = self.size_bytes.get(name, 0)
+        status = 200 if size_bytes else 404
+        await send_json(send, status, {"bytes": size_bytes})
+
+
+__all__ = ["FakeWeightStore"]
--- /dev/null
+++ b/packages/sycamorestand-bench/tests/fakes/test_weight_store.py
@@ -0,0 +1,125 @@
+"""Contract of the weight store, with a table of its faults."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from sycamorestand_bench.fakes.faults import Fault
+from sycamorestand_bench.fakes.loopback import serve_on_port
+from sycamorestand_bench.fakes.weight_store import FakeWeightStore
+from sycamorestand_control.orders.weight_store import FAULT_PAUSE_S
+from sycamorestand_control.orders.weight_store import MAX_RETRY_AFTER_S
+from sycamorestand_control.orders.weight_store import MISSING_PAUSE_S
+from sycamorestand_control.orders.weight_store import WeightStore
+
+pytestmark = pytest.mark.anyio
+
+VERSION = "nest-small@1"
+# A fault, and what the leader makes of it; the fault then ends.
+CASES = [
+    (Fault(), "ready"),
+    (Fault("slow", pause_s=0.02), "ready"),
+    (Fault("late"), "unreachable"),
+    (Fault("silent"), "unreachable"),
+    (Fault("cut"), "unreachable"),
+    (Fault("garbage"), "unreachable"),
+    (Fault("wrong_type"), "unreachable"),
+    (Fault("error"), "unreachable"),
+    (Fault("refuse"), "later"),
+]
+WAITS = [
+    ("20", 20.0),
+    ("0", FAULT_PAUSE_S),
+    ("-3", FAULT_PAUSE_S),
+    ("soon", FAULT_PAUSE_S),
+    ("Wed, 21 Oct 2026 07:28:00 GMT", FAULT_PAUSE_S),
+    ("99999999999999999999", MAX_RETRY_AFTER_S),
+]
+
+
+class Clock:
+    now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+class TestWeightStoreFaults:
+    @pytest.mark.parametrize(("fault", "expected"), CASES)
+    async def test_no_load_on_an_unsound_answer(
+        self, fault: Fault, expected: str
+    ) -> None:
+        """The store shows one fault of the table, then none.
+
+        Only a sound answer lets a load begin; after anything else the
+        store is left alone for a while and then asked again.
+        """
+        fake = FakeWeightStore({"nest-small/1": 7})
+        fake.switch.fault = fault
+        clock = Clock()
+        async with serve_on_port(fake.application) as address:
+            store = WeightStore(f"http://{address}/", 0.3, clock)
+            assert await store.readiness(VERSION) == expected
+            fake.switch.fault = Fault()
+            assert await store.readiness(VERSION) == expected
+            asked = len(fake.asked)
+            clock.now_s += FAULT_PAUSE_S
+            assert await store.readiness(VERSION) == "ready"
+        assert fake.asked == ["nest-small/1"] * len(fake.asked)
+        assert asked == (2 if expected == "ready" else 1)
+        refused = {} if expected == "ready" else {expected: 1}
+        assert dict(store.refusals) == refused
+
+    async def test_asked_twice_at_once(self) -> None:
+        fake = FakeWeightStore({"nest-small/1": 7})
+        fake.switch.fault = Fault("refuse")
+        async with serve_on_port(fake.application) as address:
+            store = WeightStore(f"http://{address}", 0.3, Clock())
+            async with anyio.create_task_group() as tasks:
+                for _ in range(2):
+                    tasks.start_soon(store.readiness, VERSION)
+            assert await store.readiness(VERSION) == "later"
+            assert len(fake.asked) == 2
+
+    @pytest.mark.parametrize(("header", "wait_s"), WAITS)
+    async def test_retry_after_holds_all_loads(
+        self, header: str, wait_s: float
+    ) -> None:
+        fake = FakeWeightStore({"nest-small/1": 7, "nest-large/1": 9})
+        fake.switch.fault = Fault("refuse", times=1)
+        fake.retry_after = header
+        clock = Clock()
+        async with serve_on_port(fake.application) as address:
+            store = WeightStore(f"http://{address}", 0.3, clock)
+            assert await store.readiness(VERSION) == "later"
+            clock.now_s += wait_s - 0.01
+            assert await store.readiness("nest-large@1") == "later"
+            clock.now_s += 0.02
+            assert await store.readiness("nest-large@1") == "ready"
+
+    async def test_missing_weights_hold_their_version_alone(self) -> None:
+        fake = FakeWeightStore({"nest-large/1": 9})
+        clock = Clock()
+        async with serve_on_port(fake.application) as address:
+            store = WeightStore(f"http://{address}", 0.3, clock)
+            assert await store.readiness(VERSION) == "missing"
+            assert store.missing() == (VERSION,)
+            assert await store.readiness("nest-large@1") == "ready"
+            fake.size_bytes["nest-small/1"] = 7
+            assert await store.readiness(VERSION) == "missing"
+            clock.now_s += MISSING_PAUSE_S
+            assert await store.readiness(VERSION) == "ready"
+            assert store.missing() == ()
+
+    async def test_a_name_cannot_leave_its_path(self) -> None:
+        fake = FakeWeightStore({})
+        async with serve_on_port(fake.application) as address:
+            store = WeightStore(f"http://{address}", 0.3, Clock())
+            await store.readiness("a/../b?c@1")
+        assert fake.asked == ["a/../b?c/1"]
+
+    async def test_no_store_and_nobody_there(self) -> None:
+        assert await WeightStore("").readiness(VERSION) == "ready"
+        store = WeightStore("http://127.0.0.1:1", 0.3)
+        assert await store.readiness(VERSION) == "unreachable"
