The leader plans loads and unloads from demand, pins and what is announced

Cause: plan_orders had no caller: nothing estimated demand by version and nothing turned the directory and the order book into its input. demand.py splits each server's reported requests by the versions' recent request shares, counts a silent server as used as the others, and averages over two minutes; pins cover stable version, running roll-out and fallback. The planner runs every 3 s at the leader, after 15 s of learning; a load that an engine accepted counts as loading until it is announced (15 min at most), servers that take no orders count with what they hold and get none, and the weight store is asked before each load.

--- /dev/null
+++ b/packages/sycamorestand-bench/tests/fakes/test_model_loads.py
@@ -0,0 +1,168 @@
+"""The planner with its channel, a weight store and engines that load."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from sycamorestand_bench.fakes.declared import guild_configuration
+from sycamorestand_bench.fakes.faults import Fault
+from sycamorestand_bench.fakes.loopback import serve_on_port
+from sycamorestand_bench.fakes.ordered_engine import FakeOrderedEngine
+from sycamorestand_bench.fakes.weight_store import FakeWeightStore
+from sycamorestand_control.orders.planner import Inputs
+from sycamorestand_control.orders.planner import LEARN_S
+from sycamorestand_control.orders.planner import LoadPlanner
+from sycamorestand_control.orders.planner import PLAN_INTERVAL_S
+from sycamorestand_control.orders.weight_store import WeightStore
+from sycamorestand_model.backend_servers import LoadReport
+from sycamorestand_model.in_force import InForce
+from sycamorestand_model.in_force import RolloutShare
+
+from .leading import Cluster
+from .leading import Leader
+
+pytestmark = pytest.mark.anyio
+
+SMALL, SMALL_NEXT = "nest-small@1", "nest-small@2"
+LARGE = "nest-large@1"
+WEIGHTS = {"nest-small/1": 7, "nest-small/2": 7, "nest-large/1": 70}
+
+
+class World:
+    """A leader's planner, and what it reads."""
+
+    def __init__(self, store_address: str) -> None:
+        self.cluster = Cluster()
+        self.leader = Leader(self.cluster)
+        self.in_force: InForce = guild_configuration()
+        self.loads: dict[str, LoadReport] = {}
+        self.shares: dict[str, float] = {}
+        self.engines: dict[str, FakeOrderedEngine] = {}
+        self.addresses: dict[str, str] = {}
+        store = WeightStore(
+            f"http://{store_address}", 0.3, lambda: self.cluster.now_s
+        )
+        inputs = Inputs(
+            lambda: self.in_force,
+            self.cluster.machine.orders,
+            lambda: self.cluster.servers,
+            lambda name: self.loads.get(name, LoadReport()),
+            lambda: self.shares,
+        )
+        self.planner = LoadPlanner(
+            inputs,
+            self.leader.channel,
+            store,
+            2,
+            lambda: self.cluster.now_s,
+            lambda: self.cluster.now_s,
+        )
+
+    def announce(self) -> None:
+        for name, engine in self.engines.items():
+            announced = engine.announcement(self.addresses[name])
+            self.cluster.servers[name] = announced
+
+    async def lead(self) -> None:
+        self.cluster.now_s = 5_000.0
+        await self.leader.elect()
+        self.cluster.now_s += LEARN_S
+
+    async def rounds(self, count: int = 1) -> list[Any]:
+        """Plan so often, with announcements between, and return all."""
+        given = []
+        for _ in range(count):
+            self.announce()
+            await self.leader.channel.step()
+            for order in self.planner.plan():
+                await self.planner.carry_out(order)
+                given.append(order[:3])
+            self.cluster.now_s += PLAN_INTERVAL_S
+        self.announce()
+        return given
+
+
+class TestModelLoads:
+    async def test_from_empty_engines_to_a_roll_out(self) -> None:
+        """Two empty engines, then a roll-out whose weights come late.
+
+        Both stable versions are loaded, the second not before the store
+        has room for it. The new version is asked for while its weights
+        are missing, which gives no order, and loaded when they are there.
+        """
+        fake = FakeWeightStore({**WEIGHTS, "nest-small/2": 0})
+        engines = [FakeOrderedEngine(name) for name in "ab"]
+        async with (
+            serve_on_port(fake.application) as store,
+            serve_on_port(engines[0].application) as first,
+            serve_on_port(engines[1].application) as second,
+        ):
+            world = World(store)
+            world.engines = {engine.name: engine for engine in engines}
+            world.addresses = {"a": first, "b": second}
+            await world.lead()
+            fake.switch.fault = Fault("refuse", times=1)
+            await world.rounds(1)
+            assert not any(engine.received for engine in engines)
+            world.cluster.now_s += 10.0
+            await world.rounds(3)
+            assert _loaded(engines) == [LARGE, SMALL]
+            share = RolloutShare("2", 0.1, 1, "running")
+            world.in_force = world.in_force._replace(
+                shares={"nest-small": share}
+            )
+            await world.rounds(3)
+            assert _loaded(engines) == [LARGE, SMALL]
+            assert world.planner.missing() == (SMALL_NEXT,)
+            fake.size_bytes["nest-small/2"] = 7
+            world.cluster.now_s += 60.0
+            await world.rounds(2)
+            assert _loaded(engines) == [LARGE, SMALL, SMALL_NEXT]
+            orders = len(world.cluster.machine.orders())
+            assert await world.rounds(3) == []
+            assert len(world.cluster.machine.orders()) == orders
+
+    async def test_a_withdrawn_version_with_requests_stays(self) -> None:
+        """Full engines; a version is withdrawn while its sessions run.
+
+        Its room is wanted at once. Unloaded now, its running requests are
+        cut; it goes when none is left, and then the other is loaded.
+        """
+        fake = FakeWeightStore(WEIGHTS)
+        engine = FakeOrderedEngine("a", (SMALL,), max_versions=1)
+        async with (
+            serve_on_port(fake.application) as store,
+            serve_on_port(engine.application) as address,
+        ):
+            world = World(store)
+            world.engines, world.addresses = {"a": engine}, {"a": address}
+            world.in_force = world.in_force._replace(withdrawn=(SMALL,))
+            world.loads["a"] = LoadReport(running=1)
+            await world.lead()
+            assert await world.rounds(2) == []
+            del world.loads["a"]
+            given = await world.rounds(2)
+        assert given == [("unload", "a", SMALL), ("load", "a", LARGE)]
+        assert engine.versions == (LARGE,)
+
+    async def test_a_new_leader_learns_first(self) -> None:
+        """A leader is elected and has heard of one server of two.
+
+        Planning at once would load on it what the other one holds.
+        """
+        world = World("127.0.0.1:1")
+        world.engines = {"a": FakeOrderedEngine("a")}
+        world.addresses = {"a": "127.0.0.1:1"}
+        world.announce()
+        await world.leader.elect()
+        assert world.planner.plan() == []
+        world.cluster.now_s += LEARN_S
+        assert world.planner.plan() != []
+        world.leader.term = None
+        assert world.planner.plan() == []
+
+
+def _loaded(engines: list[FakeOrderedEngine]) -> list[str]:
+    return sorted(v for engine in engines for v in engine.versions)
--- a/packages/sycamorestand-bench/tests/fakes/test_weight_store.py
+++ b/packages/sycamorestand-bench/tests/fakes/test_weight_store.py
@@ -119,7 +119,12 @@
             await store.readiness("a/../b?c@1")
         assert fake.asked == ["a/../b?c/1"]
 
-    async def test_no_store_and_nobody_there(self) -> None:
+    async def test_no_store(self) -> None:
         assert await WeightStore("").readiness(VERSION) == "ready"
-        store = WeightStore("http://127.0.0.1:1", 0.3)
+
+    @pytest.mark.parametrize(
+        "url", ["http://127.0.0.1:1", "store", "ftp://a", "http://a:b"]
+    )
+    async def test_nobody_there(self, url: str) -> None:
+        store = WeightStore(url, 0.3)
         assert await store.readiness(VERSION) == "unreachable"
--- a/packages/sycamorestand-control/src/sycamorestand_control/orders/http_call.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/orders/http_call.py
@@ -22,6 +22,10 @@
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
+    # A URL of the settings that cannot be called: it must not end the
+    # process, whose other tasks have nothing to do with it.
+    httpcore.UnsupportedProtocol,
+    ValueError,
 )
 
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -34,6 +34,8 @@
 from sycamorestand_control.operator_api.authentication import make_authenticate
 from sycamorestand_control.operator_backend import ControlBackend
 from sycamorestand_control.operator_backend import Parts
+from sycamorestand_control.orders.service import make_orders
+from sycamorestand_control.orders.service import OrderSettings
 from sycamorestand_control.tables import ControlName
 from sycamorestand_control.tables import SharedTables
 from sycamorestand_control.version_keeper import VersionKeeper
@@ -107,6 +109,15 @@
             self._others,
         )
         self.keeper = VersionKeeper(self.groups, self.configuration)
+        self.orders = make_orders(
+            self.groups,
+            self.configuration,
+            self.tables,
+            self.keeper,
+            OrderSettings(
+                settings.weight_store_url, settings.weight_store_loads
+            ),
+        )
         self.admissions = Admissions(
             self.mesh, self.groups, settings.voters_wanted
         )
@@ -148,6 +159,8 @@
                 self.hub.run,
                 self.tables.run,
                 self.keeper.run,
+                self.orders.channel.run,
+                self.orders.planner.run,
                 self.admissions.run,
                 *(writer.run for writer in self.writers),
             ):
--- a/packages/sycamorestand-control/src/sycamorestand_control/settings.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/settings.py
@@ -23,6 +23,7 @@
     voters_wanted: int = 3
     ledger_shards: int = 1
     weight_store_loads: int = 2
+    weight_store_url: str = ""
 
 
 __all__ = ["ControlSettings"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
@@ -13,6 +13,7 @@
 
 from sycamorestand_control.errors import ControlError
 from sycamorestand_control.groups import CONFIGURATION_GROUP
+from sycamorestand_decisions.demand import RecentRequests
 from sycamorestand_decisions.rollout import RolloutMonitor
 from sycamorestand_decisions.stats_rows import from_rows
 from sycamorestand_decisions.stats_rows import StatsRow
@@ -70,6 +71,7 @@
         self._groups = groups
         self._configuration = configuration
         self._watch = VersionWatch()
+        self._requests = RecentRequests()
         self._runs: dict[str, _Run] = {}
         self._seen: dict[str, tuple[int, int]] = {}
         self.verdicts: dict[str, str] = {}
@@ -84,10 +86,15 @@
         stats = from_rows(rows)
         for version, counts in stats.items():
             self._watch.add(version, counts)
+            self._requests.add(version, counts.requests, time.time())
         for model, run in self._runs.items():
             old, new = self._compared(model, stats)
             run.monitor.add(old, new)
 
+    def request_shares(self) -> dict[str, float]:
+        """Return each version's share of the requests of late."""
+        return self._requests.shares(time.time())
+
     async def run(self) -> None:
         """Judge at an interval, until cancelled."""
         while True:
--- a/packages/sycamorestand/src/sycamorestand/process_settings.py
+++ b/packages/sycamorestand/src/sycamorestand/process_settings.py
@@ -96,6 +96,12 @@
         "2",
         "loads that the weight store serves at once",
     ),
+    Setting(
+        "weight_store_url",
+        optional_text,
+        "",
+        "URL of the weight store; empty: loads are not asked for there",
+    ),
 )
 
 __all__ = ["COMMON_SETTINGS", "CONTROL_SETTINGS", "ENTRY_SETTINGS"]
