--- a/packages/sycamorestand-bench/tests/fakes/test_model_loads.py
+++ b/packages/sycamorestand-bench/tests/fakes/test_model_loads.py
@@ -147,6 +147,25 @@
         assert given == [("unload", "a", SMALL), ("load", "a", LARGE)]
         assert engine.versions == (LARGE,)
 
+    async def test_an_engine_that_was_restarted_is_asked_again(self) -> None:
+        """An engine loads a version, announces it, and is restarted empty.
+
+        Its order is done and young, so it would count as loading for a
+        quarter of an hour, with nobody answering in that time.
+        """
+        fake = FakeWeightStore(WEIGHTS)
+        engine = FakeOrderedEngine("a", (LARGE,))
+        async with (
+            serve_on_port(fake.application) as store,
+            serve_on_port(engine.application) as address,
+        ):
+            world = World(store)
+            world.engines, world.addresses = {"a": engine}, {"a": address}
+            await world.lead()
+            assert await world.rounds(2) == [("load", "a", SMALL)]
+            engine.versions = (LARGE,)
+            assert await world.rounds(1) == [("load", "a", SMALL)]
+
     async def test_a_new_leader_learns_first(self) -> None:
         """A leader is elected and has heard of one server of two.
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/orders/channel.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/orders/channel.py
@@ -22,6 +22,7 @@
 from sycamorestand_control.errors import ControlError
 from sycamorestand_control.orders.engine_call import EngineOutcome
 from sycamorestand_control.orders.engine_call import send_order
+from sycamorestand_control.orders.loading import announced_loads
 from sycamorestand_control.orders.loading import LOAD
 from sycamorestand_control.orders.loading import loading_versions
 from sycamorestand_peer.clock import boottime_s
@@ -76,6 +77,7 @@
         # Orders that a task of this process is at work on, by server.
         self._working: dict[str, RecordOrder] = {}
         self._sends: Counter[str] = Counter()
+        self._completed: frozenset[str] = frozenset()
         self.phases: Counter[str] = Counter()
         self.superseded = 0
 
@@ -126,12 +128,22 @@
             return ""
         return await self._carry_out(term, record, announced.address)
 
+    def loading(self) -> dict[str, tuple[str, ...]]:
+        """Return, by server, the versions that are being loaded.
+
+        A load that was announced once is over: where the server has the
+        version no more, it was restarted, and may be asked again.
+        """
+        orders, servers = self._log.orders(), self._servers()
+        kept = self._completed & {order.order_id for order in orders}
+        self._completed = kept | announced_loads(orders, servers)
+        return loading_versions(
+            orders, servers, self._wall_now_s(), self._completed
+        )
+
     def _loads(self) -> int:
         """Count loads under way, and those whose record is on its way."""
-        loading = loading_versions(
-            self._log.orders(), self._servers(), self._wall_now_s()
-        )
-        pairs = {(name, v) for name, found in loading.items() for v in found}
+        pairs = {(name, v) for name, vs in self.loading().items() for v in vs}
         pairs.update(
             (record.backend_server, record.target)
             for record in self._working.values()
--- a/packages/sycamorestand-control/src/sycamorestand_control/orders/loading.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/orders/loading.py
@@ -13,6 +13,7 @@
 from sycamorestand_state.order_book import UNFINISHED_PHASES
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
 
@@ -27,6 +28,7 @@
 
 LOAD: Final = "load"
 UNLOAD: Final = "unload"
+DONE: Final = "done"
 
 
 def last_orders(
@@ -47,13 +49,19 @@
     orders: Iterable[OrderRecord],
     servers: Mapping[str, Announcement],
     wall_now_s: float,
+    completed: Collection[str] = (),
 ) -> dict[str, tuple[str, ...]]:
-    """Return, by server, the versions that it was asked to load."""
+    """Return, by server, the versions that it was asked to load.
+
+    ``completed`` holds the ids of loads that were announced since.
+    """
     loading: dict[str, tuple[str, ...]] = {}
     for (server, version), order in last_orders(orders).items():
         announced = servers.get(server)
         if order.action != LOAD or announced is None:
             continue
+        if order.order_id in completed:
+            continue
         if version not in announced.versions and _counts(
             order, LOAD_LIMIT_S, wall_now_s
         ):
@@ -61,6 +69,20 @@
     return loading
 
 
+def announced_loads(
+    orders: Iterable[OrderRecord], servers: Mapping[str, Announcement]
+) -> frozenset[str]:
+    """Return the ids of loads whose version the server announces."""
+    return frozenset(
+        order.order_id
+        for order in orders
+        if order.action == LOAD
+        and order.phase == DONE
+        and order.backend_server in servers
+        and order.target in servers[order.backend_server].versions
+    )
+
+
 def unloading_versions(
     orders: Iterable[OrderRecord], wall_now_s: float
 ) -> frozenset[tuple[str, str]]:
@@ -80,6 +102,7 @@
 
 
 __all__ = [
+    "announced_loads",
     "last_orders",
     "LOAD",
     "LOAD_LIMIT_S",
--- a/packages/sycamorestand-control/src/sycamorestand_control/orders/planner.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/orders/planner.py
@@ -125,7 +125,9 @@
         }
         shares = inputs.shares()
         in_force = inputs.in_force()
-        book = BookView(inputs.orders(), self._wall_now_s())
+        book = BookView(
+            inputs.orders(), self._wall_now_s(), self._channel.loading()
+        )
         pins = versions_in_use(in_force)
         known = list(reports.values())
         self._average.add(estimate_running(known, shares), self._now_s())
--- a/packages/sycamorestand-control/src/sycamorestand_control/orders/slots.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/orders/slots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from math import ceil
 from typing import Final
 from typing import NamedTuple
@@ -9,7 +10,6 @@
 
 from sycamorestand_control.orders.loading import last_orders
 from sycamorestand_control.orders.loading import LOAD
-from sycamorestand_control.orders.loading import loading_versions
 from sycamorestand_control.orders.loading import unloading_versions
 from sycamorestand_decisions.demand import ServerReport
 from sycamorestand_decisions.demand import split_busy
@@ -22,7 +22,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from sycamorestand_model.backend_servers import Announcement
@@ -38,10 +37,14 @@
 
 
 class BookView(NamedTuple):
-    """The order book, and the wall clock to read its times with."""
+    """The order book, and the wall clock to read its times with.
+
+    ``loading`` holds, by server, what is being loaded.
+    """
 
     orders: Sequence[OrderRecord]
     wall_now_s: float
+    loading: Mapping[str, tuple[str, ...]] = {}
 
 
 def make_report(
@@ -73,7 +76,6 @@
     what it holds, so that its replicas count, and offers no change. One
     that is leaving is not: its replicas are about to go.
     """
-    loading = loading_versions(book.orders, servers, book.wall_now_s)
     unloading = unloading_versions(book.orders, book.wall_now_s)
     held_back = servers_held_back(book)
     slots: list[ServerSlots] = []
@@ -93,7 +95,7 @@
                 room,
                 _loaded_since(announced, book.orders),
                 in_flight,
-                loading.get(name, ()),
+                book.loading.get(name, ()),
             )
         )
     return slots
