Three voters: the next leader takes up an order whose record was lost

Cause: the loss of a leader between order and record was only played on a log in memory. The test runs three control processes with their logs and mesh, ends the leader while the engine acts on its order, and sees the order again under a higher term and recorded as done.

--- a/packages/sycamorestand-bench/tests/fakes/test_orders_wired.py
+++ b/packages/sycamorestand-bench/tests/fakes/test_orders_wired.py
@@ -4,12 +4,16 @@
 
 from pathlib import Path
 import socket
+from typing import NamedTuple
 
 import anyio
+from anyio.abc import TaskGroup
+from anyio.abc import TaskStatus
 import pytest
 
 from sycamorestand_bench.fakes.declared import BACKEND_KEY_HASH
 from sycamorestand_bench.fakes.declared import guild_configuration
+from sycamorestand_bench.fakes.faults import Fault
 from sycamorestand_bench.fakes.loopback import serve_on_port
 from sycamorestand_bench.fakes.ordered_engine import FakeOrderedEngine
 from sycamorestand_bench.fakes.weight_store import FakeWeightStore
@@ -22,9 +26,17 @@
 
 pytestmark = pytest.mark.anyio
 
+WAIT_S = 30.0
 PLANNER = "sycamorestand_control.orders.planner"
 
 
+class Voter(NamedTuple):
+    """A control process that a test can end at once."""
+
+    process: ControlProcess
+    scope: anyio.CancelScope
+
+
 @pytest.fixture(autouse=True)
 def short_waits(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(f"{PLANNER}.LEARN_S", 0.5)
@@ -41,13 +53,13 @@
             serve_on_port(fake.application) as store,
             serve_on_port(engine.application) as address,
         ):
-            process = ControlProcess(_settings(tmp_path, store))
+            process = ControlProcess(_settings(tmp_path, f"http://{store}"))
             async with anyio.create_task_group() as tasks:
                 stop = anyio.Event()
                 await tasks.start(process.run, stop)
                 await _declare(process)
                 sequence = 0
-                with anyio.move_on_after(30.0):
+                with anyio.move_on_after(WAIT_S):
                     while len(engine.versions) < 2:
                         sequence += 1
                         announced = engine.announcement(address, sequence)
@@ -62,6 +74,93 @@
         assert numbers == sorted(set(numbers))
 
 
+class TestLeaderLost:
+    async def test_next_voter_takes_up_the_order(self, tmp_path: Path) -> None:
+        """Three voters; the leader dies while an engine acts on its order.
+
+        The engine has loaded, the answer is on its way, and nobody
+        records it. Another voter is elected, waits out lease and flight,
+        and sends the order again under its own number; the log then says
+        done, and the engine saw no lower number after a higher one.
+        """
+        engine = FakeOrderedEngine("a", max_versions=2)
+        engine.switch.fault = Fault("late", times=1)
+        async with (
+            serve_on_port(engine.application) as address,
+            anyio.create_task_group() as tasks,
+        ):
+            voters = await _start_voters(tasks, tmp_path)
+            tasks.start_soon(_announce, engine, address, voters)
+            with anyio.fail_after(WAIT_S):
+                while not engine.applied:
+                    await anyio.sleep(0.05)
+            # Which one it is may have changed on a busy machine.
+            voters.sort(key=_leads)
+            leader, other = voters[-1], voters[0].process
+            order_id = engine.applied[0].order_id
+            assert _phases(leader.process)[order_id] == "intended"
+            leader.scope.cancel()
+            with anyio.fail_after(WAIT_S):
+                while _phases(other).get(order_id) != "done":
+                    await anyio.sleep(0.05)
+            tasks.cancel_scope.cancel()
+        sent = [o for o in engine.received if o.order_id == order_id]
+        assert len(sent) == 2
+        assert sent[0].term < sent[1].term
+        numbers = [order.fencing_number for order in engine.received]
+        assert numbers == sorted(set(numbers))
+
+
+async def _start_voters(tasks: TaskGroup, folder: Path) -> list[Voter]:
+    voters: list[Voter] = []
+    first = _settings(folder / "vm-0", "")
+    for number in range(3):
+        settings = first
+        if number:
+            settings = _settings(folder / f"vm-{number}", "")._replace(
+                vm=f"vm-{number}",
+                first_start=False,
+                control_addresses=(first.peer_address,),
+            )
+        process = ControlProcess(settings._replace(voters_wanted=3))
+        voter = Voter(process, anyio.CancelScope())
+        await tasks.start(_run_voter, voter)
+        voters.append(voter)
+        if not number:
+            await _declare(process)
+    replica = voters[0].process.groups.replicas[CONFIGURATION_GROUP]
+    with anyio.fail_after(WAIT_S):
+        while sum(m.voter for m in replica.status().members) < 3:
+            await anyio.sleep(0.05)
+    return voters
+
+
+async def _run_voter(voter: Voter, *, task_status: TaskStatus[None]) -> None:
+    with voter.scope:
+        await voter.process.run(anyio.Event(), task_status=task_status)
+
+
+async def _announce(
+    engine: FakeOrderedEngine, address: str, voters: list[Voter]
+) -> None:
+    sequence = 0
+    while True:
+        sequence += 1
+        announced = engine.announcement(address, sequence)
+        for voter in voters:
+            voter.process.tables.announced(announced)
+        await anyio.sleep(0.2)
+
+
+def _leads(voter: Voter) -> bool:
+    return voter.process.groups.is_leader(CONFIGURATION_GROUP)
+
+
+def _phases(process: ControlProcess) -> dict[str, str]:
+    orders = process.configuration.orders()
+    return {order.order_id: order.phase for order in orders}
+
+
 async def _declare(process: ControlProcess) -> None:
     operator = Operator("ann", (BACKEND_KEY_HASH,), "admin")
     declared = guild_configuration().declarations
@@ -89,7 +188,7 @@
         operator_port=_free_port(),
         first_start=True,
         voters_wanted=1,
-        weight_store_url=f"http://{store}",
+        weight_store_url=store,
     )
 
 
