--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -33,6 +33,8 @@
 from sycamorestand_control.operator_backend import ControlBackend
 from sycamorestand_control.operator_backend import Parts
 from sycamorestand_control.operator_server import OperatorServer
+from sycamorestand_control.orders.service import make_orders
+from sycamorestand_control.orders.service import OrderSettings
 from sycamorestand_control.rating_exchange import RatingExchange
 from sycamorestand_control.tables import ControlName
 from sycamorestand_control.tables import SharedTables
@@ -111,6 +113,15 @@
         self.ratings = RatingExchange(
             self.mesh, self.hub.attached_addresses, self._others
         )
+        self.orders = make_orders(
+            self.groups,
+            self.configuration,
+            self.tables,
+            self.keeper,
+            OrderSettings(
+                settings.weight_store_url, settings.weight_store_loads
+            ),
+        )
         self.admissions = Admissions(
             self.mesh, self.groups, settings.voters_wanted
         )
@@ -152,6 +163,8 @@
                 self.hub.run,
                 self.tables.run,
                 self.keeper.run,
+                self.orders.channel.run,
+                self.orders.planner.run,
                 self.admissions.run,
                 self.ratings.run,
                 *(writer.run for writer in self.writers),
