A lifted quarantine holds; a roll-out step begins with its commit

Cause, found by writing the keeper's tests: the counts that led to a quarantine stayed, so a version that operators mended and let back would be quarantined again at the next look; and reports that came between a step's commit and the next look counted for the step before. Now a version that is let back starts with a clean record, the steps are followed right after their commit, and the watch looks each 30 s, as its bound on false alarms counts on few looks.

--- a/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
@@ -44,6 +44,10 @@
 
 LOG: Final = logging.getLogger(__name__)
 CHECK_INTERVAL_S: Final = 0.5
+# The bound on false alarms counts on few looks, and a look at 35 versions
+# takes milliseconds of the leader; half a minute is a third of a thousandth
+# of a day's requests.
+WATCH_EVERY_CHECKS: Final = 60
 PROPOSE_TIMEOUT_S: Final = 3.0
 MAX_REASON_CHARACTERS: Final = 400
 
@@ -74,6 +78,8 @@
         self._requests = RecentRequests()
         self._runs: dict[str, _Run] = {}
         self._seen: dict[str, tuple[int, int]] = {}
+        self._barred: frozenset[str] = frozenset()
+        self._checks = 0
         self.verdicts: dict[str, str] = {}
 
     def report(self, message: SampleReport) -> None:
@@ -102,9 +108,16 @@
             if not self._groups.is_leader(CONFIGURATION_GROUP):
                 self._runs.clear()
                 continue
-            self._follow_rollouts()
-            for command in self._commands(time.time()):
-                await self._commit(command)
+            await self.look(time.time())
+
+    async def look(self, now_s: float) -> None:
+        """Judge once and commit what follows."""
+        self._follow_rollouts()
+        self._follow_lifted()
+        for command in self._commands(now_s):
+            await self._commit(command)
+        # What is reported from here on belongs to the step just made.
+        self._follow_rollouts()
 
     def _commands(self, now_s: float) -> list[Command]:
         commands: list[Command] = []
@@ -112,6 +125,9 @@
             command = self._judge(model, run, now_s)
             if command is not None:
                 commands.append(command)
+        self._checks += 1
+        if self._checks % WATCH_EVERY_CHECKS:
+            return commands
         for version, verdict in self._watch.check(now_s).items():
             self.verdicts[version] = verdict.reason
             if isinstance(verdict, Stop) and self._may_quarantine(version):
@@ -189,6 +205,19 @@
             run.monitor.advance(now_s)
             self._runs[model] = run._replace(step=rollout.step)
 
+    def _follow_lifted(self) -> None:
+        """Forget what a version did before operators let it back.
+
+        Its counts would be the same evidence again, and it would be
+        quarantined again at the next look, whatever was mended.
+        """
+        in_force = self._configuration.in_force()
+        barred = frozenset((*in_force.quarantined, *in_force.withdrawn))
+        for version in self._barred - barred:
+            self._watch.forget(version)
+            self.verdicts.pop(version, None)
+        self._barred = barred
+
     def _objective(self, model: str) -> Objective:
         """Return the weights of the profile that most dreads exposure."""
         profiles = self._configuration.in_force().declarations.profiles
