Bench relay runs on asyncio: uvloop sets up io_uring whatever it is told

The product may not use io_uring. The bench reports it and fails on it.

Idle connections to backend servers are bounded (64 an address, stale ones closed): those of a burst stayed open for good.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/relay/entry_process.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/relay/entry_process.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import resource
 import sys
 from typing import Any
+from typing import Final
 
 import anyio
 from anyio.abc import TaskStatus
@@ -26,16 +28,28 @@
 from sycamorestand_entry.settings import EntrySettings
 from sycamorestand_model.backend_servers import Announcement
 
+DESCRIPTORS: Final = "/proc/self/fd"
 
-def usage_now() -> dict[str, float]:
-    """Return the CPU time and peak memory of this process."""
+
+def usage_now() -> dict[str, Any]:
+    """Return what this process has used, and whether it has io_uring."""
     usage = resource.getrusage(resource.RUSAGE_SELF)
     return {
         "cpu_s": usage.ru_utime + usage.ru_stime,
         "peak_mb": usage.ru_maxrss / 1024,
+        "io_uring": "anon_inode:[io_uring]" in open_files(),
     }
 
 
+def open_files() -> list[str]:
+    """Return what the process's descriptors stand for."""
+    files: list[str] = []
+    for descriptor in os.listdir(DESCRIPTORS):
+        with contextlib.suppress(FileNotFoundError):
+            files.append(os.readlink(f"{DESCRIPTORS}/{descriptor}"))
+    return files
+
+
 async def serve_product(
     engine: str, *, task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED
 ) -> None:
@@ -73,7 +87,8 @@
     loop, kind, engine = arguments
     options: dict[str, Any] = {}
     if loop == "uvloop":
-        # uvloop would set up io_uring, which the product may not use.
+        # For comparison only: uvloop 0.23 sets up io_uring, which the
+        # product may not use, with this variable too.
         os.environ["UV_USE_IO_URING"] = "0"
         options["use_uvloop"] = True
     anyio.run(_main, kind, engine, backend_options=options)
@@ -83,4 +98,4 @@
     main(sys.argv[1:])
 
 
-__all__ = ["main", "serve_plain", "serve_product", "usage_now"]
+__all__ = ["main", "open_files", "serve_plain", "serve_product", "usage_now"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/relay.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/relay.py
@@ -61,7 +61,7 @@
 def main(arguments: list[str]) -> int:
     """Measure, print a table, and JSON as the last line."""
     parser = argparse.ArgumentParser(prog="dev/bench relay")
-    parser.add_argument("--loop", default="uvloop")
+    parser.add_argument("--loop", default="asyncio")
     parser.add_argument("--relay", default="product")
     parser.add_argument("--streams", type=int, default=STREAMS)
     parser.add_argument("--no-memory", action="store_true")
@@ -73,6 +73,8 @@
         for child in children:
             child.stop()
     missed = [name for name, goal in GOALS.items() if figures[name] > goal]
+    if figures["io_uring"]:
+        missed.append("io_uring")
     for name, value in figures.items():
         goal = f"goal {GOALS[name]:g}" if name in GOALS else ""
         print(f"{name:32} {value!s:>12}  {goal}")
@@ -80,13 +82,26 @@
     return 1 if missed else 0
 
 
+def start_child(children: list[Child], module: str, *arguments: str) -> Child:
+    """Start a process of the scenario and note it for its end."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", f"{MODULES}.{module}", *arguments],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    child = Child(process)
+    children.append(child)
+    return child
+
+
 def _measure(
     options: argparse.Namespace, children: list[Child]
 ) -> dict[str, Any]:
-    engine = _start(children, "engine_process", str(TOKEN_PAUSE_S))
+    engine = start_child(children, "engine_process", str(TOKEN_PAUSE_S))
     engine_address = engine.read()
-    client = _start(children, "client_process")
-    entry = _start(
+    client = start_child(children, "client_process")
+    entry = start_child(
         children,
         "entry_process",
         options.loop,
@@ -98,6 +113,7 @@
     figures: dict[str, Any] = {"loop": options.loop, "relay": options.relay}
     figures |= _measure_cpu(client, entry, entry_address, options.streams)
     figures |= _measure_latency(client, engine_address, entry_address)
+    figures["io_uring"] = entry.ask()["io_uring"]
     figures["peak_mb_1000_streams"] = 0.0
     if not options.no_memory:
         figures |= _measure_memory(client, entry, entry_address)
@@ -182,20 +198,8 @@
     return client.ask(json.dumps(run))
 
 
-def _start(children: list[Child], module: str, *arguments: str) -> Child:
-    process = subprocess.Popen(
-        [sys.executable, "-m", f"{MODULES}.{module}", *arguments],
-        stdin=subprocess.PIPE,
-        stdout=subprocess.PIPE,
-        text=True,
-    )
-    child = Child(process)
-    children.append(child)
-    return child
-
-
 def _percentile(values: list[float], percent: int) -> float:
     return statistics.quantiles(values, n=100, method="inclusive")[percent - 1]
 
 
-__all__ = ["main"]
+__all__ = ["Child", "main", "start_child"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -12,7 +12,7 @@
 from sycamorestand_entry.rating import RatingClient
 from sycamorestand_entry.servers import Servers
 from sycamorestand_entry.slots import Slots
-from sycamorestand_entry.upstream import UpstreamPool
+from sycamorestand_entry.upstream_pool import UpstreamPool
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -287,60 +287,6 @@
         )
 
 
-class UpstreamPool:
-    """Idle connections by address, used again while they are young."""
-
-    def __init__(self, connect_timeout_s: float, idle_s: float) -> None:
-        self._connect_timeout_s = connect_timeout_s
-        self._idle_s = idle_s
-        self._idle: dict[str, list[UpstreamConnection]] = {}
-
-    async def acquire(
-        self, address: str, max_idle_s: float
-    ) -> UpstreamConnection:
-        """Return a connection that was idle at most this long, or new.
-
-        A bound of zero always gives a new one.
-        """
-        loop = asyncio.get_running_loop()
-        idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
-            age_s = loop.time() - connection.idle_since_s
-            if connection.usable and age_s < min(max_idle_s, self._idle_s):
-                return connection
-            connection.close()
-        return await self._connect(address, loop)
-
-    def release(self, address: str, connection: UpstreamConnection) -> None:
-        """Keep the connection for another request, or close it."""
-        if not connection.usable:
-            connection.close()
-            return
-        connection.idle_since_s = asyncio.get_running_loop().time()
-        self._idle.setdefault(address, []).append(connection)
-
-    def close(self) -> None:
-        """Close every idle connection."""
-        for idle in self._idle.values():
-            for connection in idle:
-                connection.close()
-        self._idle.clear()
-
-    async def _connect(
-        self, address: str, loop: asyncio.AbstractEventLoop
-    ) -> UpstreamConnection:
-        host, _, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(self._connect_timeout_s):
-                _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(loop), host, int(port)
-                )
-        except (OSError, ValueError) as error:
-            raise ConnectFailed("it takes no connection") from error
-        return connection
-
-
 __all__ = [
     "BrokenConnection",
     "ConnectFailed",
@@ -350,5 +296,4 @@
     "Sink",
     "UpstreamConnection",
     "UpstreamError",
-    "UpstreamPool",
 ]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_pool.py
@@ -0,0 +1,91 @@
+"""Idle connections to backend servers, kept for the next request."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import Final
+
+from sycamorestand_entry.upstream import ConnectFailed
+from sycamorestand_entry.upstream import UpstreamConnection
+
+MAX_IDLE: Final = 64
+
+
+class UpstreamPool:
+    """Idle connections by address, used again while they are young."""
+
+    def __init__(self, connect_timeout_s: float, idle_s: float) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._idle_s = idle_s
+        self._idle: dict[str, deque[UpstreamConnection]] = {}
+
+    async def acquire(
+        self, address: str, max_idle_s: float
+    ) -> UpstreamConnection:
+        """Return a connection that was idle at most this long, or new.
+
+        A bound of zero always gives a new one.
+        """
+        loop = asyncio.get_running_loop()
+        idle = self._idle.get(address)
+        bound_s = min(max_idle_s, self._idle_s)
+        while idle:
+            age_s = loop.time() - idle[-1].idle_since_s
+            if age_s >= bound_s:
+                # The others are older still; some other request may use
+                # them, a bound of zero must not close them all.
+                break
+            connection = idle.pop()
+            if connection.usable:
+                return connection
+            connection.close()
+        return await self._connect(address, loop)
+
+    def release(self, address: str, connection: UpstreamConnection) -> None:
+        """Keep the connection for another request, or close it."""
+        if not connection.usable:
+            connection.close()
+            return
+        now_s = asyncio.get_running_loop().time()
+        connection.idle_since_s = now_s
+        idle = self._idle.setdefault(address, deque())
+        idle.append(connection)
+        # Without this the connections of a burst would stay for good, as
+        # the youngest one is always used first.
+        while len(idle) > MAX_IDLE or _is_stale(idle[0], now_s, self._idle_s):
+            idle.popleft().close()
+
+    def idle_count(self, address: str) -> int:
+        """Return how many idle connections to the address are kept."""
+        return len(self._idle.get(address, ()))
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.close()
+        self._idle.clear()
+
+    async def _connect(
+        self, address: str, loop: asyncio.AbstractEventLoop
+    ) -> UpstreamConnection:
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                _, connection = await loop.create_connection(
+                    lambda: UpstreamConnection(loop), host, int(port)
+                )
+        except (OSError, ValueError) as error:
+            raise ConnectFailed("it takes no connection") from error
+        return connection
+
+
+def _is_stale(
+    connection: UpstreamConnection, now_s: float, idle_s: float
+) -> bool:
+    old = now_s - connection.idle_since_s > idle_s
+    return old or not connection.usable
+
+
+__all__ = ["MAX_IDLE", "UpstreamPool"]
