Entry: malformed events are refused before the charge; no fault ends all

A plain answer was charged before it was put together from its events, whose JSON nobody had looked at: malformed ones were billed and answered as an internal error.

--- a/packages/sycamorestand-bench/tests/fakes/test_engine.py
+++ b/packages/sycamorestand-bench/tests/fakes/test_engine.py
@@ -12,6 +12,7 @@
 from sycamorestand_bench.fakes.engine import FakeEngine
 from sycamorestand_bench.fakes.faults import Fault
 from sycamorestand_bench.fakes.loopback import Answer
+from sycamorestand_bench.fakes.loopback import Loopback
 from sycamorestand_bench.fakes.loopback import start_loopback
 from sycamorestand_bench.fakes.raw_server import serve_script
 from sycamorestand_model.backend_servers import Announcement
@@ -168,3 +169,55 @@
                 answer = await loopback.chat(stream=True, Idempotency_Key=key)
                 assert answer.text() == key
                 assert end_of(answer) == "[DONE]"
+
+
+NO_OBJECT = [b"data: no JSON\n\n", b"data: [1]\n\n"]
+MALFORMED = [
+    b'data: {"choices":[7]}\n\n',
+    b'data: {"choices":[{"delta":"text"}]}\n\n',
+    b'data: {"choices":[{"delta":{"tool_calls":[{"index":1e9}]}}]}\n\n',
+    b'data: {"choices":{"delta":1}}\n\n',
+]
+
+
+class TestMalformedEvents:
+    async def ask(self, loopback: Loopback, event: bytes) -> Answer:
+        """Ask an engine whose first answer holds this event."""
+
+        def script(count: int, request: bytes) -> bytes:
+            if count > 1:
+                return raw_answer(request)
+            body = event + b"data: [DONE]\n\n"
+            length = b"content-length: %d\r\n\r\n" % len(body)
+            return HEAD + length + body
+
+        address = await loopback.group.start(serve_script, script)
+        loopback.control.servers["raw"] = Announcement(
+            "raw", "engine", address, "marietta", 1, 1, (LARGE,)
+        )
+        return await loopback.chat(Idempotency_Key="k")
+
+    @pytest.mark.parametrize("event", MALFORMED)
+    async def test_plain_answer_is_refused_unbilled(
+        self, event: bytes
+    ) -> None:
+        """The engine's events hold JSON of another form.
+
+        No answer can be made of them: the caller hears so, nothing is
+        billed, and the process serves the next request.
+        """
+        async with start_loopback() as loopback:
+            answer = await self.ask(loopback, event)
+            assert end_of(answer) == "backend_failed"
+            assert not loopback.ledger.charges
+            assert (await loopback.chat()).status == 200
+
+    @pytest.mark.parametrize("event", NO_OBJECT)
+    async def test_event_without_an_object_is_asked_for_again(
+        self, event: bytes
+    ) -> None:
+        async with start_loopback() as loopback:
+            answer = await self.ask(loopback, event)
+            message = answer.json()["choices"][0]["message"]
+            assert message["content"] == "k"
+            assert len(loopback.ledger.charges) == 1
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/answers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/answers.py
@@ -3,36 +3,43 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import Final
 
 from sycamorestand_entry.sse import decode_event
+from sycamorestand_entry.sse import MalformedStream
 from sycamorestand_entry.sse import split_events
 
+MAX_TOOL_CALLS: Final = 1024
 
-def assemble(events: bytes, ending: dict[str, Any]) -> dict[str, Any]:
-    """Return the answer as an engine gives it to a plain request."""
+
+def assemble(events: bytes) -> dict[str, Any]:
+    """Return the answer as an engine gives it to a plain request.
+
+    Raises `MalformedStream` where the events make no answer; their JSON
+    has not been looked at before.
+    """
     answer: dict[str, Any] = {}
     choices: dict[int, dict[str, Any]] = {}
     for event in split_events(events):
-        if event.startswith(b":"):
-            continue
         content = decode_event(event)
         answer = answer or {
             name: content[name]
             for name in ("id", "created", "model")
             if name in content
         }
-        for choice in content.get("choices") or []:
-            _add_choice(choices, choice)
+        try:
+            for choice in content.get("choices") or []:
+                _add_choice(choices, choice)
+        except (AttributeError, TypeError) as error:
+            raise MalformedStream("an event has no sound choice") from error
     answer["object"] = "chat.completion"
     answer["choices"] = [choices[index] for index in sorted(choices)]
-    answer["usage"] = ending.get("usage")
-    answer["sycamorestand"] = ending["sycamorestand"]
     return answer
 
 
 def answer_text(events: bytes) -> str:
     """Return the text of the first choice, as a rating sees it."""
-    choices = assemble(events, {"sycamorestand": None})["choices"]
+    choices = assemble(events)["choices"]
     return (choices[0]["message"].get("content") or "") if choices else ""
 
 
@@ -64,6 +71,8 @@
 ) -> None:
     for part in parts:
         index = part.get("index", len(calls))
+        if index > MAX_TOOL_CALLS:
+            raise MalformedStream("an event has too many tool calls")
         while len(calls) <= index:
             calls.append({"function": {"name": "", "arguments": ""}})
         call = calls[index]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/cascade.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/cascade.py
@@ -140,7 +140,7 @@
     context = step.context
     shown = _shown(step, run, begin_s)
     if run.done and kept is not None:
-        context.background.start_soon(
+        context.start_background(
             rate_and_report, context, step.chat, run, shown, b"".join(kept)
         )
     elif run.done or run.failed:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
 from random import Random
+from typing import Any
 from typing import TYPE_CHECKING
 
 from sycamorestand_decisions.cascade import CascadeLearner
@@ -20,13 +24,11 @@
     from sycamorestand_entry.ports import ControlPort
     from sycamorestand_entry.settings import EntrySettings
 
+_LOG = logging.getLogger(__name__)
 
-class EntryContext:
-    """What handlers of requests need; made once for a process.
 
-    ``background`` runs what must outlive its request; a planned stop
-    waits for it.
-    """
+class EntryContext:
+    """What handlers of requests need; made once for a process."""
 
     def __init__(
         self,
@@ -37,7 +39,7 @@
     ) -> None:
         self.settings = settings
         self.control = control
-        self.background = background
+        self._background = background
         self.metrics = Metrics()
         self.authenticator = Authenticator()
         self.pool = UpstreamPool(
@@ -54,5 +56,24 @@
         self.pins: dict[tuple[str, str], str] = {}
         self.stopping = False
 
+    def start_background(
+        self, function: Callable[..., Awaitable[None]], *arguments: Any
+    ) -> None:
+        """Run what must outlive its request; a planned stop waits for it.
+
+        A fault in it is logged and ends nothing else: in a task group it
+        would end the process with all of its requests.
+        """
+        self._background.start_soon(_guard, function, arguments)
+
+
+async def _guard(
+    function: Callable[..., Awaitable[None]], arguments: tuple[Any, ...]
+) -> None:
+    try:
+        await function(*arguments)
+    except Exception:
+        _LOG.exception("background work failed")
+
 
 __all__ = ["EntryContext"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/delivery.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/delivery.py
@@ -11,6 +11,7 @@
 from sycamorestand_entry.answers import assemble
 from sycamorestand_entry.billing import charge_once
 from sycamorestand_entry.billing import now_s
+from sycamorestand_entry.errors import BackendFailed
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.http_messages import error_content
 from sycamorestand_entry.http_messages import EVENT_STREAM
@@ -19,6 +20,7 @@
 from sycamorestand_entry.sessions import sign_session
 from sycamorestand_entry.sse import DONE
 from sycamorestand_entry.sse import encode_event
+from sycamorestand_entry.sse import MalformedStream
 from sycamorestand_model.ledger import Charge
 
 if TYPE_CHECKING:
@@ -77,13 +79,21 @@
 
 async def give_collected(delivery: Delivery, events: bytes) -> None:
     """Give an answer that is whole already, in the form asked for."""
-    ending = await _charge(delivery)
     responder = delivery.responder
     if delivery.chat.stream:
+        ending = await _charge(delivery)
         await responder.start(200, _headers(delivery, EVENT_STREAM))
         await responder.finish(events + encode_event(ending) + DONE)
         return
-    body = msgspec.json.encode(assemble(events, ending))
+    try:
+        answer = assemble(events)
+    except MalformedStream as error:
+        # Found before the charge: what can't be given isn't billed.
+        raise BackendFailed(f"the answer is malformed: {error}") from None
+    ending = await _charge(delivery)
+    answer["usage"] = ending.get("usage")
+    answer["sycamorestand"] = ending["sycamorestand"]
+    body = msgspec.json.encode(answer)
     cost = ending["sycamorestand"]["cost_micros"]
     headers = _headers(delivery, JSON)
     headers.append((b"content-length", b"%d" % len(body)))
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/once.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/once.py
@@ -249,7 +249,7 @@
         )
 
     def _settle_later(self, records: list[LedgerRecord]) -> None:
-        self._context.background.start_soon(_settle, self._context, records)
+        self._context.start_background(_settle, self._context, records)
 
 
 async def _settle(context: EntryContext, records: list[LedgerRecord]) -> None:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/samples.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/samples.py
@@ -10,6 +10,7 @@
 from sycamorestand_entry.answers import answer_text
 from sycamorestand_entry.ports import VersionSample
 from sycamorestand_entry.rating import RatedAnswer
+from sycamorestand_entry.sse import MalformedStream
 
 if TYPE_CHECKING:
     from sycamorestand_entry.chat_request import ChatRequest
@@ -47,12 +48,16 @@
     context: EntryContext, chat: ChatRequest, run: EngineRun, events: bytes
 ) -> float | None:
     """Return the rating of a whole answer, None where none came."""
+    try:
+        text = answer_text(events)
+    except MalformedStream:
+        return None
     rated = RatedAnswer(
         chat.customer.name,
         run.version,
         chat.request_class,
         chat.content["messages"],
-        answer_text(events),
+        text,
     )
     return await context.rating.rate(rated)
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/services.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/services.py
@@ -106,7 +106,7 @@
     claimed = ClaimedCall(context, call, service)
     # The call goes on in a task of the entry when the caller has left or
     # its deadline has passed, so that a late answer is still recorded.
-    context.background.start_soon(claimed.run)
+    context.start_background(claimed.run)
     with anyio.move_on_after(remaining_s(call.deadline_at_s)):
         await claimed.finished.wait()
     if not claimed.finished.is_set():
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/slots.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/slots.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import itertools
+import logging
 import time
 from typing import Final
 from typing import NamedTuple
@@ -28,6 +29,7 @@
     from sycamorestand_entry.metrics import Metrics
     from sycamorestand_entry.servers import Servers
 
+_LOG = logging.getLogger(__name__)
 TICK_S: Final = 0.25
 SERVER_RETRY_S: Final = 1.0
 # What a request without a size of its own is expected to take; the
@@ -97,13 +99,19 @@
         """Follow the servers' capacity and refuse what became hopeless."""
         while True:
             await anyio.sleep(TICK_S)
-            now_s = time.monotonic()
-            for target in self._refreshed_s:
-                self._set_capacity(target, now_s)
-            self._servers.forget_gone(now_s)
-            self._wake(now_s)
-            for ticket, refused in self._admission.expire(now_s):
-                self._answer(ticket.ticket_id, refused)
+            try:
+                self._tick(time.monotonic())
+            except Exception:
+                # Without the clock every queue would stand still.
+                _LOG.exception("admission's clock failed")
+
+    def _tick(self, now_s: float) -> None:
+        for target in self._refreshed_s:
+            self._set_capacity(target, now_s)
+        self._servers.forget_gone(now_s)
+        self._wake(now_s)
+        for ticket, refused in self._admission.expire(now_s):
+            self._answer(ticket.ticket_id, refused)
 
     async def _wait(self, ticket_id: int) -> None:
         future = asyncio.get_running_loop().create_future()
