--- a/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
@@ -13,6 +13,7 @@
 
 from sycamorestand_control.errors import ControlError
 from sycamorestand_control.groups import CONFIGURATION_GROUP
+from sycamorestand_decisions.demand import RecentRequests
 from sycamorestand_decisions.rollout import RolloutMonitor
 from sycamorestand_decisions.stats_rows import from_rows
 from sycamorestand_decisions.stats_rows import StatsRow
@@ -43,6 +44,10 @@
 
 LOG: Final = logging.getLogger(__name__)
 CHECK_INTERVAL_S: Final = 0.5
+# The bound on false alarms counts on few looks, and a look at 35 versions
+# takes milliseconds of the leader; half a minute is a third of a thousandth
+# of a day's requests.
+WATCH_EVERY_CHECKS: Final = 60
 PROPOSE_TIMEOUT_S: Final = 3.0
 MAX_REASON_CHARACTERS: Final = 400
 
@@ -70,8 +75,11 @@
         self._groups = groups
         self._configuration = configuration
         self._watch = VersionWatch()
+        self._requests = RecentRequests()
         self._runs: dict[str, _Run] = {}
         self._seen: dict[str, tuple[int, int]] = {}
+        self._barred: frozenset[str] = frozenset()
+        self._checks = 0
         self.verdicts: dict[str, str] = {}
 
     def report(self, message: SampleReport) -> None:
@@ -84,10 +92,15 @@
         stats = from_rows(rows)
         for version, counts in stats.items():
             self._watch.add(version, counts)
+            self._requests.add(version, counts.requests, time.time())
         for model, run in self._runs.items():
             old, new = self._compared(model, stats)
             run.monitor.add(old, new)
 
+    def request_shares(self) -> dict[str, float]:
+        """Return each version's share of the requests of late."""
+        return self._requests.shares(time.time())
+
     async def run(self) -> None:
         """Judge at an interval, until cancelled."""
         while True:
@@ -95,9 +108,16 @@
             if not self._groups.is_leader(CONFIGURATION_GROUP):
                 self._runs.clear()
                 continue
-            self._follow_rollouts()
-            for command in self._commands(time.time()):
-                await self._commit(command)
+            await self.look(time.time())
+
+    async def look(self, now_s: float) -> None:
+        """Judge once and commit what follows."""
+        self._follow_rollouts()
+        self._follow_lifted()
+        for command in self._commands(now_s):
+            await self._commit(command)
+        # What is reported from here on belongs to the step just made.
+        self._follow_rollouts()
 
     def _commands(self, now_s: float) -> list[Command]:
         commands: list[Command] = []
@@ -105,6 +125,9 @@
             command = self._judge(model, run, now_s)
             if command is not None:
                 commands.append(command)
+        self._checks += 1
+        if self._checks % WATCH_EVERY_CHECKS:
+            return commands
         for version, verdict in self._watch.check(now_s).items():
             self.verdicts[version] = verdict.reason
             if isinstance(verdict, Stop) and self._may_quarantine(version):
@@ -182,6 +205,19 @@
             run.monitor.advance(now_s)
             self._runs[model] = run._replace(step=rollout.step)
 
+    def _follow_lifted(self) -> None:
+        """Forget what a version did before operators let it back.
+
+        Its counts would be the same evidence again, and it would be
+        quarantined again at the next look, whatever was mended.
+        """
+        in_force = self._configuration.in_force()
+        barred = frozenset((*in_force.quarantined, *in_force.withdrawn))
+        for version in self._barred - barred:
+            self._watch.forget(version)
+            self.verdicts.pop(version, None)
+        self._barred = barred
+
     def _objective(self, model: str) -> Objective:
         """Return the weights of the profile that most dreads exposure."""
         profiles = self._configuration.in_force().declarations.profiles
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/once.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/once.py
@@ -282,7 +282,7 @@
         )
 
     def _settle_later(self, records: list[LedgerRecord]) -> None:
-        self._context.background.start_soon(_settle, self._context, records)
+        self._context.start_background(_settle, self._context, records)
 
 
 def _new_owner() -> str:
