dev/bench control: a busy link at the target size, frames in the table

Cause: the target is asked of a busy node among 330 and 910 servers, not of the one in the measured cell.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/control_bench/report.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/control_bench/report.py
@@ -14,6 +14,7 @@
 from sycamorestand_bench.control_bench.latency import InForceTimes
 from sycamorestand_bench.control_bench.restart import RestartTimes
 from sycamorestand_bench.control_bench.target import Figure
+from sycamorestand_bench.control_bench.target import MEASURES
 
 GOALS: Final = {
     "in_force_p50_s": 0.3,
@@ -25,6 +26,8 @@
     "idle_entry_bytes_per_s": 21_000.0,
     "busy_link_cpu_percent": 2.5,
     "busy_link_bytes_per_s": 21_000.0,
+    "target_busy_link_cpu_percent": 2.5,
+    "target_busy_link_bytes_per_s": 21_000.0,
     "target_entry_cpu_percent": 2.5,
     "target_entry_resident_mb": 128.0,
     "target_entry_bytes_per_s": 21_000.0,
@@ -109,9 +112,19 @@
     return figures
 
 
-def target_figures(figures: Sequence[Figure]) -> dict[str, float]:
-    """Return the costs at the target size by role."""
+def target_figures(
+    figures: Sequence[Figure], costs: Sequence[CellCost]
+) -> dict[str, float]:
+    """Return the costs at the target size by role.
+
+    A busy link costs what the idle one does there and what its requests
+    added in the measured cell.
+    """
     found: dict[str, float] = {}
+    largest, busy = costs[-3:-1]
+    for figure, (name, measure) in zip(figures, MEASURES, strict=True):
+        added = measure(busy.link) - measure(largest.link)
+        found[f"target_busy_link_{name}"] = figure.link_at_target() + added
     for figure in figures:
         found[f"target_entry_{figure.name}"] = figure.entry_at_target()
         found[f"target_link_{figure.name}"] = figure.link_at_target()
@@ -129,7 +142,8 @@
         lines.append(
             f"{cost.entries:7} {cost.servers:7} {cost.requests_per_s:5.0f} |"
             f" sees {cost.servers_seen} servers, {cost.leases} leases,"
-            f" {cost.moves} moves"
+            f" {cost.moves} moves, {cost.link_frames_per_s:.1f} frames/s a"
+            " link"
         )
         for role in ("hub", "follower", "leader", "link", "entry"):
             used = getattr(cost, role)
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/control_bench/target.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/control_bench/target.py
@@ -95,6 +95,7 @@
 __all__ = [
     "CONTROLS",
     "Figure",
+    "MEASURES",
     "NODES",
     "NODES_A_CONTROL",
     "SERVERS",
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/control.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/control.py
@@ -105,7 +105,7 @@
     slopes = work_out(costs[:-PROBE_CELLS])
     for line in cell_lines(costs) + slope_lines(slopes):
         print(line)
-    return probe_figures(costs) | target_figures(slopes)
+    return probe_figures(costs) | target_figures(slopes, costs)
 
 
 __all__ = ["main"]
