--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/ledger_bench/disk.py
@@ -0,0 +1,65 @@
+"""How long the disk takes to sync, without the ledger.
+
+Three voters wait for their disks; where the disk itself pauses, a wait of
+the ledger says nothing about the ledger.
+"""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+import os
+import tempfile
+import time
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from sycamorestand_bench.control_bench.fitting import percentile
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+WRITERS: Final = 3
+SECONDS: Final = 2.0
+PAUSE_S: Final = 0.003
+RECORD: Final = b"x" * 2000
+MILLISECONDS: Final = 1000
+
+
+class SyncTimes(NamedTuple):
+    """How long an fsync took while as many files were written as voters."""
+
+    p50_ms: float
+    p99_ms: float
+    longest_ms: float
+
+
+def measure_syncs(folder: Path) -> SyncTimes:
+    """Append and sync three files at once, as three voters would."""
+    with ThreadPoolExecutor(WRITERS) as pool:
+        runs = list(pool.map(_sync_often, [folder] * WRITERS))
+    return summarize([value for run in runs for value in run])
+
+
+def summarize(values_ms: list[float]) -> SyncTimes:
+    """Return the figures of many syncs."""
+    return SyncTimes(
+        percentile(values_ms, 50), percentile(values_ms, 99), max(values_ms)
+    )
+
+
+def _sync_often(folder: Path) -> list[float]:
+    values_ms = []
+    until_s = time.perf_counter() + SECONDS
+    with tempfile.TemporaryFile(dir=folder) as stream:
+        while time.perf_counter() < until_s:
+            stream.write(RECORD)
+            stream.flush()
+            begun_s = time.perf_counter()
+            os.fsync(stream.fileno())
+            values_ms.append((time.perf_counter() - begun_s) * MILLISECONDS)
+            time.sleep(PAUSE_S)
+    return values_ms
+
+
+__all__ = ["measure_syncs", "summarize", "SyncTimes"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/ledger.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/ledger.py
@@ -17,6 +17,8 @@
 
 from sycamorestand_bench.control_bench.fitting import fit_line
 from sycamorestand_bench.control_bench.system import System
+from sycamorestand_bench.ledger_bench.disk import measure_syncs
+from sycamorestand_bench.ledger_bench.disk import SyncTimes
 from sycamorestand_bench.ledger_bench.loads import LoadCost
 from sycamorestand_bench.ledger_bench.loads import measure_loads
 from sycamorestand_bench.processes import Cluster
@@ -53,16 +55,29 @@
     :param as_entry: send through the entry's client, which spaces batches
     """
     costs: list[LoadCost] = []
+    syncs = [_syncs()]
     for count in shards:
         offered = loads if count == 1 else shard_loads
         costs += _measure(count, offered, as_entry)
+    syncs.append(_syncs())
     for line in lines_of(costs):
         print(line)
+    for when, times in zip(("before", "after"), syncs, strict=True):
+        print(
+            f"a bare fsync of three files, {when}: p50 {times.p50_ms:.2f},"
+            f" p99 {times.p99_ms:.1f}, longest {times.longest_ms:.1f} ms"
+        )
     result = figures_of(costs)
+    result["bare_fsync_p99_ms"] = [round(t.p99_ms, 2) for t in syncs]
     print(json.dumps(result))
     return 1 if result["goals_missed"] else 0
 
 
+def _syncs() -> SyncTimes:
+    with tempfile.TemporaryDirectory() as folder:
+        return measure_syncs(Path(folder))
+
+
 def _measure(
     shards: int, loads: Sequence[int], as_entry: bool
 ) -> list[LoadCost]:
--- a/packages/sycamorestand-bench/tests/test_ledger_bench.py
+++ b/packages/sycamorestand-bench/tests/test_ledger_bench.py
@@ -8,6 +8,7 @@
 from sycamorestand_bench.ledger_bench.client_process import DIGITS
 from sycamorestand_bench.ledger_bench.client_process import LoadResult
 from sycamorestand_bench.ledger_bench.client_process import LONGEST_US
+from sycamorestand_bench.ledger_bench.disk import summarize
 from sycamorestand_bench.ledger_bench.loads import combine
 from sycamorestand_bench.ledger_bench.loads import LoadCost
 from sycamorestand_bench.ledger_bench.loads import median_run
@@ -48,6 +49,13 @@
         assert waits.p99_ms == pytest.approx(90.0, rel=0.01)
 
 
+class TestDisk:
+    def test_one_pause_shows(self) -> None:
+        times = summarize([0.2] * 99 + [180.0])
+        assert times.p50_ms == pytest.approx(0.2)
+        assert times.longest_ms == 180.0
+
+
 class TestMedianRun:
     def test_failures_of_every_run_are_kept(self) -> None:
         runs = [_cost(10, 30.0), _cost(10, 900.0, failed=2), _cost(10, 40.0)]
