The product runs on the standard loop: uvloop sets up io_uring

Cause: uvloop 0.23 calls io_uring_setup at its first loop also with UV_USE_IO_URING=0, seen with strace and as a descriptor; the product may not use io_uring. Ruled out: setting the variable before the process starts (2 calls seen all the same). Shown failing: with use_uvloop the new test of both processes finds the descriptor; on the standard loop it passes.

--- a/packages/sycamorestand/src/sycamorestand/run.py
+++ b/packages/sycamorestand/src/sycamorestand/run.py
@@ -68,16 +68,10 @@
 
 
 def _run_loop(serve: Serve, values: dict[str, Any]) -> int:
-    # uvloop asks for io_uring at its first loop unless it is told not to;
-    # the product must not use it.
-    os.environ["UV_USE_IO_URING"] = "0"
+    # The loop of the standard library: uvloop 0.23 sets up io_uring at its
+    # first loop, also with UV_USE_IO_URING=0, and the product must not.
     try:
-        anyio.run(
-            _serve_until_signal,
-            serve,
-            values,
-            backend_options={"use_uvloop": True},
-        )
+        anyio.run(_serve_until_signal, serve, values)
     except ExceptionGroup as group:
         known, other = group.split((SycamorestandError, ConsensusError))
         for error in _leaves(known):
--- /dev/null
+++ b/packages/sycamorestand/tests/test_run.py
@@ -0,0 +1,76 @@
+"""The two kinds of process, as the program starts them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from sycamorestand.run import main
+from sycamorestand_bench.processes import Cluster
+from sycamorestand_model.keys import hash_key
+
+
+@pytest.fixture
+def cluster(tmp_path: Path) -> Iterator[Cluster]:
+    """Return one control and one entry process, both ready."""
+    with Cluster(tmp_path) as cluster:
+        cluster.start_control(
+            "control-1",
+            "dalton",
+            first=True,
+            admin_key_hash=hash_key("admin"),
+            voters_wanted=1,
+        )
+        cluster.wait_ready("control-1")
+        cluster.start_entry("entry-1", "dalton", address_ttl_s=0.0)
+        cluster.wait_ready("entry-1")
+        yield cluster
+
+
+def open_files(pid: int) -> set[str]:
+    folder = Path(f"/proc/{pid}/fd")
+    return {str(path.readlink()) for path in folder.iterdir()}
+
+
+class TestProcesses:
+    def test_neither_uses_io_uring_nor_starts_a_process(
+        self, cluster: Cluster
+    ) -> None:
+        """A loop that sets up io_uring holds a descriptor for it.
+
+        uvloop does so whatever its environment says; the descriptors of
+        both processes are the proof that neither runs on it.
+        """
+        for name in ("control-1", "entry-1"):
+            pid = cluster.pid(name)
+            files = open_files(pid)
+            assert "anon_inode:[eventpoll]" in files
+            assert "anon_inode:[io_uring]" not in files
+            children = Path(f"/proc/{pid}/task/{pid}/children").read_text()
+            assert children == ""
+
+    def test_both_end_a_planned_stop_with_status_0(
+        self, cluster: Cluster
+    ) -> None:
+        assert cluster.stop("entry-1") == 0
+        assert cluster.stop("control-1") == 0
+
+    def test_each_restarts_on_what_it_has(self, cluster: Cluster) -> None:
+        """Both processes are killed; the control process has a folder."""
+        cluster.kill("entry-1")
+        cluster.kill("control-1")
+        cluster.start_control("control-1", "dalton", voters_wanted=1)
+        cluster.start_entry("entry-1", "dalton", address_ttl_s=0.0)
+        cluster.wait_ready("control-1", "entry-1")
+
+
+class TestMain:
+    def test_settings_that_are_missing_are_told_together(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        assert main(["control", "--vm", "c"]) == 2
+        said = capsys.readouterr().err
+        assert "--data-centre" in said
+        assert "SYCAMORESTAND_CLUSTER_KEY_FILE" in said
