--- a/packages/sycamorestand-consensus/tests/test_core.py
+++ b/packages/sycamorestand-consensus/tests/test_core.py
@@ -316,6 +316,21 @@
         say(core, "b", 2, matched(1, Stamp(1, 5.1)), now_s=5.3)
         assert core.lease_until_s(5.3) == 5.1 + SETTINGS.lease_s
 
+    def test_a_heartbeat_is_answered_while_entries_are_written(
+        self,
+    ) -> None:
+        # A follower's disk takes its time. If its answers waited for it,
+        # the leader would lose its lease and its office to a slow fsync.
+        core = make_core(term=1)
+        sync(core, 0.0)
+        entries = Append(0, 0, (entry(1, 1),), 0, Stamp(1, 1.0))
+        say(core, "b", 1, entries, now_s=1.0)
+        assert core.drain(1.0).batch is not None
+        heartbeat = Append(1, 1, (), 0, Stamp(1, 1.1))
+        say(core, "b", 1, heartbeat, now_s=1.1)
+        (reply,) = core.drain(1.1).messages
+        assert reply.body == matched(0, Stamp(1, 1.1))
+
     def test_a_leader_that_steps_down_keeps_its_promise(self) -> None:
         # The leader handed out leases under its own, then its disk fills
         # and it follows. Voting for a successor now would put that one
--- a/packages/sycamorestand-consensus/tests/test_replica.py
+++ b/packages/sycamorestand-consensus/tests/test_replica.py
@@ -6,6 +6,7 @@
 import errno
 import os
 from pathlib import Path
+import shutil
 import time
 
 import anyio
@@ -17,6 +18,7 @@
 from sycamorestand_consensus.errors import NotLeader
 from sycamorestand_consensus.errors import ProposalLost
 from sycamorestand_consensus.errors import SettingsRefused
+from sycamorestand_consensus.errors import StorageError
 from sycamorestand_consensus.replica import Replica
 from sycamorestand_consensus.settings import ReplicaSettings
 
@@ -323,6 +325,28 @@
 
         anyio.run(scenario)
 
+    def test_a_lost_log_under_the_same_id_ends_the_run(
+        self, tmp_path: Path
+    ) -> None:
+        # Somebody removed the group's folder and left the identity. The
+        # member must not come back with an empty log under its old id.
+        async def scenario() -> None:
+            async with group_of(tmp_path, 1) as network:
+                await network.vms[0].replica.propose(b"x")
+            shutil.rmtree(tmp_path / "vm-0" / "group-0")
+            replica = Replica(
+                tmp_path / "vm-0",
+                GROUP,
+                SETTINGS,
+                Commands(),
+                lambda to, payload: None,
+                time.monotonic,
+            )
+            with pytest.raises(StorageError):
+                await replica.run()
+
+        anyio.run(scenario)
+
     def test_foreign_payloads_are_counted_and_dropped(
         self, tmp_path: Path
     ) -> None:
