--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/storage.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/storage.py
@@ -67,6 +67,7 @@
         self._size_bytes = 0
         # Set while the tail may hold a frame that was not written whole.
         self._tail_dirty = False
+        self._delete_due = False
 
     def open(self, *, known: bool) -> Recovered:
         """Read everything, cut a torn tail, and get ready to write.
@@ -97,7 +98,8 @@
         with storage_errors(self._folder):
             # Before anything else: once the records are on disk an error
             # here would make the caller write them twice.
-            self._delete_covered()
+            if self._delete_due:
+                self._delete_covered()
             if self._size_bytes >= self._segment_bytes:
                 self._roll()
             stored = [kept for r in records for kept in self._prepare(r)]
@@ -215,6 +217,7 @@
         path = _snapshot_path(self._folder, snapshot.last_index)
         replace_file(path, SNAPSHOT_MAGIC + checksum + content)
         self._snapshot = snapshot
+        self._delete_due = True
 
     def _delete_covered(self) -> None:
         covered = self._snapshot.last_index
@@ -225,6 +228,7 @@
         for path in self._folder.glob("snapshot-*.snp"):
             if path != kept:
                 path.unlink()
+        self._delete_due = False
 
 
 def _snapshot_path(folder: Path, index: int) -> Path:
