Only ratings beside an old version count for full use

At full use no old version is left to compare with, and half of the 200 ratings that are asked for came then. Change: 200 ratings a class before full use, a fourth for each step before.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
@@ -45,10 +45,11 @@
 # Ratings that a step needs where ratings come at all: thirty show a drop
 # of 20 points to about two standard deviations.
 MIN_RATED: Final = 30
-# Ratings of each class that the last step needs, half as many for each
-# step before. A class 20 points worse is found after about 120; without
-# this one roll-out of five that was bad for one class was completed.
-CLASS_RATED_AT_LAST: Final = 200
+# Ratings of each class that full use needs, a fourth for each step
+# before. At full use there is no old version left to compare with, so what
+# is rated then is no evidence: counted there, one roll-out of six that was
+# bad for one class was completed.
+CLASS_RATED_FOR_FULL: Final = 200
 # Classes under this share of the ratings would hold every roll-out up.
 SMALL_CLASS_SHARE: Final = 0.05
 
@@ -182,7 +183,7 @@
     old: VersionStats, new: VersionStats, steps: int, start: StepStart
 ) -> str | None:
     """Return a class that is rated too little for the next step."""
-    needed = CLASS_RATED_AT_LAST / 2 ** max(0, steps - 1 - start.step)
+    needed = CLASS_RATED_FOR_FULL / 4 ** max(0, steps - 2 - start.step)
     old_rated, new_rated = rated_by_class(old), rated_by_class(new)
     total = sum(old_rated.values())
     for name, rated in sorted(old_rated.items()):
