--- a/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -63,7 +63,7 @@
             {
                 "vm": address.vm,
                 "data_centre": address.data_centre,
-                "url": f"http://{address.host}:{address.port}",
+                "url": _url(address),
             }
             for address in usable
         ],
@@ -115,6 +115,11 @@
             metrics.ejected.set(labels, int(server.ejected))
 
 
+def _url(address: EntryAddress) -> str:
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return f"http://{host}:{address.port}"
+
+
 def _rank(
     context: EntryContext, address: EntryAddress
 ) -> tuple[bool, float, str]:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_pool.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_pool.py
@@ -74,7 +74,9 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(loop), host, int(port)
+                    lambda: UpstreamConnection(loop),
+                    host.strip("[]"),
+                    int(port),
                 )
         except (OSError, ValueError) as error:
             raise ConnectFailed("it takes no connection") from error
--- a/packages/sycamorestand-entry/tests/test_bad_input.py
+++ b/packages/sycamorestand-entry/tests/test_bad_input.py
@@ -279,3 +279,25 @@
         known = loopback.control.servers["engine-7"]
         assert known.versions == (LARGE,)
         assert known.load.running == 2
+
+    async def test_late_and_doubled_ones_change_nothing(
+        self, loopback: Loopback
+    ) -> None:
+        """A server's announcements come late, twice and out of order.
+
+        The newest one stays, also against one of an earlier start.
+        """
+        for incarnation, sequence, leaving in (
+            (2, 5, True),
+            (2, 5, False),
+            (2, 4, False),
+            (1, 9, False),
+        ):
+            body = engine(
+                incarnation=incarnation, sequence=sequence, leaving=leaving
+            )
+            answer = await loopback.call("POST", ANNOUNCE, body, BACKEND_KEY)
+            assert answer.status == 200
+        known = loopback.control.servers["engine-7"]
+        assert (known.incarnation, known.sequence) == (2, 5)
+        assert known.leaving
--- a/packages/sycamorestand-entry/tests/test_services.py
+++ b/packages/sycamorestand-entry/tests/test_services.py
@@ -138,6 +138,30 @@
             assert len(service.records) == 1
             assert not loopback.ledger.charges
 
+    async def test_entry_that_dies_leaves_no_second_run(self) -> None:
+        """The entry dies after it has written the order.
+
+        Another entry finds the claim dispatched. It can't know whether
+        the order ran, says so, and does not send it to the service.
+        """
+        ledger = FakeLedger()
+        async with start_loopback(ledger=ledger) as two:
+            service = await add_service(two)
+            service.switch.fault = Fault("silent", times=1)
+            async with start_loopback(ledger=ledger) as one:
+                one.control.servers.update(two.control.servers)
+                with anyio.move_on_after(5) as scope:
+                    async with anyio.create_task_group() as group:
+                        group.start_soon(order, one)
+                        while not service.records:
+                            await anyio.sleep(0.01)
+                        group.cancel_scope.cancel()
+                assert not scope.cancelled_caught
+            answer = await order(two)
+            assert answer.json()["error"]["code"] == "still_running"
+            assert answer.json()["error"]["run"] == "unknown"
+            assert len(service.records) == 1
+
     async def test_refusal_of_the_server_lets_another_one_run_it(
         self,
     ) -> None:
--- a/packages/sycamorestand-entry/tests/test_stop.py
+++ b/packages/sycamorestand-entry/tests/test_stop.py
@@ -145,6 +145,15 @@
             )
             assert await listed(loopback) == ["vm-2", "vm-3", "vm-9"]
 
+    async def test_url_of_an_ipv6_address(self) -> None:
+        async with start_loopback() as loopback:
+            loopback.control.entry_addresses = (
+                EntryAddress("vm-1", "marietta", "fd00::7", 8080),
+            )
+            answer = await loopback.call("GET", "/v1/addresses", key="")
+            urls = [entry["url"] for entry in answer.json()["addresses"]]
+            assert urls == ["http://[fd00::7]:8080"]
+
 
 class TestStoppedEntry:
     async def test_new_connections_are_refused(self) -> None:
