Random overlap of two leaders: effects keep the order of their numbers

Cause: the tests of lost leaders play one course each. A hypothesis state machine has two processes lead in turn, learn late that they do not, pause between record and sending, and send orders that are lost, refused, or acted on at any time within flight and engine delay; the engine ignores numbers. Checked: effects in the order of numbers, one open order a server, done only for what the engine did.

--- a/packages/sycamorestand-bench/tests/fakes/leading.py
+++ b/packages/sycamorestand-bench/tests/fakes/leading.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from math import inf
 
 from sycamorestand_consensus.errors import NotLeader
 from sycamorestand_control.errors import NoLeader
@@ -42,7 +43,7 @@
     def __init__(self, cluster: Cluster, loads_at_once: int = 2) -> None:
         self.cluster = cluster
         self.term: int | None = None
-        self.lease_s = 0.7
+        self.lease_until_s = inf
         self.cut_off = False
         self.cut_off_before = ""
         self.lost_after = ""
@@ -52,7 +53,7 @@
             LeaderLog(
                 lambda: self.term,
                 self._barrier,
-                lambda: self.lease_s,
+                lambda: self.lease_until_s - cluster.now_s,
                 cluster.machine.orders,
                 self._commit,
             ),
--- /dev/null
+++ b/packages/sycamorestand-bench/tests/fakes/test_order_races.py
@@ -0,0 +1,213 @@
+"""Leaders that overlap, and an engine that ignores fencing numbers."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine
+from functools import partial
+from typing import Any
+from typing import Literal
+from typing import NamedTuple
+from unittest.mock import patch
+
+import anyio
+from hypothesis import settings
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.strategies import booleans
+from hypothesis.strategies import integers
+from hypothesis.strategies import sampled_from
+
+from sycamorestand_control.orders.engine_call import EngineOutcome
+from sycamorestand_model.backend_servers import Announcement
+from sycamorestand_state.commands import RecordOrder
+from sycamorestand_state.order_book import UNFINISHED_PHASES
+from sycamorestand_state.orders import ENGINE_DELAY_S
+from sycamorestand_state.orders import ORDER_FLIGHT_S
+
+from .leading import Cluster
+from .leading import Leader
+
+# One server and two leaders, so that orders meet in most runs.
+SERVERS = ("a",)
+# For so long an old leader may still believe to have its quorum.
+OLD_LEASE_S = 0.7
+Fate = Literal["answered", "refused", "lost", "late"]
+
+leaders = integers(0, 1)
+actions = sampled_from(("load", "unload"))
+fates = sampled_from(("answered", "refused", "lost", "late"))
+pauses = sampled_from((0.0, 0.5, 1.9, 8.0))
+waits = sampled_from((0.0, 0.8, 7.0))
+
+
+class Late(NamedTuple):
+    """An order that the engine may act on until ``until_s``."""
+
+    until_s: float
+    record: RecordOrder
+
+
+class OrderRaces(RuleBasedStateMachine):
+    """Two processes that lead in turn and learn late that they do not.
+
+    A deposed leader can still commit (its proposals are passed on to the
+    new one) and believes in its quorum for a while. What is sent may be
+    lost, or acted on at any time within flight and engine delay.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cluster = Cluster()
+        self.processes = [Leader(self.cluster, 99) for _ in range(2)]
+        self.applied: dict[str, list[RecordOrder]] = {s: [] for s in SERVERS}
+        self.on_way: list[Late] = []
+        self.fate: Fate = "answered"
+        for name in SERVERS:
+            self.cluster.servers[name] = Announcement(
+                name, "engine", "127.0.0.1:1", "dc", 1, 1, (), max_versions=9
+            )
+        self.patch = patch(
+            "sycamorestand_control.orders.channel.send_order", self._send
+        )
+        self.patch.start()
+
+    def teardown(self) -> None:
+        self.patch.stop()
+
+    @initialize()
+    def begin(self) -> None:
+        _run(self._elect(0))
+        self.wait(1.0)
+
+    @rule(who=leaders, wait_s=waits)
+    def elect(self, who: int, wait_s: float) -> None:
+        _run(self._elect(who))
+        self.wait(wait_s)
+
+    @rule(who=leaders)
+    def notice(self, who: int) -> None:
+        if self.processes[who].term != self.cluster.term:
+            self.processes[who].term = None
+
+    @rule(
+        who=leaders,
+        action=actions,
+        fate=fates,
+        wait_s=waits,
+        pause_s=pauses,
+        replaced=booleans(),
+    )
+    def give(
+        self,
+        who: int,
+        action: str,
+        fate: Fate,
+        wait_s: float,
+        pause_s: float,
+        replaced: bool,
+    ) -> None:
+        """Give an order; between record and sending the process pauses."""
+        leader = self.processes[who]
+
+        async def pause() -> None:
+            leader.after_intent = None
+            if replaced:
+                await self._elect(1 - who)
+            self.wait(pause_s)
+            if replaced:
+                await self.processes[1 - who].channel.step()
+
+        self.wait(wait_s)
+        self.fate = fate
+        leader.after_intent = pause
+        _run(leader.channel.give(action, SERVERS[0], "x@1"))
+        leader.after_intent = None
+
+    @rule(who=leaders, wait_s=waits, fate=fates)
+    def step(self, who: int, wait_s: float, fate: Fate) -> None:
+        self.wait(wait_s)
+        self.fate = fate
+        _run(self.processes[who].channel.step())
+
+    @rule(length_s=waits)
+    def wait(self, length_s: float) -> None:
+        self.cluster.now_s += length_s
+        late = [o for o in self.on_way if o.until_s > self.cluster.now_s]
+        for order in self.on_way:
+            if order not in late:
+                self._act(order.record)
+        self.on_way = late
+
+    @rule(which=integers(0, 9))
+    def arrive(self, which: int) -> None:
+        if self.on_way:
+            late = self.on_way.pop(which % len(self.on_way))
+            self._act(late.record)
+
+    @invariant()
+    def effects_are_in_the_order_of_numbers(self) -> None:
+        for applied in self.applied.values():
+            fences = [(record.term, record.sequence) for record in applied]
+            assert fences == sorted(fences)
+
+    @invariant()
+    def one_open_order_a_server(self) -> None:
+        opened = [
+            order.backend_server
+            for order in self.cluster.machine.orders()
+            if order.phase in UNFINISHED_PHASES
+        ]
+        assert len(opened) == len(set(opened))
+
+    @invariant()
+    def done_means_that_the_engine_acted(self) -> None:
+        for order in self.cluster.machine.orders():
+            acted = self.applied[order.backend_server]
+            if order.phase == "done":
+                assert order.order_id in {r.order_id for r in acted}
+
+    async def _elect(self, who: int) -> None:
+        now_s = self.cluster.now_s
+        for process in self.processes:
+            process.lease_until_s = min(
+                process.lease_until_s, now_s + OLD_LEASE_S
+            )
+        elected = self.processes[who]
+        self.cluster.term += 1
+        elected.term = self.cluster.term
+        elected.lease_until_s = float("inf")
+        await elected.channel.step()
+
+    async def _send(
+        self, _address: str, record: RecordOrder, may_send: Any
+    ) -> EngineOutcome:
+        if not may_send():
+            return EngineOutcome("failed", "not sent")
+        if self.fate == "answered":
+            self._act(record)
+            return EngineOutcome("done", "")
+        if self.fate == "refused":
+            return EngineOutcome("failed", "")
+        if self.fate == "late":
+            until_s = self.cluster.now_s + ORDER_FLIGHT_S + ENGINE_DELAY_S
+            self.on_way.append(Late(until_s, record))
+        return EngineOutcome("unknown", "")
+
+    def _act(self, record: RecordOrder) -> None:
+        self.applied[record.backend_server].append(record)
+
+
+def _run(call: Coroutine[Any, Any, Any]) -> None:
+    anyio.run(partial(_await, call))
+
+
+async def _await(call: Coroutine[Any, Any, Any]) -> None:
+    await call
+
+
+TestOrderRaces = OrderRaces.TestCase
+TestOrderRaces.settings = settings(
+    max_examples=200, stateful_step_count=30, deadline=None, derandomize=True
+)
--- a/packages/sycamorestand-bench/tests/fakes/test_ordered_engine.py
+++ b/packages/sycamorestand-bench/tests/fakes/test_ordered_engine.py
@@ -205,7 +205,7 @@
             await new.channel.step()
             assert cluster.phases() == ["done"]
             assert await new.channel.give("unload", "a", V1) == "done"
-            old.lease_s = 0.0
+            old.lease_until_s = 0.0
             await old.channel.step()
             assert await old.channel.give("load", "a", V2) == ""
         assert engine.versions == ()
@@ -229,7 +229,7 @@
             await old.elect()
 
             async def others_meanwhile() -> None:
-                old.lease_s = 0.0
+                old.lease_until_s = 0.0
                 await new.elect()
                 cluster.now_s += FLIGHT_S
                 await new.channel.step()
