Keys are read again when their file changes

Cause: the key files were read once at the start, so rotating the cluster key or the backend servers' key stopped every process. The entry took only the first line of the backend key file, and cut a key of over 64 bytes, which then matched nobody.

Now: `KeyFile` looks at modification time, size and inode at most once a second, when keys are asked for. A file that cannot be read or holds a bad key leaves the last good keys in force, is counted, and is logged when that state changes. Every line of the backend key file is valid. A key of over 64 bytes is a finding at the start. `values["cluster_key_file"]` is now a source of keys, so its test calls it and compares the same keys.

--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -83,7 +83,7 @@
         ]
         self.mesh = PeerMesh(
             settings.peer_address,
-            lambda: settings.cluster_keys,
+            settings.cluster_keys,
             self._received,
             settings.peer_listen or None,
         )
@@ -131,7 +131,7 @@
                 LedgerReader(self.shards),
                 self.admissions,
                 self.keeper,
-                lambda: settings.cluster_keys[0],
+                lambda: settings.cluster_keys()[0],
             )
         )
         self._tasks: anyio.abc.TaskGroup | None = None
--- a/packages/sycamorestand-control/src/sycamorestand_control/settings.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/settings.py
@@ -4,16 +4,24 @@
 
 from pathlib import Path
 from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sycamorestand_peer.key_file import KeySource
 
 
 class ControlSettings(NamedTuple):
-    """Settings of one control process, see ``sycamorestand control``."""
+    """Settings of one control process, see ``sycamorestand control``.
+
+    ``cluster_keys`` returns the keys that are valid now, which change
+    while the process runs.
+    """
 
     vm: str
     data_centre: str
     peer_address: str
     data_folder: Path
-    cluster_keys: tuple[bytes, ...]
+    cluster_keys: KeySource
     peer_listen: str = ""
     control_addresses: tuple[str, ...] = ()
     operator_host: str = "127.0.0.1"
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/announcements.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/announcements.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hmac
 import ipaddress
 from typing import Any
 from typing import Final
@@ -45,8 +46,12 @@
 
 def check_backend_key(context: EntryContext, request: Request) -> None:
     """Refuse whoever does not hold the key of backend servers."""
-    key = bearer_key(request.headers).decode("latin-1")
-    if not key_matches(key, context.settings.backend_key_hash):
+    settings = context.settings
+    key = bearer_key(request.headers)
+    if not (
+        _is_one_of(key, settings.backend_keys())
+        or key_matches(key.decode("latin-1"), settings.backend_key_hash)
+    ):
         context.metrics.announcements.inc({"result": "unauthorised"})
         raise Unauthorised("this is not the key of backend servers")
 
@@ -69,6 +74,11 @@
     return announcement
 
 
+def _is_one_of(key: bytes, keys: tuple[bytes, ...]) -> bool:
+    matches = [hmac.compare_digest(key, valid) for valid in keys]
+    return any(matches)
+
+
 def _find_unknown(content: dict[str, Any]) -> list[str]:
     findings = [
         f"unknown field '{name}'"
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -18,6 +18,7 @@
 from sycamorestand_entry.control.server_view import ServerView
 from sycamorestand_model.in_force import InForce
 from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.key_file import as_key_source
 from sycamorestand_peer.mesh import PeerMesh
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import AnnouncementRelay
@@ -44,6 +45,7 @@
     from sycamorestand_model.nodes import EntryAddress
     from sycamorestand_model.nodes import RatingCount
     from sycamorestand_model.nodes import VersionSample
+    from sycamorestand_peer.key_file import KeySource
 
 LOG: Final = logging.getLogger(__name__)
 # Three renewals without a grant: one may be lost, and a control process
@@ -58,14 +60,15 @@
     """What an entry needs to find its control process.
 
     ``control_addresses`` has the nearest first; the first one that
-    answers is kept.
+    answers is kept. ``cluster_keys`` are fixed ones, or a source that
+    returns those that are valid now.
     """
 
     vm: str
     data_centre: str
     peer_address: str
     control_addresses: tuple[str, ...]
-    cluster_keys: tuple[bytes, ...]
+    cluster_keys: tuple[bytes, ...] | KeySource
     peer_listen: str = ""
 
 
@@ -93,7 +96,7 @@
         self._ready = anyio.Event()
         self.mesh = PeerMesh(
             settings.peer_address,
-            lambda: settings.cluster_keys,
+            as_key_source(settings.cluster_keys),
             self._received,
             settings.peer_listen or None,
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
@@ -3,6 +3,12 @@
 from __future__ import annotations
 
 from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from sycamorestand_peer.key_file import no_keys
+
+if TYPE_CHECKING:
+    from sycamorestand_peer.key_file import KeySource
 
 
 class EntrySettings(NamedTuple):
@@ -12,7 +18,8 @@
     ``address_spread_s`` how long other entries may still hand out this
     one after it began to stop; a planned stop goes on accepting for both.
     ``backend_key_hash`` is the salted hash of the key that backend servers
-    announce with.
+    announce with, and ``backend_keys`` returns more of them, which change
+    while the process runs; any one of all these is accepted.
     ``silent_idle_s`` is how long a connection may have been idle and
     still carry a request that must not be repeated.
     """
@@ -22,6 +29,7 @@
     host: str = "127.0.0.1"
     port: int = 0
     backend_key_hash: str = ""
+    backend_keys: KeySource = no_keys
     rating_url: str = ""
     address_ttl_s: float = 15.0
     address_spread_s: float = 2.0
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/errors.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/errors.py
@@ -17,4 +17,11 @@
     """A frame is not authentic or not for this process."""
 
 
-__all__ = ["FrameRefused", "PeerError", "PeerTimeout"]
+class KeyFileError(PeerError, ValueError):
+    """A key file cannot be read or holds no good key.
+
+    It is a ``ValueError`` too, which is how a setting is found bad.
+    """
+
+
+__all__ = ["FrameRefused", "KeyFileError", "PeerError", "PeerTimeout"]
--- /dev/null
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/key_file.py
@@ -0,0 +1,143 @@
+"""Keys in a file that may change while the process runs."""
+
+from __future__ import annotations
+
+import logging
+import os
+from pathlib import Path
+import time
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from sycamorestand_peer.errors import KeyFileError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    KeySource = Callable[[], tuple[bytes, ...]]
+
+LOG: Final = logging.getLogger(__name__)
+MIN_KEY_BYTES: Final = 16
+# What the hash function of the frames takes as a key. Longer ones are
+# refused: cut short, a backend server's whole key would match none.
+MAX_KEY_BYTES: Final = 64
+MAX_FILE_BYTES: Final = 64 * 1024
+# Often enough for an operator who waits for a rotation; keys are asked for
+# with each frame, and a look at the file each time would cost a tenth of it.
+LOOK_INTERVAL_S: Final = 1.0
+
+
+class _Seen(NamedTuple):
+    """What tells one content of a file from the next."""
+
+    modified_ns: int
+    size: int
+    inode: int
+
+
+class KeyFile:
+    """The keys of a file, read again when the file has changed.
+
+    Calling it returns the keys that are valid now. A file that cannot be
+    read, or holds a bad key, leaves the last good keys in force: an
+    editor writes half a file, a copy fails, and without this the process
+    would refuse every peer until someone mends the file. The state is
+    logged when it changes, and ``failures`` counts the bad looks.
+
+    Raises `KeyFileError` when there is no first set of good keys.
+    """
+
+    def __init__(
+        self, path: Path, clock_s: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.path = path
+        self.failures = 0
+        self._clock_s = clock_s
+        self._looked_s = clock_s()
+        self._bad = False
+        # Seen before it is read: a change in between is read once more.
+        self._seen = _see(path)
+        self._keys = read_keys(path)
+
+    def __call__(self) -> tuple[bytes, ...]:
+        now_s = self._clock_s()
+        if now_s - self._looked_s >= LOOK_INTERVAL_S:
+            self._looked_s = now_s
+            self._look()
+        return self._keys
+
+    def _look(self) -> None:
+        try:
+            seen = _see(self.path)
+            if seen == self._seen and not self._bad:
+                return
+            keys = read_keys(self.path)
+        except KeyFileError as error:
+            self._failed(error)
+            return
+        self._seen = seen
+        self._take(keys)
+
+    def _take(self, keys: tuple[bytes, ...]) -> None:
+        if self._bad or keys != self._keys:
+            details = {"file": str(self.path), "keys": len(keys)}
+            LOG.info("key file read again", extra=details)
+        self._bad = False
+        self._keys = keys
+
+    def _failed(self, error: KeyFileError) -> None:
+        self.failures += 1
+        if not self._bad:
+            LOG.warning(
+                "key file is bad, the last good keys stay",
+                extra={"reason": str(error)},
+            )
+        self._bad = True
+
+
+def read_keys(path: Path) -> tuple[bytes, ...]:
+    """Return the keys of a file, one a line; the first one signs.
+
+    Raises `KeyFileError`, whose message never repeats a key.
+    """
+    try:
+        with path.open("rb") as file:
+            content = file.read(MAX_FILE_BYTES + 1)
+    except OSError as error:
+        raise _unreadable(path, error) from None
+    keys = tuple(content.split())
+    if len(content) > MAX_FILE_BYTES:
+        raise KeyFileError(f"{path} is larger than {MAX_FILE_BYTES} bytes")
+    if not keys:
+        raise KeyFileError(f"{path} holds no key")
+    if any(len(key) < MIN_KEY_BYTES for key in keys):
+        raise KeyFileError(f"{path} holds a key under {MIN_KEY_BYTES} bytes")
+    if any(len(key) > MAX_KEY_BYTES for key in keys):
+        raise KeyFileError(f"{path} holds a key over {MAX_KEY_BYTES} bytes")
+    return keys
+
+
+def as_key_source(keys: tuple[bytes, ...] | KeySource) -> KeySource:
+    """Return a source, also for keys that never change."""
+    return keys if callable(keys) else lambda: keys
+
+
+def no_keys() -> tuple[bytes, ...]:
+    """Return no key: the source where no file is set."""
+    return ()
+
+
+def _see(path: Path) -> _Seen:
+    try:
+        status = os.stat(path)
+    except OSError as error:
+        raise _unreadable(path, error) from None
+    return _Seen(status.st_mtime_ns, status.st_size, status.st_ino)
+
+
+def _unreadable(path: Path, error: OSError) -> KeyFileError:
+    return KeyFileError(f"{path} cannot be read: {error.strerror}")
+
+
+__all__ = ["as_key_source", "KeyFile", "no_keys", "read_keys"]
--- a/packages/sycamorestand/src/sycamorestand/entry_process.py
+++ b/packages/sycamorestand/src/sycamorestand/entry_process.py
@@ -11,7 +11,6 @@
 from sycamorestand_entry.control.link import LinkSettings
 from sycamorestand_entry.server import serve_entry
 from sycamorestand_entry.settings import EntrySettings
-from sycamorestand_model.keys import hash_key
 from sycamorestand_model.nodes import EntryAddress
 
 if TYPE_CHECKING:
@@ -28,7 +27,7 @@
         tasks.start_soon(link.run)
         async with anyio.create_task_group() as serving:
             entry = await serving.start(
-                serve_entry, _entry_settings(values), link
+                serve_entry, make_entry_settings(values), link
             )
             serving.start_soon(_stop_when_asked, stop, entry)
         tasks.cancel_scope.cancel()
@@ -50,17 +49,17 @@
     )
 
 
-def _entry_settings(values: dict[str, Any]) -> EntrySettings:
-    keys = values["backend_key_file"]
+def make_entry_settings(values: dict[str, Any]) -> EntrySettings:
+    """Return what the data path is told, from the settings' values."""
     return EntrySettings(
         vm=values["vm"],
         data_centre=values["data_centre"],
         host=values["host"],
         port=values["port"],
-        backend_key_hash=hash_key(keys[0].decode()) if keys else "",
+        backend_keys=values["backend_key_file"],
         rating_url=values["rating_url"],
         address_ttl_s=values["address_ttl_s"],
     )
 
 
-__all__ = ["run_entry"]
+__all__ = ["make_entry_settings", "run_entry"]
--- a/packages/sycamorestand/src/sycamorestand/settings.py
+++ b/packages/sycamorestand/src/sycamorestand/settings.py
@@ -11,13 +11,16 @@
 from typing import TYPE_CHECKING
 
 from sycamorestand_model.errors import SycamorestandError
+from sycamorestand_peer.key_file import KeyFile
+from sycamorestand_peer.key_file import no_keys
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
 
+    from sycamorestand_peer.key_file import KeySource
+
 PREFIX: Final = "SYCAMORESTAND_"
-MIN_KEY_BYTES: Final = 16
 
 
 class SettingsError(SycamorestandError):
@@ -179,19 +182,14 @@
     return path
 
 
-def key_file(value: str) -> tuple[bytes, ...]:
-    """Read keys, one a line; the first signs, all of them are accepted."""
-    lines = Path(value).read_bytes().split()
-    if not lines:
-        raise ValueError(f"{value} holds no key")
-    if any(len(line) < MIN_KEY_BYTES for line in lines):
-        raise ValueError(f"{value} holds a key under {MIN_KEY_BYTES} bytes")
-    return tuple(line[:64] for line in lines)
+def key_file(value: str) -> KeyFile:
+    """Read keys, one a line; a changed file is read again while we run."""
+    return KeyFile(Path(value))
 
 
-def optional_key_file(value: str) -> tuple[bytes, ...]:
+def optional_key_file(value: str) -> KeySource:
     """Read a file of keys, or nothing."""
-    return key_file(value) if value else ()
+    return key_file(value) if value else no_keys
 
 
 def _find(
--- a/packages/sycamorestand/tests/test_settings.py
+++ b/packages/sycamorestand/tests/test_settings.py
@@ -1,13 +1,20 @@
 from __future__ import annotations
 
 from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
+from sycamorestand.entry_process import make_entry_settings
 from sycamorestand.process_settings import CONTROL_SETTINGS
 from sycamorestand.process_settings import ENTRY_SETTINGS
 from sycamorestand.settings import read_settings
 from sycamorestand.settings import SettingsError
+from sycamorestand_entry.announcements import check_backend_key
+from sycamorestand_entry.errors import Unauthorised
+from sycamorestand_entry.metrics import Metrics
+from sycamorestand_peer.key_file import KeyFile
 
 
 class TestReadSettings:
@@ -25,7 +32,7 @@
         )
         assert values["vm"] == "entry-1"
         assert values["data_centre"] == "Dalton"
-        assert values["cluster_key_file"] == (b"a" * 32,)
+        assert values["cluster_key_file"]() == (b"a" * 32,)
 
     def test_all_findings_come_together(self) -> None:
         """An operator starts a control process with four mistakes.
@@ -55,3 +62,32 @@
             read_settings(
                 CONTROL_SETTINGS, {"cluster_key_file": str(key_file)}, {}
             )
+
+
+class TestBackendKeys:
+    def test_every_key_of_the_file_is_valid(self, tmp_path: Path) -> None:
+        path = tmp_path / "keys"
+        path.write_text("a" * 32 + "\n" + "b" * 32)
+        settings = make_entry_settings(
+            {
+                "vm": "e1",
+                "data_centre": "Dalton",
+                "host": "127.0.0.1",
+                "port": 0,
+                "rating_url": "",
+                "address_ttl_s": 30,
+                "backend_key_file": KeyFile(path),
+            }
+        )
+        context: Any = SimpleNamespace(
+            settings=settings, metrics=Metrics(), authenticator=None
+        )
+        for key in ("a", "b"):
+            check_backend_key(context, _announce(key * 32))
+        with pytest.raises(Unauthorised):
+            check_backend_key(context, _announce("c" * 32))
+
+
+def _announce(key: str) -> Any:
+    headers = {b"authorization": b"Bearer " + key.encode()}
+    return SimpleNamespace(headers=headers)
