Frames of an earlier life are refused, refusals counted by kind

Cause: after 5 s of a peer's silence any authentic frame of a lower incarnation was taken, and a process that had just started took any frame at all, so recorded grants and configuration of its earlier life. And a link that was given up and made anew numbered its frames from one, which its peer dropped as repeated until the count had caught up.

Now: a frame that echoes another life of the receiver is refused, and the receiver's link tells the peer of its new life. A lower incarnation needs, beside the silence, the echo of a frame that was sent since. One count of frames serves all links of a process.

Left: a process that has just started takes frames that echo nothing at all; what those can be is in docs/design/security.md.

--- a/packages/sycamorestand-peer/src/sycamorestand_peer/errors.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/errors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from sycamorestand_model.errors import SycamorestandError
+from sycamorestand_peer.refusals import Refusal
 
 
 class PeerError(SycamorestandError):
@@ -14,7 +15,12 @@
 
 
 class FrameRefused(PeerError):
-    """A frame is not authentic or not for this process."""
+    """A frame is not to be acted on; ``peer`` is empty if not authentic."""
+
+    def __init__(self, kind: Refusal, peer: str = "") -> None:
+        super().__init__(f"frame {kind}")
+        self.kind = kind
+        self.peer = peer
 
 
 class KeyFileError(PeerError, ValueError):
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/frames.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/frames.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from sycamorestand_peer.errors import FrameRefused
+from sycamorestand_peer.refusals import Refusal
 
 TAG_BYTES: Final = 16
 # Larger than any configuration that `check` admits, and small enough that
@@ -52,13 +53,13 @@
     """
     tag, body = data[:TAG_BYTES], data[TAG_BYTES:]
     if not any(hmac.compare_digest(tag, _tag(body, key)) for key in keys):
-        raise FrameRefused("no key of this cluster fits the frame")
+        raise FrameRefused(Refusal.KEY)
     try:
         frame = _DECODER.decode(body)
     except msgspec.MsgspecError as error:
-        raise FrameRefused(f"frame could not be read: {error}") from error
+        raise FrameRefused(Refusal.UNREADABLE) from error
     if frame.receiver != receiver:
-        raise FrameRefused(f"frame is for {frame.receiver}")
+        raise FrameRefused(Refusal.RECEIVER, frame.sender)
     return frame
 
 
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
@@ -43,6 +43,7 @@
     address: str
     incarnation: int
     key: Callable[[], bytes]
+    next_sequence: Callable[[], int]
     echo: Callable[[], tuple[int, int]]
     counters: MeshCounters
 
@@ -61,7 +62,6 @@
         self._health = LinkHealth(boottime_s())
         self._queued: list[tuple[int, bytes]] = []
         self._queued_bytes = 0
-        self._sequence = 0
         self._wake = anyio.Event()
         self._used_s = boottime_s()
         self._closed = False
@@ -126,13 +126,13 @@
 
     async def _send_frame(self, socket: pynng.Push0) -> bool:
         messages = self._take_batch()
-        self._sequence += 1
+        sequence = self._owner.next_sequence()
         echo_incarnation, echo_sequence = self._owner.echo()
         frame = Frame(
             self._owner.address,
             self.address,
             self._owner.incarnation,
-            self._sequence,
+            sequence,
             echo_incarnation,
             echo_sequence,
             messages,
@@ -145,7 +145,7 @@
             # stale by now; the link starts over with an empty connection.
             self._owner.counters.dropped += len(messages)
             return False
-        self._health.sent(self._sequence, boottime_s())
+        self._health.sent(sequence, boottime_s())
         self._owner.counters.frames_sent += 1
         self._owner.counters.bytes_sent += len(data)
         return True
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
@@ -17,11 +17,14 @@
 from sycamorestand_peer.codec import decode
 from sycamorestand_peer.errors import FrameRefused
 from sycamorestand_peer.errors import PeerTimeout
+from sycamorestand_peer.frames import Frame
 from sycamorestand_peer.frames import MAX_FRAME_BYTES
 from sycamorestand_peer.frames import open_frame
 from sycamorestand_peer.link import Link
 from sycamorestand_peer.link import LinkOwner
 from sycamorestand_peer.messages import CallReply
+from sycamorestand_peer.refusals import Refusal
+from sycamorestand_peer.refusals import Refusals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,7 +38,8 @@
 
 LOG: Final = logging.getLogger(__name__)
 # A restarted peer whose clock was set back has a lower incarnation. It is
-# taken after this much silence of the old one, longer than any lease.
+# taken after this much silence of the old one, longer than any lease, and
+# only with an echo of a frame from after that: recorded frames have none.
 INCARNATION_CHANGE_S: Final = 5.0
 # A link that nobody has used for this long belongs to a VM that is gone.
 LINK_IDLE_S: Final = 60.0
@@ -49,17 +53,31 @@
         self.frames_received = 0
         self.bytes_sent = 0
         self.bytes_received = 0
-        self.refused = 0
+        self.refusals = Refusals()
         self.malformed = 0
-        self.stale = 0
         self.redials = 0
         self.dropped = 0
 
+    @property
+    def refused(self) -> int:
+        """Return how many frames were not authentic or not for us."""
+        counts = self.refusals.counts
+        kinds = (Refusal.KEY, Refusal.UNREADABLE, Refusal.RECEIVER)
+        return sum(counts[kind] for kind in kinds)
+
+    @property
+    def stale(self) -> int:
+        """Return how many authentic frames came too late to be acted on."""
+        return sum(self.refusals.counts.values()) - self.refused
+
 
 class _Heard(NamedTuple):
+    """The newest frame of a peer, and what we had sent to all by then."""
+
     incarnation: int
     sequence: int
     at_s: float
+    sent_sequence: int
 
 
 class PeerMesh:
@@ -90,6 +108,8 @@
         self._handler = handler
         self._links: dict[str, Link] = {}
         self._heard: dict[str, _Heard] = {}
+        self._unproved: dict[str, tuple[int, int]] = {}
+        self._sequence = 0
         self._calls: dict[int, tuple[anyio.Event, list[CallReply]]] = {}
         self._next_call = 0
         self._tasks: TaskGroup | None = None
@@ -109,7 +129,8 @@
                     tasks.start_soon(self._run_link, link)
                 task_status.started()
                 while True:
-                    self._accept(await listener.arecv())
+                    received = await listener.arecv_msg()
+                    self._accept(received.bytes, received.pipe)
 
     def send(self, address: str, message: Message) -> None:
         """Queue a message; it goes out with whatever else is queued."""
@@ -160,6 +181,7 @@
                 self.address,
                 self.incarnation,
                 lambda: self._keys()[0],
+                self._count_frame,
                 lambda: self._echo(address),
                 self.counters,
             )
@@ -176,25 +198,30 @@
 
     def _echo(self, address: str) -> tuple[int, int]:
         heard = self._heard.get(address)
-        return (0, 0) if heard is None else (heard.incarnation, heard.sequence)
+        if heard is None:
+            return self._unproved.get(address, (0, 0))
+        return heard.incarnation, heard.sequence
+
+    def _count_frame(self) -> int:
+        # One count for all links: a link that was given up and made again
+        # would begin at one, and its peer take its frames for repeated.
+        self._sequence += 1
+        return self._sequence
 
-    def _accept(self, data: bytes) -> None:
+    def _accept(self, data: bytes, pipe: Any) -> None:
         self.counters.frames_received += 1
         self.counters.bytes_received += len(data)
+        now_s = boottime_s()
         try:
             frame = open_frame(data, self._keys(), self.address)
+            self._check_new(frame, now_s)
         except FrameRefused as error:
-            self.counters.refused += 1
-            LOG.debug("frame refused", extra={"reason": str(error)})
-            return
-        now_s = boottime_s()
-        if not self._is_new(
-            frame.sender, frame.incarnation, frame.sequence, now_s
-        ):
-            self.counters.stale += 1
+            peer = error.peer or _remote_host(pipe)
+            self.counters.refusals.add(error.kind, peer, now_s)
             return
+        self._unproved.pop(frame.sender, None)
         self._heard[frame.sender] = _Heard(
-            frame.incarnation, frame.sequence, now_s
+            frame.incarnation, frame.sequence, now_s, self._sequence
         )
         link = self._link(frame.sender)
         if frame.echo_incarnation == self.incarnation:
@@ -202,15 +229,31 @@
         for code, body in frame.messages:
             self._deliver(frame.sender, code, body)
 
-    def _is_new(
-        self, sender: str, incarnation: int, sequence: int, now_s: float
-    ) -> bool:
-        heard = self._heard.get(sender)
-        if heard is None or incarnation > heard.incarnation:
-            return True
-        if incarnation < heard.incarnation:
-            return now_s - heard.at_s >= INCARNATION_CHANGE_S
-        return sequence > heard.sequence
+    def _check_new(self, frame: Frame, now_s: float) -> None:
+        heard = self._heard.get(frame.sender)
+        if frame.echo_incarnation not in (0, self.incarnation):
+            # Recorded before our restart, or the peer has yet to notice
+            # it. Our link tells it; what it sends from then on is taken.
+            if heard is None:
+                newest = (frame.incarnation, frame.sequence)
+                self._unproved[frame.sender] = newest
+            self._link(frame.sender)
+            raise FrameRefused(Refusal.EARLIER_LIFE, frame.sender)
+        if heard is None or frame.incarnation > heard.incarnation:
+            return
+        if frame.incarnation < heard.incarnation:
+            if not self._is_successor(frame, heard, now_s):
+                self._link(frame.sender)
+                raise FrameRefused(Refusal.INCARNATION, frame.sender)
+        elif frame.sequence <= heard.sequence:
+            raise FrameRefused(Refusal.REPEATED, frame.sender)
+
+    def _is_successor(self, frame: Frame, heard: _Heard, now_s: float) -> bool:
+        return (
+            now_s - heard.at_s >= INCARNATION_CHANGE_S
+            and frame.echo_incarnation == self.incarnation
+            and frame.echo_sequence > heard.sent_sequence
+        )
 
     def _deliver(self, sender: str, code: int, body: bytes) -> None:
         try:
@@ -228,4 +271,13 @@
         self._handler(sender, message)
 
 
+def _remote_host(pipe: Any) -> str:
+    """Return the IP of a connection; its port changes with each one."""
+    try:
+        return str(pipe.remote_address).rpartition(":")[0]
+    except (AttributeError, pynng.NNGException):
+        # The connection is closed already.
+        return "unknown"
+
+
 __all__ = ["MeshCounters", "PeerMesh"]
