--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/checks.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/checks.py
@@ -75,6 +75,7 @@
         "retried_by_callers": sum(a.attempts > 1 for a in answers),
         "doubled_runs": _doubled_runs(world),
         "runs_disallowed": _runs_disallowed(world, allowed),
+        "runs_on_withdrawn_before": marks.runs_at_withdrawal,
         "runs_after_withdrawal": (
             world.runs_of(marks.withdrawn_version) - marks.runs_at_withdrawal
         ),
