--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_watch.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_watch.py
@@ -8,8 +8,8 @@
 tells these apart, and only a reason for operators is given.
 
 Thresholds, shown by ``dev/bench decisions --scenario turns-bad``: evidence
-of `LIMIT` is reached by chance about once in a million looks, which is once in some years for a dozen
-versions looked at every two minutes.
+of `LIMIT` is reached by chance about once in a million looks, which is
+once in some years for a dozen versions looked at every two minutes.
 """
 
 from __future__ import annotations
