Each decision module names the command that shows it

Two tests more for roll-outs: nothing is judged without an old version beside, and full use waits for ratings of each class.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/simulation.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/simulation.py
@@ -9,14 +9,14 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from sycamorestand_bench.decisions.baseline_rules import at_random
+from sycamorestand_bench.decisions.baseline_rules import least_reported
+from sycamorestand_bench.decisions.baseline_rules import round_robin
 from sycamorestand_bench.decisions.clock import VirtualClock
 from sycamorestand_bench.decisions.queue_model import ModelServer
-from sycamorestand_bench.decisions.routing import at_random
 from sycamorestand_bench.decisions.routing import BaselineEntry
 from sycamorestand_bench.decisions.routing import ConcentratingEntry
-from sycamorestand_bench.decisions.routing import least_reported
 from sycamorestand_bench.decisions.routing import ProductEntry
-from sycamorestand_bench.decisions.routing import round_robin
 from sycamorestand_bench.decisions.routing import TICK_S
 from sycamorestand_bench.decisions.workload import make_requests
 from sycamorestand_bench.decisions.workload import Mix
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/affinity.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/affinity.py
@@ -6,6 +6,9 @@
 of the keys and all entries agree without messages. Cache events of the
 engines come late and with gaps: they are hints that may name a better
 server, never a reason to wait for or to rely on one.
+
+Shown by ``dev/bench decisions --scenario hot-keys`` and
+``--scenario concentration``.
 """
 
 from __future__ import annotations
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/comparison.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/comparison.py
@@ -5,6 +5,8 @@
 of a healthy version is the reference's, weighed with the version's own mix
 of classes and blocks of time, plus a margin that is no harm, plus what the
 reference's own count leaves uncertain.
+
+Shown by ``dev/bench decisions --scenario rollout`` and ``turns-bad``.
 """
 
 from __future__ import annotations
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/evidence.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/evidence.py
@@ -6,6 +6,8 @@
 explains the counts with how well the reference does (a likelihood ratio
 averaged over alternatives); while the true rate is at most the reference,
 the chance that it ever reaches 1/p is at most p.
+
+Shown by ``dev/bench decisions --scenario rollout-healthy``.
 """
 
 from __future__ import annotations
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/fair_queue.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/fair_queue.py
@@ -6,6 +6,8 @@
 that was idle joins at the current virtual time, so that idling saves
 nothing up. Without it, one queue for all gives a customer the share of the
 servers that it asks for, not the share that it is due.
+
+Shown by ``dev/bench decisions --scenario flood``.
 """
 
 from __future__ import annotations
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/load_estimate.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/load_estimate.py
@@ -4,6 +4,8 @@
 the server that was idle two seconds ago, until the next report shows it
 overloaded: the pool swings. The entry's own count is exact; of the report
 only what is not its own counts, and it fades with age.
+
+Shown by ``dev/bench decisions --scenario late-reports``.
 """
 
 from __future__ import annotations
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/pass_rates.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/pass_rates.py
@@ -3,6 +3,9 @@
 Ratings come late, sometimes or never, and the mix of requests drifts. The
 counts fade, so that the last few hundred ratings of a class decide, and a
 version without ratings borrows a weak estimate from its model.
+
+Shown by ``dev/bench decisions --scenario cascade-drift`` and
+``--scenario cascade-late-ratings``.
 """
 
 from __future__ import annotations
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -20,12 +20,14 @@
 
 from random import Random
 from typing import Final
-from typing import Literal
-from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from sycamorestand_decisions.affinity import CacheHints
 from sycamorestand_decisions.affinity import HashRing
+from sycamorestand_decisions.candidates import Candidate
+from sycamorestand_decisions.candidates import Choice
+from sycamorestand_decisions.candidates import Outcome
+from sycamorestand_decisions.candidates import ServerMetrics
 from sycamorestand_decisions.concurrency_limit import ConcurrencyLimit
 from sycamorestand_decisions.ejection import MAX_EJECTED_SHARE
 from sycamorestand_decisions.ejection import ServerHealth
@@ -36,8 +38,6 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-Outcome = Literal["ok", "error", "timeout", "overloaded", "cancelled"]
-
 DRAWN: Final = 2
 # Draws before every candidate is looked at; with a third of them out,
 # eight draws miss two usable servers once in a few thousand choices.
@@ -54,37 +54,6 @@
 TYPICAL_EVERY: Final = 32
 
 
-class Candidate(NamedTuple):
-    """A backend server that could run the request, as last reported.
-
-    ``running`` and ``queued`` are the server's own counts, ``age_s`` how
-    old they are now.
-    """
-
-    name: str
-    capacity: int
-    running: int = 0
-    queued: int = 0
-    age_s: float = 0.0
-
-
-class ServerMetrics(NamedTuple):
-    """What an entry knows about one backend server."""
-
-    in_flight: int
-    limit: int
-    latency_s: float
-    ejected: bool
-
-
-class Choice(NamedTuple):
-    """One choice with what decided it, for `explain`."""
-
-    name: str
-    reason: str
-    scores: tuple[tuple[str, float], ...]
-
-
 class ServerSelector:
     """State of one entry process about the backend servers it uses.
 
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/service_times.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/service_times.py
@@ -3,6 +3,8 @@
 Admission compares expected times with deadlines. Expectations come from
 token limits and are often wrong by a factor; used as they are, requests
 are let in that miss their deadlines, or refused though they would not.
+
+Shown by ``dev/bench decisions --scenario saturation-3x``.
 """
 
 from __future__ import annotations
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_watch.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_watch.py
@@ -7,10 +7,9 @@
 take away what still answers. Where no other version has counts, nothing
 tells these apart, and only a reason for operators is given.
 
-Thresholds, shown by ``dev/bench decisions --scenario version-turns-bad``
-and ``--scenario rating-down``: evidence of `LIMIT` is reached by chance
-about once in a million looks, which is once in some years for a dozen
-versions looked at every two minutes.
+Thresholds, shown by ``dev/bench decisions --scenario turns-bad``: evidence
+of `LIMIT` is reached by chance about once in a million looks, which is once
+in some years for a dozen versions looked at every two minutes.
 """
 
 from __future__ import annotations
--- a/packages/sycamorestand-decisions/tests/test_rollout.py
+++ b/packages/sycamorestand-decisions/tests/test_rollout.py
@@ -12,6 +12,7 @@
 from sycamorestand_decisions.rollout import judge
 from sycamorestand_decisions.rollout import merge
 from sycamorestand_decisions.rollout import RolloutMonitor
+from sycamorestand_decisions.rollout import StepStart
 from sycamorestand_decisions.rollout import Stop
 from sycamorestand_decisions.rollout import VersionStats
 from sycamorestand_decisions.rollout import VersionWatch
@@ -109,6 +110,32 @@
         verdict = judge(old, new, ROLLOUT, 7_300.0)
         assert not isinstance(verdict, Stop)
 
+    def test_without_an_old_version_beside_nothing_is_judged(self) -> None:
+        """At full use no request goes to the old version any more.
+
+        In these blocks the rating service rates lower. Compared with the
+        old version's earlier hours this looks like a worse version; there
+        is nothing beside it, so nothing is stopped.
+        """
+        old = stats(1, 5_000)
+        new = merge((stats(2, 300), stats(3, 900, passes=0.6, now_s=7_200.0)))
+        verdict = judge(old, new, ROLLOUT, 7_900.0)
+        assert not isinstance(verdict, Stop)
+
+    def test_full_use_waits_for_ratings_of_each_class(self) -> None:
+        """A class has 150 ratings when the step before full use is done.
+
+        A version bad for that class could still look healthy by chance,
+        and at full use there is nothing left to compare with.
+        """
+        old = merge((stats(1, 5_000), stats(2, 900, request_class="review")))
+        new = merge((stats(3, 800), stats(4, 150, request_class="review")))
+        start = StepStart(step=2)
+        verdict = judge(old, new, ROLLOUT, 500.0, start)
+        assert verdict == Continue("too few ratings of class review")
+        more = merge((new, stats(5, 60, request_class="review")))
+        assert isinstance(judge(old, more, ROLLOUT, 500.0, start), Advance)
+
     def test_a_version_without_any_ratings_may_advance(self) -> None:
         old, new = stats(1, 5_000, rated=False), stats(2, 400, rated=False)
         assert isinstance(judge(old, new, ROLLOUT, 100.0), Advance)
