--- a/packages/sycamorestand-control/src/sycamorestand_control/leader_spread.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/leader_spread.py
@@ -33,7 +33,7 @@
 CHECK_INTERVAL_S: Final = 2.0
 # A hand-over stops the shard for some milliseconds. With a voter that
 # comes and goes each would bring one; at this pace they are not noticed.
-PAUSE_S: Final = 20.0
+PAUSE_S: Final = 5.0
 # A voter that lags this far would make the shard wait for it.
 MAX_LAG_ENTRIES: Final = 200
 HEARD_WITHIN_S: Final = 1.5
