--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -22,6 +22,7 @@
 from sycamorestand_control.groups import Group
 from sycamorestand_control.groups import LogGroups
 from sycamorestand_control.hub import EntryHub
+from sycamorestand_control.leader_spread import LeaderSpread
 from sycamorestand_control.lease_service import LeaseService
 from sycamorestand_control.ledger_reader import LedgerReader
 from sycamorestand_control.ledger_writer import LedgerWriter
@@ -84,7 +85,7 @@
         ]
         self.mesh = PeerMesh(
             settings.peer_address,
-            lambda: settings.cluster_keys,
+            settings.cluster_keys,
             self._received,
             settings.peer_listen or None,
         )
@@ -125,6 +126,7 @@
         self.admissions = Admissions(
             self.mesh, self.groups, settings.voters_wanted
         )
+        self.spread = LeaderSpread(self.mesh, self.groups)
         self.writers = [
             LedgerWriter(self._shard_proposer(number))
             for number in range(settings.ledger_shards)
@@ -140,7 +142,7 @@
             LedgerReader(self.shards),
             self.admissions,
             self.keeper,
-            lambda: settings.cluster_keys[0],
+            lambda: settings.cluster_keys()[0],
         )
         self.backend = ControlBackend(parts)
         self.metrics = ControlMetrics(parts, self.writers)
@@ -167,6 +169,7 @@
                 self.orders.planner.run,
                 self.admissions.run,
                 self.ratings.run,
+                self.spread.run,
                 *(writer.run for writer in self.writers),
             ):
                 tasks.start_soon(part)
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/errors.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/errors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from sycamorestand_model.errors import SycamorestandError
+from sycamorestand_peer.refusals import Refusal
 
 
 class PeerError(SycamorestandError):
@@ -14,7 +15,19 @@
 
 
 class FrameRefused(PeerError):
-    """A frame is not authentic or not for this process."""
+    """A frame is not to be acted on; ``peer`` is empty if not authentic."""
 
+    def __init__(self, kind: Refusal, peer: str = "") -> None:
+        super().__init__(f"frame {kind}")
+        self.kind = kind
+        self.peer = peer
 
-__all__ = ["FrameRefused", "PeerError", "PeerTimeout"]
+
+class KeyFileError(PeerError, ValueError):
+    """A key file cannot be read or holds no good key.
+
+    It is a ``ValueError`` too, which is how a setting is found bad.
+    """
+
+
+__all__ = ["FrameRefused", "KeyFileError", "PeerError", "PeerTimeout"]
