--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -141,6 +141,9 @@
         lifespan="off",
         interface="asgi3",
         log_config=None,
+        # uvicorn warns of each malformed request; a caller that sends
+        # nothing else would fill the log.
+        log_level="error",
         access_log=False,
         proxy_headers=False,
         server_header=False,
