--- a/packages/sycamorestand-control/src/sycamorestand_control/orders/slots.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/orders/slots.py
@@ -77,14 +77,16 @@
     that is leaving is not: its replicas are about to go.
     """
     unloading = unloading_versions(book.orders, book.wall_now_s)
+    last = last_orders(book.orders)
     held_back = servers_held_back(book)
     slots: list[ServerSlots] = []
     for name, announced in sorted(servers.items()):
         if announced.leaving:
             continue
-        going = {v for server, v in unloading if server == name}
         in_flight = _in_flight(reports[name], shares)
-        in_flight.update(dict.fromkeys(going, 1))
+        for version in announced.versions:
+            if (name, version) in unloading:
+                in_flight[version] = 1
         room = announced.max_versions
         if name in held_back or announced.max_versions < 1:
             in_flight = dict.fromkeys(announced.versions, 1)
@@ -93,7 +95,7 @@
             ServerSlots(
                 name,
                 room,
-                _loaded_since(announced, book.orders),
+                _loaded_since(announced, last),
                 in_flight,
                 book.loading.get(name, ()),
             )
@@ -162,13 +164,13 @@
 
 
 def _loaded_since(
-    announced: Announcement, orders: Iterable[OrderRecord]
+    announced: Announcement, last: Mapping[tuple[str, str], OrderRecord]
 ) -> dict[str, float]:
     """Return since when each version is loaded, 0 where nothing tells."""
     since = dict.fromkeys(announced.versions, 0.0)
-    for (server, version), order in last_orders(orders).items():
-        own = server == announced.name and version in since
-        if own and order.action == LOAD:
+    for version in announced.versions:
+        order = last.get((announced.name, version))
+        if order is not None and order.action == LOAD:
             since[version] = order.now_s
     return since
 
