--- a/packages/sycamorestand-bench/tests/fakes/test_orders_wired.py
+++ b/packages/sycamorestand-bench/tests/fakes/test_orders_wired.py
@@ -184,7 +184,7 @@
         "marietta",
         f"127.0.0.1:{_free_port()}",
         folder,
-        (b"k" * 32,),
+        lambda: (b"k" * 32,),
         operator_port=_free_port(),
         first_start=True,
         voters_wanted=1,
