--- a/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -11,8 +11,10 @@
 from aioprometheus.renderer import render
 
 if TYPE_CHECKING:
+    from sycamorestand_control.leader_spread import LeaderSpread
     from sycamorestand_control.ledger_writer import LedgerWriter
     from sycamorestand_control.operator_backend import Parts
+    from sycamorestand_control.orders.service import Orders
 
 PREFIX: Final = "sycamorestand_control_"
 PROMETHEUS_TEXT: Final = ["text/plain"]
@@ -25,9 +27,17 @@
     event loop nothing in between.
     """
 
-    def __init__(self, parts: Parts, writers: list[LedgerWriter]) -> None:
+    def __init__(
+        self,
+        parts: Parts,
+        writers: list[LedgerWriter],
+        orders: Orders,
+        spread: LeaderSpread,
+    ) -> None:
         self._parts = parts
         self._writers = writers
+        self._orders = orders
+        self._spread = spread
         self._registry = Registry()
         self.refusals = Counter(
             PREFIX + "operator_refusals_total",
@@ -43,6 +53,7 @@
         self._read_tables()
         self._read_links()
         self._read_ledger()
+        self._read_orders()
         content: bytes = render(self._registry, PROMETHEUS_TEXT)[0]
         return content
 
@@ -107,9 +118,17 @@
         )
 
     def _read_links(self) -> None:
-        for name, count in vars(self._parts.mesh.counters).items():
+        counters = self._parts.mesh.counters
+        for name, count in vars(counters).items():
             if isinstance(count, int):
                 self._set(f"link_{name}_total", f"Links: {name}", count)
+        for kind, count in counters.refusals.counts.items():
+            self._set(
+                "link_refused_frames_total",
+                "Frames refused, by reason",
+                count,
+                {"reason": str(kind)},
+            )
 
     def _read_ledger(self) -> None:
         for shard, writer in enumerate(self._writers):
@@ -127,6 +146,27 @@
                 labels,
             )
 
+    def _read_orders(self) -> None:
+        for phase, count in self._orders.channel.phases.items():
+            self._set(
+                "orders_total",
+                "Orders to engines, by phase",
+                count,
+                {"phase": phase},
+            )
+        for reason, count in self._orders.store.refusals.items():
+            self._set(
+                "weight_store_refusals_total",
+                "Loads that the weight store put off, by reason",
+                count,
+                {"reason": str(reason)},
+            )
+        self._set(
+            "shard_hand_overs_total",
+            "Shards handed over to their preferred leader",
+            self._spread.hand_overs,
+        )
+
     def _set(
         self,
         name: str,
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -145,7 +145,9 @@
             lambda: settings.cluster_keys()[0],
         )
         self.backend = ControlBackend(parts)
-        self.metrics = ControlMetrics(parts, self.writers)
+        self.metrics = ControlMetrics(
+            parts, self.writers, self.orders, self.spread
+        )
         self._tasks: anyio.abc.TaskGroup | None = None
         self._handlers = self._handler_table()
 
