TLS between processes by setting, with certificates on both sides

Cause: the cluster key proves who sent a frame, but anyone on the network could read the frames, and connect.

Now: tls_ca_file, tls_cert_file and tls_key_file, all or none, make links use tls+tcp. Both ends must show a certificate of the authority, the dialled one for the name "sycamorestand". The cluster key goes on authenticating frames inside. Files that are missing, unreadable, no PEM or no pair are findings at the start, together with all others.

--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -86,6 +86,7 @@
             settings.cluster_keys,
             self._received,
             settings.peer_listen or None,
+            settings.tls,
         )
         self.groups = LogGroups(
             self.mesh,
--- a/packages/sycamorestand-control/src/sycamorestand_control/settings.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/settings.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from sycamorestand_peer.key_file import KeySource
+    from sycamorestand_peer.tls import TlsIdentity
 
 
 class ControlSettings(NamedTuple):
@@ -31,6 +32,7 @@
     voters_wanted: int = 3
     ledger_shards: int = 1
     weight_store_loads: int = 2
+    tls: TlsIdentity | None = None
 
 
 __all__ = ["ControlSettings"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -46,6 +46,7 @@
     from sycamorestand_model.nodes import RatingCount
     from sycamorestand_model.nodes import VersionSample
     from sycamorestand_peer.key_file import KeySource
+    from sycamorestand_peer.tls import TlsIdentity
 
 LOG: Final = logging.getLogger(__name__)
 # Three renewals without a grant: one may be lost, and a control process
@@ -70,6 +71,7 @@
     control_addresses: tuple[str, ...]
     cluster_keys: tuple[bytes, ...] | KeySource
     peer_listen: str = ""
+    tls: TlsIdentity | None = None
 
 
 class ControlLink:
@@ -99,6 +101,7 @@
             as_key_source(settings.cluster_keys),
             self._received,
             settings.peer_listen or None,
+            settings.tls,
         )
         self._servers = ServerView(
             settings.peer_address, self.mesh.incarnation
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/errors.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/errors.py
@@ -30,4 +30,14 @@
     """
 
 
-__all__ = ["FrameRefused", "KeyFileError", "PeerError", "PeerTimeout"]
+class TlsFileError(PeerError, ValueError):
+    """Certificates or a key cannot be used."""
+
+
+__all__ = [
+    "FrameRefused",
+    "KeyFileError",
+    "PeerError",
+    "PeerTimeout",
+    "TlsFileError",
+]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
@@ -18,12 +18,15 @@
 from sycamorestand_peer.health import HEARTBEAT_INTERVAL_S
 from sycamorestand_peer.health import LinkHealth
 from sycamorestand_peer.messages import Heartbeat
+from sycamorestand_peer.tls import secure_dialer
+from sycamorestand_peer.tls import url
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sycamorestand_peer.mesh import MeshCounters
     from sycamorestand_peer.messages import Message
+    from sycamorestand_peer.tls import TlsIdentity
 
 LOG: Final = logging.getLogger(__name__)
 # What may wait for a peer that is away. Older messages are of no use to
@@ -46,6 +49,7 @@
     next_sequence: Callable[[], int]
     echo: Callable[[], tuple[int, int]]
     counters: MeshCounters
+    tls: TlsIdentity | None
 
 
 class Link:
@@ -97,7 +101,10 @@
                 send_buffer_size=1,
             ) as socket:
                 socket.tcp_nodelay = True
-                socket.dial(f"tcp://{self.address}", block=False)
+                if self._owner.tls is not None:
+                    secure_dialer(socket, self._owner.tls)
+                target = url(self.address, self._owner.tls)
+                socket.dial(target, block=False)
                 await self._send_until_silent(socket, idle_s)
             self._health.redialled()
 
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
@@ -25,6 +25,8 @@
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.refusals import Refusal
 from sycamorestand_peer.refusals import Refusals
+from sycamorestand_peer.tls import secure_listener
+from sycamorestand_peer.tls import url
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,6 +35,7 @@
     from anyio.abc import TaskStatus
 
     from sycamorestand_peer.messages import Message
+    from sycamorestand_peer.tls import TlsIdentity
 
     Handler = Callable[[str, Any], None]
 
@@ -90,7 +93,8 @@
     ``keys`` returns the cluster keys that are valid now; the first one
     signs, so a key is rotated by adding the new one behind everywhere,
     then moving it to the front, then dropping the old one, without a
-    stop.
+    stop. With ``tls`` the frames go through TLS as well, and peers that
+    only speak plain get no connection.
     """
 
     def __init__(
@@ -99,12 +103,14 @@
         keys: Callable[[], tuple[bytes, ...]],
         handler: Handler,
         listen_address: str | None = None,
+        tls: TlsIdentity | None = None,
     ) -> None:
         self.address = address
         self._listen_address = listen_address or address
         self.incarnation = time.time_ns()
         self.counters = MeshCounters()
         self._keys = keys
+        self._tls = tls
         self._handler = handler
         self._links: dict[str, Link] = {}
         self._heard: dict[str, _Heard] = {}
@@ -122,7 +128,9 @@
         """Listen and serve links until cancelled."""
         with pynng.Pull0(recv_max_size=MAX_FRAME_BYTES) as listener:
             listener.tcp_keepalive = True
-            listener.listen(f"tcp://{self._listen_address}")
+            if self._tls is not None:
+                secure_listener(listener, self._tls)
+            listener.listen(url(self._listen_address, self._tls))
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
                 for link in list(self._links.values()):
@@ -184,6 +192,7 @@
                 self._count_frame,
                 lambda: self._echo(address),
                 self.counters,
+                self._tls,
             )
             link = Link(address, owner)
             self._links[address] = link
--- a/packages/sycamorestand/src/sycamorestand/entry_process.py
+++ b/packages/sycamorestand/src/sycamorestand/entry_process.py
@@ -46,6 +46,7 @@
         control_addresses=values["control_addresses"],
         cluster_keys=values["cluster_key_file"],
         peer_listen=values["peer_listen"],
+        tls=values["tls"],
     )
 
 
--- a/packages/sycamorestand/src/sycamorestand/process_settings.py
+++ b/packages/sycamorestand/src/sycamorestand/process_settings.py
@@ -8,14 +8,19 @@
 from sycamorestand.settings import addresses
 from sycamorestand.settings import flag
 from sycamorestand.settings import folder
+from sycamorestand.settings import Joint
 from sycamorestand.settings import key_file
 from sycamorestand.settings import number
 from sycamorestand.settings import optional_address
+from sycamorestand.settings import optional_file
 from sycamorestand.settings import optional_key_file
 from sycamorestand.settings import optional_text
 from sycamorestand.settings import Setting
 from sycamorestand.settings import text
 from sycamorestand.settings import whole
+from sycamorestand_peer.tls import read_tls_identity
+
+TLS: Final = Joint("tls", read_tls_identity)
 
 COMMON_SETTINGS: Final = (
     Setting("vm", text, None, "name of this VM"),
@@ -39,6 +44,23 @@
         None,
         "file of cluster keys; the first line signs, all are accepted",
     ),
+    Setting(
+        "tls_ca_file",
+        optional_file,
+        "",
+        "PEM certificates of the authorities that peers' are checked with",
+        TLS,
+    ),
+    Setting(
+        "tls_cert_file",
+        optional_file,
+        "",
+        "PEM certificate of this process, for the name sycamorestand",
+        TLS,
+    ),
+    Setting(
+        "tls_key_file", optional_file, "", "PEM key of that certificate", TLS
+    ),
     Setting("log_level", text, "INFO", "least level that is logged"),
 )
 
--- a/packages/sycamorestand/src/sycamorestand/settings.py
+++ b/packages/sycamorestand/src/sycamorestand/settings.py
@@ -27,17 +27,31 @@
     """Settings cannot be used; the message lists every finding."""
 
 
+class Joint(NamedTuple):
+    """Settings that are given all or none, and then checked together.
+
+    ``join`` makes one value of theirs, in the order in which they are
+    listed, or raises ``ValueError``. It stands under ``name`` in place of
+    theirs; without them it is None.
+    """
+
+    name: str
+    join: Callable[..., Any]
+
+
 class Setting(NamedTuple):
     """One setting: its flag, its environment variable and its reader.
 
     ``read`` turns the text into a value or raises ``ValueError`` with a
     message for the operator. A ``default`` of None makes it required.
+    Those of the same ``joint`` belong together.
     """
 
     name: str
     read: Callable[[str], Any]
     default: str | None
     help: str
+    joint: Joint | None = None
 
     @property
     def variable(self) -> str:
@@ -74,6 +88,9 @@
             values[setting.name] = setting.read(text)
         except (ValueError, OSError) as error:
             findings.append(f"{place}: {error}")
+    for joint in dict.fromkeys(s.joint for s in wanted if s.joint):
+        members = tuple(s for s in wanted if s.joint == joint)
+        findings += _join(joint, members, values)
     if findings:
         raise SettingsError("\n".join(findings))
     return values
@@ -182,6 +199,15 @@
     return path
 
 
+def optional_file(value: str) -> Path | None:
+    """Read the path of a file that can be opened, or nothing."""
+    if not value:
+        return None
+    path = Path(value)
+    with path.open("rb"):
+        return path
+
+
 def key_file(value: str) -> KeyFile:
     """Read keys, one a line; a changed file is read again while we run."""
     return KeyFile(Path(value))
@@ -204,6 +230,32 @@
     return f"default of {setting.flag}", setting.default
 
 
+def _join(
+    joint: Joint, members: tuple[Setting, ...], values: dict[str, Any]
+) -> list[str]:
+    """Put the joint value in place of its members'; return findings."""
+    flags = ", ".join(member.flag for member in members)
+    # Who is not among the values was given, and found bad, before.
+    bad = any(member.name not in values for member in members)
+    parts = [values.pop(member.name, joint) for member in members]
+    missing = [m for m, part in zip(members, parts, strict=True) if not part]
+    values[joint.name] = None
+    if len(missing) == len(members):
+        return []
+    findings = [
+        f"{member.flag} or {member.variable} is required too:"
+        f" give all or none of {flags}"
+        for member in missing
+    ]
+    if findings or bad:
+        return findings
+    try:
+        values[joint.name] = joint.join(*parts)
+    except ValueError as error:
+        findings.append(f"{flags}: {error}")
+    return findings
+
+
 def _describe(setting: Setting) -> str:
     if setting.default is None:
         state = "required"
@@ -219,10 +271,12 @@
     "addresses",
     "flag",
     "folder",
+    "Joint",
     "key_file",
     "make_command",
     "number",
     "optional_address",
+    "optional_file",
     "optional_key_file",
     "optional_text",
     "read_settings",
--- a/packages/sycamorestand/tests/test_settings.py
+++ b/packages/sycamorestand/tests/test_settings.py
@@ -91,3 +91,44 @@
 def _announce(key: str) -> Any:
     headers = {b"authorization": b"Bearer " + key.encode()}
     return SimpleNamespace(headers=headers)
+
+
+class TestTlsSettings:
+    def test_all_or_none_with_all_findings(self, tmp_path: Path) -> None:
+        """An operator sets the certificate, forgets one file, loses one.
+
+        Both findings come in one start, each with its flag, beside those
+        of other settings.
+        """
+        (tmp_path / "cert").write_text("x")
+        flags = {
+            "tls_cert_file": str(tmp_path / "cert"),
+            "tls_key_file": str(tmp_path / "gone"),
+        }
+        with pytest.raises(SettingsError) as caught:
+            read_settings(ENTRY_SETTINGS, flags, {})
+        message = str(caught.value)
+        assert "--tls-ca-file or SYCAMORESTAND_TLS_CA_FILE is req" in message
+        assert "--tls-key-file: [Errno 2]" in message
+        assert "--vm or SYCAMORESTAND_VM is required" in message
+
+    def test_files_that_do_not_fit_are_a_finding(self, tmp_path: Path) -> None:
+        path = tmp_path / "file"
+        path.write_text("x")
+        names = ("tls_ca_file", "tls_cert_file", "tls_key_file")
+        flags = dict.fromkeys(names, str(path))
+        with pytest.raises(SettingsError, match="holds no PEM certificate"):
+            read_settings(ENTRY_SETTINGS, flags, {})
+
+    def test_none_is_plain(self, tmp_path: Path) -> None:
+        path = tmp_path / "keys"
+        path.write_text("a" * 32)
+        flags = {
+            "vm": "e1",
+            "data_centre": "Dalton",
+            "peer_address": "127.0.0.1:1",
+            "cluster_key_file": str(path),
+        }
+        values = read_settings(ENTRY_SETTINGS, flags, {})
+        assert values["tls"] is None
+        assert "tls_ca_file" not in values
