--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/__init__.py
@@ -0,0 +1,1 @@
+"""What tests of the whole system need: processes, gates and callers."""
--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/operators.py
@@ -0,0 +1,105 @@
+"""Operators of the tests: ``sycactl``, and one control process alone."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+import subprocess
+import sys
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+import httpcore
+import msgspec
+
+from sycamorestand_bench.quickstart.operator import ADMIN_KEY
+from sycamorestand_control.operator_api.routes import PREFIX
+
+OPERATOR_KEY: Final = "demo-guild-operator"
+COMMAND_BOUND_S: Final = 60
+TIMEOUT: Final = {"connect": 5.0, "read": 20.0, "write": 5.0, "pool": 20.0}
+NO_ANSWER: Final = 0
+
+
+class Done(NamedTuple):
+    """How a command ended and what it printed."""
+
+    status: int
+    answer: Any
+    messages: str
+
+
+class Answer(NamedTuple):
+    """A control process's answer; `NO_ANSWER` where there was none."""
+
+    status: int
+    body: Any
+
+
+def sycactl(
+    folder: Path, ports: list[int], *arguments: str, key: str = ADMIN_KEY
+) -> Done:
+    """Run one command against control processes and wait for its end."""
+    key_file = folder / f"{key}.key"
+    key_file.write_text(key)
+    environment = dict(
+        os.environ,
+        SYCACTL_CONTROLS=",".join(f"127.0.0.1:{port}" for port in ports),
+        SYCACTL_KEY_FILE=str(key_file),
+    )
+    program = Path(sys.executable).parent / "sycactl"
+    done = subprocess.run(
+        [str(program), *arguments, "--json"],
+        env=environment,
+        capture_output=True,
+        timeout=COMMAND_BOUND_S,
+        check=False,
+    )
+    answer = msgspec.json.decode(done.stdout) if done.stdout else None
+    return Done(done.returncode, answer, done.stderr.decode())
+
+
+def ask(port: int, path: str) -> Answer:
+    """Ask one control process, which may be lost."""
+    return _request("GET", port, path, None)
+
+
+def change(
+    port: int,
+    change_id: str,
+    kind: str,
+    subject: str,
+    base_revision: int | None = None,
+) -> Answer:
+    """Send one change to one control process, once."""
+    body: dict[str, Any] = {
+        "change_id": change_id,
+        "kind": kind,
+        "subject": subject,
+        "message": "a test",
+    }
+    if base_revision is not None:
+        body["base_revision"] = base_revision
+    return _request("POST", port, "/changes", body)
+
+
+def _request(method: str, port: int, path: str, body: Any) -> Answer:
+    try:
+        response = httpcore.request(
+            method,
+            f"http://127.0.0.1:{port}{PREFIX}{path}",
+            headers={"Authorization": f"Bearer {ADMIN_KEY}"},
+            content=msgspec.json.encode(body) if body else None,
+            extensions={"timeout": TIMEOUT},
+        )
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+    ):
+        return Answer(NO_ANSWER, None)
+    return Answer(response.status, msgspec.json.decode(response.content))
+
+
+__all__ = ["Answer", "ask", "change", "Done", "OPERATOR_KEY", "sycactl"]
--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/system.py
@@ -0,0 +1,283 @@
+"""A whole system on loopback: three voters, entries, fakes behind them."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+import functools
+from pathlib import Path
+import shutil
+import time
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+import anyio
+from anyio.from_thread import start_blocking_portal
+
+from sycamorestand_bench.processes import _free_address
+from sycamorestand_bench.processes import Cluster
+from sycamorestand_bench.quickstart.caller import new_key
+from sycamorestand_bench.quickstart.operator import ADMIN_KEY
+from sycamorestand_bench.quickstart.world import DATA_CENTRES
+from sycamorestand_bench.quickstart.world import World
+from sycamorestand_bench.system.calls import ANSWERED
+from sycamorestand_bench.system.calls import chat
+from sycamorestand_bench.system.calls import order
+from sycamorestand_bench.system.gate import Gate
+from sycamorestand_bench.system.operators import ask
+from sycamorestand_bench.system.operators import Done
+from sycamorestand_bench.system.operators import sycactl
+from sycamorestand_model.keys import hash_key
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from types import TracebackType
+
+    from anyio.abc import TaskGroup
+    from anyio.abc import TaskStatus
+
+CONTROLS: Final = ("control-1", "control-2", "control-3")
+ENTRIES: Final = ("entry-1", "entry-2", "entry-3")
+# The entry that tests suspend, kill and stop.
+VICTIM: Final = "entry-2"
+BOUND_S: Final = 30.0
+POLL_S: Final = 0.05
+CALLERS: Final = 24
+# One step, so that a chat runs on the version that the test expects.
+ONE_STEP: Final = """\
+[profiles.quote-helper]
+steps = [{ model = "nest-small" }]
+quality_target = 0.5
+default_deadline_ms = 60_000
+"""
+
+
+class GatedCluster(Cluster):
+    """A cluster in which every process is reached through a gate."""
+
+    def __init__(
+        self, folder: Path, open_gate: Callable[[Gate], None]
+    ) -> None:
+        super().__init__(folder)
+        self.gates: dict[str, Gate] = {}
+        self._open_gate = open_gate
+
+    def _start(self, name: str, role: str, **settings: str) -> None:
+        gate = self.gates.get(name)
+        if gate is None:
+            gate = Gate(settings["peer_address"], _free_address())
+            self.gates[name] = gate
+            self._open_gate(gate)
+        settings["peer_listen"] = gate.target
+        super()._start(name, role, **settings)
+
+
+class System:
+    """Starts everything; leaving it ends everything.
+
+    Fakes and gates run in an event loop of a thread of their own, so that
+    tests are plain functions.
+    """
+
+    def __init__(self, folder: Path, examples: Path) -> None:
+        self.folder = folder
+        self.declarations = folder / "declarations"
+        self.world = World()
+        self._examples = examples
+        self._exits = ExitStack()
+
+    def __enter__(self) -> System:
+        self._exits.__enter__()
+        try:
+            self._start()
+        except BaseException:
+            self._exits.close()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._exits.close()
+
+    @property
+    def ports(self) -> list[int]:
+        """Return the operator ports of all control processes."""
+        return [node.operator_port for node in self.cluster.controls.values()]
+
+    def port(self, control: str) -> int:
+        """Return the operator port of a control process."""
+        return self.cluster.controls[control].operator_port
+
+    def entry(self, name: str) -> str:
+        """Return where callers reach an entry."""
+        return f"127.0.0.1:{self.cluster.entries[name].port}"
+
+    def sycactl(self, *arguments: str) -> Done:
+        """Run a command that has to succeed."""
+        done = sycactl(self.folder, self.ports, *arguments)
+        assert done.status == 0, (arguments, done)
+        return done
+
+    def status(self, control: str) -> dict[str, Any]:
+        """Return a control process's status, empty where it is lost."""
+        answer = ask(self.port(control), "/status")
+        return answer.body if answer.status == 200 else {}
+
+    def leader(self) -> str:
+        """Wait for the control process that leads and return its name."""
+        return wait_for(self._find_leader, "a leader")
+
+    def restart_control(self, name: str) -> None:
+        """Start a control process on the data that it had."""
+        node = self.cluster.controls[name]
+        self.cluster.start_control(name, node.data_centre)
+
+    def restart_entry(self, name: str) -> None:
+        """Start an entry at its old addresses and wait until it serves."""
+        node = self.cluster.entries[name]
+        self.cluster.start_entry(name, node.data_centre)
+        self.cluster.wait_ready(name)
+        self.wait_serving(name)
+
+    def in_loop(self, function: Callable[..., Any], *arguments: Any) -> Any:
+        """Call a function where the fakes and gates run."""
+        return self._portal.call(function, *arguments)
+
+    def audit(self, control: str) -> list[dict[str, Any]]:
+        """Return a control process's whole audit trail."""
+        entries: list[dict[str, Any]] = []
+        after = 0
+        while True:
+            answer = ask(self.port(control), f"/audit?after={after}&limit=200")
+            assert answer.status == 200, answer
+            entries += answer.body["entries"]
+            after = answer.body["next_after"]
+            if not answer.body["more"]:
+                return entries
+
+    def declared(self, control: str) -> dict[str, Any]:
+        """Return the declarations that a control process holds."""
+        answer = ask(self.port(control), "/declarations")
+        assert answer.status == 200, answer
+        content: dict[str, Any] = answer.body["declarations"]
+        return content
+
+    def charges(self, request_key: str) -> int:
+        """Return how many charges a key has at the voter asked first."""
+        rows: list[dict[str, Any]] = []
+        while True:
+            after = rows[-1]["sequence"] if rows else 0
+            page = self.sycactl("bills", "--after", str(after)).answer["bills"]
+            if not page:
+                break
+            rows += page
+        return sum(row["request_key"] == request_key for row in rows)
+
+    def orders(self, request_key: str) -> int:
+        """Return how often the services ran an order."""
+        return sum(
+            record.request_key == request_key and record.method == "POST"
+            for service in self.world.services
+            for record in service.records
+        )
+
+    def wait_serving(self, *entries: str) -> None:
+        """Wait until entries answer a chat and order call."""
+        for name in entries:
+            wait_for(functools.partial(self._serves, name), f"{name} serves")
+
+    def _start(self) -> None:
+        self._portal = self._exits.enter_context(start_blocking_portal())
+        _, tasks = self._portal.start_task(_hold_tasks)
+        self._exits.callback(self._portal.call, tasks.cancel_scope.cancel)
+        self.cluster = GatedCluster(
+            self.folder,
+            lambda gate: self._portal.call(tasks.start, gate.run),
+        )
+        self.pool = self._exits.enter_context(ThreadPoolExecutor(CALLERS))
+        # Ended before the pool, so that no caller waits for a lost entry.
+        self._exits.enter_context(self.cluster)
+        self._start_processes()
+        self._apply_declarations()
+        # An entry that tests suspend or kill would hold the announcers up;
+        # it hears of the servers through control.
+        addresses = [self.entry(n) for n in ENTRIES if n != VICTIM]
+        self._portal.call(self.world.start_engines, tasks, addresses)
+        self._portal.call(self.world.start_services, tasks, addresses)
+        self.wait_serving(*ENTRIES)
+
+    def _start_processes(self) -> None:
+        for number, name in enumerate(CONTROLS):
+            self.cluster.start_control(
+                name,
+                DATA_CENTRES[number],
+                first=number == 0,
+                admin_key_hash=hash_key(ADMIN_KEY) if number == 0 else "",
+            )
+        self.cluster.wait_ready(*CONTROLS)
+        wait_for(self._all_vote, "three voters")
+        for number, name in enumerate(ENTRIES):
+            self.cluster.start_entry(name, DATA_CENTRES[number])
+        self.cluster.wait_ready(*ENTRIES)
+
+    def _apply_declarations(self) -> None:
+        shutil.copytree(self._examples / "guild", self.declarations)
+        profile = self.declarations / "profiles" / "quote-helper.toml"
+        profile.write_text(ONE_STEP)
+        self.sycactl("apply", str(self.declarations), "--wait")
+
+    def _all_vote(self) -> bool:
+        rows = self.status(CONTROLS[0]).get("voters", ())
+        voting = [r for r in rows if r["role"] in ("leader", "follower")]
+        return len(voting) == len(CONTROLS)
+
+    def _find_leader(self) -> str:
+        addresses = {
+            node.peer_address: name
+            for name, node in self.cluster.controls.items()
+        }
+        for name in self.cluster.controls:
+            status = self.status(name)
+            for row in status.get("voters", ()):
+                is_own = row["voter_id"] == status["voter_id"]
+                if row["role"] == "leader" and is_own:
+                    return addresses[row["address"]]
+        return ""
+
+    def _serves(self, name: str) -> bool:
+        address = self.entry(name)
+        chatted = chat(address, new_key("ready"))
+        ordered = order(address, new_key("ready"))
+        return chatted.run == ordered.run == ANSWERED
+
+
+async def _hold_tasks(*, task_status: TaskStatus[TaskGroup]) -> None:
+    async with anyio.create_task_group() as tasks:
+        task_status.started(tasks)
+        await anyio.sleep_forever()
+
+
+def wait_for(condition: Callable[[], Any], what: str) -> Any:
+    """Return what a condition returns as soon as that is true."""
+    until_s = time.monotonic() + BOUND_S
+    while time.monotonic() < until_s:
+        found = condition()
+        if found:
+            return found
+        time.sleep(POLL_S)
+    raise AssertionError(f"waited {BOUND_S} s in vain for {what}")
+
+
+__all__ = [
+    "CONTROLS",
+    "ENTRIES",
+    "GatedCluster",
+    "System",
+    "VICTIM",
+    "wait_for",
+]
--- /dev/null
+++ b/packages/sycamorestand/tests/system/test_leases.py
@@ -0,0 +1,193 @@
+"""An entry that control cannot reach acts on nothing old."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from signal import SIGCONT
+from signal import SIGSTOP
+
+from sycamorestand_bench.quickstart.caller import new_key
+from sycamorestand_bench.system.calls import ANSWERED
+from sycamorestand_bench.system.calls import begin_chat
+from sycamorestand_bench.system.calls import chat
+from sycamorestand_bench.system.calls import finish
+from sycamorestand_bench.system.calls import is_whole
+from sycamorestand_bench.system.calls import NOT_RUN
+from sycamorestand_bench.system.calls import readiness
+from sycamorestand_bench.system.calls import Reply
+from sycamorestand_bench.system.operators import ask
+from sycamorestand_bench.system.operators import change
+from sycamorestand_bench.system.system import CONTROLS
+from sycamorestand_bench.system.system import System
+from sycamorestand_bench.system.system import VICTIM
+from sycamorestand_bench.system.system import wait_for
+
+CUT_OFF = "entry-3"
+WITHDRAWN = "nest-small@3"
+QUEUED = 10
+LONG_TOKENS = 1_600
+CALLS_AFTER = 20
+
+
+class TestSuspendedEntry:
+    def test_withdrawn_version_gets_nothing(self, system: System) -> None:
+        """A caller's request waits at an entry that is suspended.
+
+        The version is withdrawn meanwhile. That is in force only once the
+        entry's lease has run out, so when the entry goes on, with requests
+        in its socket queue and the old revision, it runs none of them.
+        """
+        address = system.entry(VICTIM)
+        sessions = [f"held-{number}" for number in range(QUEUED)]
+        for session in sessions:
+            pinned = chat(address, f"pin-{session}", session=session)
+            assert pinned.version == WITHDRAWN, pinned
+
+        system.cluster.send_signal(VICTIM, SIGSTOP)
+        queued = [begin_chat(address, f"queue-{n}") for n in range(QUEUED)]
+        queued += [
+            begin_chat(address, f"queue-{session}", session=session)
+            for session in sessions
+        ]
+        told = change(system.ports[0], "suspended", "withdraw", WITHDRAWN)
+        assert told.status == 200, told
+        first = _in_force(system, told.body["revision"])
+        system.sycactl(
+            "withdraw",
+            WITHDRAWN,
+            "--wait",
+            "--change-id",
+            "suspended",
+            "--message",
+            "a test",
+        )
+        runs = system.world.runs_of(WITHDRAWN)
+        system.cluster.send_signal(VICTIM, SIGCONT)
+        replies = [finish(pending) for pending in queued]
+
+        assert not first, "in force while a lease was alive"
+        assert system.world.runs_of(WITHDRAWN) == runs
+        for reply in replies:
+            served = reply.run == ANSWERED and reply.version != WITHDRAWN
+            assert served or reply.run == NOT_RUN, reply
+        caught_up = wait_for(lambda: _answered(address), "the entry serves")
+        assert caught_up.version == "nest-small@4"
+        assert readiness(address)["revision"] >= told.body["revision"]
+        assert system.world.runs_of(WITHDRAWN) == runs
+        system.sycactl("reinstate", WITHDRAWN, "--wait")
+
+
+class TestCutOffEntry:
+    def test_new_work_is_refused_and_old_ends(self, system: System) -> None:
+        """An entry is cut off from every control process for a while.
+
+        A stream that runs goes on to its whole end. Once the lease is
+        out, new requests are refused and nothing of them runs. After the
+        cut is mended the entry serves again, with no help.
+        """
+        address = system.entry(CUT_OFF)
+        key = "long-before-the-cut"
+        running = system.pool.submit(chat, address, key, tokens=LONG_TOKENS)
+        wait_for(lambda: _runs(system, key), "the stream")
+        late_keys = [f"new-{number}" for number in range(QUEUED)]
+        with _cut_off(system):
+            wait_for(lambda: not _has_lease(address), "the lease to run out")
+            replies = [chat(address, late_key) for late_key in late_keys]
+            assert not running.done()
+        ended = running.result()
+
+        for late_key, reply in zip(late_keys, replies, strict=True):
+            assert (reply.run, reply.code) == (NOT_RUN, "no_lease"), reply
+            assert not _runs(system, late_key)
+        assert is_whole(ended, key, LONG_TOKENS), ended
+        wait_for(lambda: _answered(address), "the entry serves")
+
+
+class TestSilentConnection:
+    def test_entry_goes_on_serving(self, system: System) -> None:
+        """The connections between an entry and its control go silent.
+
+        No error shows, and new connections work. The entry notices that
+        its frames are not echoed, dials anew or moves to another control
+        process, and refuses nobody in between.
+        """
+        address = system.entry(CUT_OFF)
+        wait_for(lambda: _answered(address), "the entry serves")
+        control = _attached_to(system)
+        log_before = system.cluster.log_text(CUT_OFF)
+        assert _swallow(system, control) >= 2
+        replies: list[Reply] = []
+
+        def has_noticed() -> bool:
+            replies.append(chat(address, f"silent-{len(replies)}"))
+            log = system.cluster.log_text(CUT_OFF).removeprefix(log_before)
+            return "link silent" in log
+
+        wait_for(has_noticed, "the entry to notice")
+        for number in range(CALLS_AFTER):
+            replies.append(chat(address, f"after-{number}"))
+        refused = [reply for reply in replies if reply.run != ANSWERED]
+        assert not refused, (refused, len(replies))
+
+
+def _in_force(system: System, revision: int) -> bool:
+    leader = system.leader()
+    answer = ask(system.port(leader), f"/in-force?revision={revision}")
+    assert answer.status == 200, answer
+    return bool(answer.body["in_force"])
+
+
+def _answered(address: str) -> Reply | None:
+    reply = chat(address, new_key("probe"))
+    return reply if reply.run == ANSWERED else None
+
+
+def _has_lease(address: str) -> bool:
+    return bool(readiness(address)["lease_remaining_s"] > 0)
+
+
+def _runs(system: System, request_key: str) -> int:
+    return sum(
+        record.request_key == request_key
+        for engine in system.world.engines
+        for record in engine.records
+    )
+
+
+@contextmanager
+def _cut_off(system: System) -> Iterator[None]:
+    gates = system.cluster.gates
+    sender = system.cluster.entries[CUT_OFF].peer_address
+    system.in_loop(gates[CUT_OFF].cut)
+    for control in CONTROLS:
+        system.in_loop(gates[control].cut, sender)
+    try:
+        yield
+    finally:
+        for name in (CUT_OFF, *CONTROLS):
+            system.in_loop(gates[name].heal)
+
+
+def _attached_to(system: System) -> str:
+    by_address = {
+        node.peer_address: name
+        for name, node in system.cluster.controls.items()
+    }
+    for row in system.sycactl("nodes").answer["nodes"]:
+        if row["vm"] == CUT_OFF:
+            name: str = by_address.get(row["control"], row["control"])
+            return name
+    raise AssertionError("the entry is attached to no control process")
+
+
+def _swallow(system: System, control: str) -> int:
+    gates = system.cluster.gates
+    entry_address = system.cluster.entries[CUT_OFF].peer_address
+    control_address = system.cluster.controls[control].peer_address
+    return sum(
+        (
+            system.in_loop(gates[CUT_OFF].swallow, control_address),
+            system.in_loop(gates[control].swallow, entry_address),
+        )
+    )
