--- a/packages/sycamorestand-bench/src/sycamorestand_bench/system/operators.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/operators.py
@@ -102,4 +102,12 @@
     return Answer(response.status, msgspec.json.decode(response.content))
 
 
-__all__ = ["Answer", "ask", "change", "Done", "OPERATOR_KEY", "sycactl"]
+__all__ = [
+    "Answer",
+    "ask",
+    "change",
+    "Done",
+    "NO_ANSWER",
+    "OPERATOR_KEY",
+    "sycactl",
+]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/system/system.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/system.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 import functools
@@ -128,6 +129,13 @@
         answer = ask(self.port(control), "/status")
         return answer.body if answer.status == 200 else {}
 
+    def ask(self, control: str, path: str) -> dict[str, Any]:
+        """Return a control process's answer to a question."""
+        answer = ask(self.port(control), path)
+        assert answer.status == 200, answer
+        content: dict[str, Any] = answer.body
+        return content
+
     def leader(self) -> str:
         """Wait for the control process that leads and return its name."""
         return wait_for(self._find_leader, "a leader")
@@ -162,21 +170,21 @@
 
     def declared(self, control: str) -> dict[str, Any]:
         """Return the declarations that a control process holds."""
-        answer = ask(self.port(control), "/declarations")
-        assert answer.status == 200, answer
-        content: dict[str, Any] = answer.body["declarations"]
-        return content
-
-    def charges(self, request_key: str) -> int:
-        """Return how many charges a key has at the voter asked first."""
-        rows: list[dict[str, Any]] = []
+        content = self.ask(control, "/declarations")["declarations"]
+        declared: dict[str, Any] = content
+        return declared
+
+    def charges(self) -> Counter[str]:
+        """Return how many charges each request key has at the leader."""
+        leader = self.leader()
+        counts: Counter[str] = Counter()
+        after = 0
         while True:
-            after = rows[-1]["sequence"] if rows else 0
-            page = self.sycactl("bills", "--after", str(after)).answer["bills"]
-            if not page:
-                break
-            rows += page
-        return sum(row["request_key"] == request_key for row in rows)
+            page = self.ask(leader, f"/bills?after={after}&limit=1000")
+            counts.update(row["request_key"] for row in page["rows"])
+            after = page["next_after"]
+            if not page["more"]:
+                return counts
 
     def orders(self, request_key: str) -> int:
         """Return how often the services ran an order."""
--- /dev/null
+++ b/packages/sycamorestand/tests/system/test_once.py
@@ -0,0 +1,159 @@
+"""A call that must not be repeated runs once, whoever is lost."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+import time
+
+import pytest
+
+from sycamorestand_bench.fakes.faults import Fault
+from sycamorestand_bench.system.calls import ANSWERED
+from sycamorestand_bench.system.calls import order
+from sycamorestand_bench.system.calls import Reply
+from sycamorestand_bench.system.system import CONTROLS
+from sycamorestand_bench.system.system import ENTRIES
+from sycamorestand_bench.system.system import System
+from sycamorestand_bench.system.system import VICTIM
+from sycamorestand_bench.system.system import wait_for
+
+SLOW_S = 2.0
+RETRIES = 5
+ORDERS = 20
+UNDECIDED = ("still_running", "outcome_unknown")
+OTHERS = tuple(name for name in ENTRIES if name != VICTIM)
+
+
+class TestLostEntry:
+    def test_order_runs_once(self, system: System) -> None:
+        """A caller sends one order to two entries at once.
+
+        The entry that has dispatched it is killed before the answer. Every
+        retry, at other entries and while the service still runs it and
+        afterwards, is told that it runs or that its outcome is unknown;
+        none of them runs it again.
+        """
+        key = "order-of-a-lost-entry"
+        with _slow_services(system):
+            first = system.pool.submit(order, system.entry(VICTIM), key)
+            wait_for(lambda: system.orders(key), "the dispatch")
+            second = order(system.entry(OTHERS[0]), key)
+            system.cluster.kill(VICTIM)
+            lost = first.result()
+            during = _retry(system, key)
+            time.sleep(SLOW_S)
+        after = _retry(system, key)
+        system.restart_entry(VICTIM)
+        restarted = order(system.entry(VICTIM), key)
+
+        assert lost.run == "cut"
+        for reply in (second, *during, *after, restarted):
+            assert (reply.run, reply.code in UNDECIDED) == ("unknown", True)
+        assert system.orders(key) == 1
+
+    def test_answer_of_a_run_that_ended_is_recorded(
+        self, system: System
+    ) -> None:
+        """An entry is killed right after it has answered an order.
+
+        The outcome was durable before the answer was released, so a retry
+        at another entry gets the same answer and causes no second run.
+        """
+        key = "order-that-was-answered"
+        first = order(system.entry(VICTIM), key)
+        system.cluster.kill(VICTIM)
+        retries = _retry(system, key)
+        system.restart_entry(VICTIM)
+        assert first.run == ANSWERED
+        assert all(reply == first for reply in retries), retries
+        assert system.orders(key) == 1
+        assert system.charges()[key] == 1
+
+
+class TestTwoEntries:
+    def test_same_order_at_once(self, system: System) -> None:
+        """A caller's order arrives at every entry at the same moment.
+
+        One entry gets the claim and runs it. The others say that it runs;
+        once it has ended each of them gives the recorded answer.
+        """
+        for number in range(ORDERS):
+            key = f"at-once-{number}"
+            calls = [
+                system.pool.submit(order, system.entry(name), key)
+                for name in ENTRIES
+            ]
+            replies = [call.result() for call in calls]
+            answers = {r.text for r in replies if r.run == ANSWERED}
+            assert len(answers) == 1, replies
+            for reply in replies:
+                assert reply.run == ANSWERED or reply.code in UNDECIDED
+            again = _retry(system, key)
+            assert {reply.text for reply in again} == answers, again
+            assert system.orders(key) == 1
+
+    @pytest.mark.parametrize("control", CONTROLS)
+    def test_control_process_lost_in_between(
+        self, system: System, control: str
+    ) -> None:
+        """A control process is lost while orders run; one leads the ledger.
+
+        Each order is at two entries. Its claim is durable, its outcome
+        comes after the loss. Whoever leads the ledger then, the order runs
+        once and a retry gets what was recorded.
+        """
+        keys = [f"{control}-lost-{number}" for number in range(ORDERS // 2)]
+        with _slow_services(system):
+            calls = {
+                key: [
+                    system.pool.submit(order, system.entry(name), key)
+                    for name in OTHERS
+                ]
+                for key in keys
+            }
+            for key in keys:
+                wait_for(lambda key=key: system.orders(key), "a dispatch")
+            system.cluster.kill(control)
+            replies = {
+                key: [call.result() for call in pair]
+                for key, pair in calls.items()
+            }
+        settled = {key: _settled(system, key) for key in keys}
+        system.restart_control(control)
+        system.cluster.wait_ready(control)
+        charges = system.charges()
+        for key in keys:
+            assert system.orders(key) == 1, (key, replies[key])
+            for reply in replies[key]:
+                known = reply.run == ANSWERED
+                assert not known or reply == settled[key], reply
+                assert reply.run != "not_run", reply
+            assert charges[key] == 1
+
+
+@contextmanager
+def _slow_services(system: System) -> Iterator[None]:
+    for service in system.world.services:
+        service.switch.fault = Fault("late", pause_s=SLOW_S)
+    try:
+        yield
+    finally:
+        for service in system.world.services:
+            service.switch.fault = Fault()
+
+
+def _retry(system: System, key: str) -> list[Reply]:
+    return [
+        order(system.entry(OTHERS[number % len(OTHERS)]), key)
+        for number in range(RETRIES)
+    ]
+
+
+def _settled(system: System, key: str) -> Reply:
+    def answered() -> Reply | None:
+        reply = order(system.entry(OTHERS[0]), key)
+        return reply if reply.run == ANSWERED else None
+
+    reply: Reply = wait_for(answered, f"the recorded answer of {key}")
+    return reply
