--- a/packages/sycamorestand-bench/src/sycamorestand_bench/system/system.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/system.py
@@ -156,6 +156,14 @@
         """Call a function where the fakes and gates run."""
         return self._portal.call(function, *arguments)
 
+    def joiner(self, at: str, control: str) -> str:
+        """Return the id under which a process waits, empty if it doesn't."""
+        for alarm in self.status(at).get("alarms", ()):
+            if alarm.startswith(control) and "waits to replace" in alarm:
+                identity: str = alarm.partition("(")[2].partition(")")[0]
+                return identity
+        return ""
+
     def audit(self, control: str) -> list[dict[str, Any]]:
         """Return a control process's whole audit trail."""
         entries: list[dict[str, Any]] = []
