--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/app.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/app.py
@@ -22,6 +22,7 @@
 from sycamorestand_control.operator_api.asgi import read_json
 from sycamorestand_control.operator_api.asgi import Receive
 from sycamorestand_control.operator_api.asgi import respond
+from sycamorestand_control.operator_api.asgi import respond_text
 from sycamorestand_control.operator_api.asgi import Response
 from sycamorestand_control.operator_api.asgi import Scope
 from sycamorestand_control.operator_api.asgi import Send
@@ -31,6 +32,7 @@
 from sycamorestand_control.operator_api.backend import OutcomeUnknown
 from sycamorestand_control.operator_api.backend import UnknownSubject
 from sycamorestand_control.operator_api.errors import ApiError
+from sycamorestand_control.operator_api.errors import BEHIND
 from sycamorestand_control.operator_api.errors import FORBIDDEN
 from sycamorestand_control.operator_api.errors import INTERNAL_ERROR
 from sycamorestand_control.operator_api.errors import METHOD_NOT_ALLOWED
@@ -49,6 +51,7 @@
 logger = logging.getLogger(__name__)
 
 BEARER: Final = "bearer "
+METRICS_PATH: Final = "/metrics"
 RESEND_HINT: Final = (
     "the outcome is unknown; resend the same change id to any control "
     "process to learn it"
@@ -59,10 +62,16 @@
     """Stand in where nobody counts refusals."""
 
 
+def _render_nothing() -> bytes:
+    """Stand in where there are no metrics."""
+    return b""
+
+
 def make_operator_app(
     backend: OperatorBackend,
     authenticate: Authenticate,
     count_refusal: Callable[[str], None] = _count_nothing,
+    render_metrics: Callable[[], bytes] = _render_nothing,
 ) -> AsgiApp:
     """Return the application; refusals are counted by their code."""
     checks = CapacityLimiter(1)
@@ -70,6 +79,8 @@
     async def app(scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] == "lifespan":
             await answer_lifespan(receive, send)
+        elif scope["type"] == "http" and scope["path"] == METRICS_PATH:
+            await respond_text(send, render_metrics())
         elif scope["type"] == "http":
             response = await answer(scope, receive)
             await respond(send, response)
@@ -99,7 +110,7 @@
     # The key comes first, so that nobody without one learns the paths.
     identity = authenticate(_bearer_key(scope))
     if identity is None:
-        raise ApiError(401, UNAUTHENTICATED, "no valid operator key")
+        raise _unknown_key(backend)
     route = _route(scope["method"], scope["path"])
     if not role_suffices(identity.role, route.role):
         raise ApiError(403, FORBIDDEN, f"this takes the role {route.role}")
@@ -110,6 +121,23 @@
     return await _call(route, Call(backend, identity, fields, body, checks))
 
 
+def _unknown_key(backend: OperatorBackend) -> ApiError:
+    """Return what a key that fits no operator is told.
+
+    A voter on an empty disk knows no operator at all. A 401 from it would
+    be final for the client, and no command would work for as long as the
+    repair lasts; it has to ask the next voter.
+    """
+    if backend.knows_operators():
+        return ApiError(401, UNAUTHENTICATED, "no valid operator key")
+    return ApiError(
+        503,
+        BEHIND,
+        "this voter has no configuration yet; ask another one",
+        retry_after_s=1,
+    )
+
+
 async def _call(route: Route, call: Call) -> Response:
     try:
         return await route.answer(call)
