--- a/packages/sycamorestand-peer/tests/test_tls.py
+++ b/packages/sycamorestand-peer/tests/test_tls.py
@@ -122,6 +122,26 @@
             await until(lambda: one.received and two.received)
             tasks.cancel_scope.cancel()
 
+    async def test_two_authorities_in_one_file_are_both_accepted(
+        self, ours: Authority, others: Authority, until: Any
+    ) -> None:
+        """An authority is replaced: both stand in every process's file.
+
+        A process with a new certificate and one with an old one hear each
+        other, so that they can be renewed one after the other.
+        """
+        old, new = ours.identity("old"), others.identity("new")
+        both = old.authority + new.authority
+        one = Process(old._replace(authority=both))
+        two = Process(new._replace(authority=both))
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(one.mesh.run)
+            await tasks.start(two.mesh.run)
+            one.mesh.send(two.mesh.address, MESSAGE)
+            two.mesh.send(one.mesh.address, MESSAGE)
+            await until(lambda: one.received and two.received)
+            tasks.cancel_scope.cancel()
+
     @pytest.mark.parametrize("kind", STRANGERS)
     async def test_a_stranger_with_the_cluster_key_gets_nothing_through(
         self, kind: str, ours: Authority, others: Authority, until: Any
