--- a/packages/sycamorestand-peer/tests/test_mesh.py
+++ b/packages/sycamorestand-peer/tests/test_mesh.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import socket
 from typing import Any
 
 import anyio
 import pytest
 
+from sycamorestand_bench.control_bench.addresses import free_address
 from sycamorestand_peer.errors import PeerTimeout
 from sycamorestand_peer.mesh import PeerMesh
 from sycamorestand_peer.messages import AddressList
@@ -15,13 +15,6 @@
 from sycamorestand_peer.messages import LedgerBatch
 
 KEY = b"k" * 32
-WAIT_S = 10
-
-
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
 class Node:
@@ -43,12 +36,6 @@
             self.mesh.send(sender, reply)
 
 
-async def until(condition: Any) -> None:
-    with anyio.fail_after(WAIT_S):
-        while not condition():
-            await anyio.sleep(0.01)
-
-
 class TestMesh:
     @pytest.mark.anyio
     async def test_a_call_is_answered(self) -> None:
@@ -65,7 +52,7 @@
 
     @pytest.mark.anyio
     async def test_a_peer_with_another_key_is_refused_and_counted(
-        self,
+        self, until: Any
     ) -> None:
         """A process that does not know the cluster key sends a message.
 
@@ -85,7 +72,7 @@
 
     @pytest.mark.anyio
     async def test_garbage_is_counted_and_the_next_message_served(
-        self,
+        self, until: Any
     ) -> None:
         """A stranger writes bytes that are no frame at all."""
         import pynng
@@ -103,7 +90,7 @@
             tasks.cancel_scope.cancel()
 
     @pytest.mark.anyio
-    async def test_a_restarted_peer_is_heard_at_once(self) -> None:
+    async def test_a_restarted_peer_is_heard_at_once(self, until: Any) -> None:
         """A peer restarts on its address and counts frames from one.
 
         Its new incarnation is larger, so its low sequence numbers are not
@@ -178,7 +165,9 @@
 
 class TestSilentConnection:
     @pytest.mark.anyio
-    async def test_a_connection_gone_silent_is_dialled_anew(self) -> None:
+    async def test_a_connection_gone_silent_is_dialled_anew(
+        self, until: Any
+    ) -> None:
         """Something between two processes loses track of a connection.
 
         Sends go on without an error and nothing arrives. The sender sees
