--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/world.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/world.py
@@ -50,7 +50,7 @@
     async def start_rating(self, tasks: TaskGroup) -> str:
         """Serve the rating service; return its URL."""
         address = await tasks.start(serve_application, self.rating.application)
-        self.rating_address = f"http://{address}/rate"
+        self.rating_address = f"http://{address}"
         return self.rating_address
 
     async def start_engines(
--- a/packages/sycamorestand-control/src/sycamorestand_control/hub.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/hub.py
@@ -120,6 +120,7 @@
     def _answer_lease(self, sender: str, message: LeaseRequest) -> None:
         grant = self._leases.grant_entry(sender, message.acked_revision)
         if grant is not None:
+            self._tables.entry_granted(message.address.vm, grant.length_s)
             self._mesh.send(
                 sender,
                 LeaseGrantMessage(
--- a/packages/sycamorestand-control/src/sycamorestand_control/lease_service.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/lease_service.py
@@ -29,6 +29,7 @@
     from sycamorestand_state.leases import LeaseTable
 
 LOG: Final = logging.getLogger(__name__)
+ASK_S: Final = 0.05
 FORGET_AFTER_ROUNDS: Final = 25
 
 
@@ -120,7 +121,10 @@
             rounds += 1
             if rounds % FORGET_AFTER_ROUNDS == 0:
                 self._entries.forget_expired(boottime_s())
-            with anyio.move_on_after(RENEW_INTERVAL_S):
+            # Without a lease it asks often: a process that has started
+            # waits for the leader to be known and for nothing else.
+            pause_s = RENEW_INTERVAL_S if self.remaining_s() > 0 else ASK_S
+            with anyio.move_on_after(pause_s):
                 await self._kicked.wait()
 
     def _renew(self) -> None:
--- a/packages/sycamorestand-control/src/sycamorestand_control/membership.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/membership.py
@@ -52,6 +52,7 @@
         self._groups = groups
         self._voters_wanted = voters_wanted
         self._joiners: dict[str, JoinRequest] = {}
+        self._asked_s: dict[str, float] = {}
 
     def waiting(self) -> tuple[JoinRequest, ...]:
         """Return processes that ask to join and are no members yet."""
@@ -70,6 +71,7 @@
             if earlier.address == request.address:
                 del self._joiners[member_id]
         self._joiners[request.member_id] = request
+        self._asked_s[request.member_id] = boottime_s()
         self._mesh.send(sender, CallReply(request.call_id, "", b""))
 
     async def run(self) -> None:
@@ -114,7 +116,14 @@
         return self._groups.replicas[CONFIGURATION_GROUP]
 
     def _is_alive(self, joiner: JoinRequest) -> bool:
-        return self._mesh.unheard_s(joiner.address) < JOINER_SILENCE_S
+        """Tell whether the joiner itself still asks.
+
+        Its address may answer all the same: a VM that was started on an
+        empty folder and then on its old disk is there, the id of the
+        empty folder is not.
+        """
+        asked_s = self._asked_s[joiner.member_id]
+        return boottime_s() - asked_s < JOINER_SILENCE_S
 
     async def _admit_one(self, replica: Replica) -> None:
         members = replica.status().members
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
 from typing import Any
 from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+import anyio
 import msgspec
 
 from sycamorestand_consensus.errors import ConsensusError
@@ -36,6 +38,7 @@
 from sycamorestand_control.operator_api.types import TransferAnswer
 from sycamorestand_control.operator_api.types import VoterRow
 from sycamorestand_control.rows import backend_rows
+from sycamorestand_control.rows import merge_node_rows
 from sycamorestand_control.rows import node_rows
 from sycamorestand_peer.errors import PeerTimeout
 from sycamorestand_peer.messages import CallReply
@@ -58,11 +61,14 @@
 
 PROPOSE_TIMEOUT_S: Final = 5.0
 QUERY_TIMEOUT_S: Final = 1.0
+CATCH_UP_S: Final = 1.0
+CATCH_UP_PAUSE_S: Final = 0.02
 REPLACE_TIMEOUT_S: Final = 25.0
 MAX_CONFLICTS: Final = 20
 IN_FORCE: Final = "in_force"
 REPLACE: Final = "replace"
 TRANSFER: Final = "transfer"
+NODES: Final = "nodes"
 
 
 class Parts(NamedTuple):
@@ -109,8 +115,20 @@
             raise NoLeader(str(error)) from error
         except ProposalUnknown as error:
             raise OutcomeUnknown(str(error)) from error
+        if result.outcome == "conflict":
+            await self._catch_up(result.revision)
         return make_answer(result, self._conflicts(request.base_revision))
 
+    async def _catch_up(self, revision: int) -> None:
+        """Wait until this voter has applied what the change lost against.
+
+        The leader may answer before this voter hears of the commit, and
+        the operator would read of a conflict with nobody.
+        """
+        with anyio.move_on_after(CATCH_UP_S):
+            while self._parts.configuration.revision < revision:
+                await anyio.sleep(CATCH_UP_PAUSE_S)
+
     async def declarations(self) -> DeclarationsAnswer:
         """Return what this voter has applied."""
         configuration = self._parts.configuration
@@ -134,15 +152,12 @@
         parts = self._parts
         status = parts.groups.replicas[CONFIGURATION_GROUP].status()
         in_force = parts.configuration.in_force()
-        answer = parts.leases.in_force(in_force.revision)
         return StatusAnswer(
             voter_id=status.member_id,
             term=status.term,
             leader=status.leader_id,
             revision=in_force.revision,
-            in_force_revision=(
-                in_force.revision if answer and answer.in_force else 0
-            ),
+            in_force_revision=await self._in_force_revision(),
             voters=self._voter_rows(status),
             withdrawn=in_force.withdrawn,
             quarantined=in_force.quarantined,
@@ -152,6 +167,14 @@
             alarms=self._alarms(),
         )
 
+    async def _in_force_revision(self) -> int:
+        revision = self._parts.configuration.revision
+        try:
+            answer = await self.in_force(revision)
+        except NoLeader:
+            return 0
+        return revision if answer.in_force else 0
+
     async def audit(self, after: int, limit: int) -> AuditPage:
         """Return audit entries; the sequence is the index in the log."""
         found = self._parts.configuration.audit(after, limit + 1)
@@ -179,12 +202,25 @@
         return self._parts.ledger.bills(customer, after, limit)
 
     async def nodes(self) -> tuple[NodeRow, ...]:
-        """Return the entry processes that any control process hears."""
-        return node_rows(
-            self._parts.tables,
-            self._parts.configuration.in_force().draining_vms,
-            self._parts.vm,
-        )
+        """Return the entry processes, with what their control knows.
+
+        A control process that does not answer in time is left out: its
+        entries are shown without lease and revision.
+        """
+        found: list[tuple[NodeRow, ...]] = [self._own_node_rows()]
+
+        async def ask(address: str) -> None:
+            with contextlib.suppress(PeerTimeout, msgspec.MsgspecError):
+                reply = await self._ask(address, NODES, b"", QUERY_TIMEOUT_S)
+                rows = msgspec.msgpack.decode(
+                    reply.payload, type=tuple[NodeRow, ...]
+                )
+                found.append(rows)
+
+        async with anyio.create_task_group() as tasks:
+            for address in self._other_controls():
+                tasks.start_soon(ask, address)
+        return merge_node_rows(found)
 
     async def backends(self) -> tuple[BackendRow, ...]:
         """Return the backend servers that are announced."""
@@ -283,6 +319,8 @@
             )
             await self._parts.admissions.replace(group, old_id, new_id)
             return b""
+        if kind == NODES:
+            return msgspec.msgpack.encode(self._own_node_rows())
         if kind == TRANSFER:
             await self._parts.groups.hand_over()
             return b""
@@ -309,14 +347,30 @@
         address = self._parts.groups.leader_address(group)
         if not address:
             raise NoLeader("no leader is known")
-        call_id = self._parts.mesh.next_call_id()
         try:
-            return await self._parts.mesh.call(
-                address, call_id, Query(call_id, kind, payload), timeout_s
-            )
+            return await self._ask(address, kind, payload, timeout_s)
         except PeerTimeout as error:
             raise NoLeader(str(error)) from error
 
+    async def _ask(
+        self, address: str, kind: str, payload: bytes, timeout_s: float
+    ) -> CallReply:
+        call_id = self._parts.mesh.next_call_id()
+        query = Query(call_id, kind, payload)
+        return await self._parts.mesh.call(address, call_id, query, timeout_s)
+
+    def _other_controls(self) -> list[str]:
+        status = self._parts.groups.replicas[CONFIGURATION_GROUP].status()
+        own = self._parts.mesh.address
+        return [m.address for m in status.members if m.address != own]
+
+    def _own_node_rows(self) -> tuple[NodeRow, ...]:
+        return node_rows(
+            self._parts.tables,
+            self._parts.configuration.in_force().draining_vms,
+            self._parts.vm,
+        )
+
     def _answer_in_force(self, revision: int) -> InForceAnswer | None:
         status = self._parts.leases.in_force(revision)
         if status is None:
--- a/packages/sycamorestand-control/src/sycamorestand_control/rows.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/rows.py
@@ -7,9 +7,11 @@
 
 from sycamorestand_control.operator_api.types import BackendRow
 from sycamorestand_control.operator_api.types import NodeRow
+from sycamorestand_peer.clock import boottime_s
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Iterable
 
     from sycamorestand_control.tables import SharedTables
     from sycamorestand_state.nodes import NodeRecord
@@ -18,10 +20,12 @@
 def node_rows(
     tables: SharedTables, draining_vms: Collection[str], own_vm: str
 ) -> tuple[NodeRow, ...]:
-    """Return the entries; revisions only of those served here."""
+    """Return the entries; lease and revision only of those served here."""
+    now_s = boottime_s()
     rows = []
     for node in sorted(tables.entries().values()):
         state = tables.entry_state(node.vm)
+        left_s = max(0.0, state.lease_ends_s - now_s) if state else 0.0
         rows.append(
             NodeRow(
                 node.vm,
@@ -29,13 +33,30 @@
                 f"{node.host}:{node.port}",
                 _node_state(node, draining_vms),
                 state.acked_revision if state else 0,
-                0,
+                int(left_s * 1_000),
                 own_vm if state else "",
             )
         )
     return tuple(rows)
 
 
+def merge_node_rows(
+    tables: Iterable[Iterable[NodeRow]],
+) -> tuple[NodeRow, ...]:
+    """Return one row an entry: that of the process with its lease.
+
+    An entry that has moved is still known to the process that it left,
+    so the longest lease decides.
+    """
+    best: dict[str, NodeRow] = {}
+    for rows in tables:
+        for row in rows:
+            known = best.get(row.vm)
+            if known is None or _knows_more(row, known):
+                best[row.vm] = row
+    return tuple(best[vm] for vm in sorted(best))
+
+
 def backend_rows(tables: SharedTables) -> tuple[BackendRow, ...]:
     """Return the backend servers with the load last heard of them."""
     rows = []
@@ -58,6 +79,13 @@
     return tuple(rows)
 
 
+def _knows_more(row: NodeRow, other: NodeRow) -> bool:
+    return (bool(row.control), row.lease_left_ms) > (
+        bool(other.control),
+        other.lease_left_ms,
+    )
+
+
 def _node_state(
     node: NodeRecord, draining_vms: Collection[str]
 ) -> Literal["serving", "draining"]:
@@ -66,4 +94,4 @@
     return "serving"
 
 
-__all__ = ["backend_rows", "node_rows"]
+__all__ = ["backend_rows", "merge_node_rows", "node_rows"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/tables.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/tables.py
@@ -70,7 +70,7 @@
     """What the control process that serves an entry knows of it."""
 
     acked_revision: int
-    open_requests: int = 0
+    lease_ends_s: float = 0.0
 
 
 class SharedTables:
@@ -115,7 +115,16 @@
             NODE_LEASE_S,
         )
         self._entries.announce(record, boottime_s())
-        self._states[address.vm] = EntryState(message.acked_revision)
+        known = self._states.get(address.vm, EntryState(0))
+        self._states[address.vm] = known._replace(
+            acked_revision=message.acked_revision
+        )
+
+    def entry_granted(self, vm: str, length_s: float) -> None:
+        """Note a lease that was granted to an entry of this process."""
+        known = self._states.get(vm, EntryState(0))
+        ends_s = boottime_s() + length_s
+        self._states[vm] = known._replace(lease_ends_s=ends_s)
 
     def servers(self) -> dict[str, Announcement]:
         """Return the backend servers that are known, by name."""
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/announcements.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/announcements.py
@@ -20,6 +20,7 @@
 from sycamorestand_model.backend_servers import Announcement
 from sycamorestand_model.backend_servers import LoadReport
 from sycamorestand_model.keys import key_matches
+from sycamorestand_state.registry import MAX_LEASE_S
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
@@ -28,7 +29,6 @@
 MAX_NAME_CHARACTERS: Final = 128
 MAX_VERSIONS: Final = 256
 MAX_CAPACITY: Final = 100_000
-MAX_LEASE_S: Final = 60.0
 
 
 async def answer_announcement(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
@@ -70,7 +70,7 @@
     customer = in_force.declarations.customers.get(intent.customer)
     if customer is None or intent.profile not in customer.profiles:
         return NotAllowed("the customer may not use this profile")
-    if not version_is_offered(in_force, intent.target):
+    if not version_is_offered(in_force, intent.target, intent.in_session):
         if intent.in_session:
             return SessionWithdrawn(
                 f"version {intent.target} of this session is withdrawn"
@@ -86,9 +86,18 @@
     return NotAllowed(f"version {intent.target} is not allowed")
 
 
-def version_is_offered(in_force: InForce, identity: str) -> bool:
-    """Tell whether new work may go to the version at all."""
-    if identity in in_force.withdrawn or identity in in_force.quarantined:
+def version_is_offered(
+    in_force: InForce, identity: str, in_session: bool = False
+) -> bool:
+    """Tell whether work may go to the version at all.
+
+    A quarantine keeps new sessions and requests away. It is the system's
+    own guess, so a running session keeps its version; to end sessions too
+    is an operator's word, a withdrawal.
+    """
+    if identity in in_force.withdrawn:
+        return False
+    if identity in in_force.quarantined and not in_session:
         return False
     version = find_version(in_force.declarations, identity)
     return version is not None and not version.withdrawn
--- a/packages/sycamorestand-entry/tests/test_sessions.py
+++ b/packages/sycamorestand-entry/tests/test_sessions.py
@@ -75,6 +75,27 @@
             fresh = await loopback.chat()
             assert fresh.headers["x-version"] == LARGE_NEXT
 
+    async def test_quarantine_lets_a_session_go_on(self) -> None:
+        """The version of a session is quarantined between two requests.
+
+        New work goes elsewhere or is turned away; the session keeps its
+        version, as only a withdrawal ends it.
+        """
+        async with start_loopback() as loopback:
+            await add_engine(loopback)
+            first = await loopback.chat(X_Session="s-1")
+            version = first.headers["x-version"]
+            port = loopback.control
+            port.configuration = port.configuration._replace(
+                quarantined=(version,)
+            )
+            token = first.headers["x-session-token"]
+            again = await loopback.chat(X_Session_Token=token)
+            assert again.status == 200
+            assert again.headers["x-version"] == version
+            fresh = await loopback.chat(X_Session="s-2")
+            assert fresh.headers.get("x-version") != version
+
     async def test_token_of_another_customer_is_refused(self) -> None:
         async with start_loopback() as loopback:
             await add_engine(loopback)
--- a/packages/sycamorestand/src/sycamorestand/operator/waiting.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/waiting.py
@@ -57,7 +57,8 @@
     waiting = f", waiting for {', '.join(answer.waiting)}"
     return (
         f"revision {answer.revision} is in force at {answer.acknowledged} "
-        f"of {answer.lease_holders} entries{waiting if answer.waiting else ''}"
+        f"of {answer.lease_holders} control processes"
+        f"{waiting if answer.waiting else ''}"
     )
 
 
--- a/packages/sycamorestand/src/sycamorestand/process_settings.py
+++ b/packages/sycamorestand/src/sycamorestand/process_settings.py
@@ -87,7 +87,7 @@
     *COMMON_SETTINGS,
     Setting("data_folder", folder, None, "folder for all durable state"),
     Setting("operator_host", text, "127.0.0.1", "IP for operators"),
-    Setting("operator_port", whole(0, 65_535), "8090", "port for operators"),
+    Setting("operator_port", whole(0, 65_535), "7300", "port for operators"),
     Setting(
         "first_start",
         flag,
