--- a/packages/sycamorestand/tests/system/test_voters.py
+++ b/packages/sycamorestand/tests/system/test_voters.py
@@ -78,19 +78,7 @@
 
 
 class TestWipedVoter:
-    @pytest.mark.parametrize(
-        "apart",
-        [
-            False,
-            pytest.param(
-                True,
-                marks=pytest.mark.xfail(
-                    strict=False,
-                    reason="flaky, cause not found: FAULTS-FOUND.md 4",
-                ),
-            ),
-        ],
-    )
+    @pytest.mark.parametrize("apart", [False, True])
     def test_replaced_and_a_second_one_lost(
         self, system: System, apart: bool
     ) -> None:
