Questions between control processes stand by themselves

Questions of control processes and rows of voters are modules of their own; explain knows customers.

--- a/packages/sycamorestand-control/src/sycamorestand_control/explain.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/explain.py
@@ -29,6 +29,7 @@
     lines = [
         *_explain_version(subject, configuration, tables),
         *_explain_model(subject, configuration),
+        *_explain_customer(subject, configuration),
         *_explain_request(subject, ledger),
         *_explain_server(subject, tables),
         *_explain_vm(subject, configuration, tables),
@@ -87,6 +88,22 @@
     return lines
 
 
+def _explain_customer(
+    subject: str, configuration: ConfigurationMachine
+) -> list[str]:
+    declarations = configuration.in_force().declarations
+    customer = declarations.customers.get(subject)
+    if customer is None:
+        return []
+    return [
+        f"customer {subject} may use the profiles"
+        f" {', '.join(customer.profiles) or 'none'}",
+        f"on {', '.join(customer.versions) or 'no version'}, and the services"
+        f" {', '.join(customer.services) or 'none'}",
+        f"its share of waiting work has the weight {customer.weight:g}",
+    ]
+
+
 def _explain_request(subject: str, ledger: LedgerReader) -> list[str]:
     customer, separator, request_key = subject.partition("/")
     if not separator or VERSION_SEPARATOR in customer:
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
 import time
-from typing import Any
 from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -12,7 +10,6 @@
 import anyio
 import msgspec
 
-from sycamorestand_consensus.errors import ConsensusError
 from sycamorestand_control.change_commands import make_answer
 from sycamorestand_control.change_commands import make_command
 from sycamorestand_control.errors import ControlError
@@ -36,13 +33,11 @@
 from sycamorestand_control.operator_api.types import RolloutRow
 from sycamorestand_control.operator_api.types import StatusAnswer
 from sycamorestand_control.operator_api.types import TransferAnswer
-from sycamorestand_control.operator_api.types import VoterRow
+from sycamorestand_control.questions import Questions
 from sycamorestand_control.rows import backend_rows
 from sycamorestand_control.rows import merge_node_rows
 from sycamorestand_control.rows import node_rows
-from sycamorestand_peer.errors import PeerTimeout
-from sycamorestand_peer.messages import CallReply
-from sycamorestand_peer.messages import Query
+from sycamorestand_control.rows import voter_rows
 from sycamorestand_state.commands import encode_command
 
 if TYPE_CHECKING:
@@ -61,6 +56,7 @@
 
 PROPOSE_TIMEOUT_S: Final = 5.0
 QUERY_TIMEOUT_S: Final = 1.0
+HAND_OVER_TIMEOUT_S: Final = 4.0
 CATCH_UP_S: Final = 1.0
 CATCH_UP_PAUSE_S: Final = 0.02
 REPLACE_TIMEOUT_S: Final = 25.0
@@ -96,6 +92,16 @@
 
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
+        self.questions = Questions(
+            parts.mesh,
+            parts.groups,
+            {
+                IN_FORCE: self._lead_in_force,
+                REPLACE: self._lead_replace,
+                TRANSFER: self._lead_transfer,
+                NODES: self._tell_nodes,
+            },
+        )
 
     async def change(self, request: ChangeRequest) -> ChangeAnswer:
         """Commit one change through whichever voter leads."""
@@ -138,14 +144,14 @@
 
     async def in_force(self, revision: int) -> InForceAnswer:
         """Return the leader's word; only it knows every lease."""
-        answer = self._answer_in_force(revision)
-        if answer is not None:
-            return answer
         payload = msgspec.msgpack.encode(revision)
-        reply = await self._ask_leader(IN_FORCE, payload, QUERY_TIMEOUT_S)
-        if reply.failure:
-            raise NoLeader(reply.failure)
-        return msgspec.msgpack.decode(reply.payload, type=InForceAnswer)
+        try:
+            answer = await self.questions.ask_leader(
+                IN_FORCE, payload, QUERY_TIMEOUT_S
+            )
+        except ControlError as error:
+            raise NoLeader(str(error)) from error
+        return msgspec.msgpack.decode(answer, type=InForceAnswer)
 
     async def status(self) -> StatusAnswer:
         """Return this process's view; it works without a leader too."""
@@ -158,7 +164,7 @@
             leader=status.leader_id,
             revision=in_force.revision,
             in_force_revision=await self._in_force_revision(),
-            voters=self._voter_rows(status),
+            voters=voter_rows(status, parts.mesh, parts.tables),
             withdrawn=in_force.withdrawn,
             quarantined=in_force.quarantined,
             draining_vms=in_force.draining_vms,
@@ -207,19 +213,14 @@
         A control process that does not answer in time is left out: its
         entries are shown without lease and revision.
         """
-        found: list[tuple[NodeRow, ...]] = [self._own_node_rows()]
-
-        async def ask(address: str) -> None:
-            with contextlib.suppress(PeerTimeout, msgspec.MsgspecError):
-                reply = await self._ask(address, NODES, b"", QUERY_TIMEOUT_S)
-                rows = msgspec.msgpack.decode(
-                    reply.payload, type=tuple[NodeRow, ...]
-                )
-                found.append(rows)
-
-        async with anyio.create_task_group() as tasks:
-            for address in self._other_controls():
-                tasks.start_soon(ask, address)
+        answers = await self.questions.ask_each(
+            self._other_controls(), NODES, QUERY_TIMEOUT_S
+        )
+        found = [
+            msgspec.msgpack.decode(answer, type=tuple[NodeRow, ...])
+            for answer in answers
+        ]
+        found.append(self._own_node_rows())
         return merge_node_rows(found)
 
     async def backends(self) -> tuple[BackendRow, ...]:
@@ -235,17 +236,12 @@
             payload = msgspec.msgpack.encode(
                 (group, request.old_id, request.new_id)
             )
-            reply = await self._lead_or_ask(
-                REPLACE, payload, REPLACE_TIMEOUT_S, group
-            )
-            if reply.failure and group == CONFIGURATION_GROUP:
-                return ChangeAnswer("refused", revision, reply.failure)
-            if reply.failure:
-                # "Refused" would say that nothing was changed.
-                raise OutcomeUnknown(
-                    f"earlier logs are done, log {group} is not:"
-                    f" {reply.failure}; repeat the command"
+            try:
+                await self.questions.ask_leader(
+                    REPLACE, payload, REPLACE_TIMEOUT_S, group
                 )
+            except ControlError as error:
+                return _not_replaced(group, revision, error)
         return ChangeAnswer("accepted", revision, "the voter is replaced")
 
     async def rollouts(self) -> tuple[RolloutRow, ...]:
@@ -279,9 +275,10 @@
 
     async def transfer_leadership(self, operator: str) -> TransferAnswer:
         """Have the leader hand over to another voter."""
-        reply = await self._lead_or_ask(TRANSFER, b"", QUERY_TIMEOUT_S * 4)
-        if reply.failure:
-            raise NoLeader(reply.failure)
+        try:
+            await self.questions.ask_leader(TRANSFER, b"", HAND_OVER_TIMEOUT_S)
+        except ControlError as error:
+            raise NoLeader(str(error)) from error
         status = self._parts.groups.replicas[CONFIGURATION_GROUP].status()
         return TransferAnswer(status.leader_id, status.term)
 
@@ -293,71 +290,38 @@
         """Tell whether this process holds a lease to serve entries with."""
         return self._parts.leases.remaining_s() > 0
 
-    async def answer_query(self, sender: str, message: Query) -> None:
-        """Answer another control process that asked this one as leader."""
-        reply = await self._answer(message)
-        self._parts.mesh.send(sender, reply)
+    async def _lead_in_force(self, payload: bytes) -> bytes:
+        revision = msgspec.msgpack.decode(payload, type=int)
+        status = self._parts.leases.in_force(revision)
+        if status is None:
+            raise NoLeaderAnswered("the leader has not caught up yet")
+        live = self._parts.leases.live_controls()
+        waiting = tuple(
+            self._parts.tables.control_name(address).vm or address
+            for address in status.missing
+        )
+        answer = InForceAnswer(
+            revision,
+            status.in_force,
+            len(live),
+            len(live) - len(waiting),
+            waiting,
+        )
+        return msgspec.msgpack.encode(answer)
+
+    async def _lead_replace(self, payload: bytes) -> bytes:
+        group, old_id, new_id = msgspec.msgpack.decode(
+            payload, type=tuple[int, str, str]
+        )
+        await self._parts.admissions.replace(group, old_id, new_id)
+        return b""
 
-    async def _answer(self, message: Query) -> CallReply:
-        try:
-            payload = await self._lead(message.kind, message.payload)
-        except (ConsensusError, ControlError) as error:
-            return CallReply(message.call_id, str(error), b"")
-        return CallReply(message.call_id, "", payload)
-
-    async def _lead(self, kind: str, payload: bytes) -> bytes:
-        """Answer as the leader; raises where this voter is none."""
-        if kind == IN_FORCE:
-            revision = msgspec.msgpack.decode(payload, type=int)
-            answer = self._answer_in_force(revision)
-            if answer is None:
-                raise NoLeaderAnswered("the leader has not caught up yet")
-            return msgspec.msgpack.encode(answer)
-        if kind == REPLACE:
-            group, old_id, new_id = msgspec.msgpack.decode(
-                payload, type=tuple[int, str, str]
-            )
-            await self._parts.admissions.replace(group, old_id, new_id)
-            return b""
-        if kind == NODES:
-            return msgspec.msgpack.encode(self._own_node_rows())
-        if kind == TRANSFER:
-            await self._parts.groups.hand_over()
-            return b""
-        raise NoLeaderAnswered(f"question {kind!r} is unknown")
-
-    async def _lead_or_ask(
-        self,
-        kind: str,
-        payload: bytes,
-        timeout_s: float,
-        group: int = CONFIGURATION_GROUP,
-    ) -> CallReply:
-        if self._parts.groups.is_leader(group):
-            return await self._answer(Query(0, kind, payload))
-        return await self._ask_leader(kind, payload, timeout_s, group)
-
-    async def _ask_leader(
-        self,
-        kind: str,
-        payload: bytes,
-        timeout_s: float,
-        group: int = CONFIGURATION_GROUP,
-    ) -> CallReply:
-        address = self._parts.groups.leader_address(group)
-        if not address:
-            raise NoLeader("no leader is known")
-        try:
-            return await self._ask(address, kind, payload, timeout_s)
-        except PeerTimeout as error:
-            raise NoLeader(str(error)) from error
+    async def _lead_transfer(self, payload: bytes) -> bytes:
+        await self._parts.groups.hand_over()
+        return b""
 
-    async def _ask(
-        self, address: str, kind: str, payload: bytes, timeout_s: float
-    ) -> CallReply:
-        call_id = self._parts.mesh.next_call_id()
-        query = Query(call_id, kind, payload)
-        return await self._parts.mesh.call(address, call_id, query, timeout_s)
+    async def _tell_nodes(self, payload: bytes) -> bytes:
+        return msgspec.msgpack.encode(self._own_node_rows())
 
     def _other_controls(self) -> list[str]:
         status = self._parts.groups.replicas[CONFIGURATION_GROUP].status()
@@ -371,23 +335,6 @@
             self._parts.vm,
         )
 
-    def _answer_in_force(self, revision: int) -> InForceAnswer | None:
-        status = self._parts.leases.in_force(revision)
-        if status is None:
-            return None
-        live = self._parts.leases.live_controls()
-        waiting = tuple(
-            self._parts.tables.control_name(address).vm or address
-            for address in status.missing
-        )
-        return InForceAnswer(
-            revision,
-            status.in_force,
-            len(live),
-            len(live) - len(waiting),
-            waiting,
-        )
-
     def _conflicts(self, base: int | None) -> tuple[Conflict, ...]:
         if base is None:
             return ()
@@ -403,27 +350,6 @@
             if entry.revision > base and entry.outcome == "applied"
         )[-MAX_CONFLICTS:]
 
-    def _voter_rows(self, status: Any) -> tuple[VoterRow, ...]:
-        mesh = self._parts.mesh
-        rows = []
-        for member in status.members:
-            own = member.member_id == status.member_id
-            silent_s = 0.0 if own else mesh.unheard_s(member.address)
-            role = "follower" if member.voter else "learner"
-            if member.member_id == status.leader_id:
-                role = "leader"
-            rows.append(
-                VoterRow(
-                    member.member_id,
-                    *self._parts.tables.control_name(member.address),
-                    member.address,
-                    role,  # type: ignore[arg-type]
-                    status.applied_index if own else member.match_index,
-                    int(min(silent_s, 86_400) * 1_000),
-                )
-            )
-        return tuple(rows)
-
     def _alarms(self) -> tuple[str, ...]:
         parts = self._parts
         alarms = [
@@ -440,4 +366,16 @@
         return tuple(alarms)
 
 
+def _not_replaced(
+    group: int, revision: int, error: ControlError
+) -> ChangeAnswer:
+    if group == CONFIGURATION_GROUP:
+        return ChangeAnswer("refused", revision, str(error))
+    # "Refused" would say that nothing was changed.
+    raise OutcomeUnknown(
+        f"earlier logs are done, log {group} is not: {error};"
+        " repeat the command"
+    ) from error
+
+
 __all__ = ["ControlBackend", "Parts"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -335,7 +335,7 @@
         self._start(self.groups.answer_forward, sender, message)
 
     def _queried(self, sender: str, message: Query) -> None:
-        self._start(self.backend.answer_query, sender, message)
+        self._start(self.backend.questions.answer, sender, message)
 
     def _start(self, function: Any, *arguments: Any) -> None:
         assert self._tasks is not None
--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/questions.py
@@ -0,0 +1,116 @@
+"""Questions between control processes, for what only one of them knows."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+import contextlib
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sycamorestand_consensus.errors import ConsensusError
+from sycamorestand_control.errors import ControlError
+from sycamorestand_control.errors import NoLeader
+from sycamorestand_control.groups import CONFIGURATION_GROUP
+from sycamorestand_peer.errors import PeerTimeout
+from sycamorestand_peer.messages import CallReply
+from sycamorestand_peer.messages import Query
+
+if TYPE_CHECKING:
+    from sycamorestand_control.groups import LogGroups
+    from sycamorestand_peer.mesh import PeerMesh
+
+Handler = Callable[[bytes], Awaitable[bytes]]
+
+
+class Refused(ControlError):
+    """The process that was asked says why it does not do it."""
+
+
+class Questions:
+    """Asks other control processes, and answers them.
+
+    ``handlers`` answer by kind; they raise `ControlError` or
+    `ConsensusError` where this process cannot.
+    """
+
+    def __init__(
+        self,
+        mesh: PeerMesh,
+        groups: LogGroups,
+        handlers: Mapping[str, Handler],
+    ) -> None:
+        self._mesh = mesh
+        self._groups = groups
+        self._handlers = handlers
+
+    async def answer(self, sender: str, message: Query) -> None:
+        """Answer a question of another control process."""
+        try:
+            payload = await self._handle(message.kind, message.payload)
+        except (ConsensusError, ControlError) as error:
+            reply = CallReply(message.call_id, str(error), b"")
+        else:
+            reply = CallReply(message.call_id, "", payload)
+        self._mesh.send(sender, reply)
+
+    async def ask_leader(
+        self,
+        kind: str,
+        payload: bytes,
+        timeout_s: float,
+        group: int = CONFIGURATION_GROUP,
+    ) -> bytes:
+        """Return the answer of whoever leads a log, this one included.
+
+        Raises `NoLeader` where none answers and `Refused` with its words.
+        """
+        if self._groups.is_leader(group):
+            try:
+                return await self._handle(kind, payload)
+            except ConsensusError as error:
+                raise Refused(str(error)) from error
+        address = self._groups.leader_address(group)
+        if not address:
+            raise NoLeader("no leader is known")
+        try:
+            return await self._ask(address, kind, payload, timeout_s)
+        except PeerTimeout as error:
+            raise NoLeader(str(error)) from error
+
+    async def ask_each(
+        self, addresses: Iterable[str], kind: str, timeout_s: float
+    ) -> list[bytes]:
+        """Return the answers of those that answer in time."""
+        answers: list[bytes] = []
+
+        async def ask(address: str) -> None:
+            with contextlib.suppress(PeerTimeout, ControlError):
+                answers.append(await self._ask(address, kind, b"", timeout_s))
+
+        async with anyio.create_task_group() as tasks:
+            for address in addresses:
+                tasks.start_soon(ask, address)
+        return answers
+
+    async def _handle(self, kind: str, payload: bytes) -> bytes:
+        handler = self._handlers.get(kind)
+        if handler is None:
+            raise Refused(f"question {kind!r} is unknown")
+        return await handler(payload)
+
+    async def _ask(
+        self, address: str, kind: str, payload: bytes, timeout_s: float
+    ) -> bytes:
+        call_id = self._mesh.next_call_id()
+        query = Query(call_id, kind, payload)
+        reply = await self._mesh.call(address, call_id, query, timeout_s)
+        if reply.failure:
+            raise Refused(reply.failure)
+        return reply.payload
+
+
+__all__ = ["Handler", "Questions", "Refused"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/rows.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/rows.py
@@ -2,20 +2,29 @@
 
 from __future__ import annotations
 
+from typing import Final
 from typing import Literal
 from typing import TYPE_CHECKING
 
 from sycamorestand_control.operator_api.types import BackendRow
 from sycamorestand_control.operator_api.types import NodeRow
+from sycamorestand_control.operator_api.types import VoterRow
 from sycamorestand_peer.clock import boottime_s
 
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Iterable
 
+    from sycamorestand_consensus.replica_types import MemberStatus
+    from sycamorestand_consensus.replica_types import ReplicaStatus
     from sycamorestand_control.tables import SharedTables
+    from sycamorestand_peer.mesh import PeerMesh
     from sycamorestand_state.nodes import NodeRecord
 
+# A peer that was never heard of has been silent for infinitely long, which
+# no column shows.
+MAX_SILENT_S: Final = 86_400.0
+
 
 def node_rows(
     tables: SharedTables, draining_vms: Collection[str], own_vm: str
@@ -79,6 +88,38 @@
     return tuple(rows)
 
 
+def voter_rows(
+    status: ReplicaStatus, mesh: PeerMesh, tables: SharedTables
+) -> tuple[VoterRow, ...]:
+    """Return the members of a log as this process sees them.
+
+    Only the leader knows how far the others have come.
+    """
+    rows = []
+    for member in status.members:
+        own = member.member_id == status.member_id
+        silent_s = 0.0 if own else mesh.unheard_s(member.address)
+        rows.append(
+            VoterRow(
+                member.member_id,
+                *tables.control_name(member.address),
+                member.address,
+                _voter_role(member, status.leader_id),
+                status.applied_index if own else member.match_index,
+                int(min(silent_s, MAX_SILENT_S) * 1_000),
+            )
+        )
+    return tuple(rows)
+
+
+def _voter_role(
+    member: MemberStatus, leader_id: str
+) -> Literal["leader", "follower", "learner"]:
+    if member.member_id == leader_id:
+        return "leader"
+    return "follower" if member.voter else "learner"
+
+
 def _knows_more(row: NodeRow, other: NodeRow) -> bool:
     return (bool(row.control), row.lease_left_ms) > (
         bool(other.control),
@@ -94,4 +135,4 @@
     return "serving"
 
 
-__all__ = ["backend_rows", "merge_node_rows", "node_rows"]
+__all__ = ["backend_rows", "merge_node_rows", "node_rows", "voter_rows"]
