An entry must be told of a control process; lease changes are logged

Cause: an entry without any control address ended with an IndexError in place of a finding; during an outage it logged a line for each move, one a second; how long a denial 'behind' keeps it was a bare number. After: the address is required for entries, 'lease lost' and 'lease held' are logged once each, moves only while the lease holds. Two tests are new; two tests of settings now give the address that is required.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -52,6 +52,9 @@
 # Three renewals without a grant: one may be lost, and a control process
 # may be busy, but after this the lease of 2 s needs another granter now.
 MOVE_AFTER_S: Final = 1.2
+# One that denies because we are behind is well and sends the revision that
+# is missing; it is left only if that takes longer than this.
+BEHIND_GRACE_S: Final = 0.4
 REPORT_INTERVAL_S: Final = 2.0
 EXPIRE_INTERVAL_S: Final = 0.2
 LOADS: Final = "loads"
@@ -111,6 +114,7 @@
             self.control_address,
             lambda: self._in_force.ledger_shards,
         )
+        self._was_held = False
         self._requests = 0
         self._rating_listener: Callable[[Sequence[RatingCount]], None] = (
             _ignore_ratings
@@ -190,10 +194,24 @@
             now_s = boottime_s()
             if now_s - self._granted_s > MOVE_AFTER_S:
                 self._move(now_s)
+            self._log_lease_change()
             self.mesh.send(self.control_address(), self._request(now_s))
             with anyio.move_on_after(RENEW_INTERVAL_S):
                 await self._kicked.wait()
 
+    def _log_lease_change(self) -> None:
+        """Log when the lease is lost or held again, and from whom.
+
+        Without control at all the entry moves on each second. Those moves
+        are not logged, as they would fill the disk during an outage.
+        """
+        held = self.lease_remaining_s() > 0
+        if held == self._was_held:
+            return
+        self._was_held = held
+        text = "lease held" if held else "lease lost"
+        LOG.info(text, extra={"control": self.control_address()})
+
     def _request(self, now_s: float) -> LeaseRequest:
         self._requests += 1
         return LeaseRequest(
@@ -209,7 +227,10 @@
         self._control = (self._control + 1) % len(self._controls)
         self._granted_s = now_s
         self.moves += 1
-        LOG.info("control changed", extra={"control": self.control_address()})
+        if self.lease_remaining_s() > 0:
+            LOG.info(
+                "control changed", extra={"control": self.control_address()}
+            )
 
     def _received(self, sender: str, message: Any) -> None:
         match message:
@@ -238,8 +259,8 @@
             if address not in self._controls:
                 self._controls.append(address)
         if message.reason == "behind" and sender == self.control_address():
-            # It answers and sends the revision that is missing.
-            self._granted_s = max(self._granted_s, boottime_s() - 0.8)
+            keeps_s = boottime_s() - MOVE_AFTER_S + BEHIND_GRACE_S
+            self._granted_s = max(self._granted_s, keeps_s)
 
     def _take_configuration(self, in_force: InForce) -> None:
         if in_force.revision <= self._in_force.revision:
--- a/packages/sycamorestand/src/sycamorestand/process_settings.py
+++ b/packages/sycamorestand/src/sycamorestand/process_settings.py
@@ -16,6 +16,7 @@
 from sycamorestand.settings import optional_key_file
 from sycamorestand.settings import optional_text
 from sycamorestand.settings import Setting
+from sycamorestand.settings import some_addresses
 from sycamorestand.settings import text
 from sycamorestand.settings import whole
 from sycamorestand_peer.tls import read_tls_identity
@@ -32,12 +33,6 @@
         "",
         "IP:port to listen on for peers, where it differs",
     ),
-    Setting(
-        "control_addresses",
-        addresses,
-        "",
-        "peer addresses of control processes, the nearest first",
-    ),
     Setting(
         "cluster_key_file",
         key_file,
@@ -66,6 +61,12 @@
 
 ENTRY_SETTINGS: Final = (
     *COMMON_SETTINGS,
+    Setting(
+        "control_addresses",
+        some_addresses,
+        None,
+        "peer addresses of control processes, the nearest first",
+    ),
     Setting("host", text, "127.0.0.1", "IP that callers connect to"),
     Setting("port", whole(0, 65_535), "8080", "port for callers"),
     Setting(
@@ -85,6 +86,12 @@
 
 CONTROL_SETTINGS: Final = (
     *COMMON_SETTINGS,
+    Setting(
+        "control_addresses",
+        addresses,
+        "",
+        "peer addresses of the other control processes",
+    ),
     Setting("data_folder", folder, None, "folder for all durable state"),
     Setting("operator_host", text, "127.0.0.1", "IP for operators"),
     Setting("operator_port", whole(0, 65_535), "7300", "port for operators"),
--- a/packages/sycamorestand/src/sycamorestand/settings.py
+++ b/packages/sycamorestand/src/sycamorestand/settings.py
@@ -191,6 +191,14 @@
     return tuple(address(part.strip()) for part in value.split(",") if part)
 
 
+def some_addresses(value: str) -> tuple[str, ...]:
+    """Read a list of ``IP:port`` with one at least."""
+    found = addresses(value)
+    if not found:
+        raise ValueError("names no address")
+    return found
+
+
 def folder(value: str) -> Path:
     """Read the path of a folder that exists."""
     path = Path(value)
@@ -282,6 +290,7 @@
     "read_settings",
     "Setting",
     "SettingsError",
+    "some_addresses",
     "text",
     "whole",
 ]
--- a/packages/sycamorestand/tests/test_run.py
+++ b/packages/sycamorestand/tests/test_run.py
@@ -73,4 +73,17 @@
         assert main(["control", "--vm", "c"]) == 2
         said = capsys.readouterr().err
         assert "--data-centre" in said
+
+    def test_an_entry_without_control_is_a_finding(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        """Without any address it would have nobody to ask for a lease."""
+        assert main(["entry", "--vm", "e", "--control-addresses", ","]) == 2
+        assert "--control-addresses: names no" in capsys.readouterr().err
+
+    def test_variables_are_named_as_well(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        assert main(["control", "--vm", "c"]) == 2
+        said = capsys.readouterr().err
         assert "SYCAMORESTAND_CLUSTER_KEY_FILE" in said
--- a/packages/sycamorestand/tests/test_settings.py
+++ b/packages/sycamorestand/tests/test_settings.py
@@ -28,6 +28,7 @@
                 "SYCAMORESTAND_VM": "other",
                 "SYCAMORESTAND_DATA_CENTRE": "Dalton",
                 "SYCAMORESTAND_PEER_ADDRESS": "127.0.0.1:1",
+                "SYCAMORESTAND_CONTROL_ADDRESSES": "127.0.0.1:2",
             },
         )
         assert values["vm"] == "entry-1"
@@ -127,6 +128,7 @@
             "vm": "e1",
             "data_centre": "Dalton",
             "peer_address": "127.0.0.1:1",
+            "control_addresses": "127.0.0.1:2",
             "cluster_key_file": str(path),
         }
         values = read_settings(ENTRY_SETTINGS, flags, {})
