A message that cannot be handled ends no process

Cause, found by reading: a handler's exception went up through the mesh and ended the process. One batch or report of another release, from a process with the right key, would have ended a voter, and again after each restart.

--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -339,7 +339,16 @@
 
     def _start(self, function: Any, *arguments: Any) -> None:
         assert self._tasks is not None
-        self._tasks.start_soon(function, *arguments)
+        self._tasks.start_soon(self._guarded, function, *arguments)
+
+    async def _guarded(self, function: Any, *arguments: Any) -> None:
+        try:
+            await function(*arguments)
+        except Exception:
+            # One peer's message, such as a batch of another release, must
+            # not end the voter with all that depends on it.
+            self.mesh.counters.faults += 1
+            LOG.exception("message not answered")
 
     async def _answer_batch(self, sender: str, message: LedgerBatch) -> None:
         if not 0 <= message.shard < len(self.writers):
--- a/packages/sycamorestand-control/tests/test_process.py
+++ b/packages/sycamorestand-control/tests/test_process.py
@@ -16,6 +16,7 @@
 from sycamorestand_control.process import ControlProcess
 from sycamorestand_control.settings import ControlSettings
 from sycamorestand_model.keys import hash_key
+from sycamorestand_peer.messages import LedgerBatch
 
 pytestmark = pytest.mark.anyio
 WAIT_S = 20
@@ -120,6 +121,23 @@
         assert 'operator_refusals_total{code="unauthenticated"} 1' in text
         assert 'sycamorestand_control_log_leads{log="0"} 1' in text
 
+    async def test_a_batch_that_cannot_be_read_ends_nothing(
+        self, tmp_path: Path
+    ) -> None:
+        """An entry of another release sends a batch with a strange record.
+
+        Its records are not applied, the fault is counted, and the process
+        goes on to accept changes.
+        """
+        async with running(settings_in(tmp_path)) as process:
+            batch = LedgerBatch(1, 0, b"\x93\x01")
+            process.mesh._handler("127.0.0.1:1", batch)
+            with anyio.fail_after(WAIT_S):
+                while not process.mesh.counters.faults:
+                    await anyio.sleep(0.02)
+            answer = await process.backend.change(drain("1", "vm-9"))
+            assert answer.outcome == "accepted"
+
     async def test_a_taken_address_is_one_clear_error(
         self, tmp_path: Path
     ) -> None:
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
@@ -58,6 +58,7 @@
         self.bytes_received = 0
         self.refusals = Refusals()
         self.malformed = 0
+        self.faults = 0
         self.redials = 0
         self.dropped = 0
 
@@ -277,7 +278,14 @@
                 waiting[1].append(message)
                 waiting[0].set()
             return
-        self._handler(sender, message)
+        try:
+            self._handler(sender, message)
+        except Exception:
+            # A message that another release understands otherwise must not
+            # end this process, nor the next one the same way; the log has
+            # the place, the counter the alert.
+            self.counters.faults += 1
+            LOG.exception("message not handled", extra={"peer": sender})
 
 
 def _remote_host(pipe: Any) -> str:
--- a/packages/sycamorestand-peer/tests/test_mesh.py
+++ b/packages/sycamorestand-peer/tests/test_mesh.py
@@ -110,6 +110,31 @@
                     life.cancel_scope.cancel()
             tasks.cancel_scope.cancel()
 
+    @pytest.mark.anyio
+    async def test_a_handler_that_fails_ends_nothing(self, until: Any) -> None:
+        """A peer of another release sends what this one cannot handle.
+
+        The fault is counted and logged; the next message is served.
+        """
+        one, two = Node(), Node()
+        handled = two.mesh._handler
+        faults = [ValueError("another release")]
+
+        def fail_once(sender: str, message: Any) -> None:
+            if faults:
+                raise faults.pop()
+            handled(sender, message)
+
+        two.mesh._handler = fail_once
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(one.mesh.run)
+            await tasks.start(two.mesh.run)
+            one.mesh.send(two.mesh.address, AddressList(()))
+            await until(lambda: two.mesh.counters.faults == 1)
+            one.mesh.send(two.mesh.address, AddressList(()))
+            await until(lambda: len(two.received) == 1)
+            tasks.cancel_scope.cancel()
+
     @pytest.mark.anyio
     async def test_no_answer_is_a_timeout(self) -> None:
         one = Node()
