A first start refuses to make a second cluster

Ruled out: a marker outside the data folder (all state is in it). Now it first asks the control processes that it is told of. One test with two processes.

--- a/packages/sycamorestand-control/src/sycamorestand_control/groups.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/groups.py
@@ -94,6 +94,13 @@
             for replica in self.replicas.values():
                 tasks.start_soon(replica.run)
 
+    async def is_blank(self) -> bool:
+        """Tell whether this folder belongs to no cluster yet."""
+        replica = self.replicas[CONFIGURATION_GROUP]
+        while replica.status().state == STARTING:
+            await anyio.sleep(RETRY_PAUSE_S)
+        return replica.status().state == BLANK
+
     async def bootstrap_blank(self, members: list[tuple[str, str]]) -> None:
         """Start every log whose files belong to no group yet."""
         for replica in self.replicas.values():
--- a/packages/sycamorestand-control/src/sycamorestand_control/membership.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/membership.py
@@ -32,6 +32,7 @@
 # A learner that lags longer keeps the operator waiting for nothing, and
 # would stay a member that no quorum can count on.
 CATCH_UP_S: Final = 20.0
+BELONGS: Final = b"belongs to a cluster"
 
 
 class Admissions:
@@ -72,7 +73,9 @@
                 del self._joiners[member_id]
         self._joiners[request.member_id] = request
         self._asked_s[request.member_id] = boottime_s()
-        self._mesh.send(sender, CallReply(request.call_id, "", b""))
+        status = self._configuration().status()
+        belongs = BELONGS if status.members else b""
+        self._mesh.send(sender, CallReply(request.call_id, "", belongs))
 
     async def run(self) -> None:
         """Admit learners and promote them, while this process leads."""
@@ -143,6 +146,22 @@
                 return
 
 
+async def cluster_exists(
+    mesh: PeerMesh, groups: LogGroups, controls: Sequence[str], vm: str
+) -> bool:
+    """Tell whether any other control process belongs to a cluster."""
+    for address in controls:
+        call_id = mesh.next_call_id()
+        request = JoinRequest(call_id, groups.member_id, mesh.address, vm)
+        try:
+            reply = await mesh.call(address, call_id, request, JOIN_TIMEOUT_S)
+        except PeerTimeout:
+            continue
+        if reply.payload == BELONGS:
+            return True
+    return False
+
+
 async def ask_to_join(
     mesh: PeerMesh,
     groups: LogGroups,
@@ -202,4 +221,4 @@
     return {member.member_id for member in replica.status().members}
 
 
-__all__ = ["Admissions", "ask_to_join"]
+__all__ = ["Admissions", "ask_to_join", "cluster_exists"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -28,6 +28,7 @@
 from sycamorestand_control.ledger_writer import LedgerWriter
 from sycamorestand_control.membership import Admissions
 from sycamorestand_control.membership import ask_to_join
+from sycamorestand_control.membership import cluster_exists
 from sycamorestand_control.metrics import ControlMetrics
 from sycamorestand_control.operator_api.app import make_operator_app
 from sycamorestand_control.operator_api.authentication import make_authenticate
@@ -207,6 +208,7 @@
         A process that is restarted with the setting still in place finds
         its log and goes on with it.
         """
+        await self._refuse_second_cluster()
         own = [(self.groups.member_id, self._settings.peer_address)]
         await self.groups.bootstrap_blank(own)
         if self.configuration.cluster is not None:
@@ -226,6 +228,23 @@
         if result.outcome == "refused" and self.configuration.cluster is None:
             raise StartRefused(result.message)
 
+    async def _refuse_second_cluster(self) -> None:
+        """Refuse to make a cluster beside one that is known to be there.
+
+        A voter whose disk was lost, with the setting of the first start
+        still in place, would make an empty cluster of its own, and lease
+        its entries a configuration that knows of no withdrawal.
+        """
+        if not await self.groups.is_blank():
+            return
+        settings = self._settings
+        controls = settings.control_addresses
+        if await cluster_exists(self.mesh, self.groups, controls, settings.vm):
+            raise StartRefused(
+                "another control process belongs to a cluster already; leave"
+                " out --first-start, and this one asks to join it"
+            )
+
     async def _hand_over(self) -> None:
         try:
             await self.groups.hand_over()
--- a/packages/sycamorestand-control/tests/test_process.py
+++ b/packages/sycamorestand-control/tests/test_process.py
@@ -138,6 +138,28 @@
             answer = await process.backend.change(drain("1", "vm-9"))
             assert answer.outcome == "accepted"
 
+    async def test_an_empty_folder_makes_no_second_cluster(
+        self, tmp_path: Path
+    ) -> None:
+        """A voter's disk is lost, its first-start setting is still there.
+
+        It hears that the others belong to a cluster and ends with one
+        line, before it has led or leased anything.
+        """
+        (tmp_path / "one").mkdir()
+        (tmp_path / "two").mkdir()
+        first = settings_in(tmp_path / "one")
+        second = settings_in(
+            tmp_path / "two", control_addresses=(first.peer_address,)
+        )
+        async with running(first):
+            process = ControlProcess(second)
+            with pytest.raises(ExceptionGroup) as caught:
+                await process.run(anyio.Event())
+        refused = caught.value.subgroup(StartRefused)
+        assert refused is not None
+        assert process.configuration.cluster is None
+
     async def test_a_taken_address_is_one_clear_error(
         self, tmp_path: Path
     ) -> None:
