The audit trail names subject, base revision and message

Cause, named by the operators' walk: three columns of sycactl audit were always empty, and what an operator said stood under evidence. After: two tests of the state machine; the page says what each column is.

--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -191,10 +191,13 @@
                 operator=entry.operator,
                 change_id=entry.change_id,
                 kind=entry.kind,
-                subject="",
-                base_revision=None,
+                subject=entry.subject,
+                base_revision=(
+                    None if entry.base_revision < 0 else entry.base_revision
+                ),
                 revision=entry.revision,
                 outcome=entry.outcome,
+                message=entry.message,
                 difference=entry.difference,
                 evidence=entry.evidence,
             )
--- a/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
@@ -253,14 +253,23 @@
         if decision.outcome == "applied":
             self._state = decision.state._replace(revision=self.revision + 1)
             self._in_force = to_in_force(self._state)
+        message = _message(command)
+        evidence = decision.evidence
         self._record(
-            index,
-            command.operator,
-            command.change_id,
-            type(command).__name__,
-            decision.difference or decision.findings or decision.notes,
-            decision.outcome,
-            decision.evidence,
+            AuditEntry(
+                index,
+                self.revision,
+                self._clock_s,
+                command.operator,
+                command.change_id,
+                type(command).__name__,
+                decision.difference or decision.findings or decision.notes,
+                decision.outcome,
+                "" if evidence == message else evidence,
+                _subject(command),
+                command.base_revision,
+                message,
+            )
         )
         return ChangeResult(
             decision.outcome,
@@ -280,40 +289,25 @@
         # leader would add a line.
         if outcome != "unchanged":
             self._record(
-                index,
-                SYSTEM,
-                command.order_id,
-                type(command).__name__,
-                (decision.finding or _order_line(command),),
-                outcome,
-                command.detail,
+                AuditEntry(
+                    index,
+                    self.revision,
+                    self._clock_s,
+                    SYSTEM,
+                    command.order_id,
+                    type(command).__name__,
+                    (decision.finding or _order_line(command),),
+                    outcome,
+                    command.detail,
+                    command.backend_server,
+                )
             )
         findings = (decision.finding,) if decision.finding else ()
         return ChangeResult(outcome, self.revision, decision.finding, findings)
 
-    def _record(
-        self,
-        index: int,
-        operator: str,
-        change_id: str,
-        kind: str,
-        difference: tuple[str, ...],
-        outcome: Outcome,
-        evidence: str,
-    ) -> None:
-        self._audit.append(
-            AuditEntry(
-                index,
-                self.revision,
-                self._clock_s,
-                operator,
-                change_id,
-                kind,
-                difference,
-                outcome,
-                evidence[:MAX_EVIDENCE_CHARACTERS],
-            )
-        )
+    def _record(self, entry: AuditEntry) -> None:
+        evidence = entry.evidence[:MAX_EVIDENCE_CHARACTERS]
+        self._audit.append(entry._replace(evidence=evidence))
         del self._audit[:-MAX_AUDIT_ENTRIES]
 
 
@@ -322,6 +316,20 @@
     return command._replace(now_s=0.0)
 
 
+def _subject(command: Change) -> str:
+    for field in ("version", "model", "vm"):
+        if hasattr(command, field):
+            return str(getattr(command, field))
+    return ""
+
+
+def _message(command: Change) -> str:
+    for field in ("message", "reason"):
+        if hasattr(command, field):
+            return str(getattr(command, field))
+    return ""
+
+
 def _order_line(command: RecordOrder) -> str:
     return (
         f"order {command.order_id} {command.term}.{command.sequence}: "
--- a/packages/sycamorestand-state/src/sycamorestand_state/results.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/results.py
@@ -29,7 +29,10 @@
     """One line of the audit trail, from the command at ``log_index``.
 
     ``revision`` is the one in force after the command. ``difference`` is
-    for people and never holds key hashes.
+    for people and never holds key hashes. ``subject`` is the version,
+    model or VM that the change names, ``base_revision`` -1 where it was
+    based on none, and ``message`` what the operator said to it;
+    ``evidence`` is what the system itself had to say.
     """
 
     log_index: int
@@ -41,6 +44,9 @@
     difference: tuple[str, ...]
     outcome: str
     evidence: str = ""
+    subject: str = ""
+    base_revision: int = -1
+    message: str = ""
 
 
 class RolloutState(NamedTuple):
--- a/packages/sycamorestand-state/tests/test_configuration.py
+++ b/packages/sycamorestand-state/tests/test_configuration.py
@@ -138,6 +138,24 @@
         assert again == first._replace(duplicate=True)
 
 
+class TestAuditEntry:
+    def test_it_names_subject_base_and_what_was_said(self) -> None:
+        cluster = Cluster()
+        drain = DrainVm("d", "ann", 1, "vm-1", "new kernel", 2.0)
+        cluster.run(drain)
+        entry = cluster.machine.audit(0, 10)[-1]
+        assert entry.subject == "vm-1"
+        assert entry.base_revision == 1
+        assert entry.message == "new kernel"
+        assert entry.evidence == ""
+
+    def test_the_message_of_an_apply_is_no_evidence(self) -> None:
+        cluster = Cluster()
+        cluster.run(ApplyDeclarations("a", "ann", 1, declare(), "first", 2.0))
+        entry = cluster.machine.audit(0, 10)[-1]
+        assert (entry.message, entry.evidence) == ("first", "")
+
+
 class TestWithdrawal:
     def test_declarations_do_not_bring_a_version_back(self) -> None:
         """A withdrawn version stays so, whatever files are applied later.
