A version whose roll-out has not begun does not take over

Cause, found by reading: with the stable version withdrawn and no fallback, new work went to any other declared version, also to one that waits for its roll-out: all of the work at once, at no share, unseen. Shown failing: with the old planning the new test gets an answer of the next version. After: it is refused, not run, as for a stopped roll-out.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/planning.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/planning.py
@@ -29,6 +29,7 @@
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_model.declarations import CascadeStep
     from sycamorestand_model.declarations import Model
+    from sycamorestand_model.in_force import InForce
 
 # A pin never changes, so it may be remembered; the bound keeps callers
 # that invent session names from filling the memory.
@@ -155,16 +156,27 @@
         return chosen
     # The stable version is withdrawn or not this customer's. Another one
     # that the customer may use serves, but none that a roll-out holds.
-    share = in_force.shares.get(model.name)
-    held = share.version if share is not None else ""
-    others = [
-        identity
-        for identity in allowed
-        if held not in (identity, identity.partition("@")[2])
-    ]
+    held = _rolled_out(in_force, model)
+    others = [identity for identity in allowed if identity not in held]
     return others[0] if others else ""
 
 
+def _rolled_out(in_force: InForce, model: Model) -> set[str]:
+    """Return the versions that only a roll-out may give work to.
+
+    Also the one whose roll-out is declared and has not begun: with the
+    stable version withdrawn it would get all the work at once, unseen.
+    """
+    names = []
+    share = in_force.shares.get(model.name)
+    if share is not None:
+        names.append(share.version)
+    declared = in_force.declarations.rollouts.get(model.name)
+    if declared is not None:
+        names.append(declared.version)
+    return {version_id(model.name, name) for name in names}
+
+
 def _unit(chat: ChatRequest, model: Model) -> float:
     # A request that is sent again with its key meets the same version.
     name = chat.options.session_name or chat.request_key
--- a/packages/sycamorestand-entry/tests/test_planning.py
+++ b/packages/sycamorestand-entry/tests/test_planning.py
@@ -14,6 +14,7 @@
 from sycamorestand_bench.fakes.engine import FakeEngine
 from sycamorestand_bench.fakes.loopback import Loopback
 from sycamorestand_bench.fakes.loopback import start_loopback
+from sycamorestand_model.declarations import Rollout
 from sycamorestand_model.in_force import RolloutShare
 
 pytestmark = pytest.mark.anyio
@@ -101,6 +102,24 @@
             error = (await loopback.chat()).json()["error"]
             assert (error["code"], error["run"]) == ("no_version", "not_run")
 
+    async def test_a_roll_out_not_begun_does_not_take_over(self) -> None:
+        """The next version is declared, its roll-out has not begun.
+
+        The stable version is withdrawn in a hurry. The next one must not
+        get all the work at once without having been seen at any share.
+        """
+        async with start_loopback() as loopback:
+            await add_engine(loopback)
+            declared = loopback.control.configuration.declarations
+            rollouts = {"nest-large": Rollout("nest-large", "2")}
+            change(
+                loopback,
+                withdrawn=(LARGE,),
+                declarations=declared._replace(rollouts=rollouts),
+            )
+            error = (await loopback.chat()).json()["error"]
+            assert (error["code"], error["run"]) == ("no_version", "not_run")
+
     async def test_all_versions_gone(self) -> None:
         async with start_loopback() as loopback:
             await add_engine(loopback)
