One place for free addresses; the quickstart's price in a function

Cause: four files made free ports each in its own way, one by a private name of another module. No behaviour changes; tests of the users pass.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/control_bench/links_process.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/control_bench/links_process.py
@@ -14,8 +14,8 @@
 import anyio
 import msgspec
 
+from sycamorestand_bench.addresses import free_address
 from sycamorestand_bench.control_bench.activity import Activity
-from sycamorestand_bench.control_bench.addresses import free_address
 from sycamorestand_bench.processes import CLUSTER_KEY
 from sycamorestand_entry.control.link import ControlLink
 from sycamorestand_entry.control.link import LinkSettings
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/control_bench/restart.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/control_bench/restart.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from sycamorestand_bench.control_bench.addresses import free_address
+from sycamorestand_bench.addresses import free_address
 from sycamorestand_bench.control_bench.system import CONTROLS
 from sycamorestand_bench.processes import CLUSTER_KEY
 from sycamorestand_consensus.settings import ReplicaSettings
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/ledger_bench/client_process.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/ledger_bench/client_process.py
@@ -17,7 +17,7 @@
 from hdrh.histogram import HdrHistogram
 import msgspec
 
-from sycamorestand_bench.control_bench.addresses import free_address
+from sycamorestand_bench.addresses import free_address
 from sycamorestand_bench.processes import CLUSTER_KEY
 from sycamorestand_entry.control.ledger_client import LedgerClient
 from sycamorestand_model.errors import LedgerUnavailable
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/processes.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/processes.py
@@ -6,7 +6,6 @@
 import os
 from pathlib import Path
 from signal import Signals
-import socket
 import subprocess
 import sys
 import time
@@ -16,6 +15,9 @@
 
 import httpcore
 
+from sycamorestand_bench.addresses import free_address
+from sycamorestand_bench.addresses import free_port
+
 if TYPE_CHECKING:
     from types import TracebackType
 
@@ -90,7 +92,7 @@
             data_folder = self.folder / vm
             data_folder.mkdir()
             node = ControlNode(
-                vm, data_centre, _free_address(), _free_port(), data_folder
+                vm, data_centre, free_address(), free_port(), data_folder
             )
             self.controls[vm] = node
         self._start(
@@ -120,7 +122,7 @@
         """Start an entry process that knows every control process."""
         node = self.entries.get(vm)
         if node is None:
-            node = EntryNode(vm, data_centre, _free_address(), _free_port())
+            node = EntryNode(vm, data_centre, free_address(), free_port())
             self.entries[vm] = node
         self._start(
             vm,
@@ -217,17 +219,6 @@
     return response.status == 200
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
-def _free_address() -> str:
-    return f"127.0.0.1:{_free_port()}"
-
-
 __all__ = [
     "BACKEND_KEY",
     "Cluster",
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/run.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/run.py
@@ -33,6 +33,7 @@
 LEAVING: Final = "small-2"
 LEAVING_BOUND_S: Final = 2.0
 BILLS_A_PAGE: Final = 500
+TOKENS_PER_PRICE: Final = 1_000_000
 FORM_BOUND_S: Final = 30.0
 # What one real minute of a roll-out is in the quickstart.
 FAST_ROLLOUT: Final = """\
@@ -98,18 +99,30 @@
         bills = await _all_bills(operator)
         declared = load_folder(folder).declarations
         allowed = _allowed(declared)
-        strong = declared.models[STRONG]
-        price = strong.versions[strong.stable]
-        strong_micros = sum(
-            row["input_tokens"] * price.input_micros_per_mtoken
-            + row["output_tokens"] * price.output_micros_per_mtoken
-            for row in bills
-        )
         await callers.close()
         tasks.cancel_scope.cancel()
     return compare(
-        load.answers, world, bills, marks, allowed, strong_micros // 1_000_000
+        load.answers,
+        world,
+        bills,
+        marks,
+        allowed,
+        _always_strong_micros(bills, declared),
+    )
+
+
+def _always_strong_micros(
+    bills: list[dict[str, Any]], declared: Declarations
+) -> int:
+    """Return what the billed tokens cost on the strong model alone."""
+    strong = declared.models[STRONG]
+    price = strong.versions[strong.stable]
+    micros = sum(
+        row["input_tokens"] * price.input_micros_per_mtoken
+        + row["output_tokens"] * price.output_micros_per_mtoken
+        for row in bills
     )
+    return micros // TOKENS_PER_PRICE
 
 
 def _allowed(declared: Declarations) -> dict[str, frozenset[str]]:
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/system/system.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/system.py
@@ -16,10 +16,10 @@
 import anyio
 from anyio.from_thread import start_blocking_portal
 
+from sycamorestand_bench.addresses import free_address
 from sycamorestand_bench.fakes.announcer import announce_once
 from sycamorestand_bench.fakes.engine import FakeEngine
 from sycamorestand_bench.fakes.hosting import serve_application
-from sycamorestand_bench.processes import _free_address
 from sycamorestand_bench.processes import BACKEND_KEY
 from sycamorestand_bench.processes import Cluster
 from sycamorestand_bench.quickstart.caller import new_key
@@ -74,7 +74,7 @@
     def _start(self, name: str, role: str, **settings: str) -> None:
         gate = self.gates.get(name)
         if gate is None:
-            gate = Gate(settings["peer_address"], _free_address())
+            gate = Gate(settings["peer_address"], free_address())
             self.gates[name] = gate
             self._open_gate(gate)
         settings["peer_listen"] = gate.target
--- a/packages/sycamorestand-bench/tests/fakes/test_orders_wired.py
+++ b/packages/sycamorestand-bench/tests/fakes/test_orders_wired.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from pathlib import Path
-import socket
 from typing import NamedTuple
 
 import anyio
@@ -11,6 +10,7 @@
 from anyio.abc import TaskStatus
 import pytest
 
+from sycamorestand_bench.addresses import free_port
 from sycamorestand_bench.fakes.declared import BACKEND_KEY_HASH
 from sycamorestand_bench.fakes.declared import guild_configuration
 from sycamorestand_bench.fakes.faults import Fault
@@ -182,18 +182,11 @@
     return ControlSettings(
         "vm-1",
         "marietta",
-        f"127.0.0.1:{_free_port()}",
+        f"127.0.0.1:{free_port()}",
         folder,
         lambda: (b"k" * 32,),
-        operator_port=_free_port(),
+        operator_port=free_port(),
         first_start=True,
         voters_wanted=1,
         weight_store_url=store,
     )
-
-
-def _free_port() -> int:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        port: int = listener.getsockname()[1]
-        return port
--- a/packages/sycamorestand-control/tests/test_process.py
+++ b/packages/sycamorestand-control/tests/test_process.py
@@ -11,6 +11,7 @@
 import httpcore
 import pytest
 
+from sycamorestand_bench.addresses import free_port
 from sycamorestand_control.errors import StartRefused
 from sycamorestand_control.operator_api.types import ChangeRequest
 from sycamorestand_control.process import ControlProcess
@@ -22,13 +23,6 @@
 WAIT_S = 20
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def settings_in(folder: Path, **changes: object) -> ControlSettings:
     settings = ControlSettings(
         vm="control-1",
--- a/packages/sycamorestand-peer/tests/test_key_file.py
+++ b/packages/sycamorestand-peer/tests/test_key_file.py
@@ -9,7 +9,7 @@
 import anyio
 import pytest
 
-from sycamorestand_bench.control_bench.addresses import free_address
+from sycamorestand_bench.addresses import free_address
 from sycamorestand_peer.errors import KeyFileError
 from sycamorestand_peer.key_file import KeyFile
 from sycamorestand_peer.key_file import LOOK_INTERVAL_S
--- a/packages/sycamorestand-peer/tests/test_mesh.py
+++ b/packages/sycamorestand-peer/tests/test_mesh.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from sycamorestand_bench.control_bench.addresses import free_address
+from sycamorestand_bench.addresses import free_address
 from sycamorestand_peer.errors import PeerTimeout
 from sycamorestand_peer.mesh import PeerMesh
 from sycamorestand_peer.messages import AddressList
--- a/packages/sycamorestand-peer/tests/test_replay.py
+++ b/packages/sycamorestand-peer/tests/test_replay.py
@@ -10,7 +10,7 @@
 import pynng
 import pytest
 
-from sycamorestand_bench.control_bench.addresses import free_address
+from sycamorestand_bench.addresses import free_address
 from sycamorestand_peer.codec import encode
 from sycamorestand_peer.frames import Frame
 from sycamorestand_peer.frames import seal
--- a/packages/sycamorestand-peer/tests/test_tls.py
+++ b/packages/sycamorestand-peer/tests/test_tls.py
@@ -11,7 +11,7 @@
 import pynng
 import pytest
 
-from sycamorestand_bench.control_bench.addresses import free_address
+from sycamorestand_bench.addresses import free_address
 from sycamorestand_peer.errors import TlsFileError
 from sycamorestand_peer.mesh import PeerMesh
 from sycamorestand_peer.messages import AddressList
