--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -10,6 +10,7 @@
 import anyio
 import msgspec
 
+from sycamorestand_consensus.errors import ConsensusError
 from sycamorestand_control.change_commands import make_answer
 from sycamorestand_control.change_commands import make_command
 from sycamorestand_control.errors import ControlError
@@ -65,6 +66,7 @@
 REPLACE: Final = "replace"
 TRANSFER: Final = "transfer"
 NODES: Final = "nodes"
+SETTLED: Final = "settled"
 
 
 class Parts(NamedTuple):
@@ -100,6 +102,7 @@
                 REPLACE: self._lead_replace,
                 TRANSFER: self._lead_transfer,
                 NODES: self._tell_nodes,
+                SETTLED: self._lead_settled,
             },
         )
 
@@ -135,6 +138,24 @@
             while self._parts.configuration.revision < revision:
                 await anyio.sleep(CATCH_UP_PAUSE_S)
 
+    async def settle(self) -> None:
+        """Return once this voter has applied all that was acknowledged.
+
+        The leader is asked, and makes sure of a quorum first: one that was
+        deposed unawares would tell what has since been replaced. Raises
+        `NoLeader` where that cannot be established now.
+        """
+        try:
+            answer = await self.questions.ask_leader(
+                SETTLED, b"", QUERY_TIMEOUT_S
+            )
+        except ControlError as error:
+            raise NoLeader(str(error)) from error
+        revision = msgspec.msgpack.decode(answer, type=int)
+        await self._catch_up(revision)
+        if self._parts.configuration.revision < revision:
+            raise NoLeader("this voter lags behind the newest revision")
+
     async def declarations(self) -> DeclarationsAnswer:
         """Return what this voter has applied."""
         configuration = self._parts.configuration
@@ -312,6 +333,14 @@
         )
         return msgspec.msgpack.encode(answer)
 
+    async def _lead_settled(self, payload: bytes) -> bytes:
+        replica = self._parts.groups.replicas[CONFIGURATION_GROUP]
+        try:
+            await replica.read_barrier()
+        except ConsensusError as error:
+            raise NoLeaderAnswered(str(error)) from error
+        return msgspec.msgpack.encode(self._parts.configuration.revision)
+
     async def _lead_replace(self, payload: bytes) -> bytes:
         group, old_id, new_id = msgspec.msgpack.decode(
             payload, type=tuple[int, str, str]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import logging
 from random import Random
+import time
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -57,6 +58,10 @@
         self.pins: dict[tuple[str, str], str] = {}
         self.stopping = False
 
+    def now_s(self) -> float:
+        """Return the time of the monotonic clock."""
+        return time.monotonic()
+
     def start_background(
         self, function: Callable[..., Awaitable[None]], *arguments: Any
     ) -> None:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from sycamorestand_entry.ports import ControlPort
     from sycamorestand_model.in_force import InForce
+    from sycamorestand_model.routes import Route
 
 LEASE_RETRY_S = 1.0
 SERVER_RETRY_S = 1.0
@@ -45,6 +46,50 @@
     claim_held: bool | None = None
 
 
+class RoutedIntent(NamedTuple):
+    """A routed request that is about to be written to a backend server.
+
+    ``route`` is the one that the request was let in by.
+    """
+
+    route: Route
+    customer: str
+    backend_server: str
+
+
+def may_dispatch_routed(
+    control: ControlPort, intent: RoutedIntent
+) -> RequestError | None:
+    """Return why a routed request may not be dispatched now.
+
+    The route is looked up again: while the request waited it may have been
+    removed, or moved to another service, and the server may have left.
+    """
+    if control.lease_remaining_s() <= 0:
+        return NoLease(
+            "this entry's configuration may be out of date", LEASE_RETRY_S
+        )
+    in_force = control.in_force()
+    server = control.backend_servers().get(intent.backend_server)
+    if server is None or server.leaving:
+        return NoBackendServer(
+            "the chosen backend server has left", SERVER_RETRY_S
+        )
+    route = in_force.declarations.routes.get(intent.route.name)
+    if route is None or not any(
+        target.weight > 0 and target.service in server.versions
+        for target in route.targets
+    ):
+        return NotAllowed("no route leads to this backend server now")
+    if intent.customer and (
+        intent.customer not in in_force.declarations.customers
+    ):
+        return NotAllowed("the customer is no longer declared")
+    if any(version in in_force.withdrawn for version in server.versions):
+        return NoVersion("the server's version is withdrawn")
+    return None
+
+
 def may_dispatch(
     control: ControlPort, intent: DispatchIntent
 ) -> RequestError | None:
@@ -144,5 +189,7 @@
     "check_version",
     "DispatchIntent",
     "may_dispatch",
+    "may_dispatch_routed",
+    "RoutedIntent",
     "version_is_offered",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/http_protocol.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/http_protocol.py
@@ -24,6 +24,11 @@
 from sycamorestand_entry.http_messages import error_content
 
 WRITE_NOW: Final = "sycamorestand.write_now"
+# The request's path and query to the byte, as it was sent.
+TARGET: Final = "sycamorestand.target"
+# Ends the connection without the answer's end, so that an answer that
+# broke off does not look complete.
+ABORT: Final = "sycamorestand.abort"
 # Somewhat more than what `read_headers` takes, as this counts the bytes
 # of the request line and the separators too, and ends the connection.
 MAX_HEAD_BYTES: Final = 64 * 1024
@@ -66,7 +71,11 @@
     def on_headers_complete(self) -> None:
         self._end_head()
         super().on_headers_complete()
-        extensions: dict[str, Any] = {WRITE_NOW: _make_write_now(self.cycle)}
+        extensions: dict[str, Any] = {
+            WRITE_NOW: _make_write_now(self.cycle),
+            TARGET: self.url,
+            ABORT: self.cycle.transport.close,
+        }
         self.scope["extensions"] = extensions
 
     def _await_head(self) -> None:
@@ -118,4 +127,4 @@
     return write_now
 
 
-__all__ = ["EntryProtocol", "WRITE_NOW"]
+__all__ = ["ABORT", "EntryProtocol", "TARGET", "WRITE_NOW"]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that a route leads to a service, forwarded unchanged."""
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -0,0 +1,316 @@
+"""The application for routed requests: from a request to its answer."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+import time
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+from zlib import crc32
+
+import anyio
+
+from sycamorestand_decisions.versions import choose_version
+from sycamorestand_entry.errors import DeadlineExceeded
+from sycamorestand_entry.errors import InternalError
+from sycamorestand_entry.errors import NoLease
+from sycamorestand_entry.errors import NoVersion
+from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.errors import UnknownPath
+from sycamorestand_entry.http_messages import CallerGone
+from sycamorestand_entry.http_messages import read_body
+from sycamorestand_entry.http_messages import Request
+from sycamorestand_entry.http_messages import Responder
+from sycamorestand_entry.http_protocol import ABORT
+from sycamorestand_entry.http_protocol import TARGET
+from sycamorestand_entry.http_protocol import WRITE_NOW
+from sycamorestand_entry.routed.attempts import Attempts
+from sycamorestand_entry.routed.call import ANONYMOUS
+from sycamorestand_entry.routed.call import passed_headers
+from sycamorestand_entry.routed.call import read_deadline_s
+from sycamorestand_entry.routed.call import RoutedCall
+from sycamorestand_entry.routed.streams import StreamBroken
+from sycamorestand_entry.routed.streams import StreamRelay
+from sycamorestand_entry.routed.whole import whole_answer
+from sycamorestand_entry.slots import SlotRequest
+from sycamorestand_model.nodes import VersionSample
+from sycamorestand_model.route_table import RouteTable
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.context import EntryContext
+    from sycamorestand_entry.http_messages import Receive
+    from sycamorestand_entry.http_messages import Send
+    from sycamorestand_entry.routed.exchange import WholeAnswer
+    from sycamorestand_entry.routed.wire import RouteWire
+    from sycamorestand_model.in_force import InForce
+    from sycamorestand_model.routes import Route
+
+LOG: Final = logging.getLogger(__name__)
+LEASE_RETRY_S: Final = 0.5
+VERSION_RETRY_S: Final = 1.0
+UNIT: Final = 2.0**32
+CALL_S: Final = 0.05
+STREAM_S: Final = 1.0
+
+Application = Callable[[Any, "Receive", "Send"], Awaitable[None]]
+
+
+class _Table(NamedTuple):
+    revision: int
+    routes: RouteTable
+
+
+class RoutedEntry:
+    """Answers routed requests of one entry process."""
+
+    def __init__(self, context: EntryContext, wire: RouteWire) -> None:
+        self._context = context
+        self._wire = wire
+        self._table = _Table(-1, RouteTable({}))
+
+    async def __call__(
+        self, scope: Any, receive: Receive, send: Send
+    ) -> None:
+        extensions = scope["extensions"]
+        responder = Responder(
+            send, self._context.stopping, extensions.get(WRITE_NOW)
+        )
+        result = "ok"
+        try:
+            await self._answer(scope, receive, responder)
+        except RequestError as error:
+            result = error.code
+            await _refuse(responder, error)
+        except CallerGone:
+            result = "caller_gone"
+        except StreamBroken:
+            result = "stream_broken"
+            extensions[ABORT]()
+        except Exception:
+            result = InternalError.code
+            LOG.exception("request failed")
+            if responder.started:
+                extensions[ABORT]()
+            else:
+                await _refuse(responder, InternalError("the entry failed"))
+        finally:
+            self._context.metrics.requests.inc(
+                {"interface": "routed", "result": result}
+            )
+
+    async def _answer(
+        self, scope: Any, receive: Receive, responder: Responder
+    ) -> None:
+        call = await self._read(scope, receive)
+        with anyio.CancelScope() as answering:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_watch_caller, receive, answering)
+                await self._run(call, responder)
+                tasks.cancel_scope.cancel()
+        if answering.cancel_called and not answering.cancelled_caught:
+            return
+        if answering.cancelled_caught:
+            raise CallerGone
+
+    async def _read(self, scope: Any, receive: Receive) -> RoutedCall:
+        read_s = time.monotonic()
+        context = self._context
+        if context.control.lease_remaining_s() <= 0:
+            raise NoLease(
+                "this entry's configuration may be out of date", LEASE_RETRY_S
+            )
+        in_force = context.control.in_force()
+        raw = scope["headers"]
+        values = dict(raw)
+        route = self._route(in_force, values, scope["raw_path"])
+        customer, priority, weight = self._customer(in_force, route, values)
+        deadline_at_s = read_deadline_s(values, self._wire, route, read_s)
+        request = Request(
+            scope["method"],
+            scope["path"],
+            scope["raw_path"],
+            scope["query_string"],
+            values,
+            receive,
+        )
+        limit_bytes = in_force.declarations.limits.max_body_bytes
+        return RoutedCall(
+            route,
+            customer,
+            priority,
+            weight,
+            scope["method"].encode(),
+            scope["extensions"][TARGET],
+            values.get(self._wire.attempt, b""),
+            values.get(self._wire.session, b"").decode("latin-1"),
+            passed_headers(raw, self._wire),
+            values,
+            await read_body(request, limit_bytes),
+            deadline_at_s,
+        )
+
+    def _route(
+        self, in_force: InForce, values: dict[bytes, bytes], raw_path: bytes
+    ) -> Route:
+        if self._table.revision != in_force.revision:
+            routes = RouteTable(in_force.declarations.routes)
+            self._table = _Table(in_force.revision, routes)
+        if not in_force.declarations.routes:
+            raise NoLease("no routes are in force yet", LEASE_RETRY_S)
+        host = values.get(b"host", b"").decode("latin-1")
+        route = self._table.routes.find(host, raw_path.decode("latin-1"))
+        if route is None:
+            raise UnknownPath("no route leads there")
+        return route
+
+    def _customer(
+        self, in_force: InForce, route: Route, values: dict[bytes, bytes]
+    ) -> tuple[str, int, float]:
+        if route.public or not in_force.declarations.customers:
+            return ANONYMOUS, route.priority, 1.0
+        customer = self._context.authenticator.customer(values, in_force)
+        priority = customer.priority
+        if priority is None:
+            priority = route.priority
+        return customer.name, priority, customer.weight
+
+    async def _run(self, call: RoutedCall, responder: Responder) -> None:
+        context = self._context
+        target = self._target(call)
+        begin_s = time.monotonic()
+        slot = await context.slots.acquire(
+            SlotRequest(
+                call.customer,
+                call.weight,
+                target,
+                "interactive",
+                call.deadline_at_s,
+                STREAM_S if call.route.kind == "stream" else CALL_S,
+            )
+        )
+        failed = True
+        first_s = 0.0
+        try:
+            attempts = Attempts(context, self._wire, call)
+            if call.route.kind == "stream":
+                relay = StreamRelay(
+                    attempts, responder, self._affinity(call), _model(call)
+                )
+                answer = await relay.run(target)
+                first_s = relay.first_event_s
+            else:
+                answer = await whole_answer(attempts, target)
+            failed = answer is not None and answer.status >= 500
+            if answer is not None:
+                await _send_whole(responder, answer)
+        except anyio.get_cancelled_exc_class():
+            context.slots.cancel(slot)
+            slot = -1
+            raise
+        finally:
+            now_s = time.monotonic()
+            if slot >= 0:
+                context.slots.finish(slot, now_s - begin_s, failed)
+                self._report(call, target, failed, begin_s, first_s)
+        if not failed:
+            context.retries.succeeded(call.customer, time.monotonic())
+
+    def _target(self, call: RoutedCall) -> str:
+        """Return the service, or the version of it, that is to answer."""
+        in_force = self._context.control.in_force()
+        service = _service_of(call)
+        model = in_force.declarations.models.get(service)
+        if model is None:
+            return service
+        chosen = choose_version(model, in_force, _unit(call, service))
+        if chosen is None:
+            raise NoVersion("no version may be used now", VERSION_RETRY_S)
+        return chosen
+
+    def _affinity(self, call: RoutedCall) -> str:
+        parts = call.values.get(self._wire.prompt_parts, b"").split(b",")
+        return parts[-1].partition(b":")[0].decode("latin-1")
+
+    def _report(
+        self,
+        call: RoutedCall,
+        target: str,
+        failed: bool,
+        begin_s: float,
+        first_s: float,
+    ) -> None:
+        now_s = time.monotonic()
+        self._context.control.report(
+            VersionSample(
+                target,
+                call.route.name,
+                failed,
+                ((first_s or now_s) - begin_s) * 1000,
+                (now_s - begin_s) * 1000,
+                None,
+                0,
+            )
+        )
+
+
+def make_routed_application(
+    wire: RouteWire,
+) -> Callable[[EntryContext], Application]:
+    """Return what makes the application of an entry process."""
+
+    def make(context: EntryContext) -> Application:
+        return RoutedEntry(context, wire)
+
+    return make
+
+
+async def _watch_caller(
+    receive: Receive, answering: anyio.CancelScope
+) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    answering.cancel()
+
+
+async def _send_whole(responder: Responder, answer: WholeAnswer) -> None:
+    await responder.start(answer.status, answer.headers)
+    await responder.finish(answer.body)
+
+
+async def _refuse(responder: Responder, error: RequestError) -> None:
+    if responder.started:
+        return
+    headers = []
+    if error.retry_after_s is not None:
+        headers.append((b"retry-after", b"%.2f" % error.retry_after_s))
+    body = error.message.encode()
+    await responder.answer(error.status, b"text/plain", body, headers)
+
+
+def _service_of(call: RoutedCall) -> str:
+    targets = call.route.targets
+    if len(targets) == 1:
+        return targets[0].service
+    whole = sum(target.weight for target in targets)
+    place = crc32(call.session.encode() or call.attempt) / UNIT * whole
+    for target in targets:
+        place -= target.weight
+        if place < 0:
+            return target.service
+    return targets[-1].service
+
+
+def _unit(call: RoutedCall, service: str) -> float:
+    name = call.session or call.attempt.decode("latin-1")
+    return crc32(f"{name}/{service}".encode()) / UNIT
+
+
+def _model(call: RoutedCall) -> bytes:
+    return call.route.sizes[-1].encode() if call.route.sizes else b""
+
+
+__all__ = ["DeadlineExceeded", "make_routed_application", "RoutedEntry"]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -0,0 +1,246 @@
+"""One attempt of a routed call at one backend server."""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from sycamorestand_entry.gate import may_dispatch_routed
+from sycamorestand_entry.gate import RoutedIntent
+from sycamorestand_entry.upstream import BrokenConnection
+from sycamorestand_entry.upstream import MalformedAnswer
+from sycamorestand_entry.upstream import SilentConnection
+from sycamorestand_entry.upstream import UpstreamError
+
+if TYPE_CHECKING:
+    from sycamorestand_decisions.selection import Outcome
+    from sycamorestand_entry.context import EntryContext
+    from sycamorestand_entry.routed.call import RawHeaders
+    from sycamorestand_entry.routed.call import RoutedCall
+    from sycamorestand_entry.routed.wire import RouteWire
+    from sycamorestand_entry.upstream import ResponseHead
+    from sycamorestand_entry.upstream import UpstreamConnection
+    from sycamorestand_model.backend_servers import Announcement
+
+WRONG_SERVER: Final = 421
+RETRY_STATUSES: Final = frozenset({500, 502, 503, 504})
+
+
+class Aim(NamedTuple):
+    """Where an attempt goes: a server of a service or version.
+
+    ``model`` is the model that an engine is to use, empty where the caller
+    named one; ``last_event`` the last event that the caller has.
+    """
+
+    target: str
+    server: Announcement
+    model: bytes = b""
+    last_event: bytes = b""
+
+
+class WholeAnswer(NamedTuple):
+    """A whole answer of a backend server; ``headers`` are passed on."""
+
+    status: int
+    headers: RawHeaders
+    body: bytes
+    not_run: bool
+
+
+class Exchange:
+    """An attempt from its first byte to its end; `close` ends it.
+
+    ``sent`` tells that bytes of the request may have reached the server.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        wire: RouteWire,
+        call: RoutedCall,
+        aim: Aim,
+        connection: UpstreamConnection,
+    ) -> None:
+        self.aim = aim
+        self.connection = connection
+        self._context = context
+        self._wire = wire
+        self._call = call
+        self._outcome: Outcome = "cancelled"
+        self._begin_s = 0.0
+        self._closed = False
+
+    def send(self) -> None:
+        """Pass the gate and write the request.
+
+        Raises the gate's `RequestError` before any byte is written.
+        """
+        intent = RoutedIntent(
+            self._call.route, self._call.customer, self.aim.server.name
+        )
+        refusal = may_dispatch_routed(self._context.control, intent)
+        if refusal is not None:
+            self._closed = True
+            self._context.pool.release(
+                self.aim.server.address, self.connection
+            )
+            self._context.metrics.refused_dispatches.inc(
+                {"code": refusal.code}
+            )
+            raise refusal
+        self._begin_s = time.monotonic()
+        self._context.servers.started(
+            self.aim.target, self.aim.server.name, self._begin_s
+        )
+        self._context.metrics.dispatches.inc({"version": self.aim.target})
+        request = encode_request(self._wire, self._call, self.aim)
+        self.connection.send(request, self._call.method == b"HEAD")
+
+    async def read_head(self, limit_s: float) -> ResponseHead:
+        """Return the answer's head; raises `UpstreamError`."""
+        try:
+            head = await self.connection.read_head(limit_s)
+        except SilentConnection:
+            self._outcome = "timeout"
+            raise
+        except UpstreamError:
+            self._outcome = "error"
+            raise
+        echoed = head.headers.get(self._wire.attempt)
+        if echoed is not None and echoed != self._call.attempt:
+            # A second answer to an earlier request on this connection.
+            self.connection.close()
+            self._outcome = "error"
+            raise MalformedAnswer("the answer is to another request")
+        return head
+
+    async def read_whole(self, head: ResponseHead) -> WholeAnswer:
+        """Return the whole answer; raises `UpstreamError`."""
+        parts: list[bytes] = []
+        size = 0
+        try:
+            while part := await self.connection.read_body(
+                max(0.0, self._call.remaining_s())
+            ):
+                parts.append(part)
+                size += len(part)
+                if size > self._context.settings.max_answer_bytes:
+                    raise MalformedAnswer("its answer is too large")
+        except UpstreamError as error:
+            self.connection.close()
+            silent = isinstance(error, SilentConnection)
+            self._outcome = "timeout" if silent else "error"
+            raise
+        not_run = says_not_run(head, self._wire)
+        self.ended(head.status, not_run)
+        body = b"".join(parts)
+        return WholeAnswer(
+            head.status, answer_headers(head, len(body)), body, not_run
+        )
+
+    def ended(self, status: int, not_run: bool) -> None:
+        """Note how the server answered, for what is learnt of it."""
+        if not_run:
+            self._outcome = "overloaded"
+        else:
+            self._outcome = "error" if status >= 500 else "ok"
+
+    def failed(self, error: UpstreamError) -> None:
+        """Note that the answer broke off."""
+        silent = isinstance(error, SilentConnection)
+        self._outcome = "timeout" if silent else "error"
+
+    def first_byte(self) -> None:
+        """Note that the answer has begun."""
+        now_s = time.monotonic()
+        self._context.servers.first_byte(
+            self.aim.target,
+            self.aim.server.name,
+            now_s,
+            now_s - self._begin_s,
+        )
+
+    def close(self) -> None:
+        """Give the connection back, or cancel what still runs on it."""
+        if self._closed:
+            return
+        self._closed = True
+        now_s = time.monotonic()
+        self._context.servers.finished(
+            self.aim.target,
+            self.aim.server.name,
+            now_s,
+            now_s - self._begin_s,
+            self._outcome,
+        )
+        self._context.pool.release(self.aim.server.address, self.connection)
+
+
+def says_not_run(head: ResponseHead, wire: RouteWire) -> bool:
+    """Tell whether the server says that it did not run the request."""
+    return head.status == WRONG_SERVER or wire.not_run in head.headers
+
+
+def answer_headers(head: ResponseHead, length: int | None) -> RawHeaders:
+    """Return a server's headers as they are passed on to the caller."""
+    headers = [
+        (name, value)
+        for name, value in head.headers.items()
+        if name not in ANSWER_HOP_HEADERS
+    ]
+    if length is not None:
+        headers.append((b"content-length", b"%d" % length))
+    return headers
+
+
+def encode_request(wire: RouteWire, call: RoutedCall, aim: Aim) -> bytes:
+    """Return the request as the server gets it."""
+    lines = [b"%s %s HTTP/1.1" % (call.method, call.target)]
+    replaced = {wire.model} if aim.model else set()
+    if aim.last_event:
+        replaced.add(wire.last_event)
+        lines.append(b"%s: %s" % (wire.last_event, aim.last_event))
+    for name, value in call.headers:
+        if name not in replaced:
+            lines.append(b"%s: %s" % (name, value))
+    if aim.model:
+        lines.append(b"%s: %s" % (wire.model, aim.model))
+    left_ms = max(1, int(call.remaining_s() * 1000))
+    lines.append(b"%s: %d" % (wire.deadline_ms, left_ms))
+    lines.append(b"%s: %s" % (wire.server, aim.server.name.encode()))
+    if call.customer:
+        lines.append(b"%s: %s" % (wire.customer, call.customer.encode()))
+    if call.route.kind == "stream":
+        lines.append(b"%s: %d" % (wire.priority, min(9, call.priority)))
+    if call.body or call.method not in BODILESS_METHODS:
+        lines.append(b"content-length: %d" % len(call.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
+
+
+BODILESS_METHODS: Final = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
+ANSWER_HOP_HEADERS: Final = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+__all__ = [
+    "Aim",
+    "answer_headers",
+    "BrokenConnection",
+    "encode_request",
+    "Exchange",
+    "RETRY_STATUSES",
+    "says_not_run",
+    "WholeAnswer",
+]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/wire.py
@@ -0,0 +1,42 @@
+"""How routed requests speak on the wire: the names of headers.
+
+The data path knows what a header means, not what an installation calls it.
+An installation that has its own names hands in another `RouteWire`.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class RouteWire(NamedTuple):
+    """Names of headers, all in lower case.
+
+    ``attempt`` names a caller's attempt and is echoed by servers;
+    ``deadline_ms`` is what the caller still waits; ``server`` names the
+    backend server that is meant, ``customer`` whose request it is;
+    ``not_run`` is in an answer that says so; ``stamp`` is in each whole
+    answer of a server. ``own`` are headers that only the system may set:
+    what a caller sends under these names is dropped.
+    """
+
+    attempt: bytes
+    deadline_ms: bytes
+    server: bytes
+    customer: bytes
+    not_run: bytes
+    stamp: bytes
+    priority: bytes
+    session: bytes
+    model: bytes
+    any_model: bytes
+    confidence: bytes
+    prompt_parts: bytes
+    token_counts: bytes
+    length_hint: bytes
+    last_event: bytes
+    load: bytes
+    own: frozenset[bytes]
+
+
+__all__ = ["RouteWire"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import logging
@@ -72,6 +73,7 @@
     settings: EntrySettings,
     control: ControlPort,
     random: Random | None = None,
+    make: Callable[[EntryContext], Any] = make_application,
     *,
     task_status: TaskStatus[RunningEntry] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -79,14 +81,15 @@
 
     Example: ``entry = await group.start(serve_entry, settings, control)``
     returns a `RunningEntry` as soon as the entry accepts connections.
-    ``random`` is what its decisions draw from.
+    ``random`` is what its decisions draw from, ``make`` what makes the
+    application that answers callers.
     """
     listener = _listen(settings)
     host, port = listener.getsockname()[:2]
     async with anyio.create_task_group() as background:
         context = EntryContext(settings, control, background, random)
         entry = RunningEntry(context, host, port)
-        server = _Server(_uvicorn_config(context))
+        server = _Server(_uvicorn_config(context, make(context)))
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(context.slots.keep_ticking)
@@ -142,8 +145,9 @@
     return listener
 
 
-def _uvicorn_config(context: EntryContext) -> uvicorn.Config:
-    application: Any = make_application(context)
+def _uvicorn_config(
+    context: EntryContext, application: Any
+) -> uvicorn.Config:
     return uvicorn.Config(
         application,
         http=EntryProtocol,
--- a/packages/sycamorestand-model/src/sycamorestand_model/codec.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/codec.py
@@ -25,6 +25,7 @@
     "rollouts": ("model",),
     "operators": ("name",),
 }
+# Routes come in operators' own documents, not in TOML.
 _VERSION_KEY_FIELDS: Final = ("model", "name")
 
 
@@ -35,7 +36,7 @@
             name: _table(value, _KEY_FIELDS[section])
             for name, value in values.items()
         }
-        for section, values in declarations._asdict().items()
+        for section, values in _named_parts(declarations)
     }
 
 
@@ -52,6 +53,10 @@
         raise WireError(f"declarations cannot be read: {error}") from error
 
 
+def _named_parts(declarations: Declarations) -> list[tuple[str, Any]]:
+    return [(name, getattr(declarations, name)) for name in _KEY_FIELDS]
+
+
 def _table(value: Any, key_fields: tuple[str, ...]) -> dict[str, Any]:
     return {
         field: _plain(part)
--- a/packages/sycamorestand-model/src/sycamorestand_model/declarations.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/declarations.py
@@ -6,6 +6,11 @@
 from typing import Literal
 from typing import NamedTuple
 
+from sycamorestand_model.routes import CallerLimits
+from sycamorestand_model.routes import EngineTraits
+from sycamorestand_model.routes import Route
+from sycamorestand_model.routes import SourceDocument
+
 VERSION_SEPARATOR: Final = "@"
 DEFAULT_SHARES: Final = (0.01, 0.05, 0.25, 1.0)
 
@@ -85,15 +90,24 @@
     versions: tuple[str, ...]
     services: tuple[str, ...] = ()
     weight: float = 1.0
+    priority: int | None = None
 
 
 class Service(NamedTuple):
-    """A plain service: which of its calls may be repeated, and its price."""
+    """A plain service: which of its calls may be repeated, and its price.
+
+    One with an ``engine`` is a service of model engines that routes lead
+    to. ``max_connections`` is what one of its servers accepts from all
+    callers together; 0 tells nothing.
+    """
 
     name: str
     idempotent_methods: tuple[str, ...] = ("GET", "HEAD")
     call_micros: int = 0
     default_deadline_ms: int = 10_000
+    health_path: str = ""
+    max_connections: int = 0
+    engine: EngineTraits | None = None
 
 
 class Rollout(NamedTuple):
@@ -115,7 +129,10 @@
 
 
 class Declarations(NamedTuple):
-    """Everything that one revision declares, each part by its name."""
+    """Everything that one revision declares, each part by its name.
+
+    ``limits`` and ``document`` have no names; they belong to routes.
+    """
 
     models: dict[str, Model] = {}
     profiles: dict[str, Profile] = {}
@@ -123,6 +140,21 @@
     services: dict[str, Service] = {}
     rollouts: dict[str, Rollout] = {}
     operators: dict[str, Operator] = {}
+    routes: dict[str, Route] = {}
+    limits: CallerLimits = CallerLimits()
+    document: SourceDocument = SourceDocument()
+
+
+# The parts of `Declarations` that hold named items.
+SECTIONS: Final = (
+    "models",
+    "profiles",
+    "customers",
+    "services",
+    "rollouts",
+    "operators",
+    "routes",
+)
 
 
 def version_id(model: str, version: str) -> str:
@@ -155,6 +187,7 @@
     "Operator",
     "Profile",
     "Rollout",
+    "SECTIONS",
     "Service",
     "Version",
     "version_id",
--- a/packages/sycamorestand-state/src/sycamorestand_state/difference.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/difference.py
@@ -14,6 +14,8 @@
 # Salted hashes could still be tried against guessed keys by whoever may
 # read the audit trail, so only their number is told.
 SECRET_FIELDS: Final = frozenset({"key_hashes"})
+# An operator's document may hold customers' keys as they are.
+UNTOLD_FIELDS: Final = frozenset({"content"})
 
 
 def describe_difference(
@@ -60,6 +62,8 @@
 ) -> Iterator[str]:
     before = getattr(old, field)
     after = getattr(new, field)
+    if field in UNTOLD_FIELDS:
+        return
     if field not in SECRET_FIELDS:
         yield from _differences(path, before, after)
     elif before != after:
--- a/packages/sycamorestand-state/src/sycamorestand_state/references.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/references.py
@@ -18,6 +18,7 @@
 from sycamorestand_model.declarations import Model
 from sycamorestand_model.declarations import Profile
 from sycamorestand_model.declarations import Rollout
+from sycamorestand_model.declarations import SECTIONS
 from sycamorestand_model.declarations import version_id
 
 # One order of magnitude above the largest declarations expected, 330
@@ -46,7 +47,8 @@
 
 
 def _name_findings(declarations: Declarations) -> Iterator[str]:
-    for part_name, part in declarations._asdict().items():
+    for part_name in SECTIONS:
+        part = getattr(declarations, part_name)
         for key, item in part.items():
             name = item.model if isinstance(item, Rollout) else item.name
             if key != name:
