A roll-out of a model that no profile names ends no control process

Cause: the keeper took the most careful objective of no profiles. Seen as a crash of the leader, again and again, when a routed service was rolled out. The default weights are taken instead.

--- a/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
@@ -23,6 +23,7 @@
 from sycamorestand_decisions.version_watch import VersionWatch
 from sycamorestand_decisions.versions import choose_version
 from sycamorestand_decisions.versions import may_run
+from sycamorestand_model.declarations import Objective
 from sycamorestand_model.declarations import version_id
 from sycamorestand_model.declarations import VERSION_SEPARATOR
 from sycamorestand_state.commands import ANY_REVISION
@@ -36,7 +37,6 @@
 if TYPE_CHECKING:
     from sycamorestand_control.groups import LogGroups
     from sycamorestand_decisions.version_stats import VersionStats
-    from sycamorestand_model.declarations import Objective
     from sycamorestand_peer.messages import SampleReport
     from sycamorestand_state.commands import Command
     from sycamorestand_state.configuration import ConfigurationMachine
@@ -226,7 +226,9 @@
             for profile in profiles.values()
             if any(step.model == model for step in profile.steps)
         ]
-        return max(objectives, key=lambda o: o.exposure_weight)
+        return max(
+            objectives, key=lambda o: o.exposure_weight, default=Objective()
+        )
 
     def _compared(
         self, model: str, stats: dict[str, VersionStats]
