Models of an engine by size: from the smallest to the largest by its confidence

With it a fault of the upstream connection showed (46 answers with bytes of another): an answer that was dropped unread but whole left its body behind on a connection that was used again.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -72,9 +72,7 @@
         self._wire = wire
         self._table = _Table(-1, RouteTable({}))
 
-    async def __call__(
-        self, scope: Any, receive: Receive, send: Send
-    ) -> None:
+    async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
         extensions = scope["extensions"]
         responder = Responder(
             send, self._context.stopping, extensions.get(WRITE_NOW)
@@ -106,14 +104,20 @@
         self, scope: Any, receive: Receive, responder: Responder
     ) -> None:
         call = await self._read(scope, receive)
-        with anyio.CancelScope() as answering:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(_watch_caller, receive, answering)
+        failure: Exception | None = None
+        gone = True
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_watch_caller, receive, tasks.cancel_scope)
+            try:
                 await self._run(call, responder)
-                tasks.cancel_scope.cancel()
-        if answering.cancel_called and not answering.cancelled_caught:
-            return
-        if answering.cancelled_caught:
+            except (RequestError, StreamBroken) as error:
+                # Out of the group by itself, which would wrap it.
+                failure = error
+            gone = False
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        if gone:
             raise CallerGone
 
     async def _read(self, scope: Any, receive: Receive) -> RoutedCall:
@@ -197,9 +201,7 @@
         try:
             attempts = Attempts(context, self._wire, call)
             if call.route.kind == "stream":
-                relay = StreamRelay(
-                    attempts, responder, self._affinity(call), _model(call)
-                )
+                relay = StreamRelay(attempts, responder, self._affinity(call))
                 answer = await relay.run(target)
                 first_s = relay.first_event_s
             else:
@@ -309,8 +311,4 @@
     return crc32(f"{name}/{service}".encode()) / UNIT
 
 
-def _model(call: RoutedCall) -> bytes:
-    return call.route.sizes[-1].encode() if call.route.sizes else b""
-
-
 __all__ = ["DeadlineExceeded", "make_routed_application", "RoutedEntry"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -12,10 +12,11 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.size_ladder import first_size
+from sycamorestand_decisions.size_ladder import next_size
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.routed.exchange import answer_headers
 from sycamorestand_entry.routed.exchange import RETRY_STATUSES
-from sycamorestand_entry.routed.exchange import says_not_run
 from sycamorestand_entry.routed.exchange import WholeAnswer
 from sycamorestand_entry.upstream import MalformedAnswer
 from sycamorestand_entry.upstream import UpstreamError
@@ -37,6 +38,14 @@
     """The stream ended early after a part of it was passed on."""
 
 
+class _Climbs(Exception):
+    """The answer is dropped; a larger model is to give it."""
+
+    def __init__(self, size: int) -> None:
+        super().__init__(size)
+        self.size = size
+
+
 class StreamRelay:
     """One caller's stream, over as many servers as it takes."""
 
@@ -45,12 +54,12 @@
         attempts: Attempts,
         responder: Responder,
         affinity_key: str,
-        model: bytes,
     ) -> None:
         self._attempts = attempts
         self._responder = responder
         self._affinity_key = affinity_key
-        self._model = model
+        self._sizes = attempts.call.route.sizes
+        self._size = first_size(self._sizes)
         self._last_event = b""
         self._rest = b""
         self.first_event_s = 0.0
@@ -65,12 +74,19 @@
         while True:
             try:
                 exchange = await self._attempts.open(
-                    target, self._affinity_key, self._model, self._last_event
+                    target,
+                    self._affinity_key,
+                    self._model(),
+                    self._last_event,
                 )
             except RequestError as error:
                 raise self._final(error) from None
             try:
                 answer = await self._relay(exchange)
+            except _Climbs as climbs:
+                self._attempts.may_have_run = True
+                self._size = climbs.size
+                continue
             except UpstreamError as error:
                 exchange.failed(error)
                 self._attempts.may_have_run = True
@@ -94,6 +110,7 @@
             if self._responder.started:
                 raise MalformedAnswer("it did not go on with the stream")
             return answer
+        self._judge(head)
         first = True
         limit_s = self._first_limit_s()
         while data := await exchange.connection.read_body(
@@ -112,6 +129,21 @@
         await self._responder.finish()
         return None
 
+    def _model(self) -> bytes:
+        return self._sizes[self._size].encode() if self._sizes else b""
+
+    def _judge(self, head: ResponseHead) -> None:
+        """Drop an answer that a larger model should give."""
+        if self._responder.started or not self._sizes:
+            return
+        value = head.headers.get(self._attempts.wire.confidence, b"")
+        confidence = int(value) if value.isdigit() else None
+        size = next_size(
+            self._sizes, self._size, confidence, self._attempts.left
+        )
+        if size is not None:
+            raise _Climbs(size)
+
     async def _pass_on(self, head: ResponseHead, data: bytes) -> None:
         if self._rest:
             data = self._rest + data
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole.py
@@ -48,9 +48,7 @@
             return answer
 
 
-async def _read(
-    attempts: Attempts, exchange: Exchange
-) -> WholeAnswer | None:
+async def _read(attempts: Attempts, exchange: Exchange) -> WholeAnswer | None:
     try:
         head = await exchange.read_head(_limit_s(attempts))
         exchange.first_byte()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -145,9 +145,7 @@
     return listener
 
 
-def _uvicorn_config(
-    context: EntryContext, application: Any
-) -> uvicorn.Config:
+def _uvicorn_config(context: EntryContext, application: Any) -> uvicorn.Config:
     return uvicorn.Config(
         application,
         http=EntryProtocol,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -82,7 +82,7 @@
     @property
     def usable(self) -> bool:
         """Tell whether another request may be sent on this connection."""
-        return self.reusable and self._error is None
+        return self.reusable and self._error is None and not self._paused
 
     def send(self, request: bytes, bodiless: bool = False) -> None:
         """Write a whole request; from here on it may have run.
@@ -97,6 +97,10 @@
         self._head_bytes = 0
         self._complete = False
         self.reusable = False
+        # Of an answer that was dropped unread, short enough to be whole
+        # already: its bytes would begin the answer to this request.
+        self._body.clear()
+        self._body_bytes = 0
         self._transport.write(request)
 
     async def read_head(self, limit_s: float) -> ResponseHead:
