Routes are declared in TOML, checked, and served by the product's own entry

Routes came with the platform's documents only: an operator of the product could not declare one, and `sycactl apply` of a folder would have dropped those in force. [routes.NAME] and [services.NAME.engine] are sections like the others now, with findings; the entry serves them under its own header names where no interface of its own has the path.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/application.py
@@ -27,6 +27,8 @@
 from sycamorestand_entry.listings import answer_metrics
 from sycamorestand_entry.listings import answer_models
 from sycamorestand_entry.listings import answer_readiness
+from sycamorestand_entry.routed.application import RoutedEntry
+from sycamorestand_entry.routed.wire import OWN_WIRE
 from sycamorestand_entry.services import answer_service
 from sycamorestand_entry.services import PREFIX as SERVICES
 
@@ -52,7 +54,12 @@
 def make_application(context: EntryContext) -> Application:
     """Return the application that answers every request of the entry."""
 
+    routed = RoutedEntry(context, OWN_WIRE)
+
     async def application(scope: Any, receive: Receive, send: Send) -> None:
+        if _is_routed(context, scope["path"]):
+            await routed(scope, receive, send)
+            return
         write_now = scope.get("extensions", {}).get(WRITE_NOW)
         responder = Responder(send, context.stopping, write_now)
         path = scope["path"]
@@ -102,6 +109,16 @@
     await handler(context, request, responder)
 
 
+def _is_routed(context: EntryContext, path: str) -> bool:
+    """Tell whether a request is for the routes that operators declare.
+
+    The entry's own paths come first: a route cannot take them over.
+    """
+    if path in _ROUTES or path.startswith("/services/"):
+        return False
+    return bool(context.control.in_force().declarations.routes)
+
+
 def _interface(path: str) -> str:
     if path in _ROUTES:
         return path
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/wire.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/wire.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from typing import Final
 from typing import NamedTuple
 
 
@@ -39,4 +40,33 @@
     own: frozenset[bytes]
 
 
-__all__ = ["RouteWire"]
+# The names of the project's own interface, see ``docs/callers.md``.
+OWN_WIRE: Final = RouteWire(
+    attempt=b"x-request-key",
+    deadline_ms=b"x-deadline-ms",
+    server=b"x-backend-server",
+    customer=b"x-customer",
+    not_run=b"x-not-run",
+    stamp=b"x-answer-stamp",
+    priority=b"x-engine-priority",
+    session=b"x-session",
+    model=b"x-model",
+    any_model=b"*",
+    confidence=b"x-confidence",
+    prompt_parts=b"x-prompt-parts",
+    token_counts=b"x-token-counts",
+    length_hint=b"x-length-hint",
+    last_event=b"last-event-id",
+    load=b"x-server-load",
+    own=frozenset(
+        {
+            b"authorization",
+            b"x-backend-server",
+            b"x-customer",
+            b"x-deadline-ms",
+            b"x-engine-priority",
+        }
+    ),
+)
+
+__all__ = ["OWN_WIRE", "RouteWire"]
--- a/packages/sycamorestand-model/src/sycamorestand_model/check.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/check.py
@@ -14,6 +14,7 @@
 from sycamorestand_model.check_customers import check_customers
 from sycamorestand_model.check_customers import check_doubled_keys
 from sycamorestand_model.check_customers import check_operators
+from sycamorestand_model.check_routes import check_routes
 from sycamorestand_model.check_subject import place_of
 from sycamorestand_model.check_subject import report_unknown
 from sycamorestand_model.check_subject import Subject
@@ -212,6 +213,7 @@
     _check_rollouts,
     check_operators,
     check_doubled_keys,
+    check_routes,
 )
 
 __all__ = ["check", "check_declarations"]
--- a/packages/sycamorestand-model/src/sycamorestand_model/codec.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/codec.py
@@ -24,8 +24,8 @@
     "services": ("name",),
     "rollouts": ("model",),
     "operators": ("name",),
+    "routes": ("name",),
 }
-# Routes come in operators' own documents, not in TOML.
 _VERSION_KEY_FIELDS: Final = ("model", "name")
 
 
@@ -61,7 +61,7 @@
     return {
         field: _plain(part)
         for field, part in value._asdict().items()
-        if field not in key_fields
+        if field not in key_fields and part is not None
     }
 
 
--- a/packages/sycamorestand-model/src/sycamorestand_model/limits.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/limits.py
@@ -27,6 +27,7 @@
 # 1,000 currency units a million tokens; a higher price is a slip of units.
 MAX_MICROS: Final = 1_000_000_000
 MAX_PINNED_SERVERS: Final = 1_000
+MAX_CONNECTIONS: Final = 1_000_000
 # A finding for each line of a large wrong file would hide the first ones.
 MAX_FINDINGS: Final = 500
 
@@ -37,9 +38,11 @@
     "services": 1_000,
     "rollouts": 500,
     "operators": 500,
+    "routes": 10_000,
 }
 
 __all__ = [
+    "MAX_CONNECTIONS",
     "MAX_DEADLINE_MS",
     "MAX_DECLARATIONS",
     "MAX_FILE_BYTES",
--- a/packages/sycamorestand-model/src/sycamorestand_model/load.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/load.py
@@ -217,7 +217,8 @@
         if value is not None:
             sections[section][name] = value
     _report_too_many(files, findings)
-    return Loaded(Declarations(**sections), findings.all(), files)
+    declarations = Declarations()._replace(**sections)
+    return Loaded(declarations, findings.all(), files)
 
 
 def _report_too_many(files: dict[str, str], findings: Findings) -> None:
--- a/packages/sycamorestand-model/src/sycamorestand_model/readers.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/readers.py
@@ -48,6 +48,23 @@
     return read
 
 
+def text(max_characters: int) -> Reader:
+    """Read a text of a bounded length."""
+
+    def read(raw: object, place: Place, findings: Findings) -> str | None:
+        if not isinstance(raw, str):
+            _wrong_type(raw, "a text", place, findings)
+            return None
+        if len(raw) > max_characters:
+            findings.error(
+                place, "is too long", f"use at most {max_characters}"
+            )
+            return None
+        return raw
+
+    return read
+
+
 def optional(reader: Reader) -> Reader:
     """Read an empty text as nothing, anything else as ``reader`` does."""
 
@@ -263,5 +280,6 @@
     "optional",
     "Reader",
     "record",
+    "text",
     "whole",
 ]
--- a/packages/sycamorestand-model/src/sycamorestand_model/shapes.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/shapes.py
@@ -19,6 +19,7 @@
 from sycamorestand_model.findings import Findings
 from sycamorestand_model.findings import inside
 from sycamorestand_model.findings import Place
+from sycamorestand_model.limits import MAX_CONNECTIONS
 from sycamorestand_model.limits import MAX_DEADLINE_MS
 from sycamorestand_model.limits import MAX_KEYS
 from sycamorestand_model.limits import MAX_LIST_ITEMS
@@ -43,7 +44,12 @@
 from sycamorestand_model.readers import optional
 from sycamorestand_model.readers import Reader
 from sycamorestand_model.readers import record
+from sycamorestand_model.readers import text
 from sycamorestand_model.readers import whole
+from sycamorestand_model.routes import Route
+from sycamorestand_model.shapes_routes import ENGINE
+from sycamorestand_model.shapes_routes import MAX_PATH_CHARACTERS
+from sycamorestand_model.shapes_routes import ROUTE_FIELDS
 
 PATTERN_CHARACTERS: Final = "*?[]^$|"
 HTTP_METHODS: Final = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST")
@@ -191,6 +197,7 @@
         "services": Field(_NAMES),
         # Fair queueing divides by the weight, so it cannot be zero.
         "weight": Field(number(0.001, MAX_WEIGHT)),
+        "priority": Field(whole(0, 9)),
     },
 )
 
@@ -202,9 +209,16 @@
         ),
         "call_micros": Field(_MICROS),
         "default_deadline_ms": Field(_DEADLINE_MS),
+        "health_path": Field(text(MAX_PATH_CHARACTERS)),
+        "max_connections": Field(whole(0, MAX_CONNECTIONS)),
+        "engine": Field(ENGINE),
     },
 )
 
+_ROUTE: Final[DeclarationReader] = _named(
+    lambda key, values: Route(name=key, **values), ROUTE_FIELDS
+)
+
 _ROLLOUT: Final[DeclarationReader] = _named(
     lambda key, values: Rollout(model=key, **values),
     {
@@ -233,6 +247,7 @@
     "services": _SERVICE,
     "rollouts": _ROLLOUT,
     "operators": _OPERATOR,
+    "routes": _ROUTE,
 }
 
 __all__ = ["DeclarationReader", "SECTIONS"]
--- /dev/null
+++ b/packages/sycamorestand-model/src/sycamorestand_model/shapes_routes.py
@@ -0,0 +1,120 @@
+"""The fields of routes and of engines behind them, and their bounds."""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+from typing import Final
+
+from sycamorestand_model.findings import Findings
+from sycamorestand_model.findings import Place
+from sycamorestand_model.limits import MAX_DEADLINE_MS
+from sycamorestand_model.limits import MAX_LIST_ITEMS
+from sycamorestand_model.limits import MAX_NAME_CHARACTERS
+from sycamorestand_model.limits import MAX_STEPS
+from sycamorestand_model.readers import array
+from sycamorestand_model.readers import choice
+from sycamorestand_model.readers import Field
+from sycamorestand_model.readers import flag
+from sycamorestand_model.readers import name
+from sycamorestand_model.readers import number
+from sycamorestand_model.readers import Reader
+from sycamorestand_model.readers import record
+from sycamorestand_model.readers import whole
+from sycamorestand_model.routes import EngineTraits
+from sycamorestand_model.routes import ModelSize
+from sycamorestand_model.routes import RouteTarget
+
+MAX_PATH_CHARACTERS: Final = 500
+MAX_PRIORITY: Final = 9
+MAX_ATTEMPTS: Final = 10
+MAX_TARGETS: Final = 16
+MAX_COUNT: Final = 1_000_000_000
+MAX_COST: Final = 1_000_000.0
+_HOST: Final = re.compile(r"[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?")
+
+
+def _host(raw: object, place: Place, findings: Findings) -> str | None:
+    if isinstance(raw, str) and _HOST.fullmatch(raw):
+        return raw
+    findings.error(
+        place, "is no host name", "use lower case letters, digits, '.', '-'"
+    )
+    return None
+
+
+def _prefix(raw: object, place: Place, findings: Findings) -> str | None:
+    if not isinstance(raw, str) or len(raw) > MAX_PATH_CHARACTERS:
+        findings.error(
+            place,
+            "is no path",
+            f"give a text of at most {MAX_PATH_CHARACTERS} characters",
+        )
+        return None
+    if not raw.startswith("/") or not raw.endswith("/"):
+        findings.error(
+            place,
+            "does not begin and end with a slash",
+            "a prefix ends where a part of the path does, as in '/quotes/'",
+        )
+        return None
+    return raw
+
+
+_COUNT: Final[Reader] = whole(0, MAX_COUNT)
+_NAME: Final[Reader] = name(MAX_NAME_CHARACTERS)
+_MS: Final[Reader] = number(0.0, float(MAX_DEADLINE_MS))
+
+_TARGET: Final[Reader] = record(
+    RouteTarget,
+    {
+        "service": Field(_NAME, required=True),
+        "weight": Field(whole(0, 1_000_000)),
+    },
+)
+
+_SIZE: Final[Reader] = record(
+    ModelSize,
+    {
+        "name": Field(_NAME, required=True),
+        "cost": Field(number(0.0, MAX_COST), required=True),
+    },
+)
+
+ENGINE: Final[Reader] = record(
+    EngineTraits,
+    {
+        "slots": Field(whole(1, 100_000), required=True),
+        "kv_tokens": Field(_COUNT, required=True),
+        "kv_token_bytes": Field(number(0.0, float(MAX_COUNT))),
+        "link_mbps": Field(number(0.0, float(MAX_COUNT))),
+        "can_move": Field(flag),
+        "can_back_up": Field(flag),
+        "event_tokens": Field(whole(1, 100_000)),
+        "max_event_calls": Field(whole(0, 100_000)),
+        "pin_ms": Field(_MS),
+        "hold_ms": Field(_MS),
+        "handle_s": Field(number(0.0, 3_600.0)),
+        "sizes": Field(array(_SIZE, MAX_STEPS)),
+    },
+)
+
+ROUTE_FIELDS: Final[dict[str, Field]] = {
+    "host": Field(_host, required=True),
+    "path_prefix": Field(_prefix, required=True),
+    "targets": Field(array(_TARGET, MAX_TARGETS, 1), required=True),
+    "kind": Field(choice("idempotent", "once", "stream"), required=True),
+    "timeout_ms": Field(whole(1, MAX_DEADLINE_MS), required=True),
+    "target_latency_ms": Field(whole(0, MAX_DEADLINE_MS)),
+    "priority": Field(whole(0, MAX_PRIORITY)),
+    "max_attempts": Field(whole(1, MAX_ATTEMPTS)),
+    "public": Field(flag),
+    "sticky": Field(flag),
+    "resumable": Field(flag),
+    "gap_target_ms": Field(whole(0, MAX_DEADLINE_MS)),
+    "sizes": Field(array(_NAME, min(MAX_STEPS, MAX_LIST_ITEMS))),
+}
+
+RouteValues = dict[str, Any]
+
+__all__ = ["ENGINE", "ROUTE_FIELDS", "RouteValues"]
--- a/packages/sycamorestand-model/tests/test_check.py
+++ b/packages/sycamorestand-model/tests/test_check.py
@@ -56,7 +56,32 @@
 key_hashes = ["{OTHER_HASH}"]
 role = "admin"
 """
+ROUTES = """
+[services.nesting]
+health_path = "/health"
+max_connections = 370
+[services.nesting.engine]
+slots = 64
+kv_tokens = 345_713
+sizes = [{name = "small", cost = 0.02}, {name = "large", cost = 0.25}]
+[routes.review]
+host = "nest.example"
+path_prefix = "/review/"
+targets = [{service = "nesting", weight = 90}]
+kind = "stream"
+timeout_ms = 20_000
+resumable = true
+sizes = []
+[routes.quote]
+host = "nest.example"
+path_prefix = "/quote/"
+targets = [{service = "nesting"}]
+kind = "stream"
+timeout_ms = 15_000
+sizes = ["small", "large"]
+"""
 SOUND = {
+    "routes-and-engines.toml": ROUTES,
     "models/all.toml": MODELS,
     "profiles/help.toml": PROFILES,
     "customers/acme.toml": CUSTOMERS,
@@ -144,6 +169,46 @@
         {"customers/acme.toml": CUSTOMERS.replace(', "strong@1"', "")},
         ["warning: customers/acme.toml: customers.acme.profiles[0]: acme"],
     ),
+    "routes": (
+        {
+            "routes.toml": """
+[routes.status]
+host = "portal.example"
+path_prefix = "/status/"
+targets = [{service = "portla"}]
+kind = "idempotent"
+timeout_ms = 2000
+resumable = true
+[routes.again]
+host = "portal.example"
+path_prefix = "/status/"
+targets = [{service = "portal", weight = 0}]
+kind = "once"
+timeout_ms = 2000
+max_attempts = 2
+sizes = ["small"]
+[routes.bad]
+host = "Portal"
+path_prefix = "/status"
+targets = []
+kind = "safe"
+timeout_ms = 0
+"""
+        },
+        [
+            "routes.bad.host: is no host name",
+            "routes.bad.path_prefix: does not begin and end with a slash",
+            "routes.bad.targets: list of 0 items",
+            "routes.bad.kind: unknown word",
+            "routes.bad.timeout_ms: out of range",
+            "routes.status.targets[0]: no services declares 'portla'",
+            "routes.status.resumable: only a stream can be resumed",
+            "routes.again.targets: the weights add up to 0",
+            "routes.again.sizes[0]: service portal holds no model small",
+            "warning: routes.toml: routes.again.max_attempts: a call that",
+            "routes.again.path_prefix: routes.status has the same host",
+        ],
+    ),
     "pattern": (
         {"customers/acme.toml": CUSTOMERS.replace("strong@1", "str*")},
         [
--- a/packages/sycamorestand-state/src/sycamorestand_state/changes.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/changes.py
@@ -72,6 +72,7 @@
             f"{MAX_DECLARATIONS_BYTES} can be applied",
         )
     findings = (
+        *_document_findings(state.declarations, declarations),
         *reference_findings(declarations),
         *unsettled_findings(state.rollouts, declarations),
     )
@@ -230,6 +231,30 @@
     )
 
 
+def _document_findings(
+    current: Declarations, wanted: Declarations
+) -> tuple[str, ...]:
+    """Refuse what would take the number of the document in force back.
+
+    Where operators number their documents, the highest one is in force for
+    good. Declarations that were made without one, or from an older one,
+    would undo a change that was acknowledged.
+    """
+    held = current.document
+    new = wanted.document
+    if new.number < held.number:
+        return (
+            f"document: number {new.number} is below {held.number}, which is "
+            "in force; give the next document a higher number",
+        )
+    if new.number == held.number and new.content != held.content:
+        return (
+            f"document: number {new.number} is in force with other content; "
+            "give the next document a higher number",
+        )
+    return ()
+
+
 def _declared_withdrawals(
     state: ConfigurationState, command: ApplyDeclarations
 ) -> dict[str, Withdrawal]:
--- a/packages/sycamorestand-state/tests/test_configuration.py
+++ b/packages/sycamorestand-state/tests/test_configuration.py
@@ -11,6 +11,7 @@
 from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.declarations import Rollout
 from sycamorestand_model.declarations import Version
+from sycamorestand_model.routes import SourceDocument
 from sycamorestand_state.change_ids import MAX_CHANGE_ID_AGE_S
 from sycamorestand_state.change_ids import MAX_CHANGE_IDS
 from sycamorestand_state.commands import ANY_REVISION
@@ -95,6 +96,41 @@
         assert cluster.machine.revision == 2
 
 
+class TestNumberedDocuments:
+    @pytest.mark.parametrize(
+        ("document", "told"),
+        [
+            (SourceDocument(), "number 0 is below 7"),
+            (SourceDocument(6, b"six"), "number 6 is below 7"),
+            (SourceDocument(7, b"other"), "in force with other content"),
+        ],
+        ids=["without one", "older", "other content"],
+    )
+    def test_a_document_in_force_never_goes_back(
+        self, document: SourceDocument, told: str
+    ) -> None:
+        """The operator who numbers documents sees number 7 acknowledged.
+
+        Somebody else then applies declarations that were made without a
+        document, or from an older one, on the newest revision. Taken, they
+        would undo number 7, which is promised to stay in force.
+        """
+        cluster = Cluster()
+        held = declare(document=SourceDocument(7, b"seven"))
+        assert cluster.declare(held).outcome == "applied"
+        result = cluster.declare(declare(document=document))
+        assert result.outcome == "refused"
+        assert told in result.message
+        assert cluster.machine.in_force().declarations == held
+
+    def test_the_same_document_stays_with_another_roll_out(self) -> None:
+        cluster = Cluster()
+        document = SourceDocument(7, b"seven")
+        cluster.declare(declare(document=document))
+        result = cluster.declare(declare(document=document, rollouts={}))
+        assert result.outcome == "applied"
+
+
 class TestRaces:
     def test_the_later_of_two_operators_is_told_who_was_first(self) -> None:
         """Two operators plan on revision 1 and apply; one wins.
