A document leaves out what belongs to routes

sycactl apply was refused everywhere: 'customers.NAME.priority: unknown field', and health_path, max_connections, engine of services. Since the thin path these fields stand in the named tuples, to_document wrote them and no table reads them. Found as the first failure of the system tests; TestCodec::test_a_document_gives_the_same_back failed for the same cause and passes now.

--- a/packages/sycamorestand-model/src/sycamorestand_model/codec.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/codec.py
@@ -16,16 +16,17 @@
 from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.errors import WireError
 
-# The key of a declaration's table says these already.
-_KEY_FIELDS: Final = {
+# The key of a declaration's table says its name already. What belongs to
+# routes comes in operators' own documents: no table has it, so a reader
+# would refuse the whole document for a field that it does not know.
+_LEFT_OUT: Final = {
     "models": ("name",),
     "profiles": ("name",),
-    "customers": ("name",),
-    "services": ("name",),
+    "customers": ("name", "priority"),
+    "services": ("name", "health_path", "max_connections", "engine"),
     "rollouts": ("model",),
     "operators": ("name",),
 }
-# Routes come in operators' own documents, not in TOML.
 _VERSION_KEY_FIELDS: Final = ("model", "name")
 
 
@@ -33,7 +34,7 @@
     """Return the JSON-able form, by section and name."""
     return {
         section: {
-            name: _table(value, _KEY_FIELDS[section])
+            name: _table(value, _LEFT_OUT[section])
             for name, value in values.items()
         }
         for section, values in _named_parts(declarations)
@@ -54,14 +55,14 @@
 
 
 def _named_parts(declarations: Declarations) -> list[tuple[str, Any]]:
-    return [(name, getattr(declarations, name)) for name in _KEY_FIELDS]
+    return [(name, getattr(declarations, name)) for name in _LEFT_OUT]
 
 
-def _table(value: Any, key_fields: tuple[str, ...]) -> dict[str, Any]:
+def _table(value: Any, left_out: tuple[str, ...]) -> dict[str, Any]:
     return {
         field: _plain(part)
         for field, part in value._asdict().items()
-        if field not in key_fields
+        if field not in left_out
     }
 
 
