--- a/packages/sycamorestand-model/src/sycamorestand_model/load.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/load.py
@@ -200,7 +200,7 @@
 
 
 def _assemble(raw: list[_RawDeclaration], findings: Findings) -> Loaded:
-    sections: dict[str, dict[str, Any]] = {key: {} for key in SECTIONS}
+    sections: dict[str, Any] = {key: {} for key in SECTIONS}
     files: dict[str, str] = {}
     for declaration in raw:
         section, name, table, place = declaration
@@ -217,8 +217,7 @@
         if value is not None:
             sections[section][name] = value
     _report_too_many(files, findings)
-    declarations = Declarations()._replace(**sections)
-    return Loaded(declarations, findings.all(), files)
+    return Loaded(Declarations(**sections), findings.all(), files)
 
 
 def _report_too_many(files: dict[str, str], findings: Findings) -> None:
