--- a/packages/sycamorestand-control/src/sycamorestand_control/groups.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/groups.py
@@ -71,6 +71,7 @@
         self._mesh = mesh
         self._groups = dict(groups)
         self._addresses: dict[str, str] = {}
+        self._heard_s: dict[str, float] = {}
         self.replicas = {
             number: Replica(
                 folder,
@@ -119,10 +120,15 @@
     def receive(self, address: str, message: ReplicaPayload) -> None:
         """Hand a voter's bytes to the log that they are for."""
         self._addresses[message.sender] = address
+        self._heard_s[message.sender] = boottime_s()
         replica = self.replicas.get(message.group)
         if replica is not None:
             replica.receive(message.sender, message.payload)
 
+    def heard_s(self, member_id: str) -> float:
+        """Return when a member was last heard in any log, 0 if never."""
+        return self._heard_s.get(member_id, 0.0)
+
     def is_leader(self, group: int) -> bool:
         """Tell whether this process leads a log, as far as it knows."""
         return self.replicas[group].status().role == "leader"
--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/joining.py
@@ -0,0 +1,107 @@
+"""The side of a control process that is no voter yet, or no longer."""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.errors import PeerTimeout
+from sycamorestand_peer.messages import JoinRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from sycamorestand_consensus.replica import Replica
+    from sycamorestand_control.groups import LogGroups
+    from sycamorestand_peer.mesh import PeerMesh
+
+LOG: Final = logging.getLogger(__name__)
+JOIN_INTERVAL_S: Final = 0.5
+JOIN_TIMEOUT_S: Final = 1.0
+# An election takes up to 1.4 s and may fail once.
+LONELY_S: Final = 3.0
+BELONGS: Final = b"belongs to a cluster"
+
+
+async def cluster_exists(
+    mesh: PeerMesh, groups: LogGroups, controls: Sequence[str], vm: str
+) -> bool:
+    """Tell whether any other control process belongs to a cluster."""
+    for address in controls:
+        call_id = mesh.next_call_id()
+        request = JoinRequest(call_id, groups.member_id, mesh.address, vm)
+        try:
+            reply = await mesh.call(address, call_id, request, JOIN_TIMEOUT_S)
+        except PeerTimeout:
+            continue
+        if reply.payload == BELONGS:
+            return True
+    return False
+
+
+async def ask_to_join(
+    mesh: PeerMesh,
+    groups: LogGroups,
+    controls: Callable[[], Sequence[str]],
+    vm: str,
+    keep_asking: bool = False,
+) -> None:
+    """Ask all other control processes until this one is a member.
+
+    Every process is asked, as only the leader acts on it and a newcomer
+    cannot know who leads. With ``keep_asking`` it goes on for good: a
+    voter that was replaced while it was away finds no leader, and its own
+    log does not tell it why.
+    """
+    led_s = boottime_s()
+    while True:
+        if not _is_lonely(groups):
+            led_s = boottime_s()
+        voter = _is_member_everywhere(groups)
+        if voter and not keep_asking:
+            return
+        if not voter or boottime_s() - led_s > LONELY_S:
+            async with anyio.create_task_group() as tasks:
+                for address in controls():
+                    tasks.start_soon(_ask_one, mesh, groups, address, vm)
+        await anyio.sleep(JOIN_INTERVAL_S)
+
+
+async def _ask_one(
+    mesh: PeerMesh, groups: LogGroups, address: str, vm: str
+) -> None:
+    call_id = mesh.next_call_id()
+    request = JoinRequest(call_id, groups.member_id, mesh.address, vm)
+    try:
+        await mesh.call(address, call_id, request, JOIN_TIMEOUT_S)
+    except PeerTimeout:
+        LOG.debug("no answer to join", extra={"peer": address})
+
+
+def _is_lonely(groups: LogGroups) -> bool:
+    return any(
+        not replica.status().leader_id for replica in groups.replicas.values()
+    )
+
+
+def is_voter(replica: Replica, member_id: str) -> bool:
+    """Tell whether a member votes, as this process knows it."""
+    return any(
+        member.member_id == member_id and member.voter
+        for member in replica.status().members
+    )
+
+
+def _is_member_everywhere(groups: LogGroups) -> bool:
+    return all(
+        is_voter(replica, groups.member_id)
+        for replica in groups.replicas.values()
+    )
+
+
+__all__ = ["ask_to_join", "BELONGS", "cluster_exists", "is_voter"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/membership.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/membership.py
@@ -1,4 +1,4 @@
-"""How control processes become voters, and how one is replaced."""
+"""The leader's side of membership: who becomes a voter, and for whom."""
 
 from __future__ import annotations
 
@@ -11,8 +11,11 @@
 from sycamorestand_consensus.errors import ConsensusError
 from sycamorestand_consensus.errors import MembershipRefused
 from sycamorestand_control.groups import CONFIGURATION_GROUP
+from sycamorestand_control.joining import BELONGS
+from sycamorestand_control.joining import is_voter
+from sycamorestand_control.voter_repair import next_step
+from sycamorestand_control.voter_repair import Seen
 from sycamorestand_peer.clock import boottime_s
-from sycamorestand_peer.errors import PeerTimeout
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import JoinRequest
 
@@ -20,19 +23,21 @@
     from collections.abc import Sequence
 
     from sycamorestand_consensus.replica import Replica
+    from sycamorestand_consensus.replica_types import MemberStatus
     from sycamorestand_control.groups import LogGroups
     from sycamorestand_peer.mesh import PeerMesh
 
 LOG: Final = logging.getLogger(__name__)
-JOIN_INTERVAL_S: Final = 0.5
-JOIN_TIMEOUT_S: Final = 1.0
 ADMIT_INTERVAL_S: Final = 0.2
 # A process that asked to join and then fell silent is not waited for.
 JOINER_SILENCE_S: Final = 5.0
 # A learner that lags longer keeps the operator waiting for nothing, and
 # would stay a member that no quorum can count on.
 CATCH_UP_S: Final = 20.0
-BELONGS: Final = b"belongs to a cluster"
+# A leader's loop that pauses this long was suspended or starved.
+PAUSED_S: Final = 1.0
+# A request that another process passed on expects no reply.
+PASSED_ON: Final = 0
 
 
 class Admissions:
@@ -41,17 +46,24 @@
     A voter whose disk was lost comes back under a new id and asks like
     any stranger. It is admitted by itself only while the group has fewer
     voters than wanted, which is the formation of a new cluster; later a
-    lost voter still counts, so its replacement waits for an operator.
-    Without that, a wiped voter would vote again in a term in which its
-    old self had voted, and two leaders could commit different entries.
+    lost voter still counts, so its replacement waits for an operator, or
+    with ``replace_lost`` for the rules of `voter_repair`. Without that, a
+    wiped voter would vote again in a term in which its old self had voted,
+    and two leaders could commit different entries.
     """
 
     def __init__(
-        self, mesh: PeerMesh, groups: LogGroups, voters_wanted: int
+        self,
+        mesh: PeerMesh,
+        groups: LogGroups,
+        voters_wanted: int,
+        replace_lost: bool = False,
     ) -> None:
         self._mesh = mesh
         self._groups = groups
         self._voters_wanted = voters_wanted
+        self._replace_lost = replace_lost
+        self._leads_since_s: dict[int, float] = {}
         self._joiners: dict[str, JoinRequest] = {}
         self._asked_s: dict[str, float] = {}
 
@@ -73,19 +85,33 @@
                 del self._joiners[member_id]
         self._joiners[request.member_id] = request
         self._asked_s[request.member_id] = boottime_s()
+        if request.call_id == PASSED_ON:
+            return
+        self._pass_on(request)
         status = self._configuration().status()
         belongs = BELONGS if status.members else b""
         self._mesh.send(sender, CallReply(request.call_id, "", belongs))
 
     async def run(self) -> None:
         """Admit learners and promote them, while this process leads."""
+        looked_s = boottime_s()
         while True:
             await anyio.sleep(ADMIT_INTERVAL_S)
-            for replica in self._groups.replicas.values():
+            now_s = boottime_s()
+            if now_s - looked_s > PAUSED_S:
+                # Whoever was paused has heard nobody meanwhile.
+                self._leads_since_s.clear()
+            looked_s = now_s
+            for group, replica in self._groups.replicas.items():
                 if replica.status().role != "leader":
+                    self._leads_since_s.pop(group, None)
                     continue
+                since_s = self._leads_since_s.setdefault(group, now_s)
                 try:
-                    await self._admit_one(replica)
+                    if self._replace_lost:
+                        await self._repair_one(replica, since_s)
+                    else:
+                        await self._admit_one(replica)
                 except ConsensusError as error:
                     LOG.debug("not admitted", extra={"reason": str(error)})
 
@@ -101,7 +127,7 @@
         members = _member_ids(replica)
         if new_id not in members:
             await self._add_learner(replica, new_id)
-        if not _is_voter(replica, new_id):
+        if not is_voter(replica, new_id):
             await _promote_when_ready(replica, new_id)
         if old_id in members:
             await replica.remove(old_id)
@@ -128,6 +154,85 @@
         asked_s = self._asked_s[joiner.member_id]
         return boottime_s() - asked_s < JOINER_SILENCE_S
 
+    def _pass_on(self, request: JoinRequest) -> None:
+        """Tell the leaders: a newcomer knows them not, and few others.
+
+        The addresses that it was given may be old, and none the leader's.
+        """
+        for group in self._groups.replicas:
+            leader = self._groups.leader_address(group)
+            if leader and leader != self._mesh.address:
+                self._mesh.send(leader, request._replace(call_id=PASSED_ON))
+
+    async def _repair_one(self, replica: Replica, since_s: float) -> None:
+        members = replica.status().members
+        own_id = replica.member_id
+        seen = [
+            Seen(
+                member.member_id,
+                member.address,
+                0.0
+                if member.member_id == own_id
+                else self._silent_s(member, members, since_s),
+                member.voter,
+            )
+            for member in members
+        ]
+        asking = [
+            Seen(joiner.member_id, joiner.address, self._unasked_s(joiner))
+            for joiner in self._joiners.values()
+            if self._is_alive(joiner)
+        ]
+        step = next_step(own_id, seen, asking, self._voters_wanted)
+        if step is None:
+            return
+        if step.kind == "add":
+            await replica.add_learner(step.member_id, step.address)
+        elif step.kind == "promote":
+            await replica.promote(step.member_id)
+        else:
+            await replica.remove(step.member_id)
+        LOG.info(
+            "voters changed",
+            extra={"step": step.kind, "member": step.member_id},
+        )
+
+    def _silent_s(
+        self,
+        member: MemberStatus,
+        members: Sequence[MemberStatus],
+        since_s: float,
+    ) -> float:
+        """Return how long a member was silent, at most since we lead.
+
+        A follower answers nobody but the leader, so silence from before
+        tells nothing.
+        """
+        heard_s = max(
+            self._groups.heard_s(member.member_id),
+            self._asked_s.get(member.member_id, 0.0),
+            since_s,
+        )
+        silent_s = boottime_s() - heard_s
+        if self._shares_address(member, members):
+            return silent_s
+        # A log whose disk stalls is silent; its process is not lost.
+        return min(silent_s, self._mesh.unheard_s(member.address))
+
+    def _shares_address(
+        self, member: MemberStatus, members: Sequence[MemberStatus]
+    ) -> bool:
+        others: list[JoinRequest | MemberStatus] = [*members]
+        others += self._joiners.values()
+        return any(
+            other.address == member.address
+            and other.member_id != member.member_id
+            for other in others
+        )
+
+    def _unasked_s(self, joiner: JoinRequest) -> float:
+        return boottime_s() - self._asked_s[joiner.member_id]
+
     async def _admit_one(self, replica: Replica) -> None:
         members = replica.status().members
         voters = [member for member in members if member.voter]
@@ -146,44 +251,6 @@
                 return
 
 
-async def cluster_exists(
-    mesh: PeerMesh, groups: LogGroups, controls: Sequence[str], vm: str
-) -> bool:
-    """Tell whether any other control process belongs to a cluster."""
-    for address in controls:
-        call_id = mesh.next_call_id()
-        request = JoinRequest(call_id, groups.member_id, mesh.address, vm)
-        try:
-            reply = await mesh.call(address, call_id, request, JOIN_TIMEOUT_S)
-        except PeerTimeout:
-            continue
-        if reply.payload == BELONGS:
-            return True
-    return False
-
-
-async def ask_to_join(
-    mesh: PeerMesh,
-    groups: LogGroups,
-    controls: Sequence[str],
-    vm: str,
-) -> None:
-    """Ask all other control processes until this one is a member.
-
-    Every process is asked, as only the leader acts on it and a newcomer
-    cannot know who leads.
-    """
-    while not _is_member_everywhere(groups):
-        for address in controls:
-            call_id = mesh.next_call_id()
-            request = JoinRequest(call_id, groups.member_id, mesh.address, vm)
-            try:
-                await mesh.call(address, call_id, request, JOIN_TIMEOUT_S)
-            except PeerTimeout:
-                LOG.debug("no answer to join", extra={"peer": address})
-        await anyio.sleep(JOIN_INTERVAL_S)
-
-
 async def _promote_when_ready(replica: Replica, member_id: str) -> None:
     until_s = boottime_s() + CATCH_UP_S
     while True:
@@ -203,22 +270,8 @@
         await anyio.sleep(ADMIT_INTERVAL_S)
 
 
-def _is_member_everywhere(groups: LogGroups) -> bool:
-    return all(
-        _is_voter(replica, groups.member_id)
-        for replica in groups.replicas.values()
-    )
-
-
-def _is_voter(replica: Replica, member_id: str) -> bool:
-    return any(
-        member.member_id == member_id and member.voter
-        for member in replica.status().members
-    )
-
-
 def _member_ids(replica: Replica) -> set[str]:
     return {member.member_id for member in replica.status().members}
 
 
-__all__ = ["Admissions", "ask_to_join", "cluster_exists"]
+__all__ = ["Admissions"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -22,13 +22,13 @@
 from sycamorestand_control.groups import Group
 from sycamorestand_control.groups import LogGroups
 from sycamorestand_control.hub import EntryHub
+from sycamorestand_control.joining import ask_to_join
+from sycamorestand_control.joining import cluster_exists
 from sycamorestand_control.leader_spread import LeaderSpread
 from sycamorestand_control.lease_service import LeaseService
 from sycamorestand_control.ledger_reader import LedgerReader
 from sycamorestand_control.ledger_writer import LedgerWriter
 from sycamorestand_control.membership import Admissions
-from sycamorestand_control.membership import ask_to_join
-from sycamorestand_control.membership import cluster_exists
 from sycamorestand_control.metrics import ControlMetrics
 from sycamorestand_control.operator_api.app import make_operator_app
 from sycamorestand_control.operator_api.authentication import make_authenticate
@@ -126,7 +126,10 @@
             ),
         )
         self.admissions = Admissions(
-            self.mesh, self.groups, settings.voters_wanted
+            self.mesh,
+            self.groups,
+            settings.voters_wanted,
+            settings.replace_lost_voters,
         )
         self.spread = LeaderSpread(self.mesh, self.groups)
         self.writers = [
@@ -190,16 +193,16 @@
     async def _form_cluster(self) -> None:
         if self._settings.first_start:
             await self._create_cluster()
-            return
-        if not self._settings.control_addresses:
+        if not self._others():
             return
         assert self._tasks is not None
         self._tasks.start_soon(
             ask_to_join,
             self.mesh,
             self.groups,
-            self._settings.control_addresses,
+            self._others,
             self._settings.vm,
+            self._settings.replace_lost_voters,
         )
 
     async def _create_cluster(self) -> None:
--- a/packages/sycamorestand-control/src/sycamorestand_control/settings.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/settings.py
@@ -30,6 +30,7 @@
     first_start: bool = False
     first_operator_key_hash: str = ""
     voters_wanted: int = 3
+    replace_lost_voters: bool = False
     ledger_shards: int = 1
     weight_store_loads: int = 2
     weight_store_url: str = ""
--- a/packages/sycamorestand-control/tests/test_membership.py
+++ b/packages/sycamorestand-control/tests/test_membership.py
@@ -49,8 +49,13 @@
     def __init__(self, replica: FakeReplica) -> None:
         self.replicas = {0: replica}
 
+    def leader_address(self, group: int) -> str:
+        return FakeMesh.address
+
 
 class FakeMesh:
+    address = "leader:1"
+
     def send(self, address: str, message: Any) -> None: ...
 
 
--- /dev/null
+++ b/packages/sycamorestand-control/tests/test_voter_repair_wired.py
@@ -0,0 +1,186 @@
+"""Voters that replace themselves: logs, links and disks are the real ones."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+import socket
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+import pytest
+
+from sycamorestand_bench.addresses import free_address
+from sycamorestand_consensus.settings import ReplicaSettings
+from sycamorestand_control.groups import Group
+from sycamorestand_control.groups import LogGroups
+from sycamorestand_control.joining import ask_to_join
+from sycamorestand_control.membership import Admissions
+from sycamorestand_peer.mesh import PeerMesh
+from sycamorestand_peer.messages import JoinRequest
+from sycamorestand_peer.messages import ProposalForward
+from sycamorestand_peer.messages import ReplicaPayload
+
+pytestmark = pytest.mark.anyio
+LOGS = (0, 1)
+BOUND_S = 30
+PROPOSE_S = 10.0
+
+
+class Machine:
+    """Counts the commands that were applied."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def apply(self, index: int, command: bytes) -> int:
+        self.count += 1
+        return self.count
+
+    def snapshot(self) -> bytes:
+        return str(self.count).encode()
+
+    def restore(self, snapshot: bytes) -> None:
+        self.count = int(snapshot)
+
+
+class Voter:
+    """The parts of a control process that have to do with its logs."""
+
+    def __init__(self, folder: Path, address: str, known: list[str]) -> None:
+        self.mesh = PeerMesh(address, lambda: (b"k" * 32,), self._received)
+        table = {log: Group(Machine(), int) for log in LOGS}
+        self.groups = LogGroups(self.mesh, folder, ReplicaSettings(), table)
+        self.admissions = Admissions(self.mesh, self.groups, 3, True)
+        self._known = [each for each in known if each != address]
+        self._scope = anyio.CancelScope()
+
+    def start(self, tasks: TaskGroup) -> None:
+        tasks.start_soon(self._run)
+
+    def stop(self) -> None:
+        self._scope.cancel()
+
+    def voters(self, log: int) -> set[str]:
+        members = self.groups.replicas[log].status().members
+        return {member.member_id for member in members if member.voter}
+
+    async def _run(self) -> None:
+        with self._scope:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                await tasks.start(self.mesh.run)
+                tasks.start_soon(self.groups.run)
+                tasks.start_soon(self.admissions.run)
+                tasks.start_soon(
+                    ask_to_join,
+                    self.mesh,
+                    self.groups,
+                    lambda: self._known,
+                    "vm",
+                    True,
+                )
+
+    def _received(self, sender: str, message: Any) -> None:
+        if isinstance(message, ReplicaPayload):
+            self.groups.receive(sender, message)
+        elif isinstance(message, JoinRequest):
+            self.admissions.receive(sender, message)
+        elif isinstance(message, ProposalForward):
+            answer = self.groups.answer_forward
+            self._tasks.start_soon(answer, sender, message)
+
+
+async def _three(tasks: TaskGroup, folder: Path) -> list[Voter]:
+    addresses = [free_address() for _ in range(3)]
+    voters = []
+    for number, address in enumerate(addresses):
+        (folder / str(number)).mkdir()
+        voters.append(Voter(folder / str(number), address, addresses))
+        voters[-1].start(tasks)
+    first = voters[0]
+    own = [(first.groups.member_id, first.mesh.address)]
+    await first.groups.bootstrap_blank(own)
+    await _until_voting(voters)
+    return voters
+
+
+async def _until_voting(voters: list[Voter]) -> None:
+    """Wait until these three, and nobody else, vote in both logs."""
+    wanted = {voter.groups.member_id for voter in voters}
+    await _until(
+        lambda: all(
+            voter.voters(log) == wanted for voter in voters for log in LOGS
+        )
+    )
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    with anyio.fail_after(BOUND_S):
+        while not condition():
+            await anyio.sleep(0.02)
+
+
+def _is_free(address: str) -> bool:
+    """Tell whether the socket that listened there is closed for good."""
+    host, _, port = address.rpartition(":")
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, int(port)))
+        except OSError:
+            return False
+    return True
+
+
+class TestLostVoter:
+    async def test_its_disk_is_lost_and_then_another_voter(
+        self, tmp_path: Path
+    ) -> None:
+        """A voter comes back on an empty folder at its old address.
+
+        Nobody calls for its replacement. It votes in both logs soon, its
+        old id does not, and when another voter is lost right after that
+        commands are still committed, with all that was before.
+        """
+        async with anyio.create_task_group() as tasks:
+            voters = await _three(tasks, tmp_path)
+            for log in LOGS:
+                assert await voters[0].groups.propose(log, b"", PROPOSE_S) == 1
+            wiped = voters.pop(0)
+            wiped.stop()
+            await _until(lambda: _is_free(wiped.mesh.address))
+            (tmp_path / "new").mkdir()
+            known = [voter.mesh.address for voter in voters]
+            newcomer = Voter(tmp_path / "new", wiped.mesh.address, known)
+            newcomer.start(tasks)
+            await _until_voting([*voters, newcomer])
+            voters.pop().stop()
+            for log in LOGS:
+                assert await newcomer.groups.propose(log, b"", PROPOSE_S) == 2
+            tasks.cancel_scope.cancel()
+
+    async def test_it_was_only_away_and_comes_back(
+        self, tmp_path: Path
+    ) -> None:
+        """A voter is cut off for long while a spare asks, and is replaced.
+
+        Its own log does not tell it so. It asks again, waits as a spare,
+        and takes the place of the next voter that is lost.
+        """
+        async with anyio.create_task_group() as tasks:
+            voters = await _three(tasks, tmp_path)
+            known = [voter.mesh.address for voter in voters]
+            away = voters.pop(0)
+            away.stop()
+            (tmp_path / "spare").mkdir()
+            spare = Voter(tmp_path / "spare", free_address(), known)
+            spare.start(tasks)
+            await _until_voting([*voters, spare])
+            await _until(lambda: _is_free(away.mesh.address))
+            back = Voter(tmp_path / "0", away.mesh.address, known)
+            back.start(tasks)
+            voters.pop().stop()
+            await _until_voting([*voters, spare, back])
+            tasks.cancel_scope.cancel()
--- a/packages/sycamorestand/src/sycamorestand/process_settings.py
+++ b/packages/sycamorestand/src/sycamorestand/process_settings.py
@@ -113,6 +113,12 @@
         "3",
         "new control processes become voters up to this count",
     ),
+    Setting(
+        "replace_lost_voters",
+        flag,
+        "no",
+        "yes: a new control process takes a lost voter's place by itself",
+    ),
     Setting(
         "ledger_shards",
         whole(1, 64),
