--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
@@ -0,0 +1,259 @@
+"""An entry for routed requests, with scripted servers, on loopback."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from random import Random
+import re
+from typing import Final
+
+import anyio
+from anyio.abc import SocketStream
+from anyio.abc import TaskStatus
+
+from sycamorestand_bench.fakes.control_port import FakeControlPort
+from sycamorestand_bench.fakes.control_port import FakeLedger
+from sycamorestand_bench.fakes.declared import guild_configuration
+from sycamorestand_entry.routed.application import make_routed_application
+from sycamorestand_entry.routed.wire import RouteWire
+from sycamorestand_entry.server import RunningEntry
+from sycamorestand_entry.server import serve_entry
+from sycamorestand_entry.settings import EntrySettings
+from sycamorestand_model.backend_servers import Announcement
+from sycamorestand_model.in_force import InForce
+from sycamorestand_model.routes import Route
+from sycamorestand_model.routes import RouteTarget
+
+HOST: Final = "nest.example"
+WIRE: Final = RouteWire(
+    attempt=b"x-attempt",
+    deadline_ms=b"x-deadline-ms",
+    server=b"x-server",
+    customer=b"x-customer",
+    not_run=b"x-not-run",
+    stamp=b"x-stamp",
+    priority=b"x-priority",
+    session=b"x-session",
+    model=b"x-model",
+    any_model=b"*",
+    confidence=b"x-confidence",
+    prompt_parts=b"x-parts",
+    token_counts=b"x-tokens",
+    length_hint=b"x-hint",
+    last_event=b"last-event-id",
+    load=b"x-load",
+    own=frozenset({b"authorization", b"x-deadline-ms", b"x-server"}),
+)
+ROUTES: Final = (
+    Route(
+        "stock",
+        HOST,
+        "/stock/",
+        (RouteTarget("stock"),),
+        "idempotent",
+        1200,
+        150,
+        max_attempts=2,
+        public=True,
+    ),
+    Route(
+        "order",
+        HOST,
+        "/order/",
+        (RouteTarget("stock"),),
+        "once",
+        1200,
+        150,
+        max_attempts=1,
+        public=True,
+    ),
+    Route(
+        "review",
+        HOST,
+        "/review/",
+        (RouteTarget("stock"),),
+        "stream",
+        4000,
+        2000,
+        max_attempts=3,
+        public=True,
+        resumable=True,
+        gap_target_ms=300,
+    ),
+)
+SETTINGS: Final = EntrySettings(
+    vm="vm-1",
+    data_centre="marietta",
+    address_ttl_s=0.2,
+    address_spread_s=0.0,
+    keep_alive_s=20,
+    retry_share=1.0,
+)
+_LENGTH: Final = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
+_ATTEMPT: Final = re.compile(rb"x-attempt: (\S+)", re.IGNORECASE)
+
+Handler = Callable[[bytes, SocketStream], Awaitable[None]]
+
+
+class RoutedLoopback:
+    """The entry, its control port, and what its servers were sent."""
+
+    def __init__(self, control: FakeControlPort, group: anyio.abc.TaskGroup):
+        self.control = control
+        self.group = group
+        self.requests: list[tuple[str, bytes]] = []
+        self.entry: RunningEntry
+
+    async def add_server(self, name: str, handler: Handler) -> None:
+        """Serve a service by a handler that is called for each request.
+
+        A handler that raises `EndOfStream` closes the connection.
+        """
+
+        async def handle(stream: SocketStream) -> None:
+            async with stream:
+                while True:
+                    try:
+                        request = await _read_request(stream)
+                        self.requests.append((name, request))
+                        await handler(request, stream)
+                    except (anyio.EndOfStream, anyio.BrokenResourceError):
+                        return
+
+        address = await self.group.start(_serve, handle)
+        self.control.servers[name] = Announcement(
+            name, "service", address, "marietta", 1, 1, ("stock",)
+        )
+
+    async def connect(self) -> SocketStream:
+        """Return a connection as a caller makes it."""
+        return await anyio.connect_tcp(self.entry.host, self.entry.port)
+
+    async def ask(self, path: str, **headers: str) -> bytes:
+        """Return all bytes of the answer to one request."""
+        async with await self.connect() as stream:
+            await stream.send(request_bytes(path, **headers))
+            return await read_to_end(stream)
+
+
+def request_bytes(path: str, **headers: str) -> bytes:
+    """Return a request on a connection of its own."""
+    lines = [f"POST {path} HTTP/1.1", f"host: {HOST}", "connection: close"]
+    headers.setdefault("x_attempt", "a1")
+    headers.setdefault("content_length", "0")
+    for name, value in headers.items():
+        lines.append(f"{name.replace('_', '-')}: {value}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+async def read_to_end(stream: SocketStream) -> bytes:
+    """Return what comes until the connection ends."""
+    data = b""
+    with anyio.fail_after(10):
+        while True:
+            try:
+                data += await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return data
+
+
+def answer_bytes(request: bytes, body: bytes = b"ok") -> bytes:
+    """Return a server's whole success to this request."""
+    return answer_head(request, b"content-length: %d" % len(body)) + body
+
+
+def answer_head(request: bytes, *lines: bytes, status: int = 200) -> bytes:
+    """Return status and headers of a server's answer to this request."""
+    attempt = _ATTEMPT.search(request)
+    named = attempt.group(1) if attempt else b""
+    head = [b"HTTP/1.1 %d X" % status, b"x-attempt: " + named, b"x-stamp: s"]
+    return b"\r\n".join([*head, *lines]) + b"\r\n\r\n"
+
+
+def stream_head(request: bytes) -> bytes:
+    """Return status and headers of a stream of events in chunks."""
+    return answer_head(
+        request,
+        b"content-type: text/event-stream",
+        b"transfer-encoding: chunked",
+    )
+
+
+def event(number: int) -> bytes:
+    """Return an event in a chunk of its own."""
+    data = b"id: %d\ndata: d%d\n\n" % (number, number)
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+@asynccontextmanager
+async def start_routed(
+    settings: EntrySettings = SETTINGS,
+) -> AsyncIterator[RoutedLoopback]:
+    """Start an entry for routed requests without servers."""
+    configuration = routed_configuration()
+    control = FakeControlPort(configuration, FakeLedger())
+    async with anyio.create_task_group() as group:
+        loopback = RoutedLoopback(control, group)
+        loopback.entry = await group.start(
+            serve_entry,
+            settings,
+            control,
+            Random(1),
+            make_routed_application(WIRE),
+        )
+        yield loopback
+        group.cancel_scope.cancel()
+
+
+def routed_configuration() -> InForce:
+    """Return the guild's declarations with `ROUTES`."""
+    configuration = guild_configuration()
+    declarations = configuration.declarations._replace(
+        routes={route.name: route for route in ROUTES}
+    )
+    return configuration._replace(declarations=declarations)
+
+
+async def _serve(
+    handle: Callable[[SocketStream], Awaitable[None]],
+    *,
+    task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener:
+        task_status.started(f"127.0.0.1:{port}")
+        await listener.serve(handle)
+
+
+async def _read_request(stream: SocketStream) -> bytes:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += await stream.receive()
+    match = _LENGTH.search(data)
+    length = int(match.group(1)) if match else 0
+    end = data.index(b"\r\n\r\n") + 4 + length
+    while len(data) < end:
+        data += await stream.receive()
+    return data
+
+
+__all__ = [
+    "answer_bytes",
+    "answer_head",
+    "event",
+    "Handler",
+    "HOST",
+    "read_to_end",
+    "request_bytes",
+    "routed_configuration",
+    "RoutedLoopback",
+    "ROUTES",
+    "SETTINGS",
+    "start_routed",
+    "stream_head",
+    "WIRE",
+]
--- /dev/null
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
@@ -0,0 +1,76 @@
+"""How long to wait for a backend server that has not answered yet.
+
+What it answers: a few servers hang on a part of their requests while their
+health is good, in the middle of servers that are only slow because many
+requests wait there. Who gives up too late is late wherever a server
+hangs; who gives up too early takes a request out of a queue in which it
+would soon have had its turn, and puts it at the end of another: under
+load every request then costs a multiple, and none is answered in time.
+Both look alike from outside, but for one sign: a server that works its
+queue off answers nobody out of turn. So a request that later ones have
+overtaken is given up early, any other only when it is late already.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+# A call is given up for another server while two thirds of its time are
+# left, as the other one may be slow too; below a quarter of a second a
+# calm server's slowest hundredth would be asked twice.
+CALL_SHARE: Final = 1 / 3
+MIN_CALL_S: Final = 0.25
+# Half of the time in which an answer should begin leaves as much for the
+# other server, which has to read the whole prompt first.
+OVERTAKEN_SHARE: Final = 0.5
+MIN_EVENT_S: Final = 1.0
+# A pause beyond the target is late already, and a preempted run goes on by
+# itself; three times the target is longer than any calm server's pause.
+GAP_TARGETS: Final = 3.0
+MIN_GAP_S: Final = 2.0
+# Requests sent together are answered in any order.
+LATER_S: Final = 0.3
+MAX_SERVERS: Final = 1024
+
+
+def call_limit_s(left_s: float) -> float:
+    """Return how long to wait for a call's answer before asking again."""
+    return min(left_s, max(MIN_CALL_S, left_s * CALL_SHARE))
+
+
+def first_event_limits_s(aim_s: float) -> tuple[float, float]:
+    """Return after how long to give up, if overtaken and in any case."""
+    whole_s = max(MIN_EVENT_S, aim_s)
+    return max(MIN_EVENT_S, aim_s * OVERTAKEN_SHARE), whole_s
+
+
+def gap_limit_s(target_s: float) -> float:
+    """Return how long a pause between two events may become."""
+    return max(MIN_GAP_S, GAP_TARGETS * target_s)
+
+
+class Progress:
+    """Which servers have answered requests that were sent after others."""
+
+    def __init__(self) -> None:
+        self._latest_s: dict[str, float] = {}
+
+    def begun(self, server: str, sent_s: float) -> None:
+        """Note that the answer to a request of this time has begun."""
+        if len(self._latest_s) >= MAX_SERVERS:
+            self._latest_s.clear()
+        latest_s = self._latest_s.get(server, sent_s)
+        self._latest_s[server] = max(latest_s, sent_s)
+
+    def has_overtaken(self, server: str, sent_s: float) -> bool:
+        """Tell whether a request sent later has had its answer begin."""
+        latest_s = self._latest_s.get(server, sent_s)
+        return latest_s - sent_s > LATER_S
+
+
+__all__ = [
+    "call_limit_s",
+    "first_event_limits_s",
+    "gap_limit_s",
+    "Progress",
+]
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/retry.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/retry.py
@@ -37,9 +37,14 @@
 
 
 class RetryBudget:
-    """Retries that each customer, and all together, may still make."""
+    """Retries that each customer, and all together, may still make.
 
-    def __init__(self) -> None:
+    ``share`` is what each success earns. It may be larger than the default
+    where the owner of the backend servers grants more.
+    """
+
+    def __init__(self, share: float = RETRY_SHARE) -> None:
+        self._share = share
         self._fleet = _Savings(FLEET_SAVINGS, FLEET_TRICKLE_PER_S)
         self._customers: dict[str, _Savings] = {}
         self.granted = 0
@@ -60,8 +65,8 @@
 
     def succeeded(self, customer: str, now_s: float) -> None:
         """Earn a share of a retry with each success."""
-        self._own(customer).earn(RETRY_SHARE, now_s)
-        self._fleet.earn(RETRY_SHARE, now_s)
+        self._own(customer).earn(self._share, now_s)
+        self._fleet.earn(self._share, now_s)
 
     def _own(self, customer: str) -> _Savings:
         own = self._customers.get(customer)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorestand_decisions.cascade import CascadeLearner
+from sycamorestand_decisions.patience import Progress
 from sycamorestand_decisions.retry import RetryBudget
 from sycamorestand_entry.callers import Authenticator
 from sycamorestand_entry.metrics import Metrics
@@ -52,7 +53,8 @@
         self.random = random or Random()
         self.servers = Servers(control, self.random)
         self.slots = Slots(self.servers, self.metrics)
-        self.retries = RetryBudget()
+        self.retries = RetryBudget(settings.retry_share)
+        self.progress = Progress()
         self.cascade = CascadeLearner()
         control.listen_ratings(self.cascade.learn)
         self.pins: dict[tuple[str, str], str] = {}
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/http_protocol.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/http_protocol.py
@@ -37,6 +37,7 @@
 # uvicorn waits without end for the rest of a head; connections that
 # send half of one would use up the process's descriptors.
 HEAD_TIMEOUT_S: Final = 10.0
+ABORT_S: Final = 0.2
 
 
 class EntryProtocol(HttpToolsProtocol):
@@ -71,13 +72,23 @@
     def on_headers_complete(self) -> None:
         self._end_head()
         super().on_headers_complete()
+        if self.parser.should_upgrade():
+            # The parser takes what follows such a request for another
+            # protocol; a further request would never be answered.
+            self.cycle.keep_alive = False
         extensions: dict[str, Any] = {
             WRITE_NOW: _make_write_now(self.cycle),
             TARGET: self.url,
-            ABORT: self.cycle.transport.close,
+            ABORT: self._abort,
         }
         self.scope["extensions"] = extensions
 
+    def _abort(self) -> None:
+        transport = self.transport
+        transport.close()
+        # A caller that does not read would keep it open for good.
+        self.loop.call_later(ABORT_S, transport.abort)
+
     def _await_head(self) -> None:
         self._end_head()
         self._in_head = True
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -32,6 +32,7 @@
 from sycamorestand_entry.routed.call import ANONYMOUS
 from sycamorestand_entry.routed.call import passed_headers
 from sycamorestand_entry.routed.call import read_deadline_s
+from sycamorestand_entry.routed.call import read_values
 from sycamorestand_entry.routed.call import RoutedCall
 from sycamorestand_entry.routed.streams import StreamBroken
 from sycamorestand_entry.routed.streams import StreamRelay
@@ -55,6 +56,8 @@
 UNIT: Final = 2.0**32
 CALL_S: Final = 0.05
 STREAM_S: Final = 1.0
+# What still waits so long after its time is ended from outside.
+LATE_S: Final = 0.1
 
 Application = Callable[[Any, "Receive", "Send"], Awaitable[None]]
 
@@ -107,6 +110,9 @@
         failure: Exception | None = None
         gone = True
         async with anyio.create_task_group() as tasks:
+            # Whatever it waits for, also a caller that does not read.
+            until_s = call.remaining_s() + LATE_S
+            tasks.cancel_scope.deadline = anyio.current_time() + until_s
             tasks.start_soon(_watch_caller, receive, tasks.cancel_scope)
             try:
                 await self._run(call, responder)
@@ -117,8 +123,12 @@
             tasks.cancel_scope.cancel()
         if failure is not None:
             raise failure
-        if gone:
+        if gone and call.remaining_s() > 0:
             raise CallerGone
+        if gone and responder.started:
+            raise StreamBroken("its time is over")
+        if gone:
+            raise DeadlineExceeded("its time is over")
 
     async def _read(self, scope: Any, receive: Receive) -> RoutedCall:
         read_s = time.monotonic()
@@ -129,7 +139,7 @@
             )
         in_force = context.control.in_force()
         raw = scope["headers"]
-        values = dict(raw)
+        values = read_values(raw, self._wire)
         route = self._route(in_force, values, scope["raw_path"])
         customer, priority, weight = self._customer(in_force, route, values)
         deadline_at_s = read_deadline_s(values, self._wire, route, read_s)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -14,6 +14,7 @@
 from sycamorestand_entry.errors import BackendFailed
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import NoBackendServer
+from sycamorestand_entry.errors import NotAllowed
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.routed.exchange import Aim
 from sycamorestand_entry.routed.exchange import Exchange
@@ -21,11 +22,16 @@
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
+    from sycamorestand_entry.errors import Run
     from sycamorestand_entry.routed.call import RoutedCall
     from sycamorestand_entry.routed.wire import RouteWire
+    from sycamorestand_entry.upstream import UpstreamConnection
+    from sycamorestand_model.backend_servers import Announcement
 
 # A caller told to come back at once would meet the same state.
 RETRY_AFTER_S: Final = 0.5
+# The route itself has moved; whoever comes back at once meets the new one.
+MOVED_RETRY_S: Final = 0.1
 # Connections that could not be made count for no attempt, but a service
 # whose servers are all gone must not be dialled for the whole timeout.
 MAX_DIALS: Final = 4
@@ -47,6 +53,7 @@
         self.sent = 0
         self.may_have_run = False
         self._tried: set[str] = set()
+        self._sent_to: set[str] = set()
         self._dials = 0
 
     @property
@@ -81,31 +88,52 @@
         while True:
             server = self._choose(target, affinity_key)
             self._tried.add(server.name)
-            try:
-                connection = await self.context.pool.acquire(
-                    server.address, self._max_idle_s()
-                )
-            except ConnectFailed:
-                self._count_failed_dial(target, server.name)
+            connection = await self._connect(target, server)
+            if connection is None:
                 continue
             aim = Aim(target, server, model, last_event)
             exchange = Exchange(
                 self.context, self.wire, self.call, aim, connection
             )
-            exchange.send()
+            try:
+                exchange.send()
+            except NoBackendServer:
+                # It left while the connection was made.
+                self._count_dial()
+                continue
+            except NotAllowed as error:
+                # The request was allowed when it came. That its route or
+                # customer is gone is for the next request to hear.
+                raise NoBackendServer(error.message, MOVED_RETRY_S) from None
             self.sent += 1
+            self._sent_to.add(server.name)
             return exchange
 
+    def may_move(self, target: str) -> bool:
+        """Tell whether to leave a slow server for one not tried yet."""
+        candidates = self.context.servers.candidates(
+            target, self.context.now_s()
+        )
+        if all(server.name in self._tried for server in candidates):
+            return False
+        return self.may_go_on(overloaded=False)
+
+    def truthful(self, error: RequestError) -> RequestError:
+        """Return a refusal that claims no more than what is certain."""
+        if self.may_have_run:
+            return self.failure(error.message)
+        return error
+
     def failure(self, message: str) -> RequestError:
         """Return the final answer to a call that no server answered."""
-        run = "unknown" if self.may_have_run else "not_run"
+        run: Run = "unknown" if self.may_have_run else "not_run"
         if self.call.remaining_s() <= 0:
             return DeadlineExceeded(message, None, run)
         if self.may_have_run:
             return BackendFailed(message, None, run)
         return NoBackendServer(message, RETRY_AFTER_S)
 
-    def _choose(self, target: str, affinity_key: str):  # type: ignore[no-untyped-def]
+    def _choose(self, target: str, affinity_key: str) -> Announcement:
         return self.context.servers.choose(
             target,
             self.context.now_s(),
@@ -114,18 +142,33 @@
             self.sent > 0 and self.call.may_repeat,
         )
 
-    def _max_idle_s(self) -> float:
+    async def _connect(
+        self, target: str, server: Announcement
+    ) -> UpstreamConnection | None:
+        try:
+            return await self.context.pool.acquire(
+                server.address, self._max_idle_s(server.name)
+            )
+        except ConnectFailed:
+            now_s = self.context.now_s()
+            servers = self.context.servers
+            servers.started(target, server.name, now_s)
+            servers.finished(target, server.name, now_s, 0.0, "error")
+            self._count_dial()
+            return None
+
+    def _max_idle_s(self, name: str) -> float:
         if self.call.may_repeat and self.sent == 0:
             return self.context.settings.pool_idle_s
+        if name in self._sent_to:
+            # A late second answer to the first attempt there would bear
+            # the same name as the one that is waited for now.
+            return 0.0
         # What may not be repeated must not be lost on a connection that
         # went silent, and a repeat must not meet a second such one.
         return self.context.settings.silent_idle_s
 
-    def _count_failed_dial(self, target: str, name: str) -> None:
-        now_s = self.context.now_s()
-        servers = self.context.servers
-        servers.started(target, name, now_s)
-        servers.finished(target, name, now_s, 0.0, "error")
+    def _count_dial(self) -> None:
         self._dials += 1
         if self._dials >= MAX_DIALS or self.call.remaining_s() <= 0:
             raise self.failure("no backend server takes a connection")
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
@@ -8,28 +8,14 @@
 from typing import TYPE_CHECKING
 
 from sycamorestand_entry.errors import BadRequest
+from sycamorestand_entry.routed.headers import HOP_HEADERS
+from sycamorestand_entry.routed.headers import named_by_connection
+from sycamorestand_entry.routed.headers import RawHeaders
 
 if TYPE_CHECKING:
     from sycamorestand_entry.routed.wire import RouteWire
     from sycamorestand_model.routes import Route
 
-RawHeaders = list[tuple[bytes, bytes]]
-
-# Headers that concern one connection only (RFC 9110, 7.6.1), and those
-# that frame the body, which is sent anew.
-HOP_HEADERS: Final = frozenset(
-    {
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
 ANONYMOUS: Final = ""
 MAX_DEADLINE_DIGITS: Final = 9
 
@@ -86,31 +72,56 @@
 
     Without the key: a server, or whoever reads its logs, could call with
     it. Without what only the system may set: a caller could name itself
-    another customer.
+    another customer. What the request means stays even if ``Connection``
+    names it: without its attempt or model it would be another request.
     """
-    named = _named_by_connection(raw)
+    dropped = named_by_connection(raw) - _lasting(wire)
     return [
         (name, value)
         for name, value in raw
         if name not in HOP_HEADERS
         and name not in wire.own
-        and name not in named
+        and name not in dropped
     ]
 
 
-def _named_by_connection(raw: RawHeaders) -> set[bytes]:
-    named: set[bytes] = set()
+def read_values(raw: RawHeaders, wire: RouteWire) -> dict[bytes, bytes]:
+    """Return the headers by name, refusing contradictions.
+
+    Two values for what decides about a request would let the entry judge
+    by the one and the server by the other.
+    """
+    values: dict[bytes, bytes] = {}
+    single = _lasting(wire) | {b"authorization"}
     for name, value in raw:
-        if name == b"connection":
-            named.update(part.strip().lower() for part in value.split(b","))
-    return named
+        if name in single and values.get(name, value) != value:
+            raise BadRequest(f"header {name.decode('latin-1')} came twice")
+        values[name] = value
+    return values
+
+
+def _lasting(wire: RouteWire) -> frozenset[bytes]:
+    return frozenset(
+        {
+            b"host",
+            b"content-type",
+            wire.attempt,
+            wire.deadline_ms,
+            wire.session,
+            wire.model,
+            wire.prompt_parts,
+            wire.token_counts,
+            wire.length_hint,
+            wire.last_event,
+        }
+    )
 
 
 __all__ = [
     "ANONYMOUS",
-    "HOP_HEADERS",
     "passed_headers",
     "RawHeaders",
     "read_deadline_s",
+    "read_values",
     "RoutedCall",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -7,9 +7,13 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.gate import may_dispatch_routed
 from sycamorestand_entry.gate import RoutedIntent
-from sycamorestand_entry.upstream import BrokenConnection
+from sycamorestand_entry.routed.headers import ANSWER_HOP_HEADERS
+from sycamorestand_entry.routed.headers import BODILESS_METHODS
+from sycamorestand_entry.routed.headers import named_by_connection
+from sycamorestand_entry.upstream import Echo
 from sycamorestand_entry.upstream import MalformedAnswer
 from sycamorestand_entry.upstream import SilentConnection
 from sycamorestand_entry.upstream import UpstreamError
@@ -17,6 +21,7 @@
 if TYPE_CHECKING:
     from sycamorestand_decisions.selection import Outcome
     from sycamorestand_entry.context import EntryContext
+    from sycamorestand_entry.errors import RequestError
     from sycamorestand_entry.routed.call import RawHeaders
     from sycamorestand_entry.routed.call import RoutedCall
     from sycamorestand_entry.routed.wire import RouteWire
@@ -25,7 +30,12 @@
     from sycamorestand_model.backend_servers import Announcement
 
 WRONG_SERVER: Final = 421
-RETRY_STATUSES: Final = frozenset({500, 502, 503, 504})
+RETRY_STATUSES: Final = frozenset({500, 502, 504})
+# These promise that a request has not run and never will. A server that
+# gives one without saying that it did not run the request may have run it.
+PROMISES: Final = frozenset({408, 421, 429, 503})
+IDENTITY: Final = b"identity"
+BODILESS_STATUSES: Final = frozenset({204, 304})
 
 
 class Aim(NamedTuple):
@@ -51,10 +61,7 @@
 
 
 class Exchange:
-    """An attempt from its first byte to its end; `close` ends it.
-
-    ``sent`` tells that bytes of the request may have reached the server.
-    """
+    """An attempt from its first byte to its end; `close` ends it."""
 
     def __init__(
         self,
@@ -78,10 +85,7 @@
 
         Raises the gate's `RequestError` before any byte is written.
         """
-        intent = RoutedIntent(
-            self._call.route, self._call.customer, self.aim.server.name
-        )
-        refusal = may_dispatch_routed(self._context.control, intent)
+        refusal = self._refusal()
         if refusal is not None:
             self._closed = True
             self._context.pool.release(
@@ -97,26 +101,52 @@
         )
         self._context.metrics.dispatches.inc({"version": self.aim.target})
         request = encode_request(self._wire, self._call, self.aim)
-        self.connection.send(request, self._call.method == b"HEAD")
+        self.connection.send(
+            request,
+            self._call.method == b"HEAD",
+            Echo(self._wire.attempt, self._call.attempt),
+        )
 
-    async def read_head(self, limit_s: float) -> ResponseHead:
-        """Return the answer's head; raises `UpstreamError`."""
+    def _refusal(self) -> RequestError | None:
+        if self._call.remaining_s() <= 0:
+            return DeadlineExceeded("its time is over", None, "not_run")
+        intent = RoutedIntent(
+            self._call.route, self._call.customer, self.aim.server.name
+        )
+        return may_dispatch_routed(self._context.control, intent)
+
+    async def read_head(
+        self, limit_s: float, soft: bool = False
+    ) -> ResponseHead:
+        """Return the answer's head; raises `UpstreamError`.
+
+        With ``soft`` the end of the limit raises `SlowAnswer`.
+        """
         try:
-            head = await self.connection.read_head(limit_s)
+            head = await self.connection.read_head(limit_s, soft)
         except SilentConnection:
             self._outcome = "timeout"
             raise
         except UpstreamError:
             self._outcome = "error"
             raise
-        echoed = head.headers.get(self._wire.attempt)
-        if echoed is not None and echoed != self._call.attempt:
-            # A second answer to an earlier request on this connection.
+        fault = foreign(head, self._wire, self._call)
+        if fault:
             self.connection.close()
             self._outcome = "error"
-            raise MalformedAnswer("the answer is to another request")
+            raise MalformedAnswer(fault)
         return head
 
+    def is_overtaken(self) -> bool:
+        """Tell whether requests sent there later have been answered."""
+        return self._context.progress.has_overtaken(
+            self.aim.server.name, self._begin_s
+        )
+
+    def given_up(self) -> None:
+        """Note that the server was too slow; `close` cancels it."""
+        self._outcome = "timeout"
+
     async def read_whole(self, head: ResponseHead) -> WholeAnswer:
         """Return the whole answer; raises `UpstreamError`."""
         parts: list[bytes] = []
@@ -137,8 +167,12 @@
         not_run = says_not_run(head, self._wire)
         self.ended(head.status, not_run)
         body = b"".join(parts)
+        bodiless = (
+            self._call.method == b"HEAD" or head.status in BODILESS_STATUSES
+        )
+        length = None if bodiless else len(body)
         return WholeAnswer(
-            head.status, answer_headers(head, len(body)), body, not_run
+            head.status, answer_headers(head, length), body, not_run
         )
 
     def ended(self, status: int, not_run: bool) -> None:
@@ -156,6 +190,7 @@
     def first_byte(self) -> None:
         """Note that the answer has begun."""
         now_s = time.monotonic()
+        self._context.progress.begun(self.aim.server.name, self._begin_s)
         self._context.servers.first_byte(
             self.aim.target,
             self.aim.server.name,
@@ -184,12 +219,36 @@
     return head.status == WRONG_SERVER or wire.not_run in head.headers
 
 
+def foreign(head: ResponseHead, wire: RouteWire, call: RoutedCall) -> str:
+    """Return why an answer cannot be the server's own to this call.
+
+    A success counts with the server's stamp only, and without an encoding
+    that nobody asked for. One that names no request may be a late one to
+    an earlier request on the connection.
+    """
+    coding = head.headers.get(b"content-encoding", IDENTITY)
+    if coding.lower() != IDENTITY:
+        return "its body is encoded"
+    if not 200 <= head.status < 300:
+        return ""
+    if wire.stamp not in head.headers:
+        return "its success has no signature"
+    if call.attempt and wire.attempt not in head.headers:
+        return "its success names no request"
+    return ""
+
+
 def answer_headers(head: ResponseHead, length: int | None) -> RawHeaders:
-    """Return a server's headers as they are passed on to the caller."""
+    """Return a server's headers as they are passed on to the caller.
+
+    Without a ``length`` the server's own is kept where the answer has no
+    body, as with ``HEAD``; a stream has none.
+    """
+    named = named_by_connection(list(head.headers.items()))
     headers = [
         (name, value)
         for name, value in head.headers.items()
-        if name not in ANSWER_HOP_HEADERS
+        if name not in ANSWER_HOP_HEADERS and name not in named
     ]
     if length is not None:
         headers.append((b"content-length", b"%d" % length))
@@ -220,26 +279,13 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
 
 
-BODILESS_METHODS: Final = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
-ANSWER_HOP_HEADERS: Final = frozenset(
-    {
-        b"connection",
-        b"content-length",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-
 __all__ = [
     "Aim",
     "answer_headers",
-    "BrokenConnection",
     "encode_request",
     "Exchange",
+    "foreign",
+    "PROMISES",
     "RETRY_STATUSES",
     "says_not_run",
     "WholeAnswer",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -7,18 +7,22 @@
 
 from __future__ import annotations
 
-import re
 import time
 from typing import Final
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.patience import first_event_limits_s
+from sycamorestand_decisions.patience import gap_limit_s
 from sycamorestand_decisions.size_ladder import first_size
 from sycamorestand_decisions.size_ladder import next_size
 from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.routed.event_order import EventOrder
 from sycamorestand_entry.routed.exchange import answer_headers
+from sycamorestand_entry.routed.exchange import PROMISES
 from sycamorestand_entry.routed.exchange import RETRY_STATUSES
 from sycamorestand_entry.routed.exchange import WholeAnswer
 from sycamorestand_entry.upstream import MalformedAnswer
+from sycamorestand_entry.upstream import SlowAnswer
 from sycamorestand_entry.upstream import UpstreamError
 
 if TYPE_CHECKING:
@@ -29,9 +33,11 @@
 
 END_OF_EVENT: Final = b"\n\n"
 EVENT_STREAM: Final = b"text/event-stream"
-_EVENT_ID: Final = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
 # A whole stream that comes without an event's end would fill the memory.
 MAX_EVENT_BYTES: Final = 1024 * 1024
+# A server that is left for another costs a retry. Where none may be had now
+# it is asked for again so much later.
+ASK_AGAIN_S: Final = 0.5
 
 
 class StreamBroken(Exception):
@@ -60,7 +66,10 @@
         self._affinity_key = affinity_key
         self._sizes = attempts.call.route.sizes
         self._size = first_size(self._sizes)
-        self._last_event = b""
+        call = attempts.call
+        self._order = EventOrder(
+            call.values.get(attempts.wire.last_event, b"")
+        )
         self._rest = b""
         self.first_event_s = 0.0
 
@@ -77,7 +86,7 @@
                     target,
                     self._affinity_key,
                     self._model(),
-                    self._last_event,
+                    self._order.last,
                 )
             except RequestError as error:
                 raise self._final(error) from None
@@ -87,39 +96,37 @@
                 self._attempts.may_have_run = True
                 self._size = climbs.size
                 continue
+            except SlowAnswer:
+                self._attempts.may_have_run = True
+                self._rest = b""
+                continue
             except UpstreamError as error:
                 exchange.failed(error)
                 self._attempts.may_have_run = True
                 self._rest = b""
-                if not self._may_resume():
+                if not self._may_resume(overloaded=False):
                     raise self._broken(str(error)) from None
                 continue
             finally:
+                # Before the next server is asked: the run before it must
+                # not go on beside the new one.
                 exchange.close()
-            if answer is None or self._responder.started:
+            if answer is None:
                 return None
             if not self._try_another(answer):
-                return answer
+                return self._last_answer(answer)
 
     async def _relay(self, exchange: Exchange) -> WholeAnswer | None:
-        call = self._attempts.call
-        head = await exchange.read_head(self._first_limit_s())
+        head = await self._read_head(exchange)
         kind = head.headers.get(b"content-type", b"")
         if head.status != 200 or not kind.startswith(EVENT_STREAM):
-            answer = await exchange.read_whole(head)
-            if self._responder.started:
-                raise MalformedAnswer("it did not go on with the stream")
-            return answer
+            return await exchange.read_whole(head)
         self._judge(head)
         first = True
-        limit_s = self._first_limit_s()
-        while data := await exchange.connection.read_body(
-            min(limit_s, max(0.0, call.remaining_s()))
-        ):
+        while data := await self._read_part(exchange):
             if first:
                 exchange.first_byte()
                 first = False
-                limit_s = self._gap_limit_s()
             await self._pass_on(head, data)
         if self._rest:
             raise MalformedAnswer("it ended in the middle of an event")
@@ -129,6 +136,41 @@
         await self._responder.finish()
         return None
 
+    async def _read_head(self, exchange: Exchange) -> ResponseHead:
+        call = self._attempts.call
+        aim_s = call.route.target_latency_ms / 1000
+        wait_s, whole_s = first_event_limits_s(aim_s)
+        waited_s = 0.0
+        while call.may_repeat and call.remaining_s() > 0:
+            limit_s = min(wait_s, call.remaining_s())
+            try:
+                return await exchange.read_head(limit_s, soft=True)
+            except SlowAnswer:
+                waited_s += limit_s
+                if waited_s >= whole_s or exchange.is_overtaken():
+                    self._move_on(exchange)
+            wait_s = ASK_AGAIN_S
+        return await exchange.read_head(max(0.0, call.remaining_s()))
+
+    async def _read_part(self, exchange: Exchange) -> bytes:
+        call = self._attempts.call
+        limit_s = gap_limit_s(call.route.gap_target_ms / 1000)
+        while call.may_repeat and call.remaining_s() > limit_s:
+            try:
+                return await exchange.connection.read_body(limit_s, soft=True)
+            except SlowAnswer:
+                self._move_on(exchange)
+        return await exchange.connection.read_body(
+            max(0.0, call.remaining_s())
+        )
+
+    def _move_on(self, exchange: Exchange) -> None:
+        """Raise `SlowAnswer` where another server may be asked."""
+        resumable = self._order.last or not self._responder.started
+        if resumable and self._attempts.may_move(exchange.aim.target):
+            exchange.given_up()
+            raise SlowAnswer("another server is asked")
+
     def _model(self) -> bytes:
         return self._sizes[self._size].encode() if self._sizes else b""
 
@@ -156,9 +198,7 @@
         end += len(END_OF_EVENT)
         self._rest = data[end:]
         events = data[:end] if self._rest else data
-        ids = _EVENT_ID.findall(events)
-        if ids:
-            self._last_event = ids[-1]
+        self._order.take(events)
         if not self._responder.started:
             await self._start(head)
         write_now = self._responder.write_now
@@ -169,18 +209,27 @@
         self.first_event_s = time.monotonic()
         await self._responder.start(head.status, answer_headers(head, None))
 
-    def _may_resume(self) -> bool:
-        if self._responder.started and not self._last_event:
+    def _may_resume(self, overloaded: bool) -> bool:
+        if self._responder.started and not self._order.last:
             return False
-        return self._attempts.may_go_on(overloaded=False)
+        return self._attempts.may_go_on(overloaded)
 
     def _try_another(self, answer: WholeAnswer) -> bool:
         if answer.not_run:
-            return self._attempts.may_go_on(overloaded=True)
-        if answer.status not in RETRY_STATUSES:
+            return self._may_resume(overloaded=True)
+        faulty = answer.status in RETRY_STATUSES | PROMISES
+        if not faulty and not self._responder.started:
             return False
         self._attempts.may_have_run = True
-        return self._attempts.may_go_on(overloaded=False)
+        return self._may_resume(overloaded=False)
+
+    def _last_answer(self, answer: WholeAnswer) -> WholeAnswer:
+        """Return the answer in place of a stream, or raise a refusal."""
+        if self._responder.started:
+            raise StreamBroken("no server goes on with the stream")
+        if answer.not_run or answer.status in PROMISES:
+            raise self._attempts.failure("every backend server is full")
+        return answer
 
     def _broken(self, message: str) -> Exception:
         if self._responder.started:
@@ -190,28 +239,7 @@
     def _final(self, error: RequestError) -> Exception:
         if self._responder.started:
             return StreamBroken(error.message)
-        if self._attempts.may_have_run:
-            return self._attempts.failure(error.message)
-        return error
-
-    def _first_limit_s(self) -> float:
-        """Return how long to wait for the first event.
-
-        A server that hangs is given up while another can still be in
-        time; the last one that may be tried is waited for to the end.
-        """
-        call = self._attempts.call
-        left_s = max(0.0, call.remaining_s())
-        aim_s = call.route.target_latency_ms / 1000
-        if call.may_repeat and self._attempts.left:
-            return min(left_s, max(1.0, aim_s * 0.6))
-        return left_s
-
-    def _gap_limit_s(self) -> float:
-        route = self._attempts.call.route
-        if not route.resumable or not self._attempts.left:
-            return max(0.0, self._attempts.call.remaining_s())
-        return max(1.0, 2.0 * route.gap_target_ms / 1000)
+        return self._attempts.truthful(error)
 
 
 __all__ = ["StreamBroken", "StreamRelay"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole.py
@@ -8,19 +8,22 @@
 
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.patience import call_limit_s
 from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.routed.exchange import PROMISES
 from sycamorestand_entry.routed.exchange import RETRY_STATUSES
+from sycamorestand_entry.upstream import SlowAnswer
 from sycamorestand_entry.upstream import UpstreamError
 
 if TYPE_CHECKING:
     from sycamorestand_entry.routed.attempts import Attempts
     from sycamorestand_entry.routed.exchange import Exchange
     from sycamorestand_entry.routed.exchange import WholeAnswer
+    from sycamorestand_entry.upstream import ResponseHead
 
 
 async def whole_answer(attempts: Attempts, target: str) -> WholeAnswer:
     """Return a server's whole answer, or raise the final refusal."""
-    failure: RequestError | None = None
     kept: WholeAnswer | None = None
     while True:
         try:
@@ -28,29 +31,39 @@
         except RequestError as error:
             if kept is not None:
                 return kept
-            raise _worse(failure, error, attempts) from None
-        answer = await _read(attempts, exchange)
-        if answer is None:
+            raise attempts.truthful(error) from None
+        try:
+            answer = await _read(attempts, exchange)
+        except SlowAnswer:
             attempts.may_have_run = True
-            if attempts.may_go_on(overloaded=False):
-                continue
-            raise attempts.failure("the backend server gave no whole answer")
-        if answer.not_run:
-            if attempts.may_go_on(overloaded=True):
-                failure = attempts.failure("every backend server is full")
-                continue
-            raise attempts.failure("every backend server is full")
-        if answer.status not in RETRY_STATUSES:
-            return answer
-        attempts.may_have_run = True
-        kept = answer
-        if not attempts.may_go_on(overloaded=False):
+            continue
+        if answer is not None and answer.not_run:
+            message = "every backend server is full"
+            again = attempts.may_go_on(overloaded=True)
+        elif answer is None or answer.status in PROMISES:
+            attempts.may_have_run = True
+            message = "the backend server gave no whole answer"
+            again = attempts.may_go_on(overloaded=False)
+        elif answer.status in RETRY_STATUSES:
+            attempts.may_have_run = True
+            kept = answer
+            again = attempts.may_go_on(overloaded=False)
+        else:
             return answer
+        if again:
+            continue
+        if kept is not None:
+            return kept
+        raise attempts.failure(message)
 
 
 async def _read(attempts: Attempts, exchange: Exchange) -> WholeAnswer | None:
+    """Return the answer, None where it broke off.
+
+    Raises `SlowAnswer` where another server is to be asked instead.
+    """
     try:
-        head = await exchange.read_head(_limit_s(attempts))
+        head = await _read_head(attempts, exchange)
         exchange.first_byte()
         return await exchange.read_whole(head)
     except UpstreamError:
@@ -59,24 +72,18 @@
         exchange.close()
 
 
-def _limit_s(attempts: Attempts) -> float:
-    """Return how long to wait for an answer to begin.
-
-    What may be repeated elsewhere is given up early enough that a second
-    attempt can still be in time; what may not is waited for to the end.
-    """
-    left_s = max(0.0, attempts.call.remaining_s())
-    if attempts.call.may_repeat and attempts.left:
-        return min(left_s, max(0.25, left_s / 3))
-    return left_s
-
-
-def _worse(
-    failure: RequestError | None, error: RequestError, attempts: Attempts
-) -> RequestError:
-    if attempts.may_have_run:
-        return attempts.failure(error.message)
-    return failure or error
+async def _read_head(attempts: Attempts, exchange: Exchange) -> ResponseHead:
+    call = attempts.call
+    left_s = max(0.0, call.remaining_s())
+    if call.may_repeat and attempts.left:
+        try:
+            return await exchange.read_head(call_limit_s(left_s), soft=True)
+        except SlowAnswer:
+            # Only where somebody is there to ask: this one may yet answer.
+            if attempts.may_move(exchange.aim.target):
+                exchange.given_up()
+                raise
+    return await exchange.read_head(max(0.0, call.remaining_s()))
 
 
 __all__ = ["whole_answer"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -90,6 +90,9 @@
         context = EntryContext(settings, control, background, random)
         entry = RunningEntry(context, host, port)
         server = _Server(_uvicorn_config(context, make(context)))
+        if settings.stop_limit_s:
+            left_s = settings.stop_limit_s - accepting_s(settings)
+            server.stop_limit_s = max(TICK_S, left_s)
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(context.slots.keep_ticking)
@@ -107,6 +110,9 @@
 
 
 class _Server(uvicorn.Server):
+    # How long shutting down may take, zero for as long as it needs.
+    stop_limit_s = 0.0
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         # Signals belong to the process that runs the entry; it turns
@@ -121,14 +127,32 @@
         # left to their keep-alive timer instead, while no new ones come.
         for listener in self.servers:
             listener.close()
+        if self.stop_limit_s:
+            await self._end_by(self.stop_limit_s)
         grace_s = self.config.timeout_keep_alive + TICK_S
         with anyio.move_on_after(grace_s):
             while self.server_state.connections:
                 await anyio.sleep(TICK_S)
         await super().shutdown(sockets)
 
+    async def _end_by(self, limit_s: float) -> None:
+        """Wait for what runs, no longer than the process may live.
+
+        The keep-alive timers may run far beyond that. Callers have been
+        told of the end with each answer and have a new address by now, so
+        what is idle is closed; one that was about to use it sees a close
+        without an answer to a request that nobody has read.
+        """
+        with anyio.move_on_after(limit_s):
+            while connections := list(self.server_state.connections):
+                for connection in connections:
+                    connection.shutdown()
+                await anyio.sleep(TICK_S)
+        for connection in list(self.server_state.connections):
+            connection.transport.abort()
+
 
-async def _stop_later(entry: RunningEntry, server: uvicorn.Server) -> None:
+async def _stop_later(entry: RunningEntry, server: _Server) -> None:
     await entry.wait_for_stop()
     server.should_exit = True
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -10,13 +10,22 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 from typing import cast
 from typing import Final
-from typing import NamedTuple
 
 import httptools
 
-from sycamorestand_model.errors import SycamorestandError
+from sycamorestand_entry.upstream_answer import BrokenConnection
+from sycamorestand_entry.upstream_answer import ConnectFailed
+from sycamorestand_entry.upstream_answer import Echo
+from sycamorestand_entry.upstream_answer import is_framed
+from sycamorestand_entry.upstream_answer import kept_open_s
+from sycamorestand_entry.upstream_answer import MalformedAnswer
+from sycamorestand_entry.upstream_answer import ResponseHead
+from sycamorestand_entry.upstream_answer import SilentConnection
+from sycamorestand_entry.upstream_answer import SlowAnswer
+from sycamorestand_entry.upstream_answer import UpstreamError
 
 Sink = Callable[[bytes], bool]
 
@@ -26,39 +35,13 @@
 MAX_HEAD_BYTES: Final = 64 * 1024
 
 
-class UpstreamError(SycamorestandError):
-    """The connection or the answer on it cannot be used any more."""
-
-
-class ConnectFailed(UpstreamError):
-    """No connection came about, so no byte was sent."""
-
-
-class SilentConnection(UpstreamError):
-    """No byte came within the time that was allowed."""
-
-
-class BrokenConnection(UpstreamError):
-    """The connection ended before the answer did."""
-
-
-class MalformedAnswer(UpstreamError):
-    """The bytes received are no HTTP answer."""
-
-
-class ResponseHead(NamedTuple):
-    """Status and headers of an answer; header names are lower case."""
-
-    status: int
-    headers: dict[bytes, bytes]
-
-
 class UpstreamConnection(asyncio.Protocol):
     """One connection, which carries one request at a time."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.reusable = False
         self.idle_since_s = 0.0
+        self.kept_open_s = math.inf
         self._loop = loop
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -71,6 +54,10 @@
         self._complete = False
         self._bodiless = False
         self._surplus = False
+        self._echo: Echo | None = None
+        self._stray = False
+        self._ended = False
+        self._soft = False
         self._error: UpstreamError | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -82,16 +69,29 @@
     @property
     def usable(self) -> bool:
         """Tell whether another request may be sent on this connection."""
-        return self.reusable and self._error is None and not self._paused
+        if not self.reusable or self._error is not None or self._paused:
+            return False
+        # A server that answers before it has read a long body reads on
+        # later; the next request must not wait behind the rest of it.
+        transport = self._transport
+        return transport is not None and not transport.get_write_buffer_size()
 
-    def send(self, request: bytes, bodiless: bool = False) -> None:
+    def send(
+        self,
+        request: bytes,
+        bodiless: bool = False,
+        echo: Echo | None = None,
+    ) -> None:
         """Write a whole request; from here on it may have run.
 
         ``bodiless`` tells that the answer has no body whatever its
-        headers say, as it is with ``HEAD``.
+        headers say, as it is with ``HEAD``. Answers whose ``echo`` names
+        another request are skipped.
         """
         assert self._transport is not None
         self._bodiless = bodiless
+        self._echo = echo
+        self._stray = False
         self._headers = {}
         self._head = None
         self._head_bytes = 0
@@ -103,12 +103,18 @@
         self._body_bytes = 0
         self._transport.write(request)
 
-    async def read_head(self, limit_s: float) -> ResponseHead:
-        """Wait for the answer's status and headers."""
+    async def read_head(
+        self, limit_s: float, soft: bool = False
+    ) -> ResponseHead:
+        """Wait for the answer's status and headers.
+
+        With ``soft`` the end of the limit raises `SlowAnswer` and gives
+        nothing up: one may go on to wait.
+        """
         while self._head is None:
             if self._error is not None:
                 raise self._error
-            await self._wait(limit_s)
+            await self._wait(limit_s, soft=soft)
         return self._head
 
     async def read_body(
@@ -116,13 +122,15 @@
         limit_s: float,
         total_s: float = 0.0,
         sink: Sink | None = None,
+        soft: bool = False,
     ) -> bytes:
         """Return all bytes that are there, at the answer's end none.
 
         While this waits, ``sink`` gets each read as it comes and tells
         whether it took it. The waiting task is woken only for what the
         sink did not take; a wake-up costs more than the rest of a token.
-        ``limit_s`` bounds the silence, ``total_s`` the whole wait.
+        ``limit_s`` bounds the silence, ``total_s`` the whole wait;
+        ``soft`` is as with `read_head`.
         """
         while not self._body:
             if self._complete:
@@ -130,7 +138,7 @@
             if self._error is not None:
                 raise self._error
             self._sink = sink
-            await self._wait(limit_s, total_s)
+            await self._wait(limit_s, total_s, soft)
         body = self._body
         data = body[0] if len(body) == 1 else b"".join(body)
         body.clear()
@@ -161,7 +169,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(MalformedAnswer("its answer is no HTTP"))
             return
-        if self._head is None:
+        if self._head is None and not self._stray:
             # Counted after parsing: one read may hold a head and a part
             # of the body that is larger than the limit.
             self._head_bytes += len(data)
@@ -173,10 +181,14 @@
             self._wake()
 
     def eof_received(self) -> bool:
+        self._ended = True
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if not self._complete and self._ends_at_eof():
+        # A reset, or our own end of the connection, comes without the
+        # server's: what was cut by it must not pass for a whole answer.
+        whole = self._ended and exc is None and self._ends_at_eof()
+        if whole and self._error is None:
             self._complete = True
         self._fail(BrokenConnection("it closed the connection"))
 
@@ -191,13 +203,20 @@
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
-        if status >= 200 and not self._surplus:
+        echo = self._echo
+        if status < 200 or self._surplus:
+            pass
+        elif echo is not None and echo.names_another(self._headers):
+            # A late second answer to an earlier request. To close the
+            # connection for it would lose a request that has just run.
+            self._stray = True
+        else:
             self._head = ResponseHead(status, self._headers)
             self._complete = self._bodiless
         self._headers = {}
 
     def on_body(self, body: bytes) -> None:
-        if self._surplus:
+        if self._surplus or self._stray:
             return
         self._body.append(body)
         self._body_bytes += len(body)
@@ -207,9 +226,13 @@
             self._transport.pause_reading()
 
     def on_message_complete(self) -> None:
+        if self._stray:
+            self._stray = False
+            return
         if self._head is None or self._surplus:
             return
         self._complete = True
+        self.kept_open_s = kept_open_s(self._head.headers)
         self.reusable = self._parser.should_keep_alive()
 
     def _forward(self) -> bool:
@@ -229,13 +252,7 @@
         return True
 
     def _ends_at_eof(self) -> bool:
-        if self._head is None:
-            return False
-        headers = self._head.headers
-        framed = (
-            b"content-length" in headers or b"transfer-encoding" in headers
-        )
-        return not framed
+        return self._head is not None and not is_framed(self._head.headers)
 
     def _resume(self) -> None:
         self._paused = False
@@ -255,11 +272,14 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
-    async def _wait(self, limit_s: float, total_s: float = 0.0) -> None:
+    async def _wait(
+        self, limit_s: float, total_s: float = 0.0, soft: bool = False
+    ) -> None:
         now_s = self._loop.time()
         self._limit_s = limit_s
         self._total_until_s = now_s + max(limit_s, total_s)
         self._give_up_at_s = now_s + limit_s
+        self._soft = soft
         self._set_timer()
         self._waiter = self._loop.create_future()
         try:
@@ -284,6 +304,10 @@
         if self._waiter is None:
             return
         if self._loop.time() >= self._give_up_at_s:
+            if self._soft:
+                if not self._waiter.done():
+                    self._waiter.set_exception(SlowAnswer("no byte yet"))
+                return
             self._fail(SilentConnection("it sent nothing for too long"))
             return
         self._timer = self._loop.call_at(
@@ -294,10 +318,12 @@
 __all__ = [
     "BrokenConnection",
     "ConnectFailed",
+    "Echo",
     "MalformedAnswer",
     "ResponseHead",
     "SilentConnection",
     "Sink",
+    "SlowAnswer",
     "UpstreamConnection",
     "UpstreamError",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_pool.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_pool.py
@@ -9,7 +9,12 @@
 from sycamorestand_entry.upstream import ConnectFailed
 from sycamorestand_entry.upstream import UpstreamConnection
 
-MAX_IDLE: Final = 64
+# Servers bound the connections of all callers together and reset those
+# beyond; what many entries keep idle after a burst must stay below that.
+MAX_IDLE: Final = 16
+# Of the time that a server says it keeps an idle connection: what is sent
+# near its end crosses the server's close and may or may not have run.
+KEPT_SHARE: Final = 0.6
 
 
 class UpstreamPool:
@@ -37,7 +42,8 @@
                 # them, a bound of zero must not close them all.
                 break
             connection = idle.pop()
-            if connection.usable:
+            kept_s = connection.kept_open_s * KEPT_SHARE
+            if connection.usable and age_s < kept_s:
                 return connection
             connection.close()
         return await self._connect(address, loop)
--- /dev/null
+++ b/packages/sycamorestand-entry/tests/routed/test_foreign_answers.py
@@ -0,0 +1,198 @@
+"""A caller gets the whole answer to its own request, or none."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+import anyio
+from anyio.abc import SocketAttribute
+from anyio.abc import SocketStream
+import pytest
+
+from sycamorestand_bench.fakes.routed import answer_bytes
+from sycamorestand_bench.fakes.routed import answer_head
+from sycamorestand_bench.fakes.routed import request_bytes
+from sycamorestand_bench.fakes.routed import RoutedLoopback
+from sycamorestand_bench.fakes.routed import SETTINGS
+from sycamorestand_bench.fakes.routed import start_routed
+
+pytestmark = pytest.mark.anyio
+KEPT = SETTINGS._replace(silent_idle_s=5.0)
+
+
+async def reset(stream: SocketStream) -> None:
+    """End a connection as a crashed server does."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    linger = struct.pack("ii", 1, 0)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    await stream.aclose()
+    raise anyio.EndOfStream
+
+
+async def ask_one(loopback: RoutedLoopback, answer: bytes) -> bytes:
+    """Return what a caller gets where a server answers so."""
+
+    async def handler(request: bytes, stream: SocketStream) -> None:
+        await stream.send(answer)
+
+    await loopback.add_server("s-1", handler)
+    return await loopback.ask("/order/1")
+
+
+class TestLateAnswer:
+    async def test_is_skipped_on_a_kept_connection(self) -> None:
+        """A server sends a second answer to an order it has answered.
+
+        It comes as the next order is on its way on the same connection.
+        That order has its own answer behind it, and its caller gets it.
+        """
+
+        async def handler(request: bytes, stream: SocketStream) -> None:
+            if b"x-attempt: a2" in request:
+                stray = answer_bytes(b"x-attempt: a1", b"of the first")
+                await stream.send(stray)
+                await stream.send(answer_bytes(request, b"second"))
+            else:
+                await stream.send(answer_bytes(request, b"first"))
+
+        async with start_routed(KEPT) as loopback:
+            await loopback.add_server("s-1", handler)
+            first = await loopback.ask("/order/1", x_attempt="a1")
+            second = await loopback.ask("/order/2", x_attempt="a2")
+        assert first.endswith(b"first")
+        assert second.endswith(b"\r\n\r\nsecond")
+        assert b"of the first" not in second
+
+    async def test_bytes_behind_an_answer_belong_to_nobody(self) -> None:
+        async with start_routed(KEPT) as loopback:
+            whole = answer_bytes(b"x-attempt: a1", b"mine")
+            answer = await ask_one(loopback, whole + whole)
+        assert answer.endswith(b"\r\n\r\nmine")
+        assert answer.count(b"HTTP/1.1") == 1
+
+
+class TestCutAnswer:
+    async def test_reset_without_a_length_is_no_whole_answer(self) -> None:
+        """A server's answer has no length and ends with its connection.
+
+        It is reset in the middle; what came of it must not pass as whole.
+        """
+
+        async def handler(request: bytes, stream: SocketStream) -> None:
+            await stream.send(answer_head(request) + b"half of it")
+            await anyio.sleep(0.05)
+            await reset(stream)
+
+        async with start_routed() as loopback:
+            await loopback.add_server("s-1", handler)
+            answer = await loopback.ask("/order/1")
+        assert answer.startswith(b"HTTP/1.1 502")
+        assert b"x-stamp" not in answer
+        assert b"half" not in answer
+
+    async def test_end_without_a_length_is_the_whole_answer(self) -> None:
+        async def handler(request: bytes, stream: SocketStream) -> None:
+            await stream.send(answer_head(request) + b"all of it")
+            raise anyio.EndOfStream
+
+        async with start_routed() as loopback:
+            await loopback.add_server("s-1", handler)
+            answer = await loopback.ask("/order/1")
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert answer.endswith(b"all of it")
+
+
+class TestUnsignedAnswer:
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"HTTP/1.1 200 OK\r\nx-attempt: a1",
+            b"HTTP/1.1 200 OK\r\nx-stamp: s",
+            b"HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-stamp: s"
+            b"\r\ncontent-encoding: gzip",
+            b"some bytes",
+        ],
+    )
+    async def test_is_not_passed_on(self, head: bytes) -> None:
+        async with start_routed() as loopback:
+            answer = await ask_one(
+                loopback, head + b"\r\ncontent-length: 2\r\n\r\nok"
+            )
+        assert answer.startswith(b"HTTP/1.1 502")
+
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    async def test_false_promise_is_not_repeated(self, status: int) -> None:
+        """A server fails an order with a status that means "not run".
+
+        It does not say that it did not run it, so it may have; a caller
+        that is told so would send the order again.
+        """
+        async with start_routed() as loopback:
+            head = answer_head(
+                b"x-attempt: a1", b"content-length: 0", status=status
+            )
+            answer = await ask_one(loopback, head)
+        assert answer.startswith(b"HTTP/1.1 502")
+        assert b"x-stamp" not in answer
+
+    async def test_refusal_of_a_full_server_is_one_of_ours(self) -> None:
+        async with start_routed() as loopback:
+            head = answer_head(
+                b"x-attempt: a1",
+                b"x-not-run: full",
+                b"content-length: 0",
+                status=503,
+            )
+            answer = await ask_one(loopback, head)
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"retry-after: 0." in answer
+        assert b"x-stamp" not in answer
+
+    async def test_failure_of_the_server_is_passed_on_as_it_is(self) -> None:
+        async with start_routed() as loopback:
+            head = answer_head(
+                b"x-attempt: a1", b"content-length: 3", status=500
+            )
+            answer = await ask_one(loopback, head + b"bad")
+        assert answer.startswith(b"HTTP/1.1 500")
+        assert b"x-stamp: s" in answer
+        assert answer.endswith(b"bad")
+
+
+class TestRequestAsSent:
+    async def test_target_and_lasting_headers_are_kept(self) -> None:
+        """A caller names its own attempt as a header of the connection.
+
+        Dropped, the server would run a request that names nobody.
+        """
+
+        async def handler(request: bytes, stream: SocketStream) -> None:
+            await stream.send(answer_bytes(request))
+
+        async with start_routed() as loopback:
+            await loopback.add_server("s-1", handler)
+            async with await loopback.connect() as stream:
+                sent = request_bytes(
+                    "/order/%7e//x?", x_server="forged", x_gone="1"
+                ).replace(b"close", b"close, x-attempt, x-gone")
+                await stream.send(sent)
+                await stream.receive()
+            (_, request) = loopback.requests[0]
+        assert request.startswith(b"POST /order/%7e//x? HTTP/1.1\r\n")
+        assert b"x-attempt: a1" in request
+        assert b"forged" not in request
+        assert b"x-gone" not in request
+
+    async def test_two_attempts_in_one_request_are_refused(self) -> None:
+        async with (
+            start_routed() as loopback,
+            await loopback.connect() as stream,
+        ):
+            sent = request_bytes("/order/1").replace(
+                b"x-attempt: a1", b"x-attempt: a1\r\nx-attempt: a2"
+            )
+            await stream.send(sent)
+            answer = await stream.receive()
+        assert answer.startswith(b"HTTP/1.1 400")
+        assert not loopback.requests
--- /dev/null
+++ b/packages/sycamorestand-entry/tests/routed/test_streams.py
@@ -0,0 +1,176 @@
+"""Streams go on where they broke, whole and in order."""
+
+from __future__ import annotations
+
+import anyio
+from anyio.abc import SocketStream
+import pytest
+
+from sycamorestand_bench.fakes.routed import event
+from sycamorestand_bench.fakes.routed import Handler
+from sycamorestand_bench.fakes.routed import RoutedLoopback
+from sycamorestand_bench.fakes.routed import start_routed
+from sycamorestand_bench.fakes.routed import stream_head
+
+pytestmark = pytest.mark.anyio
+END = b"0\r\n\r\n"
+
+
+def last_event(request: bytes) -> int:
+    """Return the last event that the request says the caller has."""
+    _, found, rest = request.partition(b"last-event-id: ")
+    return int(rest.split(b"\r\n")[0]) if found else 0
+
+
+async def go_on(request: bytes, stream: SocketStream) -> None:
+    """Answer with the events behind the last one up to the fifth."""
+    first = last_event(request) + 1
+    events = b"".join(event(number) for number in range(first, 6))
+    await stream.send(stream_head(request) + events + END)
+
+
+def breaks(after: bytes, waits: bool = False) -> Handler:
+    """Return a handler that breaks off, or hangs, after these bytes.
+
+    It does so once; the next request is answered to the end.
+    """
+    done = False
+
+    async def handler(request: bytes, stream: SocketStream) -> None:
+        nonlocal done
+        if done:
+            await go_on(request, stream)
+            return
+        done = True
+        await stream.send(stream_head(request) + after)
+        if waits:
+            await anyio.sleep(30)
+        raise anyio.EndOfStream
+
+    return handler
+
+
+async def ask_two(
+    loopback: RoutedLoopback, handler: Handler, **headers: str
+) -> bytes:
+    """Return the stream of two servers, both with this handler."""
+    await loopback.add_server("s-1", handler)
+    await loopback.add_server("s-2", handler)
+    return await loopback.ask("/review/1", **headers)
+
+
+class TestResume:
+    async def test_goes_on_behind_the_last_whole_event(self) -> None:
+        """A server breaks off in the middle of the third event."""
+        async with start_routed() as loopback:
+            third = event(3)[:-6]
+            handler = breaks(event(1) + event(2) + third)
+            answer = await ask_two(loopback, handler)
+            (_, second) = loopback.requests[1]
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert answer.endswith(END)
+        assert answer.count(b"id: ") == 5
+        assert last_event(second) == 2
+
+    async def test_callers_own_last_event_is_kept(self) -> None:
+        """A caller resumes at the second event; the server breaks at once.
+
+        The next server must go on for the same caller, not from the start.
+        """
+        async with start_routed() as loopback:
+            answer = await ask_two(loopback, breaks(b""), last_event_id="2")
+            sent = [last_event(request) for _, request in loopback.requests]
+        assert sent == [2, 2]
+        assert b"id: 3" in answer
+        assert b"id: 2" not in answer
+
+    @pytest.mark.parametrize("first", [1, 4])
+    async def test_run_that_repeats_or_skips_is_not_joined(
+        self, first: int
+    ) -> None:
+        """The second run begins anew, or behind a piece that is missing.
+
+        The caller gets nothing of it: the answer breaks off.
+        """
+
+        async def handler(request: bytes, stream: SocketStream) -> None:
+            if last_event(request):
+                begin = event(first) + event(first + 1)
+                await stream.send(stream_head(request) + begin + END)
+                return
+            await stream.send(stream_head(request) + event(1) + event(2))
+            raise anyio.EndOfStream
+
+        async with start_routed() as loopback:
+            answer = await ask_two(loopback, handler)
+        assert answer.count(b"id: ") == 2
+        assert not answer.endswith(END)
+
+    async def test_run_that_hangs_is_cancelled_before_the_next(self) -> None:
+        """A server hangs after two events; the stream goes on elsewhere.
+
+        The first server must see its connection closed by then.
+        """
+        closed = anyio.Event()
+
+        async def handler(request: bytes, stream: SocketStream) -> None:
+            if last_event(request):
+                with anyio.fail_after(1):
+                    await closed.wait()
+                await go_on(request, stream)
+                return
+            await stream.send(stream_head(request) + event(1) + event(2))
+            try:
+                await stream.receive()
+            finally:
+                closed.set()
+
+        async with start_routed() as loopback:
+            answer = await ask_two(loopback, handler)
+        assert answer.endswith(END)
+        assert answer.count(b"id: ") == 5
+
+
+class TestTime:
+    async def test_stream_ends_with_its_routes_time(self) -> None:
+        """The only server hangs in the middle of the stream.
+
+        The caller's time is over after 1.2 s; it is not kept waiting, and
+        what it got does not look complete.
+        """
+        async with start_routed() as loopback:
+            await loopback.add_server("s-1", breaks(event(1), waits=True))
+            with anyio.fail_after(5):
+                answer = await loopback.ask("/review/1", x_deadline_ms="1200")
+        assert b"id: 1" in answer
+        assert not answer.endswith(END)
+
+    async def test_caller_that_does_not_read_is_given_up(self) -> None:
+        """A caller asks for a long stream and reads none of it.
+
+        The server's connection is closed when the caller's time is over.
+        """
+        closed = anyio.Event()
+
+        async def handler(request: bytes, stream: SocketStream) -> None:
+            try:
+                await stream.send(stream_head(request))
+                number = 0
+                while True:
+                    number += 1
+                    data = b"id: %d\ndata: %b\n\n" % (number, b"x" * 60000)
+                    chunk = b"%x\r\n%b\r\n" % (len(data), data)
+                    await stream.send(chunk)
+            finally:
+                closed.set()
+
+        async with start_routed() as loopback:
+            await loopback.add_server("s-1", handler)
+            async with await loopback.connect() as stream:
+                await stream.send(
+                    b"POST /review/1 HTTP/1.1\r\nhost: nest.example\r\n"
+                    b"x-attempt: a1\r\nx-deadline-ms: 1200\r\n"
+                    b"content-length: 0\r\n\r\n"
+                )
+                with anyio.fail_after(5):
+                    await closed.wait()
