Streams leave a slow server at six tenths of the aim; no lease, early return

A refusal for want of a lease told every caller to come back after 0.5 s, later than the aim of the short calls.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
@@ -4,11 +4,11 @@
 health is good, in the middle of servers that are only slow because many
 requests wait there. Who gives up too late is late wherever a server
 hangs; who gives up too early takes a request out of a queue in which it
-would soon have had its turn, and puts it at the end of another: under
-load every request then costs a multiple, and none is answered in time.
-Both look alike from outside, but for one sign: a server that works its
-queue off answers nobody out of turn. So a request that later ones have
-overtaken is given up early, any other only when it is late already.
+would soon have had its turn, and puts it at the end of another. Both look
+alike from outside, but for one sign: a server that works its queue off
+answers nobody out of turn. So a request that later ones have overtaken is
+given up early, any other while a server with a shorter queue can still be
+in time.
 """
 
 from __future__ import annotations
@@ -20,9 +20,14 @@
 # calm server's slowest hundredth would be asked twice.
 CALL_SHARE: Final = 1 / 3
 MIN_CALL_S: Final = 0.25
-# Half of the time in which an answer should begin leaves as much for the
-# other server, which has to read the whole prompt first.
-OVERTAKEN_SHARE: Final = 0.5
+# Six tenths of the time in which an answer should begin leave as much for
+# another server as its prompt takes to read, with a short queue; whoever
+# was overtaken has no turn to lose and goes earlier.
+EVENT_SHARE: Final = 0.6
+OVERTAKEN_SHARE: Final = 0.4
+# Where the caller waits no longer than the aim, the aim is no bound: of
+# what is left, as much must remain as was spent.
+LEFT_SHARE: Final = 0.5
 MIN_EVENT_S: Final = 1.0
 # A pause beyond the target is late already, and a preempted run goes on by
 # itself; three times the target is longer than any calm server's pause.
@@ -38,10 +43,11 @@
     return min(left_s, max(MIN_CALL_S, left_s * CALL_SHARE))
 
 
-def first_event_limits_s(aim_s: float) -> tuple[float, float]:
+def first_event_limits_s(aim_s: float, left_s: float) -> tuple[float, float]:
     """Return after how long to give up, if overtaken and in any case."""
-    whole_s = max(MIN_EVENT_S, aim_s)
-    return max(MIN_EVENT_S, aim_s * OVERTAKEN_SHARE), whole_s
+    bound_s = min(aim_s * EVENT_SHARE, left_s * LEFT_SHARE)
+    overtaken_s = min(aim_s * OVERTAKEN_SHARE, bound_s)
+    return max(MIN_EVENT_S, overtaken_s), max(MIN_EVENT_S, bound_s)
 
 
 def gap_limit_s(target_s: float) -> float:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -30,6 +30,7 @@
 from sycamorestand_entry.http_protocol import WRITE_NOW
 from sycamorestand_entry.routed.attempts import Attempts
 from sycamorestand_entry.routed.call import ANONYMOUS
+from sycamorestand_entry.routed.call import MAX_DEADLINE_DIGITS
 from sycamorestand_entry.routed.call import passed_headers
 from sycamorestand_entry.routed.call import read_deadline_s
 from sycamorestand_entry.routed.call import read_values
@@ -51,7 +52,12 @@
     from sycamorestand_model.routes import Route
 
 LOG: Final = logging.getLogger(__name__)
-LEASE_RETRY_S: Final = 0.5
+# An entry without a lease is most often alone with that; its caller may go
+# to another at once. Should all be, a share of the caller's time lets the
+# next try come later without spending what is left.
+LEASE_RETRY_SHARE: Final = 0.06
+MIN_LEASE_RETRY_S: Final = 0.1
+MAX_LEASE_RETRY_S: Final = 1.0
 VERSION_RETRY_S: Final = 1.0
 UNIT: Final = 2.0**32
 CALL_S: Final = 0.05
@@ -133,13 +139,19 @@
     async def _read(self, scope: Any, receive: Receive) -> RoutedCall:
         read_s = time.monotonic()
         context = self._context
+        raw = scope["headers"]
+        values = read_values(raw, self._wire)
         if context.control.lease_remaining_s() <= 0:
             raise NoLease(
-                "this entry's configuration may be out of date", LEASE_RETRY_S
+                "this entry's configuration may be out of date",
+                _lease_retry_s(values.get(self._wire.deadline_ms, b"")),
             )
         in_force = context.control.in_force()
-        raw = scope["headers"]
-        values = read_values(raw, self._wire)
+        if not in_force.declarations.routes:
+            raise NoLease(
+                "no routes are in force yet",
+                _lease_retry_s(values.get(self._wire.deadline_ms, b"")),
+            )
         route = self._route(in_force, values, scope["raw_path"])
         customer, priority, weight = self._customer(in_force, route, values)
         deadline_at_s = read_deadline_s(values, self._wire, route, read_s)
@@ -173,8 +185,6 @@
         if self._table.revision != in_force.revision:
             routes = RouteTable(in_force.declarations.routes)
             self._table = _Table(in_force.revision, routes)
-        if not in_force.declarations.routes:
-            raise NoLease("no routes are in force yet", LEASE_RETRY_S)
         host = values.get(b"host", b"").decode("latin-1")
         route = self._table.routes.find(host, raw_path.decode("latin-1"))
         if route is None:
@@ -303,6 +313,13 @@
     await responder.answer(error.status, b"text/plain", body, headers)
 
 
+def _lease_retry_s(deadline_ms: bytes) -> float:
+    known = deadline_ms.isdigit() and len(deadline_ms) < MAX_DEADLINE_DIGITS
+    whole_s = int(deadline_ms) / 1000 if known else 0.0
+    after_s = max(MIN_LEASE_RETRY_S, whole_s * LEASE_RETRY_SHARE)
+    return min(MAX_LEASE_RETRY_S, after_s)
+
+
 def _service_of(call: RoutedCall) -> str:
     targets = call.route.targets
     if len(targets) == 1:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
@@ -119,6 +119,7 @@
 
 __all__ = [
     "ANONYMOUS",
+    "MAX_DEADLINE_DIGITS",
     "passed_headers",
     "RawHeaders",
     "read_deadline_s",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -139,7 +139,8 @@
     async def _read_head(self, exchange: Exchange) -> ResponseHead:
         call = self._attempts.call
         aim_s = call.route.target_latency_ms / 1000
-        wait_s, whole_s = first_event_limits_s(aim_s)
+        left_s = call.remaining_s()
+        wait_s, whole_s = first_event_limits_s(aim_s, left_s)
         waited_s = 0.0
         while call.may_repeat and call.remaining_s() > 0:
             limit_s = min(wait_s, call.remaining_s())
--- a/packages/sycamorestand-entry/tests/routed/test_attempts.py
+++ b/packages/sycamorestand-entry/tests/routed/test_attempts.py
@@ -153,3 +153,23 @@
             answer = await loopback.ask("/order/1")
             assert not loopback.requests
         assert answer.startswith(b"HTTP/1.1 503")
+
+
+class TestEntryWithoutLease:
+    @pytest.mark.parametrize(
+        ("deadline_ms", "after"),
+        [("1500", b"0.10"), ("5000", b"0.30"), ("20000", b"1.00")],
+    )
+    async def test_refusal_leaves_the_caller_its_time(
+        self, deadline_ms: str, after: bytes
+    ) -> None:
+        """An entry is cut off from control processes; others are not.
+
+        A caller with little time that is told to come back late would be
+        late at the entry that could have served it at once.
+        """
+        async with start_routed() as loopback:
+            loopback.control.lease_s = 0.0
+            answer = await loopback.ask("/order/1", x_deadline_ms=deadline_ms)
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"retry-after: " + after in answer
