Roll-outs judge each attempt, within the time that was ordered

Cause: roll-outs were judged by whole requests at their end, reported each 2 s, in steps of a third of the time; the last step was at once complete.

New work goes to a version only where it has servers; attempts of a request leave a version that was taken back.

--- a/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
@@ -37,17 +37,18 @@
 if TYPE_CHECKING:
     from sycamorestand_control.groups import LogGroups
     from sycamorestand_decisions.version_stats import VersionStats
+    from sycamorestand_model.declarations import Rollout
     from sycamorestand_peer.messages import SampleReport
     from sycamorestand_state.commands import Command
     from sycamorestand_state.configuration import ConfigurationMachine
     from sycamorestand_state.results import RolloutState
 
 LOG: Final = logging.getLogger(__name__)
-CHECK_INTERVAL_S: Final = 0.5
+CHECK_INTERVAL_S: Final = 0.25
 # The bound on false alarms counts on few looks, and a look at 35 versions
 # takes milliseconds of the leader; half a minute is a third of a thousandth
 # of a day's requests.
-WATCH_EVERY_CHECKS: Final = 60
+WATCH_EVERY_CHECKS: Final = 120
 PROPOSE_TIMEOUT_S: Final = 3.0
 MAX_REASON_CHARACTERS: Final = 400
 
@@ -135,7 +136,7 @@
         return commands
 
     def _judge(self, model: str, run: _Run, now_s: float) -> Command | None:
-        verdict = run.monitor.check(now_s)
+        verdict = run.monitor.check(time.monotonic())
         self.verdicts[model] = verdict.reason
         if isinstance(verdict, Stop):
             return StopRollout(
@@ -189,11 +190,13 @@
 
     def _follow_rollout(self, model: str, rollout: RolloutState) -> None:
         run = self._runs.get(model)
-        now_s = time.time()
+        # The time of day may jump by seconds and would cut a step short.
+        now_s = time.monotonic()
         if run is None or run.started_revision != rollout.started_revision:
+            declared = self._configuration.in_force().declarations
             monitor = RolloutMonitor(
-                self._configuration.in_force().declarations.rollouts[model],
-                now_s,
+                declared.rollouts[model],
+                now_s - _passed_s(declared.rollouts[model], rollout),
                 rollout.step,
                 self._objective(model),
             )
@@ -257,6 +260,18 @@
         return choose_version(model, without, 0.0) is not None
 
 
+def _passed_s(declared: Rollout, rollout: RolloutState) -> float:
+    """Return how long the committed step has lasted before this leader.
+
+    A time limit goes on while the leader changes. Clocks of two machines
+    may differ by seconds, so it is never more than the step's least time.
+    """
+    if not declared.patience_s:
+        return 0.0
+    passed_s = time.time() - rollout.stepped_s
+    return min(max(0.0, passed_s), declared.step_s(rollout.step))
+
+
 def _quarantine(version: str, verdict: Stop, now_s: float) -> Quarantine:
     return Quarantine(
         f"quarantine-{version}-{int(now_s)}",
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/comparison.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/comparison.py
@@ -46,7 +46,7 @@
 # A stratum with few requests leans on its class with this weight.
 CLASS_WEIGHT: Final = 50.0
 SLOW_SHARE: Final = 0.1
-MIN_TOTAL: Final = 20
+MIN_TOTAL: Final = 8
 
 
 class Evidence(NamedTuple):
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
@@ -162,9 +162,13 @@
     evidence: list[Evidence],
 ) -> Verdict:
     elapsed_s = now_s - start.started_s
-    if elapsed_s < rollout.min_step_s:
-        return Continue(f"{elapsed_s:.0f} s of {rollout.min_step_s:.0f} s")
+    step_s = rollout.step_s(start.step)
+    if elapsed_s < step_s:
+        return Continue(f"{elapsed_s:.0f} s of {step_s:.0f} s")
     requests = new.requests - start.requests
+    worst = max(evidence, key=_strength)
+    if rollout.patience_s and elapsed_s >= step_s + rollout.patience_s:
+        return _at_limit(requests, worst)
     if requests < rollout.min_samples:
         return Continue(f"{requests} of {rollout.min_samples} requests")
     rated = new.rated - start.rated
@@ -173,12 +177,24 @@
     lacking = _class_lacking_ratings(old, new, len(rollout.shares), start)
     if lacking is not None:
         return Continue(f"too few ratings of class {lacking}")
-    worst = max(evidence, key=_strength)
     if worst.log_evidence >= SUSPECT_LOG_EVIDENCE:
         return Continue(f"suspect {worst.text()}")
     return Advance(f"healthy after {requests} requests, {rated} rated")
 
 
+def _at_limit(requests: int, worst: Evidence) -> Verdict:
+    """Decide on what is there, as the step may not wait any longer.
+
+    A roll-out with a time limit that is stopped wrongly is ordered again;
+    one that goes on with a bad version reaches every caller.
+    """
+    if worst.log_evidence >= SUSPECT_LOG_EVIDENCE:
+        return Stop("suspect at the time limit", (worst.text(),))
+    if not requests:
+        return Continue("no request yet")
+    return Advance(f"nothing against it after {requests} requests")
+
+
 def _class_lacking_ratings(
     old: VersionStats, new: VersionStats, steps: int, start: StepStart
 ) -> str | None:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -56,6 +56,9 @@
 # is missing; it is left only if that takes longer than this.
 BEHIND_GRACE_S: Final = 0.4
 REPORT_INTERVAL_S: Final = 2.0
+# While a roll-out runs: what a bad version does between two reports is
+# exposure that nobody judges.
+ROLLOUT_REPORT_INTERVAL_S: Final = 0.4
 EXPIRE_INTERVAL_S: Final = 0.2
 LOADS: Final = "loads"
 
@@ -283,7 +286,7 @@
     async def _send_reports(self) -> None:
         sequence = 0
         while True:
-            await anyio.sleep(REPORT_INTERVAL_S)
+            await anyio.sleep(self._report_interval_s())
             rows = self._samples.take()
             ratings = self._samples.take_ratings()
             if not rows and not ratings:
@@ -298,6 +301,12 @@
             )
             self.mesh.send(self.control_address(), report)
 
+    def _report_interval_s(self) -> float:
+        shares = self._in_force.shares.values()
+        if any(rollout.state == "running" for rollout in shares):
+            return ROLLOUT_REPORT_INTERVAL_S
+        return REPORT_INTERVAL_S
+
     async def _expire_servers(self) -> None:
         while True:
             await anyio.sleep(EXPIRE_INTERVAL_S)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -10,15 +10,12 @@
 from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
-from zlib import crc32
 
 import anyio
 
-from sycamorestand_decisions.versions import choose_version
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import InternalError
 from sycamorestand_entry.errors import NoLease
-from sycamorestand_entry.errors import NoVersion
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import UnknownPath
 from sycamorestand_entry.http_messages import CallerGone
@@ -35,9 +32,9 @@
 from sycamorestand_entry.routed.call import RoutedCall
 from sycamorestand_entry.routed.streams import StreamBroken
 from sycamorestand_entry.routed.streams import StreamRelay
+from sycamorestand_entry.routed.targets import choose_target
 from sycamorestand_entry.routed.whole import whole_answer
 from sycamorestand_entry.slots import SlotRequest
-from sycamorestand_model.nodes import VersionSample
 from sycamorestand_model.route_table import RouteTable
 
 if TYPE_CHECKING:
@@ -51,8 +48,6 @@
 
 LOG: Final = logging.getLogger(__name__)
 LEASE_RETRY_S: Final = 0.5
-VERSION_RETRY_S: Final = 1.0
-UNIT: Final = 2.0**32
 CALL_S: Final = 0.05
 STREAM_S: Final = 1.0
 
@@ -184,7 +179,7 @@
 
     async def _run(self, call: RoutedCall, responder: Responder) -> None:
         context = self._context
-        target = self._target(call)
+        target = choose_target(context, call)
         begin_s = time.monotonic()
         slot = await context.slots.acquire(
             SlotRequest(
@@ -197,13 +192,11 @@
             )
         )
         failed = True
-        first_s = 0.0
         try:
             attempts = Attempts(context, self._wire, call)
             if call.route.kind == "stream":
                 relay = StreamRelay(attempts, responder, self._affinity(call))
                 answer = await relay.run(target)
-                first_s = relay.first_event_s
             else:
                 answer = await whole_answer(attempts, target)
             failed = answer is not None and answer.status >= 500
@@ -217,47 +210,13 @@
             now_s = time.monotonic()
             if slot >= 0:
                 context.slots.finish(slot, now_s - begin_s, failed)
-                self._report(call, target, failed, begin_s, first_s)
         if not failed:
             context.retries.succeeded(call.customer, time.monotonic())
 
-    def _target(self, call: RoutedCall) -> str:
-        """Return the service, or the version of it, that is to answer."""
-        in_force = self._context.control.in_force()
-        service = _service_of(call)
-        model = in_force.declarations.models.get(service)
-        if model is None:
-            return service
-        chosen = choose_version(model, in_force, _unit(call, service))
-        if chosen is None:
-            raise NoVersion("no version may be used now", VERSION_RETRY_S)
-        return chosen
-
     def _affinity(self, call: RoutedCall) -> str:
         parts = call.values.get(self._wire.prompt_parts, b"").split(b",")
         return parts[-1].partition(b":")[0].decode("latin-1")
 
-    def _report(
-        self,
-        call: RoutedCall,
-        target: str,
-        failed: bool,
-        begin_s: float,
-        first_s: float,
-    ) -> None:
-        now_s = time.monotonic()
-        self._context.control.report(
-            VersionSample(
-                target,
-                call.route.name,
-                failed,
-                ((first_s or now_s) - begin_s) * 1000,
-                (now_s - begin_s) * 1000,
-                None,
-                0,
-            )
-        )
-
 
 def make_routed_application(
     wire: RouteWire,
@@ -293,22 +252,4 @@
     await responder.answer(error.status, b"text/plain", body, headers)
 
 
-def _service_of(call: RoutedCall) -> str:
-    targets = call.route.targets
-    if len(targets) == 1:
-        return targets[0].service
-    whole = sum(target.weight for target in targets)
-    place = crc32(call.session.encode() or call.attempt) / UNIT * whole
-    for target in targets:
-        place -= target.weight
-        if place < 0:
-            return target.service
-    return targets[-1].service
-
-
-def _unit(call: RoutedCall, service: str) -> float:
-    name = call.session or call.attempt.decode("latin-1")
-    return crc32(f"{name}/{service}".encode()) / UNIT
-
-
 __all__ = ["DeadlineExceeded", "make_routed_application", "RoutedEntry"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -17,6 +17,7 @@
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.routed.exchange import Aim
 from sycamorestand_entry.routed.exchange import Exchange
+from sycamorestand_entry.routed.targets import current_target
 from sycamorestand_entry.upstream import ConnectFailed
 
 if TYPE_CHECKING:
@@ -79,6 +80,7 @@
         refuses.
         """
         while True:
+            target = current_target(self.context, self.call, target)
             server = self._choose(target, affinity_key)
             self._tried.add(server.name)
             try:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -13,6 +13,7 @@
 from sycamorestand_entry.upstream import MalformedAnswer
 from sycamorestand_entry.upstream import SilentConnection
 from sycamorestand_entry.upstream import UpstreamError
+from sycamorestand_model.nodes import VersionSample
 
 if TYPE_CHECKING:
     from sycamorestand_decisions.selection import Outcome
@@ -25,6 +26,8 @@
     from sycamorestand_model.backend_servers import Announcement
 
 WRONG_SERVER: Final = 421
+# The shortest answers have three events.
+PACE_EVENTS: Final = 2
 RETRY_STATUSES: Final = frozenset({500, 502, 503, 504})
 
 
@@ -50,6 +53,27 @@
     not_run: bool
 
 
+class Pace:
+    """The mean pause between the first events of one stream."""
+
+    def __init__(self) -> None:
+        self._first_s = 0.0
+        self._events = 0
+
+    def add(self, count: int, now_s: float) -> float | None:
+        """Add events; returns the pause in ms once, when it is known."""
+        if not count or self._events >= PACE_EVENTS:
+            return None
+        if not self._first_s:
+            # What comes in one piece with the first has no pause.
+            self._first_s = now_s
+            return None
+        self._events += count
+        if self._events < PACE_EVENTS:
+            return None
+        return (now_s - self._first_s) * 1000 / self._events
+
+
 class Exchange:
     """An attempt from its first byte to its end; `close` ends it.
 
@@ -71,6 +95,9 @@
         self._call = call
         self._outcome: Outcome = "cancelled"
         self._begin_s = 0.0
+        self._answered_s = 0.0
+        self._reported = False
+        self._pace = Pace()
         self._closed = False
 
     def send(self) -> None:
@@ -115,6 +142,7 @@
             self.connection.close()
             self._outcome = "error"
             raise MalformedAnswer("the answer is to another request")
+        self._answered_s = time.monotonic()
         return head
 
     async def read_whole(self, head: ResponseHead) -> WholeAnswer:
@@ -162,6 +190,19 @@
             now_s,
             now_s - self._begin_s,
         )
+        if self._call.route.kind == "stream":
+            self._sample(failed=False)
+
+    def events(self, count: int) -> None:
+        """Note that events came; their pace counts once there are some.
+
+        An idle new server sends a first event sooner than a busy old one
+        though it makes every token several times slower; the pause
+        between events depends on neither the prompt nor the queue.
+        """
+        pause_ms = self._pace.add(count, time.monotonic())
+        if pause_ms is not None:
+            self._report(f"{self._call.route.name} pace", False, pause_ms)
 
     def close(self) -> None:
         """Give the connection back, or cancel what still runs on it."""
@@ -176,8 +217,38 @@
             now_s - self._begin_s,
             self._outcome,
         )
+        if self._outcome in ("error", "timeout"):
+            self._sample(failed=True)
+        elif self._outcome != "overloaded" and not self._reported:
+            self._sample(failed=False)
         self._context.pool.release(self.aim.server.address, self.connection)
 
+    def _sample(self, failed: bool) -> None:
+        """Count this attempt for the version that it went to.
+
+        Every attempt counts by itself, and a stream with its first event:
+        another attempt hides a bad version from the caller, and the end of
+        a stream is seconds too late to stop a roll-out.
+        """
+        if not self._answered_s and not failed:
+            return
+        self._reported = True
+        first_s = (self._answered_s or time.monotonic()) - self._begin_s
+        self._report(self._call.route.name, failed, first_s * 1000)
+
+    def _report(self, name: str, failed: bool, latency_ms: float) -> None:
+        self._context.control.report(
+            VersionSample(
+                self.aim.target,
+                name,
+                failed,
+                latency_ms,
+                (time.monotonic() - self._begin_s) * 1000,
+                None,
+                0,
+            )
+        )
+
 
 def says_not_run(head: ResponseHead, wire: RouteWire) -> bool:
     """Tell whether the server says that it did not run the request."""
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -120,7 +120,7 @@
                 exchange.first_byte()
                 first = False
                 limit_s = self._gap_limit_s()
-            await self._pass_on(head, data)
+            exchange.events(await self._pass_on(head, data))
         if self._rest:
             raise MalformedAnswer("it ended in the middle of an event")
         exchange.ended(head.status, not_run=False)
@@ -144,7 +144,8 @@
         if size is not None:
             raise _Climbs(size)
 
-    async def _pass_on(self, head: ResponseHead, data: bytes) -> None:
+    async def _pass_on(self, head: ResponseHead, data: bytes) -> int:
+        """Write whole events and return how many they were."""
         if self._rest:
             data = self._rest + data
         end = data.rfind(END_OF_EVENT)
@@ -152,7 +153,7 @@
             if len(data) > MAX_EVENT_BYTES:
                 raise MalformedAnswer("its event is too large")
             self._rest = data
-            return
+            return 0
         end += len(END_OF_EVENT)
         self._rest = data[end:]
         events = data[:end] if self._rest else data
@@ -164,6 +165,7 @@
         write_now = self._responder.write_now
         if write_now is None or not write_now(events):
             await self._responder.write(events)
+        return len(ids)
 
     async def _start(self, head: ResponseHead) -> None:
         self.first_event_s = time.monotonic()
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/targets.py
@@ -0,0 +1,132 @@
+"""Which service or version of it answers a routed request.
+
+A session that a caller names keeps its version by being placed, not by
+being remembered: its name gives a place between 0 and 1, and while a
+roll-out's share grows, places below it move to the new version and none
+moves back. Every entry computes the same place, so a caller whose next
+connection leads to another entry meets the same version there. A memory
+of sessions on each entry was weighed and left out: two of three repeats
+come to another entry, and one that remembers the old version would take a
+session back from the new one.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+import time
+from typing import Final
+from typing import TYPE_CHECKING
+from zlib import crc32
+
+from sycamorestand_decisions.versions import choose_version
+from sycamorestand_decisions.versions import may_run
+from sycamorestand_entry.errors import NoVersion
+from sycamorestand_model.declarations import VERSION_SEPARATOR
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.context import EntryContext
+    from sycamorestand_entry.routed.call import RoutedCall
+    from sycamorestand_model.declarations import Model
+    from sycamorestand_model.in_force import InForce
+
+VERSION_RETRY_S: Final = 1.0
+UNIT: Final = 2.0**32
+
+
+def choose_target(context: EntryContext, call: RoutedCall) -> str:
+    """Return the service, or the version of it, that is to answer."""
+    in_force = context.control.in_force()
+    service = _service_of(call)
+    model = in_force.declarations.models.get(service)
+    if model is None:
+        return _undeclared(context, service)
+    chosen = choose_version(model, in_force, _unit(call, service))
+    if chosen is None:
+        raise NoVersion("no version may be used now", VERSION_RETRY_S)
+    if _has_servers(context, chosen):
+        return chosen
+    return _other(context, model, in_force) or chosen
+
+
+def current_target(
+    context: EntryContext, call: RoutedCall, target: str
+) -> str:
+    """Return where the next attempt goes: where the last one did.
+
+    But for a version that was taken back since: its attempts would go on
+    for as long as callers wait.
+    """
+    service, separator, version = target.partition(VERSION_SEPARATOR)
+    if not separator:
+        return target
+    in_force = context.control.in_force()
+    model = in_force.declarations.models.get(service)
+    if model is None:
+        return choose_target(context, call)
+    rollout = in_force.shares.get(service)
+    stopped = (
+        rollout is not None
+        and rollout.version == version
+        and rollout.share <= 0
+    )
+    if stopped or not may_run(target, model, in_force):
+        return choose_target(context, call)
+    return target
+
+
+def _undeclared(context: EntryContext, service: str) -> str:
+    """Return a service whose versions nobody declared, or its main one.
+
+    Servers of the next version may announce themselves before the order
+    to roll it out is committed. Until then the version of most servers is
+    the one in use; without this the next one would get its whole share
+    before anybody compares.
+    """
+    counts: Counter[str] = Counter()
+    for server in context.control.backend_servers().values():
+        if service in server.versions and not server.leaving:
+            counts.update(v for v in server.versions if v != service)
+    if len(counts) <= 1:
+        return service
+    return max(sorted(counts), key=lambda name: counts[name])
+
+
+def _has_servers(context: EntryContext, target: str) -> bool:
+    return bool(context.servers.candidates(target, time.monotonic()))
+
+
+def _other(
+    context: EntryContext, model: Model, in_force: InForce
+) -> str | None:
+    """Return another version that has servers, if one may be used.
+
+    The new version's servers come up seconds after the order, and the old
+    one's are gone once it is completed; requests that are placed on either
+    would wait for servers that do not come.
+    """
+    for unit in (1.0, 0.0):
+        chosen = choose_version(model, in_force, unit)
+        if chosen is not None and _has_servers(context, chosen):
+            return chosen
+    return None
+
+
+def _service_of(call: RoutedCall) -> str:
+    targets = call.route.targets
+    if len(targets) == 1:
+        return targets[0].service
+    whole = sum(target.weight for target in targets)
+    place = crc32(call.session.encode() or call.attempt) / UNIT * whole
+    for target in targets:
+        place -= target.weight
+        if place < 0:
+            return target.service
+    return targets[-1].service
+
+
+def _unit(call: RoutedCall, service: str) -> float:
+    name = call.session or call.attempt.decode("latin-1")
+    return crc32(f"{name}/{service}".encode()) / UNIT
+
+
+__all__ = ["choose_target", "current_target"]
--- a/packages/sycamorestand-model/src/sycamorestand_model/check.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/check.py
@@ -24,6 +24,7 @@
 from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.declarations import Model
 from sycamorestand_model.declarations import Profile
+from sycamorestand_model.declarations import Rollout
 from sycamorestand_model.findings import Finding
 from sycamorestand_model.findings import Findings
 from sycamorestand_model.findings import inside
@@ -149,6 +150,7 @@
     for name, rollout in subject.declarations.rollouts.items():
         place = place_of(subject, "rollouts", name)
         _check_shares(rollout.shares, place, subject.findings)
+        _check_steps(rollout, place, subject.findings)
         model = subject.declarations.models.get(name)
         if model is None:
             report_unknown(subject, "models", name, place)
@@ -175,6 +177,15 @@
         )
 
 
+def _check_steps(rollout: Rollout, place: Place, findings: Findings) -> None:
+    if rollout.steps_s and len(rollout.steps_s) != len(rollout.shares):
+        findings.error(
+            inside(place, "steps_s"),
+            "not as many times as shares",
+            "give each share its time, or leave them out",
+        )
+
+
 def _check_rollout_version(
     model: Model, version: str, place: Place, subject: Subject
 ) -> None:
--- a/packages/sycamorestand-model/src/sycamorestand_model/declarations.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/declarations.py
@@ -111,13 +111,25 @@
 
 
 class Rollout(NamedTuple):
-    """A declared roll-out: new work moves to ``version`` in these shares."""
+    """A declared roll-out: new work moves to ``version`` in these shares.
+
+    ``steps_s`` gives each step its own least time in place of
+    ``min_step_s``. A step that lacks evidence waits for it without end,
+    or, where ``patience_s`` is above 0, that much longer; then it goes on,
+    or the roll-out stops if the version is suspect.
+    """
 
     model: str
     version: str
     shares: tuple[float, ...] = DEFAULT_SHARES
     min_samples: int = 200
     min_step_s: float = 60.0
+    steps_s: tuple[float, ...] = ()
+    patience_s: float = 0.0
+
+    def step_s(self, step: int) -> float:
+        """Return the least time of one step."""
+        return self.steps_s[step] if self.steps_s else self.min_step_s
 
 
 class Operator(NamedTuple):
--- a/packages/sycamorestand-model/src/sycamorestand_model/shapes.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/shapes.py
@@ -214,6 +214,10 @@
         ),
         "min_samples": Field(whole(1, MAX_SAMPLES)),
         "min_step_s": Field(number(0.0, MAX_STEP_S)),
+        "steps_s": Field(
+            array(number(0.0, MAX_STEP_S), MAX_SHARES, unique=False)
+        ),
+        "patience_s": Field(number(0.0, MAX_STEP_S)),
     },
 )
 
