--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/event_order.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/event_order.py
@@ -23,15 +23,20 @@
     def __init__(self, last: bytes) -> None:
         self.last = last
 
-    def take(self, events: bytes) -> None:
-        """Take whole events, raise `MalformedAnswer` if out of order."""
+    def take(self, events: bytes) -> int:
+        """Take whole events and return how many carry an id.
+
+        Raises `MalformedAnswer` where they are out of order.
+        """
         last = self.last
-        for event_id in _EVENT_ID.findall(events):
+        ids = _EVENT_ID.findall(events)
+        for event_id in ids:
             numbers = _is_number(event_id) and _is_number(last)
             if numbers and int(event_id) != int(last) + 1:
                 raise MalformedAnswer("its events are out of order")
             last = event_id
         self.last = last
+        return len(ids)
 
 
 def _is_number(event_id: bytes) -> bool:
