--- a/packages/sycamorestand-control/src/sycamorestand_control/tables.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/tables.py
@@ -25,6 +25,7 @@
 from sycamorestand_state.directory import BackendDirectory
 from sycamorestand_state.directory import DirectoryDelta
 from sycamorestand_state.loads import LoadUpdate
+from sycamorestand_state.leases import ENTRY_LEASE_S
 from sycamorestand_state.loads import MAX_LOADS
 from sycamorestand_state.nodes import NodeDelta
 from sycamorestand_state.nodes import NodeRecord
@@ -50,7 +51,9 @@
 ENTRIES: Final = "entries"
 LOADS: Final = "loads"
 CONTROLS: Final = "controls"
-NODE_LEASE_S: Final = 3.0
+# Without a grant for this long an entry refuses new work, so callers are
+# not sent to it any more.
+NODE_LEASE_S: Final = ENTRY_LEASE_S
 # Servers whose load an entry is told; it chooses between two at a time,
 # and with more it would only hear of servers that it hardly uses.
 LOADS_AN_ENTRY: Final = 24
