--- a/packages/sycamorestand-control/src/sycamorestand_control/tables.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/tables.py
@@ -24,8 +24,8 @@
 from sycamorestand_peer.messages import TableUpdate
 from sycamorestand_state.directory import BackendDirectory
 from sycamorestand_state.directory import DirectoryDelta
-from sycamorestand_state.loads import LoadUpdate
 from sycamorestand_state.leases import ENTRY_LEASE_S
+from sycamorestand_state.loads import LoadUpdate
 from sycamorestand_state.loads import MAX_LOADS
 from sycamorestand_state.nodes import NodeDelta
 from sycamorestand_state.nodes import NodeRecord
