A peer that restarts is dialled anew at once, and tells of it at once

Cause: after a restart the peers' frames are meant for the process of before and refused until they hear of the new one, whose first frame to them could wait for a heartbeat (0.5 s); and a link that had dialled in vain for long waits up to 2 s for its next attempt although the peer has just spoken. Now the first refused frame is answered with a heartbeat, and the first frame of a new incarnation makes the link dial anew.

--- a/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
@@ -69,6 +69,18 @@
         self._wake = anyio.Event()
         self._used_s = boottime_s()
         self._closed = False
+        self._redial = False
+
+    def redial(self) -> None:
+        """Dial anew now: the peer was restarted and is there again.
+
+        The old connection waits up to `RECONNECT_MAX_MS` before it dials,
+        and what goes into it before is lost without an error. A send that
+        is under way is not cancelled: its cancellation leaves pynng as one
+        that no scope knows, and would end the process.
+        """
+        self._redial = True
+        self._wake.set()
 
     def close(self) -> None:
         """End the link; what is queued is lost with it."""
@@ -105,6 +117,7 @@
                     secure_dialer(socket, self._owner.tls)
                 target = url(self.address, self._owner.tls)
                 socket.dial(target, block=False)
+                self._redial = False
                 await self._send_until_silent(socket, idle_s)
             self._health.redialled()
 
@@ -116,6 +129,8 @@
                 with anyio.move_on_after(HEARTBEAT_INTERVAL_S):
                     await self._wake.wait()
             self._wake = anyio.Event()
+            if self._redial:
+                return
             now_s = boottime_s()
             if self._health.is_silent(now_s):
                 self._owner.counters.redials += 1
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
@@ -23,6 +23,7 @@
 from sycamorestand_peer.link import Link
 from sycamorestand_peer.link import LinkOwner
 from sycamorestand_peer.messages import CallReply
+from sycamorestand_peer.messages import Heartbeat
 from sycamorestand_peer.refusals import Refusal
 from sycamorestand_peer.refusals import Refusals
 from sycamorestand_peer.tls import secure_listener
@@ -230,10 +231,13 @@
             self.counters.refusals.add(error.kind, peer, now_s)
             return
         self._unproved.pop(frame.sender, None)
+        heard = self._heard.get(frame.sender)
         self._heard[frame.sender] = _Heard(
             frame.incarnation, frame.sequence, now_s, self._sequence
         )
         link = self._link(frame.sender)
+        if heard is not None and frame.incarnation != heard.incarnation:
+            link.redial()
         if frame.echo_incarnation == self.incarnation:
             link.echoed(frame.echo_sequence, now_s)
         for code, body in frame.messages:
@@ -246,6 +250,9 @@
             # it. Our link tells it; what it sends from then on is taken.
             if heard is None:
                 newest = (frame.incarnation, frame.sequence)
+                if frame.sender not in self._unproved:
+                    # Told at once; the first heartbeat is half a second on.
+                    self.send(frame.sender, Heartbeat())
                 self._unproved[frame.sender] = newest
             self._link(frame.sender)
             raise FrameRefused(Refusal.EARLIER_LIFE, frame.sender)
--- a/packages/sycamorestand-peer/tests/test_mesh.py
+++ b/packages/sycamorestand-peer/tests/test_mesh.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import Any
 
 import anyio
@@ -9,12 +10,18 @@
 
 from sycamorestand_bench.addresses import free_address
 from sycamorestand_peer.errors import PeerTimeout
+from sycamorestand_peer.frames import Frame
+from sycamorestand_peer.frames import seal
 from sycamorestand_peer.mesh import PeerMesh
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import LedgerBatch
 
 KEY = b"k" * 32
+LINK = "sycamorestand_peer.link."
+HEALTH = "sycamorestand_peer.health."
+NEVER_S = 60.0
+NEVER_MS = 60_000
 
 
 class Node:
@@ -147,6 +154,76 @@
             tasks.cancel_scope.cancel()
 
 
+class TestRestart:
+    """A heartbeat and a redial of their own would come too late here."""
+
+    @pytest.mark.anyio
+    async def test_a_peer_that_does_not_know_of_it_is_told_at_once(
+        self, until: Any, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A process restarts while its peer goes on sending.
+
+        The peer's frames are meant for the process of before and are
+        refused, until it hears of the new one. That must not wait for the
+        next heartbeat: what is sent meanwhile is lost.
+        """
+        monkeypatch.setattr(LINK + "HEARTBEAT_INTERVAL_S", NEVER_S)
+        one, two = Node(), Node()
+        before = Frame(
+            two.mesh.address, one.mesh.address, 1, 1, 7, 7, ((1, b""),)
+        )
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(one.mesh.run)
+            await tasks.start(two.mesh.run)
+            one.mesh._accept(seal(before, KEY), None)
+            await until(lambda: two.mesh.counters.frames_received)
+            tasks.cancel_scope.cancel()
+
+    @pytest.mark.anyio
+    async def test_its_peers_dial_anew_at_once(
+        self, until: Any, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A process was away for so long that nobody dials it often.
+
+        It comes back and says so. Its peers must not wait for their next
+        attempt: a voter or an entry would be without answers meanwhile.
+        """
+        monkeypatch.setattr(LINK + "RECONNECT_MS", NEVER_MS)
+        monkeypatch.setattr(LINK + "RECONNECT_MAX_MS", NEVER_MS)
+        monkeypatch.setattr(LINK + "HEARTBEAT_INTERVAL_S", NEVER_S)
+        monkeypatch.setattr(HEALTH + "SILENCE_BOUND_S", NEVER_S)
+        one, two = Node(), Node()
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(one.mesh.run)
+            async with anyio.create_task_group() as first_life:
+                await first_life.start(two.mesh.run)
+                one.mesh.send(two.mesh.address, AddressList(()))
+                await until(lambda: two.received)
+                two.mesh.send(one.mesh.address, AddressList(()))
+                await until(lambda: one.received)
+                first_life.cancel_scope.cancel()
+            await until(lambda: is_free(two.mesh.address))
+            again = Node(address=two.mesh.address)
+            await tasks.start(again.mesh.run)
+            again.mesh.send(one.mesh.address, AddressList(()))
+            await until(lambda: len(one.received) == 2)
+            one.mesh.send(two.mesh.address, AddressList(()))
+            await until(lambda: again.received)
+            tasks.cancel_scope.cancel()
+
+
+def is_free(address: str) -> bool:
+    """Tell whether the socket that listened there is closed for good."""
+    host, _, port = address.rpartition(":")
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, int(port)))
+        except OSError:
+            return False
+    return True
+
+
 class _SilentGate:
     """A TCP hop that can lose track of the connections open now."""
 
