Entries are told who the voters are now, the nearest first

Cause: an entry learned addresses of control processes only from denials of one that it could still reach; after replacements of all voters an entry whose own one went would find none, and on the platform all entries without a control process of their own attached to the first seed, in whatever data centre. Each control process now tells its entries the voters, those on the entry's VM and in its data centre first; the entry attaches to the nearest when the set of voters changes, and keeps the addresses of its start behind them.

--- a/packages/sycamorestand-control/src/sycamorestand_control/hub.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/hub.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 from typing import Final
 from typing import TYPE_CHECKING
+import zlib
 
 import anyio
 
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import ConfigurationPush
+from sycamorestand_peer.messages import ControlList
 from sycamorestand_peer.messages import LeaseDenied
 from sycamorestand_peer.messages import LeaseGrantMessage
 
@@ -45,6 +48,7 @@
         self.pushed_revision = 0
         self.pushed_s = 0.0
         self.addresses: AddressList | None = None
+        self.controls: ControlList | None = None
 
 
 class EntryHub:
@@ -57,12 +61,14 @@
         tables: SharedTables,
         in_force: Callable[[], InForce],
         other_controls: Callable[[], tuple[str, ...]],
+        voters: Callable[[], tuple[str, ...]] = tuple,
     ) -> None:
         self._mesh = mesh
         self._leases = leases
         self._tables = tables
         self._in_force = in_force
         self._other_controls = other_controls
+        self._voters = voters
         self._attached: dict[str, _Attached] = {}
         self.denied = 0
 
@@ -105,6 +111,7 @@
             if now_s >= next_slow_s:
                 next_slow_s = now_s + SLOW_INTERVAL_S
                 self._push_addresses()
+                self._push_controls()
                 self._push_loads()
 
     def _entry(self, sender: str, message: LeaseRequest) -> _Attached:
@@ -155,6 +162,32 @@
         for entry in self._attached.values():
             self._tables.send_loads_to_entry(entry.address, entry.vm)
 
+    def _push_controls(self) -> None:
+        """Tell entries where control is now.
+
+        After every voter has been replaced, an entry that knew only those
+        that it was started with would find none when its own one goes.
+        """
+        voters = self._voters()
+        for entry in self._attached.values():
+            near = functools.partial(self._distance, entry)
+            controls = ControlList(tuple(sorted(voters, key=near)))
+            if voters and controls != entry.controls:
+                entry.controls = controls
+                self._mesh.send(entry.address, controls)
+
+    def _distance(
+        self, entry: _Attached, control: str
+    ) -> tuple[bool, bool, int]:
+        """Rank a control process; those alike are spread over entries."""
+        name = self._tables.control_name(control)
+        spread = zlib.crc32(f"{entry.address} {control}".encode())
+        return (
+            _host(control) != _host(entry.address),
+            name.data_centre != entry.data_centre,
+            spread,
+        )
+
     def _push_addresses(self) -> None:
         draining = self._in_force().draining_vms
         for entry in self._attached.values():
@@ -178,4 +211,8 @@
                 LOG.info("entry detached", extra={"entry": entry.vm})
 
 
+def _host(address: str) -> str:
+    return address.rpartition(":")[0]
+
+
 __all__ = ["EntryHub"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -111,6 +111,7 @@
             self.tables,
             self.configuration.in_force,
             self._others,
+            self._voters,
         )
         self.keeper = VersionKeeper(self.groups, self.configuration)
         self.ratings = RatingExchange(
@@ -278,6 +279,11 @@
         members.discard(self.mesh.address)
         return tuple(sorted(members))
 
+    def _voters(self) -> tuple[str, ...]:
+        """Return the peer addresses of all voters, this one included."""
+        members = self.groups.replicas[CONFIGURATION_GROUP].status().members
+        return tuple(member.address for member in members if member.voter)
+
     def _group_table(self) -> dict[int, Group]:
         groups = {
             CONFIGURATION_GROUP: Group(
--- a/packages/sycamorestand-control/tests/test_hub.py
+++ b/packages/sycamorestand-control/tests/test_hub.py
@@ -16,6 +16,7 @@
 from sycamorestand_peer.messages import ConfigurationPush
 from sycamorestand_peer.messages import ControlLeaseGranted
 from sycamorestand_peer.messages import ControlLeaseRequest
+from sycamorestand_peer.messages import ControlList
 from sycamorestand_peer.messages import LeaseDenied
 from sycamorestand_peer.messages import LeaseGrantMessage
 from sycamorestand_peer.messages import LeaseRequest
@@ -85,6 +86,7 @@
         self.mesh = FakeMesh()
         self.replica = FakeReplica()
         self.configuration = InForce(revision=1)
+        self.voters = ("10.0.0.1:8001", "127.0.0.1:8001")
         mesh: Any = self.mesh
         groups: Any = FakeGroups(self.replica)
         self.leases = LeaseService(
@@ -97,6 +99,7 @@
             self.tables,
             lambda: self.configuration,
             lambda: ("127.0.0.1:8002",),
+            lambda: self.voters,
         )
         self._sequence = 0
 
@@ -255,3 +258,26 @@
         clock.now_s += 60.0
         scene.hub._detach_silent(clock())
         assert scene.hub.attached_vms() == ()
+
+
+class TestControlList:
+    async def test_an_entry_learns_who_came_in_place_of_a_lost_voter(
+        self, clock: Clock
+    ) -> None:
+        """A voter is replaced by one at an address that no entry knows.
+
+        Entries are told once, the one on their own VM first; otherwise
+        they would be without control after the next replacements.
+        """
+        scene = Scene()
+        scene.ask(0)
+        scene.hub._push_controls()
+        scene.hub._push_controls()
+        told = scene.mesh.take(ControlList)
+        assert [m.addresses for m in told] == [
+            ("127.0.0.1:8001", "10.0.0.1:8001")
+        ]
+        scene.voters = ("127.0.0.1:8001", "10.0.0.9:8001")
+        scene.hub._push_controls()
+        (told_again,) = scene.mesh.take(ControlList)
+        assert set(told_again.addresses) == set(scene.voters)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -13,6 +13,7 @@
 from anyio.abc import TaskStatus
 import msgspec
 
+from sycamorestand_entry.control.choice import ControlChoice
 from sycamorestand_entry.control.ledger_client import LedgerClient
 from sycamorestand_entry.control.sample_counts import SampleCounts
 from sycamorestand_entry.control.server_view import ServerView
@@ -23,6 +24,7 @@
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import AnnouncementRelay
 from sycamorestand_peer.messages import ConfigurationPush
+from sycamorestand_peer.messages import ControlList
 from sycamorestand_peer.messages import LeaseDenied
 from sycamorestand_peer.messages import LeaseGrantMessage
 from sycamorestand_peer.messages import LeaseRequest
@@ -89,8 +91,7 @@
     ) -> None:
         self._settings = settings
         self._address = address
-        self._controls = list(settings.control_addresses)
-        self._control = 0
+        self._choice = ControlChoice(settings.control_addresses)
         self._lease = HeldLease()
         self._granted_s = boottime_s()
         self._in_force = InForce()
@@ -156,7 +157,7 @@
 
     def control_address(self) -> str:
         """Return the control process that this entry is attached to."""
-        return self._controls[self._control]
+        return self._choice.address
 
     async def announce(self, announcement: Announcement) -> None:
         """Pass a backend server's announcement on.
@@ -224,7 +225,7 @@
 
     def _move(self, now_s: float) -> None:
         """Attach to the next control process; this one is silent."""
-        self._control = (self._control + 1) % len(self._controls)
+        self._choice.move_on()
         self._granted_s = now_s
         self.moves += 1
         if self.lease_remaining_s() > 0:
@@ -244,6 +245,8 @@
                 self._take_table(sender, message)
             case SharedRatings():
                 self._rating_listener(message.ratings)
+            case ControlList():
+                self._take_controls(message)
             case AddressList():
                 self._addresses = message.addresses
 
@@ -255,13 +258,16 @@
 
     def _take_denial(self, sender: str, message: LeaseDenied) -> None:
         self.denials += 1
-        for address in message.controls:
-            if address not in self._controls:
-                self._controls.append(address)
+        self._choice.add(message.controls)
         if message.reason == "behind" and sender == self.control_address():
             keeps_s = boottime_s() - MOVE_AFTER_S + BEHIND_GRACE_S
             self._granted_s = max(self._granted_s, keeps_s)
 
+    def _take_controls(self, message: ControlList) -> None:
+        if self._choice.learn(message.addresses):
+            self._granted_s = boottime_s()
+            self._kicked.set()
+
     def _take_configuration(self, in_force: InForce) -> None:
         if in_force.revision <= self._in_force.revision:
             # A control process that lags, or a frame from before a move:
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -14,6 +14,7 @@
 from sycamorestand_peer.messages import ConfigurationPush
 from sycamorestand_peer.messages import ControlLeaseGranted
 from sycamorestand_peer.messages import ControlLeaseRequest
+from sycamorestand_peer.messages import ControlList
 from sycamorestand_peer.messages import Heartbeat
 from sycamorestand_peer.messages import JoinRequest
 from sycamorestand_peer.messages import LeaseDenied
@@ -49,6 +50,7 @@
     17: SampleReport,
     18: JoinRequest,
     19: SharedRatings,
+    20: ControlList,
 }
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
 _DECODERS: Final[dict[int, msgspec.msgpack.Decoder[Any]]] = {
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -75,6 +75,12 @@
     addresses: tuple[EntryAddress, ...]
 
 
+class ControlList(NamedTuple):
+    """The voters' peer addresses, the nearest to the entry first."""
+
+    addresses: tuple[str, ...]
+
+
 class LedgerBatch(NamedTuple):
     """Records of one ledger shard, encoded by the state package."""
 
@@ -180,6 +186,7 @@
     | TableResync
     | TableUpdate
     | JoinRequest
+    | ControlList
 )
 
 __all__ = [
@@ -189,6 +196,7 @@
     "ConfigurationPush",
     "ControlLeaseGranted",
     "ControlLeaseRequest",
+    "ControlList",
     "Heartbeat",
     "JoinRequest",
     "LeaseDenied",
