A background part that fails ends no control process

Cause: all parts ran in one task group, so an exception in any of them (seen before: a roll-out that no profile names, in the keeper) ended the voter, and the next leader by the same fault. Each part but the logs is begun anew after 1 s, logged and counted as a fault. A ledger batch whose proposal fails in an unforeseen way is answered as outcome unknown instead of leaving its entry without an answer.

--- a/packages/sycamorestand-control/src/sycamorestand_control/ledger_writer.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/ledger_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import Any
 from typing import Final
@@ -11,6 +12,7 @@
 import anyio
 
 from sycamorestand_control.errors import ControlError
+from sycamorestand_control.errors import OutcomeUnknown
 from sycamorestand_model.errors import SycamorestandError
 from sycamorestand_state.ledger import decode_batch
 from sycamorestand_state.ledger import encode_batch
@@ -22,6 +24,7 @@
     from sycamorestand_model.ledger import LedgerRecord
     from sycamorestand_model.ledger import LedgerResult
 
+LOG: Final = logging.getLogger(__name__)
 # Under the log's largest command, with room for the envelope.
 MAX_BATCH_BYTES: Final = 512 * 1024
 # One proposal waits for the disk while the next one is being gathered; a
@@ -108,6 +111,10 @@
             results = await self._propose(encode_batch(records, time.time()))
         except (SycamorestandError, ControlError) as error:
             return [error] * len(taken)
+        except Exception:
+            # Whoever waits for these must be answered all the same.
+            LOG.exception("ledger batch failed")
+            return [OutcomeUnknown("the batch may be durable")] * len(taken)
         return _split(results, [len(item.records) for item in taken])
 
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import secrets
 import time
@@ -15,6 +16,7 @@
 
 from sycamorestand_consensus.errors import ConsensusError
 from sycamorestand_consensus.settings import ReplicaSettings
+from sycamorestand_control.background import keep_running
 from sycamorestand_control.errors import ControlError
 from sycamorestand_control.errors import StartRefused
 from sycamorestand_control.groups import CONFIGURATION_GROUP
@@ -167,8 +169,8 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             await tasks.start(self.mesh.run)
+            tasks.start_soon(self.groups.run)
             for part in (
-                self.groups.run,
                 self.leases.run,
                 self.hub.run,
                 self.tables.run,
@@ -180,7 +182,7 @@
                 self.spread.run,
                 *(writer.run for writer in self.writers),
             ):
-                tasks.start_soon(part)
+                tasks.start_soon(keep_running, part, self._part_failed)
             operators = self._operator_server()
             tasks.start_soon(operators.run)
             await self._form_cluster()
@@ -197,7 +199,7 @@
         if not self._others():
             return
         assert self._tasks is not None
-        self._tasks.start_soon(
+        joins = functools.partial(
             ask_to_join,
             self.mesh,
             self.groups,
@@ -205,6 +207,10 @@
             self._settings.vm,
             self._settings.replace_lost_voters,
         )
+        self._tasks.start_soon(keep_running, joins, self._part_failed)
+
+    def _part_failed(self) -> None:
+        self.mesh.counters.faults += 1
 
     async def _create_cluster(self) -> None:
         """Make a new cluster, unless this folder belongs to one already.
--- a/packages/sycamorestand-control/tests/test_process.py
+++ b/packages/sycamorestand-control/tests/test_process.py
@@ -169,3 +169,29 @@
         refused = caught.value.subgroup(StartRefused)
         assert refused is not None
         assert str(port) in str(refused.exceptions[0])
+
+
+class TestBackgroundPart:
+    async def test_a_part_that_fails_ends_no_process(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The keeper of versions meets a state that nobody thought of.
+
+        It is begun anew and the fault is counted; the voter stays, and
+        takes changes meanwhile. Otherwise each leader in turn would end.
+        """
+        monkeypatch.setattr("sycamorestand_control.background.PAUSE_S", 0.01)
+        looked = anyio.Event()
+
+        async def look(now_s: float) -> None:
+            if process.mesh.counters.faults == 0:
+                raise RuntimeError("a state that nobody thought of")
+            looked.set()
+
+        async with running(settings_in(tmp_path)) as process:
+            process.keeper.look = look  # type: ignore[method-assign]
+            with anyio.fail_after(WAIT_S):
+                await looked.wait()
+            answer = await process.backend.change(drain("1", "vm-9"))
+            assert answer.outcome == "accepted"
+            assert process.mesh.counters.faults == 1
