An entry without a lease asks for one each 0.1 s

Cause: after all processes were killed the leader granted leases 0.02 s after its election, and entries came for them with the next renewal, up to 0.4 s later.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -57,6 +57,9 @@
 # One that denies because we are behind is well and sends the revision that
 # is missing; it is left only if that takes longer than this.
 BEHIND_GRACE_S: Final = 0.4
+# Without a lease every call is refused, so it is asked for more often; not
+# so often that all entries at once hold up the election that they wait for.
+ASK_INTERVAL_S: Final = 0.1
 REPORT_INTERVAL_S: Final = 2.0
 EXPIRE_INTERVAL_S: Final = 0.2
 LOADS: Final = "loads"
@@ -197,7 +200,9 @@
                 self._move(now_s)
             self._log_lease_change()
             self.mesh.send(self.control_address(), self._request(now_s))
-            with anyio.move_on_after(RENEW_INTERVAL_S):
+            held = self.lease_remaining_s() > 0
+            pause_s = RENEW_INTERVAL_S if held else ASK_INTERVAL_S
+            with anyio.move_on_after(pause_s):
                 await self._kicked.wait()
 
     def _log_lease_change(self) -> None:
