--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -10,15 +10,13 @@
 from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
-from zlib import crc32
 
 import anyio
 
-from sycamorestand_decisions.versions import choose_version
+from sycamorestand_decisions.affinity import prefix_key
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import InternalError
 from sycamorestand_entry.errors import NoLease
-from sycamorestand_entry.errors import NoVersion
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import UnknownPath
 from sycamorestand_entry.http_messages import CallerGone
@@ -30,14 +28,16 @@
 from sycamorestand_entry.http_protocol import WRITE_NOW
 from sycamorestand_entry.routed.attempts import Attempts
 from sycamorestand_entry.routed.call import ANONYMOUS
+from sycamorestand_entry.routed.call import MAX_DEADLINE_DIGITS
 from sycamorestand_entry.routed.call import passed_headers
 from sycamorestand_entry.routed.call import read_deadline_s
+from sycamorestand_entry.routed.call import read_values
 from sycamorestand_entry.routed.call import RoutedCall
 from sycamorestand_entry.routed.streams import StreamBroken
 from sycamorestand_entry.routed.streams import StreamRelay
+from sycamorestand_entry.routed.targets import choose_target
 from sycamorestand_entry.routed.whole import whole_answer
 from sycamorestand_entry.slots import SlotRequest
-from sycamorestand_model.nodes import VersionSample
 from sycamorestand_model.route_table import RouteTable
 
 if TYPE_CHECKING:
@@ -50,11 +50,16 @@
     from sycamorestand_model.routes import Route
 
 LOG: Final = logging.getLogger(__name__)
-LEASE_RETRY_S: Final = 0.5
-VERSION_RETRY_S: Final = 1.0
-UNIT: Final = 2.0**32
+# An entry without a lease is most often alone with that; its caller may go
+# to another at once. Should all be, a share of the caller's time lets the
+# next try come later without spending what is left.
+LEASE_RETRY_SHARE: Final = 0.06
+MIN_LEASE_RETRY_S: Final = 0.1
+MAX_LEASE_RETRY_S: Final = 1.0
 CALL_S: Final = 0.05
 STREAM_S: Final = 1.0
+# What still waits so long after its time is ended from outside.
+LATE_S: Final = 0.1
 
 Application = Callable[[Any, "Receive", "Send"], Awaitable[None]]
 
@@ -107,6 +112,9 @@
         failure: Exception | None = None
         gone = True
         async with anyio.create_task_group() as tasks:
+            # Whatever it waits for, also a caller that does not read.
+            until_s = call.remaining_s() + LATE_S
+            tasks.cancel_scope.deadline = anyio.current_time() + until_s
             tasks.start_soon(_watch_caller, receive, tasks.cancel_scope)
             try:
                 await self._run(call, responder)
@@ -117,19 +125,29 @@
             tasks.cancel_scope.cancel()
         if failure is not None:
             raise failure
-        if gone:
+        if gone and call.remaining_s() > 0:
             raise CallerGone
+        if gone and responder.started:
+            raise StreamBroken("its time is over")
+        if gone:
+            raise DeadlineExceeded("its time is over")
 
     async def _read(self, scope: Any, receive: Receive) -> RoutedCall:
         read_s = time.monotonic()
         context = self._context
+        raw = scope["headers"]
+        values = read_values(raw, self._wire)
         if context.control.lease_remaining_s() <= 0:
             raise NoLease(
-                "this entry's configuration may be out of date", LEASE_RETRY_S
+                "this entry's configuration may be out of date",
+                _lease_retry_s(values.get(self._wire.deadline_ms, b"")),
             )
         in_force = context.control.in_force()
-        raw = scope["headers"]
-        values = dict(raw)
+        if not in_force.declarations.routes:
+            raise NoLease(
+                "no routes are in force yet",
+                _lease_retry_s(values.get(self._wire.deadline_ms, b"")),
+            )
         route = self._route(in_force, values, scope["raw_path"])
         customer, priority, weight = self._customer(in_force, route, values)
         deadline_at_s = read_deadline_s(values, self._wire, route, read_s)
@@ -163,8 +181,6 @@
         if self._table.revision != in_force.revision:
             routes = RouteTable(in_force.declarations.routes)
             self._table = _Table(in_force.revision, routes)
-        if not in_force.declarations.routes:
-            raise NoLease("no routes are in force yet", LEASE_RETRY_S)
         host = values.get(b"host", b"").decode("latin-1")
         route = self._table.routes.find(host, raw_path.decode("latin-1"))
         if route is None:
@@ -184,7 +200,7 @@
 
     async def _run(self, call: RoutedCall, responder: Responder) -> None:
         context = self._context
-        target = self._target(call)
+        target = choose_target(context, call)
         begin_s = time.monotonic()
         slot = await context.slots.acquire(
             SlotRequest(
@@ -197,13 +213,11 @@
             )
         )
         failed = True
-        first_s = 0.0
         try:
             attempts = Attempts(context, self._wire, call)
             if call.route.kind == "stream":
                 relay = StreamRelay(attempts, responder, self._affinity(call))
                 answer = await relay.run(target)
-                first_s = relay.first_event_s
             else:
                 answer = await whole_answer(attempts, target)
             failed = answer is not None and answer.status >= 500
@@ -217,46 +231,13 @@
             now_s = time.monotonic()
             if slot >= 0:
                 context.slots.finish(slot, now_s - begin_s, failed)
-                self._report(call, target, failed, begin_s, first_s)
         if not failed:
             context.retries.succeeded(call.customer, time.monotonic())
 
-    def _target(self, call: RoutedCall) -> str:
-        """Return the service, or the version of it, that is to answer."""
-        in_force = self._context.control.in_force()
-        service = _service_of(call)
-        model = in_force.declarations.models.get(service)
-        if model is None:
-            return service
-        chosen = choose_version(model, in_force, _unit(call, service))
-        if chosen is None:
-            raise NoVersion("no version may be used now", VERSION_RETRY_S)
-        return chosen
-
     def _affinity(self, call: RoutedCall) -> str:
-        parts = call.values.get(self._wire.prompt_parts, b"").split(b",")
-        return parts[-1].partition(b":")[0].decode("latin-1")
-
-    def _report(
-        self,
-        call: RoutedCall,
-        target: str,
-        failed: bool,
-        begin_s: float,
-        first_s: float,
-    ) -> None:
-        now_s = time.monotonic()
-        self._context.control.report(
-            VersionSample(
-                target,
-                call.route.name,
-                failed,
-                ((first_s or now_s) - begin_s) * 1000,
-                (now_s - begin_s) * 1000,
-                None,
-                0,
-            )
-        )
+        value = call.values.get(self._wire.prompt_parts, b"")
+        parts = value.decode("latin-1").split(",")
+        return prefix_key([part.partition(":")[0].strip() for part in parts])
 
 
 def make_routed_application(
@@ -293,22 +274,11 @@
     await responder.answer(error.status, b"text/plain", body, headers)
 
 
-def _service_of(call: RoutedCall) -> str:
-    targets = call.route.targets
-    if len(targets) == 1:
-        return targets[0].service
-    whole = sum(target.weight for target in targets)
-    place = crc32(call.session.encode() or call.attempt) / UNIT * whole
-    for target in targets:
-        place -= target.weight
-        if place < 0:
-            return target.service
-    return targets[-1].service
-
-
-def _unit(call: RoutedCall, service: str) -> float:
-    name = call.session or call.attempt.decode("latin-1")
-    return crc32(f"{name}/{service}".encode()) / UNIT
+def _lease_retry_s(deadline_ms: bytes) -> float:
+    known = deadline_ms.isdigit() and len(deadline_ms) < MAX_DEADLINE_DIGITS
+    whole_s = int(deadline_ms) / 1000 if known else 0.0
+    after_s = max(MIN_LEASE_RETRY_S, whole_s * LEASE_RETRY_SHARE)
+    return min(MAX_LEASE_RETRY_S, after_s)
 
 
 __all__ = ["DeadlineExceeded", "make_routed_application", "RoutedEntry"]
--- a/packages/sycamorestand-model/src/sycamorestand_model/check.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/check.py
@@ -14,6 +14,7 @@
 from sycamorestand_model.check_customers import check_customers
 from sycamorestand_model.check_customers import check_doubled_keys
 from sycamorestand_model.check_customers import check_operators
+from sycamorestand_model.check_routes import check_routes
 from sycamorestand_model.check_subject import place_of
 from sycamorestand_model.check_subject import report_unknown
 from sycamorestand_model.check_subject import Subject
@@ -24,6 +25,7 @@
 from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.declarations import Model
 from sycamorestand_model.declarations import Profile
+from sycamorestand_model.declarations import Rollout
 from sycamorestand_model.findings import Finding
 from sycamorestand_model.findings import Findings
 from sycamorestand_model.findings import inside
@@ -149,6 +151,7 @@
     for name, rollout in subject.declarations.rollouts.items():
         place = place_of(subject, "rollouts", name)
         _check_shares(rollout.shares, place, subject.findings)
+        _check_steps(rollout, place, subject.findings)
         model = subject.declarations.models.get(name)
         if model is None:
             report_unknown(subject, "models", name, place)
@@ -175,6 +178,15 @@
         )
 
 
+def _check_steps(rollout: Rollout, place: Place, findings: Findings) -> None:
+    if rollout.steps_s and len(rollout.steps_s) != len(rollout.shares):
+        findings.error(
+            inside(place, "steps_s"),
+            "not as many times as shares",
+            "give each share its time, or leave them out",
+        )
+
+
 def _check_rollout_version(
     model: Model, version: str, place: Place, subject: Subject
 ) -> None:
@@ -212,6 +224,7 @@
     _check_rollouts,
     check_operators,
     check_doubled_keys,
+    check_routes,
 )
 
 __all__ = ["check", "check_declarations"]
--- a/packages/sycamorestand-model/src/sycamorestand_model/load.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/load.py
@@ -200,7 +200,7 @@
 
 
 def _assemble(raw: list[_RawDeclaration], findings: Findings) -> Loaded:
-    sections: dict[str, dict[str, Any]] = {key: {} for key in SECTIONS}
+    sections: dict[str, Any] = {key: {} for key in SECTIONS}
     files: dict[str, str] = {}
     for declaration in raw:
         section, name, table, place = declaration
