--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -10,15 +10,13 @@
 from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
-from zlib import crc32
 
 import anyio
 
-from sycamorestand_decisions.versions import choose_version
+from sycamorestand_decisions.affinity import prefix_key
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import InternalError
 from sycamorestand_entry.errors import NoLease
-from sycamorestand_entry.errors import NoVersion
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import UnknownPath
 from sycamorestand_entry.http_messages import CallerGone
@@ -37,9 +35,9 @@
 from sycamorestand_entry.routed.call import RoutedCall
 from sycamorestand_entry.routed.streams import StreamBroken
 from sycamorestand_entry.routed.streams import StreamRelay
+from sycamorestand_entry.routed.targets import choose_target
 from sycamorestand_entry.routed.whole import whole_answer
 from sycamorestand_entry.slots import SlotRequest
-from sycamorestand_model.nodes import VersionSample
 from sycamorestand_model.route_table import RouteTable
 
 if TYPE_CHECKING:
@@ -58,8 +56,6 @@
 LEASE_RETRY_SHARE: Final = 0.06
 MIN_LEASE_RETRY_S: Final = 0.1
 MAX_LEASE_RETRY_S: Final = 1.0
-VERSION_RETRY_S: Final = 1.0
-UNIT: Final = 2.0**32
 CALL_S: Final = 0.05
 STREAM_S: Final = 1.0
 # What still waits so long after its time is ended from outside.
@@ -204,7 +200,7 @@
 
     async def _run(self, call: RoutedCall, responder: Responder) -> None:
         context = self._context
-        target = self._target(call)
+        target = choose_target(context, call)
         begin_s = time.monotonic()
         slot = await context.slots.acquire(
             SlotRequest(
@@ -217,13 +213,11 @@
             )
         )
         failed = True
-        first_s = 0.0
         try:
             attempts = Attempts(context, self._wire, call)
             if call.route.kind == "stream":
                 relay = StreamRelay(attempts, responder, self._affinity(call))
                 answer = await relay.run(target)
-                first_s = relay.first_event_s
             else:
                 answer = await whole_answer(attempts, target)
             failed = answer is not None and answer.status >= 500
@@ -237,46 +231,13 @@
             now_s = time.monotonic()
             if slot >= 0:
                 context.slots.finish(slot, now_s - begin_s, failed)
-                self._report(call, target, failed, begin_s, first_s)
         if not failed:
             context.retries.succeeded(call.customer, time.monotonic())
 
-    def _target(self, call: RoutedCall) -> str:
-        """Return the service, or the version of it, that is to answer."""
-        in_force = self._context.control.in_force()
-        service = _service_of(call)
-        model = in_force.declarations.models.get(service)
-        if model is None:
-            return service
-        chosen = choose_version(model, in_force, _unit(call, service))
-        if chosen is None:
-            raise NoVersion("no version may be used now", VERSION_RETRY_S)
-        return chosen
-
     def _affinity(self, call: RoutedCall) -> str:
-        parts = call.values.get(self._wire.prompt_parts, b"").split(b",")
-        return parts[-1].partition(b":")[0].decode("latin-1")
-
-    def _report(
-        self,
-        call: RoutedCall,
-        target: str,
-        failed: bool,
-        begin_s: float,
-        first_s: float,
-    ) -> None:
-        now_s = time.monotonic()
-        self._context.control.report(
-            VersionSample(
-                target,
-                call.route.name,
-                failed,
-                ((first_s or now_s) - begin_s) * 1000,
-                (now_s - begin_s) * 1000,
-                None,
-                0,
-            )
-        )
+        value = call.values.get(self._wire.prompt_parts, b"")
+        parts = value.decode("latin-1").split(",")
+        return prefix_key([part.partition(":")[0].strip() for part in parts])
 
 
 def make_routed_application(
@@ -320,22 +281,4 @@
     return min(MAX_LEASE_RETRY_S, after_s)
 
 
-def _service_of(call: RoutedCall) -> str:
-    targets = call.route.targets
-    if len(targets) == 1:
-        return targets[0].service
-    whole = sum(target.weight for target in targets)
-    place = crc32(call.session.encode() or call.attempt) / UNIT * whole
-    for target in targets:
-        place -= target.weight
-        if place < 0:
-            return target.service
-    return targets[-1].service
-
-
-def _unit(call: RoutedCall, service: str) -> float:
-    name = call.session or call.attempt.decode("latin-1")
-    return crc32(f"{name}/{service}".encode()) / UNIT
-
-
 __all__ = ["DeadlineExceeded", "make_routed_application", "RoutedEntry"]
