--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -18,6 +18,7 @@
 from sycamorestand_entry.errors import InternalError
 from sycamorestand_entry.errors import NoLease
 from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.errors import RequestTimeout
 from sycamorestand_entry.errors import UnknownPath
 from sycamorestand_entry.http_messages import CallerGone
 from sycamorestand_entry.http_messages import read_body
@@ -171,7 +172,7 @@
             values.get(self._wire.session, b"").decode("latin-1"),
             passed_headers(raw, self._wire),
             values,
-            await read_body(request, limit_bytes),
+            await _body_by(deadline_at_s, request, limit_bytes),
             deadline_at_s,
         )
 
@@ -274,6 +275,17 @@
     await responder.answer(error.status, b"text/plain", body, headers)
 
 
+async def _body_by(
+    deadline_at_s: float, request: Request, limit_bytes: int
+) -> bytes:
+    """Return the body, or refuse where it does not come in time."""
+    try:
+        with anyio.fail_after(max(0.0, deadline_at_s - time.monotonic())):
+            return await read_body(request, limit_bytes)
+    except TimeoutError:
+        raise RequestTimeout("the request's body came too late") from None
+
+
 def _lease_retry_s(deadline_ms: bytes) -> float:
     known = deadline_ms.isdigit() and len(deadline_ms) < MAX_DEADLINE_DIGITS
     whole_s = int(deadline_ms) / 1000 if known else 0.0
--- a/packages/sycamorestand-entry/tests/routed/test_attempts.py
+++ b/packages/sycamorestand-entry/tests/routed/test_attempts.py
@@ -98,6 +98,19 @@
         assert 700 >= left[0] >= left[1] > 0
 
 
+class TestSlowCaller:
+    async def test_body_that_does_not_come_is_not_waited_for(self) -> None:
+        """A caller sends the head of an order and not its body."""
+        async with start_routed() as loopback:
+            await add_servers(loopback, closes, 1)
+            with anyio.fail_after(5):
+                answer = await loopback.ask(
+                    "/order/1", x_deadline_ms="300", content_length="9"
+                )
+            assert not loopback.requests
+        assert answer.startswith(b"HTTP/1.1 408")
+
+
 class TestCallerLeaves:
     async def test_running_work_is_cancelled(self) -> None:
         """A caller closes its connection while a server works for it."""
