A roll-out's share of the work goes to that share of its servers

Cause: the new servers are as many as the old ones, so the first share left them idle; a slow version answered its first events sooner than the busy old one and was stopped only when all work was on it.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -6,6 +6,7 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.canary import first_servers
 from sycamorestand_decisions.selection import Candidate
 from sycamorestand_decisions.selection import ServerSelector
 from sycamorestand_entry.errors import NoBackendServer
@@ -37,7 +38,19 @@
         self._seen: dict[str, tuple[int, int, float]] = {}
 
     def candidates(self, target: str, now_s: float) -> list[Candidate]:
-        """Return the servers that hold the version or service now."""
+        """Return the servers that hold the version or service now.
+
+        While a version is rolled out, only those that its share needs.
+        """
+        holders = [
+            server
+            for server in self._control.backend_servers().values()
+            if target in server.versions and not server.leaving
+        ]
+        share = self._share(target)
+        if share < 1.0:
+            first = first_servers([s.name for s in holders], share)
+            holders = [s for s in holders if s.name in first]
         return [
             Candidate(
                 server.name,
@@ -46,8 +59,7 @@
                 server.load.queued,
                 server.load.age_s + self._age_s(server, now_s),
             )
-            for server in self._control.backend_servers().values()
-            if target in server.versions and not server.leaving
+            for server in holders
         ]
 
     def choose(
@@ -126,6 +138,14 @@
             for group, selector in self._selectors.items()
         }
 
+    def _share(self, target: str) -> float:
+        """Return the share of the work that a version gets by a roll-out."""
+        model, _, version = target.partition(SEPARATOR)
+        rollout = self._control.in_force().shares.get(model)
+        if rollout is None or rollout.version != version:
+            return 1.0
+        return rollout.share or 1.0
+
     def _selector(self, target: str) -> ServerSelector:
         group = target.partition(SEPARATOR)[0]
         selector = self._selectors.get(group)
