The middle model's answer after a near miss is accepted from 50 on

Cause: two rough opinions of one request, both near, say more than one; 22 of 84 answers of the middle model between 50 and 59 climbed on to the largest one.

Tried and not kept: a less urgent rank for long prompts at the engines (one step for 6,000 tokens).

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/size_ladder.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/size_ladder.py
@@ -32,8 +32,13 @@
 # Swept on a quiet day: 40 loses more worth by poor answers than the large
 # model costs, 75 pays for the large model where the answer was good.
 ACCEPT_CONFIDENCE: Final = 60
+# A model between has an answer to give only after a near miss of the one
+# below. Both opinions are rough and speak of the same request, so that the
+# second needs to say less.
+ACCEPT_AFTER_NEAR_MISS: Final = 50
 # The middle model's confidence lies some twelve above the smallest one's:
-# from here on, it accepted 50 of 84 answers on a quiet day.
+# from here on, 50 of its 84 answers of a quiet day were above
+# `ACCEPT_CONFIDENCE`, and 72 at fifty or more.
 NEAR_CONFIDENCE: Final = 45
 
 
@@ -55,7 +60,9 @@
     poor answer earns more than none. A climb by one needs an attempt more
     than that, to climb on from there.
     """
-    if confidence is None or confidence >= ACCEPT_CONFIDENCE:
+    between = 0 < size < len(sizes) - 1
+    accept = ACCEPT_AFTER_NEAR_MISS if between else ACCEPT_CONFIDENCE
+    if confidence is None or confidence >= accept:
         return None
     if size + 1 >= len(sizes) or attempts_left < 1:
         return None
@@ -64,4 +71,10 @@
     return len(sizes) - 1
 
 
-__all__ = ["ACCEPT_CONFIDENCE", "first_size", "NEAR_CONFIDENCE", "next_size"]
+__all__ = [
+    "ACCEPT_AFTER_NEAR_MISS",
+    "ACCEPT_CONFIDENCE",
+    "first_size",
+    "NEAR_CONFIDENCE",
+    "next_size",
+]
--- a/packages/sycamorestand-decisions/tests/test_size_ladder.py
+++ b/packages/sycamorestand-decisions/tests/test_size_ladder.py
@@ -28,6 +28,8 @@
             pytest.param(0, NEAR_CONFIDENCE, 1, 2, id="the last attempt"),
             pytest.param(0, 0, 0, None, id="no attempt left"),
             pytest.param(1, NEAR_CONFIDENCE, 1, 2, id="from the middle"),
+            pytest.param(1, 49, 1, 2, id="below both its thresholds"),
+            pytest.param(1, 50, 1, None, id="a second opinion, both near"),
             pytest.param(2, 0, 1, None, id="nothing is larger"),
         ],
     )
