One long answer among ten ejects no server

Also calls of 4 ms made those of 30 ms look slow.

Change: a sample counts for at most six times the typical latency, and an average below 0.1 s never stands out.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ejection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ejection.py
@@ -6,6 +6,13 @@
 the reverse harm: when all servers slow down together, taking some out
 makes the rest fail.
 
+A third pattern is few requests, one of which took long: a tail of the work,
+a new connection, a long prompt. Averaged as it is over ten answers it makes
+a sound server look four times slower, and the loss of one server of three
+for ten seconds costs more than the answer did. So no sample counts for more
+than `OUTLIER_RATIO` times the typical latency: one of ten cannot eject, and
+a server that is slow throughout still stands out.
+
 Shown by ``dev/bench decisions --scenario slow-server`` and
 ``--scenario server-lost``.
 """
@@ -20,6 +27,12 @@
 # ones move a server's average by less than a factor of two.
 SLOW_RATIO: Final = 3.0
 MIN_SAMPLES: Final = 10
+# Two of ten answers at this ratio leave the average at twice the typical
+# one; a server at four times passes `SLOW_RATIO` with its tenth answer.
+OUTLIER_RATIO: Final = 6.0
+# Averages under this are in nobody's way. Calls of some milliseconds next
+# to others of some ten are usual, and differ by more than `SLOW_RATIO`.
+MIN_SLOW_S: Final = 0.1
 # A probe of a slow server is one slow answer to a caller: with ten entries
 # and this time out they stay under one in a hundred requests.
 FIRST_EJECTION_S: Final = 10.0
@@ -86,7 +99,7 @@
             # one would end the time out, a slow one double it.
             return
         self.failures = 0
-        self._learn(latency_s)
+        self._learn(_bounded(latency_s, typical.latency_s))
         if not self.half_open:
             return
         bound_s = SLOW_RATIO * typical.latency_s
@@ -103,8 +116,9 @@
         if now_s >= self.ejected_until_s:
             self.failures += 1
 
-    def first_byte(self, latency_s: float) -> None:
+    def first_byte(self, latency_s: float, typical: Typical) -> None:
         """Learn from the time to a first byte, long before the end."""
+        latency_s = _bounded(latency_s, typical.first_byte_s)
         self.first_bytes += 1
         step = max(LATENCY_STEP, 1.0 / self.first_bytes)
         self.first_byte_s += step * (latency_s - self.first_byte_s)
@@ -153,7 +167,13 @@
 def _stands_out(samples: int, average_s: float, typical_s: float) -> bool:
     if samples < MIN_SAMPLES or not typical_s:
         return False
-    return average_s > SLOW_RATIO * typical_s
+    return average_s > max(MIN_SLOW_S, SLOW_RATIO * typical_s)
+
+
+def _bounded(latency_s: float, typical_s: float) -> float:
+    if not typical_s:
+        return latency_s
+    return min(latency_s, max(MIN_SLOW_S, OUTLIER_RATIO * typical_s))
 
 
 __all__ = ["MAX_EJECTED_SHARE", "ServerHealth", "Typical"]
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -126,7 +126,7 @@
         """Learn from the time to the first byte."""
         server = self._server(name)
         server.limit.first_byte(now_s, latency_s)
-        server.health.first_byte(latency_s)
+        server.health.first_byte(latency_s, self._typical)
         self._eject_outlier(server, now_s)
 
     def finished(
