--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -13,6 +13,7 @@
 from anyio.abc import TaskStatus
 import msgspec
 
+from sycamorestand_entry.control.choice import ControlChoice
 from sycamorestand_entry.control.ledger_client import LedgerClient
 from sycamorestand_entry.control.sample_counts import SampleCounts
 from sycamorestand_entry.control.server_view import ServerView
@@ -23,6 +24,7 @@
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import AnnouncementRelay
 from sycamorestand_peer.messages import ConfigurationPush
+from sycamorestand_peer.messages import ControlList
 from sycamorestand_peer.messages import LeaseDenied
 from sycamorestand_peer.messages import LeaseGrantMessage
 from sycamorestand_peer.messages import LeaseRequest
@@ -55,6 +57,9 @@
 # One that denies because we are behind is well and sends the revision that
 # is missing; it is left only if that takes longer than this.
 BEHIND_GRACE_S: Final = 0.4
+# Without a lease every call is refused, so it is asked for more often; not
+# so often that all entries at once hold up the election that they wait for.
+ASK_INTERVAL_S: Final = 0.1
 REPORT_INTERVAL_S: Final = 2.0
 # While a roll-out runs: what a bad version does between two reports is
 # exposure that nobody judges.
@@ -92,8 +97,7 @@
     ) -> None:
         self._settings = settings
         self._address = address
-        self._controls = list(settings.control_addresses)
-        self._control = 0
+        self._choice = ControlChoice(settings.control_addresses)
         self._lease = HeldLease()
         self._granted_s = boottime_s()
         self._in_force = InForce()
@@ -159,7 +163,7 @@
 
     def control_address(self) -> str:
         """Return the control process that this entry is attached to."""
-        return self._controls[self._control]
+        return self._choice.address
 
     async def announce(self, announcement: Announcement) -> None:
         """Pass a backend server's announcement on.
@@ -199,7 +203,9 @@
                 self._move(now_s)
             self._log_lease_change()
             self.mesh.send(self.control_address(), self._request(now_s))
-            with anyio.move_on_after(RENEW_INTERVAL_S):
+            held = self.lease_remaining_s() > 0
+            pause_s = RENEW_INTERVAL_S if held else ASK_INTERVAL_S
+            with anyio.move_on_after(pause_s):
                 await self._kicked.wait()
 
     def _log_lease_change(self) -> None:
@@ -227,7 +233,7 @@
 
     def _move(self, now_s: float) -> None:
         """Attach to the next control process; this one is silent."""
-        self._control = (self._control + 1) % len(self._controls)
+        self._choice.move_on()
         self._granted_s = now_s
         self.moves += 1
         if self.lease_remaining_s() > 0:
@@ -247,6 +253,8 @@
                 self._take_table(sender, message)
             case SharedRatings():
                 self._rating_listener(message.ratings)
+            case ControlList():
+                self._take_controls(message)
             case AddressList():
                 self._addresses = message.addresses
 
@@ -258,13 +266,16 @@
 
     def _take_denial(self, sender: str, message: LeaseDenied) -> None:
         self.denials += 1
-        for address in message.controls:
-            if address not in self._controls:
-                self._controls.append(address)
+        self._choice.add(message.controls)
         if message.reason == "behind" and sender == self.control_address():
             keeps_s = boottime_s() - MOVE_AFTER_S + BEHIND_GRACE_S
             self._granted_s = max(self._granted_s, keeps_s)
 
+    def _take_controls(self, message: ControlList) -> None:
+        if self._choice.learn(message.addresses):
+            self._granted_s = boottime_s()
+            self._kicked.set()
+
     def _take_configuration(self, in_force: InForce) -> None:
         if in_force.revision <= self._in_force.revision:
             # A control process that lags, or a frame from before a move:
