--- a/packages/sycamorestand-entry/tests/routed/test_streams.py
+++ b/packages/sycamorestand-entry/tests/routed/test_streams.py
@@ -132,6 +132,29 @@
 
 
 class TestTime:
+    @pytest.mark.parametrize(
+        ("tokens", "servers"), [("20000,100", 1), ("200,100", 2)]
+    )
+    async def test_long_prompt_is_read_to_its_end(
+        self, tokens: str, servers: int
+    ) -> None:
+        """The first event comes after 1.7 s, later than a share of the aim.
+
+        A short prompt is sent to another server after 1.2 s, as this one
+        seems to hang. A long one takes so long to read: another server
+        would only begin it anew.
+        """
+
+        async def handler(request: bytes, stream: SocketStream) -> None:
+            if len(loopback.requests) == 1:
+                await anyio.sleep(1.7)
+            await go_on(request, stream)
+
+        async with start_routed() as loopback:
+            answer = await ask_two(loopback, handler, x_tokens=tokens)
+            assert len(loopback.requests) == servers
+        assert answer.endswith(END)
+
     async def test_stream_ends_with_its_routes_time(self) -> None:
         """The only server hangs in the middle of the stream.
 
