--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -54,9 +54,9 @@
 # An entry without a lease is most often alone with that; its caller may go
 # to another at once. Should all be, a share of the caller's time lets the
 # next try come later without spending what is left.
-LEASE_RETRY_SHARE: Final = 0.06
+LEASE_RETRY_SHARE: Final = 0.3
 MIN_LEASE_RETRY_S: Final = 0.1
-MAX_LEASE_RETRY_S: Final = 1.0
+MAX_LEASE_RETRY_S: Final = 2.2
 CALL_S: Final = 0.05
 STREAM_S: Final = 1.0
 # What still waits so long after its time is ended from outside.
