An entry that is cut off renews its lease through another entry

After 0.7 s without an answer an entry asks through another one as well; the answers come back the same way while the direct one is silent. The holder counts a lease from its own request, so nothing of the argument changes. Ruled out: a longer lease (work on a withdrawn version from behind a cut).

--- a/packages/sycamorestand-control/src/sycamorestand_control/tables.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/tables.py
@@ -170,6 +170,7 @@
                 node.port,
                 node.stopping,
                 node.load,
+                node.peer_address,
             )
             for node in self._entries.addresses(
                 caller, data_centre, limit, draining_vms
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -32,6 +32,7 @@
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
+from sycamorestand_peer.relays import DIRECT_SILENCE_S
 from sycamorestand_state.leases import HeldLease
 from sycamorestand_state.leases import LeaseGrant
 from sycamorestand_state.leases import RENEW_INTERVAL_S
@@ -100,6 +101,7 @@
         self._choice = ControlChoice(settings.control_addresses)
         self._lease = HeldLease()
         self._granted_s = boottime_s()
+        self._answered_s = self._granted_s
         self._in_force = InForce()
         self._addresses: tuple[EntryAddress, ...] = ()
         self._stopping = False
@@ -202,12 +204,36 @@
             if now_s - self._granted_s > MOVE_AFTER_S:
                 self._move(now_s)
             self._log_lease_change()
-            self.mesh.send(self.control_address(), self._request(now_s))
+            self._ask(now_s)
             held = self.lease_remaining_s() > 0
             pause_s = RENEW_INTERVAL_S if held else ASK_INTERVAL_S
             with anyio.move_on_after(pause_s):
                 await self._kicked.wait()
 
+    def _ask(self, now_s: float) -> None:
+        """Ask for a lease; without answers, through another entry too.
+
+        The direct way is tried all the same, so that it is used again as
+        soon as it works.
+        """
+        control = self.control_address()
+        request = self._request(now_s)
+        self.mesh.send_directly(control, request)
+        if now_s - self._answered_s <= DIRECT_SILENCE_S:
+            return
+        relay = self.mesh.relay_for(control) or self._next_relay()
+        if relay:
+            self.mesh.send_through(relay, control, request)
+
+    def _next_relay(self) -> str:
+        """Return an entry to ask through; another one each time."""
+        own = self.mesh.address
+        peers = [a.peer_address for a in self._addresses]
+        others = [peer for peer in peers if peer not in ("", own)]
+        if not others:
+            return ""
+        return others[self._requests % len(others)]
+
     def _log_lease_change(self) -> None:
         """Log when the lease is lost or held again, and from whom.
 
@@ -260,6 +286,7 @@
 
     def _take_grant(self, message: LeaseGrantMessage) -> None:
         self._granted_s = boottime_s()
+        self._answered_s = self._granted_s
         grant = LeaseGrant(message.length_s, message.revision)
         self._lease.renewed(message.sent_at_s, grant)
         self._ready.set()
--- /dev/null
+++ b/packages/sycamorestand-entry/tests/control/test_link.py
@@ -0,0 +1,99 @@
+"""How an entry asks for its lease."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+
+import pytest
+
+from sycamorestand_entry.control import link as link_module
+from sycamorestand_entry.control.link import ControlLink
+from sycamorestand_entry.control.link import LinkSettings
+from sycamorestand_model.nodes import EntryAddress
+from sycamorestand_peer.messages import AddressList
+from sycamorestand_peer.messages import LeaseGrantMessage
+
+OWN = "10.0.0.1:7001"
+CONTROL = "10.0.0.2:7000"
+PEERS = ("10.0.0.3:7001", "10.0.0.4:7001")
+ADDRESS = EntryAddress("vm-1", "a", "10.0.0.1", 80, peer_address=OWN)
+
+
+class Sent(NamedTuple):
+    relay: str
+    address: str
+
+
+class RecordingMesh:
+    """Notes what the link sends, and by which way."""
+
+    address = OWN
+    incarnation = 1
+
+    def __init__(self) -> None:
+        self.sent: list[Sent] = []
+        self.relay: str | None = None
+
+    def send_directly(self, address: str, message: Any) -> None:
+        self.sent.append(Sent("", address))
+
+    def send_through(self, relay: str, address: str, message: Any) -> None:
+        self.sent.append(Sent(relay, address))
+
+    def relay_for(self, address: str) -> str | None:
+        return self.relay
+
+
+class TestAsking:
+    def _link(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> tuple[ControlLink, RecordingMesh]:
+        monkeypatch.setattr(link_module, "boottime_s", lambda: 100.0)
+        settings = LinkSettings("vm-1", "a", OWN, (CONTROL,), (b"k" * 32,))
+        link = ControlLink(settings, lambda: ADDRESS)
+        mesh = RecordingMesh()
+        link.mesh = mesh  # type: ignore[assignment]
+        peers = [ADDRESS]
+        for number, peer in enumerate(PEERS):
+            name = f"vm-{number + 2}"
+            peers.append(
+                EntryAddress(name, "a", "10.0.0.9", 80, peer_address=peer)
+            )
+        link._received(CONTROL, AddressList(tuple(peers)))
+        link._received(CONTROL, LeaseGrantMessage(100.0, 2.0, 0))
+        return link, mesh
+
+    def test_answered_it_asks_directly(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        link, mesh = self._link(monkeypatch)
+        link._ask(100.4)
+        assert mesh.sent == [Sent("", CONTROL)]
+
+    def test_unanswered_it_asks_through_other_entries_in_turn(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """An entry is cut off from control, other entries are not.
+
+        Its lease would run out after two seconds, and it would refuse
+        work. One of the others may be cut off like it, so it asks another
+        each time, and directly too, as the cut may have healed.
+        """
+        link, mesh = self._link(monkeypatch)
+        for now_s in (100.8, 101.2):
+            link._ask(now_s)
+        through = [sent for sent in mesh.sent if sent.relay]
+        assert {sent.relay for sent in through} == set(PEERS)
+        assert {sent.address for sent in mesh.sent} == {CONTROL}
+        assert mesh.sent.count(Sent("", CONTROL)) == 2
+
+    def test_the_way_that_worked_is_kept(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        link, mesh = self._link(monkeypatch)
+        mesh.relay = PEERS[1]
+        for now_s in (100.8, 101.2, 101.6):
+            link._ask(now_s)
+        relays = {sent.relay for sent in mesh.sent if sent.relay}
+        assert relays == {PEERS[1]}
--- a/packages/sycamorestand-model/src/sycamorestand_model/nodes.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/nodes.py
@@ -6,7 +6,10 @@
 
 
 class EntryAddress(NamedTuple):
-    """An address that callers may connect to, and what is known of it."""
+    """An address that callers may connect to, and what is known of it.
+
+    ``peer_address`` is where other processes of the system reach it.
+    """
 
     vm: str
     data_centre: str
@@ -14,6 +17,7 @@
     port: int
     stopping: bool = False
     load: float = 0.0
+    peer_address: str = ""
 
 
 class VersionSample(NamedTuple):
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -24,6 +24,7 @@
 from sycamorestand_peer.messages import Message
 from sycamorestand_peer.messages import ProposalForward
 from sycamorestand_peer.messages import Query
+from sycamorestand_peer.messages import Relayed
 from sycamorestand_peer.messages import ReplicaPayload
 from sycamorestand_peer.messages import SampleReport
 from sycamorestand_peer.messages import SharedRatings
@@ -51,6 +52,7 @@
     18: JoinRequest,
     19: SharedRatings,
     20: ControlList,
+    21: Relayed,
 }
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
 _DECODERS: Final[dict[int, msgspec.msgpack.Decoder[Any]]] = {
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
@@ -15,6 +15,7 @@
 from sycamorestand_model.errors import WireError
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.codec import decode
+from sycamorestand_peer.codec import encode
 from sycamorestand_peer.errors import FrameRefused
 from sycamorestand_peer.errors import PeerTimeout
 from sycamorestand_peer.frames import Frame
@@ -24,8 +25,10 @@
 from sycamorestand_peer.link import LinkOwner
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import Heartbeat
+from sycamorestand_peer.messages import Relayed
 from sycamorestand_peer.refusals import Refusal
 from sycamorestand_peer.refusals import Refusals
+from sycamorestand_peer.relays import Relays
 from sycamorestand_peer.tls import secure_listener
 from sycamorestand_peer.tls import url
 
@@ -62,6 +65,7 @@
         self.faults = 0
         self.redials = 0
         self.dropped = 0
+        self.relayed = 0
 
     @property
     def refused(self) -> int:
@@ -117,6 +121,7 @@
         self._links: dict[str, Link] = {}
         self._heard: dict[str, _Heard] = {}
         self._unproved: dict[str, tuple[int, int]] = {}
+        self._relays = Relays()
         self._sequence = 0
         self._calls: dict[int, tuple[anyio.Event, list[CallReply]]] = {}
         self._next_call = 0
@@ -143,9 +148,31 @@
                     self._accept(received.bytes, received.pipe)
 
     def send(self, address: str, message: Message) -> None:
-        """Queue a message; it goes out with whatever else is queued."""
+        """Queue a message; it goes out with whatever else is queued.
+
+        It goes through a third process where the peer was last heard
+        through one and is not heard directly.
+        """
+        relay = self.relay_for(address)
+        if relay is None:
+            self.send_directly(address, message)
+        else:
+            self.send_through(relay, address, message)
+
+    def send_directly(self, address: str, message: Message) -> None:
+        """Queue a message on the direct way, whatever is known of it."""
         self._link(address).queue(message)
 
+    def send_through(self, relay: str, address: str, message: Message) -> None:
+        """Have a third process pass a message on."""
+        relayed = Relayed(self.address, address, *encode(message))
+        self._link(relay).queue(relayed)
+
+    def relay_for(self, address: str) -> str | None:
+        """Return who passes messages on to a peer, None if nobody must."""
+        unheard_s = self.unheard_s(address)
+        return self._relays.relay_for(address, unheard_s, boottime_s())
+
     def forget(self, address: str) -> None:
         """Close the link to a peer that is gone; a message opens another."""
         link = self._links.pop(address, None)
@@ -279,6 +306,9 @@
             self.counters.malformed += 1
             LOG.debug("message dropped", extra={"reason": str(error)})
             return
+        if isinstance(message, Relayed):
+            self._take_relayed(sender, message)
+            return
         if isinstance(message, CallReply):
             waiting = self._calls.get(message.call_id)
             if waiting is not None:
@@ -294,6 +324,20 @@
             self.counters.faults += 1
             LOG.exception("message not handled", extra={"peer": sender})
 
+    def _take_relayed(self, sender: str, message: Relayed) -> None:
+        """Pass a message on, or take one that was passed on to here."""
+        if message.passed and message.target == self.address:
+            self._relays.learn(message.origin, sender, boottime_s())
+            self._deliver(message.origin, message.code, message.body)
+        elif not message.passed and message.origin == sender:
+            # Passed on once only: two that each take the other for the way
+            # would send it to and fro without end.
+            self.counters.relayed += 1
+            onward = message._replace(passed=True)
+            self.send_directly(message.target, onward)
+        else:
+            self.counters.malformed += 1
+
 
 def _remote_host(pipe: Any) -> str:
     """Return the IP of a connection; its port changes with each one."""
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -157,6 +157,20 @@
     ratings: tuple[RatingCount, ...]
 
 
+class Relayed(NamedTuple):
+    """A message between two processes that are cut off from each other.
+
+    ``origin`` sends it to a third process, which passes it on to
+    ``target`` with ``passed`` set; it is passed on once and no further.
+    """
+
+    origin: str
+    target: str
+    code: int
+    body: bytes
+    passed: bool = False
+
+
 class JoinRequest(NamedTuple):
     """A control process with a new disk asks to be a learner."""
 
@@ -187,6 +201,7 @@
     | TableUpdate
     | JoinRequest
     | ControlList
+    | Relayed
 )
 
 __all__ = [
@@ -206,6 +221,7 @@
     "Message",
     "ProposalForward",
     "Query",
+    "Relayed",
     "ReplicaPayload",
     "SampleReport",
     "SharedRatings",
