--- /dev/null
+++ b/packages/sycamorestand-decisions/tests/test_patience.py
@@ -0,0 +1,82 @@
+"""How long a slow backend server is waited for."""
+
+from __future__ import annotations
+
+import pytest
+
+from sycamorestand_decisions.patience import call_limit_s
+from sycamorestand_decisions.patience import first_event_limits_s
+from sycamorestand_decisions.patience import gap_limit_s
+from sycamorestand_decisions.patience import Progress
+from sycamorestand_decisions.patience import READ_TOKENS_PER_S
+
+
+class TestLimits:
+    @pytest.mark.parametrize("left_s", [0.1, 0.6, 1.2, 2.5, 30.0])
+    def test_call_leaves_time_for_another_server(self, left_s: float) -> None:
+        limit_s = call_limit_s(left_s)
+        assert limit_s <= left_s
+        assert left_s < 0.8 or limit_s <= left_s / 2
+
+    def test_overtaken_is_given_up_first(self) -> None:
+        overtaken_s, whole_s = first_event_limits_s(4.0, 20.0)
+        assert overtaken_s < whole_s <= 4.0
+
+    def test_aim_as_long_as_the_callers_time_is_no_bound(self) -> None:
+        """An answer is of use to the end of the caller's time.
+
+        A server that hangs must be left while another can still answer,
+        or every request on it fails by its caller's time.
+        """
+        _, whole_s = first_event_limits_s(5.0, 5.0)
+        assert whole_s < 4.0
+
+    def test_pause_of_a_calm_server_is_no_reason(self) -> None:
+        assert gap_limit_s(1.2) > 2 * 1.2
+        assert gap_limit_s(0.1) >= 1.0
+
+
+class TestProgress:
+    def test_queue_worked_off_in_turn_overtakes_nobody(self) -> None:
+        """A server answers in turn, slowly; the last one waits longest."""
+        progress = Progress()
+        for sent_s in (1.0, 2.0, 3.0):
+            progress.begun("s-1", sent_s)
+        assert not progress.has_overtaken("s-1", 4.0)
+
+    def test_request_that_hangs_is_overtaken(self) -> None:
+        progress = Progress()
+        progress.begun("s-1", 3.0)
+        assert progress.has_overtaken("s-1", 1.0)
+        assert not progress.has_overtaken("s-2", 1.0)
+
+    def test_requests_sent_together_come_in_any_order(self) -> None:
+        progress = Progress()
+        progress.begun("s-1", 1.1)
+        assert not progress.has_overtaken("s-1", 1.0)
+
+
+class TestFirstEvent:
+    @pytest.mark.parametrize("aim_s", [0.5, 4.0])
+    @pytest.mark.parametrize("left_s", [1.0, 20.0])
+    def test_whoever_is_overtaken_goes_first(
+        self, aim_s: float, left_s: float
+    ) -> None:
+        overtaken_s, in_any_case_s = first_event_limits_s(aim_s, left_s)
+        assert 0 < overtaken_s <= in_any_case_s
+
+    def test_a_long_prompt_is_not_given_up_while_it_is_read(self) -> None:
+        """A prompt of 37,000 tokens takes 2.9 s to read on a large model.
+
+        It was given up after 2.4 s of an aim of 4 s and begun anew at the
+        next server, where it took another 2.9 s: the caller had its first
+        event after 6.1 s, and both servers' other callers had waited.
+        """
+        limits_s = first_event_limits_s(4.0, 19.3, 37_000)
+        assert min(limits_s) > 2.9
+
+    def test_a_long_prompt_leaves_time_for_another_server(self) -> None:
+        """The server that should read it hangs instead."""
+        tokens = 37_000
+        _, limit_s = first_event_limits_s(4.0, 20.0, tokens)
+        assert 20.0 - limit_s > 2 * tokens / READ_TOKENS_PER_S
--- a/packages/sycamorestand-entry/tests/routed/test_targets.py
+++ b/packages/sycamorestand-entry/tests/routed/test_targets.py
@@ -10,8 +10,8 @@
 from sycamorestand_bench.fakes.control_port import FakeControlPort
 from sycamorestand_bench.fakes.control_port import FakeLedger
 from sycamorestand_entry.routed.call import RoutedCall
-from sycamorestand_entry.routed.exchange import Pace
-from sycamorestand_entry.routed.exchange import PACE_EVENTS
+from sycamorestand_entry.routed.pace import Pace
+from sycamorestand_entry.routed.pace import PACE_EVENTS
 from sycamorestand_entry.routed.targets import choose_target
 from sycamorestand_entry.routed.targets import current_target
 from sycamorestand_entry.servers import Servers
