--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -24,7 +24,6 @@
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
-    from sycamorestand_entry.errors import Run
     from sycamorestand_entry.routed.call import RoutedCall
     from sycamorestand_entry.routed.wire import RouteWire
     from sycamorestand_entry.upstream import UpstreamConnection
