--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -16,6 +16,7 @@
 from sycamorestand_entry.errors import NoBackendServer
 from sycamorestand_entry.errors import NotAllowed
 from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.errors import Run
 from sycamorestand_entry.routed.exchange import Aim
 from sycamorestand_entry.routed.exchange import Exchange
 from sycamorestand_entry.routed.targets import current_target
@@ -23,7 +24,6 @@
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
-    from sycamorestand_entry.errors import Run
     from sycamorestand_entry.routed.call import RoutedCall
     from sycamorestand_entry.routed.wire import RouteWire
     from sycamorestand_entry.upstream import UpstreamConnection
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -13,6 +13,8 @@
 from sycamorestand_entry.routed.headers import ANSWER_HOP_HEADERS
 from sycamorestand_entry.routed.headers import BODILESS_METHODS
 from sycamorestand_entry.routed.headers import named_by_connection
+from sycamorestand_entry.routed.pace import Pace
+from sycamorestand_entry.routed.pace import PACE_CLASS
 from sycamorestand_entry.upstream import Echo
 from sycamorestand_entry.upstream import MalformedAnswer
 from sycamorestand_entry.upstream import SilentConnection
@@ -31,8 +33,6 @@
     from sycamorestand_model.backend_servers import Announcement
 
 WRONG_SERVER: Final = 421
-# The shortest answers have three events.
-PACE_EVENTS: Final = 2
 RETRY_STATUSES: Final = frozenset({500, 502, 504})
 # These promise that a request has not run and never will. A server that
 # gives one without saying that it did not run the request may have run it.
@@ -63,27 +63,6 @@
     not_run: bool
 
 
-class Pace:
-    """The mean pause between the first events of one stream."""
-
-    def __init__(self) -> None:
-        self._first_s = 0.0
-        self._events = 0
-
-    def add(self, count: int, now_s: float) -> float | None:
-        """Add events; returns the pause in ms once, when it is known."""
-        if not count or self._events >= PACE_EVENTS:
-            return None
-        if not self._first_s:
-            # What comes in one piece with the first has no pause.
-            self._first_s = now_s
-            return None
-        self._events += count
-        if self._events < PACE_EVENTS:
-            return None
-        return (now_s - self._first_s) * 1000 / self._events
-
-
 class Exchange:
     """An attempt from its first byte to its end; `close` ends it."""
 
@@ -237,7 +216,7 @@
         """
         pause_ms = self._pace.add(count, time.monotonic())
         if pause_ms is not None:
-            self._report(f"{self._call.route.name} pace", False, pause_ms)
+            self._report(PACE_CLASS, False, pause_ms)
 
     def close(self) -> None:
         """Give the connection back, or cancel what still runs on it."""
