Routes on the product's own entry take answers without a stamp

Cause: the check that a success bears its server's stamp, right where servers stamp, made every answer of the product's own services a 502.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -45,7 +45,7 @@
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_entry.http_messages import Receive
     from sycamorestand_entry.http_messages import Send
-    from sycamorestand_entry.routed.exchange import WholeAnswer
+    from sycamorestand_entry.routed.messages import WholeAnswer
     from sycamorestand_entry.routed.wire import RouteWire
     from sycamorestand_model.in_force import InForce
     from sycamorestand_model.routes import Route
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -17,8 +17,8 @@
 from sycamorestand_entry.errors import NotAllowed
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import Run
-from sycamorestand_entry.routed.exchange import Aim
 from sycamorestand_entry.routed.exchange import Exchange
+from sycamorestand_entry.routed.messages import Aim
 from sycamorestand_entry.routed.targets import current_target
 from sycamorestand_entry.upstream import ConnectFailed
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -17,10 +17,10 @@
 from sycamorestand_decisions.size_ladder import next_size
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.routed.event_order import EventOrder
-from sycamorestand_entry.routed.exchange import answer_headers
-from sycamorestand_entry.routed.exchange import PROMISES
-from sycamorestand_entry.routed.exchange import RETRY_STATUSES
-from sycamorestand_entry.routed.exchange import WholeAnswer
+from sycamorestand_entry.routed.messages import answer_headers
+from sycamorestand_entry.routed.messages import PROMISES
+from sycamorestand_entry.routed.messages import RETRY_STATUSES
+from sycamorestand_entry.routed.messages import WholeAnswer
 from sycamorestand_entry.upstream import MalformedAnswer
 from sycamorestand_entry.upstream import SlowAnswer
 from sycamorestand_entry.upstream import UpstreamError
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole.py
@@ -10,15 +10,15 @@
 
 from sycamorestand_decisions.patience import call_limit_s
 from sycamorestand_entry.errors import RequestError
-from sycamorestand_entry.routed.exchange import PROMISES
-from sycamorestand_entry.routed.exchange import RETRY_STATUSES
+from sycamorestand_entry.routed.messages import PROMISES
+from sycamorestand_entry.routed.messages import RETRY_STATUSES
 from sycamorestand_entry.upstream import SlowAnswer
 from sycamorestand_entry.upstream import UpstreamError
 
 if TYPE_CHECKING:
     from sycamorestand_entry.routed.attempts import Attempts
     from sycamorestand_entry.routed.exchange import Exchange
-    from sycamorestand_entry.routed.exchange import WholeAnswer
+    from sycamorestand_entry.routed.messages import WholeAnswer
     from sycamorestand_entry.upstream import ResponseHead
 
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/wire.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/wire.py
@@ -17,8 +17,9 @@
     ``deadline_ms`` is what the caller still waits; ``server`` names the
     backend server that is meant, ``customer`` whose request it is;
     ``not_run`` is in an answer that says so; ``stamp`` is in each whole
-    answer of a server. ``own`` are headers that only the system may set:
-    what a caller sends under these names is dropped.
+    answer of a server, empty where servers stamp none. ``own`` are headers
+    that only the system may set: what a caller sends under these names is
+    dropped.
     """
 
     attempt: bytes
@@ -47,7 +48,7 @@
     server=b"x-backend-server",
     customer=b"x-customer",
     not_run=b"x-not-run",
-    stamp=b"x-answer-stamp",
+    stamp=b"",
     priority=b"x-engine-priority",
     session=b"x-session",
     model=b"x-model",
