Two tests of the entry no longer depend on how busy the machine is

The call has 1 s now and its answer takes 2.5 s: the caller still leaves first. test_holds_up_only_itself failed once: an engine that had not sent for half a second, before it began or in one pause, was taken for stalled. It must have sent something and stand still for four looks now.

--- a/packages/sycamorestand-entry/tests/test_connections.py
+++ b/packages/sycamorestand-entry/tests/test_connections.py
@@ -84,15 +84,16 @@
 
 async def stalled_at(engine: FakeEngine) -> int:
     """Return how many tokens the engine has sent when it sends no more."""
-    before = -1
+    seen: list[int] = []
     while True:
         await anyio.sleep(0.5)
         if not engine.records:
             continue
-        sent = engine.records[0].sent_tokens
-        if sent == before:
-            return sent
-        before = sent
+        seen.append(engine.records[0].sent_tokens)
+        # On a busy machine an engine that has not begun, or pauses once,
+        # stands still too.
+        if seen[-1] and len(seen) >= 4 and len(set(seen[-4:])) == 1:
+            return seen[-1]
 
 
 class TestSlowCaller:
--- a/packages/sycamorestand-entry/tests/test_stop.py
+++ b/packages/sycamorestand-entry/tests/test_stop.py
@@ -126,13 +126,13 @@
         """
         async with start_loopback() as loopback:
             service = FakeService("s-1", ("orders",))
-            service.switch.fault = Fault("slow", pause_s=0.8)
+            service.switch.fault = Fault("slow", pause_s=2.5)
             await loopback.add_service(service)
             await loopback.call(
                 "POST",
                 "/services/orders/x",
                 Idempotency_Key="k",
-                X_Deadline_Ms="50",
+                X_Deadline_Ms="1000",
             )
             loopback.entry.begin_stop()
             with anyio.fail_after(20):
