--- a/packages/sycamorestand-control/src/sycamorestand_control/hub.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/hub.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from sycamorestand_model.in_force import InForce
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import ConfigurationPush
@@ -22,7 +23,6 @@
 
     from sycamorestand_control.lease_service import LeaseService
     from sycamorestand_control.tables import SharedTables
-    from sycamorestand_model.in_force import InForce
     from sycamorestand_peer.mesh import PeerMesh
     from sycamorestand_peer.messages import LeaseRequest
 
@@ -70,6 +70,7 @@
         self._other_controls = other_controls
         self._voters = voters
         self._attached: dict[str, _Attached] = {}
+        self._push = ConfigurationPush(InForce())
         self.denied = 0
 
     def attached_vms(self) -> tuple[str, ...]:
@@ -156,7 +157,23 @@
             return
         entry.pushed_revision = in_force.revision
         entry.pushed_s = now_s
-        self._mesh.send(entry.address, ConfigurationPush(in_force))
+        self._mesh.send(entry.address, self._push_for(in_force))
+
+    def _push_for(self, in_force: InForce) -> ConfigurationPush:
+        """Return the push of a revision, made once for all entries.
+
+        The operator's document stays here: entries act on what was made
+        of it, and it is most of the bytes. With 1,100 routes it would keep
+        an entry's slow link busy for longer than a change may take.
+        """
+        if self._push.in_force.revision != in_force.revision:
+            declarations = in_force.declarations
+            document = declarations.document._replace(content=b"")
+            told = declarations._replace(document=document)
+            self._push = ConfigurationPush(
+                in_force._replace(declarations=told)
+            )
+        return self._push
 
     def _push_loads(self) -> None:
         for entry in self._attached.values():
--- a/packages/sycamorestand-control/tests/test_hub.py
+++ b/packages/sycamorestand-control/tests/test_hub.py
@@ -10,8 +10,10 @@
 from sycamorestand_control.lease_service import LeaseService
 from sycamorestand_control.tables import ControlName
 from sycamorestand_control.tables import SharedTables
+from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.in_force import InForce
 from sycamorestand_model.nodes import EntryAddress
+from sycamorestand_model.routes import SourceDocument
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import ConfigurationPush
 from sycamorestand_peer.messages import ControlLeaseGranted
@@ -166,6 +168,22 @@
         scene.ask(1)
         assert scene.mesh.take(LeaseGrantMessage)
 
+    async def test_an_entry_is_told_no_document(self, scene: Scene) -> None:
+        """An operator's document of 1,100 routes comes into force.
+
+        Sent along, it would be two thirds of the bytes on each entry's
+        link, and hold up leases behind it; entries need its number only.
+        """
+        scene.configuration = InForce(
+            2, Declarations(document=SourceDocument(7, b"x" * 9))
+        )
+        scene.hub.revision_applied()
+        scene.ask(1)
+        (push,) = scene.mesh.take(ConfigurationPush)
+        assert push.in_force.revision == 2
+        assert push.in_force.declarations.document == SourceDocument(7)
+        assert scene.configuration.declarations.document.content
+
     async def test_without_a_quorum_no_lease_is_granted(
         self, scene: Scene, clock: Clock
     ) -> None:
