--- a/packages/sycamorestand-control/src/sycamorestand_control/hub.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/hub.py
@@ -155,11 +155,6 @@
         pushed = entry.pushed_revision >= in_force.revision
         if pushed and now_s - entry.pushed_s < PUSH_AGAIN_S:
             return
-        if pushed and self._mesh.queued_bytes(entry.address):
-            # The last one is still on its way. On a slow link each further
-            # copy would only make it later, and 40 entries' queues of them
-            # have taken a control process over its memory.
-            return
         entry.pushed_revision = in_force.revision
         entry.pushed_s = now_s
         self._mesh.send(entry.address, self._push_for(in_force))
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
@@ -82,11 +82,6 @@
         self._redial = True
         self._wake.set()
 
-    @property
-    def queued_bytes(self) -> int:
-        """Return how much waits here for the peer."""
-        return self._queued_bytes
-
     def close(self) -> None:
         """End the link; what is queued is lost with it."""
         self._closed = True
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
@@ -173,11 +173,6 @@
         unheard_s = self.unheard_s(address)
         return self._relays.relay_for(address, unheard_s, boottime_s())
 
-    def queued_bytes(self, address: str) -> int:
-        """Return how much waits for a peer that takes it slowly or not."""
-        link = self._links.get(address)
-        return 0 if link is None else link.queued_bytes
-
     def forget(self, address: str) -> None:
         """Close the link to a peer that is gone; a message opens another."""
         link = self._links.pop(address, None)
