The last leader ends its own lease after a restart

Cause: where all processes are killed, each voter keeps for 0.8 s a promise to a leader whose lease was in a memory that is gone.

The leader records with its term that it has led, and names that term in the one election after its restart; others pass over promises up to that term.

Mutants: claims without a restart and a record before the first lease are both caught.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/explore/mutants.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/explore/mutants.py
@@ -19,6 +19,7 @@
 from sycamorestand_consensus.raft_state import append_entries
 from sycamorestand_consensus.raft_state import RaftState
 from sycamorestand_consensus.raft_state import send_now
+from sycamorestand_consensus.raft_state import set_hard
 from sycamorestand_consensus.raft_state import truncate_from
 
 PACKAGE: Final = "sycamorestand_consensus"
@@ -80,6 +81,14 @@
     append_entries(state, entries)
 
 
+def _last_term(state: RaftState, *, pre: bool) -> int:
+    return state.term if pre else state.term - 1
+
+
+def _note_led(state: RaftState) -> None:
+    set_hard(state, state.hard._replace(led=True))
+
+
 MUTANTS: Final[dict[str, tuple[Replacement, ...]]] = {
     "commit-earlier-terms": (
         Replacement("commit", "is_of_own_term", _always),
@@ -93,13 +102,14 @@
     ),
     "vote-for-anyone": (Replacement("election", "_is_up_to_date", _always),),
     "vote-twice": (Replacement("election", "_has_vote_for", _always),),
-    "vote-despite-promise": (
-        Replacement("election", "is_promised", _never),
-        Replacement("inbox", "is_promised", _never),
-    ),
+    "vote-despite-promise": (Replacement("inbox", "is_promised", _never),),
     "forget-promise-in-restart": (
         Replacement("core", "assume_promise", _nothing),
     ),
+    "end-promises-without-restart": (
+        Replacement("election", "ended_term", _last_term),
+    ),
+    "led-before-first-lease": (Replacement("core", "note_led", _note_led),),
     "lease-at-once-after-transfer": (
         Replacement("election", "lease_start_s", _now_s),
     ),
--- a/packages/sycamorestand-bench/tests/test_explore.py
+++ b/packages/sycamorestand-bench/tests/test_explore.py
@@ -23,18 +23,20 @@
 # them; then find another one with
 #   dev/bench explore --without NAME --steps 9000000
 SEEDS_THAT_MISS: Final = {
-    "answer-before-sync": 37,
+    "answer-before-sync": 77,
     "claim-without-promise": 54,
-    "commit-earlier-terms": 5876,
+    "commit-earlier-terms": 20155,
     "count-own-unsynced-entries": 12,
-    "forget-promise-in-restart": 351,
+    "end-promises-without-restart": 4,
+    "forget-promise-in-restart": 2478,
     "lease-at-once-after-transfer": 4,
+    "led-before-first-lease": 960,
     "read-without-round": 264,
-    "truncate-without-conflict": 151,
-    "two-changes-at-once": 193,
-    "vote-before-sync": 87,
-    "vote-despite-promise": 37,
-    "vote-for-anyone": 5,
+    "truncate-without-conflict": 4,
+    "two-changes-at-once": 159,
+    "vote-before-sync": 80,
+    "vote-despite-promise": 4,
+    "vote-for-anyone": 3,
     "vote-twice": 2,
 }
 
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/core.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/core.py
@@ -22,6 +22,7 @@
 from sycamorestand_consensus.commit import advance_commit
 from sycamorestand_consensus.commit import confirm_barriers
 from sycamorestand_consensus.election import become_follower
+from sycamorestand_consensus.election import campaign_due_s
 from sycamorestand_consensus.election import can_campaign
 from sycamorestand_consensus.election import set_election_deadline
 from sycamorestand_consensus.election import start_pre_vote
@@ -31,6 +32,7 @@
 from sycamorestand_consensus.inbox import handle_message
 from sycamorestand_consensus.lease import assume_promise
 from sycamorestand_consensus.lease import claim_lease_s
+from sycamorestand_consensus.lease import note_led
 from sycamorestand_consensus.lease import quorum_sent_s
 from sycamorestand_consensus.membership import cluster_id
 from sycamorestand_consensus.messages import Batch
@@ -142,7 +144,7 @@
         state = self.state
         if state.role == Role.LEADER:
             return state.heartbeat_due_s
-        return max(state.election_deadline_s, state.promise_until_s)
+        return campaign_due_s(state)
 
     def propose(self, command: bytes, now_s: float) -> Entry:
         """Append a command; it is committed later or lost."""
@@ -246,6 +248,8 @@
         # lets its callers look for another one instead of waiting.
         if silent_s > state.settings.election_max_s:
             become_follower(state, state.term, "")
+            return
+        note_led(state)
 
     def _tick_without_leader(self) -> None:
         state = self.state
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/election.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/election.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from sycamorestand_consensus.lease import is_promised
+from sycamorestand_consensus.lease import ended_term
+from sycamorestand_consensus.lease import is_last_leader
 from sycamorestand_consensus.lease import lease_start_s
 from sycamorestand_consensus.membership import find_member
 from sycamorestand_consensus.membership import voters
@@ -29,15 +30,41 @@
 def set_election_deadline(state: RaftState) -> None:
     """Draw the next election timeout.
 
-    It is random, so that two candidates rarely split the votes twice.
+    It is random, so that two candidates rarely split the votes twice. The
+    last leader is alone in having no promise to wait for. It tries at
+    each heartbeat after its start until the others are there to hear it.
     """
     settings = state.settings
     wait_s = state.random.uniform(
         settings.election_min_s, settings.election_max_s
     )
+    if _comes_back_first(state):
+        wait_s = settings.heartbeat_s
     state.election_deadline_s = state.now_s + wait_s
 
 
+def campaign_due_s(state: RaftState) -> float:
+    """Return when this member asks for votes, if no leader is heard.
+
+    A promise to another leader is waited out, the last leader's to itself
+    is not: the lease that it stood for was its own.
+    """
+    if _comes_back_first(state):
+        return state.election_deadline_s
+    return max(state.election_deadline_s, state.promise_until_s)
+
+
+def _comes_back_first(state: RaftState) -> bool:
+    """Tell whether this is the last leader, just started again.
+
+    Once ``election_max_s`` has passed the others have promises no more,
+    and whoever has the newest log may lead.
+    """
+    starting_s = state.now_s - state.started_s
+    starting = starting_s < state.settings.election_max_s
+    return starting and is_last_leader(state)
+
+
 def become_follower(state: RaftState, term: int, leader_id: str) -> None:
     """Follow ``leader_id``, or nobody yet, in ``term``."""
     if term > state.term:
@@ -89,10 +116,13 @@
 
 
 def on_vote_request(
-    state: RaftState, message: Message, request: VoteRequest
+    state: RaftState, message: Message, request: VoteRequest, bound: bool
 ) -> None:
-    """Give or refuse a vote; the term was taken over before."""
-    granted = _may_vote(state, message.sender, request)
+    """Give or refuse a vote; the term was taken over before.
+
+    ``bound`` says that a promise to a leader forbids it.
+    """
+    granted = not bound and _may_vote(state, message.sender, request)
     reply = VoteReply(request.campaign_term, request.pre, granted)
     if granted and not request.pre:
         cluster = state.hard.cluster
@@ -122,8 +152,6 @@
     # that it has not received, and without its vote nobody could win.
     if find_member(state.membership, state.member_id) is None:
         return False
-    if is_promised(state) and not request.transfer:
-        return False
     if not _is_up_to_date(state, request):
         return False
     if request.pre:
@@ -149,6 +177,7 @@
         last_term=state.log.last_term,
         pre=pre,
         transfer=state.transfer_campaign and not pre,
+        ended_term=ended_term(state, pre=pre),
     )
     send = send_now if pre else send_after_sync
     for member_id in voters(state.membership):
@@ -188,6 +217,7 @@
 
 __all__ = [
     "become_follower",
+    "campaign_due_s",
     "can_campaign",
     "on_vote_reply",
     "on_vote_request",
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/inbox.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/inbox.py
@@ -12,6 +12,7 @@
 from sycamorestand_consensus.follower import on_append
 from sycamorestand_consensus.follower import on_snapshot_chunk
 from sycamorestand_consensus.follower import reply_stale_leader
+from sycamorestand_consensus.lease import ends_promise
 from sycamorestand_consensus.lease import is_promised
 from sycamorestand_consensus.lease import promise_to_leader
 from sycamorestand_consensus.membership import find_member
@@ -75,17 +76,19 @@
 def _from_candidate(
     state: RaftState, message: Message, request: VoteRequest
 ) -> None:
+    passes = request.transfer or ends_promise(state, request)
+    bound = is_promised(state) and not passes
     if request.pre:
-        on_vote_request(state, message, request)
+        on_vote_request(state, message, request, bound)
         return
-    if is_promised(state) and not request.transfer:
+    if bound:
         # Not even the term is taken over: a leader whose majority is
         # intact would otherwise be deposed by its own followers.
         return
     if message.term > state.term:
         become_follower(state, message.term, "")
     if message.term == state.term:
-        on_vote_request(state, message, request)
+        on_vote_request(state, message, request, bound)
 
 
 def _order_to_campaign(state: RaftState, message: Message) -> None:
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/lease.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/lease.py
@@ -8,14 +8,21 @@
 that steps down keeps its own, and a member that restarts assumes that it
 made one just before it stopped. So whatever was granted under a lease
 ends before another leader holds one.
+
+One member can say sooner that a lease has ended: the leader that held it,
+once it has restarted. Its claims were in its memory and are gone with it.
+Without this a restart of all members costs ``election_min_s`` and more
+before the first of them may vote, in which nobody is served.
 """
 
 from __future__ import annotations
 
 from sycamorestand_consensus.membership import majority_value
 from sycamorestand_consensus.membership import voters
+from sycamorestand_consensus.messages import VoteRequest
 from sycamorestand_consensus.raft_state import RaftState
 from sycamorestand_consensus.raft_state import Role
+from sycamorestand_consensus.raft_state import set_hard
 from sycamorestand_consensus.settings import CLOCK_RATE_MARGIN
 
 
@@ -43,6 +50,43 @@
     return state.now_s < until_s
 
 
+def note_led(state: RaftState) -> None:
+    """Record that this member leads, once it may claim a lease.
+
+    Until then a lease of the leader before it may still run, of whose end
+    this member could say nothing after a restart.
+    """
+    if not state.hard.led and state.now_s >= state.lease_from_s:
+        set_hard(state, state.hard._replace(led=True))
+
+
+def ended_term(state: RaftState, *, pre: bool) -> int:
+    """Return the term whose lease ended with this member's restart.
+
+    It is told in the election that follows that term and in no later one:
+    by then another member may lead.
+    """
+    campaign_term = state.term + 1 if pre else state.term
+    follows = campaign_term == state.led_before_start + 1
+    return state.led_before_start if follows else 0
+
+
+def is_last_leader(state: RaftState) -> bool:
+    """Tell whether this member led its term until it restarted."""
+    return 0 < state.led_before_start == state.term
+
+
+def ends_promise(state: RaftState, request: VoteRequest) -> bool:
+    """Tell whether a candidate says that the lease promised to is over.
+
+    What this member promised it promised to a leader of its own term or
+    of an earlier one. The lease of an earlier one had run out when
+    ``ended_term`` had its first; a leader of a later term is unknown to
+    the candidate, and keeps its promise.
+    """
+    return request.ended_term >= max(1, state.term)
+
+
 def quorum_sent_s(state: RaftState) -> float:
     """Return the send time that a majority of voters has answered."""
     if not voters(state.membership):
@@ -100,9 +144,13 @@
 __all__ = [
     "assume_promise",
     "claim_lease_s",
+    "ended_term",
+    "ends_promise",
+    "is_last_leader",
     "is_promised",
     "lease_start_s",
     "lease_until_s",
+    "note_led",
     "promise_to_leader",
     "quorum_sent_s",
 ]
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/messages.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/messages.py
@@ -39,12 +39,14 @@
     """What a member must remember before it answers.
 
     ``cluster`` names the group that the member joined, so that two groups
-    which were bootstrapped by mistake never exchange entries.
+    which were bootstrapped by mistake never exchange entries. ``led`` says
+    that the member has led ``term``.
     """
 
     term: int = 0
     voted_for: str = ""
     cluster: str = ""
+    led: bool = False
 
 
 class Snapshot(NamedTuple):
@@ -70,7 +72,9 @@
 class VoteRequest(NamedTuple):
     """Ask for a vote, or with ``pre`` whether one would be given.
 
-    ``transfer`` says that the leader itself asked for this election.
+    ``transfer`` says that the leader itself asked for this election. The
+    candidate led ``ended_term``, 0 for none, and has restarted since, so
+    that no lease of that term runs any more.
     """
 
     campaign_term: int
@@ -78,6 +82,7 @@
     last_term: int
     pre: bool
     transfer: bool
+    ended_term: int = 0
 
 
 class VoteReply(NamedTuple):
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/raft_state.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/raft_state.py
@@ -80,6 +80,8 @@
 
         self.role = Role.FOLLOWER
         self.leader_id = ""
+        self.started_s = now_s
+        self.led_before_start = found.hard.term if found.hard.led else 0
         self.promise_until_s = now_s
         self.election_deadline_s = now_s
         self.ballots: dict[str, bool] = {}
--- a/packages/sycamorestand-consensus/tests/test_core.py
+++ b/packages/sycamorestand-consensus/tests/test_core.py
@@ -377,6 +377,95 @@
         assert leader.core.state.role == Role.FOLLOWER
 
 
+class TestRestartedLeader:
+    def test_a_restart_of_all_members_needs_no_wait(self) -> None:
+        # All members are killed and come back within the second. Nobody
+        # is served until one leads. Each follower may have promised the
+        # leader not to vote, so they waited for 0.8 s and more; but the
+        # leader's lease was in its memory, and it is back to say so.
+        cluster = make_cluster()
+        old = leader_of(cluster)
+        run(cluster, 1.0)
+        for node in cluster.nodes:
+            node.crash(kept=99)
+        for node in cluster.nodes:
+            node.start()
+        run(cluster, 0.6)
+        new = leader_of(cluster)
+        assert new.name == old.name
+        assert new.core.lease_until_s(new.local_s) > new.local_s
+
+    def test_a_follower_cannot_end_the_promise(self) -> None:
+        # The leader goes on while a follower restarts; with its vote and
+        # another's it would lead beside a lease that still runs.
+        core = make_core(term=3)
+        request = VoteRequest(4, 9, 3, pre=False, transfer=False)
+        say(core, "b", 4, request, now_s=0.1)
+        assert core.state.term == 3
+
+    @pytest.mark.parametrize(
+        ("term", "ended_term", "granted"),
+        [(3, 3, True), (2, 3, True), (4, 3, False), (3, 0, False)],
+    )
+    def test_only_promises_up_to_the_term_that_was_led_end(
+        self, term: int, ended_term: int, granted: bool
+    ) -> None:
+        # A leader stops; another is elected after it, and the first one
+        # comes back. It knows nothing of its successor's lease, so a
+        # member that has the successor's term keeps its promise.
+        core = make_core(term)
+        request = VoteRequest(
+            5, 9, 4, pre=True, transfer=False, ended_term=ended_term
+        )
+        say(core, "b", 4, request, now_s=0.1)
+        (reply,) = core.drain(0.1).messages
+        assert reply.body == VoteReply(5, pre=True, granted=granted)
+
+    def test_what_it_led_is_told_in_the_next_election_only(self) -> None:
+        # The first election after the restart fails. Another member may
+        # have won it, so the one after it waits as any other does.
+        snapshot = Snapshot(0, 0, MEMBERS, b"")
+        hard = HardState(3, "a", CLUSTER, led=True)
+        core = Core("a", SETTINGS, 1, Recovered(hard, snapshot, ()), 0.0)
+        core.tick(0.2)
+        first = core.drain(0.2).messages
+        assert {message.body.ended_term for message in first} == {3}
+        yes = VoteReply(4, pre=True, granted=True)
+        say(core, "b", 3, yes, now_s=0.2)
+        asked = sync(core, 0.2)
+        assert {message.body.ended_term for message in asked} == {3}
+        core.tick(5.0)
+        later = core.drain(5.0).messages
+        assert {message.body.ended_term for message in later} == {0}
+
+    def test_a_leader_by_hand_over_says_so_only_with_a_lease(self) -> None:
+        # The leader hands over and the new one crashes at once. Leases of
+        # the first may still run, and the new one cannot speak for them.
+        cluster = make_cluster()
+        cluster.transfer(leader_of(cluster), None)
+        for _ in range(10):
+            cluster.exchange()
+        new = leader_of(cluster)
+        run(cluster, 0.3)
+        assert not new.core.state.hard.led
+        run(cluster, 1.0)
+        assert new.core.state.hard.led
+
+    def test_a_leader_that_only_stepped_down_ends_no_promise(self) -> None:
+        # Its disk was full for a moment: it follows, but what was granted
+        # under its lease is still held by others.
+        core = make_core(term=1)
+        lead(core, now_s=5.0)
+        core.tick(5.2)
+        assert core.state.hard.led
+        core.set_blocked(True, 5.3)
+        core.set_blocked(False, 5.3)
+        sync(core, 5.3)
+        core.tick(9.0)
+        asked = core.drain(9.0).messages
+        assert {message.body.ended_term for message in asked} == {0}
+
+
 class TestMembership:
     def test_one_change_at_a_time(self) -> None:
         core = make_core(term=1)
