An entry listens before its first lease, and requests wait for it

Requests wait for a fifth of their time, a second at most, within 3 s of the start and 256 of them; then they are refused with a time to come back. The test that an entry does not listen before its lease stated the old way; in its place stand tests that a request waits for lease and server, that it is refused with time left, and that an entry cut off later refuses at once.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -18,6 +18,7 @@
 from sycamorestand_entry.rating import RatingClient
 from sycamorestand_entry.servers import Servers
 from sycamorestand_entry.slots import Slots
+from sycamorestand_entry.start_hold import StartHold
 from sycamorestand_entry.upstream_pool import UpstreamPool
 
 if TYPE_CHECKING:
@@ -57,6 +58,7 @@
         self.progress = Progress()
         self.cascade = CascadeLearner()
         control.listen_ratings(self.cascade.learn)
+        self.start_hold = StartHold()
         self.pins: dict[tuple[str, str], str] = {}
         self.stopping = False
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -138,17 +138,13 @@
         context = self._context
         raw = scope["headers"]
         values = read_values(raw, self._wire)
-        if context.control.lease_remaining_s() <= 0:
+        whole_s = _whole_s(values.get(self._wire.deadline_ms, b""))
+        if not await context.start_hold.until(self._is_useful, whole_s):
             raise NoLease(
                 "this entry's configuration may be out of date",
-                _lease_retry_s(values.get(self._wire.deadline_ms, b"")),
+                _lease_retry_s(whole_s),
             )
         in_force = context.control.in_force()
-        if not in_force.declarations.routes:
-            raise NoLease(
-                "no routes are in force yet",
-                _lease_retry_s(values.get(self._wire.deadline_ms, b"")),
-            )
         route = self._route(in_force, values, scope["raw_path"])
         customer, priority, weight = self._customer(in_force, route, values)
         deadline_at_s = read_deadline_s(values, self._wire, route, read_s)
@@ -176,6 +172,11 @@
             deadline_at_s,
         )
 
+    def _is_useful(self) -> bool:
+        control = self._context.control
+        routes = control.in_force().declarations.routes
+        return bool(routes) and control.lease_remaining_s() > 0
+
     def _route(
         self, in_force: InForce, values: dict[bytes, bytes], raw_path: bytes
     ) -> Route:
@@ -201,6 +202,11 @@
 
     async def _run(self, call: RoutedCall, responder: Responder) -> None:
         context = self._context
+        # An entry that has just started knows no server before it hears
+        # from control, which has heard of none if it has just started too.
+        await context.start_hold.until(
+            lambda: _has_server(context, call), call.remaining_s()
+        )
         target = choose_target(context, call)
         begin_s = time.monotonic()
         slot = await context.slots.acquire(
@@ -252,6 +258,11 @@
     return make
 
 
+def _has_server(context: EntryContext, call: RoutedCall) -> bool:
+    target = choose_target(context, call)
+    return bool(context.servers.candidates(target, context.now_s()))
+
+
 async def _watch_caller(
     receive: Receive, answering: anyio.CancelScope
 ) -> None:
@@ -286,9 +297,12 @@
         raise RequestTimeout("the request's body came too late") from None
 
 
-def _lease_retry_s(deadline_ms: bytes) -> float:
+def _whole_s(deadline_ms: bytes) -> float:
     known = deadline_ms.isdigit() and len(deadline_ms) < MAX_DEADLINE_DIGITS
-    whole_s = int(deadline_ms) / 1000 if known else 0.0
+    return int(deadline_ms) / 1000 if known else 0.0
+
+
+def _lease_retry_s(whole_s: float) -> float:
     after_s = max(MIN_LEASE_RETRY_S, whole_s * LEASE_RETRY_SHARE)
     return min(MAX_LEASE_RETRY_S, after_s)
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -69,20 +69,6 @@
     return settings.address_spread_s + settings.address_ttl_s
 
 
-async def wait_until_useful(control: ControlPort, stop: anyio.Event) -> None:
-    """Return when requests on routes could be answered, or at a stop.
-
-    Callers keep an entry's address over its restart. One that listens
-    before it knows any route turns them away; a port that nobody listens
-    on sends them to another entry at once.
-    """
-    while not stop.is_set():
-        routes = control.in_force().declarations.routes
-        if routes and control.lease_remaining_s() > 0:
-            return
-        await anyio.sleep(TICK_S)
-
-
 async def serve_entry(
     settings: EntrySettings,
     control: ControlPort,
@@ -206,5 +192,4 @@
     "accepting_s",
     "RunningEntry",
     "serve_entry",
-    "wait_until_useful",
 ]
