--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import Final
 from typing import NamedTuple
@@ -58,6 +59,7 @@
 PROPOSE_TIMEOUT_S: Final = 5.0
 QUERY_TIMEOUT_S: Final = 1.0
 HAND_OVER_TIMEOUT_S: Final = 4.0
+LOG: Final = logging.getLogger(__name__)
 CATCH_UP_S: Final = 1.0
 CATCH_UP_PAUSE_S: Final = 0.02
 REPLACE_TIMEOUT_S: Final = 25.0
@@ -108,6 +110,34 @@
 
     async def change(self, request: ChangeRequest) -> ChangeAnswer:
         """Commit one change through whichever voter leads."""
+        begin_s = time.monotonic()
+        outcome = "no answer"
+        revision = -1
+        try:
+            answer = await self._change(request)
+            outcome, revision = answer.outcome, answer.revision
+            return answer
+        except NoLeader:
+            outcome = "no leader"
+            raise
+        except OutcomeUnknown:
+            outcome = "unknown"
+            raise
+        finally:
+            LOG.info(
+                "change answered",
+                extra={
+                    "change_id": request.change_id,
+                    "kind": request.kind,
+                    "operator": request.operator,
+                    "base_revision": request.base_revision,
+                    "outcome": outcome,
+                    "revision": revision,
+                    "took_ms": int((time.monotonic() - begin_s) * 1000),
+                },
+            )
+
+    async def _change(self, request: ChangeRequest) -> ChangeAnswer:
         configuration = self._parts.configuration
         if request.kind == "apply" and request.base_revision is None:
             return ChangeAnswer(
--- a/packages/sycamorestand-control/src/sycamorestand_control/tables.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/tables.py
@@ -89,6 +89,7 @@
         self._names = {mesh.address: name}
         self._others = others
         self._servers = BackendDirectory(mesh.address, mesh.incarnation)
+        self._said: dict[str, dict[str, object]] = {}
         self._entries = NodeRegistry(mesh.address, mesh.incarnation)
         self._states: dict[str, EntryState] = {}
         self._streams = {
@@ -99,7 +100,21 @@
 
     def announced(self, announcement: Announcement) -> None:
         """Take an announcement that an entry of this process received."""
-        self._servers.announce(announcement, boottime_s())
+        if self._servers.announce(announcement, boottime_s()):
+            self._log_server(announcement)
+
+    def _log_server(self, announcement: Announcement) -> None:
+        """Log what a server says, unless it said the same before."""
+        said = {
+            "server": announcement.name,
+            "address": announcement.address,
+            "versions": announcement.versions,
+            "leaving": announcement.leaving,
+            "incarnation": announcement.incarnation,
+        }
+        if self._said.get(announcement.name) != said:
+            self._said[announcement.name] = said
+            LOG.info("backend server announced", extra=said)
 
     def entry_heard(self, sender: str, message: LeaseRequest) -> None:
         """Note that an entry of this process is alive, and its state."""
@@ -225,6 +240,7 @@
             await anyio.sleep(SPREAD_INTERVAL_S)
             now_s = boottime_s()
             for name in self._servers.expire(now_s):
+                self._said.pop(name, None)
                 LOG.info("backend server gone", extra={"server": name})
             for vm in self._entries.expire(now_s):
                 self._states.pop(vm, None)
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -150,6 +150,10 @@
             server.health.probing = False
         self._eject_outlier(server, now_s)
 
+    def in_flight(self, name: str) -> int:
+        """Return how many requests this entry has running on the server."""
+        return self._server(name).own.in_flight
+
     def limit(self, name: str) -> int:
         """Return how many requests this entry may run on the server."""
         return self._server(name).limit.limit
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/http_messages.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/http_messages.py
@@ -68,6 +68,7 @@
         write_now: Callable[[bytes], bool] | None = None,
     ) -> None:
         self.started = False
+        self.status = 0
         self.write_now = write_now
         self._send = send
         self._closing = closing
@@ -77,6 +78,7 @@
     ) -> None:
         """Send status and headers."""
         self.started = True
+        self.status = status
         if self._closing:
             headers.append((b"connection", b"close"))
         await self._send(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -97,8 +97,13 @@
     context: EntryContext, request: Request, responder: Responder
 ) -> None:
     """Show all counters to Prometheus."""
+    await responder.answer(200, PROMETHEUS_TEXT, metrics_text(context))
+
+
+def metrics_text(context: EntryContext) -> bytes:
+    """Return all counters and gauges in the text format."""
     _set_gauges(context)
-    await responder.answer(200, PROMETHEUS_TEXT, context.metrics.render())
+    return context.metrics.render()
 
 
 def _set_gauges(context: EntryContext) -> None:
@@ -139,4 +144,5 @@
     "answer_metrics",
     "answer_models",
     "answer_readiness",
+    "metrics_text",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 from aioprometheus.collectors import Counter
 from aioprometheus.collectors import Gauge
+from aioprometheus.collectors import Histogram
 from aioprometheus.collectors import Registry
 from aioprometheus.renderer import render
 
 PREFIX: Final = "sycamorestand_entry_"
+# Bounds around the aims of calls (0.2 to 0.4 s) and streams (2 to 5 s); the
+# last ones tell a late answer from one that was cut.
+BUCKETS_S: Final = (
+    *(0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 5.0, 10.0, 25.0),
+    math.inf,
+)
 
 
 class Metrics:
@@ -59,6 +67,12 @@
         self.ledger_wait = self._counter(
             "ledger_wait_seconds_total", "Time spent waiting for the ledger"
         )
+        self._duration = self._histogram(
+            "routed_seconds", "Time to the end of routed requests"
+        )
+        self._first_byte = self._histogram(
+            "routed_first_byte_seconds", "Time to the first part of answers"
+        )
         self.pool = self._gauge(
             "admission", "Slots, running and waiting requests by target"
         )
@@ -72,6 +86,19 @@
             "in_flight", "Requests that run, by backend server"
         )
 
+    def routed_ended(
+        self, kind: str, result: str, took_s: float, first_byte_s: float
+    ) -> None:
+        """Count a routed request and its times.
+
+        By kind of route, as there may be thousands of routes, and each
+        label with its buckets is kept for good.
+        """
+        self.requests.inc({"interface": "routed", "result": result})
+        self._duration.add({"kind": kind}, took_s)
+        if first_byte_s >= 0:
+            self._first_byte.add({"kind": kind}, first_byte_s)
+
     def render(self) -> bytes:
         """Return the text format that Prometheus reads."""
         body, _ = render(self._registry, [])
@@ -80,6 +107,11 @@
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(PREFIX + name, doc, registry=self._registry)
 
+    def _histogram(self, name: str, doc: str) -> Histogram:
+        return Histogram(
+            PREFIX + name, doc, registry=self._registry, buckets=BUCKETS_S
+        )
+
     def _gauge(self, name: str, doc: str) -> Gauge:
         return Gauge(PREFIX + name, doc, registry=self._registry)
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -34,6 +34,9 @@
 from sycamorestand_entry.routed.call import read_deadline_s
 from sycamorestand_entry.routed.call import read_values
 from sycamorestand_entry.routed.call import RoutedCall
+from sycamorestand_entry.routed.decision_log import Admitted
+from sycamorestand_entry.routed.decision_log import DecisionLog
+from sycamorestand_entry.routed.decision_log import Held
 from sycamorestand_entry.routed.streams import StreamBroken
 from sycamorestand_entry.routed.streams import StreamRelay
 from sycamorestand_entry.routed.targets import choose_target
@@ -83,33 +86,47 @@
         responder = Responder(
             send, self._context.stopping, extensions.get(WRITE_NOW)
         )
-        result = "ok"
+        log = DecisionLog()
+        # Where the task is cancelled: the process ends before the request.
+        result = "process_ended"
+        detail: dict[str, Any] = {}
         try:
-            await self._answer(scope, receive, responder)
+            await self._answer(scope, receive, responder, log)
+            result = "ok"
         except RequestError as error:
             result = error.code
+            detail = _told(error)
             await _refuse(responder, error)
         except CallerGone:
             result = "caller_gone"
-        except StreamBroken:
+        except StreamBroken as error:
             result = "stream_broken"
+            detail = {"reason": str(error)}
             extensions[ABORT]()
         except Exception:
             result = InternalError.code
-            LOG.exception("request failed")
+            LOG.exception("request failed", extra={"request": log.request})
             if responder.started:
                 extensions[ABORT]()
             else:
                 await _refuse(responder, InternalError("the entry failed"))
         finally:
-            self._context.metrics.requests.inc(
-                {"interface": "routed", "result": result}
+            self._context.metrics.routed_ended(
+                log.route.kind if log.route else "none",
+                result,
+                log.elapsed_ms() / 1000,
+                log.first_byte_ms / 1000,
             )
+            log.ended(result, responder.status, detail)
 
     async def _answer(
-        self, scope: Any, receive: Receive, responder: Responder
+        self,
+        scope: Any,
+        receive: Receive,
+        responder: Responder,
+        log: DecisionLog,
     ) -> None:
-        call = await self._read(scope, receive)
+        call = await self._read(scope, receive, log)
         failure: Exception | None = None
         gone = True
         async with anyio.create_task_group() as tasks:
@@ -133,20 +150,28 @@
         if gone:
             raise DeadlineExceeded("its time is over")
 
-    async def _read(self, scope: Any, receive: Receive) -> RoutedCall:
+    async def _read(
+        self, scope: Any, receive: Receive, log: DecisionLog
+    ) -> RoutedCall:
         read_s = time.monotonic()
         context = self._context
         raw = scope["headers"]
         values = read_values(raw, self._wire)
+        log.request = values.get(self._wire.attempt, b"").decode("latin-1")
         whole_s = _whole_s(values.get(self._wire.deadline_ms, b""))
-        if not await context.start_hold.until(self._is_useful, whole_s):
+        useful = await self._hold("lease", self._is_useful, whole_s, log)
+        in_force = context.control.in_force()
+        log.revision = in_force.revision
+        log.lease_ms = int(context.control.lease_remaining_s() * 1000)
+        if not useful:
             raise NoLease(
                 "this entry's configuration may be out of date",
                 _lease_retry_s(whole_s),
             )
-        in_force = context.control.in_force()
         route = self._route(in_force, values, scope["raw_path"])
+        log.route = route
         customer, priority, weight = self._customer(in_force, route, values)
+        log.customer = customer
         deadline_at_s = read_deadline_s(values, self._wire, route, read_s)
         request = Request(
             scope["method"],
@@ -170,8 +195,24 @@
             values,
             await _body_by(deadline_at_s, request, limit_bytes),
             deadline_at_s,
+            log,
         )
 
+    async def _hold(
+        self,
+        missing: str,
+        ready: Callable[[], bool],
+        left_s: float,
+        log: DecisionLog,
+    ) -> bool:
+        """Wait, while the entry is starting, for what is missing."""
+        begin_ms = log.elapsed_ms()
+        found = await self._context.start_hold.until(ready, left_s)
+        waited_ms = log.elapsed_ms() - begin_ms
+        if waited_ms > 0:
+            log.add(Held(missing, waited_ms))
+        return found
+
     def _is_useful(self) -> bool:
         control = self._context.control
         routes = control.in_force().declarations.routes
@@ -204,8 +245,11 @@
         context = self._context
         # An entry that has just started knows no server before it hears
         # from control, which has heard of none if it has just started too.
-        await context.start_hold.until(
-            lambda: _has_server(context, call), call.remaining_s()
+        await self._hold(
+            "server",
+            lambda: _has_server(context, call),
+            call.remaining_s(),
+            call.log,
         )
         target = choose_target(context, call)
         begin_s = time.monotonic()
@@ -219,6 +263,8 @@
                 STREAM_S if call.route.kind == "stream" else CALL_S,
             )
         )
+        waited_s = time.monotonic() - begin_s
+        call.log.add(Admitted(target, int(waited_s * 1000)))
         failed = True
         try:
             attempts = Attempts(context, self._wire, call)
@@ -229,6 +275,7 @@
                 answer = await whole_answer(attempts, target)
             failed = answer is not None and answer.status >= 500
             if answer is not None:
+                call.log.answer_began()
                 await _send_whole(responder, answer)
         except anyio.get_cancelled_exc_class():
             context.slots.cancel(slot)
@@ -276,6 +323,16 @@
     await responder.finish(answer.body)
 
 
+def _told(error: RequestError) -> dict[str, Any]:
+    """Return what a refusal told the caller, as fields of its line."""
+    return {
+        "reason": error.message,
+        "run": error.run,
+        "told_status": error.status,
+        "retry_after_s": error.retry_after_s,
+    }
+
+
 async def _refuse(responder: Responder, error: RequestError) -> None:
     if responder.started:
         return
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -17,6 +17,8 @@
 from sycamorestand_entry.errors import NotAllowed
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import Run
+from sycamorestand_entry.routed.decision_log import NotReached
+from sycamorestand_entry.routed.decision_log import Sent
 from sycamorestand_entry.routed.exchange import Exchange
 from sycamorestand_entry.routed.messages import Aim
 from sycamorestand_entry.routed.targets import current_target
@@ -109,6 +111,7 @@
                 raise NoBackendServer(error.message, MOVED_RETRY_S) from None
             self.sent += 1
             self._sent_to.add(server.name)
+            self._log_sent(aim)
             return exchange
 
     def may_move(self, target: str) -> bool:
@@ -156,9 +159,26 @@
             servers = self.context.servers
             servers.started(target, server.name, now_s)
             servers.finished(target, server.name, now_s, 0.0, "error")
+            self.call.log.add(NotReached(server.name))
             self._count_dial()
             return None
 
+    def _log_sent(self, aim: Aim) -> None:
+        servers = self.context.servers
+        now_s = self.context.now_s()
+        load = aim.server.load
+        sent = Sent(
+            aim.target,
+            aim.server.name,
+            aim.model.decode("latin-1"),
+            len(servers.candidates(aim.target, now_s)),
+            servers.in_flight(aim.target, aim.server.name),
+            load.running + load.queued,
+            int(servers.report_age_s(aim.server, now_s) * 1000),
+            aim.last_event.decode("latin-1"),
+        )
+        self.call.log.add(sent)
+
     def _max_idle_s(self, name: str) -> float:
         if self.call.may_repeat and self.sent == 0:
             return self.context.settings.pool_idle_s
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
@@ -13,6 +13,7 @@
 from sycamorestand_entry.routed.headers import RawHeaders
 
 if TYPE_CHECKING:
+    from sycamorestand_entry.routed.decision_log import DecisionLog
     from sycamorestand_entry.routed.wire import RouteWire
     from sycamorestand_model.routes import Route
 
@@ -25,7 +26,8 @@
 
     ``target`` is path and query as they were sent. ``deadline_at_s`` is on
     the monotonic clock: the earlier of what the caller said and the
-    route's timeout. ``headers`` are those that are passed on.
+    route's timeout. ``headers`` are those that are passed on. ``log``
+    takes what is decided about it.
     """
 
     route: Route
@@ -40,6 +42,7 @@
     values: dict[bytes, bytes]
     body: bytes
     deadline_at_s: float
+    log: DecisionLog
 
     @property
     def may_repeat(self) -> bool:
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -0,0 +1,199 @@
+"""What was decided about one request, in the order of the decisions.
+
+An engineer who has a request's id and the logs can tell from these lines
+why it was refused, late or cut. Each decision carries the inputs that it
+was made on and their age. A request that went well costs one line, with
+its decisions in short; any other has a line for each decision as well.
+Lines are written when the request ends, so nothing waits for them.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sycamorestand_model.routes import Route
+
+LOG: Final = logging.getLogger(__name__)
+# Attempts are few; a fault that makes a request decide without end must not
+# fill the memory. The first ones tell the cause.
+MAX_DECISIONS: Final = 32
+MS: Final = 1000
+
+
+class Held(NamedTuple):
+    """The request waited for an entry that was starting."""
+
+    missing: str
+    waited_ms: int
+
+
+class Admitted(NamedTuple):
+    """Admission gave it a slot of this service or version."""
+
+    target: str
+    waited_ms: int
+
+
+class Sent(NamedTuple):
+    """It was written to a server.
+
+    ``own_running`` are this entry's requests there, ``reported`` those of
+    all entries as the server told them ``report_age_ms`` ago.
+    """
+
+    target: str
+    server: str
+    model: str
+    servers_known: int
+    own_running: int
+    reported: int
+    report_age_ms: int
+    after_event: str
+
+
+class NotReached(NamedTuple):
+    """No connection to a server could be made."""
+
+    server: str
+
+
+class AttemptEnded(NamedTuple):
+    """An attempt is over; ``reason`` is empty where the answer is used."""
+
+    server: str
+    outcome: str
+    status: int
+    first_byte_ms: int
+    reason: str
+
+
+class Climbed(NamedTuple):
+    """The answer was dropped for a larger model's.
+
+    ``strain`` is the wait at the servers as a share of the route's aim.
+    """
+
+    model: str
+    confidence: int
+    strain: float
+
+
+class MovedOn(NamedTuple):
+    """A server that kept the request waiting was left for another.
+
+    ``overtaken``: it had answered later requests. ``working``: it was
+    answering others in their turn.
+    """
+
+    server: str
+    waited_ms: int
+    overtaken: bool
+    working: bool
+
+
+Decision = (
+    Held | Admitted | Sent | NotReached | AttemptEnded | Climbed | MovedOn
+)
+
+
+class DecisionLog:
+    """The decisions about one request; `ended` writes them."""
+
+    def __init__(self) -> None:
+        self.request = ""
+        self.customer = ""
+        self.route: Route | None = None
+        self.revision = 0
+        self.lease_ms = 0
+        self.first_byte_ms = -1
+        self._begun_s = time.monotonic()
+        self._decisions: list[tuple[int, Decision]] = []
+
+    def add(self, decision: Decision) -> None:
+        """Note a decision with the time since the request was read."""
+        if len(self._decisions) < MAX_DECISIONS:
+            self._decisions.append((self.elapsed_ms(), decision))
+
+    def elapsed_ms(self) -> int:
+        """Return the time since the request was read."""
+        return int((time.monotonic() - self._begun_s) * MS)
+
+    def answer_began(self) -> None:
+        """Note that the caller gets the first part of its answer."""
+        if self.first_byte_ms < 0:
+            self.first_byte_ms = self.elapsed_ms()
+
+    def is_late(self) -> bool:
+        """Tell whether the answer began after the route's aim."""
+        began_ms = self.first_byte_ms
+        if self.route is None or began_ms < 0:
+            return False
+        return began_ms > self.route.target_latency_ms
+
+    def ended(self, result: str, status: int, detail: dict[str, Any]) -> None:
+        """Write the request's line, and more where it went wrong.
+
+        ``result`` is ``ok``, or the code of what went wrong.
+        """
+        well = result == "ok" and not self.is_late()
+        if not well:
+            self._write_decisions()
+        fields = {
+            "request": self.request,
+            "customer": self.customer,
+            "route": self.route.name if self.route else "",
+            "result": result,
+            "status": status,
+            "late": self.is_late(),
+            "took_ms": self.elapsed_ms(),
+            "first_byte_ms": self.first_byte_ms,
+            "revision": self.revision,
+            "lease_ms": self.lease_ms,
+            "path": " ".join(_short(d) for _, d in self._decisions),
+            "expendable": well,
+            **detail,
+        }
+        LOG.log(
+            logging.INFO if well else logging.WARNING,
+            "request ended",
+            extra=fields,
+        )
+
+    def _write_decisions(self) -> None:
+        for number, (after_ms, decision) in enumerate(self._decisions):
+            extra = {
+                "request": self.request,
+                "number": number,
+                "after_ms": after_ms,
+                "decision": type(decision).__name__,
+                **decision._asdict(),
+            }
+            LOG.info("request decision", extra=extra)
+
+
+def _short(decision: Decision) -> str:
+    if isinstance(decision, Sent):
+        return f"{decision.server}/{decision.model or '-'}"
+    if isinstance(decision, AttemptEnded):
+        return decision.outcome
+    return type(decision).__name__
+
+
+__all__ = [
+    "Admitted",
+    "AttemptEnded",
+    "Climbed",
+    "Decision",
+    "DecisionLog",
+    "Held",
+    "MAX_DECISIONS",
+    "MovedOn",
+    "NotReached",
+    "Sent",
+]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -9,6 +9,8 @@
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.gate import may_dispatch_routed
 from sycamorestand_entry.gate import RoutedIntent
+from sycamorestand_entry.routed.decision_log import AttemptEnded
+from sycamorestand_entry.routed.decision_log import MovedOn
 from sycamorestand_entry.routed.messages import answer_headers
 from sycamorestand_entry.routed.messages import encode_request
 from sycamorestand_entry.routed.messages import foreign
@@ -58,6 +60,9 @@
         self._pace = Pace()
         self._closed = False
         self._queued = False
+        self._first_byte_ms = -1
+        self._status = 0
+        self._reason = ""
 
     def send(self) -> None:
         """Pass the gate and write the request.
@@ -103,17 +108,21 @@
         """
         try:
             head = await self.connection.read_head(limit_s, soft)
-        except SilentConnection:
+        except SilentConnection as error:
             self._outcome = "timeout"
+            self._reason = str(error)
             raise
-        except UpstreamError:
+        except UpstreamError as error:
             self._outcome = "error"
+            self._reason = str(error)
             raise
         fault = foreign(head, self._wire, self._call)
         if fault:
             self.connection.close()
             self._outcome = "error"
+            self._reason = fault
             raise MalformedAnswer(fault)
+        self._status = head.status
         self._answered_s = time.monotonic()
         return head
 
@@ -131,9 +140,19 @@
         others had its load as well.
         """
         self._outcome = "timeout"
+        self._reason = "too slow"
         self._queued = self._context.progress.works_off(
             self.aim.server.name, self.begin_s
         )
+        waited_s = time.monotonic() - self.begin_s
+        self._call.log.add(
+            MovedOn(
+                self.aim.server.name,
+                int(waited_s * 1000),
+                self.is_overtaken(),
+                self._queued,
+            )
+        )
 
     async def read_whole(self, head: ResponseHead) -> WholeAnswer:
         """Return the whole answer; raises `UpstreamError`."""
@@ -174,10 +193,12 @@
         """Note that the answer broke off."""
         silent = isinstance(error, SilentConnection)
         self._outcome = "timeout" if silent else "error"
+        self._reason = str(error)
 
     def first_byte(self) -> None:
         """Note that the answer has begun."""
         now_s = time.monotonic()
+        self._first_byte_ms = int((now_s - self.begin_s) * 1000)
         self._context.progress.begun(self.aim.server.name, self.begin_s, now_s)
         self._context.servers.first_byte(
             self.aim.target,
@@ -212,6 +233,15 @@
             now_s - self.begin_s,
             "cancelled" if self._queued else self._outcome,
         )
+        self._call.log.add(
+            AttemptEnded(
+                self.aim.server.name,
+                self._outcome,
+                self._status,
+                self._first_byte_ms,
+                self._reason,
+            )
+        )
         if self._outcome in ("error", "timeout"):
             self._sample(failed=True)
         elif self._outcome != "overloaded" and not self._reported:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -17,6 +16,7 @@
 from sycamorestand_decisions.size_ladder import first_size
 from sycamorestand_decisions.size_ladder import next_size
 from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.routed.decision_log import Climbed
 from sycamorestand_entry.routed.event_order import EventOrder
 from sycamorestand_entry.routed.messages import answer_headers
 from sycamorestand_entry.routed.messages import PROMISES
@@ -74,7 +74,6 @@
             call.values.get(attempts.wire.last_event, b"")
         )
         self._rest = b""
-        self.first_event_s = 0.0
 
     async def run(self, target: str) -> WholeAnswer | None:
         """Relay the stream to its end.
@@ -203,6 +202,13 @@
             self._strain(target),
         )
         if size is not None:
+            self._attempts.call.log.add(
+                Climbed(
+                    self._sizes[size],
+                    -1 if confidence is None else confidence,
+                    round(self._strain(target), 2),
+                )
+            )
             raise _Climbs(size)
 
     def _observe_wait(self, exchange: Exchange) -> None:
@@ -245,7 +251,7 @@
         return count
 
     async def _start(self, head: ResponseHead) -> None:
-        self.first_event_s = time.monotonic()
+        self._attempts.call.log.answer_began()
         await self._responder.start(head.status, answer_headers(head, None))
 
     def _may_resume(self, overloaded: bool) -> bool:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -57,7 +57,7 @@
                 server.capacity,
                 server.load.running,
                 server.load.queued,
-                server.load.age_s + self._age_s(server, now_s),
+                self.report_age_s(server, now_s),
             )
             for server in holders
         ]
@@ -88,6 +88,14 @@
             )
         return server
 
+    def in_flight(self, target: str, name: str) -> int:
+        """Return how many requests this entry has running on a server."""
+        return self._selector(target).in_flight(name)
+
+    def report_age_s(self, server: Announcement, now_s: float) -> float:
+        """Return how old the server's report of its load is."""
+        return server.load.age_s + self._age_s(server, now_s)
+
     def capacity(self, target: str, now_s: float) -> int:
         """Return how many requests may run on the target's servers."""
         candidates = self.candidates(target, now_s)
--- /dev/null
+++ b/packages/sycamorestand-entry/tests/routed/test_decision_log.py
@@ -0,0 +1,152 @@
+"""From the id of a failed request to its cause, by the log alone."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+import anyio
+from anyio.abc import SocketStream
+import pytest
+
+from sycamorestand_bench.fakes.routed import answer_bytes
+from sycamorestand_bench.fakes.routed import event
+from sycamorestand_bench.fakes.routed import SETTINGS
+from sycamorestand_bench.fakes.routed import start_routed
+from sycamorestand_bench.fakes.routed import stream_head
+from sycamorestand_entry.routed.decision_log import DecisionLog
+from sycamorestand_entry.routed.decision_log import Held
+from sycamorestand_entry.routed.decision_log import MAX_DECISIONS
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture(autouse=True)
+def _all_lines(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+
+
+def end_of(caplog: pytest.LogCaptureFixture, request: str) -> dict[str, Any]:
+    """Return the fields of the line that tells how a request ended."""
+    (found,) = [
+        record.__dict__
+        for record in caplog.records
+        if record.message == "request ended"
+        and record.__dict__["request"] == request
+    ]
+    return found
+
+
+def decisions_of(
+    caplog: pytest.LogCaptureFixture, request: str
+) -> list[dict[str, Any]]:
+    """Return the fields of the lines of a request's decisions."""
+    return [
+        record.__dict__
+        for record in caplog.records
+        if record.message == "request decision"
+        and record.__dict__["request"] == request
+    ]
+
+
+class TestLines:
+    async def test_a_good_request_has_one_line(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        async with start_routed() as loopback:
+            await loopback.add_server("s-1", _answer)
+            await loopback.ask("/stock/1", x_attempt="r-1")
+        end = end_of(caplog, "r-1")
+        assert end["result"] == "ok"
+        assert end["status"] == 200
+        assert end["path"] == "Admitted s-1/- ok"
+        assert end["expendable"]
+        assert decisions_of(caplog, "r-1") == []
+
+    async def test_a_refusal_tells_why_and_that_it_did_not_run(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """No server of the service is known; the caller gets 503."""
+        async with start_routed() as loopback:
+            await loopback.ask("/stock/1", x_attempt="r-2", x_deadline_ms="50")
+        end = end_of(caplog, "r-2")
+        assert end["result"] == "no_backend_server"
+        assert end["run"] == "not_run"
+        assert end["retry_after_s"] > 0
+        assert not end["expendable"]
+        (held,) = decisions_of(caplog, "r-2")
+        assert held["decision"] == "Held"
+        assert held["missing"] == "server"
+
+    async def test_without_a_lease_the_line_tells_its_age(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        async with start_routed() as loopback:
+            loopback.control.lease_s = -3.5
+            await loopback.ask("/stock/1", x_attempt="r-3", x_deadline_ms="50")
+        end = end_of(caplog, "r-3")
+        assert end["result"] == "no_lease"
+        assert end["lease_ms"] == -3500
+        assert end["revision"] == loopback.control.in_force().revision
+
+    async def test_a_server_that_breaks_off_is_named(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """The server closes in the middle; the order may have run."""
+
+        async def close(request: bytes, stream: SocketStream) -> None:
+            raise anyio.EndOfStream
+
+        async with start_routed() as loopback:
+            await loopback.add_server("s-1", close)
+            await loopback.ask("/order/1", x_attempt="r-4")
+        end = end_of(caplog, "r-4")
+        assert end["run"] == "unknown"
+        sent, attempt = decisions_of(caplog, "r-4")[1:]
+        assert (sent["decision"], sent["server"]) == ("Sent", "s-1")
+        assert sent["servers_known"] == 1
+        assert attempt["outcome"] == "error"
+        assert attempt["reason"]
+
+    async def test_a_late_stream_has_all_its_lines(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """The aim of the route is over before the first event comes."""
+
+        async def answer(request: bytes, stream: SocketStream) -> None:
+            await stream.send(stream_head(request) + event(1) + b"0\r\n\r\n")
+
+        async with start_routed(SETTINGS) as loopback:
+            await loopback.add_server("s-1", answer)
+            in_force = loopback.control.in_force()
+            declared = in_force.declarations
+            review = declared.routes["review"]._replace(target_latency_ms=-1)
+            routes = {**declared.routes, "review": review}
+            loopback.control.configuration = in_force._replace(
+                declarations=declared._replace(routes=routes)
+            )
+            await loopback.ask("/review/1", x_attempt="r-5")
+        end = end_of(caplog, "r-5")
+        assert end["result"] == "ok"
+        assert end["late"]
+        assert len(decisions_of(caplog, "r-5")) == 3
+
+
+class TestDecisionLog:
+    def test_is_bounded(self) -> None:
+        log = DecisionLog()
+        log.request = "r-6"
+        for number in range(10 * MAX_DECISIONS):
+            log.add(Held("server", number))
+        with pytest.MonkeyPatch.context() as patch:
+            written: list[str] = []
+            patch.setattr(
+                "sycamorestand_entry.routed.decision_log.LOG.info",
+                lambda message, extra: written.append(message),
+            )
+            log.ended("no_lease", 503, {})
+        assert len(written) == MAX_DECISIONS
+
+
+async def _answer(request: bytes, stream: SocketStream) -> None:
+    await stream.send(answer_bytes(request))
--- a/packages/sycamorestand-entry/tests/routed/test_targets.py
+++ b/packages/sycamorestand-entry/tests/routed/test_targets.py
@@ -10,6 +10,7 @@
 from sycamorestand_bench.fakes.control_port import FakeControlPort
 from sycamorestand_bench.fakes.control_port import FakeLedger
 from sycamorestand_entry.routed.call import RoutedCall
+from sycamorestand_entry.routed.decision_log import DecisionLog
 from sycamorestand_entry.routed.pace import Pace
 from sycamorestand_entry.routed.pace import PACE_EVENTS
 from sycamorestand_entry.routed.targets import choose_target
@@ -58,7 +59,19 @@
 
 def call(session: str) -> RoutedCall:
     return RoutedCall(
-        ROUTE, "", 0, 1.0, b"GET", b"/p/", b"1", session, [], {}, b"", 0.0
+        ROUTE,
+        "",
+        0,
+        1.0,
+        b"GET",
+        b"/p/",
+        b"1",
+        session,
+        [],
+        {},
+        b"",
+        0.0,
+        DecisionLog(),
     )
 
 
--- a/packages/sycamorestand/src/sycamorestand/logs.py
+++ b/packages/sycamorestand/src/sycamorestand/logs.py
@@ -1,18 +1,22 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line on standard output."""
 
 from __future__ import annotations
 
+import atexit
 import logging
+import sys
 from typing import Final
 
 from pythonjsonlogger.json import JsonFormatter
 
+from sycamorestand.bounded_output import BoundedOutput
+
 FIELDS: Final = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
-def configure_logging(vm: str, role: str, level: str) -> None:
-    """Send every record, with this process's name in it, to stderr."""
-    handler = logging.StreamHandler()
+def configure_logging(vm: str, role: str, level: str) -> BoundedOutput:
+    """Send every record, with this process's name in it, to stdout."""
+    handler = BoundedOutput(sys.stdout.fileno())
     handler.setFormatter(
         JsonFormatter(
             FIELDS,
@@ -22,9 +26,17 @@
                 "name": "logger",
             },
             static_fields={"vm": vm, "role": role},
+            reserved_attrs=[*_reserved(), "expendable"],
         )
     )
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+    atexit.register(handler.flush)
+    return handler
+
+
+def _reserved() -> list[str]:
+    """Return the attributes of every record, which are no fields."""
+    return list(logging.makeLogRecord({}).__dict__)
 
 
 __all__ = ["configure_logging"]
--- a/packages/sycamorestand/src/sycamorestand/operator/run.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/run.py
@@ -29,6 +29,7 @@
 from sycamorestand.operator.exits import INTERNAL
 from sycamorestand.operator.exits import INTERRUPTED
 from sycamorestand.operator.exits import SycactlError
+from sycamorestand.operator.explain_request import explain_request
 from sycamorestand.operator.offline import check
 from sycamorestand.operator.offline import hash_key
 from sycamorestand.operator.offline import new_key
@@ -68,6 +69,7 @@
     "transfer-leadership": transfer_leadership,
     "rotate-session-key": rotate_session_key,
     "explain": explain,
+    "explain-request": explain_request,
     "hash-key": hash_key,
     "new-key": new_key,
 }
