Dials end by time, and no lost server brings a version more than its share

Five of nine servers crashed, and requests that dialled four of them were given up with 502 though four were free: dials now end after a second, or sixteen of them. Requests placed on a roll-out's two first servers were refused when both had crashed: the old version stands in. A service's slots were looked at each quarter of a second, and requests refused meanwhile.

An entry that heard of no old server sent all its work to the version under way, past its share.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/http_protocol.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/http_protocol.py
@@ -85,6 +85,8 @@
 
     def _abort(self) -> None:
         transport = self.transport
+        # Else uvicorn logs an answer without an end as a fault of ours.
+        self.cycle.disconnected = True
         transport.close()
         # A caller that does not read would keep it open for good.
         self.loop.call_later(ABORT_S, transport.abort)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -36,8 +36,12 @@
 # The route itself has moved; whoever comes back at once meets the new one.
 MOVED_RETRY_S: Final = 0.1
 # Connections that could not be made count for no attempt, but a service
-# whose servers are all gone must not be dialled for the whole timeout.
-MAX_DIALS: Final = 4
+# whose servers are all gone must not be dialled for the whole timeout. What
+# is refused costs a millisecond and the next server may be there: bounded by
+# four dials, a crash of five of nine servers failed requests that the other
+# four were free for. What hangs costs a connect timeout.
+MAX_DIALS: Final = 16
+MAX_DIAL_S: Final = 1.0
 
 
 class Attempts:
@@ -58,6 +62,7 @@
         self._tried: set[str] = set()
         self._sent_to: set[str] = set()
         self._dials = 0
+        self._dialled_s = 0.0
 
     @property
     def left(self) -> int:
@@ -150,12 +155,14 @@
     async def _connect(
         self, target: str, server: Announcement
     ) -> UpstreamConnection | None:
+        begin_s = self.context.now_s()
         try:
             return await self.context.pool.acquire(
                 server.address, self._max_idle_s(server.name)
             )
         except ConnectFailed:
             now_s = self.context.now_s()
+            self._dialled_s += now_s - begin_s
             servers = self.context.servers
             servers.started(target, server.name, now_s)
             servers.finished(target, server.name, now_s, 0.0, "error")
@@ -192,7 +199,8 @@
 
     def _count_dial(self) -> None:
         self._dials += 1
-        if self._dials >= MAX_DIALS or self.call.remaining_s() <= 0:
+        spent = self._dials >= MAX_DIALS or self._dialled_s >= MAX_DIAL_S
+        if spent or self.call.remaining_s() <= 0:
             raise self.failure("no backend server takes a connection")
 
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -24,6 +24,8 @@
 # fill the memory. The first ones tell the cause.
 MAX_DECISIONS: Final = 32
 MS: Final = 1000
+# A server's own failure is passed on as it is; the caller has no answer.
+FAILED_STATUS: Final = 500
 
 
 class Held(NamedTuple):
@@ -141,7 +143,8 @@
 
         ``result`` is ``ok``, or the code of what went wrong.
         """
-        well = result == "ok" and not self.is_late()
+        well = result == "ok" and status < FAILED_STATUS
+        well = well and not self.is_late()
         if not well:
             self._write_decisions()
         fields = {
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/targets.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/targets.py
@@ -43,9 +43,9 @@
     chosen = choose_version(model, in_force, _unit(call, service))
     if chosen is None:
         raise NoVersion("no version may be used now", VERSION_RETRY_S)
-    if _has_servers(context, chosen):
+    if _takes_work(context, chosen):
         return chosen
-    return _other(context, model, in_force) or chosen
+    return _other(context, model, in_force, chosen) or chosen
 
 
 def current_target(
@@ -91,24 +91,28 @@
     return max(sorted(counts), key=lambda name: counts[name])
 
 
-def _has_servers(context: EntryContext, target: str) -> bool:
-    return bool(context.servers.candidates(target, time.monotonic()))
+def _takes_work(context: EntryContext, target: str) -> bool:
+    """Tell whether a server of it is known that is not out."""
+    return context.servers.capacity(target, time.monotonic()) > 0
 
 
 def _other(
-    context: EntryContext, model: Model, in_force: InForce
+    context: EntryContext, model: Model, in_force: InForce, chosen: str
 ) -> str | None:
-    """Return another version that has servers, if one may be used.
-
-    The new version's servers come up seconds after the order, and the old
-    one's are gone once it is completed; requests that are placed on either
-    would wait for servers that do not come.
+    """Return the version that stands in for one without servers.
+
+    The new version's servers come up seconds after the order, and the few
+    of its first share may be lost together: what is placed there goes to
+    the old version. The other way round only what the share allows goes
+    to the new one. While an entry had heard of no old server, after its
+    restart or theirs, all its work went to a version that nobody had
+    judged yet; now that is refused, and a bad version cannot get more than
+    its share whatever is lost.
     """
-    for unit in (1.0, 0.0):
-        chosen = choose_version(model, in_force, unit)
-        if chosen is not None and _has_servers(context, chosen):
-            return chosen
-    return None
+    stable = choose_version(model, in_force, 1.0)
+    if stable is None or stable == chosen:
+        return None
+    return stable if _takes_work(context, stable) else None
 
 
 def _service_of(call: RoutedCall) -> str:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/slots.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/slots.py
@@ -64,6 +64,7 @@
         self._ids = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[Refused | None]] = {}
         self._refreshed_s: dict[str, float] = {}
+        self._without_slots: set[str] = set()
 
     async def acquire(self, request: SlotRequest) -> int:
         """Wait for a slot and return its id, or refuse."""
@@ -136,12 +137,19 @@
 
     def _refresh(self, target: str, now_s: float) -> None:
         refreshed_s = self._refreshed_s.get(target)
-        if refreshed_s is None or now_s - refreshed_s > TICK_S:
+        stale = refreshed_s is None or now_s - refreshed_s > TICK_S
+        # With no slot each request is refused; servers that came since the
+        # last look must not wait for the next one.
+        if stale or target in self._without_slots:
             self._set_capacity(target, now_s)
 
     def _set_capacity(self, target: str, now_s: float) -> None:
         self._refreshed_s[target] = now_s
         capacity = self._servers.capacity(target, now_s)
+        if capacity:
+            self._without_slots.discard(target)
+        else:
+            self._without_slots.add(target)
         self._admission.set_capacity(target, capacity)
 
     def _refusal(self, refused: Refused) -> Overloaded | NoBackendServer:
--- a/packages/sycamorestand-entry/tests/routed/test_attempts.py
+++ b/packages/sycamorestand-entry/tests/routed/test_attempts.py
@@ -14,8 +14,11 @@
 from sycamorestand_bench.fakes.routed import request_bytes
 from sycamorestand_bench.fakes.routed import RoutedLoopback
 from sycamorestand_bench.fakes.routed import start_routed
+from sycamorestand_model.backend_servers import Announcement
 
 pytestmark = pytest.mark.anyio
+# Nothing listens on the first port of a machine.
+UNUSED = "127.0.0.1:1"
 
 
 async def add_servers(
@@ -98,6 +101,39 @@
         assert 700 >= left[0] >= left[1] > 0
 
 
+class TestCrashedServers:
+    async def test_a_request_finds_the_one_that_is_left(self) -> None:
+        """Six of seven servers crash together and are known for seconds.
+
+        Their ports refuse at once. After four refusals the request was
+        given up, with a server free for it.
+        """
+
+        async def answer(request: bytes, stream: SocketStream) -> None:
+            await stream.send(answer_bytes(request))
+
+        async with start_routed() as loopback:
+            await loopback.add_server("s-alive", answer)
+            for number in range(6):
+                name = f"s-{number}"
+                loopback.control.servers[name] = Announcement(
+                    name, "service", UNUSED, "marietta", 1, 1, ("stock",)
+                )
+            for _ in range(3):
+                told = await loopback.ask("/order/1")
+                assert told.startswith(b"HTTP/1.1 200")
+
+    async def test_when_all_are_gone_it_is_refused_as_not_run(self) -> None:
+        async with start_routed() as loopback:
+            for number in range(3):
+                name = f"s-{number}"
+                loopback.control.servers[name] = Announcement(
+                    name, "service", UNUSED, "marietta", 1, 1, ("stock",)
+                )
+            told = await loopback.ask("/order/1")
+        assert told.startswith(b"HTTP/1.1 503")
+
+
 class TestSlowCaller:
     async def test_body_that_does_not_come_is_not_waited_for(self) -> None:
         """A caller sends the head of an order and not its body."""
