--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -18,6 +18,7 @@
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import Run
 from sycamorestand_entry.routed.decision_log import NotReached
+from sycamorestand_entry.routed.decision_log import NotRepeated
 from sycamorestand_entry.routed.decision_log import Sent
 from sycamorestand_entry.routed.exchange import Exchange
 from sycamorestand_entry.routed.messages import Aim
@@ -75,15 +76,25 @@
         A refusal that says "not run" costs nothing but the attempt; what
         may have run draws on the retry budget and must be repeatable.
         """
-        if not self.left or self.call.remaining_s() <= 0:
-            return False
+        reason = self._reason_to_end(overloaded)
+        if reason:
+            self.call.log.add(NotRepeated(reason))
+        return not reason
+
+    def _reason_to_end(self, overloaded: bool) -> str:
+        if not self.left:
+            return "no attempt left"
+        if self.call.remaining_s() <= 0:
+            return "its time is over"
         if overloaded:
-            return True
+            return ""
         if not self.call.may_repeat:
-            return False
+            return "it must not run twice"
         now_s = self.context.now_s()
         customer = self.call.customer
-        return self.context.retries.may_retry(customer, now_s, "error")
+        if self.context.retries.may_retry(customer, now_s, "error"):
+            return ""
+        return "retry budget spent"
 
     async def open(
         self, target: str, affinity_key: str, model: bytes, last_event: bytes
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -65,6 +65,12 @@
     server: str
 
 
+class NotRepeated(NamedTuple):
+    """No other server is asked."""
+
+    reason: str
+
+
 class AttemptEnded(NamedTuple):
     """An attempt is over; ``reason`` is empty where the answer is used."""
 
@@ -100,7 +106,14 @@
 
 
 Decision = (
-    Held | Admitted | Sent | NotReached | AttemptEnded | Climbed | MovedOn
+    Held
+    | Admitted
+    | Sent
+    | NotReached
+    | NotRepeated
+    | AttemptEnded
+    | Climbed
+    | MovedOn
 )
 
 
@@ -198,5 +211,6 @@
     "MAX_DECISIONS",
     "MovedOn",
     "NotReached",
+    "NotRepeated",
     "Sent",
 ]
--- a/packages/sycamorestand-entry/tests/routed/test_decision_log.py
+++ b/packages/sycamorestand-entry/tests/routed/test_decision_log.py
@@ -102,7 +102,8 @@
             await loopback.ask("/order/1", x_attempt="r-4")
         end = end_of(caplog, "r-4")
         assert end["run"] == "unknown"
-        sent, attempt = decisions_of(caplog, "r-4")[1:]
+        sent, attempt, not_repeated = decisions_of(caplog, "r-4")[1:]
+        assert not_repeated["reason"] == "no attempt left"
         assert (sent["decision"], sent["server"]) == ("Sent", "s-1")
         assert sent["servers_known"] == 1
         assert attempt["outcome"] == "error"
