--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -29,7 +29,6 @@
 from sycamorestand_entry.http_protocol import WRITE_NOW
 from sycamorestand_entry.routed.attempts import Attempts
 from sycamorestand_entry.routed.call import ANONYMOUS
-from sycamorestand_entry.routed.call import MAX_DEADLINE_DIGITS
 from sycamorestand_entry.routed.call import passed_headers
 from sycamorestand_entry.routed.call import read_deadline_s
 from sycamorestand_entry.routed.call import read_values
@@ -37,6 +36,10 @@
 from sycamorestand_entry.routed.decision_log import Admitted
 from sycamorestand_entry.routed.decision_log import DecisionLog
 from sycamorestand_entry.routed.decision_log import Held
+from sycamorestand_entry.routed.refusals import lease_retry_s
+from sycamorestand_entry.routed.refusals import refusal_fields
+from sycamorestand_entry.routed.refusals import refuse
+from sycamorestand_entry.routed.refusals import stated_time_s
 from sycamorestand_entry.routed.streams import StreamBroken
 from sycamorestand_entry.routed.streams import StreamRelay
 from sycamorestand_entry.routed.targets import choose_target
@@ -54,12 +57,6 @@
     from sycamorestand_model.routes import Route
 
 LOG: Final = logging.getLogger(__name__)
-# Entries are cut off together, and a caller's list names those that are for
-# a second or two yet: its one retry, made at once, would meet another of
-# them. A share of its time leaves the rest for the answer.
-LEASE_RETRY_SHARE: Final = 0.3
-MIN_LEASE_RETRY_S: Final = 0.1
-MAX_LEASE_RETRY_S: Final = 2.2
 CALL_S: Final = 0.05
 STREAM_S: Final = 1.0
 # What still waits so long after its time is ended from outside.
@@ -95,8 +92,8 @@
             result = "ok"
         except RequestError as error:
             result = error.code
-            detail = _told(error)
-            await _refuse(responder, error)
+            detail = refusal_fields(error)
+            await refuse(responder, error)
         except CallerGone:
             result = "caller_gone"
         except StreamBroken as error:
@@ -109,7 +106,7 @@
             if responder.started:
                 extensions[ABORT]()
             else:
-                await _refuse(responder, InternalError("the entry failed"))
+                await refuse(responder, InternalError("the entry failed"))
         finally:
             self._context.metrics.routed_ended(
                 log.route.kind if log.route else "none",
@@ -158,7 +155,7 @@
         raw = scope["headers"]
         values = read_values(raw, self._wire)
         log.request = values.get(self._wire.attempt, b"").decode("latin-1")
-        whole_s = _whole_s(values.get(self._wire.deadline_ms, b""))
+        whole_s = stated_time_s(values.get(self._wire.deadline_ms, b""))
         useful = await self._hold("lease", self._is_useful, whole_s, log)
         in_force = context.control.in_force()
         log.revision = in_force.revision
@@ -166,7 +163,7 @@
         if not useful:
             raise NoLease(
                 "this entry's configuration may be out of date",
-                _lease_retry_s(whole_s),
+                lease_retry_s(whole_s),
             )
         route = self._route(in_force, values, scope["raw_path"])
         log.route = route
@@ -323,26 +320,6 @@
     await responder.finish(answer.body)
 
 
-def _told(error: RequestError) -> dict[str, Any]:
-    """Return what a refusal told the caller, as fields of its line."""
-    return {
-        "reason": error.message,
-        "run": error.run,
-        "told_status": error.status,
-        "retry_after_s": error.retry_after_s,
-    }
-
-
-async def _refuse(responder: Responder, error: RequestError) -> None:
-    if responder.started:
-        return
-    headers = []
-    if error.retry_after_s is not None:
-        headers.append((b"retry-after", b"%.2f" % error.retry_after_s))
-    body = error.message.encode()
-    await responder.answer(error.status, b"text/plain", body, headers)
-
-
 async def _body_by(
     deadline_at_s: float, request: Request, limit_bytes: int
 ) -> bytes:
@@ -354,14 +331,4 @@
         raise RequestTimeout("the request's body came too late") from None
 
 
-def _whole_s(deadline_ms: bytes) -> float:
-    known = deadline_ms.isdigit() and len(deadline_ms) < MAX_DEADLINE_DIGITS
-    return int(deadline_ms) / 1000 if known else 0.0
-
-
-def _lease_retry_s(whole_s: float) -> float:
-    after_s = max(MIN_LEASE_RETRY_S, whole_s * LEASE_RETRY_SHARE)
-    return min(MAX_LEASE_RETRY_S, after_s)
-
-
 __all__ = ["DeadlineExceeded", "make_routed_application", "RoutedEntry"]
