A request that is not held looks at its servers no more often than before

Cause: the line of a sent request and the wait for a first server each made the list of candidates anew, five times a request in place of two; a list of 140 servers takes some 0.2 ms.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -242,12 +242,13 @@
         context = self._context
         # An entry that has just started knows no server before it hears
         # from control, which has heard of none if it has just started too.
-        await self._hold(
-            "server",
-            lambda: _has_server(context, call),
-            call.remaining_s(),
-            call.log,
-        )
+        if context.start_hold.is_starting():
+            await self._hold(
+                "server",
+                lambda: _has_server(context, call),
+                call.remaining_s(),
+                call.log,
+            )
         target = choose_target(context, call)
         begin_s = time.monotonic()
         slot = await context.slots.acquire(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -189,7 +189,7 @@
             aim.target,
             aim.server.name,
             aim.model.decode("latin-1"),
-            len(servers.candidates(aim.target, now_s)),
+            servers.count(aim.target),
             servers.in_flight(aim.target, aim.server.name),
             load.running + load.queued,
             int(servers.report_age_s(aim.server, now_s) * 1000),
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -35,6 +35,7 @@
         self._control = control
         self._random = random
         self._selectors: dict[str, ServerSelector] = {}
+        self._counts: dict[str, int] = {}
         self._seen: dict[str, tuple[int, int, float]] = {}
 
     def candidates(self, target: str, now_s: float) -> list[Candidate]:
@@ -51,6 +52,7 @@
         if share < 1.0:
             first = first_servers([s.name for s in holders], share)
             holders = [s for s in holders if s.name in first]
+        self._counts[target] = len(holders)
         return [
             Candidate(
                 server.name,
@@ -88,6 +90,10 @@
             )
         return server
 
+    def count(self, target: str) -> int:
+        """Return how many candidates there were at the last look."""
+        return self._counts.get(target, 0)
+
     def in_flight(self, target: str, name: str) -> int:
         """Return how many requests this entry has running on a server."""
         return self._selector(target).in_flight(name)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/start_hold.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/start_hold.py
@@ -13,6 +13,7 @@
 import anyio
 
 from sycamorestand_decisions.starting import hold_s
+from sycamorestand_decisions.starting import STARTING_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,6 +30,10 @@
         self._started_s = time.monotonic()
         self._held = 0
 
+    def is_starting(self) -> bool:
+        """Tell whether requests may still wait for what is missing."""
+        return time.monotonic() - self._started_s < STARTING_S
+
     async def until(self, ready: Callable[[], bool], left_s: float) -> bool:
         """Wait until ``ready`` or for as long as it may; return which.
 
