A limit on file size makes a voter step aside, as a full disk does

Cause: EFBIG was taken for a broken disk, which has to end the process. A limit that is set too low (ulimit -f) ended every voter under it, one after the other.

Before: the test fails with StorageError. After: the voter steps aside and writes the same records once the limit is raised.

--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/files.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/files.py
@@ -12,7 +12,9 @@
 from sycamorestand_consensus.errors import DiskFull
 from sycamorestand_consensus.errors import StorageError
 
-NO_SPACE: Final = frozenset({errno.ENOSPC, errno.EDQUOT})
+# A limit on the size of files that was set too low passes like a full disk:
+# an operator raises it. Taken for a broken disk it ended every voter under it.
+NO_SPACE: Final = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
 
 
 @contextlib.contextmanager
--- a/packages/sycamorestand-consensus/tests/test_storage.py
+++ b/packages/sycamorestand-consensus/tests/test_storage.py
@@ -289,6 +289,23 @@
         opened.close()
         assert indexes(reopen(tmp_path)) == list(range(1, 10))
 
+    def test_a_limit_on_file_size_passes_too(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # An operator's limit on the size of files is too low. The voter
+        # steps aside, as on a full disk, and goes on once it is raised; it
+        # does not end, which would take a majority away with one setting.
+        opened = Storage(tmp_path, SEGMENT_BYTES)
+        opened.open(known=False)
+        opened.write([append(1, 2)])
+        monkeypatch.setattr(os, "pwrite", refuses_to_grow)
+        with pytest.raises(DiskFull):
+            opened.write([append(3, 9)])
+        monkeypatch.undo()
+        opened.write([append(3, 9)])
+        opened.close()
+        assert indexes(reopen(tmp_path)) == list(range(1, 10))
+
     def test_a_restart_on_the_full_disk_loses_nothing_synced(
         self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
     ) -> None:
@@ -441,6 +458,10 @@
         return set(os.listdir(folder)) - self._names.get(folder, set())
 
 
+def refuses_to_grow(descriptor: int, data: memoryview, offset: int) -> int:
+    raise OSError(errno.EFBIG, "file too large")
+
+
 def fails_after_a_part(call: str) -> Callable[..., int]:
     whole = os.pwrite
 
