A soak: random faults on real processes, every promise checked

dev/soak starts control, entries and fakes of backend servers, harms processes, disks and links from outside as a seed says, and compares what callers, backend servers and the operator saw with what is promised. A schedule can be kept, shortened and replayed.

The test gate can hold one direction, delay and reset; callers keep each try with its times; an announcer gives an entry that does not answer one second, where one suspended entry let all announcements run out.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/announcer.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/announcer.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import anyio
 import httpcore
 import msgspec
 
 from sycamorestand_model.backend_servers import Announcement
 
+# A server whose entry does not answer goes on to the next one; without a
+# bound one suspended entry would let all announcements run out.
+TIMEOUT: Final = {"connect": 1.0, "read": 1.0, "write": 1.0, "pool": 1.0}
+
 
 async def announce_once(
     entry: str, key: str, announcement: Announcement
@@ -21,6 +27,7 @@
             f"http://{entry}/backend/v1/announce",
             headers={"Authorization": f"Bearer {key}"},
             content=msgspec.json.encode(content),
+            extensions={"timeout": TIMEOUT},
         )
     return response.status
 
@@ -50,7 +57,11 @@
     for entry in entries:
         try:
             await announce_once(entry, key, announcement)
-        except (httpcore.NetworkError, httpcore.TimeoutException):
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ):
             continue
 
 
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/processes.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/processes.py
@@ -158,6 +158,23 @@
         process.terminate()
         return process.wait(timeout=STOP_BOUND_S)
 
+    def terminate(self, name: str) -> None:
+        """Ask a node to stop as planned, without waiting for its end."""
+        self._running[name].terminate()
+
+    def exit_status(self, name: str) -> int | None:
+        """Return how a node has ended, None while it runs."""
+        process = self._running.get(name)
+        return None if process is None else process.poll()
+
+    def is_started(self, name: str) -> bool:
+        """Tell whether a node was started and not ended from here."""
+        return name in self._running
+
+    def forget(self, name: str) -> None:
+        """Take a node that has ended off the list of running ones."""
+        del self._running[name]
+
     def log_text(self, name: str) -> str:
         """Return what a node has logged."""
         return (self.folder / f"{name}.log").read_text()
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+import time
 from typing import Any
 from typing import Final
 from typing import NamedTuple
@@ -40,12 +41,22 @@
     path: str = ""
 
 
+class Try(NamedTuple):
+    """How one attempt ended, at which entry, and when by the clock."""
+
+    run: str
+    code: str
+    address: str
+    begun_s: float
+    ended_s: float
+
+
 class Answer(NamedTuple):
     """The last answer that a caller got.
 
     ``run`` is ``answered``, or what the refusal said: ``not_run``,
     ``ran`` or ``unknown``; ``cut`` where a stream ended without its end.
-    ``cuts`` tells each attempt that ended so, and at which entry.
+    ``tries`` has every attempt, the last one too.
     """
 
     call: Call
@@ -54,8 +65,12 @@
     text: str = ""
     version: str = ""
     cost_micros: int = 0
-    attempts: int = 1
-    cuts: tuple[str, ...] = ()
+    tries: tuple[Try, ...] = ()
+
+    @property
+    def cuts(self) -> tuple[Try, ...]:
+        """Return the attempts that ended without an answer or refusal."""
+        return tuple(one for one in self.tries if one.run == "cut")
 
 
 class Callers:
@@ -71,13 +86,16 @@
     async def call(self, call: Call, at: str | None = None) -> Answer:
         """Make a call until it is answered, with the same request key."""
         answer = Answer(call, "not_run", "never_asked")
-        cuts: list[str] = []
+        tries: list[Try] = []
         for attempt in range(ATTEMPTS):
             address = at if at and attempt == 0 else await self._address()
+            begun_s = time.monotonic()
             answer, pause_s = await self._attempt(call, address)
-            if answer.run == "cut":
-                cuts.append(f"{answer.code} at {address}")
-            answer = answer._replace(attempts=attempt + 1, cuts=tuple(cuts))
+            ended_s = time.monotonic()
+            tries.append(
+                Try(answer.run, answer.code, address, begun_s, ended_s)
+            )
+            answer = answer._replace(tries=tuple(tries))
             if answer.run == "answered" or answer.code in FINAL_CODES:
                 return answer
             await anyio.sleep(min(pause_s, MAX_PAUSE_S))
@@ -226,4 +244,4 @@
     return Answer(call, "answered", "", "".join(parts), version), 0.0
 
 
-__all__ = ["Answer", "Call", "Callers", "FINAL_CODES", "new_key"]
+__all__ = ["Answer", "Call", "Callers", "FINAL_CODES", "new_key", "Try"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/checks.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/checks.py
@@ -72,7 +72,7 @@
         "sessions_ended_by_withdrawal": ended,
         "refusals_not_run": sum(a.run == "not_run" for a in answers),
         "unknown": sum(a.run == "unknown" for a in answers),
-        "retried_by_callers": sum(a.attempts > 1 for a in answers),
+        "retried_by_callers": sum(len(a.tries) > 1 for a in answers),
         "doubled_runs": _doubled_runs(world),
         "runs_disallowed": _runs_disallowed(world, allowed),
         "runs_on_withdrawn_before": marks.runs_at_withdrawal,
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/run.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/run.py
@@ -173,11 +173,11 @@
         cut
         for answer in load.answers
         for cut in answer.cuts
-        if cut.endswith(stopped)
+        if cut.address == stopped
     ]
     _say(f"entry at {stopped} has ended with status {status}")
     for cut in cuts:
-        _say(f"cut: {cut}")
+        _say(f"cut: {cut.code} at {cut.address}")
     return Marks(
         ROLLED_OUT,
         runs_at_withdrawal,
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/world.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/world.py
@@ -18,6 +18,9 @@
 from sycamorestand_model.backend_servers import Announcement
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from anyio.abc import TaskGroup
 
 CHEAP: Final = "nest-small"
@@ -46,6 +49,8 @@
         self.rating = FakeRating({})
         self.rating_address = ""
         self.servers: dict[str, Server] = {}
+        # Returns the address to announce for one that was served.
+        self.front: Callable[[str, str], Awaitable[str]] = _as_it_is
 
     async def start_rating(self, tasks: TaskGroup) -> str:
         """Serve the rating service; return its URL."""
@@ -62,7 +67,8 @@
         for number, (name, versions) in enumerate(names):
             engine = FakeEngine(name, versions, TOKENS_PER_S, can_resume=True)
             self.engines.append(engine)
-            address = await tasks.start(serve_application, engine.application)
+            served = await tasks.start(serve_application, engine.application)
+            address = await self.front(name, served)
             announcement = Announcement(
                 name,
                 "engine",
@@ -85,7 +91,8 @@
             name = f"portal-{number + 1}"
             service = FakeService(name, ("portal",))
             self.services.append(service)
-            address = await tasks.start(serve_application, service.application)
+            served = await tasks.start(serve_application, service.application)
+            address = await self.front(name, served)
             announcement = Announcement(
                 name,
                 "service",
@@ -112,13 +119,23 @@
         )
 
     def runs_at(self, name: str) -> int:
-        """Return how many runs an engine has begun."""
+        """Return how many runs a server has begun."""
         return sum(
-            len(engine.records)
-            for engine in self.engines
-            if engine.name == name
+            len(server.records)
+            for server in self._all_servers()
+            if server.name == name
         )
 
+    def server(self, name: str) -> FakeEngine | FakeService:
+        """Return a fake by its name; raises `StopIteration`."""
+        return next(s for s in self._all_servers() if s.name == name)
+
+    def _all_servers(self) -> list[FakeEngine | FakeService]:
+        servers: list[FakeEngine | FakeService] = []
+        servers += self.engines
+        servers += self.services
+        return servers
+
     def _announce(
         self, tasks: TaskGroup, entries: list[str], announcement: Announcement
     ) -> None:
@@ -132,4 +149,9 @@
         tasks.start_soon(announce)
 
 
+async def _as_it_is(name: str, address: str) -> str:
+    """Announce a server where it is served."""
+    return address
+
+
 __all__ = ["CHEAP", "Server", "STRONG", "World"]
--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises."""
--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/checks.py
@@ -0,0 +1,235 @@
+"""Compares what everybody saw with what the system promises."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import defaultdict
+from signal import SIGTERM
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from sycamorestand_bench.quickstart.checks import is_whole
+from sycamorestand_bench.soak.watch import Finding
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from sycamorestand_bench.quickstart.caller import Answer
+    from sycamorestand_bench.quickstart.caller import Try
+    from sycamorestand_bench.quickstart.world import World
+    from sycamorestand_bench.soak.injector import Event
+    from sycamorestand_bench.soak.injector import PlannedStop
+    from sycamorestand_bench.soak.operating import Withdrawn
+    from sycamorestand_bench.system.changes import Accepted
+
+ANSWERED: Final = "answered"
+NOT_RUN: Final = "not_run"
+# A planned stop is held against the system only where nothing else was
+# harmed from this long before it.
+CALM_S: Final = 8.0
+# What a process imports before it can take a signal takes up to so long on
+# a busy machine.
+START_S: Final = 2.0
+CONNECT_ERRORS: Final = ("ConnectError", "ConnectTimeout")
+
+
+class Run(NamedTuple):
+    """One run that a backend server began."""
+
+    customer: str
+    request_key: str
+    target: str
+    method: str
+
+
+class Seen(NamedTuple):
+    """Everything that was seen in a soak."""
+
+    answers: Sequence[Answer]
+    runs: Sequence[Run]
+    bills: Sequence[Mapping[str, Any]]
+    withdrawn: Sequence[Withdrawn]
+    runs_after_leaving: Mapping[str, int]
+    accepted: Sequence[Accepted]
+    audits: Mapping[str, Sequence[Mapping[str, Any]]]
+    allowed: Mapping[str, frozenset[str]]
+    stops: Sequence[PlannedStop]
+    events: Sequence[Event]
+    addresses: Mapping[str, str]
+
+
+def runs_of(world: World) -> list[Run]:
+    """Return every run that the fakes began."""
+    runs = [
+        Run(r.customer, r.request_key, r.version, "POST")
+        for engine in world.engines
+        for r in engine.records
+    ]
+    runs += [
+        Run(r.customer, r.request_key, "portal", r.method)
+        for service in world.services
+        for r in service.records
+    ]
+    return runs
+
+
+def check(seen: Seen) -> list[Finding]:
+    """Return every broken promise, all of them together."""
+    findings: list[Finding] = []
+    for name, examine in _CHECKS.items():
+        findings += [Finding(name, what) for what in examine(seen)]
+    return findings
+
+
+def _allowed_version(seen: Seen) -> Iterable[str]:
+    for run in seen.runs:
+        if run.target == "portal":
+            continue
+        if run.target not in seen.allowed.get(run.customer, frozenset()):
+            yield f"{run.request_key} of {run.customer} ran on {run.target}"
+
+
+def _withdrawn(seen: Seen) -> Iterable[str]:
+    for period in seen.withdrawn:
+        if period.runs:
+            yield f"{period.runs} runs on {period.version} while withdrawn"
+
+
+def _session(seen: Seen) -> Iterable[str]:
+    versions: dict[tuple[str, str, str], set[str]] = defaultdict(set)
+    for answer in seen.answers:
+        call = answer.call
+        if call.session and answer.run == ANSWERED:
+            key = (call.customer, call.profile, call.session)
+            versions[key].add(answer.version)
+    for (_, _, session), found in versions.items():
+        if len(found) > 1:
+            yield f"{session} was answered by {sorted(found)}"
+
+
+def _billed_once(seen: Seen) -> Iterable[str]:
+    charges = Counter((r["customer"], r["request_key"]) for r in seen.bills)
+    asked = {(a.call.customer, a.call.request_key) for a in seen.answers}
+    owed = {
+        (a.call.customer, a.call.request_key)
+        for a in seen.answers
+        if a.run == ANSWERED
+    }
+    for key, count in charges.items():
+        if count > 1:
+            yield f"{key} is charged {count} times"
+    for key in sorted(owed - set(charges)):
+        yield f"{key} was answered and is not charged"
+    for key in sorted(set(charges) - asked):
+        yield f"{key} is charged and nobody asked"
+
+
+def _whole(seen: Seen) -> Iterable[str]:
+    for answer in seen.answers:
+        if answer.run == ANSWERED and not is_whole(answer):
+            yield f"{answer.call.request_key} got {answer.text[:40]!r}"
+
+
+def _not_run(seen: Seen) -> Iterable[str]:
+    tries: dict[str, list[Try]] = defaultdict(list)
+    for answer in seen.answers:
+        tries[answer.call.request_key] += answer.tries
+    ran = {run.request_key for run in seen.runs}
+    for key, all_tries in tries.items():
+        told = all(one.run == NOT_RUN for one in all_tries)
+        if told and key in ran:
+            yield f"{key} ran, and all tries were told that it did not"
+
+
+def _at_most_once(seen: Seen) -> Iterable[str]:
+    runs = Counter(
+        (run.customer, run.request_key)
+        for run in seen.runs
+        if run.target == "portal" and run.method == "POST"
+    )
+    for key, count in runs.items():
+        if count > 1:
+            yield f"{key} ran {count} times"
+
+
+def _leaving(seen: Seen) -> Iterable[str]:
+    for server, runs in seen.runs_after_leaving.items():
+        if runs:
+            yield f"{runs} runs on {server} after it had left"
+
+
+def _planned_stop(seen: Seen) -> Iterable[str]:
+    for stop in seen.stops:
+        if stop.status != 0 and not _was_starting(seen, stop):
+            yield f"{stop.process} ended with {stop.status}"
+        if not _is_calm(seen, stop):
+            continue
+        address = seen.addresses.get(stop.process, "")
+        for answer in seen.answers:
+            for cut in answer.cuts:
+                if _is_cut_by(cut, address, stop):
+                    key = answer.call.request_key
+                    yield f"{stop.process} cut {key}: {cut.code}"
+
+
+def _was_starting(seen: Seen, stop: PlannedStop) -> bool:
+    """Tell whether the signal came before the process could take it.
+
+    It had begun nothing then, and the interpreter ends by the signal.
+    """
+    from_s = stop.begun_s - START_S
+    return stop.status == -SIGTERM and any(
+        event.what == "start"
+        and event.target == stop.process
+        and from_s <= event.at_s <= stop.begun_s
+        for event in seen.events
+    )
+
+
+def _is_calm(seen: Seen, stop: PlannedStop) -> bool:
+    from_s = stop.begun_s - CALM_S
+    harm = [
+        event
+        for event in seen.events
+        if from_s <= event.at_s <= stop.ended_s
+        and event.what not in ("stopped", "start")
+    ]
+    return len(harm) == 1
+
+
+def _is_cut_by(cut: Try, address: str, stop: PlannedStop) -> bool:
+    if cut.address != address or cut.code in CONNECT_ERRORS:
+        return False
+    return cut.ended_s >= stop.begun_s and cut.begun_s <= stop.ended_s
+
+
+def _never_reverts(seen: Seen) -> Iterable[str]:
+    for control, trail in seen.audits.items():
+        held = {e["change_id"]: e["revision"] for e in trail}
+        for accepted in seen.accepted:
+            change_id = accepted.change.change_id
+            if held.get(change_id) != accepted.revision:
+                yield (
+                    f"{control} holds {change_id} at {held.get(change_id)},"
+                    f" told {accepted.revision}"
+                )
+
+
+_CHECKS: Final = {
+    "allowed version": _allowed_version,
+    "withdrawn version": _withdrawn,
+    "session keeps its version": _session,
+    "billed once": _billed_once,
+    "whole answer": _whole,
+    "not run is true": _not_run,
+    "at most once": _at_most_once,
+    "leaving server": _leaving,
+    "planned stop": _planned_stop,
+    "never reverts": _never_reverts,
+}
+
+__all__ = ["check", "Run", "runs_of", "Seen"]
--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/watch.py
@@ -0,0 +1,125 @@
+"""Looks at every process while the soak runs.
+
+What an operator's monitoring would see: that processes live, what memory
+and descriptors they take, and which revision each entry acts on.
+"""
+
+from __future__ import annotations
+
+from http.client import HTTPException
+from pathlib import Path
+import time
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from sycamorestand_bench.system.calls import readiness
+
+if TYPE_CHECKING:
+    from sycamorestand_bench.processes import Cluster
+    from sycamorestand_bench.soak.injector import Injector
+
+LOOK_S: Final = 0.25
+# The target for a node's control is 128 MB; a process that takes twice
+# that under a few dozen callers keeps something for ever.
+MAX_RESIDENT_BYTES: Final = 256 * 1024 * 1024
+MAX_DESCRIPTORS: Final = 1024
+ANSWER_BOUND_S: Final = 1.0
+
+
+class Finding(NamedTuple):
+    """A broken promise, and what shows it."""
+
+    promise: str
+    what: str
+
+
+class InForce(NamedTuple):
+    """A revision that was told to be in force everywhere, and when."""
+
+    revision: int
+    at_s: float
+
+
+class Watch:
+    """Collects findings until stopped; runs in a thread of its own."""
+
+    def __init__(self, cluster: Cluster, injector: Injector) -> None:
+        self.findings: list[Finding] = []
+        self.peak_bytes = 0
+        self.peak_descriptors = 0
+        self.in_force = InForce(0, 0.0)
+        self._cluster = cluster
+        self._injector = injector
+        self._seen: dict[tuple[str, int], int] = {}
+        self._reported: set[tuple[str, str]] = set()
+        self._stop = False
+
+    def stop(self) -> None:
+        """End `run` after its next look."""
+        self._stop = True
+
+    def run(self) -> None:
+        """Look at every process in turn."""
+        while not self._stop:
+            for name in (*self._cluster.controls, *self._cluster.entries):
+                self._look(name)
+            time.sleep(LOOK_S)
+
+    def report(self, promise: str, name: str, what: str) -> None:
+        """Note a finding, once for each promise and process."""
+        if (promise, name) not in self._reported:
+            self._reported.add((promise, name))
+            self.findings.append(Finding(promise, f"{name}: {what}"))
+
+    def _look(self, name: str) -> None:
+        if self._injector.is_expected_down(name):
+            return
+        status = self._cluster.exit_status(name)
+        if status is not None and not self._injector.is_expected_down(name):
+            self.report("lives", name, f"ended by itself with {status}")
+            return
+        try:
+            pid = self._cluster.pid(name)
+            self._look_at_memory(name, pid)
+        except (OSError, KeyError):
+            # It was ended between two looks.
+            return
+        if name in self._cluster.entries:
+            self._look_at_revision(name, pid)
+
+    def _look_at_memory(self, name: str, pid: int) -> None:
+        folder = Path("/proc") / str(pid)
+        pages = int((folder / "statm").read_text().split()[1])
+        resident_bytes = pages * PAGE_BYTES
+        descriptors = len(list((folder / "fd").iterdir()))
+        self.peak_bytes = max(self.peak_bytes, resident_bytes)
+        self.peak_descriptors = max(self.peak_descriptors, descriptors)
+        if resident_bytes > MAX_RESIDENT_BYTES:
+            self.report("bounded", name, f"{resident_bytes} bytes resident")
+        if descriptors > MAX_DESCRIPTORS:
+            self.report("bounded", name, f"{descriptors} descriptors")
+
+    def _look_at_revision(self, name: str, pid: int) -> None:
+        in_force = self.in_force
+        address = f"127.0.0.1:{self._cluster.entries[name].port}"
+        try:
+            told = readiness(address, ANSWER_BOUND_S)
+        except (OSError, HTTPException):
+            return
+        revision = told["revision"]
+        before = self._seen.get((name, pid), 0)
+        self._seen[(name, pid)] = max(revision, before)
+        if revision < before:
+            self.report("no revert", name, f"{before} to {revision}")
+        if told["lease_remaining_s"] > 0 and revision < in_force.revision:
+            self.report(
+                "in force everywhere",
+                name,
+                f"takes work at {revision}, {in_force.revision} is in force",
+            )
+
+
+PAGE_BYTES: Final = 4096
+
+__all__ = ["Finding", "InForce", "Watch"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/system/calls.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/calls.py
@@ -106,9 +106,9 @@
     return pending.read(response)
 
 
-def readiness(address: str) -> dict[str, Any]:
+def readiness(address: str, timeout_s: float = TIMEOUT_S) -> dict[str, Any]:
     """Return an entry's own word on its lease and its revision."""
-    connection = HTTPConnection(address, timeout=TIMEOUT_S)
+    connection = HTTPConnection(address, timeout=timeout_s)
     connection.request("GET", "/readyz")
     content: dict[str, Any] = msgspec.json.decode(_read(connection).content)
     return content
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/system/gate.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/gate.py
@@ -1,4 +1,8 @@
-"""A TCP gate before one process: it can be cut or go silent."""
+"""A TCP gate before one process, which harms what passes through it.
+
+Connections can be closed, refused, silenced for good, held up in one
+direction or both, and delayed, for one sender or for everybody.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +16,10 @@
 # handshake, 8 of length, 16 of authentication code and 2 of msgpack.
 HEAD_BYTES: Final = 64
 CHUNK_BYTES: Final = 65_536
+# How often what is held up looks whether it may go on.
+HELD_POLL_S: Final = 0.02
 EVERYBODY: Final = ""
+UNKNOWN: Final = "unknown"
 BROKEN: Final = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -30,8 +37,10 @@
 
     def __init__(self, listen: str, target: str) -> None:
         self.target = target
-        self._listen = listen
+        self.listen = listen
         self._cut: set[str] = set()
+        self._held: dict[bool, set[str]] = {True: set(), False: set()}
+        self._delay_s = 0.0
         self._open: list[_Connection] = []
 
     def cut(self, sender: str = EVERYBODY) -> None:
@@ -40,9 +49,34 @@
         for connection in self._of(sender):
             connection.scope.cancel()
 
+    def reset(self, sender: str = EVERYBODY) -> int:
+        """Close a sender's open connections; new ones work.
+
+        Returns how many were closed.
+        """
+        connections = self._of(sender)
+        for connection in connections:
+            connection.scope.cancel()
+        return len(connections)
+
+    def hold(self, inward: bool, sender: str = EVERYBODY) -> None:
+        """Keep back what goes in one direction, until `heal`.
+
+        Nothing is lost: as on a link that drops packets one way, what was
+        kept back arrives late. The other direction goes on.
+        """
+        self._held[inward].add(sender)
+
+    def delay(self, delay_s: float) -> None:
+        """Pass everything on so much later, until `heal`."""
+        self._delay_s = delay_s
+
     def heal(self) -> None:
-        """Take new connections of everybody again."""
+        """End every fault but for connections that were silenced."""
         self._cut.clear()
+        self._held[True].clear()
+        self._held[False].clear()
+        self._delay_s = 0.0
 
     def swallow(self, sender: str = EVERYBODY) -> int:
         """Keep a sender's open connections and deliver nothing of them.
@@ -58,7 +92,7 @@
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until cancelled."""
-        host, _, port = self._listen.rpartition(":")
+        host, _, port = self.listen.rpartition(":")
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port)
         )
@@ -92,9 +126,9 @@
         self._open.append(connection)
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(_copy, connection, far, near)
+                tasks.start_soon(self._copy, connection, far, near, False)
                 await self._pass_head(connection, near, far)
-                await _copy(connection, near, far)
+                await self._copy(connection, near, far, True)
                 tasks.cancel_scope.cancel()
         finally:
             self._open.remove(connection)
@@ -116,11 +150,36 @@
             await anyio.sleep(0)
         await far.send(head[handshake_bytes:])
 
+    async def _copy(
+        self,
+        connection: _Connection,
+        source: SocketStream,
+        sink: SocketStream,
+        inward: bool,
+    ) -> None:
+        try:
+            while True:
+                chunk = await source.receive(CHUNK_BYTES)
+                await self._wait(connection, inward)
+                if not connection.silent:
+                    await sink.send(chunk)
+        except BROKEN:
+            if connection.silent:
+                await anyio.sleep_forever()
+            connection.scope.cancel()
+
+    async def _wait(self, connection: _Connection, inward: bool) -> None:
+        if self._delay_s:
+            await anyio.sleep(self._delay_s)
+        held = self._held[inward]
+        while EVERYBODY in held or connection.sender in held:
+            await anyio.sleep(HELD_POLL_S)
+
 
 class _Connection:
     def __init__(self) -> None:
         self.scope = anyio.CancelScope()
-        self.sender = ""
+        self.sender = UNKNOWN
         self.silent = False
 
 
@@ -128,24 +187,10 @@
     marker = b"127.0.0.1:"
     start = head.find(marker, 0, HEAD_BYTES)
     if start < 1:
-        return ""
+        return UNKNOWN
     # The byte before is msgpack's: the length of a short string.
     length = head[start - 1] & 0x1F
     return head[start : start + length].decode()
 
 
-async def _copy(
-    connection: _Connection, source: SocketStream, sink: SocketStream
-) -> None:
-    try:
-        while True:
-            chunk = await source.receive(CHUNK_BYTES)
-            if not connection.silent:
-                await sink.send(chunk)
-    except BROKEN:
-        if connection.silent:
-            await anyio.sleep_forever()
-        connection.scope.cancel()
-
-
 __all__ = ["EVERYBODY", "Gate"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/system/system.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/system.py
@@ -52,6 +52,7 @@
 CALLERS: Final = 24
 # Under the bound that control processes set, 10 s.
 STEADY_LEASE_S: Final = 9.0
+PROBE: Final = "ready"
 # One step, so that a chat runs on the version that the test expects.
 ONE_STEP: Final = """\
 [profiles.quote-helper]
@@ -189,17 +190,21 @@
         declared: dict[str, Any] = content
         return declared
 
-    def charges(self) -> Counter[str]:
-        """Return how many charges each request key has at the leader."""
+    def bills(self) -> list[dict[str, Any]]:
+        """Return every charge that the leader holds."""
         leader = self.leader()
-        counts: Counter[str] = Counter()
+        rows: list[dict[str, Any]] = []
         after = 0
         while True:
             page = self.ask(leader, f"/bills?after={after}&limit=1000")
-            counts.update(row["request_key"] for row in page["rows"])
+            rows += page["rows"]
             after = page["next_after"]
             if not page["more"]:
-                return counts
+                return rows
+
+    def charges(self) -> Counter[str]:
+        """Return how many charges each request key has at the leader."""
+        return Counter(row["request_key"] for row in self.bills())
 
     def orders(self, request_key: str) -> int:
         """Return how often the services ran an order."""
@@ -216,7 +221,7 @@
         engine = FakeEngine("steady", versions)
         self.world.engines.append(engine)
         address = self._portal.call(
-            self._tasks.start, serve_application, engine.application
+            self.tasks.start, serve_application, engine.application
         )
         announcement = Announcement(
             engine.name,
@@ -242,7 +247,7 @@
     def _start(self) -> None:
         self._portal = self._exits.enter_context(start_blocking_portal())
         _, tasks = self._portal.start_task(_hold_tasks)
-        self._tasks = tasks
+        self.tasks = tasks
         self._exits.callback(self._portal.call, tasks.cancel_scope.cancel)
         self.cluster = GatedCluster(
             self.folder,
@@ -300,8 +305,8 @@
 
     def _serves(self, name: str) -> bool:
         address = self.entry(name)
-        chatted = chat(address, new_key("ready"))
-        ordered = order(address, new_key("ready"))
+        chatted = chat(address, new_key(PROBE))
+        ordered = order(address, new_key(PROBE))
         return chatted.run == ordered.run == ANSWERED
 
 
@@ -311,6 +316,11 @@
         await anyio.sleep_forever()
 
 
+def is_probe(request_key: str) -> bool:
+    """Tell whether a key is of a call that asks whether an entry serves."""
+    return request_key.startswith(f"{PROBE}-")
+
+
 def wait_for(condition: Callable[[], Any], what: str) -> Any:
     """Return what a condition returns as soon as that is true."""
     until_s = time.monotonic() + BOUND_S
@@ -326,6 +336,7 @@
     "CONTROLS",
     "ENTRIES",
     "GatedCluster",
+    "is_probe",
     "System",
     "VICTIM",
     "wait_for",
--- /dev/null
+++ b/packages/sycamorestand-bench/tests/soak/test_schedule.py
@@ -0,0 +1,55 @@
+"""Schedules follow from their seed and can be kept as files."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from sycamorestand_bench.soak.run import targets
+from sycamorestand_bench.soak.schedule import decode
+from sycamorestand_bench.soak.schedule import draw
+from sycamorestand_bench.soak.schedule import encode
+from sycamorestand_bench.soak.schedule import KINDS
+from sycamorestand_bench.soak.schedule import WIPE_INTERVAL_S
+
+SEEDS = strategies.integers(min_value=0, max_value=2**32)
+
+
+class TestDraw:
+    def test_equal_seeds_give_equal_schedules(self) -> None:
+        assert draw(7, 20.0, targets()) == draw(7, 20.0, targets())
+        assert draw(7, 20.0, targets()) != draw(8, 20.0, targets())
+
+    @given(SEEDS)
+    def test_no_two_disks_are_lost_at_once(self, seed: int) -> None:
+        # Two of three voters with empty disks have lost what was
+        # accepted; no system with three could keep it.
+        steps = draw(seed, 60.0, targets()).steps
+        wiped = [step.at_s for step in steps if step.fault == "wipe"]
+        for before_s, after_s in zip(wiped, wiped[1:], strict=False):
+            assert after_s - before_s >= WIPE_INTERVAL_S
+
+    def test_every_kind_of_fault_comes(self) -> None:
+        drawn = {
+            step.fault
+            for seed in range(40)
+            for step in draw(seed, 20.0, targets()).steps
+        }
+        assert drawn == set(KINDS)
+
+
+class TestFile:
+    @given(SEEDS)
+    def test_a_schedule_comes_back_as_it_was(self, seed: int) -> None:
+        schedule = draw(seed, 20.0, targets())
+        again = decode(encode(schedule))
+        assert again.steps == schedule.steps
+        assert again.seed == seed
+
+    @pytest.mark.parametrize(
+        "text", [b"", b"seed 1\n", b"seed 1 length_s 5\n1.0 melt entry-1 2\n"]
+    )
+    def test_what_cannot_be_read_is_named(self, text: bytes) -> None:
+        with pytest.raises(ValueError, match="not"):
+            decode(text)
--- /dev/null
+++ b/packages/sycamorestand-bench/tests/soak/test_soak.py
@@ -0,0 +1,51 @@
+"""A short soak with a fixed seed, and every schedule that once failed."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from sycamorestand_bench.soak.run import play
+from sycamorestand_bench.soak.schedule import decode
+from sycamorestand_bench.soak.schedule import Schedule
+from sycamorestand_bench.soak.schedule import Step
+
+ROOT = Path(__file__).parents[4]
+EXAMPLES = ROOT / "examples"
+CASES = sorted((Path(__file__).parent / "cases").glob("*.schedule"))
+# One of each kind that needs no luck to matter, so that the run takes
+# seconds; seeds are for the command.
+SHORT = Schedule(
+    0,
+    6.0,
+    (
+        Step(0.5, "kill", "entry-2", 0.2),
+        Step(1.0, "freeze", "control-1", 1.5),
+        Step(1.5, "silence", "entry-1>control-2", 0.0),
+        Step(2.0, "one_way", "control-3>entry-3", 2.5),
+        Step(3.0, "torn_tail", "control-2", 0.2),
+        Step(4.0, "stop", "entry-3", 0.2),
+    ),
+)
+
+
+class TestSoak:
+    def test_promises_hold_in_a_short_run(self, tmp_path: Path) -> None:
+        """Callers go on while processes and links are harmed in turn.
+
+        An entry is killed, a voter freezes and another one loses the end
+        of its log, links go silent and one-way, an entry is stopped as
+        planned. Whatever overlaps, no promise breaks.
+        """
+        outcome = play(tmp_path, EXAMPLES, SHORT)
+        assert outcome.findings == []
+        assert outcome.figures["answered"] > 0
+
+    @pytest.mark.parametrize("case", CASES, ids=lambda path: path.stem)
+    def test_a_schedule_that_once_failed(
+        self, tmp_path: Path, case: Path
+    ) -> None:
+        """Each file begins with a line on what it showed and the cause."""
+        outcome = play(tmp_path, EXAMPLES, decode(case.read_bytes()))
+        assert outcome.findings == []
