--- a/packages/sycamorestand-control/src/sycamorestand_control/hub.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/hub.py
@@ -12,6 +12,7 @@
 
 from sycamorestand_model.in_force import InForce
 from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.codec import pack_configuration
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import ConfigurationPush
 from sycamorestand_peer.messages import ControlList
@@ -70,7 +71,7 @@
         self._other_controls = other_controls
         self._voters = voters
         self._attached: dict[str, _Attached] = {}
-        self._push = ConfigurationPush(InForce())
+        self._push = pack_configuration(InForce())
         self.denied = 0
 
     def attached_vms(self) -> tuple[str, ...]:
@@ -166,11 +167,11 @@
         of it, and it is most of the bytes. With 1,100 routes it would keep
         an entry's slow link busy for longer than a change may take.
         """
-        if self._push.in_force.revision != in_force.revision:
+        if self._push.revision != in_force.revision:
             declarations = in_force.declarations
             document = declarations.document._replace(content=b"")
             told = declarations._replace(document=document)
-            self._push = ConfigurationPush(
+            self._push = pack_configuration(
                 in_force._replace(declarations=told)
             )
         return self._push
--- a/packages/sycamorestand-control/tests/test_hub.py
+++ b/packages/sycamorestand-control/tests/test_hub.py
@@ -14,6 +14,7 @@
 from sycamorestand_model.in_force import InForce
 from sycamorestand_model.nodes import EntryAddress
 from sycamorestand_model.routes import SourceDocument
+from sycamorestand_peer.codec import unpack_configuration
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import ConfigurationPush
 from sycamorestand_peer.messages import ControlLeaseGranted
@@ -164,7 +165,7 @@
         (denied,) = scene.mesh.take(LeaseDenied)
         assert denied.reason == "behind"
         (push,) = scene.mesh.take(ConfigurationPush)
-        assert push.in_force.revision == 1
+        assert unpack_configuration(push).revision == 1
         scene.ask(1)
         assert scene.mesh.take(LeaseGrantMessage)
 
@@ -180,8 +181,9 @@
         scene.hub.revision_applied()
         scene.ask(1)
         (push,) = scene.mesh.take(ConfigurationPush)
-        assert push.in_force.revision == 2
-        assert push.in_force.declarations.document == SourceDocument(7)
+        in_force = unpack_configuration(push)
+        assert in_force.revision == 2
+        assert in_force.declarations.document == SourceDocument(7)
         assert scene.configuration.declarations.document.content
 
     async def test_without_a_quorum_no_lease_is_granted(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -19,6 +19,7 @@
 from sycamorestand_entry.control.server_view import ServerView
 from sycamorestand_model.in_force import InForce
 from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.codec import unpack_configuration
 from sycamorestand_peer.key_file import as_key_source
 from sycamorestand_peer.mesh import PeerMesh
 from sycamorestand_peer.messages import AddressList
@@ -274,7 +275,7 @@
             case LeaseDenied():
                 self._take_denial(sender, message)
             case ConfigurationPush():
-                self._take_configuration(message.in_force)
+                self._take_configuration(message)
             case TableUpdate():
                 self._take_table(sender, message)
             case SharedRatings():
@@ -303,12 +304,12 @@
             self._granted_s = boottime_s()
             self._kicked.set()
 
-    def _take_configuration(self, in_force: InForce) -> None:
-        if in_force.revision <= self._in_force.revision:
+    def _take_configuration(self, push: ConfigurationPush) -> None:
+        if push.revision <= self._in_force.revision:
             # A control process that lags, or a frame from before a move:
             # a configuration never reverts.
             return
-        self._in_force = in_force
+        self._in_force = unpack_configuration(push)
         self._kicked.set()
 
     def _take_table(self, sender: str, message: TableUpdate) -> None:
--- /dev/null
+++ b/packages/sycamorestand-model/src/sycamorestand_model/packing.py
@@ -0,0 +1,55 @@
+"""Large content made small for the links between data centres.
+
+A configuration of a thousand routes is half a megabyte, most of it the same
+words again and again, and goes to each voter and each entry at each change.
+On a day with 1,116 routes these copies were most of the bytes between data
+centres, and each kept a link of 5 Mbit/s busy for 0.2 s. A changed part
+alone would be smaller still, but whoever misses one needs the whole again.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+import zlib
+
+from sycamorestand_model.errors import WireError
+
+# A byte that no content of msgpack begins with.
+PACKED: Final = b"\xc1"
+# Below this a frame's own bytes weigh as much as what is saved.
+LEAST_BYTES: Final = 2048
+# Of the ten levels the fastest: it saves nine tenths of declarations, and
+# the slower ones cost three times as long for a few in a hundred more.
+LEVEL: Final = 1
+# Eight times the largest declarations: what claims to be more is refused
+# before it fills the memory.
+MAX_BYTES: Final = 32 * 1024 * 1024
+
+
+def pack(content: bytes) -> bytes:
+    """Return content made smaller, or as it is where that is shorter.
+
+    >>> unpack(pack(b"route " * 1000)) == b"route " * 1000
+    True
+    """
+    if len(content) < LEAST_BYTES:
+        return content
+    packed = PACKED + zlib.compress(content, LEVEL)
+    return packed if len(packed) < len(content) else content
+
+
+def unpack(content: bytes) -> bytes:
+    """Return what was packed; raises `WireError` where it cannot be read."""
+    if not content.startswith(PACKED):
+        return content
+    unpacker = zlib.decompressobj()
+    try:
+        whole = unpacker.decompress(content[len(PACKED) :], MAX_BYTES)
+    except zlib.error as error:
+        raise WireError(f"content cannot be unpacked: {error}") from error
+    if not unpacker.eof:
+        raise WireError("packed content is cut off or too large")
+    return whole
+
+
+__all__ = ["pack", "unpack"]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -8,6 +8,9 @@
 import msgspec
 
 from sycamorestand_model.errors import WireError
+from sycamorestand_model.in_force import InForce
+from sycamorestand_model.packing import pack
+from sycamorestand_model.packing import unpack
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import AnnouncementRelay
 from sycamorestand_peer.messages import CallReply
@@ -54,6 +57,7 @@
     20: ControlList,
     21: Relayed,
 }
+_IN_FORCE: Final = msgspec.msgpack.Decoder(InForce)
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
 _DECODERS: Final[dict[int, msgspec.msgpack.Decoder[Any]]] = {
     code: msgspec.msgpack.Decoder(kind) for code, kind in _TYPES.items()
@@ -78,4 +82,23 @@
         raise WireError(f"{kind} could not be read: {error}") from error
 
 
-__all__ = ["decode", "encode"]
+def pack_configuration(in_force: InForce) -> ConfigurationPush:
+    """Return the push of a configuration."""
+    packed = pack(msgspec.msgpack.encode(in_force))
+    return ConfigurationPush(in_force.revision, packed)
+
+
+def unpack_configuration(push: ConfigurationPush) -> InForce:
+    """Return what was pushed; raises `WireError`."""
+    try:
+        return _IN_FORCE.decode(unpack(push.packed))
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise WireError(f"configuration cannot be read: {error}") from error
+
+
+__all__ = [
+    "decode",
+    "encode",
+    "pack_configuration",
+    "unpack_configuration",
+]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -5,7 +5,6 @@
 from typing import NamedTuple
 
 from sycamorestand_model.backend_servers import Announcement
-from sycamorestand_model.in_force import InForce
 from sycamorestand_model.nodes import EntryAddress
 from sycamorestand_model.nodes import RatingCount
 
@@ -45,9 +44,13 @@
 
 
 class ConfigurationPush(NamedTuple):
-    """A revision for an entry to apply and acknowledge."""
+    """A revision for an entry to apply and acknowledge.
 
-    in_force: InForce
+    ``packed`` is made once for all entries by `pack_configuration`.
+    """
+
+    revision: int
+    packed: bytes
 
 
 class TableUpdate(NamedTuple):
--- a/packages/sycamorestand-peer/tests/test_link.py
+++ b/packages/sycamorestand-peer/tests/test_link.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-from sycamorestand_model.declarations import Declarations
-from sycamorestand_model.in_force import InForce
-from sycamorestand_model.routes import Route
-from sycamorestand_model.routes import RouteTarget
 from sycamorestand_peer.codec import decode
 from sycamorestand_peer.link import Link
 from sycamorestand_peer.link import LinkOwner
@@ -14,6 +10,7 @@
 from sycamorestand_peer.messages import Heartbeat
 
 PUSHES = 20
+PUSH_BYTES = 136_000
 
 
 def make_link() -> Link:
@@ -30,17 +27,8 @@
 
 
 def push(revision: int) -> ConfigurationPush:
-    """Return a configuration of a thousand routes."""
-    routes = {
-        f"r{n}": Route(
-            f"r{n}", "h", f"/{n}/", (RouteTarget("s"),), "once", 100, 50
-        )
-        for n in range(1000)
-    }
-    declarations = Declarations(routes=routes)
-    return ConfigurationPush(
-        InForce(revision=revision, declarations=declarations)
-    )
+    """Return a configuration as large as one of a thousand routes."""
+    return ConfigurationPush(revision, bytes(PUSH_BYTES))
 
 
 class TestSlowPeer:
@@ -59,9 +47,7 @@
         whole_bytes = link.queued_bytes
         batch = link.take_batch()
         revisions = [
-            decode(code, body).in_force.revision
-            for code, body in batch
-            if code == 5
+            decode(code, body).revision for code, body in batch if code == 5
         ]
         assert revisions == [PUSHES]
         assert whole_bytes < 2 * max(len(body) for _, body in batch)
