An entry logs each change of its lease once

The link's line stays, as it names the control process; the text is the one that the operators' pages look for, and it stands at each start too.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -124,7 +124,7 @@
             self.control_address,
             lambda: self._in_force.ledger_shards,
         )
-        self._was_held = False
+        self._was_held: bool | None = None
         self._requests = 0
         self._rating_listener: Callable[[Sequence[RatingCount]], None] = (
             _ignore_ratings
@@ -245,7 +245,7 @@
         if held == self._was_held:
             return
         self._was_held = held
-        text = "lease held" if held else "lease lost"
+        text = "lease held" if held else "lease lost: refusing work"
         LOG.info(text, extra={"control": self.control_address()})
 
     def _request(self, now_s: float) -> LeaseRequest:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/state_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/state_log.py
@@ -20,7 +20,6 @@
     """What was logged last, so that only changes are logged."""
 
     def __init__(self) -> None:
-        self.has_lease: bool | None = None
         self.revision = -1
         self.ejected: set[str] = set()
         self.leaving: set[str] = set()
@@ -36,10 +35,6 @@
 
 def log_new(context: EntryContext, seen: SeenState) -> None:
     """Log what differs from what was seen, and remember it."""
-    has_lease = context.control.lease_remaining_s() > 0
-    if has_lease != seen.has_lease:
-        seen.has_lease = has_lease
-        _LOG.info("lease held" if has_lease else "lease lost: refusing work")
     revision = context.control.in_force().revision
     if revision != seen.revision:
         seen.revision = revision
--- a/packages/sycamorestand-entry/tests/control/test_link.py
+++ b/packages/sycamorestand-entry/tests/control/test_link.py
@@ -97,3 +97,32 @@
             link._ask(now_s)
         relays = {sent.relay for sent in mesh.sent if sent.relay}
         assert relays == {PEERS[1]}
+
+
+class TestLeaseLines:
+    def test_each_change_is_one_line(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        caplog: pytest.LogCaptureFixture,
+    ) -> None:
+        """An entry starts, gets a lease, and loses it with its control.
+
+        On call, each of the three is looked for in the log; a line that
+        stands twice looks like a lease that was lost in between.
+        """
+        now_s = 100.0
+        monkeypatch.setattr(link_module, "boottime_s", lambda: now_s)
+        settings = LinkSettings("vm-1", "a", OWN, (CONTROL,), (b"k" * 32,))
+        link = ControlLink(settings, lambda: ADDRESS)
+        caplog.set_level("INFO")
+        link._log_lease_change()
+        link._received(CONTROL, LeaseGrantMessage(100.0, 2.0, 0))
+        link._log_lease_change()
+        link._log_lease_change()
+        now_s = 103.0
+        link._log_lease_change()
+        assert [record.message for record in caplog.records] == [
+            "lease lost: refusing work",
+            "lease held",
+            "lease lost: refusing work",
+        ]
