--- a/packages/sycamorestand-bench/src/sycamorestand_bench/addresses.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/addresses.py
@@ -2,15 +2,33 @@
 
 from __future__ import annotations
 
+import os
+from random import SystemRandom
 import socket
+from typing import Final
+
+# Below the ports that outgoing connections get: while a process was down,
+# such a connection of anybody took its port, and it could not start again.
+FIRST_PORT: Final = 12_000
+# Each process of tests draws from a part of its own, as two that run at
+# once would take each other's ports while a process is down.
+PARTS: Final = 40
+PORTS_A_PART: Final = 500
+_GIVEN: Final[set[int]] = set()
 
 
 def free_port() -> int:
-    """Return a port that the system has just given and taken back."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Return a port that nobody listens on, another one each time."""
+    first = FIRST_PORT + os.getpid() % PARTS * PORTS_A_PART
+    if len(_GIVEN) > PORTS_A_PART // 2:
+        # Those of the first tests are free again by now.
+        _GIVEN.clear()
+    draw = SystemRandom()
+    while True:
+        port = first + draw.randrange(PORTS_A_PART)
+        if port not in _GIVEN and _is_free(port):
+            _GIVEN.add(port)
+            return port
 
 
 def free_address() -> str:
@@ -18,4 +36,14 @@
     return f"127.0.0.1:{free_port()}"
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            # Somebody has it; another one is drawn.
+            return False
+    return True
+
+
 __all__ = ["free_address", "free_port"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
@@ -147,6 +147,9 @@
         ) as error:
             code = type(error).__name__
             return Answer(call, "cut", code), RETRY_PAUSE_S
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            # A backend server's garbage came with a status of success.
+            return Answer(call, "unknown", "unreadable"), RETRY_PAUSE_S
 
     async def _chat(self, call: Call, address: str) -> tuple[Answer, float]:
         headers = _headers(call)
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/soak.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/soak.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 import tempfile
 import time
+import traceback
 from typing import Final
 
 import defopt
@@ -18,6 +19,7 @@
 from sycamorestand_bench.soak.schedule import decode
 from sycamorestand_bench.soak.schedule import draw
 from sycamorestand_bench.soak.schedule import encode
+from sycamorestand_bench.soak.schedule import Schedule
 
 EXAMPLES: Final = Path("examples")
 
@@ -56,28 +58,38 @@
         numbers = range(seed, seed + seeds)
         schedules = [draw(n, seconds, targets()) for n in numbers]
     for schedule in schedules:
-        folder = Path(tempfile.mkdtemp(prefix="soak-", dir=logs or None))
-        (folder / "schedule").write_bytes(encode(schedule))
-        begin_s = time.monotonic()
-        outcome = play(folder, EXAMPLES, schedule)
-        took_s = time.monotonic() - begin_s
-        if outcome.findings:
-            failed += 1
-            print(encode(schedule).decode())
-            for event in outcome.events:
-                at_s = event.at_s - begin_s
-                print(f"{at_s:7.2f} {event.what} {event.target}")
-            print(f"logs: {folder}")
-        for finding in outcome.findings:
-            print(f"BROKEN {finding.promise}: {finding.what}")
-        row = {
-            "seed": schedule.seed,
-            "findings": len(outcome.findings),
-            "took_s": round(took_s, 1),
-            **outcome.figures,
-        }
-        print(json.dumps(row), flush=True)
+        failed += _play_one(schedule, Path(logs) if logs else None)
     return 1 if failed else 0
 
 
+def _play_one(schedule: Schedule, logs: Path | None) -> bool:
+    """Play a schedule, print what came of it, and tell whether it failed."""
+    folder = Path(tempfile.mkdtemp(prefix="soak-", dir=logs))
+    (folder / "schedule").write_bytes(encode(schedule))
+    begin_s = time.monotonic()
+    try:
+        outcome = play(folder, EXAMPLES, schedule)
+    except Exception:
+        # The next seeds are played all the same.
+        traceback.print_exc()
+        print(f"FAILED seed {schedule.seed}, logs: {folder}", flush=True)
+        return True
+    if outcome.findings:
+        print(encode(schedule).decode())
+        for event in outcome.events:
+            at_s = event.at_s - begin_s
+            print(f"{at_s:7.2f} {event.what} {event.target}")
+        print(f"logs: {folder}")
+    for finding in outcome.findings:
+        print(f"BROKEN {finding.promise}: {finding.what}")
+    row = {
+        "seed": schedule.seed,
+        "findings": len(outcome.findings),
+        "took_s": round(time.monotonic() - begin_s, 1),
+        **outcome.figures,
+    }
+    print(json.dumps(row), flush=True)
+    return bool(outcome.findings)
+
+
 __all__ = ["main"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
@@ -50,7 +50,13 @@
 
     controls: tuple[str, ...]
     entries: tuple[str, ...]
-    servers: tuple[str, ...]
+    engines: tuple[str, ...]
+    services: tuple[str, ...]
+
+    @property
+    def servers(self) -> tuple[str, ...]:
+        """Return all backend servers."""
+        return (*self.engines, *self.services)
 
 
 class _Kind(NamedTuple):
@@ -78,9 +84,10 @@
     "server_error": _Kind(1, "server", 0.5, 5.0),
     "server_cut": _Kind(1, "server", 0.5, 5.0),
     "server_silent": _Kind(1, "server", 0.5, 5.0),
-    "server_garbage": _Kind(1, "server", 0.5, 5.0),
+    # A plain service's garbage is its answer: nobody between can tell.
+    "server_garbage": _Kind(1, "engine", 0.5, 5.0),
     "server_refuse": _Kind(1, "server", 0.5, 5.0),
-    "server_leaves": _Kind(1, "server", 0.0, 0.0),
+    "server_leaves": _Kind(1, "engine", 0.0, 0.0),
 }
 
 
@@ -182,6 +189,7 @@
     choices = {
         "process": processes,
         "control": targets.controls,
+        "engine": targets.engines,
         "server": targets.servers,
         "any": (*processes, *targets.servers),
     }
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/system/changes.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/changes.py
@@ -69,9 +69,9 @@
         raise AssertionError(f"nobody accepted {sent}")
 
 
-def send_change(port: int, sent: Change) -> Answer:
+def send_change(port: int, sent: Change, subject: str = SUBJECT) -> Answer:
     """Send a change to one control process, once."""
-    return change(port, sent.change_id, sent.kind, SUBJECT, sent.base_revision)
+    return change(port, sent.change_id, sent.kind, subject, sent.base_revision)
 
 
 __all__ = ["Accepted", "Change", "ChangeStream", "send_change", "SUBJECT"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/system/system.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/system.py
@@ -239,6 +239,18 @@
         )
         assert status == 200, status
 
+    def declare_fallback(self) -> None:
+        """Say which version takes over when the cheap one is withdrawn.
+
+        A roll-out that has not begun does not.
+        """
+        model = self.declarations / "models" / "nest-small.toml"
+        stable = 'stable = "3"'
+        text = model.read_text()
+        assert stable in text
+        model.write_text(text.replace(stable, f'{stable}\nfallback = "4"'))
+        self.sycactl("apply", str(self.declarations), "--wait")
+
     def wait_serving(self, *entries: str) -> None:
         """Wait until entries answer a chat and order call."""
         for name in entries:
