A fault in native code leaves the stack of each thread

Test: an entry that gets the signal leaves its stack in its log; without the change the log ends before it.

--- a/packages/sycamorestand/src/sycamorestand/run.py
+++ b/packages/sycamorestand/src/sycamorestand/run.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
+import faulthandler
 import logging
 import os
 import signal
@@ -61,6 +62,9 @@
         except SettingsError as error:
             sys.stderr.write(f"{error}\n")
             return EXIT_SETTINGS
+        # A fault in a library's native code ends the process without a log
+        # line; the stack of each thread on standard error says where.
+        faulthandler.enable()
         configure_logging(values["vm"], role, values["log_level"])
         return _run_loop(serve, values)
 
--- a/packages/sycamorestand/tests/test_run.py
+++ b/packages/sycamorestand/tests/test_run.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterator
 from pathlib import Path
+from signal import SIGSEGV
+import time
 
 import pytest
 
@@ -57,6 +59,21 @@
         assert cluster.stop("entry-1") == 0
         assert cluster.stop("control-1") == 0
 
+    def test_a_fault_in_native_code_leaves_a_stack(
+        self, cluster: Cluster
+    ) -> None:
+        """An entry ends with a segmentation fault, as it once did.
+
+        Nothing in its log said where: the process is gone before a line
+        is written. Now the stack of each of its threads stands there.
+        """
+        cluster.send_signal("entry-1", SIGSEGV)
+        while cluster.exit_status("entry-1") is None:
+            time.sleep(0.01)
+        log = cluster.log_text("entry-1")
+        assert "Fatal Python error: Segmentation fault" in log
+        assert "run.py" in log
+
     def test_each_restarts_on_what_it_has(self, cluster: Cluster) -> None:
         """Both processes are killed; the control process has a folder."""
         cluster.kill("entry-1")
