--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/candidates.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/candidates.py
@@ -12,8 +12,7 @@
     """A backend server that could run the request, as last reported.
 
     ``running`` and ``queued`` are the server's own counts, ``age_s`` how
-    old they are now. ``near`` tells whether it stands in the entry's own
-    data centre.
+    old they are now.
     """
 
     name: str
@@ -21,7 +20,6 @@
     running: int = 0
     queued: int = 0
     age_s: float = 0.0
-    near: bool = True
 
 
 class ServerMetrics(NamedTuple):
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -34,9 +34,6 @@
 from sycamorestand_decisions.ejection import Typical
 from sycamorestand_decisions.load_estimate import estimated_load
 from sycamorestand_decisions.load_estimate import OwnLoad
-from sycamorestand_decisions.locality import FAR_COST
-from sycamorestand_decisions.locality import far_side
-from sycamorestand_decisions.locality import near_side
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -88,55 +85,21 @@
         Given the same sequence again, the index by name is used again: a
         caller makes a new one when reports come, and changes none.
         """
-        first = near_side(candidates)
-        best = self._best(first, now_s, affinity_key, exclude)
-        if len(first) < len(candidates):
-            far = self._draw(far_side(candidates), now_s, exclude)
-            other = self._lowest(far, now_s)
-            if other is not None and self._is_better(other, best, now_s):
-                best = other
-        return None if best is None else best.name
-
-    def _best(
-        self,
-        candidates: Sequence[Candidate],
-        now_s: float,
-        affinity_key: str | None,
-        exclude: frozenset[str],
-    ) -> Candidate | None:
-        """Return the best of a few, or the one that knows the key."""
-        best = self._lowest(self._draw(candidates, now_s, exclude), now_s)
-        if best is None or affinity_key is None:
+        drawn = self._draw(candidates, now_s, exclude)
+        if not drawn:
+            return None
+        scored = [(self._score(c, now_s), c.name) for c in drawn]
+        best_score, best = min(scored)
+        if affinity_key is None:
             return best
-        bound = self._score(best, now_s) * AFFINITY_GAIN
-        bound += AFFINITY_SLACK * self._unit()
-        for candidate in self._holders(candidates, affinity_key, now_s):
+        bound = best_score * AFFINITY_GAIN + AFFINITY_SLACK * self._unit()
+        for candidate in self._near(candidates, affinity_key, now_s):
             if not self._usable(candidate, now_s, exclude):
                 continue
             if self._score(candidate, now_s) <= bound:
-                return candidate
+                return candidate.name
         return best
 
-    def _lowest(
-        self, drawn: Sequence[Candidate], now_s: float
-    ) -> Candidate | None:
-        scored = [(self._score(c, now_s), c.name, c) for c in drawn]
-        return min(scored)[2] if scored else None
-
-    def _is_better(
-        self, far: Candidate, near: Candidate | None, now_s: float
-    ) -> bool:
-        """Tell whether a server elsewhere is clearly better than a near one.
-
-        The first requests at a near server do not count, as with a server
-        that holds a prefix, but how slow it is does.
-        """
-        if near is None:
-            return True
-        spare = AFFINITY_SLACK * near.capacity
-        near_score = self._score(near, now_s, spare)
-        return near_score > self._score(far, now_s) * FAR_COST
-
     def explain(
         self,
         candidates: Sequence[Candidate],
@@ -275,22 +238,18 @@
             return False
         return not self._known(candidate).health.is_out(now_s)
 
-    def _score(
-        self, candidate: Candidate, now_s: float, spare: float = 0.0
-    ) -> float:
-        """Return the expected wait; ``spare`` requests are not counted."""
+    def _score(self, candidate: Candidate, now_s: float) -> float:
         server = self._servers[candidate.name]
         reported = candidate.running + candidate.queued
         load = estimated_load(server.own, reported, candidate.age_s, now_s)
         latency_s = server.health.expected_s(self._typical)
         warmth = server.health.warmth(now_s)
-        counted = max(0.0, load - spare) + 1.0
-        return counted / (candidate.capacity * warmth) * latency_s
+        return (load + 1.0) / (candidate.capacity * warmth) * latency_s
 
     def _unit(self) -> float:
         return self._typical.latency_s or 1.0
 
-    def _holders(
+    def _near(
         self,
         candidates: Sequence[Candidate],
         key: str,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -53,7 +53,7 @@
             settings.rating_url, settings.rating_timeout_s, self.metrics
         )
         self.random = random or Random()
-        self.servers = Servers(control, self.random, settings.data_centre)
+        self.servers = Servers(control, self.random)
         self.slots = Slots(self.servers, self.metrics)
         self.retries = RetryBudget(settings.retry_share)
         self.progress = Progress()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -31,11 +31,8 @@
     of a large one look like an outlier.
     """
 
-    def __init__(
-        self, control: ControlPort, random: Random, data_centre: str = ""
-    ) -> None:
+    def __init__(self, control: ControlPort, random: Random) -> None:
         self._control = control
-        self._data_centre = data_centre
         self._random = random
         self._selectors: dict[str, ServerSelector] = {}
         self._counts: dict[str, int] = {}
@@ -63,7 +60,6 @@
                 server.load.running,
                 server.load.queued,
                 self.report_age_s(server, now_s),
-                self._data_centre in ("", server.data_centre),
             )
             for server in holders
         ]
