--- a/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
@@ -33,9 +33,9 @@
 # What may wait for a peer that is away. Older messages are of no use to
 # it: leases and heartbeats are asked for again, the log repeats itself.
 QUEUE_BYTES: Final = 4 * 1024 * 1024
-# The largest message there is, 136 kB with 1,100 routes, and asked for again
-# with each renewal until it has arrived. On links of 5 Mbit/s its copies
-# filled the queues of forty entries; the newest one alone says all.
+# The largest message there is, and asked for again with each renewal until
+# it has arrived: twenty renewals on a slow link left twenty copies waiting.
+# The newest one alone says all.
 REPLACED_BY_THE_NEXT: Final = (ConfigurationPush,)
 FRAME_BYTES: Final = MAX_FRAME_BYTES // 2
 SEND_TIMEOUT_MS: Final = 1_000
--- a/packages/sycamorestand-peer/tests/test_link.py
+++ b/packages/sycamorestand-peer/tests/test_link.py
@@ -36,9 +36,8 @@
         """All entries are back after a loss of power, over slow links.
 
         Each renewal that comes before the first push has gone out asks for
-        it again. Every copy kept, forty entries' queues held up to 4 MB
-        each and took control processes over their memory. One newest copy
-        is all that an entry needs.
+        it again. Every copy kept, each entry's queue may hold up to 4 MB.
+        One newest copy is all that an entry needs.
         """
         link = make_link()
         link.queue(Heartbeat())
