--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -126,7 +126,10 @@
         self.route: Route | None = None
         self.revision = 0
         self.lease_ms = 0
+        self.prompt_tokens = 0
         self.first_byte_ms = -1
+        self.longest_pause_ms = 0
+        self._passed_on_ms = -1
         self._begun_s = time.monotonic()
         self._decisions: list[tuple[int, Decision]] = []
 
@@ -144,12 +147,27 @@
         if self.first_byte_ms < 0:
             self.first_byte_ms = self.elapsed_ms()
 
+    def events_passed_on(self) -> None:
+        """Note that whole events of a stream went to the caller."""
+        now_ms = self.elapsed_ms()
+        if self._passed_on_ms >= 0:
+            pause_ms = now_ms - self._passed_on_ms
+            self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
+        self._passed_on_ms = now_ms
+
     def is_late(self) -> bool:
-        """Tell whether the answer began after the route's aim."""
-        began_ms = self.first_byte_ms
-        if self.route is None or began_ms < 0:
+        """Tell whether the answer began, or paused, beyond its targets.
+
+        A stream that pauses for long, as when its server is lost and
+        another goes on with it, is as late for its caller as one that
+        begins late.
+        """
+        route = self.route
+        if route is None or self.first_byte_ms < 0:
             return False
-        return began_ms > self.route.target_latency_ms
+        if self.first_byte_ms > route.target_latency_ms:
+            return True
+        return 0 < route.gap_target_ms < self.longest_pause_ms
 
     def ended(self, result: str, status: int, detail: dict[str, Any]) -> None:
         """Write the request's line, and more where it went wrong.
@@ -169,6 +187,8 @@
             "late": self.is_late(),
             "took_ms": self.elapsed_ms(),
             "first_byte_ms": self.first_byte_ms,
+            "longest_pause_ms": self.longest_pause_ms,
+            "prompt_tokens": self.prompt_tokens,
             "revision": self.revision,
             "lease_ms": self.lease_ms,
             "path": " ".join(_short(d) for _, d in self._decisions),
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -74,6 +74,8 @@
             call.values.get(attempts.wire.last_event, b"")
         )
         self._rest = b""
+        self._prompt_tokens = _prompt_tokens(attempts)
+        call.log.prompt_tokens = self._prompt_tokens
 
     async def run(self, target: str) -> WholeAnswer | None:
         """Relay the stream to its end.
@@ -146,7 +148,7 @@
         aim_s = call.route.target_latency_ms / 1000
         left_s = call.remaining_s()
         wait_s, whole_s = first_event_limits_s(
-            aim_s, left_s, self._prompt_tokens()
+            aim_s, left_s, self._prompt_tokens
         )
         waited_s = 0.0
         while call.may_repeat and call.remaining_s() > 0:
@@ -179,12 +181,6 @@
             exchange.given_up()
             raise SlowAnswer("another server is asked")
 
-    def _prompt_tokens(self) -> int:
-        attempts = self._attempts
-        value = attempts.call.values.get(attempts.wire.token_counts, b"")
-        tokens = value.partition(b",")[0].strip()
-        return int(tokens) if tokens.isdigit() else 0
-
     def _model(self) -> bytes:
         return self._sizes[self._size].encode() if self._sizes else b""
 
@@ -215,7 +211,7 @@
         """Note how long the request waited there, or has in vain."""
         context = self._attempts.context
         now_s = context.now_s()
-        read_s = self._prompt_tokens() / READ_TOKENS_PER_S
+        read_s = self._prompt_tokens / READ_TOKENS_PER_S
         waited_s = now_s - exchange.begin_s - read_s
         self._delay(exchange.aim.target).observed(now_s, waited_s)
 
@@ -245,6 +241,7 @@
         count = self._order.take(events)
         if not self._responder.started:
             await self._start(head)
+        self._attempts.call.log.events_passed_on()
         write_now = self._responder.write_now
         if write_now is None or not write_now(events):
             await self._responder.write(events)
@@ -287,4 +284,10 @@
         return self._attempts.truthful(error)
 
 
+def _prompt_tokens(attempts: Attempts) -> int:
+    value = attempts.call.values.get(attempts.wire.token_counts, b"")
+    tokens = value.partition(b",")[0].strip()
+    return int(tokens) if tokens.isdigit() else 0
+
+
 __all__ = ["StreamBroken", "StreamRelay"]
--- a/packages/sycamorestand-entry/tests/routed/test_decision_log.py
+++ b/packages/sycamorestand-entry/tests/routed/test_decision_log.py
@@ -132,6 +132,29 @@
         assert end["late"]
         assert len(decisions_of(caplog, "r-5")) == 3
 
+    async def test_a_pause_makes_a_stream_late(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """The first event comes at once, the second after half a second.
+
+        The caller counts the answer as late: its route allows pauses of
+        0.3 s. Judged by the first event alone, the lines called it good.
+        """
+
+        async def answer(request: bytes, stream: SocketStream) -> None:
+            await stream.send(stream_head(request) + event(1))
+            await anyio.sleep(0.5)
+            await stream.send(event(2) + b"0\r\n\r\n")
+
+        async with start_routed(SETTINGS) as loopback:
+            await loopback.add_server("s-1", answer)
+            await loopback.ask("/review/1", x_attempt="r-7", x_tokens="90,4")
+        end = end_of(caplog, "r-7")
+        assert end["result"] == "ok"
+        assert end["late"]
+        assert end["longest_pause_ms"] >= 500
+        assert end["prompt_tokens"] == 90
+
 
 class TestDecisionLog:
     def test_is_bounded(self) -> None:
