--- /dev/null
+++ b/packages/sycamorestand-decisions/tests/test_reading.py
@@ -0,0 +1,140 @@
+"""How long engines read, and in which order."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import heapq
+from random import Random
+from typing import NamedTuple
+
+import pytest
+
+from sycamorestand_decisions.reading import engine_rank
+from sycamorestand_decisions.reading import FIRST_RANK_S
+from sycamorestand_decisions.reading import MIN_TOKENS
+from sycamorestand_decisions.reading import RANKS
+from sycamorestand_decisions.reading import ReadingRates
+
+SIZES = ("small", "middle", "large")
+SMALL_S = 3e-6
+LARGE_S = 30e-6
+
+
+class Prompt(NamedTuple):
+    sent_s: float
+    read_s: float
+    kind: str
+
+
+class TestReadingRates:
+    def test_learns_the_rate_behind_the_waits(self) -> None:
+        """Half of the requests wait, some for seconds."""
+        random = Random(5)
+        rates = ReadingRates()
+        for _ in range(300):
+            tokens = int(random.lognormvariate(8.5, 0.8))
+            wait_s = random.expovariate(2.0) if random.random() < 0.5 else 0.0
+            read_s = tokens * LARGE_S
+            rates.observed("words", "large", tokens, read_s + wait_s)
+        expected = rates.read_s("words", SIZES, 2, 10_000)
+        assert expected == pytest.approx(10_000 * LARGE_S, rel=0.5)
+
+    def test_follows_an_engine_that_became_slower(self) -> None:
+        rates = ReadingRates()
+        for rate_s in (SMALL_S, 4 * SMALL_S):
+            for _ in range(100):
+                rates.observed("words", "small", 5_000, 5_000 * rate_s)
+        expected = rates.read_s("words", SIZES, 0, 5_000)
+        assert expected == pytest.approx(4 * 5_000 * SMALL_S, rel=0.3)
+
+    def test_a_short_prompt_teaches_nothing(self) -> None:
+        rates = ReadingRates()
+        before = rates.read_s("words", SIZES, 0, 5_000)
+        rates.observed("words", "small", MIN_TOKENS - 1, 4.0)
+        assert rates.read_s("words", SIZES, 0, 5_000) == before
+
+    def test_an_unseen_model_reads_more_slowly_than_the_one_below(
+        self,
+    ) -> None:
+        """The entry has just started and nothing has climbed yet."""
+        rates = ReadingRates()
+        expected = [rates.read_s("words", SIZES, n, 9_000) for n in range(3)]
+        assert expected == sorted(set(expected))
+        rates.observed("words", "small", 9_000, 9_000 * SMALL_S)
+        expected = [rates.read_s("words", SIZES, n, 9_000) for n in range(3)]
+        assert expected == sorted(set(expected))
+
+    def test_a_route_without_models_has_a_rate_too(self) -> None:
+        rates = ReadingRates()
+        rates.observed("words", "", 10_000, 0.5)
+        assert rates.read_s("words", (), 0, 10_000) == pytest.approx(0.5)
+
+
+class TestEngineRank:
+    def test_longer_readings_come_later(self) -> None:
+        ranks = [engine_rank(FIRST_RANK_S * 2**n / 1.5, 0) for n in range(14)]
+        assert ranks == sorted(ranks)
+        assert ranks[0] == 0
+        assert ranks[-1] == RANKS - 1
+
+    @pytest.mark.parametrize("priority", [0, 1, 2, 9, 40])
+    def test_the_operators_order_holds_among_like_readings(
+        self, priority: int
+    ) -> None:
+        rank = engine_rank(0.05, priority)
+        assert engine_rank(0.05, 0) <= rank <= RANKS - 1
+
+    def test_long_among_short(self) -> None:
+        """One digest in five among short questions, on an engine seven tenths full.
+
+        Read as they come, every question behind a digest of 50,000 tokens
+        waits for seconds. Short readings first, fewer of either kind begin
+        late: the questions take a small part of the engine's time.
+        """
+        as_they_come = late_by_kind(play(lambda prompt: 0))
+        ranked = late_by_kind(play(lambda p: engine_rank(p.read_s, 0)))
+        assert as_they_come["question"] > 0.05
+        assert ranked["question"] < as_they_come["question"] / 5
+        assert ranked["digest"] <= as_they_come["digest"]
+
+
+def play(rank: Callable[[Prompt], int]) -> list[tuple[Prompt, float]]:
+    """Return prompts with their waits at one engine that obeys ranks."""
+    prompts = _prompts()
+    waiting: list[tuple[int, int, Prompt]] = []
+    waits: list[tuple[Prompt, float]] = []
+    now_s = 0.0
+    number = 0
+    while number < len(prompts) or waiting:
+        if not waiting:
+            now_s = max(now_s, prompts[number].sent_s)
+        while number < len(prompts) and prompts[number].sent_s <= now_s:
+            prompt = prompts[number]
+            heapq.heappush(waiting, (rank(prompt), number, prompt))
+            number += 1
+        _, _, prompt = heapq.heappop(waiting)
+        waits.append((prompt, now_s - prompt.sent_s))
+        now_s += prompt.read_s
+    return waits
+
+
+def late_by_kind(waits: list[tuple[Prompt, float]]) -> dict[str, float]:
+    """Return the share of each kind that had no first event within 2 s."""
+    late: dict[str, list[bool]] = {}
+    for prompt, wait_s in waits:
+        late.setdefault(prompt.kind, []).append(wait_s + prompt.read_s > 2.0)
+    return {kind: sum(found) / len(found) for kind, found in late.items()}
+
+
+def _prompts() -> list[Prompt]:
+    random = Random(11)
+    prompts = []
+    now_s = 0.0
+    for _ in range(4_000):
+        now_s += random.expovariate(7.0)
+        if random.random() < 0.2:
+            tokens = min(60_000, random.lognormvariate(9.0, 1.0))
+            prompts.append(Prompt(now_s, tokens * LARGE_S, "digest"))
+        else:
+            prompts.append(Prompt(now_s, 0.03, "question"))
+    return prompts
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -13,6 +13,7 @@
 from sycamorestand_decisions.cascade import CascadeLearner
 from sycamorestand_decisions.patience import Progress
 from sycamorestand_decisions.queue_delay import QueueDelay
+from sycamorestand_decisions.reading import ReadingRates
 from sycamorestand_decisions.retry import RetryBudget
 from sycamorestand_entry.callers import Authenticator
 from sycamorestand_entry.metrics import Metrics
@@ -57,6 +58,7 @@
         self.slots = Slots(self.servers, self.metrics)
         self.retries = RetryBudget(settings.retry_share)
         self.progress = Progress()
+        self.reading = ReadingRates()
         self.cascade = CascadeLearner()
         control.listen_ratings(self.cascade.learn)
         self._delays: dict[str, QueueDelay] = {}
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_entry.routed.call import RoutedCall
+    from sycamorestand_entry.routed.messages import Wanted
     from sycamorestand_entry.routed.wire import RouteWire
     from sycamorestand_entry.upstream import UpstreamConnection
     from sycamorestand_model.backend_servers import Announcement
@@ -96,9 +97,7 @@
             return ""
         return "retry budget spent"
 
-    async def open(
-        self, target: str, affinity_key: str, model: bytes, last_event: bytes
-    ) -> Exchange:
+    async def open(self, target: str, wanted: Wanted) -> Exchange:
         """Return an exchange whose request was written.
 
         Raises a `RequestError` where no server can be had or the gate
@@ -106,12 +105,12 @@
         """
         while True:
             target = current_target(self.context, self.call, target)
-            server = self._choose(target, affinity_key)
+            server = self._choose(target, wanted.affinity_key)
             self._tried.add(server.name)
             connection = await self._connect(target, server)
             if connection is None:
                 continue
-            aim = Aim(target, server, model, last_event)
+            aim = Aim(target, server, wanted)
             exchange = Exchange(
                 self.context, self.wire, self.call, aim, connection
             )
@@ -188,12 +187,13 @@
         sent = Sent(
             aim.target,
             aim.server.name,
-            aim.model.decode("latin-1"),
+            aim.wanted.model.decode("latin-1"),
             servers.count(aim.target),
             servers.in_flight(aim.target, aim.server.name),
             load.running + load.queued,
             int(servers.report_age_s(aim.server, now_s) * 1000),
-            aim.last_event.decode("latin-1"),
+            aim.wanted.rank,
+            aim.wanted.last_event.decode("latin-1"),
         )
         self.call.log.add(sent)
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -46,7 +46,8 @@
     """It was written to a server.
 
     ``own_running`` are this entry's requests there, ``reported`` those of
-    all entries as the server told them ``report_age_ms`` ago.
+    all entries as the server told them ``report_age_ms`` ago; ``rank`` is
+    its place in the order in which an engine reads.
     """
 
     target: str
@@ -56,6 +57,7 @@
     own_running: int
     reported: int
     report_age_ms: int
+    rank: int
     after_event: str
 
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/messages.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/messages.py
@@ -25,17 +25,30 @@
 IDENTITY: Final = b"identity"
 
 
+class Wanted(NamedTuple):
+    """What an attempt of a stream asks of an engine.
+
+    ``model`` is the model that is to answer, empty where the caller named
+    one; ``last_event`` the last event that the caller has; ``rank`` the
+    place in the order in which the engine reads, 0 first. The server is
+    looked for by ``affinity_key``.
+    """
+
+    affinity_key: str = ""
+    model: bytes = b""
+    last_event: bytes = b""
+    rank: int = 0
+
+
 class Aim(NamedTuple):
     """Where an attempt goes: a server of a service or version.
 
-    ``model`` is the model that an engine is to use, empty where the caller
-    named one; ``last_event`` the last event that the caller has.
+    ``wanted`` is what it asks of an engine there.
     """
 
     target: str
     server: Announcement
-    model: bytes = b""
-    last_event: bytes = b""
+    wanted: Wanted
 
 
 class WholeAnswer(NamedTuple):
@@ -91,23 +104,24 @@
 
 def encode_request(wire: RouteWire, call: RoutedCall, aim: Aim) -> bytes:
     """Return the request as the server gets it."""
+    wanted = aim.wanted
     lines = [b"%s %s HTTP/1.1" % (call.method, call.target)]
-    replaced = {wire.model} if aim.model else set()
-    if aim.last_event:
+    replaced = {wire.model} if wanted.model else set()
+    if wanted.last_event:
         replaced.add(wire.last_event)
-        lines.append(b"%s: %s" % (wire.last_event, aim.last_event))
+        lines.append(b"%s: %s" % (wire.last_event, wanted.last_event))
     for name, value in call.headers:
         if name not in replaced:
             lines.append(b"%s: %s" % (name, value))
-    if aim.model:
-        lines.append(b"%s: %s" % (wire.model, aim.model))
+    if wanted.model:
+        lines.append(b"%s: %s" % (wire.model, wanted.model))
     left_ms = max(1, int(call.remaining_s() * 1000))
     lines.append(b"%s: %d" % (wire.deadline_ms, left_ms))
     lines.append(b"%s: %s" % (wire.server, aim.server.name.encode()))
     if call.customer:
         lines.append(b"%s: %s" % (wire.customer, call.customer.encode()))
     if call.route.kind == "stream":
-        lines.append(b"%s: %d" % (wire.priority, min(9, call.priority)))
+        lines.append(b"%s: %d" % (wire.priority, wanted.rank))
     if call.body or call.method not in BODILESS_METHODS:
         lines.append(b"content-length: %d" % len(call.body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
@@ -121,5 +135,6 @@
     "PROMISES",
     "RETRY_STATUSES",
     "says_not_run",
+    "Wanted",
     "WholeAnswer",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -13,6 +13,7 @@
 from sycamorestand_decisions.patience import first_event_limits_s
 from sycamorestand_decisions.patience import gap_limit_s
 from sycamorestand_decisions.patience import READ_TOKENS_PER_S
+from sycamorestand_decisions.reading import engine_rank
 from sycamorestand_decisions.size_ladder import first_size
 from sycamorestand_decisions.size_ladder import next_size
 from sycamorestand_entry.errors import RequestError
@@ -21,6 +22,7 @@
 from sycamorestand_entry.routed.messages import answer_headers
 from sycamorestand_entry.routed.messages import PROMISES
 from sycamorestand_entry.routed.messages import RETRY_STATUSES
+from sycamorestand_entry.routed.messages import Wanted
 from sycamorestand_entry.routed.messages import WholeAnswer
 from sycamorestand_entry.upstream import MalformedAnswer
 from sycamorestand_entry.upstream import SlowAnswer
@@ -87,10 +89,7 @@
         while True:
             try:
                 exchange = await self._attempts.open(
-                    target,
-                    self._affinity_key,
-                    self._model(),
-                    self._order.last,
+                    target, self._wanted(target)
                 )
             except RequestError as error:
                 raise self._final(error) from None
@@ -128,6 +127,7 @@
         kind = head.headers.get(b"content-type", b"")
         if head.status != 200 or not kind.startswith(EVENT_STREAM):
             return await exchange.read_whole(head)
+        self._learn_reading(exchange)
         self._judge(head, exchange.aim.target)
         first = True
         while data := await self._read_part(exchange):
@@ -181,8 +181,29 @@
             exchange.given_up()
             raise SlowAnswer("another server is asked")
 
-    def _model(self) -> bytes:
-        return self._sizes[self._size].encode() if self._sizes else b""
+    def _wanted(self, target: str) -> Wanted:
+        model = self._sizes[self._size] if self._sizes else ""
+        return Wanted(
+            self._affinity_key,
+            model.encode(),
+            self._order.last,
+            engine_rank(self._read_s(target), self._attempts.call.priority),
+        )
+
+    def _read_s(self, target: str) -> float:
+        """Return how long reading the prompt is expected to take."""
+        return self._attempts.context.reading.read_s(
+            _service(target), self._sizes, self._size, self._prompt_tokens
+        )
+
+    def _learn_reading(self, exchange: Exchange) -> None:
+        context = self._attempts.context
+        context.reading.observed(
+            _service(exchange.aim.target),
+            self._sizes[self._size] if self._sizes else "",
+            self._prompt_tokens,
+            context.now_s() - exchange.begin_s,
+        )
 
     def _judge(self, head: ResponseHead, target: str) -> None:
         """Drop an answer that a larger model should give."""
@@ -222,8 +243,7 @@
         return self._delay(target).delay_s(now_s) / aim_s
 
     def _delay(self, target: str) -> QueueDelay:
-        service = target.partition(VERSION_SEPARATOR)[0]
-        return self._attempts.context.delay(service)
+        return self._attempts.context.delay(_service(target))
 
     async def _pass_on(self, head: ResponseHead, data: bytes) -> int:
         """Write whole events and return how many they were."""
@@ -284,6 +304,10 @@
         return self._attempts.truthful(error)
 
 
+def _service(target: str) -> str:
+    return target.partition(VERSION_SEPARATOR)[0]
+
+
 def _prompt_tokens(attempts: Attempts) -> int:
     value = attempts.call.values.get(attempts.wire.token_counts, b"")
     tokens = value.partition(b",")[0].strip()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole.py
@@ -12,6 +12,7 @@
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.routed.messages import PROMISES
 from sycamorestand_entry.routed.messages import RETRY_STATUSES
+from sycamorestand_entry.routed.messages import Wanted
 from sycamorestand_entry.upstream import SlowAnswer
 from sycamorestand_entry.upstream import UpstreamError
 
@@ -27,7 +28,7 @@
     kept: WholeAnswer | None = None
     while True:
         try:
-            exchange = await attempts.open(target, "", b"", b"")
+            exchange = await attempts.open(target, Wanted())
         except RequestError as error:
             if kept is not None:
                 return kept
