--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/reading.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/reading.py
@@ -84,15 +84,21 @@
         return tokens * UNKNOWN_S_PER_TOKEN * factor / SLOWER_THAN_BELOW
 
 
-def engine_rank(read_s: float, priority: int) -> int:
+def engine_rank(read_s: float, priority: int, left_s: float) -> int:
     """Return the rank at the engine, 0 is served first.
 
     ``priority`` is what the operator declared, 0 is the highest: among
-    readings of like length it decides.
-
-    >>> engine_rank(0.01, 0), engine_rank(0.1, 0), engine_rank(0.1, 2)
-    (0, 3, 5)
+    readings of like length it decides. ``left_s`` is what is left of the
+    aim: a reading that cannot be in time any more goes last, since it
+    would be late all the same and make others late as well.
+
+    >>> engine_rank(0.01, 0, 2.0), engine_rank(0.1, 0, 2.0)
+    (0, 3)
+    >>> engine_rank(0.1, 2, 2.0), engine_rank(0.1, 0, 0.05)
+    (5, 9)
     """
+    if read_s > left_s:
+        return RANKS - 1
     rank = max(0, priority)
     while read_s >= FIRST_RANK_S and rank < RANKS - 1:
         read_s /= 2
--- a/packages/sycamorestand-decisions/tests/test_reading.py
+++ b/packages/sycamorestand-decisions/tests/test_reading.py
@@ -72,7 +72,9 @@
 
 class TestEngineRank:
     def test_longer_readings_come_later(self) -> None:
-        ranks = [engine_rank(FIRST_RANK_S * 2**n / 1.5, 0) for n in range(14)]
+        ranks = [
+            engine_rank(FIRST_RANK_S * 2**n / 1.5, 0, 1e9) for n in range(14)
+        ]
         assert ranks == sorted(ranks)
         assert ranks[0] == 0
         assert ranks[-1] == RANKS - 1
@@ -81,8 +83,17 @@
     def test_the_operators_order_holds_among_like_readings(
         self, priority: int
     ) -> None:
-        rank = engine_rank(0.05, priority)
-        assert engine_rank(0.05, 0) <= rank <= RANKS - 1
+        rank = engine_rank(0.05, priority, 2.0)
+        assert engine_rank(0.05, 0, 2.0) <= rank <= RANKS - 1
+
+    def test_what_is_late_all_the_same_goes_last(self) -> None:
+        """A burst has passed; some requests have waited beyond their aim.
+
+        Read first, they would make those late that can still be in time.
+        """
+        assert engine_rank(0.05, 0, left_s=0.04) == RANKS - 1
+        assert engine_rank(0.05, 0, left_s=-3.0) == RANKS - 1
+        assert engine_rank(0.05, 0, left_s=0.06) < RANKS - 1
 
     def test_long_among_short(self) -> None:
         """One digest in five among short questions, on an engine seven tenths full.
@@ -92,7 +103,9 @@
         late: the questions take a small part of the engine's time.
         """
         as_they_come = late_by_kind(play(lambda prompt: 0))
-        ranked = late_by_kind(play(lambda p: engine_rank(p.read_s, 0)))
+        ranked = late_by_kind(
+            play(lambda prompt: engine_rank(prompt.read_s, 0, 2.0))
+        )
         assert as_they_come["question"] > 0.05
         assert ranked["question"] < as_they_come["question"] / 5
         assert ranked["digest"] <= as_they_come["digest"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -43,6 +43,7 @@
 # A server that is left for another costs a retry. Where none may be had now
 # it is asked for again so much later.
 ASK_AGAIN_S: Final = 0.5
+MS: Final = 1000
 
 
 class StreamBroken(Exception):
@@ -145,10 +146,9 @@
 
     async def _read_head(self, exchange: Exchange) -> ResponseHead:
         call = self._attempts.call
-        aim_s = call.route.target_latency_ms / 1000
         left_s = call.remaining_s()
         wait_s, whole_s = first_event_limits_s(
-            aim_s, left_s, self._prompt_tokens
+            self._aim_s(), left_s, self._prompt_tokens
         )
         waited_s = 0.0
         while call.may_repeat and call.remaining_s() > 0:
@@ -187,9 +187,16 @@
             self._affinity_key,
             model.encode(),
             self._order.last,
-            engine_rank(self._read_s(target), self._attempts.call.priority),
+            engine_rank(
+                self._read_s(target),
+                self._attempts.call.priority,
+                self._aim_s() - self._attempts.call.log.elapsed_ms() / MS,
+            ),
         )
 
+    def _aim_s(self) -> float:
+        return self._attempts.call.route.target_latency_ms / MS
+
     def _read_s(self, target: str) -> float:
         """Return how long reading the prompt is expected to take."""
         return self._attempts.context.reading.read_s(
@@ -238,9 +245,8 @@
 
     def _strain(self, target: str) -> float:
         """Return the wait at the servers as a share of the aim."""
-        aim_s = self._attempts.call.route.target_latency_ms / 1000
         now_s = self._attempts.context.now_s()
-        return self._delay(target).delay_s(now_s) / aim_s
+        return self._delay(target).delay_s(now_s) / self._aim_s()
 
     def _delay(self, target: str) -> QueueDelay:
         return self._attempts.context.delay(_service(target))
