--- a/packages/sycamorestand-control/src/sycamorestand_control/membership.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/membership.py
@@ -123,6 +123,8 @@
         Safe to repeat; raises `ConsensusError` where the log refuses or
         this process does not lead it.
         """
+        if old_id == new_id:
+            raise MembershipRefused("a voter cannot replace itself")
         replica = self._groups.replicas[group]
         members = _member_ids(replica)
         if new_id not in members:
@@ -241,6 +243,8 @@
             await replica.promote(learners[0].member_id)
             LOG.info("voter admitted", extra={"member": learners[0].member_id})
             return
+        if await self._follow_configuration(replica, voters):
+            return
         if len(voters) >= self._voters_wanted:
             return
         known = {member.member_id for member in members}
@@ -250,10 +254,45 @@
                 LOG.info("learner added", extra={"member": joiner.member_id})
                 return
 
+    async def _follow_configuration(
+        self, replica: Replica, voters: Sequence[MemberStatus]
+    ) -> bool:
+        """Take one step towards what was replaced in the first log.
+
+        `replace` goes through the logs in turn, and stops where a leader
+        changes. The voter then shows as replaced and misses a log: nobody
+        is told, and entries that are attached to it get no order through.
+        An operator has approved it for the first log, so that no stranger
+        gets in this way, and both are at one address, so that no sound
+        voter is removed. Returns whether a step was taken.
+        """
+        if replica is self._configuration():
+            return False
+        approved = {
+            member.address: member.member_id
+            for member in self._configuration().status().members
+            if member.voter
+        }
+        present = {voter.member_id for voter in voters}
+        for voter in voters:
+            successor = approved.get(voter.address, voter.member_id)
+            if successor == voter.member_id:
+                continue
+            if successor in present:
+                await replica.remove(voter.member_id)
+            else:
+                await self._add_learner(replica, successor)
+            LOG.info("replacement goes on", extra={"member": successor})
+            return True
+        return False
+
 
 async def _promote_when_ready(replica: Replica, member_id: str) -> None:
     until_s = boottime_s() + CATCH_UP_S
-    while True:
+    # The leader's own round may promote it first. Asked for once more, a
+    # promotion is refused, and taken for a learner that lags the new voter
+    # was removed again after 20 s, the other logs never reached.
+    while not is_voter(replica, member_id):
         try:
             await replica.promote(member_id)
             return
--- a/packages/sycamorestand-control/tests/test_voter_repair_wired.py
+++ b/packages/sycamorestand-control/tests/test_voter_repair_wired.py
@@ -48,11 +48,17 @@
 class Voter:
     """The parts of a control process that have to do with its logs."""
 
-    def __init__(self, folder: Path, address: str, known: list[str]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        address: str,
+        known: list[str],
+        replace_lost: bool = True,
+    ) -> None:
         self.mesh = PeerMesh(address, lambda: (b"k" * 32,), self._received)
         table = {log: Group(Machine(), int) for log in LOGS}
         self.groups = LogGroups(self.mesh, folder, ReplicaSettings(), table)
-        self.admissions = Admissions(self.mesh, self.groups, 3, True)
+        self.admissions = Admissions(self.mesh, self.groups, 3, replace_lost)
         self._known = [each for each in known if each != address]
         self._scope = anyio.CancelScope()
 
@@ -92,12 +98,15 @@
             self._tasks.start_soon(answer, sender, message)
 
 
-async def _three(tasks: TaskGroup, folder: Path) -> list[Voter]:
+async def _three(
+    tasks: TaskGroup, folder: Path, replace_lost: bool = True
+) -> list[Voter]:
     addresses = [free_address() for _ in range(3)]
     voters = []
     for number, address in enumerate(addresses):
         (folder / str(number)).mkdir()
-        voters.append(Voter(folder / str(number), address, addresses))
+        own_folder = folder / str(number)
+        voters.append(Voter(own_folder, address, addresses, replace_lost))
         voters[-1].start(tasks)
     first = voters[0]
     own = [(first.groups.member_id, first.mesh.address)]
@@ -184,3 +193,58 @@
             voters.pop().stop()
             await _until_voting([*voters, spare, back])
             tasks.cancel_scope.cancel()
+
+
+class TestInterruptedReplacement:
+    async def test_the_other_logs_follow_the_configurations(
+        self, tmp_path: Path
+    ) -> None:
+        """Leadership moves in the middle of `replace-voter`.
+
+        The operator's command has replaced the lost voter in the log of
+        the configuration and not in the ledger's. The new voter shows as
+        one, nothing tells that it misses a log, and entries attached to it
+        get no order through. The ledger's leader finishes what the
+        operator asked for, and removes the old voter.
+        """
+        async with anyio.create_task_group() as tasks:
+            voters = await _three(tasks, tmp_path, replace_lost=False)
+            wiped = voters.pop(0)
+            wiped.stop()
+            await _until(lambda: _is_free(wiped.mesh.address))
+            (tmp_path / "new").mkdir()
+            known = [voter.mesh.address for voter in voters]
+            newcomer = Voter(
+                tmp_path / "new", wiped.mesh.address, known, False
+            )
+            newcomer.start(tasks)
+            for log in LOGS:
+                await voters[0].groups.propose(log, b"", PROPOSE_S)
+            leader = next(v for v in voters if v.groups.is_leader(0))
+            await _until(lambda: bool(leader.admissions.waiting()))
+            await leader.admissions.replace(
+                0, wiped.groups.member_id, newcomer.groups.member_id
+            )
+            await _until_voting([*voters, newcomer])
+            tasks.cancel_scope.cancel()
+
+    async def test_a_stranger_replaces_nobody_by_itself(
+        self, tmp_path: Path
+    ) -> None:
+        """A voter is wiped and no operator has said anything yet."""
+        async with anyio.create_task_group() as tasks:
+            voters = await _three(tasks, tmp_path, replace_lost=False)
+            wiped = voters.pop(0)
+            wiped.stop()
+            await _until(lambda: _is_free(wiped.mesh.address))
+            (tmp_path / "new").mkdir()
+            known = [voter.mesh.address for voter in voters]
+            newcomer = Voter(
+                tmp_path / "new", wiped.mesh.address, known, False
+            )
+            newcomer.start(tasks)
+            await _until(lambda: all(v.admissions.waiting() for v in voters))
+            await anyio.sleep(1.0)
+            for log in LOGS:
+                assert newcomer.groups.member_id not in voters[0].voters(log)
+            tasks.cancel_scope.cancel()
