--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -10,6 +10,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.arrivals import ArrivalBudget
 from sycamorestand_decisions.cascade import CascadeLearner
 from sycamorestand_decisions.patience import Progress
 from sycamorestand_decisions.queue_delay import QueueDelay
@@ -57,6 +58,7 @@
         self.servers = Servers(control, self.random)
         self.slots = Slots(self.servers, self.metrics)
         self.retries = RetryBudget(settings.retry_share)
+        self.arrivals = ArrivalBudget(settings.allowance)
         self.progress = Progress()
         self.reading = ReadingRates()
         self.cascade = CascadeLearner()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -24,6 +24,7 @@
 from sycamorestand_entry.routed.messages import Aim
 from sycamorestand_entry.routed.targets import current_target
 from sycamorestand_entry.upstream import ConnectFailed
+from sycamorestand_model.declarations import VERSION_SEPARATOR
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
@@ -44,6 +45,7 @@
 # four were free for. What hangs costs a connect timeout.
 MAX_DIALS: Final = 16
 MAX_DIAL_S: Final = 1.0
+NO_ARRIVAL: Final = "budget of arrivals spent"
 
 
 class Attempts:
@@ -61,6 +63,7 @@
         self.call = call
         self.sent = 0
         self.may_have_run = False
+        self._service = ""
         self._tried: set[str] = set()
         self._sent_to: set[str] = set()
         self._dials = 0
@@ -74,14 +77,31 @@
     def may_go_on(self, overloaded: bool) -> bool:
         """Tell whether another server may be tried now.
 
-        A refusal that says "not run" costs nothing but the attempt; what
-        may have run draws on the retry budget and must be repeatable.
+        A refusal that says "not run" draws on the budget of arrivals
+        alone; what may have run on the retry budget as well, and must be
+        repeatable.
         """
         reason = self._reason_to_end(overloaded)
+        if not reason and not self._may_arrive_again():
+            reason = NO_ARRIVAL
         if reason:
             self.call.log.add(NotRepeated(reason))
         return not reason
 
+    def may_climb(self) -> bool:
+        """Tell whether a larger model may be asked instead."""
+        may = self._may_arrive_again()
+        if not may:
+            self.call.log.add(NotRepeated(NO_ARRIVAL))
+        return may
+
+    def _may_arrive_again(self) -> bool:
+        context = self.context
+        entries = len(context.control.addresses())
+        return context.arrivals.may_add(
+            self._service, entries, context.now_s()
+        )
+
     def _reason_to_end(self, overloaded: bool) -> str:
         if not self.left:
             return "no attempt left"
@@ -105,6 +125,7 @@
         """
         while True:
             target = current_target(self.context, self.call, target)
+            self._service = target.partition(VERSION_SEPARATOR)[0]
             server = self._choose(target, wanted.affinity_key)
             self._tried.add(server.name)
             connection = await self._connect(target, server)
@@ -124,6 +145,9 @@
                 # The request was allowed when it came. That its route or
                 # customer is gone is for the next request to hear.
                 raise NoBackendServer(error.message, MOVED_RETRY_S) from None
+            if not self.sent:
+                now_s = self.context.now_s()
+                self.context.arrivals.sent_first(self._service, now_s)
             self.sent += 1
             self._sent_to.add(server.name)
             self._log_sent(aim)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -255,7 +255,7 @@
             self._attempts.left,
             self._strain(target),
         )
-        if size is not None:
+        if size is not None and self._attempts.may_climb():
             self._attempts.call.log.add(
                 Climbed(
                     self._sizes[size],
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.arrivals import Allowance
 from sycamorestand_decisions.retry import RETRY_SHARE
 from sycamorestand_peer.key_file import no_keys
 
@@ -21,7 +22,8 @@
     ``backend_key_hash`` is the salted hash of the key that backend servers
     announce with, and ``backend_keys`` returns more of them, which change
     while the process runs; any one of all these is accepted.
-    ``retry_share`` is how much of a retry each success earns.
+    ``retry_share`` is how much of a retry each success earns, and
+    ``allowance`` what a service may get beyond first arrivals.
     ``stop_limit_s`` bounds the whole of it where something else ends the
     process after that time; zero is no bound.
     ``silent_idle_s`` is how long a connection may have been idle and
@@ -46,6 +48,7 @@
     pool_idle_s: float = 30.0
     rating_timeout_s: float = 0.5
     retry_share: float = RETRY_SHARE
+    allowance: Allowance = Allowance()
     late_answer_s: float = 60.0
     ledger_timeout_s: float = 5.0
     max_body_bytes: int = 4 * 1024 * 1024
--- a/packages/sycamorestand-entry/tests/routed/test_climb.py
+++ b/packages/sycamorestand-entry/tests/routed/test_climb.py
@@ -12,7 +12,9 @@
 from sycamorestand_bench.fakes.routed import answer_head
 from sycamorestand_bench.fakes.routed import event
 from sycamorestand_bench.fakes.routed import RoutedLoopback
+from sycamorestand_bench.fakes.routed import SETTINGS
 from sycamorestand_bench.fakes.routed import start_routed
+from sycamorestand_decisions.arrivals import Allowance
 from sycamorestand_model.in_force import InForce
 
 pytestmark = pytest.mark.anyio
@@ -42,6 +44,40 @@
         assert answer.count(b"id: ") == 2
 
 
+class TestBudgetOfArrivals:
+    async def test_a_spent_budget_lets_the_poor_answer_out(self) -> None:
+        """Servers are lost, and what is tried again has spent the budget.
+
+        Without a bound on climbs they and the repeats together doubled the
+        load of the servers that were left. The caller gets what there is.
+        """
+        allowance = Allowance(ratio=0.1, slack=0.0, window_s=60.0)
+        async with start_routed(
+            SETTINGS._replace(allowance=allowance)
+        ) as loopback:
+            answer, models = await ask_with_sizes(loopback)
+        assert models == [b"small"]
+        assert answer.count(b"id: ") == 2
+
+    async def test_refusals_draw_on_it_as_well(self) -> None:
+        """Every server is full and says so; the caller is told at once."""
+        allowance = Allowance(ratio=0.1, slack=0.0, window_s=60.0)
+
+        async def full(request: bytes, stream: SocketStream) -> None:
+            lines = (b"x-not-run: 1", b"content-length: 0")
+            await stream.send(answer_head(request, *lines, status=503))
+
+        async with start_routed(
+            SETTINGS._replace(allowance=allowance)
+        ) as loopback:
+            await loopback.add_server("s-1", full)
+            await loopback.add_server("s-2", full)
+            answer = await loopback.ask("/review/1", x_model="*")
+            assert len(loopback.requests) == 1
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"retry-after" in answer
+
+
 async def ask_with_sizes(
     loopback: RoutedLoopback,
 ) -> tuple[bytes, list[bytes]]:
