--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -0,0 +1,102 @@
+"""What one stream expects of the engines that it may run on."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import TYPE_CHECKING
+
+from sycamorestand_decisions.patience import quick_limit_s
+from sycamorestand_decisions.patience import READ_TOKENS_PER_S
+from sycamorestand_decisions.reading import engine_rank
+from sycamorestand_model.declarations import VERSION_SEPARATOR
+
+if TYPE_CHECKING:
+    from sycamorestand_decisions.queue_delay import QueueDelay
+    from sycamorestand_entry.routed.attempts import Attempts
+    from sycamorestand_entry.routed.exchange import Exchange
+
+MS: Final = 1000
+
+
+class EngineWait:
+    """Reading times and waits for the prompt of one call.
+
+    What it learns goes to the process's state, for all calls.
+    """
+
+    def __init__(self, attempts: Attempts) -> None:
+        self._attempts = attempts
+        self._context = attempts.context
+        self._route = attempts.call.route
+        self.prompt_tokens = _prompt_tokens(attempts)
+        self.aim_s = self._route.target_latency_ms / MS
+
+    def rank(self, target: str, size: int, resumed: bool) -> int:
+        """Return the place in the engine's order of reading.
+
+        A stream that is ``resumed`` is in a pause, which its route bounds
+        as well; by its aim, over for long, it would be read last.
+        """
+        call = self._attempts.call
+        left_s = self.aim_s - call.log.elapsed_ms() / MS
+        if resumed:
+            left_s = max(left_s, self._route.gap_target_ms / MS)
+        return engine_rank(self.read_s(target, size), call.priority, left_s)
+
+    def read_s(self, target: str, size: int) -> float:
+        """Return how long reading the prompt is expected to take."""
+        return self._context.reading.read_s(
+            _service(target), self._route.sizes, size, self.prompt_tokens
+        )
+
+    def quick_limit_s(self, target: str, size: int) -> float | None:
+        """Return after how long to ask elsewhere, None for no early move.
+
+        An attempt for the climb must remain: without it a poor answer
+        could not be replaced.
+        """
+        climbs = 1 if size + 1 < len(self._route.sizes) else 0
+        attempts = self._attempts
+        if not attempts.call.may_repeat or attempts.left < 1 + climbs:
+            return None
+        delay_s = self._delay(target).delay_s(self._context.now_s())
+        read_s = self.read_s(target, size)
+        return quick_limit_s(self.aim_s, read_s, delay_s)
+
+    def strain(self, target: str) -> float:
+        """Return the wait at the servers as a share of the aim."""
+        delay = self._delay(target)
+        return delay.delay_s(self._context.now_s()) / self.aim_s
+
+    def learn_reading(self, exchange: Exchange, size: int) -> None:
+        """Take in how long the first event took."""
+        sizes = self._route.sizes
+        self._context.reading.observed(
+            _service(exchange.aim.target),
+            sizes[size] if sizes else "",
+            self.prompt_tokens,
+            self._context.now_s() - exchange.begin_s,
+        )
+
+    def observe(self, exchange: Exchange) -> None:
+        """Note how long the request waited there, or has in vain."""
+        now_s = self._context.now_s()
+        read_s = self.prompt_tokens / READ_TOKENS_PER_S
+        waited_s = now_s - exchange.begin_s - read_s
+        self._delay(exchange.aim.target).observed(now_s, waited_s)
+
+    def _delay(self, target: str) -> QueueDelay:
+        return self._context.delay(_service(target))
+
+
+def _service(target: str) -> str:
+    return target.partition(VERSION_SEPARATOR)[0]
+
+
+def _prompt_tokens(attempts: Attempts) -> int:
+    value = attempts.call.values.get(attempts.wire.token_counts, b"")
+    tokens = value.partition(b",")[0].strip()
+    return int(tokens) if tokens.isdigit() else 0
+
+
+__all__ = ["EngineWait"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -12,13 +12,11 @@
 
 from sycamorestand_decisions.patience import first_event_limits_s
 from sycamorestand_decisions.patience import gap_limit_s
-from sycamorestand_decisions.patience import quick_limit_s
-from sycamorestand_decisions.patience import READ_TOKENS_PER_S
-from sycamorestand_decisions.reading import engine_rank
 from sycamorestand_decisions.size_ladder import first_size
 from sycamorestand_decisions.size_ladder import next_size
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.routed.decision_log import Climbed
+from sycamorestand_entry.routed.engine_wait import EngineWait
 from sycamorestand_entry.routed.event_order import EventOrder
 from sycamorestand_entry.routed.messages import answer_headers
 from sycamorestand_entry.routed.messages import PROMISES
@@ -28,10 +26,8 @@
 from sycamorestand_entry.upstream import MalformedAnswer
 from sycamorestand_entry.upstream import SlowAnswer
 from sycamorestand_entry.upstream import UpstreamError
-from sycamorestand_model.declarations import VERSION_SEPARATOR
 
 if TYPE_CHECKING:
-    from sycamorestand_decisions.queue_delay import QueueDelay
     from sycamorestand_entry.http_messages import Responder
     from sycamorestand_entry.routed.attempts import Attempts
     from sycamorestand_entry.routed.exchange import Exchange
@@ -46,7 +42,6 @@
 ASK_AGAIN_S: Final = 0.5
 # The shortest wait that is worth a timer of its own.
 MIN_WAIT_S: Final = 0.05
-MS: Final = 1000
 
 
 class StreamBroken(Exception):
@@ -80,8 +75,8 @@
             call.values.get(attempts.wire.last_event, b"")
         )
         self._rest = b""
-        self._prompt_tokens = _prompt_tokens(attempts)
-        call.log.prompt_tokens = self._prompt_tokens
+        self._wait = EngineWait(attempts)
+        call.log.prompt_tokens = self._wait.prompt_tokens
 
     async def run(self, target: str) -> WholeAnswer | None:
         """Relay the stream to its end.
@@ -127,11 +122,11 @@
         try:
             head = await self._read_head(exchange)
         finally:
-            self._observe_wait(exchange)
+            self._wait.observe(exchange)
         kind = head.headers.get(b"content-type", b"")
         if head.status != 200 or not kind.startswith(EVENT_STREAM):
             return await exchange.read_whole(head)
-        self._learn_reading(exchange)
+        self._wait.learn_reading(exchange, self._size)
         self._judge(head, exchange.aim.target)
         first = True
         while data := await self._read_part(exchange):
@@ -148,7 +143,7 @@
         return None
 
     async def _read_head(self, exchange: Exchange) -> ResponseHead:
-        quick_s = self._quick_limit_s(exchange.aim.target)
+        quick_s = self._wait.quick_limit_s(exchange.aim.target, self._size)
         if quick_s is not None:
             try:
                 return await exchange.read_head(quick_s, soft=True)
@@ -162,7 +157,7 @@
         call = self._attempts.call
         left_s = call.remaining_s()
         wait_s, whole_s = first_event_limits_s(
-            self._aim_s(), left_s, self._prompt_tokens
+            self._wait.aim_s, left_s, self._wait.prompt_tokens
         )
         wait_s = max(MIN_WAIT_S, wait_s - waited_s)
         while call.may_repeat and call.remaining_s() > 0:
@@ -188,22 +183,6 @@
             max(0.0, call.remaining_s())
         )
 
-    def _quick_limit_s(self, target: str) -> float | None:
-        """Return after how long to ask elsewhere, None for no early move.
-
-        An attempt for the climb must remain: without it a poor answer
-        could not be replaced.
-        """
-        attempts = self._attempts
-        climbs = 1 if self._size + 1 < len(self._sizes) else 0
-        if not attempts.call.may_repeat or attempts.left < 1 + climbs:
-            return None
-        return quick_limit_s(
-            self._aim_s(),
-            self._read_s(target),
-            self._delay(target).delay_s(attempts.context.now_s()),
-        )
-
     def _move_on(self, exchange: Exchange, early: bool = False) -> None:
         """Raise `SlowAnswer` where another server may be asked."""
         resumable = self._order.last or not self._responder.started
@@ -217,29 +196,7 @@
             self._affinity_key,
             model.encode(),
             self._order.last,
-            engine_rank(
-                self._read_s(target),
-                self._attempts.call.priority,
-                self._aim_s() - self._attempts.call.log.elapsed_ms() / MS,
-            ),
-        )
-
-    def _aim_s(self) -> float:
-        return self._attempts.call.route.target_latency_ms / MS
-
-    def _read_s(self, target: str) -> float:
-        """Return how long reading the prompt is expected to take."""
-        return self._attempts.context.reading.read_s(
-            _service(target), self._sizes, self._size, self._prompt_tokens
-        )
-
-    def _learn_reading(self, exchange: Exchange) -> None:
-        context = self._attempts.context
-        context.reading.observed(
-            _service(exchange.aim.target),
-            self._sizes[self._size] if self._sizes else "",
-            self._prompt_tokens,
-            context.now_s() - exchange.begin_s,
+            self._wait.rank(target, self._size, self._responder.started),
         )
 
     def _judge(self, head: ResponseHead, target: str) -> None:
@@ -253,34 +210,18 @@
             self._size,
             confidence,
             self._attempts.left,
-            self._strain(target),
+            self._wait.strain(target),
         )
         if size is not None and self._attempts.may_climb():
             self._attempts.call.log.add(
                 Climbed(
                     self._sizes[size],
                     -1 if confidence is None else confidence,
-                    round(self._strain(target), 2),
+                    round(self._wait.strain(target), 2),
                 )
             )
             raise _Climbs(size)
 
-    def _observe_wait(self, exchange: Exchange) -> None:
-        """Note how long the request waited there, or has in vain."""
-        context = self._attempts.context
-        now_s = context.now_s()
-        read_s = self._prompt_tokens / READ_TOKENS_PER_S
-        waited_s = now_s - exchange.begin_s - read_s
-        self._delay(exchange.aim.target).observed(now_s, waited_s)
-
-    def _strain(self, target: str) -> float:
-        """Return the wait at the servers as a share of the aim."""
-        now_s = self._attempts.context.now_s()
-        return self._delay(target).delay_s(now_s) / self._aim_s()
-
-    def _delay(self, target: str) -> QueueDelay:
-        return self._attempts.context.delay(_service(target))
-
     async def _pass_on(self, head: ResponseHead, data: bytes) -> int:
         """Write whole events and return how many they were."""
         if self._rest:
@@ -340,14 +281,4 @@
         return self._attempts.truthful(error)
 
 
-def _service(target: str) -> str:
-    return target.partition(VERSION_SEPARATOR)[0]
-
-
-def _prompt_tokens(attempts: Attempts) -> int:
-    value = attempts.call.values.get(attempts.wire.token_counts, b"")
-    tokens = value.partition(b",")[0].strip()
-    return int(tokens) if tokens.isdigit() else 0
-
-
 __all__ = ["StreamBroken", "StreamRelay"]
--- a/packages/sycamorestand-entry/tests/routed/test_streams.py
+++ b/packages/sycamorestand-entry/tests/routed/test_streams.py
@@ -72,6 +72,27 @@
         assert answer.count(b"id: ") == 5
         assert last_event(second) == 2
 
+    async def test_what_goes_on_is_not_read_last(self) -> None:
+        """A server is lost when the stream's aim is over for long.
+
+        The caller waits in the middle of its answer. Taken for a request
+        that is late all the same, the rest would be read behind all others
+        and the pause be late as well.
+        """
+        async with start_routed() as loopback:
+            in_force = loopback.control.in_force()
+            declared = in_force.declarations
+            review = declared.routes["review"]._replace(target_latency_ms=1)
+            routes = {**declared.routes, "review": review}
+            loopback.control.configuration = in_force._replace(
+                declarations=declared._replace(routes=routes)
+            )
+            handler = breaks(event(1) + event(2))
+            answer = await ask_two(loopback, handler, x_tokens="200,50")
+            (_, second) = loopback.requests[1]
+        assert answer.endswith(END)
+        assert b"x-priority: 0\r\n" in second
+
     async def test_callers_own_last_event_is_kept(self) -> None:
         """A caller resumes at the second event; the server breaks at once.
 
