--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
@@ -51,6 +51,14 @@
     ended_s: float
 
 
+class Waiting(NamedTuple):
+    """An attempt that has no answer yet, and since when by the clock."""
+
+    request_key: str
+    address: str
+    begun_s: float
+
+
 class Answer(NamedTuple):
     """The last answer that a caller got.
 
@@ -82,14 +90,27 @@
         self._asked_s = float("-inf")
         self._pool = httpcore.AsyncConnectionPool(max_connections=200)
         self._turn = 0
+        self._calls = 0
+        self.waiting: dict[int, Waiting] = {}
 
     async def call(self, call: Call, at: str | None = None) -> Answer:
         """Make a call until it is answered, with the same request key."""
+        call_number = self._calls = self._calls + 1
+        try:
+            return await self._call(call, at, call_number)
+        finally:
+            self.waiting.pop(call_number, None)
+
+    async def _call(
+        self, call: Call, at: str | None, call_number: int
+    ) -> Answer:
         answer = Answer(call, "not_run", "never_asked")
         tries: list[Try] = []
         for attempt in range(ATTEMPTS):
             address = at if at and attempt == 0 else await self._address()
             begun_s = time.monotonic()
+            waiting = Waiting(call.request_key, address, begun_s)
+            self.waiting[call_number] = waiting
             answer, pause_s = await self._attempt(call, address)
             ended_s = time.monotonic()
             tries.append(
@@ -247,4 +268,12 @@
     return Answer(call, "answered", "", "".join(parts), version), 0.0
 
 
-__all__ = ["Answer", "Call", "Callers", "FINAL_CODES", "new_key", "Try"]
+__all__ = [
+    "Answer",
+    "Call",
+    "Callers",
+    "FINAL_CODES",
+    "new_key",
+    "Try",
+    "Waiting",
+]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/run.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/run.py
@@ -32,8 +32,11 @@
 from sycamorestand_model.load import load_folder
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
     from pathlib import Path
 
+    from sycamorestand_bench.quickstart.caller import Waiting
     from sycamorestand_bench.soak.injector import Event
     from sycamorestand_bench.soak.schedule import Schedule
 
@@ -125,6 +128,7 @@
     async def _start_load(self) -> tuple[Load, anyio.Event]:
         callers = Callers([self._system.entry(name) for name in ENTRIES])
         entries = [self._system.entry(name) for name in ENTRIES]
+        self._callers = callers
         load = Load(callers, lambda: entries, self._schedule.seed)
         ended = anyio.Event()
 
@@ -167,7 +171,13 @@
 
     def _stop_load(self, load: Load, ended: anyio.Event) -> None:
         load.stop()
-        self._system.in_loop(_wait_ended, ended)
+        try:
+            self._system.in_loop(_wait_ended, ended)
+        except TimeoutError:
+            names = {self._system.entry(name): name for name in ENTRIES}
+            self._findings += still_waiting(
+                self._callers.waiting.values(), names, time.monotonic()
+            )
 
     def _compare(
         self, load: Load, after_leaving: dict[str, int], recovered_s: float
@@ -197,7 +207,8 @@
             self._injector.events,
             {name: system.entry(name) for name in ENTRIES},
         )
-        findings = [*self._findings, *self._watch.findings, *check(seen)]
+        # A process that ended by itself explains most of the others.
+        findings = [*self._watch.findings, *self._findings, *check(seen)]
         return Outcome(
             findings, self._injector.events, self._figures(seen, recovered_s)
         )
@@ -235,9 +246,27 @@
         return all(s.get("revision", -1) >= told for s in statuses)
 
 
+def still_waiting(
+    waiting: Iterable[Waiting], names: Mapping[str, str], now_s: float
+) -> list[Finding]:
+    """Return a finding for each attempt that nobody has answered.
+
+    ``names`` has the entries by the address that callers use.
+    """
+    return [
+        Finding(
+            "every call is answered",
+            f"{one.request_key} has waited at"
+            f" {names.get(one.address, one.address)} for"
+            f" {now_s - one.begun_s:.1f} s",
+        )
+        for one in waiting
+    ]
+
+
 async def _wait_ended(ended: anyio.Event) -> None:
     with anyio.fail_after(IDLE_BOUND_S):
         await ended.wait()
 
 
-__all__ = ["Outcome", "play", "targets"]
+__all__ = ["Outcome", "play", "still_waiting", "targets"]
