--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
@@ -14,9 +14,9 @@
 large model: whoever comes next waits for seconds there, and for a tenth of one
 elsewhere. A request whose own reading is cheap has nothing to lose by asking
 elsewhere, as nothing of it was read; it goes after a tenth of its aim, but
-not where requests wait as long everywhere. On calm days late digests fell
-from 4.1 to 2.7 in 100, and the worst two seconds' share of what callers are
-owed rose from 0.86 to 0.91.
+not where requests wait as long everywhere. On calm days late answers to the
+longest kind of request fell from 4.1 to 2.7 in 100, and the two worst seconds'
+share of what callers are owed rose from 0.86 to 0.91.
 
 The time that a server needs to read a prompt is no sign of a fault. A long
 prompt on a large model takes longer than any share of the aim; given up
