Sight: arrivals by kind, the entries that a share is reckoned by, control's own lease

Cause: an entry that went beyond its share, or was denied one, left no trace of what it reckoned with: neither the number of entries that it divides by, nor its arrivals, nor that a control process had no lease while servers announced to it.

Change: arrivals_total by service and kind, the gauge entries, the decision ArrivalDenied with the share's figures, and lines where the number of entries or a control process's lease changes. No decision changes.

Tests: the fields of a denied arrival, the lease's lines once a change.

--- a/packages/sycamorestand-control/src/sycamorestand_control/lease_service.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/lease_service.py
@@ -56,6 +56,7 @@
         self._term: _Term | None = None
         self._kicked = anyio.Event()
         self._acked_sent = -1
+        self._was_held = False
 
     def remaining_s(self) -> float:
         """Return how long this process may still grant leases."""
@@ -118,6 +119,7 @@
             self._kicked = anyio.Event()
             await self._follow_term()
             self._renew()
+            self._log_change()
             rounds += 1
             if rounds % FORGET_AFTER_ROUNDS == 0:
                 self._entries.forget_expired(boottime_s())
@@ -142,6 +144,18 @@
                 self._mesh.send(address, request)
         self._acked_sent = acked
 
+    def _log_change(self) -> None:
+        """Log when the lease is lost, or held again.
+
+        Without one the process may be cut off, and what is told to it
+        reaches nobody.
+        """
+        held = self.remaining_s() > 0
+        if held == self._was_held:
+            return
+        self._was_held = held
+        LOG.info("control lease held" if held else "control lease lost")
+
     def _acked(self) -> int:
         return self._entries.acknowledged(self._revision(), boottime_s())
 
--- a/packages/sycamorestand-control/tests/test_hub.py
+++ b/packages/sycamorestand-control/tests/test_hub.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Any
 
 import pytest
@@ -213,6 +214,28 @@
         assert grant.length_s < scene.leases.remaining_s()
 
 
+class TestOwnLease:
+    async def test_its_loss_and_return_are_logged_once(
+        self,
+        scene: Scene,
+        clock: Clock,
+        caplog: pytest.LogCaptureFixture,
+    ) -> None:
+        """What a process without a lease is told may reach nobody."""
+        caplog.set_level(logging.INFO)
+        for lease_s in (0.7, 0.7, 0.0, 0.0, 0.7):
+            scene.replica.lease_s = lease_s
+            clock.now_s += 2.0
+            await scene.renew_own()
+            scene.leases._log_change()
+        lines = [r.message for r in caplog.records if "lease" in r.message]
+        assert lines == [
+            "control lease held",
+            "control lease lost",
+            "control lease held",
+        ]
+
+
 class TestInForce:
     async def test_it_waits_for_the_last_live_entry(
         self, scene: Scene, clock: Clock
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
@@ -37,13 +37,26 @@
     window_s: float = 10.0
 
 
+class Share(NamedTuple):
+    """One entry's part of a service's budget, as it stands now.
+
+    ``entries`` is how many entries the fixed part was divided by; ``first``
+    and ``further`` are its own arrivals in the window, and ``left`` is what
+    it may still add.
+    """
+
+    entries: int
+    first: int
+    further: int
+    left: float
+
+
 class ArrivalBudget:
     """Counts one entry's arrivals at each service."""
 
     def __init__(self, allowance: Allowance) -> None:
         self._allowance = allowance
         self._counts: dict[str, _Counts] = {}
-        self.denied = 0
 
     def sent_first(self, service: str, now_s: float) -> None:
         """Count the first arrival of a request."""
@@ -54,18 +67,22 @@
 
         ``entries`` is how many entries there are, 0 where none is known.
         """
-        allowance = self._allowance
-        if not allowance.ratio:
+        if not self._allowance.ratio:
             return True
+        if self.share(service, entries, now_s).left < 1:
+            return False
+        self._of(service).further_s.append(now_s)
+        return True
+
+    def share(self, service: str, entries: int, now_s: float) -> Share:
+        """Return what this entry has used and has left."""
+        allowance = self._allowance
         counts = self._of(service)
         counts.forget_before(now_s - allowance.window_s)
         part = allowance.slack / entries if entries else 1.0
-        allowed = allowance.ratio * len(counts.first_s) + part
-        if len(counts.further_s) + 1 > allowed * SAFE_SHARE:
-            self.denied += 1
-            return False
-        counts.further_s.append(now_s)
-        return True
+        first, further = len(counts.first_s), len(counts.further_s)
+        allowed = (allowance.ratio * first + part) * SAFE_SHARE
+        return Share(entries, first, further, allowed - further)
 
     def _of(self, service: str) -> _Counts:
         counts = self._counts.get(service)
@@ -89,4 +106,4 @@
                 times.popleft()
 
 
-__all__ = ["Allowance", "ArrivalBudget", "SAFE_SHARE"]
+__all__ = ["Allowance", "ArrivalBudget", "SAFE_SHARE", "Share"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -61,6 +61,9 @@
         self.retries = self._counter(
             "retries_total", "Retries asked of the budget, by result"
         )
+        self.arrivals = self._counter(
+            "arrivals_total", "Arrivals of routed requests by service and kind"
+        )
         self.cascade = self._counter(
             "cascade_steps_total", "Answers of earlier steps, by result"
         )
@@ -79,6 +82,9 @@
         self.ejected = self._gauge(
             "ejected", "Backend servers that get no work for a while"
         )
+        self.entries = self._gauge(
+            "entries", "Entries that share a budget with this one"
+        )
         self.lease_remaining = self._gauge(
             "lease_remaining_seconds", "What is left of the lease"
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -17,6 +17,7 @@
 from sycamorestand_entry.errors import NotAllowed
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import Run
+from sycamorestand_entry.routed.decision_log import ArrivalDenied
 from sycamorestand_entry.routed.decision_log import NotReached
 from sycamorestand_entry.routed.decision_log import NotRepeated
 from sycamorestand_entry.routed.decision_log import Sent
@@ -45,7 +46,6 @@
 # four were free for. What hangs costs a connect timeout.
 MAX_DIALS: Final = 16
 MAX_DIAL_S: Final = 1.0
-NO_ARRIVAL: Final = "budget of arrivals spent"
 
 
 class Attempts:
@@ -82,25 +82,30 @@
         repeatable.
         """
         reason = self._reason_to_end(overloaded)
-        if not reason and not self._may_arrive_again():
-            reason = NO_ARRIVAL
         if reason:
             self.call.log.add(NotRepeated(reason))
-        return not reason
+            return False
+        return self._may_arrive_again()
 
     def may_climb(self) -> bool:
         """Tell whether a larger model may be asked instead."""
-        may = self._may_arrive_again()
-        if not may:
-            self.call.log.add(NotRepeated(NO_ARRIVAL))
-        return may
+        return self._may_arrive_again()
 
     def _may_arrive_again(self) -> bool:
         context = self.context
+        service = self._service
         entries = len(context.control.addresses())
-        return context.arrivals.may_add(
-            self._service, entries, context.now_s()
-        )
+        now_s = context.now_s()
+        may = context.arrivals.may_add(service, entries, now_s)
+        if not may:
+            share = context.arrivals.share(service, entries, now_s)
+            self.call.log.add(ArrivalDenied(service, *share))
+        self._count_arrival("further" if may else "denied")
+        return may
+
+    def _count_arrival(self, kind: str) -> None:
+        labels = {"service": self._service, "kind": kind}
+        self.context.metrics.arrivals.inc(labels)
 
     def _reason_to_end(self, overloaded: bool) -> str:
         if not self.left:
@@ -148,6 +153,7 @@
             if not self.sent:
                 now_s = self.context.now_s()
                 self.context.arrivals.sent_first(self._service, now_s)
+                self._count_arrival("first")
             self.sent += 1
             self._sent_to.add(server.name)
             self._log_sent(aim)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -73,6 +73,20 @@
     reason: str
 
 
+class ArrivalDenied(NamedTuple):
+    """No other server is asked: the entry's share of arrivals is spent.
+
+    ``entries`` is how many entries it took itself to be one of; ``first``
+    and ``further`` are its arrivals at the service in the window.
+    """
+
+    service: str
+    entries: int
+    first: int
+    further: int
+    left: float
+
+
 class AttemptEnded(NamedTuple):
     """An attempt is over; ``reason`` is empty where the answer is used."""
 
@@ -113,6 +127,7 @@
     | Sent
     | NotReached
     | NotRepeated
+    | ArrivalDenied
     | AttemptEnded
     | Climbed
     | MovedOn
@@ -225,6 +240,7 @@
 
 __all__ = [
     "Admitted",
+    "ArrivalDenied",
     "AttemptEnded",
     "Climbed",
     "Decision",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/state_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/state_log.py
@@ -21,6 +21,7 @@
 
     def __init__(self) -> None:
         self.revision = -1
+        self.entries = 0
         self.ejected: set[str] = set()
         self.leaving: set[str] = set()
 
@@ -39,6 +40,10 @@
     if revision != seen.revision:
         seen.revision = revision
         _LOG.info("configuration in force", extra={"revision": revision})
+    entries = len(context.control.addresses())
+    if entries != seen.entries:
+        seen.entries = entries
+        _LOG.info("entries counted", extra={"entries": entries})
     _log_servers(context, seen)
 
 
--- a/packages/sycamorestand-entry/tests/routed/test_decision_log.py
+++ b/packages/sycamorestand-entry/tests/routed/test_decision_log.py
@@ -10,10 +10,12 @@
 import pytest
 
 from sycamorestand_bench.fakes.routed import answer_bytes
+from sycamorestand_bench.fakes.routed import answer_head
 from sycamorestand_bench.fakes.routed import event
 from sycamorestand_bench.fakes.routed import SETTINGS
 from sycamorestand_bench.fakes.routed import start_routed
 from sycamorestand_bench.fakes.routed import stream_head
+from sycamorestand_decisions.arrivals import Allowance
 from sycamorestand_entry.routed.decision_log import DecisionLog
 from sycamorestand_entry.routed.decision_log import Held
 from sycamorestand_entry.routed.decision_log import MAX_DECISIONS
@@ -63,6 +65,34 @@
         assert end["expendable"]
         assert decisions_of(caplog, "r-1") == []
 
+    async def test_a_spent_share_tells_what_it_was_reckoned_by(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """Every server is full, and the entry may not try another one."""
+        allowance = Allowance(ratio=0.1, slack=0.0, window_s=60.0)
+
+        async def full(request: bytes, stream: SocketStream) -> None:
+            lines = (b"x-not-run: 1", b"content-length: 0")
+            await stream.send(answer_head(request, *lines, status=503))
+
+        settings = SETTINGS._replace(allowance=allowance)
+        async with start_routed(settings) as loopback:
+            await loopback.add_server("s-1", full)
+            await loopback.add_server("s-2", full)
+            await loopback.ask("/stock/1", x_attempt="r-3")
+            arrivals = loopback.entry.context.metrics.arrivals
+            labels = {"service": "stock", "kind": "denied"}
+            assert arrivals.get(labels) == 1
+        (denied,) = [
+            decision
+            for decision in decisions_of(caplog, "r-3")
+            if decision["decision"] == "ArrivalDenied"
+        ]
+        assert denied["service"] == "stock"
+        assert denied["entries"] == 0
+        assert (denied["first"], denied["further"]) == (1, 0)
+        assert denied["left"] < 1
+
     async def test_a_refusal_tells_why_and_that_it_did_not_run(
         self, caplog: pytest.LogCaptureFixture
     ) -> None:
