An entry's part of the arrivals is that of one among all entries

Cause: the fixed part of the allowance was divided by the length of the list of addresses for callers, of which control tells eight at most. 88 entries took eleven times the fixed part, and each could send every request to three servers without being denied: in a trial with half of control cut off in a burst all 88 logged 'entries counted entries=8', and 3,444 arrivals came where 3,265 are allowed; where entries had no list at all they took one each.

Change: control tells the number of entries with each lease (EntryCount), the entry divides by that, and without it takes no fixed part.

Why it holds: an entry sends only while it holds a lease, and the count came with it. It counts every entry that control has heard of within its lease.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
@@ -69,6 +69,7 @@
         self.lease_s = 3.0
         self.servers: dict[str, Announcement] = {}
         self.entry_addresses: tuple[EntryAddress, ...] = ()
+        self.entries = 0
         self.samples: list[VersionSample] = []
         self.stopping = False
         self.ledger_delay_s = 0.0
@@ -87,6 +88,9 @@
     def addresses(self) -> tuple[EntryAddress, ...]:
         return self.entry_addresses
 
+    def entry_count(self) -> int:
+        return self.entries
+
     def report(self, sample: VersionSample) -> None:
         self.samples.append(sample)
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/hub.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/hub.py
@@ -16,6 +16,7 @@
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import ConfigurationPush
 from sycamorestand_peer.messages import ControlList
+from sycamorestand_peer.messages import EntryCount
 from sycamorestand_peer.messages import LeaseDenied
 from sycamorestand_peer.messages import LeaseGrantMessage
 
@@ -136,6 +137,9 @@
                     message.sent_at_s, grant.length_s, grant.revision
                 ),
             )
+            # With each lease: a count that is told once and lost on its way
+            # would leave an entry with a larger part for as long as it runs.
+            self._mesh.send(sender, EntryCount(len(self._tables.entries())))
             return
         self.denied += 1
         reason = "behind"
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
@@ -65,7 +65,10 @@
     def may_add(self, service: str, entries: int, now_s: float) -> bool:
         """Count one more arrival of a request, if the budget has it.
 
-        ``entries`` is how many entries there are, 0 where none is known.
+        ``entries`` is how many entries there are, all of them: divided by
+        the few that callers are told of, the parts of a large installation
+        add up to many times the allowance. An entry that does not know,
+        0, takes no part of the fixed rest.
         """
         if not self._allowance.ratio:
             return True
@@ -79,7 +82,7 @@
         allowance = self._allowance
         counts = self._of(service)
         counts.forget_before(now_s - allowance.window_s)
-        part = allowance.slack / entries if entries else 1.0
+        part = allowance.slack / entries if entries else 0.0
         first, further = len(counts.first_s), len(counts.further_s)
         allowed = (allowance.ratio * first + part) * SAFE_SHARE
         return Share(entries, first, further, allowed - further)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -26,6 +26,7 @@
 from sycamorestand_peer.messages import AnnouncementRelay
 from sycamorestand_peer.messages import ConfigurationPush
 from sycamorestand_peer.messages import ControlList
+from sycamorestand_peer.messages import EntryCount
 from sycamorestand_peer.messages import LeaseDenied
 from sycamorestand_peer.messages import LeaseGrantMessage
 from sycamorestand_peer.messages import LeaseRequest
@@ -105,6 +106,7 @@
         self._answered_s = self._granted_s
         self._in_force = InForce()
         self._addresses: tuple[EntryAddress, ...] = ()
+        self._entries = 0
         self._stopping = False
         self._samples = SampleCounts()
         self._kicked = anyio.Event()
@@ -149,6 +151,10 @@
         """Return what callers may use, ranked for this data centre."""
         return self._addresses
 
+    def entry_count(self) -> int:
+        """Return how many entries there are, 0 before the first lease."""
+        return self._entries
+
     def report(self, sample: VersionSample) -> None:
         """Count what an attempt on a version showed."""
         self._samples.add(sample, time.time())
@@ -284,6 +290,8 @@
                 self._take_controls(message)
             case AddressList():
                 self._addresses = message.addresses
+            case EntryCount():
+                self._entries = message.entries
 
     def _take_grant(self, message: LeaseGrantMessage) -> None:
         self._granted_s = boottime_s()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -109,7 +109,7 @@
 def _set_gauges(context: EntryContext) -> None:
     metrics = context.metrics
     metrics.lease_remaining.set({}, context.control.lease_remaining_s())
-    metrics.entries.set({}, len(context.control.addresses()))
+    metrics.entries.set({}, context.control.entry_count())
     for target, pool in context.slots.metrics().items():
         for state in ("slots", "in_flight", "waiting"):
             labels = {"target": target, "state": state}
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -83,7 +83,7 @@
             "ejected", "Backend servers that get no work for a while"
         )
         self.entries = self._gauge(
-            "entries", "Entries that share a budget with this one"
+            "entries", "Entries that there are, by the last lease"
         )
         self.lease_remaining = self._gauge(
             "lease_remaining_seconds", "What is left of the lease"
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
@@ -36,6 +36,13 @@
 
     def addresses(self) -> tuple[EntryAddress, ...]: ...
 
+    def entry_count(self) -> int:
+        """Return how many entries there are, 0 while that is not known.
+
+        `addresses` holds only those that callers are told of.
+        """
+        ...
+
     def report(self, sample: VersionSample) -> None: ...
 
     def listen_ratings(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -94,7 +94,7 @@
     def _may_arrive_again(self) -> bool:
         context = self.context
         service = self._service
-        entries = len(context.control.addresses())
+        entries = context.control.entry_count()
         now_s = context.now_s()
         may = context.arrivals.may_add(service, entries, now_s)
         if not may:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/state_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/state_log.py
@@ -40,7 +40,7 @@
     if revision != seen.revision:
         seen.revision = revision
         _LOG.info("configuration in force", extra={"revision": revision})
-    entries = len(context.control.addresses())
+    entries = context.control.entry_count()
     if entries != seen.entries:
         seen.entries = entries
         _LOG.info("entries counted", extra={"entries": entries})
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -18,6 +18,7 @@
 from sycamorestand_peer.messages import ControlLeaseGranted
 from sycamorestand_peer.messages import ControlLeaseRequest
 from sycamorestand_peer.messages import ControlList
+from sycamorestand_peer.messages import EntryCount
 from sycamorestand_peer.messages import Heartbeat
 from sycamorestand_peer.messages import JoinRequest
 from sycamorestand_peer.messages import LeaseDenied
@@ -56,6 +57,7 @@
     19: SharedRatings,
     20: ControlList,
     21: Relayed,
+    22: EntryCount,
 }
 _IN_FORCE: Final = msgspec.msgpack.Decoder(InForce)
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -35,6 +35,15 @@
     revision: int
 
 
+class EntryCount(NamedTuple):
+    """How many entries there are, told with each lease.
+
+    What all entries may add together is divided by it.
+    """
+
+    entries: int
+
+
 class LeaseDenied(NamedTuple):
     """No lease now, and the control processes that may give one."""
 
@@ -187,6 +196,7 @@
     Heartbeat
     | LeaseRequest
     | LeaseGrantMessage
+    | EntryCount
     | LeaseDenied
     | ConfigurationPush
     | AnnouncementRelay
@@ -215,6 +225,7 @@
     "ControlLeaseGranted",
     "ControlLeaseRequest",
     "ControlList",
+    "EntryCount",
     "Heartbeat",
     "JoinRequest",
     "LeaseDenied",
--- a/packages/sycamorestand/tests/system/test_arrival_shares.py
+++ b/packages/sycamorestand/tests/system/test_arrival_shares.py
@@ -28,9 +28,10 @@
 
         Each request knocks at three servers before its caller is refused.
         The entry takes its part of what the servers' owner allows beyond
-        first arrivals; it divided by the addresses that callers are told,
-        eight at most, so that 88 entries took eleven times the allowance:
-        2,885 arrivals beyond the first in ten seconds, 2,670 allowed.
+        first arrivals. It divided by the addresses that callers are told,
+        eight at most ("entries counted entries=8" at all 88), so
+        that together they took eleven times the allowance: 3,444 arrivals
+        beyond the first in ten seconds, 3,265 allowed.
         """
         settings = SETTINGS._replace(allowance=ALLOWANCE)
         async with start_routed(settings) as loopback:
@@ -59,11 +60,12 @@
 def tell_as_one_of(loopback: RoutedLoopback, entries: int) -> None:
     """Let control tell the entry what it tells one of so many."""
     control = TellingControl(routed_configuration())
-    for number in range(entries):
+    for number in reversed(range(entries)):
         control.attach(number)
     link = link_of(0)
     control.deliver(link)
     loopback.control.entry_addresses = link.addresses()
+    loopback.control.entries = link.entry_count()
 
 
 async def _full(request: bytes, stream: SocketStream) -> None:
