Addresses come from the control process that an entry is attached to

Cause: an entry took the list of any control process. One that it had left for its silence goes on telling it for five seconds; cut off, it forgets all entries after two and tells an empty list. The new process tells its list when it changes, not again.

Change: a list of another process than the one attached to is passed over, as it was for tables already.

Why it holds: a process is told to from its attaching on, with its first look at the entry's addresses, so the one attached to always tells a list of its own.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -289,7 +289,7 @@
             case ControlList():
                 self._take_controls(message)
             case AddressList():
-                self._addresses = message.addresses
+                self._take_addresses(sender, message)
             case EntryCount():
                 self._entries = message.entries
 
@@ -320,6 +320,16 @@
         self._in_force = unpack_configuration(push)
         self._kicked.set()
 
+    def _take_addresses(self, sender: str, message: AddressList) -> None:
+        """Take the list of the control process that this entry is attached to.
+
+        One that was left for its silence may be cut off: it forgets every
+        entry and tells an empty list for some seconds more, and callers who
+        ask here would be sent nowhere.
+        """
+        if sender == self.control_address():
+            self._addresses = message.addresses
+
     def _take_table(self, sender: str, message: TableUpdate) -> None:
         now_s = boottime_s()
         if sender != self.control_address():
--- a/packages/sycamorestand-entry/tests/control/test_link.py
+++ b/packages/sycamorestand-entry/tests/control/test_link.py
@@ -16,6 +16,7 @@
 
 OWN = "10.0.0.1:7001"
 CONTROL = "10.0.0.2:7000"
+LEFT = "10.0.0.9:7000"
 PEERS = ("10.0.0.3:7001", "10.0.0.4:7001")
 ADDRESS = EntryAddress("vm-1", "a", "10.0.0.1", 80, peer_address=OWN)
 
@@ -99,6 +100,25 @@
         assert relays == {PEERS[1]}
 
 
+class TestTold:
+    def test_addresses_of_a_process_that_was_left_are_not_taken(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """An entry leaves a control process that was cut off.
+
+        That one goes on telling it for five seconds, and forgets all entries
+        meanwhile. 27 of 88 entries took its empty list and sent on nobody who
+        asked them for an address; the new process has told its own list once
+        and does not repeat it.
+        """
+        monkeypatch.setattr(link_module, "boottime_s", lambda: 100.0)
+        settings = LinkSettings("vm-1", "a", OWN, (CONTROL,), (b"k" * 32,))
+        link = ControlLink(settings, lambda: ADDRESS)
+        link._received(CONTROL, AddressList((ADDRESS,)))
+        link._received(LEFT, AddressList(()))
+        assert link.addresses() == (ADDRESS,)
+
+
 class TestLeaseLines:
     def test_each_change_is_one_line(
         self,
