An entry without a lease sends an announcing server on to another one

What callers would see: a server that announces at an entry which is cut off counts itself known, no other entry hears of it, and one that leaves ends while others still send it work.

Cause: the entry acknowledged whatever it was told.

Change: the announcement is noted and answered 503 no_lease.

Why it holds: an entry with a lease has heard of its control process within two seconds, which passes on what it is told.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/announcements.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/announcements.py
@@ -12,6 +12,7 @@
 
 from sycamorestand_entry.callers import bearer_key
 from sycamorestand_entry.errors import BadRequest
+from sycamorestand_entry.errors import NoLease
 from sycamorestand_entry.errors import Unauthorised
 from sycamorestand_entry.http_messages import JSON
 from sycamorestand_entry.http_messages import read_body
@@ -39,6 +40,11 @@
     body = await read_body(request, MAX_ANNOUNCEMENT_BYTES)
     announcement = decode_announcement(body)
     await context.control.announce(announcement)
+    if context.control.lease_remaining_s() <= 0:
+        # Noted here, and heard by nobody else if this entry is cut off; the
+        # server would count itself known, and get no work.
+        context.metrics.announcements.inc({"result": NoLease.code})
+        raise NoLease("announce at another entry, this one may be cut off")
     context.metrics.announcements.inc({"result": "ok"})
     content = {"lease_s": announcement.lease_s}
     await responder.answer(200, JSON, msgspec.json.encode(content))
--- a/packages/sycamorestand-entry/tests/test_bad_input.py
+++ b/packages/sycamorestand-entry/tests/test_bad_input.py
@@ -280,6 +280,20 @@
         assert known.versions == (LARGE,)
         assert known.load.running == 2
 
+    async def test_an_entry_without_a_lease_sends_it_on(
+        self, loopback: Loopback
+    ) -> None:
+        """An entry is cut off from control, and a server announces there.
+
+        Acknowledged, the server is known to this entry alone, which may send
+        it nothing, and one that leaves would end while others send it work.
+        """
+        loopback.control.lease_s = 0.0
+        body = engine(leaving=True)
+        answer = await loopback.call("POST", ANNOUNCE, body, BACKEND_KEY)
+        assert answer.status == 503
+        assert loopback.control.servers["engine-7"].leaving
+
     async def test_late_and_doubled_ones_change_nothing(
         self, loopback: Loopback
     ) -> None:
