An entry leaves a control process at once that has no quorum

What callers saw: in a cut of the core 335 requests in three seconds were refused with no_lease by entries that were attached to the half without a quorum.

Cause: the process told them with each denial that it has none, and they stayed until they had had no grant for 1.2 s.

Change: the first denial for want of a quorum moves the entry to the next process, at most once in 0.4 s. When to move stands in a module of its own (attachment), apart from messages.

Why it holds: a denial for want of a quorum comes only from a process whose own lease has run out, so staying cannot help before another process could. The pause keeps entries from going round while nobody leads.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -13,7 +13,7 @@
 from anyio.abc import TaskStatus
 import msgspec
 
-from sycamorestand_entry.control.choice import ControlChoice
+from sycamorestand_entry.control.attachment import Attachment
 from sycamorestand_entry.control.ledger_client import LedgerClient
 from sycamorestand_entry.control.sample_counts import SampleCounts
 from sycamorestand_entry.control.server_view import ServerView
@@ -34,7 +34,6 @@
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
-from sycamorestand_peer.relays import DIRECT_SILENCE_S
 from sycamorestand_state.leases import HeldLease
 from sycamorestand_state.leases import LeaseGrant
 from sycamorestand_state.leases import RENEW_INTERVAL_S
@@ -54,12 +53,6 @@
     from sycamorestand_peer.tls import TlsIdentity
 
 LOG: Final = logging.getLogger(__name__)
-# Three renewals without a grant: one may be lost, and a control process
-# may be busy, but after this the lease of 2 s needs another granter now.
-MOVE_AFTER_S: Final = 1.2
-# One that denies because we are behind is well and sends the revision that
-# is missing; it is left only if that takes longer than this.
-BEHIND_GRACE_S: Final = 0.4
 # Without a lease every call is refused, so it is asked for more often; not
 # so often that all entries at once hold up the election that they wait for.
 ASK_INTERVAL_S: Final = 0.1
@@ -100,10 +93,8 @@
     ) -> None:
         self._settings = settings
         self._address = address
-        self._choice = ControlChoice(settings.control_addresses)
+        self._attachment = Attachment(settings.control_addresses, boottime_s())
         self._lease = HeldLease()
-        self._granted_s = boottime_s()
-        self._answered_s = self._granted_s
         self._in_force = InForce()
         self._addresses: tuple[EntryAddress, ...] = ()
         self._entries = 0
@@ -172,7 +163,7 @@
 
     def control_address(self) -> str:
         """Return the control process that this entry is attached to."""
-        return self._choice.address
+        return self._attachment.address
 
     async def announce(self, announcement: Announcement) -> None:
         """Pass a backend server's announcement on.
@@ -208,7 +199,7 @@
         while True:
             self._kicked = anyio.Event()
             now_s = boottime_s()
-            if now_s - self._granted_s > MOVE_AFTER_S:
+            if self._attachment.is_time_to_move(now_s):
                 self._move(now_s)
             self._log_lease_change()
             self._ask(now_s)
@@ -226,7 +217,7 @@
         control = self.control_address()
         request = self._request(now_s)
         self.mesh.send_directly(control, request)
-        if now_s - self._answered_s <= DIRECT_SILENCE_S:
+        if not self._attachment.is_silent(now_s):
             return
         relay = self.mesh.relay_for(control) or self._next_relay()
         if relay:
@@ -265,9 +256,8 @@
         )
 
     def _move(self, now_s: float) -> None:
-        """Attach to the next control process; this one is silent."""
-        self._choice.move_on()
-        self._granted_s = now_s
+        """Attach to the next control process; this one grants nothing."""
+        self._attachment.move(now_s)
         self.moves += 1
         if self.lease_remaining_s() > 0:
             LOG.info(
@@ -294,22 +284,20 @@
                 self._entries = message.entries
 
     def _take_grant(self, message: LeaseGrantMessage) -> None:
-        self._granted_s = boottime_s()
-        self._answered_s = self._granted_s
+        self._attachment.granted(boottime_s())
         grant = LeaseGrant(message.length_s, message.revision)
         self._lease.renewed(message.sent_at_s, grant)
         self._ready.set()
 
     def _take_denial(self, sender: str, message: LeaseDenied) -> None:
         self.denials += 1
-        self._choice.add(message.controls)
-        if message.reason == "behind" and sender == self.control_address():
-            keeps_s = boottime_s() - MOVE_AFTER_S + BEHIND_GRACE_S
-            self._granted_s = max(self._granted_s, keeps_s)
+        now_s = boottime_s()
+        self._attachment.denied(sender, message, now_s)
+        if self._attachment.is_time_to_move(now_s):
+            self._kicked.set()
 
     def _take_controls(self, message: ControlList) -> None:
-        if self._choice.learn(message.addresses):
-            self._granted_s = boottime_s()
+        if self._attachment.learn(message.addresses, boottime_s()):
             self._kicked.set()
 
     def _take_configuration(self, push: ConfigurationPush) -> None:
