--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/raw_server.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/raw_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import re
 
@@ -29,7 +30,7 @@
         async with stream:
             while True:
                 try:
-                    request = await _read_request(stream)
+                    request = await read_request(stream)
                 except (anyio.EndOfStream, anyio.BrokenResourceError):
                     return
                 count += 1
@@ -38,6 +39,15 @@
                     return
                 await stream.send(answer)
 
+    await serve_stream(handle, task_status=task_status)
+
+
+async def serve_stream(
+    handle: Callable[[SocketStream], Awaitable[None]],
+    *,
+    task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Hand each connection to ``handle``; starts with the address."""
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     async with listener:
@@ -45,7 +55,8 @@
         await listener.serve(handle)
 
 
-async def _read_request(stream: SocketStream) -> bytes:
+async def read_request(stream: SocketStream) -> bytes:
+    """Return the bytes of one request whose body has a length or none."""
     data = b""
     while b"\r\n\r\n" not in data:
         data += await stream.receive()
@@ -57,4 +68,4 @@
     return data
 
 
-__all__ = ["Script", "serve_script"]
+__all__ = ["read_request", "Script", "serve_script", "serve_stream"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
@@ -12,11 +12,12 @@
 
 import anyio
 from anyio.abc import SocketStream
-from anyio.abc import TaskStatus
 
 from sycamorestand_bench.fakes.control_port import FakeControlPort
 from sycamorestand_bench.fakes.control_port import FakeLedger
 from sycamorestand_bench.fakes.declared import guild_configuration
+from sycamorestand_bench.fakes.raw_server import read_request
+from sycamorestand_bench.fakes.raw_server import serve_stream
 from sycamorestand_entry.routed.application import make_routed_application
 from sycamorestand_entry.routed.wire import RouteWire
 from sycamorestand_entry.server import RunningEntry
@@ -92,7 +93,6 @@
     keep_alive_s=20,
     retry_share=1.0,
 )
-_LENGTH: Final = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
 _ATTEMPT: Final = re.compile(rb"x-attempt: (\S+)", re.IGNORECASE)
 
 Handler = Callable[[bytes, SocketStream], Awaitable[None]]
@@ -117,13 +117,13 @@
             async with stream:
                 while True:
                     try:
-                        request = await _read_request(stream)
+                        request = await read_request(stream)
                         self.requests.append((name, request))
                         await handler(request, stream)
                     except (anyio.EndOfStream, anyio.BrokenResourceError):
                         return
 
-        address = await self.group.start(_serve, handle)
+        address = await self.group.start(serve_stream, handle)
         self.control.servers[name] = Announcement(
             name, "service", address, "marietta", 1, 1, ("stock",)
         )
@@ -217,30 +217,6 @@
     return configuration._replace(declarations=declarations)
 
 
-async def _serve(
-    handle: Callable[[SocketStream], Awaitable[None]],
-    *,
-    task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
-) -> None:
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-    port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    async with listener:
-        task_status.started(f"127.0.0.1:{port}")
-        await listener.serve(handle)
-
-
-async def _read_request(stream: SocketStream) -> bytes:
-    data = b""
-    while b"\r\n\r\n" not in data:
-        data += await stream.receive()
-    match = _LENGTH.search(data)
-    length = int(match.group(1)) if match else 0
-    end = data.index(b"\r\n\r\n") + 4 + length
-    while len(data) < end:
-        data += await stream.receive()
-    return data
-
-
 __all__ = [
     "answer_bytes",
     "answer_head",
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/telling_control.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/telling_control.py
@@ -32,7 +32,7 @@
     """
 
     def __init__(self, configuration: InForce) -> None:
-        self._mesh = _Mailbox()
+        self._mesh = Mailbox()
         mesh: Any = self._mesh
         leases: Any = _Leases(configuration.revision)
         name = ControlName("vm-control", DATA_CENTRES[0])
@@ -82,13 +82,13 @@
     return ControlLink(settings, lambda: own)
 
 
-class _Mailbox:
-    """Keeps what is sent in place of a mesh."""
+class Mailbox:
+    """Keeps what is sent, in place of a mesh."""
 
-    address = CONTROL
     incarnation = 1
 
-    def __init__(self) -> None:
+    def __init__(self, address: str = CONTROL) -> None:
+        self.address = address
         self.sent: list[tuple[str, Any]] = []
 
     def send(self, address: str, message: Any) -> None:
@@ -96,6 +96,12 @@
 
     def forget(self, address: str) -> None: ...
 
+    def take(self, kind: type) -> list[Any]:
+        """Return the messages of a kind that were sent since."""
+        found = [m for _, m in self.sent if isinstance(m, kind)]
+        self.sent = [(a, m) for a, m in self.sent if not isinstance(m, kind)]
+        return found
+
 
 class _Leases:
     """Grants every lease, as a process with a quorum does."""
@@ -110,4 +116,4 @@
         return ENTRY_LEASE_S
 
 
-__all__ = ["CONTROL", "entry_address", "link_of", "TellingControl"]
+__all__ = ["CONTROL", "entry_address", "link_of", "Mailbox", "TellingControl"]
--- a/packages/sycamorestand-control/tests/test_hub.py
+++ b/packages/sycamorestand-control/tests/test_hub.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from sycamorestand_bench.fakes.telling_control import Mailbox
 from sycamorestand_control.hub import EntryHub
 from sycamorestand_control.lease_service import LeaseService
 from sycamorestand_control.tables import ControlName
@@ -26,6 +27,7 @@
 from sycamorestand_peer.messages import LeaseRequest
 
 pytestmark = pytest.mark.anyio
+CONTROL = "127.0.0.1:8001"
 ENTRY = "127.0.0.1:9001"
 # Longer than any lease that a granter may have forgotten.
 AFTER_OLD_LEASES_S = 10.0
@@ -39,25 +41,6 @@
         return self.now_s
 
 
-class FakeMesh:
-    address = "127.0.0.1:8001"
-    incarnation = 1
-
-    def __init__(self) -> None:
-        self.sent: list[tuple[str, Any]] = []
-
-    def send(self, address: str, message: Any) -> None:
-        self.sent.append((address, message))
-
-    def forget(self, address: str) -> None: ...
-
-    def take(self, kind: type) -> list[Any]:
-        """Return the messages of a kind that were sent since."""
-        found = [m for _, m in self.sent if isinstance(m, kind)]
-        self.sent = [(a, m) for a, m in self.sent if not isinstance(m, kind)]
-        return found
-
-
 class FakeReplica:
     """A log that this process leads while it has a quorum."""
 
@@ -87,7 +70,7 @@
     """One control process that leads, and the entries that ask it."""
 
     def __init__(self) -> None:
-        self.mesh = FakeMesh()
+        self.mesh = Mailbox(CONTROL)
         self.replica = FakeReplica()
         self.configuration = InForce(revision=1)
         self.voters = ("10.0.0.1:8001", "127.0.0.1:8001")
