--- a/packages/sycamorestand-control/tests/test_hub.py
+++ b/packages/sycamorestand-control/tests/test_hub.py
@@ -22,6 +22,7 @@
 from sycamorestand_peer.messages import ControlLeaseGranted
 from sycamorestand_peer.messages import ControlLeaseRequest
 from sycamorestand_peer.messages import ControlList
+from sycamorestand_peer.messages import EntryCount
 from sycamorestand_peer.messages import LeaseDenied
 from sycamorestand_peer.messages import LeaseGrantMessage
 from sycamorestand_peer.messages import LeaseRequest
@@ -137,6 +138,18 @@
         assert grant.sent_at_s == 77.0
         assert 0 < grant.length_s <= 2.0
 
+    async def test_with_each_lease_it_hears_how_many_entries_there_are(
+        self, scene: Scene
+    ) -> None:
+        """More entries than callers are told addresses of."""
+        for number in range(20):
+            sender = f"127.0.0.1:{9_100 + number}"
+            scene.ask(1, f"vm-{number}", sender)
+        scene.mesh.sent.clear()
+        scene.ask(1, "vm-0", "127.0.0.1:9100")
+        (count,) = scene.mesh.take(EntryCount)
+        assert count.entries == 20
+
     async def test_an_entry_behind_gets_the_revision_first(
         self, scene: Scene
     ) -> None:
--- /dev/null
+++ b/packages/sycamorestand-decisions/tests/test_arrivals_machine.py
@@ -0,0 +1,93 @@
+"""Entries that share one budget, in any order of what may happen."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from hypothesis import settings
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.strategies import floats
+from hypothesis.strategies import integers
+from hypothesis.strategies import sampled_from
+
+from sycamorestand_decisions.arrivals import Allowance
+from sycamorestand_decisions.arrivals import ArrivalBudget
+
+ENTRIES: Final = 3
+ALLOWANCE: Final = Allowance(ratio=0.9, slack=12.0, window_s=10.0)
+SERVICE: Final = "words"
+ENTRY: Final = integers(0, ENTRIES - 1)
+
+
+class SharedBudget(RuleBasedStateMachine):
+    """All that reaches one service's servers, entry by entry.
+
+    Entries send, add all that they may, are killed and forget, or do not
+    know for a while how many there are. Whatever the order, no window holds
+    more than the owner of the servers allows.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 100.0
+        self.budgets = [ArrivalBudget(ALLOWANCE) for _ in range(ENTRIES)]
+        self.told = [ENTRIES] * ENTRIES
+        self.firsts: list[float] = []
+        self.further: list[float] = []
+
+    @rule(entry=ENTRY, count=sampled_from([1, 10, 100]))
+    def requests_come(self, entry: int, count: int) -> None:
+        for _ in range(count):
+            self.budgets[entry].sent_first(SERVICE, self.now_s)
+            self.firsts.append(self.now_s)
+
+    @rule(entry=ENTRY, most=sampled_from([1, 300]))
+    def servers_refuse(self, entry: int, most: int) -> None:
+        budget, told = self.budgets[entry], self.told[entry]
+        for _ in range(most):
+            if not budget.may_add(SERVICE, told, self.now_s):
+                return
+            self.further.append(self.now_s)
+
+    @rule(entry=ENTRY)
+    def is_killed(self, entry: int) -> None:
+        self.budgets[entry] = ArrivalBudget(ALLOWANCE)
+        self.told[entry] = 0
+
+    @rule()
+    def every_server_refuses(self) -> None:
+        for entry in range(ENTRIES):
+            self.servers_refuse(entry, 300)
+
+    @rule()
+    def all_are_killed(self) -> None:
+        for entry in range(ENTRIES):
+            self.is_killed(entry)
+            self.hears_from_control(entry)
+
+    @rule(entry=ENTRY)
+    def hears_from_control(self, entry: int) -> None:
+        self.told[entry] = ENTRIES
+
+    @rule(seconds=floats(0.1, 6.0))
+    def time_passes(self, seconds: float) -> None:
+        self.now_s += seconds
+
+    @invariant()
+    def stays_within_the_allowance(self) -> None:
+        """Look at the windows that end now; earlier ones were looked at."""
+        begin_s = self.now_s - ALLOWANCE.window_s
+        before_s = begin_s - ALLOWANCE.window_s
+        further = sum(when_s > begin_s for when_s in self.further)
+        requests = sum(when_s > begin_s for when_s in self.firsts)
+        earlier = sum(before_s < when_s <= begin_s for when_s in self.firsts)
+        allowed = ALLOWANCE.ratio * max(requests, earlier) + ALLOWANCE.slack
+        assert further <= allowed
+
+
+SharedBudget.TestCase.settings = settings(
+    max_examples=300, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestSharedBudget = SharedBudget.TestCase
