--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/telling_control.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/telling_control.py
@@ -17,7 +17,6 @@
 from sycamorestand_state.leases import LeaseGrant
 
 if TYPE_CHECKING:
-    from sycamorestand_model.backend_servers import Announcement
     from sycamorestand_model.in_force import InForce
 
 CONTROL: Final = "10.0.0.1:7000"
@@ -36,29 +35,24 @@
         mesh: Any = self._mesh
         leases: Any = _Leases(configuration.revision)
         name = ControlName("vm-control", DATA_CENTRES[0])
-        self.tables = SharedTables(mesh, name, tuple)
+        tables = SharedTables(mesh, name, tuple)
         self._hub = EntryHub(
-            mesh, leases, self.tables, lambda: configuration, tuple
+            mesh, leases, tables, lambda: configuration, tuple
         )
         self._requests = 0
 
-    def attach(self, number: int, acked_revision: int = 0) -> None:
+    def attach(self, number: int) -> None:
         """Renew the lease of the entry with a number."""
         self._requests += 1
         request = LeaseRequest(
-            entry_address(number), 1, self._requests, 0.0, acked_revision
+            entry_address(number), 1, self._requests, 0.0, 0
         )
         sender = entry_address(number).peer_address
         self._hub.lease_requested(sender, request)
 
-    def announced(self, server: Announcement) -> None:
-        """Take a backend server's announcement."""
-        self.tables.announced(server)
-
     def deliver(self, link: ControlLink) -> None:
         """Tell a link what it is to know now."""
         self._hub._push_addresses()
-        self.tables.send_to_entry(link.mesh.address)
         sent, self._mesh.sent = self._mesh.sent, []
         for address, message in sent:
             if address == link.mesh.address:
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
@@ -14,11 +14,9 @@
 So the entries together stay within what is allowed, whatever is cut off,
 restarted or taken over by others, and no message is needed: in a window they
 add no more than what they had kept at its begin, which the window before
-allows, and what its own requests earn. A count of what each had sent in the
-last window did not have this property. What was not used could be spent at
-the end of one window, and by entries that had forgotten it, or others that
-the callers went over to, again in the next: 652 arrivals where 624 were
-allowed.
+allows, and what its own requests earn. By a count of what each has sent in
+the last window, entries that are killed, or that callers leave, could spend
+what calm seconds left, and those that come after them a whole share again.
 """
 
 from __future__ import annotations
