--- a/conftest.py
+++ b/conftest.py
@@ -34,5 +34,5 @@
 
 def _listed() -> list[str]:
     lines = LIST.read_text().splitlines()
-    named = [line.removeprefix(MARK) for line in lines if MARK in line[:5]]
+    named = [s.removeprefix(MARK) for s in lines if s.startswith(MARK)]
     return [line.partition(": ")[0] for line in named]
