--- a/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/version_keeper.py
@@ -138,6 +138,17 @@
     def _judge(self, model: str, run: _Run, now_s: float) -> Command | None:
         verdict = run.monitor.check(time.monotonic())
         self.verdicts[model] = verdict.reason
+        if isinstance(verdict, Advance | Stop):
+            LOG.info(
+                "version compared",
+                extra={
+                    "model": model,
+                    "step": run.step,
+                    "verdict": type(verdict).__name__,
+                    "reason": verdict.reason,
+                    "signals": list(run.monitor.compared()),
+                },
+            )
         if isinstance(verdict, Stop):
             return StopRollout(
                 f"stop-{model}-{run.started_revision}",
--- a/packages/sycamorestand-control/tests/test_version_keeper.py
+++ b/packages/sycamorestand-control/tests/test_version_keeper.py
@@ -121,6 +121,19 @@
             assert scene.rollout().step == step
         assert scene.rollout().state == "completed"
 
+    async def test_a_step_tells_what_it_was_made_on(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """A bad version was let on, and no line told what had been seen."""
+        scene = Scene(HELP)
+        scene.report(OLD, 300)
+        scene.report(NEW, 300)
+        with caplog.at_level("INFO"):
+            await scene.look()
+        lines = [r for r in caplog.records if r.message == "version compared"]
+        assert [vars(line)["verdict"] for line in lines] == ["Advance"]
+        assert any("errors: 0 of 300" in t for t in vars(lines[0])["signals"])
+
     async def test_a_model_that_no_profile_names_is_rolled_out(self) -> None:
         """Only routes lead to the model, so no profile gives weights.
 
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
@@ -152,6 +152,10 @@
             self._objective,
         )
 
+    def compared(self) -> tuple[str, ...]:
+        """Return what each signal shows, for who asks why it went on."""
+        return tuple(e.text() for e in compare_all(self.old, self.new))
+
     def advance(self, now_s: float) -> bool:
         """Go to the next step; False when the roll-out is complete."""
         if self.step + 1 >= len(self.rollout.shares):
