--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
@@ -50,6 +50,9 @@
 # itself; three times the target is longer than any calm server's pause.
 GAP_TARGETS: Final = 3.0
 MIN_GAP_S: Final = 2.0
+# Of the silence that a caller bears: the other half is left for what may
+# then be had soonest.
+FALLBACK_SHARE: Final = 0.5
 # A twentieth of the aim: what two more servers may read in vain without
 # making the request late.
 QUICK_READ_SHARE: Final = 0.05
@@ -107,6 +110,16 @@
     return read_s <= aim_s * QUICK_READ_SHARE
 
 
+def fallback_after_s(patience_s: float) -> float:
+    """Return after how long of silence to settle for what is soonest.
+
+    ``patience_s`` is how long the caller bears it. An answer by the
+    smallest model then is worth more than a better one that nobody waits
+    for any more.
+    """
+    return patience_s * FALLBACK_SHARE
+
+
 def gap_limit_s(target_s: float) -> float:
     """Return how long a pause between two events may become."""
     return max(MIN_GAP_S, GAP_TARGETS * target_s)
@@ -145,8 +158,10 @@
 
 __all__ = [
     "call_limit_s",
+    "fallback_after_s",
     "first_event_limits_s",
     "gap_limit_s",
+    "MIN_EVENT_S",
     "Progress",
     "quick_limit_s",
     "reads_quickly",
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -154,6 +154,10 @@
         """Return how many requests this entry has running on the server."""
         return self._server(name).own.in_flight
 
+    def is_out(self, name: str, now_s: float) -> bool:
+        """Tell whether the server is ejected and gets no work now."""
+        return self._server(name).health.is_out(now_s)
+
     def limit(self, name: str) -> int:
         """Return how many requests this entry may run on the server."""
         return self._server(name).limit.limit
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -52,7 +52,7 @@
     """The attempts that one call may still make.
 
     ``may_have_run`` stays true once bytes were sent and no server said
-    that it did not run them.
+    that it did not run them. ``runs`` are the streams that a server began.
     """
 
     def __init__(
@@ -62,10 +62,12 @@
         self.wire = wire
         self.call = call
         self.sent = 0
+        self.runs = 0
         self.may_have_run = False
         self._service = ""
         self._tried: set[str] = set()
         self._sent_to: set[str] = set()
+        self._dialled_in_vain: set[str] = set()
         self._dials = 0
         self._dialled_s = 0.0
 
@@ -87,6 +89,17 @@
             return False
         return self._may_arrive_again()
 
+    def may_fall_back(self) -> bool:
+        """Tell whether to ask once more, at the last moment.
+
+        Of those that it was sent to, only servers that began it count as
+        attempts. It goes back to one of them where no new one may be had.
+        """
+        if self.runs >= self.call.route.max_attempts:
+            self.call.log.add(NotRepeated("no attempt left"))
+            return False
+        return self._may_arrive_again()
+
     def may_climb(self) -> bool:
         """Tell whether a larger model may be asked instead."""
         return self._may_arrive_again()
@@ -131,7 +144,7 @@
         while True:
             target = current_target(self.context, self.call, target)
             self._service = target.partition(VERSION_SEPARATOR)[0]
-            server = self._choose(target, wanted.affinity_key)
+            server = self._choose(target, wanted)
             self._tried.add(server.name)
             connection = await self._connect(target, server)
             if connection is None:
@@ -183,13 +196,20 @@
             return BackendFailed(message, None, run)
         return NoBackendServer(message, RETRY_AFTER_S)
 
-    def _choose(self, target: str, affinity_key: str) -> Announcement:
-        return self.context.servers.choose(
+    def _choose(self, target: str, wanted: Wanted) -> Announcement:
+        servers = self.context.servers
+        now_s = self.context.now_s()
+        known = servers.known(target, wanted.known, now_s)
+        if known is not None and wanted.known not in self._dialled_in_vain:
+            return known
+        among = None if self.left else self._sent_to - self._dialled_in_vain
+        return servers.choose(
             target,
-            self.context.now_s(),
+            now_s,
             frozenset(self._tried),
-            affinity_key,
+            wanted.affinity_key,
             self.sent > 0 and self.call.may_repeat,
+            among,
         )
 
     async def _connect(
@@ -206,6 +226,7 @@
             servers = self.context.servers
             servers.started(target, server.name, now_s)
             servers.finished(target, server.name, now_s, 0.0, "error")
+            self._dialled_in_vain.add(server.name)
             self.call.log.add(NotReached(server.name))
             self._count_dial()
             return None
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -109,6 +109,16 @@
     strain: float
 
 
+class FellBack(NamedTuple):
+    """Another server is asked for whatever can be had soonest.
+
+    The caller had seen nothing for ``silent_ms``.
+    """
+
+    server: str
+    silent_ms: int
+
+
 class MovedOn(NamedTuple):
     """A server that kept the request waiting was left for another.
 
@@ -131,6 +141,7 @@
     | ArrivalDenied
     | AttemptEnded
     | Climbed
+    | FellBack
     | MovedOn
 )
 
@@ -160,6 +171,10 @@
         """Return the time since the request was read."""
         return int((time.monotonic() - self._begun_s) * MS)
 
+    def silent_ms(self) -> int:
+        """Return for how long the caller has seen nothing new."""
+        return self.elapsed_ms() - max(0, self._passed_on_ms)
+
     def answer_began(self) -> None:
         """Note that the caller gets the first part of its answer."""
         if self.first_byte_ms < 0:
@@ -246,6 +261,7 @@
     "Climbed",
     "Decision",
     "DecisionLog",
+    "FellBack",
     "Held",
     "MAX_DECISIONS",
     "MovedOn",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -5,6 +5,8 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.patience import fallback_after_s
+from sycamorestand_decisions.patience import MIN_EVENT_S
 from sycamorestand_decisions.patience import quick_limit_s
 from sycamorestand_decisions.patience import READ_TOKENS_PER_S
 from sycamorestand_decisions.patience import reads_quickly
@@ -44,6 +46,16 @@
             left_s = max(left_s, self._route.gap_target_ms / MS)
         return engine_rank(self.read_s(target, size), call.priority, left_s)
 
+    def fallback_in_s(self) -> float:
+        """Return after how long to settle for what can be had soonest."""
+        call = self._attempts.call
+        silent_s = call.log.silent_ms() / MS
+        patience_s = silent_s + call.remaining_s()
+        if self._route.silence_limit_ms:
+            limit_s = self._route.silence_limit_ms / MS
+            patience_s = min(patience_s, limit_s)
+        return max(MIN_EVENT_S, fallback_after_s(patience_s)) - silent_s
+
     def read_s(self, target: str, size: int) -> float:
         """Return how long reading the prompt is expected to take."""
         return self._context.reading.read_s(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/messages.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/messages.py
@@ -31,13 +31,15 @@
     ``model`` is the model that is to answer, empty where the caller named
     one; ``last_event`` the last event that the caller has; ``rank`` the
     place in the order in which the engine reads, 0 first. The server is
-    looked for by ``affinity_key``.
+    looked for by ``affinity_key``, but the ``known`` one is taken where it
+    is there: it has read the prompt.
     """
 
     affinity_key: str = ""
     model: bytes = b""
     last_event: bytes = b""
     rank: int = 0
+    known: str = ""
 
 
 class Aim(NamedTuple):
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,7 @@
 from sycamorestand_decisions.size_ladder import next_size
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.routed.decision_log import Climbed
+from sycamorestand_entry.routed.decision_log import FellBack
 from sycamorestand_entry.routed.engine_wait import EngineWait
 from sycamorestand_entry.routed.event_order import EventOrder
 from sycamorestand_entry.routed.messages import answer_headers
@@ -70,6 +72,8 @@
         self._affinity_key = affinity_key
         self._sizes = attempts.call.route.sizes
         self._size = first_size(self._sizes)
+        self._fell_back = False
+        self._read_at = ""
         call = attempts.call
         self._order = EventOrder(
             call.values.get(attempts.wire.last_event, b"")
@@ -96,6 +100,7 @@
                 answer = await self._relay(exchange)
             except _Climbs as climbs:
                 self._attempts.may_have_run = True
+                self._read_at = exchange.aim.server.name
                 self._size = climbs.size
                 continue
             except SlowAnswer:
@@ -123,6 +128,7 @@
             head = await self._read_head(exchange)
         finally:
             self._wait.observe(exchange, self._size)
+        self._attempts.runs += 1
         kind = head.headers.get(b"content-type", b"")
         if head.status != 200 or not kind.startswith(EVENT_STREAM):
             return await exchange.read_whole(head)
@@ -161,11 +167,12 @@
         )
         wait_s = max(MIN_WAIT_S, wait_s - waited_s)
         while call.may_repeat and call.remaining_s() > 0:
-            limit_s = min(wait_s, call.remaining_s())
+            limit_s = min(wait_s, call.remaining_s(), self._fallback_in_s())
             try:
                 return await exchange.read_head(limit_s, soft=True)
             except SlowAnswer:
                 waited_s += limit_s
+                self._fall_back(exchange)
                 if waited_s >= whole_s or exchange.is_overtaken():
                     self._move_on(exchange)
             wait_s = ASK_AGAIN_S
@@ -178,11 +185,40 @@
             try:
                 return await exchange.connection.read_body(limit_s, soft=True)
             except SlowAnswer:
+                self._fall_back(exchange)
                 self._move_on(exchange)
         return await exchange.connection.read_body(
             max(0.0, call.remaining_s())
         )
 
+    def _fallback_in_s(self) -> float:
+        """Return when to settle for what is soonest, once for a call."""
+        if self._fell_back:
+            return math.inf
+        return max(MIN_WAIT_S, self._wait.fallback_in_s())
+
+    def _fall_back(self, exchange: Exchange) -> None:
+        """Raise `SlowAnswer` where the caller has waited for half of what
+        it bears and the smallest model may be asked in its place.
+
+        An answer that was dropped for a larger model's, and then a server
+        that read others first, cost callers the answer that they could
+        have had.
+        """
+        if self._fell_back or self._wait.fallback_in_s() > 0:
+            return
+        if self._responder.started and not self._order.last:
+            return
+        if not self._attempts.may_fall_back():
+            return
+        self._fell_back = True
+        if not self._responder.started:
+            self._size = first_size(self._sizes)
+        log = self._attempts.call.log
+        log.add(FellBack(exchange.aim.server.name, log.silent_ms()))
+        exchange.given_up(early=True)
+        raise SlowAnswer("what is soonest is asked for")
+
     def _move_on(self, exchange: Exchange, early: bool = False) -> None:
         """Raise `SlowAnswer` where another server may be asked."""
         resumable = self._order.last or not self._responder.started
@@ -192,16 +228,19 @@
 
     def _wanted(self, target: str) -> Wanted:
         model = self._sizes[self._size] if self._sizes else ""
+        resumed = self._responder.started
+        rank = self._wait.rank(target, self._size, resumed)
         return Wanted(
             self._affinity_key,
             model.encode(),
             self._order.last,
-            self._wait.rank(target, self._size, self._responder.started),
+            0 if self._fell_back else rank,
+            self._read_at if self._fell_back and not resumed else "",
         )
 
     def _judge(self, head: ResponseHead, target: str) -> None:
         """Drop an answer that a larger model should give."""
-        if self._responder.started or not self._sizes:
+        if self._responder.started or not self._sizes or self._fell_back:
             return
         value = head.headers.get(self._attempts.wire.confidence, b"")
         confidence = int(value) if value.isdigit() else None
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -71,13 +71,17 @@
         exclude: Collection[str],
         affinity_key: str = "",
         again: bool = False,
+        among: Collection[str] | None = None,
     ) -> Announcement:
         """Return the server for one attempt, or refuse.
 
         With ``again`` an excluded one is taken where there is no other:
-        it may have failed on a connection that had gone silent.
+        it may have failed on a connection that had gone silent. With
+        ``among`` only servers named there are taken.
         """
         candidates = self.candidates(target, now_s)
+        if among is not None:
+            candidates = [c for c in candidates if c.name in among]
         choose = self._selector(target).choose
         key = affinity_key or None
         name = choose(candidates, now_s, key, frozenset(exclude))
@@ -90,6 +94,16 @@
             )
         return server
 
+    def known(
+        self, target: str, name: str, now_s: float
+    ) -> Announcement | None:
+        """Return the named server where it may take work now."""
+        if not name or self._selector(target).is_out(name, now_s):
+            return None
+        if not any(c.name == name for c in self.candidates(target, now_s)):
+            return None
+        return self._control.backend_servers().get(name)
+
     def count(self, target: str) -> int:
         """Return how many candidates there were at the last look."""
         return self._counts.get(target, 0)
--- a/packages/sycamorestand-model/src/sycamorestand_model/routes.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/routes.py
@@ -30,6 +30,9 @@
     the servers that one attempt of a caller is sent to. Rank 0 of
     ``priority`` is the most urgent. ``sizes`` are models of the service's
     engines, the smallest first; a request may climb from one to the next.
+    A caller leaves a stream that is silent for ``silence_limit_ms``, also
+    before its first event; 0 is for callers that wait until their time is
+    over.
     """
 
     name: str
@@ -46,6 +49,7 @@
     resumable: bool = False
     gap_target_ms: int = 0
     sizes: tuple[str, ...] = ()
+    silence_limit_ms: int = 0
 
 
 class ModelSize(NamedTuple):
--- a/packages/sycamorestand-model/src/sycamorestand_model/shapes_routes.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/shapes_routes.py
@@ -113,6 +113,7 @@
     "resumable": Field(flag),
     "gap_target_ms": Field(whole(0, MAX_DEADLINE_MS)),
     "sizes": Field(array(_NAME, min(MAX_STEPS, MAX_LIST_ITEMS))),
+    "silence_limit_ms": Field(whole(0, MAX_DEADLINE_MS)),
 }
 
 RouteValues = dict[str, Any]
