--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -37,13 +38,13 @@
     def rank(self, target: str, size: int, resumed: bool) -> int:
         """Return the place in the engine's order of reading.
 
-        A stream that is ``resumed`` is in a pause, which its route bounds
-        as well; by its aim, over for long, it would be read last.
+        A stream that is ``resumed`` has its caller's answer begun: by its
+        aim, over for long, it would be read last, and lost.
         """
         call = self._attempts.call
         left_s = self.aim_s - call.log.elapsed_ms() / MS
         if resumed:
-            left_s = max(left_s, self._route.gap_target_ms / MS)
+            left_s = math.inf
         return engine_rank(self.read_s(target, size), call.priority, left_s)
 
     def fallback_in_s(self) -> float:
--- a/packages/sycamorestand-entry/tests/routed/test_streams.py
+++ b/packages/sycamorestand-entry/tests/routed/test_streams.py
@@ -11,6 +11,7 @@
 from sycamorestand_bench.fakes.routed import RoutedLoopback
 from sycamorestand_bench.fakes.routed import start_routed
 from sycamorestand_bench.fakes.routed import stream_head
+from sycamorestand_decisions.reading import RANKS
 
 pytestmark = pytest.mark.anyio
 END = b"0\r\n\r\n"
@@ -22,6 +23,22 @@
     return int(rest.split(b"\r\n")[0]) if found else 0
 
 
+def rank(request: bytes) -> int:
+    """Return the place in the engine's order of reading."""
+    return int(request.partition(b"x-priority: ")[2][:1])
+
+
+def let_aim_be_over(loopback: RoutedLoopback) -> None:
+    """Give streams an aim that is over before they begin."""
+    in_force = loopback.control.in_force()
+    declared = in_force.declarations
+    review = declared.routes["review"]._replace(target_latency_ms=1)
+    routes = {**declared.routes, "review": review}
+    loopback.control.configuration = in_force._replace(
+        declarations=declared._replace(routes=routes)
+    )
+
+
 async def go_on(request: bytes, stream: SocketStream) -> None:
     """Answer with the events behind the last one up to the fifth."""
     first = last_event(request) + 1
@@ -80,19 +97,25 @@
         and the pause be late as well.
         """
         async with start_routed() as loopback:
-            in_force = loopback.control.in_force()
-            declared = in_force.declarations
-            review = declared.routes["review"]._replace(target_latency_ms=1)
-            routes = {**declared.routes, "review": review}
-            loopback.control.configuration = in_force._replace(
-                declarations=declared._replace(routes=routes)
-            )
+            let_aim_be_over(loopback)
             handler = breaks(event(1) + event(2))
             answer = await ask_two(loopback, handler, x_tokens="200,50")
             (_, second) = loopback.requests[1]
         assert answer.endswith(END)
         assert b"x-priority: 0\r\n" in second
 
+    async def test_a_long_prompt_that_goes_on_is_not_read_last(self) -> None:
+        """Its reading takes longer than a pause may be."""
+        async with start_routed() as loopback:
+            let_aim_be_over(loopback)
+            reading = loopback.entry.context.reading
+            reading.observed("stock", "", 40_000, 1.0)
+            handler = breaks(event(1) + event(2))
+            answer = await ask_two(loopback, handler, x_tokens="40000,50")
+            (_, second) = loopback.requests[1]
+        assert answer.endswith(END)
+        assert rank(second) < RANKS - 1
+
     async def test_callers_own_last_event_is_kept(self) -> None:
         """A caller resumes at the second event; the server breaks at once.
 
