--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/comparison.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/comparison.py
@@ -27,16 +27,21 @@
     from sycamorestand_decisions.version_stats import ClassStats
     from sycamorestand_decisions.version_stats import VersionStats
 
-Signal = Literal["errors", "ratings", "latency"]
+Signal = Literal["errors", "ratings", "latency", "typical latency"]
 Counter: TypeAlias = "Callable[[str, ClassStats], tuple[int, int]]"
 
-SIGNALS: Final[tuple[Signal, ...]] = ("errors", "ratings", "latency")
+# What a version's own past can be compared by. The load was another one
+# then, and moves the median of all answers further than the slow ones.
+PAST_SIGNALS: Final[tuple[Signal, ...]] = ("errors", "ratings", "latency")
+SIGNALS: Final[tuple[Signal, ...]] = (*PAST_SIGNALS, "typical latency")
 # Differences that no user would act on: half an error in a hundred, two
-# answers in a hundred rated worse, one in twenty more that is slow.
+# answers in a hundred rated worse, one in twenty more that is slow, three in
+# twenty more that take longer than the median.
 MARGINS: Final[dict[Signal, float]] = {
     "errors": 0.005,
     "ratings": 0.02,
     "latency": 0.05,
+    "typical latency": 0.15,
 }
 # Standard deviations added for the reference's own uncertainty. An error
 # in the reference is the same at every look, so the test does not average
@@ -45,7 +50,13 @@
 MIN_VARIANCE: Final = 1e-4
 # A stratum with few requests leans on its class with this weight.
 CLASS_WEIGHT: Final = 50.0
-SLOW_SHARE: Final = 0.1
+# The shares of a reference's answers that count as slow. Nine of ten are
+# faster than the slow ones; where prompts and queues spread them widely,
+# a version twice as slow is lost among them, and shows at the median.
+SLOW_SHARES: Final[dict[Signal, float]] = {
+    "latency": 0.1,
+    "typical latency": 0.5,
+}
 MIN_TOTAL: Final = 6
 
 
@@ -242,7 +253,7 @@
         return _count_errors
     if signal == "ratings":
         return _count_not_passed
-    edges = _slow_edges(reference)
+    edges = _slow_edges(reference, SLOW_SHARES[signal])
 
     def count_slow(request_class: str, counts: ClassStats) -> tuple[int, int]:
         edge = edges.get(request_class)
@@ -262,7 +273,7 @@
     return counts.rated - counts.passed, counts.rated
 
 
-def _slow_edges(reference: VersionStats) -> dict[str, int]:
+def _slow_edges(reference: VersionStats, slow_share: float) -> dict[str, int]:
     """Return by class the first bucket that is slow for the reference."""
     sums: dict[str, list[int]] = {}
     for stratum, counts in reference.strata.items():
@@ -271,11 +282,11 @@
         )
         for index, count in enumerate(counts.latency_counts):
             known[index] += count
-    return {name: _edge(counts) for name, counts in sums.items()}
+    return {name: _edge(counts, slow_share) for name, counts in sums.items()}
 
 
-def _edge(counts: list[int]) -> int:
-    allowed = SLOW_SHARE * sum(counts)
+def _edge(counts: list[int], slow_share: float) -> int:
+    allowed = slow_share * sum(counts)
     above = 0
     for index in range(len(counts) - 1, -1, -1):
         above += counts[index]
@@ -289,6 +300,7 @@
     "compare_all",
     "Evidence",
     "MIN_TOTAL",
+    "PAST_SIGNALS",
     "rise",
     "Signal",
     "SIGNALS",
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/rollout.py
@@ -52,6 +52,8 @@
 # below what their answer takes, says little in a dozen requests: 8 of 11
 # where 3 were expected stopped a sound version.
 MAX_DOUBT_RATE: Final = 0.25
+# Half of the answers are beyond the median by its definition.
+MEDIAN_SIGNAL: Final = "typical latency"
 # Ratings that a step needs where ratings come at all: thirty show a drop
 # of 20 points to about two standard deviations.
 MIN_RATED: Final = 30
@@ -204,7 +206,11 @@
     """Return the strongest sign of harm, proof or not."""
     evidence = compare_all(old, new, DOUBT_DEVIATIONS)
     overall = evidence[0]
-    clear = [e for e in evidence if e.expected_rate <= MAX_DOUBT_RATE]
+    clear = [
+        e
+        for e in evidence
+        if e.signal == MEDIAN_SIGNAL or e.expected_rate <= MAX_DOUBT_RATE
+    ]
     return max(clear, key=_strength, default=overall)
 
 
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_watch.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/version_watch.py
@@ -20,9 +20,9 @@
 from sycamorestand_decisions.comparison import compare
 from sycamorestand_decisions.comparison import Evidence
 from sycamorestand_decisions.comparison import MIN_TOTAL
+from sycamorestand_decisions.comparison import PAST_SIGNALS
 from sycamorestand_decisions.comparison import rise
 from sycamorestand_decisions.comparison import Signal
-from sycamorestand_decisions.comparison import SIGNALS
 from sycamorestand_decisions.verdicts import Continue
 from sycamorestand_decisions.verdicts import Stop
 from sycamorestand_decisions.version_stats import BLOCK_S
@@ -81,7 +81,7 @@
         unconfirmed: list[Evidence] = []
         for window in WINDOWS:
             recent = select(self._recent[version], None, block - window + 1)
-            for signal in SIGNALS:
+            for signal in PAST_SIGNALS:
                 common = self._common_rise(version, signal, block, window)
                 extra = max(0.0, common or 0.0)
                 evidence = compare(past, recent, signal, extra, False)
--- a/packages/sycamorestand-decisions/tests/test_rollout.py
+++ b/packages/sycamorestand-decisions/tests/test_rollout.py
@@ -277,3 +277,30 @@
             add_sample(new, "chat", 0.0, False, 400.0, None)
         verdict = judge(old, new, self.LIMITED, 9.0)
         assert isinstance(verdict, Advance)
+
+    def test_a_slow_version_among_wide_spread_answers_is_stopped(
+        self,
+    ) -> None:
+        """Queues spread the old version's answers; the new one has none.
+
+        All of its answers take longer than the median and none longer than
+        nine of ten: it was let on to all work.
+        """
+        assert isinstance(self.judged_among_spread(seed=1, least=0.6), Stop)
+
+    def test_a_sound_version_among_wide_spread_answers_goes_on(self) -> None:
+        verdicts = [
+            self.judged_among_spread(seed, least=0.0) for seed in range(100)
+        ]
+        assert all(isinstance(verdict, Advance) for verdict in verdicts)
+
+    def judged_among_spread(self, seed: int, least: float) -> object:
+        """Judge twelve answers; the fastest are slower by ``least``."""
+        random = Random(seed)
+        old, new = empty_stats(), empty_stats()
+        for _ in range(300):
+            add_sample(old, "pace", 0.0, False, random.uniform(20, 400), None)
+        for _ in range(12):
+            latency_ms = 20 + 340 * random.uniform(least, 0.9)
+            add_sample(new, "pace", 0.0, False, latency_ms, None)
+        return judge(old, new, self.LIMITED, 9.0)
