--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
@@ -25,6 +25,7 @@
     from sycamorestand_entry.ports import EntryAddress
     from sycamorestand_entry.ports import VersionSample
     from sycamorestand_model.nodes import RatingCount
+    from sycamorestand_peer.messages import SessionsStay
 
 
 class FakeLedger:
@@ -71,6 +72,7 @@
         self.entry_addresses: tuple[EntryAddress, ...] = ()
         self.entries = 0
         self.samples: list[VersionSample] = []
+        self.sessions: list[SessionsStay] = []
         self.stopping = False
         self.ledger_delay_s = 0.0
         self.ledger_failures = 0
@@ -99,6 +101,14 @@
     ) -> None:
         self.rating_listener = listener
 
+    def tell_sessions(self, message: SessionsStay) -> None:
+        self.sessions.append(message)
+
+    def listen_sessions(
+        self, listener: Callable[[SessionsStay], None]
+    ) -> None:
+        self.session_listener = listener
+
     def set_stopping(self) -> None:
         self.stopping = True
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -40,6 +40,7 @@
 from sycamorestand_control.orders.service import make_orders
 from sycamorestand_control.orders.service import OrderSettings
 from sycamorestand_control.rating_exchange import RatingExchange
+from sycamorestand_control.session_relay import SessionRelay
 from sycamorestand_control.tables import ControlName
 from sycamorestand_control.tables import SharedTables
 from sycamorestand_control.version_keeper import VersionKeeper
@@ -56,6 +57,7 @@
 from sycamorestand_peer.messages import Query
 from sycamorestand_peer.messages import ReplicaPayload
 from sycamorestand_peer.messages import SampleReport
+from sycamorestand_peer.messages import SessionsStay
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
@@ -119,6 +121,9 @@
         self.ratings = RatingExchange(
             self.mesh, self.hub.attached_addresses, self._others
         )
+        self.sessions = SessionRelay(
+            self.mesh, self.hub.attached_addresses, self._others
+        )
         self.orders = make_orders(
             self.groups,
             self.configuration,
@@ -179,6 +184,7 @@
                 self.orders.planner.run,
                 self.admissions.run,
                 self.ratings.run,
+                self.sessions.run,
                 self.spread.run,
                 *(writer.run for writer in self.writers),
             ):
@@ -331,6 +337,7 @@
             ControlLeaseGranted: self._lease_granted,
             JoinRequest: self.admissions.receive,
             SampleReport: self._sampled,
+            SessionsStay: self.sessions.told,
             SharedRatings: self._ratings_shared,
             LedgerBatch: self._ledger_batch,
             ProposalForward: self._forwarded,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -16,6 +16,8 @@
 from sycamorestand_decisions.queue_delay import QueueDelay
 from sycamorestand_decisions.reading import ReadingRates
 from sycamorestand_decisions.retry import RetryBudget
+from sycamorestand_decisions.staying import StayingSessions
+from sycamorestand_decisions.staying import Step
 from sycamorestand_entry.callers import Authenticator
 from sycamorestand_entry.metrics import Metrics
 from sycamorestand_entry.rating import RatingClient
@@ -29,6 +31,7 @@
 
     from sycamorestand_entry.ports import ControlPort
     from sycamorestand_entry.settings import EntrySettings
+    from sycamorestand_peer.messages import SessionsStay
 
 _LOG = logging.getLogger(__name__)
 
@@ -63,6 +66,8 @@
         self.reading = ReadingRates()
         self.cascade = CascadeLearner()
         control.listen_ratings(self.cascade.learn)
+        self.staying = StayingSessions(settings.session_idle_s)
+        control.listen_sessions(self._sessions_told)
         self._delays: dict[tuple[str, bool], QueueDelay] = {}
         self.start_hold = StartHold()
         self.pins: dict[tuple[str, str], str] = {}
@@ -79,6 +84,10 @@
         """
         return self._delays.setdefault((service, quick), QueueDelay())
 
+    def _sessions_told(self, message: SessionsStay) -> None:
+        step = Step(message.service, message.version, message.step)
+        self.staying.keep(step, message.places)
+
     def start_background(
         self, function: Callable[..., Awaitable[None]], *arguments: Any
     ) -> None:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -31,6 +31,7 @@
 from sycamorestand_peer.messages import LeaseGrantMessage
 from sycamorestand_peer.messages import LeaseRequest
 from sycamorestand_peer.messages import SampleReport
+from sycamorestand_peer.messages import SessionsStay
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
@@ -122,6 +123,9 @@
         self._rating_listener: Callable[[Sequence[RatingCount]], None] = (
             _ignore_ratings
         )
+        self._session_listener: Callable[[SessionsStay], None] = (
+            _ignore_sessions
+        )
         self.moves = 0
         self.resyncs = 0
         self.denials = 0
@@ -156,6 +160,16 @@
         """Call ``listener`` with the ratings that other entries got."""
         self._rating_listener = listener
 
+    def tell_sessions(self, message: SessionsStay) -> None:
+        """Tell the other entries of sessions that stay."""
+        self.mesh.send(self.control_address(), message)
+
+    def listen_sessions(
+        self, listener: Callable[[SessionsStay], None]
+    ) -> None:
+        """Call ``listener`` with the sessions that others told of."""
+        self._session_listener = listener
+
     def set_stopping(self) -> None:
         """Leave the address answers, beginning with the next renewal."""
         self._stopping = True
@@ -276,6 +290,8 @@
                 self._take_table(sender, message)
             case SharedRatings():
                 self._rating_listener(message.ratings)
+            case SessionsStay():
+                self._session_listener(message)
             case ControlList():
                 self._take_controls(message)
             case AddressList():
@@ -363,4 +379,8 @@
     """Stand in until the data path listens."""
 
 
+def _ignore_sessions(message: SessionsStay) -> None:
+    """Stand in until the data path listens."""
+
+
 __all__ = ["ControlLink", "LinkSettings"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
@@ -18,6 +18,7 @@
     from sycamorestand_model.ledger import LedgerRecord
     from sycamorestand_model.ledger import LedgerResult
     from sycamorestand_model.nodes import RatingCount
+    from sycamorestand_peer.messages import SessionsStay
 
 
 class ControlPort(Protocol):
@@ -51,6 +52,16 @@
         """Call ``listener`` with the ratings that other entries got."""
         ...
 
+    def tell_sessions(self, message: SessionsStay) -> None:
+        """Tell the other entries of sessions that stay."""
+        ...
+
+    def listen_sessions(
+        self, listener: Callable[[SessionsStay], None]
+    ) -> None:
+        """Call ``listener`` with the sessions that others told of."""
+        ...
+
     def set_stopping(self) -> None: ...
 
     async def announce(self, announcement: Announcement) -> None: ...
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -43,6 +43,7 @@
 from sycamorestand_entry.routed.streams import StreamBroken
 from sycamorestand_entry.routed.streams import StreamRelay
 from sycamorestand_entry.routed.targets import choose_target
+from sycamorestand_entry.routed.targets import note_session
 from sycamorestand_entry.routed.whole import whole_answer
 from sycamorestand_entry.slots import SlotRequest
 from sycamorestand_model.route_table import RouteTable
@@ -250,6 +251,7 @@
                 call.log,
             )
         target = choose_target(context, call)
+        note_session(context, call, target)
         begin_s = time.monotonic()
         slot = await context.slots.acquire(
             SlotRequest(
@@ -281,6 +283,7 @@
             raise
         finally:
             now_s = time.monotonic()
+            note_session(context, call, target)
             if slot >= 0:
                 context.slots.finish(slot, now_s - begin_s, failed)
         if not failed:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -24,6 +24,7 @@
 # fill the memory. The first ones tell the cause.
 MAX_DECISIONS: Final = 32
 MS: Final = 1000
+PLACE_DIGITS: Final = 6
 # A server's own failure is passed on as it is; the caller has no answer.
 FAILED_STATUS: Final = 500
 
@@ -147,7 +148,11 @@
 
 
 class DecisionLog:
-    """The decisions about one request; `ended` writes them."""
+    """The decisions about one request; `ended` writes them.
+
+    ``place`` is what its version is chosen by, the same for all requests
+    of a session.
+    """
 
     def __init__(self) -> None:
         self.request = ""
@@ -156,6 +161,8 @@
         self.revision = 0
         self.lease_ms = 0
         self.prompt_tokens = 0
+        self.place = 0.0
+        self.in_session = False
         self.first_byte_ms = -1
         self.longest_pause_ms = 0
         self._passed_on_ms = -1
@@ -222,6 +229,8 @@
             "first_byte_ms": self.first_byte_ms,
             "longest_pause_ms": self.longest_pause_ms,
             "prompt_tokens": self.prompt_tokens,
+            "in_session": self.in_session,
+            "place": round(self.place, PLACE_DIGITS),
             "revision": self.revision,
             "lease_ms": self.lease_ms,
             "path": " ".join(_short(d) for _, d in self._decisions),
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/targets.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/targets.py
@@ -4,10 +4,9 @@
 being remembered: its name gives a place between 0 and 1, and while a
 roll-out's share grows, places below it move to the new version and none
 moves back. Every entry computes the same place, so a caller whose next
-connection leads to another entry meets the same version there. A memory
-of sessions on each entry was weighed and left out: on a quiet day 60 of 69
-repeats within five seconds came to another entry, and one that remembers
-the old version would take a session back from the new one.
+connection leads to another entry meets the same version there. What is
+under way when a step of a roll-out begins stays with the version in use:
+entries tell each other of it, as its next request comes to any of them.
 """
 
 from __future__ import annotations
@@ -18,10 +17,14 @@
 from typing import TYPE_CHECKING
 from zlib import crc32
 
+from sycamorestand_decisions.staying import PLACES
+from sycamorestand_decisions.staying import Step
 from sycamorestand_decisions.versions import choose_version
 from sycamorestand_decisions.versions import may_run
 from sycamorestand_entry.errors import NoVersion
+from sycamorestand_model.declarations import version_id
 from sycamorestand_model.declarations import VERSION_SEPARATOR
+from sycamorestand_peer.messages import SessionsStay
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
@@ -30,7 +33,9 @@
     from sycamorestand_model.in_force import InForce
 
 VERSION_RETRY_S: Final = 1.0
-UNIT: Final = 2.0**32
+# From here on the version in use is on its way out: what stayed with it
+# would lose it a moment later.
+MAX_STAY_SHARE: Final = 0.5
 
 
 def choose_target(context: EntryContext, call: RoutedCall) -> str:
@@ -40,7 +45,11 @@
     model = in_force.declarations.models.get(service)
     if model is None:
         return _undeclared(context, service)
-    chosen = choose_version(model, in_force, _unit(call, service))
+    place = _place(call, service)
+    call.log.in_session = bool(call.session)
+    call.log.place = place / PLACES
+    unit = 1.0 if _stays(context, call, service) else place / PLACES
+    chosen = choose_version(model, in_force, unit)
     if chosen is None:
         raise NoVersion("no version may be used now", VERSION_RETRY_S)
     if _takes_work(context, chosen):
@@ -74,6 +83,52 @@
     return target
 
 
+def note_session(context: EntryContext, call: RoutedCall, target: str) -> None:
+    """Note that the version in use serves the call's session.
+
+    Also where it stands in for the new one: back and forth, the session
+    would change its version twice.
+    """
+    service = target.partition(VERSION_SEPARATOR)[0]
+    model = context.control.in_force().declarations.models.get(service)
+    stable = model and version_id(model.name, model.stable)
+    if not call.session or (stable and target != stable):
+        return
+    place = _place(call, service)
+    context.staying.served(service, place, time.monotonic())
+    step = _step(context, service)
+    if step is not None and place < _share(context, service) * PLACES:
+        _tell(context, step, context.staying.keep(step, (place,)))
+
+
+def _stays(context: EntryContext, call: RoutedCall, service: str) -> bool:
+    """Tell whether the session goes on with the version in use."""
+    step = _step(context, service)
+    if step is None or not call.session:
+        return False
+    staying = context.staying
+    share = _share(context, service)
+    _tell(context, step, staying.begins(step, share, time.monotonic()))
+    return staying.stays(step, _place(call, service))
+
+
+def _step(context: EntryContext, service: str) -> Step | None:
+    """Return the step in which sessions may stay, if one is under way."""
+    rollout = context.control.in_force().shares.get(service)
+    if rollout is None or not 0 < rollout.share <= MAX_STAY_SHARE:
+        return None
+    return Step(service, rollout.version, rollout.step)
+
+
+def _share(context: EntryContext, service: str) -> float:
+    return context.control.in_force().shares[service].share
+
+
+def _tell(context: EntryContext, step: Step, places: tuple[int, ...]) -> None:
+    if places:
+        context.control.tell_sessions(SessionsStay(*step, places))
+
+
 def _undeclared(context: EntryContext, service: str) -> str:
     """Return a service whose versions nobody declared, or its main one.
 
@@ -120,7 +175,7 @@
     if len(targets) == 1:
         return targets[0].service
     whole = sum(target.weight for target in targets)
-    place = crc32(call.session.encode() or call.attempt) / UNIT * whole
+    place = crc32(call.session.encode() or call.attempt) / PLACES * whole
     for target in targets:
         place -= target.weight
         if place < 0:
@@ -128,9 +183,9 @@
     return targets[-1].service
 
 
-def _unit(call: RoutedCall, service: str) -> float:
+def _place(call: RoutedCall, service: str) -> int:
     name = call.session or call.attempt.decode("latin-1")
-    return crc32(f"{name}/{service}".encode()) / UNIT
+    return crc32(f"{name}/{service}".encode())
 
 
-__all__ = ["choose_target", "current_target"]
+__all__ = ["choose_target", "current_target", "note_session"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
@@ -26,7 +26,8 @@
     ``allowance`` what a service may get beyond first arrivals.
     ``stop_limit_s`` bounds the whole of it where something else ends the
     process after that time; zero is no bound.
-    ``silent_idle_s`` is how long a connection may have been idle and
+    ``session_idle_s`` is how long after its last request a session may go
+    on. ``silent_idle_s`` is how long a connection may have been idle and
     still carry a request that must not be repeated.
     """
 
@@ -47,6 +48,7 @@
     silent_idle_s: float = 1.0
     pool_idle_s: float = 30.0
     rating_timeout_s: float = 0.5
+    session_idle_s: float = 10.0
     retry_share: float = RETRY_SHARE
     allowance: Allowance = Allowance()
     late_answer_s: float = 60.0
--- a/packages/sycamorestand-entry/tests/routed/test_targets.py
+++ b/packages/sycamorestand-entry/tests/routed/test_targets.py
@@ -10,12 +10,15 @@
 
 from sycamorestand_bench.fakes.control_port import FakeControlPort
 from sycamorestand_bench.fakes.control_port import FakeLedger
+from sycamorestand_decisions.staying import StayingSessions
+from sycamorestand_decisions.staying import Step
 from sycamorestand_entry.routed.call import RoutedCall
 from sycamorestand_entry.routed.decision_log import DecisionLog
 from sycamorestand_entry.routed.pace import Pace
 from sycamorestand_entry.routed.pace import PACE_EVENTS
 from sycamorestand_entry.routed.targets import choose_target
 from sycamorestand_entry.routed.targets import current_target
+from sycamorestand_entry.routed.targets import note_session
 from sycamorestand_entry.servers import Servers
 from sycamorestand_model.backend_servers import Announcement
 from sycamorestand_model.declarations import Declarations
@@ -27,6 +30,7 @@
 from sycamorestand_model.routes import RouteTarget
 
 OLD, NEW = "nest@v1", "nest@v2"
+IDLE_S = 5.0
 ROUTE = Route("r", "h", "/p/", (RouteTarget("nest"),), "stream", 9, 9, 0, 3)
 MODEL = Model(
     "nest", "v1", {n: Version("nest", n, 0, 0) for n in ("v1", "v2")}
@@ -45,6 +49,7 @@
                     name, "service", name, "hall", 1, 1, ("nest", version)
                 )
         self.context: Any = SimpleNamespace(control=self.control)
+        self.context.staying = StayingSessions(IDLE_S)
         self.context.servers = Servers(self.control, None)  # type: ignore[arg-type]
 
     def share(self, share: float) -> None:
@@ -57,6 +62,16 @@
     def target(self, session: str) -> str:
         return choose_target(self.context, call(session))
 
+    def serve(self, session: str) -> str:
+        target = self.target(session)
+        note_session(self.context, call(session), target)
+        return target
+
+    def hear(self, other: Scene) -> None:
+        for told in other.control.sessions:
+            step = Step(told.service, told.version, told.step)
+            self.context.staying.keep(step, told.places)
+
 
 def call(session: str) -> RoutedCall:
     return RoutedCall(
@@ -159,6 +174,48 @@
         assert current_target(scene.context, call("s"), NEW) == expected
 
 
+class TestSessionsUnderWay:
+    NAMES = tuple(f"s-{number}" for number in range(100))
+
+    def test_they_stay_when_a_share_begins(self) -> None:
+        """Four sessions changed their version in the middle of it."""
+        here, elsewhere = Scene(), Scene()
+        for scene in (here, elsewhere):
+            scene.share(0.0)
+        assert {here.serve(name) for name in self.NAMES} == {OLD}
+        for scene in (here, elsewhere):
+            scene.share(0.13)
+        assert {here.serve(name) for name in self.NAMES} == {OLD}
+        elsewhere.hear(here)
+        assert {elsewhere.serve(name) for name in self.NAMES} == {OLD}
+        later = [f"t-{number}" for number in range(300)]
+        moved = sum(here.serve(name) == NEW for name in later)
+        assert 20 < moved < 60
+
+    def test_those_that_were_stood_in_for_stay(self) -> None:
+        """The new version's servers come a second after the order."""
+        scene, other = Scene(new=0), Scene()
+        for one in (scene, other):
+            one.share(0.13)
+        assert {scene.serve(name) for name in self.NAMES} == {OLD}
+        other.hear(scene)
+        assert {other.serve(name) for name in self.NAMES} == {OLD}
+
+    def test_they_move_once_nearly_all_work_is_the_new_ones(self) -> None:
+        scene = Scene()
+        for share in (0.0, 0.13):
+            scene.share(share)
+            assert {scene.serve(name) for name in self.NAMES} == {OLD}
+        scene.share(0.9999)
+        assert {scene.serve(name) for name in self.NAMES} == {NEW}
+
+    def test_requests_without_a_session_never_stay(self) -> None:
+        scene = Scene(new=0)
+        scene.share(0.13)
+        scene.serve("")
+        assert not scene.control.sessions
+
+
 class TestPace:
     def test_the_mean_pause_is_known_once(self) -> None:
         pace = Pace()
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -31,6 +31,7 @@
 from sycamorestand_peer.messages import Relayed
 from sycamorestand_peer.messages import ReplicaPayload
 from sycamorestand_peer.messages import SampleReport
+from sycamorestand_peer.messages import SessionsStay
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
@@ -58,6 +59,7 @@
     20: ControlList,
     21: Relayed,
     22: EntryCount,
+    23: SessionsStay,
 }
 _IN_FORCE: Final = msgspec.msgpack.Decoder(InForce)
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -169,6 +169,19 @@
     ratings: tuple[RatingCount, ...]
 
 
+class SessionsStay(NamedTuple):
+    """Sessions that go on with the version in use during a roll-out's step.
+
+    Entries tell their control process, which tells all the others. The step is
+    that of ``version`` of ``service``.
+    """
+
+    service: str
+    version: str
+    step: int
+    places: tuple[int, ...]
+
+
 class Relayed(NamedTuple):
     """A message between two processes that are cut off from each other.
 
@@ -209,6 +222,7 @@
     | ControlLeaseGranted
     | Query
     | SampleReport
+    | SessionsStay
     | SharedRatings
     | TableResync
     | TableUpdate
@@ -238,6 +252,7 @@
     "Relayed",
     "ReplicaPayload",
     "SampleReport",
+    "SessionsStay",
     "SharedRatings",
     "TableResync",
     "TableUpdate",
