--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import logging
 from random import Random
@@ -89,7 +91,8 @@
     async with anyio.create_task_group() as background:
         context = EntryContext(settings, control, background, random)
         entry = RunningEntry(context, host, port)
-        server = _Server(_uvicorn_config(context, make(context)))
+        config = _uvicorn_config(context, make(context))
+        server = _Server(config, [listener])
         if settings.stop_limit_s:
             left_s = settings.stop_limit_s - accepting_s(settings)
             server.stop_limit_s = max(TICK_S, left_s)
@@ -113,6 +116,13 @@
     # How long shutting down may take, zero for as long as it needs.
     stop_limit_s = 0.0
 
+    def __init__(
+        self, config: uvicorn.Config, listeners: Sequence[socket.socket]
+    ) -> None:
+        super().__init__(config)
+        self.listeners = listeners
+        self._accepted: list[asyncio.Task[None]] = []
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         # Signals belong to the process that runs the entry; it turns
@@ -125,8 +135,8 @@
         # uvicorn closes idle connections at once. A request that is on
         # its way on one of them would be cut without an answer. They are
         # left to their keep-alive timer instead, while no new ones come.
-        for listener in self.servers:
-            listener.close()
+        self.stop_accepting()
+        await asyncio.gather(*self._accepted)
         if self.stop_limit_s:
             await self._end_by(self.stop_limit_s)
         grace_s = self.config.timeout_keep_alive + TICK_S
@@ -135,6 +145,37 @@
                 await anyio.sleep(TICK_S)
         await super().shutdown(sockets)
 
+    def stop_accepting(self) -> None:
+        """Take the connections that wait to be accepted, and no more.
+
+        The kernel resets those that still wait when their listener is
+        closed, though their callers may have sent a request already.
+        """
+        loop = asyncio.get_running_loop()
+        for listener in self.listeners:
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    connection, _ = listener.accept()
+                    self._accepted.append(
+                        loop.create_task(self._take(connection))
+                    )
+        for server in self.servers:
+            server.close()
+
+    async def _take(self, connection: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(self._make_protocol, connection)
+        except OSError as error:
+            _LOG.info("connection lost", extra={"reason": str(error)})
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        return EntryProtocol(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
     async def _end_by(self, limit_s: float) -> None:
         """Wait for what runs, no longer than the process may live.
 
--- a/packages/sycamorestand-entry/tests/test_stop.py
+++ b/packages/sycamorestand-entry/tests/test_stop.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import anyio
 import httpcore
 import pytest
@@ -11,11 +13,13 @@
 from sycamorestand_bench.fakes.engine import FakeEngine
 from sycamorestand_bench.fakes.faults import Fault
 from sycamorestand_bench.fakes.loopback import Answer
+from sycamorestand_bench.fakes.loopback import CALLER_KEY
 from sycamorestand_bench.fakes.loopback import Loopback
 from sycamorestand_bench.fakes.loopback import SETTINGS
 from sycamorestand_bench.fakes.loopback import start_loopback
 from sycamorestand_bench.fakes.service import FakeService
 from sycamorestand_entry.ports import EntryAddress
+from sycamorestand_entry.server import _Server
 from sycamorestand_entry.server import accepting_s
 
 pytestmark = pytest.mark.anyio
@@ -32,6 +36,18 @@
     return [entry["vm"] for entry in answer.json()["addresses"]]
 
 
+def order_sent(port: int, number: int) -> socket.socket:
+    """Return a connection on which an order was sent."""
+    caller = socket.create_connection(("127.0.0.1", port), 1)
+    caller.settimeout(5)
+    caller.sendall(
+        b"POST /services/orders/x HTTP/1.1\r\nhost: a\r\n"
+        b"authorization: Bearer %b\r\nidempotency-key: k-%d\r\n"
+        b"content-length: 0\r\n\r\n" % (CALLER_KEY.encode(), number)
+    )
+    return caller
+
+
 async def wait_until_gone(loopback: Loopback) -> None:
     """Return when the entry takes no connection any more."""
     with anyio.fail_after(20):
@@ -78,6 +94,33 @@
             assert ready.status == 503
             assert loopback.control.stopping
 
+    async def test_connections_that_wait_to_be_accepted_are_answered(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """They were reset when the entry stopped accepting."""
+        callers: list[socket.socket] = []
+        stop_accepting = _Server.stop_accepting
+
+        def connect_first(server: _Server) -> None:
+            # Nothing else of this thread runs until the listener is closed.
+            for number in range(5):
+                callers.append(order_sent(loopback.entry.port, number))
+            stop_accepting(server)
+
+        monkeypatch.setattr(_Server, "stop_accepting", connect_first)
+        async with start_loopback() as loopback:
+            await loopback.add_service(FakeService("s-1", ("orders",)))
+            loopback.entry.begin_stop()
+            await wait_until_gone(loopback)
+            answers = [
+                await anyio.to_thread.run_sync(caller.recv, 4096)
+                for caller in callers
+            ]
+            for caller in callers:
+                caller.close()
+        assert len(answers) == 5
+        assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
+
     async def test_running_answers_are_finished(self) -> None:
         """A stream and an order run when the entry's time is over.
 
