--- a/packages/sycamorestand-entry/tests/test_stop.py
+++ b/packages/sycamorestand-entry/tests/test_stop.py
@@ -18,6 +18,7 @@
 from sycamorestand_bench.fakes.loopback import SETTINGS
 from sycamorestand_bench.fakes.loopback import start_loopback
 from sycamorestand_bench.fakes.service import FakeService
+from sycamorestand_entry.http_protocol import EntryProtocol
 from sycamorestand_entry.ports import EntryAddress
 from sycamorestand_entry.server import _Server
 from sycamorestand_entry.server import accepting_s
@@ -40,12 +41,17 @@
     """Return a connection on which an order was sent."""
     caller = socket.create_connection(("127.0.0.1", port), 1)
     caller.settimeout(5)
-    caller.sendall(
+    caller.sendall(order_bytes(number))
+    return caller
+
+
+def order_bytes(number: int) -> bytes:
+    """Return an order with a key of its own."""
+    return (
         b"POST /services/orders/x HTTP/1.1\r\nhost: a\r\n"
         b"authorization: Bearer %b\r\nidempotency-key: k-%d\r\n"
         b"content-length: 0\r\n\r\n" % (CALLER_KEY.encode(), number)
     )
-    return caller
 
 
 async def wait_until_gone(loopback: Loopback) -> None:
@@ -121,6 +127,33 @@
         assert len(answers) == 5
         assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
 
+    @pytest.mark.parametrize(
+        "close", ["timeout_keep_alive_handler", "shutdown"]
+    )
+    async def test_a_request_that_has_arrived_is_not_cut_as_idle(
+        self, close: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """It came while the process was busy, and the timer was due."""
+        made: list[EntryProtocol] = []
+        connection_made = EntryProtocol.connection_made
+
+        def remember(protocol: EntryProtocol, transport: object) -> None:
+            made.append(protocol)
+            connection_made(protocol, transport)  # type: ignore[arg-type]
+
+        monkeypatch.setattr(EntryProtocol, "connection_made", remember)
+        async with start_loopback() as loopback:
+            await loopback.add_service(FakeService("s-1", ("orders",)))
+            caller = order_sent(loopback.entry.port, 1)
+            first = await anyio.to_thread.run_sync(caller.recv, 4096)
+            # From here on nothing else of this thread runs.
+            caller.sendall(order_bytes(2))
+            getattr(made[0], close)()
+            second = await anyio.to_thread.run_sync(caller.recv, 4096)
+            caller.close()
+        assert first.startswith(b"HTTP/1.1 200")
+        assert second.startswith(b"HTTP/1.1 200")
+
     async def test_running_answers_are_finished(self) -> None:
         """A stream and an order run when the entry's time is over.
 
