--- a/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/soak.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/soak.py
@@ -62,9 +62,16 @@
     return 1 if failed else 0
 
 
+def make_folder(logs: Path | None) -> Path:
+    """Return a new folder for one soak's logs, below ``logs`` if given."""
+    if logs is not None:
+        logs.mkdir(parents=True, exist_ok=True)
+    return Path(tempfile.mkdtemp(prefix="soak-", dir=logs))
+
+
 def _play_one(schedule: Schedule, logs: Path | None) -> bool:
     """Play a schedule, print what came of it, and tell whether it failed."""
-    folder = Path(tempfile.mkdtemp(prefix="soak-", dir=logs))
+    folder = make_folder(logs)
     (folder / "schedule").write_bytes(encode(schedule))
     begin_s = time.monotonic()
     try:
@@ -92,4 +99,4 @@
     return bool(outcome.findings)
 
 
-__all__ = ["main"]
+__all__ = ["main", "make_folder"]
--- a/packages/sycamorestand-bench/tests/soak/test_soak.py
+++ b/packages/sycamorestand-bench/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sycamorestand_bench.scenarios.soak import make_folder
 from sycamorestand_bench.soak.run import play
 from sycamorestand_bench.soak.schedule import decode
 from sycamorestand_bench.soak.schedule import Schedule
@@ -49,3 +50,11 @@
         """Each file begins with a line on what it showed and the cause."""
         outcome = play(tmp_path, EXAMPLES, decode(case.read_bytes()))
         assert outcome.findings == []
+
+
+class TestLogs:
+    def test_a_folder_that_is_not_there_is_made(self, tmp_path: Path) -> None:
+        """The command ended with a traceback before it played anything."""
+        folder = make_folder(tmp_path / "new" / "logs")
+        assert folder.is_dir()
+        assert folder.parent == tmp_path / "new" / "logs"
