--- a/packages/sycamorestand/src/sycamorestand/run.py
+++ b/packages/sycamorestand/src/sycamorestand/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -94,16 +95,20 @@
 
 async def _serve_until_signal(serve: Serve, values: dict[str, Any]) -> None:
     stop = anyio.Event()
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_signals, stop)
-        await serve(values, stop)
-        tasks.cancel_scope.cancel()
+    # Before anything else has a turn: a signal that comes while the role
+    # loads would end the loop from within, as a failure.
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_set_on_signal, received, stop)
+            await serve(values, stop)
+            tasks.cancel_scope.cancel()
 
 
-async def _watch_signals(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _ in received:
-            stop.set()
+async def _set_on_signal(
+    received: AsyncIterator[signal.Signals], stop: anyio.Event
+) -> None:
+    async for _ in received:
+        stop.set()
 
 
 # Each role imports its own half: the other one would add 0.3 to 0.4 s to
--- a/packages/sycamorestand/tests/test_start.py
+++ b/packages/sycamorestand/tests/test_start.py
@@ -4,10 +4,17 @@
 
 import os
 from pathlib import Path
+import signal
 import subprocess
 import sys
+from typing import Any
 from typing import Final
 
+import anyio
+
+from sycamorestand.run import _run_loop
+from sycamorestand.start import _end
+
 # In place of a library that the program loads first: it takes its time.
 SLOW_LIBRARY: Final = """
 import time
@@ -36,3 +43,22 @@
         process.terminate()
         assert process.wait(timeout=20) == 0
         process.stdout.close()
+
+    def test_it_ends_so_while_it_loads_its_role(self) -> None:
+        """A control process was stopped then, and ended with 1."""
+        stopped = []
+
+        async def load_and_serve(
+            values: dict[str, Any], stop: anyio.Event
+        ) -> None:
+            # In the middle of an import, which gives nobody else a turn.
+            os.kill(os.getpid(), signal.SIGTERM)
+            await stop.wait()
+            stopped.append(True)
+
+        before = signal.signal(signal.SIGTERM, _end)
+        try:
+            assert _run_loop(load_and_serve, {}) == 0
+        finally:
+            signal.signal(signal.SIGTERM, before)
+        assert stopped
