--- a/packages/sycamorestand-control/src/sycamorestand_control/session_relay.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/session_relay.py
@@ -13,6 +13,7 @@
 
 import anyio
 
+from sycamorestand_decisions.staying import Step
 from sycamorestand_peer.messages import SessionsStay
 
 if TYPE_CHECKING:
@@ -23,8 +24,6 @@
 
 TICK_S: Final = 0.1
 
-Step = tuple[str, str, int]
-
 
 class SessionRelay:
     """Passes on what entries, and other control processes, tell."""
@@ -42,7 +41,7 @@
 
     def told(self, sender: str, message: SessionsStay) -> None:
         """Take the sessions that stay by one sender's word."""
-        step = (message.service, message.version, message.step)
+        step = Step(message.service, message.version, message.step)
         places = self._told.setdefault(step, {}).setdefault(sender, set())
         places.update(message.places)
 
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/staying.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/staying.py
@@ -6,9 +6,6 @@
 of them would go on with the other version in the middle. So those that the
 version in use has served of late are told to all entries, and stay until the
 next step. What begins later is placed as usual.
-
-Told are a step's share of the sessions that are under way, once: with 10
-entries two or three in all.
 """
 
 from __future__ import annotations
@@ -27,6 +24,9 @@
 MAX_SEEN: Final = 4096
 # Roll-outs under way at once.
 MAX_STEPS: Final = 64
+# Sessions of one step: where no new server comes for hours, the version in use
+# stands in for all that begin meanwhile.
+MAX_STAYING: Final = 65_536
 
 
 class Step(NamedTuple):
@@ -90,6 +90,8 @@
     def keep(self, step: Step, places: Iterable[int]) -> tuple[int, ...]:
         """Let sessions stay; return those that did not before."""
         staying = self._staying.setdefault(step, set())
+        if len(staying) >= MAX_STAYING:
+            return ()
         added = set(places) - staying
         staying |= added
         return tuple(added)
@@ -107,4 +109,4 @@
             del self._seen[oldest]
 
 
-__all__ = ["MAX_SEEN", "PLACES", "StayingSessions", "Step"]
+__all__ = ["MAX_SEEN", "MAX_STAYING", "PLACES", "StayingSessions", "Step"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -89,14 +89,22 @@
             return False
         return self._may_arrive_again()
 
-    def may_fall_back(self) -> bool:
+    def may_fall_back(self, target: str) -> bool:
         """Tell whether to ask once more, at the last moment.
 
         Of those that it was sent to, only servers that began it count as
-        attempts. It goes back to one of them where no new one may be had.
+        attempts. It goes back to one of them where no new one may be had;
+        where none takes work, the one that is waited for is the best.
         """
+        reason = ""
         if self.runs >= self.call.route.max_attempts:
-            self.call.log.add(NotRepeated("no attempt left"))
+            reason = "no attempt left"
+        elif not self.context.servers.takes_work(
+            target, self.context.now_s(), self._allowed()
+        ):
+            reason = "no server takes work"
+        if reason:
+            self.call.log.add(NotRepeated(reason))
             return False
         return self._may_arrive_again()
 
@@ -202,16 +210,21 @@
         known = servers.known(target, wanted.known, now_s)
         if known is not None and wanted.known not in self._dialled_in_vain:
             return known
-        among = None if self.left else self._sent_to - self._dialled_in_vain
         return servers.choose(
             target,
             now_s,
             frozenset(self._tried),
             wanted.affinity_key,
             self.sent > 0 and self.call.may_repeat,
-            among,
+            self._allowed(),
         )
 
+    def _allowed(self) -> set[str] | None:
+        """Return the servers that it may still be sent to, None for all."""
+        if self.left:
+            return None
+        return self._sent_to - self._dialled_in_vain
+
     async def _connect(
         self, target: str, server: Announcement
     ) -> UpstreamConnection | None:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -209,14 +209,14 @@
             return
         if self._responder.started and not self._order.last:
             return
-        if not self._attempts.may_fall_back():
+        if not self._attempts.may_fall_back(exchange.aim.target):
             return
         self._fell_back = True
         if not self._responder.started:
             self._size = first_size(self._sizes)
         log = self._attempts.call.log
         log.add(FellBack(exchange.aim.server.name, log.silent_ms()))
-        exchange.given_up(early=True)
+        exchange.given_up()
         raise SlowAnswer("what is soonest is asked for")
 
     def _move_on(self, exchange: Exchange, early: bool = False) -> None:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -94,6 +94,17 @@
             )
         return server
 
+    def takes_work(
+        self, target: str, now_s: float, among: Collection[str] | None = None
+    ) -> bool:
+        """Tell whether a server of the target, or one of these, is not out."""
+        selector = self._selector(target)
+        return any(
+            not selector.is_out(candidate.name, now_s)
+            for candidate in self.candidates(target, now_s)
+            if among is None or candidate.name in among
+        )
+
     def known(
         self, target: str, name: str, now_s: float
     ) -> Announcement | None:
--- a/packages/sycamorestand-entry/tests/routed/test_fallback.py
+++ b/packages/sycamorestand-entry/tests/routed/test_fallback.py
@@ -104,6 +104,19 @@
             models = [model_of(request) for _, request in loopback.requests]
         assert models == [b"small", b"middle", b"large"]
 
+    async def test_without_a_server_for_it_the_wait_goes_on(self) -> None:
+        """The only server is not heard of any more, and answers late."""
+
+        async def late(request: bytes, stream: SocketStream) -> None:
+            loopback.control.servers.clear()
+            await anyio.sleep(SILENCE_LIMIT_MS / 1000 * 0.8)
+            await answer(request, stream, sure=90)
+
+        async with start_routed() as loopback:
+            got = await ask(loopback, late, "s-1")
+            assert len(loopback.requests) == 1
+        assert got.endswith(END)
+
     async def test_it_draws_on_the_budget_of_arrivals(self) -> None:
         """All wait at once: sent again, they would double the load."""
         allowance = Allowance(ratio=0.1, slack=0.0, window_s=60.0)
