--- a/packages/sycamorestand-control/tests/test_session_relay.py
+++ b/packages/sycamorestand-control/tests/test_session_relay.py
@@ -2,21 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Any
-
+from sycamorestand_bench.fakes.telling_control import Mailbox
 from sycamorestand_control.session_relay import SessionRelay
 from sycamorestand_peer.messages import SessionsStay
 
 
-class FakeMesh:
-    def __init__(self) -> None:
-        self.sent: dict[str, Any] = {}
-
-    def send(self, address: str, message: Any) -> None:
-        assert address not in self.sent
-        self.sent[address] = message
-
-
 def stay(*places: int) -> SessionsStay:
     return SessionsStay("words", "v2", 0, places)
 
@@ -25,17 +15,19 @@
     """A control process with two entries, and another one it knows."""
 
     def __init__(self) -> None:
-        self.mesh = FakeMesh()
+        self.mailbox = Mailbox()
         self.relay = SessionRelay(
-            self.mesh,  # type: ignore[arg-type]
+            self.mailbox,  # type: ignore[arg-type]
             lambda: ["e1", "e2"],
             lambda: ["c2"],
         )
 
     def sent(self) -> dict[str, tuple[int, ...]]:
-        self.mesh.sent = {}
+        self.mailbox.sent = []
         self.relay.pass_on()
-        return {to: m.places for to, m in self.mesh.sent.items()}
+        told = {to: m.places for to, m in self.mailbox.sent}
+        assert len(told) == len(self.mailbox.sent)
+        return told
 
 
 class TestSessionRelay:
--- a/packages/sycamorestand-entry/tests/control/test_link.py
+++ b/packages/sycamorestand-entry/tests/control/test_link.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import Final
 from typing import NamedTuple
 
 import pytest
 
+from sycamorestand_bench.fakes.telling_control import link_of
+from sycamorestand_bench.fakes.telling_control import Mailbox
 from sycamorestand_entry.control import link as link_module
 from sycamorestand_entry.control.link import ControlLink
 from sycamorestand_entry.control.link import LinkSettings
 from sycamorestand_model.nodes import EntryAddress
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import LeaseGrantMessage
+from sycamorestand_peer.messages import SessionsStay
 
 OWN = "10.0.0.1:7001"
 CONTROL = "10.0.0.2:7000"
@@ -146,3 +150,18 @@
             "lease held",
             "lease lost: refusing work",
         ]
+
+
+class TestSessions:
+    STAY: Final = SessionsStay("words", "v2", 0, (7,))
+
+    def test_they_are_told_to_control_and_heard_from_it(self) -> None:
+        link = link_of(1)
+        mailbox = Mailbox()
+        link.mesh = mailbox  # type: ignore[assignment]
+        heard: list[SessionsStay] = []
+        link.listen_sessions(heard.append)
+        link.tell_sessions(self.STAY)
+        assert mailbox.sent == [(link.control_address(), self.STAY)]
+        link._received(link.control_address(), self.STAY)
+        assert heard == [self.STAY]
