--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
@@ -26,6 +26,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import Final
 
 # A call is given up for another server while two thirds of its time are
@@ -59,6 +60,9 @@
 # Worth of calm days by this share: 0.06 0.717, 0.1 0.732 and 0.724,
 # 0.15 0.721, never 0.713 (means of three runs, which differ by 0.01).
 QUICK_SHARE: Final = 0.1
+# The longest of so many answers is longer than most.
+ANSWERS_KEPT: Final = 8
+MAX_ROUTES: Final = 4096
 # Requests sent together are answered in any order.
 LATER_S: Final = 0.3
 MAX_SERVERS: Final = 1024
@@ -110,14 +114,20 @@
     return read_s <= aim_s * QUICK_READ_SHARE
 
 
-def fallback_after_s(patience_s: float) -> float:
+def fallback_after_s(
+    silence_s: float, whole_s: float, answer_s: float
+) -> float:
     """Return after how long of silence to settle for what is soonest.
 
-    ``patience_s`` is how long the caller bears it. An answer by the
+    The caller bears ``silence_s`` of it and ``whole_s`` for all, of which
+    the answer takes ``answer_s`` once it has begun. An answer by the
     smallest model then is worth more than a better one that nobody waits
-    for any more.
+    for any more, or that is cut before its end.
+
+    >>> fallback_after_s(8.0, 20.0, 3.0), fallback_after_s(8.0, 6.0, 3.0)
+    (4.0, 1.5)
     """
-    return patience_s * FALLBACK_SHARE
+    return min(silence_s, whole_s - answer_s) * FALLBACK_SHARE
 
 
 def gap_limit_s(target_s: float) -> float:
@@ -125,6 +135,24 @@
     return max(MIN_GAP_S, GAP_TARGETS * target_s)
 
 
+class AnswerTimes:
+    """How long answers take from their first event to their end."""
+
+    def __init__(self) -> None:
+        self._last_s: dict[str, deque[float]] = {}
+
+    def ended(self, route: str, answer_s: float) -> None:
+        """Take in a whole answer."""
+        if len(self._last_s) >= MAX_ROUTES and route not in self._last_s:
+            self._last_s.clear()
+        empty: deque[float] = deque(maxlen=ANSWERS_KEPT)
+        self._last_s.setdefault(route, empty).append(answer_s)
+
+    def high_s(self, route: str) -> float:
+        """Return what an answer hardly takes longer than, 0 if unknown."""
+        return max(self._last_s.get(route, (0.0,)))
+
+
 class Progress:
     """Which servers have answered requests that were sent after others."""
 
@@ -157,6 +185,7 @@
 
 
 __all__ = [
+    "AnswerTimes",
     "call_limit_s",
     "fallback_after_s",
     "first_event_limits_s",
--- a/packages/sycamorestand-decisions/tests/test_patience.py
+++ b/packages/sycamorestand-decisions/tests/test_patience.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from sycamorestand_decisions.patience import ANSWERS_KEPT
+from sycamorestand_decisions.patience import AnswerTimes
 from sycamorestand_decisions.patience import call_limit_s
 from sycamorestand_decisions.patience import first_event_limits_s
 from sycamorestand_decisions.patience import gap_limit_s
@@ -136,3 +138,13 @@
         tokens = 37_000
         _, limit_s = first_event_limits_s(4.0, 20.0, tokens)
         assert 20.0 - limit_s > 2 * tokens / READ_TOKENS_PER_S
+
+
+class TestAnswerTimes:
+    def test_the_longest_of_the_last_answers_counts(self) -> None:
+        times = AnswerTimes()
+        assert times.high_s("review") == 0.0
+        for answer_s in (9.0, *(1.0 for _ in range(ANSWERS_KEPT - 1)), 2.0):
+            times.ended("review", answer_s)
+        assert times.high_s("review") == 2.0
+        assert times.high_s("quote") == 0.0
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -12,6 +12,7 @@
 
 from sycamorestand_decisions.arrivals import ArrivalBudget
 from sycamorestand_decisions.cascade import CascadeLearner
+from sycamorestand_decisions.patience import AnswerTimes
 from sycamorestand_decisions.patience import Progress
 from sycamorestand_decisions.queue_delay import QueueDelay
 from sycamorestand_decisions.reading import ReadingRates
@@ -63,6 +64,7 @@
         self.retries = RetryBudget(settings.retry_share)
         self.arrivals = ArrivalBudget(settings.allowance)
         self.progress = Progress()
+        self.answer_times = AnswerTimes()
         self.reading = ReadingRates()
         self.cascade = CascadeLearner()
         control.listen_ratings(self.cascade.learn)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -47,15 +47,20 @@
             left_s = math.inf
         return engine_rank(self.read_s(target, size), call.priority, left_s)
 
-    def fallback_in_s(self) -> float:
-        """Return after how long to settle for what can be had soonest."""
+    def fallback_in_s(self, resumed: bool) -> float:
+        """Return after how long to settle for what can be had soonest.
+
+        A stream that is ``resumed`` has a part of its answer.
+        """
         call = self._attempts.call
         silent_s = call.log.silent_ms() / MS
-        patience_s = silent_s + call.remaining_s()
-        if self._route.silence_limit_ms:
-            limit_s = self._route.silence_limit_ms / MS
-            patience_s = min(patience_s, limit_s)
-        return max(MIN_EVENT_S, fallback_after_s(patience_s)) - silent_s
+        times = self._context.answer_times
+        after_s = fallback_after_s(
+            self._route.silence_limit_ms / MS or math.inf,
+            silent_s + call.remaining_s(),
+            0.0 if resumed else times.high_s(self._route.name),
+        )
+        return max(MIN_EVENT_S, after_s) - silent_s
 
     def read_s(self, target: str, size: int) -> float:
         """Return how long reading the prompt is expected to take."""
@@ -88,6 +93,11 @@
         largest = max(0, len(self._route.sizes) - 1)
         return self._delay_s(target, largest) / self.aim_s
 
+    def learn_answer(self, exchange: Exchange) -> None:
+        """Take in how long a whole answer took from its first event."""
+        answer_s = exchange.answering_s()
+        self._context.answer_times.ended(self._route.name, answer_s)
+
     def learn_reading(self, exchange: Exchange, size: int) -> None:
         """Take in how long the first event took."""
         sizes = self._route.sizes
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -127,6 +127,10 @@
         self._answered_s = time.monotonic()
         return head
 
+    def answering_s(self) -> float:
+        """Return how long ago the answer's head came."""
+        return time.monotonic() - self._answered_s
+
     def is_overtaken(self) -> bool:
         """Tell whether requests sent there later have been answered."""
         return self._context.progress.has_overtaken(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -143,6 +143,7 @@
         if self._rest:
             raise MalformedAnswer("it ended in the middle of an event")
         exchange.ended(head.status, not_run=False)
+        self._wait.learn_answer(exchange)
         if not self._responder.started:
             await self._start(head)
         await self._responder.finish()
@@ -195,7 +196,8 @@
         """Return when to settle for what is soonest, once for a call."""
         if self._fell_back:
             return math.inf
-        return max(MIN_WAIT_S, self._wait.fallback_in_s())
+        in_s = self._wait.fallback_in_s(self._responder.started)
+        return max(MIN_WAIT_S, in_s)
 
     def _fall_back(self, exchange: Exchange) -> None:
         """Raise `SlowAnswer` where the caller has waited for half of what
@@ -205,14 +207,15 @@
         that read others first, cost callers the answer that they could
         have had.
         """
-        if self._fell_back or self._wait.fallback_in_s() > 0:
+        resumed = self._responder.started
+        if self._fell_back or self._wait.fallback_in_s(resumed) > 0:
             return
-        if self._responder.started and not self._order.last:
+        if resumed and not self._order.last:
             return
         if not self._attempts.may_fall_back(exchange.aim.target):
             return
         self._fell_back = True
-        if not self._responder.started:
+        if not resumed:
             self._size = first_size(self._sizes)
         log = self._attempts.call.log
         log.add(FellBack(exchange.aim.server.name, log.silent_ms()))
--- a/packages/sycamorestand-entry/tests/routed/test_fallback.py
+++ b/packages/sycamorestand-entry/tests/routed/test_fallback.py
@@ -15,6 +15,7 @@
 from sycamorestand_bench.fakes.routed import RoutedLoopback
 from sycamorestand_bench.fakes.routed import SETTINGS
 from sycamorestand_bench.fakes.routed import start_routed
+from sycamorestand_bench.fakes.routed import stream_head
 from sycamorestand_decisions.arrivals import Allowance
 
 pytestmark = pytest.mark.anyio
@@ -117,6 +118,24 @@
             assert len(loopback.requests) == 1
         assert got.endswith(END)
 
+    async def test_it_leaves_the_time_that_answers_take(self) -> None:
+        """The caller's second try has half of its time left.
+
+        Read in time, the answer was cut at the end of the caller's time.
+        """
+
+        async def slowly(request: bytes, stream: SocketStream) -> None:
+            if rank_of(request) > 0:
+                await anyio.sleep(30)
+            await stream.send(stream_head(request) + event(1))
+            await anyio.sleep(2.0)
+            await stream.send(event(2) + END)
+
+        async with start_routed() as loopback:
+            loopback.entry.context.answer_times.ended("review", 2.2)
+            got = await ask(loopback, slowly, "s-1", silence_limit_ms=8000)
+        assert got.endswith(END)
+
     async def test_it_draws_on_the_budget_of_arrivals(self) -> None:
         """All wait at once: sent again, they would double the load."""
         allowance = Allowance(ratio=0.1, slack=0.0, window_s=60.0)
@@ -131,12 +150,13 @@
     handler: Handler,
     *servers: str,
     tokens: str = "40000,100",
+    silence_limit_ms: int = SILENCE_LIMIT_MS,
 ) -> bytes:
     """Return the answer of servers with this handler to a long prompt."""
     in_force = loopback.control.in_force()
     declared = in_force.declarations
     review = declared.routes["review"]._replace(
-        sizes=SIZES, silence_limit_ms=SILENCE_LIMIT_MS
+        sizes=SIZES, silence_limit_ms=silence_limit_ms
     )
     routes = {**declared.routes, "review": review}
     loopback.control.configuration = in_force._replace(
