--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
@@ -31,6 +31,9 @@
 EARNED_SHARE: Final = 0.8
 KEPT_SHARE: Final = 0.15
 SAFE_SHARE: Final = EARNED_SHARE + KEPT_SHARE
+# Of what may be kept, the part for arrivals without which a caller would
+# leave without an answer.
+URGENT_SHARE: Final = 0.25
 MAX_SERVICES: Final = 256
 
 
@@ -101,6 +104,17 @@
         self._of(service).left -= 1
         return True
 
+    def has_spare(self, service: str, entries: int, now_s: float) -> bool:
+        """Tell whether more is left than what is kept for urgent arrivals.
+
+        Climbs and moves make an answer better or sooner. Under an overload
+        they would use up what others need to have an answer at all.
+        """
+        if not self._allowance.ratio:
+            return True
+        share = self.share(service, entries, now_s)
+        return share.left >= 1 + URGENT_SHARE * (share.most - 1)
+
     def share(self, service: str, entries: int, now_s: float) -> Share:
         """Return what this entry has left."""
         allowance = self._allowance
--- a/packages/sycamorestand-decisions/tests/test_arrivals.py
+++ b/packages/sycamorestand-decisions/tests/test_arrivals.py
@@ -157,3 +157,19 @@
     """
     requests = max(within(firsts, begin_s), within(firsts, begin_s - 5))
     return ALLOWANCE.ratio * requests + ALLOWANCE.slack
+
+
+class TestSpare:
+    def test_the_last_ones_are_kept_for_what_is_urgent(self) -> None:
+        """Climbs and moves had spent all when callers were about to leave."""
+        budget = ArrivalBudget(Allowance(ratio=0.9, slack=60.0))
+        for _ in range(2):
+            budget.sent_first("words", 0.0)
+        assert not budget.has_spare("words", 10, 0.0)
+        assert budget.may_add("words", 10, 0.0)
+        for _ in range(8):
+            budget.sent_first("words", 0.0)
+        assert budget.has_spare("words", 10, 0.0)
+
+    def test_without_a_bound_there_is_always_spare(self) -> None:
+        assert ArrivalBudget(Allowance()).has_spare("words", 10, 0.0)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -110,7 +110,18 @@
 
     def may_climb(self) -> bool:
         """Tell whether a larger model may be asked instead."""
-        return self._may_arrive_again()
+        return self._has_spare() and self._may_arrive_again()
+
+    def _has_spare(self) -> bool:
+        """Tell whether an arrival may be spent on what is not urgent."""
+        spare = self.context.arrivals.has_spare(
+            self._service,
+            self.context.control.entry_count(),
+            self.context.now_s(),
+        )
+        if not spare:
+            self.call.log.add(NotRepeated("arrivals are kept for others"))
+        return spare
 
     def _may_arrive_again(self) -> bool:
         context = self.context
@@ -187,7 +198,7 @@
         )
         if all(server.name in self._tried for server in candidates):
             return False
-        return self.may_go_on(overloaded=False)
+        return self._has_spare() and self.may_go_on(overloaded=False)
 
     def truthful(self, error: RequestError) -> RequestError:
         """Return a refusal that claims no more than what is certain."""
--- a/packages/sycamorestand-entry/tests/routed/test_fallback.py
+++ b/packages/sycamorestand-entry/tests/routed/test_fallback.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import time
 from typing import Final
 
 import anyio
@@ -136,6 +137,20 @@
             got = await ask(loopback, slowly, "s-1", silence_limit_ms=8000)
         assert got.endswith(END)
 
+    async def test_climbs_leave_an_arrival_for_it(self) -> None:
+        """Others' climbs had spent the budget when it was needed."""
+        allowance = Allowance(ratio=0.9, slack=60.0, window_s=60.0)
+        settings = SETTINGS._replace(allowance=allowance)
+        async with start_routed(settings) as loopback:
+            loopback.control.entries = 10
+            arrivals = loopback.entry.context.arrivals
+            for _ in range(2):
+                arrivals.sent_first("stock", time.monotonic())
+            got = await ask(loopback, only_urgent, "s-1", "s-2")
+            models = [model_of(request) for _, request in loopback.requests]
+        assert got.endswith(END)
+        assert models == [b"small", b"small"]
+
     async def test_it_draws_on_the_budget_of_arrivals(self) -> None:
         """All wait at once: sent again, they would double the load."""
         allowance = Allowance(ratio=0.1, slack=0.0, window_s=60.0)
