--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -62,6 +62,8 @@
 # exposure that nobody judges.
 ROLLOUT_REPORT_INTERVAL_S: Final = 0.4
 EXPIRE_INTERVAL_S: Final = 0.2
+# Control processes that are replaced again and again must not add up.
+MAX_CONTROLS: Final = 32
 LOADS: Final = "loads"
 
 
@@ -98,6 +100,7 @@
         self._lease = HeldLease()
         self._in_force = InForce()
         self._addresses: tuple[EntryAddress, ...] = ()
+        self._told_addresses: dict[str, tuple[EntryAddress, ...]] = {}
         self._entries = 0
         self._stopping = False
         self._samples = SampleCounts()
@@ -143,7 +146,14 @@
         return self._servers.servers()
 
     def addresses(self) -> tuple[EntryAddress, ...]:
-        """Return what callers may use, ranked for this data centre."""
+        """Return what callers may use, ranked for this data centre.
+
+        After a move that is what the next control process told before it:
+        it tells a list again only once that has changed.
+        """
+        told = self._told_addresses.get(self.control_address())
+        if told is not None:
+            self._addresses = told
         return self._addresses
 
     def entry_count(self) -> int:
@@ -240,7 +250,7 @@
     def _next_relay(self) -> str:
         """Return an entry to ask through; another one each time."""
         own = self.mesh.address
-        peers = [a.peer_address for a in self._addresses]
+        peers = [a.peer_address for a in self.addresses()]
         others = [peer for peer in peers if peer not in ("", own)]
         if not others:
             return ""
@@ -325,14 +335,15 @@
         self._kicked.set()
 
     def _take_addresses(self, sender: str, message: AddressList) -> None:
-        """Take the list of the control process that this entry is attached to.
+        """Keep each control process's list; that of the one in use counts.
 
         One that was left for its silence may be cut off: it forgets every
         entry and tells an empty list for some seconds more, and callers who
         ask here would be sent nowhere.
         """
-        if sender == self.control_address():
-            self._addresses = message.addresses
+        if len(self._told_addresses) >= MAX_CONTROLS:
+            self._told_addresses.clear()
+        self._told_addresses[sender] = message.addresses
 
     def _take_table(self, sender: str, message: TableUpdate) -> None:
         now_s = boottime_s()
--- a/packages/sycamorestand-entry/tests/control/test_link.py
+++ b/packages/sycamorestand-entry/tests/control/test_link.py
@@ -152,6 +152,27 @@
         ]
 
 
+class TestMoving:
+    def test_a_list_that_came_before_the_move_is_used(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Control tells a list once; a data centre's callers got none."""
+        link = link_of(1)
+        link._received(LEFT, AddressList((ADDRESS,)))
+        assert link.addresses() == ()
+        monkeypatch.setattr(link, "control_address", lambda: LEFT)
+        assert link.addresses() == (ADDRESS,)
+
+    def test_without_one_the_last_list_goes_on(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        link = link_of(1)
+        link._received(link.control_address(), AddressList((ADDRESS,)))
+        assert link.addresses() == (ADDRESS,)
+        monkeypatch.setattr(link, "control_address", lambda: LEFT)
+        assert link.addresses() == (ADDRESS,)
+
+
 class TestSessions:
     STAY: Final = SessionsStay("words", "v2", 0, (7,))
 
