One way for what control passes on between entries

Ratings and sessions each had a listener, a teller and a stand-in of their own in the port, the link and the fake; a third kind of message would have been a third set. The port has `tell` and `listen` by type of message now. No change of what is sent.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import time
+from typing import Any
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import anyio
 
@@ -24,8 +26,9 @@
 
     from sycamorestand_entry.ports import EntryAddress
     from sycamorestand_entry.ports import VersionSample
-    from sycamorestand_model.nodes import RatingCount
-    from sycamorestand_peer.messages import SessionsStay
+    from sycamorestand_peer.messages import Message
+
+M = TypeVar("M")
 
 
 class FakeLedger:
@@ -72,7 +75,8 @@
         self.entry_addresses: tuple[EntryAddress, ...] = ()
         self.entries = 0
         self.samples: list[VersionSample] = []
-        self.sessions: list[SessionsStay] = []
+        self.told: list[Message] = []
+        self.listeners: dict[type, Callable[[Any], None]] = {}
         self.stopping = False
         self.ledger_delay_s = 0.0
         self.ledger_failures = 0
@@ -96,18 +100,11 @@
     def report(self, sample: VersionSample) -> None:
         self.samples.append(sample)
 
-    def listen_ratings(
-        self, listener: Callable[[Sequence[RatingCount]], None]
-    ) -> None:
-        self.rating_listener = listener
-
-    def tell_sessions(self, message: SessionsStay) -> None:
-        self.sessions.append(message)
+    def tell(self, message: Message) -> None:
+        self.told.append(message)
 
-    def listen_sessions(
-        self, listener: Callable[[SessionsStay], None]
-    ) -> None:
-        self.session_listener = listener
+    def listen(self, kind: type[M], listener: Callable[[M], None]) -> None:
+        self.listeners[kind] = listener
 
     def set_stopping(self) -> None:
         self.stopping = True
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -26,13 +26,14 @@
 from sycamorestand_entry.slots import Slots
 from sycamorestand_entry.start_hold import StartHold
 from sycamorestand_entry.upstream_pool import UpstreamPool
+from sycamorestand_peer.messages import SessionsStay
+from sycamorestand_peer.messages import SharedRatings
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
     from sycamorestand_entry.ports import ControlPort
     from sycamorestand_entry.settings import EntrySettings
-    from sycamorestand_peer.messages import SessionsStay
 
 _LOG = logging.getLogger(__name__)
 
@@ -67,9 +68,9 @@
         self.answer_times = AnswerTimes()
         self.reading = ReadingRates()
         self.cascade = CascadeLearner()
-        control.listen_ratings(self.cascade.learn)
+        control.listen(SharedRatings, self._ratings_told)
         self.staying = StayingSessions(settings.session_idle_s)
-        control.listen_sessions(self._sessions_told)
+        control.listen(SessionsStay, self._sessions_told)
         self._delays: dict[tuple[str, bool], QueueDelay] = {}
         self.start_hold = StartHold()
         self.pins: dict[tuple[str, str], str] = {}
@@ -86,6 +87,9 @@
         """
         return self._delays.setdefault((service, quick), QueueDelay())
 
+    def _ratings_told(self, message: SharedRatings) -> None:
+        self.cascade.learn(message.ratings)
+
     def _sessions_told(self, message: SessionsStay) -> None:
         step = Step(message.service, message.version, message.step)
         self.staying.keep(step, message.places)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -8,6 +8,7 @@
 from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import anyio
 from anyio.abc import TaskStatus
@@ -31,8 +32,6 @@
 from sycamorestand_peer.messages import LeaseGrantMessage
 from sycamorestand_peer.messages import LeaseRequest
 from sycamorestand_peer.messages import SampleReport
-from sycamorestand_peer.messages import SessionsStay
-from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
 from sycamorestand_state.leases import HeldLease
@@ -48,9 +47,9 @@
     from sycamorestand_model.ledger import LedgerRecord
     from sycamorestand_model.ledger import LedgerResult
     from sycamorestand_model.nodes import EntryAddress
-    from sycamorestand_model.nodes import RatingCount
     from sycamorestand_model.nodes import VersionSample
     from sycamorestand_peer.key_file import KeySource
+    from sycamorestand_peer.messages import Message
     from sycamorestand_peer.tls import TlsIdentity
 
 LOG: Final = logging.getLogger(__name__)
@@ -65,6 +64,7 @@
 # Control processes that are replaced again and again must not add up.
 MAX_CONTROLS: Final = 32
 LOADS: Final = "loads"
+M = TypeVar("M")
 
 
 class LinkSettings(NamedTuple):
@@ -123,12 +123,7 @@
         )
         self._was_held: bool | None = None
         self._requests = 0
-        self._rating_listener: Callable[[Sequence[RatingCount]], None] = (
-            _ignore_ratings
-        )
-        self._session_listener: Callable[[SessionsStay], None] = (
-            _ignore_sessions
-        )
+        self._listeners: dict[type, Callable[[Any], None]] = {}
         self.moves = 0
         self.resyncs = 0
         self.denials = 0
@@ -164,21 +159,13 @@
         """Count what an attempt on a version showed."""
         self._samples.add(sample, time.time())
 
-    def listen_ratings(
-        self, listener: Callable[[Sequence[RatingCount]], None]
-    ) -> None:
-        """Call ``listener`` with the ratings that other entries got."""
-        self._rating_listener = listener
-
-    def tell_sessions(self, message: SessionsStay) -> None:
-        """Tell the other entries of sessions that stay."""
+    def tell(self, message: Message) -> None:
+        """Send the control process a message that needs no answer."""
         self.mesh.send(self.control_address(), message)
 
-    def listen_sessions(
-        self, listener: Callable[[SessionsStay], None]
-    ) -> None:
-        """Call ``listener`` with the sessions that others told of."""
-        self._session_listener = listener
+    def listen(self, kind: type[M], listener: Callable[[M], None]) -> None:
+        """Call ``listener`` with each message of a kind that comes."""
+        self._listeners[kind] = listener
 
     def set_stopping(self) -> None:
         """Leave the address answers, beginning with the next renewal."""
@@ -298,16 +285,19 @@
                 self._take_configuration(message)
             case TableUpdate():
                 self._take_table(sender, message)
-            case SharedRatings():
-                self._rating_listener(message.ratings)
-            case SessionsStay():
-                self._session_listener(message)
             case ControlList():
                 self._take_controls(message)
             case AddressList():
                 self._take_addresses(sender, message)
             case EntryCount():
                 self._entries = message.entries
+            case _:
+                self._pass_on(message)
+
+    def _pass_on(self, message: Any) -> None:
+        listener = self._listeners.get(type(message))
+        if listener is not None:
+            listener(message)
 
     def _take_grant(self, message: LeaseGrantMessage) -> None:
         self._attachment.granted(boottime_s())
@@ -386,12 +376,4 @@
                 LOG.info("backend server gone", extra={"server": name})
 
 
-def _ignore_ratings(ratings: Sequence[RatingCount]) -> None:
-    """Stand in until the data path listens."""
-
-
-def _ignore_sessions(message: SessionsStay) -> None:
-    """Stand in until the data path listens."""
-
-
 __all__ = ["ControlLink", "LinkSettings"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 from sycamorestand_model.nodes import EntryAddress
 from sycamorestand_model.nodes import VersionSample
@@ -17,8 +18,9 @@
     from sycamorestand_model.in_force import InForce
     from sycamorestand_model.ledger import LedgerRecord
     from sycamorestand_model.ledger import LedgerResult
-    from sycamorestand_model.nodes import RatingCount
-    from sycamorestand_peer.messages import SessionsStay
+    from sycamorestand_peer.messages import Message
+
+M = TypeVar("M")
 
 
 class ControlPort(Protocol):
@@ -46,20 +48,12 @@
 
     def report(self, sample: VersionSample) -> None: ...
 
-    def listen_ratings(
-        self, listener: Callable[[Sequence[RatingCount]], None]
-    ) -> None:
-        """Call ``listener`` with the ratings that other entries got."""
-        ...
-
-    def tell_sessions(self, message: SessionsStay) -> None:
-        """Tell the other entries of sessions that stay."""
+    def tell(self, message: Message) -> None:
+        """Send the control process a message that needs no answer."""
         ...
 
-    def listen_sessions(
-        self, listener: Callable[[SessionsStay], None]
-    ) -> None:
-        """Call ``listener`` with the sessions that others told of."""
+    def listen(self, kind: type[M], listener: Callable[[M], None]) -> None:
+        """Call ``listener`` with each message of a kind that comes."""
         ...
 
     def set_stopping(self) -> None: ...
--- a/packages/sycamorestand-entry/tests/control/test_link.py
+++ b/packages/sycamorestand-entry/tests/control/test_link.py
@@ -181,8 +181,8 @@
         mailbox = Mailbox()
         link.mesh = mailbox  # type: ignore[assignment]
         heard: list[SessionsStay] = []
-        link.listen_sessions(heard.append)
-        link.tell_sessions(self.STAY)
+        link.listen(SessionsStay, heard.append)
+        link.tell(self.STAY)
         assert mailbox.sent == [(link.control_address(), self.STAY)]
         link._received(link.control_address(), self.STAY)
         assert heard == [self.STAY]
--- a/packages/sycamorestand-entry/tests/routed/test_targets.py
+++ b/packages/sycamorestand-entry/tests/routed/test_targets.py
@@ -68,7 +68,7 @@
         return target
 
     def hear(self, other: Scene) -> None:
-        for told in other.control.sessions:
+        for told in other.control.told:
             step = Step(told.service, told.version, told.step)
             self.context.staying.keep(step, told.places)
 
@@ -213,7 +213,7 @@
         scene = Scene(new=0)
         scene.share(0.13)
         scene.serve("")
-        assert not scene.control.sessions
+        assert not scene.control.told
 
 
 class TestPace:
