Sight: which bound kept a poor answer from climbing, or a slow one from moving

NotImproved names the wish and the bound, in the path as no-climb:arrivals_kept. Two tests that the earlier lines fail. No decision changes; a move still asks the retry budget only after the reserve.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -18,6 +18,7 @@
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import Run
 from sycamorestand_entry.routed.decision_log import ArrivalDenied
+from sycamorestand_entry.routed.decision_log import NotImproved
 from sycamorestand_entry.routed.decision_log import NotReached
 from sycamorestand_entry.routed.decision_log import NotRepeated
 from sycamorestand_entry.routed.decision_log import Sent
@@ -89,6 +90,23 @@
             return False
         return self._may_arrive_again()
 
+    def may_climb(self) -> bool:
+        """Tell whether a larger model may be asked instead."""
+        bound = "" if self._has_spare() else "arrivals_kept"
+        return self._may_improve("climb", bound)
+
+    def may_move(self, target: str) -> bool:
+        """Tell whether to leave a slow server for one not tried yet."""
+        candidates = self.context.servers.candidates(
+            target, self.context.now_s()
+        )
+        if all(server.name in self._tried for server in candidates):
+            return False
+        bound = "arrivals_kept"
+        if self._has_spare():
+            bound = self._reason_to_end(overloaded=False)
+        return self._may_improve("move", bound)
+
     def may_fall_back(self, target: str) -> bool:
         """Tell whether to ask once more, at the last moment.
 
@@ -108,20 +126,19 @@
             return False
         return self._may_arrive_again()
 
-    def may_climb(self) -> bool:
-        """Tell whether a larger model may be asked instead."""
-        return self._has_spare() and self._may_arrive_again()
-
     def _has_spare(self) -> bool:
         """Tell whether an arrival may be spent on what is not urgent."""
-        spare = self.context.arrivals.has_spare(
+        return self.context.arrivals.has_spare(
             self._service,
             self.context.control.entry_count(),
             self.context.now_s(),
         )
-        if not spare:
-            self.call.log.add(NotRepeated("arrivals are kept for others"))
-        return spare
+
+    def _may_improve(self, wish: str, bound: str) -> bool:
+        if bound:
+            self.call.log.add(NotImproved(wish, bound.replace(" ", "_")))
+            return False
+        return self._may_arrive_again()
 
     def _may_arrive_again(self) -> bool:
         context = self.context
@@ -191,15 +208,6 @@
             self._log_sent(aim)
             return exchange
 
-    def may_move(self, target: str) -> bool:
-        """Tell whether to leave a slow server for one not tried yet."""
-        candidates = self.context.servers.candidates(
-            target, self.context.now_s()
-        )
-        if all(server.name in self._tried for server in candidates):
-            return False
-        return self._has_spare() and self.may_go_on(overloaded=False)
-
     def truthful(self, error: RequestError) -> RequestError:
         """Return a refusal that claims no more than what is certain."""
         if self.may_have_run:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -74,6 +74,17 @@
     reason: str
 
 
+class NotImproved(NamedTuple):
+    """A larger model, or a server that is sooner, is not asked.
+
+    ``wish`` is ``climb`` or ``move``; ``bound`` is what is in its way, such
+    as ``arrivals_kept``: what is left is for requests without an answer.
+    """
+
+    wish: str
+    bound: str
+
+
 class ArrivalDenied(NamedTuple):
     """No other server is asked: the entry's share of arrivals is spent.
 
@@ -139,6 +150,7 @@
     | Sent
     | NotReached
     | NotRepeated
+    | NotImproved
     | ArrivalDenied
     | AttemptEnded
     | Climbed
@@ -260,6 +272,8 @@
         return f"{decision.server}/{decision.model or '-'}"
     if isinstance(decision, AttemptEnded):
         return decision.outcome
+    if isinstance(decision, NotImproved):
+        return f"no-{decision.wish}:{decision.bound}"
     return type(decision).__name__
 
 
@@ -274,6 +288,7 @@
     "Held",
     "MAX_DECISIONS",
     "MovedOn",
+    "NotImproved",
     "NotReached",
     "NotRepeated",
     "Sent",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -18,6 +18,7 @@
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.routed.decision_log import Climbed
 from sycamorestand_entry.routed.decision_log import FellBack
+from sycamorestand_entry.routed.decision_log import NotImproved
 from sycamorestand_entry.routed.engine_wait import EngineWait
 from sycamorestand_entry.routed.event_order import EventOrder
 from sycamorestand_entry.routed.messages import answer_headers
@@ -247,22 +248,18 @@
             return
         value = head.headers.get(self._attempts.wire.confidence, b"")
         confidence = int(value) if value.isdigit() else None
-        size = next_size(
-            self._sizes,
-            self._size,
-            confidence,
-            self._attempts.left,
-            self._wait.strain(target),
-        )
+        strain = self._wait.strain(target)
+        left = self._attempts.left
+        log = self._attempts.call.log
+        size = next_size(self._sizes, self._size, confidence, left, strain)
         if size is not None and self._attempts.may_climb():
-            self._attempts.call.log.add(
-                Climbed(
-                    self._sizes[size],
-                    -1 if confidence is None else confidence,
-                    round(self._wait.strain(target), 2),
-                )
-            )
+            model = self._sizes[size]
+            known = -1 if confidence is None else confidence
+            log.add(Climbed(model, known, round(strain, 2)))
             raise _Climbs(size)
+        calm = next_size(self._sizes, self._size, confidence, max(1, left))
+        if size is None and calm is not None:
+            log.add(NotImproved("climb", "strain" if left else "no_attempt"))
 
     async def _pass_on(self, head: ResponseHead, data: bytes) -> int:
         """Write whole events and return how many they were."""
--- a/packages/sycamorestand-entry/tests/routed/test_climb.py
+++ b/packages/sycamorestand-entry/tests/routed/test_climb.py
@@ -98,6 +98,39 @@
         assert b"retry-after" in answer
 
 
+class TestWhatKeptAnAnswer:
+    """A poor answer went out, and its line did not tell which bound did it."""
+
+    async def test_the_arrivals_that_are_kept_for_others(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        caplog.set_level("INFO")
+        allowance = Allowance(ratio=0.1, slack=0.0, window_s=60.0)
+        settings = SETTINGS._replace(allowance=allowance)
+        async with start_routed(settings) as loopback:
+            await ask_with_sizes(loopback)
+        assert "no-climb:arrivals_kept" in path_of(caplog)
+
+    async def test_the_strain_of_the_servers(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        caplog.set_level("INFO")
+        async with start_routed() as loopback:
+            keep_waiting(loopback, quick=True)
+            await ask_with_sizes(loopback)
+        assert "no-climb:strain" in path_of(caplog)
+
+
+def path_of(caplog: pytest.LogCaptureFixture) -> str:
+    """Return the decisions of the one request, in short."""
+    (path,) = [
+        str(record.__dict__["path"])
+        for record in caplog.records
+        if record.message == "request ended"
+    ]
+    return path
+
+
 def keep_waiting(loopback: RoutedLoopback, quick: bool) -> None:
     """Let requests have waited for seconds at every server."""
     delay = loopback.entry.context.delay("stock", quick)
