Entries lend each other the further arrivals that they do not need

Change: each voter has a pool. An entry gives what lies above what its own requests allow it to keep, gets back what the pool has no room for, and asks when a request needs one that it lacks.

Why it holds: a trade moves arrivals and makes none. Failed on the way, by the test's simulation: borrowing ahead of need, and a full pool that drops what it is given (docs/design/decisions/routed.md).

--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/arrival_lender.py
@@ -0,0 +1,59 @@
+"""Lends entries the further arrivals that others do not need."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorestand_decisions.arrival_pool import ArrivalPool
+from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.messages import ArrivalsLent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorestand_decisions.arrivals import Allowance
+    from sycamorestand_peer.mesh import PeerMesh
+    from sycamorestand_peer.messages import ArrivalTrade
+
+
+class ArrivalLender:
+    """Answers entries' trades from the pool of this control process.
+
+    Each voter has a pool. It lends and takes whether it has a quorum or not:
+    what pools hold is bounded for each of them.
+    """
+
+    def __init__(
+        self,
+        mesh: PeerMesh,
+        allowance: Allowance,
+        voters: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self._mesh = mesh
+        self._voters = voters
+        self._pool = ArrivalPool(allowance, boottime_s())
+        self.lent = 0.0
+        self.asked = 0.0
+
+    def traded(self, sender: str, message: ArrivalTrade) -> None:
+        """Take what an entry gives and send what it is lent."""
+        lent = self._pool.trade(
+            message.given, message.asked, self._pools(), boottime_s()
+        )
+        self.asked += sum(message.asked.values())
+        self.lent += sum(lent.get(service, 0.0) for service in message.asked)
+        self._mesh.send(sender, ArrivalsLent(message.number, lent))
+
+    def _pools(self) -> int:
+        """Return how many pools there may be, 0 where this is none.
+
+        One more than voters: one that was replaced while it was cut off
+        goes on for a while.
+        """
+        voters = self._voters()
+        if self._mesh.address not in voters:
+            return 0
+        return len(voters) + 1
+
+
+__all__ = ["ArrivalLender"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -11,6 +11,7 @@
 from aioprometheus.renderer import render
 
 if TYPE_CHECKING:
+    from sycamorestand_control.arrival_lender import ArrivalLender
     from sycamorestand_control.leader_spread import LeaderSpread
     from sycamorestand_control.ledger_writer import LedgerWriter
     from sycamorestand_control.operator_backend import Parts
@@ -33,11 +34,13 @@
         writers: list[LedgerWriter],
         orders: Orders,
         spread: LeaderSpread,
+        lender: ArrivalLender,
     ) -> None:
         self._parts = parts
         self._writers = writers
         self._orders = orders
         self._spread = spread
+        self._lender = lender
         self._registry = Registry()
         self.refusals = Counter(
             PREFIX + "operator_refusals_total",
@@ -54,6 +57,7 @@
         self._read_links()
         self._read_ledger()
         self._read_orders()
+        self._read_loans()
         content: bytes = render(self._registry, PROMETHEUS_TEXT)[0]
         return content
 
@@ -167,6 +171,18 @@
             self._spread.hand_overs,
         )
 
+    def _read_loans(self) -> None:
+        self._set(
+            "arrivals_asked_total",
+            "Further arrivals that entries asked to borrow",
+            self._lender.asked,
+        )
+        self._set(
+            "arrivals_lent_total",
+            "Further arrivals lent to entries",
+            self._lender.lent,
+        )
+
     def _set(
         self,
         name: str,
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -16,6 +16,7 @@
 
 from sycamorestand_consensus.errors import ConsensusError
 from sycamorestand_consensus.settings import ReplicaSettings
+from sycamorestand_control.arrival_lender import ArrivalLender
 from sycamorestand_control.background import keep_running
 from sycamorestand_control.errors import ControlError
 from sycamorestand_control.errors import StartRefused
@@ -47,6 +48,7 @@
 from sycamorestand_model.ledger import LedgerResult
 from sycamorestand_peer.mesh import PeerMesh
 from sycamorestand_peer.messages import AnnouncementRelay
+from sycamorestand_peer.messages import ArrivalTrade
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import ControlLeaseGranted
 from sycamorestand_peer.messages import ControlLeaseRequest
@@ -124,6 +126,9 @@
         self.sessions = SessionRelay(
             self.mesh, self.hub.attached_addresses, self._others
         )
+        self.lender = ArrivalLender(
+            self.mesh, settings.allowance, self._voters
+        )
         self.orders = make_orders(
             self.groups,
             self.configuration,
@@ -159,7 +164,7 @@
         )
         self.backend = ControlBackend(parts)
         self.metrics = ControlMetrics(
-            parts, self.writers, self.orders, self.spread
+            parts, self.writers, self.orders, self.spread, self.lender
         )
         self._tasks: anyio.abc.TaskGroup | None = None
         self._handlers = self._handler_table()
@@ -338,6 +343,7 @@
             JoinRequest: self.admissions.receive,
             SampleReport: self._sampled,
             SessionsStay: self.sessions.told,
+            ArrivalTrade: self.lender.traded,
             SharedRatings: self._ratings_shared,
             LedgerBatch: self._ledger_batch,
             ProposalForward: self._forwarded,
--- a/packages/sycamorestand-control/src/sycamorestand_control/settings.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/settings.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.arrivals import Allowance
+
 if TYPE_CHECKING:
     from sycamorestand_peer.key_file import KeySource
     from sycamorestand_peer.tls import TlsIdentity
@@ -15,7 +17,8 @@
     """Settings of one control process, see ``sycamorestand control``.
 
     ``cluster_keys`` returns the keys that are valid now, which change
-    while the process runs.
+    while the process runs. ``allowance`` is what services may get beyond
+    first arrivals, as entries are told it.
     """
 
     vm: str
@@ -35,6 +38,7 @@
     weight_store_loads: int = 2
     weight_store_url: str = ""
     tls: TlsIdentity | None = None
+    allowance: Allowance = Allowance()
 
 
 __all__ = ["ControlSettings"]
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
@@ -12,29 +12,54 @@
 and an equal part of the fixed rest. It begins with nothing.
 
 So the entries together stay within what is allowed, whatever is cut off,
-restarted or taken over by others, and no message is needed: in a window they
-add no more than what they had kept at its begin, which the window before
-allows, and what its own requests earn. By a count of what each has sent in
-the last window, entries that are killed, or that callers leave, could spend
-what calm seconds left, and those that come after them a whole share again.
+restarted or taken over by others: in a window they add no more than what they
+had kept at its begin, which the window before allows, and what its own
+requests earn. By a count of what each has sent in the last window, entries
+that are killed, or that callers leave, could spend what calm seconds left,
+and those that come after them a whole share again.
+
+One of hundreds of entries sees so few requests that what it may keep is an
+arrival or two: it loses what it earns above that, and has none left when a
+few requests in a row need one. So it trades with a pool (`arrival_pool`):
+it gives what it is about to lose and asks for what it lacks. What is under
+way counts as kept by the entry until it is answered, so that a trade adds
+nothing to what all keep, whatever becomes of its messages.
 """
 
 from __future__ import annotations
 
 from collections import deque
+import math
 from typing import Final
 from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 # Of the allowed share, what a request earns, and what may be kept of that.
 # The rest of the share is for what entries cannot see: requests that reach
 # the servers later than the owner of the servers counts them.
 EARNED_SHARE: Final = 0.8
 KEPT_SHARE: Final = 0.15
-SAFE_SHARE: Final = EARNED_SHARE + KEPT_SHARE
+# Of the fixed rest, what entries may keep, what pools may keep, and what
+# comes to pools in each window.
+HELD_SHARE: Final = 0.5
+POOLED_SHARE: Final = 0.25
+REFILLED_SHARE: Final = 0.2
 # Of what may be kept, the part for arrivals without which a caller would
 # leave without an answer.
 URGENT_SHARE: Final = 0.25
 MAX_SERVICES: Final = 256
+# A busy entry spends several times between two trades.
+TRADE_INTERVAL_S: Final = 0.1
+# A request that needs one now waits for no gift before it; while the pool is
+# empty, not each of them asks again.
+NEED_INTERVAL_S: Final = 0.02
+# After a pool was full.
+GIVE_AGAIN_S: Final = 1.0
+# What is lent later than this is lost, and asked for again.
+TRADE_TIMEOUT_S: Final = 1.0
 
 
 class Allowance(NamedTuple):
@@ -63,6 +88,17 @@
     most: float
 
 
+class Trade(NamedTuple):
+    """What an entry gives to the pool and asks of it, by service.
+
+    ``number`` tells the answer to this one from those to earlier ones.
+    """
+
+    number: int
+    given: dict[str, float]
+    asked: dict[str, float]
+
+
 class ArrivalBudget:
     """What one entry may add at each service.
 
@@ -78,6 +114,10 @@
     def __init__(self, allowance: Allowance) -> None:
         self._allowance = allowance
         self._accounts: dict[str, _Account] = {}
+        self._trade = 0
+        self._traded_s = -math.inf
+        self._is_open = False
+        self._is_reached = False
 
     def sent_first(self, service: str, now_s: float) -> None:
         """Count the first arrival of a request, which earns a part."""
@@ -113,7 +153,7 @@
         if not self._allowance.ratio:
             return True
         share = self.share(service, entries, now_s)
-        return share.left >= 1 + URGENT_SHARE * (share.most - 1)
+        return share.left >= _spare_from(share.most)
 
     def share(self, service: str, entries: int, now_s: float) -> Share:
         """Return what this entry has left."""
@@ -121,13 +161,91 @@
         account = self._of(service)
         account.forget_before(now_s - allowance.window_s)
         first = len(account.first_s)
-        part = allowance.slack / entries * SAFE_SHARE if entries else 0.0
-        kept = allowance.ratio * KEPT_SHARE * first
+        part = allowance.slack / entries * HELD_SHARE if entries else 0.0
+        # An entry of few requests must be able to save up a whole arrival.
         # An entry of few requests must be able to save up a whole arrival.
-        most = max(1 + self._earned, part + kept)
-        account.left = min(account.left, most)
+        floor = 1 + self._earned if first else 0.0
+        most = max(floor, part + self._kept(first))
+        account.left = min(account.left, most - account.under_way(now_s))
         return Share(entries, first, account.left, most)
 
+    @property
+    def is_answered_soon(self) -> bool:
+        """Return whether a trade is open, and the pool answered before."""
+        return self._is_open and self._is_reached
+
+    def open_trade(
+        self, entries: int, now_s: float, needed: str = ""
+    ) -> Trade | None:
+        """Return what to give to the pool and to ask of it, None for nothing.
+
+        ``needed`` is a service that has too little left now. One trade is
+        open at a time. What it gives is taken from what is left at once; to
+        a pool that left the last trade unanswered it gives nothing.
+        """
+        wait_s = NEED_INTERVAL_S if needed else TRADE_INTERVAL_S
+        if self._is_open:
+            wait_s = TRADE_TIMEOUT_S
+        if not self._allowance.ratio or now_s < self._traded_s + wait_s:
+            return None
+        self._give_up(now_s)
+        given, asked, full = {}, {}, False
+        for service, account in self._accounts.items():
+            share = self.share(service, entries, now_s)
+            kept = self._kept(share.first)
+            spare_from = _spare_from(share.most)
+            short = share.left < spare_from
+            if short and (service == needed or kept > spare_from):
+                level = max(spare_from, kept / 2)
+                account.asked = asked[service] = level - share.left
+            elif share.left > kept and now_s >= account.give_from_s:
+                full = True
+                if self._is_reached:
+                    account.given = given[service] = share.left - kept / 2
+                    account.left = kept / 2
+        if not asked and not full:
+            return None
+        self._trade += 1
+        self._traded_s = now_s
+        self._is_open = True
+        return Trade(self._trade, given, asked)
+
+    def close_trade(self, number: int, lent: Mapping[str, float]) -> None:
+        """Take what the pool lends, and what it did not take.
+
+        An answer that comes too late is lost.
+        """
+        if not self._is_open or number != self._trade:
+            return
+        self._is_open = False
+        self._is_reached = True
+        for service, account in self._accounts.items():
+            got = lent.get(service, 0.0)
+            if account.given and got:
+                account.give_from_s = self._traded_s + GIVE_AGAIN_S
+            account.left += min(account.asked + account.given, got)
+            account.given = account.asked = 0.0
+
+    def _give_up(self, now_s: float) -> None:
+        """Go on without an answer.
+
+        What was given may still reach the pool, so that it counts as kept
+        here for a window more.
+        """
+        if not self._is_open:
+            return
+        self._is_open = False
+        self._is_reached = False
+        for account in self._accounts.values():
+            if account.given:
+                until_s = now_s + self._allowance.window_s
+                account.unanswered.append((until_s, account.given))
+            account.given = account.asked = 0.0
+
+    def _kept(self, first: int) -> float:
+        """Return what may be kept of what a window's requests earn."""
+        return self._allowance.ratio * KEPT_SHARE * first
+
     @property
     def _earned(self) -> float:
         return self._allowance.ratio * EARNED_SHARE
@@ -147,10 +265,34 @@
     def __init__(self) -> None:
         self.first_s: deque[float] = deque()
         self.left = 0.0
+        self.given = 0.0
+        self.asked = 0.0
+        self.give_from_s = -math.inf
+        self.unanswered: deque[tuple[float, float]] = deque()
 
     def forget_before(self, when_s: float) -> None:
         while self.first_s and self.first_s[0] < when_s:
             self.first_s.popleft()
 
+    def under_way(self, now_s: float) -> float:
+        """Return what counts as kept here besides what is left."""
+        while self.unanswered and self.unanswered[0][0] < now_s:
+            self.unanswered.popleft()
+        unanswered = sum(given for _, given in self.unanswered)
+        return self.given + self.asked + unanswered
+
+
+def _spare_from(most: float) -> float:
+    """Return what is left at least where some may be spent as spare."""
+    return 1 + URGENT_SHARE * (most - 1)
+
 
-__all__ = ["Allowance", "ArrivalBudget", "EARNED_SHARE", "SAFE_SHARE", "Share"]
+__all__ = [
+    "Allowance",
+    "ArrivalBudget",
+    "EARNED_SHARE",
+    "POOLED_SHARE",
+    "REFILLED_SHARE",
+    "Share",
+    "Trade",
+]
--- a/packages/sycamorestand-decisions/tests/test_arrival_pool.py
+++ b/packages/sycamorestand-decisions/tests/test_arrival_pool.py
@@ -1,4 +1,4 @@
-"""Entries that each see few requests of a large installation."""
+"""Entries that lend each other what they do not need."""
 
 from __future__ import annotations
 
@@ -8,16 +8,20 @@
 
 import pytest
 
+from sycamorestand_decisions.arrival_pool import ArrivalPool
 from sycamorestand_decisions.arrivals import Allowance
 from sycamorestand_decisions.arrivals import ArrivalBudget
+from sycamorestand_decisions.arrivals import Trade
 
 SERVICE: Final = "words"
-SIZES: Final = [88, 195, 330]
+SIZES: Final = [10, 24, 88, 195, 330]
 # Of their kind: some entries have four times the requests of others.
 WEIGHTS: Final = [0.5, 1.0, 1.0, 2.0]
 A_SECOND: Final = 1.1
 CLIMB_SHARE: Final = 0.47
 BEGIN_S: Final = 16.0
+# Smaller installations have three voters.
+FEW_ENTRIES: Final = 24
 
 
 class TestCalmLoad:
@@ -34,16 +38,42 @@
         assert parts <= whole.denied_share() + 0.05
 
 
+class TestSum:
+    @pytest.mark.parametrize("entries", SIZES)
+    def test_stays_within_the_allowance_whatever_is_lost(
+        self, entries: int
+    ) -> None:
+        """Servers are lost after calm seconds; messages and processes too.
+
+        Each request asks five more servers, if it may. One trade in ten
+        does not reach its pool or comes late, and so do answers; entries
+        and pools are killed.
+        """
+        allowance = Allowance(ratio=0.9, slack=2.2 * entries, window_s=10.0)
+        installation = Installation(allowance, entries, 7)
+        installation.overload()
+        assert installation.further
+        for begin_s in range(60):
+            requests = installation.requests(begin_s / 2)
+            allowed = allowance.ratio * requests + allowance.slack
+            assert installation.added(begin_s / 2) <= allowed
+
+
 class Installation:
-    """Entries of one installation, and the requests they see."""
+    """Entries and pools of one installation, and the requests they see."""
 
     def __init__(self, allowance: Allowance, entries: int, seed: int) -> None:
         self.allowance = allowance
         self.random = Random(seed)
         self.entries = [ArrivalBudget(allowance) for _ in range(entries)]
+        voters = 3 if entries <= FEW_ENTRIES else 5
+        self.pools = [ArrivalPool(allowance, 0.0) for _ in range(voters)]
         self.weights = self.random.choices(WEIGHTS, k=entries)
         self.a_second = A_SECOND
+        self.lossy = False
         self.firsts: list[float] = []
+        self.further: list[float] = []
+        self._late: list[tuple[int, Trade]] = []
 
     def denied_share(self) -> float:
         """Return the share of climbs denied in half a minute of calm."""
@@ -59,6 +89,31 @@
                 heapq.heappush(climbs, (now_s + after_s, entry))
         return denied / (CLIMB_SHARE * len(self.firsts))
 
+    def overload(self) -> None:
+        """Let each request ask for five more, and lose what can be lost."""
+        wishes: list[tuple[float, int]] = []
+        for now_s, entry in self._arrivals(30.0):
+            self.lossy = now_s > BEGIN_S + 10
+            while wishes and wishes[0][0] <= now_s:
+                wish_s, wisher = heapq.heappop(wishes)
+                self._wish(wisher, wish_s)
+            self._first(entry, now_s)
+            for number in range(5 if now_s > BEGIN_S + 12 else 0):
+                heapq.heappush(wishes, (now_s + 0.05 * number, entry))
+            if self.random.random() < 0.01:
+                self.entries[entry] = ArrivalBudget(self.allowance)
+            if self.random.random() < 0.002:
+                number = self.random.randrange(len(self.pools))
+                self.pools[number] = ArrivalPool(self.allowance, now_s)
+
+    def requests(self, begin_s: float) -> int:
+        """Return the requests that a window is judged by."""
+        return max(self._within(self.firsts, begin_s - d) for d in (0, 5, 10))
+
+    def added(self, begin_s: float) -> int:
+        """Return the further arrivals of a window."""
+        return self._within(self.further, begin_s)
+
     def _arrivals(self, seconds: float) -> list[tuple[float, int]]:
         rate = len(self.entries) * self.a_second
         now_s = BEGIN_S
@@ -73,10 +128,54 @@
     def _first(self, entry: int, now_s: float) -> None:
         self.firsts.append(now_s)
         self.entries[entry].sent_first(SERVICE, now_s)
+        self._trade(entry, now_s)
 
     def _climbs(self, entry: int, now_s: float) -> bool:
         count = len(self.entries)
+        for _ in range(2):
+            if self.entries[entry].has_spare(SERVICE, count, now_s):
+                return self._add(entry, now_s)
+            self._trade(entry, now_s, SERVICE)
+        return False
+
+    def _wish(self, entry: int, now_s: float) -> None:
+        if not self._add(entry, now_s):
+            self._add(entry, now_s)
+
+    def _add(self, entry: int, now_s: float) -> bool:
+        count = len(self.entries)
+        may = self.entries[entry].may_add(SERVICE, count, now_s)
+        if may:
+            self.further.append(now_s)
+        self._trade(entry, now_s, "" if may else SERVICE)
+        return may
+
+    def _trade(self, entry: int, now_s: float, needed: str = "") -> None:
         budget = self.entries[entry]
-        if not budget.has_spare(SERVICE, count, now_s):
-            return False
-        return budget.may_add(SERVICE, count, now_s)
+        trade = budget.open_trade(len(self.entries), now_s, needed)
+        if trade is None:
+            return
+        fate = self.random.random() if self.lossy else 1.0
+        if fate < 0.05:
+            self._late.append((entry, trade))
+        elif fate < 0.1:
+            self._reaches(entry, trade, now_s)
+        else:
+            lent = self._reaches(entry, trade, now_s)
+            budget.close_trade(trade.number, lent)
+        if len(self._late) > len(self.entries) / 4:
+            for late in self._late:
+                self._reaches(*late, now_s)
+            self._late.clear()
+
+    def _reaches(
+        self, entry: int, trade: Trade, now_s: float
+    ) -> dict[str, float]:
+        pools = len(self.pools)
+        pool = self.pools[entry % pools]
+        return pool.trade(trade.given, trade.asked, pools, now_s)
+
+    def _within(self, times: list[float], begin_s: float) -> int:
+        begin_s += BEGIN_S
+        end_s = begin_s + self.allowance.window_s
+        return sum(begin_s <= time < end_s for time in times)
--- a/packages/sycamorestand-decisions/tests/test_arrivals.py
+++ b/packages/sycamorestand-decisions/tests/test_arrivals.py
@@ -98,6 +98,60 @@
         assert all(asked)
 
 
+class TestTrades:
+    def test_what_was_asked_for_counts_as_kept_until_the_answer(self) -> None:
+        """It earned all that it may keep, and then what was lent came too."""
+        budget = full_budget()
+        spend_all(budget, 12.0)
+        trade = budget.open_trade(ENTRIES, 12.0, SERVICE)
+        assert trade is not None
+        for _ in range(20):
+            budget.sent_first(SERVICE, 12.0)
+        share = budget.share(SERVICE, ENTRIES, 12.0)
+        asked = trade.asked[SERVICE]
+        assert asked > 0
+        assert share.left == pytest.approx(share.most - asked)
+
+    def test_an_unanswered_gift_counts_as_kept_for_a_window(self) -> None:
+        """It reached the pool, and the entry earned it a second time."""
+        budget = full_budget()
+        trade = budget.open_trade(ENTRIES, 10.0)
+        assert trade is not None
+        given = trade.given[SERVICE]
+        assert given > 0
+        second = budget.open_trade(ENTRIES, 12.0)
+        assert second is not None
+        assert not second.given
+        for _ in range(40):
+            budget.sent_first(SERVICE, 12.0)
+        share = budget.share(SERVICE, ENTRIES, 12.0)
+        under_way = given + second.asked[SERVICE]
+        assert share.left == pytest.approx(share.most - under_way)
+        budget.close_trade(second.number, {})
+        for _ in range(40):
+            budget.sent_first(SERVICE, 23.0)
+        share = budget.share(SERVICE, ENTRIES, 23.0)
+        assert share.left == pytest.approx(share.most)
+
+
+def full_budget() -> ArrivalBudget:
+    """Return the budget of an entry whose pool has answered once."""
+    budget = ArrivalBudget(ALLOWANCE)
+    for number in range(40):
+        budget.sent_first(SERVICE, number / 5)
+    trade = budget.open_trade(ENTRIES, 9.0)
+    assert trade is not None
+    assert not trade.given
+    budget.close_trade(trade.number, {})
+    return budget
+
+
+def spend_all(budget: ArrivalBudget, now_s: float) -> None:
+    """Add arrivals until none is left."""
+    while budget.may_add(SERVICE, ENTRIES, now_s):
+        pass
+
+
 def play(restarts: bool) -> tuple[list[float], list[float]]:
     """Return when first and further arrivals of all entries were."""
     random = Random(9)
--- a/packages/sycamorestand-decisions/tests/test_arrivals_machine.py
+++ b/packages/sycamorestand-decisions/tests/test_arrivals_machine.py
@@ -12,21 +12,26 @@
 from hypothesis.strategies import integers
 from hypothesis.strategies import sampled_from
 
+from sycamorestand_decisions.arrival_pool import ArrivalPool
 from sycamorestand_decisions.arrivals import Allowance
 from sycamorestand_decisions.arrivals import ArrivalBudget
+from sycamorestand_decisions.arrivals import Trade
 
 ENTRIES: Final = 3
 ALLOWANCE: Final = Allowance(ratio=0.9, slack=12.0, window_s=10.0)
 SERVICE: Final = "words"
+POOLS: Final = 2
 ENTRY: Final = integers(0, ENTRIES - 1)
+POOL: Final = integers(0, POOLS - 1)
 
 
 class SharedBudget(RuleBasedStateMachine):
     """All that reaches one service's servers, entry by entry.
 
     Entries send, add all that they may, are killed and forget, or do not
-    know for a while how many there are. Whatever the order, no window holds
-    more than the owner of the servers allows.
+    know for a while how many there are. They trade with pools, which are
+    killed too; a trade, or its answer, is late or does not come. Whatever
+    the order, no window holds more than the owner of the servers allows.
     """
 
     def __init__(self) -> None:
@@ -34,6 +39,9 @@
         self.now_s = 100.0
         self.budgets = [ArrivalBudget(ALLOWANCE) for _ in range(ENTRIES)]
         self.told = [ENTRIES] * ENTRIES
+        self.pools = [ArrivalPool(ALLOWANCE, self.now_s) for _ in range(POOLS)]
+        self.on_their_way: list[Trade] = []
+        self.answers: list[tuple[int, int, dict[str, float]]] = []
         self.firsts: list[float] = []
         self.further: list[float] = []
 
@@ -56,11 +64,60 @@
         self.budgets[entry] = ArrivalBudget(ALLOWANCE)
         self.told[entry] = 0
 
+    @rule(entry=ENTRY, pool=POOL)
+    def trades(self, entry: int, pool: int) -> None:
+        trade = self._open(entry)
+        if trade is not None:
+            lent = self._reaches(trade, pool)
+            self.budgets[entry].close_trade(trade.number, lent)
+
+    @rule(entry=ENTRY)
+    def sends_a_trade(self, entry: int) -> None:
+        trade = self._open(entry)
+        if trade is not None:
+            self.on_their_way.append(trade)
+
+    @rule(entry=ENTRY, pool=POOL)
+    def a_trade_arrives(self, entry: int, pool: int) -> None:
+        if self.on_their_way:
+            trade = self.on_their_way.pop(0)
+            lent = self._reaches(trade, pool)
+            self.answers.append((entry, trade.number, lent))
+
+    @rule()
+    def an_answer_arrives(self) -> None:
+        if self.answers:
+            entry, number, lent = self.answers.pop(0)
+            self.budgets[entry].close_trade(number, lent)
+
+    @rule(pool=POOL)
+    def a_pool_is_killed(self, pool: int) -> None:
+        self.pools[pool] = ArrivalPool(ALLOWANCE, self.now_s)
+
+    def _open(self, entry: int) -> Trade | None:
+        return self.budgets[entry].open_trade(
+            self.told[entry], self.now_s, SERVICE
+        )
+
+    def _reaches(self, trade: Trade, pool: int) -> dict[str, float]:
+        return self.pools[pool].trade(
+            trade.given, trade.asked, POOLS, self.now_s
+        )
+
     @rule()
     def every_server_refuses(self) -> None:
         for entry in range(ENTRIES):
             self.servers_refuse(entry, 300)
 
+    @rule(rounds=sampled_from([1, 20]))
+    def every_server_refuses_for_a_while(self, rounds: int) -> None:
+        for number in range(rounds * ENTRIES):
+            self.now_s += 0.01
+            entry = number % ENTRIES
+            self.servers_refuse(entry, 300)
+            self.trades(entry, entry % POOLS)
+            self.servers_refuse(entry, 300)
+
     @rule()
     def all_are_killed(self) -> None:
         for entry in range(ENTRIES):
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -20,6 +20,7 @@
 from sycamorestand_decisions.staying import StayingSessions
 from sycamorestand_decisions.staying import Step
 from sycamorestand_entry.callers import Authenticator
+from sycamorestand_entry.loans import Loans
 from sycamorestand_entry.metrics import Metrics
 from sycamorestand_entry.rating import RatingClient
 from sycamorestand_entry.servers import Servers
@@ -64,6 +65,7 @@
         self.slots = Slots(self.servers, self.metrics)
         self.retries = RetryBudget(settings.retry_share)
         self.arrivals = ArrivalBudget(settings.allowance)
+        self.loans = Loans(self.arrivals, control, self.now_s)
         self.progress = Progress()
         self.answer_times = AnswerTimes()
         self.reading = ReadingRates()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -29,6 +29,8 @@
 from sycamorestand_model.declarations import VERSION_SEPARATOR
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_entry.routed.call import RoutedCall
     from sycamorestand_entry.routed.messages import Wanted
@@ -77,7 +79,7 @@
         """Return how many servers the call may still be sent to."""
         return max(0, self.call.route.max_attempts - self.sent)
 
-    def may_go_on(self, overloaded: bool) -> bool:
+    async def may_go_on(self, overloaded: bool) -> bool:
         """Tell whether another server may be tried now.
 
         A refusal that says "not run" draws on the budget of arrivals
@@ -88,14 +90,14 @@
         if reason:
             self.call.log.add(NotRepeated(reason))
             return False
-        return self._may_arrive_again()
+        return await self._may_arrive_again()
 
-    def may_climb(self) -> bool:
+    async def may_climb(self) -> bool:
         """Tell whether a larger model may be asked instead."""
-        bound = "" if self._has_spare() else "arrivals_kept"
-        return self._may_improve("climb", bound)
+        bound = "" if await self._has_spare() else "arrivals_kept"
+        return await self._may_improve("climb", bound)
 
-    def may_move(self, target: str) -> bool:
+    async def may_move(self, target: str) -> bool:
         """Tell whether to leave a slow server for one not tried yet."""
         candidates = self.context.servers.candidates(
             target, self.context.now_s()
@@ -103,11 +105,11 @@
         if all(server.name in self._tried for server in candidates):
             return False
         bound = "arrivals_kept"
-        if self._has_spare():
+        if await self._has_spare():
             bound = self._reason_to_end(overloaded=False)
-        return self._may_improve("move", bound)
+        return await self._may_improve("move", bound)
 
-    def may_fall_back(self, target: str) -> bool:
+    async def may_fall_back(self, target: str) -> bool:
         """Tell whether to ask once more, at the last moment.
 
         Of those that it was sent to, only servers that began it count as
@@ -124,31 +126,37 @@
         if reason:
             self.call.log.add(NotRepeated(reason))
             return False
-        return self._may_arrive_again()
+        return await self._may_arrive_again()
 
-    def _has_spare(self) -> bool:
+    async def _has_spare(self) -> bool:
         """Tell whether an arrival may be spent on what is not urgent."""
-        return self.context.arrivals.has_spare(
-            self._service,
-            self.context.control.entry_count(),
-            self.context.now_s(),
-        )
+        return await self._asked(self.context.arrivals.has_spare)
 
-    def _may_improve(self, wish: str, bound: str) -> bool:
+    async def _asked(self, budget: Callable[[str, int, float], bool]) -> bool:
+        """Ask the budget; once more with what the pool lends meanwhile."""
+        context = self.context
+        for _ in range(2):
+            entries = context.control.entry_count()
+            if budget(self._service, entries, context.now_s()):
+                return True
+            await context.loans.borrow(self._service)
+        return False
+
+    async def _may_improve(self, wish: str, bound: str) -> bool:
         if bound:
             self.call.log.add(NotImproved(wish, bound.replace(" ", "_")))
             return False
-        return self._may_arrive_again()
+        return await self._may_arrive_again()
 
-    def _may_arrive_again(self) -> bool:
+    async def _may_arrive_again(self) -> bool:
         context = self.context
         service = self._service
-        entries = context.control.entry_count()
-        now_s = context.now_s()
-        may = context.arrivals.may_add(service, entries, now_s)
+        may = await self._asked(context.arrivals.may_add)
         if not may:
-            share = context.arrivals.share(service, entries, now_s)
+            entries = context.control.entry_count()
+            share = context.arrivals.share(service, entries, context.now_s())
             self.call.log.add(ArrivalDenied(service, *share))
+        context.loans.trade()
         self._count_arrival("further" if may else "denied")
         return may
 
@@ -202,6 +210,7 @@
             if not self.sent:
                 now_s = self.context.now_s()
                 self.context.arrivals.sent_first(self._service, now_s)
+                self.context.loans.trade()
                 self._count_arrival("first")
             self.sent += 1
             self._sent_to.add(server.name)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -112,7 +112,7 @@
                 exchange.failed(error)
                 self._attempts.may_have_run = True
                 self._rest = b""
-                if not self._may_resume(overloaded=False):
+                if not await self._may_resume(overloaded=False):
                     raise self._broken(str(error)) from None
                 continue
             finally:
@@ -121,7 +121,7 @@
                 exchange.close()
             if answer is None:
                 return None
-            if not self._try_another(answer):
+            if not await self._try_another(answer):
                 return self._last_answer(answer)
 
     async def _relay(self, exchange: Exchange) -> WholeAnswer | None:
@@ -134,7 +134,7 @@
         if head.status != 200 or not kind.startswith(EVENT_STREAM):
             return await exchange.read_whole(head)
         self._wait.learn_reading(exchange, self._size)
-        self._judge(head, exchange.aim.target)
+        await self._judge(head, exchange.aim.target)
         first = True
         while data := await self._read_part(exchange):
             if first:
@@ -156,7 +156,7 @@
             try:
                 return await exchange.read_head(quick_s, soft=True)
             except SlowAnswer:
-                self._move_on(exchange, early=True)
+                await self._move_on(exchange, early=True)
         return await self._read_slow_head(exchange, quick_s or 0.0)
 
     async def _read_slow_head(
@@ -174,9 +174,9 @@
                 return await exchange.read_head(limit_s, soft=True)
             except SlowAnswer:
                 waited_s += limit_s
-                self._fall_back(exchange)
+                await self._fall_back(exchange)
                 if waited_s >= whole_s or exchange.is_overtaken():
-                    self._move_on(exchange)
+                    await self._move_on(exchange)
             wait_s = ASK_AGAIN_S
         return await exchange.read_head(max(0.0, call.remaining_s()))
 
@@ -187,8 +187,8 @@
             try:
                 return await exchange.connection.read_body(limit_s, soft=True)
             except SlowAnswer:
-                self._fall_back(exchange)
-                self._move_on(exchange)
+                await self._fall_back(exchange)
+                await self._move_on(exchange)
         return await exchange.connection.read_body(
             max(0.0, call.remaining_s())
         )
@@ -200,7 +200,7 @@
         in_s = self._wait.fallback_in_s(self._responder.started)
         return max(MIN_WAIT_S, in_s)
 
-    def _fall_back(self, exchange: Exchange) -> None:
+    async def _fall_back(self, exchange: Exchange) -> None:
         """Raise `SlowAnswer` where the caller has waited for half of what
         it bears and the smallest model may be asked in its place.
 
@@ -213,7 +213,7 @@
             return
         if resumed and not self._order.last:
             return
-        if not self._attempts.may_fall_back(exchange.aim.target):
+        if not await self._attempts.may_fall_back(exchange.aim.target):
             return
         self._fell_back = True
         if not resumed:
@@ -223,10 +223,10 @@
         exchange.given_up()
         raise SlowAnswer("what is soonest is asked for")
 
-    def _move_on(self, exchange: Exchange, early: bool = False) -> None:
+    async def _move_on(self, exchange: Exchange, early: bool = False) -> None:
         """Raise `SlowAnswer` where another server may be asked."""
         resumable = self._order.last or not self._responder.started
-        if resumable and self._attempts.may_move(exchange.aim.target):
+        if resumable and await self._attempts.may_move(exchange.aim.target):
             exchange.given_up(early)
             raise SlowAnswer("another server is asked")
 
@@ -242,7 +242,7 @@
             self._read_at if self._fell_back and not resumed else "",
         )
 
-    def _judge(self, head: ResponseHead, target: str) -> None:
+    async def _judge(self, head: ResponseHead, target: str) -> None:
         """Drop an answer that a larger model should give."""
         if self._responder.started or not self._sizes or self._fell_back:
             return
@@ -252,7 +252,7 @@
         left = self._attempts.left
         log = self._attempts.call.log
         size = next_size(self._sizes, self._size, confidence, left, strain)
-        if size is not None and self._attempts.may_climb():
+        if size is not None and await self._attempts.may_climb():
             model = self._sizes[size]
             known = -1 if confidence is None else confidence
             log.add(Climbed(model, known, round(strain, 2)))
@@ -287,19 +287,19 @@
         self._attempts.call.log.answer_began()
         await self._responder.start(head.status, answer_headers(head, None))
 
-    def _may_resume(self, overloaded: bool) -> bool:
+    async def _may_resume(self, overloaded: bool) -> bool:
         if self._responder.started and not self._order.last:
             return False
-        return self._attempts.may_go_on(overloaded)
+        return await self._attempts.may_go_on(overloaded)
 
-    def _try_another(self, answer: WholeAnswer) -> bool:
+    async def _try_another(self, answer: WholeAnswer) -> bool:
         if answer.not_run:
-            return self._may_resume(overloaded=True)
+            return await self._may_resume(overloaded=True)
         faulty = answer.status in RETRY_STATUSES | PROMISES
         if not faulty and not self._responder.started:
             return False
         self._attempts.may_have_run = True
-        return self._may_resume(overloaded=False)
+        return await self._may_resume(overloaded=False)
 
     def _last_answer(self, answer: WholeAnswer) -> WholeAnswer:
         """Return the answer in place of a stream, or raise a refusal."""
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole.py
@@ -40,15 +40,15 @@
             continue
         if answer is not None and answer.not_run:
             message = "every backend server is full"
-            again = attempts.may_go_on(overloaded=True)
+            again = await attempts.may_go_on(overloaded=True)
         elif answer is None or answer.status in PROMISES:
             attempts.may_have_run = True
             message = "the backend server gave no whole answer"
-            again = attempts.may_go_on(overloaded=False)
+            again = await attempts.may_go_on(overloaded=False)
         elif answer.status in RETRY_STATUSES:
             attempts.may_have_run = True
             kept = answer
-            again = attempts.may_go_on(overloaded=False)
+            again = await attempts.may_go_on(overloaded=False)
         else:
             return answer
         if again:
@@ -81,7 +81,7 @@
             return await exchange.read_head(call_limit_s(left_s), soft=True)
         except SlowAnswer:
             # Only where somebody is there to ask: this one may yet answer.
-            if attempts.may_move(exchange.aim.target):
+            if await attempts.may_move(exchange.aim.target):
                 exchange.given_up()
                 raise
     return await exchange.read_head(max(0.0, call.remaining_s()))
--- /dev/null
+++ b/packages/sycamorestand-entry/tests/test_loans.py
@@ -0,0 +1,126 @@
+"""An entry borrows what it lacks, and gives nothing to who does not answer."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from sycamorestand_bench.fakes.control_port import FakeControlPort
+from sycamorestand_bench.fakes.control_port import FakeLedger
+from sycamorestand_decisions.arrivals import Allowance
+from sycamorestand_decisions.arrivals import ArrivalBudget
+from sycamorestand_entry.loans import Loans
+from sycamorestand_model.in_force import InForce
+from sycamorestand_peer.messages import ArrivalsLent
+from sycamorestand_peer.messages import ArrivalTrade
+
+pytestmark = pytest.mark.anyio
+SERVICE = "words"
+ENTRIES = 200
+
+
+class Entry:
+    """The budget and the loans of one entry among many."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+        self.control = FakeControlPort(InForce(), FakeLedger())
+        self.control.entries = ENTRIES
+        self.budget = ArrivalBudget(Allowance(ratio=0.9, slack=440.0))
+        self.loans = Loans(self.budget, self.control, lambda: self.now_s)
+
+    def request(self) -> None:
+        self.budget.sent_first(SERVICE, self.now_s)
+        self.loans.trade()
+
+    def trade(self) -> ArrivalTrade:
+        """Return the trade that was sent last."""
+        trade = self.control.told[-1]
+        assert isinstance(trade, ArrivalTrade)
+        return trade
+
+    def answer(self, **lent: float) -> None:
+        message = ArrivalsLent(self.trade().number, lent)
+        self.control.listeners[ArrivalsLent](message)
+
+    def may_climb(self) -> bool:
+        return self.budget.has_spare(SERVICE, ENTRIES, self.now_s)
+
+
+class TestLoans:
+    async def test_a_first_request_may_climb_on_what_is_lent(self) -> None:
+        """An entry that begins has earned too little for a whole arrival."""
+        entry = Entry()
+        entry.request()
+        entry.answer()
+        assert not entry.may_climb()
+        entry.now_s += 0.05
+        entry.loans.trade(SERVICE)
+        lacking = entry.trade().asked[SERVICE]
+        assert 0 < lacking < 1
+        entry.answer(words=lacking)
+        assert entry.may_climb()
+
+    async def test_it_takes_no_more_than_it_asked_for(self) -> None:
+        entry = Entry()
+        entry.request()
+        entry.answer(words=50.0)
+        share = entry.budget.share(SERVICE, ENTRIES, entry.now_s)
+        assert share.left <= share.most
+
+    async def test_who_does_not_answer_is_given_nothing(self) -> None:
+        """A control process is cut off, and all that was kept went to it."""
+        entry = Entry()
+        for _ in range(10):
+            entry.request()
+            entry.now_s += 2.0
+        given = [
+            message.given
+            for message in entry.control.told
+            if isinstance(message, ArrivalTrade)
+        ]
+        assert len(given) > 3
+        assert not any(given)
+        assert entry.may_climb()
+
+    async def test_what_a_full_pool_returns_is_kept(self) -> None:
+        entry = Entry()
+        entry.request()
+        entry.answer()
+        for _ in range(3):
+            entry.now_s += 0.2
+            entry.request()
+        given = entry.trade().given[SERVICE]
+        left = entry.budget.share(SERVICE, ENTRIES, entry.now_s).left
+        entry.answer(words=given)
+        share = entry.budget.share(SERVICE, ENTRIES, entry.now_s)
+        assert share.left == pytest.approx(left + given)
+
+    async def test_a_late_answer_is_lost(self) -> None:
+        """It was asked for again since: taken twice it would be too much."""
+        entry = Entry()
+        entry.request()
+        entry.answer()
+        entry.now_s += 0.05
+        entry.loans.trade(SERVICE)
+        late = ArrivalsLent(entry.trade().number, {SERVICE: 0.5})
+        entry.now_s += 2.0
+        entry.loans.trade(SERVICE)
+        before = entry.budget.share(SERVICE, ENTRIES, entry.now_s).left
+        entry.control.listeners[ArrivalsLent](late)
+        after = entry.budget.share(SERVICE, ENTRIES, entry.now_s).left
+        assert after == before
+
+    async def test_without_an_answer_a_request_waits_for_a_moment(
+        self,
+    ) -> None:
+        """A refusal was held back for as long as control did not answer."""
+        entry = Entry()
+        entry.request()
+        entry.answer()
+        entry.now_s += 0.05
+        begin_s = time.monotonic()
+        await entry.loans.borrow(SERVICE)
+        await entry.loans.borrow(SERVICE)
+        assert time.monotonic() - begin_s < 1.0
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -13,6 +13,8 @@
 from sycamorestand_model.packing import unpack
 from sycamorestand_peer.messages import AddressList
 from sycamorestand_peer.messages import AnnouncementRelay
+from sycamorestand_peer.messages import ArrivalsLent
+from sycamorestand_peer.messages import ArrivalTrade
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import ConfigurationPush
 from sycamorestand_peer.messages import ControlLeaseGranted
@@ -60,6 +62,8 @@
     21: Relayed,
     22: EntryCount,
     23: SessionsStay,
+    24: ArrivalTrade,
+    25: ArrivalsLent,
 }
 _IN_FORCE: Final = msgspec.msgpack.Decoder(InForce)
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -182,6 +182,24 @@
     places: tuple[int, ...]
 
 
+class ArrivalTrade(NamedTuple):
+    """What an entry gives to its control process's pool, and asks of it.
+
+    By service, in arrivals; ``number`` comes back in the answer.
+    """
+
+    number: int
+    given: dict[str, float]
+    asked: dict[str, float]
+
+
+class ArrivalsLent(NamedTuple):
+    """What the pool lends to the entry that sent a trade."""
+
+    number: int
+    lent: dict[str, float]
+
+
 class Relayed(NamedTuple):
     """A message between two processes that are cut off from each other.
 
@@ -229,11 +247,15 @@
     | JoinRequest
     | ControlList
     | Relayed
+    | ArrivalTrade
+    | ArrivalsLent
 )
 
 __all__ = [
     "AddressList",
     "AnnouncementRelay",
+    "ArrivalTrade",
+    "ArrivalsLent",
     "CallReply",
     "ConfigurationPush",
     "ControlLeaseGranted",
