A planned stop is a deadline of the requests that it would end

Cause: the time that patience, fallback and the deadline handed to servers are reckoned by was the caller's and the route's alone; the end of the process was known only to the server that ended it, after the last request or by force.

Change: from the begin of a planned stop the earlier of the two holds, 0.2 s before the limit. So a stream falls back to the smallest model's answer at half of what is left, as it does before its caller leaves, and who waits at the end is told 504 with what is known of its run. A stream that has begun and runs beyond the limit is cut as before.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
@@ -93,6 +93,7 @@
     keep_alive_s=20,
     retry_share=1.0,
 )
+SIZES: Final = ("small", "middle", "large")
 _ATTEMPT: Final = re.compile(rb"x-attempt: (\S+)", re.IGNORECASE)
 
 Handler = Callable[[bytes, SocketStream], Awaitable[None]]
@@ -139,6 +140,14 @@
             return await read_to_end(stream)
 
 
+def with_sizes(in_force: InForce) -> InForce:
+    """Return the configuration with models on the route of streams."""
+    declared = in_force.declarations
+    review = declared.routes["review"]._replace(sizes=SIZES)
+    routes = {**declared.routes, "review": review}
+    return in_force._replace(declarations=declared._replace(routes=routes))
+
+
 def request_bytes(path: str, **headers: str) -> bytes:
     """Return a request on a connection of its own."""
     lines = [f"POST {path} HTTP/1.1", f"host: {HOST}", "connection: close"]
@@ -232,4 +241,5 @@
     "start_routed",
     "stream_head",
     "WIRE",
+    "with_sizes",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -5,9 +5,11 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
+import math
 from random import Random
 import time
 from typing import Any
+from typing import Final
 from typing import TYPE_CHECKING
 
 from sycamorestand_decisions.arrivals import ArrivalBudget
@@ -37,6 +39,8 @@
     from sycamorestand_entry.settings import EntrySettings
 
 _LOG = logging.getLogger(__name__)
+# For what a request's own end takes before the process is ended.
+STOP_MARGIN_S: Final = 0.2
 
 
 class EntryContext:
@@ -77,11 +81,23 @@
         self.start_hold = StartHold()
         self.pins: dict[tuple[str, str], str] = {}
         self.stopping = False
+        self._ends_at_s = math.inf
 
     def now_s(self) -> float:
         """Return the time of the monotonic clock."""
         return time.monotonic()
 
+    def begin_stop(self) -> None:
+        """Note that the process ends, within the limit that it is set."""
+        self.stopping = True
+        limit_s = self.settings.stop_limit_s
+        if limit_s:
+            self._ends_at_s = self.now_s() + limit_s - STOP_MARGIN_S
+
+    def ends_at_s(self) -> float:
+        """Return by when answers must be whole, infinity if none must."""
+        return self._ends_at_s
+
     def delay(self, service: str, quick: bool) -> QueueDelay:
         """Return the wait at a service's servers, by length of reading.
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -194,6 +194,7 @@
             await _body_by(deadline_at_s, request, limit_bytes),
             deadline_at_s,
             log,
+            self._context.ends_at_s,
         )
 
     async def _hold(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
@@ -13,6 +13,8 @@
 from sycamorestand_entry.routed.headers import RawHeaders
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sycamorestand_entry.routed.decision_log import DecisionLog
     from sycamorestand_entry.routed.wire import RouteWire
     from sycamorestand_model.routes import Route
@@ -27,7 +29,8 @@
     ``target`` is path and query as they were sent. ``deadline_at_s`` is on
     the monotonic clock: the earlier of what the caller said and the
     route's timeout. ``headers`` are those that are passed on. ``log``
-    takes what is decided about it.
+    takes what is decided about it. ``ends_at_s`` returns when the process
+    ends, which may become known while the call runs.
     """
 
     route: Route
@@ -43,6 +46,7 @@
     body: bytes
     deadline_at_s: float
     log: DecisionLog
+    ends_at_s: Callable[[], float]
 
     @property
     def may_repeat(self) -> bool:
@@ -53,8 +57,13 @@
         )
 
     def remaining_s(self) -> float:
-        """Return what is left of the caller's and the route's time."""
-        return self.deadline_at_s - time.monotonic()
+        """Return what is left of the caller's and the route's time.
+
+        Or of the process's: an answer that would come after its planned
+        stop is cut, and the caller is not told what had run.
+        """
+        until_s = min(self.deadline_at_s, self.ends_at_s())
+        return until_s - time.monotonic()
 
 
 def read_deadline_s(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -50,7 +50,7 @@
         """
         if self.context.stopping:
             return
-        self.context.stopping = True
+        self.context.begin_stop()
         self.context.control.set_stopping()
         _LOG.info("planned stop begins")
         self._stop.set()
--- a/packages/sycamorestand-entry/tests/routed/test_climb.py
+++ b/packages/sycamorestand-entry/tests/routed/test_climb.py
@@ -14,11 +14,10 @@
 from sycamorestand_bench.fakes.routed import RoutedLoopback
 from sycamorestand_bench.fakes.routed import SETTINGS
 from sycamorestand_bench.fakes.routed import start_routed
+from sycamorestand_bench.fakes.routed import with_sizes
 from sycamorestand_decisions.arrivals import Allowance
-from sycamorestand_model.in_force import InForce
 
 pytestmark = pytest.mark.anyio
-SIZES: Final = ("small", "middle", "large")
 MODEL: Final = re.compile(rb"x-model: (\w+)")
 
 
@@ -162,11 +161,3 @@
         if (found := MODEL.search(request))
     ]
     return answer, models
-
-
-def with_sizes(in_force: InForce) -> InForce:
-    """Return the configuration with models on the route of streams."""
-    declared = in_force.declarations
-    review = declared.routes["review"]._replace(sizes=SIZES)
-    routes = {**declared.routes, "review": review}
-    return in_force._replace(declarations=declared._replace(routes=routes))
--- a/packages/sycamorestand-entry/tests/routed/test_start_and_stop.py
+++ b/packages/sycamorestand-entry/tests/routed/test_start_and_stop.py
@@ -8,12 +8,14 @@
 
 from sycamorestand_bench.fakes.control_port import FakeControlPort
 from sycamorestand_bench.fakes.routed import answer_bytes
+from sycamorestand_bench.fakes.routed import answer_head
 from sycamorestand_bench.fakes.routed import event
 from sycamorestand_bench.fakes.routed import read_to_end
 from sycamorestand_bench.fakes.routed import request_bytes
 from sycamorestand_bench.fakes.routed import SETTINGS
 from sycamorestand_bench.fakes.routed import start_routed
 from sycamorestand_bench.fakes.routed import stream_head
+from sycamorestand_bench.fakes.routed import with_sizes
 from sycamorestand_decisions.starting import hold_s
 from sycamorestand_decisions.starting import STARTING_S
 
@@ -129,6 +131,50 @@
         assert b"id: 2" in answer
         assert answer.endswith(b"0\r\n\r\n")
 
+    async def test_a_climb_that_the_stop_would_end_is_given_up(self) -> None:
+        """A larger model is asked, and the process ends before it answers."""
+
+        async def handler(request: bytes, stream: SocketStream) -> None:
+            if b"x-model: small" not in request:
+                await anyio.sleep(30)
+            head = answer_head(
+                request,
+                b"content-type: text/event-stream",
+                b"transfer-encoding: chunked",
+                b"x-confidence: 20",
+            )
+            await stream.send(head + event(1) + b"0\r\n\r\n")
+
+        settings = SETTINGS._replace(stop_limit_s=1.6)
+        async with start_routed(settings) as loopback:
+            in_force = loopback.control.in_force()
+            loopback.control.configuration = with_sizes(in_force)
+            await loopback.add_server("s-1", handler)
+            await loopback.add_server("s-2", handler)
+            async with await loopback.connect() as stream:
+                loopback.entry.begin_stop()
+                await stream.send(request_bytes("/review/1", x_model="*"))
+                with anyio.fail_after(5):
+                    answer = await read_to_end(stream)
+        assert answer.endswith(b"0\r\n\r\n")
+
+    async def test_who_waits_at_the_end_is_told(self) -> None:
+        """Callers saw a connection that closed, and not what had run."""
+
+        async def handler(request: bytes, stream: SocketStream) -> None:
+            await anyio.sleep(30)
+
+        settings = SETTINGS._replace(stop_limit_s=1.0)
+        async with start_routed(settings) as loopback:
+            await loopback.add_server("s-1", handler)
+            async with await loopback.connect() as stream:
+                await stream.send(request_bytes("/review/1"))
+                await anyio.sleep(0.1)
+                loopback.entry.begin_stop()
+                with anyio.fail_after(5):
+                    answer = await read_to_end(stream)
+        assert answer.startswith(b"HTTP/1.1 504")
+
     async def test_stream_without_an_end_is_broken_off(self) -> None:
         """A stream runs on beyond the time that a process is given.
 
--- a/packages/sycamorestand-entry/tests/routed/test_targets.py
+++ b/packages/sycamorestand-entry/tests/routed/test_targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from types import SimpleNamespace
 from typing import Any
@@ -88,6 +89,7 @@
         b"",
         0.0,
         DecisionLog(),
+        lambda: math.inf,
     )
 
 
