replace-voter waits for a change of voters that is not committed yet

Cause: the leader's own round promotes the learner that the command has added. Its change takes effect as it is appended, so that the command sees a voter and goes on to the removal, which the log refuses until the promotion is committed: on a calm machine that is milliseconds before, beside load after.

Change: ChangeUnderWay, a kind of MembershipRefused; a step that meets it is made again for up to 5 s, and looks first whether somebody else has made it. Two tests that failed, one for a change that is never committed. The system test's check is as it was.

--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/change.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/change.py
@@ -10,6 +10,7 @@
 
 from typing import Final
 
+from sycamorestand_consensus.errors import ChangeUnderWay
 from sycamorestand_consensus.errors import MembershipRefused
 from sycamorestand_consensus.errors import NotLeader
 from sycamorestand_consensus.errors import TransferFailed
@@ -132,9 +133,9 @@
     if state.commit_index < state.term_start_index:
         # A change of an earlier leader may be uncommitted without being
         # known here; one more on top of it could split the voters.
-        raise MembershipRefused("no entry of this term is committed yet")
+        raise ChangeUnderWay("no entry of this term is committed yet")
     if state.memberships[-1][0] > state.commit_index:
-        raise MembershipRefused("another change is not committed yet")
+        raise ChangeUnderWay("another change is not committed yet")
 
 
 def _append_change(state: RaftState, membership: Membership) -> int:
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/errors.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/errors.py
@@ -34,6 +34,10 @@
     """The change of membership was not appended; the message says why."""
 
 
+class ChangeUnderWay(MembershipRefused):
+    """An earlier change is not committed yet; this one can be made then."""
+
+
 class TransferFailed(ConsensusError):
     """Leadership could not be handed over; the message says why."""
 
@@ -74,6 +78,7 @@
 
 __all__ = [
     "BootstrapRefused",
+    "ChangeUnderWay",
     "ConsensusError",
     "DiskFull",
     "LogCorrupted",
--- a/packages/sycamorestand-control/src/sycamorestand_control/membership.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/membership.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from sycamorestand_consensus.errors import ChangeUnderWay
 from sycamorestand_consensus.errors import ConsensusError
 from sycamorestand_consensus.errors import MembershipRefused
 from sycamorestand_control.groups import CONFIGURATION_GROUP
@@ -20,6 +21,8 @@
 from sycamorestand_peer.messages import JoinRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from sycamorestand_consensus.replica import Replica
@@ -34,6 +37,9 @@
 # A learner that lags longer keeps the operator waiting for nothing, and
 # would stay a member that no quorum can count on.
 CATCH_UP_S: Final = 20.0
+# A commit takes milliseconds; on a busy machine, or beside an election, it
+# may take seconds. Without a quorum it never comes.
+CHANGE_WAIT_S: Final = 5.0
 # A leader's loop that pauses this long was suspended or starved.
 PAUSED_S: Final = 1.0
 # A request that another process passed on expects no reply.
@@ -126,13 +132,19 @@
         if old_id == new_id:
             raise MembershipRefused("a voter cannot replace itself")
         replica = self._groups.replicas[group]
-        members = _member_ids(replica)
-        if new_id not in members:
-            await self._add_learner(replica, new_id)
+
+        async def add() -> None:
+            if new_id not in _member_ids(replica):
+                await self._add_learner(replica, new_id)
+
+        async def remove() -> None:
+            if old_id in _member_ids(replica):
+                await replica.remove(old_id)
+
+        await _when_committed(add)
         if not is_voter(replica, new_id):
             await _promote_when_ready(replica, new_id)
-        if old_id in members:
-            await replica.remove(old_id)
+        await _when_committed(remove)
 
     async def _add_learner(self, replica: Replica, member_id: str) -> None:
         joiner = self._joiners.get(member_id)
@@ -287,6 +299,23 @@
         return False
 
 
+async def _when_committed(change: Callable[[], Awaitable[None]]) -> None:
+    """Make a change once an earlier one is committed, if there is one.
+
+    The leader's own round makes changes too; the operator's command was
+    refused for one that its own system had under way.
+    """
+    until_s = boottime_s() + CHANGE_WAIT_S
+    while True:
+        try:
+            await change()
+            return
+        except ChangeUnderWay:
+            if boottime_s() >= until_s:
+                raise
+        await anyio.sleep(ADMIT_INTERVAL_S)
+
+
 async def _promote_when_ready(replica: Replica, member_id: str) -> None:
     until_s = boottime_s() + CATCH_UP_S
     # The leader's own round may promote it first. Asked for once more, a
--- a/packages/sycamorestand-control/tests/test_membership.py
+++ b/packages/sycamorestand-control/tests/test_membership.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sycamorestand_consensus.errors import ChangeUnderWay
 from sycamorestand_consensus.errors import MembershipRefused
 from sycamorestand_consensus.replica_types import MemberStatus
 from sycamorestand_control.membership import Admissions
@@ -45,6 +46,27 @@
         self.members = [m for m in self.members if m.member_id != member_id]
 
 
+class BusyReplica(FakeReplica):
+    """Refuses one step once, as an earlier change is not committed yet."""
+
+    def __init__(self, step: str) -> None:
+        super().__init__()
+        self._refused = step
+
+    async def add_learner(self, member_id: str, address: str) -> None:
+        self._refuse(f"add {member_id}")
+        await super().add_learner(member_id, address)
+
+    async def remove(self, member_id: str) -> None:
+        self._refuse(f"remove {member_id}")
+        await super().remove(member_id)
+
+    def _refuse(self, step: str) -> None:
+        if step == self._refused:
+            self._refused = ""
+            raise ChangeUnderWay("another change is not committed yet")
+
+
 class FakeGroups:
     def __init__(self, replica: FakeReplica) -> None:
         self.replicas = {0: replica}
@@ -106,6 +128,30 @@
             await scene.admissions.replace(0, "old", "stranger")
         assert scene.replica.calls == []
 
+    @pytest.mark.anyio
+    @pytest.mark.parametrize("step", ["add new", "remove old"])
+    async def test_a_change_that_is_under_way_is_waited_for(
+        self, step: str
+    ) -> None:
+        """The leader's own step was not committed, and the command refused."""
+        replica = BusyReplica(step)
+        scene = Scene(replica)
+        scene.ask("new", "new:1")
+        await scene.admissions.replace(0, "old", "new")
+        assert replica.calls == ["add new", "promote new", "remove old"]
+
+    @pytest.mark.anyio
+    async def test_one_that_is_never_committed_is_not(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Without a quorum nothing is committed, and the operator is told."""
+        module = "sycamorestand_control.membership."
+        monkeypatch.setattr(module + "CHANGE_WAIT_S", 0.0)
+        scene = Scene(BusyReplica("remove old"))
+        scene.ask("new", "new:1")
+        with pytest.raises(ChangeUnderWay):
+            await scene.admissions.replace(0, "old", "new")
+
     @pytest.mark.anyio
     async def test_a_learner_that_lags_is_removed_again(
         self, monkeypatch: pytest.MonkeyPatch
