--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
@@ -14,9 +14,7 @@
 large model: whoever comes next waits for seconds there, and for a tenth of one
 elsewhere. A request whose own reading is cheap has nothing to lose by asking
 elsewhere, as nothing of it was read; it goes after a tenth of its aim, but
-not where requests wait as long everywhere. On calm days late answers to the
-longest kind of request fell from 4.1 to 2.7 in 100, and the two worst seconds'
-share of what callers are owed rose from 0.86 to 0.91.
+not where requests wait as long everywhere.
 
 The time that a server needs to read a prompt is no sign of a fault. A long
 prompt on a large model takes longer than any share of the aim; given up
@@ -57,8 +55,7 @@
 # A twentieth of the aim: what two more servers may read in vain without
 # making the request late.
 QUICK_READ_SHARE: Final = 0.05
-# Worth of calm days by this share: 0.06 0.717, 0.1 0.732 and 0.724,
-# 0.15 0.721, never 0.713 (means of three runs, which differ by 0.01).
+# Of the aim: the wait at a server beside which no other is sooner.
 QUICK_SHARE: Final = 0.1
 # The longest of so many answers is longer than most.
 ANSWERS_KEPT: Final = 8
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/reading.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/reading.py
@@ -6,8 +6,7 @@
 request behind it for seconds; nothing that an entry counts shows it. Short
 readings first is the order in which the fewest wait, and the short ones
 together are a small part of the work, so that the long ones lose little by
-it: late answers of the longest kind of request fell as well, from 8 to 5 in
-a hundred on calm days.
+it.
 
 What a reading takes is learned, as it differs by engine and model: the time
 to the first event by token, of prompts long enough that the constant part of
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/size_ladder.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/size_ladder.py
@@ -19,9 +19,6 @@
 
 Under overload the time that a climb takes is another request's: a second
 load pattern, answered by `FULL_STRAIN`.
-
-The thresholds are from quiet days on the platform's bench: see
-``docs/design/decisions/routed.md``.
 """
 
 from __future__ import annotations
@@ -32,24 +29,20 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-# Swept on a quiet day: 40 loses more worth by poor answers than the large
-# model costs, 75 pays for the large model where the answer was good.
+# Of 100. Lower lets more poor answers out, higher pays for the large model
+# where the answer was good.
 ACCEPT_CONFIDENCE: Final = 60
 # A model between has an answer to give only after a near miss of the one
 # below. Both opinions are rough and speak of the same request, so that the
 # second needs to say less.
 ACCEPT_AFTER_NEAR_MISS: Final = 50
-# The middle model's confidence lies some twelve above the smallest one's:
-# from here on, 50 of its 84 answers of a quiet day were above
-# `ACCEPT_CONFIDENCE`, and 72 at fifty or more.
+# The middle model's confidence lies some twelve above the smallest one's, so
+# that from here on most of its answers can be accepted.
 NEAR_CONFIDENCE: Final = 45
-
-
 # The largest model reads a prompt in ten times the smallest one's time, so
-# a climb keeps up to ten requests waiting behind it. As their wait nears half
-# of the aim, answers go out that would otherwise climb, the better ones first.
-# On a day with a burst, two tenants in excess and a server lost callers
-# were given 0.52 of what they were owed in place of 0.45; from 0.3 on, less.
+# a climb keeps up to ten requests waiting behind it. As their wait nears this
+# share of the aim, answers go out that would otherwise climb, the better ones
+# first.
 FULL_STRAIN: Final = 0.5
 
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/ledger_client.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/ledger_client.py
@@ -29,9 +29,9 @@
 
 # Batches of a shard leave at least this far apart. A batch and its answer
 # cost the entry about 0.9 ms of processor time whatever is in it, so some
-# seventeen a second are what is left of 2.5% of a core at the target size
-# (dev/bench control). A record after a pause leaves at once: only a busy
-# entry waits, and then for half of this on average.
+# seventeen a second are what is left of 2.5% of a core at the target size.
+# A record after a pause leaves at once: only a busy entry waits, and then for
+# half of this on average.
 SPACING_S: Final = 0.06
 ATTEMPT_TIMEOUT_S: Final = 1.5
 # Two attempts outlive a leader change; a request that waits longer is
--- a/packages/sycamorestand-model/src/sycamorestand_model/packing.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/packing.py
@@ -1,9 +1,9 @@
 """Large content made small for the links between data centres.
 
 A configuration of a thousand routes is half a megabyte, most of it the same
-words again and again, and goes to each voter and each entry at each change.
-On a day with 1,116 routes these copies were most of the bytes between data
-centres, and each kept a link of 5 Mbit/s busy for 0.2 s. A changed part
+words again and again, and goes to each voter and each entry at each change:
+most of the bytes between data centres where there are hundreds of entries,
+and 0.2 s of a link of 5 Mbit/s. A changed part
 alone would be smaller still, but whoever misses one needs the whole again.
 """
 
