--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -4,8 +4,6 @@
 
 import functools
 import logging
-import secrets
-import time
 from typing import Any
 from typing import Final
 from typing import TYPE_CHECKING
@@ -19,14 +17,13 @@
 from sycamorestand_control.arrival_lender import ArrivalLender
 from sycamorestand_control.background import keep_running
 from sycamorestand_control.errors import ControlError
-from sycamorestand_control.errors import StartRefused
+from sycamorestand_control.formation import create_cluster
 from sycamorestand_control.groups import CONFIGURATION_GROUP
 from sycamorestand_control.groups import FIRST_LEDGER_GROUP
 from sycamorestand_control.groups import Group
 from sycamorestand_control.groups import LogGroups
 from sycamorestand_control.hub import EntryHub
 from sycamorestand_control.joining import ask_to_join
-from sycamorestand_control.joining import cluster_exists
 from sycamorestand_control.leader_spread import LeaderSpread
 from sycamorestand_control.lease_service import LeaseService
 from sycamorestand_control.ledger_reader import LedgerReader
@@ -63,8 +60,6 @@
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
-from sycamorestand_state.commands import CreateCluster
-from sycamorestand_state.commands import encode_command
 from sycamorestand_state.configuration import ConfigurationMachine
 from sycamorestand_state.ledger import LedgerMachine
 from sycamorestand_state.results import ChangeResult
@@ -75,10 +70,7 @@
     from sycamorestand_control.settings import ControlSettings
 
 LOG: Final = logging.getLogger(__name__)
-CREATE_TIMEOUT_S: Final = 10.0
 LEDGER_TIMEOUT_S: Final = 1.4
-SESSION_KEY_BYTES: Final = 32
-FIRST_OPERATOR: Final = "first-admin"
 
 
 class ControlProcess:
@@ -206,7 +198,9 @@
 
     async def _form_cluster(self) -> None:
         if self._settings.first_start:
-            await self._create_cluster()
+            await create_cluster(
+                self._settings, self.mesh, self.groups, self.configuration
+            )
         if not self._others():
             return
         assert self._tasks is not None
@@ -223,49 +217,6 @@
     def _part_failed(self) -> None:
         self.mesh.counters.faults += 1
 
-    async def _create_cluster(self) -> None:
-        """Make a new cluster, unless this folder belongs to one already.
-
-        A process that is restarted with the setting still in place finds
-        its log and goes on with it.
-        """
-        await self._refuse_second_cluster()
-        own = [(self.groups.member_id, self._settings.peer_address)]
-        await self.groups.bootstrap_blank(own)
-        if self.configuration.cluster is not None:
-            return
-        command = CreateCluster(
-            change_id="create-cluster",
-            operator=FIRST_OPERATOR,
-            now_s=time.time(),
-            cluster_id=secrets.token_hex(8),
-            session_key=secrets.token_bytes(SESSION_KEY_BYTES),
-            shard_count=self._settings.ledger_shards,
-            admin_key_hash=self._settings.first_operator_key_hash,
-        )
-        result = await self.groups.propose(
-            CONFIGURATION_GROUP, encode_command(command), CREATE_TIMEOUT_S
-        )
-        if result.outcome == "refused" and self.configuration.cluster is None:
-            raise StartRefused(result.message)
-
-    async def _refuse_second_cluster(self) -> None:
-        """Refuse to make a cluster beside one that is known to be there.
-
-        A voter whose disk was lost, with the setting of the first start
-        still in place, would make an empty cluster of its own, and lease
-        its entries a configuration that knows of no withdrawal.
-        """
-        if not await self.groups.is_blank():
-            return
-        settings = self._settings
-        controls = settings.control_addresses
-        if await cluster_exists(self.mesh, self.groups, controls, settings.vm):
-            raise StartRefused(
-                "another control process belongs to a cluster already; leave"
-                " out --first-start, and this one asks to join it"
-            )
-
     async def _hand_over(self) -> None:
         try:
             await self.groups.hand_over()
