--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
@@ -163,7 +163,6 @@
         first = len(account.first_s)
         part = allowance.slack / entries * HELD_SHARE if entries else 0.0
         # An entry of few requests must be able to save up a whole arrival.
-        # An entry of few requests must be able to save up a whole arrival.
         floor = 1 + self._earned if first else 0.0
         most = max(floor, part + self._kept(first))
         account.left = min(account.left, most - account.under_way(now_s))
@@ -189,7 +188,7 @@
         if not self._allowance.ratio or now_s < self._traded_s + wait_s:
             return None
         self._give_up(now_s)
-        given, asked, full = {}, {}, False
+        given, asked, has_more = {}, {}, False
         for service, account in self._accounts.items():
             share = self.share(service, entries, now_s)
             kept = self._kept(share.first)
@@ -199,11 +198,11 @@
                 level = max(spare_from, kept / 2)
                 account.asked = asked[service] = level - share.left
             elif share.left > kept and now_s >= account.give_from_s:
-                full = True
+                has_more = True
                 if self._is_reached:
                     account.given = given[service] = share.left - kept / 2
                     account.left = kept / 2
-        if not asked and not full:
+        if not asked and not has_more:
             return None
         self._trade += 1
         self._traded_s = now_s
