A denied arrival waits for the pool once, not twice

The budget is asked, then once more with what is lent; the loop waited a second time after the last answer, up to 50 ms in which nothing could change. Seen as two waits for each denial in the lines of a trial.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -135,12 +135,15 @@
     async def _asked(self, budget: Callable[[str, int, float], bool]) -> bool:
         """Ask the budget; once more with what the pool lends meanwhile."""
         context = self.context
-        for _ in range(2):
+
+        def ask() -> bool:
             entries = context.control.entry_count()
-            if budget(self._service, entries, context.now_s()):
-                return True
-            await context.loans.borrow(self._service)
-        return False
+            return budget(self._service, entries, context.now_s())
+
+        if ask():
+            return True
+        await context.loans.borrow(self._service)
+        return ask()
 
     async def _may_improve(self, wish: str, bound: str) -> bool:
         if bound:
