A stream that a planned stop cuts is no failure of its server

Callers saw streams cut at an entry's planned stop, and its log said of each "it sent nothing for too long", with pauses under 0.6 s in the same line: the wait for the next event is bounded by what is left of the process, and its end was taken for silence.

Now the end of the process is told from silence: "the process ends", outcome "cancelled", no failure in the samples. The new test failed before (a failed sample).

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -170,8 +170,9 @@
     def _reason_to_end(self, overloaded: bool) -> str:
         if not self.left:
             return "no attempt left"
-        if self.call.remaining_s() <= 0:
-            return "its time is over"
+        over = self.call.why_over()
+        if over:
+            return over
         if overloaded:
             return ""
         if not self.call.may_repeat:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
@@ -21,6 +21,7 @@
 
 ANONYMOUS: Final = ""
 MAX_DEADLINE_DIGITS: Final = 9
+PROCESS_ENDS: Final = "the process ends"
 
 
 class RoutedCall(NamedTuple):
@@ -65,6 +66,14 @@
         until_s = min(self.deadline_at_s, self.ends_at_s())
         return until_s - time.monotonic()
 
+    def why_over(self) -> str:
+        """Return what used up the time, empty while some is left."""
+        if self.remaining_s() > 0:
+            return ""
+        if self.ends_at_s() < self.deadline_at_s:
+            return PROCESS_ENDS
+        return "its time is over"
+
 
 def read_deadline_s(
     values: dict[bytes, bytes], wire: RouteWire, route: Route, read_s: float
@@ -133,6 +142,7 @@
     "ANONYMOUS",
     "MAX_DEADLINE_DIGITS",
     "passed_headers",
+    "PROCESS_ENDS",
     "RawHeaders",
     "read_deadline_s",
     "read_values",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -9,6 +9,7 @@
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.gate import may_dispatch_routed
 from sycamorestand_entry.gate import RoutedIntent
+from sycamorestand_entry.routed.call import PROCESS_ENDS
 from sycamorestand_entry.routed.decision_log import AttemptEnded
 from sycamorestand_entry.routed.decision_log import MovedOn
 from sycamorestand_entry.routed.messages import answer_headers
@@ -109,13 +110,8 @@
         """
         try:
             head = await self.connection.read_head(limit_s, soft)
-        except SilentConnection as error:
-            self._outcome = "timeout"
-            self._reason = str(error)
-            raise
         except UpstreamError as error:
-            self._outcome = "error"
-            self._reason = str(error)
+            self.failed(error)
             raise
         fault = foreign(head, self._wire, self._call)
         if fault:
@@ -178,8 +174,7 @@
                     raise MalformedAnswer("its answer is too large")
         except UpstreamError as error:
             self.connection.close()
-            silent = isinstance(error, SilentConnection)
-            self._outcome = "timeout" if silent else "error"
+            self.failed(error)
             raise
         not_run = says_not_run(head, self._wire)
         self.ended(head.status, not_run)
@@ -199,11 +194,19 @@
         else:
             self._outcome = "error" if status >= 500 else "ok"
 
-    def failed(self, error: UpstreamError) -> None:
-        """Note that the answer broke off."""
+    def failed(self, error: UpstreamError) -> str:
+        """Note that the answer broke off, and return why.
+
+        The end of this process is no failure of the server: counted as
+        one, planned stops could take a sound roll-out back.
+        """
         silent = isinstance(error, SilentConnection)
+        over = self._call.why_over() if silent else ""
         self._outcome = "timeout" if silent else "error"
-        self._reason = str(error)
+        if over == PROCESS_ENDS:
+            self._outcome = "cancelled"
+        self._reason = over or str(error)
+        return self._reason
 
     def first_byte(self) -> None:
         """Note that the answer has begun."""
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -109,11 +109,11 @@
                 self._rest = b""
                 continue
             except UpstreamError as error:
-                exchange.failed(error)
+                reason = exchange.failed(error)
                 self._attempts.may_have_run = True
                 self._rest = b""
                 if not await self._may_resume(overloaded=False):
-                    raise self._broken(str(error)) from None
+                    raise self._broken(reason) from None
                 continue
             finally:
                 # Before the next server is asked: the run before it must
--- a/packages/sycamorestand-entry/tests/routed/test_start_and_stop.py
+++ b/packages/sycamorestand-entry/tests/routed/test_start_and_stop.py
@@ -197,3 +197,27 @@
                     answer = begin + await read_to_end(stream)
                     await loopback.entry.stopped.wait()
         assert not answer.endswith(b"0\r\n\r\n")
+
+    async def test_a_stream_that_it_cuts_counts_against_no_server(
+        self,
+    ) -> None:
+        """Planned stops counted as failures of a version."""
+
+        async def handler(request: bytes, stream: SocketStream) -> None:
+            await stream.send(stream_head(request) + event(1))
+            for number in range(2, 40):
+                await anyio.sleep(0.1)
+                await stream.send(event(number))
+
+        settings = SETTINGS._replace(stop_limit_s=0.8)
+        async with start_routed(settings) as loopback:
+            await loopback.add_server("s-1", handler)
+            async with await loopback.connect() as stream:
+                await stream.send(request_bytes("/review/1"))
+                await stream.receive()
+                loopback.entry.begin_stop()
+                with anyio.fail_after(5):
+                    await read_to_end(stream)
+            samples = loopback.control.samples
+        assert samples
+        assert not any(sample.failed for sample in samples)
