A stopping entry refuses at once what its end would cut

Callers saw streams cut in the middle of an answer that flowed, 7.1 s after a planned stop had begun, though they had come 0.3 to 1.9 s after its begin and other entries were free.

Cause: a stopping entry goes on accepting until no caller has its address any more, and nothing compared how long answers take with what the stop leaves. Of 19 such streams six had climbed, so a climb that takes too long is not the cause by itself; none was silent.

Change: where another entry serves, what is likely to run on at the limit is refused as not run, with Retry-After 0.1 s. Likely: half as much again as the longest of the route's last eight answers, by the pause between events of now (servers leave during planned work, and answers that ended tell of faster times), or as what has run for longest (soon after a start only short ones have ended).

The caller's length hint tells hardly more than nothing.

Why it holds: a refusal costs its caller one try of a few milliseconds; where nobody else serves, or no time is known yet, the request is taken as before. test_stopping.py replays the load; TestStoppingEntry failed before (200, and a request at the server).

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
@@ -26,6 +26,7 @@
 
 from collections import deque
 from typing import Final
+from typing import NamedTuple
 
 # A call is given up for another server while two thirds of its time are
 # left, as the other one may be slow too; below a quarter of a second a
@@ -132,22 +133,66 @@
     return max(MIN_GAP_S, GAP_TARGETS * target_s)
 
 
+class AnswerTime(NamedTuple):
+    """What one whole answer of a stream took.
+
+    ``begin_s`` is from the request to the first event, ``answer_s`` from
+    there to the end.
+    """
+
+    begin_s: float
+    answer_s: float
+    events: int
+
+
 class AnswerTimes:
-    """How long answers take from their first event to their end."""
+    """What the last answers of each route took, and since when others run."""
 
     def __init__(self) -> None:
-        self._last_s: dict[str, deque[float]] = {}
+        self._last: dict[str, deque[AnswerTime]] = {}
+        self._running_since_s: dict[str, list[float]] = {}
+
+    def asked(self, route: str, at_s: float) -> None:
+        """Note a request that `over` is told of, with the same time."""
+        self._running_since_s.setdefault(route, []).append(at_s)
 
-    def ended(self, route: str, answer_s: float) -> None:
+    def over(self, route: str, at_s: float) -> None:
+        """Note that a request of this time runs no more."""
+        since_s = self._running_since_s[route]
+        since_s.remove(at_s)
+        if not since_s:
+            del self._running_since_s[route]
+
+    def ended(self, route: str, answer: AnswerTime) -> None:
         """Take in a whole answer."""
-        if len(self._last_s) >= MAX_ROUTES and route not in self._last_s:
-            self._last_s.clear()
-        empty: deque[float] = deque(maxlen=ANSWERS_KEPT)
-        self._last_s.setdefault(route, empty).append(answer_s)
+        if len(self._last) >= MAX_ROUTES and route not in self._last:
+            self._last.clear()
+        empty: deque[AnswerTime] = deque(maxlen=ANSWERS_KEPT)
+        self._last.setdefault(route, empty).append(answer)
 
     def high_s(self, route: str) -> float:
-        """Return what an answer hardly takes longer than, 0 if unknown."""
-        return max(self._last_s.get(route, (0.0,)))
+        """Return what an answer hardly takes longer than, 0 if unknown.
+
+        It counts from the first event.
+        """
+        last = self._last.get(route, ())
+        return max((answer.answer_s for answer in last), default=0.0)
+
+    def whole_s(self, route: str, pause_s: float, now_s: float) -> float:
+        """Return the same from the request on, as servers are now.
+
+        ``pause_s`` is what lies between two events now. The answers that
+        ended say nothing yet of servers that became slow, and soon after
+        the start only short ones have ended: what runs counts as well.
+        """
+        past_s = [
+            answer.begin_s + max(answer.answer_s, answer.events * pause_s)
+            for answer in self._last.get(route, ())
+        ]
+        running_s = [
+            now_s - since_s for since_s in self._running_since_s.get(route, ())
+        ]
+        return max(past_s + running_s, default=0.0)
 
 
 class Progress:
@@ -182,6 +227,7 @@
 
 
 __all__ = [
+    "AnswerTime",
     "AnswerTimes",
     "call_limit_s",
     "fallback_after_s",
--- /dev/null
+++ b/packages/sycamorestand-decisions/tests/test_stopping.py
@@ -0,0 +1,86 @@
+"""Which requests a stopping process sends elsewhere."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Final
+from typing import NamedTuple
+
+from sycamorestand_decisions.patience import AnswerTime
+from sycamorestand_decisions.patience import AnswerTimes
+from sycamorestand_decisions.stopping import goes_elsewhere
+
+LIMIT_S: Final = 7.0
+PATIENCE_S: Final = 20.0
+# How long callers still come after the stop has begun.
+COMING_S: Final = 2.0
+STOPS: Final = 400
+
+
+class Kind(NamedTuple):
+    """Answers of one route: the median and the spread of their times."""
+
+    route: str
+    median_s: float
+    spread: float
+
+
+class Played(NamedTuple):
+    taken: int
+    cut: int
+    sent_elsewhere: int
+
+
+LONG: Final = Kind("review", 4.5, 0.6)
+SHORT: Final = Kind("tags", 0.5, 0.6)
+
+
+def play(kind: Kind, seed: int, decide: bool) -> Played:
+    """Play planned stops, each with the callers that still come."""
+    random = Random(seed)
+    taken = cut = elsewhere = 0
+    for _ in range(STOPS):
+        times = AnswerTimes()
+        for _ in range(8):
+            times.ended(kind.route, AnswerTime(0.0, _time_s(kind, random), 1))
+        ends_in_s = LIMIT_S - random.uniform(0.0, COMING_S)
+        longest_s = times.whole_s(kind.route, 0.0, 0.0)
+        if decide and goes_elsewhere(ends_in_s, PATIENCE_S, longest_s):
+            elsewhere += 1
+            continue
+        taken += 1
+        cut += _time_s(kind, random) > ends_in_s
+    return Played(taken, cut, elsewhere)
+
+
+def _time_s(kind: Kind, random: Random) -> float:
+    return kind.median_s * random.lognormvariate(0.0, kind.spread)
+
+
+class TestGoesElsewhere:
+    def test_streams_that_the_stop_would_cut(self) -> None:
+        """A stop cut streams that came after it had begun."""
+        for seed in range(5):
+            without = play(LONG, seed, decide=False)
+            played = play(LONG, seed, decide=True)
+            assert without.cut > 0.2 * STOPS
+            assert played.cut < without.cut / 5
+
+    def test_short_answers_stay(self) -> None:
+        """A caller sent elsewhere has used up its one retry."""
+        for seed in range(5):
+            played = play(SHORT, seed, decide=True)
+            assert played.sent_elsewhere <= 0.01 * STOPS
+            assert played.cut <= 0.01 * STOPS
+
+    def test_unknown_times_are_no_reason(self) -> None:
+        assert not goes_elsewhere(3.0, 20.0, 0.0)
+
+    def test_nor_is_a_process_without_an_end(self) -> None:
+        assert not goes_elsewhere(float("inf"), 20.0, 9.0)
+
+    def test_what_the_caller_ends_sooner_is_not_cut_by_the_stop(self) -> None:
+        assert not goes_elsewhere(3.0, 2.0, 9.0)
+
+    def test_what_comes_at_the_very_end_goes(self) -> None:
+        assert goes_elsewhere(0.0, 20.0, 0.2)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -78,6 +78,7 @@
         self.staying = StayingSessions(settings.session_idle_s)
         control.listen(SessionsStay, self._sessions_told)
         self._delays: dict[tuple[str, bool], QueueDelay] = {}
+        self._pauses: dict[str, QueueDelay] = {}
         self.start_hold = StartHold()
         self.pins: dict[tuple[str, str], str] = {}
         self.stopping = False
@@ -98,6 +99,13 @@
         """Return by when answers must be whole, infinity if none must."""
         return self._ends_at_s
 
+    def others_serve(self) -> bool:
+        """Tell whether another entry that does not stop is known."""
+        return any(
+            address.vm != self.settings.vm and not address.stopping
+            for address in self.control.addresses()
+        )
+
     def delay(self, service: str, quick: bool) -> QueueDelay:
         """Return the wait at a service's servers, by length of reading.
 
@@ -105,6 +113,10 @@
         """
         return self._delays.setdefault((service, quick), QueueDelay())
 
+    def pause(self, service: str) -> QueueDelay:
+        """Return the wait for the next event of a service's streams."""
+        return self._pauses.setdefault(service, QueueDelay())
+
     def _ratings_told(self, message: SharedRatings) -> None:
         self.cascade.learn(message.ratings)
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
@@ -196,6 +196,13 @@
     code = "no_backend_server"
 
 
+class Stopping(RequestError):
+    """This entry ends before the answer would; another one takes it."""
+
+    status = 503
+    code = "stopping"
+
+
 class LedgerFailed(RequestError):
     """The ledger gave no answer in time."""
 
@@ -254,6 +261,7 @@
     "SessionNotAllowed",
     "SessionWithdrawn",
     "StillRunning",
+    "Stopping",
     "truthful",
     "Unauthorised",
     "UnknownMethod",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
+import math
 import time
 from typing import Any
 from typing import Final
@@ -14,11 +15,13 @@
 import anyio
 
 from sycamorestand_decisions.affinity import prefix_key
+from sycamorestand_decisions.stopping import goes_elsewhere
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import InternalError
 from sycamorestand_entry.errors import NoLease
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import RequestTimeout
+from sycamorestand_entry.errors import Stopping
 from sycamorestand_entry.errors import UnknownPath
 from sycamorestand_entry.http_messages import CallerGone
 from sycamorestand_entry.http_messages import read_body
@@ -62,6 +65,8 @@
 STREAM_S: Final = 1.0
 # What still waits so long after its time is ended from outside.
 LATE_S: Final = 0.1
+# Other entries are free to answer now.
+STOPPING_RETRY_S: Final = 0.1
 
 Application = Callable[[Any, "Receive", "Send"], Awaitable[None]]
 
@@ -125,6 +130,7 @@
         log: DecisionLog,
     ) -> None:
         call = await self._read(scope, receive, log)
+        self._refuse_if_ending(call)
         failure: Exception | None = None
         gone = True
         async with anyio.create_task_group() as tasks:
@@ -212,6 +218,24 @@
             log.add(Held(missing, waited_ms))
         return found
 
+    def _refuse_if_ending(self, call: RoutedCall) -> None:
+        """Refuse what the end of this process is likely to cut."""
+        context = self._context
+        now_s = context.now_s()
+        ends_in_s = context.ends_at_s() - now_s
+        if math.isinf(ends_in_s) or not context.others_serve():
+            return
+        route = call.route
+        pause_s = max(
+            context.pause(target.service).delay_s(now_s)
+            for target in route.targets
+        )
+        longest_s = context.answer_times.whole_s(route.name, pause_s, now_s)
+        if goes_elsewhere(ends_in_s, call.deadline_at_s - now_s, longest_s):
+            raise Stopping(
+                "this VM stops before the answer would end", STOPPING_RETRY_S
+            )
+
     def _is_useful(self) -> bool:
         control = self._context.control
         routes = control.in_force().declarations.routes
@@ -271,7 +295,7 @@
             attempts = Attempts(context, self._wire, call)
             if call.route.kind == "stream":
                 relay = StreamRelay(attempts, responder, self._affinity(call))
-                answer = await relay.run(target)
+                answer = await self._streamed(relay, call, target)
             else:
                 answer = await whole_answer(attempts, target)
             failed = answer is not None and answer.status >= 500
@@ -290,6 +314,17 @@
         if not failed:
             context.retries.succeeded(call.customer, time.monotonic())
 
+    async def _streamed(
+        self, relay: StreamRelay, call: RoutedCall, target: str
+    ) -> WholeAnswer | None:
+        times = self._context.answer_times
+        asked_s = self._context.now_s()
+        times.asked(call.route.name, asked_s)
+        try:
+            return await relay.run(target)
+        finally:
+            times.over(call.route.name, asked_s)
+
     def _affinity(self, call: RoutedCall) -> str:
         value = call.values.get(self._wire.prompt_parts, b"")
         parts = value.decode("latin-1").split(",")
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -6,6 +6,7 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.patience import AnswerTime
 from sycamorestand_decisions.patience import fallback_after_s
 from sycamorestand_decisions.patience import MIN_EVENT_S
 from sycamorestand_decisions.patience import quick_limit_s
@@ -94,9 +95,11 @@
         return self._delay_s(target, largest) / self.aim_s
 
     def learn_answer(self, exchange: Exchange) -> None:
-        """Take in how long a whole answer took from its first event."""
+        """Take in how long a whole answer took."""
         answer_s = exchange.answering_s()
-        self._context.answer_times.ended(self._route.name, answer_s)
+        begin_s = self._attempts.call.log.elapsed_ms() / MS - answer_s
+        answer = AnswerTime(begin_s, answer_s, exchange.event_count)
+        self._context.answer_times.ended(self._route.name, answer)
 
     def learn_reading(self, exchange: Exchange, size: int) -> None:
         """Take in how long the first event took."""
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -19,10 +19,12 @@
 from sycamorestand_entry.routed.messages import WholeAnswer
 from sycamorestand_entry.routed.pace import Pace
 from sycamorestand_entry.routed.pace import PACE_CLASS
+from sycamorestand_entry.routed.pace import RecentPace
 from sycamorestand_entry.upstream import Echo
 from sycamorestand_entry.upstream import MalformedAnswer
 from sycamorestand_entry.upstream import SilentConnection
 from sycamorestand_entry.upstream import UpstreamError
+from sycamorestand_model.declarations import VERSION_SEPARATOR
 from sycamorestand_model.nodes import VersionSample
 
 if TYPE_CHECKING:
@@ -59,6 +61,7 @@
         self._answered_s = 0.0
         self._reported = False
         self._pace = Pace()
+        self._recent = RecentPace()
         self._closed = False
         self._queued = False
         self._early = False
@@ -127,6 +130,11 @@
         """Return how long ago the answer's head came."""
         return time.monotonic() - self._answered_s
 
+    @property
+    def event_count(self) -> int:
+        """Return how many events came."""
+        return self._recent.events
+
     def is_overtaken(self) -> bool:
         """Tell whether requests sent there later have been answered."""
         return self._context.progress.has_overtaken(
@@ -229,9 +237,14 @@
         though it makes every token several times slower; the pause
         between events depends on neither the prompt nor the queue.
         """
-        pause_ms = self._pace.add(count, time.monotonic())
+        now_s = time.monotonic()
+        pause_ms = self._pace.add(count, now_s)
         if pause_ms is not None:
             self._report(PACE_CLASS, False, pause_ms)
+        pause_s = self._recent.add(count, now_s)
+        if pause_s is not None:
+            service = self.aim.target.partition(VERSION_SEPARATOR)[0]
+            self._context.pause(service).observed(now_s, pause_s)
 
     def close(self) -> None:
         """Give the connection back, or cancel what still runs on it."""
--- a/packages/sycamorestand-entry/tests/routed/test_fallback.py
+++ b/packages/sycamorestand-entry/tests/routed/test_fallback.py
@@ -18,6 +18,7 @@
 from sycamorestand_bench.fakes.routed import start_routed
 from sycamorestand_bench.fakes.routed import stream_head
 from sycamorestand_decisions.arrivals import Allowance
+from sycamorestand_decisions.patience import AnswerTime
 
 pytestmark = pytest.mark.anyio
 # Half of it is waited for before the fallback.
@@ -133,7 +134,9 @@
             await stream.send(event(2) + END)
 
         async with start_routed() as loopback:
-            loopback.entry.context.answer_times.ended("review", 2.2)
+            loopback.entry.context.answer_times.ended(
+                "review", AnswerTime(0.0, 2.2, 1)
+            )
             got = await ask(loopback, slowly, "s-1", silence_limit_ms=8000)
         assert got.endswith(END)
 
--- a/packages/sycamorestand-entry/tests/routed/test_start_and_stop.py
+++ b/packages/sycamorestand-entry/tests/routed/test_start_and_stop.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import anyio
 from anyio.abc import SocketStream
 import pytest
@@ -12,14 +14,19 @@
 from sycamorestand_bench.fakes.routed import event
 from sycamorestand_bench.fakes.routed import read_to_end
 from sycamorestand_bench.fakes.routed import request_bytes
+from sycamorestand_bench.fakes.routed import RoutedLoopback
 from sycamorestand_bench.fakes.routed import SETTINGS
 from sycamorestand_bench.fakes.routed import start_routed
 from sycamorestand_bench.fakes.routed import stream_head
 from sycamorestand_bench.fakes.routed import with_sizes
+from sycamorestand_decisions.patience import AnswerTime
 from sycamorestand_decisions.starting import hold_s
 from sycamorestand_decisions.starting import STARTING_S
+from sycamorestand_model.nodes import EntryAddress
 
 pytestmark = pytest.mark.anyio
+# Less than the route's timeout, more than the answers of a test take.
+LIMITED: Final = SETTINGS._replace(stop_limit_s=3.0)
 
 
 class TestStart:
@@ -221,3 +228,42 @@
             samples = loopback.control.samples
         assert samples
         assert not any(sample.failed for sample in samples)
+
+
+class TestStoppingEntry:
+    async def test_a_stream_that_it_would_cut_is_refused_at_once(self) -> None:
+        """Streams were accepted after a stop had begun, and cut by it."""
+        async with start_routed(LIMITED) as loopback:
+            await loopback.add_server("s-1", _answer)
+            begin_slow_stop(loopback, others=True)
+            answer = await loopback.ask("/review/1", x_deadline_ms="20000")
+            sent = loopback.requests
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"retry-after: 0.10" in answer
+        assert sent == []
+
+    async def test_it_is_taken_where_no_other_entry_is(self) -> None:
+        """A refusal would leave the caller with nobody to ask."""
+        async with start_routed(LIMITED) as loopback:
+            await loopback.add_server("s-1", _answer)
+            begin_slow_stop(loopback, others=False)
+            answer = await loopback.ask("/review/1", x_deadline_ms="20000")
+        assert answer.startswith(b"HTTP/1.1 200")
+
+    async def test_what_ends_in_time_is_taken(self) -> None:
+        async with start_routed(LIMITED) as loopback:
+            await loopback.add_server("s-1", _answer)
+            begin_slow_stop(loopback, others=True)
+            answer = await loopback.ask("/stock/1", x_deadline_ms="20000")
+        assert answer.startswith(b"HTTP/1.1 200")
+
+
+def begin_slow_stop(loopback: RoutedLoopback, others: bool) -> None:
+    """Begin a stop of an entry whose last streams took long to answer."""
+    context = loopback.entry.context
+    longest = AnswerTime(0.5, LIMITED.stop_limit_s, 10)
+    context.answer_times.ended("review", longest)
+    here = EntryAddress(LIMITED.vm, "marietta", "127.0.0.1", 1, stopping=True)
+    there = EntryAddress("vm-2", "marietta", "127.0.0.1", 2)
+    loopback.control.entry_addresses = (here, there) if others else (here,)
+    loopback.entry.begin_stop()
