A stream whose server lost power ends where no attempt is left

Callers saw a stream fall silent in the middle of its answer and left it after 8 s, though nothing more could come: its server had lost power.

Cause: the entry took a silent server for a slow one. With no attempt left (two climbs, or a climb and a move) nothing ended the wait but the caller.

Change: after a pause beyond the limit the entry asks the server for a connection, twice. Where none comes and no other server may be asked, the stream ends and its caller, which has its place, goes on. A server that is busy or has put the stream off takes a connection at once, and is waited for.

TestLostServer: the first of its two tests failed before.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -49,6 +49,8 @@
 # four were free for. What hangs costs a connect timeout.
 MAX_DIALS: Final = 16
 MAX_DIAL_S: Final = 1.0
+# A packet that is lost on the way makes a single one fail.
+DIALS_TO_BE_SURE: Final = 2
 
 
 class Attempts:
@@ -128,6 +130,22 @@
             return False
         return await self._may_arrive_again()
 
+    async def is_lost(self, server: Announcement) -> bool:
+        """Tell whether a server that sends nothing takes no connection.
+
+        One that is busy, or has put a request off, takes it at once.
+        """
+        for _ in range(DIALS_TO_BE_SURE):
+            try:
+                connection = await self.context.pool.acquire(
+                    server.address, max_idle_s=0.0
+                )
+            except ConnectFailed:
+                continue
+            connection.close()
+            return False
+        return True
+
     async def _has_spare(self) -> bool:
         """Tell whether an arrival may be spent on what is not urgent."""
         return await self._asked(self.context.arrivals.has_spare)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -26,6 +26,7 @@
 from sycamorestand_entry.routed.messages import RETRY_STATUSES
 from sycamorestand_entry.routed.messages import Wanted
 from sycamorestand_entry.routed.messages import WholeAnswer
+from sycamorestand_entry.upstream import BrokenConnection
 from sycamorestand_entry.upstream import MalformedAnswer
 from sycamorestand_entry.upstream import SlowAnswer
 from sycamorestand_entry.upstream import UpstreamError
@@ -187,6 +188,8 @@
             try:
                 return await exchange.connection.read_body(limit_s, soft=True)
             except SlowAnswer:
+                if await self._is_lost(exchange):
+                    limit_s = ASK_AGAIN_S
                 await self._fall_back(exchange)
                 await self._move_on(exchange)
         return await exchange.connection.read_body(
@@ -223,6 +226,24 @@
         exchange.given_up()
         raise SlowAnswer("what is soonest is asked for")
 
+    async def _is_lost(self, exchange: Exchange) -> bool:
+        """Tell whether the server is gone in silence.
+
+        Raises `BrokenConnection` where no other may be asked: the caller
+        goes on by itself once it sees the end. Taken for one that is slow, a
+        server that had lost power kept its streams until their callers left.
+        """
+        attempts = self._attempts
+        if not self._order.last or not await attempts.is_lost(
+            exchange.aim.server
+        ):
+            return False
+        if exchange.connection.has_body:
+            return False
+        if not attempts.left:
+            raise BrokenConnection("its server is silent and takes no more")
+        return True
+
     async def _move_on(self, exchange: Exchange, early: bool = False) -> None:
         """Raise `SlowAnswer` where another server may be asked."""
         resumable = self._order.last or not self._responder.started
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -76,6 +76,11 @@
         transport = self._transport
         return transport is not None and not transport.get_write_buffer_size()
 
+    @property
+    def has_body(self) -> bool:
+        """Tell whether bytes of the answer's body wait to be read."""
+        return bool(self._body)
+
     def send(
         self,
         request: bytes,
--- a/packages/sycamorestand-entry/tests/routed/test_streams.py
+++ b/packages/sycamorestand-entry/tests/routed/test_streams.py
@@ -8,10 +8,14 @@
 
 from sycamorestand_bench.fakes.routed import event
 from sycamorestand_bench.fakes.routed import Handler
+from sycamorestand_bench.fakes.routed import read_to_end
+from sycamorestand_bench.fakes.routed import request_bytes
 from sycamorestand_bench.fakes.routed import RoutedLoopback
 from sycamorestand_bench.fakes.routed import start_routed
 from sycamorestand_bench.fakes.routed import stream_head
 from sycamorestand_decisions.reading import RANKS
+from sycamorestand_entry.upstream import ConnectFailed
+from sycamorestand_entry.upstream import UpstreamConnection
 
 pytestmark = pytest.mark.anyio
 END = b"0\r\n\r\n"
@@ -28,17 +32,22 @@
     return int(request.partition(b"x-priority: ")[2][:1])
 
 
-def let_aim_be_over(loopback: RoutedLoopback) -> None:
-    """Give streams an aim that is over before they begin."""
+def change_route(loopback: RoutedLoopback, **fields: int) -> None:
+    """Declare these fields of the route of streams."""
     in_force = loopback.control.in_force()
     declared = in_force.declarations
-    review = declared.routes["review"]._replace(target_latency_ms=1)
+    review = declared.routes["review"]._replace(**fields)
     routes = {**declared.routes, "review": review}
     loopback.control.configuration = in_force._replace(
         declarations=declared._replace(routes=routes)
     )
 
 
+def let_aim_be_over(loopback: RoutedLoopback) -> None:
+    """Give streams an aim that is over before they begin."""
+    change_route(loopback, target_latency_ms=1)
+
+
 async def go_on(request: bytes, stream: SocketStream) -> None:
     """Answer with the events behind the last one up to the fifth."""
     first = last_event(request) + 1
@@ -263,3 +272,44 @@
                 )
                 with anyio.fail_after(5):
                     await closed.wait()
+
+
+class TestLostServer:
+    async def test_its_stream_ends_where_no_attempt_is_left(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A stream stayed silent until its caller left, and none went on."""
+        async with start_routed() as loopback:
+            pool = loopback.entry.context.pool
+            change_route(loopback, max_attempts=1)
+            await loopback.add_server("s-1", breaks(event(1), waits=True))
+            async with await loopback.connect() as stream:
+                await stream.send(request_bytes("/review/1"))
+                begin = await stream.receive()
+                monkeypatch.setattr(pool, "acquire", refuse_connection)
+                with anyio.fail_after(3.5):
+                    answer = begin + await read_to_end(stream)
+        assert b"id: 1" in answer
+        assert not answer.endswith(END)
+
+    async def test_one_that_takes_connections_is_waited_for(self) -> None:
+        """An engine put the stream off; it goes on by itself."""
+
+        async def handler(request: bytes, stream: SocketStream) -> None:
+            await stream.send(stream_head(request) + event(1))
+            await anyio.sleep(2.6)
+            await stream.send(event(2) + END)
+
+        async with start_routed() as loopback:
+            change_route(loopback, max_attempts=1)
+            await loopback.add_server("s-1", handler)
+            answer = await loopback.ask("/review/1")
+        assert b"id: 2" in answer
+        assert answer.endswith(END)
+
+
+async def refuse_connection(
+    address: str, max_idle_s: float
+) -> UpstreamConnection:
+    """Make no connection, as where the machine has lost power."""
+    raise ConnectFailed("it takes no connection")
