A control process's stop answers the operators' calls that have arrived

Operators saw a reset where their call met the planned stop of a control process: on a connection that waited to be accepted, or on a kept one that was closed as idle with the call unread. sycactl asks the next process, so it cost them a try, and a change an "outcome unknown" more than need be.

Change: the entry's stop moves to sycamorestand_peer.http_server and serves both. The entry keeps its own way of draining.

--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_server.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_server.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-import contextlib
 import socket
 from typing import Any
 from typing import Final
@@ -13,6 +11,8 @@
 import uvicorn
 
 from sycamorestand_control.errors import StartRefused
+from sycamorestand_peer.http_server import HttpProtocol
+from sycamorestand_peer.http_server import HttpServer
 
 if TYPE_CHECKING:
     from sycamorestand_control.operator_api.asgi import AsgiApp
@@ -32,7 +32,7 @@
 
     def __init__(self, application: AsgiApp, host: str, port: int) -> None:
         self._listener = _listen(host, port)
-        self._server = _Server(_config(application))
+        self._server = HttpServer(_config(application), [self._listener])
         self._ended = anyio.Event()
 
     async def run(self) -> None:
@@ -50,14 +50,6 @@
             await self._ended.wait()
 
 
-class _Server(uvicorn.Server):
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        # Signals belong to the process, which turns them into a planned
-        # stop.
-        yield
-
-
 def _listen(host: str, port: int) -> socket.socket:
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
@@ -77,7 +69,7 @@
 def _config(application: Any) -> uvicorn.Config:
     return uvicorn.Config(
         application,
-        http="httptools",
+        http=HttpProtocol,
         ws="none",
         lifespan="off",
         log_config=None,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/http_protocol.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/http_protocol.py
@@ -11,19 +11,17 @@
 
 import asyncio
 from collections.abc import Callable
-from select import poll
-from select import POLLIN
 from typing import Any
 from typing import Final
 
 import msgspec
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from sycamorestand_entry.errors import BadRequest
 from sycamorestand_entry.errors import HeadersTooLarge
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import RequestTimeout
 from sycamorestand_entry.http_messages import error_content
+from sycamorestand_peer.http_server import HttpProtocol
 
 WRITE_NOW: Final = "sycamorestand.write_now"
 # The request's path and query to the byte, as it was sent.
@@ -42,7 +40,7 @@
 ABORT_S: Final = 0.2
 
 
-class EntryProtocol(HttpToolsProtocol):
+class EntryProtocol(HttpProtocol):
     """One connection of a caller or a backend server."""
 
     head_timeout_s = HEAD_TIMEOUT_S
@@ -67,29 +65,9 @@
         if self._in_head and self._head_bytes > MAX_HEAD_BYTES:
             self._refuse(HeadersTooLarge("the headers are too large"))
 
-    def timeout_keep_alive_handler(self) -> None:
-        """Close the idle connection, unless a request has arrived on it."""
-        if not self._has_unread():
-            super().timeout_keep_alive_handler()
-
-    def shutdown(self) -> None:
-        """Close where idle, or after the answer that is under way."""
-        idle = self.cycle is None or self.cycle.response_complete
-        if not idle or not self._has_unread():
-            super().shutdown()
-
-    def _has_unread(self) -> bool:
-        """Tell whether bytes of a request wait to be read.
-
-        A busy process comes to its timers before it reads them. Closed
-        then, the kernel resets the connection, and the caller cannot tell
-        whether its request has run.
-        """
-        if self._in_head and self._head_bytes:
-            return True
-        readable = poll()
-        readable.register(self.transport.get_extra_info("socket"), POLLIN)
-        return bool(readable.poll(0))
+    def has_unread(self) -> bool:
+        """Tell whether a request has begun to arrive."""
+        return (self._in_head and self._head_bytes > 0) or super().has_unread()
 
     def on_message_begin(self) -> None:
         self._await_head()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -2,16 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
-from collections.abc import Iterator
-from collections.abc import Sequence
-import contextlib
 import logging
 from random import Random
 import socket
 from typing import Any
-from typing import Final
 from typing import TYPE_CHECKING
 
 import anyio
@@ -22,12 +17,13 @@
 from sycamorestand_entry.context import EntryContext
 from sycamorestand_entry.http_protocol import EntryProtocol
 from sycamorestand_entry.state_log import log_changes
+from sycamorestand_peer.http_server import HttpServer
+from sycamorestand_peer.http_server import TICK_S
 
 if TYPE_CHECKING:
     from sycamorestand_entry.ports import ControlPort
     from sycamorestand_entry.settings import EntrySettings
 
-TICK_S: Final = 0.05
 _LOG = logging.getLogger(__name__)
 
 
@@ -112,69 +108,20 @@
     _LOG.info("entry stopped")
 
 
-class _Server(uvicorn.Server):
+class _Server(HttpServer):
     # How long shutting down may take, zero for as long as it needs.
     stop_limit_s = 0.0
 
-    def __init__(
-        self, config: uvicorn.Config, listeners: Sequence[socket.socket]
-    ) -> None:
-        super().__init__(config)
-        self.listeners = listeners
-        self._accepted: list[asyncio.Task[None]] = []
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        # Signals belong to the process that runs the entry; it turns
-        # them into a planned stop, which uvicorn knows nothing of.
-        yield
-
-    async def shutdown(
-        self, sockets: list[socket.socket] | None = None
-    ) -> None:
-        # uvicorn closes idle connections at once. A request that is on
-        # its way on one of them would be cut without an answer. They are
-        # left to their keep-alive timer instead, while no new ones come.
-        self.stop_accepting()
-        await asyncio.gather(*self._accepted)
+    async def drain(self) -> None:
+        # A request that is on its way on an idle connection would be cut
+        # without an answer. They are left to their keep-alive timer
+        # instead, while no new ones come.
         if self.stop_limit_s:
             await self._end_by(self.stop_limit_s)
         grace_s = self.config.timeout_keep_alive + TICK_S
         with anyio.move_on_after(grace_s):
             while self.server_state.connections:
                 await anyio.sleep(TICK_S)
-        await super().shutdown(sockets)
-
-    def stop_accepting(self) -> None:
-        """Take the connections that wait to be accepted, and no more.
-
-        The kernel resets those that still wait when their listener is
-        closed, though their callers may have sent a request already.
-        """
-        loop = asyncio.get_running_loop()
-        for listener in self.listeners:
-            with contextlib.suppress(BlockingIOError):
-                while True:
-                    connection, _ = listener.accept()
-                    self._accepted.append(
-                        loop.create_task(self._take(connection))
-                    )
-        for server in self.servers:
-            server.close()
-
-    async def _take(self, connection: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        try:
-            await loop.connect_accepted_socket(self._make_protocol, connection)
-        except OSError as error:
-            _LOG.info("connection lost", extra={"reason": str(error)})
-
-    def _make_protocol(self) -> asyncio.Protocol:
-        return EntryProtocol(
-            config=self.config,
-            server_state=self.server_state,
-            app_state=self.lifespan.state,
-        )
 
     async def _end_by(self, limit_s: float) -> None:
         """Wait for what runs, no longer than the process may live.
@@ -185,10 +132,7 @@
         without an answer to a request that nobody has read.
         """
         with anyio.move_on_after(limit_s):
-            while connections := list(self.server_state.connections):
-                for connection in connections:
-                    connection.shutdown()
-                await anyio.sleep(TICK_S)
+            await self.end_connections()
         for connection in list(self.server_state.connections):
             connection.transport.abort()
 
