Tests of a replica's core are three files, by subject

Elections and commits, leases and promises, members and recovery now have a file each; their steps are a module of the fakes.

--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/core_steps.py
@@ -0,0 +1,115 @@
+"""Steps of the core of a replica, and of a simulated cluster of them."""
+
+from __future__ import annotations
+
+from sycamorestand_bench.explore.cluster import Cluster
+from sycamorestand_bench.explore.node import Node
+from sycamorestand_consensus.core import Core
+from sycamorestand_consensus.messages import AppendReply
+from sycamorestand_consensus.messages import Body
+from sycamorestand_consensus.messages import Entry
+from sycamorestand_consensus.messages import EntryKind
+from sycamorestand_consensus.messages import HardState
+from sycamorestand_consensus.messages import Member
+from sycamorestand_consensus.messages import Message
+from sycamorestand_consensus.messages import Recovered
+from sycamorestand_consensus.messages import Snapshot
+from sycamorestand_consensus.messages import Stamp
+from sycamorestand_consensus.messages import VoteReply
+from sycamorestand_consensus.raft_state import Role
+from sycamorestand_consensus.settings import ReplicaSettings
+
+SETTINGS = ReplicaSettings()
+CLUSTER = "c"
+MEMBERS = tuple(Member(name, f"at-{name}", True) for name in "abc")
+STAMP = Stamp(0, 0.0)
+
+
+def entry(index: int, term: int) -> Entry:
+    """Return a command of this place in the log."""
+    return Entry(index, term, EntryKind.COMMAND, b"%d@%d" % (index, term))
+
+
+def make_core(term: int, entries: tuple[Entry, ...] = ()) -> Core:
+    """Return the core of member "a", restarted with these entries."""
+    snapshot = Snapshot(0, 0, MEMBERS, b"")
+    found = Recovered(HardState(term, "", CLUSTER), snapshot, entries)
+    return Core("a", SETTINGS, 1, found, now_s=0.0)
+
+
+def say(core: Core, sender: str, term: int, body: Body, now_s: float) -> None:
+    """Hand the core a message of another member."""
+    core.receive(Message(sender, "a", CLUSTER, term, body), now_s)
+
+
+def sync(core: Core, now_s: float) -> list[Message]:
+    """Drain until nothing is left to write; return what was sent."""
+    sent: list[Message] = []
+    while True:
+        output = core.drain(now_s)
+        sent.extend(output.messages)
+        if output.batch is None:
+            return sent
+        core.stored(output.batch.sequence, now_s)
+
+
+def lead(core: Core, now_s: float) -> None:
+    """Let "a" win an election with the vote of "b"."""
+    campaign = core.state.term + 1
+    core.tick(now_s)
+    yes = VoteReply(campaign, pre=True, granted=True)
+    say(core, "b", campaign - 1, yes, now_s)
+    sync(core, now_s)
+    yes = VoteReply(campaign, pre=False, granted=True)
+    say(core, "b", campaign, yes, now_s)
+    sync(core, now_s)
+    assert core.state.role == Role.LEADER
+
+
+def matched(index: int, stamp: Stamp = STAMP) -> AppendReply:
+    """Return a follower's yes to all entries up to this one."""
+    return AppendReply(True, index, 0, 0, 0, stamp)
+
+
+def make_cluster(count: int = 3, **settings: int) -> Cluster:
+    """Return a cluster that has elected its first leader."""
+    cluster = Cluster(count, SETTINGS._replace(**settings), seed=5)
+    cluster.bootstrap(cluster.nodes)
+    run(cluster, 3.0)
+    return cluster
+
+
+def run(cluster: Cluster, seconds: float) -> None:
+    """Let the time go on and deliver what is sent."""
+    for _ in range(int(seconds / 0.05)):
+        cluster.advance(0.05)
+        cluster.exchange()
+
+
+def leader_of(cluster: Cluster) -> Node:
+    """Return the only leader."""
+    (leader,) = cluster.leaders()
+    return leader
+
+
+def other_than(cluster: Cluster, *nodes: Node) -> Node:
+    """Return a running node that is none of these."""
+    return next(n for n in cluster.running() if n not in nodes)
+
+
+__all__ = [
+    "CLUSTER",
+    "entry",
+    "lead",
+    "leader_of",
+    "make_cluster",
+    "make_core",
+    "matched",
+    "MEMBERS",
+    "other_than",
+    "run",
+    "say",
+    "SETTINGS",
+    "STAMP",
+    "sync",
+]
--- /dev/null
+++ b/packages/sycamorestand-consensus/tests/test_core_lease.py
@@ -0,0 +1,190 @@
+"""Leases and promises of the core of a replica."""
+
+from __future__ import annotations
+
+import pytest
+
+from sycamorestand_bench.fakes.core_steps import CLUSTER
+from sycamorestand_bench.fakes.core_steps import entry
+from sycamorestand_bench.fakes.core_steps import lead
+from sycamorestand_bench.fakes.core_steps import leader_of
+from sycamorestand_bench.fakes.core_steps import make_cluster
+from sycamorestand_bench.fakes.core_steps import make_core
+from sycamorestand_bench.fakes.core_steps import matched
+from sycamorestand_bench.fakes.core_steps import MEMBERS
+from sycamorestand_bench.fakes.core_steps import run
+from sycamorestand_bench.fakes.core_steps import say
+from sycamorestand_bench.fakes.core_steps import SETTINGS
+from sycamorestand_bench.fakes.core_steps import sync
+from sycamorestand_consensus.core import Core
+from sycamorestand_consensus.errors import NotLeader
+from sycamorestand_consensus.messages import Append
+from sycamorestand_consensus.messages import HardState
+from sycamorestand_consensus.messages import Recovered
+from sycamorestand_consensus.messages import Snapshot
+from sycamorestand_consensus.messages import Stamp
+from sycamorestand_consensus.messages import VoteReply
+from sycamorestand_consensus.messages import VoteRequest
+from sycamorestand_consensus.raft_state import Role
+
+
+class TestLease:
+    def test_it_counts_from_the_send_time_that_a_majority_answered(
+        self,
+    ) -> None:
+        core = make_core(term=1)
+        lead(core, now_s=5.0)
+        assert core.lease_until_s(5.0) == 0.0
+        say(core, "b", 2, matched(1, Stamp(1, 5.0)), now_s=5.2)
+        assert core.lease_until_s(5.2) == 5.0 + SETTINGS.lease_s
+        say(core, "b", 2, matched(1, Stamp(1, 5.1)), now_s=5.3)
+        assert core.lease_until_s(5.3) == 5.1 + SETTINGS.lease_s
+
+    def test_a_heartbeat_is_answered_while_entries_are_written(
+        self,
+    ) -> None:
+        # A follower's disk takes its time. If its answers waited for it,
+        # the leader would lose its lease and its office to a slow fsync.
+        core = make_core(term=1)
+        sync(core, 0.0)
+        entries = Append(0, 0, (entry(1, 1),), 0, Stamp(1, 1.0))
+        say(core, "b", 1, entries, now_s=1.0)
+        assert core.drain(1.0).batch is not None
+        heartbeat = Append(1, 1, (), 0, Stamp(1, 1.1))
+        say(core, "b", 1, heartbeat, now_s=1.1)
+        (reply,) = core.drain(1.1).messages
+        assert reply.body == matched(0, Stamp(1, 1.1))
+
+    def test_a_leader_that_steps_down_keeps_its_promise(self) -> None:
+        # The leader handed out leases under its own, then its disk fills
+        # and it follows. Voting for a successor now would put that one
+        # beside leases that still run.
+        core = make_core(term=1)
+        lead(core, now_s=5.0)
+        say(core, "b", 2, matched(1, Stamp(1, 5.0)), now_s=5.0)
+        until_s = core.lease_until_s(5.0)
+        core.set_blocked(True, 5.1)
+        core.set_blocked(False, 5.1)
+        request = VoteRequest(3, 9, 2, pre=False, transfer=False)
+        say(core, "c", 3, request, now_s=until_s - 0.01)
+        assert core.state.term == 2
+        say(core, "c", 3, request, now_s=until_s + 0.01)
+        assert core.state.term == 3
+
+    def test_a_leader_by_hand_over_waits_before_its_first_lease(
+        self,
+    ) -> None:
+        # The hand-over passes over all promises, so that it takes
+        # milliseconds; leases of the old leader may still run.
+        cluster = make_cluster()
+        old = leader_of(cluster)
+        cluster.transfer(old, None)
+        for _ in range(10):
+            cluster.exchange()
+        new = leader_of(cluster)
+        assert new is not old
+        assert new.core.lease_until_s(new.local_s) == 0.0
+        run(cluster, 1.0)
+        assert new.core.lease_until_s(new.local_s) > new.local_s
+
+    def test_no_lease_after_the_order_to_take_over(self) -> None:
+        # The order may arrive late, so the leader can no longer know that
+        # it is alone; when nothing comes of it, it steps down.
+        cluster = make_cluster()
+        leader = leader_of(cluster)
+        cluster.transfer(leader, None)
+        cluster.messages.clear()
+        assert leader.core.lease_until_s(leader.local_s) == 0.0
+        with pytest.raises(NotLeader):
+            leader.core.propose(b"x", leader.local_s)
+        cluster.advance(SETTINGS.election_max_s + 0.1)
+        assert leader.core.state.role == Role.FOLLOWER
+
+
+class TestRestartedLeader:
+    def test_a_restart_of_all_members_needs_no_wait(self) -> None:
+        # All members are killed and come back within the second. Nobody
+        # is served until one leads. Each follower may have promised the
+        # leader not to vote, so they waited for 0.8 s and more; but the
+        # leader's lease was in its memory, and it is back to say so.
+        cluster = make_cluster()
+        old = leader_of(cluster)
+        run(cluster, 1.0)
+        for node in cluster.nodes:
+            node.crash(kept=99)
+        for node in cluster.nodes:
+            node.start()
+        run(cluster, 0.6)
+        new = leader_of(cluster)
+        assert new.name == old.name
+        assert new.core.lease_until_s(new.local_s) > new.local_s
+
+    def test_a_follower_cannot_end_the_promise(self) -> None:
+        # The leader goes on while a follower restarts; with its vote and
+        # another's it would lead beside a lease that still runs.
+        core = make_core(term=3)
+        request = VoteRequest(4, 9, 3, pre=False, transfer=False)
+        say(core, "b", 4, request, now_s=0.1)
+        assert core.state.term == 3
+
+    @pytest.mark.parametrize(
+        ("term", "ended_term", "granted"),
+        [(3, 3, True), (2, 3, True), (4, 3, False), (3, 0, False)],
+    )
+    def test_only_promises_up_to_the_term_that_was_led_end(
+        self, term: int, ended_term: int, granted: bool
+    ) -> None:
+        # A leader stops; another is elected after it, and the first one
+        # comes back. It knows nothing of its successor's lease, so a
+        # member that has the successor's term keeps its promise.
+        core = make_core(term)
+        request = VoteRequest(
+            5, 9, 4, pre=True, transfer=False, ended_term=ended_term
+        )
+        say(core, "b", 4, request, now_s=0.1)
+        (reply,) = core.drain(0.1).messages
+        assert reply.body == VoteReply(5, pre=True, granted=granted)
+
+    def test_what_it_led_is_told_in_the_next_election_only(self) -> None:
+        # The first election after the restart fails. Another member may
+        # have won it, so the one after it waits as any other does.
+        snapshot = Snapshot(0, 0, MEMBERS, b"")
+        hard = HardState(3, "a", CLUSTER, led=True)
+        core = Core("a", SETTINGS, 1, Recovered(hard, snapshot, ()), 0.0)
+        core.tick(0.2)
+        first = core.drain(0.2).messages
+        assert {message.body.ended_term for message in first} == {3}
+        yes = VoteReply(4, pre=True, granted=True)
+        say(core, "b", 3, yes, now_s=0.2)
+        asked = sync(core, 0.2)
+        assert {message.body.ended_term for message in asked} == {3}
+        core.tick(5.0)
+        later = core.drain(5.0).messages
+        assert {message.body.ended_term for message in later} == {0}
+
+    def test_a_leader_by_hand_over_says_so_only_with_a_lease(self) -> None:
+        # The leader hands over and the new one crashes at once. Leases of
+        # the first may still run, and the new one cannot speak for them.
+        cluster = make_cluster()
+        cluster.transfer(leader_of(cluster), None)
+        for _ in range(10):
+            cluster.exchange()
+        new = leader_of(cluster)
+        run(cluster, 0.3)
+        assert not new.core.state.hard.led
+        run(cluster, 1.0)
+        assert new.core.state.hard.led
+
+    def test_a_leader_that_only_stepped_down_ends_no_promise(self) -> None:
+        # Its disk was full for a moment: it follows, but what was granted
+        # under its lease is still held by others.
+        core = make_core(term=1)
+        lead(core, now_s=5.0)
+        core.tick(5.2)
+        assert core.state.hard.led
+        core.set_blocked(True, 5.3)
+        core.set_blocked(False, 5.3)
+        sync(core, 5.3)
+        core.tick(9.0)
+        asked = core.drain(9.0).messages
+        assert {message.body.ended_term for message in asked} == {0}
--- /dev/null
+++ b/packages/sycamorestand-consensus/tests/test_core_membership.py
@@ -0,0 +1,164 @@
+"""Changes of members, and the core's recovery."""
+
+from __future__ import annotations
+
+import pytest
+
+from sycamorestand_bench.fakes.core_steps import entry
+from sycamorestand_bench.fakes.core_steps import lead
+from sycamorestand_bench.fakes.core_steps import leader_of
+from sycamorestand_bench.fakes.core_steps import make_cluster
+from sycamorestand_bench.fakes.core_steps import make_core
+from sycamorestand_bench.fakes.core_steps import matched
+from sycamorestand_bench.fakes.core_steps import other_than
+from sycamorestand_bench.fakes.core_steps import run
+from sycamorestand_bench.fakes.core_steps import say
+from sycamorestand_bench.fakes.core_steps import STAMP
+from sycamorestand_bench.fakes.core_steps import sync
+from sycamorestand_consensus.errors import BootstrapRefused
+from sycamorestand_consensus.errors import MembershipRefused
+from sycamorestand_consensus.errors import TransferFailed
+from sycamorestand_consensus.membership import find_member
+from sycamorestand_consensus.messages import Append
+from sycamorestand_consensus.messages import Message
+from sycamorestand_consensus.messages import Stamp
+
+
+class TestMembership:
+    def test_one_change_at_a_time(self) -> None:
+        core = make_core(term=1)
+        lead(core, now_s=5.0)
+        with pytest.raises(MembershipRefused, match="this term"):
+            core.add_learner("d", "at-d", 5.0)
+        say(core, "b", 2, matched(1), now_s=5.0)
+        index = core.add_learner("d", "at-d", 5.0)
+        assert find_member(core.state.membership, "d") is not None
+        with pytest.raises(MembershipRefused, match="not committed"):
+            core.remove("c", 5.0)
+        sync(core, 5.0)
+        say(core, "b", 2, matched(index), now_s=5.0)
+        core.remove("c", 5.0)
+        assert find_member(core.state.membership, "c") is None
+
+    def test_a_learner_is_promoted_once_it_has_synced(self) -> None:
+        core = make_core(term=1)
+        lead(core, now_s=5.0)
+        say(core, "b", 2, matched(1), now_s=5.0)
+        index = core.add_learner("d", "at-d", 5.0)
+        sync(core, 5.0)
+        say(core, "b", 2, matched(index), now_s=5.0)
+        with pytest.raises(MembershipRefused, match="admission"):
+            core.promote("d", 5.0)
+        say(core, "d", 2, matched(index, Stamp(1, 5.0)), now_s=5.0)
+        with pytest.raises(MembershipRefused, match="silent"):
+            core.promote("d", 9.0)
+        core.promote("d", 5.1)
+        found = find_member(core.state.membership, "d")
+        assert found is not None
+        assert found.voter
+
+    @pytest.mark.parametrize("member_id", ["a", "x"])
+    def test_neither_the_leader_nor_a_stranger_is_removed(
+        self, member_id: str
+    ) -> None:
+        core = make_core(term=1)
+        lead(core, now_s=5.0)
+        say(core, "b", 2, matched(1), now_s=5.0)
+        with pytest.raises(MembershipRefused):
+            core.remove(member_id, 5.0)
+
+    def test_a_change_that_is_overwritten_is_taken_back(self) -> None:
+        core = make_core(term=1)
+        lead(core, now_s=5.0)
+        say(core, "b", 2, matched(1), now_s=5.0)
+        core.add_learner("d", "at-d", 5.0)
+        replaced = Append(1, 2, (entry(2, 3),), 0, STAMP)
+        say(core, "c", 3, replaced, now_s=5.0)
+        assert find_member(core.state.membership, "d") is None
+
+    def test_two_groups_never_exchange_entries(self) -> None:
+        # Somebody bootstraps a second group by mistake and points it at a
+        # member of the first. The names of the groups differ.
+        core = make_core(term=1)
+        body = Append(0, 0, (entry(1, 9),), 1, STAMP)
+        core.receive(Message("b", "a", "other", 9, body), 1.0)
+        assert core.state.term == 1
+        assert core.state.log.last_index == 0
+        with pytest.raises(BootstrapRefused):
+            core.bootstrap((("a", "at-a"),), 1.0)
+
+    @pytest.mark.parametrize("target", ["a", "x"])
+    def test_leadership_goes_to_another_voter_only(self, target: str) -> None:
+        core = make_core(term=1)
+        lead(core, now_s=5.0)
+        with pytest.raises(TransferFailed):
+            core.transfer(target, 5.0)
+
+
+class TestRecovery:
+    def test_a_second_disk_is_lost_right_after_a_repair(self) -> None:
+        # Operators see two disks lost within seconds. The first voter is
+        # replaced as a new member, which is admitted, catches up from a
+        # snapshot and votes; then a second one is lost for good. All that
+        # was committed is still there and the group goes on.
+        cluster = make_cluster(trailing_entries=0, snapshot_chunk_bytes=5)
+        leader = leader_of(cluster)
+        for _ in range(50):
+            cluster.propose(leader)
+        run(cluster, 1.0)
+        for node in cluster.running():
+            node.compact()
+        lost = other_than(cluster, leader)
+        assert cluster.wipe(lost)
+        fresh = cluster.add_node()
+        cluster.admit(leader, fresh.name)
+        run(cluster, 1.0)
+        cluster.promote(leader, fresh.name)
+        run(cluster, 1.0)
+        cluster.remove(leader, lost.name)
+        run(cluster, 1.0)
+        before = len(cluster.checker.committed)
+        leader.crash(0)
+        leader.wiped = True
+        assert cluster.settle()
+        assert len(cluster.checker.committed) > before
+        assert leader_of(cluster).applied_index > before
+
+    def test_a_restart_after_a_thousand_changes(self) -> None:
+        # All members restart at once. A snapshot bounds what is replayed,
+        # and every change is there afterwards.
+        cluster = make_cluster(trailing_entries=10)
+        leader = leader_of(cluster)
+        for number in range(1000):
+            cluster.propose(leader)
+            cluster.exchange()
+            if number % 100 == 99:
+                for node in cluster.running():
+                    node.compact()
+                    node.pump()
+        run(cluster, 1.0)
+        committed = len(cluster.checker.committed)
+        assert committed > 1000
+        for node in cluster.nodes:
+            node.crash(0)
+            node.start()
+            log = node.core.state.log
+            assert log.last_index - log.start_index < 120
+        assert cluster.settle()
+        assert leader_of(cluster).applied_index > committed
+
+    def test_a_full_disk_steps_aside_and_comes_back(self) -> None:
+        # The leader's disk fills: it follows, another member leads, and
+        # once there is space the member catches up. Nothing is lost.
+        cluster = make_cluster()
+        full = leader_of(cluster)
+        full.set_disk_full(True)
+        full.pump()
+        run(cluster, 5.0)
+        leader = leader_of(cluster)
+        assert leader is not full
+        cluster.propose(leader)
+        run(cluster, 1.0)
+        full.set_disk_full(False)
+        run(cluster, 1.0)
+        assert full.applied_index == len(cluster.checker.committed)
