A request that waits for nothing is not noted as held

Whoever read the lines of a request on a busy machine saw that it had been held for a lease that was there: the log rounded the time before and after a look that found it to whole milliseconds, and took the difference for a wait.

Now the log is told of a hold only where something was missing.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -211,6 +211,8 @@
         log: DecisionLog,
     ) -> bool:
         """Wait, while the entry is starting, for what is missing."""
+        if ready():
+            return True
         begin_ms = log.elapsed_ms()
         found = await self._context.start_hold.until(ready, left_s)
         waited_ms = log.elapsed_ms() - begin_ms
