The decision about a lost server stands where its stream waits

One predicate asked and raised. Now the wait for the next part asks whether the server is lost and says what follows.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -189,6 +189,9 @@
                 return await exchange.connection.read_body(limit_s, soft=True)
             except SlowAnswer:
                 if await self._is_lost(exchange):
+                    if not self._attempts.left:
+                        # The caller goes on by itself once it sees the end.
+                        raise BrokenConnection("its server is lost") from None
                     limit_s = ASK_AGAIN_S
                 await self._fall_back(exchange)
                 await self._move_on(exchange)
@@ -227,22 +230,15 @@
         raise SlowAnswer("what is soonest is asked for")
 
     async def _is_lost(self, exchange: Exchange) -> bool:
-        """Tell whether the server is gone in silence.
+        """Tell whether the server is gone in the middle of its answer.
 
-        Raises `BrokenConnection` where no other may be asked: the caller
-        goes on by itself once it sees the end. Taken for one that is slow, a
-        server that had lost power kept its streams until their callers left.
+        Taken for one that is slow, a server that had lost power kept its
+        streams until their callers left.
         """
-        attempts = self._attempts
-        if not self._order.last or not await attempts.is_lost(
-            exchange.aim.server
-        ):
+        if not self._order.last:
             return False
-        if exchange.connection.has_body:
-            return False
-        if not attempts.left:
-            raise BrokenConnection("its server is silent and takes no more")
-        return True
+        lost = await self._attempts.is_lost(exchange.aim.server)
+        return lost and not exchange.connection.has_body
 
     async def _move_on(self, exchange: Exchange, early: bool = False) -> None:
         """Raise `SlowAnswer` where another server may be asked."""
