A test of the stop reads answers that come in pieces

It failed once in the whole run beside a load of 20: the first read brought the head alone, and its body passed for the second answer. Head and body are two writes. Now each answer is read to its length; the check is the same. 32 runs, 16 at a time: none failed.

--- a/packages/sycamorestand-entry/tests/test_stop.py
+++ b/packages/sycamorestand-entry/tests/test_stop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 
 import anyio
@@ -54,6 +55,20 @@
     )
 
 
+def whole_answer(caller: socket.socket) -> bytes:
+    """Return the next answer, which may come in several pieces."""
+    answer = b""
+    while True:
+        head, found, body = answer.partition(b"\r\n\r\n")
+        length = re.search(rb"content-length: (\d+)", head)
+        if found and length and len(body) >= int(length.group(1)):
+            return answer
+        piece = caller.recv(4096)
+        if not piece:
+            return answer
+        answer += piece
+
+
 async def wait_until_gone(loopback: Loopback) -> None:
     """Return when the entry takes no connection any more."""
     with anyio.fail_after(20):
@@ -145,11 +160,11 @@
         async with start_loopback() as loopback:
             await loopback.add_service(FakeService("s-1", ("orders",)))
             caller = order_sent(loopback.entry.port, 1)
-            first = await anyio.to_thread.run_sync(caller.recv, 4096)
+            first = await anyio.to_thread.run_sync(whole_answer, caller)
             # From here on nothing else of this thread runs.
             caller.sendall(order_bytes(2))
             getattr(made[0], close)()
-            second = await anyio.to_thread.run_sync(caller.recv, 4096)
+            second = await anyio.to_thread.run_sync(whole_answer, caller)
             caller.close()
         assert first.startswith(b"HTTP/1.1 200")
         assert second.startswith(b"HTTP/1.1 200")
