A stopping entry takes no stream whose length it cannot know

Cause: of a route's answers the longest of the last eight counts, but an entry that has served for four seconds has seen three or four end, the short ones. The longest of three is passed by one in four.

Change: with fewer than eight answers the time is not known, and what is not known goes to another entry, where one serves. Calls learn their times as streams do, so that a stop does not turn short ones away.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/patience.py
@@ -25,6 +25,7 @@
 from __future__ import annotations
 
 from collections import deque
+import math
 from typing import Final
 from typing import NamedTuple
 
@@ -183,16 +184,20 @@
 
         ``pause_s`` is what lies between two events now. The answers that
         ended say nothing yet of servers that became slow, and soon after
-        the start only short ones have ended: what runs counts as well.
+        the start only short ones have ended: what runs counts as well, and
+        of fewer than `ANSWERS_KEPT` answers the longest says nothing.
         """
+        last = self._last.get(route, ())
+        if len(last) < ANSWERS_KEPT:
+            return math.inf
         past_s = [
             answer.begin_s + max(answer.answer_s, answer.events * pause_s)
-            for answer in self._last.get(route, ())
+            for answer in last
         ]
         running_s = [
             now_s - since_s for since_s in self._running_since_s.get(route, ())
         ]
-        return max(past_s + running_s, default=0.0)
+        return max(past_s + running_s)
 
 
 class Progress:
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/stopping.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/stopping.py
@@ -23,8 +23,8 @@
     """Tell whether another process should answer a request.
 
     This one ends in ``ends_in_s``. The longest of the last answers of the kind
-    took ``longest_s``, zero where that is unknown, and the caller waits for
-    ``patience_s``: what its own deadline ends sooner, a stop does not cut.
+    took ``longest_s``, infinity where that is unknown, and the caller waits
+    for ``patience_s``: what its own deadline ends sooner, a stop does not cut.
 
     >>> goes_elsewhere(6.0, 20.0, 4.5), goes_elsewhere(6.0, 20.0, 2.5)
     (True, False)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -15,6 +15,7 @@
 import anyio
 
 from sycamorestand_decisions.affinity import prefix_key
+from sycamorestand_decisions.patience import AnswerTime
 from sycamorestand_decisions.stopping import goes_elsewhere
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import InternalError
@@ -300,6 +301,10 @@
                 answer = await self._streamed(relay, call, target)
             else:
                 answer = await whole_answer(attempts, target)
+                whole_s = time.monotonic() - begin_s
+                context.answer_times.ended(
+                    call.route.name, AnswerTime(whole_s, 0.0, 0)
+                )
             failed = answer is not None and answer.status >= 500
             if answer is not None:
                 call.log.answer_began()
