A silent stream falls back when it is due, and waits its turn for an arrival

Cause: in the middle of an answer the fallback was looked at once in 2 s, before a first event each 0.5 s, and not at all once less than 2 s were left.

Change: the wait ends at the fallback's time, also in the middle of an answer, and what needs an arrival to get any answer waits in the same queue as what a lost server ran, the shortest deadline first. A stream that was resumed and is not begun at its new server stays there for the limit of a gap: its next attempt would lose the place that it has.

test_silent_run_falls_back_when_it_is_due failed before. test_streams' test_hanging_stream_ends_at_the_deadline let the second attempt at its server answer; that attempt is made in time now, so all attempts hang, and what is asserted stays.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/attempt_timeouts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/attempt_timeouts.py
@@ -240,6 +240,7 @@
     "AnswerTimes",
     "call_limit_s",
     "fallback_after_s",
+    "FALLBACK_SHARE",
     "first_event_limits_s",
     "gap_limit_s",
     "MIN_EVENT_S",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -81,6 +81,7 @@
         self._sent_to: set[str] = set()
         self._unreachable: set[str] = set()
         self._lost: set[str] = set()
+        self._no_fallback = ""
         self._failed_dials = 0
         self._dialled_s = 0.0
 
@@ -177,9 +178,20 @@
         ):
             reason = "no server takes work"
         if reason:
-            self.call.log.add(NotRepeated(reason))
+            if reason != self._no_fallback:
+                self.call.log.add(NotRepeated(reason))
+            self._no_fallback = reason
             return False
-        return await self._arrivals.spend()
+        return await self._arrivals.request_urgent()
+
+    @property
+    def is_waiting_for_arrival(self) -> bool:
+        """Whether the fallback waits for an arrival."""
+        return self._arrivals.is_waiting
+
+    def cancel_fallback(self) -> None:
+        """Give up the wait for the fallback's arrival."""
+        self._arrivals.withdraw()
 
     async def _may_spend_on_improvement(self, wish: str, limit: str) -> bool:
         if limit:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -139,6 +139,10 @@
         """Return whether the answer's head came."""
         return self._head_received_s > 0
 
+    def age_s(self) -> float:
+        """Return the seconds since the request was sent."""
+        return time.monotonic() - self.begin_s
+
     def answer_age_s(self) -> float:
         """Return the seconds since the answer's head came."""
         return time.monotonic() - self._head_received_s
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/further_arrivals.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/further_arrivals.py
@@ -27,6 +27,11 @@
         self._service = ""
         self._place: Place | None = None
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the call has asked in vain for an urgent arrival."""
+        return self._place is not None
+
     def set_service(self, service: str) -> None:
         """Set the service that the next attempt goes to."""
         if service != self._service:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -10,11 +10,13 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.attempt_timeouts import FALLBACK_SHARE
 from sycamorestand_decisions.attempt_timeouts import first_event_limits_s
 from sycamorestand_decisions.attempt_timeouts import gap_limit_s
 from sycamorestand_decisions.size_ladder import first_size
 from sycamorestand_decisions.size_ladder import next_size
 from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.routed.attempts import ARRIVAL_POLL_S
 from sycamorestand_entry.routed.decision_log import Climbed
 from sycamorestand_entry.routed.decision_log import FellBack
 from sycamorestand_entry.routed.decision_log import NotImproved
@@ -80,6 +82,7 @@
             call.values.get(attempts.header_names.last_event, b"")
         )
         self._partial_event = b""
+        self._gap_limit_s = gap_limit_s(call.route.gap_target_ms / 1000)
         self._engine_wait = EngineWait(attempts)
         call.log.prompt_tokens = self._engine_wait.prompt_tokens
 
@@ -128,6 +131,7 @@
                 # The run at this server must be cancelled before the next
                 # server gets the request.
                 exchange.close()
+                self._attempts.cancel_fallback()
             if answer is None:
                 return None
             if not await self._may_try_another(answer):
@@ -138,6 +142,7 @@
             head = await self._read_head(exchange)
         finally:
             self._engine_wait.record_queue_delay(exchange, self._size_index)
+        self._attempts.cancel_fallback()
         self._attempts.runs += 1
         kind = head.headers.get(b"content-type", b"")
         if head.status != 200 or not kind.startswith(EVENT_STREAM):
@@ -182,7 +187,11 @@
         )
         wait_s = max(MIN_WAIT_S, wait_s - waited_s)
         while call.may_repeat and call.remaining_s() > 0:
-            limit_s = min(wait_s, call.remaining_s(), self._fallback_in_s())
+            limit_s = min(
+                wait_s,
+                call.remaining_s(),
+                self._next_fallback_check_s(exchange),
+            )
             try:
                 return await exchange.read_head(limit_s, soft=True)
             except SlowAnswer:
@@ -195,23 +204,56 @@
 
     async def _read_part(self, exchange: Exchange) -> bytes:
         call = self._attempts.call
-        limit_s = gap_limit_s(call.route.gap_target_ms / 1000)
-        while call.may_repeat and call.remaining_s() > limit_s:
+        left_s = call.remaining_s()
+        move_in_s = self._gap_limit_s
+        # While an answer flows, this costs less than the time of the
+        # fallback, which is not earlier.
+        limit_s = min(move_in_s, left_s * FALLBACK_SHARE)
+        while call.may_repeat and left_s > 0:
             try:
-                return await exchange.connection.read_body(limit_s, soft=True)
+                data = await exchange.connection.read_body(limit_s, soft=True)
             except SlowAnswer:
+                move_in_s -= limit_s
                 await self._fall_back(exchange)
-                await self._switch_server(exchange)
+                if move_in_s <= 0:
+                    await self._switch_server(exchange)
+                    move_in_s = self._gap_limit_s
+            else:
+                self._attempts.cancel_fallback()
+                return data
+            left_s = call.remaining_s()
+            limit_s = min(
+                move_in_s,
+                max(0.0, left_s),
+                self._next_fallback_check_s(exchange),
+            )
         return await exchange.connection.read_body(
             max(0.0, call.remaining_s())
         )
 
-    def _fallback_in_s(self) -> float:
-        """Return the seconds until the fallback, infinity after it."""
+    def _next_fallback_check_s(self, exchange: Exchange) -> float:
+        """Return the seconds until the fallback is tried, infinity after it.
+
+        While it waits for an arrival, it is tried often: the arrival would
+        go to another call otherwise.
+        """
         if self._fell_back:
             return math.inf
-        delay_s = self._engine_wait.fallback_in_s(self._responder.started)
-        return max(MIN_WAIT_S, delay_s)
+        if self._attempts.is_waiting_for_arrival:
+            return ARRIVAL_POLL_S
+        delay_s = self._fallback_in_s(exchange)
+        return max(MIN_WAIT_S, delay_s) if delay_s > 0 else RECHECK_S
+
+    def _fallback_in_s(self, exchange: Exchange) -> float:
+        """Return the seconds until the fallback is due, may be negative."""
+        if not self._responder.started:
+            return self._engine_wait.fallback_in_s(resumed=False)
+        due_in_s = self._engine_wait.fallback_in_s(resumed=True)
+        if exchange.has_begun:
+            return due_in_s
+        # The engine schedules this attempt first already. Another one would
+        # only lose its place there.
+        return max(due_in_s, self._gap_limit_s - exchange.age_s())
 
     async def _fall_back(self, exchange: Exchange) -> None:
         """Raise `SlowAnswer` if the call shall fall back now.
@@ -223,7 +265,7 @@
         then waited behind others, left without any answer.
         """
         resumed = self._responder.started
-        if self._fell_back or self._engine_wait.fallback_in_s(resumed) > 0:
+        if self._fell_back or self._fallback_in_s(exchange) > 0:
             return
         if resumed and not self._event_order.last_id:
             return
@@ -241,7 +283,7 @@
         self, exchange: Exchange, is_early: bool = False
     ) -> None:
         """Raise `SlowAnswer` if the call may move to another server."""
-        if not self._is_resumable():
+        if self._attempts.is_waiting_for_arrival or not self._is_resumable():
             return
         if await self._attempts.may_switch_server(exchange.destination.target):
             exchange.abandon(is_early)
--- a/packages/sycamorestand-entry/tests/routed/test_lost_server.py
+++ b/packages/sycamorestand-entry/tests/routed/test_lost_server.py
@@ -365,6 +365,18 @@
             await becomes_true(caller.has_news, SILENCE_LIMIT_S)
         assert caller.is_complete
 
+    async def test_silent_run_falls_back_when_it_is_due(self) -> None:
+        """The rest of the answer needs 1.8 s of the 4.8 s that are left.
+
+        Half of them may pass in silence, but 4 s did, and it was cut.
+        """
+        async with start_losable(LIMITED) as loopback:
+            caller = await begin(loopback, "r", deadline_s=4.8)
+            spend_spare_arrivals(loopback)
+            await add_server(loopback, "s-2", resume_in(1.8))
+            await becomes_true(lambda: caller.has_ended, SILENCE_LIMIT_S)
+        assert caller.is_complete
+
 
 class TestNextServer:
     async def test_stream_returns_to_a_server_that_it_left_early(
--- a/packages/sycamorestand-entry/tests/routed/test_streams.py
+++ b/packages/sycamorestand-entry/tests/routed/test_streams.py
@@ -233,13 +233,19 @@
         assert not any(sample.failed for sample in samples)
 
     async def test_hanging_stream_ends_at_the_deadline(self) -> None:
-        """The only server hangs in the middle of the stream.
+        """The only server hangs in the middle of each stream.
 
         The stream ends at the caller's deadline after 1.2 s and does not
         look complete.
         """
+
+        async def hang(request: bytes, stream: SocketStream) -> None:
+            number = last_event(request) + 1
+            await stream.send(stream_head(request) + event(number))
+            await anyio.sleep(30)
+
         async with start_routed() as loopback:
-            await loopback.add_server("s-1", break_once(event(1), hangs=True))
+            await loopback.add_server("s-1", hang)
             with anyio.fail_after(5):
                 answer = await loopback.ask("/review/1", x_deadline_ms="1200")
         assert b"id: 1" in answer
