What is in the middle of its answer goes first at its next server

Cause: a resumed stream had the rank of its prefill, 5 to 7 for a long prompt. Engines give the slots of such runs to requests of a lower rank.

Change: a stream of which the caller has events goes first, also if the caller resumes it by itself.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -37,17 +37,10 @@
         self.prompt_tokens = _prompt_tokens(attempts)
         self.target_latency_s = self._route.target_latency_ms / MS
 
-    def rank(self, target: str, size: int, resumed: bool) -> int:
-        """Return the scheduling rank at the engine, 0 first.
-
-        The target latency does not count for a ``resumed`` stream, whose
-        answer has begun. It has usually passed by then; the engine would
-        schedule the stream last and its caller would give up.
-        """
+    def rank(self, target: str, size: int) -> int:
+        """Return the scheduling rank of a new answer, 0 first."""
         call = self._attempts.call
         left_s = self.target_latency_s - call.log.elapsed_ms() / MS
-        if resumed:
-            left_s = math.inf
         return engine_rank(self.prefill_s(target, size), call.priority, left_s)
 
     def fallback_in_s(self, resumed: bool) -> float:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -291,14 +291,21 @@
 
     def _engine_options(self, target: str) -> EngineOptions:
         model = self._sizes[self._size_index] if self._sizes else ""
-        resumed = self._responder.started
-        rank = self._engine_wait.rank(target, self._size_index, resumed)
+        restarts = self._fell_back and not self._responder.started
+        last_id = self._event_order.last_id
+        # A resumed stream with the rank of its prefill would lose its slot
+        # to each new request with a shorter prompt, again and again, until
+        # its caller leaves in the middle of the answer.
+        goes_first = self._fell_back or bool(last_id)
+        rank = 0
+        if not goes_first:
+            rank = self._engine_wait.rank(target, self._size_index)
         return EngineOptions(
             self._affinity_key,
             model.encode(),
-            self._event_order.last_id,
-            0 if self._fell_back else rank,
-            self._prefilled_server if self._fell_back and not resumed else "",
+            last_id,
+            rank,
+            self._prefilled_server if restarts else "",
         )
 
     async def _escalate_poor_answer(
