--- a/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -110,6 +110,7 @@
     metrics = context.metrics
     metrics.lease_remaining.set({}, context.control.lease_remaining_s())
     metrics.entries.set({}, context.control.entry_count())
+    metrics.lost.set({}, len(context.server_loss.lost))
     for target, pool in context.slots.metrics().items():
         for state in ("slots", "in_flight", "waiting"):
             labels = {"target": target, "state": state}
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -82,6 +82,9 @@
         self.ejected = self._gauge(
             "ejected", "Backend servers that get no work for a while"
         )
+        self.lost = self._gauge(
+            "lost", "Backend servers that accept no connection"
+        )
         self.entries = self._gauge(
             "entries", "Entries that there are, by the last lease"
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from typing import Any
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -92,13 +93,22 @@
         now_s = self._now_s()
         newly_lost = self._loss.record_check(address, reached, now_s)
         ended = 0 if reached else self._pool.end_if_lost(address)
-        fields: dict[str, str | int] = {"address": address}
         if newly_lost:
-            silent_ms = int(max(0.0, now_s - silent_since_s) * 1000)
-            fields |= {"silent_ms": silent_ms, "ended": ended}
-            _LOG.warning("backend server lost", extra=fields)
+            silent_s = max(0.0, now_s - silent_since_s)
+            fields = {"silent_ms": int(silent_s * 1000), "ended": ended}
+            extra = self._server_fields(address) | fields
+            _LOG.warning("backend server lost", extra=extra)
         elif was_lost and reached:
-            _LOG.info("backend server reached again", extra=fields)
+            extra = self._server_fields(address)
+            _LOG.info("backend server reached again", extra=extra)
+
+    def _server_fields(self, address: str) -> dict[str, Any]:
+        """Return the log fields that name the server at this address."""
+        servers = self._control.backend_servers().values()
+        names = [
+            server.name for server in servers if server.address == address
+        ]
+        return {"backend_server": ",".join(names), "address": address}
 
     async def _accepts_connection(self, address: str, dials: int) -> bool:
         """Return whether the server accepts or refuses one of the dials.
