A lost server is left only once another attempt may be made

A server that drops new connections for 0.6 s while it answers on old ones was taken for lost, and an answer that it was about to give cut after 1.2 s, also where it was the only server; an arrival was spent before it was known whether another server exists. A call that fell back kept its place in the queue for arrivals after it might not go on any more, and held back all others. A stream that broke off did not wait for an arrival, as one of a lost server does. The loss of a server hid what may be a version's fault.

A loss wakes what waits at the server; it goes on listening until an arrival and a server are there, or ends after a second. A call leaves the queue once it may not go on. Timed-out dials count for the loss alone, and what is abandoned for it not for an ejection, but for the version, as before. A begun stream that breaks off waits for an arrival. Attempts at lost servers are credited by name, and at most as many as the route allows. Also: no verdict where this process was late itself; checks of a silent server double their interval up to 4 s, and only what may leave it counts as waiting; a VM without a route (no host, no network) is no refusal; a spare arrival that was borrowed is not granted once an urgent request waits; the first wait keeps the fallback's time for short silence limits; connections in use are looked through, not all that are open.

Left: a VM that is back at the same address within half a second, whose old connections are dead, is found by each stream alone; a call with little time left may still get an arrival before others.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
@@ -20,11 +20,16 @@
 import math
 from typing import Final
 
-# A server that runs several streams sends events of one of them ten times as
-# often, also while it reads long prompts.
+# A server that runs several streams sends something ten times as often, also
+# during a long prefill.
 SILENCE_S: Final = 0.5
-# A single lost packet can make one dial fail.
+# The interval doubles with each check in a row that reaches a silent server,
+# up to this one: a dial costs the server a connection.
+MAX_INTERVAL_S: Final = 4.0
 LOST_AFTER_DIALS: Final = 2
+# A check took so much longer than its dials that this process was suspended or
+# busy meanwhile. The server may have accepted in time.
+MAX_DELAY_S: Final = 0.1
 
 
 class ServerLoss:
@@ -35,7 +40,7 @@
     False
     >>> loss.is_check_due("a", silent_since_s=1.0, now_s=1.6)
     True
-    >>> loss.record_check("a", reached=False, now_s=2.2)
+    >>> loss.record_check("a", False, silent_since_s=1.0, now_s=2.2)
     True
     >>> loss.is_lost("a")
     True
@@ -45,6 +50,7 @@
         self._lost: set[str] = set()
         self._timed_out: set[str] = set()
         self._checked_s: dict[str, float] = {}
+        self._interval_s: dict[str, float] = {}
 
     @property
     def lost(self) -> frozenset[str]:
@@ -85,13 +91,20 @@
             return now_s - checked_s >= SILENCE_S
         if address in self._timed_out:
             return True
-        return now_s - max(checked_s, silent_since_s) >= SILENCE_S
+        if checked_s > silent_since_s:
+            return now_s - checked_s >= self._interval_s[address]
+        return now_s - silent_since_s >= SILENCE_S
 
-    def record_check(self, address: str, reached: bool, now_s: float) -> bool:
+    def record_check(
+        self, address: str, reached: bool, silent_since_s: float, now_s: float
+    ) -> bool:
         """Record whether the server was reached; return if it is lost now.
 
         True is returned for the check only that first finds the server lost.
         """
+        is_first = self._checked_s.get(address, -math.inf) <= silent_since_s
+        interval_s = SILENCE_S if is_first else 2 * self._interval_s[address]
+        self._interval_s[address] = min(interval_s, MAX_INTERVAL_S)
         self._checked_s[address] = now_s
         self._timed_out.discard(address)
         if reached:
@@ -107,6 +120,7 @@
         self._timed_out &= used
         for address in self._checked_s.keys() - used:
             del self._checked_s[address]
+            del self._interval_s[address]
 
 
-__all__ = ["LOST_AFTER_DIALS", "ServerLoss", "SILENCE_S"]
+__all__ = ["LOST_AFTER_DIALS", "MAX_DELAY_S", "ServerLoss", "SILENCE_S"]
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/urgent_requests.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/urgent_requests.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from bisect import insort
 import itertools
 from typing import NamedTuple
@@ -31,9 +32,9 @@
 
     >>> waiting = UrgentRequests()
     >>> late, soon = waiting.join("words", 9.0), waiting.join("words", 4.0)
-    >>> waiting.is_next(late, 1.0), waiting.is_next(soon, 1.0)
+    >>> waiting.has_turn(late, 1.0), waiting.has_turn(soon, 1.0)
     (False, True)
-    >>> waiting.is_next(late, 2.0)
+    >>> waiting.has_turn(late, 2.0)
     True
     """
 
@@ -58,9 +59,9 @@
         """Return whether a request waits for an arrival at the service."""
         return service in self._places
 
-    def is_next(self, place: Place, left: float) -> bool:
+    def has_turn(self, place: Place, left: float) -> bool:
         """Return whether ``left`` arrivals suffice up to this request."""
-        return self._places[place.service].index(place) + 1 <= left
+        return bisect_left(self._places[place.service], place) + 1 <= left
 
 
 __all__ = ["Place", "UrgentRequests"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+import math
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -27,6 +29,7 @@
 from sycamorestand_entry.routed.messages import Destination
 from sycamorestand_entry.routed.targets import next_target
 from sycamorestand_entry.upstream import ConnectFailed
+from sycamorestand_entry.upstream import ConnectTimedOut
 from sycamorestand_model.declarations import VERSION_SEPARATOR
 
 if TYPE_CHECKING:
@@ -51,8 +54,6 @@
 # An entry earns several arrivals a second. A caller whose stream ends after
 # this time resumes it sooner than the entry could.
 MAX_ARRIVAL_WAIT_S: Final = 1.0
-# Share of the call's remaining time. The rest is for the answer.
-ARRIVAL_WAIT_SHARE: Final = 0.5
 ARRIVAL_POLL_S: Final = 0.1
 
 
@@ -78,10 +79,11 @@
         self.may_have_run = False
         self._arrivals = FurtherArrivals(context, call)
         self._tried: set[str] = set()
-        self._sent_to: set[str] = set()
+        self._sent_to: Counter[str] = Counter()
         self._unreachable: set[str] = set()
         self._lost: set[str] = set()
-        self._no_fallback = ""
+        self._no_urgent_attempt = ""
+        self._lost_since_s = math.inf
         self._failed_dials = 0
         self._dialled_s = 0.0
 
@@ -92,47 +94,60 @@
         Attempts at servers that were lost do not count: the limit keeps a
         request from loading many servers, and those do no work any more.
         """
+        at_lost = sum(self._sent_to[name] for name in self._lost)
         limit = self.call.route.max_attempts
-        return max(0, limit + len(self._lost) - self.sent)
-
-    def record_lost(self, exchange: Exchange) -> None:
-        """Record that an attempt ended because its server was lost."""
-        self.may_have_run = True
-        self._lost.add(exchange.destination.server.name)
-        if exchange.has_begun:
-            self.runs = max(0, self.runs - 1)
+        return max(0, limit + at_lost - self.sent)
+
+    def is_at_lost_server(self, exchange: Exchange) -> bool:
+        """Return whether the attempt's server is lost now."""
+        address = exchange.destination.server.address
+        return self.context.server_loss.is_lost(address)
+
+    def note_loss(self, exchange: Exchange) -> bool:
+        """Return whether the attempt's server is lost now, and note it."""
+        name = exchange.destination.server.name
+        if not self.is_at_lost_server(exchange):
+            self._lost.discard(name)
+            self._lost_since_s = math.inf
+            return False
+        if len(self._lost) < self.call.route.max_attempts:
+            self._lost.add(name)
+        self._lost_since_s = min(self._lost_since_s, self.context.now_s())
+        return True
 
-    async def may_replace_lost(self) -> bool:
-        """Return whether the call may go on after its server was lost.
+    async def may_replace_lost(self, exchange: Exchange) -> bool:
+        """Return whether to leave a lost server for another one now.
 
         The retry budget does not apply. It keeps a failing pool from
-        getting more work, and this server gets none.
+        getting more work, and this server gets none. While no arrival is
+        left the call keeps waiting for the server, which may come back.
         """
-        reason = self._reason_not_to_run_again()
+        reason = self._reason_not_to_replace(exchange)
         if reason:
-            self.call.log.add(NotRepeated(reason))
+            self._refuse_urgent(reason)
             return False
-        give_up_s = self.context.now_s() + self._arrival_wait_s()
-        try:
-            while not await self._arrivals.request_urgent():
-                if self.context.now_s() >= give_up_s:
-                    return False
-                await anyio.sleep(ARRIVAL_POLL_S)
-        finally:
-            self._arrivals.withdraw()
+        if not await self._arrivals.request_urgent():
+            return False
+        if exchange.has_begun:
+            self.runs = max(0, self.runs - 1)
         return True
 
-    def _arrival_wait_s(self) -> float:
-        """Return how long a call waits for an arrival after a loss.
+    def _reason_not_to_replace(self, exchange: Exchange) -> str:
+        route = self.call.route
+        if self.runs - exchange.has_begun >= route.max_attempts:
+            return "no attempt left"
+        return self._reason_no_server(exchange.destination.target)
+
+    def has_waited_for_arrival(self) -> bool:
+        """Return whether to end an attempt that waits at a lost server.
 
-        A caller that has resumed its stream already may not do so again, so
-        its call waits for as long as the caller does.
+        Once it has ended, its caller can resume its stream by itself. A
+        caller that has done so already may not do it again.
         """
-        call = self.call
-        limit_s = call.remaining_s() * ARRIVAL_WAIT_SHARE
-        if self.header_names.last_event in call.values:
-            return limit_s
-        return min(limit_s, MAX_ARRIVAL_WAIT_S)
+        if self.header_names.last_event in self.call.values:
+            return False
+        waited_s = self.context.now_s() - self._lost_since_s
+        return waited_s >= MAX_ARRIVAL_WAIT_S
 
     async def may_retry(self, overloaded: bool) -> bool:
         """Return whether the call may be retried at another server now.
@@ -148,6 +163,26 @@
             return False
         return await self._arrivals.spend()
 
+    async def may_resume(self) -> bool:
+        """Return whether to resume a stream that broke off.
+
+        If no arrival is left, wait for one as after the loss of a server:
+        the caller has a part of its answer.
+        """
+        reason = self._reason_not_to_retry(overloaded=False)
+        if reason:
+            self.call.log.add(NotRepeated(reason))
+            return False
+        give_up_s = self.context.now_s() + MAX_ARRIVAL_WAIT_S
+        try:
+            while not await self._arrivals.request_urgent():
+                if self.context.now_s() >= give_up_s:
+                    return False
+                await anyio.sleep(ARRIVAL_POLL_S)
+        finally:
+            self._arrivals.withdraw()
+        return self.call.remaining_s() > 0
+
     async def may_escalate(self) -> bool:
         """Return whether the call may escalate to a larger model."""
         limit = "" if await self._arrivals.has_spare() else "arrivals_kept"
@@ -172,25 +207,41 @@
         that had the request before. If no server is available, the call
         keeps waiting for the current one.
         """
-        reason = self._reason_not_to_run_again()
-        if not reason and not self.context.servers.has_available_server(
-            target, self.context.now_s(), self._allowed_servers()
-        ):
-            reason = "no server takes work"
+        reason = ""
+        if self.runs >= self.call.route.max_attempts:
+            reason = "no attempt left"
+        reason = reason or self._reason_no_server(target)
         if reason:
-            if reason != self._no_fallback:
-                self.call.log.add(NotRepeated(reason))
-            self._no_fallback = reason
+            self._refuse_urgent(reason)
             return False
         return await self._arrivals.request_urgent()
 
+    def _reason_no_server(self, target: str) -> str:
+        servers = self.context.servers
+        now_s = self.context.now_s()
+        allowed = self._allowed_servers()
+        if servers.has_available_server(target, now_s, allowed):
+            return ""
+        return "no server takes work"
+
+    def _refuse_urgent(self, reason: str) -> None:
+        """Log once why an urgent attempt is not made.
+
+        The call must not keep its place among those that wait for an
+        arrival, where it would hold back the others.
+        """
+        self._arrivals.withdraw()
+        if reason != self._no_urgent_attempt:
+            self.call.log.add(NotRepeated(reason))
+        self._no_urgent_attempt = reason
+
     @property
     def is_waiting_for_arrival(self) -> bool:
-        """Whether the fallback waits for an arrival."""
+        """Whether the call has a place among those that wait for one."""
         return self._arrivals.is_waiting
 
-    def cancel_fallback(self) -> None:
-        """Give up the wait for the fallback's arrival."""
+    def cancel_arrival_wait(self) -> None:
+        """Give up the place among the calls that wait for an arrival."""
         self._arrivals.withdraw()
 
     async def _may_spend_on_improvement(self, wish: str, limit: str) -> bool:
@@ -200,34 +251,20 @@
         return await self._arrivals.spend()
 
     def _reason_not_to_retry(self, overloaded: bool) -> str:
-        reason = self._reason_not_to_repeat(overloaded)
-        if reason or overloaded:
-            return reason
-        now_s = self.context.now_s()
-        customer = self.call.customer
-        if self.context.retries.spend_retry(customer, now_s, "error"):
-            return ""
-        return "retry budget spent"
-
-    def _reason_not_to_repeat(self, overloaded: bool) -> str:
         if not self.left:
             return "no attempt left"
         expiry = self.call.expiry_reason()
         if expiry:
             return expiry
-        if not overloaded and not self.call.may_repeat:
+        if overloaded:
+            return ""
+        if not self.call.may_repeat:
             return "it must not run twice"
-        return ""
-
-    def _reason_not_to_run_again(self) -> str:
-        """Return why the call may not run once more, empty if it may.
-
-        Only servers that began the answer, and were not lost since, count
-        against the route's limit here.
-        """
-        if self.runs >= self.call.route.max_attempts:
-            return "no attempt left"
-        return self.call.expiry_reason()
+        now_s = self.context.now_s()
+        customer = self.call.customer
+        if self.context.retries.spend_retry(customer, now_s, "error"):
+            return ""
+        return "retry budget spent"
 
     async def open(self, target: str, options: EngineOptions) -> Exchange:
         """Choose a server, write the request to it and return the exchange.
@@ -266,7 +303,8 @@
             if not self.sent:
                 self._arrivals.record_first()
             self.sent += 1
-            self._sent_to.add(server.name)
+            self._sent_to[server.name] += 1
+            self._lost_since_s = math.inf
             self._log_sent(destination)
             return exchange
 
@@ -309,7 +347,7 @@
         """Return the names of the servers to choose from, None for all."""
         if self.left:
             return None
-        return self._sent_to - self._unreachable - self._lost
+        return set(self._sent_to) - self._unreachable - self._lost
 
     async def _connect(
         self, target: str, server: Announcement
@@ -319,12 +357,13 @@
             return await self.context.pool.acquire(
                 server.address, self._max_idle_s(server.name)
             )
-        except ConnectFailed:
+        except ConnectFailed as error:
             now_s = self.context.now_s()
             self._dialled_s += now_s - begin_s
-            servers = self.context.servers
-            servers.record_start(target, server.name, now_s)
-            servers.record_finish(target, server.name, now_s, 0.0, "error")
+            if not isinstance(error, ConnectTimedOut):
+                servers = self.context.servers
+                servers.record_start(target, server.name, now_s)
+                servers.record_finish(target, server.name, now_s, 0.0, "error")
             self._unreachable.add(server.name)
             self.call.log.add(NotReached(server.name))
             self._count_failed_dial()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -22,7 +22,6 @@
 from sycamorestand_entry.routed.pace import RecentPace
 from sycamorestand_entry.upstream import Echo
 from sycamorestand_entry.upstream import MalformedAnswer
-from sycamorestand_entry.upstream import ServerLost
 from sycamorestand_entry.upstream import SilentConnection
 from sycamorestand_entry.upstream import UpstreamError
 from sycamorestand_model.declarations import VERSION_SEPARATOR
@@ -100,7 +99,7 @@
             request,
             self._call.method == b"HEAD",
             Echo(self._header_names.attempt, self._call.attempt),
-            ends_if_lost=self._call.may_repeat,
+            on_loss="wake" if self._call.may_repeat else "wait",
         )
 
     def _check_dispatch(self) -> RequestError | None:
@@ -158,6 +157,16 @@
             self.destination.server.name, self.begin_s
         )
 
+    def abandon_lost(self) -> None:
+        """Record that the server was lost; `close` cancels the attempt.
+
+        It does not count for the server's ejection: once the server accepts
+        connections again, it is fit for work.
+        """
+        self._outcome = "timeout"
+        self._reason = "its server is lost"
+        self._was_queued = True
+
     def abandon(self, early: bool = False) -> None:
         """Record that the server was too slow; `close` cancels the attempt.
 
@@ -228,14 +237,14 @@
     def record_failure(self, error: UpstreamError) -> str:
         """Record that the answer broke off, and return the reason.
 
-        An attempt that the end of this process cuts off, or the loss of the
-        server's VM, counts as cancelled and not as a failure of the server.
-        Otherwise either could roll back a good version.
+        An attempt that the end of this process cuts off counts as cancelled
+        and not as a failure of the server. Otherwise planned stops of
+        entries could roll back a good version.
         """
         silent = isinstance(error, SilentConnection)
         expiry = self._call.expiry_reason() if silent else ""
         self._outcome = "timeout" if silent else "error"
-        if expiry == PROCESS_ENDS or isinstance(error, ServerLost):
+        if expiry == PROCESS_ENDS:
             self._outcome = "cancelled"
         self._reason = expiry or str(error)
         return self._reason
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/further_arrivals.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/further_arrivals.py
@@ -50,9 +50,11 @@
 
         It may not while requests wait that get no answer otherwise.
         """
-        if self._context.urgent_requests.has_any(self._service):
+        waiting = self._context.urgent_requests
+        if waiting.has_any(self._service):
             return False
-        return await self._check(self._context.arrivals.has_spare)
+        has_spare = await self._check(self._context.arrivals.has_spare)
+        return has_spare and not waiting.has_any(self._service)
 
     async def spend(self) -> bool:
         """Spend one arrival; return False and log it if none is left."""
@@ -90,7 +92,7 @@
 
     def _is_first(self) -> bool:
         assert self._place is not None
-        return self._context.urgent_requests.is_next(self._place, 1.0)
+        return self._context.urgent_requests.has_turn(self._place, 1.0)
 
     def _spend_in_turn(self, service: str, entries: int, now_s: float) -> bool:
         """Spend an arrival if it is this call's turn."""
@@ -99,7 +101,7 @@
         if self._context.settings.allowance.ratio:
             left = budget.share(service, entries, now_s).left
         assert self._place is not None
-        if not self._context.urgent_requests.is_next(self._place, left):
+        if not self._context.urgent_requests.has_turn(self._place, left):
             return False
         return budget.try_spend(service, entries, now_s)
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -45,6 +45,7 @@
 # Leaving a slow server costs a retry. If none is allowed now, the relay checks
 # again after this time.
 RECHECK_S: Final = 0.5
+MS: Final = 1000
 # A shorter wait is not worth a timer.
 MIN_WAIT_S: Final = 0.05
 
@@ -82,7 +83,11 @@
             call.values.get(attempts.header_names.last_event, b"")
         )
         self._partial_event = b""
-        self._gap_limit_s = gap_limit_s(call.route.gap_target_ms / 1000)
+        self._gap_limit_s = gap_limit_s(call.route.gap_target_ms / MS)
+        silence_limit_s = call.route.silence_limit_ms / MS or math.inf
+        self._first_wait_s = min(
+            self._gap_limit_s, silence_limit_s * FALLBACK_SHARE
+        )
         self._engine_wait = EngineWait(attempts)
         call.log.prompt_tokens = self._engine_wait.prompt_tokens
 
@@ -114,16 +119,14 @@
                 continue
             except ServerLost as error:
                 reason = exchange.record_failure(error)
-                exchange.close()
-                self._partial_event = b""
-                self._attempts.record_lost(exchange)
-                if not await self._may_replace_lost():
-                    raise self._broken_off_error(reason) from None
-                continue
+                self._attempts.may_have_run = True
+                raise self._broken_off_error(reason) from None
             except UpstreamError as error:
                 reason = exchange.record_failure(error)
                 self._attempts.may_have_run = True
                 self._partial_event = b""
+                # The broken run must be over before another one is begun.
+                exchange.close()
                 if not await self._may_resume(overloaded=False):
                     raise self._broken_off_error(reason) from None
                 continue
@@ -131,7 +134,7 @@
                 # The run at this server must be cancelled before the next
                 # server gets the request.
                 exchange.close()
-                self._attempts.cancel_fallback()
+                self._attempts.cancel_arrival_wait()
             if answer is None:
                 return None
             if not await self._may_try_another(answer):
@@ -142,7 +145,7 @@
             head = await self._read_head(exchange)
         finally:
             self._engine_wait.record_queue_delay(exchange, self._size_index)
-        self._attempts.cancel_fallback()
+        self._attempts.cancel_arrival_wait()
         self._attempts.runs += 1
         kind = head.headers.get(b"content-type", b"")
         if head.status != 200 or not kind.startswith(EVENT_STREAM):
@@ -196,6 +199,7 @@
                 return await exchange.read_head(limit_s, soft=True)
             except SlowAnswer:
                 waited_s += limit_s
+                await self._leave_lost_server(exchange)
                 await self._fall_back(exchange)
                 if waited_s >= move_after_s or exchange.is_overtaken():
                     await self._switch_server(exchange)
@@ -208,18 +212,19 @@
         move_in_s = self._gap_limit_s
         # While an answer flows, this costs less than the time of the
         # fallback, which is not earlier.
-        limit_s = min(move_in_s, left_s * FALLBACK_SHARE)
+        limit_s = min(self._first_wait_s, left_s * FALLBACK_SHARE)
         while call.may_repeat and left_s > 0:
             try:
                 data = await exchange.connection.read_body(limit_s, soft=True)
             except SlowAnswer:
                 move_in_s -= limit_s
+                await self._leave_lost_server(exchange)
                 await self._fall_back(exchange)
                 if move_in_s <= 0:
                     await self._switch_server(exchange)
                     move_in_s = self._gap_limit_s
             else:
-                self._attempts.cancel_fallback()
+                self._attempts.cancel_arrival_wait()
                 return data
             left_s = call.remaining_s()
             limit_s = min(
@@ -237,10 +242,13 @@
         While it waits for an arrival, it is tried often: the arrival would
         go to another call otherwise.
         """
+        attempts = self._attempts
+        if attempts.is_waiting_for_arrival or attempts.is_at_lost_server(
+            exchange
+        ):
+            return ARRIVAL_POLL_S
         if self._fell_back:
             return math.inf
-        if self._attempts.is_waiting_for_arrival:
-            return ARRIVAL_POLL_S
         delay_s = self._fallback_in_s(exchange)
         return max(MIN_WAIT_S, delay_s) if delay_s > 0 else RECHECK_S
 
@@ -255,6 +263,21 @@
         # only lose its place there.
         return max(due_in_s, self._gap_limit_s - exchange.age_s())
 
+    async def _leave_lost_server(self, exchange: Exchange) -> None:
+        """Raise `SlowAnswer` or `ServerLost` if the server is lost.
+
+        Until the stream may go on elsewhere it listens to the server, which
+        may have been cut off for a moment only.
+        """
+        attempts = self._attempts
+        if not attempts.note_loss(exchange):
+            return
+        if self._is_resumable() and await attempts.may_replace_lost(exchange):
+            exchange.abandon_lost()
+            raise SlowAnswer("its server is lost")
+        if attempts.has_waited_for_arrival():
+            raise ServerLost("its server is lost")
+
     async def _fall_back(self, exchange: Exchange) -> None:
         """Raise `SlowAnswer` if the call shall fall back now.
 
@@ -362,14 +385,10 @@
     async def _may_resume(self, overloaded: bool) -> bool:
         if not self._is_resumable():
             return False
+        if self._responder.started and not overloaded:
+            return await self._attempts.may_resume()
         return await self._attempts.may_retry(overloaded)
 
-    async def _may_replace_lost(self) -> bool:
-        """Return whether the stream may go on after its server was lost."""
-        if not self._is_resumable():
-            return False
-        return await self._attempts.may_replace_lost()
-
     def _is_resumable(self) -> bool:
         return bool(self._event_order.last_id) or not self._responder.started
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole_answers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole_answers.py
@@ -6,14 +6,15 @@
 
 from __future__ import annotations
 
+from typing import Final
 from typing import TYPE_CHECKING
 
 from sycamorestand_decisions.attempt_timeouts import call_limit_s
 from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.routed.attempts import ARRIVAL_POLL_S
 from sycamorestand_entry.routed.messages import EngineOptions
 from sycamorestand_entry.routed.messages import NOT_RUN_STATUSES
 from sycamorestand_entry.routed.messages import RETRY_STATUSES
-from sycamorestand_entry.upstream import ServerLost
 from sycamorestand_entry.upstream import SlowAnswer
 from sycamorestand_entry.upstream import UpstreamError
 
@@ -23,6 +24,9 @@
     from sycamorestand_entry.routed.messages import WholeAnswer
     from sycamorestand_entry.upstream import ResponseHead
 
+# A shorter wait is not worth a timer.
+MIN_WAIT_S: Final = 0.05
+
 
 async def read_whole_answer(attempts: Attempts, target: str) -> WholeAnswer:
     """Return a server's complete answer.
@@ -44,13 +48,6 @@
         except SlowAnswer:
             attempts.may_have_run = True
             continue
-        except ServerLost:
-            attempts.record_lost(exchange)
-            if await attempts.may_replace_lost():
-                continue
-            if last_failure is not None:
-                return last_failure
-            raise attempts.final_error("its server is lost") from None
         if answer is not None and answer.not_run:
             message = "every backend server is full"
             retry = await attempts.may_retry(overloaded=True)
@@ -82,25 +79,38 @@
         head = await _read_head(attempts, exchange)
         exchange.record_first_byte()
         return await exchange.read_whole(head)
-    except ServerLost:
-        raise
     except UpstreamError:
         return None
     finally:
         exchange.close()
+        attempts.cancel_arrival_wait()
 
 
 async def _read_head(attempts: Attempts, exchange: Exchange) -> ResponseHead:
     call = attempts.call
-    left_s = max(0.0, call.remaining_s())
-    if call.may_repeat and attempts.left:
+    move_after_s = limit_s = call_limit_s(max(0.0, call.remaining_s()))
+    may_move = bool(attempts.left)
+    while call.may_repeat and call.remaining_s() > 0:
         try:
-            return await exchange.read_head(call_limit_s(left_s), soft=True)
+            return await exchange.read_head(limit_s, soft=True)
         except SlowAnswer:
-            # Without another server, keep waiting: this one may yet answer.
-            if await attempts.may_switch_server(exchange.destination.target):
-                exchange.abandon()
+            if attempts.note_loss(
+                exchange
+            ) and await attempts.may_replace_lost(exchange):
+                exchange.abandon_lost()
                 raise
+            if may_move and exchange.age_s() >= move_after_s:
+                may_move = False
+                target = exchange.destination.target
+                # Without another server, keep waiting: this one may answer.
+                if await attempts.may_switch_server(target):
+                    exchange.abandon()
+                    raise
+        limit_s = max(MIN_WAIT_S, call.remaining_s())
+        if may_move:
+            limit_s = max(MIN_WAIT_S, move_after_s - exchange.age_s())
+        if attempts.is_at_lost_server(exchange):
+            limit_s = min(limit_s, ARRIVAL_POLL_S)
     return await exchange.read_head(max(0.0, call.remaining_s()))
 
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_watch.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from sycamorestand_decisions.server_loss import MAX_DELAY_S
 from sycamorestand_entry.upstream import ConnectFailed
 from sycamorestand_entry.upstream import ConnectTimedOut
 
@@ -24,10 +25,10 @@
 
 
 class ServerWatch:
-    """Finds lost servers and ends the requests that wait there.
+    """Finds lost servers, and wakes or ends the requests that wait there.
 
-    A request that ends can go on at another server at once, in place of
-    waiting for its own timeout.
+    They can go on at another server at once, in place of waiting for their
+    own timeouts.
     """
 
     def __init__(
@@ -48,14 +49,20 @@
         async with anyio.create_task_group() as checks:
             while True:
                 await anyio.sleep(POLL_S)
-                for address in self._due():
+                try:
+                    due = self._due()
+                except Exception:
+                    # The exception would end the whole process.
+                    _LOG.exception("search for silent servers failed")
+                    continue
+                for address in due:
                     self._checking.add(address)
                     checks.start_soon(self._check, address)
 
     def _due(self) -> list[str]:
         """Return the addresses that are to be checked now."""
         now_s = self._now_s()
-        used = set(self._pool.addresses())
+        used = set(self._pool.addresses_in_use())
         servers = self._control.backend_servers().values()
         announced = {server.address for server in servers}
         self._loss.forget_unused(used | announced | self._checking)
@@ -78,24 +85,31 @@
         try:
             await self._check_once(address)
         except Exception:
-            # The exception would end the whole process.
             _LOG.exception("check of a backend server failed")
         finally:
             self._checking.discard(address)
 
     async def _check_once(self, address: str) -> None:
+        begin_s = self._now_s()
         silent_since_s = self._silent_since_s(address)
         heard_s = self._pool.last_byte_s(address)
         was_lost = self._loss.is_lost(address)
         dials = self._loss.dials_needed(address)
         reached = await self._accepts_connection(address, dials)
-        reached = reached or self._pool.last_byte_s(address) > heard_s
         now_s = self._now_s()
-        newly_lost = self._loss.record_check(address, reached, now_s)
-        ended = 0 if reached else self._pool.end_if_lost(address)
+        longest_s = dials * self._pool.connect_timeout_s + MAX_DELAY_S
+        if not reached and now_s - begin_s > longest_s:
+            # This process was busy or suspended meanwhile, and the server may
+            # have accepted in time.
+            return
+        reached = reached or self._pool.last_byte_s(address) > heard_s
+        newly_lost = self._loss.record_check(
+            address, reached, silent_since_s, now_s
+        )
+        waiting = 0 if reached else self._pool.react_to_loss(address)
         if newly_lost:
             silent_s = max(0.0, now_s - silent_since_s)
-            fields = {"silent_ms": int(silent_s * 1000), "ended": ended}
+            fields = {"silent_ms": int(silent_s * 1000), "waiting": waiting}
             extra = self._server_fields(address) | fields
             _LOG.warning("backend server lost", extra=extra)
         elif was_lost and reached:
@@ -123,7 +137,7 @@
                 continue
             except ConnectFailed:
                 return True
-            connection.close()
+            self._pool.release(address, connection)
             return True
         return False
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -13,6 +13,7 @@
 import math
 from typing import cast
 from typing import Final
+from typing import Literal
 
 import httptools
 
@@ -30,6 +31,7 @@
 from sycamorestand_entry.upstream_answer import UpstreamError
 
 Sink = Callable[[bytes], bool]
+OnLoss = Literal["wait", "wake", "end"]
 
 # Reading from the backend server pauses at this many buffered bytes, so
 # that a caller which reads slowly does not fill the memory of the entry.
@@ -37,16 +39,30 @@
 MAX_HEAD_BYTES: Final = 64 * 1024
 
 
+class PeerActivity:
+    """When a byte last came on any connection to one address."""
+
+    def __init__(self) -> None:
+        self.last_byte_s = -math.inf
+
+
 class UpstreamConnection(asyncio.Protocol):
-    """One HTTP/1.1 connection, which carries one request at a time."""
+    """One HTTP/1.1 connection, which carries one request at a time.
+
+    ``activity`` is shared by all connections to one address.
+    """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        activity: PeerActivity | None = None,
+    ) -> None:
         self.reusable = False
         self.idle_since_s = 0.0
-        self.sent_s = -math.inf
-        self.last_byte_s = -math.inf
+        self.sent_s = math.inf
         self.on_closed: Callable[[], None] | None = None
-        self._ends_if_lost = False
+        self._activity = activity or PeerActivity()
+        self._on_loss: OnLoss = "wait"
         self.keep_alive_s = math.inf
         self._loop = loop
         self._transport: asyncio.Transport | None = None
@@ -83,28 +99,29 @@
         return transport is not None and not transport.get_write_buffer_size()
 
     @property
-    def is_waiting(self) -> bool:
-        """Return whether a request was sent whose answer is incomplete."""
-        sent = self.sent_s > -math.inf
-        return sent and not self._complete and self._error is None
+    def reacts_to_loss(self) -> bool:
+        """Return whether a request waits here that need not wait for ever."""
+        if self._on_loss == "wait" or self._paused or self._complete:
+            return False
+        return self._error is None
 
     def send(
         self,
         request: bytes,
         bodiless: bool = False,
         echo: Echo | None = None,
-        ends_if_lost: bool = False,
+        on_loss: OnLoss = "wait",
     ) -> None:
         """Write a whole request, which may have run from then on.
 
         With ``bodiless`` the answer has no body regardless of its headers,
         as for ``HEAD``. Answers in which ``echo`` names another request
-        are skipped. With ``ends_if_lost`` the request fails as soon as the
-        server is found to be lost. Without it the answer is waited for, as
-        the server may come back with it.
+        are skipped. If the server is found to be lost, ``on_loss`` tells
+        whether to wait on, as the link to it may heal; to end the request
+        with `ServerLost`; or to wake the reader, if its wait is soft.
         """
         assert self._transport is not None
-        self._ends_if_lost = ends_if_lost
+        self._on_loss = on_loss
         self.sent_s = self._loop.time()
         self._bodiless = bodiless
         self._echo = echo
@@ -174,19 +191,21 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def end_if_lost(self) -> bool:
-        """End a request that waits at a lost server; return if it did."""
-        if not self._ends_if_lost or not self.is_waiting:
-            return False
-        self._fail(ServerLost("its server is lost"))
-        return True
+    def react_to_loss(self) -> None:
+        """Wake or end the request that waits here, as its server is lost."""
+        if not self.reacts_to_loss:
+            return
+        if self._on_loss == "end":
+            self._fail(ServerLost("its server is lost"))
+        elif self._soft and self._waiter and not self._waiter.done():
+            self._waiter.set_exception(SlowAnswer("its server is lost"))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # The transports of uvloop are not subclasses of asyncio's.
         self._transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
-        self.last_byte_s = self._loop.time()
+        self._activity.last_byte_s = self._loop.time()
         if self._complete:
             self._fail(MalformedAnswer("bytes after the answer's end"))
             return
@@ -351,6 +370,8 @@
     "ConnectTimedOut",
     "Echo",
     "MalformedAnswer",
+    "OnLoss",
+    "PeerActivity",
     "ResponseHead",
     "ServerLost",
     "SilentConnection",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_answer.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_answer.py
@@ -21,7 +21,7 @@
 
 
 class ConnectTimedOut(ConnectFailed):
-    """The connection was neither accepted nor refused in time."""
+    """The connection was neither accepted nor refused."""
 
 
 class SilentConnection(UpstreamError):
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_pool.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_pool.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from collections import deque
+import errno
 import math
 from typing import Final
 
 from sycamorestand_decisions.server_loss import ServerLoss
 from sycamorestand_entry.upstream import ConnectFailed
 from sycamorestand_entry.upstream import ConnectTimedOut
+from sycamorestand_entry.upstream import PeerActivity
 from sycamorestand_entry.upstream import UpstreamConnection
 
 # Idle connections per address. Servers limit the connections of all clients
@@ -20,6 +22,9 @@
 # used. A request sent near the end of the timeout may cross the server's
 # close, and then it is unknown whether it ran.
 KEEP_ALIVE_SHARE: Final = 0.6
+UNREACHABLE_ERRNOS: Final = frozenset(
+    {errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENETUNREACH}
+)
 
 
 class UpstreamPool:
@@ -31,12 +36,12 @@
         idle_s: float,
         loss: ServerLoss | None = None,
     ) -> None:
-        self._connect_timeout_s = connect_timeout_s
+        self.connect_timeout_s = connect_timeout_s
         self._idle_s = idle_s
         self._loss = loss or ServerLoss()
         self._idle: dict[str, deque[UpstreamConnection]] = {}
-        self._open: dict[str, set[UpstreamConnection]] = {}
-        self._closed_last_byte_s: dict[str, float] = {}
+        self._in_use: dict[str, set[UpstreamConnection]] = {}
+        self._activities: dict[str, PeerActivity] = {}
 
     async def acquire(
         self, address: str, max_idle_s: float
@@ -58,23 +63,28 @@
             connection = idle.pop()
             usable_s = connection.keep_alive_s * KEEP_ALIVE_SHARE
             if connection.usable and age_s < usable_s:
+                self._in_use.setdefault(address, set()).add(connection)
                 return connection
             connection.close()
         try:
-            return await self._connect(address, loop)
+            connection = await self._connect(address, loop)
         except ConnectTimedOut:
             self._loss.record_timed_out_dial(address)
             raise
+        self._in_use.setdefault(address, set()).add(connection)
+        return connection
 
     def release(self, address: str, connection: UpstreamConnection) -> None:
         """Keep the connection for another request, or close it if unusable."""
         if not connection.usable:
             connection.close()
+            self._remove(address, connection)
             return
         now_s = asyncio.get_running_loop().time()
         connection.idle_since_s = now_s
         idle = self._idle.setdefault(address, deque())
         idle.append(connection)
+        self._remove(address, connection)
         # The youngest connection is always reused first, so the older ones
         # of a burst would otherwise never be closed.
         while len(idle) > MAX_IDLE or _is_stale(idle[0], now_s, self._idle_s):
@@ -84,35 +94,42 @@
         """Return the number of idle connections to the address."""
         return len(self._idle.get(address, ()))
 
-    def addresses(self) -> list[str]:
-        """Return the addresses to which connections are open."""
-        return list(self._open)
+    def addresses_in_use(self) -> list[str]:
+        """Return the addresses at which a request may be waiting."""
+        return list(self._in_use)
 
     def last_byte_s(self, address: str) -> float:
         """Return when a byte last came from the address."""
-        closed_s = self._closed_last_byte_s.get(address, -math.inf)
-        connections = self._open.get(address, ())
-        return max([closed_s, *(c.last_byte_s for c in connections)])
+        activity = self._activities.get(address)
+        return activity.last_byte_s if activity else -math.inf
 
     def waiting_since_s(self, address: str) -> float:
         """Return when the oldest request was sent that waits there.
 
-        The result is infinite if no request waits.
+        Requests that wait whatever becomes of the server do not count. The
+        result is infinite if no other request waits.
         """
-        connections = self._open.get(address, ())
+        connections = self._in_use.get(address, ())
         return min(
-            (c.sent_s for c in connections if c.is_waiting), default=math.inf
+            (c.sent_s for c in connections if c.reacts_to_loss),
+            default=math.inf,
         )
 
-    def end_if_lost(self, address: str) -> int:
-        """End what waits at a lost server, and return how many requests.
+    def react_to_loss(self, address: str) -> int:
+        """Wake or end what waits at a lost server; return how many requests.
 
         Idle connections to it are closed: after its return they stay silent.
         """
         for connection in self._idle.pop(address, ()):
             connection.close()
-        connections = list(self._open.get(address, ()))
-        return sum(connection.end_if_lost() for connection in connections)
+        waiting = [
+            connection
+            for connection in self._in_use.get(address, ())
+            if connection.reacts_to_loss
+        ]
+        for connection in waiting:
+            connection.react_to_loss()
+        return len(waiting)
 
     def close(self) -> None:
         """Close every idle connection."""
@@ -125,29 +142,39 @@
         self, address: str, loop: asyncio.AbstractEventLoop
     ) -> UpstreamConnection:
         host, _, port = address.rpartition(":")
+        activity = self._activities.setdefault(address, PeerActivity())
         try:
-            async with asyncio.timeout(self._connect_timeout_s):
+            async with asyncio.timeout(self.connect_timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(loop),
+                    lambda: UpstreamConnection(loop, activity),
                     host.strip("[]"),
                     int(port),
                 )
-        except TimeoutError as error:
-            raise ConnectTimedOut("it takes no connection") from error
         except (OSError, ValueError) as error:
+            if isinstance(error, TimeoutError) or _is_unreachable(error):
+                raise ConnectTimedOut("it takes no connection") from error
             raise ConnectFailed("it takes no connection") from error
-        self._open.setdefault(address, set()).add(connection)
-        connection.on_closed = lambda: self._forget(address, connection)
+        connection.on_closed = lambda: self._remove(address, connection)
         return connection
 
-    def _forget(self, address: str, connection: UpstreamConnection) -> None:
-        connections = self._open.get(address, set())
-        connections.discard(connection)
-        last_byte_s = max(connection.last_byte_s, self.last_byte_s(address))
-        self._closed_last_byte_s[address] = last_byte_s
-        if not connections:
-            self._open.pop(address, None)
-            del self._closed_last_byte_s[address]
+    def _remove(self, address: str, connection: UpstreamConnection) -> None:
+        """Remove a connection from those in use."""
+        connections = self._in_use.get(address)
+        if connections is not None:
+            connections.discard(connection)
+            if not connections:
+                del self._in_use[address]
+        if address not in self._in_use and not self._idle.get(address):
+            self._activities.pop(address, None)
+
+
+def _is_unreachable(error: Exception) -> bool:
+    """Return whether the network found no way to the server.
+
+    Its VM is down, or the link to it. Other errors of a dial are refusals,
+    or faults of this process, such as too many open files.
+    """
+    return isinstance(error, OSError) and error.errno in UNREACHABLE_ERRNOS
 
 
 def _is_stale(
--- a/packages/sycamorestand-entry/tests/routed/test_lost_server.py
+++ b/packages/sycamorestand-entry/tests/routed/test_lost_server.py
@@ -273,6 +273,40 @@
             silent = sum(not caller.has_news() for caller in callers)
         assert (early, silent) == (3, 0)
 
+    async def test_stream_that_breaks_off_waits_for_an_arrival(self) -> None:
+        """It ended at once, though an arrival was earned a moment later."""
+        async with start_losable(LIMITED) as loopback:
+            loopback.control.servers.clear()
+            await add_server(loopback, "s-1", break_off)
+            leave_arrivals(loopback, 0)
+            caller = await begin(loopback, "r")
+            leave_arrivals(loopback, 0)
+            await add_server(loopback, "s-2", resume)
+            await anyio.sleep(0.2)
+            earn_arrivals(loopback, 2)
+            await becomes_true(lambda: caller.has_ended, SILENCE_LIMIT_S)
+        assert caller.is_complete
+
+    async def test_call_that_may_not_go_on_does_not_hold_back_others(
+        self,
+    ) -> None:
+        """It kept its place in the queue for arrivals until its deadline."""
+        async with start_losable(LIMITED) as loopback:
+            caller = await begin(loopback, "r")
+            leave_arrivals(loopback, 0)
+            waiting = loopback.entry.context.urgent_requests
+            has_joined = await becomes_true(
+                lambda: waiting.has_any("stock"), SILENCE_LIMIT_S
+            )
+            loopback.control.servers.clear()
+            has_left = await becomes_true(
+                lambda: not waiting.has_any("stock"), SILENCE_LIMIT_S / 4
+            )
+            has_ended = caller.has_ended
+        assert has_joined
+        assert has_left
+        assert not has_ended
+
 
 class TestRetryBudget:
     async def test_streams_of_a_lost_server_go_on_without_a_retry_left(
@@ -325,6 +359,48 @@
         assert caller.is_complete
 
 
+class TestFalseLoss:
+    async def test_only_server_is_listened_to_while_it_takes_no_connection(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Its queue of new connections is full, and its answers go on."""
+        async with start_losable() as loopback:
+            loopback.control.servers.clear()
+            await add_server(loopback, "s-1", pause_for(1.8))
+            caller = await begin(loopback, "r")
+            lose_power(loopback, monkeypatch, "s-1")
+            await becomes_true(lambda: caller.has_ended, SILENCE_LIMIT_S)
+            runs = len(loopback.requests)
+        assert caller.is_complete
+        assert runs == 1
+
+    async def test_server_gets_work_as_soon_as_it_is_reached_again(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """It was ejected as well, for ten seconds, by dials that timed out."""
+        prefix = prefix_owned_by("s-1", "s-2", "s-3")
+        async with start_losable() as loopback:
+            loopback.control.servers.clear()
+            for name in ("s-1", "s-2", "s-3"):
+                await add_server(loopback, name, resume)
+            connect = UpstreamPool._connect
+            lose_power(loopback, monkeypatch, "s-1")
+            await ask_all(loopback, [prefix] * 10)
+            loss = loopback.entry.context.server_loss
+            was_lost = await becomes_true(
+                lambda: bool(loss.lost), SILENCE_LIMIT_S
+            )
+            monkeypatch.setattr(UpstreamPool, "_connect", connect)
+            is_back = await becomes_true(
+                lambda: not loss.lost, SILENCE_LIMIT_S
+            )
+            await ask_all(loopback, [prefix])
+            last = loopback.requests[-1][0]
+        assert was_lost
+        assert is_back
+        assert last == "s-1"
+
+
 class TestSilentRun:
     async def test_preempted_run_goes_on_at_another_server(self) -> None:
         """Its engine has put it off, and goes on with the others."""
@@ -424,6 +500,24 @@
     return int(request.partition(b"x-priority: ")[2][:1])
 
 
+async def break_off(request: bytes, stream: SocketStream) -> None:
+    """Begin an answer and close the connection."""
+    await stream.send(stream_head(request) + event(1))
+    raise anyio.EndOfStream
+
+
+def pause_for(duration_s: float) -> Handler:
+    """Return a handler that pauses after its first event."""
+
+    async def handler(request: bytes, stream: SocketStream) -> None:
+        await stream.send(stream_head(request) + event(1))
+        await anyio.sleep(duration_s)
+        events = b"".join(event(number) for number in range(2, 6))
+        await stream.send(events + END)
+
+    return handler
+
+
 def resume_in(duration_s: float) -> Handler:
     """Return a handler whose answer takes this time after its first event."""
 
