--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
@@ -40,7 +40,7 @@
     False
     >>> loss.is_check_due("a", silent_since_s=1.0, now_s=1.6)
     True
-    >>> loss.record_check("a", False, silent_since_s=1.0, now_s=2.2)
+    >>> loss.record_check("a", reached=False, now_s=2.2, silent_since_s=1.0)
     True
     >>> loss.is_lost("a")
     True
@@ -96,10 +96,15 @@
         return now_s - silent_since_s >= SILENCE_S
 
     def record_check(
-        self, address: str, reached: bool, silent_since_s: float, now_s: float
+        self,
+        address: str,
+        reached: bool,
+        now_s: float,
+        silent_since_s: float = math.inf,
     ) -> bool:
         """Record whether the server was reached; return if it is lost now.
 
+        ``silent_since_s`` is that of `is_check_due` at the check's begin.
         True is returned for the check only that first finds the server lost.
         """
         is_first = self._checked_s.get(address, -math.inf) <= silent_since_s
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_watch.py
@@ -104,7 +104,7 @@
             return
         reached = reached or self._pool.last_byte_s(address) > heard_s
         newly_lost = self._loss.record_check(
-            address, reached, silent_since_s, now_s
+            address, reached, now_s, silent_since_s
         )
         waiting = 0 if reached else self._pool.react_to_loss(address)
         if newly_lost:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -98,12 +98,16 @@
         transport = self._transport
         return transport is not None and not transport.get_write_buffer_size()
 
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether a request was sent whose answer is incomplete."""
+        sent = self.sent_s < math.inf
+        return sent and not self._complete and self._error is None
+
     @property
     def reacts_to_loss(self) -> bool:
         """Return whether a request waits here that need not wait for ever."""
-        if self._on_loss == "wait" or self._paused or self._complete:
-            return False
-        return self._error is None
+        return self.is_waiting and self._on_loss != "wait" and not self._paused
 
     def send(
         self,
