A chat run ends as soon as its server is found to be lost

Callers of the chat interface saw, at a server that loses power, silence for first_byte_timeout_s or chunk_gap_s (5 s each) before their request ran again elsewhere, or before a begun stream ended with its error.

Cause: the loss of a server ends only requests that were sent with ends_if_lost, and only routed requests were.

Evidence: test_lost_backend_servers with limits of 20 s. The entry logs "backend server lost", and the run goes on waiting there.

Change: a chat run is sent with ends_if_lost. What follows is as after any broken connection: a run of which nothing was released restarts.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -146,7 +146,8 @@
         connection.send(
             encode_engine_request(
                 self._work, server, self._run_id, resume, self._reader.events
-            )
+            ),
+            ends_if_lost=True,
         )
         head = await connection.read_head(
             self._limit_to_deadline_s(settings.first_byte_timeout_s)
--- /dev/null
+++ b/packages/sycamorestand-entry/tests/test_lost_backend_servers.py
@@ -0,0 +1,173 @@
+"""Chat runs and service calls that wait when their server is lost.
+
+A server that loses power accepts no connection and closes none.
+"""
+
+from __future__ import annotations
+
+from asyncio import AbstractEventLoop
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from contextlib import suppress
+import time
+from typing import Final
+
+import anyio
+import httpcore
+import pytest
+
+from sycamorestand_bench.fakes.declared import LARGE
+from sycamorestand_bench.fakes.engine import expected_text
+from sycamorestand_bench.fakes.engine import FakeEngine
+from sycamorestand_bench.fakes.faults import Fault
+from sycamorestand_bench.fakes.loopback import Answer
+from sycamorestand_bench.fakes.loopback import Loopback
+from sycamorestand_bench.fakes.loopback import SETTINGS
+from sycamorestand_bench.fakes.loopback import start_loopback
+from sycamorestand_entry.upstream import ConnectTimedOut
+from sycamorestand_entry.upstream import UpstreamConnection
+from sycamorestand_entry.upstream_pool import UpstreamPool
+
+pytestmark = pytest.mark.anyio
+# The timeouts of requests are much longer than a server takes to be found
+# lost, so a request that ends soon after that was not ended by them.
+TIMEOUT_S: Final = 20.0
+FAILED_DIAL_S: Final = 0.1
+ENDS_WITHIN_S: Final = 1.0
+CAPACITY: Final = 64
+HEALTHY: Final = Fault()
+LATE: Final = Fault("late")
+SILENT: Final = Fault("silent", after=4)
+
+
+class Call:
+    """A call that runs in the background."""
+
+    def __init__(self, send: Callable[[], Awaitable[Answer]]) -> None:
+        self.answer: Answer | None = None
+        self._send = send
+
+    async def run(self) -> None:
+        """Send the call and keep its answer, if it comes before the end."""
+        with suppress(httpcore.NetworkError):
+            self.answer = await self._send()
+
+    def has_ended(self) -> bool:
+        """Return whether the whole answer came."""
+        return self.answer is not None
+
+    def status(self) -> int:
+        """Return the status of the answer, 0 before its end."""
+        return self.answer.status if self.answer else 0
+
+
+class TestChatRun:
+    @pytest.mark.parametrize("fault", [LATE, SILENT])
+    async def test_plain_answer_restarts_once_the_server_is_lost(
+        self, monkeypatch: pytest.MonkeyPatch, fault: Fault
+    ) -> None:
+        """It waited for the timeout of its first byte or next chunk."""
+        async with start_slow() as loopback:
+            call = await begin_chat(loopback, fault)
+            await add_engine(loopback, "engine-2")
+            await lose(loopback, monkeypatch, "engine-1")
+            await becomes_true(call.has_ended, ENDS_WITHIN_S)
+        assert text(call) == expected_text(LARGE, "k", 8)
+
+    async def test_begun_stream_fails_once_the_server_is_lost(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Its caller waited for the timeout of the next chunk to try again."""
+        async with start_slow() as loopback:
+            call = await begin_chat(loopback, SILENT, stream=True)
+            await add_engine(loopback, "engine-2")
+            await lose(loopback, monkeypatch, "engine-1")
+            await becomes_true(call.has_ended, ENDS_WITHIN_S)
+        assert call.answer is not None
+        assert call.answer.events()[-1]["error"]["code"] == "backend_failed"
+        assert call.answer.events()[-1]["error"]["run"] == "unknown"
+
+
+@asynccontextmanager
+async def start_slow() -> AsyncIterator[Loopback]:
+    """Start an entry that waits for long, without backend servers."""
+    settings = SETTINGS._replace(
+        first_byte_timeout_s=TIMEOUT_S, chunk_gap_s=TIMEOUT_S
+    )
+    async with start_loopback(settings) as loopback:
+        yield loopback
+
+
+async def add_engine(
+    loopback: Loopback,
+    name: str,
+    fault: Fault = HEALTHY,
+    can_resume: bool = False,
+) -> FakeEngine:
+    """Add an engine that runs many requests, all with the fault."""
+    engine = FakeEngine(name, (LARGE,), can_resume=can_resume)
+    engine.switch.fault = fault
+    await loopback.add_engine(engine, capacity=CAPACITY)
+    return engine
+
+
+async def begin_chat(
+    loopback: Loopback,
+    fault: Fault,
+    stream: bool = False,
+    can_resume: bool = False,
+) -> Call:
+    """Return a chat request that waits at the new engine "engine-1"."""
+    engine = await add_engine(loopback, "engine-1", fault, can_resume)
+    call = Call(lambda: loopback.chat(stream=stream, Idempotency_Key="k"))
+    loopback.group.start_soon(call.run)
+    assert await becomes_true(
+        lambda: (
+            sum(r.sent_tokens for r in engine.records) == fault.after
+            and engine.running > 0
+        ),
+        TIMEOUT_S,
+    )
+    return call
+
+
+def text(call: Call) -> str:
+    """Return the text of a whole plain answer, empty if none came."""
+    if call.status() != 200:
+        return ""
+    assert call.answer is not None
+    content: str = call.answer.json()["choices"][0]["message"]["content"]
+    return content
+
+
+async def lose(
+    loopback: Loopback,
+    monkeypatch: pytest.MonkeyPatch,
+    name: str,
+    failed_dial_s: float = FAILED_DIAL_S,
+) -> None:
+    """Let the server accept no connection, and wait until it is lost."""
+    connect = UpstreamPool._connect
+    lost = loopback.control.servers[name].address
+
+    async def dial(
+        pool: UpstreamPool, address: str, loop: AbstractEventLoop
+    ) -> UpstreamConnection:
+        if address != lost:
+            return await connect(pool, address, loop)
+        await anyio.sleep(failed_dial_s)
+        raise ConnectTimedOut("it takes no connection")
+
+    monkeypatch.setattr(UpstreamPool, "_connect", dial)
+    loss = loopback.entry.context.server_loss
+    assert await becomes_true(lambda: loss.is_lost(lost), TIMEOUT_S / 2)
+
+
+async def becomes_true(condition: Callable[[], bool], limit_s: float) -> bool:
+    """Return whether the condition holds within this time."""
+    until_s = time.monotonic() + limit_s
+    while not condition() and time.monotonic() < until_s:
+        await anyio.sleep(0.01)
+    return condition()
