An idempotent call ends as soon as its server is found to be lost

Callers of plain services saw, at a server that loses power, silence for first_byte_timeout_s (5 s) before an idempotent call ran elsewhere, or until their deadline where the last attempt was lost.

Cause: the loss of a server ends only requests that were sent with ends_if_lost, and calls to plain services were not.

Evidence: test_lost_backend_servers with limits of 20 s. The entry logs "backend server lost", and the call goes on waiting there.

Change: an idempotent call is sent with ends_if_lost and goes on at another server without a retry. An attempt at a lost server does not count, at most one for each server, and ends as cancelled, so that the server is not ejected when it is back. A call with a claim goes on listening: it must not run again, and its late answer is recorded.

The four tests of idempotent calls failed before: no answer within 1 s of the loss. With ends_if_lost alone, two of them: 502 for some of eight calls (retries spent) and for a call whose second server is lost too. The test of the claimed call passed before, and fails if such a call is sent with ends_if_lost; none of the tests there was about a server that is lost.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/idempotent_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/idempotent_call.py
@@ -1,4 +1,7 @@
-"""Idempotent calls to plain services, with at most two attempts."""
+"""Idempotent calls to plain services, with at most two attempts.
+
+Attempts at servers that were lost do not count.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +17,7 @@
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.service_call import acquire_slot
 from sycamorestand_entry.service_call import CallFailed
+from sycamorestand_entry.service_call import CallLost
 from sycamorestand_entry.service_call import exchange
 from sycamorestand_entry.service_call import ServiceAnswer
 from sycamorestand_entry.service_call import ServiceCall
@@ -46,15 +50,30 @@
     context: EntryContext, call: ServiceCall
 ) -> ServiceAnswer:
     tried: set[str] = set()
+    lost: set[str] = set()
     may_have_run = False
     error: Exception | None = None
-    for attempt in range(MAX_ATTEMPTS):
+    attempts = 0
+    while (left := MAX_ATTEMPTS + len(lost) - attempts) > 0:
+        limit_s = remaining_s(call.deadline_at_s)
+        # Unless this is the last attempt, a shorter timeout applies, because
+        # the pooled connection may be dead while new ones work.
+        if left > 1:
+            limit_s = min(limit_s, context.settings.first_byte_timeout_s)
+        idle_s = context.settings.pool_idle_s if attempts == 0 else 0.0
+        attempts += 1
         try:
-            answer = await _attempt(context, call, attempt, tried)
+            answer = await _attempt(context, call, limit_s, idle_s, tried)
             context.retries.record_success(call.customer, time.monotonic())
             return answer
         except ConnectFailed as failure:
             error = failure
+        except CallLost as failure:
+            # No retry is spent. The retry budget keeps a failing pool from
+            # getting more work, and this server gets none.
+            error = failure
+            may_have_run = True
+            lost.add(failure.server)
         except CallFailed as failure:
             error = failure
             may_have_run = True
@@ -69,21 +88,18 @@
 
 
 async def _attempt(
-    context: EntryContext, call: ServiceCall, attempt: int, tried: set[str]
+    context: EntryContext,
+    call: ServiceCall,
+    limit_s: float,
+    idle_s: float,
+    tried: set[str],
 ) -> ServiceAnswer:
-    settings = context.settings
-    limit_s = remaining_s(call.deadline_at_s)
     if limit_s <= 0:
         raise DeadlineExceeded("the deadline passed", run="not_run")
-    # Unless this is the last attempt, a shorter timeout applies, because
-    # the pooled connection may be dead while new ones work.
-    if attempt + 1 < MAX_ATTEMPTS:
-        limit_s = min(limit_s, settings.first_byte_timeout_s)
     server = context.servers.choose(
         call.service, time.monotonic(), tried, again=True
     )
     tried.add(server.name)
-    idle_s = settings.pool_idle_s if attempt == 0 else 0.0
     connection = await context.pool.acquire(server.address, idle_s)
     answer = await exchange(context, call, server, connection, limit_s, None)
     if answer.not_run:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
@@ -11,6 +11,7 @@
 from sycamorestand_entry.slots import SERVICE_CALL_S
 from sycamorestand_entry.slots import SlotRequest
 from sycamorestand_entry.upstream import MalformedAnswer
+from sycamorestand_entry.upstream import ServerLost
 from sycamorestand_entry.upstream import SilentConnection
 from sycamorestand_entry.upstream import UpstreamError
 
@@ -54,6 +55,14 @@
     """The call was written, but no complete answer came."""
 
 
+class CallLost(CallFailed):
+    """The call was written, and its ``server`` was lost since."""
+
+    def __init__(self, server: str) -> None:
+        super().__init__("its server is lost")
+        self.server = server
+
+
 async def exchange(
     context: EntryContext,
     call: ServiceCall,
@@ -65,7 +74,9 @@
     """Write the call and return its answer.
 
     Raises a `RequestError` if the gate refuses the call, before any byte
-    is written, and `CallFailed` if the call may have run.
+    is written, and `CallFailed` if the call may have run. A call with a
+    claim does not end when its server is lost: it must not run again, and
+    a late answer is recorded.
     """
     intent = DispatchIntent(
         call.customer, "", call.service, server.name, claim_held=claim_held
@@ -80,10 +91,16 @@
     begin_s = time.monotonic()
     context.servers.record_start(call.service, server.name, begin_s)
     try:
-        connection.send(_encode(call, server), call.method == "HEAD")
+        connection.send(
+            _encode(call, server),
+            call.method == "HEAD",
+            ends_if_lost=claim_held is None,
+        )
         answer = await _read_answer(context, connection, limit_s)
         outcome = "overloaded" if answer.not_run else "ok"
         return answer
+    except ServerLost as error:
+        raise CallLost(server.name) from error
     except UpstreamError as error:
         silent = isinstance(error, SilentConnection)
         outcome = "timeout" if silent else "error"
@@ -144,6 +161,7 @@
 __all__ = [
     "acquire_slot",
     "CallFailed",
+    "CallLost",
     "exchange",
     "ServiceAnswer",
     "ServiceCall",
--- a/packages/sycamorestand-entry/tests/test_lost_backend_servers.py
+++ b/packages/sycamorestand-entry/tests/test_lost_backend_servers.py
@@ -12,6 +12,7 @@
 from contextlib import asynccontextmanager
 from contextlib import suppress
 import time
+from typing import Any
 from typing import Final
 
 import anyio
@@ -26,6 +27,7 @@
 from sycamorestand_bench.fakes.loopback import Loopback
 from sycamorestand_bench.fakes.loopback import SETTINGS
 from sycamorestand_bench.fakes.loopback import start_loopback
+from sycamorestand_bench.fakes.service import FakeService
 from sycamorestand_entry.upstream import ConnectTimedOut
 from sycamorestand_entry.upstream import UpstreamConnection
 from sycamorestand_entry.upstream_pool import UpstreamPool
@@ -39,6 +41,7 @@
 CAPACITY: Final = 64
 # More than a customer's burst of retries.
 MANY: Final = 8
+SHEETS: Final = "/services/orders/sheets"
 HEALTHY: Final = Fault()
 LATE: Final = Fault("late")
 SILENT: Final = Fault("silent", after=4)
@@ -65,6 +68,21 @@
         return self.answer.status if self.answer else 0
 
 
+class HeldService(FakeService):
+    """A service that runs calls at once and answers when it may."""
+
+    def __init__(self, name: str, services: tuple[str, ...]) -> None:
+        super().__init__(name, services)
+        self.may_answer = anyio.Event()
+
+    async def application(self, scope: Any, receive: Any, send: Any) -> None:
+        async def send_held(message: Any) -> None:
+            await self.may_answer.wait()
+            await send(message)
+
+        await super().application(scope, receive, send_held)
+
+
 class TestChatRun:
     @pytest.mark.parametrize("fault", [LATE, SILENT])
     async def test_plain_answer_restarts_once_the_server_is_lost(
@@ -183,6 +201,100 @@
         assert [sample.failed for sample in samples] == [True]
 
 
+class TestIdempotentCall:
+    async def test_call_goes_on_once_the_server_is_lost(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """It waited for the timeout of its first byte."""
+        async with start_slow() as loopback:
+            service = await add_service(loopback, "s-1", LATE)
+            call = read_sheets(loopback)
+            await becomes_true(has_run(service), TIMEOUT_S)
+            await add_service(loopback, "s-2")
+            await lose(loopback, monkeypatch, "s-1")
+            await becomes_true(call.has_ended, ENDS_WITHIN_S)
+        assert call.status() == 200
+
+    async def test_call_at_the_only_server_fails_once_that_is_lost(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Its caller could not try elsewhere before the timeout."""
+        async with start_slow() as loopback:
+            service = await add_service(loopback, "s-1", LATE)
+            call = read_sheets(loopback)
+            await becomes_true(has_run(service), TIMEOUT_S)
+            await lose(loopback, monkeypatch, "s-1")
+            await becomes_true(call.has_ended, ENDS_WITHIN_S)
+        assert call.answer is not None
+        assert call.answer.json()["error"]["code"] == "no_backend_server"
+        assert call.answer.json()["error"]["run"] == "unknown"
+
+    async def test_all_calls_of_a_lost_server_go_on(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """They are more than a customer may retry.
+
+        The server must not be ejected either, as it may come back.
+        """
+        async with start_slow() as loopback:
+            service = await add_service(loopback, "s-1", LATE)
+            calls = [read_sheets(loopback) for _ in range(MANY)]
+            await becomes_true(lambda: len(service.records) == MANY, TIMEOUT_S)
+            for name in ("s-2", "s-3"):
+                await add_service(loopback, name)
+            await lose(loopback, monkeypatch, "s-1")
+            await becomes_true(
+                lambda: all(call.has_ended() for call in calls), ENDS_WITHIN_S
+            )
+            servers = loopback.entry.context.servers.metrics(time.monotonic())
+        assert [call.status() for call in calls] == [200] * MANY
+        assert not servers["orders"]["s-1"].ejected
+
+    async def test_lost_servers_do_not_count_as_attempts(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The second loss ended the call although a third server was free."""
+        async with start_slow() as loopback:
+            service = await add_service(loopback, "s-1", LATE)
+            call = read_sheets(loopback)
+            await becomes_true(has_run(service), TIMEOUT_S)
+            for number, fault in enumerate((LATE, HEALTHY), 1):
+                service = await add_service(loopback, f"s-{number + 1}", fault)
+                await lose(loopback, monkeypatch, f"s-{number}")
+                await becomes_true(has_run(service), ENDS_WITHIN_S)
+            await becomes_true(call.has_ended, ENDS_WITHIN_S)
+        assert call.status() == 200
+
+
+class TestClaimedCall:
+    async def test_late_answer_of_a_lost_server_is_recorded(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Ended at the loss, the order would stay unknown for good.
+
+        It ran, and its answer comes once the server is reached again.
+        """
+        async with start_slow() as loopback:
+            service = HeldService("s-1", ("orders",))
+            await loopback.add_service(service)
+            call = order_sheets(loopback)
+            await becomes_true(has_run(service), TIMEOUT_S)
+            other = await add_service(loopback, "s-2")
+            await lose(loopback, monkeypatch, "s-1")
+            again = order_sheets(loopback)
+            await becomes_true(again.has_ended, ENDS_WITHIN_S)
+            had_ended = call.has_ended()
+            service.may_answer.set()
+            await becomes_true(call.has_ended, ENDS_WITHIN_S)
+            last = order_sheets(loopback)
+            await becomes_true(last.has_ended, ENDS_WITHIN_S)
+        assert not had_ended
+        assert again.answer is not None
+        assert again.answer.json()["error"]["code"] == "still_running"
+        assert call.status() == last.status() == 200
+        assert (len(service.records), len(other.records)) == (1, 0)
+
+
 @asynccontextmanager
 async def start_slow() -> AsyncIterator[Loopback]:
     """Start an entry that waits for long, without backend servers."""
@@ -232,9 +344,47 @@
     return call
 
 
-def has_run(engine: FakeEngine) -> Callable[[], bool]:
-    """Return a function that returns whether the engine got a request."""
-    return lambda: bool(engine.records)
+def has_run(server: FakeEngine | FakeService) -> Callable[[], bool]:
+    """Return a function that returns whether the server got a request."""
+    return lambda: bool(server.records)
+
+
+async def add_service(
+    loopback: Loopback, name: str, fault: Fault = HEALTHY
+) -> FakeService:
+    """Add a server of the service ``orders``, with the fault."""
+    service = FakeService(name, ("orders",))
+    service.switch.fault = fault
+    await loopback.add_service(service)
+    servers = loopback.control.servers
+    servers[name] = servers[name]._replace(capacity=CAPACITY)
+    return service
+
+
+def read_sheets(loopback: Loopback) -> Call:
+    """Return an idempotent call that was sent."""
+    call = Call(
+        lambda: loopback.call(
+            "GET", SHEETS, X_Deadline_Ms=str(int(TIMEOUT_S * 1000))
+        )
+    )
+    loopback.group.start_soon(call.run)
+    return call
+
+
+def order_sheets(loopback: Loopback) -> Call:
+    """Return a call that must not run twice, with the same key each time."""
+    call = Call(
+        lambda: loopback.call(
+            "POST",
+            SHEETS,
+            b"2 sheets",
+            Idempotency_Key="k",
+            X_Deadline_Ms=str(int(TIMEOUT_S * 1000)),
+        )
+    )
+    loopback.group.start_soon(call.run)
+    return call
 
 
 def text(call: Call) -> str:
