The loss of a server's VM is no failure of its version, as at chat runs

A roll-out could be rolled back for a VM without power. A process that hangs accepts connections until its queue is full, so it is not taken for lost, and counts as before. Calls wait and wake by one name (on_loss) everywhere.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -152,7 +152,7 @@
             encode_engine_request(
                 self._work, server, self._run_id, resume, self._reader.events
             ),
-            ends_if_lost=True,
+            on_loss="end",
         )
         head = await connection.read_head(
             self._limit_to_deadline_s(settings.first_byte_timeout_s)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -160,12 +160,12 @@
     def abandon_lost(self) -> None:
         """Record that the server was lost; `close` cancels the attempt.
 
-        It does not count for the server's ejection: once the server accepts
-        connections again, it is fit for work.
+        It counts neither for the server's ejection nor as a failure of its
+        version. A server that accepts connections again is fit for work, and
+        a VM without power says nothing about the version.
         """
-        self._outcome = "timeout"
+        self._outcome = "cancelled"
         self._reason = "its server is lost"
-        self._was_queued = True
 
     def abandon(self, early: bool = False) -> None:
         """Record that the server was too slow; `close` cancels the attempt.
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
@@ -94,7 +94,7 @@
         connection.send(
             _encode(call, server),
             call.method == "HEAD",
-            ends_if_lost=claim_held is None,
+            on_loss="end" if claim_held is None else "wait",
         )
         answer = await _read_answer(context, connection, limit_s)
         outcome = "overloaded" if answer.not_run else "ok"
