--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
@@ -128,4 +128,10 @@
             del self._interval_s[address]
 
 
-__all__ = ["LOST_AFTER_DIALS", "MAX_DELAY_S", "ServerLoss", "SILENCE_S"]
+__all__ = [
+    "LOST_AFTER_DIALS",
+    "MAX_DELAY_S",
+    "MAX_INTERVAL_S",
+    "ServerLoss",
+    "SILENCE_S",
+]
