Check a silent server each 2 s at least

A server whose queue had been waited at for seconds would be checked each 4 s, and its loss found later than by a stream's own limit of 2 s.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
@@ -23,9 +23,10 @@
 # A server that runs several streams sends something ten times as often, also
 # during a long prefill.
 SILENCE_S: Final = 0.5
-# The interval doubles with each check in a row that reaches a silent server,
-# up to this one: a dial costs the server a connection.
-MAX_INTERVAL_S: Final = 4.0
+# The interval doubles with each check in a row that reaches a silent server: a
+# dial costs it a connection. After a pause of this time a stream is moved
+# whatever the checks show.
+MAX_INTERVAL_S: Final = 2.0
 LOST_AFTER_DIALS: Final = 2
 # A check took so much longer than its dials that this process was suspended or
 # busy meanwhile. The server may have accepted in time.
