--- a/packages/sycamorestand-entry/tests/test_event_reader.py
+++ b/packages/sycamorestand-entry/tests/test_event_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from hypothesis import given
+from hypothesis import settings
 from hypothesis import strategies
 import msgspec
 import pytest
@@ -34,6 +35,7 @@
 
 
 class TestEventReader:
+    @settings(deadline=None)
     @given(texts, cuts)
     def test_result_does_not_depend_on_the_reads(
         self, words: list[str], at: list[int]
@@ -49,6 +51,7 @@
         assert reader.usage == Usage(3, 4)
         assert reader.events == len(events)
 
+    @settings(deadline=None)
     @given(texts, cuts, strategies.integers(0, 400))
     def test_count_matches_the_returned_events(
         self, words: list[str], at: list[int], end: int
@@ -65,6 +68,7 @@
             passed += reader.feed(read)
         assert passed == b"".join(events[: reader.events])
 
+    @settings(deadline=None)
     @given(texts, strategies.binary(min_size=1, max_size=20), cuts)
     def test_events_before_garbage_are_returned(
         self, words: list[str], garbage: bytes, at: list[int]
