--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -118,9 +118,9 @@
                 self._partial_event = b""
                 continue
             except ServerLost as error:
-                reason = exchange.record_failure(error)
+                exchange.abandon_lost()
                 self._attempts.may_have_run = True
-                raise self._broken_off_error(reason) from None
+                raise self._broken_off_error(str(error)) from None
             except UpstreamError as error:
                 reason = exchange.record_failure(error)
                 self._attempts.may_have_run = True
--- a/packages/sycamorestand-entry/tests/routed/test_lost_server.py
+++ b/packages/sycamorestand-entry/tests/routed/test_lost_server.py
@@ -238,7 +238,9 @@
             went_on_or_ended = await becomes_true(
                 caller.has_news, SILENCE_LIMIT_S
             )
+            samples = loopback.control.samples
         assert went_on_or_ended
+        assert not any(sample.failed for sample in samples)
 
     async def test_stream_goes_on_soon_after_an_arrival_is_earned(
         self, monkeypatch: pytest.MonkeyPatch
