The test of two lost servers looks at its second round alone

Other tests leave the level of the log at INFO, so that the first round, in which dials may fail, was captured as well. By itself the level is WARNING until the test sets it. Passes with the level at INFO from the begin, where it failed before.

--- a/packages/sycamorestand-entry/tests/routed/test_lost_server.py
+++ b/packages/sycamorestand-entry/tests/routed/test_lost_server.py
@@ -208,6 +208,7 @@
             loss = loopback.entry.context.server_loss
             await becomes_true(lambda: len(loss.lost) == 2, SILENCE_LIMIT_S)
             caplog.set_level(logging.INFO)
+            caplog.clear()
             await ask_all(loopback, prefixes * 10)
         paths = [r.path for r in caplog.records if hasattr(r, "path")]
         assert len(paths) == len(prefixes) * 10
