--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack
 from random import Random
 import re
 from typing import Final
@@ -24,6 +25,7 @@
 from sycamorestand_entry.server import serve_entry
 from sycamorestand_entry.settings import EntrySettings
 from sycamorestand_model.backend_servers import Announcement
+from sycamorestand_model.entry_reports import EntryAddress
 from sycamorestand_model.in_force import InForce
 from sycamorestand_model.routes import Route
 from sycamorestand_model.routes import RouteTarget
@@ -227,6 +229,41 @@
         group.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def start_entries(
+    count: int, settings: EntrySettings = SETTINGS
+) -> AsyncIterator[list[RoutedLoopback]]:
+    """Start entries that know each other, without backend servers.
+
+    A server that is added to one of them is announced to all, and they
+    share the list of requests.
+    """
+    async with AsyncExitStack() as stack:
+        loopbacks: list[RoutedLoopback] = []
+        for number in range(1, count + 1):
+            own = settings._replace(vm=f"vm-{number}")
+            loopback = await stack.enter_async_context(start_routed(own))
+            loopbacks.append(loopback)
+        addresses = tuple(entry_address(loopback) for loopback in loopbacks)
+        for loopback in loopbacks:
+            loopback.requests = loopbacks[0].requests
+            loopback.control.servers = loopbacks[0].control.servers
+            loopback.control.entry_addresses = addresses
+            loopback.control.entries = count
+        yield loopbacks
+
+
+def entry_address(loopback: RoutedLoopback) -> EntryAddress:
+    """Return the address at which callers and entries reach the entry."""
+    settings = loopback.entry.context.settings
+    return EntryAddress(
+        settings.vm,
+        settings.data_centre,
+        loopback.entry.host,
+        loopback.entry.port,
+    )
+
+
 def routed_configuration() -> InForce:
     """Return the configuration of `guild_configuration` with `ROUTES`."""
     configuration = guild_configuration()
@@ -239,6 +276,7 @@
 __all__ = [
     "answer_bytes",
     "answer_head",
+    "entry_address",
     "event",
     "Handler",
     "HEADER_NAMES",
@@ -249,6 +287,7 @@
     "RoutedLoopback",
     "ROUTES",
     "SETTINGS",
+    "start_entries",
     "start_routed",
     "stream_head",
     "with_sizes",
