--- a/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -111,6 +111,8 @@
     metrics.lease_remaining.set({}, context.control.lease_remaining_s())
     metrics.entries.set({}, context.control.entry_count())
     metrics.lost.set({}, len(context.server_loss.lost))
+    metrics.unreached.set({}, len(context.servers.unreached_services()))
+    metrics.addresses.set({}, len(context.control.addresses()))
     for target, pool in context.slots.metrics().items():
         for state in ("slots", "in_flight", "waiting"):
             labels = {"target": target, "state": state}
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -85,6 +85,12 @@
         self.lost = self._gauge(
             "lost", "Backend servers that accept no connection"
         )
+        self.unreached = self._gauge(
+            "unreached", "Services none of whose servers this entry reaches"
+        )
+        self.addresses = self._gauge(
+            "addresses", "Entries that callers are told of, by this entry"
+        )
         self.entries = self._gauge(
             "entries", "Entries that there are, by the last lease"
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -74,6 +74,22 @@
             for server in holders
         ]
 
+    def unreached_services(self) -> frozenset[str]:
+        """Return the services and models none of whose servers is reached.
+
+        Those without any server that takes work are not among them.
+        """
+        if not self._loss.lost:
+            return frozenset()
+        reached: set[str] = set()
+        lost: set[str] = set()
+        for server in self._control.backend_servers().values():
+            if not server.leaving:
+                is_lost = self._loss.is_lost(server.address)
+                names = {_service(version) for version in server.versions}
+                (lost if is_lost else reached).update(names)
+        return frozenset(lost - reached)
+
     def choose(
         self,
         target: str,
@@ -200,7 +216,7 @@
         return rollout.share or 1.0
 
     def _selector(self, target: str) -> ServerSelector:
-        group = target.partition(VERSION_SEPARATOR)[0]
+        group = _service(target)
         selector = self._selectors.get(group)
         if selector is None:
             selector = ServerSelector(self._random)
@@ -217,4 +233,9 @@
         return now_s - seen[2]
 
 
+def _service(target: str) -> str:
+    """Return the model of a version, or the plain service itself."""
+    return target.partition(VERSION_SEPARATOR)[0]
+
+
 __all__ = ["Servers"]
