--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
@@ -85,6 +85,7 @@
         self.sent_messages: list[Message] = []
         self.listeners: dict[type, Callable[[Any], None]] = {}
         self.stopping = False
+        self.unreached: frozenset[str] = frozenset()
         self.ledger_delay_s = 0.0
         self.ledger_failures = 0
         self.lose_answers = False
@@ -118,6 +119,9 @@
     def set_stopping(self) -> None:
         self.stopping = True
 
+    def set_unreached(self, services: frozenset[str]) -> None:
+        self.unreached = services
+
     async def announce(self, announcement: Announcement) -> None:
         known = self.servers.get(announcement.name)
         if known is None or supersedes(announcement, known):
--- a/packages/sycamorestand-control/src/sycamorestand_control/tables.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/tables.py
@@ -139,6 +139,7 @@
             address.stopping,
             address.load,
             NODE_LEASE_S,
+            address.unreached,
         )
         self._entries.announce(record, boottime_s())
         state = self._states.get(address.vm, EntryState(0))
@@ -197,6 +198,7 @@
                 node.stopping,
                 node.load,
                 node.peer_address,
+                node.unreached,
             )
             for node in self._entries.addresses(
                 caller, data_centre, limit, draining_vms
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
@@ -13,6 +13,10 @@
 reads a long prompt, or has preempted what it ran, is silent as well, but
 accepts a connection at once. A server is lost if it neither accepts nor
 refuses several dials in a row, and still sends nothing.
+
+A server that refuses connections is not lost: its VM answers, and connections
+that are open may go on. But no new request can be sent there. If an entry's
+own links fail, it may see this, or silence, at all servers at once.
 """
 
 from __future__ import annotations
@@ -50,6 +54,7 @@
     def __init__(self) -> None:
         self._lost: set[str] = set()
         self._timed_out: set[str] = set()
+        self._refusing: set[str] = set()
         self._checked_s: dict[str, float] = {}
         self._interval_s: dict[str, float] = {}
 
@@ -63,14 +68,40 @@
         """The addresses that are lost, or where a dial timed out."""
         return frozenset(self._lost | self._timed_out)
 
+    @property
+    def refusing(self) -> frozenset[str]:
+        """The addresses that refused the last dial."""
+        return frozenset(self._refusing)
+
+    @property
+    def has_unreachable(self) -> bool:
+        """Whether any server is unreachable."""
+        return bool(self._lost or self._refusing)
+
     def is_lost(self, address: str) -> bool:
         """Return whether the server is lost."""
         return address in self._lost
 
+    def is_unreachable(self, address: str) -> bool:
+        """Return whether the server is lost or refuses connections."""
+        return address in self._lost or address in self._refusing
+
     def record_timed_out_dial(self, address: str) -> None:
         """Record that the dial of a request timed out."""
         self._timed_out.add(address)
 
+    def record_refused_dial(self, address: str) -> None:
+        """Record that the server refused a connection."""
+        self._refusing.add(address)
+
+    def record_accepted_dial(self, address: str) -> None:
+        """Record that the server accepted a connection."""
+        self._refusing.discard(address)
+
+    def checked_s(self, address: str) -> float:
+        """Return when the server was last checked."""
+        return self._checked_s.get(address, -math.inf)
+
     def dials_needed(self, address: str) -> int:
         """Return how many dials have to fail for the server to be lost."""
         if self.is_lost(address):
@@ -84,11 +115,11 @@
 
         ``silent_since_s`` is the time of the last bytes from the server or,
         if that is later, of the oldest request that waits for an answer.
-        It is infinite if no request waits; a lost server is checked
+        It is infinite if no request waits; an unreachable server is checked
         nevertheless, until it accepts a connection.
         """
-        checked_s = self._checked_s.get(address, -math.inf)
-        if self.is_lost(address):
+        checked_s = self.checked_s(address)
+        if self.is_unreachable(address):
             return now_s - checked_s >= SILENCE_S
         if address in self._timed_out:
             return True
@@ -108,7 +139,7 @@
         ``silent_since_s`` is that of `is_check_due` at the check's begin.
         True is returned for the check only that first finds the server lost.
         """
-        is_first = self._checked_s.get(address, -math.inf) <= silent_since_s
+        is_first = self.checked_s(address) <= silent_since_s
         interval_s = SILENCE_S if is_first else 2 * self._interval_s[address]
         self._interval_s[address] = min(interval_s, MAX_INTERVAL_S)
         self._checked_s[address] = now_s
@@ -124,6 +155,7 @@
         """Drop the state of all addresses that are not among the used."""
         self._lost &= used
         self._timed_out &= used
+        self._refusing &= used
         for address in self._checked_s.keys() - used:
             del self._checked_s[address]
             del self._interval_s[address]
--- a/packages/sycamorestand-decisions/tests/test_server_loss.py
+++ b/packages/sycamorestand-decisions/tests/test_server_loss.py
@@ -363,3 +363,30 @@
 def least(duration_s: float, period_s: float) -> int:
     """Return the least number of events, each up to two steps late."""
     return int(duration_s / (period_s + 2 * STEP_S))
+
+
+class TestRefusedDial:
+    def test_server_is_unreachable_but_not_lost(self) -> None:
+        """What runs there goes on; only new requests cannot be sent."""
+        loss = ServerLoss()
+        loss.record_refused_dial("a")
+        assert loss.is_unreachable("a")
+        assert not loss.is_lost("a")
+
+    def test_it_is_checked_until_it_accepts(self) -> None:
+        """No request dials a server while all servers are unreachable."""
+        loss = ServerLoss()
+        loss.record_refused_dial("a")
+        assert loss.is_check_due("a", math.inf, 10.0)
+        loss.record_check("a", True, 10.0)
+        assert loss.is_unreachable("a")
+        assert not loss.is_check_due("a", math.inf, 10.4)
+        assert loss.is_check_due("a", math.inf, 10.6)
+        loss.record_accepted_dial("a")
+        assert not loss.has_unreachable
+
+    def test_it_is_forgotten_with_its_server(self) -> None:
+        loss = ServerLoss()
+        loss.record_refused_dial("a")
+        loss.forget_unused(set())
+        assert not loss.has_unreachable
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -16,6 +16,7 @@
 from sycamorestand_decisions.attempt_timeouts import AnswerTimes
 from sycamorestand_decisions.attempt_timeouts import ServerProgress
 from sycamorestand_decisions.cascade import CascadeLearner
+from sycamorestand_decisions.peer_entries import PeerEntries
 from sycamorestand_decisions.prefill import PrefillRates
 from sycamorestand_decisions.queue_delay import QueueDelay
 from sycamorestand_decisions.retained_sessions import RetainedSessions
@@ -73,6 +74,9 @@
             self.pool, self.server_loss, control, self.now_s
         )
         self.servers = Servers(control, self.random, self.server_loss)
+        self.peer_entries = PeerEntries(
+            settings.vm, settings.data_centre, self.random
+        )
         self.slots = Slots(self.servers, self.metrics)
         self.retries = RetryBudget(settings.retry_share)
         self.arrivals = ArrivalBudget(settings.allowance)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -104,6 +104,7 @@
         self._addresses_by_control: dict[str, tuple[EntryAddress, ...]] = {}
         self._entries = 0
         self._stopping = False
+        self._unreached: tuple[str, ...] = ()
         self._samples = SampleCounts()
         self._renew_now = anyio.Event()
         self._first_grant = anyio.Event()
@@ -187,6 +188,16 @@
         self._stopping = True
         self._renew_now.set()
 
+    def set_unreached(self, services: frozenset[str]) -> None:
+        """Report the services that are not reached, with a request at once."""
+        self._unreached = tuple(sorted(services))
+        self._renew_now.set()
+
+    @property
+    def unreached(self) -> tuple[str, ...]:
+        """The services none of whose servers this entry reaches."""
+        return self._unreached
+
     def control_address(self) -> str:
         """Return the address of the control process in use."""
         return self._attachment.address
@@ -278,7 +289,9 @@
     def _make_lease_request(self, now_s: float) -> LeaseRequest:
         self._request_count += 1
         return LeaseRequest(
-            self._address()._replace(stopping=self._stopping),
+            self._address()._replace(
+                stopping=self._stopping, unreached=self._unreached
+            ),
             self.mesh.incarnation,
             self._request_count,
             now_s,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
@@ -49,7 +49,8 @@
 class RoutedIntent(NamedTuple):
     """A routed request that is about to be written to a backend server.
 
-    ``route`` is the route that admitted the request.
+    ``route`` is the route that admitted the request. ``backend_server`` is
+    empty if another entry forwards the request and chooses the server.
     """
 
     route: Route
@@ -70,22 +71,33 @@
             "this entry's configuration may be out of date", LEASE_RETRY_S
         )
     in_force = control.in_force()
-    server = control.backend_servers().get(intent.backend_server)
+    route = in_force.declarations.routes.get(intent.route.name)
+    if route is None:
+        return NotAllowed("the route is no longer declared")
+    if intent.customer and (
+        intent.customer not in in_force.declarations.customers
+    ):
+        return NotAllowed("the customer is no longer declared")
+    if not intent.backend_server:
+        return None
+    return _check_routed_server(control, route, intent.backend_server)
+
+
+def _check_routed_server(
+    control: ControlPort, route: Route, name: str
+) -> RequestError | None:
+    server = control.backend_servers().get(name)
     if server is None or server.leaving:
         return NoBackendServer(
             "the chosen backend server has left", SERVER_RETRY_S
         )
-    route = in_force.declarations.routes.get(intent.route.name)
-    if route is None or not any(
+    if not any(
         target.weight > 0 and target.service in server.versions
         for target in route.targets
     ):
         return NotAllowed("no route leads to this backend server now")
-    if intent.customer and (
-        intent.customer not in in_force.declarations.customers
-    ):
-        return NotAllowed("the customer is no longer declared")
-    if any(version in in_force.withdrawn for version in server.versions):
+    withdrawn = control.in_force().withdrawn
+    if any(version in withdrawn for version in server.versions):
         return NoVersion("the server's version is withdrawn")
     return None
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from sycamorestand_entry.addresses import prefer_reaching
 from sycamorestand_entry.http_messages import JSON
 from sycamorestand_entry.http_messages import Request
 from sycamorestand_entry.http_messages import Responder
@@ -46,7 +47,8 @@
     """List the entry addresses to use, the best one first.
 
     VMs that are stopping or draining are left out, so that callers no
-    longer use them once the time-to-live of earlier answers is over.
+    longer use them once the time-to-live of earlier answers is over. So are
+    those that do not reach the servers of a service, unless none does.
     """
     leaving = set(context.control.in_force().draining_vms)
     if context.stopping:
@@ -56,6 +58,10 @@
         for address in context.control.addresses()
         if not address.stopping and address.vm not in leaving
     ]
+    unreached = context.servers.unreached_services()
+    usable = prefer_reaching(
+        usable, context.settings.vm, tuple(sorted(unreached))
+    )
     usable.sort(key=lambda address: _rank(context, address))
     content = {
         "ttl_s": context.settings.address_ttl_s,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -64,6 +64,10 @@
         self.arrivals = self._counter(
             "arrivals_total", "Arrivals of routed requests by service and kind"
         )
+        self.forwarded = self._counter(
+            "forwarded_total",
+            "Requests forwarded for other entries, or by them, by result",
+        )
         self.cascade = self._counter(
             "cascade_steps_total", "Answers of earlier steps, by result"
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
@@ -61,6 +61,14 @@
 
     def set_stopping(self) -> None: ...
 
+    def set_unreached(self, services: frozenset[str]) -> None:
+        """Tell control and other entries which services are not reached.
+
+        These are the services and models that have servers of which this
+        entry reaches none.
+        """
+        ...
+
     async def announce(self, announcement: Announcement) -> None: ...
 
     async def write_ledger(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from contextlib import asynccontextmanager
 import logging
 import math
 import time
@@ -19,6 +21,7 @@
 from sycamorestand_decisions.stopping import may_outlast_stop
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import InternalError
+from sycamorestand_entry.errors import NoBackendServer
 from sycamorestand_entry.errors import NoLease
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import RequestTimeout
@@ -39,7 +42,13 @@
 from sycamorestand_entry.routed.call import RoutedCall
 from sycamorestand_entry.routed.decision_log import Admitted
 from sycamorestand_entry.routed.decision_log import DecisionLog
+from sycamorestand_entry.routed.decision_log import ForwardedFor
 from sycamorestand_entry.routed.decision_log import Held
+from sycamorestand_entry.routed.forwarded import relay_forwarded
+from sycamorestand_entry.routed.forwarding import ATTEMPT_HEADER
+from sycamorestand_entry.routed.forwarding import open_attempt
+from sycamorestand_entry.routed.forwarding import refusal_headers
+from sycamorestand_entry.routed.messages import signed_request
 from sycamorestand_entry.routed.refusals import caller_timeout_s
 from sycamorestand_entry.routed.refusals import lease_retry_s
 from sycamorestand_entry.routed.refusals import refusal_fields
@@ -56,7 +65,9 @@
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_entry.http_messages import Receive
     from sycamorestand_entry.http_messages import Send
+    from sycamorestand_entry.routed.forwarding import ForwardedAttempt
     from sycamorestand_entry.routed.header_names import HeaderNames
+    from sycamorestand_entry.routed.headers import RawHeaders
     from sycamorestand_entry.routed.messages import WholeAnswer
     from sycamorestand_model.in_force import InForce
     from sycamorestand_model.routes import Route
@@ -67,6 +78,8 @@
 EXPECTED_STREAM_S: Final = 1.0
 # A request that still runs so long after its deadline is cancelled.
 DEADLINE_GRACE_S: Final = 0.1
+# Other entries have learned by then that this one reaches no server.
+UNREACHED_RETRY_S: Final = 1.0
 # Other entries can answer a retry at once.
 STOPPING_RETRY_S: Final = 0.1
 
@@ -78,6 +91,13 @@
     routes: RouteTable
 
 
+class _Admission:
+    """Whether the request of an admitted call failed, for the admission."""
+
+    def __init__(self) -> None:
+        self.failed = True
+
+
 class RoutedEntry:
     """Answer the routed requests of one entry process."""
 
@@ -103,7 +123,7 @@
         except RequestError as error:
             result = error.code
             detail = refusal_fields(error)
-            await refuse(responder, error)
+            await refuse(responder, error, _marks(scope, error))
         except CallerGone:
             result = "caller_gone"
         except StreamBroken as error:
@@ -116,7 +136,8 @@
             if responder.started:
                 extensions[ABORT]()
             else:
-                await refuse(responder, InternalError("the entry failed"))
+                failure = InternalError("the entry failed")
+                await refuse(responder, failure, _marks(scope, failure))
         finally:
             self._context.metrics.count_routed_request(
                 log.route.kind if log.route else "none",
@@ -202,7 +223,7 @@
             receive,
         )
         limit_bytes = in_force.declarations.limits.max_body_bytes
-        return RoutedCall(
+        call = RoutedCall(
             route,
             customer,
             priority,
@@ -218,6 +239,23 @@
             log,
             self._context.stop_deadline_s,
         )
+        return self._with_forwarded_attempt(call)
+
+    def _with_forwarded_attempt(self, call: RoutedCall) -> RoutedCall:
+        """Return the call with the attempt that another entry asks for."""
+        value = call.values.get(ATTEMPT_HEADER)
+        if value is None:
+            return call
+        settings = self._context.settings
+        forwarded = open_attempt(
+            value, signed_request(call), settings.cluster_keys(), settings.vm
+        )
+        call.log.add(
+            ForwardedFor(
+                forwarded.target, forwarded.last_event.decode("latin-1")
+            )
+        )
+        return call._replace(forwarded=forwarded)
 
     async def _wait_at_start(
         self,
@@ -304,52 +342,115 @@
                 call.remaining_s(),
                 call.log,
             )
+        attempts = Attempts(context, self._header_names, call)
+        if call.forwarded is not None:
+            await self._run_forwarded(attempts, call.forwarded, responder)
+            return
         target = choose_target(context, call)
         record_session(context, call, target)
+        try:
+            async with self._admitted(attempts, target) as admission:
+                answer = await self._run_admitted(attempts, target, responder)
+                admission.failed = answer is not None and answer.status >= 500
+                if answer is not None:
+                    call.log.record_first_byte()
+                    await _send_answer(responder, answer)
+        finally:
+            record_session(context, call, target)
+        if not admission.failed:
+            context.retries.record_success(call.customer, time.monotonic())
+
+    async def _run_admitted(
+        self, attempts: Attempts, target: str, responder: Responder
+    ) -> WholeAnswer | None:
+        call = attempts.call
         begin_s = time.monotonic()
-        slot = await context.slots.acquire(
-            SlotRequest(
-                call.customer,
-                call.weight,
-                target,
-                "interactive",
-                call.deadline_at_s,
-                EXPECTED_STREAM_S
-                if call.route.kind == "stream"
-                else EXPECTED_CALL_S,
-            )
+        if call.route.kind == "stream":
+            relay = StreamRelay(attempts, responder, self._affinity_key(call))
+            return await self._relay_stream(relay, call, target)
+        answer = await read_whole_answer(attempts, target)
+        duration_s = time.monotonic() - begin_s
+        self._context.answer_times.record_answer(
+            call.route.name, AnswerTime(duration_s, 0.0, 0)
         )
-        waited_s = time.monotonic() - begin_s
-        call.log.add(Admitted(target, int(waited_s * 1000)))
-        failed = True
+        return answer
+
+    async def _run_forwarded(
+        self,
+        attempts: Attempts,
+        forwarded: ForwardedAttempt,
+        responder: Responder,
+    ) -> None:
+        """Make the attempt that another entry asks for.
+
+        Raises `NoBackendServer` at once if this entry does not reach a server
+        of the target either.
+        """
+        context = self._context
+        if context.servers.is_unreached(forwarded.target):
+            message = "this entry reaches no server either"
+            raise NoBackendServer(message, UNREACHED_RETRY_S)
+        async with self._admitted(attempts, forwarded.target) as admission:
+            succeeded = await relay_forwarded(attempts, forwarded, responder)
+            admission.failed = not succeeded
+        labels = {"direction": "in", "result": "answered"}
+        context.metrics.forwarded.inc(labels)
+
+    @asynccontextmanager
+    async def _admitted(
+        self, attempts: Attempts, target: str
+    ) -> AsyncIterator[_Admission]:
+        """Hold a slot of the target while the request runs.
+
+        A request that another entry forwards takes a slot of that entry, as
+        this one knows no server that could have one.
+        """
+        slots = self._context.slots
+        admission = _Admission()
+        begin_s = time.monotonic()
+        slot = await self._acquire_slot(attempts, target)
         try:
-            attempts = Attempts(context, self._header_names, call)
-            if call.route.kind == "stream":
-                relay = StreamRelay(
-                    attempts, responder, self._affinity_key(call)
-                )
-                answer = await self._relay_stream(relay, call, target)
-            else:
-                answer = await read_whole_answer(attempts, target)
-                duration_s = time.monotonic() - begin_s
-                context.answer_times.record_answer(
-                    call.route.name, AnswerTime(duration_s, 0.0, 0)
-                )
-            failed = answer is not None and answer.status >= 500
-            if answer is not None:
-                call.log.record_first_byte()
-                await _send_answer(responder, answer)
+            yield admission
         except anyio.get_cancelled_exc_class():
-            context.slots.cancel(slot)
-            slot = -1
+            if slot is not None:
+                slots.cancel(slot)
+                slot = None
             raise
         finally:
-            now_s = time.monotonic()
-            record_session(context, call, target)
-            if slot >= 0:
-                context.slots.finish(slot, now_s - begin_s, failed)
-        if not failed:
-            context.retries.record_success(call.customer, time.monotonic())
+            if slot is not None:
+                duration_s = time.monotonic() - begin_s
+                slots.finish(slot, duration_s, admission.failed)
+
+    async def _acquire_slot(
+        self, attempts: Attempts, target: str
+    ) -> int | None:
+        """Return a slot of the target, None if another entry shall give one.
+
+        Raises a `RequestError` if the admission refuses the request.
+        """
+        if attempts.must_forward(target):
+            return None
+        call = attempts.call
+        begin_s = time.monotonic()
+        is_stream = call.route.kind == "stream"
+        request = SlotRequest(
+            call.customer,
+            call.weight,
+            target,
+            "interactive",
+            call.deadline_at_s,
+            EXPECTED_STREAM_S if is_stream else EXPECTED_CALL_S,
+        )
+        try:
+            slot = await self._context.slots.acquire(request)
+        except RequestError:
+            # The last server may have been lost while the request waited.
+            if attempts.must_forward(target):
+                return None
+            raise
+        waited_s = time.monotonic() - begin_s
+        call.log.add(Admitted(target, int(waited_s * 1000)))
+        return slot
 
     async def _relay_stream(
         self, relay: StreamRelay, call: RoutedCall, target: str
@@ -379,6 +480,12 @@
     return make
 
 
+def _marks(scope: Any, error: RequestError) -> RawHeaders:
+    """Return the headers of a refusal that only another entry gets."""
+    names = {name for name, _ in scope["headers"]}
+    return refusal_headers(error) if ATTEMPT_HEADER in names else []
+
+
 def _has_server(context: EntryContext, call: RoutedCall) -> bool:
     target = choose_target(context, call)
     return bool(context.servers.candidates(target, context.now_s()))
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -25,6 +25,7 @@
 from sycamorestand_entry.routed.decision_log import NotRepeated
 from sycamorestand_entry.routed.decision_log import Sent
 from sycamorestand_entry.routed.exchange import Exchange
+from sycamorestand_entry.routed.forwarder import Forwarder
 from sycamorestand_entry.routed.further_arrivals import FurtherArrivals
 from sycamorestand_entry.routed.messages import Destination
 from sycamorestand_entry.routed.targets import next_target
@@ -35,6 +36,7 @@
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_entry.routed.call import RoutedCall
+    from sycamorestand_entry.routed.exchange import ForwardingRefused
     from sycamorestand_entry.routed.header_names import HeaderNames
     from sycamorestand_entry.routed.messages import EngineOptions
     from sycamorestand_entry.upstream import UpstreamConnection
@@ -51,6 +53,8 @@
 # other four were free. A connection that hangs costs a connect timeout.
 MAX_DIALS: Final = 16
 MAX_DIAL_S: Final = 1.0
+# Two dials in a row that time out show that this entry's link may be down.
+MAX_DIAL_BEFORE_FORWARDING_S: Final = 0.5
 # An entry earns several arrivals a second. A caller whose stream ends after
 # this time resumes it sooner than the entry could.
 MAX_ARRIVAL_WAIT_S: Final = 1.0
@@ -78,12 +82,14 @@
         self.runs = 0
         self.may_have_run = False
         self._arrivals = FurtherArrivals(context, call)
+        self._forwarder = Forwarder(context, header_names, call)
         self._tried: set[str] = set()
         self._sent_to: Counter[str] = Counter()
         self._unreachable: set[str] = set()
         self._lost: set[str] = set()
         self._no_urgent_attempt = ""
         self._lost_since_s = math.inf
+        self._target = ""
         self._failed_dials = 0
         self._dialled_s = 0.0
 
@@ -110,7 +116,9 @@
             self._lost.discard(name)
             self._lost_since_s = math.inf
             return False
-        if len(self._lost) < self.call.route.max_attempts:
+        # The loss of an entry that forwards the attempt is none of its server.
+        is_few = len(self._lost) < self.call.route.max_attempts
+        if is_few and not exchange.is_forwarded:
             self._lost.add(name)
         self._lost_since_s = min(self._lost_since_s, self.context.now_s())
         return True
@@ -189,7 +197,13 @@
         return await self._may_spend_on_improvement("climb", limit)
 
     async def may_switch_server(self, target: str) -> bool:
-        """Return whether to leave a slow server for one not tried yet."""
+        """Return whether to leave a slow server for one not tried yet.
+
+        An attempt that another entry forwards is not moved: that entry has
+        chosen among all servers.
+        """
+        if self.context.servers.is_unreached(target):
+            return False
         candidates = self.context.servers.candidates(
             target, self.context.now_s()
         )
@@ -219,11 +233,40 @@
     def _reason_no_server(self, target: str) -> str:
         servers = self.context.servers
         now_s = self.context.now_s()
-        allowed = self._allowed_servers()
+        allowed = self._allowed_servers(target)
         if servers.has_available_server(target, now_s, allowed):
             return ""
+        if self.must_forward(target):
+            return ""
         return "no server takes work"
 
+    def must_forward(self, target: str) -> bool:
+        """Return whether the next attempt has to go through another entry.
+
+        That is the case while this entry reaches none of the target's servers
+        and another one does.
+        """
+        if not self.left or not self.context.servers.is_unreached(target):
+            return False
+        return self._forwarder.is_possible(target)
+
+    def exclude(self, servers: tuple[str, ...]) -> None:
+        """Do not choose these servers if there are others."""
+        self._tried.update(servers)
+
+    def record_forwarding_refused(self, refused: ForwardingRefused) -> None:
+        """Record that another entry did not send the request to a server.
+
+        Raises the error for the caller if no further entry can be asked.
+        """
+        self.sent -= 1
+        self._forwarder.record_refusal(refused.entry, refused.refusal)
+        if self.call.remaining_s() <= 0:
+            raise self.final_error("its time is over")
+        is_unreached = self.context.servers.is_unreached(self._target)
+        if is_unreached and not self._forwarder.is_possible(self._target):
+            raise self.correct_run_state(self._forwarder.refusal_error())
+
     def _refuse_urgent(self, reason: str) -> None:
         """Log once why an urgent attempt is not made.
 
@@ -269,17 +312,28 @@
     async def open(self, target: str, options: EngineOptions) -> Exchange:
         """Choose a server, write the request to it and return the exchange.
 
-        Servers that accept no connection are skipped. Raises a
-        `RequestError` if no server is available or the request may not be
-        dispatched.
+        Servers that accept no connection are skipped. While this entry
+        reaches no server of the target, another entry forwards the attempt.
+        Raises a `RequestError` if no server is available or the request may
+        not be dispatched.
         """
         while True:
             target = next_target(self.context, self.call, target)
+            self._target = target
             self._arrivals.set_service(target.partition(VERSION_SEPARATOR)[0])
+            if self.must_forward(target):
+                exchange = await self._forward(target, options)
+                if exchange is not None:
+                    return exchange
             server = self._choose_server(target, options)
             self._tried.add(server.name)
             connection = await self._connect(target, server)
             if connection is None:
+                if self._should_forward_early(target):
+                    exchange = await self._forward(target, options)
+                    if exchange is not None:
+                        return exchange
+                self._check_dials()
                 continue
             destination = Destination(target, server, options)
             exchange = Exchange(
@@ -293,21 +347,48 @@
                 exchange.send()
             except NoBackendServer:
                 # The server left while the connection was opened.
-                self._count_failed_dial()
+                self._failed_dials += 1
+                self._check_dials()
                 continue
             except NotAllowed as error:
-                # The request was allowed when it came, and its route or
-                # customer was removed since. The caller retries and gets
-                # the answer of the new configuration.
-                raise NoBackendServer(error.message, MOVED_RETRY_S) from None
-            if not self.sent:
-                self._arrivals.record_first()
-            self.sent += 1
+                raise _moved(error) from None
             self._sent_to[server.name] += 1
-            self._lost_since_s = math.inf
+            self._record_sent()
             self._log_sent(destination)
             return exchange
 
+    async def _forward(
+        self, target: str, options: EngineOptions
+    ) -> Exchange | None:
+        try:
+            exchange = await self._forwarder.open(
+                target, options, frozenset(self._tried - self._unreachable)
+            )
+        except NotAllowed as error:
+            raise _moved(error) from None
+        if exchange is not None:
+            self._record_sent()
+        return exchange
+
+    def _should_forward_early(self, target: str) -> bool:
+        """Return whether to forward before all servers are known as lost.
+
+        Dials that time out at several servers in a row would use up the time
+        of a short call.
+        """
+        return (
+            self._dialled_s >= MAX_DIAL_BEFORE_FORWARDING_S
+            and self.left > 0
+            and self._forwarder.is_possible(target)
+        )
+
+    def _record_sent(self) -> None:
+        # The entry that forwards the call to this one has recorded it.
+        if not self.sent and self.call.forwarded is None:
+            self._arrivals.record_first()
+        self.sent += 1
+        self._lost_since_s = math.inf
+
     def correct_run_state(self, error: RequestError) -> RequestError:
         """Return the error, or one that does not wrongly report "not run"."""
         if self.may_have_run:
@@ -340,14 +421,27 @@
             frozenset(self._tried),
             options.affinity_key,
             self.sent > 0 and self.call.may_repeat,
-            self._allowed_servers(),
+            self._allowed_servers(target),
         )
 
-    def _allowed_servers(self) -> set[str] | None:
-        """Return the names of the servers to choose from, None for all."""
-        if self.left:
-            return None
-        return set(self._sent_to) - self._unreachable - self._lost
+    def _allowed_servers(self, target: str) -> set[str] | None:
+        """Return the names of the servers to choose from, None for all.
+
+        If all servers refuse connections, those with an open one are left.
+        """
+        context = self.context
+        allowed = None
+        if not self.left:
+            allowed = set(self._sent_to) - self._unreachable - self._lost
+        if context.servers.is_unreached(target):
+            announced = context.control.backend_servers()
+            names = announced if allowed is None else allowed & set(announced)
+            allowed = {
+                name
+                for name in names
+                if context.pool.idle_count(announced[name].address)
+            }
+        return allowed
 
     async def _connect(
         self, target: str, server: Announcement
@@ -366,7 +460,7 @@
                 servers.record_finish(target, server.name, now_s, 0.0, "error")
             self._unreachable.add(server.name)
             self.call.log.add(NotReached(server.name))
-            self._count_failed_dial()
+            self._failed_dials += 1
             return None
 
     def _log_sent(self, destination: Destination) -> None:
@@ -399,9 +493,8 @@
         # such connection.
         return self.context.settings.silent_idle_s
 
-    def _count_failed_dial(self) -> None:
-        """Count a server that could not be reached; raise after too many."""
-        self._failed_dials += 1
+    def _check_dials(self) -> None:
+        """Raise after too many servers that could not be reached."""
         exhausted = (
             self._failed_dials >= MAX_DIALS or self._dialled_s >= MAX_DIAL_S
         )
@@ -409,4 +502,13 @@
             raise self.final_error("no backend server takes a connection")
 
 
+def _moved(error: NotAllowed) -> NoBackendServer:
+    """Return the refusal of a request that was allowed when it came.
+
+    Its route or customer was removed since. The caller retries and gets the
+    answer of the new configuration.
+    """
+    return NoBackendServer(error.message, MOVED_RETRY_S)
+
+
 __all__ = ["Attempts", "RETRY_AFTER_S"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 
 from sycamorestand_entry.errors import BadRequest
+from sycamorestand_entry.routed.forwarding import ATTEMPT_HEADER
+from sycamorestand_entry.routed.forwarding import FORWARDING_HEADERS
 from sycamorestand_entry.routed.headers import HOP_HEADERS
 from sycamorestand_entry.routed.headers import named_by_connection
 from sycamorestand_entry.routed.headers import RawHeaders
@@ -16,6 +18,7 @@
     from collections.abc import Callable
 
     from sycamorestand_entry.routed.decision_log import DecisionLog
+    from sycamorestand_entry.routed.forwarding import ForwardedAttempt
     from sycamorestand_entry.routed.header_names import HeaderNames
     from sycamorestand_model.routes import Route
 
@@ -32,6 +35,7 @@
     route's timeout. ``headers`` are those that are forwarded. ``log``
     collects the decisions about the call. ``ends_at_s`` returns when the
     process ends; a planned stop may begin while the call runs.
+    ``forwarded`` is the attempt to make if another entry sent the call.
     """
 
     route: Route
@@ -48,6 +52,7 @@
     deadline_at_s: float
     log: DecisionLog
     ends_at_s: Callable[[], float]
+    forwarded: ForwardedAttempt | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -110,6 +115,7 @@
         for name, value in raw
         if name not in HOP_HEADERS
         and name not in names.own
+        and name not in FORWARDING_HEADERS
         and name not in dropped
     ]
 
@@ -121,7 +127,7 @@
     values: the entry could act on one of them and the server on the other.
     """
     values: dict[bytes, bytes] = {}
-    single = _defining_headers(names) | {b"authorization"}
+    single = _defining_headers(names) | {b"authorization", ATTEMPT_HEADER}
     for name, value in raw:
         if name in single and values.get(name, value) != value:
             raise BadRequest(f"header {name.decode('latin-1')} came twice")
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -67,6 +67,31 @@
     after_event: str
 
 
+class Forwarded(NamedTuple):
+    """The request was sent to another entry, which forwards it.
+
+    This entry reaches no server of the target.
+    """
+
+    target: str
+    entry: str
+    model: str
+
+
+class NotForwarded(NamedTuple):
+    """Another entry does not forward the request."""
+
+    entry: str
+    reason: str
+
+
+class ForwardedFor(NamedTuple):
+    """The request is forwarded for another entry, at this event of it."""
+
+    target: str
+    after_event: str
+
+
 class NotReached(NamedTuple):
     """A connection to the server could not be opened."""
 
@@ -157,6 +182,9 @@
     Held
     | Admitted
     | Sent
+    | Forwarded
+    | NotForwarded
+    | ForwardedFor
     | NotReached
     | NotRepeated
     | NotImproved
@@ -283,6 +311,8 @@
 def _summary(decision: Decision) -> str:
     if isinstance(decision, Sent):
         return f"{decision.server}/{decision.model or '-'}"
+    if isinstance(decision, Forwarded):
+        return f"{decision.entry}/{decision.model or '-'}"
     if isinstance(decision, AttemptEnded):
         return decision.outcome
     if isinstance(decision, NotImproved):
@@ -298,9 +328,12 @@
     "Decision",
     "DecisionLog",
     "FellBack",
+    "Forwarded",
+    "ForwardedFor",
     "Held",
     "MAX_DECISIONS",
     "MovedOn",
+    "NotForwarded",
     "NotImproved",
     "NotReached",
     "NotRepeated",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -12,7 +12,10 @@
 from sycamorestand_entry.routed.call import PROCESS_ENDS
 from sycamorestand_entry.routed.decision_log import AttemptEnded
 from sycamorestand_entry.routed.decision_log import MovedOn
+from sycamorestand_entry.routed.forwarding import read_refusal
+from sycamorestand_entry.routed.forwarding import SERVER_HEADER
 from sycamorestand_entry.routed.messages import answer_headers
+from sycamorestand_entry.routed.messages import encode_forwarded
 from sycamorestand_entry.routed.messages import encode_request
 from sycamorestand_entry.routed.messages import rejection_reason
 from sycamorestand_entry.routed.messages import says_not_run
@@ -20,6 +23,7 @@
 from sycamorestand_entry.routed.pace import InitialPace
 from sycamorestand_entry.routed.pace import PACE_CLASS
 from sycamorestand_entry.routed.pace import RecentPace
+from sycamorestand_entry.upstream import BrokenConnection
 from sycamorestand_entry.upstream import Echo
 from sycamorestand_entry.upstream import MalformedAnswer
 from sycamorestand_entry.upstream import SilentConnection
@@ -32,16 +36,31 @@
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_entry.errors import RequestError
     from sycamorestand_entry.routed.call import RoutedCall
+    from sycamorestand_entry.routed.forwarding import Refusal
     from sycamorestand_entry.routed.header_names import HeaderNames
     from sycamorestand_entry.routed.messages import Destination
+    from sycamorestand_entry.upstream import OnLoss
     from sycamorestand_entry.upstream import ResponseHead
     from sycamorestand_entry.upstream import UpstreamConnection
 
 BODILESS_STATUSES: Final = frozenset({204, 304})
 
 
+class ForwardingRefused(Exception):
+    """The other entry did not forward the attempt, which was not run."""
+
+    def __init__(self, entry: str, refusal: Refusal) -> None:
+        super().__init__(f"{entry} does not forward it")
+        self.entry = entry
+        self.refusal = refusal
+
+
 class Exchange:
-    """One attempt, from writing the request to `close`."""
+    """One attempt, from writing the request to `close`.
+
+    If another entry forwards the attempt, that entry records the server's
+    part in it: its load and health, and the sample of its version.
+    """
 
     def __init__(
         self,
@@ -53,6 +72,7 @@
     ) -> None:
         self.destination = destination
         self.connection = connection
+        self.forwarded_to = ""
         self._context = context
         self._header_names = header_names
         self._call = call
@@ -86,27 +106,48 @@
             )
             raise refusal
         self.begin_s = time.monotonic()
-        self._context.servers.record_start(
-            self.destination.target, self.destination.server.name, self.begin_s
-        )
-        self._context.metrics.dispatches.inc(
-            {"version": self.destination.target}
-        )
-        request = encode_request(
-            self._header_names, self._call, self.destination
-        )
         self.connection.send(
-            request,
+            self._start(),
             self._call.method == b"HEAD",
             Echo(self._header_names.attempt, self._call.attempt),
-            on_loss="wake" if self._call.may_repeat else "wait",
+            on_loss=self._on_loss(),
         )
 
+    @property
+    def is_forwarded(self) -> bool:
+        """Return whether another entry forwards the attempt."""
+        return bool(self.destination.entry)
+
+    def _start(self) -> bytes:
+        """Record the start of the attempt and return the request's bytes."""
+        context = self._context
+        destination = self.destination
+        if self.is_forwarded:
+            labels = {"direction": "out", "result": "sent"}
+            context.metrics.forwarded.inc(labels)
+            key = context.settings.cluster_keys()[0]
+            return encode_forwarded(
+                self._header_names, self._call, destination, key
+            )
+        context.servers.record_start(
+            destination.target, destination.server.name, self.begin_s
+        )
+        context.metrics.dispatches.inc({"version": destination.target})
+        return encode_request(self._header_names, self._call, destination)
+
+    def _on_loss(self) -> OnLoss:
+        if not self._call.may_repeat:
+            return "wait"
+        # The entry that sent the call decides where it goes on.
+        return "end" if self._call.forwarded is not None else "wake"
+
     def _check_dispatch(self) -> RequestError | None:
         if self._call.remaining_s() <= 0:
             return DeadlineExceeded("its time is over", None, "not_run")
         intent = RoutedIntent(
-            self._call.route, self._call.customer, self.destination.server.name
+            self._call.route,
+            self._call.customer,
+            "" if self.is_forwarded else self.destination.server.name,
         )
         return check_routed_dispatch(self._context.control, intent)
 
@@ -115,7 +156,8 @@
     ) -> ResponseHead:
         """Return the status and headers of the answer.
 
-        Raises `UpstreamError` if the attempt failed. With ``soft``, raises
+        Raises `UpstreamError` if the attempt failed, and `ForwardingRefused`
+        if another entry should forward it and did not. With ``soft``, raises
         `SlowAnswer` after ``limit_s``, and the caller may read again.
         """
         try:
@@ -123,6 +165,8 @@
         except UpstreamError as error:
             self.record_failure(error)
             raise
+        if self.is_forwarded:
+            self._check_forwarded(head)
         rejection = rejection_reason(head, self._header_names, self._call)
         if rejection:
             self.connection.close()
@@ -133,6 +177,21 @@
         self._head_received_s = time.monotonic()
         return head
 
+    def _check_forwarded(self, head: ResponseHead) -> None:
+        """Raise if the other entry did not get an answer of a server."""
+        refusal = read_refusal(head.status, head.headers)
+        if refusal is None:
+            server = head.headers.get(SERVER_HEADER, b"").decode("latin-1")
+            self.forwarded_to = server
+            return
+        self.connection.close()
+        if refusal.is_not_run:
+            self._reason = "it was not forwarded"
+            raise ForwardingRefused(self.destination.entry, refusal)
+        error = BrokenConnection("the other entry got no whole answer")
+        self.record_failure(error)
+        raise error
+
     @property
     def has_begun(self) -> bool:
         """Return whether the answer's head came."""
@@ -153,6 +212,9 @@
 
     def is_overtaken(self) -> bool:
         """Return whether the server has answered requests sent later."""
+        if self.is_forwarded:
+            # The other entry's answers come from many servers.
+            return False
         return self._context.server_progress.has_overtaken(
             self.destination.server.name, self.begin_s
         )
@@ -253,6 +315,8 @@
         """Record that the first part of the answer came."""
         now_s = time.monotonic()
         self._first_byte_ms = int((now_s - self.begin_s) * 1000)
+        if self.is_forwarded:
+            return
         self._context.server_progress.record_first_event(
             self.destination.server.name, self.begin_s, now_s
         )
@@ -275,7 +339,7 @@
         """
         now_s = time.monotonic()
         pause_ms = self._pace.add(count, now_s)
-        if pause_ms is not None:
+        if pause_ms is not None and not self.is_forwarded:
             self._send_sample(PACE_CLASS, False, pause_ms)
         pause_s = self._recent_pace.add(count, now_s)
         if pause_s is not None:
@@ -291,14 +355,7 @@
         if self._closed:
             return
         self._closed = True
-        now_s = time.monotonic()
-        self._context.servers.record_finish(
-            self.destination.target,
-            self.destination.server.name,
-            now_s,
-            now_s - self.begin_s,
-            "cancelled" if self._was_queued else self._outcome,
-        )
+        self._record_end()
         self._call.log.add(
             AttemptEnded(
                 self.destination.server.name,
@@ -313,6 +370,19 @@
             self.destination.server.address, self.connection
         )
 
+    def _record_end(self) -> None:
+        if self.is_forwarded:
+            self._context.peer_entries.record_end(self.destination.entry)
+            return
+        now_s = time.monotonic()
+        self._context.servers.record_finish(
+            self.destination.target,
+            self.destination.server.name,
+            now_s,
+            now_s - self.begin_s,
+            "cancelled" if self._was_queued else self._outcome,
+        )
+
     def _report_end(self) -> None:
         """Report a failure, or a success that is not reported yet.
 
@@ -332,7 +402,7 @@
         of a bad version from the caller. A stream is reported at its first
         event, since its end comes seconds too late to stop a roll-out.
         """
-        if not self._head_received_s and not failed:
+        if self.is_forwarded or (not self._head_received_s and not failed):
             return
         self._reported = True
         first_s = (self._head_received_s or time.monotonic()) - self.begin_s
@@ -354,4 +424,4 @@
         )
 
 
-__all__ = ["Exchange"]
+__all__ = ["Exchange", "ForwardingRefused"]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarded.py
@@ -0,0 +1,110 @@
+"""Requests that this entry forwards for another one.
+
+The other entry reaches no server of the service. It sends one attempt of its
+caller's request. This entry makes just that attempt, under its own admission
+and gate, and relays the server's answer as it comes. The other entry decides
+on anything further. The answer tells it which server gave it, or whether the
+request may have run.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorestand_entry.errors import BackendFailed
+from sycamorestand_entry.routed.forwarding import SERVER_HEADER
+from sycamorestand_entry.routed.messages import answer_headers
+from sycamorestand_entry.routed.messages import EngineOptions
+from sycamorestand_entry.routed.streams import EVENT_STREAM
+from sycamorestand_entry.routed.streams import StreamBroken
+from sycamorestand_entry.upstream import ServerLost
+from sycamorestand_entry.upstream import UpstreamError
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.http_messages import Responder
+    from sycamorestand_entry.routed.attempts import Attempts
+    from sycamorestand_entry.routed.exchange import Exchange
+    from sycamorestand_entry.routed.forwarding import ForwardedAttempt
+    from sycamorestand_entry.routed.headers import RawHeaders
+    from sycamorestand_entry.upstream import ResponseHead
+
+
+async def relay_forwarded(
+    attempts: Attempts, forwarded: ForwardedAttempt, responder: Responder
+) -> bool:
+    """Make the attempt, relay its answer and return whether it succeeded.
+
+    Raises a `RequestError` if no server answered, and `StreamBroken` if the
+    answer broke off after a part of it was relayed.
+    """
+    attempts.exclude(forwarded.tried)
+    options = EngineOptions(
+        forwarded.affinity_key,
+        forwarded.model,
+        forwarded.last_event,
+        forwarded.rank,
+    )
+    exchange = await attempts.open(forwarded.target, options)
+    try:
+        return await _relay(attempts, exchange, responder)
+    except ServerLost as error:
+        exchange.abandon_lost()
+        raise _broken_off(str(error), responder) from None
+    except UpstreamError as error:
+        reason = exchange.record_failure(error)
+        raise _broken_off(reason, responder) from None
+    finally:
+        exchange.close()
+
+
+async def _relay(
+    attempts: Attempts, exchange: Exchange, responder: Responder
+) -> bool:
+    call = attempts.call
+    head = await exchange.read_head(max(0.0, call.remaining_s()))
+    exchange.record_first_byte()
+    server = exchange.destination.server.name
+    kind = head.headers.get(b"content-type", b"")
+    if call.route.kind == "stream" and kind.startswith(EVENT_STREAM):
+        await _relay_stream(attempts, exchange, head, responder)
+        return head.status < 500
+    answer = await exchange.read_whole(head)
+    call.log.record_first_byte()
+    await responder.start(answer.status, _marked(answer.headers, server))
+    await responder.finish(answer.body)
+    return answer.status < 500
+
+
+async def _relay_stream(
+    attempts: Attempts,
+    exchange: Exchange,
+    head: ResponseHead,
+    responder: Responder,
+) -> None:
+    call = attempts.call
+    headers = answer_headers(head, None)
+    server = exchange.destination.server.name
+    call.log.record_first_byte()
+    await responder.start(head.status, _marked(headers, server))
+    while data := await exchange.connection.read_body(
+        max(0.0, call.remaining_s())
+    ):
+        call.log.record_events()
+        exchange.record_events(data.count(b"\n\n"))
+        if responder.write_now is None or not responder.write_now(data):
+            await responder.write(data)
+    exchange.record_status(head.status, not_run=False)
+    await responder.finish()
+
+
+def _broken_off(reason: str, responder: Responder) -> Exception:
+    if responder.started:
+        return StreamBroken(reason)
+    return BackendFailed(reason)
+
+
+def _marked(headers: RawHeaders, server: str) -> RawHeaders:
+    return [*headers, (SERVER_HEADER, server.encode())]
+
+
+__all__ = ["relay_forwarded"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/messages.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/messages.py
@@ -6,6 +6,11 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from sycamorestand_entry.routed.forwarding import ATTEMPT_HEADER
+from sycamorestand_entry.routed.forwarding import ForwardedAttempt
+from sycamorestand_entry.routed.forwarding import FORWARDING_HEADERS
+from sycamorestand_entry.routed.forwarding import seal_attempt
+from sycamorestand_entry.routed.forwarding import SignedRequest
 from sycamorestand_entry.routed.headers import ANSWER_HOP_HEADERS
 from sycamorestand_entry.routed.headers import BODILESS_METHODS
 from sycamorestand_entry.routed.headers import named_by_connection
@@ -46,12 +51,16 @@
 class Destination(NamedTuple):
     """The server of a service or version that an attempt goes to.
 
-    ``wanted`` are the options for the engine there.
+    ``wanted`` are the options for the engine there. If another entry forwards
+    the attempt, ``entry`` is its VM, ``server`` has its address, and the
+    servers ``tried`` must not get it.
     """
 
     target: str
     server: Announcement
     wanted: EngineOptions
+    entry: str = ""
+    tried: frozenset[str] = frozenset()
 
 
 class WholeAnswer(NamedTuple):
@@ -105,7 +114,9 @@
     headers = [
         (name, value)
         for name, value in head.headers.items()
-        if name not in ANSWER_HOP_HEADERS and name not in hop_names
+        if name not in ANSWER_HOP_HEADERS
+        and name not in FORWARDING_HEADERS
+        and name not in hop_names
     ]
     if length is not None:
         headers.append((b"content-length", b"%d" % length))
@@ -130,13 +141,53 @@
             lines.append(b"%s: %s" % (name, value))
     if wanted.model:
         lines.append(b"%s: %s" % (names.model, wanted.model))
-    left_ms = max(1, int(call.remaining_s() * 1000))
-    lines.append(b"%s: %d" % (names.deadline_ms, left_ms))
+    lines.append(b"%s: %d" % (names.deadline_ms, _left_ms(call)))
     lines.append(b"%s: %s" % (names.server, destination.server.name.encode()))
     if call.customer:
         lines.append(b"%s: %s" % (names.customer, call.customer.encode()))
     if call.route.kind == "stream":
         lines.append(b"%s: %d" % (names.priority, wanted.rank))
+    return _with_body(lines, call)
+
+
+def encode_forwarded(
+    names: HeaderNames, call: RoutedCall, destination: Destination, key: bytes
+) -> bytes:
+    """Return the bytes of the request to an entry that forwards it.
+
+    That is the caller's request, its key included, with the deadline that is
+    left. The other entry adds what a server needs.
+    """
+    wanted = destination.wanted
+    attempt = ForwardedAttempt(
+        destination.entry,
+        destination.target,
+        wanted.affinity_key,
+        wanted.model,
+        wanted.last_event,
+        wanted.rank,
+        tuple(destination.tried),
+    )
+    lines = [b"%s %s HTTP/1.1" % (call.method, call.target)]
+    lines += [b"%s: %s" % (name, value) for name, value in call.headers]
+    if b"authorization" in call.values:
+        lines.append(b"authorization: " + call.values[b"authorization"])
+    lines.append(b"%s: %d" % (names.deadline_ms, _left_ms(call)))
+    sealed = seal_attempt(attempt, signed_request(call), key)
+    lines.append(b"%s: %s" % (ATTEMPT_HEADER, sealed))
+    return _with_body(lines, call)
+
+
+def signed_request(call: RoutedCall) -> SignedRequest:
+    """Return the parts of the call that a forwarding signature covers."""
+    return SignedRequest(call.method, call.target, call.attempt, call.body)
+
+
+def _left_ms(call: RoutedCall) -> int:
+    return max(1, int(call.remaining_s() * 1000))
+
+
+def _with_body(lines: list[bytes], call: RoutedCall) -> bytes:
     if call.body or call.method not in BODILESS_METHODS:
         lines.append(b"content-length: %d" % len(call.body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
@@ -145,11 +196,13 @@
 __all__ = [
     "answer_headers",
     "Destination",
+    "encode_forwarded",
     "encode_request",
     "EngineOptions",
     "NOT_RUN_STATUSES",
     "rejection_reason",
     "RETRY_STATUSES",
     "says_not_run",
+    "signed_request",
     "WholeAnswer",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/refusals.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/refusals.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from sycamorestand_entry.errors import RequestError
     from sycamorestand_entry.http_messages import Responder
+    from sycamorestand_entry.routed.headers import RawHeaders
 
 # A partition cuts several entries off together, and the caller's list of
 # addresses still names them for a second or two: the caller's only retry, if
@@ -21,11 +22,16 @@
 MAX_LEASE_RETRY_S: Final = 2.2
 
 
-async def refuse(responder: Responder, error: RequestError) -> None:
-    """Send an error answer, unless the caller's answer has begun."""
+async def refuse(
+    responder: Responder, error: RequestError, marks: RawHeaders
+) -> None:
+    """Send an error answer, unless the caller's answer has begun.
+
+    ``marks`` are further headers of the answer.
+    """
     if responder.started:
         return
-    headers = []
+    headers = [*marks]
     if error.retry_after_s is not None:
         headers.append((b"retry-after", b"%.2f" % error.retry_after_s))
     body = error.message.encode()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -22,6 +22,7 @@
 from sycamorestand_entry.routed.decision_log import NotImproved
 from sycamorestand_entry.routed.engine_wait import EngineWait
 from sycamorestand_entry.routed.event_order import EventOrder
+from sycamorestand_entry.routed.exchange import ForwardingRefused
 from sycamorestand_entry.routed.messages import answer_headers
 from sycamorestand_entry.routed.messages import EngineOptions
 from sycamorestand_entry.routed.messages import NOT_RUN_STATUSES
@@ -113,6 +114,12 @@
                 self._prefilled_server = exchange.destination.server.name
                 self._size_index = escalation.size
                 continue
+            except ForwardingRefused as refused:
+                try:
+                    self._attempts.record_forwarding_refused(refused)
+                except RequestError as error:
+                    raise self._final_error(error) from None
+                continue
             except SlowAnswer:
                 self._attempts.may_have_run = True
                 self._partial_event = b""
@@ -420,4 +427,4 @@
         return self._attempts.correct_run_state(error)
 
 
-__all__ = ["StreamBroken", "StreamRelay"]
+__all__ = ["EVENT_STREAM", "StreamBroken", "StreamRelay"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole_answers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole_answers.py
@@ -12,6 +12,7 @@
 from sycamorestand_decisions.attempt_timeouts import call_limit_s
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.routed.attempts import ARRIVAL_POLL_S
+from sycamorestand_entry.routed.exchange import ForwardingRefused
 from sycamorestand_entry.routed.messages import EngineOptions
 from sycamorestand_entry.routed.messages import NOT_RUN_STATUSES
 from sycamorestand_entry.routed.messages import RETRY_STATUSES
@@ -45,6 +46,14 @@
             raise attempts.correct_run_state(error) from None
         try:
             answer = await _read_answer(attempts, exchange)
+        except ForwardingRefused as refused:
+            try:
+                attempts.record_forwarding_refused(refused)
+            except RequestError:
+                if last_failure is not None:
+                    return last_failure
+                raise
+            continue
         except SlowAnswer:
             attempts.may_have_run = True
             continue
@@ -73,7 +82,8 @@
 ) -> WholeAnswer | None:
     """Return the answer, None if it broke off.
 
-    Raises `SlowAnswer` if another server shall be asked instead.
+    Raises `SlowAnswer` if another server shall be asked instead, and
+    `ForwardingRefused` as `Exchange.read_head` does.
     """
     try:
         head = await _read_head(attempts, exchange)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -17,6 +17,7 @@
 from sycamorestand_entry.context import EntryContext
 from sycamorestand_entry.http_protocol import EntryProtocol
 from sycamorestand_entry.state_log import log_changes
+from sycamorestand_entry.unreached import report_unreached
 from sycamorestand_peer.http_server import HttpServer
 from sycamorestand_peer.http_server import POLL_INTERVAL_S
 
@@ -96,6 +97,7 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(context.slots.run_periodic_update)
                 group.start_soon(context.server_watch.run)
+                group.start_soon(report_unreached, context)
                 group.start_soon(log_changes, context)
                 group.start_soon(_exit_after_stop, entry, server)
                 task_status.started(entry)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_watch.py
@@ -22,6 +22,8 @@
 
 _LOG = logging.getLogger(__name__)
 POLL_S: Final = 0.1
+# If the entry's own link fails, all servers are checked at once.
+MAX_CHECKS: Final = 32
 
 
 class ServerWatch:
@@ -55,25 +57,26 @@
                     # The exception would end the whole process.
                     _LOG.exception("search for silent servers failed")
                     continue
-                for address in due:
+                for address in due[: MAX_CHECKS - len(self._checking)]:
                     self._checking.add(address)
                     checks.start_soon(self._check, address)
 
     def _due(self) -> list[str]:
-        """Return the addresses that are to be checked now."""
+        """Return the addresses to check now, the last checked ones last."""
         now_s = self._now_s()
         used = set(self._pool.addresses_in_use())
         servers = self._control.backend_servers().values()
         announced = {server.address for server in servers}
         self._loss.forget_unused(used | announced | self._checking)
-        return [
+        due = [
             address
-            for address in used | self._loss.suspected
+            for address in used | self._loss.suspected | self._loss.refusing
             if address not in self._checking
             and self._loss.is_check_due(
                 address, self._silent_since_s(address), now_s
             )
         ]
+        return sorted(due, key=self._loss.checked_s)
 
     def _silent_since_s(self, address: str) -> float:
         return max(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -79,16 +79,29 @@
 
         Those without any server that takes work are not among them.
         """
-        if not self._loss.lost:
+        if not self._loss.has_unreachable:
             return frozenset()
         reached: set[str] = set()
-        lost: set[str] = set()
+        unreached: set[str] = set()
         for server in self._control.backend_servers().values():
             if not server.leaving:
-                is_lost = self._loss.is_lost(server.address)
                 names = {_service(version) for version in server.versions}
-                (lost if is_lost else reached).update(names)
-        return frozenset(lost - reached)
+                is_unreachable = self._loss.is_unreachable(server.address)
+                (unreached if is_unreachable else reached).update(names)
+        return frozenset(unreached - reached)
+
+    def is_unreached(self, target: str) -> bool:
+        """Return whether the target has servers and none is reached."""
+        if not self._loss.has_unreachable:
+            return False
+        holders = [
+            server.address
+            for server in self._control.backend_servers().values()
+            if target in server.versions and not server.leaving
+        ]
+        return bool(holders) and all(
+            self._loss.is_unreachable(address) for address in holders
+        )
 
     def choose(
         self,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
@@ -31,6 +31,8 @@
     ``session_idle_s`` is how long after its last request a session may
     continue. ``silent_idle_s`` is how long a connection may have been idle
     and still carry a non-idempotent request.
+    ``cluster_keys`` returns the keys with which entries sign the requests
+    that they forward for each other; without one they forward none.
     """
 
     vm: str
@@ -59,6 +61,12 @@
     max_header_bytes: int = 32 * 1024
     max_answer_bytes: int = 8 * 1024 * 1024
     max_recorded_answer_bytes: int = 64 * 1024
+    cluster_keys: KeySource = no_keys
+
+    @property
+    def may_forward(self) -> bool:
+        """Return whether this entry may forward requests."""
+        return bool(self.cluster_keys())
 
 
 __all__ = ["EntrySettings"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/state_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/state_log.py
@@ -24,7 +24,6 @@
         self.entries = 0
         self.ejected: set[str] = set()
         self.leaving: set[str] = set()
-        self.unreached: frozenset[str] = frozenset()
 
 
 async def log_changes(context: EntryContext) -> None:
@@ -46,7 +45,6 @@
         logged.entries = entries
         _LOG.info("entries counted", extra={"entries": entries})
     _log_servers(context, logged)
-    _log_unreached(context, logged)
 
 
 def _log_servers(context: EntryContext, logged: LoggedState) -> None:
@@ -69,17 +67,6 @@
     logged.leaving = leaving
 
 
-def _log_unreached(context: EntryContext, logged: LoggedState) -> None:
-    unreached = context.servers.unreached_services()
-    for service in sorted(unreached - logged.unreached):
-        _LOG.warning(
-            "no server of the service reached", extra={"service": service}
-        )
-    for service in sorted(logged.unreached - unreached):
-        _LOG.info("service reached again", extra={"service": service})
-    logged.unreached = unreached
-
-
 def _log_names(message: str, names: set[str]) -> None:
     for name in sorted(names):
         _LOG.info(message, extra={"backend_server": name})
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_pool.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_pool.py
@@ -71,6 +71,10 @@
         except ConnectTimedOut:
             self._loss.record_timed_out_dial(address)
             raise
+        except ConnectFailed:
+            self._loss.record_refused_dial(address)
+            raise
+        self._loss.record_accepted_dial(address)
         self._in_use.setdefault(address, set()).add(connection)
         return connection
 
--- a/packages/sycamorestand-entry/tests/control/test_link.py
+++ b/packages/sycamorestand-entry/tests/control/test_link.py
@@ -104,6 +104,17 @@
         assert relays == {PEERS[1]}
 
 
+class TestUnreachedServices:
+    def test_they_are_told_with_the_next_lease_request(self) -> None:
+        """Other entries and callers learn of them by the address lists."""
+        settings = LinkSettings("vm-1", "a", OWN, (CONTROL,), (b"k" * 32,))
+        link = ControlLink(settings, lambda: ADDRESS)
+        link.set_unreached(frozenset({"words", "orders"}))
+        request = link._make_lease_request(100.0)
+        assert request.address.unreached == ("orders", "words")
+        assert link.unreached == ("orders", "words")
+
+
 class TestAddressLists:
     def test_list_of_another_control_process_is_ignored(
         self, monkeypatch: pytest.MonkeyPatch
--- a/packages/sycamorestand-entry/tests/test_stop.py
+++ b/packages/sycamorestand-entry/tests/test_stop.py
@@ -250,6 +250,15 @@
             )
             assert await listed_vms(loopback) == ["vm-2", "vm-3", "vm-9"]
 
+    async def test_entries_that_reach_no_server_are_left_out(self) -> None:
+        """Callers went on to call them for as long as a cut lasted."""
+        async with start_loopback() as loopback:
+            loopback.control.entry_addresses = (
+                address("vm-2"),
+                address("vm-3")._replace(unreached=("orders",)),
+            )
+            assert await listed_vms(loopback) == ["vm-2"]
+
     async def test_url_of_an_ipv6_address(self) -> None:
         async with start_loopback() as loopback:
             loopback.control.entry_addresses = (
--- a/packages/sycamorestand-model/src/sycamorestand_model/entry_reports.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/entry_reports.py
@@ -9,6 +9,9 @@
     """An address where callers connect to an entry, and the entry's state.
 
     ``peer_address`` is where the system's other processes connect to it.
+    ``unreached`` are the services and models none of whose backend servers
+    the entry reaches. New fields must come last, as fields are encoded by
+    their position.
     """
 
     vm: str
@@ -18,6 +21,7 @@
     stopping: bool = False
     load: float = 0.0
     peer_address: str = ""
+    unreached: tuple[str, ...] = ()
 
 
 class VersionSample(NamedTuple):
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/frames.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/frames.py
@@ -43,7 +43,7 @@
 def seal(frame: Frame, key: bytes) -> bytes:
     """Return the encoded frame, prefixed with its authentication code."""
     body = _ENCODER.encode(frame)
-    return _tag(body, key) + body
+    return authentication_tag(body, key) + body
 
 
 def open_frame(data: bytes, keys: tuple[bytes, ...], receiver: str) -> Frame:
@@ -54,7 +54,7 @@
     addressed to another process than ``receiver``.
     """
     tag, body = data[:TAG_BYTES], data[TAG_BYTES:]
-    if not any(hmac.compare_digest(tag, _tag(body, key)) for key in keys):
+    if not is_authentic(tag, body, keys):
         raise FrameRefused(Refusal.KEY)
     try:
         frame = _DECODER.decode(body)
@@ -65,8 +65,24 @@
     return frame
 
 
-def _tag(body: bytes, key: bytes) -> bytes:
+def authentication_tag(body: bytes, key: bytes) -> bytes:
+    """Return the code that shows that a holder of the key made the body."""
     return hashlib.blake2b(body, digest_size=TAG_BYTES, key=key).digest()
 
 
-__all__ = ["Frame", "MAX_FRAME_BYTES", "open_frame", "seal"]
+def is_authentic(tag: bytes, body: bytes, keys: tuple[bytes, ...]) -> bool:
+    """Return whether the tag was made of the body with one of the keys."""
+    return any(
+        hmac.compare_digest(tag, authentication_tag(body, key)) for key in keys
+    )
+
+
+__all__ = [
+    "authentication_tag",
+    "Frame",
+    "is_authentic",
+    "MAX_FRAME_BYTES",
+    "open_frame",
+    "seal",
+    "TAG_BYTES",
+]
--- a/packages/sycamorestand-state/src/sycamorestand_state/nodes.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/nodes.py
@@ -24,7 +24,10 @@
 
 
 class NodeRecord(NamedTuple):
-    """One entry process; ``load`` is from 0 (idle) to 1 (saturated)."""
+    """One entry process; ``load`` is from 0 (idle) to 1 (saturated).
+
+    ``unreached`` are the services none of whose servers the entry reaches.
+    """
 
     name: str
     vm: str
@@ -37,6 +40,7 @@
     stopping: bool = False
     load: float = 0.0
     lease_s: float = 3.0
+    unreached: tuple[str, ...] = ()
 
 
 NodeDelta = MapDelta[NodeRecord]
@@ -61,8 +65,9 @@
     ) -> tuple[NodeRecord, ...]:
         """Return up to ``limit`` entries for a caller, the best one first.
 
-        Entries of the caller's data centre come first, unless they are
-        overloaded. Entries of equal rank are ordered by a hash with the
+        Entries that reach the servers of all services come first, and among
+        them those of the caller's data centre, unless they are overloaded.
+        Entries of equal rank are ordered by a hash with the
         caller's name, which spreads callers over them. If all VMs are
         draining, their entries are returned nevertheless, as callers would
         otherwise get no address.
@@ -70,8 +75,9 @@
         running = [n for n in self.nodes().values() if not n.stopping]
         undrained = [n for n in running if n.vm not in draining_vms]
 
-        def rank(node: NodeRecord) -> tuple[bool, bool, float, int]:
+        def rank(node: NodeRecord) -> tuple[bool, bool, bool, float, int]:
             return (
+                bool(node.unreached),
                 node.load >= OVERLOAD_THRESHOLD,
                 node.data_centre != data_centre,
                 node.load,
--- a/packages/sycamorestand-state/tests/test_nodes.py
+++ b/packages/sycamorestand-state/tests/test_nodes.py
@@ -42,6 +42,14 @@
         found = registry.addresses("caller", "Dalton", 3)
         assert [n.name for n in found] == ["b", "far", "a"]
 
+    def test_an_entry_that_reaches_no_server_comes_last(
+        self, registry: NodeRegistry
+    ) -> None:
+        """The list of a large data centre named only entries cut off."""
+        registry.announce(node("a", sequence=2, unreached=("words",)), 0.0)
+        found = registry.addresses("caller", "Dalton", 2)
+        assert [n.name for n in found] == ["b", "far"]
+
     def test_callers_spread_over_equal_entries(
         self, registry: NodeRegistry
     ) -> None:
--- a/packages/sycamorestand/src/sycamorestand/entry_process.py
+++ b/packages/sycamorestand/src/sycamorestand/entry_process.py
@@ -12,6 +12,7 @@
 from sycamorestand_entry.server import serve_entry
 from sycamorestand_entry.settings import EntrySettings
 from sycamorestand_model.entry_reports import EntryAddress
+from sycamorestand_peer.key_file import as_key_source
 
 if TYPE_CHECKING:
     from sycamorestand_entry.server import RunningEntry
@@ -60,6 +61,7 @@
         backend_keys=values["backend_key_file"],
         rating_url=values["rating_url"],
         address_ttl_s=values["address_ttl_s"],
+        cluster_keys=as_key_source(values["cluster_key_file"]),
     )
 
 
