Brittle servers get no more at once than fits without a queue

Servers of a service may say that they are brittle: one that turns more than so many requests away in a second falls over, and what it runs with it.

While answers say so, an entry keeps to its equal part of a server's slots, checks that again right before it writes, rests between requests where there are more entries than slots (also at a server that has come back), and pauses after a refusal.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
@@ -49,6 +49,7 @@
     last_event=b"last-event-id",
     load=b"x-load",
     own=frozenset({b"authorization", b"x-deadline-ms", b"x-server"}),
+    brittle=b"x-brittle",
 )
 ROUTES: Final = (
     Route(
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -22,6 +22,7 @@
 
 from sycamorestand_decisions.affinity import CacheHints
 from sycamorestand_decisions.affinity import HashRing
+from sycamorestand_decisions.brittle_servers import BrittleServers
 from sycamorestand_decisions.candidates import Candidate
 from sycamorestand_decisions.candidates import Choice
 from sycamorestand_decisions.candidates import Outcome
@@ -63,6 +64,7 @@
 
     def __init__(self, random: Random | None = None) -> None:
         self._random = random or Random()
+        self._brittle = BrittleServers(self._random)
         self._servers: dict[str, _Server] = {}
         self._rings: dict[tuple[str, ...], HashRing] = {}
         self._ring = HashRing()
@@ -143,6 +145,9 @@
         server = self._server(name)
         in_flight = server.own.in_flight
         server.own.change(-1, now_s)
+        if outcome != "overloaded":
+            capacity = server.limit.capacity
+            self._brittle.record_end(name, capacity, latency_s, now_s)
         if outcome == "ok":
             server.limit.record_success(now_s, in_flight)
             server.health.record_success(now_s, latency_s, self._typical)
@@ -151,12 +156,34 @@
             # A refusal shows that the server is full, not that it is faulty.
             # Ejecting it would move its load to the other servers.
             server.limit.record_overload(now_s)
+            self._brittle.record_refusal(name, now_s)
         elif outcome in ("error", "timeout"):
             server.health.record_failure(now_s)
         if outcome == "cancelled" or outcome == "overloaded":
             server.health.probing = False
         self._eject_outlier(server, now_s)
 
+    def record_brittle(
+        self, max_refused_per_s: int, entries: int, now_s: float
+    ) -> None:
+        """Record that a server says that it is brittle.
+
+        ``max_refused_per_s`` is how many requests it may turn away in a
+        second, and ``entries`` the number of all entries.
+        """
+        self._brittle.record_answer(max_refused_per_s, entries, now_s)
+
+    def is_over_limit(self, candidate: Candidate, now_s: float) -> bool:
+        """Return whether a brittle server may get no request now.
+
+        Requests that were chosen for it at the same time may have been sent
+        since.
+        """
+        is_brittle = self._brittle.is_brittle(now_s)
+        return is_brittle and not self._is_usable(
+            candidate, now_s, frozenset()
+        )
+
     def in_flight(self, name: str) -> int:
         """Return how many of this entry's requests run on the server."""
         return self._server(name).own.in_flight
@@ -182,9 +209,10 @@
             server.limit.record_report(
                 now_s, candidate.running, candidate.queued, candidate.age_s
             )
-            if not server.health.is_ejected(now_s):
-                slow_start_factor = server.health.slow_start_factor(now_s)
-                total += max(1, int(server.limit.limit * slow_start_factor))
+            is_paused = self._is_paused(candidate, now_s)
+            if not is_paused and not server.health.is_ejected(now_s):
+                limit = self._limit_at(candidate, now_s)
+                total += max(1, int(limit))
         return total
 
     def cache_event(
@@ -226,7 +254,7 @@
                 if len(drawn) == SAMPLE_SIZE:
                     return drawn
         usable = [c for c in candidates if self._is_usable(c, now_s, exclude)]
-        if not usable:
+        if not usable and not self._brittle.is_brittle(now_s):
             # Admission control bounds the sum of the limits. If a limit has
             # shrunk since, a request that was admitted must not fail.
             usable = [
@@ -241,9 +269,21 @@
     ) -> bool:
         if not self._is_eligible(candidate, now_s, exclude):
             return False
+        if self._is_paused(candidate, now_s):
+            return False
+        in_flight = self._servers[candidate.name].own.in_flight
+        return in_flight < 1 or in_flight < self._limit_at(candidate, now_s)
+
+    def _is_paused(self, candidate: Candidate, now_s: float) -> bool:
+        return self._brittle.is_paused(
+            candidate.name, candidate.capacity, now_s
+        )
+
+    def _limit_at(self, candidate: Candidate, now_s: float) -> float:
+        """Return how many requests this entry may run on the server now."""
         server = self._servers[candidate.name]
         limit = server.limit.limit * server.health.slow_start_factor(now_s)
-        return server.own.in_flight < limit or server.own.in_flight < 1
+        return min(limit, self._brittle.limit(candidate.capacity, now_s))
 
     def _is_eligible(
         self, candidate: Candidate, now_s: float, exclude: frozenset[str]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -335,6 +335,10 @@
                         return exchange
                 self._check_dials()
                 continue
+            servers = self.context.servers
+            if servers.is_over_limit(target, server, self.context.now_s()):
+                self.context.pool.release(server.address, connection)
+                continue
             destination = Destination(target, server, options)
             exchange = Exchange(
                 self.context,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -44,6 +44,7 @@
     from sycamorestand_entry.upstream import UpstreamConnection
 
 BODILESS_STATUSES: Final = frozenset({204, 304})
+MAX_DIGITS: Final = 9
 
 
 class ForwardingRefused(Exception):
@@ -167,6 +168,8 @@
             raise
         if self.is_forwarded:
             self._check_forwarded(head)
+        else:
+            self._record_brittle(head)
         rejection = rejection_reason(head, self._header_names, self._call)
         if rejection:
             self.connection.close()
@@ -177,6 +180,13 @@
         self._head_received_s = time.monotonic()
         return head
 
+    def _record_brittle(self, head: ResponseHead) -> None:
+        value = head.headers.get(self._header_names.brittle, b"")
+        if value.isdigit() and len(value) <= MAX_DIGITS:
+            self._context.servers.record_brittle(
+                self.destination.target, int(value), time.monotonic()
+            )
+
     def _check_forwarded(self, head: ResponseHead) -> None:
         """Raise if the other entry did not get an answer of a server."""
         refusal = read_refusal(head.status, head.headers)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/header_names.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/header_names.py
@@ -18,7 +18,9 @@
     the backend server that the request is meant for; ``customer`` the
     customer that it belongs to. A server sets ``not_run`` in an answer to a
     request that it did not run, and ``stamp`` in every answer; ``stamp`` is
-    empty if servers do not stamp their answers. ``own`` are headers that
+    empty if servers do not stamp their answers. In ``brittle`` a server says
+    how many requests it can turn away in a second without falling over.
+    ``own`` are headers that
     only the system may set; the entry drops them from a caller's request.
     """
 
@@ -39,6 +41,7 @@
     last_event: bytes
     load: bytes
     own: frozenset[bytes]
+    brittle: bytes = b""
 
 
 # The names of the project's own interface, see ``docs/callers.md``.
@@ -68,6 +71,7 @@
             b"x-engine-priority",
         }
     ),
+    brittle=b"x-server-brittle",
 )
 
 __all__ = ["DEFAULT_HEADER_NAMES", "HeaderNames"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -196,6 +196,22 @@
         """Record the end of an attempt, its duration and its outcome."""
         self._selector(target).record_finish(name, now_s, latency_s, outcome)
 
+    def record_brittle(
+        self, target: str, max_refused_per_s: int, now_s: float
+    ) -> None:
+        """Record that a server of the target says that it is brittle."""
+        entries = self._control.entry_count()
+        self._selector(target).record_brittle(
+            max_refused_per_s, entries, now_s
+        )
+
+    def is_over_limit(
+        self, target: str, server: Announcement, now_s: float
+    ) -> bool:
+        """Return whether the server is brittle and may get no request now."""
+        candidate = Candidate(server.name, server.capacity)
+        return self._selector(target).is_over_limit(candidate, now_s)
+
     def record_cache_event(
         self, name: str, prefix_keys: list[str], stored: bool, now_s: float
     ) -> None:
