An entry that refused once is still asked if there is no other

Seen in the tests of entries cut off, once in 28 and twice in 72 plays beside seven others: one dial to the only entry left took longer than the connect timeout, and for a second all requests were refused (path NotForwarded). Such an entry now only comes last.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/peer_entries.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/peer_entries.py
@@ -9,9 +9,10 @@
 as soon as it refused, that one would fail under the load of all. The choice is
 therefore spread: of two entries drawn at random, the one with fewer forwarded
 requests of this entry is taken. It stays within the data centre only while
-at least half of the entries there reach the service. An entry that refuses is
-left alone for as long as it asks for, and one that cannot be reached for a
-while. The number of requests under way at other entries is bounded.
+at least half of the entries there reach the service. An entry that refuses, or
+does not accept a connection in time, gets nothing for a while, unless there is
+no other one: it may have refused one customer's requests only, or this process
+was busy. The number of requests under way at other entries is bounded.
 """
 
 from __future__ import annotations
@@ -77,9 +78,9 @@
             and not entry.stopping
             and service not in entry.unreached
             and entry.vm not in exclude
-            and now_s >= self._paused_until_s.get(entry.vm, now_s)
         ]
-        usable = self._nearest(entries, usable)
+        calm = [e for e in usable if not self._is_paused(e.vm, now_s)]
+        usable = self._nearest(entries, calm or usable)
         drawn = self._random.sample(usable, min(SAMPLE_SIZE, len(usable)))
         return min(drawn, key=lambda e: self._in_flight[e.vm], default=None)
 
@@ -96,14 +97,17 @@
     def record_refusal(
         self, vm: str, retry_after_s: float, now_s: float
     ) -> None:
-        """Send the entry nothing for the time that it asks for."""
+        """Prefer other entries for the time that this one asks for."""
         pause_s = min(MAX_PAUSE_S, max(MIN_PAUSE_S, retry_after_s))
         self._pause(vm, now_s + pause_s, now_s)
 
     def record_unreachable(self, vm: str, now_s: float) -> None:
-        """Send the entry nothing for a while, as it accepts no connection."""
+        """Prefer other entries for a while, as it accepts no connection."""
         self._pause(vm, now_s + UNREACHABLE_PAUSE_S, now_s)
 
+    def _is_paused(self, vm: str, now_s: float) -> bool:
+        return now_s < self._paused_until_s.get(vm, now_s)
+
     def _pause(self, vm: str, until_s: float, now_s: float) -> None:
         ended = [n for n, t in self._paused_until_s.items() if t <= now_s]
         for name in ended:
