A server that is silent for a second is not lost

It was found lost 1.1 s after its last byte, 0.7 s if the dial of a request had timed out, and each of its streams was moved: three of three streams at a server silent for 1.2 s, in three plays of the new test. The watch now dials on until it has been silent for 1.4 s. A server that has sent nothing yet is lost after two dials, as before.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
@@ -12,7 +12,7 @@
 timed out. It is then dialled. Silence alone proves nothing: an engine that
 reads a long prompt, or has preempted what it ran, is silent as well, but
 accepts a connection at once. A server is lost if it neither accepts nor
-refuses several dials in a row, and still sends nothing.
+refuses several dials in a row, and has sent nothing for `LOST_AFTER_S`.
 
 A server that refuses connections is not lost: its VM answers, and connections
 that are open may go on. But no new request can be sent there. If an entry's
@@ -32,6 +32,9 @@
 # whatever the checks show.
 MAX_INTERVAL_S: Final = 2.0
 LOST_AFTER_DIALS: Final = 2
+# A sound server may be silent for a second and more, for example while its VM
+# is moved. Moving its streams would cost each an arrival and a prefill.
+LOST_AFTER_S: Final = 1.4
 # A check took so much longer than its dials that this process was suspended or
 # busy meanwhile. The server may have accepted in time.
 MAX_DELAY_S: Final = 0.1
@@ -108,6 +111,13 @@
             return 1
         return LOST_AFTER_DIALS - (address in self._timed_out)
 
+    def has_been_silent(self, heard_s: float, now_s: float) -> bool:
+        """Return whether a server was silent for so long that it may be lost.
+
+        ``heard_s`` is the time of its last bytes, minus infinity if none came.
+        """
+        return now_s - heard_s >= LOST_AFTER_S
+
     def is_check_due(
         self, address: str, silent_since_s: float, now_s: float
     ) -> bool:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_watch.py
@@ -97,8 +97,14 @@
         silent_since_s = self._silent_since_s(address)
         heard_s = self._pool.last_byte_s(address)
         was_lost = self._loss.is_lost(address)
-        dials = self._loss.dials_needed(address)
-        reached = await self._accepts_connection(address, dials)
+        needed = self._loss.dials_needed(address)
+        dials = 0
+        reached = False
+        while not reached and self._needs_dial(
+            address, needed - dials, heard_s
+        ):
+            dials += 1
+            reached = await self._accepts_connection(address)
         now_s = self._now_s()
         longest_s = dials * self._pool.connect_timeout_s + MAX_DELAY_S
         if not reached and now_s - begin_s > longest_s:
@@ -127,22 +133,32 @@
         ]
         return {"backend_server": ",".join(names), "address": address}
 
-    async def _accepts_connection(self, address: str, dials: int) -> bool:
-        """Return whether the server accepts or refuses one of the dials.
+    def _needs_dial(self, address: str, missing: int, heard_s: float) -> bool:
+        """Return whether another dial has to show whether it is lost.
+
+        ``missing`` is the number of dials that still have to fail. The server
+        may also be found to be alive by what it sends.
+        """
+        if self._pool.last_byte_s(address) > heard_s:
+            return False
+        if missing > 0:
+            return True
+        return not self._loss.has_been_silent(heard_s, self._now_s())
+
+    async def _accepts_connection(self, address: str) -> bool:
+        """Return whether the server accepts or refuses a dial.
 
         A refusal shows that its VM runs; the connections of a process that
         has ended there are closed or reset.
         """
-        for _ in range(dials):
-            try:
-                connection = await self._pool.acquire(address, max_idle_s=0.0)
-            except ConnectTimedOut:
-                continue
-            except ConnectFailed:
-                return True
-            self._pool.release(address, connection)
+        try:
+            connection = await self._pool.acquire(address, max_idle_s=0.0)
+        except ConnectTimedOut:
+            return False
+        except ConnectFailed:
             return True
-        return False
+        self._pool.release(address, connection)
+        return True
 
 
 __all__ = ["ServerWatch"]
