The soak cuts an entry off from all backend servers

The proxy before a server finds the entry by the owner of a connection's port, as plain HTTP names no sender. The soak's callers use the project's own interface; the cuts of routed requests have a test of their own.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/run.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/run.py
@@ -22,6 +22,7 @@
 from sycamorestand_bench.soak.operator import SoakOperator
 from sycamorestand_bench.soak.schedule import Targets
 from sycamorestand_bench.system.fault_proxy import FaultProxy
+from sycamorestand_bench.system.socket_owner import owner_of_port
 from sycamorestand_bench.system.system import CONTROLS
 from sycamorestand_bench.system.system import ENTRIES
 from sycamorestand_bench.system.system import is_probe
@@ -76,8 +77,14 @@
     proxies: dict[str, FaultProxy] = {}
     system = System(folder, examples)
 
+    def find_entry(port: int) -> str:
+        """Return the entry whose connection to a server has this port."""
+        cluster = system.cluster
+        started = [name for name in ENTRIES if cluster.is_started(name)]
+        return owner_of_port(port, {n: cluster.pid(n) for n in started})
+
     async def expose_server(name: str, address: str) -> str:
-        proxy = FaultProxy(free_address(), address)
+        proxy = FaultProxy(free_address(), address, find_entry)
         proxies[name] = proxy
         await system.tasks.start(proxy.run)
         return proxy.listen
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
@@ -89,6 +89,7 @@
     # can detect garbage in them.
     "server_garbage": _FaultKind(1, "engine", 0.5, 5.0),
     "server_refuse": _FaultKind(1, "server", 0.5, 5.0),
+    "servers_cut": _FaultKind(2, "entry", 0.5, 8.0),
     "server_leaves": _FaultKind(1, "engine", 0.0, 0.0),
 }
 
@@ -200,6 +201,7 @@
     choices = {
         "process": processes,
         "control": targets.controls,
+        "entry": targets.entries,
         "engine": targets.engines,
         "server": targets.servers,
         "any": (*processes, *targets.servers),
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/system/fault_proxy.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/fault_proxy.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 
 import anyio
+from anyio.abc import SocketAttribute
 from anyio.abc import SocketStream
 from anyio.abc import TaskStatus
 
@@ -33,12 +35,19 @@
     """Forwards connections from ``listen`` to ``target`` with faults.
 
     A sender is the peer address of a process; `ALL_SENDERS` stands for
-    the senders of all connections. Call all methods in the event loop that
-    runs the proxy.
+    the senders of all connections. ``find_sender`` returns the sender of a
+    connection by its remote port; without it the sender is read from the
+    first frame. Call all methods in the event loop that runs the proxy.
     """
 
-    def __init__(self, listen: str, target: str) -> None:
+    def __init__(
+        self,
+        listen: str,
+        target: str,
+        find_sender: Callable[[int], str] | None = None,
+    ) -> None:
         self.target = target
+        self._find_sender = find_sender
         self.listen = listen
         self._refused_senders: set[str] = set()
         self._held_senders: dict[bool, set[str]] = {True: set(), False: set()}
@@ -112,9 +121,13 @@
 
     async def _handle_connection(self, client: SocketStream) -> None:
         connection = _Connection()
+        if self._find_sender is not None:
+            port = client.extra(SocketAttribute.remote_port)
+            connection.sender = self._find_sender(int(port))
+        refused = {ALL_SENDERS, connection.sender} & self._refused_senders
         try:
             async with client:
-                if ALL_SENDERS not in self._refused_senders:
+                if not refused:
                     await self._connect_target(connection, client)
         except* CONNECTION_ERRORS:
             pass
@@ -137,7 +150,8 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._copy, connection, server, client, False)
-                await self._identify_sender(connection, client, server)
+                if self._find_sender is None:
+                    await self._identify_sender(connection, client, server)
                 await self._copy(connection, client, server, True)
                 tasks.cancel_scope.cancel()
         finally:
--- a/packages/sycamorestand-bench/tests/soak/test_soak.py
+++ b/packages/sycamorestand-bench/tests/soak/test_soak.py
@@ -26,6 +26,7 @@
         Step(1.5, "silence", "entry-1>control-2", 0.0),
         Step(2.0, "one_way", "control-3>entry-3", 2.5),
         Step(3.0, "torn_tail", "control-2", 0.2),
+        Step(2.5, "servers_cut", "entry-1", 2.0),
         Step(4.0, "stop", "entry-3", 0.2),
     ),
 )
@@ -36,8 +37,8 @@
         """No promise is broken by overlapping faults under load.
 
         An entry is killed, a voter freezes, another voter's log ends in a
-        torn frame, links go silent or one-way, and an entry stops as
-        planned.
+        torn frame, links go silent or one-way, an entry is cut off from all
+        backend servers, and another one stops as planned.
         """
         outcome = play(tmp_path, EXAMPLES, SHORT)
         assert outcome.findings == []
