Review of forwarding: earn once, other servers for retries, two modules

A request that an entry had refused to forward earned arrivals again with the next one, so the allowance could be passed: test_request_earns_ arrivals_once. A retry could be forwarded to the server that had failed, as its name was not passed on: test_retry_goes_to_another_server. The slot of a request and the dials of a call have modules of their own.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
-from contextlib import asynccontextmanager
 import logging
 import math
 import time
@@ -34,13 +32,13 @@
 from sycamorestand_entry.http_protocol import ABORT
 from sycamorestand_entry.http_protocol import TARGET
 from sycamorestand_entry.http_protocol import WRITE_NOW
+from sycamorestand_entry.routed.admitted import admitted
 from sycamorestand_entry.routed.attempts import Attempts
 from sycamorestand_entry.routed.call import ANONYMOUS
 from sycamorestand_entry.routed.call import forwarded_headers
 from sycamorestand_entry.routed.call import read_deadline_s
 from sycamorestand_entry.routed.call import read_values
 from sycamorestand_entry.routed.call import RoutedCall
-from sycamorestand_entry.routed.decision_log import Admitted
 from sycamorestand_entry.routed.decision_log import DecisionLog
 from sycamorestand_entry.routed.decision_log import ForwardedFor
 from sycamorestand_entry.routed.decision_log import Held
@@ -58,7 +56,6 @@
 from sycamorestand_entry.routed.targets import choose_target
 from sycamorestand_entry.routed.targets import record_session
 from sycamorestand_entry.routed.whole_answers import read_whole_answer
-from sycamorestand_entry.slots import SlotRequest
 from sycamorestand_model.route_table import RouteTable
 
 if TYPE_CHECKING:
@@ -73,9 +70,6 @@
     from sycamorestand_model.routes import Route
 
 LOG: Final = logging.getLogger(__name__)
-# Durations that admission control expects of a call and of a stream.
-EXPECTED_CALL_S: Final = 0.05
-EXPECTED_STREAM_S: Final = 1.0
 # A request that still runs so long after its deadline is cancelled.
 DEADLINE_GRACE_S: Final = 0.1
 # Other entries have learned by then that this one reaches no server.
@@ -91,13 +85,6 @@
     routes: RouteTable
 
 
-class _Admission:
-    """Whether the request of an admitted call failed, for the admission."""
-
-    def __init__(self) -> None:
-        self.failed = True
-
-
 class RoutedEntry:
     """Answer the routed requests of one entry process."""
 
@@ -349,7 +336,7 @@
         target = choose_target(context, call)
         record_session(context, call, target)
         try:
-            async with self._admitted(attempts, target) as admission:
+            async with admitted(attempts, target) as admission:
                 answer = await self._run_admitted(attempts, target, responder)
                 admission.failed = answer is not None and answer.status >= 500
                 if answer is not None:
@@ -390,68 +377,12 @@
         if context.servers.is_unreached(forwarded.target):
             message = "this entry reaches no server either"
             raise NoBackendServer(message, UNREACHED_RETRY_S)
-        async with self._admitted(attempts, forwarded.target) as admission:
+        async with admitted(attempts, forwarded.target) as admission:
             succeeded = await relay_forwarded(attempts, forwarded, responder)
             admission.failed = not succeeded
         labels = {"direction": "in", "result": "answered"}
         context.metrics.forwarded.inc(labels)
 
-    @asynccontextmanager
-    async def _admitted(
-        self, attempts: Attempts, target: str
-    ) -> AsyncIterator[_Admission]:
-        """Hold a slot of the target while the request runs.
-
-        A request that another entry forwards takes a slot of that entry, as
-        this one knows no server that could have one.
-        """
-        slots = self._context.slots
-        admission = _Admission()
-        begin_s = time.monotonic()
-        slot = await self._acquire_slot(attempts, target)
-        try:
-            yield admission
-        except anyio.get_cancelled_exc_class():
-            if slot is not None:
-                slots.cancel(slot)
-                slot = None
-            raise
-        finally:
-            if slot is not None:
-                duration_s = time.monotonic() - begin_s
-                slots.finish(slot, duration_s, admission.failed)
-
-    async def _acquire_slot(
-        self, attempts: Attempts, target: str
-    ) -> int | None:
-        """Return a slot of the target, None if another entry shall give one.
-
-        Raises a `RequestError` if the admission refuses the request.
-        """
-        if attempts.must_forward(target):
-            return None
-        call = attempts.call
-        begin_s = time.monotonic()
-        is_stream = call.route.kind == "stream"
-        request = SlotRequest(
-            call.customer,
-            call.weight,
-            target,
-            "interactive",
-            call.deadline_at_s,
-            EXPECTED_STREAM_S if is_stream else EXPECTED_CALL_S,
-        )
-        try:
-            slot = await self._context.slots.acquire(request)
-        except RequestError:
-            # The last server may have been lost while the request waited.
-            if attempts.must_forward(target):
-                return None
-            raise
-        waited_s = time.monotonic() - begin_s
-        call.log.add(Admitted(target, int(waited_s * 1000)))
-        return slot
-
     async def _relay_stream(
         self, relay: StreamRelay, call: RoutedCall, target: str
     ) -> WholeAnswer | None:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -21,16 +21,14 @@
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import Run
 from sycamorestand_entry.routed.decision_log import NotImproved
-from sycamorestand_entry.routed.decision_log import NotReached
 from sycamorestand_entry.routed.decision_log import NotRepeated
 from sycamorestand_entry.routed.decision_log import Sent
+from sycamorestand_entry.routed.dials import Dials
 from sycamorestand_entry.routed.exchange import Exchange
 from sycamorestand_entry.routed.forwarder import Forwarder
 from sycamorestand_entry.routed.further_arrivals import FurtherArrivals
 from sycamorestand_entry.routed.messages import Destination
 from sycamorestand_entry.routed.targets import next_target
-from sycamorestand_entry.upstream import ConnectFailed
-from sycamorestand_entry.upstream import ConnectTimedOut
 from sycamorestand_model.declarations import VERSION_SEPARATOR
 
 if TYPE_CHECKING:
@@ -39,22 +37,12 @@
     from sycamorestand_entry.routed.exchange import ForwardingRefused
     from sycamorestand_entry.routed.header_names import HeaderNames
     from sycamorestand_entry.routed.messages import EngineOptions
-    from sycamorestand_entry.upstream import UpstreamConnection
     from sycamorestand_model.backend_servers import Announcement
 
 # A caller that retried at once would meet the same state.
 RETRY_AFTER_S: Final = 0.5
 # The route has changed already, so a retry finds the new one at once.
 MOVED_RETRY_S: Final = 0.1
-# Failed connections do not count as attempts, but a call must not dial for
-# its whole timeout if all servers of a service are gone. A refused connection
-# costs a millisecond, and the next server may be running: with a limit of
-# four dials, a crash of five of nine servers failed requests although the
-# other four were free. A connection that hangs costs a connect timeout.
-MAX_DIALS: Final = 16
-MAX_DIAL_S: Final = 1.0
-# Two dials in a row that time out show that this entry's link may be down.
-MAX_DIAL_BEFORE_FORWARDING_S: Final = 0.5
 # An entry earns several arrivals a second. A caller whose stream ends after
 # this time resumes it sooner than the entry could.
 MAX_ARRIVAL_WAIT_S: Final = 1.0
@@ -81,17 +69,17 @@
         self.sent = 0
         self.runs = 0
         self.may_have_run = False
+        self._has_earned = False
+        self._forwarded: Exchange | None = None
         self._arrivals = FurtherArrivals(context, call)
         self._forwarder = Forwarder(context, header_names, call)
         self._tried: set[str] = set()
         self._sent_to: Counter[str] = Counter()
-        self._unreachable: set[str] = set()
         self._lost: set[str] = set()
         self._no_urgent_attempt = ""
         self._lost_since_s = math.inf
         self._target = ""
-        self._failed_dials = 0
-        self._dialled_s = 0.0
+        self._dials = Dials(context, call)
 
     @property
     def left(self) -> int:
@@ -327,7 +315,9 @@
                     return exchange
             server = self._choose_server(target, options)
             self._tried.add(server.name)
-            connection = await self._connect(target, server)
+            connection = await self._dials.connect(
+                target, server, self._max_idle_s(server.name)
+            )
             if connection is None:
                 if self._should_forward_early(target):
                     exchange = await self._forward(target, options)
@@ -351,7 +341,7 @@
                 exchange.send()
             except NoBackendServer:
                 # The server left while the connection was opened.
-                self._failed_dials += 1
+                self._dials.record_failure()
                 self._check_dials()
                 continue
             except NotAllowed as error:
@@ -364,16 +354,22 @@
     async def _forward(
         self, target: str, options: EngineOptions
     ) -> Exchange | None:
+        tried = self._servers_tried()
         try:
-            exchange = await self._forwarder.open(
-                target, options, frozenset(self._tried - self._unreachable)
-            )
+            exchange = await self._forwarder.open(target, options, tried)
         except NotAllowed as error:
             raise _moved(error) from None
         if exchange is not None:
+            self._forwarded = exchange
             self._record_sent()
         return exchange
 
+    def _servers_tried(self) -> frozenset[str]:
+        """Return the servers that got the request, from whichever entry."""
+        if self._forwarded is not None and self._forwarded.forwarded_to:
+            self._tried.add(self._forwarded.forwarded_to)
+        return frozenset(self._tried - self._dials.unreachable)
+
     def _should_forward_early(self, target: str) -> bool:
         """Return whether to forward before all servers are known as lost.
 
@@ -381,15 +377,16 @@
         of a short call.
         """
         return (
-            self._dialled_s >= MAX_DIAL_BEFORE_FORWARDING_S
+            self._dials.show_lost_link
             and self.left > 0
             and self._forwarder.is_possible(target)
         )
 
     def _record_sent(self) -> None:
         # The entry that forwards the call to this one has recorded it.
-        if not self.sent and self.call.forwarded is None:
+        if not self._has_earned and self.call.forwarded is None:
             self._arrivals.record_first()
+        self._has_earned = True
         self.sent += 1
         self._lost_since_s = math.inf
 
@@ -416,15 +413,16 @@
     ) -> Announcement:
         servers = self.context.servers
         now_s = self.context.now_s()
+        is_retry = self.sent > 0 or self.call.forwarded is not None
         known = servers.find_available(target, options.known, now_s)
-        if known is not None and options.known not in self._unreachable:
+        if known is not None and options.known not in self._dials.unreachable:
             return known
         return servers.choose(
             target,
             now_s,
             frozenset(self._tried),
             options.affinity_key,
-            self.sent > 0 and self.call.may_repeat,
+            is_retry and self.call.may_repeat,
             self._allowed_servers(target),
         )
 
@@ -436,7 +434,7 @@
         context = self.context
         allowed = None
         if not self.left:
-            allowed = set(self._sent_to) - self._unreachable - self._lost
+            allowed = set(self._sent_to) - self._dials.unreachable - self._lost
         if context.servers.is_unreached(target):
             announced = context.control.backend_servers()
             names = announced if allowed is None else allowed & set(announced)
@@ -447,26 +445,6 @@
             }
         return allowed
 
-    async def _connect(
-        self, target: str, server: Announcement
-    ) -> UpstreamConnection | None:
-        begin_s = self.context.now_s()
-        try:
-            return await self.context.pool.acquire(
-                server.address, self._max_idle_s(server.name)
-            )
-        except ConnectFailed as error:
-            now_s = self.context.now_s()
-            self._dialled_s += now_s - begin_s
-            if not isinstance(error, ConnectTimedOut):
-                servers = self.context.servers
-                servers.record_start(target, server.name, now_s)
-                servers.record_finish(target, server.name, now_s, 0.0, "error")
-            self._unreachable.add(server.name)
-            self.call.log.add(NotReached(server.name))
-            self._failed_dials += 1
-            return None
-
     def _log_sent(self, destination: Destination) -> None:
         servers = self.context.servers
         now_s = self.context.now_s()
@@ -499,10 +477,7 @@
 
     def _check_dials(self) -> None:
         """Raise after too many servers that could not be reached."""
-        exhausted = (
-            self._failed_dials >= MAX_DIALS or self._dialled_s >= MAX_DIAL_S
-        )
-        if exhausted or self.call.remaining_s() <= 0:
+        if self._dials.is_exhausted or self.call.remaining_s() <= 0:
             raise self.final_error("no backend server takes a connection")
 
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -111,7 +111,9 @@
                 answer = await self._relay(exchange)
             except _Escalation as escalation:
                 self._attempts.may_have_run = True
-                self._prefilled_server = exchange.destination.server.name
+                if not exchange.is_forwarded:
+                    server = exchange.destination.server
+                    self._prefilled_server = server.name
                 self._size_index = escalation.size
                 continue
             except ForwardingRefused as refused:
--- a/packages/sycamorestand-entry/tests/routed/test_cut_off_entry.py
+++ b/packages/sycamorestand-entry/tests/routed/test_cut_off_entry.py
@@ -226,6 +226,33 @@
         assert len(servers) == len(set(servers)) == 2
         assert added == [1, 0]
 
+    async def test_request_earns_arrivals_once(self) -> None:
+        """Each entry that refused it made it earn again."""
+        async with start_group(3) as (cut_off, *others):
+            await cut_found(cut_off, "reset", "/none/")
+            for other in others:
+                other.control.servers = {}
+            before = first_arrivals(cut_off)
+            answer = await cut_off.ask("/stock/1")
+            added = first_arrivals(cut_off) - before
+        assert status(answer) == 503
+        assert added == 1
+
+    async def test_retry_goes_to_another_server(self) -> None:
+        """The other entry chose the server that had just failed."""
+        async with start_group(handler=fail) as (cut_off, _):
+            servers = cut_off.control.servers
+            for name in list(servers)[2:]:
+                del servers[name]
+            await cut_found(cut_off, "reset", "/none/")
+            earn_arrivals(cut_off, 40)
+            names = []
+            for number in range(4):
+                before = len(cut_off.requests)
+                await cut_off.ask("/stock/1", x_attempt=f"a-{number}")
+                names += [sorted(n for n, _ in cut_off.requests[before:])]
+        assert names == [["s-0", "s-1"]] * 4
+
     async def test_server_gets_what_is_left_of_the_deadline(self) -> None:
         """The other entry counted the caller's time anew."""
         async with start_group() as (cut_off, _):
