--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -328,6 +328,8 @@
             servers = self.context.servers
             if servers.is_over_limit(target, server, self.context.now_s()):
                 self.context.pool.release(server.address, connection)
+                self._dials.record_failure()
+                self._check_dials()
                 continue
             destination = Destination(target, server, options)
             exchange = Exchange(
@@ -415,7 +417,10 @@
         now_s = self.context.now_s()
         is_retry = self.sent > 0 or self.call.forwarded is not None
         known = servers.find_available(target, options.known, now_s)
-        if known is not None and options.known not in self._dials.unreachable:
+        is_unreachable = options.known in self._dials.unreachable
+        if known is not None and not (
+            is_unreachable or servers.is_over_limit(target, known, now_s)
+        ):
             return known
         return servers.choose(
             target,
