A pause of the entry's process is no timeout of its dials

Cause: asyncio hands over the events of sockets and the timers that are due in the same turn. A process that does not run for the time of a dial finds both, and the timeout cancels a dial that the peer has accepted. One pause fails all dials of that moment at once; at a cut-off entry with one other entry left, nothing else remains to be asked.

Evidence: the pool kept 3 idle connections to the other entry, and 3 requests were served.

Change: after its time a dial gets the few turns of the event loop in which an accepted connection shows. Both new tests failed before.

The tests' load no longer gives requests up midway: another entry could still run one of them, and the count was one too high once (31 of 30).

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_pool.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_pool.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from sycamorestand_decisions.server_loss import ServerLoss
+from sycamorestand_entry.dial_timeout import dial_timeout
 from sycamorestand_entry.upstream import ConnectFailed
 from sycamorestand_entry.upstream import ConnectTimedOut
 from sycamorestand_entry.upstream import PeerActivity
@@ -148,7 +149,7 @@
         host, _, port = address.rpartition(":")
         activity = self._activities.setdefault(address, PeerActivity())
         try:
-            async with asyncio.timeout(self.connect_timeout_s):
+            async with dial_timeout(self.connect_timeout_s):
                 _, connection = await loop.create_connection(
                     lambda: UpstreamConnection(loop, activity),
                     host.strip("[]"),
--- a/packages/sycamorestand-entry/tests/routed/test_cut_off_entry.py
+++ b/packages/sycamorestand-entry/tests/routed/test_cut_off_entry.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 import re
+import time
 from typing import Final
 
 import anyio
@@ -28,6 +30,7 @@
 from sycamorestand_entry.routed.forwarding import ForwardedAttempt
 from sycamorestand_entry.routed.forwarding import seal_attempt
 from sycamorestand_entry.routed.forwarding import SignedRequest
+from sycamorestand_entry.upstream import UpstreamConnection
 
 pytestmark = pytest.mark.anyio
 END: Final = b"0\r\n\r\n"
@@ -323,6 +326,26 @@
         assert status(answer) == 503
         assert b"retry-after" in answer
 
+    async def test_burst_outlasts_a_pause_of_the_process(self) -> None:
+        """The only other entry had accepted, but its dials had timed out."""
+        async with start_group() as (cut_off, other):
+            await cut_found(cut_off, "reset")
+            pool = cut_off.entry.context.pool
+            connect = pool._connect
+            pauses = [2 * pool.connect_timeout_s]
+
+            async def dial(
+                address: str, loop: asyncio.AbstractEventLoop
+            ) -> UpstreamConnection:
+                if pauses and address == address_of(other):
+                    loop.call_soon(time.sleep, pauses.pop())
+                return await connect(address, loop)
+
+            pool._connect = dial  # type: ignore[method-assign]
+            answers = await ask_all(cut_off, 30)
+        assert not pauses
+        assert [status(answer) for answer in answers] == [200] * 30
+
     async def test_burst_is_admitted_by_the_forwarding_entry(self) -> None:
         """Its servers got all of it at once, beyond what they can run."""
         async with start_group(handler=answer_slowly) as (cut_off, other):
@@ -539,11 +562,14 @@
 
 
 async def ask_for(loopback: RoutedLoopback, duration_s: float) -> None:
-    """Send requests of all kinds for a while, whatever becomes of them."""
-    with anyio.move_on_after(duration_s):
-        while True:
-            await ask_all(loopback, len(PATHS))
-            await anyio.sleep(0.05)
+    """Send requests of all kinds for a while, whatever becomes of them.
+
+    None is given up: another entry may still run one that its caller left.
+    """
+    end_s = anyio.current_time() + duration_s
+    while anyio.current_time() < end_s:
+        await ask_all(loopback, len(PATHS))
+        await anyio.sleep(0.05)
 
 
 def status(answer: bytes) -> int:
--- a/packages/sycamorestand-entry/tests/test_upstream_pool.py
+++ b/packages/sycamorestand-entry/tests/test_upstream_pool.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 import math
 import socket
+import time
 
 import anyio
 from anyio.abc import SocketStream
@@ -114,6 +115,15 @@
         with pytest.raises(ConnectFailed):
             await pool.acquire(address, 30.0)
 
+    async def test_pause_of_the_process_is_no_timeout(self) -> None:
+        """All dials of a burst failed at servers that had accepted them."""
+        service = FakeService("s-1", ("orders",))
+        async with serve_on_port(service.application) as address:
+            pool = UpstreamPool(0.1, 30.0)
+            asyncio.get_running_loop().call_soon(time.sleep, 0.2)
+            connection = await pool.acquire(address, 0.0)
+            connection.close()
+
 
 class TestOpenConnections:
     async def test_address_is_listed_while_a_connection_is_open(self) -> None:
