--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 import math
 from typing import Final
 from typing import TYPE_CHECKING
@@ -28,6 +27,7 @@
 from sycamorestand_entry.routed.forwarder import Forwarder
 from sycamorestand_entry.routed.further_arrivals import FurtherArrivals
 from sycamorestand_entry.routed.messages import Destination
+from sycamorestand_entry.routed.server_choice import ServerChoice
 from sycamorestand_entry.routed.targets import next_target
 from sycamorestand_model.declarations import VERSION_SEPARATOR
 
@@ -37,7 +37,6 @@
     from sycamorestand_entry.routed.exchange import ForwardingRefused
     from sycamorestand_entry.routed.header_names import HeaderNames
     from sycamorestand_entry.routed.messages import EngineOptions
-    from sycamorestand_model.backend_servers import Announcement
 
 # A caller that retried at once would meet the same state.
 RETRY_AFTER_S: Final = 0.5
@@ -70,16 +69,13 @@
         self.runs = 0
         self.may_have_run = False
         self._has_earned = False
-        self._forwarded: Exchange | None = None
         self._arrivals = FurtherArrivals(context, call)
         self._forwarder = Forwarder(context, header_names, call)
-        self._tried: set[str] = set()
-        self._sent_to: Counter[str] = Counter()
-        self._lost: set[str] = set()
         self._no_urgent_attempt = ""
         self._lost_since_s = math.inf
         self._target = ""
         self._dials = Dials(context, call)
+        self._choice = ServerChoice(context, call, self._dials)
 
     @property
     def left(self) -> int:
@@ -88,9 +84,8 @@
         Attempts at servers that were lost do not count: the limit keeps a
         request from loading many servers, and those do no work any more.
         """
-        at_lost = sum(self._sent_to[name] for name in self._lost)
-        limit = self.call.route.max_attempts
-        return max(0, limit + at_lost - self.sent)
+        limit = self.call.route.max_attempts + self._choice.sent_to_lost
+        return max(0, limit - self.sent)
 
     def is_at_lost_server(self, exchange: Exchange) -> bool:
         """Return whether the attempt's server is lost now."""
@@ -101,13 +96,13 @@
         """Return whether the attempt's server is lost now, and note it."""
         name = exchange.destination.server.name
         if not self.is_at_lost_server(exchange):
-            self._lost.discard(name)
+            self._choice.lost.discard(name)
             self._lost_since_s = math.inf
             return False
         # The loss of an entry that forwards the attempt is none of its server.
-        is_few = len(self._lost) < self.call.route.max_attempts
+        is_few = len(self._choice.lost) < self.call.route.max_attempts
         if is_few and not exchange.is_forwarded:
-            self._lost.add(name)
+            self._choice.lost.add(name)
         self._lost_since_s = min(self._lost_since_s, self.context.now_s())
         return True
 
@@ -192,10 +187,7 @@
         """
         if self.context.servers.is_unreached(target):
             return False
-        candidates = self.context.servers.candidates(
-            target, self.context.now_s()
-        )
-        if all(server.name in self._tried for server in candidates):
+        if not self._choice.has_untried(target):
             return False
         limit = "arrivals_kept"
         if await self._arrivals.has_spare():
@@ -221,7 +213,7 @@
     def _reason_no_server(self, target: str) -> str:
         servers = self.context.servers
         now_s = self.context.now_s()
-        allowed = self._allowed_servers(target)
+        allowed = self._choice.allowed(target, self.left > 0)
         if servers.has_available_server(target, now_s, allowed):
             return ""
         if self.must_forward(target):
@@ -240,7 +232,7 @@
 
     def exclude(self, servers: tuple[str, ...]) -> None:
         """Do not choose these servers if there are others."""
-        self._tried.update(servers)
+        self._choice.exclude(servers)
 
     def record_forwarding_refused(self, refused: ForwardingRefused) -> None:
         """Record that another entry did not send the request to a server.
@@ -313,10 +305,13 @@
                 exchange = await self._forward(target, options)
                 if exchange is not None:
                     return exchange
-            server = self._choose_server(target, options)
-            self._tried.add(server.name)
+            server = self._choice.choose(
+                target, options, self.sent, self.left > 0
+            )
             connection = await self._dials.connect(
-                target, server, self._max_idle_s(server.name)
+                target,
+                server,
+                self._choice.max_idle_s(server.name, self.sent),
             )
             if connection is None:
                 if self._should_forward_early(target):
@@ -348,7 +343,7 @@
                 continue
             except NotAllowed as error:
                 raise _moved(error) from None
-            self._sent_to[server.name] += 1
+            self._choice.record_sent(server.name)
             self._record_sent()
             self._log_sent(destination)
             return exchange
@@ -356,22 +351,16 @@
     async def _forward(
         self, target: str, options: EngineOptions
     ) -> Exchange | None:
-        tried = self._servers_tried()
+        tried = self._choice.tried_servers()
         try:
             exchange = await self._forwarder.open(target, options, tried)
         except NotAllowed as error:
             raise _moved(error) from None
         if exchange is not None:
-            self._forwarded = exchange
+            self._choice.record_forwarded(exchange)
             self._record_sent()
         return exchange
 
-    def _servers_tried(self) -> frozenset[str]:
-        """Return the servers that got the request, from whichever entry."""
-        if self._forwarded is not None and self._forwarded.forwarded_to:
-            self._tried.add(self._forwarded.forwarded_to)
-        return frozenset(self._tried - self._dials.unreachable)
-
     def _should_forward_early(self, target: str) -> bool:
         """Return whether to forward before all servers are known as lost.
 
@@ -410,46 +399,6 @@
             return BackendFailed(message, None, run)
         return NoBackendServer(message, RETRY_AFTER_S)
 
-    def _choose_server(
-        self, target: str, options: EngineOptions
-    ) -> Announcement:
-        servers = self.context.servers
-        now_s = self.context.now_s()
-        is_retry = self.sent > 0 or self.call.forwarded is not None
-        known = servers.find_available(target, options.known, now_s)
-        is_unreachable = options.known in self._dials.unreachable
-        if known is not None and not (
-            is_unreachable or servers.is_over_limit(target, known, now_s)
-        ):
-            return known
-        return servers.choose(
-            target,
-            now_s,
-            frozenset(self._tried),
-            options.affinity_key,
-            is_retry and self.call.may_repeat,
-            self._allowed_servers(target),
-        )
-
-    def _allowed_servers(self, target: str) -> set[str] | None:
-        """Return the names of the servers to choose from, None for all.
-
-        If all servers refuse connections, those with an open one are left.
-        """
-        context = self.context
-        allowed = None
-        if not self.left:
-            allowed = set(self._sent_to) - self._dials.unreachable - self._lost
-        if context.servers.is_unreached(target):
-            announced = context.control.backend_servers()
-            names = announced if allowed is None else allowed & set(announced)
-            allowed = {
-                name
-                for name in names
-                if context.pool.idle_count(announced[name].address)
-            }
-        return allowed
-
     def _log_sent(self, destination: Destination) -> None:
         servers = self.context.servers
         now_s = self.context.now_s()
@@ -467,19 +416,6 @@
         )
         self.call.log.add(sent)
 
-    def _max_idle_s(self, server: str) -> float:
-        if self.call.may_repeat and self.sent == 0:
-            return self.context.settings.pool_idle_s
-        if server in self._sent_to:
-            # A late answer to the first attempt at this server echoes the
-            # same attempt id as the answer to this one. Only a new
-            # connection tells them apart.
-            return 0.0
-        # A request that may not be repeated must not be lost on an idle
-        # connection that went silent, and a retry must not meet a second
-        # such connection.
-        return self.context.settings.silent_idle_s
-
     def _check_dials(self) -> None:
         """Raise after too many servers that could not be reached."""
         if self._dials.is_exhausted or self.call.remaining_s() <= 0:
