The receiving entry counts what it refuses and what fails, too

forwarded_total{direction="in"} knew answered requests only, so that an entry that refused all, or whose attempts for others failed, looked idle there. The sender's count of refusals had no counterpart. Moved with it: the run of a forwarded request, from application.py to forwarded.py.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -19,7 +19,6 @@
 from sycamorestand_decisions.stopping import may_outlast_stop
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import InternalError
-from sycamorestand_entry.errors import NoBackendServer
 from sycamorestand_entry.errors import NoLease
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import RequestTimeout
@@ -42,7 +41,7 @@
 from sycamorestand_entry.routed.decision_log import DecisionLog
 from sycamorestand_entry.routed.decision_log import ForwardedFor
 from sycamorestand_entry.routed.decision_log import Held
-from sycamorestand_entry.routed.forwarded import relay_forwarded
+from sycamorestand_entry.routed.forwarded import answer_forwarded
 from sycamorestand_entry.routed.forwarding import ATTEMPT_HEADER
 from sycamorestand_entry.routed.forwarding import open_attempt
 from sycamorestand_entry.routed.forwarding import refusal_headers
@@ -62,7 +61,6 @@
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_entry.http_messages import Receive
     from sycamorestand_entry.http_messages import Send
-    from sycamorestand_entry.routed.forwarding import ForwardedAttempt
     from sycamorestand_entry.routed.header_names import HeaderNames
     from sycamorestand_entry.routed.headers import RawHeaders
     from sycamorestand_entry.routed.messages import WholeAnswer
@@ -72,8 +70,6 @@
 LOG: Final = logging.getLogger(__name__)
 # A request that still runs so long after its deadline is cancelled.
 DEADLINE_GRACE_S: Final = 0.1
-# Other entries have learned by then that this one reaches no server.
-UNREACHED_RETRY_S: Final = 1.0
 # Other entries can answer a retry at once.
 STOPPING_RETRY_S: Final = 0.1
 
@@ -331,7 +327,7 @@
             )
         attempts = Attempts(context, self._header_names, call)
         if call.forwarded is not None:
-            await self._run_forwarded(attempts, call.forwarded, responder)
+            await answer_forwarded(attempts, call.forwarded, responder)
             return
         target = choose_target(context, call)
         record_session(context, call, target)
@@ -362,27 +358,6 @@
         )
         return answer
 
-    async def _run_forwarded(
-        self,
-        attempts: Attempts,
-        forwarded: ForwardedAttempt,
-        responder: Responder,
-    ) -> None:
-        """Make the attempt that another entry asks for.
-
-        Raises `NoBackendServer` at once if this entry does not reach a server
-        of the target either.
-        """
-        context = self._context
-        if context.servers.is_unreached(forwarded.target):
-            message = "this entry reaches no server either"
-            raise NoBackendServer(message, UNREACHED_RETRY_S)
-        async with admitted(attempts, forwarded.target) as admission:
-            succeeded = await relay_forwarded(attempts, forwarded, responder)
-            admission.failed = not succeeded
-        labels = {"direction": "in", "result": "answered"}
-        context.metrics.forwarded.inc(labels)
-
     async def _relay_stream(
         self, relay: StreamRelay, call: RoutedCall, target: str
     ) -> WholeAnswer | None:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarded.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarded.py
@@ -9,9 +9,13 @@
 
 from __future__ import annotations
 
+from typing import Final
 from typing import TYPE_CHECKING
 
 from sycamorestand_entry.errors import BackendFailed
+from sycamorestand_entry.errors import NoBackendServer
+from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.routed.admitted import admitted
 from sycamorestand_entry.routed.forwarding import SERVER_HEADER
 from sycamorestand_entry.routed.messages import answer_headers
 from sycamorestand_entry.routed.messages import EngineOptions
@@ -29,14 +33,47 @@
     from sycamorestand_entry.upstream import ResponseHead
 
 
-async def relay_forwarded(
+# Other entries have learned by then that this one reaches no server.
+UNREACHED_RETRY_S: Final = 1.0
+
+
+async def answer_forwarded(
     attempts: Attempts, forwarded: ForwardedAttempt, responder: Responder
-) -> bool:
-    """Make the attempt, relay its answer and return whether it succeeded.
+) -> None:
+    """Make the attempt and relay its answer.
 
-    Raises a `RequestError` if no server answered, and `StreamBroken` if the
-    answer broke off after a part of it was relayed.
+    Raises a `RequestError` if no server answered, at once if this entry does
+    not reach a server of the target either, and `StreamBroken` if the answer
+    broke off after a part of it was relayed.
     """
+    result = "failed"
+    try:
+        await _answer(attempts, forwarded, responder)
+        result = "answered"
+    except RequestError as error:
+        if error.run == "not_run":
+            result = "refused"
+        raise
+    finally:
+        labels = {"direction": "in", "result": result}
+        attempts.context.metrics.forwarded.inc(labels)
+
+
+async def _answer(
+    attempts: Attempts, forwarded: ForwardedAttempt, responder: Responder
+) -> None:
+    if attempts.context.servers.is_unreached(forwarded.target):
+        message = "this entry reaches no server either"
+        raise NoBackendServer(message, UNREACHED_RETRY_S)
+    async with admitted(attempts, forwarded.target) as admission:
+        succeeded = await _make_attempt(attempts, forwarded, responder)
+        admission.failed = not succeeded
+
+
+async def _make_attempt(
+    attempts: Attempts, forwarded: ForwardedAttempt, responder: Responder
+) -> bool:
+    """Make the attempt, relay its answer and return whether it succeeded."""
     attempts.exclude(forwarded.tried)
     options = EngineOptions(
         forwarded.affinity_key,
@@ -107,4 +144,4 @@
     return [*headers, (SERVER_HEADER, server.encode())]
 
 
-__all__ = ["relay_forwarded"]
+__all__ = ["answer_forwarded"]
--- a/packages/sycamorestand-entry/tests/routed/test_cut_off_entry.py
+++ b/packages/sycamorestand-entry/tests/routed/test_cut_off_entry.py
@@ -208,7 +208,9 @@
             before = len(cut_off.requests)
             answer = await cut_off.ask("/order/1")
             runs = len(cut_off.requests) - before
+            refused = forwarded(other, "refused")
         assert status(answer) == 503
+        assert refused == 1
         assert b"x-forwarding" not in answer
         assert runs == 0
 
@@ -473,9 +475,9 @@
         loopback.control.entry_addresses = addresses
 
 
-def forwarded(loopback: RoutedLoopback) -> int:
-    """Return how many requests the entry has answered for others."""
-    labels = {"direction": "in", "result": "answered"}
+def forwarded(loopback: RoutedLoopback, result: str = "answered") -> int:
+    """Return how many requests for others ended with the result."""
+    labels = {"direction": "in", "result": result}
     return int(
         loopback.entry.context.metrics.forwarded.values.get(labels) or 0
     )
