The soak also lets connections to servers live on, or hang

servers_cut closed all connections of an entry to backend servers and refused new ones. Two more kinds: servers_refused, where open connections live on, and servers_hung, where all connections carry nothing; a proxy cannot keep the kernel from accepting new ones.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
@@ -165,8 +165,8 @@
                 self._inject_link_fault(step)
             case "isolate" | "reset" | "delay":
                 self._inject_proxy_fault(step)
-            case "servers_cut":
-                self._cut_from_servers(step.target, step.for_s)
+            case "servers_cut" | "servers_refused" | "servers_hung":
+                self._cut_from_servers(step)
             case "server_leaves":
                 self._announce_leave(step.target)
             case fault:
@@ -323,17 +323,22 @@
 
         self._schedule_after(step.for_s, heal)
 
-    def _cut_from_servers(self, entry: str, for_s: float) -> None:
+    def _cut_from_servers(self, step: Step) -> None:
         """Cut one entry off from all backend servers; others reach them."""
         proxies = self._list_server_proxies()
         for proxy in proxies:
-            self._system.call_in_loop(proxy.cut, entry)
+            inject = {
+                "servers_cut": proxy.cut,
+                "servers_refused": proxy.refuse,
+                "servers_hung": proxy.hang,
+            }[step.fault]
+            self._system.call_in_loop(inject, step.target)
 
         def heal() -> None:
             for proxy in proxies:
                 self._system.call_in_loop(proxy.heal)
 
-        self._schedule_after(for_s, heal)
+        self._schedule_after(step.for_s, heal)
 
     def _announce_leave(self, name: str) -> None:
         self._system.call_in_loop(self._system.world.announce_leave, name)
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
@@ -90,6 +90,8 @@
     "server_garbage": _FaultKind(1, "engine", 0.5, 5.0),
     "server_refuse": _FaultKind(1, "server", 0.5, 5.0),
     "servers_cut": _FaultKind(2, "entry", 0.5, 8.0),
+    "servers_refused": _FaultKind(1, "entry", 0.5, 8.0),
+    "servers_hung": _FaultKind(1, "entry", 0.5, 8.0),
     "server_leaves": _FaultKind(1, "engine", 0.0, 0.0),
 }
 
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/system/fault_proxy.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/fault_proxy.py
@@ -50,16 +50,32 @@
         self._find_sender = find_sender
         self.listen = listen
         self._refused_senders: set[str] = set()
+        self._hung_senders: set[str] = set()
         self._held_senders: dict[bool, set[str]] = {True: set(), False: set()}
         self._delay_s = 0.0
         self._open_connections: list[_Connection] = []
 
     def cut(self, sender: str = ALL_SENDERS) -> None:
         """Close a sender's connections and refuse new ones, until `heal`."""
-        self._refused_senders.add(sender)
+        self.refuse(sender)
         for connection in self._connections_of(sender):
             connection.scope.cancel()
 
+    def refuse(self, sender: str = ALL_SENDERS) -> None:
+        """Refuse a sender's new connections, until `heal`.
+
+        Open ones live on.
+        """
+        self._refused_senders.add(sender)
+
+    def hang(self, sender: str = ALL_SENDERS) -> None:
+        """Drop all data of a sender's connections, of new ones until `heal`.
+
+        New connections are accepted all the same.
+        """
+        self._hung_senders.add(sender)
+        self.blackhole(sender)
+
     def reset(self, sender: str = ALL_SENDERS) -> int:
         """Close a sender's open connections and return their number.
 
@@ -86,6 +102,7 @@
     def heal(self) -> None:
         """End every fault, except that blackholed connections stay silent."""
         self._refused_senders.clear()
+        self._hung_senders.clear()
         self._held_senders[True].clear()
         self._held_senders[False].clear()
         self._delay_s = 0.0
@@ -124,7 +141,9 @@
         if self._find_sender is not None:
             port = client.extra(SocketAttribute.remote_port)
             connection.sender = self._find_sender(int(port))
-        refused = {ALL_SENDERS, connection.sender} & self._refused_senders
+        senders = {ALL_SENDERS, connection.sender}
+        refused = senders & self._refused_senders
+        connection.silent = bool(senders & self._hung_senders)
         try:
             async with client:
                 if not refused:
--- a/packages/sycamorestand-bench/tests/soak/test_soak.py
+++ b/packages/sycamorestand-bench/tests/soak/test_soak.py
@@ -28,6 +28,8 @@
         Step(3.0, "torn_tail", "control-2", 0.2),
         Step(2.5, "servers_cut", "entry-1", 2.0),
         Step(4.0, "stop", "entry-3", 0.2),
+        Step(4.5, "servers_refused", "entry-1", 1.0),
+        Step(4.5, "servers_hung", "entry-2", 1.0),
     ),
 )
 
@@ -37,8 +39,8 @@
         """No promise is broken by overlapping faults under load.
 
         An entry is killed, a voter freezes, another voter's log ends in a
-        torn frame, links go silent or one-way, an entry is cut off from all
-        backend servers, and another one stops as planned.
+        torn frame, links go silent or one-way, entries are cut off from all
+        backend servers in three ways, and another one stops as planned.
         """
         outcome = play(tmp_path, EXAMPLES, SHORT)
         assert outcome.findings == []
