Forwarded requests are signed with a key that each entry makes at its start

The header of a forwarded request lets its bearer choose the target, the rank and the servers to leave out, on the port that callers use. It was signed with the cluster key. The role for the users' platform has that key as a constant in its source, as it guards only the links between machines there: any caller with the source could have signed a header and passed the profile's choice.

An entry now makes 16 random bytes at each start and tells them with its lease requests; control passes them to the other entries with their addresses, over links that callers do not have. The sender signs with the receiver's key; an entry without one neither gets nor takes forwarded requests. After a restart, a header signed with the old key is refused as not run, and another entry is asked.

Tests: a header signed with another entry's key, an entry without a key, and an entry that has restarted (12 of 12 answered by the other one).

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/entry_group.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/entry_group.py
@@ -27,7 +27,6 @@
 PATHS: Final = ("/stock/1", "/order/1", "/review/1")
 # The time within which an entry has to be of use to its callers again.
 FOUND_AFTER_S: Final = 3.0
-CLUSTER_KEY: Final = b"a cluster key of a test"
 SERVERS: Final = 8
 CAPACITY: Final = 64
 
@@ -37,9 +36,7 @@
     count: int = 2, handler: Handler | None = None
 ) -> AsyncIterator[list[RoutedLoopback]]:
     """Start entries, the first of which is to be cut off, and servers."""
-    settings = SETTINGS._replace(
-        connect_timeout_s=0.1, cluster_keys=lambda: (CLUSTER_KEY,)
-    )
+    settings = SETTINGS._replace(connect_timeout_s=0.1)
     async with start_entries(count, settings) as entries:
         for number in range(SERVERS):
             await entries[0].add_server(f"s-{number}", handler or answer)
@@ -266,7 +263,6 @@
     "ask_all",
     "ask_for",
     "becomes_true",
-    "CLUSTER_KEY",
     "cut_found",
     "cut_known",
     "earn_arrivals",
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
@@ -20,6 +20,7 @@
 from sycamorestand_bench.fakes.raw_server import read_request
 from sycamorestand_bench.fakes.raw_server import serve_stream
 from sycamorestand_entry.routed.application import make_routed_application
+from sycamorestand_entry.routed.forwarding import new_forwarding_key
 from sycamorestand_entry.routed.header_names import HeaderNames
 from sycamorestand_entry.server import RunningEntry
 from sycamorestand_entry.server import serve_entry
@@ -242,7 +243,9 @@
     async with AsyncExitStack() as stack:
         loopbacks: list[RoutedLoopback] = []
         for number in range(1, count + 1):
-            own = settings._replace(vm=f"vm-{number}")
+            own = settings._replace(
+                vm=f"vm-{number}", forwarding_key=new_forwarding_key()
+            )
             entry = start_routed(own, seed=number)
             loopback = await stack.enter_async_context(entry)
             loopbacks.append(loopback)
@@ -263,6 +266,7 @@
         settings.data_centre,
         loopback.entry.host,
         loopback.entry.port,
+        forwarding_key=settings.forwarding_key,
     )
 
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/tables.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/tables.py
@@ -140,6 +140,7 @@
             address.load,
             NODE_LEASE_S,
             address.unreached,
+            address.forwarding_key,
         )
         self._entries.announce(record, boottime_s())
         state = self._states.get(address.vm, EntryState(0))
@@ -199,6 +200,7 @@
                 node.load,
                 node.peer_address,
                 node.unreached,
+                node.forwarding_key,
             )
             for node in self._entries.addresses(
                 caller, data_centre, limit, draining_vms
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/peer_entries.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/peer_entries.py
@@ -41,7 +41,7 @@
 
     >>> from sycamorestand_model.entry_reports import EntryAddress
     >>> own = EntryAddress("vm-1", "a", "10.0.0.1", 80, unreached=("words",))
-    >>> other = EntryAddress("vm-2", "a", "10.0.0.2", 80)
+    >>> other = EntryAddress("vm-2", "a", "10.0.0.2", 80, forwarding_key=b"k")
     >>> peers = PeerEntries(own.vm, own.data_centre)
     >>> peers.choose([own, other], "words", 0.0).vm
     'vm-2'
@@ -75,6 +75,7 @@
             entry
             for entry in entries
             if entry.vm != self._vm
+            and entry.forwarding_key
             and not entry.stopping
             and service not in entry.unreached
             and entry.vm not in exclude
--- a/packages/sycamorestand-decisions/tests/test_peer_entries.py
+++ b/packages/sycamorestand-decisions/tests/test_peer_entries.py
@@ -17,7 +17,12 @@
 ) -> EntryAddress:
     unreached = (SERVICE,) if is_cut_off else ()
     return EntryAddress(
-        f"vm-{number}", data_centre, "10.0.0.1", 80, unreached=unreached
+        f"vm-{number}",
+        data_centre,
+        "10.0.0.1",
+        80,
+        unreached=unreached,
+        forwarding_key=b"k",
     )
 
 
@@ -39,10 +44,11 @@
 
 class TestChoice:
     def test_entries_that_cannot_forward_are_left_out(self) -> None:
-        """Such as itself, one that stops, and one that is cut off too."""
+        """Itself, one that stops or is cut off too, and one without a key."""
         entries = [
             entry(0),
             entry(1)._replace(stopping=True),
+            entry(4)._replace(forwarding_key=b""),
             entry(2, is_cut_off=True),
             entry(3),
         ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -231,7 +231,7 @@
             return call
         settings = self._context.settings
         forwarded = open_attempt(
-            value, signed_request(call), settings.cluster_keys(), settings.vm
+            value, signed_request(call), settings.forwarding_key, settings.vm
         )
         call.log.add(
             ForwardedFor(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -126,9 +126,8 @@
         if self.is_forwarded:
             labels = {"direction": "out", "result": "sent"}
             context.metrics.forwarded.inc(labels)
-            key = context.settings.cluster_keys()[0]
             return encode_forwarded(
-                self._header_names, self._call, destination, key
+                self._header_names, self._call, destination
             )
         context.servers.record_start(
             destination.target, destination.server.name, self.begin_s
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarder.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarder.py
@@ -94,7 +94,9 @@
             self._context,
             self._header_names,
             self._call,
-            Destination(target, server, options, entry.vm, tried),
+            Destination(
+                target, server, options, entry.vm, entry.forwarding_key, tried
+            ),
             connection,
         )
         exchange.send()
@@ -123,8 +125,7 @@
 
     def _next_entry(self, target: str) -> EntryAddress | None:
         context = self._context
-        is_forwarded = self._call.forwarded is not None
-        if is_forwarded or not context.settings.may_forward:
+        if self._call.forwarded is not None:
             return None
         if len(self._asked_in_vain) >= MAX_REFUSALS:
             return None
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarding.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarding.py
@@ -5,12 +5,16 @@
 `ATTEMPT_HEADER` tells the other entry to make exactly this attempt. Everything
 else about the request, such as its route and its customer, the other entry
 determines by itself, as for any request.
+
+The key is the other entry's own. It makes one at each start and tells the
+other entries by way of control, so that no caller can have it.
 """
 
 from __future__ import annotations
 
 import base64
 import binascii
+import secrets
 from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -36,6 +40,7 @@
     {ATTEMPT_HEADER, SERVER_HEADER, REFUSAL_HEADER}
 )
 NOT_RUN: Final = b"not_run"
+KEY_BYTES: Final = 16
 
 
 class ForwardedAttempt(NamedTuple):
@@ -76,6 +81,11 @@
 _DECODER: Final = msgspec.msgpack.Decoder(ForwardedAttempt)
 
 
+def new_forwarding_key() -> bytes:
+    """Return the key of an entry process that starts."""
+    return secrets.token_bytes(KEY_BYTES)
+
+
 def seal_attempt(
     attempt: ForwardedAttempt, request: SignedRequest, key: bytes
 ) -> bytes:
@@ -88,20 +98,22 @@
 def open_attempt(
     value: bytes,
     request: SignedRequest,
-    keys: tuple[bytes, ...],
+    key: bytes,
     receiver: str,
 ) -> ForwardedAttempt:
     """Return the attempt of a forwarded request.
 
-    Raises `BadRequest` unless a process with a cluster key has signed it for
-    this request and this receiver.
+    ``key`` is that of the receiver. Raises `BadRequest` if it is empty, or
+    unless it was used to sign this attempt of this request for the receiver.
     """
+    if not key:
+        raise BadRequest("this entry forwards no requests")
     try:
         data = base64.b64decode(value, validate=True)
     except binascii.Error:
         raise BadRequest("the forwarding header is malformed") from None
     tag, content = data[:TAG_BYTES], data[TAG_BYTES:]
-    if not is_authentic(tag, _signed(content, request), keys):
+    if not is_authentic(tag, _signed(content, request), (key,)):
         raise BadRequest("the forwarding header is not signed by an entry")
     try:
         attempt = _DECODER.decode(content)
@@ -142,6 +154,7 @@
     "ATTEMPT_HEADER",
     "FORWARDING_HEADERS",
     "ForwardedAttempt",
+    "new_forwarding_key",
     "open_attempt",
     "read_refusal",
     "Refusal",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/messages.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/messages.py
@@ -52,14 +52,15 @@
     """The server of a service or version that an attempt goes to.
 
     ``wanted`` are the options for the engine there. If another entry forwards
-    the attempt, ``entry`` is its VM, ``server`` has its address, and the
-    servers ``tried`` must not get it.
+    the attempt, ``entry`` is its VM, ``key`` its key for such requests,
+    ``server`` has its address, and the servers ``tried`` must not get it.
     """
 
     target: str
     server: Announcement
     wanted: EngineOptions
     entry: str = ""
+    key: bytes = b""
     tried: frozenset[str] = frozenset()
 
 
@@ -151,7 +152,7 @@
 
 
 def encode_forwarded(
-    names: HeaderNames, call: RoutedCall, destination: Destination, key: bytes
+    names: HeaderNames, call: RoutedCall, destination: Destination
 ) -> bytes:
     """Return the bytes of the request to an entry that forwards it.
 
@@ -173,7 +174,7 @@
     if b"authorization" in call.values:
         lines.append(b"authorization: " + call.values[b"authorization"])
     lines.append(b"%s: %d" % (names.deadline_ms, _left_ms(call)))
-    sealed = seal_attempt(attempt, signed_request(call), key)
+    sealed = seal_attempt(attempt, signed_request(call), destination.key)
     lines.append(b"%s: %s" % (ATTEMPT_HEADER, sealed))
     return _with_body(lines, call)
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
@@ -31,8 +31,8 @@
     ``session_idle_s`` is how long after its last request a session may
     continue. ``silent_idle_s`` is how long a connection may have been idle
     and still carry a non-idempotent request.
-    ``cluster_keys`` returns the keys with which entries sign the requests
-    that they forward for each other; without one they forward none.
+    ``forwarding_key`` is the key with which other entries sign the requests
+    that this one shall forward; without it, this one forwards none.
     """
 
     vm: str
@@ -61,12 +61,7 @@
     max_header_bytes: int = 32 * 1024
     max_answer_bytes: int = 8 * 1024 * 1024
     max_recorded_answer_bytes: int = 64 * 1024
-    cluster_keys: KeySource = no_keys
-
-    @property
-    def may_forward(self) -> bool:
-        """Return whether this entry may forward requests."""
-        return bool(self.cluster_keys())
+    forwarding_key: bytes = b""
 
 
 __all__ = ["EntrySettings"]
--- a/packages/sycamorestand-entry/tests/routed/test_forwarding.py
+++ b/packages/sycamorestand-entry/tests/routed/test_forwarding.py
@@ -9,7 +9,6 @@
 
 from sycamorestand_bench.fakes.entry_group import ask_all
 from sycamorestand_bench.fakes.entry_group import becomes_true
-from sycamorestand_bench.fakes.entry_group import CLUSTER_KEY
 from sycamorestand_bench.fakes.entry_group import cut_found
 from sycamorestand_bench.fakes.entry_group import cut_known
 from sycamorestand_bench.fakes.entry_group import earn_arrivals
@@ -20,6 +19,8 @@
 from sycamorestand_bench.fakes.entry_group import start_group
 from sycamorestand_bench.fakes.entry_group import status
 from sycamorestand_bench.fakes.routed import request_bytes
+from sycamorestand_bench.fakes.routed import RoutedLoopback
+from sycamorestand_bench.fakes.routed import start_routed
 from sycamorestand_entry.routed.forwarding import ForwardedAttempt
 from sycamorestand_entry.routed.forwarding import seal_attempt
 from sycamorestand_entry.routed.forwarding import SignedRequest
@@ -132,10 +133,8 @@
 
     async def test_signature_holds_for_its_request_only(self) -> None:
         """Whoever saw one could have used it for requests of his own."""
-        attempt = ForwardedAttempt("vm-2", "stock")
-        signed = SignedRequest(b"POST", b"/stock/1", b"a1", b"")
-        sealed = seal_attempt(attempt, signed, CLUSTER_KEY).decode()
         async with start_group() as (first, other):
+            sealed = seal_for(other, other)
             good = await other.ask("/stock/1", x_forwarded_attempt=sealed)
             others = [
                 await other.ask("/stock/2", x_forwarded_attempt=sealed),
@@ -147,6 +146,40 @@
         assert status(good) == 200
         assert [status(answer) for answer in others] == [400] * 3
 
+    async def test_key_of_another_entry_is_not_enough(self) -> None:
+        """All entries took a key that each installation had in common."""
+        async with start_group() as (first, other):
+            sealed = seal_for(other, first)
+            answer = await other.ask("/stock/1", x_forwarded_attempt=sealed)
+            runs = len(other.requests)
+        assert status(answer) == 400
+        assert runs == 0
+
+    async def test_entry_without_a_key_forwards_nothing(self) -> None:
+        """An empty key would let everybody sign."""
+        async with start_routed() as loopback:
+            sealed = seal_for(loopback, loopback)
+            answer = await loopback.ask("/stock/1", x_forwarded_attempt=sealed)
+        assert status(answer) == 400
+
+    async def test_entry_that_has_restarted_is_passed_over(self) -> None:
+        """Others sign with the key that its last process had."""
+        async with start_group(3) as (cut_off, *others):
+            await cut_known(cut_off, "reset")
+            control = cut_off.control
+            control.entry_addresses = tuple(
+                address._replace(forwarding_key=b"that of an earlier process")
+                if address.vm == "vm-2"
+                else address
+                for address in control.entry_addresses
+            )
+            answers = await ask_all(cut_off, 12)
+            refused = [forwarded(other, "refused") for other in others]
+            answered = [forwarded(other) for other in others]
+        assert [status(answer) for answer in answers] == [200] * 12
+        assert answered == [0, 12]
+        assert refused == [0, 0]
+
     async def test_caller_that_leaves_ends_the_run(self) -> None:
         """The server worked on for nobody."""
         async with start_group(handler=hold_second_event) as (cut_off, other):
@@ -158,3 +191,11 @@
             pool = other.entry.context.pool
             ended = await becomes_true(lambda: not pool.addresses_in_use())
         assert ended
+
+
+def seal_for(receiver: RoutedLoopback, signer: RoutedLoopback) -> str:
+    """Return a header for the receiver, signed with the signer's key."""
+    attempt = ForwardedAttempt(receiver.entry.context.settings.vm, "stock")
+    signed = SignedRequest(b"POST", b"/stock/1", b"a1", b"")
+    key = signer.entry.context.settings.forwarding_key
+    return seal_attempt(attempt, signed, key).decode()
--- a/packages/sycamorestand-entry/tests/routed/test_random_cuts.py
+++ b/packages/sycamorestand-entry/tests/routed/test_random_cuts.py
@@ -151,9 +151,7 @@
 class TestRandomCuts:
     async def test_promises_hold(self, seed: int) -> None:
         """At most one run, true "not run", order, attempts and deadlines."""
-        settings = SETTINGS._replace(
-            connect_timeout_s=0.1, cluster_keys=lambda: (b"k" * 32,)
-        )
+        settings = SETTINGS._replace(connect_timeout_s=0.1)
         async with start_entries(ENTRIES, settings) as entries:
             world = World(seed, entries)
             for number in range(SERVERS):
--- a/packages/sycamorestand-model/src/sycamorestand_model/entry_reports.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/entry_reports.py
@@ -10,8 +10,10 @@
 
     ``peer_address`` is where the system's other processes connect to it.
     ``unreached`` are the services and models none of whose backend servers
-    the entry reaches. New fields must come last, as fields are encoded by
-    their position.
+    the entry reaches. ``forwarding_key`` is the key with which other entries
+    sign the requests that this one shall forward for them; it must not leave
+    the system. New fields must come last, as fields are encoded by their
+    position.
     """
 
     vm: str
@@ -22,6 +24,7 @@
     load: float = 0.0
     peer_address: str = ""
     unreached: tuple[str, ...] = ()
+    forwarding_key: bytes = b""
 
 
 class VersionSample(NamedTuple):
--- a/packages/sycamorestand-state/src/sycamorestand_state/nodes.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/nodes.py
@@ -26,7 +26,8 @@
 class NodeRecord(NamedTuple):
     """One entry process; ``load`` is from 0 (idle) to 1 (saturated).
 
-    ``unreached`` are the services none of whose servers the entry reaches.
+    ``unreached`` are the services none of whose servers the entry reaches,
+    and ``forwarding_key`` is the key of requests that it shall forward.
     """
 
     name: str
@@ -41,6 +42,7 @@
     load: float = 0.0
     lease_s: float = 3.0
     unreached: tuple[str, ...] = ()
+    forwarding_key: bytes = b""
 
 
 NodeDelta = MapDelta[NodeRecord]
--- a/packages/sycamorestand/src/sycamorestand/entry_process.py
+++ b/packages/sycamorestand/src/sycamorestand/entry_process.py
@@ -9,10 +9,10 @@
 
 from sycamorestand_entry.control.link import ControlLink
 from sycamorestand_entry.control.link import LinkSettings
+from sycamorestand_entry.routed.forwarding import new_forwarding_key
 from sycamorestand_entry.server import serve_entry
 from sycamorestand_entry.settings import EntrySettings
 from sycamorestand_model.entry_reports import EntryAddress
-from sycamorestand_peer.key_file import as_key_source
 
 if TYPE_CHECKING:
     from sycamorestand_entry.server import RunningEntry
@@ -20,16 +20,19 @@
 
 async def run_entry(values: dict[str, Any], stop: anyio.Event) -> None:
     """Serve callers until ``stop`` is set and the planned stop is complete."""
+    settings = make_entry_settings(values)
     address = EntryAddress(
-        values["vm"], values["data_centre"], values["host"], values["port"]
+        settings.vm,
+        settings.data_centre,
+        settings.host,
+        settings.port,
+        forwarding_key=settings.forwarding_key,
     )
     link = ControlLink(_link_settings(values), lambda: address)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(link.run)
         async with anyio.create_task_group() as serving:
-            entry = await serving.start(
-                serve_entry, make_entry_settings(values), link
-            )
+            entry = await serving.start(serve_entry, settings, link)
             serving.start_soon(_stop_when_asked, stop, entry)
         tasks.cancel_scope.cancel()
 
@@ -61,7 +64,7 @@
         backend_keys=values["backend_key_file"],
         rating_url=values["rating_url"],
         address_ttl_s=values["address_ttl_s"],
-        cluster_keys=as_key_source(values["cluster_key_file"]),
+        forwarding_key=new_forwarding_key(),
     )
 
 
--- a/packages/sycamorestand/tests/test_settings.py
+++ b/packages/sycamorestand/tests/test_settings.py
@@ -80,7 +80,6 @@
                 "rating_url": "",
                 "address_ttl_s": 30,
                 "backend_key_file": KeyFile(path),
-                "cluster_key_file": KeyFile(path),
             }
         )
         context: Any = SimpleNamespace(
