A call does not dial servers that refused it while it knows others

Cause: after a stream had broken at two servers, the dials of all others were refused. With all tried, the choice went among all again, so mostly to those that had just refused; the two were left, not known as out of reach, and after 16 dials the call gave up. Where a service has more than 16 servers, each call gave up so until all refusals were known.

Now servers without a connection come last among those tried, and a call whose dials are exhausted asks another entry before it gives up. Both tests failed before.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/entry_group.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/entry_group.py
@@ -33,16 +33,16 @@
 
 @asynccontextmanager
 async def start_group(
-    count: int = 2, handler: Handler | None = None
+    count: int = 2, handler: Handler | None = None, servers: int = SERVERS
 ) -> AsyncIterator[list[RoutedLoopback]]:
     """Start entries, the first of which is to be cut off, and servers."""
     settings = SETTINGS._replace(connect_timeout_s=0.1)
     async with start_entries(count, settings) as entries:
-        for number in range(SERVERS):
+        for number in range(servers):
             await entries[0].add_server(f"s-{number}", handler or answer)
-        servers = entries[0].control.servers
-        for name, server in servers.items():
-            servers[name] = server._replace(capacity=CAPACITY)
+        known = entries[0].control.servers
+        for name, server in known.items():
+            known[name] = server._replace(capacity=CAPACITY)
         yield entries
 
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/dials.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/dials.py
@@ -46,11 +46,13 @@
 
     @property
     def show_lost_link(self) -> bool:
-        """Whether the dials took so long that this entry's link may be down.
+        """Whether the dials show that this entry's link may be down.
 
-        A short call would not outlast the loss of one server after another.
+        A short call would not outlast the loss of one server after another,
+        and where all refuse, there may be more than one call may dial.
         """
-        return self._dialled_s >= MAX_DIAL_BEFORE_FORWARDING_S
+        took_long = self._dialled_s >= MAX_DIAL_BEFORE_FORWARDING_S
+        return took_long or self.is_exhausted
 
     def record_failure(self) -> None:
         """Count a dial after which nothing could be sent."""
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/server_choice.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/server_choice.py
@@ -87,6 +87,7 @@
             options.affinity_key,
             is_retry and self._call.may_repeat,
             self.allowed(target, may_add),
+            self._dials.unreachable,
         )
         self._tried.add(server.name)
         return server
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -111,13 +111,15 @@
         affinity_key: str = "",
         again: bool = False,
         among: Collection[str] | None = None,
+        unreachable: Collection[str] = (),
     ) -> Announcement:
         """Return the server for one attempt.
 
         With ``again`` an excluded server is chosen if there is no other,
         because its earlier attempt may have failed on a dead connection
-        only. ``among`` limits the choice to the servers that it names.
-        Raises `NoBackendServer` if no server can be chosen.
+        only; one that is ``unreachable`` only if all are. ``among`` limits
+        the choice to the servers that it names. Raises `NoBackendServer` if
+        no server can be chosen.
         """
         candidates = self.candidates(target, now_s)
         if among is not None:
@@ -126,7 +128,8 @@
         key = affinity_key or None
         name = choose(candidates, now_s, key, frozenset(exclude))
         if name is None and again:
-            name = choose(candidates, now_s)
+            name = choose(candidates, now_s, None, frozenset(unreachable))
+            name = name or choose(candidates, now_s)
         server = self._control.backend_servers().get(name or "")
         if server is None:
             raise NoBackendServer(
--- a/packages/sycamorestand-entry/tests/routed/test_cut_off_entry.py
+++ b/packages/sycamorestand-entry/tests/routed/test_cut_off_entry.py
@@ -30,6 +30,7 @@
 from sycamorestand_bench.fakes.server_cut import CutKind
 from sycamorestand_bench.fakes.server_cut import ServerCut
 from sycamorestand_decisions.peer_entries import MAX_FORWARDED
+from sycamorestand_entry.routed.dials import MAX_DIALS
 from sycamorestand_entry.upstream import UpstreamConnection
 
 pytestmark = pytest.mark.anyio
@@ -84,6 +85,13 @@
         assert [status(answer) for answer in answers] == [200] * 30
         assert count == 30
 
+    async def test_more_servers_than_a_call_dials_all_refuse(self) -> None:
+        """Each call gave up after its dials, as it knew too few refusals."""
+        async with start_group(servers=MAX_DIALS + 4) as (cut_off, _):
+            ServerCut(cut_off).begin("reset")
+            answer = await cut_off.ask("/stock/1")
+        assert status(answer) == 200
+
     async def test_its_own_links_are_used_again_after_the_cut(self) -> None:
         """It went on with requests to other entries."""
         async with start_group() as (cut_off, other):
--- a/packages/sycamorestand-entry/tests/routed/test_server_choice.py
+++ b/packages/sycamorestand-entry/tests/routed/test_server_choice.py
@@ -4,7 +4,6 @@
 
 import math
 
-import anyio
 from anyio.abc import SocketStream
 import pytest
 
@@ -58,6 +57,26 @@
             )
         assert server.name == "s-2"
 
+    async def test_server_that_took_no_connection_comes_last(self) -> None:
+        """A call dialled three of them again and again until it gave up.
+
+        A server whose connection had broken was left, and its refusal would
+        have shown that this entry reaches none.
+        """
+        async with start_routed() as loopback:
+            await add_servers(loopback, 4)
+            dials = Dials(loopback.entry.context, call(loopback))
+            choice = server_choice(loopback, dials)
+            choice.exclude(("s-0", "s-1", "s-2", "s-3"))
+            dials.unreachable.update(("s-0", "s-1", "s-3"))
+            names = {
+                choice.choose(
+                    "stock", EngineOptions(), sent=1, may_add=True
+                ).name
+                for _ in range(20)
+            }
+        assert names == {"s-2"}
+
     async def test_servers_of_other_entries_attempts_come_last(self) -> None:
         async with start_routed() as loopback:
             await add_servers(loopback, 3)
@@ -93,10 +112,18 @@
     servers.record_start("stock", name, now_s)
 
 
-def server_choice(loopback: RoutedLoopback) -> ServerChoice:
+def server_choice(
+    loopback: RoutedLoopback, dials: Dials | None = None
+) -> ServerChoice:
     """Return the choice for a new call."""
     context = loopback.entry.context
-    call = RoutedCall(
+    new = call(loopback)
+    return ServerChoice(context, new, dials or Dials(context, new))
+
+
+def call(loopback: RoutedLoopback) -> RoutedCall:
+    """Return a call that has just come."""
+    return RoutedCall(
         STOCK,
         "",
         0,
@@ -108,8 +135,7 @@
         [],
         {},
         b"",
-        anyio.current_time() + STOCK.timeout_ms / 1000,
+        loopback.entry.context.now_s() + STOCK.timeout_ms / 1000,
         DecisionLog(),
         lambda: math.inf,
     )
-    return ServerChoice(context, call, Dials(context, call))
