An ejected server does not keep an entry from forwarding

The service had five servers; the fifth was ejected after its connections had been reset. Ejected servers get no work and so no dials, and an entry forwarded only once a refused dial or silence had shown each server to be out of reach.

The class is that of the incident: nothing looked at whether the way that was left was open. A server that is ejected now counts as out of reach where all others are.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/entry_group.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/entry_group.py
@@ -92,7 +92,8 @@
     no server that refuses.
     """
     with anyio.fail_after(10):
-        while not loopback.entry.context.servers.is_unreached("stock"):
+        context = loopback.entry.context
+        while not context.servers.is_unreached("stock", context.now_s()):
             await ask_all(loopback, 4 * SERVERS)
 
 
@@ -156,6 +157,16 @@
         context.retries.record_success(ANONYMOUS, context.now_s())
 
 
+def eject(loopback: RoutedLoopback, name: str) -> None:
+    """Let the entry eject a server after failures."""
+    context = loopback.entry.context
+    servers = context.servers
+    for _ in range(20):
+        servers.record_start("stock", name, context.now_s())
+        servers.record_finish("stock", name, context.now_s(), 0.1, "error")
+    assert not servers.has_available_server("stock", context.now_s(), {name})
+
+
 def address_of(loopback: RoutedLoopback) -> str:
     """Return the address at which other entries reach this one."""
     return f"{loopback.entry.host}:{loopback.entry.port}"
@@ -268,6 +279,7 @@
     "earn_arrivals",
     "fail",
     "first_arrivals",
+    "eject",
     "forwarded",
     "FOUND_AFTER_S",
     "hold_second_event",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -58,7 +58,7 @@
         for address in context.control.addresses()
         if not address.stopping and address.vm not in leaving
     ]
-    unreached = context.servers.unreached_services()
+    unreached = context.servers.unreached_services(context.now_s())
     usable = prefer_reaching(
         usable, context.settings.vm, tuple(sorted(unreached))
     )
@@ -117,7 +117,8 @@
     metrics.lease_remaining.set({}, context.control.lease_remaining_s())
     metrics.entries.set({}, context.control.entry_count())
     metrics.lost.set({}, len(context.server_loss.lost))
-    metrics.unreached.set({}, len(context.servers.unreached_services()))
+    unreached = context.servers.unreached_services(context.now_s())
+    metrics.unreached.set({}, len(unreached))
     metrics.addresses.set({}, len(context.control.addresses()))
     for target, pool in context.slots.metrics().items():
         for state in ("slots", "in_flight", "waiting"):
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -185,7 +185,7 @@
         An attempt that another entry forwards is not moved: that entry has
         chosen among all servers.
         """
-        if self.context.servers.is_unreached(target):
+        if self._is_unreached(target):
             return False
         if not self._choice.has_untried(target):
             return False
@@ -226,10 +226,14 @@
         That is the case while this entry reaches none of the target's servers
         and another one does.
         """
-        if not self.left or not self.context.servers.is_unreached(target):
+        if not self.left or not self._is_unreached(target):
             return False
         return self._forwarder.is_possible(target)
 
+    def _is_unreached(self, target: str) -> bool:
+        now_s = self.context.now_s()
+        return self.context.servers.is_unreached(target, now_s)
+
     def exclude(self, servers: tuple[str, ...]) -> None:
         """Do not choose these servers if there are others."""
         self._choice.exclude(servers)
@@ -243,7 +247,7 @@
         self._forwarder.record_refusal(refused.entry, refused.refusal)
         if self.call.remaining_s() <= 0:
             raise self.final_error("its time is over")
-        is_unreached = self.context.servers.is_unreached(self._target)
+        is_unreached = self._is_unreached(self._target)
         if is_unreached and not self._forwarder.is_possible(self._target):
             raise self.correct_run_state(self._forwarder.refusal_error())
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarded.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarded.py
@@ -62,7 +62,8 @@
 async def _answer(
     attempts: Attempts, forwarded: ForwardedAttempt, responder: Responder
 ) -> None:
-    if attempts.context.servers.is_unreached(forwarded.target):
+    context = attempts.context
+    if context.servers.is_unreached(forwarded.target, context.now_s()):
         message = "this entry reaches no server either"
         raise NoBackendServer(message, UNREACHED_RETRY_S)
     async with admitted(attempts, forwarded.target) as admission:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/server_choice.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/server_choice.py
@@ -101,7 +101,7 @@
         names = None
         if not may_add:
             names = set(self._sent_to) - self._dials.unreachable - self.lost
-        if context.servers.is_unreached(target):
+        if context.servers.is_unreached(target, context.now_s()):
             announced = context.control.backend_servers()
             names = set(announced) if names is None else names & set(announced)
             names = {
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -74,33 +74,50 @@
             for server in holders
         ]
 
-    def unreached_services(self) -> frozenset[str]:
+    def unreached_services(self, now_s: float) -> frozenset[str]:
         """Return the services and models none of whose servers is reached.
 
         Those without any server that takes work are not among them.
         """
         if not self._loss.has_unreachable:
             return frozenset()
-        reached: set[str] = set()
-        unreached: set[str] = set()
+        holders: dict[str, list[Announcement]] = {}
         for server in self._control.backend_servers().values():
             if not server.leaving:
-                names = {_service(version) for version in server.versions}
-                is_unreachable = self._loss.is_unreachable(server.address)
-                (unreached if is_unreachable else reached).update(names)
-        return frozenset(unreached - reached)
+                for service in {_service(name) for name in server.versions}:
+                    holders.setdefault(service, []).append(server)
+        return frozenset(
+            service
+            for service, servers in holders.items()
+            if self._reaches_none(service, servers, now_s)
+        )
 
-    def is_unreached(self, target: str) -> bool:
+    def is_unreached(self, target: str, now_s: float) -> bool:
         """Return whether the target has servers and none is reached."""
         if not self._loss.has_unreachable:
             return False
         holders = [
-            server.address
+            server
             for server in self._control.backend_servers().values()
             if target in server.versions and not server.leaving
         ]
-        return bool(holders) and all(
-            self._loss.is_unreachable(address) for address in holders
+        return self._reaches_none(target, holders, now_s)
+
+    def _reaches_none(
+        self, target: str, servers: list[Announcement], now_s: float
+    ) -> bool:
+        """Return whether all servers are unreachable, ejected ones aside.
+
+        These get no work and no dials, so nothing shows whether they can be
+        reached. If all others cannot, they probably cannot either.
+        """
+        is_unreachable = self._loss.is_unreachable
+        if not any(is_unreachable(server.address) for server in servers):
+            return False
+        is_ejected = self._selector(target).is_ejected
+        return all(
+            is_unreachable(server.address) or is_ejected(server.name, now_s)
+            for server in servers
         )
 
     def choose(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/unreached.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/unreached.py
@@ -24,7 +24,7 @@
     reported: frozenset[str] = frozenset()
     while True:
         await anyio.sleep(POLL_S)
-        unreached = context.servers.unreached_services()
+        unreached = context.servers.unreached_services(context.now_s())
         if unreached == reported:
             continue
         for service in sorted(unreached - reported):
--- a/packages/sycamorestand-entry/tests/routed/test_cut_off_entry.py
+++ b/packages/sycamorestand-entry/tests/routed/test_cut_off_entry.py
@@ -17,6 +17,7 @@
 from sycamorestand_bench.fakes.entry_group import cut_found
 from sycamorestand_bench.fakes.entry_group import cut_known
 from sycamorestand_bench.fakes.entry_group import earn_arrivals
+from sycamorestand_bench.fakes.entry_group import eject
 from sycamorestand_bench.fakes.entry_group import forwarded
 from sycamorestand_bench.fakes.entry_group import FOUND_AFTER_S
 from sycamorestand_bench.fakes.entry_group import hold_second_event
@@ -92,6 +93,21 @@
             answer = await cut_off.ask("/stock/1")
         assert status(answer) == 200
 
+    async def test_ejected_server_does_not_keep_it_from_forwarding(
+        self,
+    ) -> None:
+        """It was not dialled, so that it did not count as out of reach."""
+        async with start_group() as (cut_off, _):
+            cut = ServerCut(cut_off)
+            await ask_all(cut_off, 30)
+            eject(cut_off, "s-0")
+            cut.begin("reset")
+            answers = await ask_all(cut_off, 9)
+            await anyio.sleep(0.3)
+            told = cut_off.control.unreached
+        assert [status(answer) for answer in answers] == [200] * 9
+        assert told == {"stock"}
+
     async def test_its_own_links_are_used_again_after_the_cut(self) -> None:
         """It went on with requests to other entries."""
         async with start_group() as (cut_off, other):
