A dial that hangs at the last server, or for another entry, is not repeated

An entry whose other servers are all known as lost dialled the last one, and refused the call, as that server is not known as lost before several dials have failed: now the dials of the call count too. And an entry that makes an attempt for another one dialled one server after the other for a second: it now refuses, as not run, when the first dial has timed out, so that the other entry can ask a further one. Refused dials, which take a millisecond, go on as before. Both tests failed before.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -231,8 +231,9 @@
         return self._forwarder.is_possible(target)
 
     def _is_unreached(self, target: str) -> bool:
-        now_s = self.context.now_s()
-        return self.context.servers.is_unreached(target, now_s)
+        return self.context.servers.is_unreached(
+            target, self.context.now_s(), self._dials.unreachable
+        )
 
     def exclude(self, servers: tuple[str, ...]) -> None:
         """Do not choose these servers if there are others."""
@@ -322,6 +323,7 @@
                     exchange = await self._forward(target, options)
                     if exchange is not None:
                         return exchange
+                self._refuse_hung_forwarding()
                 self._check_dials()
                 continue
             servers = self.context.servers
@@ -365,6 +367,15 @@
             self._record_sent()
         return exchange
 
+    def _refuse_hung_forwarding(self) -> None:
+        """Raise if a dial for another entry has timed out.
+
+        This entry's link may be down too, and the other entry can ask a
+        further one.
+        """
+        if self.call.forwarded is not None and self._dials.has_timed_out:
+            raise self.final_error("a backend server takes no connection")
+
     def _should_forward_early(self, target: str) -> bool:
         """Return whether to forward before all servers are known as lost.
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/dials.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/dials.py
@@ -29,11 +29,13 @@
 class Dials:
     """The dials of one call.
 
-    ``unreachable`` are the names of the servers that took no connection.
+    ``unreachable`` are the names of the servers that took no connection, and
+    ``has_timed_out`` tells whether one of them did not even refuse it.
     """
 
     def __init__(self, context: EntryContext, call: RoutedCall) -> None:
         self.unreachable: set[str] = set()
+        self.has_timed_out = False
         self._context = context
         self._call = call
         self._failed = 0
@@ -68,7 +70,9 @@
         except ConnectFailed as error:
             now_s = self._context.now_s()
             self._dialled_s += now_s - begin_s
-            if not isinstance(error, ConnectTimedOut):
+            if isinstance(error, ConnectTimedOut):
+                self.has_timed_out = True
+            else:
                 servers = self._context.servers
                 servers.record_start(target, server.name, now_s)
                 servers.record_finish(target, server.name, now_s, 0.0, "error")
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -92,32 +92,43 @@
             if self._reaches_none(service, servers, now_s)
         )
 
-    def is_unreached(self, target: str, now_s: float) -> bool:
-        """Return whether the target has servers and none is reached."""
-        if not self._loss.has_unreachable:
+    def is_unreached(
+        self, target: str, now_s: float, not_reached: Collection[str] = ()
+    ) -> bool:
+        """Return whether the target has servers and none is reached.
+
+        ``not_reached`` names further servers that took no connection.
+        """
+        if not (self._loss.has_unreachable or not_reached):
             return False
         holders = [
             server
             for server in self._control.backend_servers().values()
             if target in server.versions and not server.leaving
         ]
-        return self._reaches_none(target, holders, now_s)
+        return self._reaches_none(target, holders, now_s, not_reached)
 
     def _reaches_none(
-        self, target: str, servers: list[Announcement], now_s: float
+        self,
+        target: str,
+        servers: list[Announcement],
+        now_s: float,
+        not_reached: Collection[str] = (),
     ) -> bool:
         """Return whether all servers are unreachable, ejected ones aside.
 
         These get no work and no dials, so nothing shows whether they can be
         reached. If all others cannot, they probably cannot either.
         """
-        is_unreachable = self._loss.is_unreachable
-        if not any(is_unreachable(server.address) for server in servers):
-            return False
-        is_ejected = self._selector(target).is_ejected
-        return all(
-            is_unreachable(server.address) or is_ejected(server.name, now_s)
+        left = [
+            server
             for server in servers
+            if server.name not in not_reached
+            and not self._loss.is_unreachable(server.address)
+        ]
+        is_ejected = self._selector(target).is_ejected
+        return len(left) < len(servers) and all(
+            is_ejected(server.name, now_s) for server in left
         )
 
     def choose(
--- a/packages/sycamorestand-entry/tests/routed/test_cut_off_entry.py
+++ b/packages/sycamorestand-entry/tests/routed/test_cut_off_entry.py
@@ -93,6 +93,17 @@
             answer = await cut_off.ask("/stock/1")
         assert status(answer) == 200
 
+    async def test_last_server_that_hangs_is_not_waited_for(self) -> None:
+        """All others were lost, and the call that dialled it was refused."""
+        async with start_group() as (cut_off, _):
+            ServerCut(cut_off).begin("hang")
+            servers = cut_off.control.servers.values()
+            loss = cut_off.entry.context.server_loss
+            for server in list(servers)[1:]:
+                loss.record_check(server.address, False, 0.0)
+            answer = await cut_off.ask("/order/1")
+        assert status(answer) == 200
+
     async def test_ejected_server_does_not_keep_it_from_forwarding(
         self,
     ) -> None:
--- a/packages/sycamorestand-entry/tests/routed/test_forwarding.py
+++ b/packages/sycamorestand-entry/tests/routed/test_forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import re
 
 import anyio
@@ -21,6 +22,7 @@
 from sycamorestand_bench.fakes.routed import request_bytes
 from sycamorestand_bench.fakes.routed import RoutedLoopback
 from sycamorestand_bench.fakes.routed import start_routed
+from sycamorestand_bench.fakes.server_cut import ServerCut
 from sycamorestand_entry.routed.forwarding import ForwardedAttempt
 from sycamorestand_entry.routed.forwarding import seal_attempt
 from sycamorestand_entry.routed.forwarding import SignedRequest
@@ -45,6 +47,24 @@
         assert counts[0] == 0
         assert counts[1] <= 9
 
+    async def test_entry_whose_dials_hang_refuses_after_one(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """It dialled for a second, in which another entry could answer."""
+        caplog.set_level(logging.INFO)
+        async with start_group(3) as (cut_off, *others):
+            await cut_known(cut_off, "reset")
+            ServerCut(others[0]).begin("hang")
+            answers = await ask_all(cut_off, 12)
+        paths = [str(vars(record).get("path")) for record in caplog.records]
+        dials = [
+            path.count("NotReached")
+            for path in paths
+            if path.startswith("ForwardedFor")
+        ]
+        assert [status(answer) for answer in answers] == [200] * 12
+        assert max(dials) == 1
+
     async def test_refusal_of_the_other_entry_is_true(self) -> None:
         """A request that no server got was told to have an unknown outcome."""
         async with start_group() as (cut_off, other):
