The services without a reached server are found in one pass

At 910 servers, one of them down, the list cost 2.46 ms, ten times a second: 2.5% of a core at each entry, all that control may cost there.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -81,16 +81,32 @@
         """
         if not self._loss.has_unreachable:
             return frozenset()
-        holders: dict[str, list[Announcement]] = {}
-        for server in self._control.backend_servers().values():
-            if not server.leaving:
-                for service in {_service(name) for name in server.versions}:
-                    holders.setdefault(service, []).append(server)
-        return frozenset(
+        servers = [
+            server
+            for server in self._control.backend_servers().values()
+            if not server.leaving
+        ]
+        unreached = {
+            _service(name)
+            for server in servers
+            if self._loss.is_unreachable(server.address)
+            for name in server.versions
+        }
+        for server in servers:
+            if not unreached:
+                break
+            if not self._loss.is_unreachable(server.address):
+                unreached -= self._serving(server, now_s)
+        return frozenset(unreached)
+
+    def _serving(self, server: Announcement, now_s: float) -> set[str]:
+        """Return the server's services for which it is not ejected."""
+        services = {_service(name) for name in server.versions}
+        return {
             service
-            for service, servers in holders.items()
-            if self._reaches_none(service, servers, now_s)
-        )
+            for service in services
+            if not self._selector(service).is_ejected(server.name, now_s)
+        }
 
     def is_unreached(
         self, target: str, now_s: float, not_reached: Collection[str] = ()
