Lines of a request tell the length of its answer and how far it came

Cause: three digests without an answer flowed for seconds and were cut at their deadline. The lines tell when they were sent, moved and cut, but neither how long the answer was to be nor how much of it had come, so that an answer too long for its time cannot be told from one at a slow server.

Change: `max_answer_tokens`, `length_hint` and `events` in the line of a request, `events` in that of an attempt. The test of the line asserts them.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -133,13 +133,17 @@
 
 
 class AttemptEnded(NamedTuple):
-    """An attempt ended; ``reason`` is empty if its answer was used."""
+    """An attempt ended; ``reason`` is empty if its answer was used.
+
+    ``events`` counts the events of a stream that came from the server.
+    """
 
     server: str
     outcome: str
     status: int
     first_byte_ms: int
     reason: str
+    events: int = 0
 
 
 class Climbed(NamedTuple):
@@ -210,6 +214,9 @@
         self.revision = 0
         self.lease_ms = 0
         self.prompt_tokens = 0
+        self.max_answer_tokens = 0
+        self.length_hint = 0
+        self.events = 0
         self.place = 0.0
         self.in_session = False
         self.first_byte_ms = -1
@@ -239,8 +246,9 @@
         if self.first_byte_ms < 0:
             self.first_byte_ms = self.elapsed_ms()
 
-    def record_events(self) -> None:
+    def record_events(self, count: int) -> None:
         """Record that whole events of a stream went to the caller."""
+        self.events += count
         now_ms = self.elapsed_ms()
         if self._last_events_ms >= 0:
             pause_ms = now_ms - self._last_events_ms
@@ -282,6 +290,9 @@
             "first_byte_ms": self.first_byte_ms,
             "longest_pause_ms": self.longest_pause_ms,
             "prompt_tokens": self.prompt_tokens,
+            "max_answer_tokens": self.max_answer_tokens,
+            "length_hint": self.length_hint,
+            "events": self.events,
             "in_session": self.in_session,
             "place": round(self.place, PLACE_DIGITS),
             "revision": self.revision,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -21,6 +21,7 @@
     from sycamorestand_entry.routed.exchange import Exchange
 
 MS: Final = 1000
+MAX_DIGITS: Final = 9
 
 
 class EngineWait:
@@ -34,7 +35,14 @@
         self._attempts = attempts
         self._context = attempts.context
         self._route = attempts.call.route
-        self.prompt_tokens = _prompt_tokens(attempts)
+        names = attempts.header_names
+        counts = attempts.call.values.get(names.token_counts, b"")
+        prompt, _, answer = counts.partition(b",")
+        self.prompt_tokens = _count(prompt)
+        self.max_answer_tokens = _count(answer)
+        self.length_hint = _count(
+            attempts.call.values.get(names.length_hint, b"")
+        )
         self.target_latency_s = self._route.target_latency_ms / MS
 
     def rank(self, target: str, size: int) -> int:
@@ -131,10 +139,11 @@
     return target.partition(VERSION_SEPARATOR)[0]
 
 
-def _prompt_tokens(attempts: Attempts) -> int:
-    value = attempts.call.values.get(attempts.header_names.token_counts, b"")
-    tokens = value.partition(b",")[0].strip()
-    return int(tokens) if tokens.isdigit() else 0
+def _count(value: bytes) -> int:
+    """Return the number in a header's value, 0 if there is none."""
+    digits = value.strip()
+    is_count = digits.isdigit() and len(digits) <= MAX_DIGITS
+    return int(digits) if is_count else 0
 
 
 __all__ = ["EngineWait"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -372,6 +372,7 @@
                 self._status,
                 self._first_byte_ms,
                 self._reason,
+                self.event_count,
             )
         )
         self._report_end()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarded.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarded.py
@@ -127,8 +127,9 @@
     while data := await exchange.connection.read_body(
         max(0.0, call.remaining_s())
     ):
-        call.log.record_events()
-        exchange.record_events(data.count(b"\n\n"))
+        count = data.count(b"\n\n")
+        call.log.record_events(count)
+        exchange.record_events(count)
         if responder.write_now is None or not responder.write_now(data):
             await responder.write(data)
     exchange.record_status(head.status, not_run=False)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -91,6 +91,8 @@
         )
         self._engine_wait = EngineWait(attempts)
         call.log.prompt_tokens = self._engine_wait.prompt_tokens
+        call.log.max_answer_tokens = self._engine_wait.max_answer_tokens
+        call.log.length_hint = self._engine_wait.length_hint
 
     async def run(self, target: str) -> WholeAnswer | None:
         """Relay the stream to its end.
@@ -381,7 +383,7 @@
         count = self._event_order.accept(events)
         if not self._responder.started:
             await self._start(head)
-        self._attempts.call.log.record_events()
+        self._attempts.call.log.record_events(count)
         write_now = self._responder.write_now
         if write_now is None or not write_now(events):
             await self._responder.write(events)
--- a/packages/sycamorestand-entry/tests/routed/test_decision_log.py
+++ b/packages/sycamorestand-entry/tests/routed/test_decision_log.py
@@ -205,7 +205,10 @@
             async with await loopback.connect() as stream:
                 await stream.send(
                     request_bytes(
-                        "/review/1", x_attempt="r-7", x_tokens="90,4"
+                        "/review/1",
+                        x_attempt="r-7",
+                        x_tokens="90,4",
+                        x_hint="3",
                     )
                 )
                 assert b"id: 1" in await receive_until(stream, b"id: 1")
@@ -216,6 +219,9 @@
         assert end["late"]
         assert end["longest_pause_ms"] >= 500
         assert end["prompt_tokens"] == 90
+        assert end["max_answer_tokens"] == 4
+        assert end["length_hint"] == 3
+        assert end["events"] == 2
 
 
 class TestDecisionLog:
