The rest of a begun answer is left its time

Callers saw, in an overload, a long answer that flowed, fell silent for 4 s and more, went on elsewhere and was cut at its deadline, some events before its end.

Cause: nothing compared the rest of an answer with the time left. A stream that its engine puts off falls back after half of the silence that its caller bears (4 s of 8 s), the same with 3 events to come as with 100, and its next server reads the prompt with the same model, also where that takes most of what is left.

Events come at 65 ms from the smallest model and 75 ms from the largest (medians of 51 and 39 late attempts): they run in one batch, so that a smaller one reads sooner, but is not faster.

Change: answer_lengths learns each route's lengths and the callers' hints; the fallback of a begun stream leaves the rest its time, as that of one not begun leaves the whole answer; where the rest would not end in time with its model, it goes on with the largest one that does. A silent stream is looked at after 1 s, not 2 s.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/attempt_timeouts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/attempt_timeouts.py
@@ -180,6 +180,15 @@
         last = self._last.get(route, ())
         return max((answer.answer_s for answer in last), default=0.0)
 
+    def event_gap_s(self, route: str) -> float:
+        """Return the usual time between two events, 0 if unknown."""
+        gaps_s = sorted(
+            answer.answer_s / answer.events
+            for answer in self._last.get(route, ())
+            if answer.events
+        )
+        return gaps_s[len(gaps_s) // 2] if gaps_s else 0.0
+
     def max_total_s(self, route: str, pause_s: float, now_s: float) -> float:
         """Return the longest time from request to end, infinity if unknown.
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -12,6 +12,7 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.answer_lengths import AnswerLengths
 from sycamorestand_decisions.arrivals import ArrivalBudget
 from sycamorestand_decisions.attempt_timeouts import AnswerTimes
 from sycamorestand_decisions.attempt_timeouts import ServerProgress
@@ -84,6 +85,7 @@
         self.urgent_requests = UrgentRequests()
         self.server_progress = ServerProgress()
         self.answer_times = AnswerTimes()
+        self.answer_lengths = AnswerLengths()
         self.prefill_rates = PrefillRates()
         self.cascade = CascadeLearner()
         control.add_listener(SharedRatings, self._on_ratings)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -6,6 +6,7 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.answer_lengths import AnswerLength
 from sycamorestand_decisions.attempt_timeouts import AnswerTime
 from sycamorestand_decisions.attempt_timeouts import fallback_after_s
 from sycamorestand_decisions.attempt_timeouts import has_short_prefill
@@ -22,6 +23,9 @@
 
 MS: Final = 1000
 MAX_DIGITS: Final = 9
+# One answer in a few is this much longer than the mean of those that are as
+# long as it is already.
+REST_MARGIN: Final = 1.5
 
 
 class EngineWait:
@@ -51,22 +55,47 @@
         left_s = self.target_latency_s - call.log.elapsed_ms() / MS
         return engine_rank(self.prefill_s(target, size), call.priority, left_s)
 
-    def fallback_in_s(self, resumed: bool) -> float:
+    def fallback_in_s(self, answer_s: float) -> float:
         """Return the seconds until the call falls back, may be negative.
 
-        A ``resumed`` stream has a part of its answer already, so the usual
-        duration of a complete answer is not reserved for it.
+        What is still to come of the answer takes ``answer_s``.
         """
         call = self._attempts.call
         silent_s = call.log.silent_ms() / MS
-        times = self._context.answer_times
         after_s = fallback_after_s(
             self._route.silence_limit_ms / MS or math.inf,
             silent_s + call.remaining_s(),
-            0.0 if resumed else times.max_answer_s(self._route.name),
+            answer_s,
         )
         return max(MIN_EVENT_S, after_s) - silent_s
 
+    def max_answer_s(self) -> float:
+        """Return how long an answer takes at most, after its first event."""
+        return self._context.answer_times.max_answer_s(self._route.name)
+
+    def rest_s(self, target: str, size: int) -> float:
+        """Return how long another server takes for the rest of an answer."""
+        route = self._route.name
+        rest = self._context.answer_lengths.rest_events(route, self._length())
+        gap_s = self._context.answer_times.event_gap_s(route)
+        return self.prefill_s(target, size) + rest * gap_s
+
+    def is_short_of_time(self, target: str, size: int) -> bool:
+        """Return whether the rest may not end before the deadline."""
+        left_s = self._attempts.call.remaining_s()
+        return self.rest_s(target, size) * REST_MARGIN > left_s
+
+    def size_in_time(self, target: str, size: int) -> int:
+        """Return the model that ends a begun answer before its deadline.
+
+        The largest one up to ``size`` that probably does, or the smallest.
+        A smaller model gives its events no sooner, as all run in one batch,
+        but reads the prompt in a part of the time.
+        """
+        while size > 0 and self.is_short_of_time(target, size):
+            size -= 1
+        return size
+
     def prefill_s(self, target: str, size: int) -> float:
         """Return the expected prefill time of the prompt in seconds."""
         return self._context.prefill_rates.prefill_s(
@@ -103,9 +132,14 @@
     def record_answer_time(self, exchange: Exchange) -> None:
         """Record how long a complete answer took."""
         answer_s = exchange.answer_age_s()
-        begin_s = self._attempts.call.log.elapsed_ms() / MS - answer_s
+        call = self._attempts.call
+        begin_s = call.log.elapsed_ms() / MS - answer_s
         answer = AnswerTime(begin_s, answer_s, exchange.event_count)
         self._context.answer_times.record_answer(self._route.name, answer)
+        if self._attempts.header_names.last_event not in call.values:
+            self._context.answer_lengths.record_answer(
+                self._route.name, self._length()
+            )
 
     def record_prefill_time(self, exchange: Exchange, size: int) -> None:
         """Record how long the first event took."""
@@ -125,6 +159,9 @@
         delay = self._queue_delay(exchange.destination.target, size)
         delay.observe(now_s, waited_s)
 
+    def _length(self) -> AnswerLength:
+        return AnswerLength(self._attempts.call.log.events, self.length_hint)
+
     def _queue_delay_s(self, target: str, size: int) -> float:
         return self._queue_delay(target, size).delay_s(self._context.now_s())
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -13,6 +13,7 @@
 from sycamorestand_decisions.attempt_timeouts import FALLBACK_SHARE
 from sycamorestand_decisions.attempt_timeouts import first_event_limits_s
 from sycamorestand_decisions.attempt_timeouts import gap_limit_s
+from sycamorestand_decisions.attempt_timeouts import MIN_EVENT_S
 from sycamorestand_decisions.size_ladder import first_size
 from sycamorestand_decisions.size_ladder import next_size
 from sycamorestand_entry.errors import RequestError
@@ -86,9 +87,7 @@
         self._partial_event = b""
         self._gap_limit_s = gap_limit_s(call.route.gap_target_ms / MS)
         silence_limit_s = call.route.silence_limit_ms / MS or math.inf
-        self._first_wait_s = min(
-            self._gap_limit_s, silence_limit_s * FALLBACK_SHARE
-        )
+        self._first_wait_s = min(MIN_EVENT_S, silence_limit_s * FALLBACK_SHARE)
         self._engine_wait = EngineWait(attempts)
         call.log.prompt_tokens = self._engine_wait.prompt_tokens
         call.log.max_answer_tokens = self._engine_wait.max_answer_tokens
@@ -265,9 +264,12 @@
 
     def _fallback_in_s(self, exchange: Exchange) -> float:
         """Return the seconds until the fallback is due, may be negative."""
+        wait = self._engine_wait
         if not self._responder.started:
-            return self._engine_wait.fallback_in_s(resumed=False)
-        due_in_s = self._engine_wait.fallback_in_s(resumed=True)
+            return wait.fallback_in_s(wait.max_answer_s())
+        target = exchange.destination.target
+        rest_s = wait.rest_s(target, self._size_index)
+        due_in_s = wait.fallback_in_s(rest_s)
         if exchange.has_begun:
             return due_in_s
         # The engine schedules this attempt first already. Another one would
@@ -324,9 +326,13 @@
             raise SlowAnswer("moving to another server")
 
     def _engine_options(self, target: str) -> EngineOptions:
-        model = self._sizes[self._size_index] if self._sizes else ""
         restarts = self._fell_back and not self._responder.started
         last_id = self._event_order.last_id
+        if self._responder.started:
+            self._size_index = self._engine_wait.size_in_time(
+                target, self._size_index
+            )
+        model = self._sizes[self._size_index] if self._sizes else ""
         # A resumed stream with the rank of its prefill would lose its slot
         # to each new request with a shorter prompt, again and again, until
         # its caller leaves in the middle of the answer.
--- a/packages/sycamorestand-entry/tests/routed/test_fallback.py
+++ b/packages/sycamorestand-entry/tests/routed/test_fallback.py
@@ -17,6 +17,8 @@
 from sycamorestand_bench.fakes.routed import SETTINGS
 from sycamorestand_bench.fakes.routed import start_routed
 from sycamorestand_bench.fakes.routed import stream_head
+from sycamorestand_decisions.answer_lengths import AnswerLength
+from sycamorestand_decisions.answer_lengths import ANSWERS_KEPT
 from sycamorestand_decisions.arrivals import Allowance
 from sycamorestand_decisions.attempt_timeouts import AnswerTime
 
@@ -173,6 +175,95 @@
             assert len(loopback.requests) == 1
 
 
+class TestBegunAnswer:
+    async def test_fallback_leaves_the_rest_of_the_answer_its_time(
+        self,
+    ) -> None:
+        """The engine puts off a long answer that is to end soon."""
+
+        async def put_off(request: bytes, stream: SocketStream) -> None:
+            if b"last-event-id" in request:
+                await resume_slowly(request, stream)
+            await begin_answer(request, stream)
+            await anyio.sleep(30)
+
+        async with start_routed() as loopback:
+            learn_answers(loopback)
+            received = await ask(
+                loopback, put_off, "s-1", silence_limit_ms=8000
+            )
+        assert received.endswith(END)
+
+    async def test_goes_on_with_a_model_that_reads_the_prompt_in_time(
+        self,
+    ) -> None:
+        """The larger model's prefill would outlast the caller's deadline."""
+
+        async def put_off(request: bytes, stream: SocketStream) -> None:
+            if b"last-event-id" in request:
+                if model_of(request) == b"large":
+                    await anyio.sleep(30)
+                await stream.send(stream_head(request) + event(11) + END)
+            elif model_of(request) == b"small":
+                await answer(request, stream, confidence=10)
+            else:
+                await begin_answer(request, stream)
+                await anyio.sleep(30)
+
+        async with start_routed() as loopback:
+            learn_answers(loopback)
+            rates = loopback.entry.context.prefill_rates
+            rates.observe("stock", "small", 40_000, 0.1)
+            rates.observe("stock", "large", 40_000, 2.0)
+            received = await ask(
+                loopback, put_off, "s-1", silence_limit_ms=8000
+            )
+            models = [model_of(request) for _, request in loopback.requests]
+        assert models[:2] == [b"small", b"large"]
+        assert b"large" not in models[2:]
+        assert received.endswith(END)
+
+    async def test_goes_on_with_its_model_while_there_is_time(self) -> None:
+        """A smaller model may give a poorer rest of the answer."""
+
+        async def put_off(request: bytes, stream: SocketStream) -> None:
+            if b"last-event-id" in request:
+                await stream.send(stream_head(request) + event(11) + END)
+            elif model_of(request) == b"small":
+                await answer(request, stream, confidence=10)
+            else:
+                await begin_answer(request, stream)
+                await anyio.sleep(30)
+
+        async with start_routed() as loopback:
+            await ask(loopback, put_off, "s-1", silence_limit_ms=2400)
+            models = [model_of(request) for _, request in loopback.requests]
+        assert models == [b"small", b"large", b"large"]
+
+
+def learn_answers(loopback: RoutedLoopback) -> None:
+    """Let the entry see answers of 30 events, with 0.1 s between two."""
+    context = loopback.entry.context
+    for _ in range(ANSWERS_KEPT):
+        context.answer_lengths.record_answer("review", AnswerLength(30, 180))
+    context.answer_times.record_answer("review", AnswerTime(0.1, 3.0, 30))
+
+
+async def begin_answer(request: bytes, stream: SocketStream) -> None:
+    """Send the head and the first ten events of an answer."""
+    events = b"".join(event(number) for number in range(1, 11))
+    await stream.send(stream_head(request) + events)
+
+
+async def resume_slowly(request: bytes, stream: SocketStream) -> None:
+    """Send the rest of an answer, 0.1 s between two events."""
+    await stream.send(stream_head(request))
+    for number in range(11, 31):
+        await anyio.sleep(0.1)
+        await stream.send(event(number))
+    await stream.send(END)
+
+
 async def ask(
     loopback: RoutedLoopback,
     handler: Handler,
