An answer that needs all of its time goes first at its engine

Callers saw a long answer cut at its deadline though it was put off only once, for 2 s, and went on elsewhere at once.

Cause: the rank of a prompt at the engine follows from its reading alone, and is the last where that misses the aim. So an answer that takes 17 of its 18 s is as likely put off as one that takes 4, or likelier.

test_answer_that_is_short_of_time_goes_first failed before.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -50,10 +50,18 @@
         self.target_latency_s = self._route.target_latency_ms / MS
 
     def rank(self, target: str, size: int) -> int:
-        """Return the scheduling rank of a new answer, 0 first."""
+        """Return the scheduling rank of a new answer, 0 first.
+
+        An answer that takes nearly all of the time left goes first: the
+        deadline would cut it if the engine put it off once.
+        """
         call = self._attempts.call
+        prefill_s = self.prefill_s(target, size)
+        is_possible = prefill_s < call.remaining_s()
+        if is_possible and self.is_short_of_time(target, size):
+            return 0
         left_s = self.target_latency_s - call.log.elapsed_ms() / MS
-        return engine_rank(self.prefill_s(target, size), call.priority, left_s)
+        return engine_rank(prefill_s, call.priority, left_s)
 
     def fallback_in_s(self, answer_s: float) -> float:
         """Return the seconds until the call falls back, may be negative.
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -102,6 +102,10 @@
         otherwise.
         """
         while True:
+            if self._responder.started:
+                self._size_index = self._engine_wait.size_in_time(
+                    target, self._size_index
+                )
             try:
                 exchange = await self._attempts.open(
                     target, self._engine_options(target)
@@ -328,10 +332,6 @@
     def _engine_options(self, target: str) -> EngineOptions:
         restarts = self._fell_back and not self._responder.started
         last_id = self._event_order.last_id
-        if self._responder.started:
-            self._size_index = self._engine_wait.size_in_time(
-                target, self._size_index
-            )
         model = self._sizes[self._size_index] if self._sizes else ""
         # A resumed stream with the rank of its prefill would lose its slot
         # to each new request with a shorter prompt, again and again, until
--- a/packages/sycamorestand-entry/tests/routed/test_fallback.py
+++ b/packages/sycamorestand-entry/tests/routed/test_fallback.py
@@ -241,12 +241,46 @@
         assert models == [b"small", b"large", b"large"]
 
 
-def learn_answers(loopback: RoutedLoopback) -> None:
-    """Let the entry see answers of 30 events, with 0.1 s between two."""
+class TestRank:
+    async def test_answer_that_is_short_of_time_goes_first(self) -> None:
+        """The engine puts off an answer that needs all of its time."""
+        assert await first_rank(length_hint=720) == 0
+
+    async def test_answer_with_time_has_the_rank_of_its_prefill(self) -> None:
+        """If all answers went first, short prompts would wait for them."""
+        assert await first_rank(length_hint=180) > 0
+        assert await first_rank(length_hint=0) > 0
+
+    async def test_answer_that_cannot_come_does_not_go_first(self) -> None:
+        """Its prefill alone would outlast the caller's deadline."""
+        assert await first_rank(length_hint=720, prefill_s=9.0) > 0
+
+
+async def first_rank(length_hint: int, prefill_s: float = 0.1) -> int:
+    """Return the rank of a stream whose caller gives this length hint."""
+
+    async def answer_well(request: bytes, stream: SocketStream) -> None:
+        await answer(request, stream, confidence=90)
+
+    async with start_routed() as loopback:
+        learn_answers(loopback, gap_s=0.05)
+        rates = loopback.entry.context.prefill_rates
+        rates.observe("stock", "small", 40_000, prefill_s)
+        hint = str(length_hint)
+        await ask(loopback, answer_well, "s-1", length_hint=hint)
+        return rank_of(loopback.requests[0][1])
+
+
+def learn_answers(loopback: RoutedLoopback, gap_s: float = 0.1) -> None:
+    """Let the entry see answers of 30 events, ``gap_s`` between two.
+
+    Their callers' hints were 180 tokens.
+    """
     context = loopback.entry.context
     for _ in range(ANSWERS_KEPT):
         context.answer_lengths.record_answer("review", AnswerLength(30, 180))
-    context.answer_times.record_answer("review", AnswerTime(0.1, 3.0, 30))
+    answer = AnswerTime(0.1, 30 * gap_s, 30)
+    context.answer_times.record_answer("review", answer)
 
 
 async def begin_answer(request: bytes, stream: SocketStream) -> None:
@@ -270,6 +304,7 @@
     *servers: str,
     tokens: str = "40000,100",
     silence_limit_ms: int = SILENCE_LIMIT_MS,
+    length_hint: str = "0",
 ) -> bytes:
     """Return the answer to a long prompt by servers with this handler."""
     in_force = loopback.control.in_force()
@@ -283,7 +318,9 @@
     )
     for name in servers:
         await loopback.add_server(name, handler)
-    return await loopback.ask("/review/1", x_model="*", x_tokens=tokens)
+    return await loopback.ask(
+        "/review/1", x_model="*", x_tokens=tokens, x_hint=length_hint
+    )
 
 
 def model_of(request: bytes) -> bytes:
