Lines of a request name the shared parts of its prompt

The line has the names of the parts before the last now, eight at most and 32 characters each, as callers make them up. The parts are read in one place, with the call.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -36,6 +36,7 @@
 from sycamorestand_entry.routed.call import ANONYMOUS
 from sycamorestand_entry.routed.call import forwarded_headers
 from sycamorestand_entry.routed.call import read_deadline_s
+from sycamorestand_entry.routed.call import read_prompt_parts
 from sycamorestand_entry.routed.call import read_values
 from sycamorestand_entry.routed.call import RoutedCall
 from sycamorestand_entry.routed.decision_log import DecisionLog
@@ -221,7 +222,11 @@
             deadline_at_s,
             log,
             self._context.stop_deadline_s,
+            prompt_parts=read_prompt_parts(
+                values.get(self._header_names.prompt_parts, b"")
+            ),
         )
+        log.shared_parts = call.shared_parts
         return self._with_forwarded_attempt(call)
 
     def _with_forwarded_attempt(self, call: RoutedCall) -> RoutedCall:
@@ -349,7 +354,8 @@
         call = attempts.call
         begin_s = time.monotonic()
         if call.route.kind == "stream":
-            relay = StreamRelay(attempts, responder, self._affinity_key(call))
+            key = prefix_key(call.prompt_parts)
+            relay = StreamRelay(attempts, responder, key)
             return await self._relay_stream(relay, call, target)
         answer = await read_whole_answer(attempts, target)
         duration_s = time.monotonic() - begin_s
@@ -369,11 +375,6 @@
         finally:
             times.record_stopped(call.route.name, started_s)
 
-    def _affinity_key(self, call: RoutedCall) -> str:
-        value = call.values.get(self._header_names.prompt_parts, b"")
-        parts = value.decode("latin-1").split(",")
-        return prefix_key([part.partition(":")[0].strip() for part in parts])
-
 
 def make_routed_application(
     header_names: HeaderNames,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
@@ -36,6 +36,8 @@
     collects the decisions about the call. ``ends_at_s`` returns when the
     process ends; a planned stop may begin while the call runs.
     ``forwarded`` is the attempt to make if another entry sent the call.
+    ``prompt_parts`` names the parts of the prompt in their order; the last
+    one belongs to this request or its session alone.
     """
 
     route: Route
@@ -53,6 +55,12 @@
     log: DecisionLog
     ends_at_s: Callable[[], float]
     forwarded: ForwardedAttempt | None = None
+    prompt_parts: tuple[str, ...] = ()
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that other requests may have."""
+        return self.prompt_parts[:-1]
 
     @property
     def may_repeat(self) -> bool:
@@ -100,6 +108,18 @@
     return received_s + limit_ms / 1000
 
 
+def read_prompt_parts(value: bytes) -> tuple[str, ...]:
+    """Return the names in a header that lists the parts of a prompt.
+
+    Example: ``read_prompt_parts(b"5c1e:800, 91bd:410")`` is
+    ``("5c1e", "91bd")``.
+    """
+    if not value:
+        return ()
+    parts = value.decode("latin-1").split(",")
+    return tuple(part.partition(":")[0].strip() for part in parts)
+
+
 def forwarded_headers(raw: RawHeaders, names: HeaderNames) -> RawHeaders:
     """Return the caller's headers that the entry forwards to a server.
 
@@ -159,6 +179,7 @@
     "PROCESS_ENDS",
     "RawHeaders",
     "read_deadline_s",
+    "read_prompt_parts",
     "read_values",
     "RoutedCall",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -25,6 +25,9 @@
 MAX_DECISIONS: Final = 32
 MS: Final = 1000
 PLACE_DIGITS: Final = 6
+# Callers choose the parts of their prompts and the names of these.
+MAX_LOGGED_PARTS: Final = 8
+MAX_PART_CHARACTERS: Final = 32
 # The entry forwards a server's 5xx answer unchanged, but logs the request
 # as failed, since the caller got no usable answer.
 FAILED_STATUS: Final = 500
@@ -216,6 +219,7 @@
         self.prompt_tokens = 0
         self.max_answer_tokens = 0
         self.length_hint = 0
+        self.shared_parts: tuple[str, ...] = ()
         self.events = 0
         self.place = 0.0
         self.in_session = False
@@ -292,6 +296,7 @@
             "prompt_tokens": self.prompt_tokens,
             "max_answer_tokens": self.max_answer_tokens,
             "length_hint": self.length_hint,
+            "shared_parts": self._logged_parts(),
             "events": self.events,
             "in_session": self.in_session,
             "place": round(self.place, PLACE_DIGITS),
@@ -307,6 +312,10 @@
             extra=fields,
         )
 
+    def _logged_parts(self) -> str:
+        parts = self.shared_parts[:MAX_LOGGED_PARTS]
+        return ",".join(part[:MAX_PART_CHARACTERS] for part in parts)
+
     def _write_decisions(self) -> None:
         for number, (after_ms, decision) in enumerate(self._decisions):
             extra = {
--- a/packages/sycamorestand-entry/tests/routed/test_decision_log.py
+++ b/packages/sycamorestand-entry/tests/routed/test_decision_log.py
@@ -68,6 +68,19 @@
         assert end["expendable"]
         assert decisions_of(caplog, "r-1") == []
 
+    async def test_line_names_the_shared_parts_of_the_prompt(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """What requests have in common that end servers is in no line."""
+        async with start_routed() as loopback:
+            await loopback.add_server("s-1", _answer)
+            parts = "a1:800, b2:410,c3:250"
+            await loopback.ask("/stock/1", x_attempt="r-1", x_parts=parts)
+            many = ",".join(f"{'p' * 40}{n}:1" for n in range(20))
+            await loopback.ask("/stock/1", x_attempt="r-2", x_parts=many)
+        assert end_of(caplog, "r-1")["shared_parts"] == "a1,b2"
+        assert len(end_of(caplog, "r-2")["shared_parts"]) == 8 * 33 - 1
+
     async def test_request_that_does_not_wait_is_not_logged_as_held(
         self, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
     ) -> None:
