--- /dev/null
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
@@ -0,0 +1,261 @@
+"""Backend servers that end under requests with certain prompt parts.
+
+Each start of a server is a new boot with a name of its own, at the address of
+the boot before it, as on a VM whose supervisor starts the process again.
+"""
+
+from __future__ import annotations
+
+import re
+from socket import SO_LINGER
+from socket import SOL_SOCKET
+import struct
+import time
+from typing import Final
+from typing import Literal
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import anyio
+from anyio.abc import Listener
+from anyio.abc import SocketAttribute
+from anyio.abc import SocketStream
+from anyio.abc import TaskGroup
+from anyio.abc import TaskStatus
+
+from sycamorestand_bench.fakes.raw_server import read_request
+from sycamorestand_bench.fakes.routed import answer_head
+from sycamorestand_model.backend_servers import Announcement
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    Announce = Callable[[Announcement], Awaitable[None]]
+
+# Where in its answer a server ends: before its head, after it, inside the
+# first event, or between the first event and the second.
+EndsAt = Literal["nowhere", "head", "before", "inside", "between"]
+
+EVENTS: Final = 5
+EVENT_PAUSE_S: Final = 0.02
+PREFILL_S: Final = 0.03
+ANNOUNCE_INTERVAL_S: Final = 0.5
+CAPACITY: Final = 64
+# A linger time of zero.
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+_PARTS: Final = re.compile(rb"x-parts: ([^\r]*)", re.IGNORECASE)
+_ATTEMPT: Final = re.compile(rb"x-attempt: ([^\r]*)", re.IGNORECASE)
+_SERVER: Final = re.compile(rb"x-server: ([^\r]*)", re.IGNORECASE)
+_LAST_EVENT: Final = re.compile(rb"last-event-id: (\d+)", re.IGNORECASE)
+
+
+class Arrival(NamedTuple):
+    """A request that reached a server; ``at_s`` is by `time.monotonic`."""
+
+    at_s: float
+    server: str
+    attempt: str
+    parts: tuple[str, ...]
+
+
+class Behaviour(NamedTuple):
+    """How the servers answer and end.
+
+    A server ends under each request with a part in ``parts``, at the place
+    ``ends_at`` of its answer, with a reset or a clean close of all its
+    connections, and is back after ``back_s``. Without ``is_framed``, answers
+    have neither a length nor chunks and end with their connection.
+    """
+
+    parts: frozenset[str] = frozenset()
+    ends_at: EndsAt = "before"
+    is_reset: bool = True
+    is_framed: bool = True
+    back_s: float = 2.0
+
+
+class EndingServers:
+    """Servers of one service, and what reached them.
+
+    A test may replace ``behaviour`` at any time. ``ends`` holds the times at
+    which a server ended under a part, by `time.monotonic`.
+    """
+
+    def __init__(self, announce: Announce, service: str) -> None:
+        self.behaviour = Behaviour()
+        self.arrivals: list[Arrival] = []
+        self.ends: list[float] = []
+        self.running: set[str] = set()
+        self._announce = announce
+        self._service = service
+        self._ended: dict[str, anyio.Event] = {}
+
+    async def run(
+        self,
+        number: int,
+        *,
+        task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run a server, boot after boot, until cancelled."""
+        port = 0
+        boot = 0
+        while True:
+            boot += 1
+            name = f"s-{number}-{boot}"
+            listener = await _listen(port)
+            port = listener.extra(SocketAttribute.local_port)
+            ended = anyio.Event()
+            self._ended[name] = ended
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._serve, listener, name)
+                tasks.start_soon(self._keep_announcing, name, port)
+                self.running.add(name)
+                if boot == 1:
+                    task_status.started()
+                await ended.wait()
+                self.running.discard(name)
+                tasks.cancel_scope.cancel()
+            await anyio.sleep(self.behaviour.back_s)
+
+    def end(self, name: str) -> None:
+        """End a server, as its process ends by itself."""
+        self._ended[name].set()
+
+    async def _serve(
+        self, listener: Listener[SocketStream], name: str
+    ) -> None:
+        async with listener, anyio.create_task_group() as handlers:
+            streams: set[SocketStream] = set()
+            try:
+                await listener.serve(
+                    lambda stream: self._handle(stream, name, streams),
+                    handlers,
+                )
+            finally:
+                if self.behaviour.is_reset:
+                    for stream in streams:
+                        _abort(stream)
+
+    async def _handle(
+        self, stream: SocketStream, name: str, streams: set[SocketStream]
+    ) -> None:
+        streams.add(stream)
+        async with stream:
+            try:
+                while True:
+                    request = await read_request(stream)
+                    if not await self._answer(request, stream, name):
+                        return
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return
+            finally:
+                streams.discard(stream)
+
+    async def _answer(
+        self, request: bytes, stream: SocketStream, name: str
+    ) -> bool:
+        """Answer a request; return whether the connection stays open."""
+        if _field(_SERVER, request) != name:
+            head = (b"x-not-run: 1", b"content-length: 0")
+            await stream.send(answer_head(request, *head, status=421))
+            return True
+        parts = prompt_parts(request)
+        attempt = _field(_ATTEMPT, request)
+        self.arrivals.append(Arrival(time.monotonic(), name, attempt, parts))
+        behaviour = self.behaviour
+        is_ending = bool(behaviour.parts.intersection(parts))
+        ends_at = behaviour.ends_at if is_ending else "nowhere"
+        framing = [b"transfer-encoding: chunked"] * behaviour.is_framed
+        if ends_at == "head":
+            await anyio.sleep(PREFILL_S)
+            await self._end_under_request(name)
+        kind = b"content-type: text/event-stream"
+        await stream.send(answer_head(request, kind, *framing))
+        await anyio.sleep(PREFILL_S)
+        found = _LAST_EVENT.search(request)
+        first = int(found.group(1)) + 1 if found else 1
+        for event in range(first, EVENTS + 1):
+            if ends_at == "before":
+                await self._end_under_request(name)
+            data = b"id: %d\ndata: d%d\n\n" % (event, event)
+            if ends_at == "inside":
+                await stream.send(_framed(data[:6], behaviour.is_framed))
+                await anyio.sleep(EVENT_PAUSE_S / 4)
+                await self._end_under_request(name)
+            await stream.send(_framed(data, behaviour.is_framed))
+            await anyio.sleep(EVENT_PAUSE_S)
+            if ends_at == "between":
+                await self._end_under_request(name)
+        if behaviour.is_framed:
+            await stream.send(b"0\r\n\r\n")
+        return behaviour.is_framed
+
+    async def _end_under_request(self, name: str) -> None:
+        if name in self.running:
+            self.ends.append(time.monotonic())
+            self.end(name)
+        await anyio.sleep_forever()
+
+    async def _keep_announcing(self, name: str, port: int) -> None:
+        sequence = 0
+        while True:
+            sequence += 1
+            await self._announce(
+                Announcement(
+                    name,
+                    "service",
+                    f"127.0.0.1:{port}",
+                    "marietta",
+                    1,
+                    sequence,
+                    (self._service,),
+                    capacity=CAPACITY,
+                )
+            )
+            await anyio.sleep(ANNOUNCE_INTERVAL_S)
+
+
+def prompt_parts(request: bytes) -> tuple[str, ...]:
+    """Return the names of a request's prompt parts."""
+    parts = _field(_PARTS, request).split(",")
+    return tuple(part.partition(":")[0].strip() for part in parts)
+
+
+async def start_servers(
+    tasks: TaskGroup, servers: EndingServers, count: int
+) -> None:
+    """Start servers and return once all of them accept connections."""
+    for number in range(count):
+        await tasks.start(servers.run, number)
+
+
+async def _listen(port: int) -> Listener[SocketStream]:
+    multi = await anyio.create_tcp_listener(
+        local_host="127.0.0.1", local_port=port
+    )
+    return multi.listeners[0]
+
+
+def _abort(stream: SocketStream) -> None:
+    raw = stream.extra(SocketAttribute.raw_socket)
+    raw.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+
+
+def _framed(data: bytes, is_framed: bool) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data) if is_framed else data
+
+
+def _field(pattern: re.Pattern[bytes], request: bytes) -> str:
+    found = pattern.search(request)
+    return found.group(1).decode() if found else ""
+
+
+__all__ = [
+    "Arrival",
+    "Behaviour",
+    "EndingServers",
+    "EndsAt",
+    "prompt_parts",
+    "start_servers",
+]
