Answers of servers that end do not pass as whole

Cause: an answer with neither a length nor chunks ends with its connection. A stream of this kind that ended before its first event or between two, and a call's body cut anywhere, were passed on as whole where the server closed its connections as it ended. An entry that forwards for another one did so too.

Change: such an answer is whole if its server accepts a connection right afterwards, or leaves as announced; a fresh stream has at least one event.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from socket import SO_LINGER
 from socket import SOL_SOCKET
@@ -64,7 +65,8 @@
 
     A server ends under each request with a part in ``parts``, at the place
     ``ends_at`` of its answer, with a reset or a clean close of all its
-    connections, and is back after ``back_s``. Without ``is_framed``, answers
+    connections, and is back after ``back_s``, until servers have ended
+    ``max_ends`` times. Without ``is_framed``, answers
     have neither a length nor chunks and end with their connection.
     """
 
@@ -73,6 +75,7 @@
     is_reset: bool = True
     is_framed: bool = True
     back_s: float = 2.0
+    max_ends: float = math.inf
 
 
 class EndingServers:
@@ -164,7 +167,8 @@
         attempt = _field(_ATTEMPT, request)
         self.arrivals.append(Arrival(time.monotonic(), name, attempt, parts))
         behaviour = self.behaviour
-        is_ending = bool(behaviour.parts.intersection(parts))
+        has_part = bool(behaviour.parts.intersection(parts))
+        is_ending = has_part and len(self.ends) < behaviour.max_ends
         ends_at = behaviour.ends_at if is_ending else "nowhere"
         framing = [b"transfer-encoding: chunked"] * behaviour.is_framed
         if ends_at == "head":
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -23,8 +23,10 @@
 from sycamorestand_entry.routed.pace import InitialPace
 from sycamorestand_entry.routed.pace import PACE_CLASS
 from sycamorestand_entry.routed.pace import RecentPace
+from sycamorestand_entry.server_end import has_ended
 from sycamorestand_entry.upstream import BrokenConnection
 from sycamorestand_entry.upstream import Echo
+from sycamorestand_entry.upstream import is_framed
 from sycamorestand_entry.upstream import MalformedAnswer
 from sycamorestand_entry.upstream import SilentConnection
 from sycamorestand_entry.upstream import UpstreamError
@@ -89,6 +91,7 @@
         self._first_byte_ms = -1
         self._status = 0
         self._reason = ""
+        self._is_framed = True
 
     def send(self) -> None:
         """Check that the request may be dispatched and write it.
@@ -175,6 +178,7 @@
             self._outcome = "error"
             self._reason = rejection
             raise MalformedAnswer(rejection)
+        self._is_framed = is_framed(head.headers)
         self._status = head.status
         self._head_received_s = time.monotonic()
         return head
@@ -283,6 +287,8 @@
                 size += len(part)
                 if size > self._context.settings.max_answer_bytes:
                     raise MalformedAnswer("its answer is too large")
+            if not self._is_bodiless(head):
+                await self._check_not_ended()
         except UpstreamError as error:
             self.connection.close()
             self.record_failure(error)
@@ -290,14 +296,38 @@
         not_run = says_not_run(head, self._header_names)
         self.record_status(head.status, not_run)
         body = b"".join(parts)
-        bodiless = (
-            self._call.method == b"HEAD" or head.status in BODILESS_STATUSES
-        )
-        length = None if bodiless else len(body)
+        length = None if self._is_bodiless(head) else len(body)
         return WholeAnswer(
             head.status, answer_headers(head, length), body, not_run
         )
 
+    def _is_bodiless(self, head: ResponseHead) -> bool:
+        is_head = self._call.method == b"HEAD"
+        return is_head or head.status in BODILESS_STATUSES
+
+    async def check_stream_end(self, is_inside_event: bool) -> None:
+        """Raise `UpstreamError` unless the stream that ended may be whole.
+
+        A stream with neither a length nor chunks ends with its connection,
+        which a server that ends closes too. It gives no event after the last
+        one that the caller has, if the server resumes it there.
+        """
+        if is_inside_event:
+            raise BrokenConnection("it ended in the middle of an event")
+        is_resumed = bool(self.destination.wanted.last_event)
+        if not (self._is_framed or self.event_count or is_resumed):
+            raise BrokenConnection("it ended before its first event")
+        await self._check_not_ended()
+
+    async def _check_not_ended(self) -> None:
+        """Raise if the answer's end may be that of its server."""
+        if self._is_framed or self.is_forwarded:
+            return
+        context = self._context
+        server = self.destination.server
+        if await has_ended(context.pool, context.control, server):
+            raise BrokenConnection("its server ended with it")
+
     def record_status(self, status: int, not_run: bool) -> None:
         """Record the outcome of a complete answer, or of a refusal."""
         if not_run:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarded.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarded.py
@@ -19,6 +19,7 @@
 from sycamorestand_entry.routed.forwarding import SERVER_HEADER
 from sycamorestand_entry.routed.messages import answer_headers
 from sycamorestand_entry.routed.messages import EngineOptions
+from sycamorestand_entry.routed.streams import END_OF_EVENT
 from sycamorestand_entry.routed.streams import EVENT_STREAM
 from sycamorestand_entry.routed.streams import StreamBroken
 from sycamorestand_entry.upstream import ServerLost
@@ -124,14 +125,17 @@
     server = exchange.destination.server.name
     call.log.record_first_byte()
     await responder.start(head.status, _marked(headers, server))
+    last_read = END_OF_EVENT
     while data := await exchange.connection.read_body(
         max(0.0, call.remaining_s())
     ):
-        count = data.count(b"\n\n")
+        last_read = data
+        count = data.count(END_OF_EVENT)
         call.log.record_events(count)
         exchange.record_events(count)
         if responder.write_now is None or not responder.write_now(data):
             await responder.write(data)
+    await exchange.check_stream_end(not last_read.endswith(END_OF_EVENT))
     exchange.record_status(head.status, not_run=False)
     await responder.finish()
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -172,8 +172,7 @@
                 exchange.record_first_byte()
                 first = False
             exchange.record_events(await self._forward_events(head, data))
-        if self._partial_event:
-            raise MalformedAnswer("it ended in the middle of an event")
+        await exchange.check_stream_end(bool(self._partial_event))
         exchange.record_status(head.status, not_run=False)
         self._engine_wait.record_answer_time(exchange)
         if not self._responder.started:
@@ -437,4 +436,4 @@
         return self._attempts.correct_run_state(error)
 
 
-__all__ = ["EVENT_STREAM", "StreamBroken", "StreamRelay"]
+__all__ = ["END_OF_EVENT", "EVENT_STREAM", "StreamBroken", "StreamRelay"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -373,6 +373,7 @@
     "ConnectFailed",
     "ConnectTimedOut",
     "Echo",
+    "is_framed",
     "MalformedAnswer",
     "OnLoss",
     "PeerActivity",
