Find the prompt part whose requests end servers

Cause of the incident: nothing outlives the single request. Each request with the part finds the next server, at any entry, and each entry sees less than one end of five.

The decision, without I/O: from what all entries had at servers that ended by themselves, the part that no server has answered while four ended under it. Parts that sound requests share are cleared by their answers. Where no server is left to clear them, the part that explains the ends with the fewest requests is taken. A part is blamed for its customer, and for everyone once two customers' requests end servers by it. Trials are counted for the whole installation. Tables are bounded, and a customer fills its own share only.

--- /dev/null
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
@@ -0,0 +1,343 @@
+"""Find the prompt part whose requests end the servers that begin them.
+
+One request after the other ends the server that begins to answer it, at any
+entry. Each takes along what else its server runs, and each entry alone sees
+too few of the ends to tell what they have in common. Without a memory beyond
+the single request, a few requests a second keep all servers of a service down.
+
+The evidence of all entries is put together here: for each server that ended
+by itself, the parts of the requests that it had begun and given no answer to.
+A part is to blame if several servers have ended under it, one after the
+other, and no server has answered a request with it in between. Parts that
+sound requests share with the others are answered all the time, and are
+cleared by that, whatever else makes servers end. Where no server is left to
+clear them, the part that explains the ends with the fewest requests is taken,
+and the ends that it explains no longer speak against other parts.
+
+A part is blamed for the customers whose requests had it. Once requests of a
+second customer end servers by it, it is blamed for everyone. So no customer
+alone can have another one's requests refused.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections import OrderedDict
+import math
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from sycamorestand_model.prompt_parts import CustomerPart
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from sycamorestand_model.prompt_parts import BlockedPart
+    from sycamorestand_model.prompt_parts import Suspect
+
+# Five ends are allowed. One of them may not be seen, as the entry that had
+# the request was lost in the same moment.
+ENDS_TO_BLAME: Final = 4
+ENDS_TO_WATCH: Final = 2
+# Ends of further customers' requests after which a part is blamed for all.
+FURTHER_ENDS: Final = 2
+# Time for entries to tell that a watched part is answered.
+WATCH_S: Final = 0.5
+# Time for all entries to tell what they had at a server that ended.
+SETTLE_S: Final = 0.3
+# A part explains the ends about as well as another one if it was in this
+# share of them: what one entry knew may be missing.
+SIMILAR_SHARE: Final = 0.8
+MAX_ENDS: Final = 256
+MAX_END_AGE_S: Final = 3600.0
+MAX_SUSPECTS_PER_END: Final = 64
+MAX_SUSPECTS_PER_CUSTOMER: Final = 24
+MAX_REPORTERS: Final = 64
+MAX_WATCHED: Final = 128
+# Longer than any of the times above.
+RECENT_S: Final = 2.0
+
+Server = tuple[str, int]
+
+
+class Blame(NamedTuple):
+    """A part to refuse, with the servers that ended under it.
+
+    ``is_certain`` is true if other parts of the requests at these servers
+    were answered meanwhile: not all servers had ended at once.
+    """
+
+    part: str
+    customers: tuple[str, ...]
+    is_for_everyone: bool
+    servers: tuple[str, ...]
+    is_certain: bool = False
+
+
+class _End:
+    """One server that ended, with what each entry had there."""
+
+    def __init__(self, at_s: float) -> None:
+        self.at_s = at_s
+        self.cleared: set[CustomerPart] = set()
+        self._held: dict[CustomerPart, dict[tuple[str, bool], Suspect]] = {}
+
+    @property
+    def parts(self) -> Iterable[CustomerPart]:
+        return self._held.keys()
+
+    def add(self, reporter: str, suspect: Suspect) -> bool:
+        """Add a suspect; return whether it tells anything new."""
+        key = CustomerPart(suspect.customer, suspect.part)
+        reports = self._held.get(key)
+        if reports is None:
+            if not self._has_room(suspect.customer):
+                return False
+            reports = self._held.setdefault(key, {})
+        source = (reporter, suspect.is_begun)
+        if reports.get(source) == suspect or len(reports) >= MAX_REPORTERS:
+            return False
+        reports[source] = suspect
+        return True
+
+    def _has_room(self, customer: str) -> bool:
+        own = sum(key.customer == customer for key in self._held)
+        return (
+            len(self._held) < MAX_SUSPECTS_PER_END
+            and own < MAX_SUSPECTS_PER_CUSTOMER
+        )
+
+    def suspects(self, now_s: float) -> dict[CustomerPart, int]:
+        """Return the parts that may be to blame, with their requests.
+
+        Where the server had begun to answer requests, it is one of those.
+        """
+        found = self._requests(is_begun=True)
+        if not found and now_s - self.at_s >= SETTLE_S:
+            found = self._requests(is_begun=False)
+        return {k: n for k, n in found.items() if k not in self.cleared}
+
+    def _requests(self, is_begun: bool) -> dict[CustomerPart, int]:
+        counts = {
+            key: sum(
+                suspect.requests
+                for suspect in reports.values()
+                if suspect.is_begun == is_begun
+            )
+            for key, reports in self._held.items()
+        }
+        return {key: count for key, count in counts.items() if count}
+
+
+class _Count:
+    def __init__(self) -> None:
+        self.servers: list[str] = []
+        self.requests = 0
+        self.customers: set[str] = set()
+        self.is_certain = False
+
+
+class EndingParts:
+    """What entries have told of servers that ended by themselves.
+
+    >>> from sycamorestand_model.prompt_parts import Suspect
+    >>> parts = EndingParts()
+    >>> for number in range(4):
+    ...     bad = Suspect("club", "bad", True, 1)
+    ...     server = (f"s-{number}", 1)
+    ...     assert parts.record_end(server, "entry-1", [bad], number)
+    >>> parts.watch(4.0)
+    ('bad',)
+    >>> parts.blames({}, 4.6)[0].part
+    'bad'
+    """
+
+    def __init__(self) -> None:
+        self._ends: OrderedDict[Server, _End] = OrderedDict()
+        self._watched_since_s: dict[str, float] = {}
+        self._changed_s = -math.inf
+
+    def has_changed_lately(self, now_s: float) -> bool:
+        """Return whether `watch` and `blames` may return something new."""
+        return now_s - self._changed_s < RECENT_S
+
+    def record_end(
+        self,
+        server: Server,
+        reporter: str,
+        suspects: Iterable[Suspect],
+        now_s: float,
+    ) -> bool:
+        """Record what the entry ``reporter`` had at a server that ended.
+
+        Return whether it tells anything new; reports are sent repeatedly.
+        """
+        end = self._ends.get(server)
+        is_new = end is None
+        if end is None:
+            end = _End(now_s)
+            self._ends[server] = end
+            self._drop_old(now_s)
+        added = [end.add(reporter, suspect) for suspect in suspects]
+        if is_new or any(added):
+            self._changed_s = now_s
+            return True
+        return False
+
+    def record_sound(
+        self, sound: CustomerPart, is_blocked: bool, now_s: float
+    ) -> None:
+        """Record that a server has begun an answer with a part, and lives on.
+
+        That clears the part for everyone. A ``is_blocked`` part is cleared for
+        this customer alone, as others may still send what ends servers.
+        """
+        for end in self._ends.values():
+            end.cleared |= {
+                key
+                for key in end.parts
+                if key.part == sound.part
+                and (key.customer == sound.customer or not is_blocked)
+            }
+        if not is_blocked:
+            self._watched_since_s.pop(sound.part, None)
+        self._changed_s = now_s
+
+    def forget(self, part: str, now_s: float) -> None:
+        """Drop all that speaks against a part."""
+        for end in self._ends.values():
+            end.cleared |= {key for key in end.parts if key.part == part}
+        self._watched_since_s.pop(part, None)
+        self._changed_s = now_s
+
+    def watch(self, now_s: float) -> tuple[str, ...]:
+        """Return the parts of which entries shall tell that they are sound."""
+        counts = self._counts({}, now_s)
+        watched = sorted(
+            (
+                part
+                for part, count in counts.items()
+                if len(count.servers) >= ENDS_TO_WATCH
+            ),
+            key=lambda part: -len(counts[part].servers),
+        )[:MAX_WATCHED]
+        self._watched_since_s = {
+            part: self._watched_since_s.get(part, now_s) for part in watched
+        }
+        return tuple(sorted(watched))
+
+    def blames(
+        self, blocked: Mapping[str, BlockedPart], now_s: float
+    ) -> list[Blame]:
+        """Return the parts to refuse from now on."""
+        found: list[Blame] = []
+        while True:
+            counts = self._counts(blocked, now_s, found)
+            blame = self._further_customers(counts, blocked, found)
+            if blame is None:
+                blame = self._most_likely(counts, blocked, now_s)
+            if blame is None:
+                return found
+            found.append(blame)
+
+    def _further_customers(
+        self,
+        counts: Mapping[str, _Count],
+        blocked: Mapping[str, BlockedPart],
+        found: list[Blame],
+    ) -> Blame | None:
+        """Return a blocked part that ends servers for another customer too."""
+        done = {blame.part for blame in found}
+        for part, block in blocked.items():
+            if part in done or block.is_for_everyone:
+                continue
+            count = counts.get(part)
+            if count is not None and len(count.servers) >= FURTHER_ENDS:
+                return _blame(part, count, is_for_everyone=True)
+        return None
+
+    def _most_likely(
+        self,
+        counts: Mapping[str, _Count],
+        blocked: Mapping[str, BlockedPart],
+        now_s: float,
+    ) -> Blame | None:
+        candidates = [
+            part
+            for part, count in counts.items()
+            if len(count.servers) >= ENDS_TO_BLAME
+            and part not in blocked
+            and now_s - self._watched_since_s.get(part, now_s) >= WATCH_S
+        ]
+        if not candidates:
+            return None
+        most = max(len(counts[part].servers) for part in candidates)
+        part = min(
+            (
+                part
+                for part in candidates
+                if len(counts[part].servers) >= SIMILAR_SHARE * most
+            ),
+            key=lambda part: (counts[part].requests, part),
+        )
+        count = counts[part]
+        return _blame(part, count, is_for_everyone=len(count.customers) > 1)
+
+    def _counts(
+        self,
+        blocked: Mapping[str, BlockedPart],
+        now_s: float,
+        found: Iterable[Blame] = (),
+    ) -> dict[str, _Count]:
+        """Return how often servers ended under each part, unexplained."""
+        counts: dict[str, _Count] = defaultdict(_Count)
+        for (server, _), end in self._ends.items():
+            suspects = end.suspects(now_s)
+            if any(_is_refused(key, blocked, found) for key in suspects):
+                continue
+            for part in {key.part for key in suspects}:
+                counts[part].servers.append(server)
+                counts[part].is_certain |= bool(end.cleared)
+            for key, requests in suspects.items():
+                counts[key.part].requests += requests
+                counts[key.part].customers.add(key.customer)
+        return counts
+
+    def _drop_old(self, now_s: float) -> None:
+        while self._ends:
+            oldest = next(iter(self._ends.values()))
+            is_old = now_s - oldest.at_s > MAX_END_AGE_S
+            if not is_old and len(self._ends) <= MAX_ENDS:
+                return
+            self._ends.popitem(last=False)
+
+
+def _is_refused(
+    key: CustomerPart,
+    blocked: Mapping[str, BlockedPart],
+    found: Iterable[Blame],
+) -> bool:
+    block = blocked.get(key.part)
+    if block is not None and block.concerns(key.customer):
+        return True
+    return any(
+        blame.part == key.part
+        and (blame.is_for_everyone or key.customer in blame.customers)
+        for blame in found
+    )
+
+
+def _blame(part: str, count: _Count, is_for_everyone: bool) -> Blame:
+    customers = tuple(sorted(count.customers))
+    return Blame(
+        part,
+        customers,
+        is_for_everyone,
+        tuple(count.servers),
+        count.is_certain,
+    )
+
+
+__all__ = ["Blame", "EndingParts", "ENDS_TO_BLAME", "WATCH_S"]
--- /dev/null
+++ b/packages/sycamorestand-decisions/tests/test_ending_parts.py
@@ -0,0 +1,288 @@
+"""The part whose requests end servers is found among those of all requests."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+import hypothesis.strategies as st
+
+from sycamorestand_decisions.ending_parts import Blame
+from sycamorestand_decisions.ending_parts import EndingParts
+from sycamorestand_decisions.ending_parts import ENDS_TO_BLAME
+from sycamorestand_decisions.ending_parts import WATCH_S
+from sycamorestand_model.prompt_parts import BlockedPart
+from sycamorestand_model.prompt_parts import CustomerPart
+from sycamorestand_model.prompt_parts import Suspect
+
+CLUB = "club"
+TICK_S = 0.1
+SCHOOL = "school"
+
+
+class Cluster:
+    """Servers that end, as a control process hears of them."""
+
+    def __init__(self) -> None:
+        self.parts = EndingParts()
+        self.now_s = 0.0
+        self.blocked: dict[str, BlockedPart] = {}
+        self._ended = 0
+
+    def end(
+        self,
+        *suspects: Suspect,
+        entry: str = "entry-1",
+        server: str = "",
+        pause_s: float = 0.1,
+    ) -> str:
+        """Let a server end that had these suspects; return its name."""
+        self.now_s += pause_s
+        self._ended += 1
+        name = server or f"s-{self._ended}"
+        self.parts.record_end((name, 1), entry, suspects, self.now_s)
+        return name
+
+    def answer(self, part: str, customer: str = CLUB) -> None:
+        """Let a server answer a request with the part."""
+        sound = CustomerPart(customer, part)
+        self.parts.record_sound(sound, part in self.blocked, self.now_s)
+
+    def blames(self) -> list[Blame]:
+        """Return whom the leader blames once all entries could answer."""
+        end_s = self.now_s + 2 * WATCH_S
+        found: list[Blame] = []
+        while self.now_s < end_s and not found:
+            self.now_s += TICK_S
+            self.parts.watch(self.now_s)
+            found = self.parts.blames(self.blocked, self.now_s)
+        for blame in found:
+            self.blocked[blame.part] = BlockedPart(
+                blame.customers, blame.is_for_everyone
+            )
+        return found
+
+
+def begun(part: str, customer: str = CLUB, requests: int = 1) -> Suspect:
+    return Suspect(customer, part, True, requests)
+
+
+def waiting(part: str, customer: str = CLUB, requests: int = 1) -> Suspect:
+    return Suspect(customer, part, False, requests)
+
+
+class TestBlame:
+    def test_part_under_which_servers_end_is_blamed_for_its_customer(
+        self,
+    ) -> None:
+        cluster = Cluster()
+        names = [cluster.end(begun("bad")) for _ in range(ENDS_TO_BLAME)]
+        (blame,) = cluster.blames()
+        assert blame[:3] == ("bad", (CLUB,), False)
+        assert blame.servers == tuple(names)
+
+    def test_each_entry_has_seen_one_end_at_most(self) -> None:
+        """No entry alone saw enough, so that none knew."""
+        cluster = Cluster()
+        for number in range(ENDS_TO_BLAME):
+            cluster.end(begun("bad"), entry=f"entry-{number}")
+        assert [blame.part for blame in cluster.blames()] == ["bad"]
+
+    def test_fewer_ends_blame_nothing(self) -> None:
+        cluster = Cluster()
+        for _ in range(ENDS_TO_BLAME - 1):
+            cluster.end(begun("bad"))
+        assert cluster.blames() == []
+
+    def test_repeated_report_is_one_end(self) -> None:
+        cluster = Cluster()
+        for _ in range(2 * ENDS_TO_BLAME):
+            cluster.end(begun("bad"), server="s-1")
+        assert cluster.blames() == []
+
+    def test_answered_part_is_not_blamed(self) -> None:
+        """All sound requests share the first part with those that end
+        servers, and run beside them in the same batch.
+        """
+        cluster = Cluster()
+        for _ in range(3 * ENDS_TO_BLAME):
+            cluster.end(begun("first", requests=3), begun("bad"))
+            cluster.answer("first")
+        assert [blame.part for blame in cluster.blames()] == ["bad"]
+
+    def test_ends_of_long_ago_do_not_add_up_with_answers_between(self) -> None:
+        cluster = Cluster()
+        for _ in range(3 * ENDS_TO_BLAME):
+            cluster.end(begun("s0"), pause_s=60.0)
+            cluster.answer("s0")
+        assert cluster.blames() == []
+
+    def test_rarest_part_is_blamed_where_no_server_is_left(self) -> None:
+        """Nobody can be answered while all servers are down, so that the
+        parts that all requests share look as bad as the one to blame.
+        """
+        cluster = Cluster()
+        for number in range(2 * ENDS_TO_BLAME):
+            cluster.end(
+                begun("first", requests=4), begun("bad"), entry="entry-1"
+            )
+            beside = f"s{number % 4}"
+            cluster.end(
+                begun("first"),
+                begun(beside),
+                entry="entry-2",
+                server=f"s-{2 * number + 1}",
+            )
+        (blame,) = cluster.blames()
+        assert blame.part == "bad"
+        assert not blame.is_certain
+
+    def test_first_part_is_blamed_if_no_other_explains_the_ends(self) -> None:
+        cluster = Cluster()
+        for number in range(2 * ENDS_TO_BLAME):
+            cluster.end(begun("first"), begun(f"s{number % 4}"))
+        assert [blame.part for blame in cluster.blames()] == ["first"]
+
+    def test_begun_requests_count_before_waiting_ones(self) -> None:
+        """What waits at a server cannot have ended it."""
+        cluster = Cluster()
+        for _ in range(ENDS_TO_BLAME):
+            cluster.end(begun("bad"), waiting("s0"))
+        assert [blame.part for blame in cluster.blames()] == ["bad"]
+
+    def test_waiting_requests_count_where_none_was_begun(self) -> None:
+        """A server may end before it has sent the head of its answer."""
+        cluster = Cluster()
+        for _ in range(ENDS_TO_BLAME):
+            cluster.end(waiting("bad"))
+        assert [blame.part for blame in cluster.blames()] == ["bad"]
+
+    def test_certain_if_other_parts_were_answered_meanwhile(self) -> None:
+        cluster = Cluster()
+        for _ in range(ENDS_TO_BLAME):
+            cluster.end(begun("first"), begun("bad"))
+        cluster.answer("first")
+        (blame,) = cluster.blames()
+        assert blame.is_certain
+
+    def test_explained_ends_blame_no_other_part(self) -> None:
+        cluster = Cluster()
+        for _ in range(ENDS_TO_BLAME):
+            cluster.end(begun("bad"))
+        cluster.blames()
+        for _ in range(2 * ENDS_TO_BLAME):
+            cluster.end(begun("bad"), begun("s0", requests=2))
+        assert cluster.blames() == []
+
+    def test_released_part_has_to_end_servers_anew(self) -> None:
+        cluster = Cluster()
+        for _ in range(ENDS_TO_BLAME):
+            cluster.end(begun("bad"))
+        cluster.blames()
+        cluster.blocked.clear()
+        cluster.parts.forget("bad", cluster.now_s)
+        assert cluster.blames() == []
+        for _ in range(ENDS_TO_BLAME):
+            cluster.end(begun("bad"))
+        assert [blame.part for blame in cluster.blames()] == ["bad"]
+
+
+class TestCustomers:
+    def test_two_customers_that_end_servers_have_it_blamed_for_all(
+        self,
+    ) -> None:
+        cluster = Cluster()
+        for customer in (CLUB, SCHOOL, CLUB, SCHOOL):
+            cluster.end(begun("bad", customer))
+        (blame,) = cluster.blames()
+        assert blame.is_for_everyone
+
+    def test_ends_of_a_second_customer_extend_the_block(self) -> None:
+        cluster = Cluster()
+        for _ in range(ENDS_TO_BLAME):
+            cluster.end(begun("bad"))
+        cluster.blames()
+        cluster.end(begun("bad", SCHOOL))
+        assert cluster.blames() == []
+        cluster.end(begun("bad", SCHOOL))
+        (blame,) = cluster.blames()
+        assert blame.is_for_everyone
+
+    def test_customer_does_not_have_the_part_of_another_one_refused(
+        self,
+    ) -> None:
+        """A customer names a part of another one in requests that end
+        servers, beside which the other's requests run.
+        """
+        cluster = Cluster()
+        for _ in range(ENDS_TO_BLAME):
+            cluster.end(begun("bad"), begun("theirs"))
+        cluster.blames()
+        for _ in range(2 * ENDS_TO_BLAME):
+            cluster.end(begun("bad"), begun("theirs", SCHOOL))
+        cluster.blames()
+        for block in cluster.blocked.values():
+            assert not block.concerns(SCHOOL)
+
+    def test_answers_to_another_customer_do_not_clear_a_blocked_part(
+        self,
+    ) -> None:
+        cluster = Cluster()
+        for _ in range(ENDS_TO_BLAME):
+            cluster.end(begun("bad"))
+        cluster.blames()
+        cluster.answer("bad", SCHOOL)
+        assert cluster.blocked["bad"].concerns(CLUB)
+
+    def test_made_up_parts_do_not_push_out_those_of_others(self) -> None:
+        cluster = Cluster()
+        made_up = [begun(f"x{n}") for n in range(500)]
+        for _ in range(ENDS_TO_BLAME):
+            cluster.end(*made_up, begun("bad", SCHOOL, 1))
+        cluster.answer("x0")
+        assert "bad" in {blame.part for blame in cluster.blames()}
+
+
+class Evidence(RuleBasedStateMachine):
+    """Ends and answers in any order, with one part that ends servers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cluster = Cluster()
+        self.ends: dict[str, int] = {}
+        self.bad_ends = 0
+
+    @rule(
+        beside=st.sets(st.sampled_from(["first", "s0", "s1"])),
+        is_bad=st.booleans(),
+    )
+    def end_server(self, beside: set[str], is_bad: bool) -> None:
+        parts = [*sorted(beside), *(["bad"] if is_bad else [])]
+        self.cluster.end(*(begun(part) for part in parts))
+        for part in parts:
+            self.ends[part] = self.ends.get(part, 0) + 1
+        if is_bad and "bad" not in self.cluster.blocked:
+            self.bad_ends += 1
+
+    @rule(part=st.sampled_from(["first", "s0", "s1"]))
+    def answer_part(self, part: str) -> None:
+        self.cluster.answer(part)
+        self.ends[part] = 0
+
+    @rule()
+    def blame_parts(self) -> None:
+        before = dict(self.ends)
+        for blame in self.cluster.blames():
+            assert before[blame.part] >= ENDS_TO_BLAME
+
+    @invariant()
+    def bad_part_is_blamed_in_time(self) -> None:
+        if self.bad_ends >= ENDS_TO_BLAME:
+            self.blame_parts()
+            assert self.cluster.blocked
+            self.bad_ends = 0
+
+
+TestEvidence = Evidence.TestCase
+TestEvidence.settings = settings(max_examples=60, stateful_step_count=30)
--- a/packages/sycamorestand-model/src/sycamorestand_model/in_force.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/in_force.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from sycamorestand_model.declarations import Declarations
+from sycamorestand_model.prompt_parts import BlockedPart
 
 
 class RolloutShare(NamedTuple):
@@ -24,7 +25,8 @@
     ``shares`` is by model. ``session_key`` signs session tokens. Tokens
     that ``previous_session_key`` signed stay valid, so that sessions
     survive a rotation of the key. ``ledger_shards`` is set by the first
-    start of the cluster and never changes.
+    start of the cluster and never changes. ``blocked_parts`` is by the name
+    of the prompt part.
     """
 
     revision: int = 0
@@ -36,6 +38,7 @@
     session_key: bytes = b""
     ledger_shards: int = 1
     previous_session_key: bytes = b""
+    blocked_parts: dict[str, BlockedPart] = {}
 
 
 __all__ = ["InForce", "RolloutShare"]
--- /dev/null
+++ b/packages/sycamorestand-model/src/sycamorestand_model/prompt_parts.py
@@ -0,0 +1,104 @@
+"""Parts of prompts that are suspected to end the servers that read them.
+
+A prompt is a list of parts, most of which other prompts share. Callers name
+the parts as they like, so names and their number are bounded here, before
+anything is kept by them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import hashlib
+from typing import Final
+from typing import NamedTuple
+
+MAX_PARTS: Final = 32
+MAX_NAME_CHARACTERS: Final = 32
+DIGEST_BYTES: Final = 8
+LONG_NAME: Final = "#"
+FURTHER_PARTS: Final = "*"
+MAX_TRIALS: Final = 3
+
+
+class CustomerPart(NamedTuple):
+    """A prompt part, as a customer uses it."""
+
+    customer: str
+    part: str
+
+
+class Suspect(NamedTuple):
+    """A part in requests that a server had when it ended.
+
+    ``requests`` had the part. ``is_begun`` is true if the server had begun
+    to answer one of them, and false if they still waited there.
+    """
+
+    customer: str
+    part: str
+    is_begun: bool
+    requests: int
+
+
+class PartTrial(NamedTuple):
+    """The permission of one entry process to send one more request.
+
+    ``process`` is the id that the process has chosen at its start.
+    """
+
+    number: int
+    process: str
+
+
+class BlockedPart(NamedTuple):
+    """A part whose requests are refused, as they have ended servers.
+
+    They are refused to ``customers``, or to everyone, since ``revision``.
+    ``trials`` counts the permissions to send one more that were given,
+    ``trial`` is the last one. ``is_certain`` is true if other parts of the
+    same requests were answered while servers ended under this one.
+    """
+
+    customers: tuple[str, ...]
+    is_for_everyone: bool = False
+    trials: int = 0
+    trial: PartTrial | None = None
+    revision: int = 0
+    is_certain: bool = False
+
+    def concerns(self, customer: str) -> bool:
+        """Return whether requests of the customer are refused."""
+        return self.is_for_everyone or customer in self.customers
+
+
+def tracked_parts(customer: str, names: Sequence[str]) -> tuple[str, ...]:
+    """Return the names by which the parts of a prompt are tracked.
+
+    A long name is replaced by its digest. All parts beyond `MAX_PARTS` share
+    one name of the customer, so that none escapes in a long list.
+    """
+    tracked = [_bounded(name) for name in names[:MAX_PARTS] if name]
+    if len(names) > MAX_PARTS:
+        tracked.append(FURTHER_PARTS + _digest(customer))
+    return tuple(dict.fromkeys(tracked))
+
+
+def _bounded(name: str) -> str:
+    if len(name) <= MAX_NAME_CHARACTERS:
+        return name
+    return LONG_NAME + _digest(name)
+
+
+def _digest(text: str) -> str:
+    digest = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES)
+    return digest.hexdigest()
+
+
+__all__ = [
+    "BlockedPart",
+    "CustomerPart",
+    "MAX_TRIALS",
+    "PartTrial",
+    "Suspect",
+    "tracked_parts",
+]
