Blocked prompt parts are part of the configuration

A block has to hold at an entry that has just started, that cannot be reached, and after all processes were killed at once. The messages between entries and control come with it.

--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -32,11 +32,14 @@
 from sycamorestand_peer.messages import LeaseRequest
 from sycamorestand_peer.messages import LedgerBatch
 from sycamorestand_peer.messages import Message
+from sycamorestand_peer.messages import PartsReport
+from sycamorestand_peer.messages import PartsWatched
 from sycamorestand_peer.messages import ProposalForward
 from sycamorestand_peer.messages import Query
 from sycamorestand_peer.messages import Relayed
 from sycamorestand_peer.messages import ReplicaPayload
 from sycamorestand_peer.messages import SampleReport
+from sycamorestand_peer.messages import ServerEnded
 from sycamorestand_peer.messages import SessionsStay
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
@@ -68,6 +71,9 @@
     23: SessionsStay,
     24: ArrivalTrade,
     25: ArrivalsLent,
+    26: ServerEnded,
+    27: PartsReport,
+    28: PartsWatched,
 }
 _IN_FORCE_DECODER: Final = msgspec.msgpack.Decoder(InForce)
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -7,6 +7,8 @@
 from sycamorestand_model.backend_servers import Announcement
 from sycamorestand_model.entry_reports import EntryAddress
 from sycamorestand_model.entry_reports import RatingCount
+from sycamorestand_model.prompt_parts import CustomerPart
+from sycamorestand_model.prompt_parts import Suspect
 
 
 class Heartbeat(NamedTuple):
@@ -187,6 +189,39 @@
     places: tuple[int, ...]
 
 
+class ServerEnded(NamedTuple):
+    """A backend server that ended, with what it had of the sender's requests.
+
+    An entry sends it to its control process, which forwards it to the others.
+    It is sent more than once. ``incarnation`` is that of the server,
+    ``process`` the id of the entry process that had the requests.
+    """
+
+    server: str
+    incarnation: int
+    process: str
+    suspects: tuple[Suspect, ...]
+
+
+class PartsReport(NamedTuple):
+    """What became of requests with watched or blocked prompt parts.
+
+    Servers have begun to answer requests with the parts in ``sound`` and live
+    on, and requests with those in ``refused`` were refused. ``process`` is
+    the id of the entry process.
+    """
+
+    process: str
+    sound: tuple[CustomerPart, ...]
+    refused: tuple[CustomerPart, ...]
+
+
+class PartsWatched(NamedTuple):
+    """The prompt parts of which control asks whether servers answer them."""
+
+    parts: tuple[str, ...]
+
+
 class ArrivalTrade(NamedTuple):
     """Arrival budget that an entry gives to a pool or requests from it.
 
@@ -258,6 +293,9 @@
     | Relayed
     | ArrivalTrade
     | ArrivalsLent
+    | ServerEnded
+    | PartsReport
+    | PartsWatched
 )
 
 __all__ = [
@@ -278,11 +316,14 @@
     "LeaseRequest",
     "LedgerBatch",
     "Message",
+    "PartsReport",
+    "PartsWatched",
     "ProposalForward",
     "Query",
     "Relayed",
     "ReplicaPayload",
     "SampleReport",
+    "ServerEnded",
     "SessionsStay",
     "SharedRatings",
     "TableResync",
--- a/packages/sycamorestand-state/src/sycamorestand_state/commands.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/commands.py
@@ -160,6 +160,50 @@
     now_s: float
 
 
+class BlockPart(NamedTuple):
+    """Refuse the requests with a prompt part that has ended servers.
+
+    They are refused to these customers, beside those whose requests are
+    refused already, or to everyone.
+    """
+
+    change_id: str
+    operator: str
+    base_revision: int
+    part: str
+    customers: tuple[str, ...]
+    is_for_everyone: bool
+    is_certain: bool
+    evidence: str
+    now_s: float
+
+
+class TryPart(NamedTuple):
+    """Let one entry process send one request with a blocked prompt part.
+
+    ``number`` counts the trials of the part, from 1.
+    """
+
+    change_id: str
+    operator: str
+    base_revision: int
+    part: str
+    number: int
+    process: str
+    now_s: float
+
+
+class ReleasePart(NamedTuple):
+    """Accept requests with a blocked prompt part again."""
+
+    change_id: str
+    operator: str
+    base_revision: int
+    part: str
+    evidence: str
+    now_s: float
+
+
 class RecordOrder(NamedTuple):
     """Record the intent to send an order to an engine, or its outcome.
 
@@ -195,6 +239,9 @@
     | DrainVm
     | UndrainVm
     | RotateSessionKey
+    | BlockPart
+    | TryPart
+    | ReleasePart
 )
 Command = Change | RecordOrder
 
@@ -219,6 +266,9 @@
     11: UndrainVm,
     12: RotateSessionKey,
     13: RecordOrder,
+    14: BlockPart,
+    15: TryPart,
+    16: ReleasePart,
 }
 _CODEC: Final = make_codec(CODES)
 
@@ -242,6 +292,7 @@
     "ANY_REVISION",
     "ApplyDeclarations",
     "BASE_REQUIRED_KINDS",
+    "BlockPart",
     "Change",
     "CODES",
     "Command",
@@ -253,11 +304,13 @@
     "Quarantine",
     "RecordOrder",
     "Reinstate",
+    "ReleasePart",
     "RolloutStep",
     "RotateSessionKey",
     "StartRollout",
     "StopRollout",
     "SYSTEM",
+    "TryPart",
     "UndrainVm",
     "Withdraw",
 ]
--- a/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
@@ -14,6 +14,9 @@
 from typing import NamedTuple
 
 from sycamorestand_model.in_force import InForce
+from sycamorestand_state.blocked_parts import block_part
+from sycamorestand_state.blocked_parts import release_part
+from sycamorestand_state.blocked_parts import try_part
 from sycamorestand_state.change_ids import drop_expired
 from sycamorestand_state.change_ids import MAX_CHANGE_ID_CHARACTERS
 from sycamorestand_state.change_ids import store_answer
@@ -33,6 +36,7 @@
 from sycamorestand_state.commands import ANY_REVISION
 from sycamorestand_state.commands import ApplyDeclarations
 from sycamorestand_state.commands import BASE_REQUIRED_KINDS
+from sycamorestand_state.commands import BlockPart
 from sycamorestand_state.commands import Change
 from sycamorestand_state.commands import CreateCluster
 from sycamorestand_state.commands import decode_command
@@ -41,11 +45,13 @@
 from sycamorestand_state.commands import Quarantine
 from sycamorestand_state.commands import RecordOrder
 from sycamorestand_state.commands import Reinstate
+from sycamorestand_state.commands import ReleasePart
 from sycamorestand_state.commands import RolloutStep
 from sycamorestand_state.commands import RotateSessionKey
 from sycamorestand_state.commands import StartRollout
 from sycamorestand_state.commands import StopRollout
 from sycamorestand_state.commands import SYSTEM
+from sycamorestand_state.commands import TryPart
 from sycamorestand_state.commands import UndrainVm
 from sycamorestand_state.commands import Withdraw
 from sycamorestand_state.configuration_state import ConfigurationState
@@ -85,6 +91,9 @@
     DrainVm: drain_vm,
     UndrainVm: undrain_vm,
     RotateSessionKey: rotate_session_key,
+    BlockPart: block_part,
+    TryPart: try_part,
+    ReleasePart: release_part,
 }
 
 
@@ -343,7 +352,7 @@
 
 
 def _subject(command: Change) -> str:
-    for field in ("version", "model", "vm"):
+    for field in ("version", "model", "vm", "part"):
         if hasattr(command, field):
             return str(getattr(command, field))
     return ""
--- a/packages/sycamorestand-state/src/sycamorestand_state/configuration_state.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration_state.py
@@ -12,6 +12,7 @@
 from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.in_force import InForce
 from sycamorestand_model.in_force import RolloutShare
+from sycamorestand_model.prompt_parts import BlockedPart
 from sycamorestand_state.results import ClusterIdentity
 from sycamorestand_state.results import Outcome
 from sycamorestand_state.results import RolloutState
@@ -37,6 +38,7 @@
     draining_vms: dict[str, str] = {}
     session_key: bytes = b""
     previous_session_key: bytes = b""
+    blocked_parts: dict[str, BlockedPart] = {}
 
 
 class Decision(NamedTuple):
@@ -99,6 +101,7 @@
         ledger_shards=(
             state.cluster.shard_count if state.cluster is not None else 1
         ),
+        blocked_parts=state.blocked_parts,
     )
 
 
