The leader blocks prompt parts by what all entries tell

Entries tell their control process of servers that ended and of answers; it passes on what is new, so that each control process, and so the next leader, knows all. The leader commits blocks, trials and releases.

--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
@@ -0,0 +1,219 @@
+"""Blocks prompt parts whose requests end the servers that begin them.
+
+Every control process gathers what all entries tell, so that the next leader
+knows it too. The leader decides, and commits each decision as a revision of
+the configuration. So an entry that has just started acts on it before its
+first request, and one that cannot be reached loses its lease first.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import Final
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sycamorestand_control.errors import ControlError
+from sycamorestand_control.groups import CONFIGURATION_GROUP
+from sycamorestand_decisions.ending_parts import EndingParts
+from sycamorestand_decisions.part_trials import PartTrials
+from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.messages import PartsReport
+from sycamorestand_peer.messages import PartsWatched
+from sycamorestand_peer.messages import ServerEnded
+from sycamorestand_state.commands import ANY_REVISION
+from sycamorestand_state.commands import BlockPart
+from sycamorestand_state.commands import encode_command
+from sycamorestand_state.commands import ReleasePart
+from sycamorestand_state.commands import SYSTEM
+from sycamorestand_state.commands import TryPart
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from sycamorestand_control.groups import LogGroups
+    from sycamorestand_decisions.ending_parts import Blame
+    from sycamorestand_decisions.part_trials import Trial
+    from sycamorestand_model.prompt_parts import BlockedPart
+    from sycamorestand_model.prompt_parts import CustomerPart
+    from sycamorestand_peer.mesh import PeerMesh
+    from sycamorestand_peer.messages import Message
+    from sycamorestand_state.commands import Command
+    from sycamorestand_state.configuration import ConfigurationMachine
+
+LOG: Final = logging.getLogger(__name__)
+TICK_S: Final = 0.1
+PROPOSE_TIMEOUT_S: Final = 3.0
+MAX_LOGGED_SERVERS: Final = 8
+
+
+class PartController:
+    """Gathers ends of servers, and blocks, tries and releases parts.
+
+    ``entries`` and ``others`` return the peer addresses of the entries
+    attached here and of the other control processes.
+    """
+
+    def __init__(
+        self,
+        mesh: PeerMesh,
+        groups: LogGroups,
+        configuration: ConfigurationMachine,
+        entries: Callable[[], Iterable[str]],
+        others: Callable[[], Iterable[str]],
+    ) -> None:
+        self._mesh = mesh
+        self._groups = groups
+        self._configuration = configuration
+        self._entries = entries
+        self._others = others
+        self._evidence = EndingParts()
+        self._trials = PartTrials()
+        self._blocked: dict[str, BlockedPart] = {}
+        self._sound: dict[str, CustomerPart] = {}
+        self._sent: dict[str, tuple[str, ...]] = {}
+        self._leads = False
+        self.watched: tuple[str, ...] = ()
+        self.ends = 0
+
+    def handle_server_ended(self, sender: str, message: ServerEnded) -> None:
+        """Add what an entry had at a server that ended by itself."""
+        server = (message.server, message.incarnation)
+        is_new = self._evidence.record_end(
+            server, message.process, message.suspects, boottime_s()
+        )
+        if is_new:
+            self.ends += 1
+            self._forward(sender, message)
+
+    def handle_parts_report(self, sender: str, message: PartsReport) -> None:
+        """Add what became of requests with watched and blocked parts."""
+        now_s = boottime_s()
+        blocked = self._configuration.in_force().blocked_parts
+        for sound in message.sound:
+            block = blocked.get(sound.part)
+            self._evidence.record_sound(sound, block is not None, now_s)
+            if block is not None and block.concerns(sound.customer):
+                self._sound[sound.part] = sound
+        for refused in message.refused:
+            self._trials.record_refused(refused.part, message.process, now_s)
+        self._forward(sender, message)
+
+    def _forward(self, sender: str, message: Message) -> None:
+        """Send what an entry reports to the other control processes."""
+        others = set(self._others())
+        if sender in others:
+            return
+        for address in others:
+            self._mesh.send(address, message)
+
+    async def run(self) -> None:
+        """Watch and decide every `TICK_S`, until cancelled."""
+        while True:
+            await anyio.sleep(TICK_S)
+            await self.check(boottime_s())
+
+    async def check(self, now_s: float) -> None:
+        """Tell the entries what to watch and, while leading, decide."""
+        self._sync_blocked(now_s)
+        if self._evidence.has_changed_lately(now_s):
+            self.watched = self._evidence.watch(now_s)
+        self._push_watched()
+        led, self._leads = (
+            self._leads,
+            self._groups.is_leader(CONFIGURATION_GROUP),
+        )
+        if not self._leads:
+            self._sound.clear()
+            return
+        for command in self._decide(now_s, is_new_leader=not led):
+            await self._commit(command)
+
+    def _sync_blocked(self, now_s: float) -> None:
+        """Forget what spoke against parts that have been released."""
+        blocked = self._configuration.in_force().blocked_parts
+        for part in self._blocked.keys() - blocked.keys():
+            self._evidence.forget(part, now_s)
+        self._blocked = blocked
+
+    def _push_watched(self) -> None:
+        attached = set(self._entries())
+        self._sent = {a: p for a, p in self._sent.items() if a in attached}
+        for address in attached:
+            if self._sent.get(address, ()) != self.watched:
+                self._sent[address] = self.watched
+                self._mesh.send(address, PartsWatched(self.watched))
+
+    def _decide(self, now_s: float, is_new_leader: bool) -> list[Command]:
+        blocked = self._blocked
+        released = [part for part in self._sound if part in blocked]
+        commands: list[Command] = [_release(part) for part in released]
+        self._sound.clear()
+        if is_new_leader or self._evidence.has_changed_lately(now_s):
+            blames = self._evidence.blames(blocked, now_s)
+            commands += [_block(blame) for blame in blames]
+        commands += [
+            _try(trial)
+            for trial in self._trials.due(blocked, now_s)
+            if trial.part not in released
+        ]
+        return commands
+
+    async def _commit(self, command: Command) -> None:
+        try:
+            result = await self._groups.propose(
+                CONFIGURATION_GROUP, encode_command(command), PROPOSE_TIMEOUT_S
+            )
+        except ControlError as error:
+            LOG.warning("not committed", extra={"reason": str(error)})
+            return
+        if not result.duplicate:
+            LOG.warning(
+                "prompt part decision",
+                extra={"command": repr(command), "outcome": result.outcome},
+            )
+
+
+def _block(blame: Blame) -> BlockPart:
+    servers = ", ".join(blame.servers[:MAX_LOGGED_SERVERS])
+    return BlockPart(
+        f"block-{blame.part}-{time.time_ns()}",
+        SYSTEM,
+        ANY_REVISION,
+        blame.part,
+        blame.customers,
+        blame.is_for_everyone,
+        blame.is_certain,
+        f"{len(blame.servers)} servers ended under it, and none answered it:"
+        f" {servers}",
+        time.time(),
+    )
+
+
+def _try(trial: Trial) -> TryPart:
+    return TryPart(
+        f"try-{trial.part}-{trial.number}-{time.time_ns()}",
+        SYSTEM,
+        ANY_REVISION,
+        trial.part,
+        trial.number,
+        trial.process,
+        time.time(),
+    )
+
+
+def _release(part: str) -> ReleasePart:
+    return ReleasePart(
+        f"release-{part}-{time.time_ns()}",
+        SYSTEM,
+        ANY_REVISION,
+        part,
+        "a server has answered a request with it",
+        time.time(),
+    )
+
+
+__all__ = ["PartController", "TICK_S"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -37,6 +37,7 @@
 from sycamorestand_control.operator_server import OperatorServer
 from sycamorestand_control.orders.service import make_orders
 from sycamorestand_control.orders.service import OrderSettings
+from sycamorestand_control.part_controller import PartController
 from sycamorestand_control.rating_exchange import RatingExchange
 from sycamorestand_control.session_relay import SessionRelay
 from sycamorestand_control.tables import ControlName
@@ -52,10 +53,12 @@
 from sycamorestand_peer.messages import JoinRequest
 from sycamorestand_peer.messages import LeaseRequest
 from sycamorestand_peer.messages import LedgerBatch
+from sycamorestand_peer.messages import PartsReport
 from sycamorestand_peer.messages import ProposalForward
 from sycamorestand_peer.messages import Query
 from sycamorestand_peer.messages import ReplicaPayload
 from sycamorestand_peer.messages import SampleReport
+from sycamorestand_peer.messages import ServerEnded
 from sycamorestand_peer.messages import SessionsStay
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
@@ -120,6 +123,13 @@
         self.sessions = SessionRelay(
             self.mesh, self.hub.attached_addresses, self._other_controls
         )
+        self.parts = PartController(
+            self.mesh,
+            self.groups,
+            self.configuration,
+            self.hub.attached_addresses,
+            self._other_controls,
+        )
         self.lender = ArrivalLender(
             self.mesh, settings.allowance, self._voters
         )
@@ -187,6 +197,7 @@
                 self.membership.run,
                 self.ratings.run,
                 self.sessions.run,
+                self.parts.run,
                 self.balancer.run,
                 *(writer.run for writer in self.ledger_writers),
             ):
@@ -299,6 +310,8 @@
             JoinRequest: self.membership.handle_join_request,
             SampleReport: self._handle_sample_report,
             SessionsStay: self.sessions.handle_sessions_stay,
+            ServerEnded: self.parts.handle_server_ended,
+            PartsReport: self.parts.handle_parts_report,
             ArrivalTrade: self.lender.handle_trade,
             SharedRatings: self._handle_shared_ratings,
             LedgerBatch: self._handle_ledger_batch,
--- /dev/null
+++ b/packages/sycamorestand-control/tests/test_part_controller.py
@@ -0,0 +1,181 @@
+"""The leader blocks, tries and releases parts by what all entries tell."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from sycamorestand_bench.fakes.in_memory_control import FakeMesh
+from sycamorestand_control.part_controller import PartController
+from sycamorestand_decisions.ending_parts import ENDS_TO_BLAME
+from sycamorestand_model.prompt_parts import BlockedPart
+from sycamorestand_model.prompt_parts import CustomerPart
+from sycamorestand_model.prompt_parts import Suspect
+from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.messages import PartsReport
+from sycamorestand_peer.messages import PartsWatched
+from sycamorestand_peer.messages import ServerEnded
+from sycamorestand_state.commands import ANY_REVISION
+from sycamorestand_state.commands import CreateCluster
+from sycamorestand_state.commands import encode_command
+from sycamorestand_state.commands import ReleasePart
+from sycamorestand_state.configuration import ConfigurationMachine
+
+pytestmark = pytest.mark.anyio
+BAD = (Suspect("club", "bad", True, 1),)
+TICK_S = 0.1
+
+
+class FakeGroups:
+    """The log of the installation, which applies each proposal at once."""
+
+    def __init__(self, machine: ConfigurationMachine) -> None:
+        self.machine = machine
+        self.leads = True
+        self.index = 10
+
+    def is_leader(self, group: int) -> bool:
+        return self.leads
+
+    async def propose(
+        self, group: int, command: bytes, timeout_s: float
+    ) -> Any:
+        self.index += 1
+        return self.machine.apply(self.index, command)
+
+
+class Harness:
+    """A control process with two entries and one other control process."""
+
+    def __init__(self, machine: ConfigurationMachine | None = None) -> None:
+        self.machine = machine or ConfigurationMachine()
+        if machine is None:
+            create = CreateCluster("c", "ann", 1.0, "id", b"k" * 32, 1, "h")
+            self.machine.apply(1, encode_command(create))
+        self.mesh = FakeMesh()
+        self.groups = FakeGroups(self.machine)
+        self.entries = ["e1", "e2"]
+        self.now_s = boottime_s()
+        self.parts = PartController(
+            self.mesh,  # type: ignore[arg-type]
+            self.groups,  # type: ignore[arg-type]
+            self.machine,
+            lambda: self.entries,
+            lambda: ["c2"],
+        )
+
+    def end(self, number: int, sender: str = "e1") -> ServerEnded:
+        message = ServerEnded(f"s-{number}", 1, f"process-{sender}", BAD)
+        self.parts.handle_server_ended(sender, message)
+        return message
+
+    def report(
+        self, sound: str = "", refused: str = "", customer: str = "club"
+    ) -> None:
+        found = (CustomerPart(customer, sound),) if sound else ()
+        denied = (CustomerPart(customer, refused),) if refused else ()
+        message = PartsReport("process-e1", found, denied)
+        self.parts.handle_parts_report("e1", message)
+
+    async def check(self, for_s: float = 1.0) -> None:
+        for _ in range(round(for_s / TICK_S)):
+            self.now_s += TICK_S
+            await self.parts.check(self.now_s)
+
+    def release(self) -> None:
+        command = ReleasePart("r", "ann", ANY_REVISION, "bad", "mended", 1.0)
+        self.machine.apply(5, encode_command(command))
+
+    @property
+    def blocked(self) -> dict[str, BlockedPart]:
+        return self.machine.in_force().blocked_parts
+
+
+class TestPartController:
+    async def test_ends_at_several_entries_block_the_part(self) -> None:
+        harness = Harness()
+        for number in range(ENDS_TO_BLAME):
+            harness.end(number, harness.entries[number % 2])
+        await harness.check()
+        assert harness.blocked["bad"].customers == ("club",)
+
+    async def test_next_leader_knows_what_the_others_were_told(self) -> None:
+        """A leader lost after the last end took all that it knew with it."""
+        harness = Harness()
+        harness.groups.leads = False
+        for number in range(ENDS_TO_BLAME):
+            harness.end(number, sender="c2")
+        await harness.check(5.0)
+        assert not harness.blocked
+        harness.groups.leads = True
+        await harness.check()
+        assert harness.blocked
+
+    async def test_reports_reach_each_other_control_process_once(self) -> None:
+        harness = Harness()
+        message = harness.end(1, "e1")
+        harness.end(1, "e1")
+        harness.end(2, "c2")
+        assert harness.mesh.sent == [("c2", message)]
+
+    async def test_entries_are_told_what_to_watch(self) -> None:
+        harness = Harness()
+        harness.groups.leads = False
+        harness.end(1)
+        harness.end(2)
+        await harness.check()
+        harness.entries.append("e3")
+        await harness.check()
+        watched = [
+            (to, m) for to, m in harness.mesh.sent if type(m) is PartsWatched
+        ]
+        expected = [(entry, PartsWatched(("bad",))) for entry in ("e1", "e2")]
+        assert sorted(watched[:2]) == expected
+        assert watched[2:] == [("e3", PartsWatched(("bad",)))]
+
+    async def test_answered_part_is_not_blocked(self) -> None:
+        harness = Harness()
+        for number in range(2 * ENDS_TO_BLAME):
+            harness.end(number)
+            harness.report(sound="bad")
+        await harness.check()
+        assert not harness.blocked
+
+    async def test_answer_to_its_customer_releases_the_part(self) -> None:
+        harness = Harness()
+        for number in range(ENDS_TO_BLAME):
+            harness.end(number)
+        await harness.check()
+        harness.report(sound="bad", customer="school")
+        await harness.check()
+        assert harness.blocked
+        harness.report(sound="bad")
+        await harness.check()
+        assert not harness.blocked
+
+    async def test_trial_goes_to_an_entry_that_refuses(self) -> None:
+        harness = Harness()
+        for number in range(ENDS_TO_BLAME):
+            harness.end(number)
+        await harness.check(3.0)
+        assert harness.blocked["bad"].trials == 0
+        harness.parts._trials.record_refused("bad", "p", harness.now_s)
+        await harness.check()
+        trial = harness.blocked["bad"].trial
+        assert trial is not None
+        assert trial.process == "p"
+        await harness.check()
+        assert harness.blocked["bad"].trials == 1
+
+    async def test_part_released_by_an_operator_is_not_blocked_again(
+        self,
+    ) -> None:
+        """The ends of before blocked it again at the next check."""
+        harness = Harness()
+        for number in range(ENDS_TO_BLAME):
+            harness.end(number)
+        await harness.check()
+        harness.release()
+        await harness.check()
+        assert not harness.blocked
