Control processes blame parts without a leader, and tell a new one

Each control process tells its entries which parts it blames, which refuse them until a block takes over; a new leader asks the others for what they know.

--- a/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
@@ -19,7 +19,9 @@
 from sycamorestand_control.groups import CONFIGURATION_GROUP
 from sycamorestand_decisions.ending_parts import EndingParts
 from sycamorestand_decisions.part_trials import PartTrials
+from sycamorestand_model.prompt_parts import BlockedPart
 from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.messages import EndsWanted
 from sycamorestand_peer.messages import PartsReport
 from sycamorestand_peer.messages import PartsWatched
 from sycamorestand_peer.messages import ServerEnded
@@ -37,7 +39,6 @@
     from sycamorestand_control.groups import LogGroups
     from sycamorestand_decisions.ending_parts import Blame
     from sycamorestand_decisions.part_trials import Trial
-    from sycamorestand_model.prompt_parts import BlockedPart
     from sycamorestand_model.prompt_parts import CustomerPart
     from sycamorestand_peer.mesh import PeerMesh
     from sycamorestand_peer.messages import Message
@@ -48,6 +49,7 @@
 TICK_S: Final = 0.1
 PROPOSE_TIMEOUT_S: Final = 3.0
 MAX_LOGGED_SERVERS: Final = 8
+NOTHING_WATCHED: Final = PartsWatched(())
 
 
 class PartController:
@@ -74,7 +76,8 @@
         self._trials = PartTrials()
         self._blocked: dict[str, BlockedPart] = {}
         self._sound: dict[str, CustomerPart] = {}
-        self._sent: dict[str, tuple[str, ...]] = {}
+        self._sent: dict[str, PartsWatched] = {}
+        self._blames: list[Blame] = []
         self._leads = False
         self.watched: tuple[str, ...] = ()
         self.ends = 0
@@ -102,6 +105,12 @@
             self._trials.record_refused(refused.part, message.process, now_s)
         self._forward(sender, message)
 
+    def handle_ends_wanted(self, sender: str, message: EndsWanted) -> None:
+        """Tell a new leader, which may have just started, what is known."""
+        for report in self._evidence.reports():
+            ended = ServerEnded(*report.server, *report[1:])
+            self._mesh.send(sender, ended)
+
     def _forward(self, sender: str, message: Message) -> None:
         """Send what an entry reports to the other control processes."""
         others = set(self._others())
@@ -121,6 +130,7 @@
         self._sync_blocked(now_s)
         if self._evidence.has_changed_lately(now_s):
             self.watched = self._evidence.watch(now_s)
+            self._blames = self._evidence.blames(self._blocked, now_s)
         self._push_watched()
         led, self._leads = (
             self._leads,
@@ -129,32 +139,45 @@
         if not self._leads:
             self._sound.clear()
             return
-        for command in self._decide(now_s, is_new_leader=not led):
+        if not led:
+            for address in self._others():
+                self._mesh.send(address, EndsWanted())
+        for command in self._decide(now_s):
             await self._commit(command)
 
     def _sync_blocked(self, now_s: float) -> None:
         """Forget what spoke against parts that have been released."""
         blocked = self._configuration.in_force().blocked_parts
+        if blocked == self._blocked:
+            return
         for part in self._blocked.keys() - blocked.keys():
             self._evidence.forget(part, now_s)
         self._blocked = blocked
+        self._blames = self._evidence.blames(blocked, now_s)
 
     def _push_watched(self) -> None:
+        """Tell the entries what to watch, and what to refuse already.
+
+        A leader may be missing, or its revision on the way.
+        """
+        blamed = {
+            blame.part: BlockedPart(blame.customers, blame.is_for_everyone)
+            for blame in self._blames
+        }
+        message = PartsWatched(self.watched, blamed)
         attached = set(self._entries())
-        self._sent = {a: p for a, p in self._sent.items() if a in attached}
+        self._sent = {a: m for a, m in self._sent.items() if a in attached}
         for address in attached:
-            if self._sent.get(address, ()) != self.watched:
-                self._sent[address] = self.watched
-                self._mesh.send(address, PartsWatched(self.watched))
+            if self._sent.get(address, NOTHING_WATCHED) != message:
+                self._sent[address] = message
+                self._mesh.send(address, message)
 
-    def _decide(self, now_s: float, is_new_leader: bool) -> list[Command]:
+    def _decide(self, now_s: float) -> list[Command]:
         blocked = self._blocked
         released = [part for part in self._sound if part in blocked]
         commands: list[Command] = [_release(part) for part in released]
         self._sound.clear()
-        if is_new_leader or self._evidence.has_changed_lately(now_s):
-            blames = self._evidence.blames(blocked, now_s)
-            commands += [_block(blame) for blame in blames]
+        commands += [_block(blame) for blame in self._blames]
         commands += [
             _try(trial)
             for trial in self._trials.due(blocked, now_s)
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -50,6 +50,7 @@
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import ControlLeaseGranted
 from sycamorestand_peer.messages import ControlLeaseRequest
+from sycamorestand_peer.messages import EndsWanted
 from sycamorestand_peer.messages import JoinRequest
 from sycamorestand_peer.messages import LeaseRequest
 from sycamorestand_peer.messages import LedgerBatch
@@ -312,6 +313,7 @@
             SessionsStay: self.sessions.handle_sessions_stay,
             ServerEnded: self.parts.handle_server_ended,
             PartsReport: self.parts.handle_parts_report,
+            EndsWanted: self.parts.handle_ends_wanted,
             ArrivalTrade: self.lender.handle_trade,
             SharedRatings: self._handle_shared_ratings,
             LedgerBatch: self._handle_ledger_batch,
--- a/packages/sycamorestand-control/tests/test_part_controller.py
+++ b/packages/sycamorestand-control/tests/test_part_controller.py
@@ -13,6 +13,7 @@
 from sycamorestand_model.prompt_parts import CustomerPart
 from sycamorestand_model.prompt_parts import Suspect
 from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.messages import EndsWanted
 from sycamorestand_peer.messages import PartsReport
 from sycamorestand_peer.messages import PartsWatched
 from sycamorestand_peer.messages import ServerEnded
@@ -112,6 +113,24 @@
         await harness.check()
         assert harness.blocked
 
+    async def test_new_leader_asks_the_others_for_what_they_know(
+        self,
+    ) -> None:
+        """A control process that has just started may be the next leader."""
+        old = Harness()
+        for number in range(ENDS_TO_BLAME):
+            old.end(number, old.entries[number % 2])
+        new = Harness()
+        await new.check()
+        assert ("c2", EndsWanted()) in new.mesh.sent
+        old.mesh.sent.clear()
+        old.parts.handle_ends_wanted("c1", EndsWanted())
+        assert {to for to, _ in old.mesh.sent} == {"c1"}
+        for _, message in old.mesh.sent:
+            new.parts.handle_server_ended("c2", message)
+        await new.check()
+        assert new.blocked
+
     async def test_reports_reach_each_other_control_process_once(self) -> None:
         harness = Harness()
         message = harness.end(1, "e1")
@@ -168,6 +187,21 @@
         await harness.check()
         assert harness.blocked["bad"].trials == 1
 
+    async def test_late_leader_blames_a_part_once(self) -> None:
+        """Without a new end, the blame was sent and committed for ever."""
+        harness = Harness()
+        harness.groups.leads = False
+        for number in range(ENDS_TO_BLAME):
+            harness.end(number)
+        await harness.check(10.0)
+        assert harness.mesh.sent[-1][1].blamed["bad"].concerns("club")
+        harness.groups.leads = True
+        await harness.check()
+        commands = harness.groups.index
+        await harness.check()
+        assert harness.groups.index == commands
+        assert harness.mesh.sent[-1][1].blamed == {}
+
     async def test_part_released_by_an_operator_is_not_blocked_again(
         self,
     ) -> None:
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
@@ -76,6 +76,14 @@
     is_certain: bool = False
 
 
+class EndReport(NamedTuple):
+    """What the entry ``reporter`` had at a server that ended."""
+
+    server: Server
+    reporter: str
+    suspects: tuple[Suspect, ...]
+
+
 class _End:
     """One server that ended, with what each entry had there."""
 
@@ -119,6 +127,19 @@
             found = self._requests(is_begun=False)
         return {k: n for k, n in found.items() if k not in self.cleared}
 
+    def reports(self, server: Server) -> list[EndReport]:
+        """Return all that entries have told of parts that are not cleared."""
+        by_reporter: dict[str, list[Suspect]] = defaultdict(list)
+        for key, reports in self._held.items():
+            if key in self.cleared:
+                continue
+            for (reporter, _), suspect in reports.items():
+                by_reporter[reporter].append(suspect)
+        return [
+            EndReport(server, reporter, tuple(suspects))
+            for reporter, suspects in by_reporter.items()
+        ]
+
     def _requests(self, is_begun: bool) -> dict[CustomerPart, int]:
         counts = {
             key: sum(
@@ -186,6 +207,14 @@
             return True
         return False
 
+    def reports(self) -> list[EndReport]:
+        """Return what speaks against any part, for a new leader."""
+        return [
+            report
+            for server, end in self._ends.items()
+            for report in end.reports(server)
+        ]
+
     def record_sound(
         self, sound: CustomerPart, is_blocked: bool, now_s: float
     ) -> None:
@@ -340,4 +369,4 @@
     )
 
 
-__all__ = ["Blame", "EndingParts", "ENDS_TO_BLAME", "WATCH_S"]
+__all__ = ["Blame", "EndingParts", "EndReport", "ENDS_TO_BLAME", "WATCH_S"]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -24,6 +24,7 @@
 from sycamorestand_peer.messages import ControlLeaseGranted
 from sycamorestand_peer.messages import ControlLeaseRequest
 from sycamorestand_peer.messages import ControlList
+from sycamorestand_peer.messages import EndsWanted
 from sycamorestand_peer.messages import EntryCount
 from sycamorestand_peer.messages import Heartbeat
 from sycamorestand_peer.messages import JoinRequest
@@ -74,6 +75,7 @@
     26: ServerEnded,
     27: PartsReport,
     28: PartsWatched,
+    29: EndsWanted,
 }
 _IN_FORCE_DECODER: Final = msgspec.msgpack.Decoder(InForce)
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -7,6 +7,7 @@
 from sycamorestand_model.backend_servers import Announcement
 from sycamorestand_model.entry_reports import EntryAddress
 from sycamorestand_model.entry_reports import RatingCount
+from sycamorestand_model.prompt_parts import BlockedPart
 from sycamorestand_model.prompt_parts import CustomerPart
 from sycamorestand_model.prompt_parts import Suspect
 
@@ -203,6 +204,13 @@
     suspects: tuple[Suspect, ...]
 
 
+class EndsWanted(NamedTuple):
+    """The question of a new leader for what others know of servers' ends.
+
+    It is answered by `ServerEnded` messages.
+    """
+
+
 class PartsReport(NamedTuple):
     """What became of requests with watched or blocked prompt parts.
 
@@ -217,9 +225,13 @@
 
 
 class PartsWatched(NamedTuple):
-    """The prompt parts of which control asks whether servers answer them."""
+    """The prompt parts of which control asks whether servers answer them.
+
+    Those in ``blamed`` are about to be blocked, as soon as there is a leader.
+    """
 
     parts: tuple[str, ...]
+    blamed: dict[str, BlockedPart] = {}
 
 
 class ArrivalTrade(NamedTuple):
@@ -296,6 +308,7 @@
     | ServerEnded
     | PartsReport
     | PartsWatched
+    | EndsWanted
 )
 
 __all__ = [
@@ -308,6 +321,7 @@
     "ControlLeaseGranted",
     "ControlLeaseRequest",
     "ControlList",
+    "EndsWanted",
     "EntryCount",
     "Heartbeat",
     "JoinRequest",
