Entries refuse prompts with a blocked part

Cause: nothing remembered beyond the single request. Class: a fault that comes with the input, where each retry and each entry meets it anew.

An entry tells control what it had at a server whose connections ended, if the server also refuses a dial: the requests that it had begun, those that had just left it, and those that waited. It tells of answers with watched parts. The gate refuses prompts with a blocked part, as not run unless an earlier attempt was sent; a trial is of one process and used once. A request under which two servers ended as they began to answer it goes to no third one. The native interface does the same for the system message that it has a key for.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed_system.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed_system.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from random import Random
 import time
+from typing import Any
 from typing import Final
 from typing import NamedTuple
 
@@ -37,6 +38,7 @@
 from sycamorestand_entry.routed.forwarding import new_forwarding_key
 from sycamorestand_entry.server import RunningEntry
 from sycamorestand_entry.server import serve_entry
+from sycamorestand_model.backend_servers import Announcement
 from sycamorestand_model.entry_reports import EntryAddress
 from sycamorestand_model.keys import hash_key
 from sycamorestand_state.commands import ANY_REVISION
@@ -49,20 +51,33 @@
 
 
 class Control:
-    """A control process that a test may stop, as if it were killed."""
+    """A control process that a test may kill and start again."""
 
-    def __init__(self, process: ControlProcess) -> None:
-        self.process = process
-        self.scope = anyio.CancelScope()
+    def __init__(self, settings: ControlSettings) -> None:
+        self.process = ControlProcess(settings)
+        self._stop = anyio.Event()
+        self._ended = anyio.Event()
+        self._settings = settings
 
-    def kill(self) -> None:
-        """End the process without handing over anything."""
-        self.scope.cancel()
+    @property
+    def is_killed(self) -> bool:
+        return self._stop.is_set()
+
+    async def kill(self) -> None:
+        """End the process without handing over its leadership."""
+        groups: Any = self.process.groups
+        groups.hand_over = _hand_over_nothing
+        self._stop.set()
+        await self._ended.wait()
 
     async def run(self) -> None:
         """Run the process until it is killed."""
-        with self.scope:
-            await self.process.run(anyio.Event())
+        await self.process.run(self._stop)
+        self._ended.set()
+
+    def renewed(self) -> Control:
+        """Return the process of the next start, on the same disk."""
+        return Control(self._settings._replace(first_start=False))
 
 
 class Entry(NamedTuple):
@@ -72,8 +87,14 @@
     link: ControlLink
     scope: anyio.CancelScope
 
-    def kill(self) -> None:
-        """End the entry without a planned stop."""
+    @property
+    def has_stopped(self) -> bool:
+        return self.running.context.stopping
+
+    async def stop(self) -> None:
+        """Stop the entry as planned."""
+        self.running.begin_stop()
+        await self.running.stopped.wait()
         self.scope.cancel()
 
     async def ask(self, path: str, **headers: str) -> bytes:
@@ -86,11 +107,14 @@
 class RoutedSystem:
     """The running control processes and entries."""
 
-    def __init__(self, folder: Path, tasks: TaskGroup) -> None:
+    def __init__(
+        self, folder: Path, tasks: TaskGroup, is_public: bool = True
+    ) -> None:
         self.controls: list[Control] = []
         self.entries: list[Entry] = []
         self._folder = folder
         self._tasks = tasks
+        self._is_public = is_public
         self._numbers = iter(range(1, 1_000_000))
 
     async def start_controls(self, count: int) -> None:
@@ -113,12 +137,19 @@
                 voters_wanted=count,
                 allowance=SETTINGS.allowance,
             )
-            control = Control(ControlProcess(settings))
+            control = Control(settings)
             self.controls.append(control)
             self._tasks.start_soon(control.run)
         await wait_until(lambda: len(self._voters()) == count)
         await self._apply_declarations()
 
+    def restart_controls(self) -> None:
+        """Start the control processes again that were killed."""
+        for number, control in enumerate(self.controls):
+            if control.is_killed:
+                self.controls[number] = control.renewed()
+                self._tasks.start_soon(self.controls[number].run)
+
     async def start_entry(self, controls: tuple[str, ...] = ()) -> Entry:
         """Start an entry, near the first of these control processes."""
         number = next(self._numbers)
@@ -170,10 +201,26 @@
         return next(
             control
             for control in self.controls
-            if not control.scope.cancel_called
+            if not control.is_killed
             and control.process.groups.is_leader(CONFIGURATION_GROUP)
         )
 
+    async def announce(self, announcement: Announcement) -> None:
+        """Announce a backend server to an entry that runs."""
+        for entry in self.entries:
+            if not entry.has_stopped:
+                await entry.link.announce(announcement)
+                return
+
+    def blocked_parts(self) -> set[str]:
+        """Return the parts that any control process holds blocked."""
+        return {
+            part
+            for control in self.controls
+            if not control.is_killed
+            for part in control.process.configuration.in_force().blocked_parts
+        }
+
     def _control_addresses(self, number: int) -> tuple[str, ...]:
         addresses = [c.process.mesh.address for c in self.controls]
         first = number % len(addresses)
@@ -188,12 +235,16 @@
         machine = self.controls[0].process.configuration
         await wait_until(lambda: machine.cluster is not None)
         declared = routed_configuration().declarations
+        routes = {
+            name: route._replace(public=self._is_public)
+            for name, route in declared.routes.items()
+        }
         operators = machine.in_force().declarations.operators
         command = ApplyDeclarations(
             "declare",
             "first-admin",
             machine.revision,
-            declared._replace(operators=operators),
+            declared._replace(operators=operators, routes=routes),
             "",
             time.time(),
         )
@@ -206,11 +257,14 @@
 
 @asynccontextmanager
 async def start_system(
-    folder: Path, entries: int, controls: int = 3
+    folder: Path, entries: int, controls: int = 3, is_public: bool = True
 ) -> AsyncIterator[RoutedSystem]:
-    """Start control processes and entries, without backend servers."""
+    """Start control processes and entries, without backend servers.
+
+    Unless ``is_public``, callers need the key of a customer.
+    """
     async with anyio.create_task_group() as tasks:
-        system = RoutedSystem(folder, tasks)
+        system = RoutedSystem(folder, tasks, is_public)
         await system.start_controls(controls)
         for _ in range(entries):
             await system.start_entry()
@@ -225,6 +279,10 @@
             await anyio.sleep(POLL_S)
 
 
+async def _hand_over_nothing() -> None:
+    """Keep the leadership, as a process that is killed does."""
+
+
 async def _exchange(stream: SocketStream, request: bytes) -> bytes:
     await stream.send(request)
     return await read_to_end(stream)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/chat.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/chat.py
@@ -10,6 +10,7 @@
 from sycamorestand_entry.cascade import run_cascade
 from sycamorestand_entry.chat_request import read_chat
 from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.gate import check_parts
 from sycamorestand_entry.http_messages import CallerGone
 from sycamorestand_entry.planning import plan_chat
 
@@ -26,6 +27,7 @@
 ) -> None:
     """Answer one request; cancel it when the caller disconnects."""
     chat = await read_chat(context, request)
+    _refuse_if_blocked(context, chat)
     failure: RequestError | None = None
     finished = False
     async with anyio.create_task_group() as group:
@@ -42,6 +44,18 @@
         raise CallerGone
 
 
+def _refuse_if_blocked(context: EntryContext, chat: ChatRequest) -> None:
+    """Refuse a prompt that would end the server that begins it."""
+    customer = chat.customer.name
+    watch = context.part_watch
+    blocked = watch.blocked(customer, chat.parts)
+    refusal = check_parts(blocked, watch.may_try)
+    if refusal is not None:
+        for part in blocked:
+            watch.record_refused(customer, part)
+        raise refusal
+
+
 async def _cancel_when_gone(receive: Receive, group: TaskGroup) -> None:
     while (await receive())["type"] != "http.disconnect":
         pass
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/chat_request.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/chat_request.py
@@ -54,6 +54,11 @@
     request_class: str
     prefix_key: str
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that other requests may have."""
+        return (self.prefix_key,) if self.prefix_key else ()
+
 
 async def read_chat(context: EntryContext, request: Request) -> ChatRequest:
     """Return the validated request; raise a `RequestError` if it is bad."""
@@ -107,6 +112,7 @@
         expected_chat_s(chat.max_tokens),
         session_name or chat.prefix_key,
         bool(session_name),
+        chat.parts,
     )
 
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -28,6 +28,7 @@
 from sycamorestand_entry.callers import Authenticator
 from sycamorestand_entry.loans import Loans
 from sycamorestand_entry.metrics import Metrics
+from sycamorestand_entry.part_watch import PartWatch
 from sycamorestand_entry.rating import RatingClient
 from sycamorestand_entry.server_watch import ServerWatch
 from sycamorestand_entry.servers import Servers
@@ -74,6 +75,9 @@
         self.server_watch = ServerWatch(
             self.pool, self.server_loss, control, self.now_s
         )
+        self.part_watch = PartWatch(
+            self.pool, control, self.metrics, self.now_s
+        )
         self.servers = Servers(control, self.random, self.server_loss)
         self.peer_entries = PeerEntries(
             settings.vm, settings.data_centre, self.random
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -22,8 +22,12 @@
 from sycamorestand_entry.event_reader import EventReader
 from sycamorestand_entry.gate import check_dispatch
 from sycamorestand_entry.gate import DispatchIntent
+from sycamorestand_entry.part_watch import MAX_BROKEN_STARTS
+from sycamorestand_entry.part_watch import ServerRequest
+from sycamorestand_entry.part_watch import SOUND_EVENTS
 from sycamorestand_entry.slots import SlotRequest
 from sycamorestand_entry.sse import MalformedStream
+from sycamorestand_entry.upstream import BrokenConnection
 from sycamorestand_entry.upstream import ServerLost
 from sycamorestand_entry.upstream import SilentConnection
 from sycamorestand_entry.upstream import UpstreamError
@@ -36,6 +40,7 @@
     from sycamorestand_entry.upstream import Sink
     from sycamorestand_entry.upstream import UpstreamConnection
     from sycamorestand_model.backend_servers import Announcement
+    from sycamorestand_model.prompt_parts import BlockedPart
 
 # Attempts on one version, resumed streams included. More attempts would
 # only add load when many servers fail at once. Lost servers do not count,
@@ -78,6 +83,9 @@
         self._lost_servers: set[str] = set()
         self._may_have_run = False
         self._has_version_failed = False
+        self._is_begun = False
+        self._is_sound = False
+        self._broken_starts = 0
         self._dispatched_s = 0.0
         self._slot: int | None = None
         self._slot_since_s = 0.0
@@ -144,6 +152,7 @@
         # may be dead while new ones work.
         idle_s = settings.pool_idle_s if self._attempts == 0 else 0.0
         self._attempts += 1
+        self._is_begun = False
         server, connection = await self._acquire_server(resume, idle_s)
         self._record_dispatch(server, connection)
         if not resume:
@@ -175,9 +184,12 @@
                 server.address, idle_s
             )
             refusal = check_dispatch(
-                self._context.control, self._intent(server)
+                self._context.control,
+                self._intent(server),
+                self._context.part_watch.may_try,
             )
             if refusal is None:
+                self._use_trials()
                 return server, connection
             self._context.pool.release(server.address, connection)
             code = refusal.code
@@ -188,7 +200,16 @@
             # sent, so another server may be chosen.
             self._failed_servers.add(server.name)
 
+    def _blocked_parts(self) -> dict[str, BlockedPart]:
+        watch = self._context.part_watch
+        return watch.blocked(self._work.customer, self._work.parts)
+
+    def _use_trials(self) -> None:
+        for part, block in self._blocked_parts().items():
+            self._context.part_watch.use_trial(part, block)
+
     def _record_first_byte(self, server: Announcement) -> None:
+        self._is_begun = True
         now_s = time.monotonic()
         latency_s = now_s - self._dispatched_s
         if not self.first_byte_ms:
@@ -206,10 +227,34 @@
             self._forward if self.write_now is not None else None,
         )
         events = self._reader.feed(data)
+        self._note_sound()
         if self._reader.done:
             self._finish()
         return events
 
+    def _note_sound(self) -> None:
+        if not self._is_sound and self._reader.events >= SOUND_EVENTS:
+            self._is_sound = True
+            watch = self._context.part_watch
+            watch.record_sound(self._work.customer, self._work.parts)
+
+    def _note_unanswered(self, error: Exception) -> None:
+        """Record what the server had of the request, should it have ended."""
+        if self._is_sound or not self._work.parts or self._server is None:
+            return
+        if not isinstance(error, BrokenConnection | MalformedStream):
+            return
+        self._broken_starts += self._is_begun
+        self._context.part_watch.record_broken(
+            self._server,
+            ServerRequest(
+                self._work.request_key,
+                self._work.customer,
+                self._work.parts,
+                self._is_begun,
+            ),
+        )
+
     def _forward(self, data: bytes) -> bool:
         # Only whole text events are forwarded here. Every other read goes
         # to the task that waits in `_read_events`.
@@ -235,6 +280,8 @@
             self._may_have_run = self._may_have_run or sent
             self._has_version_failed = self._has_version_failed or failed
             resume = self._can_resume()
+            if failed:
+                self._note_unanswered(error)
             self._release_server(_outcome_of(error))
             self._check_recovery_allowed(error, resume, failed)
             if not resume:
@@ -275,6 +322,7 @@
         unsafe = self.released and not resume
         limit = MAX_ATTEMPTS + len(self._lost_servers)
         allowed = not past_deadline and not unsafe and self._attempts < limit
+        allowed = allowed and self._broken_starts < MAX_BROKEN_STARTS
         if allowed and (resume or not failed or self._spend_retry(error)):
             return
         self.failed = self._has_version_failed
@@ -304,6 +352,7 @@
             self._failed_servers.add(self._server.name)
         self._server = None
         self._reader.restart()
+        self._is_sound = False
         self.attempt += 1
         if self.events_copy is not None:
             self.events_copy.clear()
@@ -365,6 +414,7 @@
             work.version,
             server.name,
             in_session=work.in_session,
+            blocked=self._blocked_parts(),
         )
 
     def _limit_to_deadline_s(self, limit_s: float) -> float:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_wire.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_wire.py
@@ -25,7 +25,8 @@
     """A request to an engine; its ``body`` always requests a stream.
 
     ``affinity_key`` selects the server that may have cached the state of
-    the session or prefix; it is empty if the request has neither.
+    the session or prefix; it is empty if the request has neither. ``parts``
+    are those of the prompt that other requests may have.
     """
 
     customer: str
@@ -39,6 +40,7 @@
     expected_s: float
     affinity_key: str = ""
     in_session: bool = False
+    parts: tuple[str, ...] = ()
 
 
 def encode_engine_request(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
@@ -203,6 +203,13 @@
     code = "stopping"
 
 
+class PartBlocked(RequestError):
+    """Servers have ended under requests with a part of this prompt."""
+
+    status = 503
+    code = "prompt_part_blocked"
+
+
 class LedgerFailed(RequestError):
     """The ledger gave no answer in time."""
 
@@ -253,6 +260,7 @@
     "NoVersion",
     "OutcomeUnknown",
     "Overloaded",
+    "PartBlocked",
     "RequestError",
     "RequestKeyExpired",
     "RequestKeyMissing",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
@@ -9,6 +9,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
@@ -16,6 +19,7 @@
 from sycamorestand_entry.errors import NoLease
 from sycamorestand_entry.errors import NotAllowed
 from sycamorestand_entry.errors import NoVersion
+from sycamorestand_entry.errors import PartBlocked
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import SessionNotAllowed
 from sycamorestand_entry.errors import SessionWithdrawn
@@ -25,17 +29,25 @@
 if TYPE_CHECKING:
     from sycamorestand_entry.ports import ControlPort
     from sycamorestand_model.in_force import InForce
+    from sycamorestand_model.prompt_parts import BlockedPart
     from sycamorestand_model.routes import Route
 
 LEASE_RETRY_S = 1.0
 SERVER_RETRY_S = 1.0
+# A part that may be blamed wrongly is tried soon, others are not.
+FIRST_TRIAL_RETRY_S: Final = 1.0
+BLOCKED_RETRY_S: Final = 30.0
+
+# Whether this process may send one request with a blocked part.
+MayTry = Callable[[str, "BlockedPart"], bool]
 
 
 class DispatchIntent(NamedTuple):
     """A request that is about to be written to a backend server.
 
     ``target`` is a version identity or the name of a plain service.
-    ``claim_held`` is None if the request needs no claim.
+    ``claim_held`` is None if the request needs no claim. ``blocked`` are the
+    parts of its prompt that are blocked for its customer.
     """
 
     customer: str
@@ -44,6 +56,7 @@
     backend_server: str
     in_session: bool = False
     claim_held: bool | None = None
+    blocked: Mapping[str, BlockedPart] = {}
 
 
 class RoutedIntent(NamedTuple):
@@ -51,15 +64,47 @@
 
     ``route`` is the route that admitted the request. ``backend_server`` is
     empty if another entry forwards the request and chooses the server.
+    ``blocked`` are the parts of its prompt that are blocked for its customer.
     """
 
     route: Route
     customer: str
     backend_server: str
+    blocked: Mapping[str, BlockedPart] = {}
+
+
+def check_parts(
+    blocked: Mapping[str, BlockedPart], may_try: MayTry
+) -> RequestError | None:
+    """Return why a prompt with these blocked parts is refused.
+
+    Returns None if it has none, or if this process may try the only one.
+    """
+    if not blocked:
+        return None
+    part, block = next(iter(blocked.items()))
+    if len(blocked) == 1 and may_try(part, block):
+        return None
+    return PartBlocked(
+        f"backend servers ended under requests with the prompt part {part!r}",
+        _blocked_retry_s(block),
+    )
+
+
+def _blocked_retry_s(block: BlockedPart) -> float:
+    is_tried_soon = not (block.is_certain or block.trials)
+    return FIRST_TRIAL_RETRY_S if is_tried_soon else BLOCKED_RETRY_S
+
+
+def may_never_try(part: str, block: BlockedPart) -> bool:
+    """Return that no request with a blocked part may be sent."""
+    return False
 
 
 def check_routed_dispatch(
-    control: ControlPort, intent: RoutedIntent
+    control: ControlPort,
+    intent: RoutedIntent,
+    may_try: MayTry = may_never_try,
 ) -> RequestError | None:
     """Return why a routed request may not be dispatched, None if it may.
 
@@ -78,8 +123,9 @@
         intent.customer not in in_force.declarations.customers
     ):
         return NotAllowed("the customer is no longer declared")
-    if not intent.backend_server:
-        return None
+    refusal = check_parts(intent.blocked, may_try)
+    if refusal is not None or not intent.backend_server:
+        return refusal
     return _check_routed_server(control, route, intent.backend_server)
 
 
@@ -103,7 +149,9 @@
 
 
 def check_dispatch(
-    control: ControlPort, intent: DispatchIntent
+    control: ControlPort,
+    intent: DispatchIntent,
+    may_try: MayTry = may_never_try,
 ) -> RequestError | None:
     """Return why the request may not be dispatched, None if it may."""
     if control.lease_remaining_s() <= 0:
@@ -117,6 +165,7 @@
         refusal = check_version(in_force, intent)
     else:
         refusal = _check_service(in_force, intent)
+    refusal = refusal or check_parts(intent.blocked, may_try)
     return refusal or _check_server(control, intent)
 
 
@@ -198,10 +247,13 @@
 
 
 __all__ = [
+    "check_parts",
     "check_version",
     "DispatchIntent",
     "check_dispatch",
     "check_routed_dispatch",
+    "may_never_try",
+    "MayTry",
     "RoutedIntent",
     "version_is_offered",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -117,6 +117,8 @@
     metrics.lease_remaining.set({}, context.control.lease_remaining_s())
     metrics.entries.set({}, context.control.entry_count())
     metrics.lost.set({}, len(context.server_loss.lost))
+    blocked = context.control.in_force().blocked_parts
+    metrics.blocked_parts.set({}, len(blocked))
     unreached = context.servers.unreached_services(context.now_s())
     metrics.unreached.set({}, len(unreached))
     metrics.addresses.set({}, len(context.control.addresses()))
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -68,6 +68,10 @@
             "forwarded_total",
             "Requests forwarded for other entries, or by them, by result",
         )
+        self.broken_servers = self._counter(
+            "broken_servers_total",
+            "Servers that broke answers off as they began, by what they are",
+        )
         self.cascade = self._counter(
             "cascade_steps_total", "Answers of earlier steps, by result"
         )
@@ -89,6 +93,9 @@
         self.lost = self._gauge(
             "lost", "Backend servers that accept no connection"
         )
+        self.blocked_parts = self._gauge(
+            "blocked_parts", "Prompt parts whose requests are refused"
+        )
         self.unreached = self._gauge(
             "unreached", "Services none of whose servers this entry reaches"
         )
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
@@ -0,0 +1,330 @@
+"""Tells control which requests this entry had at servers that ended.
+
+One dial tells whether a server has ended, for all requests that were there.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import OrderedDict
+import logging
+import math
+import secrets
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sycamorestand_entry.server_end import has_ended
+from sycamorestand_model.prompt_parts import CustomerPart
+from sycamorestand_model.prompt_parts import Suspect
+from sycamorestand_peer.messages import PartsReport
+from sycamorestand_peer.messages import PartsWatched
+from sycamorestand_peer.messages import ServerEnded
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from sycamorestand_entry.metrics import Metrics
+    from sycamorestand_entry.ports import ControlPort
+    from sycamorestand_entry.upstream_pool import UpstreamPool
+    from sycamorestand_model.backend_servers import Announcement
+    from sycamorestand_model.prompt_parts import BlockedPart
+
+_LOG = logging.getLogger(__name__)
+REPORT_INTERVAL_S: Final = 0.1
+# A message to control may be lost with its link, and the next control process
+# is in use a second later.
+REPEAT_AFTER_S: Final = (1.0, 3.0, 8.0)
+# A server may end shortly after a request has left it.
+LEFT_S: Final = 1.0
+SOUND_S: Final = 1.0
+# How long a part is refused that control no longer blames.
+BLAMED_S: Final = 3.0
+MAX_LEFT: Final = 64
+MAX_REPORTS: Final = 64
+MAX_SUSPECTS: Final = 48
+MAX_SOUND_PARTS: Final = 4096
+MAX_USED_TRIALS: Final = 1024
+# A server at its limit of connections resets many requests, and lives.
+CHECK_INTERVAL_S: Final = 0.2
+# A request under which two servers have ended as they began to answer it may
+# be what ends them.
+MAX_BROKEN_STARTS: Final = 2
+# Events after which an answer has begun without harm to its server.
+SOUND_EVENTS: Final = 2
+PROCESS_ID_BYTES: Final = 6
+
+
+class ServerRequest(NamedTuple):
+    """A request that a server had not answered when it went away.
+
+    ``is_begun`` tells whether the server had begun to answer it.
+    """
+
+    request: str
+    customer: str
+    parts: tuple[str, ...]
+    is_begun: bool
+
+
+class _Left(NamedTuple):
+    at_s: float
+    request: ServerRequest
+
+
+class _Blamed(NamedTuple):
+    block: BlockedPart
+    until_s: float
+
+
+class _Report(NamedTuple):
+    message: ServerEnded
+    next_s: float
+    repeats: int
+
+
+class PartWatch:
+    """The requests at servers that ended, and the parts that are watched."""
+
+    def __init__(
+        self,
+        pool: UpstreamPool,
+        control: ControlPort,
+        metrics: Metrics,
+        now_s: Callable[[], float],
+    ) -> None:
+        self.process = secrets.token_hex(PROCESS_ID_BYTES)
+        self._pool = pool
+        self._control = control
+        self._metrics = metrics
+        self._now_s = now_s
+        self._left: dict[str, list[_Left]] = {}
+        self._broken: dict[str, list[ServerRequest]] = {}
+        self._to_check: list[Announcement] = []
+        self._lived_s: OrderedDict[str, float] = OrderedDict()
+        self._reports: dict[str, _Report] = {}
+        self._watched: frozenset[str] = frozenset()
+        self._blamed: dict[str, _Blamed] = {}
+        self._sound_s: OrderedDict[CustomerPart, float] = OrderedDict()
+        self._sound: set[CustomerPart] = set()
+        self._refused: set[CustomerPart] = set()
+        self._used_trials: OrderedDict[tuple[str, int, int], None] = (
+            OrderedDict()
+        )
+        self._wake = anyio.Event()
+        control.add_listener(PartsWatched, self._on_watched)
+
+    async def run(self) -> None:
+        """Check servers and send reports until cancelled."""
+        async with anyio.create_task_group() as checks:
+            checks.start_soon(self._send_reports)
+            while True:
+                await self._wake.wait()
+                self._wake = anyio.Event()
+                to_check, self._to_check = self._to_check, []
+                for server in to_check:
+                    checks.start_soon(self._check, server)
+
+    def record_left(self, server: str, request: ServerRequest) -> None:
+        """Record that a request left a server that had begun to answer it."""
+        now_s = self._now_s()
+        self._left = {
+            name: kept
+            for name, requests in self._left.items()
+            if (kept := [r for r in requests if now_s - r.at_s < LEFT_S])
+        }
+        requests = self._left.setdefault(server, [])
+        if len(requests) < MAX_LEFT:
+            requests.append(_Left(now_s, request))
+
+    def record_broken(
+        self, server: Announcement, request: ServerRequest
+    ) -> None:
+        """Record that a request's connection to a server has ended."""
+        broken = self._broken.get(server.name)
+        if broken is not None:
+            broken.append(request)
+            return
+        self._broken[server.name] = [request]
+        self._to_check.append(server)
+        self._wake.set()
+
+    def record_sound(self, customer: str, parts: Iterable[str]) -> None:
+        """Record that a server answers a request with these parts."""
+        now_s = self._now_s()
+        blocked = self._control.in_force().blocked_parts
+        for part in parts:
+            key = CustomerPart(customer, part)
+            self._sound_s[key] = now_s
+            self._sound_s.move_to_end(key)
+            if part in self._watched or part in blocked:
+                self._sound.add(key)
+        while len(self._sound_s) > MAX_SOUND_PARTS:
+            self._sound_s.popitem(last=False)
+
+    def blocked(
+        self, customer: str, parts: Iterable[str]
+    ) -> dict[str, BlockedPart]:
+        """Return those of the parts that are blocked for the customer."""
+        blocked = self._control.in_force().blocked_parts
+        if self._blamed:
+            blocked = self._with_blamed(blocked)
+        return {
+            part: blocked[part]
+            for part in parts
+            if part in blocked and blocked[part].concerns(customer)
+        }
+
+    def _with_blamed(
+        self, blocked: Mapping[str, BlockedPart]
+    ) -> dict[str, BlockedPart]:
+        now_s = self._now_s()
+        self._blamed = {
+            part: blamed
+            for part, blamed in self._blamed.items()
+            if part not in blocked and now_s < blamed.until_s
+        }
+        blames = {part: blamed.block for part, blamed in self._blamed.items()}
+        return {**blames, **blocked}
+
+    def record_refused(self, customer: str, part: str) -> None:
+        """Record that a request with a blocked part is refused."""
+        self._refused.add(CustomerPart(customer, part))
+
+    def may_try(self, part: str, block: BlockedPart) -> bool:
+        """Return whether this process may send one request with the part."""
+        trial = block.trial
+        if trial is None or trial.process != self.process:
+            return False
+        key = (part, block.revision, trial.number)
+        return key not in self._used_trials
+
+    def use_trial(self, part: str, block: BlockedPart) -> None:
+        """Use the permission to send one request with a blocked part."""
+        if block.trial is None:
+            return
+        key = (part, block.revision, block.trial.number)
+        self._used_trials[key] = None
+        if len(self._used_trials) > MAX_USED_TRIALS:
+            self._used_trials.popitem(last=False)
+
+    async def _check(self, server: Announcement) -> None:
+        lived_s = self._lived_s.get(server.name, -math.inf)
+        pause_s = lived_s + CHECK_INTERVAL_S - self._now_s()
+        await anyio.sleep(max(0.0, pause_s))
+        try:
+            ended = await has_ended(self._pool, self._control, server)
+        except Exception:
+            # The exception would end the whole process.
+            _LOG.exception("check of a backend server failed")
+            ended = False
+        requests = self._broken.pop(server.name, [])
+        result = "ended" if ended else "lives"
+        self._metrics.broken_servers.inc({"result": result})
+        if not ended:
+            self._record_lived(server.name)
+            return
+        left = self._left.pop(server.name, [])
+        now_s = self._now_s()
+        requests += [r.request for r in left if now_s - r.at_s < LEFT_S]
+        self._report_end(server, requests, now_s)
+
+    def _record_lived(self, server: str) -> None:
+        self._lived_s[server] = self._now_s()
+        self._lived_s.move_to_end(server)
+        if len(self._lived_s) > MAX_REPORTS:
+            self._lived_s.popitem(last=False)
+
+    def _report_end(
+        self,
+        server: Announcement,
+        requests: list[ServerRequest],
+        now_s: float,
+    ) -> None:
+        suspects = _suspects(requests)
+        known = self._reports.get(server.name)
+        if known is not None:
+            suspects = tuple({*known.message.suspects, *suspects})
+        begun = [r.request for r in requests if r.is_begun]
+        extra = {
+            "backend_server": server.name,
+            "begun": ",".join(sorted(begun)[:MAX_SUSPECTS]),
+            "waiting": len(requests) - len(begun),
+        }
+        _LOG.warning("backend server ended under requests", extra=extra)
+        if not suspects or len(self._reports) >= MAX_REPORTS:
+            return
+        message = ServerEnded(
+            server.name, server.incarnation, self.process, suspects
+        )
+        self._reports[server.name] = _Report(message, now_s, 0)
+
+    async def _send_reports(self) -> None:
+        while True:
+            await anyio.sleep(REPORT_INTERVAL_S)
+            try:
+                self.send_reports(self._now_s())
+            except Exception:
+                _LOG.exception("report of prompt parts failed")
+
+    def send_reports(self, now_s: float) -> None:
+        """Send control what it does not have yet, some of it repeatedly."""
+        for name, report in list(self._reports.items()):
+            if now_s < report.next_s:
+                continue
+            self._control.send(report.message)
+            if report.repeats == len(REPEAT_AFTER_S):
+                del self._reports[name]
+                continue
+            next_s = now_s + REPEAT_AFTER_S[report.repeats]
+            self._reports[name] = report._replace(
+                next_s=next_s, repeats=report.repeats + 1
+            )
+        if self._sound or self._refused:
+            sound, self._sound = self._sound, set()
+            refused, self._refused = self._refused, set()
+            self._control.send(
+                PartsReport(
+                    self.process,
+                    tuple(sorted(sound)[:MAX_SUSPECTS]),
+                    tuple(sorted(refused)[:MAX_SUSPECTS]),
+                )
+            )
+
+    def _on_watched(self, message: PartsWatched) -> None:
+        added = set(message.parts) - self._watched
+        self._watched = frozenset(message.parts)
+        # The next control process may have to ask the others first.
+        until_s = self._now_s() + BLAMED_S
+        self._blamed = {
+            part: blamed._replace(until_s=min(blamed.until_s, until_s))
+            for part, blamed in self._blamed.items()
+        }
+        for part, block in message.blamed.items():
+            self._blamed[part] = _Blamed(block, math.inf)
+        recent_s = self._now_s() - SOUND_S
+        for key in reversed(self._sound_s):
+            if self._sound_s[key] < recent_s:
+                return
+            if key.part in added:
+                self._sound.add(key)
+
+
+def _suspects(requests: list[ServerRequest]) -> tuple[Suspect, ...]:
+    """Return the parts of the requests, those that were begun first."""
+    counts = Counter(
+        (not request.is_begun, request.customer, part)
+        for request in requests
+        for part in request.parts
+    )
+    return tuple(
+        Suspect(customer, part, not is_waiting, count)
+        for (is_waiting, customer, part), count in sorted(counts.items())
+    )[:MAX_SUSPECTS]
+
+
+__all__ = ["MAX_BROKEN_STARTS", "PartWatch", "ServerRequest", "SOUND_EVENTS"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -24,6 +24,7 @@
 from sycamorestand_entry.errors import RequestTimeout
 from sycamorestand_entry.errors import Stopping
 from sycamorestand_entry.errors import UnknownPath
+from sycamorestand_entry.gate import check_parts
 from sycamorestand_entry.http_messages import CallerGone
 from sycamorestand_entry.http_messages import read_body
 from sycamorestand_entry.http_messages import Request
@@ -42,6 +43,7 @@
 from sycamorestand_entry.routed.decision_log import DecisionLog
 from sycamorestand_entry.routed.decision_log import ForwardedFor
 from sycamorestand_entry.routed.decision_log import Held
+from sycamorestand_entry.routed.exchange import record_blocked
 from sycamorestand_entry.routed.forwarded import answer_forwarded
 from sycamorestand_entry.routed.forwarding import ATTEMPT_HEADER
 from sycamorestand_entry.routed.forwarding import open_attempt
@@ -56,6 +58,7 @@
 from sycamorestand_entry.routed.targets import choose_target
 from sycamorestand_entry.routed.targets import record_session
 from sycamorestand_entry.routed.whole_answers import read_whole_answer
+from sycamorestand_model.prompt_parts import tracked_parts
 from sycamorestand_model.route_table import RouteTable
 
 if TYPE_CHECKING:
@@ -140,6 +143,7 @@
     ) -> None:
         call = await self._read_call(scope, receive, log)
         self._refuse_if_stopping(call)
+        self._refuse_if_blocked(call)
         failure: Exception | None = None
         cancelled = True
         async with anyio.create_task_group() as tasks:
@@ -207,6 +211,9 @@
             receive,
         )
         limit_bytes = in_force.declarations.limits.max_body_bytes
+        parts = read_prompt_parts(
+            values.get(self._header_names.prompt_parts, b"")
+        )
         call = RoutedCall(
             route,
             customer,
@@ -222,11 +229,10 @@
             deadline_at_s,
             log,
             self._context.stop_deadline_s,
-            prompt_parts=read_prompt_parts(
-                values.get(self._header_names.prompt_parts, b"")
-            ),
+            prompt_parts=parts,
+            tracked_parts=tracked_parts(customer, parts[:-1]),
         )
-        log.shared_parts = call.shared_parts
+        log.shared_parts = parts[:-1]
         return self._with_forwarded_attempt(call)
 
     def _with_forwarded_attempt(self, call: RoutedCall) -> RoutedCall:
@@ -289,6 +295,15 @@
                 "this VM stops before the answer would end", STOPPING_RETRY_S
             )
 
+    def _refuse_if_blocked(self, call: RoutedCall) -> None:
+        """Refuse a prompt that would end the server that begins it."""
+        watch = self._context.part_watch
+        blocked = watch.blocked(call.customer, call.tracked_parts)
+        refusal = check_parts(blocked, watch.may_try)
+        if refusal is not None:
+            record_blocked(self._context, call)
+            raise refusal
+
     def _can_serve(self) -> bool:
         control = self._context.control
         routes = control.in_force().declarations.routes
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -19,6 +19,7 @@
 from sycamorestand_entry.errors import NotAllowed
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import Run
+from sycamorestand_entry.part_watch import MAX_BROKEN_STARTS
 from sycamorestand_entry.routed.decision_log import NotImproved
 from sycamorestand_entry.routed.decision_log import NotRepeated
 from sycamorestand_entry.routed.decision_log import Sent
@@ -46,6 +47,7 @@
 # this time resumes it sooner than the entry could.
 MAX_ARRIVAL_WAIT_S: Final = 1.0
 ARRIVAL_POLL_S: Final = 0.1
+BLOCKED: Final = "a part of its prompt is blocked"
 
 
 class Attempts:
@@ -76,6 +78,7 @@
         self._target = ""
         self._dials = Dials(context, call)
         self._choice = ServerChoice(context, call, self._dials)
+        self._exchanges: list[Exchange] = []
 
     @property
     def left(self) -> int:
@@ -211,6 +214,8 @@
         return await self._arrivals.request_urgent()
 
     def _reason_no_server(self, target: str) -> str:
+        if self._is_blocked():
+            return BLOCKED
         servers = self.context.servers
         now_s = self.context.now_s()
         allowed = self._choice.allowed(target, self.left > 0)
@@ -252,6 +257,11 @@
         if is_unreached and not self._forwarder.is_possible(self._target):
             raise self.correct_run_state(self._forwarder.refusal_error())
 
+    def _is_blocked(self) -> bool:
+        """Return whether a part of the prompt was blocked meanwhile."""
+        watch = self.context.part_watch
+        return bool(watch.blocked(self.call.customer, self.call.tracked_parts))
+
     def _refuse_urgent(self, reason: str) -> None:
         """Log once why an urgent attempt is not made.
 
@@ -273,6 +283,7 @@
         self._arrivals.withdraw()
 
     async def _may_spend_on_improvement(self, wish: str, limit: str) -> bool:
+        limit = limit or (BLOCKED if self._is_blocked() else "")
         if limit:
             self.call.log.add(NotImproved(wish, limit.replace(" ", "_")))
             return False
@@ -281,6 +292,11 @@
     def _reason_not_to_retry(self, overloaded: bool) -> str:
         if not self.left:
             return "no attempt left"
+        broken = sum(each.broke_as_it_began for each in self._exchanges)
+        if broken >= MAX_BROKEN_STARTS:
+            return "servers ended as they began to answer it"
+        if self._is_blocked():
+            return BLOCKED
         expiry = self.call.expiry_reason()
         if expiry:
             return expiry
@@ -350,6 +366,7 @@
             except NotAllowed as error:
                 raise _moved(error) from None
             self._choice.record_sent(server.name)
+            self._exchanges.append(exchange)
             self._record_sent()
             self._log_sent(destination)
             return exchange
@@ -364,6 +381,7 @@
             raise _moved(error) from None
         if exchange is not None:
             self._choice.record_forwarded(exchange)
+            self._exchanges.append(exchange)
             self._record_sent()
         return exchange
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
@@ -37,7 +37,8 @@
     process ends; a planned stop may begin while the call runs.
     ``forwarded`` is the attempt to make if another entry sent the call.
     ``prompt_parts`` names the parts of the prompt in their order; the last
-    one belongs to this request or its session alone.
+    one belongs to this request or its session alone. ``tracked_parts`` are
+    the others, by the names that are kept of them.
     """
 
     route: Route
@@ -56,11 +57,7 @@
     ends_at_s: Callable[[], float]
     forwarded: ForwardedAttempt | None = None
     prompt_parts: tuple[str, ...] = ()
-
-    @property
-    def shared_parts(self) -> tuple[str, ...]:
-        """Return the parts of the prompt that other requests may have."""
-        return self.prompt_parts[:-1]
+    tracked_parts: tuple[str, ...] = ()
 
     @property
     def may_repeat(self) -> bool:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -149,6 +149,18 @@
     events: int = 0
 
 
+class PartRefused(NamedTuple):
+    """Servers have ended under requests with this part of the prompt.
+
+    The part is blocked since ``revision``; the audit trail has the servers.
+    ``trials`` are the requests with it that were let through since.
+    """
+
+    part: str
+    revision: int
+    trials: int
+
+
 class Climbed(NamedTuple):
     """The answer was dropped and a larger model is asked.
 
@@ -197,6 +209,7 @@
     | NotImproved
     | ArrivalDenied
     | AttemptEnded
+    | PartRefused
     | Climbed
     | FellBack
     | MovedOn
@@ -357,5 +370,6 @@
     "NotImproved",
     "NotReached",
     "NotRepeated",
+    "PartRefused",
     "Sent",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -97,6 +97,7 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(context.slots.run_periodic_update)
                 group.start_soon(context.server_watch.run)
+                group.start_soon(context.part_watch.run)
                 group.start_soon(report_unreached, context)
                 group.start_soon(log_changes, context)
                 group.start_soon(_exit_after_stop, entry, server)
