Operators see blocked prompt parts and release them

Names of parts that are not plain are tracked by a digest, so that each can be given to a command and stands in log lines as it is.

--- a/packages/sycamorestand-control/src/sycamorestand_control/change_commands.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/change_commands.py
@@ -16,6 +16,7 @@
 from sycamorestand_state.commands import LiftQuarantine
 from sycamorestand_state.commands import Quarantine
 from sycamorestand_state.commands import Reinstate
+from sycamorestand_state.commands import ReleasePart
 from sycamorestand_state.commands import RotateSessionKey
 from sycamorestand_state.commands import StartRollout
 from sycamorestand_state.commands import StopRollout
@@ -156,6 +157,7 @@
     "lift-quarantine": _make_with_reason(LiftQuarantine),
     "drain": _make_with_reason(DrainVm),
     "undrain": _make_with_reason(UndrainVm),
+    "release-part": _make_with_reason(ReleasePart),
 }
 
 __all__ = ["make_answer", "make_command"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/explain.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/explain.py
@@ -6,6 +6,7 @@
 
 from sycamorestand_model.declarations import find_version
 from sycamorestand_model.declarations import VERSION_SEPARATOR
+from sycamorestand_model.prompt_parts import MAX_TRIALS
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -22,10 +23,11 @@
     ledger: LedgerReader,
     verdicts: Mapping[str, str],
 ) -> tuple[str, ...]:
-    """Return lines about a version, model, customer, request, server or VM.
+    """Return lines about a subject.
 
-    A request is named by its customer and request key, joined by a slash.
-    The result is empty if the subject is unknown.
+    That is a version, model, customer, request, backend server, VM or blocked
+    prompt part. A request is named by its customer and request key, joined
+    by a slash. The result is empty if the subject is unknown.
     """
     lines = [
         *_explain_version(subject, configuration, tables),
@@ -34,6 +36,7 @@
         *_explain_request(subject, ledger),
         *_explain_server(subject, tables),
         *_explain_vm(subject, configuration, tables),
+        *_explain_part(subject, configuration),
     ]
     if lines and subject in verdicts:
         lines.append(f"the leader's last finding: {verdicts[subject]}")
@@ -155,4 +158,20 @@
     return lines
 
 
+def _explain_part(
+    subject: str, configuration: ConfigurationMachine
+) -> list[str]:
+    block = configuration.in_force().blocked_parts.get(subject)
+    if block is None:
+        return []
+    customers = ", ".join(repr(customer) for customer in block.customers)
+    concerned = "everyone" if block.is_for_everyone else customers
+    return [
+        f"prompt part {subject} is blocked since revision {block.revision},"
+        f" for {concerned}",
+        f"{block.trials} of {MAX_TRIALS} requests with it were let through"
+        " since",
+    ]
+
+
 __all__ = ["explain_subject"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -16,6 +16,7 @@
     from sycamorestand_control.ledger_writer import LedgerWriter
     from sycamorestand_control.operator_backend import Parts
     from sycamorestand_control.orders.service import Orders
+    from sycamorestand_control.part_controller import PartController
 
 PREFIX: Final = "sycamorestand_control_"
 PROMETHEUS_TEXT: Final = ["text/plain"]
@@ -35,12 +36,14 @@
         orders: Orders,
         balancer: LeaderBalancer,
         lender: ArrivalLender,
+        prompt_parts: PartController,
     ) -> None:
         self._parts = parts
         self._writers = writers
         self._orders = orders
         self._balancer = balancer
         self._lender = lender
+        self._prompt_parts = prompt_parts
         self._registry = Registry()
         self.refusals = Counter(
             PREFIX + "operator_refusals_total",
@@ -58,6 +61,7 @@
         self._read_ledger()
         self._read_orders()
         self._read_loans()
+        self._read_prompt_parts()
         content: bytes = render(self._registry, PROMETHEUS_TEXT)[0]
         return content
 
@@ -183,6 +187,24 @@
             self._lender.lent,
         )
 
+    def _read_prompt_parts(self) -> None:
+        blocked = self._parts.configuration.in_force().blocked_parts
+        self._set(
+            "blocked_parts",
+            "Prompt parts whose requests are refused",
+            len(blocked),
+        )
+        self._set(
+            "watched_parts",
+            "Prompt parts under which servers have ended",
+            len(self._prompt_parts.watched),
+        )
+        self._set(
+            "ended_server_reports_total",
+            "Reports of servers that ended under requests",
+            self._prompt_parts.ends,
+        )
+
     def _set(
         self,
         name: str,
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/types.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/types.py
@@ -23,6 +23,7 @@
     "drain",
     "undrain",
     "rotate-session-key",
+    "release-part",
 ]
 
 CHANGE_KINDS: Final[tuple[str, ...]] = get_args(ChangeKind)
@@ -43,9 +44,9 @@
     to any voter. ``base_revision`` is the revision that the change is based
     on; None skips the comparison. ``subject`` is a version identity for
     withdraw, reinstate, quarantine and lift-quarantine, a model for the
-    roll-outs and a VM name for drain and undrain. It is empty for apply and
-    rotate-session-key. The API sets ``operator`` from the presented key and
-    never reads it from the body.
+    roll-outs, a VM name for drain and undrain and a prompt part for
+    release-part. It is empty for apply and rotate-session-key. The API sets
+    ``operator`` from the presented key and never reads it from the body.
     """
 
     change_id: str
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -169,7 +169,12 @@
         )
         self.backend = ControlBackend(parts)
         self.metrics = ControlMetrics(
-            parts, self.ledger_writers, self.orders, self.balancer, self.lender
+            parts,
+            self.ledger_writers,
+            self.orders,
+            self.balancer,
+            self.lender,
+            self.parts,
         )
         self._tasks: anyio.abc.TaskGroup | None = None
         self._handlers = self._handler_table()
--- a/packages/sycamorestand-control/tests/test_process.py
+++ b/packages/sycamorestand-control/tests/test_process.py
@@ -16,8 +16,11 @@
 from sycamorestand_control.operator_api.types import ChangeRequest
 from sycamorestand_control.process import ControlProcess
 from sycamorestand_control.settings import ControlSettings
+from sycamorestand_decisions.ending_parts import ENDS_TO_BLAME
 from sycamorestand_model.keys import hash_key
+from sycamorestand_model.prompt_parts import Suspect
 from sycamorestand_peer.messages import LedgerBatch
+from sycamorestand_peer.messages import ServerEnded
 
 pytestmark = pytest.mark.anyio
 WAIT_S = 20
@@ -197,3 +200,26 @@
             answer = await process.backend.change(drain("1", "vm-9"))
             assert answer.outcome == "accepted"
             assert process.mesh.counters.faults == 1
+
+
+class TestBlockedParts:
+    async def test_operator_sees_and_releases_a_blocked_part(
+        self, tmp_path: Path
+    ) -> None:
+        async with running(settings_in(tmp_path)) as process:
+            for number in range(ENDS_TO_BLAME):
+                suspects = (Suspect("club", "bad", True, 1),)
+                message = ServerEnded(f"s-{number}", 1, "entry", suspects)
+                process.parts.handle_server_ended("e", message)
+            with anyio.fail_after(WAIT_S):
+                while not process.configuration.in_force().blocked_parts:
+                    await anyio.sleep(0.02)
+            explanation = await process.backend.explain("bad")
+            assert "blocked since revision" in explanation.lines[0]
+            assert b"blocked_parts 1" in process.metrics.render()
+            request = ChangeRequest("r", "release-part", None, "bad")
+            answer = await process.backend.change(
+                request._replace(operator="ann")
+            )
+            assert answer.outcome == "accepted"
+            assert not process.configuration.in_force().blocked_parts
--- a/packages/sycamorestand-entry/tests/routed/test_blocked_parts.py
+++ b/packages/sycamorestand-entry/tests/routed/test_blocked_parts.py
@@ -85,7 +85,7 @@
             )
             assert status(call) == 200
             watch = loopback.entry.context.part_watch
-            (further,) = [k.part for k in watch._sound_s if "*" in k.part]
+            (further,) = [k.part for k in watch._sound_s if "-" in k.part]
             block(loopback, further)
             call = await loopback.ask(
                 "/review/1", x_parts=f"{parts},bad:1,o:1"
--- a/packages/sycamorestand-model/src/sycamorestand_model/prompt_parts.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/prompt_parts.py
@@ -9,14 +9,16 @@
 
 from collections.abc import Sequence
 import hashlib
+import re
 from typing import Final
 from typing import NamedTuple
 
 MAX_PARTS: Final = 32
-MAX_NAME_CHARACTERS: Final = 32
 DIGEST_BYTES: Final = 8
-LONG_NAME: Final = "#"
-FURTHER_PARTS: Final = "*"
+# Names that operators can give to commands, and that fit into log lines.
+PLAIN_NAME: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,31}")
+DIGEST_PREFIX: Final = "digest-"
+FURTHER_PREFIX: Final = "further-"
 MAX_TRIALS: Final = 3
 
 
@@ -74,19 +76,23 @@
 def tracked_parts(customer: str, names: Sequence[str]) -> tuple[str, ...]:
     """Return the names by which the parts of a prompt are tracked.
 
-    A long name is replaced by its digest. All parts beyond `MAX_PARTS` share
-    one name of the customer, so that none escapes in a long list.
+    A name that is long or not plain is replaced by its digest. All parts
+    beyond `MAX_PARTS` share one name of the customer, so that none escapes
+    in a long list.
+
+    Example: ``tracked_parts("club", ["a1", "a/b"])`` is
+    ``("a1", "digest-0debd2558bca8fa0")``.
     """
     tracked = [_bounded(name) for name in names[:MAX_PARTS] if name]
     if len(names) > MAX_PARTS:
-        tracked.append(FURTHER_PARTS + _digest(customer))
+        tracked.append(FURTHER_PREFIX + _digest(customer))
     return tuple(dict.fromkeys(tracked))
 
 
 def _bounded(name: str) -> str:
-    if len(name) <= MAX_NAME_CHARACTERS:
+    if PLAIN_NAME.fullmatch(name):
         return name
-    return LONG_NAME + _digest(name)
+    return DIGEST_PREFIX + _digest(name)
 
 
 def _digest(text: str) -> str:
--- a/packages/sycamorestand/src/sycamorestand/operator/changes.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/changes.py
@@ -89,6 +89,19 @@
     )
 
 
+def release_part(
+    part: str, *, wait: bool = False, change_id: str = "", message: str = ""
+) -> Action:
+    """Accept requests with a blocked prompt part again.
+
+    :param part: the part, as the audit trail names it
+    :param wait: wait until the change is in force everywhere
+    :param change_id: the id of a change that is sent again
+    :param message: why, for the audit trail
+    """
+    return _change_action("release-part", part, wait, change_id, message)
+
+
 def start_rollout(
     model: str, *, change_id: str = "", message: str = ""
 ) -> Action:
@@ -256,6 +269,7 @@
 __all__ = [
     "drain",
     "lift_quarantine",
+    "release_part",
     "quarantine",
     "reinstate",
     "replace_voter",
--- a/packages/sycamorestand/src/sycamorestand/operator/run.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/run.py
@@ -16,6 +16,7 @@
 from sycamorestand.operator.changes import lift_quarantine
 from sycamorestand.operator.changes import quarantine
 from sycamorestand.operator.changes import reinstate
+from sycamorestand.operator.changes import release_part
 from sycamorestand.operator.changes import replace_voter
 from sycamorestand.operator.changes import rotate_session_key
 from sycamorestand.operator.changes import start_rollout
@@ -54,6 +55,7 @@
     "reinstate": reinstate,
     "quarantine": quarantine,
     "lift-quarantine": lift_quarantine,
+    "release-part": release_part,
     "rollout": {
         "start": start_rollout,
         "stop": stop_rollout,
--- a/packages/sycamorestand/tests/operator/test_run.py
+++ b/packages/sycamorestand/tests/operator/test_run.py
@@ -195,6 +195,7 @@
             ["reinstate", "cheap@1"],
             ["quarantine", "cheap@1"],
             ["lift-quarantine", "cheap@1"],
+            ["release-part", "a1b2"],
             ["rollout", "start", "cheap"],
             ["rollout", "stop", "cheap"],
             ["drain", "vm-1"],
