The soak ends engines under requests with one prompt

A fault of its own: from its time on four callers send chats with one system message, under which each engine ends and is back after up to 2 s, with a new incarnation. The proxy before an engine refuses connections for that, as a process that is gone does. Checked: three such requests at most later than 3 s after the fifth end, in calm periods. It is drawn apart from the other faults, so that the schedules of earlier seeds stay.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/announcer.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/announcer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Final
+from typing import TYPE_CHECKING
 
 import anyio
 import httpcore
@@ -10,6 +11,9 @@
 
 from sycamorestand_model.backend_servers import Announcement
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # In seconds. An entry that does not answer in time is skipped. Without a
 # timeout, one suspended entry would block the announcements to all others
 # until their leases expire.
@@ -34,17 +38,23 @@
 
 
 async def keep_announcing(
-    entries: list[str], key: str, announcement: Announcement
+    entries: list[str],
+    key: str,
+    announcement: Announcement,
+    incarnation: Callable[[], int] | None = None,
 ) -> None:
     """Renew the announcement at every entry until cancelled.
 
     It is renewed three times in each lease. On cancellation, a last
-    announcement tells the entries that the server leaves.
+    announcement tells the entries that the server leaves. ``incarnation``
+    returns that of the server, if it may start again.
     """
     sequence = announcement.sequence
     try:
         while True:
             sequence += 1
+            if incarnation is not None:
+                announcement = announcement._replace(incarnation=incarnation())
             renewed = announcement._replace(sequence=sequence)
             await _announce_everywhere(entries, key, renewed)
             await anyio.sleep(announcement.lease_s / 3)
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import sys
 from typing import Any
 from typing import Final
@@ -65,6 +66,9 @@
         self.records: list[EngineRecord] = []
         self.running = 0
         self.most_running = 0
+        # A prompt whose system message is this one ends the engine.
+        self.ending_prompt = ""
+        self.on_ending_prompt: Callable[[str], None] | None = None
 
     async def application(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one request.
@@ -165,10 +169,18 @@
                 "headers": headers,
             }
         )
+        if self._engine.on_ending_prompt and self._has_ending_prompt():
+            self._engine.on_ending_prompt(self._engine.name)
+            await anyio.sleep_forever()
         tokens = self._content.get("max_tokens", DEFAULT_TOKENS)
         await self._send_tokens(start, tokens)
         await self._send_ending(tokens)
 
+    def _has_ending_prompt(self) -> bool:
+        prompt = self._engine.ending_prompt
+        messages = self._content["messages"]
+        return bool(prompt) and messages[0].get("content") == prompt
+
     async def _send_tokens(self, start: int, tokens: int) -> None:
         rate = self._engine.tokens_per_s
         begin_s = anyio.current_time()
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
@@ -39,6 +39,7 @@
     stream: bool = True
     profile: str = ""
     path: str = ""
+    system: str = ""
 
 
 class Attempt(NamedTuple):
@@ -189,11 +190,14 @@
         headers = _headers(call)
         if call.session:
             headers["X-Session"] = call.session
+        messages = [{"role": "user", "content": "review " * 20}]
+        if call.system:
+            messages.insert(0, {"role": "system", "content": call.system})
         body = {
             "model": call.profile,
             "stream": call.stream,
             "max_tokens": call.tokens,
-            "messages": [{"role": "user", "content": "review " * 20}],
+            "messages": messages,
         }
         async with self._pool.stream(
             "POST",
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/load.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/load.py
@@ -29,6 +29,7 @@
 PAUSE_S: Final = 0.1
 CHAT_WORKERS: Final = 12
 ORDER_WORKERS: Final = 3
+ENDING_PROMPT_WORKERS: Final = 4
 
 
 class Load:
@@ -42,6 +43,8 @@
         self._entries = entries
         self._random = Random(seed)
         self._stop = False
+        # While set, some requests have this system message.
+        self.ending_prompt = ""
 
     def stop(self) -> None:
         """Send no new requests; the requests under way still end."""
@@ -56,6 +59,8 @@
                 tasks.start_soon(self._session_worker, worker)
             for worker in range(ORDER_WORKERS):
                 tasks.start_soon(self._order_worker, worker)
+            for worker in range(ENDING_PROMPT_WORKERS):
+                tasks.start_soon(self._ending_prompt_worker, worker)
 
     async def _chat_worker(self, worker: int) -> None:
         while not self._stop:
@@ -63,6 +68,14 @@
             self.answers.append(await self._callers.call(call))
             await anyio.sleep(PAUSE_S)
 
+    async def _ending_prompt_worker(self, worker: int) -> None:
+        while not self._stop:
+            if self.ending_prompt:
+                call = self._draw_chat(0, "")
+                call = call._replace(system=self.ending_prompt)
+                self.answers.append(await self._callers.call(call))
+            await anyio.sleep(PAUSE_S * 2)
+
     async def _session_worker(self, worker: int) -> None:
         session = ""
         while not self._stop:
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/world.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/world.py
@@ -52,6 +52,11 @@
         self.rating = FakeRating({})
         self.rating_address = ""
         self.servers: dict[str, Server] = {}
+        # When a request with an ending prompt reached an engine, and when
+        # one ended under it, by `time.monotonic`.
+        self.ending_arrivals_s: list[float] = []
+        self.ends_s: list[float] = []
+        self._starts: dict[str, int] = {}
         # Gets the name and the address of a server that has started, and
         # returns the address to announce, such as that of a proxy.
         self.expose_server: Callable[[str, str], Awaitable[str]] = (
@@ -112,6 +117,23 @@
             )
             self._announce(tasks, entries, announcement)
 
+    def start_ending(self, prompt: str, end: Callable[[str], None]) -> None:
+        """Let engines end under this system message, until it is empty.
+
+        ``end`` closes and reopens an engine's address.
+        """
+
+        def end_engine(name: str) -> None:
+            now_s = time.monotonic()
+            self.ending_arrivals_s.append(now_s)
+            self.ends_s.append(now_s)
+            end(name)
+            self._starts[name] = self._starts.get(name, 0) + 1
+
+        for engine in self.engines:
+            engine.ending_prompt = prompt
+            engine.on_ending_prompt = end_engine
+
     def announce_leave(self, name: str) -> None:
         """Announce that a server leaves; it still answers requests."""
         self.servers[name].announcing.cancel()
@@ -150,7 +172,14 @@
 
         async def announce() -> None:
             with scope:
-                await keep_announcing(entries, BACKEND_KEY, announcement)
+                first = announcement.incarnation
+                name = announcement.name
+                await keep_announcing(
+                    entries,
+                    BACKEND_KEY,
+                    announcement,
+                    lambda: first + self._starts.get(name, 0),
+                )
 
         tasks.start_soon(announce)
 
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/checks.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/checks.py
@@ -34,6 +34,10 @@
 # On a busy machine, a process may take this long for its imports before it
 # can handle a signal.
 START_UP_S: Final = 2.0
+# Later than this after so many ends, this many requests may be sent.
+KNOWN_AFTER_S: Final = 3.0
+ENDS: Final = 5
+MAX_SENT_AFTER: Final = 3
 CONNECT_ERRORS: Final = ("ConnectError", "ConnectTimeout")
 
 
@@ -53,7 +57,8 @@
     """All observations of a soak.
 
     ``allowed`` has the versions that each customer may use, ``addresses``
-    the address of each entry.
+    the address of each entry. ``ending_arrivals_s`` are the times at which
+    requests that end engines reached one, ``ends_s`` those of the ends.
     """
 
     answers: Sequence[Answer]
@@ -67,6 +72,8 @@
     stops: Sequence[PlannedStop]
     events: Sequence[Event]
     addresses: Mapping[str, str]
+    ending_arrivals_s: Sequence[float] = ()
+    ends_s: Sequence[float] = ()
 
 
 def collect_runs(world: World) -> list[Run]:
@@ -221,6 +228,29 @@
     return cut.ended_s >= stop.begun_s and cut.begun_s <= stop.ended_s
 
 
+def _check_ending_requests(observations: Observations) -> Iterable[str]:
+    """Check that few requests that end engines are sent on.
+
+    A request counts if no other fault came shortly before it.
+    """
+    if len(observations.ends_s) < ENDS:
+        return
+    known_s = observations.ends_s[ENDS - 1] + KNOWN_AFTER_S
+    faults_s = [
+        event.at_s
+        for event in observations.events
+        if event.what not in ("stopped", "ending_prompt")
+    ]
+    late = [
+        at_s
+        for at_s in observations.ending_arrivals_s
+        if at_s > known_s
+        and not any(0 <= at_s - each_s < UNDISTURBED_S for each_s in faults_s)
+    ]
+    if len(late) > MAX_SENT_AFTER:
+        yield f"{len(late)} were sent on after {len(observations.ends_s)} ends"
+
+
 def _check_changes_kept(observations: Observations) -> Iterable[str]:
     for control, entries in observations.audits.items():
         revisions = {e["change_id"]: e["revision"] for e in entries}
@@ -245,6 +275,7 @@
     "leaving server": _check_leaving_servers,
     "planned stop": _check_planned_stops,
     "never reverts": _check_changes_kept,
+    "requests that end engines": _check_ending_requests,
 }
 
 __all__ = ["check", "Run", "collect_runs", "Observations"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
@@ -20,6 +20,7 @@
     from collections.abc import Callable
     from collections.abc import Mapping
 
+    from sycamorestand_bench.quickstart.load import Load
     from sycamorestand_bench.soak.schedule import Schedule
     from sycamorestand_bench.soak.schedule import Step
     from sycamorestand_bench.system.fault_proxy import FaultProxy
@@ -36,6 +37,7 @@
 FULL_DISK_BYTES: Final = 1
 # A planned stop that takes longer ends with SIGKILL and is a finding.
 STOP_TIMEOUT_S: Final = 45.0
+ENDING_PROMPT: Final = "a prompt under which engines end"
 SERVER_FAULTS: Final[Mapping[str, FaultKind]] = {
     "server_error": "error",
     "server_cut": "cut",
@@ -86,6 +88,7 @@
         self.events: list[Event] = []
         self.stops: list[PlannedStop] = []
         self.leave_announced_s: dict[str, float] = {}
+        self.load: Load | None = None
         self._system = system
         self._cluster = system.cluster
         self._server_proxies = server_proxies
@@ -169,6 +172,8 @@
                 self._cut_from_servers(step)
             case "server_leaves":
                 self._announce_leave(step.target)
+            case "ending_prompt":
+                self._start_ending_prompt(step)
             case fault:
                 self._inject_server_fault(
                     step.target, SERVER_FAULTS[fault], step
@@ -340,6 +345,23 @@
 
         self._schedule_after(step.for_s, heal)
 
+    def _start_ending_prompt(self, step: Step) -> None:
+        """Let requests with one system message end the engines they reach.
+
+        It lasts until the end of the run; an engine is back after the step's
+        duration.
+        """
+
+        def end(name: str) -> None:
+            # The engine's own task ends with its connection.
+            proxy = self._server_proxies[name]
+            self._system.tasks.start_soon(proxy.end, step.for_s)
+
+        world = self._system.world
+        self._system.call_in_loop(world.start_ending, ENDING_PROMPT, end)
+        if self.load is not None:
+            self.load.ending_prompt = ENDING_PROMPT
+
     def _announce_leave(self, name: str) -> None:
         self._system.call_in_loop(self._system.world.announce_leave, name)
         self.leave_announced_s[name] = time.monotonic()
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/run.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/run.py
@@ -142,6 +142,7 @@
         entries = [self._system.entry(name) for name in ENTRIES]
         self._callers = callers
         load = Load(callers, lambda: entries, self._schedule.seed)
+        self._injector.load = load
         ended = anyio.Event()
 
         async def run() -> None:
@@ -220,6 +221,8 @@
             self._injector.stops,
             self._injector.events,
             {name: system.entry(name) for name in ENTRIES},
+            list(system.world.ending_arrivals_s),
+            list(system.world.ends_s),
         )
         # The findings of the monitor come first: a process that ended
         # unexpectedly explains most of the others.
@@ -257,6 +260,7 @@
             "withdrawals_looked_at": len(observations.withdrawn),
             "voters_replaced": self._operator.replaced_voters,
             "planned_stops": len(observations.stops),
+            "ended_under_requests": len(observations.ends_s),
             "recovered_s": round(recovered_s, 2),
             "peak_mb": round(self._monitor.peak_bytes / 1e6, 1),
             "peak_descriptors": self._monitor.peak_descriptors,
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
@@ -93,7 +93,10 @@
     "servers_refused": _FaultKind(1, "entry", 0.5, 8.0),
     "servers_hung": _FaultKind(1, "entry", 0.5, 8.0),
     "server_leaves": _FaultKind(1, "engine", 0.0, 0.0),
+    # Drawn apart, so that the schedules of seeds stay as they were.
+    "ending_prompt": _FaultKind(0, "engines", 0.5, 2.0),
 }
+ENDING_PROMPT_PROBABILITY: Final = 0.3
 
 
 def draw(seed: int, length_s: float, targets: Targets) -> Schedule:
@@ -113,6 +116,7 @@
             end_s = step.at_s + step.for_s
             repeat_s = end_s + random.uniform(0.0, REPEAT_WITHIN_S)
             steps.append(_draw_repeat(random, step, repeat_s, targets))
+    steps += _draw_ending_prompt(Random(f"ending {seed}"), length_s)
     allowed: list[Step] = []
     for step in sorted(steps):
         if step.fault == "wipe":
@@ -193,6 +197,18 @@
     return drawn
 
 
+def _draw_ending_prompt(random: Random, length_s: float) -> list[Step]:
+    """Return at most one step; engines are back after its duration."""
+    if random.random() >= ENDING_PROMPT_PROBABILITY:
+        return []
+    kind = FAULT_KINDS["ending_prompt"]
+    at_s = random.uniform(0.0, length_s / 2)
+    for_s = random.uniform(kind.shortest_s, kind.longest_s)
+    return [
+        Step(round(at_s, 2), "ending_prompt", kind.targets, round(for_s, 2))
+    ]
+
+
 def _draw_target(random: Random, kind: str, targets: Targets) -> str:
     processes = (*targets.controls, *targets.entries)
     if kind == "group":
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/system/fault_proxy.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/system/fault_proxy.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 import anyio
+from anyio.abc import Listener
 from anyio.abc import SocketAttribute
 from anyio.abc import SocketStream
 from anyio.abc import TaskStatus
@@ -54,6 +55,8 @@
         self._held_senders: dict[bool, set[str]] = {True: set(), False: set()}
         self._delay_s = 0.0
         self._open_connections: list[_Connection] = []
+        self._listener: Listener[SocketStream] | None = None
+        self._listening = anyio.Event()
 
     def cut(self, sender: str = ALL_SENDERS) -> None:
         """Close a sender's connections and refuse new ones, until `heal`."""
@@ -107,6 +110,19 @@
         self._held_senders[False].clear()
         self._delay_s = 0.0
 
+    async def end(self, for_s: float) -> None:
+        """Behave as a process that ends by itself and starts again later.
+
+        New connections are refused first, then the open ones are closed.
+        """
+        listener, self._listener = self._listener, None
+        if listener is None:
+            return
+        await listener.aclose()
+        self.reset()
+        await anyio.sleep(for_s)
+        self._listening.set()
+
     def blackhole(self, sender: str = ALL_SENDERS) -> int:
         """Drop all data of a sender's open connections and keep them open.
 
@@ -122,12 +138,22 @@
     ) -> None:
         """Accept and forward connections until cancelled."""
         host, _, port = self.listen.rpartition(":")
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=int(port)
-        )
-        async with listener:
-            task_status.started()
-            await listener.serve(self._handle_connection)
+        async with anyio.create_task_group() as connections:
+            while True:
+                self._listening = anyio.Event()
+                multi = await anyio.create_tcp_listener(
+                    local_host=host, local_port=int(port)
+                )
+                self._listener = multi.listeners[0]
+                task_status.started()
+                task_status = anyio.TASK_STATUS_IGNORED
+                try:
+                    async with multi:
+                        await self._listener.serve(
+                            self._handle_connection, connections
+                        )
+                except anyio.ClosedResourceError:
+                    await self._listening.wait()
 
     def _connections_of(self, sender: str) -> list[_Connection]:
         return [
--- a/packages/sycamorestand-bench/tests/soak/test_checks.py
+++ b/packages/sycamorestand-bench/tests/soak/test_checks.py
@@ -27,6 +27,8 @@
 CUT = Attempt("cut", "ReadError", ENTRY, 101.0, 102.0)
 REFUSED = Attempt("not_run", "no_lease", ENTRY, 1.0, 1.1)
 
+# More than may be sent on after the fifth end, in a calm period.
+ENDS_S = [200.0, 201.0, 202.0, 203.0, 204.0, 208.0, 209.0, 210.0, 211.0]
 AddFault = Callable[[Observations], Observations]
 
 
@@ -123,6 +125,10 @@
         "planned stop",
         lambda s: s._replace(stops=[PlannedStop("entry-1", 100.0, 104.0, -9)]),
     ),
+    (
+        "requests that end engines",
+        lambda s: s._replace(ending_arrivals_s=ENDS_S, ends_s=ENDS_S),
+    ),
     ("never reverts", lambda s: s._replace(audits={"control-1": []})),
     (
         "never reverts",
@@ -154,6 +160,18 @@
         faulty = faulty._replace(events=[*faulty.events, server_fault])
         assert check(faulty) == []
 
+    def test_requests_that_end_engines_count_in_calm_periods_only(
+        self,
+    ) -> None:
+        fault = Event(205.0, "kill", "control-1")
+        faulty = faultless_observations()
+        faulty = faulty._replace(
+            events=[*faulty.events, fault],
+            ending_arrivals_s=ENDS_S,
+            ends_s=ENDS_S,
+        )
+        assert check(faulty) == []
+
     @pytest.mark.parametrize(("after_s", "count"), [(0.9, 0), (5.0, 1)])
     def test_sigterm_status_is_a_finding_only_after_start_up(
         self, after_s: float, count: int
--- a/packages/sycamorestand-bench/tests/soak/test_soak.py
+++ b/packages/sycamorestand-bench/tests/soak/test_soak.py
@@ -26,6 +26,7 @@
         Step(1.5, "silence", "entry-1>control-2", 0.0),
         Step(2.0, "one_way", "control-3>entry-3", 2.5),
         Step(3.0, "torn_tail", "control-2", 0.2),
+        Step(0.2, "ending_prompt", "engines", 0.5),
         Step(2.5, "servers_cut", "entry-1", 2.0),
         Step(4.0, "stop", "entry-3", 0.2),
         Step(4.5, "servers_refused", "entry-1", 1.0),
@@ -40,7 +41,8 @@
 
         An entry is killed, a voter freezes, another voter's log ends in a
         torn frame, links go silent or one-way, entries are cut off from all
-        backend servers in three ways, and another one stops as planned.
+        backend servers in three ways, another one stops as planned, and
+        requests with one prompt end the engines that begin them.
         """
         outcome = play(tmp_path, EXAMPLES, SHORT)
         assert outcome.findings == []
