What an attempt tells of its prompt stands apart; one commit of decisions

The leader's decisions on versions and on prompt parts were committed and logged by the same lines twice.

--- a/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
@@ -8,14 +8,13 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from typing import Final
 from typing import TYPE_CHECKING
 
 import anyio
 
-from sycamorestand_control.errors import ControlError
+from sycamorestand_control.commit import commit_decision
 from sycamorestand_control.groups import CONFIGURATION_GROUP
 from sycamorestand_decisions.ending_parts import EndingParts
 from sycamorestand_decisions.part_trials import PartTrials
@@ -27,7 +26,6 @@
 from sycamorestand_peer.messages import ServerEnded
 from sycamorestand_state.commands import ANY_REVISION
 from sycamorestand_state.commands import BlockPart
-from sycamorestand_state.commands import encode_command
 from sycamorestand_state.commands import ReleasePart
 from sycamorestand_state.commands import SYSTEM
 from sycamorestand_state.commands import TryPart
@@ -45,9 +43,7 @@
     from sycamorestand_state.commands import Command
     from sycamorestand_state.configuration import ConfigurationMachine
 
-LOG: Final = logging.getLogger(__name__)
 TICK_S: Final = 0.1
-PROPOSE_TIMEOUT_S: Final = 3.0
 MAX_LOGGED_SERVERS: Final = 8
 NOTHING_WATCHED: Final = PartsWatched(())
 
@@ -143,7 +139,9 @@
             for address in self._others():
                 self._mesh.send(address, EndsWanted())
         for command in self._decide(now_s):
-            await self._commit(command)
+            await commit_decision(
+                self._groups, command, "prompt part decision"
+            )
 
     def _sync_blocked(self, now_s: float) -> None:
         """Forget what spoke against parts that have been released."""
@@ -185,20 +183,6 @@
         ]
         return commands
 
-    async def _commit(self, command: Command) -> None:
-        try:
-            result = await self._groups.propose(
-                CONFIGURATION_GROUP, encode_command(command), PROPOSE_TIMEOUT_S
-            )
-        except ControlError as error:
-            LOG.warning("not committed", extra={"reason": str(error)})
-            return
-        if not result.duplicate:
-            LOG.warning(
-                "prompt part decision",
-                extra={"command": repr(command), "outcome": result.outcome},
-            )
-
 
 def _block(blame: Blame) -> BlockPart:
     servers = ", ".join(blame.servers[:MAX_LOGGED_SERVERS])
--- a/packages/sycamorestand-control/src/sycamorestand_control/version_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/version_controller.py
@@ -11,7 +11,7 @@
 import anyio
 import msgspec
 
-from sycamorestand_control.errors import ControlError
+from sycamorestand_control.commit import commit_decision
 from sycamorestand_control.groups import CONFIGURATION_GROUP
 from sycamorestand_decisions.demand import RecentRequests
 from sycamorestand_decisions.rollout import RolloutMonitor
@@ -27,7 +27,6 @@
 from sycamorestand_model.declarations import version_id
 from sycamorestand_model.declarations import VERSION_SEPARATOR
 from sycamorestand_state.commands import ANY_REVISION
-from sycamorestand_state.commands import encode_command
 from sycamorestand_state.commands import Quarantine
 from sycamorestand_state.commands import RolloutStep
 from sycamorestand_state.commands import StopRollout
@@ -50,7 +49,6 @@
 # takes milliseconds of the leader's time. In 30 s a bad version gets at most
 # a third of a thousandth of a day's requests.
 QUARANTINE_EVERY_CHECKS: Final = 120
-PROPOSE_TIMEOUT_S: Final = 3.0
 MAX_REASON_CHARACTERS: Final = 400
 
 
@@ -117,7 +115,7 @@
         self._sync_rollouts()
         self._forget_unblocked()
         for command in self._decide(now_s):
-            await self._commit(command)
+            await commit_decision(self._groups, command, "version decision")
         # Reports that arrive from here on count for the new step.
         self._sync_rollouts()
 
@@ -177,20 +175,6 @@
             )
         return None
 
-    async def _commit(self, command: Command) -> None:
-        try:
-            result = await self._groups.propose(
-                CONFIGURATION_GROUP, encode_command(command), PROPOSE_TIMEOUT_S
-            )
-        except ControlError as error:
-            LOG.warning("not committed", extra={"reason": str(error)})
-            return
-        if not result.duplicate:
-            LOG.info(
-                "version decision",
-                extra={"command": repr(command), "outcome": result.outcome},
-            )
-
     def _sync_rollouts(self) -> None:
         running = {
             rollout.model: rollout
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -43,12 +43,13 @@
 from sycamorestand_entry.routed.decision_log import DecisionLog
 from sycamorestand_entry.routed.decision_log import ForwardedFor
 from sycamorestand_entry.routed.decision_log import Held
-from sycamorestand_entry.routed.exchange import record_blocked
 from sycamorestand_entry.routed.forwarded import answer_forwarded
 from sycamorestand_entry.routed.forwarding import ATTEMPT_HEADER
 from sycamorestand_entry.routed.forwarding import open_attempt
 from sycamorestand_entry.routed.forwarding import refusal_headers
 from sycamorestand_entry.routed.messages import signed_request
+from sycamorestand_entry.routed.prompt_attempt import blocked_parts
+from sycamorestand_entry.routed.prompt_attempt import record_blocked
 from sycamorestand_entry.routed.refusals import caller_timeout_s
 from sycamorestand_entry.routed.refusals import lease_retry_s
 from sycamorestand_entry.routed.refusals import refusal_fields
@@ -298,10 +299,9 @@
     def _refuse_if_blocked(self, call: RoutedCall) -> None:
         """Refuse a prompt that would end the server that begins it."""
         watch = self._context.part_watch
-        blocked = watch.blocked(call.customer, call.tracked_parts)
-        refusal = check_parts(blocked, watch.may_try)
+        refusal = check_parts(blocked_parts(watch, call), watch.may_try)
         if refusal is not None:
-            record_blocked(self._context, call)
+            record_blocked(watch, call)
             raise refusal
 
     def _can_serve(self) -> bool:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -28,6 +28,7 @@
 from sycamorestand_entry.routed.forwarder import Forwarder
 from sycamorestand_entry.routed.further_arrivals import FurtherArrivals
 from sycamorestand_entry.routed.messages import Destination
+from sycamorestand_entry.routed.prompt_attempt import blocked_parts
 from sycamorestand_entry.routed.server_choice import ServerChoice
 from sycamorestand_entry.routed.targets import next_target
 from sycamorestand_model.declarations import VERSION_SEPARATOR
@@ -259,8 +260,7 @@
 
     def _is_blocked(self) -> bool:
         """Return whether a part of the prompt was blocked meanwhile."""
-        watch = self.context.part_watch
-        return bool(watch.blocked(self.call.customer, self.call.tracked_parts))
+        return bool(blocked_parts(self.context.part_watch, self.call))
 
     def _refuse_urgent(self, reason: str) -> None:
         """Log once why an urgent attempt is not made.
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -11,12 +11,9 @@
 from sycamorestand_entry.gate import check_routed_dispatch
 from sycamorestand_entry.gate import may_never_try
 from sycamorestand_entry.gate import RoutedIntent
-from sycamorestand_entry.part_watch import ServerRequest
-from sycamorestand_entry.part_watch import SOUND_EVENTS
 from sycamorestand_entry.routed.call import PROCESS_ENDS
 from sycamorestand_entry.routed.decision_log import AttemptEnded
 from sycamorestand_entry.routed.decision_log import MovedOn
-from sycamorestand_entry.routed.decision_log import PartRefused
 from sycamorestand_entry.routed.forwarding import read_refusal
 from sycamorestand_entry.routed.forwarding import SERVER_HEADER
 from sycamorestand_entry.routed.messages import answer_headers
@@ -28,12 +25,14 @@
 from sycamorestand_entry.routed.pace import InitialPace
 from sycamorestand_entry.routed.pace import PACE_CLASS
 from sycamorestand_entry.routed.pace import RecentPace
+from sycamorestand_entry.routed.prompt_attempt import blocked_parts
+from sycamorestand_entry.routed.prompt_attempt import PromptAttempt
+from sycamorestand_entry.routed.prompt_attempt import record_blocked
 from sycamorestand_entry.server_end import has_ended
 from sycamorestand_entry.upstream import BrokenConnection
 from sycamorestand_entry.upstream import Echo
 from sycamorestand_entry.upstream import is_framed
 from sycamorestand_entry.upstream import MalformedAnswer
-from sycamorestand_entry.upstream import ServerLost
 from sycamorestand_entry.upstream import SilentConnection
 from sycamorestand_entry.upstream import UpstreamError
 from sycamorestand_model.declarations import VERSION_SEPARATOR
@@ -50,10 +49,8 @@
     from sycamorestand_entry.upstream import OnLoss
     from sycamorestand_entry.upstream import ResponseHead
     from sycamorestand_entry.upstream import UpstreamConnection
-    from sycamorestand_model.prompt_parts import BlockedPart
 
 BODILESS_STATUSES: Final = frozenset({204, 304})
-OK: Final = 200
 MAX_DIGITS: Final = 9
 
 
@@ -100,8 +97,9 @@
         self._status = 0
         self._reason = ""
         self._is_framed = True
-        self._is_sound = False
-        self._is_broken = False
+        self._prompt = PromptAttempt(
+            context.part_watch, call, self.is_forwarded
+        )
 
     def send(self) -> None:
         """Check that the request may be dispatched and write it.
@@ -119,9 +117,9 @@
                 {"code": refusal.code}
             )
             if isinstance(refusal, PartBlocked):
-                record_blocked(self._context, self._call)
+                record_blocked(self._context.part_watch, self._call)
             raise refusal
-        self._use_trials()
+        self._prompt.use_trials()
         self.begin_s = time.monotonic()
         self.connection.send(
             self._start(),
@@ -160,26 +158,17 @@
     def _check_dispatch(self) -> RequestError | None:
         if self._call.remaining_s() <= 0:
             return DeadlineExceeded("its time is over", None, "not_run")
+        watch = self._context.part_watch
         intent = RoutedIntent(
             self._call.route,
             self._call.customer,
             "" if self.is_forwarded else self.destination.server.name,
-            self._blocked_parts(),
+            blocked_parts(watch, self._call),
         )
         # The other entry would have to have the permission.
-        watch = self._context.part_watch
         may_try = may_never_try if self.is_forwarded else watch.may_try
         return check_routed_dispatch(self._context.control, intent, may_try)
 
-    def _blocked_parts(self) -> dict[str, BlockedPart]:
-        call = self._call
-        watch = self._context.part_watch
-        return watch.blocked(call.customer, call.tracked_parts)
-
-    def _use_trials(self) -> None:
-        for part, block in self._blocked_parts().items():
-            self._context.part_watch.use_trial(part, block)
-
     async def read_head(
         self, limit_s: float, soft: bool = False
     ) -> ResponseHead:
@@ -247,7 +236,8 @@
     @property
     def broke_as_it_began(self) -> bool:
         """Return whether the connection ended as the answer began."""
-        return self._is_broken and self.has_begun and not self._is_sound
+        prompt = self._prompt
+        return prompt.is_broken and self.has_begun and not prompt.is_sound
 
     @property
     def event_count(self) -> int:
@@ -361,8 +351,7 @@
 
     def record_status(self, status: int, not_run: bool) -> None:
         """Record the outcome of a complete answer, or of a refusal."""
-        if status == OK and not not_run:
-            self._record_sound()
+        self._prompt.record_answer(status, not_run)
         if not_run:
             self._outcome = "overloaded"
         else:
@@ -376,9 +365,7 @@
         entries could roll back a good version.
         """
         silent = isinstance(error, SilentConnection)
-        self._is_broken = isinstance(error, BrokenConnection) and not (
-            isinstance(error, ServerLost)
-        )
+        self._prompt.record_failure(error)
         expiry = self._call.expiry_reason() if silent else ""
         self._outcome = "timeout" if silent else "error"
         if expiry == PROCESS_ENDS:
@@ -417,8 +404,7 @@
         if pause_ms is not None and not self.is_forwarded:
             self._send_sample(PACE_CLASS, False, pause_ms)
         pause_s = self._recent_pace.add(count, now_s)
-        if not self._is_sound and self.event_count >= SOUND_EVENTS:
-            self._record_sound()
+        self._prompt.record_events(self.event_count)
         if pause_s is not None:
             service = self.destination.target.partition(VERSION_SEPARATOR)[0]
             self._context.event_gap(service).observe(now_s, pause_s)
@@ -444,33 +430,13 @@
             )
         )
         self._report_end()
-        self._record_unanswered()
+        self._prompt.record_end(
+            self.destination.server, self._status, self.has_begun
+        )
         self._context.pool.release(
             self.destination.server.address, self.connection
         )
 
-    def _record_sound(self) -> None:
-        """Record that a server that begins this answer lives on."""
-        self._is_sound = True
-        call = self._call
-        if not self.is_forwarded and call.tracked_parts:
-            watch = self._context.part_watch
-            watch.record_sound(call.customer, call.tracked_parts)
-
-    def _record_unanswered(self) -> None:
-        """Record what the server had of the request, should it end now."""
-        call = self._call
-        if self.is_forwarded or self._is_sound or not call.tracked_parts:
-            return
-        request = ServerRequest(
-            call.log.request, call.customer, call.tracked_parts, self.has_begun
-        )
-        watch = self._context.part_watch
-        if self._is_broken:
-            watch.record_broken(self.destination.server, request)
-        elif self._status == OK:
-            watch.record_left(self.destination.server.name, request)
-
     def _record_end(self) -> None:
         if self.is_forwarded:
             self._context.peer_entries.record_end(self.destination.entry)
@@ -525,13 +491,4 @@
         )
 
 
-def record_blocked(context: EntryContext, call: RoutedCall) -> None:
-    """Record the parts for which a call is refused."""
-    watch = context.part_watch
-    blocked = watch.blocked(call.customer, call.tracked_parts)
-    for part, block in blocked.items():
-        call.log.add(PartRefused(part, block.revision, block.trials))
-        watch.record_refused(call.customer, part)
-
-
-__all__ = ["Exchange", "ForwardingRefused", "record_blocked"]
+__all__ = ["Exchange", "ForwardingRefused"]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/prompt_attempt.py
@@ -0,0 +1,100 @@
+"""What one attempt of a routed call tells of the parts of its prompt."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import TYPE_CHECKING
+
+from sycamorestand_entry.part_watch import ServerRequest
+from sycamorestand_entry.part_watch import SOUND_EVENTS
+from sycamorestand_entry.routed.decision_log import PartRefused
+from sycamorestand_entry.upstream import BrokenConnection
+from sycamorestand_entry.upstream import ServerLost
+
+if TYPE_CHECKING:
+    from sycamorestand_entry.part_watch import PartWatch
+    from sycamorestand_entry.routed.call import RoutedCall
+    from sycamorestand_entry.upstream import UpstreamError
+    from sycamorestand_model.backend_servers import Announcement
+    from sycamorestand_model.prompt_parts import BlockedPart
+
+OK: Final = 200
+
+
+class PromptAttempt:
+    """One attempt, as the watch of prompt parts sees it.
+
+    If another entry forwards the attempt, that entry tells control of it.
+    ``is_broken`` is true once its connection has ended, ``is_sound`` once a
+    server that has begun to answer lives on.
+    """
+
+    def __init__(
+        self, watch: PartWatch, call: RoutedCall, is_forwarded: bool
+    ) -> None:
+        self.is_broken = False
+        self.is_sound = False
+        self._watch = watch
+        self._call = call
+        self._is_told = bool(call.tracked_parts) and not is_forwarded
+
+    def record_events(self, count: int) -> None:
+        """Record the number of events that have come so far."""
+        if not self.is_sound and count >= SOUND_EVENTS:
+            self._record_sound()
+
+    def record_answer(self, status: int, not_run: bool) -> None:
+        """Record a complete answer, or a refusal."""
+        if status == OK and not not_run and not self.is_sound:
+            self._record_sound()
+
+    def record_failure(self, error: UpstreamError) -> None:
+        """Record that the answer broke off."""
+        is_lost = isinstance(error, ServerLost)
+        self.is_broken = isinstance(error, BrokenConnection) and not is_lost
+
+    def record_end(
+        self, server: Announcement, status: int, is_begun: bool
+    ) -> None:
+        """Record what the server had of the request, should it end now.
+
+        ``status`` is that of its answer, 0 without one.
+        """
+        if self.is_sound or not self._is_told:
+            return
+        call = self._call
+        request = ServerRequest(
+            call.log.request, call.customer, call.tracked_parts, is_begun
+        )
+        if self.is_broken:
+            self._watch.record_broken(server, request)
+        elif status == OK:
+            self._watch.record_left(server.name, request)
+
+    def use_trials(self) -> None:
+        """Use the permissions by which the request may be sent."""
+        for part, block in blocked_parts(self._watch, self._call).items():
+            self._watch.use_trial(part, block)
+
+    def _record_sound(self) -> None:
+        self.is_sound = True
+        if self._is_told:
+            call = self._call
+            self._watch.record_sound(call.customer, call.tracked_parts)
+
+
+def blocked_parts(
+    watch: PartWatch, call: RoutedCall
+) -> dict[str, BlockedPart]:
+    """Return the parts of the prompt that are blocked for the customer."""
+    return watch.blocked(call.customer, call.tracked_parts)
+
+
+def record_blocked(watch: PartWatch, call: RoutedCall) -> None:
+    """Record the parts for which a call is refused."""
+    for part, block in blocked_parts(watch, call).items():
+        call.log.add(PartRefused(part, block.revision, block.trials))
+        watch.record_refused(call.customer, part)
+
+
+__all__ = ["blocked_parts", "PromptAttempt", "record_blocked"]
