What control asks and blames is repeated while it holds

A message is lost with its link: an entry that missed the question never told of answers, and one that missed the end of a blame refused the part for ever. What there is to tell goes out each second, and an entry forgets a blame after three.

--- a/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
@@ -44,6 +44,8 @@
     from sycamorestand_state.configuration import ConfigurationMachine
 
 TICK_S: Final = 0.1
+# Entries forget a blame that is not repeated for some times this long.
+REPEAT_INTERVAL_S: Final = 1.0
 MAX_LOGGED_SERVERS: Final = 8
 NOTHING_WATCHED: Final = PartsWatched(())
 
@@ -74,6 +76,7 @@
         self._sound: dict[str, CustomerPart] = {}
         self._sent: dict[str, PartsWatched] = {}
         self._blames: list[Blame] = []
+        self._repeat_s = 0.0
         self._leads = False
         self.watched: tuple[str, ...] = ()
         self.ends = 0
@@ -127,7 +130,7 @@
         if self._evidence.has_changed_lately(now_s):
             self.watched = self._evidence.watch(now_s)
             self._blames = self._evidence.blames(self._blocked, now_s)
-        self._push_watched()
+        self._push_watched(now_s)
         led, self._leads = (
             self._leads,
             self._groups.is_leader(CONFIGURATION_GROUP),
@@ -153,10 +156,11 @@
         self._blocked = blocked
         self._blames = self._evidence.blames(blocked, now_s)
 
-    def _push_watched(self) -> None:
+    def _push_watched(self, now_s: float) -> None:
         """Tell the entries what to watch, and what to refuse already.
 
-        A leader may be missing, or its revision on the way.
+        A leader may be missing, or its revision on the way. What there is to
+        tell is repeated, as a message may be lost with its link.
         """
         blamed = {
             blame.part: BlockedPart(blame.customers, blame.is_for_everyone)
@@ -165,8 +169,12 @@
         message = PartsWatched(self.watched, blamed)
         attached = set(self._entries())
         self._sent = {a: m for a, m in self._sent.items() if a in attached}
+        is_due = message != NOTHING_WATCHED and now_s >= self._repeat_s
+        if is_due:
+            self._repeat_s = now_s + REPEAT_INTERVAL_S
         for address in attached:
-            if self._sent.get(address, NOTHING_WATCHED) != message:
+            known = self._sent.get(address, NOTHING_WATCHED)
+            if is_due or known != message:
                 self._sent[address] = message
                 self._mesh.send(address, message)
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
@@ -42,7 +42,8 @@
 # A server may end shortly after a request has left it.
 LEFT_S: Final = 1.0
 SOUND_S: Final = 1.0
-# How long a part is refused that control no longer blames.
+# How long a part is refused after control has last blamed it. The next
+# control process of an entry may have to ask the others first.
 BLAMED_S: Final = 3.0
 MAX_LEFT: Final = 64
 MAX_REPORTS: Final = 64
@@ -298,14 +299,9 @@
     def _on_watched(self, message: PartsWatched) -> None:
         added = set(message.parts) - self._watched
         self._watched = frozenset(message.parts)
-        # The next control process may have to ask the others first.
         until_s = self._now_s() + BLAMED_S
-        self._blamed = {
-            part: blamed._replace(until_s=min(blamed.until_s, until_s))
-            for part, blamed in self._blamed.items()
-        }
         for part, block in message.blamed.items():
-            self._blamed[part] = _Blamed(block, math.inf)
+            self._blamed[part] = _Blamed(block, until_s)
         recent_s = self._now_s() - SOUND_S
         for key in reversed(self._sound_s):
             if self._sound_s[key] < recent_s:
