--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
@@ -118,6 +118,9 @@
                     task_status.started()
                 await ended.wait()
                 self.running.discard(name)
+                # New connections are refused first, as where a process ends.
+                # To cancel the wait for one would race with its arrival.
+                await listener.aclose()
                 tasks.cancel_scope.cancel()
             await anyio.sleep(self.behaviour.back_s)
 
@@ -135,6 +138,8 @@
                     lambda stream: self._handle(stream, name, streams),
                     handlers,
                 )
+            except anyio.ClosedResourceError:
+                await anyio.sleep_forever()
             finally:
                 if self.behaviour.is_reset:
                     for stream in streams:
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed_system.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed_system.py
@@ -292,6 +292,7 @@
     "Control",
     "Entry",
     "RoutedSystem",
+    "START_TIMEOUT_S",
     "start_system",
     "wait_until",
 ]
