--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
@@ -271,9 +271,14 @@
         resource.prlimit(pid, resource.RLIMIT_FSIZE, full)
 
         def lift_limit() -> None:
-            if self._is_same_process(name, pid):
-                no_limit = (unlimited, unlimited)
+            if not self._is_same_process(name, pid):
+                return
+            no_limit = (unlimited, unlimited)
+            try:
                 resource.prlimit(pid, resource.RLIMIT_FSIZE, no_limit)
+            except ProcessLookupError:
+                # It has ended since; the monitor tells whether it may have.
+                self._record_event("ended", name)
 
         self._schedule_after(for_s, lift_limit)
 
