--- a/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
@@ -249,7 +249,9 @@
         suspects = _suspects(requests)
         known = self._reports.get(server.name)
         if known is not None:
-            suspects = tuple({*known.message.suspects, *suspects})
+            suspects = tuple(
+                dict.fromkeys((*known.message.suspects, *suspects))
+            )[:MAX_SUSPECTS]
         begun = [r.request for r in requests if r.is_begun]
         extra = {
             "backend_server": server.name,
