The line of a server's end names the requests that it had

Callers try again under new ids, so no line showed that the same request was at one server after the other. A request is now named by a keyed digest of caller, method, path and body, computed only where a server has ended. The key is the cluster's own, so that a name tells nothing about a short body.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
@@ -63,13 +63,15 @@
 class ServerRequest(NamedTuple):
     """A request that a server had not answered when it went away.
 
-    ``is_begun`` tells whether the server had begun to answer it.
+    ``is_begun`` tells whether the server had begun to answer it. ``whole`` is
+    the name of the request, the same each time that it comes.
     """
 
     request: str
     customer: str
     parts: tuple[str, ...]
     is_begun: bool
+    whole: str = ""
 
 
 class _Left(NamedTuple):
@@ -257,6 +259,7 @@
             "backend_server": server.name,
             "begun": ",".join(sorted(begun)[:MAX_SUSPECTS]),
             "waiting": len(requests) - len(begun),
+            "requests": ",".join(r.whole for r in requests[:MAX_SUSPECTS]),
         }
         _LOG.warning("backend server ended under requests", extra=extra)
         if not suspects or len(self._reports) >= MAX_REPORTS:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -32,6 +32,7 @@
 from sycamorestand_entry.http_protocol import ABORT
 from sycamorestand_entry.http_protocol import TARGET
 from sycamorestand_entry.http_protocol import WRITE_NOW
+from sycamorestand_entry.request_parts import RequestParts
 from sycamorestand_entry.routed.admitted import admitted
 from sycamorestand_entry.routed.attempts import Attempts
 from sycamorestand_entry.routed.call import ANONYMOUS
@@ -60,6 +61,7 @@
 from sycamorestand_entry.routed.targets import record_session
 from sycamorestand_entry.routed.whole_answers import read_whole_answer
 from sycamorestand_model.prompt_parts import tracked_parts
+from sycamorestand_model.request_digest import RequestContent
 from sycamorestand_model.route_table import RouteTable
 
 if TYPE_CHECKING:
@@ -215,23 +217,35 @@
         parts = read_prompt_parts(
             values.get(self._header_names.prompt_parts, b"")
         )
+        body = await _read_body_before(deadline_at_s, request, limit_bytes)
+        content = RequestContent(
+            customer,
+            scope["method"].encode(),
+            values.get(b"host", b""),
+            scope["extensions"][TARGET],
+            body,
+        )
         call = RoutedCall(
             route,
             customer,
             priority,
             weight,
-            scope["method"].encode(),
-            scope["extensions"][TARGET],
+            content.method,
+            content.target,
             values.get(self._header_names.attempt, b""),
             values.get(self._header_names.session, b"").decode("latin-1"),
             forwarded_headers(raw, self._header_names),
             values,
-            await _read_body_before(deadline_at_s, request, limit_bytes),
+            body,
             deadline_at_s,
             log,
             self._context.stop_deadline_s,
+            RequestParts(
+                content,
+                tracked_parts(customer, parts[:-1]),
+                self._context.control.in_force,
+            ),
             prompt_parts=parts,
-            tracked_parts=tracked_parts(customer, parts[:-1]),
         )
         log.shared_parts = parts[:-1]
         return self._with_forwarded_attempt(call)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sycamorestand_entry.request_parts import RequestParts
     from sycamorestand_entry.routed.decision_log import DecisionLog
     from sycamorestand_entry.routed.forwarding import ForwardedAttempt
     from sycamorestand_entry.routed.header_names import HeaderNames
@@ -37,8 +38,8 @@
     process ends; a planned stop may begin while the call runs.
     ``forwarded`` is the attempt to make if another entry sent the call.
     ``prompt_parts`` names the parts of the prompt in their order; the last
-    one belongs to this request or its session alone. ``tracked_parts`` are
-    the others, by the names that are kept of them.
+    one belongs to this request or its session alone. ``parts`` are the names
+    by which control knows the request.
     """
 
     route: Route
@@ -55,9 +56,9 @@
     deadline_at_s: float
     log: DecisionLog
     ends_at_s: Callable[[], float]
+    parts: RequestParts
     forwarded: ForwardedAttempt | None = None
     prompt_parts: tuple[str, ...] = ()
-    tracked_parts: tuple[str, ...] = ()
 
     @property
     def may_repeat(self) -> bool:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/prompt_attempt.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/prompt_attempt.py
@@ -36,7 +36,7 @@
         self.is_sound = False
         self._watch = watch
         self._call = call
-        self._is_told = bool(call.tracked_parts) and not is_forwarded
+        self._is_told = bool(call.parts.prompt) and not is_forwarded
 
     def record_events(self, count: int) -> None:
         """Record the number of events that have come so far."""
@@ -64,7 +64,11 @@
             return
         call = self._call
         request = ServerRequest(
-            call.log.request, call.customer, call.tracked_parts, is_begun
+            call.log.request,
+            call.customer,
+            call.parts.prompt,
+            is_begun,
+            call.parts.whole,
         )
         if self.is_broken:
             self._watch.record_broken(server, request)
@@ -80,14 +84,14 @@
         self.is_sound = True
         if self._is_told:
             call = self._call
-            self._watch.record_sound(call.customer, call.tracked_parts)
+            self._watch.record_sound(call.customer, call.parts.prompt)
 
 
 def blocked_parts(
     watch: PartWatch, call: RoutedCall
 ) -> dict[str, BlockedPart]:
     """Return the parts of the prompt that are blocked for the customer."""
-    return watch.blocked(call.customer, call.tracked_parts)
+    return watch.blocked(call.customer, call.parts.prompt)
 
 
 def record_blocked(watch: PartWatch, call: RoutedCall) -> None:
--- a/packages/sycamorestand-entry/tests/routed/test_server_choice.py
+++ b/packages/sycamorestand-entry/tests/routed/test_server_choice.py
@@ -12,11 +12,14 @@
 from sycamorestand_bench.fakes.routed import ROUTES
 from sycamorestand_bench.fakes.routed import start_routed
 from sycamorestand_entry.errors import NoBackendServer
+from sycamorestand_entry.request_parts import RequestParts
 from sycamorestand_entry.routed.call import RoutedCall
 from sycamorestand_entry.routed.decision_log import DecisionLog
 from sycamorestand_entry.routed.dials import Dials
 from sycamorestand_entry.routed.messages import EngineOptions
 from sycamorestand_entry.routed.server_choice import ServerChoice
+from sycamorestand_model.in_force import InForce
+from sycamorestand_model.request_digest import RequestContent
 
 pytestmark = pytest.mark.anyio
 STOCK = ROUTES[0]
@@ -138,4 +141,7 @@
         loopback.entry.context.now_s() + STOCK.timeout_ms / 1000,
         DecisionLog(),
         lambda: math.inf,
+        RequestParts(
+            RequestContent("", b"POST", b"", b"/p/", b""), (), InForce
+        ),
     )
--- a/packages/sycamorestand-entry/tests/routed/test_targets.py
+++ b/packages/sycamorestand-entry/tests/routed/test_targets.py
@@ -13,6 +13,7 @@
 from sycamorestand_bench.fakes.control_port import FakeLedger
 from sycamorestand_decisions.retained_sessions import RetainedSessions
 from sycamorestand_decisions.retained_sessions import Step
+from sycamorestand_entry.request_parts import RequestParts
 from sycamorestand_entry.routed.call import RoutedCall
 from sycamorestand_entry.routed.decision_log import DecisionLog
 from sycamorestand_entry.routed.pace import InitialPace
@@ -27,6 +28,7 @@
 from sycamorestand_model.declarations import Version
 from sycamorestand_model.in_force import InForce
 from sycamorestand_model.in_force import RolloutShare
+from sycamorestand_model.request_digest import RequestContent
 from sycamorestand_model.routes import Route
 from sycamorestand_model.routes import RouteTarget
 
@@ -90,6 +92,9 @@
         0.0,
         DecisionLog(),
         lambda: math.inf,
+        RequestParts(
+            RequestContent("", b"POST", b"", b"/p/", b""), (), InForce
+        ),
     )
 
 
--- a/packages/sycamorestand-model/src/sycamorestand_model/prompt_parts.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/prompt_parts.py
@@ -13,6 +13,8 @@
 from typing import Final
 from typing import NamedTuple
 
+from sycamorestand_model.request_digest import is_request
+
 MAX_PARTS: Final = 32
 DIGEST_BYTES: Final = 8
 # Names that operators can give to commands, and that fit into log lines.
@@ -76,7 +78,8 @@
 def tracked_parts(customer: str, names: Sequence[str]) -> tuple[str, ...]:
     """Return the names by which the parts of a prompt are tracked.
 
-    A name that is long or not plain is replaced by its digest. All parts
+    A name that is long or not plain, or looks like that of a whole request,
+    is replaced by its digest. All parts
     beyond `MAX_PARTS` share one name of the customer, so that none escapes
     in a long list.
 
@@ -90,7 +93,7 @@
 
 
 def _bounded(name: str) -> str:
-    if PLAIN_NAME.fullmatch(name):
+    if PLAIN_NAME.fullmatch(name) and not is_request(name):
         return name
     return DIGEST_PREFIX + _digest(name)
 
