--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
@@ -1,4 +1,4 @@
-"""Backend servers that end under requests with certain prompt parts.
+"""Backend servers that end under certain requests.
 
 Each start of a server is a new boot with a name of its own, at the address of
 the boot before it, as on a VM whose supervisor starts the process again.
@@ -35,14 +35,17 @@
     Announce = Callable[[Announcement], Awaitable[None]]
 
 # Where in its answer a server ends: before its head, after it, inside the
-# first event, or between the first event and the second.
-EndsAt = Literal["nowhere", "head", "before", "inside", "between"]
+# first event or the body, between the first event and the second, or after
+# the third.
+EndsAt = Literal["nowhere", "head", "before", "inside", "between", "third"]
 
 EVENTS: Final = 5
 EVENT_PAUSE_S: Final = 0.02
 PREFILL_S: Final = 0.03
 ANNOUNCE_INTERVAL_S: Final = 0.5
 CAPACITY: Final = 64
+STREAM_PATH: Final = b"/review/"
+CALL_BODY: Final = b"answered"
 # A linger time of zero.
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 _PARTS: Final = re.compile(rb"x-parts: ([^\r]*)", re.IGNORECASE)
@@ -58,15 +61,16 @@
     server: str
     attempt: str
     parts: tuple[str, ...]
+    body: bytes = b""
 
 
 class Behaviour(NamedTuple):
     """How the servers answer and end.
 
-    A server ends under each request with a part in ``parts``, at the place
-    ``ends_at`` of its answer, with a reset or a clean close of all its
-    connections, and is back after ``back_s``, until servers have ended
-    ``max_ends`` times. Without ``is_framed``, answers
+    A server ends under each request with a part in ``parts`` or a body in
+    ``bodies``, at the place ``ends_at`` of its answer, with a reset or a
+    clean close of all its connections, and is back after ``back_s``, until
+    servers have ended ``max_ends`` times. Without ``is_framed``, answers
     have neither a length nor chunks and end with their connection.
     """
 
@@ -76,6 +80,7 @@
     is_framed: bool = True
     back_s: float = 2.0
     max_ends: float = math.inf
+    bodies: frozenset[bytes] = frozenset()
 
 
 class EndingServers:
@@ -170,11 +175,18 @@
             return True
         parts = prompt_parts(request)
         attempt = _field(_ATTEMPT, request)
-        self.arrivals.append(Arrival(time.monotonic(), name, attempt, parts))
+        body = request.partition(b"\r\n\r\n")[2]
+        self.arrivals.append(
+            Arrival(time.monotonic(), name, attempt, parts, body)
+        )
         behaviour = self.behaviour
-        has_part = bool(behaviour.parts.intersection(parts))
-        is_ending = has_part and len(self.ends) < behaviour.max_ends
+        is_bad = body in behaviour.bodies or bool(
+            behaviour.parts.intersection(parts)
+        )
+        is_ending = is_bad and len(self.ends) < behaviour.max_ends
         ends_at = behaviour.ends_at if is_ending else "nowhere"
+        if STREAM_PATH not in request.partition(b"\r\n")[0]:
+            return await self._answer_call(request, stream, name, ends_at)
         framing = [b"transfer-encoding: chunked"] * behaviour.is_framed
         if ends_at == "head":
             await anyio.sleep(PREFILL_S)
@@ -194,12 +206,27 @@
                 await self._end_under_request(name)
             await stream.send(_framed(data, behaviour.is_framed))
             await anyio.sleep(EVENT_PAUSE_S)
-            if ends_at == "between":
+            if ends_at == "between" or (ends_at == "third" and event == 3):
                 await self._end_under_request(name)
         if behaviour.is_framed:
             await stream.send(b"0\r\n\r\n")
         return behaviour.is_framed
 
+    async def _answer_call(
+        self, request: bytes, stream: SocketStream, name: str, ends_at: EndsAt
+    ) -> bool:
+        """Answer a request that is not for a stream, with `CALL_BODY`."""
+        await anyio.sleep(PREFILL_S)
+        if ends_at == "head":
+            await self._end_under_request(name)
+        length = b"content-length: %d" % len(CALL_BODY)
+        await stream.send(answer_head(request, length) + CALL_BODY[:1])
+        await anyio.sleep(EVENT_PAUSE_S)
+        if ends_at != "nowhere":
+            await self._end_under_request(name)
+        await stream.send(CALL_BODY[1:])
+        return True
+
     async def _end_under_request(self, name: str) -> None:
         if name in self.running:
             self.ends.append(time.monotonic())
@@ -263,6 +290,7 @@
 __all__ = [
     "Arrival",
     "Behaviour",
+    "CALL_BODY",
     "EndingServers",
     "EndsAt",
     "prompt_parts",
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
@@ -140,10 +140,10 @@
         """Return a new connection to the entry."""
         return await anyio.connect_tcp(self.entry.host, self.entry.port)
 
-    async def ask(self, path: str, **headers: str) -> bytes:
+    async def ask(self, path: str, body: bytes = b"", **headers: str) -> bytes:
         """Send one request and return all bytes of the answer."""
         async with await self.connect() as stream:
-            await stream.send(request_bytes(path, **headers))
+            await stream.send(request_bytes(path, body, **headers))
             return await read_to_end(stream)
 
 
@@ -155,17 +155,17 @@
     return in_force._replace(declarations=declared._replace(routes=routes))
 
 
-def request_bytes(path: str, **headers: str) -> bytes:
+def request_bytes(path: str, body: bytes = b"", **headers: str) -> bytes:
     """Return the bytes of a request that closes its connection.
 
     ``_`` in a header name is sent as ``-``.
     """
     lines = [f"POST {path} HTTP/1.1", f"host: {HOST}", "connection: close"]
     headers.setdefault("x_attempt", "a1")
-    headers.setdefault("content_length", "0")
+    headers.setdefault("content_length", str(len(body)))
     for name, value in headers.items():
         lines.append(f"{name.replace('_', '-')}: {value}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
 async def read_to_end(stream: SocketStream) -> bytes:
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed_system.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed_system.py
@@ -97,11 +97,12 @@
         await self.running.stopped.wait()
         self.scope.cancel()
 
-    async def ask(self, path: str, **headers: str) -> bytes:
+    async def ask(self, path: str, body: bytes = b"", **headers: str) -> bytes:
         """Send one request and return all bytes of the answer."""
         host, port = self.running.host, self.running.port
+        request = request_bytes(path, body, **headers)
         async with await anyio.connect_tcp(host, port) as stream:
-            return await _exchange(stream, request_bytes(path, **headers))
+            return await _exchange(stream, request)
 
 
 class RoutedSystem:
--- a/packages/sycamorestand/tests/system/test_requests_that_end_servers.py
+++ b/packages/sycamorestand/tests/system/test_requests_that_end_servers.py
@@ -6,159 +6,26 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from pathlib import Path
-from random import Random
 import time
-from typing import NamedTuple
 
 import anyio
 import pytest
 
 from sycamorestand_bench.fakes.declared import CALLER_KEY
 from sycamorestand_bench.fakes.declared import OTHER_CALLER_KEY
+from sycamorestand_bench.fakes.ending_play import BAD
+from sycamorestand_bench.fakes.ending_play import ENDS
+from sycamorestand_bench.fakes.ending_play import KNOWN_AFTER_S
+from sycamorestand_bench.fakes.ending_play import MAX_SENT_AFTER
+from sycamorestand_bench.fakes.ending_play import SOUND
+from sycamorestand_bench.fakes.ending_play import start_play
 from sycamorestand_bench.fakes.ending_servers import Behaviour
-from sycamorestand_bench.fakes.ending_servers import EndingServers
 from sycamorestand_bench.fakes.ending_servers import EndsAt
-from sycamorestand_bench.fakes.ending_servers import EVENTS
-from sycamorestand_bench.fakes.ending_servers import start_servers
-from sycamorestand_bench.fakes.routed_system import Entry
-from sycamorestand_bench.fakes.routed_system import RoutedSystem
-from sycamorestand_bench.fakes.routed_system import start_system
 from sycamorestand_bench.fakes.routed_system import START_TIMEOUT_S
 from sycamorestand_bench.fakes.routed_system import wait_until
 
 pytestmark = pytest.mark.anyio
-SERVICE = "stock"
-SERVERS = 5
-ENTRIES = 10
-REQUESTS_PER_S = 30.0
-BAD = "bad"
-SOUND = ("s0", "s1", "s2", "s3")
-# The users' rule: later than this after the fifth end, three requests at most.
-KNOWN_AFTER_S = 3.0
-MAX_SENT_AFTER = 3
-ENDS = 5
-
-
-class Asked(NamedTuple):
-    """A request of a caller and its answer."""
-
-    at_s: float
-    part: str
-    answer: bytes
-    key: str = ""
-
-    @property
-    def is_whole(self) -> bool:
-        return self.answer.count(b"id: ") == EVENTS
-
-    @property
-    def status(self) -> int:
-        return int(self.answer.split(b" ")[1])
-
-
-class Play:
-    """A load on a system, and what became of it."""
-
-    def __init__(self, system: RoutedSystem, servers: EndingServers) -> None:
-        self.system = system
-        self.servers = servers
-        self.asked: list[Asked] = []
-        self._random = Random(1)
-        self._number = 0
-
-    async def load(self, duration_s: float, bad_every: int = 0) -> None:
-        """Send requests; each ``bad_every``-th one has the bad part."""
-        end_s = time.monotonic() + duration_s
-        async with anyio.create_task_group() as callers:
-            while time.monotonic() < end_s:
-                self._number += 1
-                is_bad = bad_every and self._number % bad_every == 0
-                part = BAD if is_bad else SOUND[self._number % len(SOUND)]
-                callers.start_soon(self.ask, part)
-                await anyio.sleep(1 / REQUESTS_PER_S)
-
-    async def ask(
-        self, part: str, at: Entry | None = None, key: str = ""
-    ) -> Asked:
-        """Send one request with this part, to any entry."""
-        at_s = time.monotonic()
-        entries = [e for e in self.system.entries if not e.has_stopped]
-        entry = at or self._random.choice(entries)
-        own = f"own{self._number}-{len(self.asked)}"
-        headers = {"authorization": f"Bearer {key}"} if key else {}
-        answer = await entry.ask(
-            "/review/1",
-            x_attempt=own,
-            x_parts=f"first:800,{part}:100,{own}:5",
-            x_deadline_ms="4000",
-            **headers,
-        )
-        asked = Asked(at_s, part, answer, key)
-        self.asked.append(asked)
-        return asked
-
-    async def block(self, behaviour: Behaviour) -> None:
-        """Send bad requests until the part is blocked at all entries."""
-        self.servers.behaviour = behaviour
-        async with anyio.create_task_group() as callers:
-            while not all(
-                BAD in entry.link.in_force().blocked_parts
-                for entry in self.system.entries
-                if not entry.has_stopped
-            ):
-                callers.start_soon(self.ask, BAD)
-                await anyio.sleep(0.2)
-
-    def arrived(self, part: str = BAD) -> int:
-        """Return how many requests with the part have reached servers."""
-        return sum(part in each.parts for each in self.servers.arrivals)
-
-    def sent_after_ends(self) -> int:
-        """Return how many bad requests came long after the fifth end."""
-        ends = self.servers.ends[:ENDS]
-        known_s = ends[-1] + KNOWN_AFTER_S
-        return sum(
-            BAD in arrival.parts and arrival.at_s > known_s
-            for arrival in self.servers.arrivals
-        )
-
-    def whole_share(self, from_s: float, *parts: str) -> float:
-        """Return the share of the requests since then answered whole."""
-        asked = [
-            each
-            for each in self.asked
-            if each.part in (parts or SOUND) and from_s <= each.at_s
-        ]
-        assert len(asked) >= 20
-        return sum(each.is_whole for each in asked) / len(asked)
-
-
-@asynccontextmanager
-async def start_play(
-    folder: Path,
-    entries: int = ENTRIES,
-    servers: int = SERVERS,
-    is_public: bool = True,
-) -> AsyncIterator[Play]:
-    """Start a system whose servers answer all requests."""
-    async with (
-        start_system(folder, entries, is_public=is_public) as system,
-        anyio.create_task_group() as tasks,
-    ):
-        backends = EndingServers(system.announce, SERVICE)
-        await start_servers(tasks, backends, servers)
-        play = Play(system, backends)
-        await wait_until(
-            lambda: all(
-                len(entry.link.backend_servers()) == servers
-                for entry in system.entries
-            )
-        )
-        yield play
-        tasks.cancel_scope.cancel()
 
 
 class TestOnePart:
