A request that ends servers is blocked as a whole

Cause: nothing outlived the single request but parts of its prompt, without the last one. A request whose parts are shared with sound ones was cleared by these, one without parts or a call told control nothing, and what had sent two events or waited beside others that had begun was not suspected.

Change: a request is a part of its own, named by a keyed digest of caller, method, path and body. It is blamed at the third end, if no other request was there as often and no prompt part at clearly more ends; a tie waits for the next end. Ends that a blocked request explains count against its parts only if other requests with the part end servers too, so that a shared part is no longer blocked in its place. An answer clears a request only if the caller has it whole and no server broke off before it.

The tests of prompt parts now give requests that differ bodies of their own, and say that nothing sound is blocked where they named the blocks: bad requests may be blocked beside their part.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_play.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_play.py
@@ -17,10 +17,13 @@
 from sycamorestand_bench.fakes.ending_servers import EndingServers
 from sycamorestand_bench.fakes.ending_servers import EVENTS
 from sycamorestand_bench.fakes.ending_servers import start_servers
+from sycamorestand_bench.fakes.routed import HOST
 from sycamorestand_bench.fakes.routed_system import Entry
 from sycamorestand_bench.fakes.routed_system import RoutedSystem
 from sycamorestand_bench.fakes.routed_system import start_system
 from sycamorestand_bench.fakes.routed_system import wait_until
+from sycamorestand_model.request_digest import request_name
+from sycamorestand_model.request_digest import RequestContent
 
 SERVICE: Final = "stock"
 SERVERS: Final = 5
@@ -92,8 +95,8 @@
     ) -> Asked:
         """Send one request with this part, to any entry.
 
-        It has an id of its own, and a last part of its own unless it has a
-        body. Without a part it has no prompt.
+        It has an id of its own, and a last part and a body of its own unless
+        it has this ``body``. Without a part it has no prompt.
         """
         at_s = time.monotonic()
         entries = [e for e in self.system.entries if not e.has_stopped]
@@ -105,9 +108,13 @@
             shared = "first:800" if part == OWN else f"first:800,{part}:100"
             headers["x_parts"] = f"{shared},{last}:5"
         answer = await entry.ask(
-            path, body, x_attempt=own, x_deadline_ms="4000", **headers
+            path,
+            body or own.encode(),
+            x_attempt=own,
+            x_deadline_ms="4000",
+            **headers,
         )
-        asked = Asked(at_s, part, answer, key, path, body)
+        asked = Asked(at_s, part, answer, key, path, body or own.encode())
         self.asked.append(asked)
         return asked
 
@@ -138,6 +145,17 @@
                 callers.start_soon(self.ask, BAD)
                 await anyio.sleep(0.2)
 
+    def wrongly_blocked(self) -> set[str]:
+        """Return what is blocked and no request that ends servers."""
+        control = self.system.controls[0].process
+        key = control.configuration.in_force().session_key
+        bad = {
+            request_name(_content(each), key)
+            for each in self.asked
+            if each.part == BAD or each.body == BAD_BODY
+        }
+        return self.system.blocked_parts() - {BAD} - bad
+
     def arrived(self, part: str = BAD) -> int:
         """Return how many requests with the part have reached servers."""
         return sum(part in each.parts for each in self.servers.arrivals)
@@ -197,6 +215,13 @@
         tasks.cancel_scope.cancel()
 
 
+def _content(asked: Asked) -> RequestContent:
+    """Return the content of a request, of a caller without a key."""
+    return RequestContent(
+        "", b"POST", HOST.encode(), asked.path.encode(), asked.body
+    )
+
+
 __all__ = [
     "Asked",
     "BAD",
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
@@ -17,6 +17,10 @@
 A part is blamed for the customers whose requests had it. Once requests of a
 second customer end servers by it, it is blamed for everyone. So no customer
 alone can have another one's requests refused.
+
+A whole request is a part of its own, which `ending_requests` finds. Ends that
+a refused request explains speak against the parts of its prompt only if
+further requests with the part end servers too.
 """
 
 from __future__ import annotations
@@ -29,7 +33,11 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.ending_requests import find_ending_requests
+from sycamorestand_decisions.ending_requests import requests_at_several_ends
+from sycamorestand_decisions.ending_requests import ServerEnd
 from sycamorestand_model.prompt_parts import CustomerPart
+from sycamorestand_model.request_digest import is_request
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -53,8 +61,10 @@
 SIMILAR_SHARE: Final = 0.8
 MAX_ENDS: Final = 256
 MAX_END_AGE_S: Final = 3600.0
-MAX_SUSPECTS_PER_END: Final = 64
-MAX_SUSPECTS_PER_CUSTOMER: Final = 24
+MAX_PARTS_PER_END: Final = 64
+MAX_PARTS_PER_CUSTOMER: Final = 24
+MAX_REQUESTS_PER_END: Final = 128
+MAX_REQUESTS_PER_CUSTOMER: Final = 96
 MAX_REPORTERS: Final = 64
 MAX_WATCHED: Final = 128
 # Longer than any of the times above.
@@ -107,7 +117,7 @@
         key = CustomerPart(suspect.customer, suspect.part)
         reports = self._held.get(key)
         if reports is None:
-            if not self._has_room(suspect.customer):
+            if not self._has_room(key):
                 return False
             reports = self._held.setdefault(key, {})
         source = (reporter, suspect.is_begun)
@@ -119,23 +129,40 @@
         self._requests[suspect.is_begun][key] += suspect.requests - counted
         return True
 
-    def _has_room(self, customer: str) -> bool:
-        own = sum(key.customer == customer for key in self._held)
-        return (
-            len(self._held) < MAX_SUSPECTS_PER_END
-            and own < MAX_SUSPECTS_PER_CUSTOMER
-        )
+    def _has_room(self, new: CustomerPart) -> bool:
+        is_whole = is_request(new.part)
+        kin = [key for key in self._held if is_request(key.part) == is_whole]
+        own = sum(key.customer == new.customer for key in kin)
+        if is_whole:
+            return (
+                len(kin) < MAX_REQUESTS_PER_END
+                and own < MAX_REQUESTS_PER_CUSTOMER
+            )
+        return len(kin) < MAX_PARTS_PER_END and own < MAX_PARTS_PER_CUSTOMER
 
     def suspects(self, now_s: float) -> dict[CustomerPart, int]:
         """Return the parts that may be to blame, with their requests.
 
         Where the server had begun to answer requests, it is one of those.
         """
-        found = self._requests[True]
+        found = self._prompt_parts(True)
         if not found and now_s - self.at_s >= SETTLE_S:
-            found = self._requests[False]
+            found = self._prompt_parts(False)
         return {k: n for k, n in found.items() if k not in self.cleared}
 
+    def _prompt_parts(self, is_begun: bool) -> dict[CustomerPart, int]:
+        found = self._requests[is_begun]
+        return {k: n for k, n in found.items() if not is_request(k.part)}
+
+    def whole_requests(self) -> dict[CustomerPart, int]:
+        """Return the requests that may be to blame, begun or not."""
+        found = self._requests[True] + self._requests[False]
+        return {
+            key: copies
+            for key, copies in found.items()
+            if is_request(key.part) and key not in self.cleared
+        }
+
     def reports(self, server: Server) -> list[EndReport]:
         """Return all that entries have told of parts that are not cleared."""
         by_reporter: dict[str, list[Suspect]] = defaultdict(list)
@@ -151,12 +178,25 @@
 
 
 class _Count:
+    """The ends under one part.
+
+    A refused request ``explained`` some of them.
+    """
+
     def __init__(self) -> None:
         self.servers: list[str] = []
+        self.explained: list[str] = []
         self.requests = 0
         self.customers: set[str] = set()
         self.is_certain = False
 
+    @property
+    def ends(self) -> list[str]:
+        """The servers whose ends speak against the part."""
+        if len(self.servers) < ENDS_TO_WATCH:
+            return self.servers
+        return self.explained + self.servers
+
 
 class EndingParts:
     """What entries have told of servers that ended by themselves.
@@ -241,15 +281,16 @@
 
     def watch(self, now_s: float) -> tuple[str, ...]:
         """Return the parts of which entries shall tell that they are sound."""
-        counts = self._counts({}, now_s)
-        watched = sorted(
-            (
-                part
-                for part, count in counts.items()
-                if len(count.servers) >= ENDS_TO_WATCH
-            ),
-            key=lambda part: -len(counts[part].servers),
-        )[:MAX_WATCHED]
+        ends = {
+            part: len(count.servers)
+            for part, count in self._counts({}, now_s).items()
+            if len(count.servers) >= ENDS_TO_WATCH
+        }
+        several = requests_at_several_ends(
+            self._server_ends({}, now_s), ENDS_TO_WATCH
+        )
+        ends.update({key.part: count for key, count in several.items()})
+        watched = sorted(ends, key=lambda part: -ends[part])[:MAX_WATCHED]
         self._watched_since_s = {
             part: self._watched_since_s.get(part, now_s) for part in watched
         }
@@ -259,7 +300,7 @@
         self, blocked: Mapping[str, BlockedPart], now_s: float
     ) -> list[Blame]:
         """Return the parts to refuse from now on."""
-        found: list[Blame] = []
+        found = self._request_blames(blocked, now_s)
         while True:
             counts = self._counts(blocked, now_s, found)
             blame = self._further_customers(counts, blocked, found)
@@ -269,6 +310,35 @@
                 return found
             found.append(blame)
 
+    def _request_blames(
+        self, blocked: Mapping[str, BlockedPart], now_s: float
+    ) -> list[Blame]:
+        found = find_ending_requests(
+            self._server_ends(blocked, now_s),
+            lambda key: _is_refused(key, blocked, ()),
+            lambda key: self._is_ready(key.part, now_s),
+        )
+        return [
+            Blame(key.part, (key.customer,), False, servers)
+            for key, servers in found
+        ]
+
+    def _server_ends(
+        self, blocked: Mapping[str, BlockedPart], now_s: float
+    ) -> list[ServerEnd]:
+        """Return the ends that no blocked prompt part explains."""
+        found: list[ServerEnd] = []
+        for (server, _), end in self._ends.items():
+            parts = end.suspects(now_s)
+            if not any(_is_refused(key, blocked, ()) for key in parts):
+                requests = end.whole_requests()
+                found.append(ServerEnd(server, requests, parts))
+        return found
+
+    def _is_ready(self, part: str, now_s: float) -> bool:
+        """Return whether entries had time to tell that it is answered."""
+        return now_s - self._watched_since_s.get(part, now_s) >= WATCH_S
+
     def _further_customers(
         self,
         counts: Mapping[str, _Count],
@@ -294,18 +364,18 @@
         candidates = [
             part
             for part, count in counts.items()
-            if len(count.servers) >= ENDS_TO_BLAME
+            if len(count.ends) >= ENDS_TO_BLAME
             and part not in blocked
-            and now_s - self._watched_since_s.get(part, now_s) >= WATCH_S
+            and self._is_ready(part, now_s)
         ]
         if not candidates:
             return None
-        most = max(len(counts[part].servers) for part in candidates)
+        most = max(len(counts[part].ends) for part in candidates)
         part = min(
             (
                 part
                 for part in candidates
-                if len(counts[part].servers) >= SIMILAR_SHARE * most
+                if len(counts[part].ends) >= SIMILAR_SHARE * most
             ),
             key=lambda part: (counts[part].requests, part),
         )
@@ -324,12 +394,19 @@
             suspects = end.suspects(now_s)
             if any(_is_refused(key, blocked, found) for key in suspects):
                 continue
+            is_explained = any(
+                _is_refused(key, blocked, found)
+                for key in end.whole_requests()
+            )
             for part in {key.part for key in suspects}:
-                counts[part].servers.append(server)
+                count = counts[part]
+                ends = count.explained if is_explained else count.servers
+                ends.append(server)
                 counts[part].is_certain |= bool(end.cleared)
             for key, requests in suspects.items():
                 counts[key.part].requests += requests
-                counts[key.part].customers.add(key.customer)
+                if not is_explained:
+                    counts[key.part].customers.add(key.customer)
         return counts
 
     def _drop_old(self, now_s: float) -> None:
@@ -362,7 +439,7 @@
         part,
         customers,
         is_for_everyone,
-        tuple(count.servers),
+        tuple(count.ends),
         count.is_certain,
     )
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/chat.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/chat.py
@@ -7,10 +7,11 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from sycamorestand_entry.blocked_requests import check_blocked
+from sycamorestand_entry.blocked_requests import record_refusal
 from sycamorestand_entry.cascade import run_cascade
 from sycamorestand_entry.chat_request import read_chat
 from sycamorestand_entry.errors import RequestError
-from sycamorestand_entry.gate import check_parts
 from sycamorestand_entry.http_messages import CallerGone
 from sycamorestand_entry.planning import plan_chat
 
@@ -27,7 +28,7 @@
 ) -> None:
     """Answer one request; cancel it when the caller disconnects."""
     chat = await read_chat(context, request)
-    _refuse_if_blocked(context, chat)
+    await _refuse_if_blocked(context, chat)
     failure: RequestError | None = None
     finished = False
     async with anyio.create_task_group() as group:
@@ -44,15 +45,11 @@
         raise CallerGone
 
 
-def _refuse_if_blocked(context: EntryContext, chat: ChatRequest) -> None:
-    """Refuse a prompt that would end the server that begins it."""
-    customer = chat.customer.name
-    watch = context.part_watch
-    blocked = watch.blocked(customer, chat.parts)
-    refusal = check_parts(blocked, watch.may_try)
+async def _refuse_if_blocked(context: EntryContext, chat: ChatRequest) -> None:
+    """Refuse a request that would end the server that begins it."""
+    refusal = await check_blocked(context.part_watch, chat.parts)
     if refusal is not None:
-        for part in blocked:
-            watch.record_refused(customer, part)
+        record_refusal(context.part_watch, chat.parts)
         raise refusal
 
 
@@ -67,6 +64,7 @@
 ) -> None:
     plan = await plan_chat(context, chat)
     await run_cascade(context, chat, plan, responder)
+    context.part_watch.record_answered(chat.parts)
 
 
 __all__ = ["answer_chat"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/chat_request.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/chat_request.py
@@ -20,8 +20,10 @@
 from sycamorestand_entry.errors import NotAllowed
 from sycamorestand_entry.errors import UnknownProfile
 from sycamorestand_entry.http_messages import read_body
+from sycamorestand_entry.request_parts import RequestParts
 from sycamorestand_entry.slots import DEFAULT_TOKENS
 from sycamorestand_entry.slots import expected_chat_s
+from sycamorestand_model.request_digest import RequestContent
 
 if TYPE_CHECKING:
     from sycamorestand_entry.callers import CallerOptions
@@ -53,11 +55,7 @@
     max_tokens: int
     request_class: str
     prefix_key: str
-
-    @property
-    def parts(self) -> tuple[str, ...]:
-        """Return the parts of the prompt that other requests may have."""
-        return (self.prefix_key,) if self.prefix_key else ()
+    parts: RequestParts
 
 
 async def read_chat(context: EntryContext, request: Request) -> ChatRequest:
@@ -74,6 +72,7 @@
     if name not in customer.profiles:
         raise NotAllowed(f"profile {name!r} is not yours to use")
     input_tokens = len(body) // BYTES_PER_TOKEN
+    prefix_key = _prefix_key(customer.name, content["messages"])
     return ChatRequest(
         customer,
         profile,
@@ -85,7 +84,18 @@
         input_tokens,
         _max_tokens(content),
         request_class(_features(content, input_tokens)),
-        _prefix_key(customer.name, content["messages"]),
+        prefix_key,
+        RequestParts(
+            RequestContent(
+                customer.name,
+                request.method.encode(),
+                b"",
+                request.raw_path,
+                body,
+            ),
+            (prefix_key,) if prefix_key else (),
+            context.control.in_force,
+        ),
     )
 
 
@@ -110,9 +120,9 @@
         chat.options.priority,
         chat.deadline_at_s,
         expected_chat_s(chat.max_tokens),
+        chat.parts,
         session_name or chat.prefix_key,
         bool(session_name),
-        chat.parts,
     )
 
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -136,6 +136,11 @@
 
     def close(self) -> None:
         """Release server and slot; cancel the run if it is not done."""
+        if self._connection is not None and not self.done:
+            assert self._server is not None
+            self._context.part_watch.record_left(
+                self._server.name, self._server_request()
+            )
         self._release_server("ok" if self.done else "cancelled")
         self._release_slot()
 
@@ -201,8 +206,7 @@
             self._failed_servers.add(server.name)
 
     def _blocked_parts(self) -> dict[str, BlockedPart]:
-        watch = self._context.part_watch
-        return watch.blocked(self._work.customer, self._work.parts)
+        return self._context.part_watch.blocked_for(self._work.parts)
 
     def _use_trials(self) -> None:
         for part, block in self._blocked_parts().items():
@@ -235,24 +239,30 @@
     def _note_sound(self) -> None:
         if not self._is_sound and self._reader.events >= SOUND_EVENTS:
             self._is_sound = True
+            parts = self._work.parts
             watch = self._context.part_watch
-            watch.record_sound(self._work.customer, self._work.parts)
+            watch.record_sound(parts.customer, parts.prompt)
 
     def _note_unanswered(self, error: Exception) -> None:
         """Record what the server had of the request, should it have ended."""
-        if self._is_sound or not self._work.parts or self._server is None:
+        if self._server is None:
             return
         if not isinstance(error, BrokenConnection | MalformedStream):
             return
-        self._broken_starts += self._is_begun
+        self._work.parts.has_broken = True
+        self._broken_starts += self._is_begun and not self._is_sound
         self._context.part_watch.record_broken(
-            self._server,
-            ServerRequest(
-                self._work.request_key,
-                self._work.customer,
-                self._work.parts,
-                self._is_begun,
-            ),
+            self._server, self._server_request()
+        )
+
+    def _server_request(self) -> ServerRequest:
+        parts = self._work.parts
+        return ServerRequest(
+            self._work.request_key,
+            parts.customer,
+            () if self._is_sound else parts.prompt,
+            self._is_begun,
+            parts.whole,
         )
 
     def _forward(self, data: bytes) -> bool:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_wire.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_wire.py
@@ -12,6 +12,7 @@
 from sycamorestand_entry.upstream import MalformedAnswer
 
 if TYPE_CHECKING:
+    from sycamorestand_entry.request_parts import RequestParts
     from sycamorestand_entry.upstream import ResponseHead
     from sycamorestand_model.backend_servers import Announcement
 
@@ -26,7 +27,7 @@
 
     ``affinity_key`` selects the server that may have cached the state of
     the session or prefix; it is empty if the request has neither. ``parts``
-    are those of the prompt that other requests may have.
+    are the names by which control knows the caller's request.
     """
 
     customer: str
@@ -38,9 +39,9 @@
     priority: str
     deadline_at_s: float
     expected_s: float
+    parts: RequestParts
     affinity_key: str = ""
     in_session: bool = False
-    parts: tuple[str, ...] = ()
 
 
 def encode_engine_request(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
@@ -210,6 +210,12 @@
     code = "prompt_part_blocked"
 
 
+class RequestBlocked(PartBlocked):
+    """Servers have ended under this request each time that it came."""
+
+    code = "request_blocked"
+
+
 class LedgerFailed(RequestError):
     """The ledger gave no answer in time."""
 
@@ -261,6 +267,7 @@
     "OutcomeUnknown",
     "Overloaded",
     "PartBlocked",
+    "RequestBlocked",
     "RequestError",
     "RequestKeyExpired",
     "RequestKeyMissing",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
@@ -20,11 +20,13 @@
 from sycamorestand_entry.errors import NotAllowed
 from sycamorestand_entry.errors import NoVersion
 from sycamorestand_entry.errors import PartBlocked
+from sycamorestand_entry.errors import RequestBlocked
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import SessionNotAllowed
 from sycamorestand_entry.errors import SessionWithdrawn
 from sycamorestand_model.declarations import find_version
 from sycamorestand_model.declarations import is_version_allowed
+from sycamorestand_model.request_digest import is_request
 
 if TYPE_CHECKING:
     from sycamorestand_entry.ports import ControlPort
@@ -85,6 +87,11 @@
     part, block = next(iter(blocked.items()))
     if len(blocked) == 1 and may_try(part, block):
         return None
+    if is_request(part):
+        return RequestBlocked(
+            f"backend servers ended under this request, {part!r}",
+            _blocked_retry_s(block),
+        )
     return PartBlocked(
         f"backend servers ended under requests with the prompt part {part!r}",
         _blocked_retry_s(block),
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
@@ -1,5 +1,6 @@
 """Tells control which requests this entry had at servers that ended.
 
+Control names the parts of prompts, and the whole requests, that are refused.
 One dial tells whether a server has ended, for all requests that were there.
 """
 
@@ -16,9 +17,12 @@
 
 import anyio
 
+from sycamorestand_decisions.part_trials import max_trials
+from sycamorestand_decisions.part_trials import trial_pause_s
 from sycamorestand_entry.server_end import has_ended
 from sycamorestand_model.prompt_parts import CustomerPart
 from sycamorestand_model.prompt_parts import Suspect
+from sycamorestand_model.request_digest import is_request
 from sycamorestand_peer.messages import PartsReport
 from sycamorestand_peer.messages import PartsWatched
 from sycamorestand_peer.messages import ServerEnded
@@ -30,6 +34,7 @@
 
     from sycamorestand_entry.metrics import Metrics
     from sycamorestand_entry.ports import ControlPort
+    from sycamorestand_entry.request_parts import RequestParts
     from sycamorestand_entry.upstream_pool import UpstreamPool
     from sycamorestand_model.backend_servers import Announcement
     from sycamorestand_model.prompt_parts import BlockedPart
@@ -47,7 +52,9 @@
 BLAMED_S: Final = 3.0
 MAX_LEFT: Final = 64
 MAX_REPORTS: Final = 64
-MAX_SUSPECTS: Final = 48
+MAX_SUSPECTS: Final = 160
+MAX_LOGGED_REQUESTS: Final = 48
+MAX_REPORTED_PARTS: Final = 48
 MAX_SOUND_PARTS: Final = 4096
 MAX_USED_TRIALS: Final = 1024
 # A server at its limit of connections resets many requests, and lives.
@@ -111,6 +118,10 @@
         self._lived_s: OrderedDict[str, float] = OrderedDict()
         self._reports: dict[str, _Report] = {}
         self._watched: frozenset[str] = frozenset()
+        self._watches_requests = False
+        # Since when a request is blocked, by its name, revision and trials.
+        self._stages_s: dict[tuple[str, int, int], float] = {}
+        self._staged: Mapping[str, BlockedPart] = {}
         self._blamed: dict[str, _Blamed] = {}
         self._sound_s: OrderedDict[CustomerPart, float] = OrderedDict()
         self._sound: set[CustomerPart] = set()
@@ -169,6 +180,48 @@
         while len(self._sound_s) > MAX_SOUND_PARTS:
             self._sound_s.popitem(last=False)
 
+    def record_answered(self, parts: RequestParts) -> None:
+        """Record that the caller has the whole answer to a request.
+
+        An answer that went on at a second server shows nothing, as the
+        request may have ended the first one.
+        """
+        if parts.has_broken:
+            return
+        blocked = self._control.in_force().blocked_parts
+        if not (self._watches_requests or any(map(is_request, blocked))):
+            return
+        for name in parts.whole_names:
+            if name in self._watched or name in blocked:
+                self._sound.add(CustomerPart(parts.customer, name))
+
+    def blocked_for(self, parts: RequestParts) -> dict[str, BlockedPart]:
+        """Return for which of its parts, or itself, a request is blocked."""
+        found = self.blocked(parts.customer, parts.prompt)
+        blocked = self._control.in_force().blocked_parts
+        if any(map(is_request, blocked)) or any(map(is_request, self._blamed)):
+            found.update(self.blocked(parts.customer, parts.whole_names))
+        return found
+
+    def is_trial_due(self, part: str, block: BlockedPart) -> bool:
+        """Return whether control permits a trial of a request if asked."""
+        since_s = self._stages_s.get((part, block.revision, block.trials))
+        if since_s is None or block.trials >= max_trials(part):
+            return False
+        return self._now_s() - since_s >= trial_pause_s(part, block)
+
+    def _sync_stages(self, now_s: float) -> None:
+        blocked = self._control.in_force().blocked_parts
+        if blocked is self._staged:
+            return
+        self._staged = blocked
+        stages = [
+            (part, block.revision, block.trials)
+            for part, block in blocked.items()
+            if is_request(part)
+        ]
+        self._stages_s = {s: self._stages_s.get(s, now_s) for s in stages}
+
     def blocked(
         self, customer: str, parts: Iterable[str]
     ) -> dict[str, BlockedPart]:
@@ -257,9 +310,11 @@
         begun = [r.request for r in requests if r.is_begun]
         extra = {
             "backend_server": server.name,
-            "begun": ",".join(sorted(begun)[:MAX_SUSPECTS]),
+            "begun": ",".join(sorted(begun)[:MAX_LOGGED_REQUESTS]),
             "waiting": len(requests) - len(begun),
-            "requests": ",".join(r.whole for r in requests[:MAX_SUSPECTS]),
+            "requests": ",".join(
+                r.whole for r in requests[:MAX_LOGGED_REQUESTS]
+            ),
         }
         _LOG.warning("backend server ended under requests", extra=extra)
         if not suspects or len(self._reports) >= MAX_REPORTS:
@@ -279,6 +334,7 @@
 
     def send_reports(self, now_s: float) -> None:
         """Send control what it does not have yet, some of it repeatedly."""
+        self._sync_stages(now_s)
         for name, report in list(self._reports.items()):
             if now_s < report.next_s:
                 continue
@@ -296,14 +352,15 @@
             self._control.send(
                 PartsReport(
                     self.process,
-                    tuple(sorted(sound)[:MAX_SUSPECTS]),
-                    tuple(sorted(refused)[:MAX_SUSPECTS]),
+                    tuple(sorted(sound)[:MAX_REPORTED_PARTS]),
+                    tuple(sorted(refused)[:MAX_REPORTED_PARTS]),
                 )
             )
 
     def _on_watched(self, message: PartsWatched) -> None:
         added = set(message.parts) - self._watched
         self._watched = frozenset(message.parts)
+        self._watches_requests = any(map(is_request, self._watched))
         until_s = self._now_s() + BLAMED_S
         for part, block in message.blamed.items():
             self._blamed[part] = _Blamed(block, until_s)
@@ -316,11 +373,12 @@
 
 
 def _suspects(requests: list[ServerRequest]) -> tuple[Suspect, ...]:
-    """Return the parts of the requests, those that were begun first."""
+    """Return the requests and their parts, those that were begun first."""
     counts = Counter(
         (not request.is_begun, request.customer, part)
         for request in requests
-        for part in request.parts
+        for part in (*request.parts, request.whole)
+        if part
     )
     return tuple(
         Suspect(customer, part, not is_waiting, count)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/request_parts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/request_parts.py
@@ -18,7 +18,8 @@
 
     ``prompt`` are the tracked parts of its prompt. The name of the whole
     request is only computed where a server has ended under it or a request is
-    watched, as a body may have megabytes.
+    watched, as a body may have megabytes. ``has_broken`` is true once a
+    server broke off an answer to the request.
     """
 
     def __init__(
@@ -29,6 +30,7 @@
     ) -> None:
         self.customer = content.customer
         self.prompt = prompt
+        self.has_broken = False
         self._content = content
         self._in_force = in_force
         self._names: dict[bytes, str] = {}
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -17,6 +17,7 @@
 from sycamorestand_decisions.affinity import prefix_key
 from sycamorestand_decisions.attempt_timeouts import AnswerTime
 from sycamorestand_decisions.stopping import may_outlast_stop
+from sycamorestand_entry.blocked_requests import check_blocked
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import InternalError
 from sycamorestand_entry.errors import NoLease
@@ -24,7 +25,6 @@
 from sycamorestand_entry.errors import RequestTimeout
 from sycamorestand_entry.errors import Stopping
 from sycamorestand_entry.errors import UnknownPath
-from sycamorestand_entry.gate import check_parts
 from sycamorestand_entry.http_messages import CallerGone
 from sycamorestand_entry.http_messages import read_body
 from sycamorestand_entry.http_messages import Request
@@ -49,7 +49,6 @@
 from sycamorestand_entry.routed.forwarding import open_attempt
 from sycamorestand_entry.routed.forwarding import refusal_headers
 from sycamorestand_entry.routed.messages import signed_request
-from sycamorestand_entry.routed.prompt_attempt import blocked_parts
 from sycamorestand_entry.routed.prompt_attempt import record_blocked
 from sycamorestand_entry.routed.refusals import caller_timeout_s
 from sycamorestand_entry.routed.refusals import lease_retry_s
@@ -146,7 +145,7 @@
     ) -> None:
         call = await self._read_call(scope, receive, log)
         self._refuse_if_stopping(call)
-        self._refuse_if_blocked(call)
+        await self._refuse_if_blocked(call)
         failure: Exception | None = None
         cancelled = True
         async with anyio.create_task_group() as tasks:
@@ -310,10 +309,10 @@
                 "this VM stops before the answer would end", STOPPING_RETRY_S
             )
 
-    def _refuse_if_blocked(self, call: RoutedCall) -> None:
-        """Refuse a prompt that would end the server that begins it."""
+    async def _refuse_if_blocked(self, call: RoutedCall) -> None:
+        """Refuse a request that would end the server that begins it."""
         watch = self._context.part_watch
-        refusal = check_parts(blocked_parts(watch, call), watch.may_try)
+        refusal = await check_blocked(watch, call.parts)
         if refusal is not None:
             record_blocked(watch, call)
             raise refusal
@@ -374,6 +373,10 @@
                     await _send_answer(responder, answer)
         finally:
             record_session(context, call, target)
+        # Not at the end of an attempt: the answer of a small model may be
+        # dropped, and the request end the servers of a larger one.
+        if self._header_names.last_event not in call.values:
+            context.part_watch.record_answered(call.parts)
         if not admission.failed:
             context.retries.record_success(call.customer, time.monotonic())
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/prompt_attempt.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/prompt_attempt.py
@@ -1,10 +1,11 @@
-"""What one attempt of a routed call tells of the parts of its prompt."""
+"""What one attempt of a routed call tells of its request and prompt parts."""
 
 from __future__ import annotations
 
 from typing import Final
 from typing import TYPE_CHECKING
 
+from sycamorestand_entry.blocked_requests import record_refusal
 from sycamorestand_entry.part_watch import ServerRequest
 from sycamorestand_entry.part_watch import SOUND_EVENTS
 from sycamorestand_entry.routed.decision_log import PartRefused
@@ -19,6 +20,7 @@
     from sycamorestand_model.prompt_parts import BlockedPart
 
 OK: Final = 200
+NO_STATUS: Final = 0
 
 
 class PromptAttempt:
@@ -26,7 +28,9 @@
 
     If another entry forwards the attempt, that entry tells control of it.
     ``is_broken`` is true once its connection has ended, ``is_sound`` once a
-    server that has begun to answer lives on.
+    server that has begun to answer lives on. That clears the parts of the
+    prompt; the request itself may end its server later, until its whole
+    answer is there.
     """
 
     def __init__(
@@ -36,7 +40,8 @@
         self.is_sound = False
         self._watch = watch
         self._call = call
-        self._is_told = bool(call.parts.prompt) and not is_forwarded
+        self._is_told = not is_forwarded
+        self._is_answered = False
 
     def record_events(self, count: int) -> None:
         """Record the number of events that have come so far."""
@@ -45,13 +50,17 @@
 
     def record_answer(self, status: int, not_run: bool) -> None:
         """Record a complete answer, or a refusal."""
-        if status == OK and not not_run and not self.is_sound:
+        if not_run:
+            return
+        if status == OK and not self.is_sound:
             self._record_sound()
+        self._is_answered = True
 
     def record_failure(self, error: UpstreamError) -> None:
         """Record that the answer broke off."""
         is_lost = isinstance(error, ServerLost)
         self.is_broken = isinstance(error, BrokenConnection) and not is_lost
+        self._call.parts.has_broken |= self.is_broken
 
     def record_end(
         self, server: Announcement, status: int, is_begun: bool
@@ -60,19 +69,21 @@
 
         ``status`` is that of its answer, 0 without one.
         """
-        if self.is_sound or not self._is_told:
+        if self._is_answered or not self._is_told:
+            return
+        if not self.is_broken and status not in (NO_STATUS, OK):
             return
         call = self._call
         request = ServerRequest(
             call.log.request,
             call.customer,
-            call.parts.prompt,
+            () if self.is_sound else call.parts.prompt,
             is_begun,
             call.parts.whole,
         )
         if self.is_broken:
             self._watch.record_broken(server, request)
-        elif status == OK:
+        else:
             self._watch.record_left(server.name, request)
 
     def use_trials(self) -> None:
@@ -82,23 +93,23 @@
 
     def _record_sound(self) -> None:
         self.is_sound = True
-        if self._is_told:
-            call = self._call
+        call = self._call
+        if self._is_told and call.parts.prompt:
             self._watch.record_sound(call.customer, call.parts.prompt)
 
 
 def blocked_parts(
     watch: PartWatch, call: RoutedCall
 ) -> dict[str, BlockedPart]:
-    """Return the parts of the prompt that are blocked for the customer."""
-    return watch.blocked(call.customer, call.parts.prompt)
+    """Return for which parts, or itself, the request is blocked."""
+    return watch.blocked_for(call.parts)
 
 
 def record_blocked(watch: PartWatch, call: RoutedCall) -> None:
     """Record the parts for which a call is refused."""
     for part, block in blocked_parts(watch, call).items():
         call.log.add(PartRefused(part, block.revision, block.trials))
-        watch.record_refused(call.customer, part)
+    record_refusal(watch, call.parts)
 
 
 __all__ = ["blocked_parts", "PromptAttempt", "record_blocked"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
@@ -8,8 +8,10 @@
 
 from sycamorestand_entry.gate import check_dispatch
 from sycamorestand_entry.gate import DispatchIntent
+from sycamorestand_entry.part_watch import ServerRequest
 from sycamorestand_entry.slots import SERVICE_CALL_S
 from sycamorestand_entry.slots import SlotRequest
+from sycamorestand_entry.upstream import BrokenConnection
 from sycamorestand_entry.upstream import MalformedAnswer
 from sycamorestand_entry.upstream import ServerLost
 from sycamorestand_entry.upstream import SilentConnection
@@ -18,6 +20,7 @@
 if TYPE_CHECKING:
     from sycamorestand_decisions.selection import Outcome
     from sycamorestand_entry.context import EntryContext
+    from sycamorestand_entry.request_parts import RequestParts
     from sycamorestand_entry.upstream import UpstreamConnection
     from sycamorestand_model.backend_servers import Announcement
 
@@ -25,7 +28,10 @@
 
 
 class ServiceCall(NamedTuple):
-    """A call to a plain service; ``target`` is path and query."""
+    """A call to a plain service; ``target`` is path and query.
+
+    ``parts`` are the names by which control knows it.
+    """
 
     customer: str
     weight: float
@@ -37,6 +43,7 @@
     body: bytes
     priority: str
     deadline_at_s: float
+    parts: RequestParts
 
 
 class ServiceAnswer(NamedTuple):
@@ -78,14 +85,23 @@
     claim does not end when its server is lost: it must not run again, and
     a late answer is recorded.
     """
+    watch = context.part_watch
+    blocked = watch.blocked_for(call.parts)
     intent = DispatchIntent(
-        call.customer, "", call.service, server.name, claim_held=claim_held
+        call.customer,
+        "",
+        call.service,
+        server.name,
+        claim_held=claim_held,
+        blocked=blocked,
     )
-    refusal = check_dispatch(context.control, intent)
+    refusal = check_dispatch(context.control, intent, watch.may_try)
     if refusal is not None:
         context.pool.release(server.address, connection)
         context.metrics.refused_dispatches.inc({"code": refusal.code})
         raise refusal
+    for part, block in blocked.items():
+        watch.use_trial(part, block)
     context.metrics.dispatches.inc({"version": call.service})
     outcome: Outcome = "cancelled"
     begin_s = time.monotonic()
@@ -104,6 +120,9 @@
     except UpstreamError as error:
         silent = isinstance(error, SilentConnection)
         outcome = "timeout" if silent else "error"
+        if isinstance(error, BrokenConnection):
+            call.parts.has_broken = True
+            watch.record_broken(server, _server_request(call))
         raise CallFailed(str(error)) from error
     finally:
         now_s = time.monotonic()
@@ -113,6 +132,12 @@
         context.pool.release(server.address, connection)
 
 
+def _server_request(call: ServiceCall) -> ServerRequest:
+    return ServerRequest(
+        call.request_key, call.customer, (), True, call.parts.whole
+    )
+
+
 async def _read_answer(
     context: EntryContext, connection: UpstreamConnection, limit_s: float
 ) -> ServiceAnswer:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/services.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/services.py
@@ -10,6 +10,7 @@
 
 from sycamorestand_entry.billing import charge_once
 from sycamorestand_entry.billing import service_charge
+from sycamorestand_entry.blocked_requests import check_blocked
 from sycamorestand_entry.callers import deadline_after
 from sycamorestand_entry.callers import read_options
 from sycamorestand_entry.callers import remaining_s
@@ -22,7 +23,9 @@
 from sycamorestand_entry.errors import UnknownService
 from sycamorestand_entry.http_messages import read_body
 from sycamorestand_entry.idempotent_call import call_idempotent
+from sycamorestand_entry.request_parts import RequestParts
 from sycamorestand_entry.service_call import ServiceCall
+from sycamorestand_model.request_digest import RequestContent
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
@@ -62,11 +65,26 @@
         body,
         options.priority,
         deadline_after(options.deadline_ms, service.default_deadline_ms),
+        RequestParts(
+            RequestContent(
+                customer.name,
+                request.method.encode(),
+                b"",
+                request.raw_path + b"?" + request.query,
+                body,
+            ),
+            (),
+            context.control.in_force,
+        ),
     )
+    refusal = await check_blocked(context.part_watch, call.parts)
+    if refusal is not None:
+        raise refusal
     if idempotent:
         await _answer_idempotent(context, call, service, responder)
     else:
         await _answer_once(context, call, service, responder)
+    context.part_watch.record_answered(call.parts)
 
 
 def _split_target(request: Request) -> tuple[str, bytes]:
