--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
@@ -179,7 +179,9 @@
     def _has_ending_prompt(self) -> bool:
         prompt = self._engine.ending_prompt
         messages = self._content["messages"]
-        return bool(prompt) and messages[0].get("content") == prompt
+        return bool(prompt) and any(
+            message.get("content") == prompt for message in messages
+        )
 
     async def _send_tokens(self, start: int, tokens: int) -> None:
         rate = self._engine.tokens_per_s
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/caller.py
@@ -40,6 +40,7 @@
     profile: str = ""
     path: str = ""
     system: str = ""
+    text: str = "review " * 20
 
 
 class Attempt(NamedTuple):
@@ -190,7 +191,7 @@
         headers = _headers(call)
         if call.session:
             headers["X-Session"] = call.session
-        messages = [{"role": "user", "content": "review " * 20}]
+        messages = [{"role": "user", "content": call.text}]
         if call.system:
             messages.insert(0, {"role": "system", "content": call.system})
         body = {
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/load.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/load.py
@@ -45,6 +45,8 @@
         self._stop = False
         # While set, some requests have this system message.
         self.ending_prompt = ""
+        # While set, one request with this message comes again and again.
+        self.ending_request = ""
 
     def stop(self) -> None:
         """Send no new requests; the requests under way still end."""
@@ -74,6 +76,16 @@
                 call = self._draw_chat(0, "")
                 call = call._replace(system=self.ending_prompt)
                 self.answers.append(await self._callers.call(call))
+            if self.ending_request:
+                call = Call(
+                    "chat",
+                    CUSTOMERS[0],
+                    new_key("chat"),
+                    tokens=TOKENS[0],
+                    profile=PROFILES[0],
+                    text=self.ending_request,
+                )
+                self.answers.append(await self._callers.call(call))
             await anyio.sleep(PAUSE_S * 2)
 
     async def _session_worker(self, worker: int) -> None:
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/checks.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/checks.py
@@ -34,9 +34,11 @@
 # On a busy machine, a process may take this long for its imports before it
 # can handle a signal.
 START_UP_S: Final = 2.0
-# Later than this after so many ends, this many requests may be sent.
+# Later than this after so many ends under one prompt part or one request, this
+# many requests may be sent.
 KNOWN_AFTER_S: Final = 3.0
 ENDS: Final = 5
+REQUEST_ENDS: Final = 3
 MAX_SENT_AFTER: Final = 3
 CONNECT_ERRORS: Final = ("ConnectError", "ConnectTimeout")
 
@@ -233,13 +235,15 @@
 
     A request counts if no other fault came shortly before it.
     """
-    if len(observations.ends_s) < ENDS:
+    kinds = {event.what for event in observations.events}
+    ends = REQUEST_ENDS if "ending_request" in kinds else ENDS
+    if len(observations.ends_s) < ends:
         return
-    known_s = observations.ends_s[ENDS - 1] + KNOWN_AFTER_S
+    known_s = observations.ends_s[ends - 1] + KNOWN_AFTER_S
     faults_s = [
         event.at_s
         for event in observations.events
-        if event.what not in ("stopped", "ending_prompt")
+        if event.what not in ("stopped", "ending_prompt", "ending_request")
     ]
     late = [
         at_s
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
@@ -38,6 +38,7 @@
 # A planned stop that takes longer ends with SIGKILL and is a finding.
 STOP_TIMEOUT_S: Final = 45.0
 ENDING_PROMPT: Final = "a prompt under which engines end"
+ENDING_REQUEST: Final = "a request under which engines end"
 SERVER_FAULTS: Final[Mapping[str, FaultKind]] = {
     "server_error": "error",
     "server_cut": "cut",
@@ -173,7 +174,13 @@
             case "server_leaves":
                 self._announce_leave(step.target)
             case "ending_prompt":
-                self._start_ending_prompt(step)
+                self._start_ending(step, ENDING_PROMPT)
+                if self.load is not None:
+                    self.load.ending_prompt = ENDING_PROMPT
+            case "ending_request":
+                self._start_ending(step, ENDING_REQUEST)
+                if self.load is not None:
+                    self.load.ending_request = ENDING_REQUEST
             case fault:
                 self._inject_server_fault(
                     step.target, SERVER_FAULTS[fault], step
@@ -350,8 +357,8 @@
 
         self._schedule_after(step.for_s, heal)
 
-    def _start_ending_prompt(self, step: Step) -> None:
-        """Let requests with one system message end the engines they reach.
+    def _start_ending(self, step: Step, message: str) -> None:
+        """Let requests with this message end the engines they reach.
 
         It lasts until the end of the run; an engine is back after the step's
         duration.
@@ -363,9 +370,7 @@
             self._system.tasks.start_soon(proxy.end, step.for_s)
 
         world = self._system.world
-        self._system.call_in_loop(world.start_ending, ENDING_PROMPT, end)
-        if self.load is not None:
-            self.load.ending_prompt = ENDING_PROMPT
+        self._system.call_in_loop(world.start_ending, message, end)
 
     def _announce_leave(self, name: str) -> None:
         self._system.call_in_loop(self._system.world.announce_leave, name)
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
@@ -95,8 +95,10 @@
     "server_leaves": _FaultKind(1, "engine", 0.0, 0.0),
     # Drawn apart, so that the schedules of seeds stay as they were.
     "ending_prompt": _FaultKind(0, "engines", 0.5, 2.0),
+    "ending_request": _FaultKind(0, "engines", 0.5, 2.0),
 }
 ENDING_PROMPT_PROBABILITY: Final = 0.3
+ENDING_REQUEST_PROBABILITY: Final = 0.4
 
 
 def draw(seed: int, length_s: float, targets: Targets) -> Schedule:
@@ -116,7 +118,7 @@
             end_s = step.at_s + step.for_s
             repeat_s = end_s + random.uniform(0.0, REPEAT_WITHIN_S)
             steps.append(_draw_repeat(random, step, repeat_s, targets))
-    steps += _draw_ending_prompt(Random(f"ending {seed}"), length_s)
+    steps += _draw_ending(seed, length_s)
     allowed: list[Step] = []
     for step in sorted(steps):
         if step.fault == "wipe":
@@ -197,16 +199,19 @@
     return drawn
 
 
-def _draw_ending_prompt(random: Random, length_s: float) -> list[Step]:
+def _draw_ending(seed: int, length_s: float) -> list[Step]:
     """Return at most one step; engines are back after its duration."""
+    name = "ending_prompt"
+    random = Random(f"ending {seed}")
     if random.random() >= ENDING_PROMPT_PROBABILITY:
-        return []
-    kind = FAULT_KINDS["ending_prompt"]
+        name = "ending_request"
+        random = Random(f"ending request {seed}")
+        if random.random() >= ENDING_REQUEST_PROBABILITY:
+            return []
+    kind = FAULT_KINDS[name]
     at_s = random.uniform(0.0, length_s / 2)
     for_s = random.uniform(kind.shortest_s, kind.longest_s)
-    return [
-        Step(round(at_s, 2), "ending_prompt", kind.targets, round(for_s, 2))
-    ]
+    return [Step(round(at_s, 2), name, kind.targets, round(for_s, 2))]
 
 
 def _draw_target(random: Random, kind: str, targets: Targets) -> str:
