--- a/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/part_model.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/part_model.py
@@ -1,4 +1,6 @@
-"""Simulates requests with one prompt part that end servers, at any size.
+"""Simulates requests that end servers, at any size.
+
+Either all that have one prompt part do, or one request that comes again.
 
 The product's decisions run at each control process; entries and links are
 models. Each message is encoded as between processes, to count its bytes.
@@ -22,6 +24,7 @@
 from sycamorestand_model.prompt_parts import CustomerPart
 from sycamorestand_model.prompt_parts import PartTrial
 from sycamorestand_model.prompt_parts import Suspect
+from sycamorestand_model.request_digest import REQUEST_PREFIX
 from sycamorestand_peer.codec import encode
 from sycamorestand_peer.messages import PartsReport
 from sycamorestand_peer.messages import PartsWatched
@@ -42,12 +45,15 @@
 CLUB: Final = "club"
 KNOWN_AFTER_S: Final = 3.0
 ENDS: Final = 5
+REQUEST_ENDS: Final = 3
 
 
 class PartSize(NamedTuple):
     """An installation and its load; the bad requests are one customer's.
 
-    ``is_guarded`` is false for the system without any blocks.
+    ``is_guarded`` is false for the system without any blocks. With
+    ``is_one_request`` all bad requests are the same, and their parts are
+    those of sound ones too.
     """
 
     entries: int
@@ -58,6 +64,12 @@
     duration_s: float = 12.0
     back_s: float = 3.0
     is_guarded: bool = True
+    is_one_request: bool = False
+
+    @property
+    def ends(self) -> int:
+        """The ends that are allowed."""
+        return REQUEST_ENDS if self.is_one_request else ENDS
 
 
 class PartFigures(NamedTuple):
@@ -83,8 +95,12 @@
 
 
 class _Request:
-    def __init__(self, number: int, part: str, customer: str) -> None:
+    def __init__(
+        self, number: int, part: str, customer: str, whole: str, is_bad: bool
+    ) -> None:
         self.number = number
+        self.whole = REQUEST_PREFIX + whole
+        self.is_bad = is_bad
         self.part = part
         self.customer = customer
         self.broken_starts = 0
@@ -138,35 +154,38 @@
 
     def play(self) -> PartFigures:
         size = self.size
-        self._schedule_requests(size.requests_per_s, "")
-        self._schedule_requests(size.bad_per_s, BAD)
+        self._schedule_requests(size.requests_per_s, is_bad=False)
+        self._schedule_requests(size.bad_per_s, is_bad=True)
         self.clock.call_at(0.0, self._tick)
         self.clock.run(size.duration_s + ANSWER_S)
-        fifth_s = self.ends_s[ENDS - 1 :][:1]
+        last_s = self.ends_s[size.ends - 1 :][:1]
         late = [
             at_s
             for at_s in self.bad_sent_s
-            if fifth_s and at_s > fifth_s[0] + KNOWN_AFTER_S
+            if last_s and at_s > last_s[0] + KNOWN_AFTER_S
         ]
         most_bytes = max(entry.bytes for entry in self.entries)
         return PartFigures(
             len(self.ends_s),
             len(late),
-            self.blocked_s - fifth_s[0] if fifth_s else 0.0,
+            self.blocked_s - last_s[0] if last_s else 0.0,
             self.results[True] / self.results.total(),
             most_bytes / size.duration_s,
             fmean(self.checks_ms),
         )
 
-    def _schedule_requests(self, per_s: float, part: str) -> None:
-        at_s = 1.0 if part else 0.0
+    def _schedule_requests(self, per_s: float, is_bad: bool) -> None:
+        at_s = 1.0 if is_bad else 0.0
+        is_one = is_bad and self.size.is_one_request
         number = 0
         while (
             at_s := at_s + self.random.expovariate(per_s)
         ) < self.size.duration_s:
             number += 1
-            customer = CLUB if part or number % 5 == 0 else f"c{number % 9}"
-            request = _Request(number, part or f"s{number % 40}", customer)
+            customer = CLUB if is_bad or number % 5 == 0 else f"c{number % 9}"
+            part = BAD if is_bad and not is_one else f"s{number % 40}"
+            whole = BAD if is_one else f"{is_bad}-{number}"
+            request = _Request(number, part, customer, whole, is_bad)
             self.clock.call_at(at_s, partial(self._arrive, request))
 
     def _arrive(self, request: _Request) -> None:
@@ -176,14 +195,14 @@
     def _send(self, request: _Request) -> None:
         entry = request.entry
         up = [server for server in self.servers if server.is_up]
-        block = entry.blocked.get(request.part)
-        if block is None:
-            block = entry.watched.blamed.get(request.part)
-        if block is not None and block.concerns(request.customer):
+        for part in (request.part, request.whole):
+            block = entry.blocked.get(part) or entry.watched.blamed.get(part)
+            if block is None or not block.concerns(request.customer):
+                continue
             trial = block.trial
             is_own = trial is not None and trial.process == entry.name
             if not (is_own and up and entry.used_trials < block.trials):
-                entry.refused.add(CustomerPart(request.customer, request.part))
+                entry.refused.add(CustomerPart(request.customer, part))
                 self._finish(request, False)
                 return
             entry.used_trials = block.trials
@@ -193,7 +212,7 @@
         request.attempts += 1
         server = self.random.choice(up)
         server.running[id(request)] = request
-        if request.part == BAD:
+        if request.is_bad:
             self.bad_sent_s.append(self.clock.now_s)
         begin_s = self.clock.now_s + SOUND_AFTER_S
         begin = partial(self._begin, request, server, server.boot)
@@ -202,7 +221,7 @@
     def _begin(self, request: _Request, server: _Server, boot: int) -> None:
         if server.boot != boot or not server.is_up:
             return
-        if request.part == BAD:
+        if request.is_bad:
             self._end(server)
             return
         request.is_sound = True
@@ -218,10 +237,17 @@
     def _answer(self, request: _Request, server: _Server, boot: int) -> None:
         if server.boot == boot and server.is_up:
             del server.running[id(request)]
+            if not request.broken_starts:
+                self._note_whole(request)
             self._finish(request, True)
 
+    def _note_whole(self, request: _Request) -> None:
+        if request.whole in request.entry.watched.parts:
+            sound = CustomerPart(request.customer, request.whole)
+            request.entry.sound.add(sound)
+
     def _finish(self, request: _Request, is_whole: bool) -> None:
-        if request.part != BAD:
+        if not request.is_bad:
             self.results[is_whole] += 1
 
     def _end(self, server: _Server) -> None:
@@ -230,9 +256,10 @@
         broken, server.running = server.running, {}
         key = (server.name, server.boot)
         for request in broken.values():
+            told = request.entry.ended.setdefault(key, Counter())
+            told[request.customer, request.whole] += 1
             if not request.is_sound:
                 request.broken_starts += 1
-                told = request.entry.ended.setdefault(key, Counter())
                 told.update((request.customer, p) for p in request.parts)
             if request.broken_starts < MAX_BROKEN_STARTS:
                 self._send(request)
@@ -300,7 +327,7 @@
         if not control.evidence.has_changed_lately(now_s):
             return
         begin_s = time.perf_counter()
-        watched = control.evidence.watch(now_s)
+        watched = control.evidence.watch(now_s, self.blocked)
         blames = control.evidence.blames(self.blocked, now_s)
         self.checks_ms.append((time.perf_counter() - begin_s) * 1000)
         blamed = {
@@ -332,7 +359,8 @@
 
     def _commit(self, blocked: dict[str, BlockedPart]) -> None:
         self.blocked = blocked
-        if BAD in blocked and not self.blocked_s:
+        bad = REQUEST_PREFIX + BAD if self.size.is_one_request else BAD
+        if bad in blocked and not self.blocked_s:
             self.blocked_s = self.clock.now_s + COMMIT_S
         at_s = self.clock.now_s + COMMIT_S
         for entry in self.entries:
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/parts.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/parts.py
@@ -19,12 +19,16 @@
 from sycamorestand_entry.part_watch import PartWatch
 from sycamorestand_entry.upstream_pool import UpstreamPool
 from sycamorestand_model.prompt_parts import BlockedPart
+from sycamorestand_model.request_digest import request_name
+from sycamorestand_model.request_digest import RequestContent
 
 SIZES: Final = {
     "10 entries": PartSize(10, 5, 3, 20.0, 4.0),
     "330 entries": PartSize(330, 910, 7, 13_000.0, 40.0, 8.0),
 }
 LOOKUPS: Final = 20_000
+ONE_PER_S: Final = 1.5
+DIGESTED_BYTES: Final = 20_000_000
 PARTS: Final = ("first", "second", "third", "fourth")
 
 
@@ -41,18 +45,27 @@
     """
     figures: dict[str, dict[str, list[float]]] = {}
     for name, size in SIZES.items():
+        one = size._replace(is_one_request=True, bad_per_s=ONE_PER_S)
         for label, played in (
             (name, size),
             (f"{name}, nothing blocked", size._replace(is_guarded=False)),
+            (f"{name}, one request", one),
+            (
+                f"{name}, one request, nothing blocked",
+                one._replace(is_guarded=False),
+            ),
         ):
             runs = [simulate_parts(played, seed) for seed in range(seeds)]
             figures[label] = _summary(runs)
             print(label, figures[label])
+    digests_us = {
+        f"{size} bytes": _digest_us(size) for size in (1_000, 4_194_304)
+    }
     lookups_us = {
         "none blocked": _lookup_us(0),
         "256 blocked": _lookup_us(256),
     }
-    print(msgspec.json.encode([figures, lookups_us]).decode())
+    print(msgspec.json.encode([figures, lookups_us, digests_us]).decode())
 
 
 def _summary(runs: list[PartFigures]) -> dict[str, list[float]]:
@@ -68,6 +81,17 @@
     }
 
 
+def _digest_us(size_bytes: int) -> float:
+    """Return what the name of a request costs in microseconds."""
+    body = bytes(size_bytes)
+    content = RequestContent("club", b"POST", b"nest", b"/review/1", body)
+    count = max(5, DIGESTED_BYTES // size_bytes)
+    begin_s = time.perf_counter()
+    for _ in range(count):
+        request_name(content, b"k" * 32)
+    return round((time.perf_counter() - begin_s) / count * 1e6, 2)
+
+
 def _lookup_us(blocked: int) -> float:
     """Return what a request's look-ups and records cost in microseconds."""
     control = FakeControlPort(guild_configuration(), FakeLedger())
--- a/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
@@ -128,7 +128,7 @@
         """Tell the entries what to watch and, while leading, decide."""
         self._sync_blocked(now_s)
         if self._evidence.has_changed_lately(now_s):
-            self.watched = self._evidence.watch(now_s)
+            self.watched = self._evidence.watch(now_s, self._blocked)
             self._blames = self._evidence.blames(self._blocked, now_s)
         self._push_watched(now_s)
         led, self._leads = (
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
@@ -107,6 +107,8 @@
             True: Counter(),
             False: Counter(),
         }
+        # The copies of each whole request, begun or not.
+        self._whole: Counter[CustomerPart] = Counter()
 
     @property
     def parts(self) -> Iterable[CustomerPart]:
@@ -126,42 +128,40 @@
             return False
         reports[source] = suspect
         counted = known.requests if known is not None else 0
-        self._requests[suspect.is_begun][key] += suspect.requests - counted
+        counter = self._requests[suspect.is_begun]
+        if is_request(key.part):
+            counter = self._whole
+        counter[key] += suspect.requests - counted
         return True
 
     def _has_room(self, new: CustomerPart) -> bool:
         is_whole = is_request(new.part)
-        kin = [key for key in self._held if is_request(key.part) == is_whole]
-        own = sum(key.customer == new.customer for key in kin)
+        kin = len(self._whole)
+        if not is_whole:
+            kin = len(self._held) - kin
+        if kin >= (MAX_REQUESTS_PER_END if is_whole else MAX_PARTS_PER_END):
+            return False
+        own = sum(
+            key.customer == new.customer and is_request(key.part) == is_whole
+            for key in self._held
+        )
         if is_whole:
-            return (
-                len(kin) < MAX_REQUESTS_PER_END
-                and own < MAX_REQUESTS_PER_CUSTOMER
-            )
-        return len(kin) < MAX_PARTS_PER_END and own < MAX_PARTS_PER_CUSTOMER
+            return own < MAX_REQUESTS_PER_CUSTOMER
+        return own < MAX_PARTS_PER_CUSTOMER
 
     def suspects(self, now_s: float) -> dict[CustomerPart, int]:
         """Return the parts that may be to blame, with their requests.
 
         Where the server had begun to answer requests, it is one of those.
         """
-        found = self._prompt_parts(True)
+        found = self._requests[True]
         if not found and now_s - self.at_s >= SETTLE_S:
-            found = self._prompt_parts(False)
+            found = self._requests[False]
         return {k: n for k, n in found.items() if k not in self.cleared}
 
-    def _prompt_parts(self, is_begun: bool) -> dict[CustomerPart, int]:
-        found = self._requests[is_begun]
-        return {k: n for k, n in found.items() if not is_request(k.part)}
-
     def whole_requests(self) -> dict[CustomerPart, int]:
         """Return the requests that may be to blame, begun or not."""
-        found = self._requests[True] + self._requests[False]
-        return {
-            key: copies
-            for key, copies in found.items()
-            if is_request(key.part) and key not in self.cleared
-        }
+        return {k: n for k, n in self._whole.items() if k not in self.cleared}
 
     def reports(self, server: Server) -> list[EndReport]:
         """Return all that entries have told of parts that are not cleared."""
@@ -279,15 +279,20 @@
         self._watched_since_s.pop(part, None)
         self._changed_s = now_s
 
-    def watch(self, now_s: float) -> tuple[str, ...]:
-        """Return the parts of which entries shall tell that they are sound."""
+    def watch(
+        self, now_s: float, blocked: Mapping[str, BlockedPart] | None = None
+    ) -> tuple[str, ...]:
+        """Return the parts of which entries shall tell that they are sound.
+
+        Not among them are requests at ends that a ``blocked`` part explains.
+        """
         ends = {
             part: len(count.servers)
             for part, count in self._counts({}, now_s).items()
             if len(count.servers) >= ENDS_TO_WATCH
         }
         several = requests_at_several_ends(
-            self._server_ends({}, now_s), ENDS_TO_WATCH
+            self._server_ends(blocked or {}, now_s), ENDS_TO_WATCH
         )
         ends.update({key.part: count for key, count in several.items()})
         watched = sorted(ends, key=lambda part: -ends[part])[:MAX_WATCHED]
