--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_play.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_play.py
@@ -74,15 +74,23 @@
         self._random = Random(1)
         self._number = 0
 
-    async def load(self, duration_s: float, bad_every: int = 0) -> None:
-        """Send requests; each ``bad_every``-th one has the bad part."""
+    async def load(
+        self,
+        duration_s: float,
+        bad_every: int = 0,
+        at: Entry | None = None,
+    ) -> None:
+        """Send requests; each ``bad_every``-th one has the bad part.
+
+        They go to any entry, or to one.
+        """
         end_s = time.monotonic() + duration_s
         async with anyio.create_task_group() as callers:
             while time.monotonic() < end_s:
                 self._number += 1
                 is_bad = bad_every and self._number % bad_every == 0
                 part = BAD if is_bad else SOUND[self._number % len(SOUND)]
-                callers.start_soon(self.ask, part)
+                callers.start_soon(self.ask, part, at)
                 await anyio.sleep(1 / REQUESTS_PER_S)
 
     async def ask(
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
@@ -1,4 +1,4 @@
-"""Backend servers that end under certain requests.
+"""Backend servers that end under certain requests, or name a limit.
 
 Each start of a server is a new boot with a name of its own, at the address of
 the boot before it, as on a VM whose supervisor starts the process again.
@@ -31,6 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     Announce = Callable[[Announcement], Awaitable[None]]
 
@@ -72,6 +73,7 @@
     clean close of all its connections, and is back after ``back_s``, until
     servers have ended ``max_ends`` times. Without ``is_framed``, answers
     have neither a length nor chunks and end with their connection.
+    The servers of the numbers in ``limits_per_s`` name a limit in answers.
     """
 
     parts: frozenset[str] = frozenset()
@@ -81,6 +83,14 @@
     back_s: float = 2.0
     max_ends: float = math.inf
     bodies: frozenset[bytes] = frozenset()
+    limits_per_s: Mapping[int, float] = {}
+
+    def headers(self, name: str) -> list[bytes]:
+        """Return the headers that the server of this name adds."""
+        limit_per_s = self.limits_per_s.get(server_number(name))
+        if limit_per_s is None:
+            return []
+        return [b"x-limit: %s" % str(limit_per_s).encode()]
 
 
 class EndingServers:
@@ -192,7 +202,8 @@
             await anyio.sleep(PREFILL_S)
             await self._end_under_request(name)
         kind = b"content-type: text/event-stream"
-        await stream.send(answer_head(request, kind, *framing))
+        named = behaviour.headers(name)
+        await stream.send(answer_head(request, kind, *framing, *named))
         await anyio.sleep(PREFILL_S)
         found = _LAST_EVENT.search(request)
         first = int(found.group(1)) + 1 if found else 1
@@ -220,7 +231,9 @@
         if ends_at == "head":
             await self._end_under_request(name)
         length = b"content-length: %d" % len(CALL_BODY)
-        await stream.send(answer_head(request, length) + CALL_BODY[:1])
+        named = self.behaviour.headers(name)
+        head = answer_head(request, length, *named)
+        await stream.send(head + CALL_BODY[:1])
         await anyio.sleep(EVENT_PAUSE_S)
         if ends_at != "nowhere":
             await self._end_under_request(name)
@@ -252,6 +265,11 @@
             await anyio.sleep(ANNOUNCE_INTERVAL_S)
 
 
+def server_number(name: str) -> int:
+    """Return the number of the server that this boot belongs to."""
+    return int(name.split("-")[1])
+
+
 def prompt_parts(request: bytes) -> tuple[str, ...]:
     """Return the names of a request's prompt parts."""
     parts = _field(_PARTS, request).split(",")
@@ -294,5 +312,6 @@
     "EndingServers",
     "EndsAt",
     "prompt_parts",
+    "server_number",
     "start_servers",
 ]
