Entries share the limits that servers name, by tokens of the leader

Cause: no entry read the limit, the answer passed it on.

Change: an entry that hears of a limit tells control, which tells all entries. Requests to such a server need a token from the bucket that the leader keeps for it, whichever entry or kind of attempt; a token that is not used within a second is lost. An entry asks at most ten times a second, for all its requests at once; a request waits 0.3 s at most if no other server is left, then it is refused as not run. Equal parts a entry were weighed: one request in nine seconds each at ten entries with a limit of 1.1, most of them lost where callers are uneven.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
@@ -51,6 +51,7 @@
     load=b"x-load",
     own=frozenset({b"authorization", b"x-deadline-ms", b"x-server"}),
     brittle=b"x-brittle",
+    limit=b"x-limit",
 )
 ROUTES: Final = (
     Route(
--- a/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -14,6 +14,7 @@
     from sycamorestand_control.arrival_lender import ArrivalLender
     from sycamorestand_control.leader_balancer import LeaderBalancer
     from sycamorestand_control.ledger_writer import LedgerWriter
+    from sycamorestand_control.limit_controller import LimitController
     from sycamorestand_control.operator_backend import Parts
     from sycamorestand_control.orders.service import Orders
     from sycamorestand_control.part_controller import PartController
@@ -37,6 +38,7 @@
         balancer: LeaderBalancer,
         lender: ArrivalLender,
         prompt_parts: PartController,
+        limits: LimitController,
     ) -> None:
         self._parts = parts
         self._writers = writers
@@ -44,6 +46,7 @@
         self._balancer = balancer
         self._lender = lender
         self._prompt_parts = prompt_parts
+        self._limits = limits
         self._registry = Registry()
         self.refusals = Counter(
             PREFIX + "operator_refusals_total",
@@ -62,6 +65,7 @@
         self._read_orders()
         self._read_loans()
         self._read_prompt_parts()
+        self._read_limits()
         content: bytes = render(self._registry, PROMETHEUS_TEXT)[0]
         return content
 
@@ -205,6 +209,23 @@
             self._prompt_parts.ends,
         )
 
+    def _read_limits(self) -> None:
+        self._set(
+            "limited_servers",
+            "Backend servers that name a limit of requests a second",
+            self._limits.limited_servers,
+        )
+        self._set(
+            "limit_tokens_asked_total",
+            "Requests to limited servers that entries asked the leader for",
+            self._limits.asked,
+        )
+        self._set(
+            "limit_tokens_granted_total",
+            "Requests to limited servers that the leader has granted",
+            self._limits.granted,
+        )
+
     def _set(
         self,
         name: str,
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -28,6 +28,7 @@
 from sycamorestand_control.lease_service import LeaseService
 from sycamorestand_control.ledger_reader import LedgerReader
 from sycamorestand_control.ledger_writer import LedgerWriter
+from sycamorestand_control.limit_controller import LimitController
 from sycamorestand_control.membership import MembershipManager
 from sycamorestand_control.metrics import ControlMetrics
 from sycamorestand_control.operator_api.app import make_operator_app
@@ -64,6 +65,8 @@
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
+from sycamorestand_peer.messages import TokensGranted
+from sycamorestand_peer.messages import TokensWanted
 from sycamorestand_state.configuration import ConfigurationMachine
 from sycamorestand_state.ledger import LedgerMachine
 from sycamorestand_state.results import ChangeResult
@@ -124,6 +127,13 @@
         self.sessions = SessionRelay(
             self.mesh, self.hub.attached_addresses, self._other_controls
         )
+        self.limits = LimitController(
+            self.mesh,
+            self.groups,
+            self.hub.attached_addresses,
+            self._other_controls,
+            self.tables.servers,
+        )
         self.parts = PartController(
             self.mesh,
             self.groups,
@@ -175,6 +185,7 @@
             self.balancer,
             self.lender,
             self.parts,
+            self.limits,
         )
         self._tasks: anyio.abc.TaskGroup | None = None
         self._handlers = self._handler_table()
@@ -204,6 +215,7 @@
                 self.ratings.run,
                 self.sessions.run,
                 self.parts.run,
+                self.limits.run,
                 self.balancer.run,
                 *(writer.run for writer in self.ledger_writers),
             ):
@@ -320,6 +332,8 @@
             PartsReport: self.parts.handle_parts_report,
             EndsWanted: self.parts.handle_ends_wanted,
             ArrivalTrade: self.lender.handle_trade,
+            TokensWanted: self.limits.handle_wanted,
+            TokensGranted: self.limits.handle_granted,
             SharedRatings: self._handle_shared_ratings,
             LedgerBatch: self._handle_ledger_batch,
             ProposalForward: self._handle_forward,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/claimed_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/claimed_call.py
@@ -34,6 +34,7 @@
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import Run
 from sycamorestand_entry.errors import StillRunning
+from sycamorestand_entry.server_limits import reserve_server
 from sycamorestand_entry.service_call import acquire_slot
 from sycamorestand_entry.service_call import CallFailed
 from sycamorestand_entry.service_call import exchange
@@ -146,6 +147,7 @@
         failed: set[str] = set()
         for _ in range(MAX_ATTEMPTS):
             try:
+                await reserve_server(self._context, self._call.service)
                 server = self._context.servers.choose(
                     self._call.service, time.monotonic(), failed
                 )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -30,6 +30,7 @@
 from sycamorestand_entry.metrics import Metrics
 from sycamorestand_entry.part_watch import PartWatch
 from sycamorestand_entry.rating import RatingClient
+from sycamorestand_entry.server_limits import ServerLimits
 from sycamorestand_entry.server_watch import ServerWatch
 from sycamorestand_entry.servers import Servers
 from sycamorestand_entry.slots import Slots
@@ -78,7 +79,10 @@
         self.part_watch = PartWatch(
             self.pool, control, self.metrics, self.now_s
         )
-        self.servers = Servers(control, self.random, self.server_loss)
+        self.server_limits = ServerLimits(control, self.metrics, self.now_s)
+        self.servers = Servers(
+            control, self.random, self.server_loss, self.server_limits.held
+        )
         self.peer_entries = PeerEntries(
             settings.vm, settings.data_centre, self.random
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -19,12 +19,15 @@
 from sycamorestand_entry.errors import Overloaded
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import Run
+from sycamorestand_entry.errors import ServersLimited
 from sycamorestand_entry.event_reader import EventReader
 from sycamorestand_entry.gate import check_dispatch
 from sycamorestand_entry.gate import DispatchIntent
 from sycamorestand_entry.part_watch import MAX_BROKEN_STARTS
 from sycamorestand_entry.part_watch import ServerRequest
 from sycamorestand_entry.part_watch import SOUND_EVENTS
+from sycamorestand_entry.server_limits import LIMIT_HEADER
+from sycamorestand_entry.server_limits import reserve_server
 from sycamorestand_entry.slots import SlotRequest
 from sycamorestand_entry.sse import MalformedStream
 from sycamorestand_entry.upstream import BrokenConnection
@@ -172,6 +175,12 @@
             self._limit_to_deadline_s(settings.first_byte_timeout_s)
         )
         self._record_first_byte(server)
+        self._context.server_limits.record_answer(
+            server.name,
+            head.status,
+            head.headers.get(LIMIT_HEADER),
+            self._dispatched_s,
+        )
         try:
             check_head(head, self._reader.events if resume else None)
         except Overloaded:
@@ -181,13 +190,26 @@
     async def _acquire_server(
         self, resume: bool, idle_s: float
     ) -> tuple[Announcement, UpstreamConnection]:
+        context = self._context
         while True:
+            await reserve_server(
+                context,
+                self._work.version,
+                {self._server.name} if resume and self._server else None,
+            )
             server = self._server if resume else self._choose_server()
             assert server is not None
             self._server = server
-            connection = await self._context.pool.acquire(
-                server.address, idle_s
-            )
+            connection = await context.pool.acquire(server.address, idle_s)
+            if not context.server_limits.held.is_open(
+                server.name, context.now_s()
+            ):
+                context.pool.release(server.address, connection)
+                if resume:
+                    raise ServersLimited(
+                        "the run's server is at its limit", SERVER_RETRY_S
+                    )
+                continue
             refusal = check_dispatch(
                 self._context.control,
                 self._intent(server),
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
@@ -196,6 +196,12 @@
     code = "no_backend_server"
 
 
+class ServersLimited(NoBackendServer):
+    """All servers name a limit, and none takes a request now."""
+
+    code = "servers_limited"
+
+
 class Stopping(RequestError):
     """This entry stops before the answer would end; another can serve it."""
 
@@ -273,6 +279,7 @@
     "RequestKeyMissing",
     "RequestTimeout",
     "Run",
+    "ServersLimited",
     "SessionNotAllowed",
     "SessionWithdrawn",
     "StillRunning",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/idempotent_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/idempotent_call.py
@@ -15,6 +15,7 @@
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import Overloaded
 from sycamorestand_entry.errors import RequestError
+from sycamorestand_entry.server_limits import reserve_server
 from sycamorestand_entry.service_call import acquire_slot
 from sycamorestand_entry.service_call import CallFailed
 from sycamorestand_entry.service_call import CallLost
@@ -96,6 +97,7 @@
 ) -> ServiceAnswer:
     if limit_s <= 0:
         raise DeadlineExceeded("the deadline passed", run="not_run")
+    await reserve_server(context, call.service)
     server = context.servers.choose(
         call.service, time.monotonic(), tried, again=True
     )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -93,6 +93,10 @@
         self.lost = self._gauge(
             "lost", "Backend servers that accept no connection"
         )
+        self.limited_requests = self._counter(
+            "limited_requests_total",
+            "Requests for which all servers name a limit, by result",
+        )
         self.blocked_parts = self._gauge(
             "blocked_parts", "Prompt parts whose requests are refused"
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -31,6 +31,7 @@
 from sycamorestand_entry.routed.prompt_attempt import blocked_parts
 from sycamorestand_entry.routed.server_choice import ServerChoice
 from sycamorestand_entry.routed.targets import next_target
+from sycamorestand_entry.server_limits import reserve_server
 from sycamorestand_model.declarations import VERSION_SEPARATOR
 
 if TYPE_CHECKING:
@@ -326,6 +327,8 @@
                 exchange = await self._forward(target, options)
                 if exchange is not None:
                     return exchange
+            allowed = self._choice.allowed(target, self.left > 0)
+            await reserve_server(self.context, target, allowed)
             server = self._choice.choose(
                 target, options, self.sent, self.left > 0
             )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -187,6 +187,7 @@
             self._check_forwarded(head)
         else:
             self._record_brittle(head)
+            self._record_limit(head)
         rejection = rejection_reason(head, self._header_names, self._call)
         if rejection:
             self.connection.close()
@@ -205,6 +206,15 @@
                 self.destination.target, int(value), time.monotonic()
             )
 
+    def _record_limit(self, head: ResponseHead) -> None:
+        if self._header_names.limit:
+            self._context.server_limits.record_answer(
+                self.destination.server.name,
+                head.status,
+                head.headers.get(self._header_names.limit),
+                self.begin_s,
+            )
+
     def _check_forwarded(self, head: ResponseHead) -> None:
         """Raise if the other entry did not get an answer of a server."""
         refusal = read_refusal(head.status, head.headers)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/header_names.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/header_names.py
@@ -19,7 +19,8 @@
     customer that it belongs to. A server sets ``not_run`` in an answer to a
     request that it did not run, and ``stamp`` in every answer; ``stamp`` is
     empty if servers do not stamp their answers. In ``brittle`` a server says
-    how many requests it can turn away in a second without falling over.
+    how many requests it can turn away in a second without falling over, in
+    ``limit`` how many it takes in a second from all entries together.
     ``own`` are headers that
     only the system may set; the entry drops them from a caller's request.
     """
@@ -42,6 +43,7 @@
     load: bytes
     own: frozenset[bytes]
     brittle: bytes = b""
+    limit: bytes = b""
 
 
 # The names of the project's own interface, see ``docs/callers.md``.
@@ -72,6 +74,7 @@
         }
     ),
     brittle=b"x-server-brittle",
+    limit=b"x-server-limit",
 )
 
 __all__ = ["DEFAULT_HEADER_NAMES", "HeaderNames"]
--- /dev/null
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_limits.py
@@ -0,0 +1,192 @@
+"""Requests to servers that name a limit wait shortly for a token of control.
+
+A server names in its answers how many requests a second it takes from all
+entries together. The entry that hears of it tells control, which tells all
+others, so that they need not find out by themselves.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from typing import Final
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sycamorestand_decisions.server_limits import HeldTokens
+from sycamorestand_decisions.server_limits import NO_LIMIT
+from sycamorestand_peer.messages import LimitsNamed
+from sycamorestand_peer.messages import TokensGranted
+from sycamorestand_peer.messages import TokensWanted
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+    from collections.abc import Sequence
+
+    from sycamorestand_entry.context import EntryContext
+    from sycamorestand_entry.metrics import Metrics
+    from sycamorestand_entry.ports import ControlPort
+
+_LOG = logging.getLogger(__name__)
+ASK_INTERVAL_S: Final = 0.1
+# A round trip to the leader by way of the entry's control process, after the
+# interval between two questions.
+MAX_WAIT_S: Final = 0.3
+MAX_TOKENS_ASKED: Final = 32
+MAX_SERVERS_ASKED: Final = 64
+MAX_LIMIT_CHARACTERS: Final = 12
+OK: Final = 200
+# The name on answers to the project's own interface.
+LIMIT_HEADER: Final = b"x-server-limit"
+
+
+class ServerLimits:
+    """The limits of servers, and the entry's tokens for them."""
+
+    def __init__(
+        self,
+        control: ControlPort,
+        metrics: Metrics,
+        now_s: Callable[[], float],
+    ) -> None:
+        self.held = HeldTokens()
+        self._control = control
+        self._metrics = metrics
+        self._now_s = now_s
+        self._named_s: dict[str, float] = {}
+        self._wanted: dict[str, None] = {}
+        self._demand = 0
+        self._asked_s = -math.inf
+        self._number = 0
+        self._answered = anyio.Event()
+        control.add_listener(TokensGranted, self._on_granted)
+        control.add_listener(LimitsNamed, self._on_named)
+
+    def record_answer(
+        self, server: str, status: int, value: bytes | None, sent_s: float
+    ) -> None:
+        """Record what an answer says of the server's limit.
+
+        ``value`` is None if it names none, and ``sent_s`` is when the request
+        was sent. A success names none only once the server has no limit.
+        """
+        known = self.held.limits_per_s.get(server)
+        limit_per_s = NO_LIMIT if value is None else _read_limit(value)
+        if limit_per_s is None or limit_per_s == known:
+            return
+        if limit_per_s == NO_LIMIT and (
+            known is None
+            or status != OK
+            or sent_s <= self._named_s.get(server, -math.inf)
+        ):
+            return
+        self._set_limit(server, limit_per_s)
+        self._send((), 0, {server: limit_per_s})
+
+    async def reserve(self, servers: Sequence[str]) -> None:
+        """Ask for tokens if some of the servers may get no request now.
+
+        Wait for them only if none of the servers may.
+        """
+        now_s = self._now_s()
+        closed = self.held.closed(servers, now_s)
+        if not closed:
+            return
+        self._wanted.update(dict.fromkeys(closed))
+        self._demand += 1
+        if len(closed) < len(servers):
+            self._ask()
+            return
+        with anyio.move_on_after(MAX_WAIT_S):
+            while not self._is_any_open(servers):
+                pause_s = self._asked_s + ASK_INTERVAL_S - self._now_s()
+                with anyio.move_on_after(max(0.0, pause_s)):
+                    await self._answered.wait()
+                    continue
+                self._wanted.update(dict.fromkeys(closed))
+                self._demand = max(1, self._demand)
+                self._ask()
+        self._metrics.limited_requests.inc(
+            {"result": "sent" if self._is_any_open(servers) else "refused"}
+        )
+
+    def _is_any_open(self, servers: Sequence[str]) -> bool:
+        return len(self.held.closed(servers, self._now_s())) < len(servers)
+
+    def _ask(self) -> None:
+        """Send a question, unless the last one was just sent."""
+        now_s = self._now_s()
+        if now_s - self._asked_s < ASK_INTERVAL_S:
+            return
+        self._asked_s = now_s
+        self._answered = anyio.Event()
+        servers = tuple(self._wanted)[:MAX_SERVERS_ASKED]
+        count = min(self._demand, MAX_TOKENS_ASKED)
+        self._wanted.clear()
+        self._demand = 0
+        limits = self.held.limits_per_s
+        named = {name: limits[name] for name in servers if name in limits}
+        self._send(servers, count, named)
+
+    def _send(
+        self, servers: tuple[str, ...], count: int, named: dict[str, float]
+    ) -> None:
+        self._number += 1
+        self._control.send(TokensWanted(self._number, servers, count, named))
+
+    def _set_limit(self, server: str, limit_per_s: float) -> None:
+        self.held.forget_except((*self._control.backend_servers(), server))
+        self.held.set_limit(server, limit_per_s)
+        self._named_s = {
+            name: named_s
+            for name, named_s in self._named_s.items()
+            if name in self.held.limits_per_s
+        }
+        self._named_s[server] = self._now_s()
+        extra = {"backend_server": server, "limit_per_s": limit_per_s}
+        _LOG.warning("backend server changes its limit", extra=extra)
+
+    def _on_granted(self, message: TokensGranted) -> None:
+        now_s = self._now_s()
+        for server, count in message.tokens.items():
+            for _ in range(count):
+                self.held.add(server, now_s)
+        self._answered.set()
+
+    def _on_named(self, message: LimitsNamed) -> None:
+        servers = self._control.backend_servers()
+        for server, limit_per_s in message.limits_per_s.items():
+            known = self.held.limits_per_s.get(server, NO_LIMIT)
+            if limit_per_s != known and server in servers:
+                self._set_limit(server, limit_per_s)
+
+
+async def reserve_server(
+    context: EntryContext, target: str, among: Collection[str] | None = None
+) -> None:
+    """Ask for room at the target's servers, where they name a limit.
+
+    With ``among``, only the servers that it names count.
+    """
+    limits = context.server_limits
+    if not limits.held.limits_per_s:
+        return
+    candidates = context.servers.candidates(target, context.now_s())
+    await limits.reserve(
+        [c.name for c in candidates if among is None or c.name in among]
+    )
+
+
+def _read_limit(value: bytes) -> float | None:
+    """Return the limit in a header, None if it is no decimal number."""
+    digits = value.strip()
+    if len(digits) > MAX_LIMIT_CHARACTERS:
+        return None
+    if not digits.replace(b".", b"", 1).isdigit():
+        return None
+    return float(digits)
+
+
+__all__ = ["LIMIT_HEADER", "reserve_server", "ServerLimits"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -9,8 +9,10 @@
 from sycamorestand_decisions.canary import canary_servers
 from sycamorestand_decisions.selection import Candidate
 from sycamorestand_decisions.selection import ServerSelector
+from sycamorestand_decisions.server_limits import HeldTokens
 from sycamorestand_decisions.server_loss import ServerLoss
 from sycamorestand_entry.errors import NoBackendServer
+from sycamorestand_entry.errors import ServersLimited
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -21,6 +23,7 @@
     from sycamorestand_model.backend_servers import Announcement
 
 SERVER_RETRY_S: Final = 1.0
+LIMIT_RETRY_S: Final = 1.0
 VERSION_SEPARATOR: Final = "@"
 
 
@@ -37,10 +40,12 @@
         control: ControlPort,
         random: Random,
         loss: ServerLoss | None = None,
+        limits: HeldTokens | None = None,
     ) -> None:
         self._control = control
         self._random = random
         self._loss = loss or ServerLoss()
+        self._limits = limits or HeldTokens()
         self._selectors: dict[str, ServerSelector] = {}
         self._counts: dict[str, int] = {}
         self._first_seen: dict[str, tuple[int, int, float]] = {}
@@ -168,6 +173,14 @@
         candidates = self.candidates(target, now_s)
         if among is not None:
             candidates = [c for c in candidates if c.name in among]
+        closed = self._closed(candidates, now_s)
+        if closed:
+            if len(closed) == len(candidates):
+                raise ServersLimited(
+                    f"every backend server of {target} is at its limit",
+                    LIMIT_RETRY_S,
+                )
+            candidates = [c for c in candidates if c.name not in closed]
         choose = self._selector(target).choose
         key = affinity_key or None
         name = choose(candidates, now_s, key, frozenset(exclude))
@@ -181,6 +194,12 @@
             )
         return server
 
+    def _closed(self, candidates: list[Candidate], now_s: float) -> set[str]:
+        """Return the servers that name a limit and may get nothing now."""
+        if not self._limits.limits_per_s:
+            return set()
+        return set(self._limits.closed([c.name for c in candidates], now_s))
+
     def has_available_server(
         self, target: str, now_s: float, among: Collection[str] | None = None
     ) -> bool:
@@ -191,6 +210,7 @@
         selector = self._selector(target)
         return any(
             not selector.is_ejected(candidate.name, now_s)
+            and self._limits.is_open(candidate.name, now_s)
             for candidate in self.candidates(target, now_s)
             if among is None or candidate.name in among
         )
@@ -224,6 +244,7 @@
 
     def record_start(self, target: str, name: str, now_s: float) -> None:
         """Count a request that was written to the server."""
+        self._limits.record_sent(name)
         self._selector(target).record_start(name, now_s)
 
     def record_first_byte(
@@ -255,7 +276,12 @@
     def is_over_limit(
         self, target: str, server: Announcement, now_s: float
     ) -> bool:
-        """Return whether the server is brittle and may get no request now."""
+        """Return whether the server may get no request now.
+
+        It names a limit, or is brittle.
+        """
+        if not self._limits.is_open(server.name, now_s):
+            return True
         candidate = Candidate(server.name, server.capacity)
         return self._selector(target).is_over_limit(candidate, now_s)
 
@@ -314,4 +340,4 @@
     return target.partition(VERSION_SEPARATOR)[0]
 
 
-__all__ = ["Servers"]
+__all__ = ["LIMIT_RETRY_S", "Servers"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
@@ -6,9 +6,12 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from sycamorestand_entry.errors import ServersLimited
 from sycamorestand_entry.gate import check_dispatch
 from sycamorestand_entry.gate import DispatchIntent
 from sycamorestand_entry.part_watch import ServerRequest
+from sycamorestand_entry.server_limits import LIMIT_HEADER
+from sycamorestand_entry.servers import LIMIT_RETRY_S
 from sycamorestand_entry.slots import SERVICE_CALL_S
 from sycamorestand_entry.slots import SlotRequest
 from sycamorestand_entry.upstream import BrokenConnection
@@ -96,6 +99,10 @@
         blocked=blocked,
     )
     refusal = check_dispatch(context.control, intent, watch.may_try)
+    held = context.server_limits.held
+    if refusal is None and not held.is_open(server.name, context.now_s()):
+        # Requests that were chosen for it at the same time took the room.
+        refusal = ServersLimited("the server is at its limit", LIMIT_RETRY_S)
     if refusal is not None:
         context.pool.release(server.address, connection)
         context.metrics.refused_dispatches.inc({"code": refusal.code})
@@ -112,7 +119,7 @@
             call.method == "HEAD",
             on_loss="end" if claim_held is None else "wait",
         )
-        answer = await _read_answer(context, connection, limit_s)
+        answer = await _read_answer(context, connection, limit_s, server.name)
         outcome = "overloaded" if answer.not_run else "ok"
         return answer
     except ServerLost as error:
@@ -139,9 +146,16 @@
 
 
 async def _read_answer(
-    context: EntryContext, connection: UpstreamConnection, limit_s: float
+    context: EntryContext,
+    connection: UpstreamConnection,
+    limit_s: float,
+    server: str,
 ) -> ServiceAnswer:
+    sent_s = context.now_s()
     head = await connection.read_head(limit_s)
+    context.server_limits.record_answer(
+        server, head.status, head.headers.get(LIMIT_HEADER), sent_s
+    )
     parts: list[bytes] = []
     size = 0
     while part := await connection.read_body(limit_s):
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -32,6 +32,7 @@
 from sycamorestand_peer.messages import LeaseGrantMessage
 from sycamorestand_peer.messages import LeaseRequest
 from sycamorestand_peer.messages import LedgerBatch
+from sycamorestand_peer.messages import LimitsNamed
 from sycamorestand_peer.messages import Message
 from sycamorestand_peer.messages import PartsReport
 from sycamorestand_peer.messages import PartsWatched
@@ -45,6 +46,8 @@
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
+from sycamorestand_peer.messages import TokensGranted
+from sycamorestand_peer.messages import TokensWanted
 
 _TYPES: Final[dict[int, type]] = {
     1: Heartbeat,
@@ -76,6 +79,9 @@
     27: PartsReport,
     28: PartsWatched,
     29: EndsWanted,
+    30: TokensWanted,
+    31: TokensGranted,
+    32: LimitsNamed,
 }
 _IN_FORCE_DECODER: Final = msgspec.msgpack.Decoder(InForce)
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -256,6 +256,37 @@
     lent: dict[str, float]
 
 
+class TokensWanted(NamedTuple):
+    """A question of an entry for tokens of servers that name a limit.
+
+    It has ``wanted`` requests for any of the ``servers``. ``limits_per_s`` are
+    limits that the entry knows, by server; `NO_LIMIT` is one that was taken
+    back. A control process that is not the leader forwards it for an
+    ``entry``, which is that entry's peer address. The reply returns
+    ``number``.
+    """
+
+    number: int
+    servers: tuple[str, ...]
+    wanted: int
+    limits_per_s: dict[str, float]
+    entry: str = ""
+
+
+class TokensGranted(NamedTuple):
+    """The leader's answer to a `TokensWanted`: tokens by server."""
+
+    number: int
+    tokens: dict[str, int]
+    entry: str = ""
+
+
+class LimitsNamed(NamedTuple):
+    """The limits that servers name, in requests a second, for all entries."""
+
+    limits_per_s: dict[str, float]
+
+
 class Relayed(NamedTuple):
     """A message between two processes that cannot reach each other.
 
@@ -305,6 +336,9 @@
     | Relayed
     | ArrivalTrade
     | ArrivalsLent
+    | TokensWanted
+    | TokensGranted
+    | LimitsNamed
     | ServerEnded
     | PartsReport
     | PartsWatched
@@ -328,6 +362,7 @@
     "LeaseDenied",
     "LeaseGrantMessage",
     "LeaseRequest",
+    "LimitsNamed",
     "LedgerBatch",
     "Message",
     "PartsReport",
@@ -342,4 +377,6 @@
     "SharedRatings",
     "TableResync",
     "TableUpdate",
+    "TokensGranted",
+    "TokensWanted",
 ]
