--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 import sys
+import time
 from typing import Any
 from typing import Final
 
@@ -69,6 +70,9 @@
         # A prompt whose system message is this one ends the engine.
         self.ending_prompt = ""
         self.on_ending_prompt: Callable[[str], None] | None = None
+        # While set, answers name this limit, and arrivals are kept.
+        self.limit_per_s: float | None = None
+        self.limited_arrivals_s: list[float] = []
 
     async def application(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one request.
@@ -98,6 +102,8 @@
     async def _complete(
         self, headers: dict[str, str], body: bytes, receive: Any, send: Any
     ) -> None:
+        if self.limit_per_s is not None:
+            self.limited_arrivals_s.append(time.monotonic())
         fault = self.switch.next_fault()
         if fault.kind == "refuse":
             refusal = ((b"x-not-run", b"1"),)
@@ -162,6 +168,9 @@
         headers = [(b"content-type", kind)]
         if start and fault.kind != "begin_again":
             headers.append((b"x-resume-from", b"%d" % start))
+        if self._engine.limit_per_s is not None:
+            limit = str(self._engine.limit_per_s).encode()
+            headers.append((b"x-server-limit", limit))
         await self._send(
             {
                 "type": "http.response.start",
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/checks.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/checks.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections import defaultdict
+import math
 from signal import SIGTERM
 from typing import Any
 from typing import Final
@@ -11,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorestand_bench.quickstart.checks import is_whole
+from sycamorestand_bench.soak.injector import ENGINE_LIMIT_PER_S
 from sycamorestand_bench.soak.monitor import Finding
 
 if TYPE_CHECKING:
@@ -39,7 +41,17 @@
 KNOWN_AFTER_S: Final = 3.0
 ENDS: Final = 5
 REQUEST_ENDS: Final = 3
+# What an engine may get in so long a time, of what its limit allows.
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_RATIO: Final = 1.5
+LIMIT_SLACK: Final = 5.0
 MAX_SENT_AFTER: Final = 3
+HARMLESS_EVENTS: Final = (
+    "stopped",
+    "ending_prompt",
+    "ending_request",
+    "server_limit",
+)
 CONNECT_ERRORS: Final = ("ConnectError", "ConnectTimeout")
 
 
@@ -61,6 +73,8 @@
     ``allowed`` has the versions that each customer may use, ``addresses``
     the address of each entry. ``ending_arrivals_s`` are the times at which
     requests that end engines reached one, ``ends_s`` those of the ends.
+    ``limited_arrivals_s`` are those of requests that reached each engine
+    while it named a limit, which was first at ``limited_s``.
     """
 
     answers: Sequence[Answer]
@@ -76,6 +90,8 @@
     addresses: Mapping[str, str]
     ending_arrivals_s: Sequence[float] = ()
     ends_s: Sequence[float] = ()
+    limited_arrivals_s: Mapping[str, Sequence[float]] = {}
+    limited_s: float = math.inf
 
 
 def collect_runs(world: World) -> list[Run]:
@@ -243,7 +259,7 @@
     faults_s = [
         event.at_s
         for event in observations.events
-        if event.what not in ("stopped", "ending_prompt", "ending_request")
+        if event.what not in HARMLESS_EVENTS
     ]
     late = [
         at_s
@@ -255,6 +271,23 @@
         yield f"{len(late)} were sent on after {len(observations.ends_s)} ends"
 
 
+def _check_limits(observations: Observations) -> Iterable[str]:
+    """Check that no engine got more than the limit that it named allows."""
+    from_s = observations.limited_s + KNOWN_AFTER_S
+    allowed = LIMIT_RATIO * ENGINE_LIMIT_PER_S * LIMIT_WINDOW_S + LIMIT_SLACK
+    for engine, arrivals_s in observations.limited_arrivals_s.items():
+        late_s = [at_s for at_s in arrivals_s if at_s >= from_s]
+        most = max(
+            (
+                sum(first <= at_s < first + LIMIT_WINDOW_S for at_s in late_s)
+                for first in late_s
+            ),
+            default=0,
+        )
+        if most > allowed:
+            yield f"{engine} got {most} requests within its limit's window"
+
+
 def _check_changes_kept(observations: Observations) -> Iterable[str]:
     for control, entries in observations.audits.items():
         revisions = {e["change_id"]: e["revision"] for e in entries}
@@ -280,6 +313,7 @@
     "planned stop": _check_planned_stops,
     "never reverts": _check_changes_kept,
     "requests that end engines": _check_ending_requests,
+    "limits of engines": _check_limits,
 }
 
 __all__ = ["check", "Run", "collect_runs", "Observations"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import resource
 import shutil
 from signal import SIGCONT
@@ -38,6 +39,7 @@
 # A planned stop that takes longer ends with SIGKILL and is a finding.
 STOP_TIMEOUT_S: Final = 45.0
 ENDING_PROMPT: Final = "a prompt under which engines end"
+ENGINE_LIMIT_PER_S: Final = 3.0
 ENDING_REQUEST: Final = "a request under which engines end"
 SERVER_FAULTS: Final[Mapping[str, FaultKind]] = {
     "server_error": "error",
@@ -88,6 +90,7 @@
     ) -> None:
         self.events: list[Event] = []
         self.stops: list[PlannedStop] = []
+        self.limited_s = math.inf
         self.leave_announced_s: dict[str, float] = {}
         self.load: Load | None = None
         self._system = system
@@ -181,6 +184,8 @@
                 self._start_ending(step, ENDING_REQUEST)
                 if self.load is not None:
                     self.load.ending_request = ENDING_REQUEST
+            case "server_limit":
+                self._limit_engines(step.for_s)
             case fault:
                 self._inject_server_fault(
                     step.target, SERVER_FAULTS[fault], step
@@ -372,6 +377,20 @@
         world = self._system.world
         self._system.call_in_loop(world.start_ending, message, end)
 
+    def _limit_engines(self, for_s: float) -> None:
+        """Let all engines name a limit for some time."""
+        world = self._system.world
+
+        def set_limit(limit_per_s: float | None) -> None:
+            for engine in world.engines:
+                engine.limit_per_s = limit_per_s
+
+        self._system.call_in_loop(set_limit, ENGINE_LIMIT_PER_S)
+        self.limited_s = time.monotonic()
+        self._schedule_after(
+            for_s, lambda: self._system.call_in_loop(set_limit, None)
+        )
+
     def _announce_leave(self, name: str) -> None:
         self._system.call_in_loop(self._system.world.announce_leave, name)
         self.leave_announced_s[name] = time.monotonic()
@@ -389,4 +408,4 @@
         self._schedule_after(step.for_s, end)
 
 
-__all__ = ["Event", "Injector", "PlannedStop"]
+__all__ = ["ENGINE_LIMIT_PER_S", "Event", "Injector", "PlannedStop"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/run.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/run.py
@@ -223,6 +223,8 @@
             {name: system.entry(name) for name in ENTRIES},
             list(system.world.ending_arrivals_s),
             list(system.world.ends_s),
+            {e.name: e.limited_arrivals_s for e in system.world.engines},
+            self._injector.limited_s,
         )
         # The findings of the monitor come first: a process that ended
         # unexpectedly explains most of the others.
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
@@ -96,9 +96,11 @@
     # Drawn apart, so that the schedules of seeds stay as they were.
     "ending_prompt": _FaultKind(0, "engines", 0.5, 2.0),
     "ending_request": _FaultKind(0, "engines", 0.5, 2.0),
+    "server_limit": _FaultKind(0, "engines", 5.0, 9.0),
 }
 ENDING_PROMPT_PROBABILITY: Final = 0.3
 ENDING_REQUEST_PROBABILITY: Final = 0.4
+LIMIT_PROBABILITY: Final = 0.3
 
 
 def draw(seed: int, length_s: float, targets: Targets) -> Schedule:
@@ -119,6 +121,7 @@
             repeat_s = end_s + random.uniform(0.0, REPEAT_WITHIN_S)
             steps.append(_draw_repeat(random, step, repeat_s, targets))
     steps += _draw_ending(seed, length_s)
+    steps += _draw_limit(Random(f"limit {seed}"), length_s)
     allowed: list[Step] = []
     for step in sorted(steps):
         if step.fault == "wipe":
@@ -214,6 +217,18 @@
     return [Step(round(at_s, 2), name, kind.targets, round(for_s, 2))]
 
 
+def _draw_limit(random: Random, length_s: float) -> list[Step]:
+    """Return at most one step, in which all engines name a limit."""
+    if random.random() >= LIMIT_PROBABILITY:
+        return []
+    kind = FAULT_KINDS["server_limit"]
+    at_s = random.uniform(0.0, length_s / 2)
+    for_s = random.uniform(kind.shortest_s, kind.longest_s)
+    return [
+        Step(round(at_s, 2), "server_limit", kind.targets, round(for_s, 2))
+    ]
+
+
 def _draw_target(random: Random, kind: str, targets: Targets) -> str:
     processes = (*targets.controls, *targets.entries)
     if kind == "group":
