--- a/packages/sycamorestand-control/src/sycamorestand_control/explain.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/explain.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.part_trials import max_trials
+from sycamorestand_decisions.server_limits import NO_LIMIT
 from sycamorestand_model.declarations import find_version
 from sycamorestand_model.declarations import VERSION_SEPARATOR
-from sycamorestand_model.prompt_parts import MAX_TRIALS
+from sycamorestand_model.request_digest import is_request
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -22,12 +24,13 @@
     tables: SharedTables,
     ledger: LedgerReader,
     verdicts: Mapping[str, str],
+    limits_per_s: Mapping[str, float],
 ) -> tuple[str, ...]:
     """Return lines about a subject.
 
-    That is a version, model, customer, request, backend server, VM or blocked
-    prompt part. A request is named by its customer and request key, joined
-    by a slash. The result is empty if the subject is unknown.
+    That is a version, model, customer, request, backend server, VM, or blocked
+    prompt part or request. A request is named by its customer and request
+    key, joined by a slash. The result is empty if the subject is unknown.
     """
     lines = [
         *_explain_version(subject, configuration, tables),
@@ -35,6 +38,7 @@
         *_explain_customer(subject, configuration),
         *_explain_request(subject, ledger),
         *_explain_server(subject, tables),
+        *_explain_limit(subject, limits_per_s),
         *_explain_vm(subject, configuration, tables),
         *_explain_part(subject, configuration),
     ]
@@ -158,6 +162,18 @@
     return lines
 
 
+def _explain_limit(
+    subject: str, limits_per_s: Mapping[str, float]
+) -> list[str]:
+    limit_per_s = limits_per_s.get(subject, NO_LIMIT)
+    if limit_per_s == NO_LIMIT:
+        return []
+    return [
+        f"backend server {subject} takes {limit_per_s:g} requests a second"
+        " from all entries together, by its own answers"
+    ]
+
+
 def _explain_part(
     subject: str, configuration: ConfigurationMachine
 ) -> list[str]:
@@ -166,11 +182,12 @@
         return []
     customers = ", ".join(repr(customer) for customer in block.customers)
     concerned = "everyone" if block.is_for_everyone else customers
+    kind = "request" if is_request(subject) else "prompt part"
     return [
-        f"prompt part {subject} is blocked since revision {block.revision},"
+        f"{kind} {subject} is blocked since revision {block.revision},"
         f" for {concerned}",
-        f"{block.trials} of {MAX_TRIALS} requests with it were let through"
-        " since",
+        f"{block.trials} of {max_trials(subject)} trials of it were let"
+        " through since",
     ]
 
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -44,6 +44,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from sycamorestand_control.groups import LogGroups
     from sycamorestand_control.lease_service import LeaseService
@@ -85,6 +86,7 @@
     admissions: MembershipManager
     keeper: VersionController
     cluster_key: Callable[[], bytes]
+    limits_per_s: Callable[[], Mapping[str, float]] = dict
 
 
 class ControlBackend:
@@ -331,6 +333,7 @@
             self._parts.tables,
             self._parts.ledger,
             self._parts.keeper.verdicts,
+            self._parts.limits_per_s(),
         )
         if not lines:
             raise UnknownSubject(f"nothing is known of {subject!r}")
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -176,6 +176,7 @@
             self.membership,
             self.version_controller,
             lambda: settings.cluster_keys()[0],
+            lambda: self.limits.limits_per_s,
         )
         self.backend = ControlBackend(parts)
         self.metrics = ControlMetrics(
