--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_limits.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_limits.py
@@ -108,8 +108,8 @@
         with anyio.move_on_after(MAX_WAIT_S):
             while not self._is_any_open(servers):
                 pause_s = self._next_ask_s() - self._now_s()
-                with anyio.move_on_after(max(0.0, pause_s)):
-                    await self._answered.wait()
+                if pause_s > 0:
+                    await self._wait_for_answer(pause_s)
                     continue
                 self._wanted.update(dict.fromkeys(closed))
                 self._demand = max(1, self._demand)
@@ -118,6 +118,14 @@
             {"result": "sent" if self._is_any_open(servers) else "refused"}
         )
 
+    async def _wait_for_answer(self, pause_s: float) -> None:
+        """Wait until control answers; if it has, until the next question."""
+        if self._answered.is_set():
+            await anyio.sleep(pause_s)
+            return
+        with anyio.move_on_after(pause_s):
+            await self._answered.wait()
+
     def _is_any_open(self, servers: Sequence[str]) -> bool:
         return len(self.held.closed(servers, self._now_s())) < len(servers)
 
--- a/packages/sycamorestand-entry/tests/test_server_limits.py
+++ b/packages/sycamorestand-entry/tests/test_server_limits.py
@@ -122,6 +122,27 @@
         assert len(questions(loopback)) <= 2 + took_s / ASK_INTERVAL_S
         assert loopback.requests == []
 
+    async def test_waiting_takes_no_processor_time(self) -> None:
+        """Requests that control had refused a token asked in a tight loop."""
+        async with start_routed() as loopback:
+            await loopback.add_server("s-1", Limited().answer)
+            name_limits(loopback.control, **{"s-1": LIMIT})
+            limits = loopback.entry.context.server_limits
+            checks = 0
+            is_any_open = limits._is_any_open
+
+            def count(servers: Any) -> bool:
+                nonlocal checks
+                checks += 1
+                return is_any_open(servers)
+
+            limits._is_any_open = count  # type: ignore[method-assign]
+            async with anyio.create_task_group() as callers:
+                callers.start_soon(loopback.ask, "/stock/1")
+                await anyio.sleep(0.05)
+                loopback.control.listeners[TokensGranted](TokensGranted(1, {}))
+        assert checks <= 2 + 2 * MAX_WAIT_S / ASK_INTERVAL_S + 2
+
     async def test_many_entries_ask_more_seldom(self) -> None:
         """Questions of all entries took half a core of the leader."""
         async with start_routed() as loopback:
