BUDGET: a block waits for entries that have lost their control process

Callers: a sound request, and all with a common first part, were refused after a control process was lost; the request for good.

The two entries that had the guilty requests there told them 0.5 and 11 s later: an entry does not repeat its reports when it moves, only 1, 3 and 8 s after the last time.

Change: a control process asks an entry that attaches for its reports, and the entry sends them at once. The leader commits a blame only if no other control process fell silent in the last 3 s, no entry attached and no term began in the last 0.5 s, or after 5 s. Meanwhile entries refuse by the blame they are told, as they do without a leader.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/in_memory_control.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/in_memory_control.py
@@ -87,10 +87,14 @@
     def __init__(self, address: str = CONTROL) -> None:
         self.address = address
         self.sent: list[tuple[str, Any]] = []
+        self.silences_s: dict[str, float] = {}
 
     def send(self, address: str, message: Any) -> None:
         self.sent.append((address, message))
 
+    def silence_s(self, address: str) -> float:
+        return self.silences_s.get(address, 0.0)
+
     def close_link(self, address: str) -> None: ...
 
     def take_messages(self, kind: type) -> list[Any]:
--- a/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
@@ -3,11 +3,13 @@
 Every control process gathers what all entries tell, so that the next leader
 knows it too. The leader decides, and commits each decision as a revision of
 the configuration. So an entry that has just started acts on it before its
-first request, and one that cannot be reached loses its lease first.
+first request, and one that cannot be reached loses its lease first. Until the
+reports of all entries can be there, a blame is only told to the entries.
 """
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import Final
 from typing import TYPE_CHECKING
@@ -17,6 +19,7 @@
 from sycamorestand_control.commit import commit_decision
 from sycamorestand_control.groups import CONFIGURATION_GROUP
 from sycamorestand_decisions.ending_parts import EndingParts
+from sycamorestand_decisions.evidence_gaps import EvidenceGaps
 from sycamorestand_decisions.part_trials import PartTrials
 from sycamorestand_model.prompt_parts import BlockedPart
 from sycamorestand_peer.clock import boottime_s
@@ -43,6 +46,7 @@
     from sycamorestand_state.commands import Command
     from sycamorestand_state.configuration import ConfigurationMachine
 
+LOG: Final = logging.getLogger(__name__)
 TICK_S: Final = 0.1
 # Entries forget a blame that is not repeated for some times this long.
 REPEAT_INTERVAL_S: Final = 1.0
@@ -71,13 +75,16 @@
         self._entries = entries
         self._others = others
         self._evidence = EndingParts()
+        self._gaps = EvidenceGaps()
         self._trials = PartTrials()
         self._blocked: dict[str, BlockedPart] = {}
         self._sound: dict[str, CustomerPart] = {}
         self._sent: dict[str, PartsWatched] = {}
+        self._asked: set[str] = set()
         self._blames: list[Blame] = []
         self._repeat_s = 0.0
         self._leads = False
+        self._waits = False
         self.watched: tuple[str, ...] = ()
         self.ends = 0
 
@@ -131,6 +138,7 @@
             self.watched = self._evidence.watch(now_s, self._blocked)
             self._blames = self._evidence.blames(self._blocked, now_s)
         self._push_watched(now_s)
+        self._record_gaps(now_s)
         led, self._leads = (
             self._leads,
             self._groups.is_leader(CONFIGURATION_GROUP),
@@ -139,6 +147,7 @@
             self._sound.clear()
             return
         if not led:
+            self._gaps.record_gap(now_s)
             for address in self._others():
                 self._mesh.send(address, EndsWanted())
         for command in self._decide(now_s):
@@ -156,6 +165,12 @@
         self._blocked = blocked
         self._blames = self._evidence.blames(blocked, now_s)
 
+    def _record_gaps(self, now_s: float) -> None:
+        """Note what may be missing of what entries have to tell."""
+        for address in self._others():
+            silence_s = self._mesh.silence_s(address)
+            self._gaps.record_silence(silence_s, now_s)
+
     def _push_watched(self, now_s: float) -> None:
         """Tell the entries what to watch, and what to refuse already.
 
@@ -168,6 +183,7 @@
         }
         message = PartsWatched(self.watched, blamed)
         attached = set(self._entries())
+        self._ask_new_entries(attached, now_s)
         self._sent = {a: m for a, m in self._sent.items() if a in attached}
         is_due = message != NOTHING_WATCHED and now_s >= self._repeat_s
         if is_due:
@@ -178,12 +194,19 @@
                 self._sent[address] = message
                 self._mesh.send(address, message)
 
+    def _ask_new_entries(self, attached: set[str], now_s: float) -> None:
+        """Ask entries that come from another control process, now lost."""
+        for address in attached - self._asked:
+            self._mesh.send(address, EndsWanted())
+            self._gaps.record_gap(now_s)
+        self._asked = attached
+
     def _decide(self, now_s: float) -> list[Command]:
         blocked = self._blocked
         released = [part for part in self._sound if part in blocked]
         commands: list[Command] = [_release(part) for part in released]
         self._sound.clear()
-        commands += [_block(blame) for blame in self._blames]
+        commands += self._blocks(now_s)
         commands += [
             _try(trial)
             for trial in self._trials.due(blocked, now_s)
@@ -191,6 +214,17 @@
         ]
         return commands
 
+    def _blocks(self, now_s: float) -> list[Command]:
+        """Return the blocks that need not wait for further reports."""
+        may_block = self._gaps.may_decide(bool(self._blames), now_s)
+        waited, self._waits = self._waits, bool(self._blames) and not may_block
+        if self._waits and not waited:
+            parts = ", ".join(blame.part for blame in self._blames)
+            LOG.info(
+                "blame waits for entries that moved", extra={"parts": parts}
+            )
+        return [_block(blame) for blame in self._blames if may_block]
+
 
 def _block(blame: Blame) -> BlockPart:
     servers = ", ".join(blame.servers[:MAX_LOGGED_SERVERS])
--- a/packages/sycamorestand-control/tests/test_part_controller.py
+++ b/packages/sycamorestand-control/tests/test_part_controller.py
@@ -13,6 +13,7 @@
 from sycamorestand_model.prompt_parts import BlockedPart
 from sycamorestand_model.prompt_parts import CustomerPart
 from sycamorestand_model.prompt_parts import Suspect
+from sycamorestand_model.request_digest import REQUEST_PREFIX
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.messages import EndsWanted
 from sycamorestand_peer.messages import PartsReport
@@ -26,6 +27,7 @@
 
 pytestmark = pytest.mark.anyio
 BAD = (Suspect("club", "bad", True, 1),)
+UNLUCKY = REQUEST_PREFIX + "unlucky"
 TICK_S = 0.1
 
 
@@ -72,6 +74,12 @@
         self.parts.handle_server_ended(sender, message)
         return message
 
+    def end_under_unlucky(self, number: int) -> None:
+        """Tell that a sound request was at a server that ended."""
+        suspects = (Suspect("club", UNLUCKY, True, 1),)
+        message = ServerEnded(f"s-{number}", 1, "process-e2", suspects)
+        self.parts.handle_server_ended("e2", message)
+
     def report(
         self, sound: str = "", refused: str = "", customer: str = "club"
     ) -> None:
@@ -85,6 +93,11 @@
             self.now_s += TICK_S
             await self.parts.check(self.now_s)
 
+    def blamed(self) -> set[str]:
+        """Return what entries were told last to refuse for the moment."""
+        told = [m for _, m in self.mesh.sent if isinstance(m, PartsWatched)]
+        return set(told[-1].blamed)
+
     def told(self) -> Counter[str]:
         """Return how often entries were told to watch since the last call."""
         sent, self.mesh.sent = self.mesh.sent, []
@@ -225,3 +238,48 @@
         harness.release()
         await harness.check()
         assert not harness.blocked
+
+
+class TestMissingReports:
+    async def test_sound_request_is_not_blocked_for_want_of_reports(
+        self,
+    ) -> None:
+        """The entries that had the guilty requests had lost their control
+        process, and a request that had met three of the ends was blocked.
+        """
+        harness = Harness()
+        harness.mesh.silences_s["c2"] = 1.0
+        for number in range(3):
+            harness.end_under_unlucky(number)
+        await harness.check(0.8)
+        assert harness.blamed() == {UNLUCKY}
+        assert not harness.blocked
+        harness.mesh.silences_s["c2"] = 10.0
+        for number in range(ENDS_TO_BLAME + 1):
+            harness.end(number)
+        await harness.check()
+        assert set(harness.blocked) == {"bad"}
+        assert harness.blamed() == set()
+
+    async def test_lost_control_process_puts_a_block_off_only_briefly(
+        self,
+    ) -> None:
+        harness = Harness()
+        harness.mesh.silences_s["c2"] = 1.0
+        for number in range(ENDS_TO_BLAME):
+            harness.end(number)
+        await harness.check(3.0)
+        assert harness.blamed() == {"bad"}
+        assert not harness.blocked
+        await harness.check(4.0)
+        assert harness.blocked
+
+    async def test_entry_that_moves_here_is_asked_once(self) -> None:
+        harness = Harness()
+        harness.groups.leads = False
+        await harness.check()
+        harness.mesh.sent.clear()
+        harness.entries.append("e3")
+        await harness.check()
+        asked = [to for to, m in harness.mesh.sent if m == EndsWanted()]
+        assert asked == ["e3"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
@@ -23,6 +23,7 @@
 from sycamorestand_model.prompt_parts import CustomerPart
 from sycamorestand_model.prompt_parts import Suspect
 from sycamorestand_model.request_digest import is_request
+from sycamorestand_peer.messages import EndsWanted
 from sycamorestand_peer.messages import PartsReport
 from sycamorestand_peer.messages import PartsWatched
 from sycamorestand_peer.messages import ServerEnded
@@ -131,6 +132,7 @@
         )
         self._wake = anyio.Event()
         control.add_listener(PartsWatched, self._on_watched)
+        control.add_listener(EndsWanted, self._on_ends_wanted)
 
     async def run(self) -> None:
         """Check servers and send reports until cancelled."""
@@ -357,6 +359,14 @@
                 )
             )
 
+    def _on_ends_wanted(self, message: EndsWanted) -> None:
+        """Send all reports again, as a control process does not have them."""
+        now_s = self._now_s()
+        self._reports = {
+            name: _Report(report.message, now_s, 0)
+            for name, report in self._reports.items()
+        }
+
     def _on_watched(self, message: PartsWatched) -> None:
         added = set(message.parts) - self._watched
         self._watched = frozenset(message.parts)
--- a/packages/sycamorestand-entry/tests/test_part_watch.py
+++ b/packages/sycamorestand-entry/tests/test_part_watch.py
@@ -24,6 +24,7 @@
 from sycamorestand_model.prompt_parts import CustomerPart
 from sycamorestand_model.prompt_parts import PartTrial
 from sycamorestand_model.prompt_parts import Suspect
+from sycamorestand_peer.messages import EndsWanted
 from sycamorestand_peer.messages import PartsReport
 from sycamorestand_peer.messages import PartsWatched
 from sycamorestand_peer.messages import ServerEnded
@@ -100,6 +101,18 @@
             group.cancel_scope.cancel()
         assert harness.control.sent_messages == []
 
+    async def test_next_control_process_is_told_at_once(self) -> None:
+        """It had to decide by what the other entries had told it."""
+        harness = Harness()
+        harness.watch.record_broken(ENDED, BEGUN)
+        await harness.check()
+        (message,) = harness.control.sent_messages
+        harness.now_s += 0.2
+        assert harness.sent(ServerEnded) == []
+        harness.control.listeners[EndsWanted](EndsWanted())
+        assert harness.sent(ServerEnded) == [message]
+        assert harness.sent(ServerEnded) == []
+
     async def test_leaving_server_has_not_ended_by_itself(self) -> None:
         harness = Harness()
         harness.control.servers["s-1"] = ENDED._replace(leaving=True)
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -205,9 +205,10 @@
 
 
 class EndsWanted(NamedTuple):
-    """The question of a new leader for what others know of servers' ends.
+    """The question for what others know of servers' ends.
 
-    It is answered by `ServerEnded` messages.
+    A new leader asks the other control processes, and a control process the
+    entries that move to it. It is answered by `ServerEnded` messages.
     """
 
 
