A common first part is not blamed in place of the part that ends servers

Cause: parts at about as many ends are told apart by the fewest requests in all. A part that was answered after some of the ends is counted at the others alone, so it has fewer requests: 11 at 11 ends, against 12 at 12 of the part to blame.

Change: the mean number of requests at an end tells, then more ends.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
@@ -197,6 +197,16 @@
             return self.servers
         return self.explained + self.servers
 
+    @property
+    def unlikelihood(self) -> tuple[float, int]:
+        """The mean number of requests at an end, then fewer ends.
+
+        A part that was answered after some of the ends is at fewer of them,
+        with fewer requests in all.
+        """
+        ends = len(self.explained) + len(self.servers)
+        return self.requests / ends, -ends
+
 
 class EndingParts:
     """What entries have told of servers that ended by themselves.
@@ -382,7 +392,7 @@
                 for part in candidates
                 if len(counts[part].ends) >= SIMILAR_SHARE * most
             ),
-            key=lambda part: (counts[part].requests, part),
+            key=lambda part: (*counts[part].unlikelihood, part),
         )
         count = counts[part]
         return _blame(part, count, is_for_everyone=len(count.customers) > 1)
--- a/packages/sycamorestand-decisions/tests/test_ending_parts.py
+++ b/packages/sycamorestand-decisions/tests/test_ending_parts.py
@@ -111,6 +111,20 @@
             cluster.answer("first")
         assert [blame.part for blame in cluster.blames()] == ["bad"]
 
+    def test_part_that_was_answered_at_first_is_not_blamed_instead(
+        self,
+    ) -> None:
+        """It was at fewer ends, so with fewer requests in all, and all
+        requests that begin with it were refused.
+        """
+        cluster = Cluster()
+        for _ in range(2):
+            cluster.end(begun("a-first"), begun("bad"))
+        cluster.answer("a-first")
+        for _ in range(8):
+            cluster.end(begun("a-first"), begun("bad"))
+        assert cluster.blames()[0].part == "bad"
+
     def test_ends_of_long_ago_do_not_add_up_with_answers_between(self) -> None:
         cluster = Cluster()
         for _ in range(3 * ENDS_TO_BLAME):
