BUDGET: a test of an entry that was cut off when servers ended under it

It hears and is not heard for 6 s, and gets the request again and again. The postmortem named the test as missing.

--- a/packages/sycamorestand/tests/system/test_one_request_that_ends_servers.py
+++ b/packages/sycamorestand/tests/system/test_one_request_that_ends_servers.py
@@ -26,6 +26,7 @@
 from sycamorestand_bench.fakes.ending_play import start_play
 from sycamorestand_bench.fakes.ending_servers import Behaviour
 from sycamorestand_bench.fakes.ending_servers import EndsAt
+from sycamorestand_bench.fakes.routed_system import Entry
 from sycamorestand_bench.fakes.routed_system import wait_until
 
 pytestmark = pytest.mark.anyio
@@ -84,6 +85,14 @@
         )
 
 
+async def repeat_at(play: Play, entry: Entry, duration_s: float) -> None:
+    """Send the bad request to one entry, one at a time."""
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        await play.ask("", entry, body=BAD_BODY)
+        await anyio.sleep(PAUSE_S)
+
+
 async def end_three(play: Play, case: Case) -> None:
     """Send the bad request until three servers have ended under it."""
     while len(play.servers.ends) < 3:
@@ -176,6 +185,21 @@
                 await repeat(play, PLAIN, 9.0)
         assert play.sent_again() <= MAX_SENT_AFTER
 
+    async def test_entry_that_was_not_heard_is_asked_afterwards(
+        self, tmp_path: Path
+    ) -> None:
+        """Nobody knew of the ends at an entry that had been cut off."""
+        async with start_bad(tmp_path, PLAIN, 4) as play:
+            cut = play.system.entries[0]
+            mesh = cut.link.mesh
+            with pytest.MonkeyPatch.context() as patch:
+                for name in ("send", "send_directly", "send_through"):
+                    patch.setattr(mesh, name, lambda *_: None)
+                await repeat_at(play, cut, 6.0)
+            await repeat_at(play, cut, 6.0)
+        assert len(play.servers.ends) >= 3
+        assert play.sent_again() <= MAX_SENT_AFTER
+
     async def test_request_that_another_entry_forwards_is_refused(
         self, tmp_path: Path
     ) -> None:
@@ -185,10 +209,7 @@
             context = cut.running.context
             for server in cut.link.backend_servers().values():
                 context.server_loss.record_refused_dial(server.address)
-            end_s = time.monotonic() + 7.0
-            while time.monotonic() < end_s:
-                await play.ask("", cut, body=BAD_BODY)
-                await anyio.sleep(PAUSE_S)
+            await repeat_at(play, cut, 7.0)
         assert len(play.servers.ends) >= 3
         assert play.sent_again() <= MAX_SENT_AFTER
 
