LIMIT: tests of forwarded attempts, calls and orders

The postmortem named the test of forwarded attempts as missing; calls and orders had none with several entries.

--- a/packages/sycamorestand/tests/system/test_server_limits.py
+++ b/packages/sycamorestand/tests/system/test_server_limits.py
@@ -146,6 +146,42 @@
             assert took_s < REFUSED_WITHIN_S
 
 
+class TestKindsOfRequests:
+    async def test_forwarded_attempts_count(self, tmp_path: Path) -> None:
+        """An entry that reaches no server sent past the limit by another."""
+        async with start_limited(tmp_path, SMALL) as (play, named_s):
+            cut = play.system.entries[0]
+            loss = cut.running.context.server_loss
+
+            async def reach_nothing() -> None:
+                while True:
+                    for server in cut.link.backend_servers().values():
+                        loss.record_refused_dial(server.address)
+                    await anyio.sleep(0.2)
+
+            async with anyio.create_task_group() as faults:
+                faults.start_soon(reach_nothing)
+                await play.load(LOAD_S, at=cut)
+                faults.cancel_scope.cancel()
+        from_s = named_s + KNOWN_AFTER_S
+        limits = dict.fromkeys(range(SMALL.servers), SMALL.limit_per_s)
+        assert_kept(play, limits, from_s)
+        assert_used(play, SMALL, from_s, named_s + LOAD_S)
+
+    @pytest.mark.parametrize("path", ["/stock/1", "/order/1"])
+    async def test_calls_count(self, tmp_path: Path, path: str) -> None:
+        async with start_limited(tmp_path, SMALL) as (play, named_s):
+            end_s = named_s + LOAD_S
+            async with anyio.create_task_group() as callers:
+                while time.monotonic() < end_s:
+                    callers.start_soon(play.ask, "", None, "", path)
+                    await anyio.sleep(0.04)
+        from_s = named_s + KNOWN_AFTER_S
+        limits = dict.fromkeys(range(SMALL.servers), SMALL.limit_per_s)
+        assert_kept(play, limits, from_s)
+        assert_used(play, SMALL, from_s, named_s + LOAD_S)
+
+
 class TestChanges:
     async def test_lower_limit_counts_and_is_taken_back(
         self, tmp_path: Path
