A data centre can be emptied and taken back

Cause: no code knew such an order.

Entries ask one function, takes_new_work, wherever they asked whether a server leaves, so that first tries, repeats, resumed streams, forwarded attempts, calls, orders and chats follow, and the gate checks it again as a request is written. Running answers end where they run. The planner of model loads leaves such servers out. sycactl has the commands drain-data-centre and undrain-data-centre, status, backends, explain, a metric and two log lines show it. A service whose only servers are there is refused at once.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_play.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_play.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 from random import Random
@@ -204,13 +205,14 @@
     entries: int = ENTRIES,
     servers: int = SERVERS,
     is_public: bool = True,
+    data_centres: Sequence[str] = ("marietta",),
 ) -> AsyncIterator[Play]:
     """Start a system whose servers answer all requests."""
     async with (
         start_system(folder, entries, is_public=is_public) as system,
         anyio.create_task_group() as tasks,
     ):
-        backends = EndingServers(system.announce, SERVICE)
+        backends = EndingServers(system.announce, SERVICE, data_centres)
         await start_servers(tasks, backends, servers)
         play = Play(system, backends)
         await wait_until(
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
@@ -32,6 +32,7 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     Announce = Callable[[Announcement], Awaitable[None]]
 
@@ -96,12 +97,19 @@
 class EndingServers:
     """Servers of one service, and what reached them.
 
-    A test may replace ``behaviour`` at any time. ``ends`` holds the times at
+    A test may replace ``behaviour`` at any time. The servers are spread over
+    the ``data_centres`` by their numbers. ``ends`` holds the times at
     which a server ended under a part, by `time.monotonic`.
     """
 
-    def __init__(self, announce: Announce, service: str) -> None:
+    def __init__(
+        self,
+        announce: Announce,
+        service: str,
+        data_centres: Sequence[str] = ("marietta",),
+    ) -> None:
         self.behaviour = Behaviour()
+        self._data_centres = data_centres
         self.arrivals: list[Arrival] = []
         self.ends: list[float] = []
         self.running: set[str] = set()
@@ -139,6 +147,11 @@
                 tasks.cancel_scope.cancel()
             await anyio.sleep(self.behaviour.back_s)
 
+    def data_centre(self, name: str) -> str:
+        """Return the data centre of a server."""
+        number = server_number(name)
+        return self._data_centres[number % len(self._data_centres)]
+
     def end(self, name: str) -> None:
         """End a server, as its process ends by itself."""
         self._ended[name].set()
@@ -255,7 +268,7 @@
                     name,
                     "service",
                     f"127.0.0.1:{port}",
-                    "marietta",
+                    self.data_centre(name),
                     1,
                     sequence,
                     (self._service,),
--- a/packages/sycamorestand-control/src/sycamorestand_control/change_commands.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/change_commands.py
@@ -12,6 +12,7 @@
 from sycamorestand_model.findings import Finding
 from sycamorestand_state.commands import ANY_REVISION
 from sycamorestand_state.commands import ApplyDeclarations
+from sycamorestand_state.commands import DrainDataCentre
 from sycamorestand_state.commands import DrainVm
 from sycamorestand_state.commands import LiftQuarantine
 from sycamorestand_state.commands import Quarantine
@@ -20,6 +21,7 @@
 from sycamorestand_state.commands import RotateSessionKey
 from sycamorestand_state.commands import StartRollout
 from sycamorestand_state.commands import StopRollout
+from sycamorestand_state.commands import UndrainDataCentre
 from sycamorestand_state.commands import UndrainVm
 from sycamorestand_state.commands import Withdraw
 
@@ -157,6 +159,8 @@
     "lift-quarantine": _make_with_reason(LiftQuarantine),
     "drain": _make_with_reason(DrainVm),
     "undrain": _make_with_reason(UndrainVm),
+    "drain-data-centre": _make_with_reason(DrainDataCentre),
+    "undrain-data-centre": _make_with_reason(UndrainDataCentre),
     "release-part": _make_with_reason(ReleasePart),
 }
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/explain.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/explain.py
@@ -8,6 +8,7 @@
 from sycamorestand_decisions.server_limits import NO_LIMIT
 from sycamorestand_model.declarations import find_version
 from sycamorestand_model.declarations import VERSION_SEPARATOR
+from sycamorestand_model.in_force import takes_new_work
 from sycamorestand_model.request_digest import is_request
 
 if TYPE_CHECKING:
@@ -28,16 +29,18 @@
 ) -> tuple[str, ...]:
     """Return lines about a subject.
 
-    That is a version, model, customer, request, backend server, VM, or blocked
-    prompt part or request. A request is named by its customer and request
-    key, joined by a slash. The result is empty if the subject is unknown.
+    That is a version, model, customer, request, backend server, VM, data
+    centre, or blocked prompt part or request. A request is named by its
+    customer and request key, joined by a slash. The result is empty if the
+    subject is unknown.
     """
     lines = [
         *_explain_version(subject, configuration, tables),
         *_explain_model(subject, configuration),
         *_explain_customer(subject, configuration),
         *_explain_request(subject, ledger),
-        *_explain_server(subject, tables),
+        *_explain_server(subject, configuration, tables),
+        *_explain_data_centre(subject, configuration, tables),
         *_explain_limit(subject, limits_per_s),
         *_explain_vm(subject, configuration, tables),
         *_explain_part(subject, configuration),
@@ -71,7 +74,7 @@
     holders = [
         server.name
         for server in tables.servers().values()
-        if subject in server.versions and not server.leaving
+        if subject in server.versions and takes_new_work(in_force, server)
     ]
     lines.append(f"{len(holders)} backend servers hold it: {holders}")
     return lines
@@ -125,11 +128,17 @@
     ]
 
 
-def _explain_server(subject: str, tables: SharedTables) -> list[str]:
+def _explain_server(
+    subject: str, configuration: ConfigurationMachine, tables: SharedTables
+) -> list[str]:
     server = tables.servers().get(subject)
     if server is None:
         return []
-    state = "leaving: no new work" if server.leaving else "serving"
+    state = "serving"
+    if server.leaving:
+        state = "leaving: no new work"
+    elif not takes_new_work(configuration.in_force(), server):
+        state = f"in {server.data_centre}, which is draining: no new work"
     lines = [
         f"backend server {subject} at {server.address} is {state}",
         f"it holds {', '.join(server.versions) or 'nothing'},"
@@ -144,6 +153,23 @@
     return lines
 
 
+def _explain_data_centre(
+    subject: str, configuration: ConfigurationMachine, tables: SharedTables
+) -> list[str]:
+    draining = configuration.in_force().draining_data_centres
+    servers = [
+        server
+        for server in tables.servers().values()
+        if server.data_centre == subject
+    ]
+    if not servers and subject not in draining:
+        return []
+    lines = [f"data centre {subject}: {len(servers)} backend servers"]
+    if subject in draining:
+        lines.append("it is draining: its backend servers get no new work")
+    return lines
+
+
 def _explain_vm(
     subject: str, configuration: ConfigurationMachine, tables: SharedTables
 ) -> list[str]:
--- a/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -116,6 +116,12 @@
 
     def _read_tables(self) -> None:
         tables = self._parts.tables
+        in_force = self._parts.configuration.in_force()
+        self._set(
+            "draining_data_centres",
+            "Data centres whose backend servers get no new work",
+            len(in_force.draining_data_centres),
+        )
         self._set("entries", "Entries known", len(tables.entries()))
         self._set(
             "backend_servers", "Backend servers known", len(tables.servers())
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/types.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/types.py
@@ -22,6 +22,8 @@
     "lift-quarantine",
     "drain",
     "undrain",
+    "drain-data-centre",
+    "undrain-data-centre",
     "rotate-session-key",
     "release-part",
 ]
@@ -44,7 +46,8 @@
     to any voter. ``base_revision`` is the revision that the change is based
     on; None skips the comparison. ``subject`` is a version identity for
     withdraw, reinstate, quarantine and lift-quarantine, a model for the
-    roll-outs, a VM name for drain and undrain and a prompt part for
+    roll-outs, a VM name for drain and undrain, a data centre for
+    drain-data-centre and undrain-data-centre, and a prompt part for
     release-part. It is empty for apply and rotate-session-key. The API sets
     ``operator`` from the presented key and never reads it from the body.
     """
@@ -147,6 +150,7 @@
     entry_count: int = 0
     backend_server_count: int = 0
     alarms: tuple[str, ...] = ()
+    draining_data_centres: tuple[str, ...] = ()
 
 
 class AuditEntry(NamedTuple):
@@ -226,7 +230,7 @@
     address: str
     data_centre: str
     versions: tuple[str, ...]
-    state: Literal["serving", "leaving", "expired"]
+    state: Literal["serving", "draining", "leaving", "expired"]
     capacity: int
     running: int = 0
     queued: int = 0
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -226,6 +226,7 @@
             entry_count=len(parts.tables.entries()),
             backend_server_count=len(parts.tables.servers()),
             alarms=self._alarms(),
+            draining_data_centres=in_force.draining_data_centres,
         )
 
     async def _in_force_revision(self) -> int:
@@ -283,7 +284,10 @@
 
     async def backends(self) -> tuple[BackendRow, ...]:
         """Return the backend servers that this process knows."""
-        return backend_rows(self._parts.tables)
+        return backend_rows(
+            self._parts.tables,
+            self._parts.configuration.in_force().draining_data_centres,
+        )
 
     async def replace_voter(
         self, request: ReplaceVoterRequest
--- a/packages/sycamorestand-control/src/sycamorestand_control/orders/planner.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/orders/planner.py
@@ -23,6 +23,7 @@
 from sycamorestand_decisions.demand import versions_in_use
 from sycamorestand_decisions.placement import Limits
 from sycamorestand_decisions.placement import plan_orders
+from sycamorestand_model.in_force import takes_new_work
 from sycamorestand_peer.clock import boottime_s
 
 if TYPE_CHECKING:
@@ -122,17 +123,18 @@
 
     def _plan_all(self) -> list[Order]:
         inputs = self._inputs
+        in_force = inputs.in_force()
         servers = {
             name: announced
             for name, announced in inputs.servers().items()
             if announced.kind == "engine"
+            and takes_new_work(in_force, announced)
         }
         reports = {
             name: make_report(announced, inputs.load(name))
             for name, announced in servers.items()
         }
         shares = inputs.shares()
-        in_force = inputs.in_force()
         book = OrderBookView(
             inputs.orders(), self._wall_now_s(), self._channel.loading()
         )
--- a/packages/sycamorestand-control/src/sycamorestand_control/rows.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/rows.py
@@ -18,6 +18,7 @@
     from sycamorestand_consensus.replica_types import MemberStatus
     from sycamorestand_consensus.replica_types import ReplicaStatus
     from sycamorestand_control.tables import SharedTables
+    from sycamorestand_model.backend_servers import Announcement
     from sycamorestand_peer.mesh import PeerMesh
     from sycamorestand_state.nodes import NodeRecord
 
@@ -69,7 +70,9 @@
     return tuple(best[vm] for vm in sorted(best))
 
 
-def backend_rows(tables: SharedTables) -> tuple[BackendRow, ...]:
+def backend_rows(
+    tables: SharedTables, draining_data_centres: Collection[str]
+) -> tuple[BackendRow, ...]:
     """Return the backend servers with their last reported load."""
     rows = []
     for name, server in sorted(tables.servers().items()):
@@ -81,7 +84,7 @@
                 server.address,
                 server.data_centre,
                 server.versions,
-                "leaving" if server.leaving else "serving",
+                _server_state(server, draining_data_centres),
                 server.capacity,
                 load.running if load else 0,
                 load.queued if load else 0,
@@ -130,6 +133,16 @@
     )
 
 
+def _server_state(
+    server: Announcement, draining_data_centres: Collection[str]
+) -> Literal["serving", "draining", "leaving"]:
+    if server.leaving:
+        return "leaving"
+    if server.data_centre in draining_data_centres:
+        return "draining"
+    return "serving"
+
+
 def _node_state(
     node: NodeRecord, draining_vms: Collection[str]
 ) -> Literal["serving", "draining"]:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
@@ -26,6 +26,7 @@
 from sycamorestand_entry.errors import SessionWithdrawn
 from sycamorestand_model.declarations import find_version
 from sycamorestand_model.declarations import is_version_allowed
+from sycamorestand_model.in_force import takes_new_work
 from sycamorestand_model.request_digest import is_request
 
 if TYPE_CHECKING:
@@ -140,7 +141,8 @@
     control: ControlPort, route: Route, name: str
 ) -> RequestError | None:
     server = control.backend_servers().get(name)
-    if server is None or server.leaving:
+    in_force = control.in_force()
+    if server is None or not takes_new_work(in_force, server):
         return NoBackendServer(
             "the chosen backend server has left", SERVER_RETRY_S
         )
@@ -149,7 +151,7 @@
         for target in route.targets
     ):
         return NotAllowed("no route leads to this backend server now")
-    withdrawn = control.in_force().withdrawn
+    withdrawn = in_force.withdrawn
     if any(version in withdrawn for version in server.versions):
         return NoVersion("the server's version is withdrawn")
     return None
@@ -242,7 +244,7 @@
     control: ControlPort, intent: DispatchIntent
 ) -> RequestError | None:
     server = control.backend_servers().get(intent.backend_server)
-    if server is None or server.leaving:
+    if server is None or not takes_new_work(control.in_force(), server):
         return NoBackendServer(
             "the chosen backend server has left", SERVER_RETRY_S
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/targets.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/targets.py
@@ -26,6 +26,7 @@
 from sycamorestand_entry.errors import NoVersion
 from sycamorestand_model.declarations import version_id
 from sycamorestand_model.declarations import VERSION_SEPARATOR
+from sycamorestand_model.in_force import takes_new_work
 from sycamorestand_peer.messages import SessionsStay
 
 if TYPE_CHECKING:
@@ -159,9 +160,10 @@
     version of most servers is the one in use. Otherwise the next version
     would get requests before its roll-out compares the versions.
     """
+    in_force = context.control.in_force()
     counts: Counter[str] = Counter()
     for server in context.control.backend_servers().values():
-        if service in server.versions and not server.leaving:
+        if service in server.versions and takes_new_work(in_force, server):
             counts.update(v for v in server.versions if v != service)
     if len(counts) <= 1:
         return service
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -13,6 +13,7 @@
 from sycamorestand_decisions.server_loss import ServerLoss
 from sycamorestand_entry.errors import NoBackendServer
 from sycamorestand_entry.errors import ServersLimited
+from sycamorestand_model.in_force import takes_new_work
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -56,11 +57,12 @@
         During a roll-out of the version, only as many of them as its share
         of the work needs.
         """
+        in_force = self._control.in_force()
         holders = [
             server
             for server in self._control.backend_servers().values()
             if target in server.versions
-            and not server.leaving
+            and takes_new_work(in_force, server)
             and not self._loss.is_lost(server.address)
         ]
         share = self._rollout_share(target)
@@ -86,10 +88,11 @@
         """
         if not self._loss.has_unreachable:
             return frozenset()
+        in_force = self._control.in_force()
         servers = [
             server
             for server in self._control.backend_servers().values()
-            if not server.leaving
+            if takes_new_work(in_force, server)
         ]
         unreached = {
             _service(name)
@@ -122,10 +125,11 @@
         """
         if not (self._loss.has_unreachable or not_reached):
             return False
+        in_force = self._control.in_force()
         holders = [
             server
             for server in self._control.backend_servers().values()
-            if target in server.versions and not server.leaving
+            if target in server.versions and takes_new_work(in_force, server)
         ]
         return self._reaches_none(target, holders, now_s, not_reached)
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/state_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/state_log.py
@@ -24,6 +24,7 @@
         self.entries = 0
         self.ejected: set[str] = set()
         self.leaving: set[str] = set()
+        self.draining_data_centres: set[str] = set()
 
 
 async def log_changes(context: EntryContext) -> None:
@@ -36,10 +37,12 @@
 
 def log_differences(context: EntryContext, logged: LoggedState) -> None:
     """Log the differences from the logged state, and update it."""
-    revision = context.control.in_force().revision
+    in_force = context.control.in_force()
+    revision = in_force.revision
     if revision != logged.revision:
         logged.revision = revision
         _LOG.info("configuration in force", extra={"revision": revision})
+    _log_data_centres(set(in_force.draining_data_centres), logged)
     entries = context.control.entry_count()
     if entries != logged.entries:
         logged.entries = entries
@@ -47,6 +50,16 @@
     _log_servers(context, logged)
 
 
+def _log_data_centres(draining: set[str], logged: LoggedState) -> None:
+    for name in sorted(draining - logged.draining_data_centres):
+        extra = {"data_centre": name}
+        _LOG.info("data centre gets no new work", extra=extra)
+    for name in sorted(logged.draining_data_centres - draining):
+        extra = {"data_centre": name}
+        _LOG.info("data centre gets new work again", extra=extra)
+    logged.draining_data_centres = draining
+
+
 def _log_servers(context: EntryContext, logged: LoggedState) -> None:
     servers = context.servers.metrics(time.monotonic())
     ejected = {
--- a/packages/sycamorestand-entry/tests/test_gate.py
+++ b/packages/sycamorestand-entry/tests/test_gate.py
@@ -81,6 +81,20 @@
         assert refusal is not None
         assert refusal.code == "no_lease"
 
+    def test_refuses_a_server_whose_data_centre_is_drained(self) -> None:
+        """The server was chosen just before the order came."""
+        control = make_control()
+        control.configuration = control.configuration._replace(
+            draining_data_centres=("marietta",)
+        )
+        for intent in (CHAT, ORDER):
+            refusal = check_dispatch(control, intent)
+            assert refusal is not None
+            assert (refusal.code, refusal.run) == (
+                "no_backend_server",
+                "not_run",
+            )
+
     def test_refuses_a_quarantined_version(self) -> None:
         control = make_control()
         control.configuration = control.configuration._replace(
--- a/packages/sycamorestand-model/src/sycamorestand_model/in_force.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/in_force.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from typing import NamedTuple
+from typing import TYPE_CHECKING
 
 from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.prompt_parts import BlockedPart
 
+if TYPE_CHECKING:
+    from sycamorestand_model.backend_servers import Announcement
+
 
 class RolloutShare(NamedTuple):
     """The share of a model's new work that a version in roll-out gets."""
@@ -26,7 +30,8 @@
     that ``previous_session_key`` signed stay valid, so that sessions
     survive a rotation of the key. ``ledger_shards`` is set by the first
     start of the cluster and never changes. ``blocked_parts`` is by the name
-    of the prompt part.
+    of the prompt part. The backend servers in ``draining_data_centres`` get
+    no new work.
     """
 
     revision: int = 0
@@ -39,6 +44,15 @@
     ledger_shards: int = 1
     previous_session_key: bytes = b""
     blocked_parts: dict[str, BlockedPart] = {}
+    draining_data_centres: tuple[str, ...] = ()
+
+
+def takes_new_work(in_force: InForce, server: Announcement) -> bool:
+    """Return whether neither the server nor its data centre is draining."""
+    return (
+        not server.leaving
+        and server.data_centre not in in_force.draining_data_centres
+    )
 
 
-__all__ = ["InForce", "RolloutShare"]
+__all__ = ["InForce", "RolloutShare", "takes_new_work"]
--- a/packages/sycamorestand-state/src/sycamorestand_state/commands.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/commands.py
@@ -150,6 +150,28 @@
     now_s: float
 
 
+class DrainDataCentre(NamedTuple):
+    """Send the backend servers of a data centre no new work."""
+
+    change_id: str
+    operator: str
+    base_revision: int
+    data_centre: str
+    reason: str
+    now_s: float
+
+
+class UndrainDataCentre(NamedTuple):
+    """Send the backend servers of a data centre new work again."""
+
+    change_id: str
+    operator: str
+    base_revision: int
+    data_centre: str
+    reason: str
+    now_s: float
+
+
 class RotateSessionKey(NamedTuple):
     """Replace the key that signs session tokens."""
 
@@ -242,6 +264,8 @@
     | BlockPart
     | TryPart
     | ReleasePart
+    | DrainDataCentre
+    | UndrainDataCentre
 )
 Command = Change | RecordOrder
 
@@ -269,6 +293,8 @@
     14: BlockPart,
     15: TryPart,
     16: ReleasePart,
+    17: DrainDataCentre,
+    18: UndrainDataCentre,
 }
 _CODEC: Final = make_codec(CODES)
 
@@ -298,6 +324,7 @@
     "Command",
     "CreateCluster",
     "decode_command",
+    "DrainDataCentre",
     "DrainVm",
     "encode_command",
     "LiftQuarantine",
@@ -311,6 +338,7 @@
     "StopRollout",
     "SYSTEM",
     "TryPart",
+    "UndrainDataCentre",
     "UndrainVm",
     "Withdraw",
 ]
--- a/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
@@ -40,6 +40,7 @@
 from sycamorestand_state.commands import Change
 from sycamorestand_state.commands import CreateCluster
 from sycamorestand_state.commands import decode_command
+from sycamorestand_state.commands import DrainDataCentre
 from sycamorestand_state.commands import DrainVm
 from sycamorestand_state.commands import LiftQuarantine
 from sycamorestand_state.commands import Quarantine
@@ -52,12 +53,15 @@
 from sycamorestand_state.commands import StopRollout
 from sycamorestand_state.commands import SYSTEM
 from sycamorestand_state.commands import TryPart
+from sycamorestand_state.commands import UndrainDataCentre
 from sycamorestand_state.commands import UndrainVm
 from sycamorestand_state.commands import Withdraw
 from sycamorestand_state.configuration_state import ConfigurationState
 from sycamorestand_state.configuration_state import Decision
 from sycamorestand_state.configuration_state import refused
 from sycamorestand_state.configuration_state import to_in_force
+from sycamorestand_state.data_centres import drain_data_centre
+from sycamorestand_state.data_centres import undrain_data_centre
 from sycamorestand_state.order_book import OrderBook
 from sycamorestand_state.order_book import record_order
 from sycamorestand_state.results import AuditEntry
@@ -94,6 +98,8 @@
     BlockPart: block_part,
     TryPart: try_part,
     ReleasePart: release_part,
+    DrainDataCentre: drain_data_centre,
+    UndrainDataCentre: undrain_data_centre,
 }
 
 
@@ -352,7 +358,7 @@
 
 
 def _subject(command: Change) -> str:
-    for field in ("version", "model", "vm", "part"):
+    for field in ("version", "model", "vm", "part", "data_centre"):
         if hasattr(command, field):
             return str(getattr(command, field))
     return ""
--- a/packages/sycamorestand-state/src/sycamorestand_state/configuration_state.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration_state.py
@@ -39,6 +39,7 @@
     session_key: bytes = b""
     previous_session_key: bytes = b""
     blocked_parts: dict[str, BlockedPart] = {}
+    draining_data_centres: dict[str, str] = {}
 
 
 class Decision(NamedTuple):
@@ -102,6 +103,7 @@
             state.cluster.shard_count if state.cluster is not None else 1
         ),
         blocked_parts=state.blocked_parts,
+        draining_data_centres=tuple(sorted(state.draining_data_centres)),
     )
 
 
--- a/packages/sycamorestand/src/sycamorestand/operator/changes.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/changes.py
@@ -153,6 +153,44 @@
     return _change_action("undrain", vm, wait, change_id, message)
 
 
+def drain_data_centre(
+    data_centre: str,
+    *,
+    wait: bool = False,
+    change_id: str = "",
+    message: str = "",
+) -> Action:
+    """Send the backend servers of a data centre no new work.
+
+    :param data_centre: the data centre, as its servers announce it
+    :param wait: wait until the change is in force everywhere
+    :param change_id: the id of a change that is sent again
+    :param message: why, for the audit trail
+    """
+    return _change_action(
+        "drain-data-centre", data_centre, wait, change_id, message
+    )
+
+
+def undrain_data_centre(
+    data_centre: str,
+    *,
+    wait: bool = False,
+    change_id: str = "",
+    message: str = "",
+) -> Action:
+    """Send the backend servers of a drained data centre work again.
+
+    :param data_centre: the data centre
+    :param wait: wait until the change is in force everywhere
+    :param change_id: the id of a change that is sent again
+    :param message: why, for the audit trail
+    """
+    return _change_action(
+        "undrain-data-centre", data_centre, wait, change_id, message
+    )
+
+
 def rotate_session_key(*, change_id: str = "", message: str = "") -> Action:
     """Replace the key that signs session tokens by a new one.
 
@@ -268,6 +306,7 @@
 
 __all__ = [
     "drain",
+    "drain_data_centre",
     "lift_quarantine",
     "release_part",
     "quarantine",
@@ -280,5 +319,6 @@
     "stop_rollout",
     "transfer_leadership",
     "undrain",
+    "undrain_data_centre",
     "withdraw",
 ]
--- a/packages/sycamorestand/src/sycamorestand/operator/questions.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/questions.py
@@ -160,7 +160,13 @@
         f"{answer.entry_count} entry processes, "
         f"{answer.backend_server_count} backend servers"
     )
-    for name in ("withdrawn", "quarantined", "draining_vms", "alarms"):
+    for name in (
+        "withdrawn",
+        "quarantined",
+        "draining_vms",
+        "draining_data_centres",
+        "alarms",
+    ):
         values = getattr(answer, name)
         if values:
             yield f"{name.replace('_', ' ')}: {', '.join(values)}"
--- a/packages/sycamorestand/src/sycamorestand/operator/run.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/run.py
@@ -13,6 +13,7 @@
 from sycamorestand.operator.applying import apply
 from sycamorestand.operator.applying import plan
 from sycamorestand.operator.changes import drain
+from sycamorestand.operator.changes import drain_data_centre
 from sycamorestand.operator.changes import lift_quarantine
 from sycamorestand.operator.changes import quarantine
 from sycamorestand.operator.changes import reinstate
@@ -23,6 +24,7 @@
 from sycamorestand.operator.changes import stop_rollout
 from sycamorestand.operator.changes import transfer_leadership
 from sycamorestand.operator.changes import undrain
+from sycamorestand.operator.changes import undrain_data_centre
 from sycamorestand.operator.changes import withdraw
 from sycamorestand.operator.context import Action
 from sycamorestand.operator.context import Context
@@ -63,6 +65,8 @@
     },
     "drain": drain,
     "undrain": undrain,
+    "drain-data-centre": drain_data_centre,
+    "undrain-data-centre": undrain_data_centre,
     "audit": audit,
     "bills": bills,
     "nodes": nodes,
--- a/packages/sycamorestand/tests/operator/test_run.py
+++ b/packages/sycamorestand/tests/operator/test_run.py
@@ -200,6 +200,8 @@
             ["rollout", "stop", "cheap"],
             ["drain", "vm-1"],
             ["undrain", "vm-1"],
+            ["drain-data-centre", "marietta"],
+            ["undrain-data-centre", "marietta"],
             ["rotate-session-key"],
             ["transfer-leadership"],
         ],
