--- a/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/world.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/quickstart/world.py
@@ -41,6 +41,7 @@
 
     name: str
     announcing: anyio.CancelScope
+    data_centre: str = ""
 
 
 class World:
@@ -146,6 +147,14 @@
             for record in engine.records
         )
 
+    def runs_in_data_centre(self, data_centre: str) -> int:
+        """Return the number of runs that the servers there began."""
+        return sum(
+            self.runs_on_server(name)
+            for name, server in self.servers.items()
+            if server.data_centre == data_centre
+        )
+
     def runs_on_server(self, name: str) -> int:
         """Return the number of runs that a server began."""
         return sum(
@@ -168,7 +177,9 @@
         self, tasks: TaskGroup, entries: list[str], announcement: Announcement
     ) -> None:
         scope = anyio.CancelScope()
-        self.servers[announcement.name] = Server(announcement.name, scope)
+        self.servers[announcement.name] = Server(
+            announcement.name, scope, announcement.data_centre
+        )
 
         async def announce() -> None:
             with scope:
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/checks.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/checks.py
@@ -25,7 +25,7 @@
     from sycamorestand_bench.quickstart.world import World
     from sycamorestand_bench.soak.injector import Event
     from sycamorestand_bench.soak.injector import PlannedStop
-    from sycamorestand_bench.soak.operator import WithdrawnPeriod
+    from sycamorestand_bench.soak.operator import ClosedPeriod
     from sycamorestand_bench.system.changes import Accepted
 
 ANSWERED: Final = "answered"
@@ -80,7 +80,7 @@
     answers: Sequence[Answer]
     runs: Sequence[Run]
     bills: Sequence[Mapping[str, Any]]
-    withdrawn: Sequence[WithdrawnPeriod]
+    withdrawn: Sequence[ClosedPeriod]
     runs_after_leaving: Mapping[str, int]
     accepted: Sequence[Accepted]
     audits: Mapping[str, Sequence[Mapping[str, Any]]]
@@ -92,6 +92,7 @@
     ends_s: Sequence[float] = ()
     limited_arrivals_s: Mapping[str, Sequence[float]] = {}
     limited_s: float = math.inf
+    drained: Sequence[ClosedPeriod] = ()
 
 
 def collect_runs(world: World) -> list[Run]:
@@ -130,7 +131,13 @@
 def _check_withdrawals(observations: Observations) -> Iterable[str]:
     for period in observations.withdrawn:
         if period.runs:
-            yield f"{period.runs} runs on {period.version} while withdrawn"
+            yield f"{period.runs} runs on {period.subject} while withdrawn"
+
+
+def _check_drained(observations: Observations) -> Iterable[str]:
+    for period in observations.drained:
+        if period.runs:
+            yield f"{period.runs} runs in {period.subject} while drained"
 
 
 def _check_sessions(observations: Observations) -> Iterable[str]:
@@ -304,6 +311,7 @@
 _CHECKS: Final = {
     "allowed version": _check_allowed_versions,
     "withdrawn version": _check_withdrawals,
+    "drained data centre": _check_drained,
     "session keeps its version": _check_sessions,
     "billed once": _check_charges,
     "whole answer": _check_whole_answers,
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/operator.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/operator.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from sycamorestand_bench.quickstart.world import DATA_CENTRES
 from sycamorestand_bench.soak.monitor import InForce
 from sycamorestand_bench.system.changes import Accepted
 from sycamorestand_bench.system.changes import Change
@@ -21,6 +22,8 @@
 from sycamorestand_bench.system.operators import sycactl
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sycamorestand_bench.soak.monitor import Monitor
     from sycamorestand_bench.system.system import System
 
@@ -32,13 +35,17 @@
 # Most chats run on this version. While it is withdrawn, its fallback has to
 # replace it.
 VERSION: Final = "nest-small@3"
+DATA_CENTRE: Final = DATA_CENTRES[-1]
 CONFLICT_STATUSES: Final = (409, 412)
 
 
-class WithdrawnPeriod(NamedTuple):
-    """A period in which a version was withdrawn, and its runs meanwhile."""
+class ClosedPeriod(NamedTuple):
+    """A period in which a version or data centre was to get nothing.
+
+    ``runs`` is how many began there nevertheless.
+    """
 
-    version: str
+    subject: str
     from_s: float
     until_s: float
     runs: int
@@ -52,7 +59,8 @@
 
     def __init__(self, system: System, monitor: Monitor, seed: int) -> None:
         self.accepted: list[Accepted] = []
-        self.withdrawn: list[WithdrawnPeriod] = []
+        self.withdrawn: list[ClosedPeriod] = []
+        self.drained: list[ClosedPeriod] = []
         self.replaced_voters = 0
         self._system = system
         self._monitor = monitor
@@ -74,11 +82,22 @@
         self._stop_replacing = True
 
     def run(self) -> None:
-        """Withdraw and reinstate a version in turn and count its runs."""
+        """Close a version and a data centre in turn, and count their runs."""
+        world = self._system.world
         while not self._stop:
-            if self._change("withdraw") and self._wait_in_force():
-                self._count_runs()
-            self._change("reinstate")
+            if self._change("withdraw", VERSION) and self._wait_in_force():
+                self.withdrawn.append(
+                    self._observe(VERSION, world.runs_on_version)
+                )
+            self._change("reinstate", VERSION)
+            time.sleep(PAUSE_S)
+            if self._change("drain-data-centre", DATA_CENTRE) and (
+                self._wait_in_force()
+            ):
+                self.drained.append(
+                    self._observe(DATA_CENTRE, world.runs_in_data_centre)
+                )
+            self._change("undrain-data-centre", DATA_CENTRE)
             time.sleep(PAUSE_S)
 
     def replace_lost_voters(self) -> None:
@@ -88,7 +107,7 @@
                 self._replace_voter(name)
             time.sleep(OBSERVATION_S)
 
-    def _change(self, kind: str) -> bool:
+    def _change(self, kind: str, subject: str) -> bool:
         """Send a change until it is accepted; return False after `stop`."""
         number = len(self.accepted)
         change_id = f"soak-{self._seed}-{number}-{kind}"
@@ -96,7 +115,7 @@
             base = self._newest_revision()
             sent = Change(change_id, kind, base)
             while not self._stop:
-                answer = send_change(self._next_port(), sent, VERSION)
+                answer = send_change(self._next_port(), sent, subject)
                 if answer.status == 200:
                     revision = answer.body["revision"]
                     self.accepted.append(Accepted(sent, revision, 1))
@@ -133,15 +152,15 @@
             time.sleep(PAUSE_S)
         return False
 
-    def _count_runs(self) -> None:
-        world = self._system.world
+    def _observe(
+        self, subject: str, count: Callable[[str], int]
+    ) -> ClosedPeriod:
         time.sleep(IN_FLIGHT_S)
         from_s = time.monotonic()
-        before = world.runs_on_version(VERSION)
+        before = count(subject)
         time.sleep(OBSERVATION_S)
-        runs = world.runs_on_version(VERSION) - before
-        until_s = time.monotonic()
-        self.withdrawn.append(WithdrawnPeriod(VERSION, from_s, until_s, runs))
+        runs = count(subject) - before
+        return ClosedPeriod(subject, from_s, time.monotonic(), runs)
 
     def _replace_voter(self, name: str) -> None:
         for port in self._system.ports:
@@ -176,4 +195,4 @@
     return ""
 
 
-__all__ = ["SoakOperator", "WithdrawnPeriod"]
+__all__ = ["ClosedPeriod", "SoakOperator"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/run.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/run.py
@@ -225,6 +225,7 @@
             list(system.world.ends_s),
             {e.name: e.limited_arrivals_s for e in system.world.engines},
             self._injector.limited_s,
+            self._operator.drained,
         )
         # The findings of the monitor come first: a process that ended
         # unexpectedly explains most of the others.
@@ -260,6 +261,7 @@
             "charges": len(observations.bills),
             "changes": len(observations.accepted),
             "withdrawals_looked_at": len(observations.withdrawn),
+            "drains_looked_at": len(observations.drained),
             "voters_replaced": self._operator.replaced_voters,
             "planned_stops": len(observations.stops),
             "ended_under_requests": len(observations.ends_s),
--- a/packages/sycamorestand-bench/tests/soak/test_checks.py
+++ b/packages/sycamorestand-bench/tests/soak/test_checks.py
@@ -16,7 +16,7 @@
 from sycamorestand_bench.soak.checks import Run
 from sycamorestand_bench.soak.injector import Event
 from sycamorestand_bench.soak.injector import PlannedStop
-from sycamorestand_bench.soak.operator import WithdrawnPeriod
+from sycamorestand_bench.soak.operator import ClosedPeriod
 from sycamorestand_bench.system.changes import Accepted
 from sycamorestand_bench.system.changes import Change
 
@@ -61,7 +61,7 @@
             {"customer": "dalton", "request_key": key}
             for key in ("a", "b", "o")
         ],
-        withdrawn=[WithdrawnPeriod(NEW, 10.0, 11.0, 0)],
+        withdrawn=[ClosedPeriod(NEW, 10.0, 11.0, 0)],
         runs_after_leaving={"small-1": 0},
         accepted=[Accepted(change, 7, 1)],
         audits={"control-1": [{"change_id": "c1", "revision": 7}]},
@@ -107,7 +107,11 @@
     ("allowed version", add_run(Run("dalton", "a", NEW, "POST"))),
     (
         "withdrawn version",
-        lambda s: s._replace(withdrawn=[WithdrawnPeriod(NEW, 1.0, 2.0, 3)]),
+        lambda s: s._replace(withdrawn=[ClosedPeriod(NEW, 1.0, 2.0, 3)]),
+    ),
+    (
+        "drained data centre",
+        lambda s: s._replace(drained=[ClosedPeriod("dalton", 1.0, 2.0, 3)]),
     ),
     ("session keeps its version", add_answer(chat("a", NEW))),
     ("billed once", add_bill("a")),
