--- a/packages/sycamorestand-control/src/sycamorestand_control/joining.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/joining.py
@@ -26,6 +26,9 @@
 # An election takes up to 1.4 s and may have to be repeated once.
 NO_LEADER_S: Final = 3.0
 IN_CLUSTER: Final = b"belongs to a cluster"
+# The call id of a join request that another process has forwarded; such a
+# request gets no reply.
+FORWARDED: Final = 0
 
 
 async def cluster_exists(
@@ -108,4 +111,10 @@
     )
 
 
-__all__ = ["ask_to_join", "IN_CLUSTER", "cluster_exists", "is_voter"]
+__all__ = [
+    "ask_to_join",
+    "cluster_exists",
+    "FORWARDED",
+    "IN_CLUSTER",
+    "is_voter",
+]
--- a/packages/sycamorestand-control/src/sycamorestand_control/membership.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/membership.py
@@ -12,6 +12,7 @@
 from sycamorestand_consensus.errors import ConsensusError
 from sycamorestand_consensus.errors import MembershipRefused
 from sycamorestand_control.groups import CONFIGURATION_GROUP
+from sycamorestand_control.joining import FORWARDED
 from sycamorestand_control.joining import IN_CLUSTER
 from sycamorestand_control.joining import is_voter
 from sycamorestand_control.voter_repair import next_change
@@ -43,9 +44,11 @@
 CHANGE_WAIT_S: Final = 5.0
 # A loop whose round takes this long was suspended or got no processor time.
 SUSPENDED_AFTER_S: Final = 1.0
-# The call id of a join request that another process has forwarded; such a
-# request gets no reply.
-FORWARDED: Final = 0
+
+
+def _no_data_centre(address: str) -> str:
+    """Return an empty name, as no data centre is known."""
+    return ""
 
 
 class MembershipManager:
@@ -58,7 +61,8 @@
     waits for an operator or, with ``replace_lost``, for the rules of
     `voter_repair`. If a wiped voter were admitted at once, it could vote a
     second time in a term in which it had voted under its old id, and two
-    leaders could commit different entries.
+    leaders could commit different entries. ``data_centre`` returns that of a
+    control process by its peer address.
     """
 
     def __init__(
@@ -67,8 +71,10 @@
         groups: LogGroups,
         voters_wanted: int,
         replace_lost: bool = False,
+        data_centre: Callable[[str], str] = _no_data_centre,
     ) -> None:
         self._mesh = mesh
+        self._data_centre = data_centre
         self._groups = groups
         self._voters_wanted = voters_wanted
         self._replace_lost = replace_lost
@@ -207,12 +213,16 @@
                 if member.member_id == own_id
                 else self._silent_s(member, members, since_s),
                 member.voter,
+                self._data_centre(member.address),
             )
             for member in members
         ]
         joiners = [
             ObservedMember(
-                joiner.member_id, joiner.address, self._since_asked_s(joiner)
+                joiner.member_id,
+                joiner.address,
+                self._since_asked_s(joiner),
+                data_centre=self._data_centre(joiner.address),
             )
             for joiner in self._joiners.values()
             if self._is_asking(joiner)
--- a/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -58,6 +58,7 @@
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         self._read_logs()
+        self._read_voters()
         self._read_leases()
         self._read_tables()
         self._read_links()
@@ -93,6 +94,21 @@
                 labels,
             )
 
+    def _read_voters(self) -> None:
+        found = self._parts.voter_tolerance()
+        self._set("voters", "Voters of the configuration", found.voters)
+        self._set("voters_wanted", "Voters wanted", self._parts.voters_wanted)
+        self._set(
+            "voter_losses_survived",
+            "How many voters may be lost at the same time",
+            found.lost_voters,
+        )
+        self._set(
+            "data_centre_loss_survived",
+            "1 where no data centre has a majority of the voters",
+            found.survives_data_centre,
+        )
+
     def _read_leases(self) -> None:
         parts = self._parts
         revision = parts.configuration.revision
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -40,6 +40,9 @@
 from sycamorestand_control.rows import merge_node_rows
 from sycamorestand_control.rows import node_rows
 from sycamorestand_control.rows import voter_rows
+from sycamorestand_control.voter_tolerance import missing_voters
+from sycamorestand_control.voter_tolerance import voter_tolerance
+from sycamorestand_control.voter_tolerance import VoterTolerance
 from sycamorestand_state.commands import encode_command
 
 if TYPE_CHECKING:
@@ -87,6 +90,27 @@
     keeper: VersionController
     cluster_key: Callable[[], bytes]
     limits_per_s: Callable[[], Mapping[str, float]] = dict
+    voters_wanted: int = 1
+    may_lose_data_centre: bool = False
+
+    def voter_tolerance(self) -> VoterTolerance:
+        """Return which losses the voters of the configuration survive."""
+        members = self.groups.replicas[CONFIGURATION_GROUP].status().members
+        return voter_tolerance(
+            [
+                self.tables.control_name(member.address).data_centre
+                for member in members
+                if member.voter
+            ]
+        )
+
+    def missing_voters(self) -> tuple[str, ...]:
+        """Return what is missing for the losses to be survived."""
+        return missing_voters(
+            self.voter_tolerance(),
+            self.voters_wanted,
+            self.may_lose_data_centre,
+        )
 
 
 class ControlBackend:
@@ -439,6 +463,7 @@
             f"{joiner.vm} ({joiner.member_id}) waits to replace a voter"
             for joiner in parts.admissions.waiting_joiners()
         ]
+        alarms += parts.missing_voters()
         if parts.leases.remaining_s() <= 0:
             alarms.append("no lease: this process sees no quorum")
         return tuple(alarms)
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -44,6 +44,7 @@
 from sycamorestand_control.tables import ControlName
 from sycamorestand_control.tables import SharedTables
 from sycamorestand_control.version_controller import VersionController
+from sycamorestand_control.voter_watch import VoterWatch
 from sycamorestand_model.ledger import LedgerResult
 from sycamorestand_peer.mesh import PeerMesh
 from sycamorestand_peer.messages import AnnouncementRelay
@@ -85,6 +86,7 @@
 
     def __init__(self, settings: ControlSettings) -> None:
         self._settings = settings
+        self._control_addresses = settings.control_addresses
         self.configuration = ConfigurationMachine()
         self.shards = [
             LedgerMachine(number) for number in range(settings.ledger_shards)
@@ -158,6 +160,7 @@
             self.groups,
             settings.voters_wanted,
             settings.replace_lost_voters,
+            lambda address: self.tables.control_name(address).data_centre,
         )
         self.balancer = LeaderBalancer(self.mesh, self.groups)
         self.ledger_writers = [
@@ -177,8 +180,11 @@
             self.version_controller,
             lambda: settings.cluster_keys()[0],
             lambda: self.limits.limits_per_s,
+            settings.voters_wanted,
+            settings.may_lose_data_centre,
         )
         self.backend = ControlBackend(parts)
+        self.voter_watch = VoterWatch(parts.missing_voters)
         self.metrics = ControlMetrics(
             parts,
             self.ledger_writers,
@@ -218,6 +224,7 @@
                 self.parts.run,
                 self.limits.run,
                 self.balancer.run,
+                self.voter_watch.run,
                 *(writer.run for writer in self.ledger_writers),
             ):
                 tasks.start_soon(keep_running, task, self._count_fault)
@@ -231,6 +238,14 @@
             await operators.stop()
             tasks.cancel_scope.cancel()
 
+    def set_control_addresses(self, addresses: tuple[str, ...]) -> None:
+        """Replace the addresses of control processes in the settings.
+
+        Entries and joining processes that start with these ask there, also
+        where a process has no disk and has to be told who votes.
+        """
+        self._control_addresses = addresses
+
     async def _form_cluster(self) -> None:
         if self._settings.first_start:
             await create_cluster(
@@ -278,7 +293,7 @@
         """Return the peer addresses of all other control processes."""
         replica = self.groups.replicas[CONFIGURATION_GROUP]
         members = {member.address for member in replica.status().members}
-        members.update(self._settings.control_addresses)
+        members.update(self._control_addresses)
         members.discard(self.mesh.address)
         return tuple(sorted(members))
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/settings.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/settings.py
@@ -19,7 +19,8 @@
     ``cluster_keys`` returns the keys that are valid at present; they may
     change while the process runs. ``allowance`` limits the arrivals of
     requests at backend servers beyond the first arrival of each request;
-    entries are started with the same value.
+    entries are started with the same value. With ``may_lose_data_centre``
+    the process reports if the voters would not survive that.
     """
 
     vm: str
@@ -40,6 +41,7 @@
     weight_store_url: str = ""
     tls: TlsIdentity | None = None
     allowance: Allowance = Allowance()
+    may_lose_data_centre: bool = False
 
 
 __all__ = ["ControlSettings"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/voter_repair.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/voter_repair.py
@@ -13,14 +13,21 @@
 voter that was only cut off becomes a learner again when it asks. A wrong
 removal costs a replica but never a committed change, because a majority
 that holds the log has to commit it.
+
+New voters come from the data centres that have fewest, so that the loss of a
+data centre takes no majority where there are enough of them.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections import Counter
 from typing import Final
 from typing import Literal
 from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 # A killed process restarts in about a second. A shorter limit would replace
 # a voter at each restart while a spare asks to join. With a longer one the
@@ -39,12 +46,16 @@
 
 
 class ObservedMember(NamedTuple):
-    """A member or a joining process, and how long it has been silent."""
+    """A member or a joining process, and how long it has been silent.
+
+    ``data_centre`` is empty while it is not known.
+    """
 
     member_id: str
     address: str
     silent_s: float
     voter: bool = False
+    data_centre: str = ""
 
 
 class MembershipChange(NamedTuple):
@@ -155,7 +166,14 @@
     if _count_alive(staying) + 1 <= (len(voters) + 1) // 2:
         return None
     lost_addresses = {voter.address for voter in lost}
-    chosen = max(learners, key=lambda each: each.address in lost_addresses)
+    counts = Counter(voter.data_centre for voter in staying)
+    chosen = min(
+        learners,
+        key=lambda each: (
+            each.address not in lost_addresses,
+            counts[each.data_centre],
+        ),
+    )
     return MembershipChange("promote", chosen.member_id)
 
 
@@ -167,7 +185,8 @@
 ) -> MembershipChange | None:
     known = {member.member_id for member in members}
     lost_addresses = {voter.address for voter in lost}
-    for joiner in joiners:
+    counts = Counter(member.data_centre for member in members)
+    for joiner in sorted(joiners, key=lambda j: counts[j.data_centre]):
         if joiner.member_id in known:
             continue
         if len(learners) < MAX_LEARNERS or joiner.address in lost_addresses:
--- a/packages/sycamorestand/src/sycamorestand/process_settings.py
+++ b/packages/sycamorestand/src/sycamorestand/process_settings.py
@@ -129,6 +129,12 @@
         "3",
         "new control processes become voters until there are this many",
     ),
+    Setting(
+        "may_lose_data_centre",
+        yes_or_no,
+        "no",
+        "yes: report if the loss of a data centre leaves no majority",
+    ),
     Setting(
         "replace_lost_voters",
         yes_or_no,
--- /dev/null
+++ b/packages/sycamorestand/tests/system/test_redirector.py
@@ -0,0 +1,101 @@
+"""A control process without a disk is all that a starting process knows.
+
+The platform may name any control processes in the settings of a start, also
+those without a disk alone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import anyio
+import pytest
+
+from sycamorestand_bench.addresses import free_address
+from sycamorestand_bench.addresses import free_port
+from sycamorestand_bench.fakes.routed_system import CLUSTER_KEY
+from sycamorestand_bench.fakes.routed_system import Control
+from sycamorestand_bench.fakes.routed_system import RoutedSystem
+from sycamorestand_bench.fakes.routed_system import start_system
+from sycamorestand_bench.fakes.routed_system import wait_until
+from sycamorestand_control.redirector import Redirector
+from sycamorestand_control.settings import ControlSettings
+
+pytestmark = pytest.mark.anyio
+
+
+@asynccontextmanager
+async def start_redirector(
+    system: RoutedSystem, address: str
+) -> AsyncIterator[Redirector]:
+    """Start a redirector whose settings name no other process."""
+    for control in system.controls:
+        process = control.process
+        process.set_control_addresses((address,))
+    async with anyio.create_task_group() as tasks:
+        redirector = Redirector(address, lambda: (CLUSTER_KEY,), (address,))
+        await tasks.start(redirector.run)
+        yield redirector
+        tasks.cancel_scope.cancel()
+
+
+class TestRedirector:
+    async def test_entry_that_knows_no_other_gets_a_lease(
+        self, tmp_path: Path
+    ) -> None:
+        """It refused all callers until it was started with other settings."""
+        address = free_address()
+        async with (
+            start_system(tmp_path, 0) as system,
+            start_redirector(system, address) as redirector,
+        ):
+            await wait_until(lambda: len(redirector.serving()) == 3)
+            with anyio.fail_after(10):
+                entry = await system.start_entry((address,))
+            assert entry.link.lease_remaining_s() > 0
+            assert entry.link.control_address() != address
+
+    async def test_process_on_an_empty_disk_asks_to_join(
+        self, tmp_path: Path
+    ) -> None:
+        """A replaced voter never came back, and the next loss was fatal."""
+        address = free_address()
+        async with (
+            start_system(tmp_path, 0) as system,
+            start_redirector(system, address) as redirector,
+            anyio.create_task_group() as tasks,
+        ):
+            await wait_until(lambda: len(redirector.serving()) == 3)
+            folder = tmp_path / "new"
+            folder.mkdir()
+            settings = ControlSettings(
+                "control-9",
+                "dalton",
+                free_address(),
+                folder,
+                lambda: (CLUSTER_KEY,),
+                control_addresses=(address,),
+                operator_port=free_port(),
+            )
+            tasks.start_soon(Control(settings).run)
+            leader = system.leader().process
+            await wait_until(lambda: bool(leader.membership.waiting_joiners()))
+            tasks.cancel_scope.cancel()
+
+    async def test_lost_control_processes_are_not_named_to_callers(
+        self, tmp_path: Path
+    ) -> None:
+        """Callers were sent to a process that no longer answered."""
+        address = free_address()
+        async with (
+            start_system(tmp_path, 0) as system,
+            start_redirector(system, address) as redirector,
+        ):
+            await wait_until(lambda: len(redirector.serving()) == 3)
+            lost = system.leader()
+            await lost.kill()
+            gone = lost.process.mesh.address
+            await wait_until(lambda: gone not in redirector.serving())
+            assert len(redirector.serving()) == 2
