A cold server gets what it bears from all entries together

Cause: how long a server stays cold was read and used by nothing.

Change: the tokens of servers that name a limit, widened. A service declares cold_requests_per_s; a server that announces cold_left_s is limited to it until then, by the same buckets at the leader and the same tokens at the entries. What does not fit goes to warm servers, or is refused as at a limit. Told by nobody yet: a server that was not reached and is again, and the servers of a data centre that is taken back, are presumed cold until they announce themselves anew, or half of their announcement's lease is over. The adapter works out the rate from what the platform allows in a window: tokens of the second before and full buckets count in it (rate_within). reserve_server moves out of server_limits.py, which no longer knows the context.

Without a leader cold servers get nothing, as servers that name a limit; the warm ones serve.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_play.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_play.py
@@ -206,10 +206,16 @@
     servers: int = SERVERS,
     is_public: bool = True,
     data_centres: Sequence[str] = ("marietta",),
+    cold_requests_per_s: float = 0.0,
 ) -> AsyncIterator[Play]:
     """Start a system whose servers answer all requests."""
     async with (
-        start_system(folder, entries, is_public=is_public) as system,
+        start_system(
+            folder,
+            entries,
+            is_public=is_public,
+            cold_requests_per_s=cold_requests_per_s,
+        ) as system,
         anyio.create_task_group() as tasks,
     ):
         backends = EndingServers(system.announce, SERVICE, data_centres)
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
@@ -75,6 +75,7 @@
     servers have ended ``max_ends`` times. Without ``is_framed``, answers
     have neither a length nor chunks and end with their connection.
     The servers of the numbers in ``limits_per_s`` name a limit in answers.
+    Each start of a server is cold for ``cold_s``, which it announces.
     """
 
     parts: frozenset[str] = frozenset()
@@ -85,6 +86,7 @@
     max_ends: float = math.inf
     bodies: frozenset[bytes] = frozenset()
     limits_per_s: Mapping[int, float] = {}
+    cold_s: float = 0.0
 
     def headers(self, name: str) -> list[bytes]:
         """Return the headers that the server of this name adds."""
@@ -99,7 +101,8 @@
 
     A test may replace ``behaviour`` at any time. The servers are spread over
     the ``data_centres`` by their numbers. ``ends`` holds the times at
-    which a server ended under a part, by `time.monotonic`.
+    which a server ended under a part, by `time.monotonic`, and ``started_s``
+    when each started.
     """
 
     def __init__(
@@ -113,6 +116,7 @@
         self.arrivals: list[Arrival] = []
         self.ends: list[float] = []
         self.running: set[str] = set()
+        self.started_s: dict[str, float] = {}
         self._announce = announce
         self._service = service
         self._ended: dict[str, anyio.Event] = {}
@@ -137,6 +141,7 @@
                 tasks.start_soon(self._serve, listener, name)
                 tasks.start_soon(self._keep_announcing, name, port)
                 self.running.add(name)
+                self.started_s[name] = time.monotonic()
                 if boot == 1:
                     task_status.started()
                 await ended.wait()
@@ -261,8 +266,12 @@
 
     async def _keep_announcing(self, name: str, port: int) -> None:
         sequence = 0
+        begin_s = time.monotonic()
         while True:
             sequence += 1
+            cold_s = self.behaviour.cold_s
+            if server_boot(name) == 1:
+                cold_s = 0.0
             await self._announce(
                 Announcement(
                     name,
@@ -273,6 +282,7 @@
                     sequence,
                     (self._service,),
                     capacity=CAPACITY,
+                    cold_left_s=max(0.0, begin_s + cold_s - time.monotonic()),
                 )
             )
             await anyio.sleep(ANNOUNCE_INTERVAL_S)
@@ -283,6 +293,11 @@
     return int(name.split("-")[1])
 
 
+def server_boot(name: str) -> int:
+    """Return how often the server had started with this boot."""
+    return int(name.split("-")[2])
+
+
 def prompt_parts(request: bytes) -> tuple[str, ...]:
     """Return the names of a request's prompt parts."""
     parts = _field(_PARTS, request).split(",")
@@ -325,6 +340,7 @@
     "EndingServers",
     "EndsAt",
     "prompt_parts",
+    "server_boot",
     "server_number",
     "start_servers",
 ]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed_system.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed_system.py
@@ -39,6 +39,7 @@
 from sycamorestand_entry.server import RunningEntry
 from sycamorestand_entry.server import serve_entry
 from sycamorestand_model.backend_servers import Announcement
+from sycamorestand_model.declarations import Service
 from sycamorestand_model.entry_reports import EntryAddress
 from sycamorestand_model.keys import hash_key
 from sycamorestand_state.commands import ANY_REVISION
@@ -48,6 +49,7 @@
 CLUSTER_KEY: Final = b"k" * 32
 START_TIMEOUT_S: Final = 30.0
 POLL_S: Final = 0.02
+ROUTED_SERVICE: Final = "stock"
 
 
 class Control:
@@ -109,13 +111,18 @@
     """The running control processes and entries."""
 
     def __init__(
-        self, folder: Path, tasks: TaskGroup, is_public: bool = True
+        self,
+        folder: Path,
+        tasks: TaskGroup,
+        is_public: bool = True,
+        cold_requests_per_s: float = 0.0,
     ) -> None:
         self.controls: list[Control] = []
         self.entries: list[Entry] = []
         self._folder = folder
         self._tasks = tasks
         self._is_public = is_public
+        self._cold_requests_per_s = cold_requests_per_s
         self._numbers = iter(range(1, 1_000_000))
 
     async def start_controls(self, count: int) -> None:
@@ -240,12 +247,19 @@
             name: route._replace(public=self._is_public)
             for name, route in declared.routes.items()
         }
+        services = dict(declared.services)
+        if self._cold_requests_per_s:
+            services[ROUTED_SERVICE] = Service(
+                ROUTED_SERVICE, cold_requests_per_s=self._cold_requests_per_s
+            )
         operators = machine.in_force().declarations.operators
         command = ApplyDeclarations(
             "declare",
             "first-admin",
             machine.revision,
-            declared._replace(operators=operators, routes=routes),
+            declared._replace(
+                operators=operators, routes=routes, services=services
+            ),
             "",
             time.time(),
         )
@@ -258,14 +272,19 @@
 
 @asynccontextmanager
 async def start_system(
-    folder: Path, entries: int, controls: int = 3, is_public: bool = True
+    folder: Path,
+    entries: int,
+    controls: int = 3,
+    is_public: bool = True,
+    cold_requests_per_s: float = 0.0,
 ) -> AsyncIterator[RoutedSystem]:
     """Start control processes and entries, without backend servers.
 
-    Unless ``is_public``, callers need the key of a customer.
+    Unless ``is_public``, callers need the key of a customer. The service of
+    the routes declares ``cold_requests_per_s``.
     """
     async with anyio.create_task_group() as tasks:
-        system = RoutedSystem(folder, tasks, is_public)
+        system = RoutedSystem(folder, tasks, is_public, cold_requests_per_s)
         await system.start_controls(controls)
         for _ in range(entries):
             await system.start_entry()
--- a/packages/sycamorestand-control/src/sycamorestand_control/limit_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/limit_controller.py
@@ -1,4 +1,4 @@
-"""Grants entries tokens for servers that name a limit, and tells all of them.
+"""Grants entries tokens for servers with a limit, and tells all of them.
 
 The leader alone grants, so that no two processes share out the same limit.
 Every control process keeps the limits, so that the next leader knows them.
@@ -40,7 +40,8 @@
 
     ``entries`` and ``others`` return the peer addresses of the entries
     attached here and of the other control processes, ``servers`` the names
-    of the servers that are announced.
+    of the servers that are announced. ``cold_limit_per_s`` returns what a
+    server takes while it is cold, `NO_LIMIT` if there is no such limit.
     """
 
     def __init__(
@@ -50,12 +51,14 @@
         entries: Callable[[], Iterable[str]],
         others: Callable[[], Iterable[str]],
         servers: Callable[[], Collection[str]],
+        cold_limit_per_s: Callable[[str], float],
     ) -> None:
         self._mesh = mesh
         self._groups = groups
         self._entries = entries
         self._others = others
         self._servers = servers
+        self._cold_limit_per_s = cold_limit_per_s
         self._buckets = TokenBuckets()
         self._sent: dict[str, LimitsNamed] = {}
         self._repeat_s = 0.0
@@ -99,7 +102,7 @@
     def _grant(self, sender: str, message: TokensWanted) -> None:
         now_s = boottime_s()
         for server in message.servers:
-            limit_per_s = self.limits_per_s.get(server, NO_LIMIT)
+            limit_per_s = self._limit_per_s(server)
             self._buckets.set_limit(server, limit_per_s, now_s)
         tokens: Counter[str] = Counter()
         for _ in range(message.wanted):
@@ -114,6 +117,21 @@
             TokensGranted(message.number, dict(tokens), message.entry),
         )
 
+    def _limit_per_s(self, server: str) -> float:
+        """Return the limit of a server that an entry asks for.
+
+        It asks for one that names none only while that is cold.
+        """
+        limits = [
+            limit_per_s
+            for limit_per_s in (
+                self.limits_per_s.get(server, NO_LIMIT),
+                self._cold_limit_per_s(server),
+            )
+            if limit_per_s != NO_LIMIT
+        ]
+        return min(limits, default=NO_LIMIT)
+
     async def run(self) -> None:
         """Tell the entries which servers have limits, until cancelled."""
         while True:
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -45,6 +45,8 @@
 from sycamorestand_control.tables import SharedTables
 from sycamorestand_control.version_controller import VersionController
 from sycamorestand_control.voter_watch import VoterWatch
+from sycamorestand_decisions.server_limits import NO_LIMIT
+from sycamorestand_model.in_force import cold_requests_per_s
 from sycamorestand_model.ledger import LedgerResult
 from sycamorestand_peer.mesh import PeerMesh
 from sycamorestand_peer.messages import AnnouncementRelay
@@ -135,6 +137,7 @@
             self.hub.attached_addresses,
             self._other_controls,
             self.tables.servers,
+            self._cold_limit_per_s,
         )
         self.parts = PartController(
             self.mesh,
@@ -297,6 +300,14 @@
         members.discard(self.mesh.address)
         return tuple(sorted(members))
 
+    def _cold_limit_per_s(self, name: str) -> float:
+        """Return what a backend server takes while it is cold."""
+        server = self.tables.servers().get(name)
+        if server is None:
+            return NO_LIMIT
+        in_force = self.configuration.in_force()
+        return cold_requests_per_s(in_force, server) or NO_LIMIT
+
     def _voters(self) -> tuple[str, ...]:
         """Return the peer addresses of all voters, this one included."""
         members = self.groups.replicas[CONFIGURATION_GROUP].status().members
--- a/packages/sycamorestand-control/tests/test_limit_controller.py
+++ b/packages/sycamorestand-control/tests/test_limit_controller.py
@@ -34,6 +34,7 @@
         self.mesh = FakeMesh()
         self.groups = FakeGroups()
         self.servers = {"s-1", "s-2"}
+        self.cold_limits_per_s: dict[str, float] = {}
         self.entries = ["e1", "e2"]
         self.limits = LimitController(
             self.mesh,  # type: ignore[arg-type]
@@ -41,6 +42,7 @@
             lambda: self.entries,
             lambda: ["c2"],
             lambda: self.servers,
+            lambda server: self.cold_limits_per_s.get(server, NO_LIMIT),
         )
 
     def sent(self, kind: type) -> list:
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_limits.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_limits.py
@@ -6,15 +6,17 @@
 at each, and most of it lost. Where each entry kept the limit for itself, the
 server would get ten times as much. Callers that press refill whatever is left.
 
-One token bucket for each such server therefore lies at the leader. An entry
-asks for tokens when it has a request to send, for any of the servers that may
-have it, and a token that it does not use soon is lost. A new leader begins
-with a token each. So the sum stays within the limit, whoever asks.
+A server that is cold bears a number of requests a second as well, until it is
+warm. One token bucket for each such server therefore lies at the leader. An
+entry asks for tokens when it has a request to send, for any of the servers
+that may have it, and a token that it does not use soon is lost. A new leader
+begins with a token each. So the sum stays within the limit, whoever asks.
 """
 
 from __future__ import annotations
 
 from collections import deque
+import math
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -84,9 +86,25 @@
         self._buckets.clear()
 
 
+def rate_within(most: float, window_s: float) -> float:
+    """Return the limit by which no window gets more than ``most`` requests.
+
+    Tokens that were granted a lifetime before the window may be used in it,
+    and a bucket may have been full, or that of a leader who has just come.
+
+    >>> rate_within(18.35, 1.0)
+    7.675
+    """
+    room = most - BURST - FIRST_TOKENS
+    return max(MIN_LIMIT_PER_S, room / (window_s + TOKEN_LIFETIME_S))
+
+
 class HeldTokens:
     """The limits that an entry knows, and the tokens that it has.
 
+    ``limits_per_s`` are those that servers name. A server that is cold has a
+    limit too, which its service declares and the leader knows.
+
     >>> held = HeldTokens()
     >>> held.set_limit("s-1", 0.5)
     >>> held.is_open("s-1", 0.0), held.is_open("s-2", 0.0)
@@ -98,6 +116,7 @@
 
     def __init__(self) -> None:
         self.limits_per_s: dict[str, float] = {}
+        self._cold_until_s: dict[str, float] = {}
         self._tokens: dict[str, deque[float]] = {}
 
     def set_limit(self, server: str, limit_per_s: float) -> None:
@@ -109,6 +128,18 @@
         if len(self.limits_per_s) < MAX_LIMITED_SERVERS:
             self.limits_per_s[server] = limit_per_s
 
+    def set_cold(self, until_s: dict[str, float]) -> None:
+        """Set until when servers are cold; all others are warm."""
+        self._cold_until_s = until_s
+
+    def has_limited(self, now_s: float) -> bool:
+        """Return whether any server has a limit now."""
+        if self.limits_per_s:
+            return True
+        if self._cold_until_s and now_s >= max(self._cold_until_s.values()):
+            self._cold_until_s = {}
+        return bool(self._cold_until_s)
+
     def add(self, server: str, now_s: float) -> None:
         """Add a token that was granted."""
         until_s = now_s + TOKEN_LIFETIME_S
@@ -116,13 +147,18 @@
 
     def is_open(self, server: str, now_s: float) -> bool:
         """Return whether a request may be sent to the server now."""
-        if server not in self.limits_per_s:
+        if not self._is_limited(server, now_s):
             return True
         tokens = self._tokens.get(server)
         while tokens and tokens[0] <= now_s:
             tokens.popleft()
         return bool(tokens)
 
+    def _is_limited(self, server: str, now_s: float) -> bool:
+        if server in self.limits_per_s:
+            return True
+        return now_s < self._cold_until_s.get(server, -math.inf)
+
     def record_sent(self, server: str) -> None:
         """Use a token, as a request was sent to the server."""
         tokens = self._tokens.get(server)
@@ -131,7 +167,7 @@
 
     def closed(self, servers: Sequence[str], now_s: float) -> list[str]:
         """Return those of the servers to which nothing may be sent now."""
-        if not self.limits_per_s:
+        if not self.has_limited(now_s):
             return []
         return [name for name in servers if not self.is_open(name, now_s)]
 
@@ -159,6 +195,7 @@
     "MAX_LIMITED_SERVERS",
     "MIN_LIMIT_PER_S",
     "NO_LIMIT",
+    "rate_within",
     "TOKEN_LIFETIME_S",
     "TokenBuckets",
 ]
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
@@ -38,6 +38,7 @@
 # A check took so much longer than its dials that this process was suspended or
 # busy meanwhile. The server may have accepted in time.
 MAX_DELAY_S: Final = 0.1
+NOTHING: Final[frozenset[str]] = frozenset()
 
 
 class ServerLoss:
@@ -58,6 +59,7 @@
         self._lost: set[str] = set()
         self._timed_out: set[str] = set()
         self._refusing: set[str] = set()
+        self._returned: set[str] = set()
         self._checked_s: dict[str, float] = {}
         self._interval_s: dict[str, float] = {}
 
@@ -99,7 +101,16 @@
 
     def record_accepted_dial(self, address: str) -> None:
         """Record that the server accepted a connection."""
-        self._refusing.discard(address)
+        if address in self._refusing:
+            self._refusing.discard(address)
+            self._returned.add(address)
+
+    def take_returned(self) -> frozenset[str]:
+        """Return the addresses that are reached again since the last call."""
+        if not self._returned:
+            return NOTHING
+        returned, self._returned = frozenset(self._returned), set()
+        return returned
 
     def checked_s(self, address: str) -> float:
         """Return when the server was last checked."""
@@ -155,7 +166,9 @@
         self._checked_s[address] = now_s
         self._timed_out.discard(address)
         if reached:
-            self._lost.discard(address)
+            if address in self._lost:
+                self._lost.discard(address)
+                self._returned.add(address)
             return False
         newly_lost = address not in self._lost
         self._lost.add(address)
@@ -166,6 +179,7 @@
         self._lost &= used
         self._timed_out &= used
         self._refusing &= used
+        self._returned &= used
         for address in self._checked_s.keys() - used:
             del self._checked_s[address]
             del self._interval_s[address]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/announcements.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/announcements.py
@@ -30,6 +30,7 @@
 MAX_NAME_CHARACTERS: Final = 128
 MAX_VERSIONS: Final = 256
 MAX_CAPACITY: Final = 100_000
+MAX_COLD_S: Final = 3600.0
 
 
 async def answer_announcement(
@@ -140,6 +141,8 @@
         findings.append(f"'capacity' must be 1 to {MAX_CAPACITY}")
     if not 0 < announcement.lease_s <= MAX_LEASE_S:
         findings.append(f"'lease_s' must be up to {MAX_LEASE_S:g}")
+    if not 0 <= announcement.cold_left_s <= MAX_COLD_S:
+        findings.append(f"'cold_left_s' must be 0 to {MAX_COLD_S:g}")
     if announcement.incarnation < 0 or announcement.sequence < 0:
         findings.append("'incarnation' and 'sequence' grow from 0")
     return findings
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -80,7 +80,7 @@
             self.pool, control, self.metrics, self.now_s
         )
         self.server_limits = ServerLimits(
-            control, self.metrics, self.now_s, self.random
+            control, self.metrics, self.now_s, self.random, self.server_loss
         )
         self.servers = Servers(
             control, self.random, self.server_loss, self.server_limits.held
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -26,8 +26,8 @@
 from sycamorestand_entry.part_watch import MAX_BROKEN_STARTS
 from sycamorestand_entry.part_watch import ServerRequest
 from sycamorestand_entry.part_watch import SOUND_EVENTS
+from sycamorestand_entry.reservation import reserve_server
 from sycamorestand_entry.server_limits import LIMIT_HEADER
-from sycamorestand_entry.server_limits import reserve_server
 from sycamorestand_entry.slots import SlotRequest
 from sycamorestand_entry.sse import MalformedStream
 from sycamorestand_entry.upstream import BrokenConnection
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/idempotent_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/idempotent_call.py
@@ -15,7 +15,7 @@
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import Overloaded
 from sycamorestand_entry.errors import RequestError
-from sycamorestand_entry.server_limits import reserve_server
+from sycamorestand_entry.reservation import reserve_server
 from sycamorestand_entry.service_call import acquire_slot
 from sycamorestand_entry.service_call import CallFailed
 from sycamorestand_entry.service_call import CallLost
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -20,6 +20,7 @@
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import Run
 from sycamorestand_entry.part_watch import MAX_BROKEN_STARTS
+from sycamorestand_entry.reservation import reserve_server
 from sycamorestand_entry.routed.decision_log import NotImproved
 from sycamorestand_entry.routed.decision_log import NotRepeated
 from sycamorestand_entry.routed.decision_log import Sent
@@ -31,7 +32,6 @@
 from sycamorestand_entry.routed.prompt_attempt import blocked_parts
 from sycamorestand_entry.routed.server_choice import ServerChoice
 from sycamorestand_entry.routed.targets import next_target
-from sycamorestand_entry.server_limits import reserve_server
 from sycamorestand_model.declarations import VERSION_SEPARATOR
 
 if TYPE_CHECKING:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_limits.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_limits.py
@@ -1,8 +1,9 @@
-"""Requests to servers that name a limit wait shortly for a token of control.
+"""Requests to servers with a limit wait shortly for a token of control.
 
 A server names in its answers how many requests a second it takes from all
 entries together. The entry that hears of it tells control, which tells all
-others, so that they need not find out by themselves.
+others, so that they need not find out by themselves. A server that is cold
+has a limit until it is warm.
 """
 
 from __future__ import annotations
@@ -14,21 +15,24 @@
 
 import anyio
 
+from sycamorestand_decisions.cold_servers import ColdServers
 from sycamorestand_decisions.server_limits import HeldTokens
 from sycamorestand_decisions.server_limits import NO_LIMIT
+from sycamorestand_model.in_force import cold_requests_per_s
 from sycamorestand_peer.messages import LimitsNamed
 from sycamorestand_peer.messages import TokensGranted
 from sycamorestand_peer.messages import TokensWanted
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Collection
+    from collections.abc import Mapping
     from collections.abc import Sequence
     from random import Random
 
-    from sycamorestand_entry.context import EntryContext
+    from sycamorestand_decisions.server_loss import ServerLoss
     from sycamorestand_entry.metrics import Metrics
     from sycamorestand_entry.ports import ControlPort
+    from sycamorestand_model.backend_servers import Announcement
 
 _LOG = logging.getLogger(__name__)
 ASK_INTERVAL_S: Final = 0.1
@@ -41,13 +45,17 @@
 MAX_TOKENS_ASKED: Final = 32
 MAX_SERVERS_ASKED: Final = 16
 MAX_LIMIT_CHARACTERS: Final = 12
+MAX_LOGGED_SERVERS: Final = 8
 OK: Final = 200
 # The name on answers to the project's own interface.
 LIMIT_HEADER: Final = b"x-server-limit"
 
 
 class ServerLimits:
-    """The limits of servers, and the entry's tokens for them."""
+    """The limits of servers, and the entry's tokens for them.
+
+    ``loss`` tells which servers could not be reached for a while.
+    """
 
     def __init__(
         self,
@@ -55,8 +63,14 @@
         metrics: Metrics,
         now_s: Callable[[], float],
         random: Random,
+        loss: ServerLoss,
     ) -> None:
         self.held = HeldTokens()
+        self._cold = ColdServers()
+        self._loss = loss
+        self._seen_servers: Mapping[str, Announcement] = {}
+        self._drained: frozenset[str] = frozenset()
+        self._logged_cold: set[str] = set()
         self._control = control
         self._metrics = metrics
         self._now_s = now_s
@@ -91,6 +105,46 @@
         self._set_limit(server, limit_per_s)
         self._send((), 0, {server: limit_per_s})
 
+    def sync_cold(self) -> None:
+        """Take in which servers are cold, by all that is known here."""
+        now_s = self._now_s()
+        servers = self._control.backend_servers()
+        in_force = self._control.in_force()
+        returned = self._loss.take_returned()
+        drained = frozenset(in_force.draining_data_centres)
+        taken_back = self._drained - drained
+        is_news = servers is not self._seen_servers
+        if not (is_news or returned or taken_back):
+            self._drained = drained
+            return
+        self._seen_servers, self._drained = servers, drained
+        self._cold.update(servers, now_s)
+        self._cold.presume(
+            (
+                server
+                for server in servers.values()
+                if server.address in returned
+                or server.data_centre in taken_back
+            ),
+            now_s,
+        )
+        cold_until_s = {
+            name: until_s
+            for name, until_s in self._cold.until_s().items()
+            if cold_requests_per_s(in_force, servers[name])
+        }
+        self.held.set_cold(cold_until_s)
+        self._log_cold(set(cold_until_s))
+
+    def _log_cold(self, cold: set[str]) -> None:
+        """Log the servers that have turned cold."""
+        added = sorted(cold - self._logged_cold)
+        self._logged_cold = cold
+        if added:
+            names = ",".join(added[:MAX_LOGGED_SERVERS])
+            extra = {"count": len(added), "backend_servers": names}
+            _LOG.info("backend servers are cold", extra=extra)
+
     async def reserve(self, servers: Sequence[str]) -> None:
         """Ask for tokens if some of the servers may get no request now.
 
@@ -184,22 +238,6 @@
                 self._set_limit(server, limit_per_s)
 
 
-async def reserve_server(
-    context: EntryContext, target: str, among: Collection[str] | None = None
-) -> None:
-    """Ask for room at the target's servers, where they name a limit.
-
-    With ``among``, only the servers that it names count.
-    """
-    limits = context.server_limits
-    if not limits.held.limits_per_s:
-        return
-    candidates = context.servers.candidates(target, context.now_s())
-    await limits.reserve(
-        [c.name for c in candidates if among is None or c.name in among]
-    )
-
-
 def _read_limit(value: bytes) -> float | None:
     """Return the limit in a header, None if it is no decimal number."""
     digits = value.strip()
@@ -210,4 +248,4 @@
     return float(digits)
 
 
-__all__ = ["LIMIT_HEADER", "reserve_server", "ServerLimits"]
+__all__ = ["LIMIT_HEADER", "ServerLimits"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -200,8 +200,6 @@
 
     def _closed(self, candidates: list[Candidate], now_s: float) -> set[str]:
         """Return the servers that name a limit and may get nothing now."""
-        if not self._limits.limits_per_s:
-            return set()
         return set(self._limits.closed([c.name for c in candidates], now_s))
 
     def has_available_server(
--- a/packages/sycamorestand-model/src/sycamorestand_model/backend_servers.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/backend_servers.py
@@ -28,6 +28,7 @@
     ``versions`` holds version identities for an engine, and service names
     for a plain service. ``max_versions`` is how many versions an engine
     that accepts load orders holds at once; 0 means that it accepts none.
+    ``cold_left_s`` is how much longer the server bears few requests.
     New fields must come last, as fields are encoded by their position.
     """
 
@@ -48,6 +49,7 @@
     honours_priority: bool = False
     load: LoadReport = LoadReport()
     max_versions: int = 0
+    cold_left_s: float = 0.0
 
 
 def supersedes(new: Announcement, old: Announcement) -> bool:
--- a/packages/sycamorestand-model/src/sycamorestand_model/declarations.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/declarations.py
@@ -109,6 +109,8 @@
     ``engine`` it is a service of model engines that routes lead to.
     ``max_connections`` is how many connections one of its servers accepts
     from all callers together; 0 means that the limit is unknown.
+    ``cold_requests_per_s`` is how many requests a second a server that is
+    cold gets from all entries together; 0 means as many as a warm one.
     """
 
     name: str
@@ -118,6 +120,7 @@
     health_path: str = ""
     max_connections: int = 0
     engine: EngineTraits | None = None
+    cold_requests_per_s: float = 0.0
 
 
 class Rollout(NamedTuple):
--- a/packages/sycamorestand-model/src/sycamorestand_model/in_force.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/in_force.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorestand_model.declarations import Declarations
+from sycamorestand_model.declarations import VERSION_SEPARATOR
 from sycamorestand_model.prompt_parts import BlockedPart
 
 if TYPE_CHECKING:
@@ -55,4 +56,19 @@
     )
 
 
-__all__ = ["InForce", "RolloutShare", "takes_new_work"]
+def cold_requests_per_s(in_force: InForce, server: Announcement) -> float:
+    """Return what the server gets while it is cold, 0 without a limit."""
+    for identity in server.versions:
+        name = identity.partition(VERSION_SEPARATOR)[0]
+        service = in_force.declarations.services.get(name)
+        if service is not None and service.cold_requests_per_s:
+            return service.cold_requests_per_s
+    return 0.0
+
+
+__all__ = [
+    "cold_requests_per_s",
+    "InForce",
+    "RolloutShare",
+    "takes_new_work",
+]
--- a/packages/sycamorestand-model/src/sycamorestand_model/limits.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/limits.py
@@ -29,6 +29,7 @@
 MAX_PRICE_MICROS: Final = 1_000_000_000
 MAX_PINNED_SERVERS: Final = 1_000
 MAX_CONNECTIONS: Final = 1_000_000
+MAX_COLD_REQUESTS_PER_S: Final = 100_000.0
 # Without a limit, a large faulty file would produce a finding for each line
 # and hide the first ones.
 MAX_FINDINGS: Final = 500
@@ -44,6 +45,7 @@
 }
 
 __all__ = [
+    "MAX_COLD_REQUESTS_PER_S",
     "MAX_CONNECTIONS",
     "MAX_DEADLINE_MS",
     "MAX_DECLARATIONS",
--- a/packages/sycamorestand-model/src/sycamorestand_model/schemas.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/schemas.py
@@ -19,6 +19,7 @@
 from sycamorestand_model.findings import Findings
 from sycamorestand_model.findings import key_place
 from sycamorestand_model.findings import Place
+from sycamorestand_model.limits import MAX_COLD_REQUESTS_PER_S
 from sycamorestand_model.limits import MAX_CONNECTIONS
 from sycamorestand_model.limits import MAX_DEADLINE_MS
 from sycamorestand_model.limits import MAX_KEYS
@@ -218,6 +219,7 @@
         "health_path": Field(text(MAX_PATH_CHARACTERS)),
         "max_connections": Field(integer(0, MAX_CONNECTIONS)),
         "engine": Field(ENGINE_READER),
+        "cold_requests_per_s": Field(number(0.0, MAX_COLD_REQUESTS_PER_S)),
     },
 )
 
