Requests bound to regions run nowhere else

Cause: the homes of routes and customers were read by nothing.

Change: home_regions of routes and customers, as declarations of our own; where both name some, both bind. Servers announce their region, entries tell theirs. First tries, retries, resumed streams, known servers, forwarded attempts, chats, calls and orders choose among the servers at home, and the gate checks it as a request is written. No entry elsewhere gets a body to forward.

--- a/packages/sycamorestand-control/src/sycamorestand_control/tables.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/tables.py
@@ -141,6 +141,7 @@
             NODE_LEASE_S,
             address.unreached,
             address.forwarding_key,
+            address.region,
         )
         self._entries.announce(record, boottime_s())
         state = self._states.get(address.vm, EntryState(0))
@@ -201,6 +202,7 @@
                 node.peer_address,
                 node.unreached,
                 node.forwarding_key,
+                node.region,
             )
             for node in self._entries.addresses(
                 caller, data_centre, limit, draining_vms
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_limits.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_limits.py
@@ -191,6 +191,7 @@
 
 __all__ = [
     "BURST",
+    "FIRST_TOKENS",
     "HeldTokens",
     "MAX_LIMITED_SERVERS",
     "MIN_LIMIT_PER_S",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/claimed_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/claimed_call.py
@@ -41,6 +41,7 @@
 from sycamorestand_entry.service_call import ServiceAnswer
 from sycamorestand_entry.upstream import ConnectFailed
 from sycamorestand_model.errors import LedgerUnavailable
+from sycamorestand_model.home_regions import home_regions
 from sycamorestand_model.ledger import Dispatch
 from sycamorestand_model.ledger import NOT_KEPT_CONTENT_TYPE
 from sycamorestand_model.ledger import Outcome
@@ -147,10 +148,7 @@
         failed: set[str] = set()
         for _ in range(MAX_ATTEMPTS):
             try:
-                await reserve_server(self._context, self._call.service)
-                server = self._context.servers.choose(
-                    self._call.service, time.monotonic(), failed
-                )
+                server = await self._choose_server(failed)
                 failed.add(server.name)
                 answer = await self._attempt(server)
             except ConnectFailed:
@@ -167,6 +165,15 @@
             "no backend server of the service took the call", SERVER_RETRY_S
         )
 
+    async def _choose_server(self, failed: set[str]) -> Announcement:
+        context = self._context
+        homes = home_regions(context.control.in_force(), self._call.customer)
+        among = context.servers.names_in(homes)
+        await reserve_server(context, self._call.service, among)
+        return context.servers.choose(
+            self._call.service, time.monotonic(), failed, among=among
+        )
+
     async def _attempt(self, server: Announcement) -> ServiceAnswer:
         context = self._context
         call = self._call
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -34,6 +34,7 @@
 from sycamorestand_entry.upstream import ServerLost
 from sycamorestand_entry.upstream import SilentConnection
 from sycamorestand_entry.upstream import UpstreamError
+from sycamorestand_model.home_regions import home_regions
 
 if TYPE_CHECKING:
     from sycamorestand_decisions.selection import Outcome
@@ -195,7 +196,9 @@
             await reserve_server(
                 context,
                 self._work.version,
-                {self._server.name} if resume and self._server else None,
+                {self._server.name}
+                if resume and self._server
+                else self._at_home(),
             )
             server = self._server if resume else self._choose_server()
             assert server is not None
@@ -396,8 +399,15 @@
             self._failed_servers,
             self._work.affinity_key,
             again=True,
+            among=self._at_home(),
         )
 
+    def _at_home(self) -> set[str] | None:
+        """Return the servers in the customer's home regions, None for all."""
+        in_force = self._context.control.in_force()
+        homes = home_regions(in_force, self._work.parts.customer)
+        return self._context.servers.names_in(homes)
+
     def _record_dispatch(
         self, server: Announcement, connection: UpstreamConnection
     ) -> None:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/gate.py
@@ -26,6 +26,8 @@
 from sycamorestand_entry.errors import SessionWithdrawn
 from sycamorestand_model.declarations import find_version
 from sycamorestand_model.declarations import is_version_allowed
+from sycamorestand_model.home_regions import home_regions
+from sycamorestand_model.home_regions import is_home
 from sycamorestand_model.in_force import takes_new_work
 from sycamorestand_model.request_digest import is_request
 
@@ -37,6 +39,7 @@
 
 LEASE_RETRY_S = 1.0
 SERVER_RETRY_S = 1.0
+NOT_AT_HOME: Final = "the chosen backend server is in no home region"
 # A part that may be blamed wrongly is tried soon, others are not.
 FIRST_TRIAL_RETRY_S: Final = 1.0
 BLOCKED_RETRY_S: Final = 30.0
@@ -134,18 +137,21 @@
     refusal = check_parts(intent.blocked, may_try)
     if refusal is not None or not intent.backend_server:
         return refusal
-    return _check_routed_server(control, route, intent.backend_server)
+    return _check_routed_server(control, route, intent)
 
 
 def _check_routed_server(
-    control: ControlPort, route: Route, name: str
+    control: ControlPort, route: Route, intent: RoutedIntent
 ) -> RequestError | None:
-    server = control.backend_servers().get(name)
+    server = control.backend_servers().get(intent.backend_server)
     in_force = control.in_force()
     if server is None or not takes_new_work(in_force, server):
         return NoBackendServer(
             "the chosen backend server has left", SERVER_RETRY_S
         )
+    homes = home_regions(in_force, intent.customer, route)
+    if not is_home(homes, server.region):
+        return NoBackendServer(NOT_AT_HOME, SERVER_RETRY_S)
     if not any(
         target.weight > 0 and target.service in server.versions
         for target in route.targets
@@ -248,6 +254,9 @@
         return NoBackendServer(
             "the chosen backend server has left", SERVER_RETRY_S
         )
+    homes = home_regions(control.in_force(), intent.customer)
+    if not is_home(homes, server.region):
+        return NoBackendServer(NOT_AT_HOME, SERVER_RETRY_S)
     if intent.target not in server.versions:
         return NoBackendServer(
             "the chosen backend server no longer holds it", SERVER_RETRY_S
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/idempotent_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/idempotent_call.py
@@ -23,6 +23,7 @@
 from sycamorestand_entry.service_call import ServiceAnswer
 from sycamorestand_entry.service_call import ServiceCall
 from sycamorestand_entry.upstream import ConnectFailed
+from sycamorestand_model.home_regions import home_regions
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
@@ -97,9 +98,11 @@
 ) -> ServiceAnswer:
     if limit_s <= 0:
         raise DeadlineExceeded("the deadline passed", run="not_run")
-    await reserve_server(context, call.service)
+    homes = home_regions(context.control.in_force(), call.customer)
+    among = context.servers.names_in(homes)
+    await reserve_server(context, call.service, among)
     server = context.servers.choose(
-        call.service, time.monotonic(), tried, again=True
+        call.service, time.monotonic(), tried, again=True, among=among
     )
     tried.add(server.name)
     connection = await context.pool.acquire(server.address, idle_s)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarder.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarder.py
@@ -21,6 +21,8 @@
 from sycamorestand_entry.upstream import ConnectFailed
 from sycamorestand_model.backend_servers import Announcement
 from sycamorestand_model.declarations import VERSION_SEPARATOR
+from sycamorestand_model.home_regions import home_regions
+from sycamorestand_model.home_regions import is_home
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
@@ -129,10 +131,14 @@
             return None
         if len(self._asked_in_vain) >= MAX_REFUSALS:
             return None
+        homes = home_regions(
+            context.control.in_force(), self._call.customer, self._call.route
+        )
         entries = [
             entry
             for entry in context.control.addresses()
             if not context.server_loss.is_unreachable(_peer_address(entry))
+            and is_home(homes, entry.region)
         ]
         service = target.partition(VERSION_SEPARATOR)[0]
         return context.peer_entries.choose(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/server_choice.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/server_choice.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from sycamorestand_model.home_regions import home_regions
+
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_entry.routed.call import RoutedCall
@@ -59,7 +61,12 @@
         candidates = self._context.servers.candidates(
             target, self._context.now_s()
         )
-        return any(server.name not in self._tried for server in candidates)
+        at_home = self._at_home()
+        return any(
+            server.name not in self._tried
+            and (at_home is None or server.name in at_home)
+            for server in candidates
+        )
 
     def choose(
         self, target: str, options: EngineOptions, sent: int, may_add: bool
@@ -73,9 +80,12 @@
         servers = self._context.servers
         now_s = self._context.now_s()
         known = servers.find_available(target, options.known, now_s)
-        is_unreachable = options.known in self._dials.unreachable
+        at_home = self._at_home()
+        is_excluded = options.known in self._dials.unreachable or (
+            at_home is not None and options.known not in at_home
+        )
         if known is not None and not (
-            is_unreachable or servers.is_over_limit(target, known, now_s)
+            is_excluded or servers.is_over_limit(target, known, now_s)
         ):
             self._tried.add(known.name)
             return known
@@ -109,7 +119,16 @@
                 for name in names
                 if context.pool.idle_count(announced[name].address)
             }
-        return names
+        at_home = self._at_home()
+        if names is None or at_home is None:
+            return at_home if names is None else names
+        return names & at_home
+
+    def _at_home(self) -> set[str] | None:
+        """Return the servers in the call's home regions, None for all."""
+        in_force = self._context.control.in_force()
+        homes = home_regions(in_force, self._call.customer, self._call.route)
+        return self._context.servers.names_in(homes)
 
     def max_idle_s(self, server: str, sent: int) -> float:
         """Return how long a connection for the call may have been idle."""
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -22,6 +22,7 @@
     from sycamorestand_decisions.selection import ServerMetrics
     from sycamorestand_entry.ports import ControlPort
     from sycamorestand_model.backend_servers import Announcement
+    from sycamorestand_model.home_regions import Homes
 
 SERVER_RETRY_S: Final = 1.0
 LIMIT_RETRY_S: Final = 1.0
@@ -81,6 +82,13 @@
             for server in holders
         ]
 
+    def names_in(self, homes: Homes) -> set[str] | None:
+        """Return the servers in these regions, None if anywhere will do."""
+        if homes is None:
+            return None
+        servers = self._control.backend_servers().values()
+        return {server.name for server in servers if server.region in homes}
+
     def unreached_services(self, now_s: float) -> frozenset[str]:
         """Return the services and models none of whose servers is reached.
 
--- a/packages/sycamorestand-model/src/sycamorestand_model/backend_servers.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/backend_servers.py
@@ -50,6 +50,7 @@
     load: LoadReport = LoadReport()
     max_versions: int = 0
     cold_left_s: float = 0.0
+    region: str = ""
 
 
 def supersedes(new: Announcement, old: Announcement) -> bool:
--- a/packages/sycamorestand-model/src/sycamorestand_model/declarations.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/declarations.py
@@ -90,7 +90,8 @@
     ``key_hashes`` are salted hashes, see `sycamorestand_model.keys`. Each
     item of ``versions`` is a model name or ``model@version``. ``weight`` is
     the customer's weight in fair queueing. ``priority``, if it is set,
-    replaces the priority of the routes that the customer calls.
+    replaces the priority of the routes that the customer calls. Requests run
+    only in the ``home_regions``, in any region if there are none.
     """
 
     name: str
@@ -100,6 +101,7 @@
     services: tuple[str, ...] = ()
     weight: float = 1.0
     priority: int | None = None
+    home_regions: tuple[str, ...] = ()
 
 
 class Service(NamedTuple):
--- a/packages/sycamorestand-model/src/sycamorestand_model/entry_reports.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/entry_reports.py
@@ -25,6 +25,7 @@
     peer_address: str = ""
     unreached: tuple[str, ...] = ()
     forwarding_key: bytes = b""
+    region: str = ""
 
 
 class VersionSample(NamedTuple):
--- a/packages/sycamorestand-model/src/sycamorestand_model/route_schemas.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/route_schemas.py
@@ -116,6 +116,7 @@
     "gap_target_ms": Field(integer(0, MAX_DEADLINE_MS)),
     "sizes": Field(array(_NAME, min(MAX_STEPS, MAX_LIST_ITEMS))),
     "silence_limit_ms": Field(integer(0, MAX_DEADLINE_MS)),
+    "home_regions": Field(array(_NAME, MAX_LIST_ITEMS)),
 }
 
 RouteValues = dict[str, Any]
--- a/packages/sycamorestand-model/src/sycamorestand_model/routes.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/routes.py
@@ -32,7 +32,8 @@
     largest; a request may escalate from each to the next. Callers
     disconnect from a stream that sends nothing for ``silence_limit_ms``,
     also before its first event; 0 means that they wait until their
-    timeout.
+    timeout. Requests run only in the ``home_regions``, in any region if
+    there are none.
     """
 
     name: str
@@ -50,6 +51,7 @@
     gap_target_ms: int = 0
     sizes: tuple[str, ...] = ()
     silence_limit_ms: int = 0
+    home_regions: tuple[str, ...] = ()
 
 
 class ModelSize(NamedTuple):
--- a/packages/sycamorestand-model/src/sycamorestand_model/schemas.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/schemas.py
@@ -205,6 +205,7 @@
         # Fair queueing divides by the weight, so it must not be 0.
         "weight": Field(number(0.001, MAX_WEIGHT)),
         "priority": Field(integer(0, 9)),
+        "home_regions": Field(_NAMES),
     },
 )
 
--- a/packages/sycamorestand-state/src/sycamorestand_state/nodes.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/nodes.py
@@ -43,6 +43,7 @@
     lease_s: float = 3.0
     unreached: tuple[str, ...] = ()
     forwarding_key: bytes = b""
+    region: str = ""
 
 
 NodeDelta = MapDelta[NodeRecord]
--- a/packages/sycamorestand/src/sycamorestand/entry_process.py
+++ b/packages/sycamorestand/src/sycamorestand/entry_process.py
@@ -27,6 +27,7 @@
         settings.host,
         settings.port,
         forwarding_key=settings.forwarding_key,
+        region=values["region"],
     )
     link = ControlLink(_link_settings(values), lambda: address)
     async with anyio.create_task_group() as tasks:
--- a/packages/sycamorestand/src/sycamorestand/process_settings.py
+++ b/packages/sycamorestand/src/sycamorestand/process_settings.py
@@ -66,6 +66,7 @@
 
 ENTRY_SETTINGS: Final = (
     *COMMON_SETTINGS,
+    Setting("region", optional_text, "", "region of the data centre"),
     Setting(
         "control_addresses",
         required_addresses,
