A part is sound once its server lives on for a second, not after two events

Cause: two events of an answer cleared the parts of its prompt, at all ends so far.

Change: the parts are cleared once the server lives on for a second after two events, or the whole answer is there; an answer that goes on at a second server clears nothing, as for single requests. Until then the parts of a request are among the suspects of its server's end, and the end counts as one at the start of the answer (two of them: no third server).

Weighed: only whole answers clear, as for single requests. Answers take seconds, and where several servers crash in the first second nothing would be answered yet: the part that all requests share would be blamed.

Evidence: test_servers_that_end_after_events_count, 4 and 10 entries on real links: at most three late, the part blocked, over 0.9 of the sound requests whole.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -23,9 +23,9 @@
 from sycamorestand_entry.event_reader import EventReader
 from sycamorestand_entry.gate import check_dispatch
 from sycamorestand_entry.gate import DispatchIntent
+from sycamorestand_entry.part_watch import AnswerLife
 from sycamorestand_entry.part_watch import MAX_BROKEN_STARTS
 from sycamorestand_entry.part_watch import ServerRequest
-from sycamorestand_entry.part_watch import SOUND_EVENTS
 from sycamorestand_entry.reservation import reserve_server
 from sycamorestand_entry.server_limits import LIMIT_HEADER
 from sycamorestand_entry.slots import SlotRequest
@@ -89,6 +89,7 @@
         self._has_version_failed = False
         self._is_begun = False
         self._is_sound = False
+        self._life = AnswerLife()
         self._broken_starts = 0
         self._dispatched_s = 0.0
         self._slot: int | None = None
@@ -262,9 +263,13 @@
         return events
 
     def _note_sound(self) -> None:
-        if not self._is_sound and self._reader.events >= SOUND_EVENTS:
-            self._is_sound = True
-            parts = self._work.parts
+        parts = self._work.parts
+        if self._is_sound or parts.has_broken:
+            return
+        self._is_sound = self._reader.done or self._life.lives_on(
+            self._reader.events, time.monotonic()
+        )
+        if self._is_sound:
             watch = self._context.part_watch
             watch.record_sound(parts.customer, parts.prompt)
 
@@ -388,6 +393,7 @@
         self._server = None
         self._reader.restart()
         self._is_sound = False
+        self._life = AnswerLife()
         self.attempt += 1
         if self.events_copy is not None:
             self.events_copy.clear()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
@@ -63,8 +63,10 @@
 # A request under which two servers have ended as they began to answer it may
 # be what ends them.
 MAX_BROKEN_STARTS: Final = 2
-# Events after which an answer has begun without harm to its server.
+# Events after which an answer has begun, and the time for which its server has
+# to live on: one that ends under a request may have sent some events of it.
 SOUND_EVENTS: Final = 2
+SOUND_LIFE_S: Final = 1.0
 PROCESS_ID_BYTES: Final = 6
 
 
@@ -98,6 +100,25 @@
     repeats: int
 
 
+class AnswerLife:
+    """Whether a server lives on after it has begun an answer.
+
+    >>> life = AnswerLife()
+    >>> [life.lives_on(*each) for each in ((1, 0.0), (2, 0.1), (9, 1.1))]
+    [False, False, True]
+    """
+
+    def __init__(self) -> None:
+        self._begun_s = math.inf
+
+    def lives_on(self, events: int, now_s: float) -> bool:
+        """Return whether it does, once ``events`` of the answer have come."""
+        if events < SOUND_EVENTS:
+            return False
+        self._begun_s = min(self._begun_s, now_s)
+        return now_s - self._begun_s >= SOUND_LIFE_S
+
+
 class PartWatch:
     """The requests at servers that ended, and the parts that are watched."""
 
@@ -396,4 +417,10 @@
     )[:MAX_SUSPECTS]
 
 
-__all__ = ["MAX_BROKEN_STARTS", "PartWatch", "ServerRequest", "SOUND_EVENTS"]
+__all__ = [
+    "AnswerLife",
+    "MAX_BROKEN_STARTS",
+    "PartWatch",
+    "ServerRequest",
+    "SOUND_LIFE_S",
+]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -414,7 +414,7 @@
         if pause_ms is not None and not self.is_forwarded:
             self._send_sample(PACE_CLASS, False, pause_ms)
         pause_s = self._recent_pace.add(count, now_s)
-        self._prompt.record_events(self.event_count)
+        self._prompt.record_events(self.event_count, now_s)
         if pause_s is not None:
             service = self.destination.target.partition(VERSION_SEPARATOR)[0]
             self._context.event_gap(service).observe(now_s, pause_s)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/prompt_attempt.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/prompt_attempt.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from sycamorestand_entry.blocked_requests import record_refusal
+from sycamorestand_entry.part_watch import AnswerLife
 from sycamorestand_entry.part_watch import ServerRequest
-from sycamorestand_entry.part_watch import SOUND_EVENTS
 from sycamorestand_entry.routed.decision_log import PartRefused
 from sycamorestand_entry.upstream import BrokenConnection
 from sycamorestand_entry.upstream import ServerLost
@@ -28,9 +28,10 @@
 
     If another entry forwards the attempt, that entry tells control of it.
     ``is_broken`` is true once its connection has ended, ``is_sound`` once a
-    server that has begun to answer lives on. That clears the parts of the
-    prompt; the request itself may end its server later, until its whole
-    answer is there.
+    server that has begun to answer lives on for a while. That clears the
+    parts of the prompt; the request itself may end its server later, until
+    its whole answer is there. An answer that goes on at a second server
+    clears nothing, as the request may have ended the first one.
     """
 
     def __init__(
@@ -42,10 +43,11 @@
         self._call = call
         self._is_told = not is_forwarded
         self._is_answered = False
+        self._life = AnswerLife()
 
-    def record_events(self, count: int) -> None:
+    def record_events(self, count: int, now_s: float) -> None:
         """Record the number of events that have come so far."""
-        if not self.is_sound and count >= SOUND_EVENTS:
+        if not self.is_sound and self._life.lives_on(count, now_s):
             self._record_sound()
 
     def record_answer(self, status: int, not_run: bool) -> None:
@@ -94,6 +96,8 @@
     def _record_sound(self) -> None:
         self.is_sound = True
         call = self._call
+        if call.parts.has_broken:
+            return
         if self._is_told and call.parts.prompt:
             self._watch.record_sound(call.customer, call.parts.prompt)
 
--- a/packages/sycamorestand/tests/system/test_requests_that_end_servers.py
+++ b/packages/sycamorestand/tests/system/test_requests_that_end_servers.py
@@ -64,6 +64,22 @@
         assert not play.wrongly_blocked()
         assert play.sent_after_ends() <= MAX_SENT_AFTER
 
+    @pytest.mark.parametrize("entries", [4, 10])
+    async def test_servers_that_end_after_events_count(
+        self, tmp_path: Path, entries: int
+    ) -> None:
+        """Two events of an answer cleared the part that ended its server."""
+        behaviour = Behaviour(frozenset({BAD}), "third", back_s=1.0)
+        async with start_play(tmp_path, entries) as play:
+            await play.load(1.0)
+            play.servers.behaviour = behaviour
+            await play.load(12.0, bad_every=6)
+        assert BAD in play.system.blocked_parts()
+        assert not play.wrongly_blocked()
+        assert play.sent_after_ends() <= MAX_SENT_AFTER
+        ends = play.servers.ends[:ENDS]
+        assert play.whole_share(ends[-1] + 2 * KNOWN_AFTER_S) > 0.9
+
 
 class TestEntries:
     async def test_entry_that_has_just_started_refuses(
