Bytes without end are bounded in memory and time

Change: the wait for a head has one end; what is skipped has a limit; answers read whole share 32 MB; a stream may have 1 MB without an event's id.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -25,6 +25,7 @@
 from sycamorestand_decisions.retry import RetryBudget
 from sycamorestand_decisions.server_loss import ServerLoss
 from sycamorestand_decisions.urgent_requests import UrgentRequests
+from sycamorestand_entry.answer_memory import AnswerMemory
 from sycamorestand_entry.callers import Authenticator
 from sycamorestand_entry.loans import Loans
 from sycamorestand_entry.metrics import Metrics
@@ -94,6 +95,7 @@
         self.loans = Loans(self.arrivals, control, self.now_s)
         self.urgent_requests = UrgentRequests()
         self.server_progress = ServerProgress()
+        self.answer_memory = AnswerMemory()
         self.answer_times = AnswerTimes()
         self.answer_lengths = AnswerLengths()
         self.prefill_rates = PrefillRates()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -310,12 +310,14 @@
         """
         parts: list[bytes] = []
         size = 0
+        memory = self._context.answer_memory
         try:
             while part := await self.connection.read_body(
                 max(0.0, self._call.remaining_s())
             ):
                 parts.append(part)
                 size += len(part)
+                memory.hold(len(part))
                 if size > self._context.settings.max_answer_bytes:
                     raise MalformedAnswer("its answer is too large")
             if not self._is_bodiless(head):
@@ -324,6 +326,8 @@
             self.connection.close()
             self.record_failure(error)
             raise
+        finally:
+            memory.release(size)
         not_run = says_not_run(head, self._header_names)
         self.record_status(head.status, not_run)
         body = b"".join(parts)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -85,6 +85,7 @@
             call.values.get(attempts.header_names.last_event, b"")
         )
         self._partial_event = b""
+        self._bytes_without_id = 0
         self._gap_limit_s = gap_limit_s(call.route.gap_target_ms / MS)
         silence_limit_s = call.route.silence_limit_ms / MS or math.inf
         self._first_wait_s = min(MIN_EVENT_S, silence_limit_s * FALLBACK_SHARE)
@@ -386,6 +387,9 @@
         self._partial_event = data[end:]
         events = data[:end] if self._partial_event else data
         count = self._event_order.accept(events)
+        self._bytes_without_id = 0 if count else self._bytes_without_id + end
+        if self._bytes_without_id > MAX_EVENT_BYTES:
+            raise MalformedAnswer("no event in its bytes")
         if not self._responder.started:
             await self._start(head)
         self._attempts.call.log.record_events(count)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
@@ -152,18 +152,27 @@
     server: str,
 ) -> ServiceAnswer:
     sent_s = context.now_s()
+    end_s = sent_s + limit_s
     head = await connection.read_head(limit_s)
     context.server_limits.record_answer(
         server, head.status, head.headers.get(LIMIT_HEADER), sent_s
     )
     parts: list[bytes] = []
     size = 0
-    while part := await connection.read_body(limit_s):
-        parts.append(part)
-        size += len(part)
-        if size > context.settings.max_answer_bytes:
-            connection.close()
-            raise MalformedAnswer("its answer is too large")
+    try:
+        while part := await connection.read_body(
+            max(0.0, end_s - context.now_s())
+        ):
+            parts.append(part)
+            size += len(part)
+            context.answer_memory.hold(len(part))
+            if size > context.settings.max_answer_bytes:
+                raise MalformedAnswer("its answer is too large")
+    except MalformedAnswer:
+        connection.close()
+        raise
+    finally:
+        context.answer_memory.release(size)
     content_type = head.headers.get(b"content-type", b"").decode("latin-1")
     not_run = head.status in (429, 503) and b"x-not-run" in head.headers
     return ServiceAnswer(head.status, content_type, b"".join(parts), not_run)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -37,6 +37,8 @@
 # that a caller which reads slowly does not fill the memory of the entry.
 READ_AHEAD_BYTES: Final = 64 * 1024
 MAX_HEAD_BYTES: Final = 64 * 1024
+# An answer to another request, which is read before the one that is due.
+MAX_SKIPPED_BYTES: Final = 1024 * 1024
 
 
 class PeerActivity:
@@ -146,14 +148,16 @@
     ) -> ResponseHead:
         """Wait for the answer's status and headers.
 
-        Raises `SilentConnection` after ``limit_s``. With ``soft`` it raises
-        `SlowAnswer` instead and keeps the connection, so that the caller
-        can wait again.
+        Raises `SilentConnection` after ``limit_s``, also if some bytes have
+        come. With ``soft`` it raises `SlowAnswer` instead and keeps the
+        connection, so that the caller can wait again.
         """
+        deadline_s = self._loop.time() + limit_s
         while self._head is None:
             if self._error is not None:
                 raise self._error
-            await self._wait(limit_s, soft=soft)
+            left_s = max(0.0, deadline_s - self._loop.time())
+            await self._wait(left_s, soft=soft)
         return self._head
 
     async def read_body(
@@ -218,12 +222,13 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(MalformedAnswer("its answer is no HTTP"))
             return
-        if self._head is None and not self._skipping:
+        if self._head is None:
             # Counted after parsing, because one read may contain a short
             # head and a part of the body beyond the limit.
             self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES:
-                self._fail(MalformedAnswer("its headers are too large"))
+            limit = MAX_SKIPPED_BYTES if self._skipping else MAX_HEAD_BYTES
+            if self._head_bytes > limit:
+                self._fail(MalformedAnswer("no answer in its bytes"))
         elif self._unexpected:
             self._fail(MalformedAnswer("bytes after the answer's end"))
         elif self._sink is None or not self._forward():
@@ -281,6 +286,7 @@
     def on_message_complete(self) -> None:
         if self._skipping:
             self._skipping = False
+            self._head_bytes = 0
             return
         if self._head is None or self._unexpected:
             return
