A server that is alive has not ended under a request

Cause: a stream whose connection ended twice as its answer began went to no third server, whatever became of the two.

Change: an end counts unless a dial has found the server alive since. The dial is the one that tells control of ends.

Evidence: test_third_server_answers failed before.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
@@ -312,6 +312,14 @@
         requests += [r.request for r in left if now_s - r.at_s < LEFT_S]
         self._report_end(server, requests, now_s)
 
+    def has_lived_since(self, server: str, at_s: float) -> bool:
+        """Return whether a dial has found the server alive since then."""
+        return self._lived_s.get(server, -math.inf) >= at_s
+
+    def now_s(self) -> float:
+        """Return the time that `has_lived_since` compares with."""
+        return self._now_s()
+
     def _record_lived(self, server: str) -> None:
         self._lived_s[server] = self._now_s()
         self._lived_s.move_to_end(server)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -293,7 +293,7 @@
     def _reason_not_to_retry(self, overloaded: bool) -> str:
         if not self.left:
             return "no attempt left"
-        broken = sum(each.broke_as_it_began for each in self._exchanges)
+        broken = sum(each.may_have_ended_server for each in self._exchanges)
         if broken >= MAX_BROKEN_STARTS:
             return "servers ended as they began to answer it"
         if self._is_blocked():
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -244,10 +244,10 @@
         return time.monotonic() - self._head_received_s
 
     @property
-    def broke_as_it_began(self) -> bool:
-        """Return whether the connection ended as the answer began."""
-        prompt = self._prompt
-        return prompt.is_broken and self.has_begun and not prompt.is_sound
+    def may_have_ended_server(self) -> bool:
+        """Return whether the server may have ended as it began to answer."""
+        server = self.destination.server.name
+        return self.has_begun and self._prompt.may_have_ended(server)
 
     @property
     def event_count(self) -> int:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/prompt_attempt.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/prompt_attempt.py
@@ -43,6 +43,7 @@
         self._call = call
         self._is_told = not is_forwarded
         self._is_answered = False
+        self._broken_s = 0.0
         self._life = AnswerLife()
 
     def record_events(self, count: int, now_s: float) -> None:
@@ -62,8 +63,19 @@
         """Record that the answer broke off."""
         is_lost = isinstance(error, ServerLost)
         self.is_broken = isinstance(error, BrokenConnection) and not is_lost
+        self._broken_s = self._watch.now_s()
         self._call.parts.has_broken |= self.is_broken
 
+    def may_have_ended(self, server: str) -> bool:
+        """Return whether the server may have ended under the attempt.
+
+        Not if it has accepted a connection since: servers close connections
+        for other reasons too.
+        """
+        if not self.is_broken or self.is_sound:
+            return False
+        return not self._watch.has_lived_since(server, self._broken_s)
+
     def record_end(
         self, server: Announcement, status: int, is_begun: bool
     ) -> None:
--- a/packages/sycamorestand-entry/tests/routed/test_streams.py
+++ b/packages/sycamorestand-entry/tests/routed/test_streams.py
@@ -6,6 +6,7 @@
 from anyio.abc import SocketStream
 import pytest
 
+from sycamorestand_bench.fakes.entry_group import earn_arrivals
 from sycamorestand_bench.fakes.routed import event
 from sycamorestand_bench.fakes.routed import Handler
 from sycamorestand_bench.fakes.routed import read_to_end
@@ -325,3 +326,28 @@
 ) -> UpstreamConnection:
     """Refuse a connection, as if the machine had lost power."""
     raise ConnectTimedOut("it takes no connection")
+
+
+class TestResetsOfServersThatLive:
+    async def test_third_server_answers(self) -> None:
+        """Two lost answers counted as two servers that ended under it."""
+        async with start_routed() as loopback:
+            asked = 0
+
+            async def answer(request: bytes, stream: SocketStream) -> None:
+                nonlocal asked
+                asked += 1
+                if asked > 2:
+                    await resume(request, stream)
+                    return
+                await stream.send(stream_head(request))
+                await anyio.sleep(0.1)
+                raise anyio.EndOfStream
+
+            for number in range(4):
+                await loopback.add_server(f"s-{number}", answer)
+            earn_arrivals(loopback, 100)
+            served = await loopback.ask("/review/1", x_parts="first:800,own:5")
+        assert served.endswith(END)
+        assert served.count(b"id: ") == 5
+        assert asked == 3
