Entries find a server that fails everything together

Load: a service with few requests, three or four servers, one of which resets every request and says that it is well; 76 entries.

Change: entries tell control of failures; after two of them all are asked for successes at that server too (those that saw a failure alone would tell of few), and one that fails eight in ten of five or more gets two requests a second at most from all entries together, by the tokens of servers with a limit, until the first success. A third of a service's servers at most.

Weighed: an entry avoids a server at its first failure (one loss for each entry, 330 of them, and servers that fail some requests lose most of their work).

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
@@ -75,7 +75,8 @@
     servers have ended ``max_ends`` times. Without ``is_framed``, answers
     have neither a length nor chunks and end with their connection.
     The servers of the numbers in ``limits_per_s`` name a limit in answers.
-    Each start of a server is cold for ``cold_s``, which it announces.
+    Each start of a server is cold for ``cold_s``, which it announces. The
+    servers of the numbers in ``resetting`` reset each request and live on.
     """
 
     parts: frozenset[str] = frozenset()
@@ -87,6 +88,7 @@
     bodies: frozenset[bytes] = frozenset()
     limits_per_s: Mapping[int, float] = {}
     cold_s: float = 0.0
+    resetting: frozenset[int] = frozenset()
 
     def headers(self, name: str) -> list[bytes]:
         """Return the headers that the server of this name adds."""
@@ -208,6 +210,9 @@
             Arrival(time.monotonic(), name, attempt, parts, body)
         )
         behaviour = self.behaviour
+        if server_number(name) in behaviour.resetting:
+            _abort(stream)
+            return False
         is_bad = body in behaviour.bodies or bool(
             behaviour.parts.intersection(parts)
         )
--- a/packages/sycamorestand-control/src/sycamorestand_control/limit_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/limit_controller.py
@@ -79,6 +79,10 @@
         if leader and not is_forwarded:
             self._mesh.send(leader, message._replace(entry=sender))
 
+    def limit(self, server: str, limit_per_s: float) -> None:
+        """Limit a server that names no limit, until it answers a request."""
+        self._note({server: limit_per_s}, is_forwarded=False)
+
     def handle_granted(self, sender: str, message: TokensGranted) -> None:
         """Pass what the leader has granted on to the entry."""
         if message.entry:
@@ -159,10 +163,16 @@
                 self._sent[address] = message
                 self._mesh.send(address, message)
 
+    @property
+    def limited_names(self) -> set[str]:
+        """The servers with a limit, by name."""
+        limits = self.limits_per_s.items()
+        return {name for name, per_s in limits if per_s != NO_LIMIT}
+
     @property
     def limited_servers(self) -> int:
         """The number of servers that name a limit."""
-        return sum(n != NO_LIMIT for n in self.limits_per_s.values())
+        return len(self.limited_names)
 
 
 __all__ = ["LimitController"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -17,6 +17,7 @@
 from sycamorestand_control.arrival_lender import ArrivalLender
 from sycamorestand_control.background import keep_running
 from sycamorestand_control.errors import ControlError
+from sycamorestand_control.failure_controller import FailureController
 from sycamorestand_control.formation import create_cluster
 from sycamorestand_control.groups import CONFIGURATION_GROUP
 from sycamorestand_control.groups import FIRST_LEDGER_GROUP
@@ -64,6 +65,7 @@
 from sycamorestand_peer.messages import ReplicaPayload
 from sycamorestand_peer.messages import SampleReport
 from sycamorestand_peer.messages import ServerEnded
+from sycamorestand_peer.messages import ServersSeen
 from sycamorestand_peer.messages import SessionsStay
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
@@ -139,6 +141,14 @@
             self.tables.servers,
             self._cold_limit_per_s,
         )
+        self.failures = FailureController(
+            self.mesh,
+            self.groups,
+            self.hub.attached_addresses,
+            self._other_controls,
+            self.tables.servers,
+            self.limits,
+        )
         self.parts = PartController(
             self.mesh,
             self.groups,
@@ -226,6 +236,7 @@
                 self.sessions.run,
                 self.parts.run,
                 self.limits.run,
+                self.failures.run,
                 self.balancer.run,
                 self.voter_watch.run,
                 *(writer.run for writer in self.ledger_writers),
@@ -361,6 +372,7 @@
             ArrivalTrade: self.lender.handle_trade,
             TokensWanted: self.limits.handle_wanted,
             TokensGranted: self.limits.handle_granted,
+            ServersSeen: self.failures.handle_seen,
             SharedRatings: self._handle_shared_ratings,
             LedgerBatch: self._handle_ledger_batch,
             ProposalForward: self._handle_forward,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -29,6 +29,7 @@
 from sycamorestand_entry.callers import Authenticator
 from sycamorestand_entry.loans import Loans
 from sycamorestand_entry.metrics import Metrics
+from sycamorestand_entry.outcome_reports import OutcomeReports
 from sycamorestand_entry.part_watch import PartWatch
 from sycamorestand_entry.rating import RatingClient
 from sycamorestand_entry.server_limits import ServerLimits
@@ -83,8 +84,13 @@
         self.server_limits = ServerLimits(
             control, self.metrics, self.now_s, self.random, self.server_loss
         )
+        self.outcome_reports = OutcomeReports(control)
         self.servers = Servers(
-            control, self.random, self.server_loss, self.server_limits.held
+            control,
+            self.random,
+            self.server_loss,
+            self.server_limits.held,
+            self.outcome_reports,
         )
         self.peer_entries = PeerEntries(
             settings.vm, settings.data_centre, self.random
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -98,6 +98,7 @@
                 group.start_soon(context.slots.run_periodic_update)
                 group.start_soon(context.server_watch.run)
                 group.start_soon(context.part_watch.run)
+                group.start_soon(context.outcome_reports.run)
                 group.start_soon(report_unreached, context)
                 group.start_soon(log_changes, context)
                 group.start_soon(_exit_after_stop, entry, server)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -13,6 +13,7 @@
 from sycamorestand_decisions.server_loss import ServerLoss
 from sycamorestand_entry.errors import NoBackendServer
 from sycamorestand_entry.errors import ServersLimited
+from sycamorestand_entry.outcome_reports import OutcomeReports
 from sycamorestand_model.in_force import takes_new_work
 
 if TYPE_CHECKING:
@@ -43,11 +44,13 @@
         random: Random,
         loss: ServerLoss | None = None,
         limits: HeldTokens | None = None,
+        outcomes: OutcomeReports | None = None,
     ) -> None:
         self._control = control
         self._random = random
         self._loss = loss or ServerLoss()
         self._limits = limits or HeldTokens()
+        self._outcomes = outcomes or OutcomeReports(control)
         self._selectors: dict[str, ServerSelector] = {}
         self._counts: dict[str, int] = {}
         self._first_seen: dict[str, tuple[int, int, float]] = {}
@@ -272,6 +275,7 @@
         outcome: Outcome,
     ) -> None:
         """Record the end of an attempt, its duration and its outcome."""
+        self._outcomes.record(name, outcome)
         self._selector(target).record_finish(name, now_s, latency_s, outcome)
 
     def record_brittle(
--- a/packages/sycamorestand-model/src/sycamorestand_model/entry_reports.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/entry_reports.py
@@ -28,6 +28,13 @@
     region: str = ""
 
 
+class ServerOutcomes(NamedTuple):
+    """How many requests to a server failed and succeeded since the last."""
+
+    failed: int
+    ok: int
+
+
 class VersionSample(NamedTuple):
     """The result of one attempt on a version, for roll-outs and cascades.
 
@@ -60,4 +67,4 @@
     rated: int
 
 
-__all__ = ["EntryAddress", "RatingCount", "VersionSample"]
+__all__ = ["EntryAddress", "RatingCount", "ServerOutcomes", "VersionSample"]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -42,6 +42,8 @@
 from sycamorestand_peer.messages import ReplicaPayload
 from sycamorestand_peer.messages import SampleReport
 from sycamorestand_peer.messages import ServerEnded
+from sycamorestand_peer.messages import ServersSeen
+from sycamorestand_peer.messages import ServersWatched
 from sycamorestand_peer.messages import SessionsStay
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
@@ -82,6 +84,8 @@
     30: TokensWanted,
     31: TokensGranted,
     32: LimitsNamed,
+    33: ServersSeen,
+    34: ServersWatched,
 }
 _IN_FORCE_DECODER: Final = msgspec.msgpack.Decoder(InForce)
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -7,6 +7,7 @@
 from sycamorestand_model.backend_servers import Announcement
 from sycamorestand_model.entry_reports import EntryAddress
 from sycamorestand_model.entry_reports import RatingCount
+from sycamorestand_model.entry_reports import ServerOutcomes
 from sycamorestand_model.prompt_parts import BlockedPart
 from sycamorestand_model.prompt_parts import CustomerPart
 from sycamorestand_model.prompt_parts import Suspect
@@ -288,6 +289,21 @@
     limits_per_s: dict[str, float]
 
 
+class ServersSeen(NamedTuple):
+    """How requests of an entry ended, by server, since its last report.
+
+    It holds servers that failed some, and those that are watched.
+    """
+
+    servers: dict[str, ServerOutcomes]
+
+
+class ServersWatched(NamedTuple):
+    """The servers of which entries shall tell successes too."""
+
+    servers: tuple[str, ...]
+
+
 class Relayed(NamedTuple):
     """A message between two processes that cannot reach each other.
 
@@ -340,6 +356,8 @@
     | TokensWanted
     | TokensGranted
     | LimitsNamed
+    | ServersSeen
+    | ServersWatched
     | ServerEnded
     | PartsReport
     | PartsWatched
@@ -374,6 +392,8 @@
     "ReplicaPayload",
     "SampleReport",
     "ServerEnded",
+    "ServersSeen",
+    "ServersWatched",
     "SessionsStay",
     "SharedRatings",
     "TableResync",
