--- a/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/part_model.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/decisions/part_model.py
@@ -36,7 +36,8 @@
 TICK_S: Final = 0.1
 LINK_S: Final = 0.02
 COMMIT_S: Final = 0.06
-SOUND_AFTER_S: Final = 0.05
+FIRST_EVENT_S: Final = 0.05
+# As long as a server has to live on for the answer to clear its parts.
 ANSWER_S: Final = 1.0
 MAX_ATTEMPTS: Final = 3
 MAX_BROKEN_STARTS: Final = 2
@@ -53,7 +54,8 @@
 
     ``is_guarded`` is false for the system without any blocks. With
     ``is_one_request`` all bad requests are the same, and their parts are
-    those of sound ones too.
+    those of sound ones too. Servers end ``ends_after_s`` after they have begun
+    to answer a bad request.
     """
 
     entries: int
@@ -65,6 +67,7 @@
     back_s: float = 3.0
     is_guarded: bool = True
     is_one_request: bool = False
+    ends_after_s: float = 0.0
 
     @property
     def ends(self) -> int:
@@ -105,7 +108,6 @@
         self.customer = customer
         self.broken_starts = 0
         self.attempts = 0
-        self.is_sound = False
         self.entry: _Entry
 
     @property
@@ -214,7 +216,9 @@
         server.running[id(request)] = request
         if request.is_bad:
             self.bad_sent_s.append(self.clock.now_s)
-        begin_s = self.clock.now_s + SOUND_AFTER_S
+        begin_s = self.clock.now_s + FIRST_EVENT_S
+        if request.is_bad:
+            begin_s += self.size.ends_after_s
         begin = partial(self._begin, request, server, server.boot)
         self.clock.call_at(begin_s, begin)
 
@@ -224,13 +228,6 @@
         if request.is_bad:
             self._end(server)
             return
-        request.is_sound = True
-        watched = request.entry.watched.parts
-        request.entry.sound |= {
-            CustomerPart(request.customer, part)
-            for part in request.parts
-            if part in watched
-        }
         end_s = self.clock.now_s + ANSWER_S
         self.clock.call_at(end_s, partial(self._answer, request, server, boot))
 
@@ -238,13 +235,17 @@
         if server.boot == boot and server.is_up:
             del server.running[id(request)]
             if not request.broken_starts:
-                self._note_whole(request)
+                self._note_sound(request)
             self._finish(request, True)
 
-    def _note_whole(self, request: _Request) -> None:
-        if request.whole in request.entry.watched.parts:
-            sound = CustomerPart(request.customer, request.whole)
-            request.entry.sound.add(sound)
+    def _note_sound(self, request: _Request) -> None:
+        """Record what the answer clears, as its server has lived on."""
+        watched = request.entry.watched.parts
+        request.entry.sound |= {
+            CustomerPart(request.customer, part)
+            for part in (*request.parts, request.whole)
+            if part in watched
+        }
 
     def _finish(self, request: _Request, is_whole: bool) -> None:
         if not request.is_bad:
@@ -258,9 +259,8 @@
         for request in broken.values():
             told = request.entry.ended.setdefault(key, Counter())
             told[request.customer, request.whole] += 1
-            if not request.is_sound:
-                request.broken_starts += 1
-                told.update((request.customer, p) for p in request.parts)
+            request.broken_starts += 1
+            told.update((request.customer, p) for p in request.parts)
             if request.broken_starts < MAX_BROKEN_STARTS:
                 self._send(request)
             else:
--- a/packages/sycamorestand-bench/tests/decisions/test_part_model.py
+++ b/packages/sycamorestand-bench/tests/decisions/test_part_model.py
@@ -26,6 +26,17 @@
         assert 0.0 < figures.blocked_after_s < 3.0
         assert figures.entry_bytes_per_s < MAX_BYTES_PER_S
 
+    @pytest.mark.parametrize("size", [TODAY, TARGET], ids=["10", "330"])
+    @pytest.mark.parametrize("seed", range(3))
+    def test_servers_that_end_after_events_count(
+        self, size: PartSize, seed: int
+    ) -> None:
+        """Some events of an answer cleared the part that ends its server."""
+        after_events = size._replace(ends_after_s=0.3)
+        figures = simulate_parts(after_events, seed)
+        assert figures.sent_late <= MAX_SENT_LATE
+        assert 0.0 < figures.blocked_after_s < 3.0
+
     @pytest.mark.parametrize("size", [TODAY, TARGET], ids=["10", "330"])
     def test_many_are_sent_late_without_blocks(self, size: PartSize) -> None:
         figures = simulate_parts(size._replace(is_guarded=False), 1)
