--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
@@ -25,7 +25,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections import defaultdict
 from collections import OrderedDict
 import math
@@ -33,16 +32,18 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.end_records import EndRecord
+from sycamorestand_decisions.end_records import EndReport
 from sycamorestand_decisions.ending_requests import find_ending_requests
 from sycamorestand_decisions.ending_requests import requests_at_several_ends
 from sycamorestand_decisions.ending_requests import ServerEnd
 from sycamorestand_model.prompt_parts import CustomerPart
-from sycamorestand_model.request_digest import is_request
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from sycamorestand_decisions.end_records import Server
     from sycamorestand_model.prompt_parts import BlockedPart
     from sycamorestand_model.prompt_parts import Suspect
 
@@ -54,24 +55,15 @@
 FURTHER_ENDS: Final = 2
 # Time for entries to tell that a watched part is answered.
 WATCH_S: Final = 0.5
-# Time for all entries to tell what they had at a server that ended.
-SETTLE_S: Final = 0.3
 # A part explains the ends about as well as another one if it was in this
 # share of them: what one entry knew may be missing.
 SIMILAR_SHARE: Final = 0.8
 MAX_ENDS: Final = 256
 MAX_END_AGE_S: Final = 3600.0
-MAX_PARTS_PER_END: Final = 64
-MAX_PARTS_PER_CUSTOMER: Final = 24
-MAX_REQUESTS_PER_END: Final = 128
-MAX_REQUESTS_PER_CUSTOMER: Final = 96
-MAX_REPORTERS: Final = 64
 MAX_WATCHED: Final = 128
 # Longer than any of the times above.
 RECENT_S: Final = 2.0
 
-Server = tuple[str, int]
-
 
 class Blame(NamedTuple):
     """A part to refuse, with the servers that ended under it.
@@ -87,96 +79,6 @@
     is_certain: bool = False
 
 
-class EndReport(NamedTuple):
-    """What the entry ``reporter`` had at a server that ended."""
-
-    server: Server
-    reporter: str
-    suspects: tuple[Suspect, ...]
-
-
-class _End:
-    """One server that ended, with what each entry had there."""
-
-    def __init__(self, at_s: float) -> None:
-        self.at_s = at_s
-        self.cleared: set[CustomerPart] = set()
-        self._held: dict[CustomerPart, dict[tuple[str, bool], Suspect]] = {}
-        # The requests with each part, by whether the server had begun them.
-        self._requests: dict[bool, Counter[CustomerPart]] = {
-            True: Counter(),
-            False: Counter(),
-        }
-        # The copies of each whole request, begun or not.
-        self._whole: Counter[CustomerPart] = Counter()
-
-    @property
-    def parts(self) -> Iterable[CustomerPart]:
-        return self._held.keys()
-
-    def add(self, reporter: str, suspect: Suspect) -> bool:
-        """Add a suspect; return whether it tells anything new."""
-        key = CustomerPart(suspect.customer, suspect.part)
-        reports = self._held.get(key)
-        if reports is None:
-            if not self._has_room(key):
-                return False
-            reports = self._held.setdefault(key, {})
-        source = (reporter, suspect.is_begun)
-        known = reports.get(source)
-        if known == suspect or len(reports) >= MAX_REPORTERS:
-            return False
-        reports[source] = suspect
-        counted = known.requests if known is not None else 0
-        counter = self._requests[suspect.is_begun]
-        if is_request(key.part):
-            counter = self._whole
-        counter[key] += suspect.requests - counted
-        return True
-
-    def _has_room(self, new: CustomerPart) -> bool:
-        is_whole = is_request(new.part)
-        kin = len(self._whole)
-        if not is_whole:
-            kin = len(self._held) - kin
-        if kin >= (MAX_REQUESTS_PER_END if is_whole else MAX_PARTS_PER_END):
-            return False
-        own = sum(
-            key.customer == new.customer and is_request(key.part) == is_whole
-            for key in self._held
-        )
-        if is_whole:
-            return own < MAX_REQUESTS_PER_CUSTOMER
-        return own < MAX_PARTS_PER_CUSTOMER
-
-    def suspects(self, now_s: float) -> dict[CustomerPart, int]:
-        """Return the parts that may be to blame, with their requests.
-
-        Where the server had begun to answer requests, it is one of those.
-        """
-        found = self._requests[True]
-        if not found and now_s - self.at_s >= SETTLE_S:
-            found = self._requests[False]
-        return {k: n for k, n in found.items() if k not in self.cleared}
-
-    def whole_requests(self) -> dict[CustomerPart, int]:
-        """Return the requests that may be to blame, begun or not."""
-        return {k: n for k, n in self._whole.items() if k not in self.cleared}
-
-    def reports(self, server: Server) -> list[EndReport]:
-        """Return all that entries have told of parts that are not cleared."""
-        by_reporter: dict[str, list[Suspect]] = defaultdict(list)
-        for key, reports in self._held.items():
-            if key in self.cleared:
-                continue
-            for (reporter, _), suspect in reports.items():
-                by_reporter[reporter].append(suspect)
-        return [
-            EndReport(server, reporter, tuple(suspects))
-            for reporter, suspects in by_reporter.items()
-        ]
-
-
 class _Count:
     """The ends under one part.
 
@@ -224,7 +126,7 @@
     """
 
     def __init__(self) -> None:
-        self._ends: OrderedDict[Server, _End] = OrderedDict()
+        self._ends: OrderedDict[Server, EndRecord] = OrderedDict()
         self._watched_since_s: dict[str, float] = {}
         self._changed_s = -math.inf
 
@@ -246,7 +148,7 @@
         end = self._ends.get(server)
         is_new = end is None
         if end is None:
-            end = _End(now_s)
+            end = EndRecord(now_s)
             self._ends[server] = end
             self._drop_old(now_s)
         added = [end.add(reporter, suspect) for suspect in suspects]
