--- a/packages/sycamorestand-decisions/tests/test_ending_requests.py
+++ b/packages/sycamorestand-decisions/tests/test_ending_requests.py
@@ -9,10 +9,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sycamorestand_decisions.end_records import MAX_REQUESTS_PER_CUSTOMER
+from sycamorestand_decisions.end_records import MAX_REQUESTS_PER_END
 from sycamorestand_decisions.ending_parts import EndingParts
 from sycamorestand_decisions.ending_parts import MAX_ENDS
-from sycamorestand_decisions.ending_parts import MAX_REQUESTS_PER_CUSTOMER
-from sycamorestand_decisions.ending_parts import MAX_REQUESTS_PER_END
 from sycamorestand_decisions.ending_requests import find_ending_requests
 from sycamorestand_decisions.ending_requests import REQUEST_ENDS
 from sycamorestand_decisions.ending_requests import ServerEnd
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -11,6 +11,7 @@
 from sycamorestand_entry.gate import check_routed_dispatch
 from sycamorestand_entry.gate import may_never_try
 from sycamorestand_entry.gate import RoutedIntent
+from sycamorestand_entry.routed.attempt_samples import AttemptSamples
 from sycamorestand_entry.routed.call import PROCESS_ENDS
 from sycamorestand_entry.routed.decision_log import AttemptEnded
 from sycamorestand_entry.routed.decision_log import MovedOn
@@ -22,8 +23,6 @@
 from sycamorestand_entry.routed.messages import rejection_reason
 from sycamorestand_entry.routed.messages import says_not_run
 from sycamorestand_entry.routed.messages import WholeAnswer
-from sycamorestand_entry.routed.pace import InitialPace
-from sycamorestand_entry.routed.pace import PACE_CLASS
 from sycamorestand_entry.routed.pace import RecentPace
 from sycamorestand_entry.routed.prompt_attempt import blocked_parts
 from sycamorestand_entry.routed.prompt_attempt import PromptAttempt
@@ -36,7 +35,6 @@
 from sycamorestand_entry.upstream import SilentConnection
 from sycamorestand_entry.upstream import UpstreamError
 from sycamorestand_model.declarations import VERSION_SEPARATOR
-from sycamorestand_model.entry_reports import VersionSample
 
 if TYPE_CHECKING:
     from sycamorestand_decisions.selection import Outcome
@@ -52,6 +50,7 @@
 
 BODILESS_STATUSES: Final = frozenset({204, 304})
 MAX_DIGITS: Final = 9
+FAILURES: Final = frozenset({"error", "timeout"})
 
 
 class ForwardingRefused(Exception):
@@ -87,8 +86,12 @@
         self._outcome: Outcome = "cancelled"
         self.begin_s = 0.0
         self._head_received_s = 0.0
-        self._reported = False
-        self._pace = InitialPace()
+        self._samples = AttemptSamples(
+            context.control,
+            destination.target,
+            call.route.name,
+            self.is_forwarded,
+        )
         self._recent_pace = RecentPace()
         self._closed = False
         self._was_queued = False
@@ -120,7 +123,7 @@
                 record_blocked(self._context.part_watch, self._call)
             raise refusal
         self._prompt.use_trials()
-        self.begin_s = time.monotonic()
+        self.begin_s = self._samples.begin_s = time.monotonic()
         self.connection.send(
             self._start(),
             self._call.method == b"HEAD",
@@ -403,7 +406,7 @@
             now_s - self.begin_s,
         )
         if self._call.route.kind == "stream":
-            self._report_attempt(failed=False)
+            self._samples.report(False, self._first_byte_s())
 
     def record_events(self, count: int) -> None:
         """Record events and, once there are enough, the pause between them.
@@ -414,9 +417,7 @@
         between events depends on neither the prompt nor the queue.
         """
         now_s = time.monotonic()
-        pause_ms = self._pace.add(count, now_s)
-        if pause_ms is not None and not self.is_forwarded:
-            self._send_sample(PACE_CLASS, False, pause_ms)
+        self._samples.report_pace(count, now_s)
         pause_s = self._recent_pace.add(count, now_s)
         self._prompt.record_events(self.event_count, now_s)
         if pause_s is not None:
@@ -443,7 +444,8 @@
                 self.event_count,
             )
         )
-        self._report_end()
+        if not self._left_early or self._outcome not in FAILURES:
+            self._samples.report_end(self._outcome, self._first_byte_s())
         self._prompt.record_end(
             self.destination.server, self._status, self.has_begun
         )
@@ -464,45 +466,9 @@
             "cancelled" if self._was_queued else self._outcome,
         )
 
-    def _report_end(self) -> None:
-        """Report a failure, or a success that is not reported yet.
-
-        Refusals by a full server and attempts that ended early do not count
-        for the version.
-        """
-        if self._outcome in ("error", "timeout"):
-            if not self._left_early:
-                self._report_attempt(failed=True)
-        elif self._outcome != "overloaded" and not self._reported:
-            self._report_attempt(failed=False)
-
-    def _report_attempt(self, failed: bool) -> None:
-        """Report this attempt as a sample of its version.
-
-        Each attempt is a sample of its own, since a retry hides the failure
-        of a bad version from the caller. A stream is reported at its first
-        event, since its end comes seconds too late to stop a roll-out.
-        """
-        if self.is_forwarded or (not self._head_received_s and not failed):
-            return
-        self._reported = True
-        first_s = (self._head_received_s or time.monotonic()) - self.begin_s
-        self._send_sample(self._call.route.name, failed, first_s * 1000)
-
-    def _send_sample(
-        self, request_class: str, failed: bool, latency_ms: float
-    ) -> None:
-        self._context.control.report(
-            VersionSample(
-                self.destination.target,
-                request_class,
-                failed,
-                latency_ms,
-                (time.monotonic() - self.begin_s) * 1000,
-                None,
-                0,
-            )
-        )
+    def _first_byte_s(self) -> float:
+        """Return when the answer's head came, 0 if it did not."""
+        return self._head_received_s and self._head_received_s - self.begin_s
 
 
 __all__ = ["Exchange", "ForwardingRefused"]
