An entry whose own links heal holds no server to be cold

A server that is reached again may have started again and is presumed cold. Where most servers were out of reach the entry's own links were down, and its callers would wait for tokens of servers that are warm.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
@@ -78,6 +78,11 @@
         """The addresses that refused the last dial."""
         return frozenset(self._refusing)
 
+    @property
+    def unreachable_count(self) -> int:
+        """The number of servers that are unreachable."""
+        return len(self._lost | self._refusing)
+
     @property
     def has_unreachable(self) -> bool:
         """Whether any server is unreachable."""
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_limits.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_limits.py
@@ -46,6 +46,7 @@
 MAX_SERVERS_ASKED: Final = 16
 MAX_LIMIT_CHARACTERS: Final = 12
 MAX_LOGGED_SERVERS: Final = 8
+NOTHING_RETURNED: Final[frozenset[str]] = frozenset()
 OK: Final = 200
 # The name on answers to the project's own interface.
 LIMIT_HEADER: Final = b"x-server-limit"
@@ -110,7 +111,7 @@
         now_s = self._now_s()
         servers = self._control.backend_servers()
         in_force = self._control.in_force()
-        returned = self._loss.take_returned()
+        returned = self._take_returned(len(servers))
         drained = frozenset(in_force.draining_data_centres)
         taken_back = self._drained - drained
         is_news = servers is not self._seen_servers
@@ -136,6 +137,16 @@
         self.held.set_cold(cold_until_s)
         self._log_cold(set(cold_until_s))
 
+    def _take_returned(self, servers: int) -> frozenset[str]:
+        """Return the addresses of servers that may have started again.
+
+        Where most servers were out of reach, the entry's own links were down,
+        and its callers would wait for tokens of servers that are warm.
+        """
+        returned = self._loss.take_returned()
+        gone = len(returned) + self._loss.unreachable_count
+        return returned if 2 * gone <= servers else NOTHING_RETURNED
+
     def _log_cold(self, cold: set[str]) -> None:
         """Log the servers that have turned cold."""
         added = sorted(cold - self._logged_cold)
--- a/packages/sycamorestand-entry/tests/test_server_limits.py
+++ b/packages/sycamorestand-entry/tests/test_server_limits.py
@@ -20,6 +20,9 @@
 from sycamorestand_entry.server_limits import ASK_INTERVAL_PER_ENTRY_S
 from sycamorestand_entry.server_limits import ASK_INTERVAL_S
 from sycamorestand_entry.server_limits import MAX_WAIT_S
+from sycamorestand_entry.server_limits import ServerLimits
+from sycamorestand_model.backend_servers import Announcement
+from sycamorestand_model.declarations import Service
 from sycamorestand_peer.messages import LimitsNamed
 from sycamorestand_peer.messages import TokensGranted
 from sycamorestand_peer.messages import TokensWanted
@@ -209,3 +212,51 @@
         assert refused.json()["error"]["run"] == "not_run"
         assert served.status == 200
         assert len(service.records) == 1
+
+
+class TestCold:
+    def scene(self, loopback: RoutedLoopback, servers: int) -> ServerLimits:
+        """Return the limits of an entry whose service declares a cold rate."""
+        control = loopback.control
+        declared = control.configuration.declarations
+        service = Service("stock", cold_requests_per_s=2.0)
+        control.configuration = control.configuration._replace(
+            declarations=declared._replace(
+                services={**declared.services, "stock": service}
+            )
+        )
+        control.servers = {
+            f"s-{n}": Announcement(
+                f"s-{n}", "service", f"10.0.0.{n}:80", "hall", 1, 1, ("stock",)
+            )
+            for n in range(servers)
+        }
+        limits = loopback.entry.context.server_limits
+        limits.sync_cold()
+        return limits
+
+    async def test_server_that_is_reached_again_is_presumed_cold(self) -> None:
+        """It had started again, and looked idle to every entry."""
+        async with start_routed() as loopback:
+            limits = self.scene(loopback, 4)
+            loss = loopback.entry.context.server_loss
+            loss.record_refused_dial("10.0.0.1:80")
+            loss.record_accepted_dial("10.0.0.1:80")
+            limits.sync_cold()
+            now_s = loopback.entry.context.now_s()
+            names = list(loopback.control.servers)
+            assert limits.held.closed(names, now_s) == ["s-1"]
+            assert limits.held.closed(names, now_s + 5.0) == []
+
+    async def test_links_of_the_entry_that_heal_make_no_server_cold(
+        self,
+    ) -> None:
+        """Its callers waited for tokens of servers that were warm."""
+        async with start_routed() as loopback:
+            limits = self.scene(loopback, 4)
+            loss = loopback.entry.context.server_loss
+            for number in range(4):
+                loss.record_refused_dial(f"10.0.0.{number}:80")
+            loss.record_accepted_dial("10.0.0.1:80")
+            limits.sync_cold()
+            assert not limits.held.has_limited(loopback.entry.context.now_s())
