A server that fails most requests is found, not one that fails nearly all

Now half of eight or more requests; a service's usual 14 in 100 failures stay far below. Nothing is computed while nothing is told.

--- a/packages/sycamorestand-control/src/sycamorestand_control/failure_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/failure_controller.py
@@ -1,4 +1,4 @@
-"""Takes servers out that fail nearly all requests, by all entries' reports.
+"""Takes servers out that fail most requests, by all entries' reports.
 
 Every control process gathers what entries tell and asks its own for more. The
 leader alone decides, and limits such a server as one that names a limit, so
@@ -38,7 +38,7 @@
 
 
 class FailureController:
-    """Gathers failures, and limits servers that fail nearly everything.
+    """Gathers failures, and limits servers that fail most requests.
 
     ``entries`` and ``others`` return the peer addresses of the entries
     attached here and of the other control processes.
@@ -81,6 +81,8 @@
 
     def check(self, now_s: float) -> None:
         """Tell the entries what to watch and, while leading, decide."""
+        if self._failing.is_empty and self._sent == NOTHING_WATCHED:
+            return
         services = {
             name: server.versions[0].partition(VERSION_SEPARATOR)[0]
             for name, server in self._servers().items()
@@ -93,7 +95,7 @@
         limited = self._limits.limited_names
         for server in self._failing.find(services, limited, now_s):
             LOG.warning(
-                "backend server fails nearly all requests",
+                "backend server fails most requests",
                 extra={"backend_server": server, "probes_per_s": PROBES_PER_S},
             )
             self._limits.limit(server, PROBES_PER_S)
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/failing_servers.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/failing_servers.py
@@ -1,4 +1,4 @@
-"""Find servers that fail nearly all requests, from what all entries see.
+"""Find servers that fail most requests, from what all entries see.
 
 A server may say that it is well and fail every request. Each entry finds out
 by itself, after some failures in a row. Where a service has few requests and
@@ -7,7 +7,7 @@
 
 The outcomes at all entries are therefore added up. After a few failures all
 entries are asked for failures and successes at that server: those that saw a
-failure would tell of few successes. A server that fails nearly all of several
+failure would tell of few successes. A server that fails most of several
 requests gets one now and then from one entry, in place of some from each,
 until it answers again. A part of a service's servers only is taken out: if
 more of them fail, the cause lies elsewhere.
@@ -29,7 +29,8 @@
 WINDOW_S: Final = 3.0
 FAILURES_TO_WATCH: Final = 2
 FAILURES: Final = 5
-FAILING_SHARE: Final = 0.8
+MIN_REQUESTS: Final = 8
+FAILING_SHARE: Final = 0.5
 MAX_SHARE: Final = 1 / 3
 # For all entries to hear what is watched, and to tell of it.
 SETTLE_S: Final = 0.5
@@ -50,10 +51,10 @@
 
     >>> failing = FailingServers()
     >>> services = {"s-1": "stock", "s-2": "stock", "s-3": "stock"}
-    >>> for number in range(9):
+    >>> for number in range(12):
     ...     failing.record("s-1", ServerOutcomes(1, 0), number / 5)
     ...     watched = failing.watch(services, number / 5)
-    >>> watched, failing.find(services, set(), 1.6)
+    >>> watched, failing.find(services, set(), 2.2)
     (('s-1',), ['s-1'])
     """
 
@@ -61,6 +62,11 @@
         self._told: dict[str, deque[_Told]] = {}
         self._watched_s: dict[str, float] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing was told lately."""
+        return not self._told and not self._watched_s
+
     def record(
         self, server: str, outcomes: ServerOutcomes, now_s: float
     ) -> None:
@@ -132,7 +138,9 @@
 
 def _fails(seen: ServerOutcomes) -> bool:
     total = seen.failed + seen.ok
-    return seen.failed >= FAILURES and seen.failed >= FAILING_SHARE * total
+    if seen.failed < FAILURES or total < MIN_REQUESTS:
+        return False
+    return seen.failed >= FAILING_SHARE * total
 
 
 __all__ = ["FailingServers", "PROBES_PER_S", "SETTLE_S", "WINDOW_S"]
