--- /dev/null
+++ b/packages/sycamorestand-model/src/sycamorestand_model/server_loads.py
@@ -0,0 +1,49 @@
+"""Load of backend servers, from their answers and from all entries."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class LoadHeader(NamedTuple):
+    """The load that a server states in the head of an answer.
+
+    ``running`` and ``waiting`` count requests of all entries, ``slots`` is
+    how many it runs at once. ``slowness`` is how long work takes on its
+    machine now, as a multiple of the usual time; 0.0 if it does not tell.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = 0.0
+
+
+class EntryLoad(NamedTuple):
+    """What one entry knows of one server.
+
+    ``header`` is the newest load that the server stated, None if there is
+    none, and ``age_s`` its age. ``requests`` and ``tokens`` are the entry's
+    own work in flight there; tokens are those of prompts and answers.
+    """
+
+    header: LoadHeader | None
+    age_s: float
+    requests: int
+    tokens: int
+
+
+class SharedLoad(NamedTuple):
+    """What all entries together know of one server.
+
+    ``requests`` and ``tokens`` are sums over the entries. The newest
+    ``header`` of any of them is ``age_s`` old.
+    """
+
+    header: LoadHeader | None
+    age_s: float
+    requests: int
+    tokens: int
+
+
+__all__ = ["EntryLoad", "LoadHeader", "SharedLoad"]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -26,6 +26,7 @@
 from sycamorestand_peer.messages import ControlList
 from sycamorestand_peer.messages import EndsWanted
 from sycamorestand_peer.messages import EntryCount
+from sycamorestand_peer.messages import EntryLoads
 from sycamorestand_peer.messages import Heartbeat
 from sycamorestand_peer.messages import JoinRequest
 from sycamorestand_peer.messages import LeaseDenied
@@ -45,6 +46,7 @@
 from sycamorestand_peer.messages import ServersSeen
 from sycamorestand_peer.messages import ServersWatched
 from sycamorestand_peer.messages import SessionsStay
+from sycamorestand_peer.messages import SharedLoads
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
@@ -86,6 +88,8 @@
     32: LimitsNamed,
     33: ServersSeen,
     34: ServersWatched,
+    35: EntryLoads,
+    36: SharedLoads,
 }
 _IN_FORCE_DECODER: Final = msgspec.msgpack.Decoder(InForce)
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -11,6 +11,8 @@
 from sycamorestand_model.prompt_parts import BlockedPart
 from sycamorestand_model.prompt_parts import CustomerPart
 from sycamorestand_model.prompt_parts import Suspect
+from sycamorestand_model.server_loads import EntryLoad
+from sycamorestand_model.server_loads import SharedLoad
 
 
 class Heartbeat(NamedTuple):
@@ -304,6 +306,28 @@
     servers: tuple[str, ...]
 
 
+class EntryLoads(NamedTuple):
+    """What an entry tells its control process of the servers' load.
+
+    It holds the servers by name of which the entry has news. One at which
+    it has no request any more is told once.
+    """
+
+    loads: dict[str, EntryLoad]
+
+
+class SharedLoads(NamedTuple):
+    """The load of servers, summed over entries, by server name.
+
+    A control process sends it to its entries. With ``is_partial`` it goes
+    to the other control processes and holds the sums of the sender's
+    entries alone.
+    """
+
+    loads: dict[str, SharedLoad]
+    is_partial: bool = False
+
+
 class Relayed(NamedTuple):
     """A message between two processes that cannot reach each other.
 
@@ -362,6 +386,8 @@
     | PartsReport
     | PartsWatched
     | EndsWanted
+    | EntryLoads
+    | SharedLoads
 )
 
 __all__ = [
@@ -376,6 +402,7 @@
     "ControlList",
     "EndsWanted",
     "EntryCount",
+    "EntryLoads",
     "Heartbeat",
     "JoinRequest",
     "LeaseDenied",
@@ -395,6 +422,7 @@
     "ServersSeen",
     "ServersWatched",
     "SessionsStay",
+    "SharedLoads",
     "SharedRatings",
     "TableResync",
     "TableUpdate",
