--- a/packages/sycamorestand-model/src/sycamorestand_model/server_loads.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/server_loads.py
@@ -46,4 +46,24 @@
     tokens: int
 
 
-__all__ = ["EntryLoad", "LoadHeader", "SharedLoad"]
+class ObservedLoad(NamedTuple):
+    """What an entry knows of one server when it chooses one.
+
+    ``header`` is the newest load that the server stated to this or another
+    entry. ``usual_slowness`` is its slowness apart from short disturbances,
+    0.0 if it does not tell. ``own_requests`` and ``own_tokens`` are this
+    entry's work in flight there, ``others_requests`` and ``others_tokens``
+    that of all others; ``others_age_s`` is infinite while they are unknown.
+    """
+
+    header: LoadHeader | None
+    header_age_s: float
+    usual_slowness: float
+    own_requests: int
+    own_tokens: int
+    others_requests: int
+    others_tokens: int
+    others_age_s: float
+
+
+__all__ = ["EntryLoad", "LoadHeader", "ObservedLoad", "SharedLoad"]
