Requests of equal customers are told apart by their route's priority

Cause: a customer's priority goes before that of the route, and where all customers have the same one every request has it. On both new deployments all requests with a key have priority 1, whatever their route says, so that a decision by priority would decide nothing.

Change: the pairs of customer's and route's priority that are declared are numbered in their order; a call has the number as its urgency. Nothing uses it yet.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -59,9 +59,11 @@
 from sycamorestand_entry.routed.targets import choose_target
 from sycamorestand_entry.routed.targets import record_session
 from sycamorestand_entry.routed.whole_answers import read_whole_answer
+from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.prompt_parts import tracked_parts
 from sycamorestand_model.request_digest import RequestContent
 from sycamorestand_model.route_table import RouteTable
+from sycamorestand_model.urgency import UrgencyLevels
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
@@ -83,8 +85,20 @@
 
 
 class _CachedRoutes(NamedTuple):
+    """What is worked out once for each revision of the configuration."""
+
     revision: int
     routes: RouteTable
+    urgency: UrgencyLevels
+
+
+class _Caller(NamedTuple):
+    """Whose request it is; the fields are those of `RoutedCall`."""
+
+    customer: str
+    priority: int
+    weight: float
+    urgency: int
 
 
 class RoutedEntry:
@@ -95,7 +109,9 @@
     ) -> None:
         self._context = context
         self._header_names = header_names
-        self._cached_routes = _CachedRoutes(-1, RouteTable({}))
+        self._cached_routes = _CachedRoutes(
+            -1, RouteTable({}), UrgencyLevels(Declarations())
+        )
 
     async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
         extensions = scope["extensions"]
@@ -197,10 +213,8 @@
             )
         route = self._find_route(in_force, values, scope["raw_path"])
         log.route = route
-        customer, priority, weight = self._identify_customer(
-            in_force, route, values
-        )
-        log.customer = customer
+        caller = self._identify_caller(in_force, route, values)
+        log.customer = caller.customer
         deadline_at_s = read_deadline_s(
             values, self._header_names, route, received_s
         )
@@ -218,7 +232,7 @@
         )
         body = await _read_body_before(deadline_at_s, request, limit_bytes)
         content = RequestContent(
-            customer,
+            caller.customer,
             scope["method"].encode(),
             values.get(b"host", b""),
             scope["extensions"][TARGET],
@@ -226,9 +240,9 @@
         )
         call = RoutedCall(
             route,
-            customer,
-            priority,
-            weight,
+            caller.customer,
+            caller.priority,
+            caller.weight,
             content.method,
             content.target,
             values.get(self._header_names.attempt, b""),
@@ -241,10 +255,11 @@
             self._context.stop_deadline_s,
             RequestParts(
                 content,
-                tracked_parts(customer, parts[:-1]),
+                tracked_parts(caller.customer, parts[:-1]),
                 self._context.control.in_force,
             ),
             prompt_parts=parts,
+            urgency=caller.urgency,
         )
         log.shared_parts = parts[:-1]
         return self._with_forwarded_attempt(call)
@@ -326,8 +341,12 @@
         self, in_force: InForce, values: dict[bytes, bytes], raw_path: bytes
     ) -> Route:
         if self._cached_routes.revision != in_force.revision:
-            routes = RouteTable(in_force.declarations.routes)
-            self._cached_routes = _CachedRoutes(in_force.revision, routes)
+            declarations = in_force.declarations
+            self._cached_routes = _CachedRoutes(
+                in_force.revision,
+                RouteTable(declarations.routes),
+                UrgencyLevels(declarations),
+            )
         host = values.get(b"host", b"").decode("latin-1")
         route = self._cached_routes.routes.find(
             host, raw_path.decode("latin-1")
@@ -336,16 +355,19 @@
             raise UnknownPath("no route leads there")
         return route
 
-    def _identify_customer(
+    def _identify_caller(
         self, in_force: InForce, route: Route, values: dict[bytes, bytes]
-    ) -> tuple[str, int, float]:
+    ) -> _Caller:
+        levels = self._cached_routes.urgency
         if route.public or not in_force.declarations.customers:
-            return ANONYMOUS, route.priority, 1.0
+            urgency = levels.level(None, route)
+            return _Caller(ANONYMOUS, route.priority, 1.0, urgency)
         customer = self._context.authenticator.customer(values, in_force)
         priority = customer.priority
         if priority is None:
             priority = route.priority
-        return customer.name, priority, customer.weight
+        urgency = levels.level(customer, route)
+        return _Caller(customer.name, priority, customer.weight, urgency)
 
     async def _run(self, call: RoutedCall, responder: Responder) -> None:
         context = self._context
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
@@ -39,7 +39,8 @@
     ``forwarded`` is the attempt to make if another entry sent the call.
     ``prompt_parts`` names the parts of the prompt in their order; the last
     one belongs to this request or its session alone. ``parts`` are the names
-    by which control knows the request.
+    by which control knows the request. ``urgency`` is the level of the
+    request among all that are declared, 0 the most urgent.
     """
 
     route: Route
@@ -59,6 +60,7 @@
     parts: RequestParts
     forwarded: ForwardedAttempt | None = None
     prompt_parts: tuple[str, ...] = ()
+    urgency: int = 0
 
     @property
     def may_repeat(self) -> bool:
