Further attempts where they are worth most

Escalations and moves took the service's further arrivals in the order in which they occurred, so moves that save a tenth of a second left none for answers that are almost surely too poor. Each now leaves a reserve by its value, only urgent requests move before 0.25 s, and the strain of an escalation is weighted by its prefill at the larger model.

NotImproved has the figures that decided, and further_attempts_total counts the decisions by kind and bound.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
@@ -48,8 +48,8 @@
 ENTRIES_SHARE: Final = 0.5
 POOLED_SHARE: Final = 0.25
 REFILLED_SHARE: Final = 0.2
-# Share of the kept budget that is reserved for arrivals without which a caller
-# would get no answer.
+# Share of the kept budget above one arrival, up to which an entry borrows. The
+# largest reserve of an escalation (`further_attempts`) is the same share.
 URGENT_SHARE: Final = 0.25
 MAX_SERVICES: Final = 256
 # A busy entry spends several arrivals between two trades.
@@ -147,17 +147,20 @@
         self._account(service).left -= 1
         return True
 
-    def has_spare(self, service: str, entries: int, now_s: float) -> bool:
-        """Return whether more is left than the reserve for urgent arrivals.
+    def has_spare(
+        self, service: str, entries: int, now_s: float, reserve: float
+    ) -> bool:
+        """Return whether an arrival may be spent that leaves ``reserve``.
 
+        The reserve is a share of what may be kept above one arrival.
         Escalations and moves to another server improve an answer or its
         latency. Under overload they would use up the budget that other
-        requests need to get an answer at all.
+        requests need to get an answer at all, or that is worth more to them.
         """
         if not self._allowance.ratio:
             return True
         share = self.share(service, entries, now_s)
-        return share.left >= _spare_threshold(share.most)
+        return share.left >= _spare_threshold(share.most, reserve)
 
     def share(self, service: str, entries: int, now_s: float) -> Share:
         """Return the current state of this entry's part of the budget."""
@@ -197,7 +200,7 @@
         for service, account in self._accounts.items():
             share = self.share(service, entries, now_s)
             kept = self._max_kept(share.first)
-            spare_threshold = _spare_threshold(share.most)
+            spare_threshold = _spare_threshold(share.most, URGENT_SHARE)
             lacks_spare = share.left < spare_threshold
             if lacks_spare and (service == needed or kept > spare_threshold):
                 level = max(spare_threshold, kept / 2)
@@ -286,17 +289,20 @@
         return self.given + self.asked + unanswered
 
 
-def _spare_threshold(most: float) -> float:
+def _spare_threshold(most: float, reserve: float) -> float:
     """Return the least amount left at which spare arrivals may be spent."""
-    return 1 + URGENT_SHARE * (most - 1)
+    return 1 + reserve * (most - 1)
 
 
 __all__ = [
     "Allowance",
     "ArrivalBudget",
     "EARNED_SHARE",
+    "ENTRIES_SHARE",
+    "KEPT_SHARE",
     "POOLED_SHARE",
     "REFILLED_SHARE",
     "Share",
     "Trade",
+    "URGENT_SHARE",
 ]
--- /dev/null
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/further_attempts.py
@@ -0,0 +1,104 @@
+"""Which further attempts of a request are worth the arrivals they spend.
+
+One of about a hundred entries gets three requests a second of a service and
+keeps at most five further arrivals (`arrivals`). In a burst, half of the
+answers have low confidence, and many requests wait a few tenths of a second
+for their first event. If escalations and moves to another server take the
+arrivals in the order in which they occur, moves that save little time leave
+none for answers that are almost surely too poor.
+
+Each kind of improvement therefore leaves a reserve of its own, a share of what
+the entry may keep above one arrival. An escalation leaves the less, the lower
+the confidence of the answer that it replaces. A move leaves more than any
+escalation, unless its request is urgent. Attempts without which a caller gets
+no answer leave no reserve.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from sycamorestand_decisions.size_ladder import ACCEPT_CONFIDENCE
+
+URGENT_PRIORITY: Final = 0
+# Reserve of an escalation whose answer is nearly good enough. An escalation at
+# confidence 0 has no reserve: such an answer is worth little more than none.
+MAX_CLIMB_RESERVE: Final = 0.25
+MOVE_RESERVE: Final = 0.5
+URGENT_MOVE_RESERVE: Final = 0.25
+# The time to the first event varies by this much at healthy servers.
+MIN_EARLY_WAIT_S: Final = 0.25
+# A larger model delays other requests noticeably if it reads the prompt for
+# this share of the target.
+FULL_WORK_SHARE: Final = 0.05
+# An urgent request escalates at this multiple of the delay at which other
+# requests do.
+URGENT_STRAIN_FACTOR: Final = 2.0
+
+
+def climb_reserve(confidence: int) -> float:
+    """Return the share of the budget that an escalation must leave.
+
+    ``confidence`` is that of the answer it replaces, 0 to 100.
+
+    >>> climb_reserve(0), climb_reserve(30), climb_reserve(60)
+    (0.0, 0.125, 0.25)
+    """
+    share = min(1.0, max(0, confidence) / ACCEPT_CONFIDENCE)
+    return MAX_CLIMB_RESERVE * share
+
+
+def move_reserve(priority: int) -> float:
+    """Return the share of the budget that a move must leave.
+
+    ``priority`` is that of the request, 0 being the highest.
+    """
+    if priority <= URGENT_PRIORITY:
+        return URGENT_MOVE_RESERVE
+    return MOVE_RESERVE
+
+
+def may_leave_early(waited_s: float, priority: int) -> bool:
+    """Return whether a request has waited long enough to leave a server.
+
+    >>> may_leave_early(0.1, 0), may_leave_early(0.1, 1)
+    (True, False)
+    """
+    return priority <= URGENT_PRIORITY or waited_s >= MIN_EARLY_WAIT_S
+
+
+def climb_strain(
+    delay_s: float, target_s: float, prefill_s: float, priority: int
+) -> float:
+    """Return the strain at which an escalation is decided (`next_size`).
+
+    It is the queueing delay ``delay_s`` at the servers as a share of the
+    latency target, weighted by the work of the escalation: ``prefill_s`` is
+    the prefill time of the prompt at the larger model. The largest model reads
+    800 tokens in 30 ms and 50,000 tokens in two seconds, in which other
+    requests wait. A prefill time of 0 is unknown and has the full weight.
+
+    >>> climb_strain(0.5, 1.0, 0.2, 1), climb_strain(0.5, 1.0, 0.2, 0)
+    (0.5, 0.25)
+    >>> climb_strain(0.5, 1.0, 0.025, 1)
+    0.25
+    """
+    work = 1.0
+    if prefill_s > 0:
+        work = min(1.0, prefill_s / (target_s * FULL_WORK_SHARE))
+    strain = delay_s / target_s * work
+    if priority <= URGENT_PRIORITY:
+        strain /= URGENT_STRAIN_FACTOR
+    return strain
+
+
+__all__ = [
+    "climb_reserve",
+    "climb_strain",
+    "MAX_CLIMB_RESERVE",
+    "may_leave_early",
+    "MIN_EARLY_WAIT_S",
+    "MOVE_RESERVE",
+    "move_reserve",
+    "URGENT_MOVE_RESERVE",
+]
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/size_ladder.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/size_ladder.py
@@ -17,7 +17,9 @@
 read three times.
 
 Under overload, the time for an escalation is taken from other requests, so the
-threshold falls with the strain, down to 0 at `FULL_STRAIN`.
+threshold falls with the strain, down to 0 at `FULL_STRAIN`. The strain grows
+with the delay at the servers and with the work of the escalation
+(`further_attempts.climb_strain`).
 """
 
 from __future__ import annotations
@@ -39,9 +41,10 @@
 # so from this value on most of its answers can be accepted.
 NEAR_MISS_CONFIDENCE: Final = 45
 # The largest model's prefill takes ten times as long as the smallest one's, so
-# an escalation delays up to ten requests. As the queueing delay nears this
-# share of the latency target, answers are released that would otherwise
-# escalate, those with the highest confidence first.
+# the escalation of a long prompt delays up to ten requests. As the strain
+# nears this value, for a long prompt a delay of half of the latency target,
+# answers are released that would otherwise escalate, those with the highest
+# confidence first.
 FULL_STRAIN: Final = 0.5
 
 
@@ -63,7 +66,8 @@
     it gave none. Without an attempt left the answer is released, as a poor
     answer is worth more than none. An escalation by one model must leave one
     more attempt for an escalation from there. ``strain`` is the current
-    queueing delay at the servers, as a share of the latency target.
+    queueing delay at the servers, as a share of the latency target, weighted
+    by the work of the escalation. It does not change which model is chosen.
     """
     between = 0 < size < len(sizes) - 1
     threshold = ACCEPT_AFTER_NEAR_MISS if between else ACCEPT_CONFIDENCE
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -64,6 +64,10 @@
         self.arrivals = self._counter(
             "arrivals_total", "Arrivals of routed requests by service and kind"
         )
+        self.further_attempts = self._counter(
+            "further_attempts_total",
+            "Further attempts by service, kind, decision and bound",
+        )
         self.forwarded = self._counter(
             "forwarded_total",
             "Requests forwarded for other entries, or by them, by result",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -13,6 +13,8 @@
 
 import anyio
 
+from sycamorestand_decisions.further_attempts import climb_reserve
+from sycamorestand_decisions.further_attempts import move_reserve
 from sycamorestand_entry.errors import BackendFailed
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import NoBackendServer
@@ -38,6 +40,7 @@
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_entry.routed.call import RoutedCall
     from sycamorestand_entry.routed.exchange import ForwardingRefused
+    from sycamorestand_entry.routed.further_arrivals import AttemptKind
     from sycamorestand_entry.routed.header_names import HeaderNames
     from sycamorestand_entry.routed.messages import EngineOptions
 
@@ -49,6 +52,7 @@
 # this time resumes it sooner than the entry could.
 MAX_ARRIVAL_WAIT_S: Final = 1.0
 ARRIVAL_POLL_S: Final = 0.1
+LOGGED_DIGITS: Final = 2
 BLOCKED: Final = "a part of its prompt is blocked"
 
 
@@ -118,11 +122,12 @@
         getting more work, and this server gets none. While no arrival is
         left the call keeps waiting for the server, which may come back.
         """
+        kind: AttemptKind = "resume" if exchange.has_begun else "retry"
         reason = self._reason_not_to_replace(exchange)
         if reason:
-            self._refuse_urgent(reason)
+            self._refuse_urgent(kind, reason)
             return False
-        if not await self._arrivals.request_urgent():
+        if not await self._arrivals.request_urgent(kind):
             return False
         if exchange.has_begun:
             self.runs = max(0, self.runs - 1)
@@ -155,9 +160,9 @@
         """
         reason = self._reason_not_to_retry(overloaded)
         if reason:
-            self.call.log.add(NotRepeated(reason))
+            self._refuse_repeat("retry", reason)
             return False
-        return await self._arrivals.spend()
+        return await self._arrivals.spend("retry")
 
     async def may_resume(self) -> bool:
         """Return whether to resume a stream that broke off.
@@ -167,11 +172,11 @@
         """
         reason = self._reason_not_to_retry(overloaded=False)
         if reason:
-            self.call.log.add(NotRepeated(reason))
+            self._refuse_repeat("resume", reason)
             return False
         give_up_s = self.context.now_s() + MAX_ARRIVAL_WAIT_S
         try:
-            while not await self._arrivals.request_urgent():
+            while not await self._arrivals.request_urgent("resume"):
                 if self.context.now_s() >= give_up_s:
                     return False
                 await anyio.sleep(ARRIVAL_POLL_S)
@@ -179,10 +184,21 @@
             self._arrivals.withdraw()
         return self.call.remaining_s() > 0
 
-    async def may_escalate(self) -> bool:
-        """Return whether the call may escalate to a larger model."""
-        limit = "" if await self._arrivals.has_spare() else "arrivals_kept"
-        return await self._may_spend_on_improvement("climb", limit)
+    async def may_escalate(self, confidence: int, strain: float) -> bool:
+        """Return whether the call may escalate to a larger model.
+
+        ``confidence`` is that of the answer to drop, ``strain`` the delay at
+        the servers weighted by the work of the escalation.
+        """
+        reserve = climb_reserve(confidence)
+        limit = await self._arrivals.improvement_bound(reserve)
+        return await self._may_spend_on_improvement(
+            "climb", limit, reserve, strain
+        )
+
+    def refuse_escalation(self, limit: str, strain: float) -> None:
+        """Log that the call does not escalate although it would if calm."""
+        self._refuse_improvement("climb", limit, 0.0, strain)
 
     async def may_switch_server(self, target: str) -> bool:
         """Return whether to leave a slow server for one not tried yet.
@@ -194,10 +210,10 @@
             return False
         if not self._choice.has_untried(target):
             return False
-        limit = "arrivals_kept"
-        if await self._arrivals.has_spare():
-            limit = self._reason_not_to_retry(overloaded=False)
-        return await self._may_spend_on_improvement("move", limit)
+        reserve = move_reserve(self.call.priority)
+        limit = await self._arrivals.improvement_bound(reserve)
+        limit = limit or self._reason_not_to_retry(overloaded=False)
+        return await self._may_spend_on_improvement("move", limit, reserve)
 
     async def may_fall_back(self, target: str) -> bool:
         """Return whether the call may make its fallback attempt.
@@ -211,9 +227,9 @@
             reason = "no attempt left"
         reason = reason or self._reason_no_server(target)
         if reason:
-            self._refuse_urgent(reason)
+            self._refuse_urgent("fall_back", reason)
             return False
-        return await self._arrivals.request_urgent()
+        return await self._arrivals.request_urgent("fall_back")
 
     def _reason_no_server(self, target: str) -> str:
         if self._is_blocked():
@@ -263,7 +279,7 @@
         """Return whether a part of the prompt was blocked meanwhile."""
         return bool(blocked_parts(self.context.part_watch, self.call))
 
-    def _refuse_urgent(self, reason: str) -> None:
+    def _refuse_urgent(self, kind: AttemptKind, reason: str) -> None:
         """Log once why an urgent attempt is not made.
 
         The call must not keep its place among those that wait for an
@@ -271,7 +287,7 @@
         """
         self._arrivals.withdraw()
         if reason != self._no_urgent_attempt:
-            self.call.log.add(NotRepeated(reason))
+            self._refuse_repeat(kind, reason)
         self._no_urgent_attempt = reason
 
     @property
@@ -283,12 +299,37 @@
         """Give up the place among the calls that wait for an arrival."""
         self._arrivals.withdraw()
 
-    async def _may_spend_on_improvement(self, wish: str, limit: str) -> bool:
+    def _refuse_repeat(self, kind: AttemptKind, reason: str) -> None:
+        self.call.log.add(NotRepeated(reason))
+        self._arrivals.count_attempt(kind, reason)
+
+    async def _may_spend_on_improvement(
+        self,
+        wish: AttemptKind,
+        limit: str,
+        reserve: float,
+        strain: float = 0.0,
+    ) -> bool:
         limit = limit or (BLOCKED if self._is_blocked() else "")
         if limit:
-            self.call.log.add(NotImproved(wish, limit.replace(" ", "_")))
+            self._refuse_improvement(wish, limit, reserve, strain)
             return False
-        return await self._arrivals.spend()
+        return await self._arrivals.spend(wish)
+
+    def _refuse_improvement(
+        self, wish: AttemptKind, limit: str, reserve: float, strain: float
+    ) -> None:
+        share = self._arrivals.share()
+        refused = NotImproved(
+            wish,
+            limit.replace(" ", "_"),
+            round(share.left, LOGGED_DIGITS),
+            round(share.most, LOGGED_DIGITS),
+            round(reserve, LOGGED_DIGITS),
+            round(strain, LOGGED_DIGITS),
+        )
+        self.call.log.add(refused)
+        self._arrivals.count_attempt(wish, limit)
 
     def _reason_not_to_retry(self, overloaded: bool) -> str:
         if not self.left:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -112,11 +112,20 @@
 
     ``wish`` is ``climb`` for a larger model or ``move`` for another server.
     ``bound`` is the limit that forbids it, such as ``arrivals_kept``: the
-    rest of the arrival budget is reserved for requests without an answer.
+    rest of the arrival budget is reserved for requests without an answer and
+    for improvements that are worth more; ``urgent_waiting``: requests without
+    an answer wait for an arrival at this moment. ``left`` is that rest,
+    ``most`` what the entry may keep, and ``reserve`` the share of ``most``
+    above one arrival that this improvement must leave. ``strain`` is that of
+    an escalation, as in `Climbed`.
     """
 
     wish: str
     bound: str
+    left: float
+    most: float
+    reserve: float
+    strain: float
 
 
 class ArrivalDenied(NamedTuple):
@@ -165,7 +174,8 @@
     """The answer was dropped and a larger model is asked.
 
     ``strain`` is the queue delay at the servers as a fraction of the
-    route's target latency.
+    route's target latency, weighted by the work of the escalation and halved
+    for a request of priority 0.
     """
 
     model: str
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -13,6 +13,7 @@
 from sycamorestand_decisions.attempt_timeouts import MIN_EVENT_S
 from sycamorestand_decisions.attempt_timeouts import PREFILL_TOKENS_PER_S
 from sycamorestand_decisions.attempt_timeouts import short_prefill_limit_s
+from sycamorestand_decisions.further_attempts import climb_strain
 from sycamorestand_decisions.prefill import engine_rank
 from sycamorestand_model.declarations import VERSION_SEPARATOR
 
@@ -123,19 +124,28 @@
             return None
         delay_s = self._queue_delay_s(target, size)
         prefill_s = self.prefill_s(target, size)
-        return short_prefill_limit_s(self.target_latency_s, prefill_s, delay_s)
+        return short_prefill_limit_s(
+            self.target_latency_s, prefill_s, delay_s, attempts.call.priority
+        )
 
-    def delay_ratio(self, target: str) -> float:
-        """Return the queue delay at the largest model, relative to the target.
+    def climb_strain(self, target: str, size: int) -> float:
+        """Return the strain of an escalation to the model with this index.
 
-        The result is a multiple of the target latency. Short and long
-        prefills have separate delays: engines schedule short ones first, so
-        that they wait little while long ones wait for seconds. With a mean
-        over both, long prompts still escalated under overload, and of 350
-        of the longest kind 17 to 27 got no answer, instead of none.
+        It is the queue delay at the largest model relative to the target
+        latency, weighted by the prefill at the model with index ``size``.
+        Short and long prefills have separate delays: engines schedule short
+        ones first, so that they wait little while long ones wait for seconds.
+        With a mean over both, long prompts still escalated under overload,
+        and of 350 of the longest kind 17 to 27 got no answer, instead of
+        none.
         """
         largest = max(0, len(self._route.sizes) - 1)
-        return self._queue_delay_s(target, largest) / self.target_latency_s
+        return climb_strain(
+            self._queue_delay_s(target, largest),
+            self.target_latency_s,
+            self.prefill_s(target, size),
+            self._attempts.call.priority,
+        )
 
     def record_answer_time(self, exchange: Exchange) -> None:
         """Record how long a complete answer took."""
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/further_arrivals.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/further_arrivals.py
@@ -3,18 +3,29 @@
 from __future__ import annotations
 
 import math
+from typing import Final
+from typing import Literal
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.arrivals import URGENT_SHARE
 from sycamorestand_entry.routed.decision_log import ArrivalDenied
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sycamorestand_decisions.arrivals import Share
     from sycamorestand_decisions.urgent_requests import Place
     from sycamorestand_entry.context import EntryContext
     from sycamorestand_entry.routed.call import RoutedCall
 
 
+# The kinds of further attempts, as operators see them.
+AttemptKind = Literal["climb", "move", "retry", "resume", "fall_back"]
+NO_ARRIVAL: Final = "no_arrival"
+ARRIVALS_KEPT: Final = "arrivals_kept"
+URGENT_WAITING: Final = "urgent_waiting"
+
+
 class FurtherArrivals:
     """Spend the arrival budget of the service that one call is sent to.
 
@@ -45,27 +56,57 @@
         self._context.loans.trade()
         self._count("first")
 
-    async def has_spare(self) -> bool:
-        """Return whether an attempt may be made that is only an improvement.
+    async def improvement_bound(self, reserve: float) -> str:
+        """Return why an attempt that only improves an answer is denied.
 
-        It may not while requests wait that get no answer otherwise.
+        The result is empty if the attempt may be made. It must leave the
+        ``reserve``, a share of what may be kept above one arrival. It may not
+        be made while requests wait that get no answer otherwise. A loan does
+        not cover more than `URGENT_SHARE`, so an attempt with a larger reserve
+        does not wait for one.
         """
         waiting = self._context.urgent_requests
+        budget = self._context.arrivals
+
+        def has_spare(service: str, entries: int, now_s: float) -> bool:
+            return budget.has_spare(service, entries, now_s, reserve)
+
         if waiting.has_any(self._service):
-            return False
-        has_spare = await self._check(self._context.arrivals.has_spare)
-        return has_spare and not waiting.has_any(self._service)
+            return URGENT_WAITING
+        borrow = reserve <= URGENT_SHARE
+        if not await self._check(has_spare, borrow):
+            return ARRIVALS_KEPT
+        return URGENT_WAITING if waiting.has_any(self._service) else ""
+
+    def share(self) -> Share:
+        """Return the entry's part of the budget of the call's service."""
+        context = self._context
+        entries = context.control.entry_count()
+        return context.arrivals.share(self._service, entries, context.now_s())
+
+    def count_attempt(self, kind: AttemptKind, denied_by: str = "") -> None:
+        """Count the decision about a further attempt.
 
-    async def spend(self) -> bool:
+        ``denied_by`` is the bound that forbids it, empty if it is made.
+        """
+        labels = {
+            "service": self._service,
+            "kind": kind,
+            "decision": "denied" if denied_by else "made",
+            "bound": denied_by.replace(" ", "_"),
+        }
+        self._context.metrics.further_attempts.inc(labels)
+
+    async def spend(self, kind: AttemptKind) -> bool:
         """Spend one arrival; return False and log it if none is left."""
         allowed = await self._check(self._context.arrivals.try_spend)
         if allowed:
-            self._record_further()
+            self._record_further(kind)
         else:
-            self._record_denied()
+            self._record_denied(kind)
         return allowed
 
-    async def request_urgent(self) -> bool:
+    async def request_urgent(self, kind: AttemptKind) -> bool:
         """Spend an arrival without which the caller gets no answer.
 
         If none is left for this call, return False and keep its place among
@@ -78,10 +119,10 @@
             self._place = waiting.join(self._service, deadline_at_s)
         if await self._check(self._spend_in_turn, borrow=self._is_first()):
             self.withdraw()
-            self._record_further()
+            self._record_further(kind)
             return True
         if is_new:
-            self._record_denied()
+            self._record_denied(kind)
         return False
 
     def withdraw(self) -> None:
@@ -122,21 +163,20 @@
         await context.loans.borrow(self._service)
         return is_allowed()
 
-    def _record_further(self) -> None:
+    def _record_further(self, kind: AttemptKind) -> None:
         self._context.loans.trade()
         self._count("further")
+        self.count_attempt(kind)
 
-    def _record_denied(self) -> None:
-        context = self._context
-        entries = context.control.entry_count()
-        share = context.arrivals.share(self._service, entries, context.now_s())
-        self._call.log.add(ArrivalDenied(self._service, *share))
-        context.loans.trade()
+    def _record_denied(self, kind: AttemptKind) -> None:
+        self._call.log.add(ArrivalDenied(self._service, *self.share()))
+        self._context.loans.trade()
         self._count("denied")
+        self.count_attempt(kind, NO_ARRIVAL)
 
     def _count(self, kind: str) -> None:
         labels = {"service": self._service, "kind": kind}
         self._context.metrics.arrivals.inc(labels)
 
 
-__all__ = ["FurtherArrivals"]
+__all__ = ["AttemptKind", "FurtherArrivals"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -20,7 +20,6 @@
 from sycamorestand_entry.routed.attempts import ARRIVAL_POLL_S
 from sycamorestand_entry.routed.decision_log import Climbed
 from sycamorestand_entry.routed.decision_log import FellBack
-from sycamorestand_entry.routed.decision_log import NotImproved
 from sycamorestand_entry.routed.engine_wait import EngineWait
 from sycamorestand_entry.routed.event_order import EventOrder
 from sycamorestand_entry.routed.exchange import ForwardingRefused
@@ -356,22 +355,27 @@
             return
         value = head.headers.get(self._attempts.header_names.confidence, b"")
         confidence = int(value) if value.isdigit() else None
-        delay_ratio = self._engine_wait.delay_ratio(target)
-        left = self._attempts.left
-        log = self._attempts.call.log
+        attempts = self._attempts
+        left = attempts.left
+        # The strain depends on the model that a calm escalation asks.
+        calm_size = next_size(
+            self._sizes, self._size_index, confidence, max(1, left)
+        )
+        if calm_size is None or confidence is None:
+            return
+        strain = self._engine_wait.climb_strain(target, calm_size)
         size_index = next_size(
-            self._sizes, self._size_index, confidence, left, delay_ratio
+            self._sizes, self._size_index, confidence, left, strain
         )
-        if size_index is not None and await self._attempts.may_escalate():
+        if size_index is None:
+            attempts.refuse_escalation(
+                "strain" if left else "no_attempt", strain
+            )
+        elif await attempts.may_escalate(confidence, strain):
             model = self._sizes[size_index]
-            logged_confidence = -1 if confidence is None else confidence
-            log.add(Climbed(model, logged_confidence, round(delay_ratio, 2)))
+            climbed = Climbed(model, confidence, round(strain, 2))
+            attempts.call.log.add(climbed)
             raise _Escalation(size_index)
-        calm_size = next_size(
-            self._sizes, self._size_index, confidence, max(1, left)
-        )
-        if size_index is None and calm_size is not None:
-            log.add(NotImproved("climb", "strain" if left else "no_attempt"))
 
     async def _forward_events(self, head: ResponseHead, data: bytes) -> int:
         """Forward the whole events in ``data`` and return their number."""
