--- a/packages/sycamorestand-entry/tests/routed/test_streams.py
+++ b/packages/sycamorestand-entry/tests/routed/test_streams.py
@@ -12,8 +12,10 @@
 from sycamorestand_bench.fakes.routed import read_to_end
 from sycamorestand_bench.fakes.routed import request_bytes
 from sycamorestand_bench.fakes.routed import RoutedLoopback
+from sycamorestand_bench.fakes.routed import SETTINGS
 from sycamorestand_bench.fakes.routed import start_routed
 from sycamorestand_bench.fakes.routed import stream_head
+from sycamorestand_decisions.arrivals import Allowance
 from sycamorestand_decisions.prefill import RANKS
 from sycamorestand_entry.upstream import ConnectTimedOut
 from sycamorestand_entry.upstream import UpstreamConnection
@@ -233,6 +235,34 @@
         assert answer.endswith(END)
         assert not any(sample.failed for sample in samples)
 
+    @pytest.mark.parametrize(("priority", "servers"), [(0, 2), (1, 1)])
+    async def test_only_an_urgent_request_moves_with_few_arrivals(
+        self, priority: int, servers: int
+    ) -> None:
+        """Guards against moves that take what escalations need.
+
+        Between a quarter and half of what the entry may keep is left.
+        """
+
+        async def handler(request: bytes, stream: SocketStream) -> None:
+            if len(loopback.requests) == 1:
+                await anyio.sleep(0.9)
+            await resume(request, stream)
+
+        allowance = Allowance(ratio=0.9, slack=60.0, window_s=60.0)
+        settings = SETTINGS._replace(allowance=allowance)
+        async with start_routed(settings) as loopback:
+            loopback.control.entries = 10
+            change_route(loopback, priority=priority)
+            context = loopback.entry.context
+            for _ in range(16):
+                context.arrivals.record_first_arrival("stock", context.now_s())
+            for _ in range(3):
+                context.arrivals.try_spend("stock", 10, context.now_s())
+            answer = await ask_two(loopback, handler, x_tokens="200,100")
+            assert len(loopback.requests) == servers
+        assert answer.endswith(END)
+
     async def test_hanging_stream_ends_at_the_deadline(self) -> None:
         """The only server hangs in the middle of each stream.
 
