Further attempts go by the route's priority, not the customer's

Cause: a customer's priority replaces that of the route, and on the new deployments all customers have priority 1, so no request counted as urgent.

Change: the reserve of a move, the early move and the strain of an escalation take the route's priority: it says which kind of request is urgent.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/further_attempts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/further_attempts.py
@@ -51,7 +51,7 @@
 def move_reserve(priority: int) -> float:
     """Return the share of the budget that a move must leave.
 
-    ``priority`` is that of the request, 0 being the highest.
+    ``priority`` is that of the request's route, 0 being the highest.
     """
     if priority <= URGENT_PRIORITY:
         return URGENT_MOVE_RESERVE
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -210,7 +210,7 @@
             return False
         if not self._choice.has_untried(target):
             return False
-        reserve = move_reserve(self.call.priority)
+        reserve = move_reserve(self.call.route.priority)
         limit = await self._arrivals.improvement_bound(reserve)
         limit = limit or self._reason_not_to_retry(overloaded=False)
         return await self._may_spend_on_improvement("move", limit, reserve)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -125,7 +125,7 @@
         delay_s = self._queue_delay_s(target, size)
         prefill_s = self.prefill_s(target, size)
         return short_prefill_limit_s(
-            self.target_latency_s, prefill_s, delay_s, attempts.call.priority
+            self.target_latency_s, prefill_s, delay_s, self._route.priority
         )
 
     def climb_strain(self, target: str, size: int) -> float:
@@ -144,7 +144,7 @@
             self._queue_delay_s(target, largest),
             self.target_latency_s,
             self.prefill_s(target, size),
-            self._attempts.call.priority,
+            self._route.priority,
         )
 
     def record_answer_time(self, exchange: Exchange) -> None:
