Control processes add up server loads and exchange the sums

Cause: no process knows how many requests all entries have at a server. Metrics show the servers, the messages and the age of the oldest report.

--- a/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -15,6 +15,7 @@
     from sycamorestand_control.leader_balancer import LeaderBalancer
     from sycamorestand_control.ledger_writer import LedgerWriter
     from sycamorestand_control.limit_controller import LimitController
+    from sycamorestand_control.load_exchange import LoadExchange
     from sycamorestand_control.operator_backend import Parts
     from sycamorestand_control.orders.service import Orders
     from sycamorestand_control.part_controller import PartController
@@ -39,6 +40,7 @@
         lender: ArrivalLender,
         prompt_parts: PartController,
         limits: LimitController,
+        loads: LoadExchange,
     ) -> None:
         self._parts = parts
         self._writers = writers
@@ -47,6 +49,7 @@
         self._lender = lender
         self._prompt_parts = prompt_parts
         self._limits = limits
+        self._loads = loads
         self._registry = Registry()
         self.refusals = Counter(
             PREFIX + "operator_refusals_total",
@@ -67,6 +70,7 @@
         self._read_loans()
         self._read_prompt_parts()
         self._read_limits()
+        self._read_loads()
         content: bytes = render(self._registry, PROMETHEUS_TEXT)[0]
         return content
 
@@ -248,6 +252,28 @@
             self._limits.granted,
         )
 
+    def _read_loads(self) -> None:
+        self._set(
+            "load_servers",
+            "Backend servers whose load is summed over entries",
+            self._loads.known_servers,
+        )
+        self._set(
+            "load_messages_received_total",
+            "Messages with loads that entries and control processes sent",
+            self._loads.received,
+        )
+        self._set(
+            "load_messages_sent_total",
+            "Messages with sums of loads that were sent",
+            self._loads.sent,
+        )
+        self._set(
+            "load_oldest_age_seconds",
+            "Age of the oldest report in the sums of loads",
+            self._loads.oldest_age_s(),
+        )
+
     def _set(
         self,
         name: str,
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -30,6 +30,7 @@
 from sycamorestand_control.ledger_reader import LedgerReader
 from sycamorestand_control.ledger_writer import LedgerWriter
 from sycamorestand_control.limit_controller import LimitController
+from sycamorestand_control.load_exchange import LoadExchange
 from sycamorestand_control.membership import MembershipManager
 from sycamorestand_control.metrics import ControlMetrics
 from sycamorestand_control.operator_api.app import make_operator_app
@@ -56,6 +57,7 @@
 from sycamorestand_peer.messages import ControlLeaseGranted
 from sycamorestand_peer.messages import ControlLeaseRequest
 from sycamorestand_peer.messages import EndsWanted
+from sycamorestand_peer.messages import EntryLoads
 from sycamorestand_peer.messages import JoinRequest
 from sycamorestand_peer.messages import LeaseRequest
 from sycamorestand_peer.messages import LedgerBatch
@@ -67,6 +69,7 @@
 from sycamorestand_peer.messages import ServerEnded
 from sycamorestand_peer.messages import ServersSeen
 from sycamorestand_peer.messages import SessionsStay
+from sycamorestand_peer.messages import SharedLoads
 from sycamorestand_peer.messages import SharedRatings
 from sycamorestand_peer.messages import TableResync
 from sycamorestand_peer.messages import TableUpdate
@@ -141,6 +144,12 @@
             self.tables.servers,
             self._cold_limit_per_s,
         )
+        self.loads = LoadExchange(
+            self.mesh,
+            self.hub.attached_addresses,
+            self._other_controls,
+            self.tables.servers,
+        )
         self.failures = FailureController(
             self.mesh,
             self.groups,
@@ -206,6 +215,7 @@
             self.lender,
             self.parts,
             self.limits,
+            self.loads,
         )
         self._tasks: anyio.abc.TaskGroup | None = None
         self._handlers = self._handler_table()
@@ -236,6 +246,7 @@
                 self.sessions.run,
                 self.parts.run,
                 self.limits.run,
+                self.loads.run,
                 self.failures.run,
                 self.balancer.run,
                 self.voter_watch.run,
@@ -373,6 +384,8 @@
             TokensWanted: self.limits.handle_wanted,
             TokensGranted: self.limits.handle_granted,
             ServersSeen: self.failures.handle_seen,
+            EntryLoads: self.loads.handle_entry_loads,
+            SharedLoads: self.loads.handle_shared_loads,
             SharedRatings: self._handle_shared_ratings,
             LedgerBatch: self._handle_ledger_batch,
             ProposalForward: self._handle_forward,
--- a/packages/sycamorestand-control/tests/test_process.py
+++ b/packages/sycamorestand-control/tests/test_process.py
@@ -19,8 +19,11 @@
 from sycamorestand_decisions.ending_parts import ENDS_TO_BLAME
 from sycamorestand_model.keys import hash_key
 from sycamorestand_model.prompt_parts import Suspect
+from sycamorestand_model.server_loads import EntryLoad
+from sycamorestand_peer.messages import EntryLoads
 from sycamorestand_peer.messages import LedgerBatch
 from sycamorestand_peer.messages import ServerEnded
+from sycamorestand_peer.messages import SharedLoads
 
 pytestmark = pytest.mark.anyio
 WAIT_S = 20
@@ -202,6 +205,17 @@
             assert process.mesh.counters.faults == 1
 
 
+class TestServerLoads:
+    async def test_loads_are_received_and_shown(self, tmp_path: Path) -> None:
+        async with running(settings_in(tmp_path)) as process:
+            load = EntryLoad(None, 0.0, 1, 100)
+            process.mesh._handler("e1", EntryLoads({"s-1": load}))
+            process.mesh._handler("c2", SharedLoads({}, is_partial=True))
+            text = process.metrics.render()
+        assert b"control_load_messages_received_total 2" in text
+        assert b"control_load_servers 0" in text
+
+
 class TestBlockedParts:
     async def test_operator_sees_and_releases_a_blocked_part(
         self, tmp_path: Path
