Entries read reported loads and tell control of their work

Cause: the load header of backend servers was not read. Change: Exchange reads it from each answer that is not forwarded, and counts requests and tokens in flight. The parser of token counts moves to call.py, as two modules use it.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -17,6 +17,7 @@
 from sycamorestand_decisions.attempt_timeouts import AnswerTimes
 from sycamorestand_decisions.attempt_timeouts import ServerProgress
 from sycamorestand_decisions.cascade import CascadeLearner
+from sycamorestand_decisions.observed_loads import ObservedLoads
 from sycamorestand_decisions.peer_entries import PeerEntries
 from sycamorestand_decisions.prefill import PrefillRates
 from sycamorestand_decisions.queue_delay import QueueDelay
@@ -27,6 +28,7 @@
 from sycamorestand_decisions.urgent_requests import UrgentRequests
 from sycamorestand_entry.answer_memory import AnswerMemory
 from sycamorestand_entry.callers import Authenticator
+from sycamorestand_entry.load_reports import LoadReports
 from sycamorestand_entry.loans import Loans
 from sycamorestand_entry.metrics import Metrics
 from sycamorestand_entry.outcome_reports import OutcomeReports
@@ -85,6 +87,10 @@
             control, self.metrics, self.now_s, self.random, self.server_loss
         )
         self.outcome_reports = OutcomeReports(control)
+        self.observed_loads = ObservedLoads()
+        self.load_reports = LoadReports(
+            control, self.observed_loads, self.metrics, self.now_s
+        )
         self.servers = Servers(
             control,
             self.random,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from typing import Any
 from typing import TYPE_CHECKING
@@ -122,6 +123,11 @@
     unreached = context.servers.unreached_services(context.now_s())
     metrics.unreached.set({}, len(unreached))
     metrics.addresses.set({}, len(context.control.addresses()))
+    loads = context.observed_loads
+    metrics.load_reporting_servers.set({}, loads.reporting_servers())
+    shared_age_s = loads.shared_age_s(context.now_s())
+    known_age_s = shared_age_s if math.isfinite(shared_age_s) else -1.0
+    metrics.shared_load_age.set({}, known_age_s)
     for target, pool in context.slots.metrics().items():
         for state in ("slots", "in_flight", "waiting"):
             labels = {"target": target, "state": state}
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -97,6 +97,18 @@
             "limited_requests_total",
             "Requests for which all servers name a limit, by result",
         )
+        self.load_messages = self._counter(
+            "load_messages_total",
+            "Messages with loads of backend servers, by direction",
+        )
+        self.load_reporting_servers = self._gauge(
+            "load_reporting_servers",
+            "Backend servers that report their slowness",
+        )
+        self.shared_load_age = self._gauge(
+            "shared_load_age_seconds",
+            "Age of the newest loads summed over entries, -1 without any",
+        )
         self.blocked_parts = self._gauge(
             "blocked_parts", "Prompt parts whose requests are refused"
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
@@ -25,6 +25,7 @@
 
 ANONYMOUS: Final = ""
 MAX_DEADLINE_DIGITS: Final = 9
+MAX_COUNT_DIGITS: Final = 9
 PROCESS_ENDS: Final = "the process ends"
 
 
@@ -118,6 +119,24 @@
     return tuple(part.partition(":")[0].strip() for part in parts)
 
 
+def read_token_counts(value: bytes) -> tuple[int, int]:
+    """Return the tokens of a prompt and of the answer that it expects.
+
+    A count that is missing or no number is 0.
+
+    Example: ``read_token_counts(b"1200,350")`` is ``(1200, 350)``.
+    """
+    prompt, _, answer = value.partition(b",")
+    return read_count(prompt), read_count(answer)
+
+
+def read_count(value: bytes) -> int:
+    """Return the number in a header's value, 0 if there is none."""
+    digits = value.strip()
+    is_count = digits.isdigit() and len(digits) <= MAX_COUNT_DIGITS
+    return int(digits) if is_count else 0
+
+
 def forwarded_headers(raw: RawHeaders, names: HeaderNames) -> RawHeaders:
     """Return the caller's headers that the entry forwards to a server.
 
@@ -176,8 +195,10 @@
     "MAX_DEADLINE_DIGITS",
     "PROCESS_ENDS",
     "RawHeaders",
+    "read_count",
     "read_deadline_s",
     "read_prompt_parts",
+    "read_token_counts",
     "read_values",
     "RoutedCall",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -14,6 +14,8 @@
 from sycamorestand_decisions.attempt_timeouts import PREFILL_TOKENS_PER_S
 from sycamorestand_decisions.attempt_timeouts import short_prefill_limit_s
 from sycamorestand_decisions.prefill import engine_rank
+from sycamorestand_entry.routed.call import read_count
+from sycamorestand_entry.routed.call import read_token_counts
 from sycamorestand_model.declarations import VERSION_SEPARATOR
 
 if TYPE_CHECKING:
@@ -22,7 +24,6 @@
     from sycamorestand_entry.routed.exchange import Exchange
 
 MS: Final = 1000
-MAX_DIGITS: Final = 9
 # One answer in a few is this much longer than the mean of those that are as
 # long as it is already.
 REST_MARGIN: Final = 1.5
@@ -41,10 +42,8 @@
         self._route = attempts.call.route
         names = attempts.header_names
         counts = attempts.call.values.get(names.token_counts, b"")
-        prompt, _, answer = counts.partition(b",")
-        self.prompt_tokens = _count(prompt)
-        self.max_answer_tokens = _count(answer)
-        self.length_hint = _count(
+        self.prompt_tokens, self.max_answer_tokens = read_token_counts(counts)
+        self.length_hint = read_count(
             attempts.call.values.get(names.length_hint, b"")
         )
         self.target_latency_s = self._route.target_latency_ms / MS
@@ -184,11 +183,4 @@
     return target.partition(VERSION_SEPARATOR)[0]
 
 
-def _count(value: bytes) -> int:
-    """Return the number in a header's value, 0 if there is none."""
-    digits = value.strip()
-    is_count = digits.isdigit() and len(digits) <= MAX_DIGITS
-    return int(digits) if is_count else 0
-
-
 __all__ = ["EngineWait"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -13,10 +13,12 @@
 from sycamorestand_entry.gate import RoutedIntent
 from sycamorestand_entry.routed.attempt_samples import AttemptSamples
 from sycamorestand_entry.routed.call import PROCESS_ENDS
+from sycamorestand_entry.routed.call import read_token_counts
 from sycamorestand_entry.routed.decision_log import AttemptEnded
 from sycamorestand_entry.routed.decision_log import MovedOn
 from sycamorestand_entry.routed.forwarding import read_refusal
 from sycamorestand_entry.routed.forwarding import SERVER_HEADER
+from sycamorestand_entry.routed.load_header import read_load_header
 from sycamorestand_entry.routed.messages import answer_headers
 from sycamorestand_entry.routed.messages import encode_forwarded
 from sycamorestand_entry.routed.messages import encode_request
@@ -100,6 +102,7 @@
         self._status = 0
         self._reason = ""
         self._is_framed = True
+        self._tokens = 0
         self._prompt = PromptAttempt(
             context.part_watch, call, self.is_forwarded
         )
@@ -149,6 +152,11 @@
         context.servers.record_start(
             destination.target, destination.server.name, self.begin_s
         )
+        counts = self._call.values.get(self._header_names.token_counts, b"")
+        self._tokens = sum(read_token_counts(counts)) if counts else 0
+        context.observed_loads.record_start(
+            destination.server.name, self._tokens, self.begin_s
+        )
         context.metrics.dispatches.inc({"version": destination.target})
         return encode_request(self._header_names, self._call, destination)
 
@@ -191,6 +199,7 @@
         else:
             self._record_brittle(head)
             self._record_limit(head)
+            self._record_load(head)
         rejection = rejection_reason(head, self._header_names, self._call)
         if rejection:
             self.connection.close()
@@ -218,6 +227,14 @@
                 self.begin_s,
             )
 
+    def _record_load(self, head: ResponseHead) -> None:
+        value = head.headers.get(self._header_names.load)
+        header = read_load_header(value) if value else None
+        if header is not None:
+            self._context.observed_loads.record_header(
+                self.destination.server.name, header, time.monotonic()
+            )
+
     def _check_forwarded(self, head: ResponseHead) -> None:
         """Raise if the other entry did not get an answer of a server."""
         refusal = read_refusal(head.status, head.headers)
@@ -458,6 +475,9 @@
             self._context.peer_entries.record_end(self.destination.entry)
             return
         now_s = time.monotonic()
+        self._context.observed_loads.record_end(
+            self.destination.server.name, self._tokens, now_s
+        )
         self._context.servers.record_finish(
             self.destination.target,
             self.destination.server.name,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -99,6 +99,7 @@
                 group.start_soon(context.server_watch.run)
                 group.start_soon(context.part_watch.run)
                 group.start_soon(context.outcome_reports.run)
+                group.start_soon(context.load_reports.run)
                 group.start_soon(report_unreached, context)
                 group.start_soon(log_changes, context)
                 group.start_soon(_exit_after_stop, entry, server)
