Import at a start only what the roles on the platform use

Cause: each process start imported uvicorn's command line with click, its supervisors and multiprocessing, httpcore with h11 for a rating service and engine orders that most installations do not have, and the chat interface.

--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_server.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_server.py
@@ -8,11 +8,11 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import uvicorn
 
 from sycamorestand_control.errors import StartRefused
 from sycamorestand_peer.http_server import HttpProtocol
 from sycamorestand_peer.http_server import HttpServer
+from sycamorestand_peer.uvicorn_parts import Config
 
 if TYPE_CHECKING:
     from sycamorestand_control.operator_api.asgi import AsgiApp
@@ -70,8 +70,8 @@
     return listener
 
 
-def _config(application: Any) -> uvicorn.Config:
-    return uvicorn.Config(
+def _config(application: Any) -> Config:
+    return Config(
         application,
         http=HttpProtocol,
         ws="none",
--- a/packages/sycamorestand-control/src/sycamorestand_control/orders/http_call.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/orders/http_call.py
@@ -8,25 +8,16 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import httpcore
 
 from sycamorestand_control.errors import ControlError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import httpcore
+
 MAX_REPLY_BYTES: Final = 4096
 _SEND_STARTED: Final = "http11.send_request_headers.started"
-_CALL_ERRORS: Final = (
-    OSError,
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    # An unusable URL in the settings raises these. It must not end the
-    # process, as the other tasks don't need that URL.
-    httpcore.UnsupportedProtocol,
-    ValueError,
-)
 
 
 class NotSent(ControlError):
@@ -70,14 +61,33 @@
     try:
         with anyio.fail_after(timeout_s):
             return await _send_request(method, url, body, trace)
-    except _CALL_ERRORS as error:
+    except _call_errors() as error:
         reason = f"{type(error).__name__} {error}".strip()
         raise (NoAnswer if may_have_arrived else NotSent)(reason) from error
 
 
+def _call_errors() -> tuple[type[Exception], ...]:
+    import httpcore
+
+    return (
+        OSError,
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+        # An unusable URL in the settings raises these. It must not end the
+        # process, as the other tasks don't need that URL.
+        httpcore.UnsupportedProtocol,
+        ValueError,
+    )
+
+
 async def _send_request(
     method: str, url: str, body: bytes, trace: Any
 ) -> Reply:
+    # Only control processes that order engines make calls. The import takes
+    # 0.03 s of processor time, so that a start leaves it out.
+    import httpcore
+
     headers: dict[bytes | str, bytes | str] = {
         "Content-Type": "application/json",
         "Connection": "close",
@@ -100,6 +110,8 @@
 
 
 async def _read_body(response: httpcore.Response) -> bytes:
+    import httpcore
+
     data = b""
     async for chunk in response.aiter_stream():
         data += chunk
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/rating.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/rating.py
@@ -8,10 +8,11 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import httpcore
 import msgspec
 
 if TYPE_CHECKING:
+    import httpcore
+
     from sycamorestand_entry.metrics import Metrics
 
 # More concurrent requests mean that the rating service does not keep up. A
@@ -38,12 +39,12 @@
         self._url = url.rstrip("/") + "/rate"
         self._timeout_s = timeout_s
         self._metrics = metrics
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS, keepalive_expiry=5.0
-        )
+        self._pool = _make_pool() if url else None
 
     async def rate(self, rated: RatedAnswer) -> float | None:
         """Return a rating from 0 to 1, None if no valid one came in time."""
+        import httpcore
+
         result = "garbage"
         rating = None
         try:
@@ -60,9 +61,12 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._pool.aclose()
+        if self._pool is not None:
+            await self._pool.aclose()
 
     async def _ask(self, rated: RatedAnswer) -> bytes:
+        if self._pool is None:
+            return b""
         body = msgspec.json.encode(rated._asdict())
         async with self._pool.stream(
             "POST",
@@ -80,6 +84,16 @@
             return reply
 
 
+def _make_pool() -> httpcore.AsyncConnectionPool:
+    # Few installations have a rating service. The import takes 0.03 s of
+    # processor time, so the start of an entry without one leaves it out.
+    import httpcore
+
+    return httpcore.AsyncConnectionPool(
+        max_connections=MAX_CONNECTIONS, keepalive_expiry=5.0
+    )
+
+
 def _read_rating(reply: bytes) -> float | None:
     try:
         content = msgspec.json.decode(reply, type=dict[str, Any])
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -11,15 +11,14 @@
 
 import anyio
 from anyio.abc import TaskStatus
-import uvicorn
 
-from sycamorestand_entry.application import make_application
 from sycamorestand_entry.context import EntryContext
 from sycamorestand_entry.http_protocol import EntryProtocol
 from sycamorestand_entry.state_log import log_changes
 from sycamorestand_entry.unreached import report_unreached
 from sycamorestand_peer.http_server import HttpServer
 from sycamorestand_peer.http_server import POLL_INTERVAL_S
+from sycamorestand_peer.uvicorn_parts import Config
 
 if TYPE_CHECKING:
     from sycamorestand_entry.ports import ControlPort
@@ -72,7 +71,7 @@
     settings: EntrySettings,
     control: ControlPort,
     random: Random | None = None,
-    application_factory: Callable[[EntryContext], Any] = make_application,
+    application_factory: Callable[[EntryContext], Any] | None = None,
     *,
     task_status: TaskStatus[RunningEntry] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -81,8 +80,13 @@
     Example: ``entry = await group.start(serve_entry, settings, control)``
     returns a `RunningEntry` as soon as the entry accepts connections.
     ``random`` is the source of randomness of its decisions, and
-    ``application_factory`` creates the application that answers callers.
+    ``application_factory`` creates the application that answers callers, by
+    default the one with all interfaces.
     """
+    if application_factory is None:
+        from sycamorestand_entry.application import make_application
+
+        application_factory = make_application
     listener = _make_listener(settings)
     host, port = listener.getsockname()[:2]
     async with anyio.create_task_group() as background:
@@ -160,8 +164,8 @@
     return listener
 
 
-def _uvicorn_config(context: EntryContext, application: Any) -> uvicorn.Config:
-    return uvicorn.Config(
+def _uvicorn_config(context: EntryContext, application: Any) -> Config:
+    return Config(
         application,
         http=EntryProtocol,
         ws="none",
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/http_server.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/http_server.py
@@ -18,8 +18,9 @@
 import socket
 from typing import Final
 
-import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from sycamorestand_peer.uvicorn_parts import Config
+from sycamorestand_peer.uvicorn_parts import HttpToolsProtocol
+from sycamorestand_peer.uvicorn_parts import Server
 
 POLL_INTERVAL_S: Final = 0.05
 _LOG = logging.getLogger(__name__)
@@ -53,7 +54,7 @@
         return bool(readable.poll(0))
 
 
-class HttpServer(uvicorn.Server):
+class HttpServer(Server):
     """A server on ``listeners`` whose planned stop resets no connection.
 
     The ``http`` setting of its configuration must be `HttpProtocol` or a
@@ -61,7 +62,7 @@
     """
 
     def __init__(
-        self, config: uvicorn.Config, listeners: Sequence[socket.socket]
+        self, config: Config, listeners: Sequence[socket.socket]
     ) -> None:
         super().__init__(config)
         self.listeners = listeners
