Choice of servers by the time at which a request ends there

Long answers went to slow servers while fast ones had slots free, and an entry opened a connection for nearly every request.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/attempt_timeouts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/attempt_timeouts.py
@@ -189,6 +189,14 @@
         )
         return gaps_s[len(gaps_s) // 2] if gaps_s else 0.0
 
+    def usual_total_s(self, route: str) -> float:
+        """Return the median time from request to end, 0 if unknown."""
+        totals_s = sorted(
+            answer.begin_s + answer.answer_s
+            for answer in self._last.get(route, ())
+        )
+        return totals_s[len(totals_s) // 2] if totals_s else 0.0
+
     def max_total_s(self, route: str, pause_s: float, now_s: float) -> float:
         """Return the longest time from request to end, infinity if unknown.
 
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -12,6 +12,11 @@
 A server that is known to hold the session or prefix is preferred while its
 expected wait is at most `AFFINITY_GAIN` times the lower of the two, plus a
 small slack.
+
+Servers that report how slow they are get their requests by the time at which
+a request is expected to end there, see `server_room`. Four of them are drawn,
+from a part of the candidates that changes little, so that an entry keeps its
+connections.
 """
 
 from __future__ import annotations
@@ -33,10 +38,20 @@
 from sycamorestand_decisions.ejection import Typical
 from sycamorestand_decisions.load_estimate import estimated_load
 from sycamorestand_decisions.load_estimate import OwnLoad
+from sycamorestand_decisions.observed_servers import DRAWS
+from sycamorestand_decisions.observed_servers import EQUAL_SHARE
+from sycamorestand_decisions.observed_servers import ObservedServers
+from sycamorestand_decisions.server_room import shared_room
+from sycamorestand_decisions.server_room import Work
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
+    from sycamorestand_decisions.server_room import Room
+    from sycamorestand_decisions.server_room import SharedRoom
+    from sycamorestand_model.server_loads import ObservedLoad
+
 SAMPLE_SIZE: Final = 2
 # Random draws before all candidates are examined. With a third of them
 # ejected, eight draws fail to find two usable servers once in several thousand
@@ -62,8 +77,14 @@
     'a'
     """
 
-    def __init__(self, random: Random | None = None) -> None:
+    def __init__(
+        self,
+        random: Random | None = None,
+        observed: Callable[[str, float], ObservedLoad] | None = None,
+    ) -> None:
         self._random = random or Random()
+        self._is_observed = observed is not None
+        self._observed = ObservedServers(observed)
         self._brittle = BrittleServers(self._random)
         self._servers: dict[str, _Server] = {}
         self._rings: dict[tuple[str, ...], HashRing] = {}
@@ -80,13 +101,22 @@
         now_s: float,
         affinity_key: str | None = None,
         exclude: frozenset[str] = frozenset(),
+        work: Work | None = None,
     ) -> str | None:
         """Return the server for one attempt, None if none is usable.
 
+        ``work`` is what the request needs. It is used where a candidate
+        reports its slowness; without it a typical request is assumed.
+
         The index by name is reused while the caller passes the same sequence.
         The caller must therefore make a new sequence when reports arrive, and
         must not change an existing one.
         """
+        if self._observed.any_tells(candidates, now_s):
+            work = work or self._typical_work()
+            return self._choose_soonest(
+                candidates, now_s, affinity_key, exclude, work
+            )
         drawn = self._sample(candidates, now_s, exclude)
         if not drawn:
             return None
@@ -116,17 +146,21 @@
         """Return every candidate's score and state, lowest score first."""
         for candidate in candidates:
             self._sync_server(candidate)
+        tells = self._observed.any_tells(candidates, now_s)
+        work = self._typical_work() if tells else None
+        scored = {c.name: self._score(c, now_s, work) for c in candidates}
         choices = [
             Choice(c.name, self._candidate_state(c, now_s, exclude), ())
-            for c in sorted(candidates, key=lambda c: self._score(c, now_s))
+            for c in sorted(candidates, key=lambda c: scored[c.name])
         ]
-        scores = tuple((c.name, self._score(c, now_s)) for c in candidates)
+        scores = tuple(scored.items())
         return tuple(choice._replace(scores=scores) for choice in choices)
 
     def record_start(self, name: str, now_s: float) -> None:
         """Record that a request was sent to the server."""
         server = self._server(name)
         server.own.change(1, now_s)
+        self._observed.record_change(name, 1, now_s)
         server.health.record_start(now_s)
 
     def record_first_byte(
@@ -134,6 +168,7 @@
     ) -> None:
         """Record the time to the first byte, which may eject the server."""
         server = self._server(name)
+        server.has_answered = True
         server.limit.record_first_byte(now_s, latency_s)
         server.health.record_first_byte(latency_s, self._typical)
         self._eject_outlier(server, now_s)
@@ -145,6 +180,7 @@
         server = self._server(name)
         in_flight = server.own.in_flight
         server.own.change(-1, now_s)
+        self._observed.record_change(name, -1, now_s)
         if outcome != "overloaded":
             capacity = server.limit.capacity
             self._brittle.record_end(name, capacity, latency_s, now_s)
@@ -215,6 +251,39 @@
                 total += max(1, int(limit))
         return total
 
+    def set_place(self, place: float) -> None:
+        """Set from where in their circle this entry draws servers."""
+        self._observed.set_place(place)
+
+    def set_engine(self, slots: int, kv_tokens: int) -> None:
+        """Set the declared limits of one engine, 0 where there is none."""
+        self._observed.set_engine(slots, kv_tokens)
+
+    def shared_room(
+        self, candidates: Sequence[Candidate], now_s: float
+    ) -> SharedRoom | None:
+        """Return the room at the servers that are not ejected.
+
+        Return None if none of them reports its slowness, or if one has
+        answered and does not.
+        """
+        if not self._is_observed:
+            return None
+        rooms: list[tuple[Room, int]] = []
+        any_tells = False
+        for candidate in candidates:
+            server = self._sync_server(candidate)
+            if server.health.is_ejected(now_s):
+                continue
+            observed = self._observed.load(candidate.name, now_s)
+            tells = observed.usual_slowness > 0
+            if not tells and (observed.header or server.has_answered):
+                return None
+            any_tells = any_tells or tells
+            room = self._observed.room(candidate, now_s)
+            rooms.append((room, observed.own_requests))
+        return shared_room(rooms) if any_tells else None
+
     def cache_event(
         self, name: str, prefix_keys: Sequence[str], stored: bool, now_s: float
     ) -> None:
@@ -224,6 +293,7 @@
     def forget(self, name: str) -> None:
         """Drop the state of a server that has left for good."""
         self._servers.pop(name, None)
+        self._observed.forget(name)
 
     def metrics(self, now_s: float) -> dict[str, ServerMetrics]:
         """Return the current state of every server by its name."""
@@ -237,6 +307,42 @@
             for name, server in self._servers.items()
         }
 
+    def _choose_soonest(
+        self,
+        candidates: Sequence[Candidate],
+        now_s: float,
+        affinity_key: str | None,
+        exclude: frozenset[str],
+        work: Work,
+    ) -> str | None:
+        """Return the server at which the request is expected to end first."""
+        members = self._observed.members(
+            candidates,
+            now_s,
+            lambda candidate: self._is_usable(candidate, now_s, exclude),
+            work,
+        )
+        drawn = self._random.sample(members, min(DRAWS, len(members)))
+        drawn = drawn or self._sample(candidates, now_s, exclude)
+        if not drawn:
+            return None
+        scored = [(self._score(c, now_s, work), c.name) for c in drawn]
+        best_s = min(scored)[0]
+        if affinity_key is not None:
+            for candidate in self._affinity_candidates(
+                candidates, affinity_key, now_s
+            ):
+                if not self._is_usable(candidate, now_s, exclude):
+                    continue
+                owner_s = self._score(candidate, now_s, work)
+                if owner_s < best_s * AFFINITY_GAIN:
+                    return candidate.name
+        bound_s = best_s * (1.0 + EQUAL_SHARE)
+        return next(name for at_s, name in scored if at_s <= bound_s)
+
+    def _typical_work(self) -> Work:
+        return Work(0.0, self._latency_unit_s())
+
     def _sample(
         self,
         candidates: Sequence[Candidate],
@@ -292,8 +398,18 @@
             return False
         return not self._sync_server(candidate).health.is_ejected(now_s)
 
-    def _score(self, candidate: Candidate, now_s: float) -> float:
+    def _score(
+        self, candidate: Candidate, now_s: float, work: Work | None = None
+    ) -> float:
+        """Return the expected wait, with ``work`` the expected time."""
         server = self._servers[candidate.name]
+        if work is not None:
+            usual_s = self._typical.latency_s
+            factor = server.health.slow_start_factor(now_s)
+            return (
+                self._observed.expected_s(candidate, now_s, work, usual_s)
+                / factor
+            )
         reported = candidate.running + candidate.queued
         load = estimated_load(server.own, reported, candidate.age_s, now_s)
         latency_s = server.health.expected_s(self._typical)
@@ -387,6 +503,7 @@
 
     def __init__(self, capacity: int) -> None:
         self.own = OwnLoad()
+        self.has_answered = False
         self.limit = ConcurrencyLimit(capacity)
         self.health = ServerHealth()
 
--- a/packages/sycamorestand-decisions/tests/test_selection.py
+++ b/packages/sycamorestand-decisions/tests/test_selection.py
@@ -3,9 +3,14 @@
 from collections import Counter
 from random import Random
 
+import pytest
+
 from sycamorestand_decisions.ejection import FIRST_EJECTION_S
 from sycamorestand_decisions.selection import Candidate
 from sycamorestand_decisions.selection import ServerSelector
+from sycamorestand_decisions.server_room import Work
+from sycamorestand_model.server_loads import LoadHeader
+from sycamorestand_model.server_loads import ObservedLoad
 
 NINE = [Candidate(f"s{index}", 16) for index in range(9)]
 
@@ -27,6 +32,82 @@
     selector.record_finish(name, now_s, latency_s, outcome)  # type: ignore
 
 
+# Of the selector before servers told their slowness, with seed 7.
+FORMER_CHOICES = "70690071b503926a289387a359196376a907a405"
+FORMER_NEXT_DRAW = 0.058954419331310404
+
+
+class TestServersThatTellNothing:
+    @pytest.mark.parametrize("header", [None, LoadHeader(1, 0, 4)])
+    def test_choices_and_draws_are_the_former_ones(
+        self, header: LoadHeader | None
+    ) -> None:
+        """Services whose servers tell no slowness are served as before."""
+        observed = ObservedLoad(header, 0.1, 0.0, 1, 0, 5, 0, 0.1)
+        random = Random(7)
+        selector = ServerSelector(random, lambda name, now_s: observed)
+        names = ""
+        for step in range(40):
+            now_s = step / 4
+            candidates = [
+                Candidate(f"{n:x}", 4, n % 3, n % 2, 0.5) for n in range(12)
+            ]
+            key = f"k{step % 5}" if step % 3 == 0 else None
+            work = Work(0.1, 1.0)
+            name = selector.choose(candidates, now_s, key, work=work)
+            assert name is not None
+            names += name
+            selector.record_start(name, now_s)
+            if step % 2:
+                selector.record_first_byte(name, now_s, 0.1)
+                selector.record_finish(name, now_s, 0.2, "ok")
+        assert names == FORMER_CHOICES
+        assert random.random() == FORMER_NEXT_DRAW
+
+
+class TestExpectedTime:
+    def test_affinity_owner_is_kept_up_to_a_bound(self) -> None:
+        """The owner may lie outside the servers that the entry draws from."""
+        names = [f"s{number}" for number in range(45)]
+        slowness = dict.fromkeys(names, 1.0)
+
+        def observed(name: str, now_s: float) -> ObservedLoad:
+            header = LoadHeader(0, 0, 16, slowness[name])
+            return ObservedLoad(header, 0.1, slowness[name], 0, 0, 0, 0, 9.0)
+
+        selector = ServerSelector(Random(1), observed)
+        candidates = [Candidate(name, 16) for name in names]
+        owners = {
+            selector.choose(candidates, 0.0, f"key{number}")
+            for number in range(200)
+        }
+        assert len(owners) > 30
+        owner = selector.choose(candidates, 0.0, "key1")
+        assert owner is not None
+        slowness[owner] = 1.45
+        assert selector.choose(candidates, 0.0, "key1") == owner
+        slowness[owner] = 1.6
+        assert selector.choose(candidates, 0.0, "key1") != owner
+
+    def test_ejected_server_is_not_chosen(self) -> None:
+        """One that says that it is idle and fast fails every request."""
+
+        def observed(name: str, now_s: float) -> ObservedLoad:
+            slowness = 0.1 if name == "s0" else 1.0
+            header = LoadHeader(0, 0, 16, slowness)
+            return ObservedLoad(header, 0.0, slowness, 0, 0, 0, 0, 9.0)
+
+        selector = ServerSelector(Random(1), observed)
+        assert selector.choose(NINE, 0.0, work=Work(0.1, 1.0)) is not None
+        for _ in range(6):
+            record_attempt(selector, "s0", 0.0, 0.1, "error")
+        chosen = {
+            selector.choose(NINE, 1.0, work=Work(0.1, 1.0)) for _ in range(50)
+        }
+        assert "s0" not in chosen
+        assert len(chosen) > 4
+
+
 class TestChoose:
     def test_no_candidate_gives_none(self) -> None:
         assert selector_of().choose([], 0.0) is None
