Expected work of a request, and the room that a target's servers share

Streams pass their prefill and answer times to the choice of a server, calls of plain services their usual time. Servers.shared_room sums free slots and requests in flight for the admission.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -91,6 +91,7 @@
             self.server_loss,
             self.server_limits.held,
             self.outcome_reports,
+            entry_name=settings.vm,
         )
         self.peer_entries = PeerEntries(
             settings.vm, settings.data_centre, self.random
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -14,10 +14,12 @@
 from sycamorestand_decisions.attempt_timeouts import PREFILL_TOKENS_PER_S
 from sycamorestand_decisions.attempt_timeouts import short_prefill_limit_s
 from sycamorestand_decisions.prefill import engine_rank
+from sycamorestand_decisions.server_room import Work
 from sycamorestand_model.declarations import VERSION_SEPARATOR
 
 if TYPE_CHECKING:
     from sycamorestand_decisions.queue_delay import QueueDelay
+    from sycamorestand_entry.context import EntryContext
     from sycamorestand_entry.routed.attempts import Attempts
     from sycamorestand_entry.routed.exchange import Exchange
 
@@ -26,6 +28,9 @@
 # One answer in a few is this much longer than the mean of those that are as
 # long as it is already.
 REST_MARGIN: Final = 1.5
+# Used before the first complete answer of a route.
+DEFAULT_ANSWER_S: Final = 1.0
+DEFAULT_CALL_S: Final = 0.05
 
 
 class EngineWait:
@@ -88,6 +93,13 @@
         gap_s = self._context.answer_times.event_gap_s(route)
         return self.prefill_s(target, size) + rest * gap_s
 
+    def work(self, target: str, size: int) -> Work:
+        """Return what the prompt and the rest of its answer need."""
+        route = self._route.name
+        rest = self._context.answer_lengths.rest_events(route, self._length())
+        answer_s = rest * self._context.answer_times.event_gap_s(route)
+        return Work(self.prefill_s(target, size), answer_s or DEFAULT_ANSWER_S)
+
     def is_short_of_time(self, target: str, size: int) -> bool:
         """Return whether the rest may not end before the deadline."""
         left_s = self._attempts.call.remaining_s()
@@ -180,6 +192,12 @@
         return self._context.queue_delay(_service_of(target), short_prefill)
 
 
+def call_work(context: EntryContext, route: str) -> Work:
+    """Return what a call of a plain service usually needs."""
+    usual_s = context.answer_times.usual_total_s(route)
+    return Work(0.0, usual_s or DEFAULT_CALL_S, is_call=True)
+
+
 def _service_of(target: str) -> str:
     return target.partition(VERSION_SEPARATOR)[0]
 
@@ -191,4 +209,4 @@
     return int(digits) if is_count else 0
 
 
-__all__ = ["EngineWait"]
+__all__ = ["call_work", "EngineWait"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarded.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/forwarded.py
@@ -16,6 +16,8 @@
 from sycamorestand_entry.errors import NoBackendServer
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.routed.admitted import admitted
+from sycamorestand_entry.routed.engine_wait import call_work
+from sycamorestand_entry.routed.engine_wait import EngineWait
 from sycamorestand_entry.routed.forwarding import SERVER_HEADER
 from sycamorestand_entry.routed.messages import answer_headers
 from sycamorestand_entry.routed.messages import EngineOptions
@@ -26,6 +28,7 @@
 from sycamorestand_entry.upstream import UpstreamError
 
 if TYPE_CHECKING:
+    from sycamorestand_decisions.server_room import Work
     from sycamorestand_entry.http_messages import Responder
     from sycamorestand_entry.routed.attempts import Attempts
     from sycamorestand_entry.routed.exchange import Exchange
@@ -82,6 +85,7 @@
         forwarded.model,
         forwarded.last_event,
         forwarded.rank,
+        work=_work(attempts, forwarded),
     )
     exchange = await attempts.open(forwarded.target, options)
     try:
@@ -96,6 +100,15 @@
         exchange.close()
 
 
+def _work(attempts: Attempts, forwarded: ForwardedAttempt) -> Work:
+    route = attempts.call.route
+    if route.kind != "stream":
+        return call_work(attempts.context, route.name)
+    model = forwarded.model.decode("latin-1")
+    size = route.sizes.index(model) if model in route.sizes else 0
+    return EngineWait(attempts).work(forwarded.target, size)
+
+
 async def _relay(
     attempts: Attempts, exchange: Exchange, responder: Responder
 ) -> bool:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/messages.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/messages.py
@@ -16,6 +16,7 @@
 from sycamorestand_entry.routed.headers import named_by_connection
 
 if TYPE_CHECKING:
+    from sycamorestand_decisions.server_room import Work
     from sycamorestand_entry.routed.call import RoutedCall
     from sycamorestand_entry.routed.header_names import HeaderNames
     from sycamorestand_entry.routed.headers import RawHeaders
@@ -32,13 +33,14 @@
 
 
 class EngineOptions(NamedTuple):
-    """Options of one attempt of a stream at an engine.
+    """Options of one attempt, most of them for a stream at an engine.
 
     ``model`` is the model that shall answer, empty if the caller named one;
     ``last_event`` is the id of the last event that the caller has; ``rank``
     is the scheduling rank at the engine, 0 first. The server is selected
     by the prefix cache key ``affinity_key``, unless the server ``known`` is
-    available: it has already read the prompt.
+    available: it has already read the prompt. ``work`` is what the attempt
+    is expected to need.
     """
 
     affinity_key: str = ""
@@ -46,6 +48,7 @@
     last_event: bytes = b""
     rank: int = 0
     known: str = ""
+    work: Work | None = None
 
 
 class Destination(NamedTuple):
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/server_choice.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/server_choice.py
@@ -98,6 +98,7 @@
             is_retry and self._call.may_repeat,
             self.allowed(target, may_add),
             self._dials.unreachable,
+            options.work,
         )
         self._tried.add(server.name)
         return server
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/streams.py
@@ -346,6 +346,7 @@
             last_id,
             rank,
             self._prefilled_server if restarts else "",
+            self._engine_wait.work(target, self._size_index),
         )
 
     async def _escalate_poor_answer(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole_answers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/whole_answers.py
@@ -12,6 +12,7 @@
 from sycamorestand_decisions.attempt_timeouts import call_limit_s
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.routed.attempts import ARRIVAL_POLL_S
+from sycamorestand_entry.routed.engine_wait import call_work
 from sycamorestand_entry.routed.exchange import ForwardingRefused
 from sycamorestand_entry.routed.messages import EngineOptions
 from sycamorestand_entry.routed.messages import NOT_RUN_STATUSES
@@ -37,9 +38,10 @@
     an answer that can be forwarded.
     """
     last_failure: WholeAnswer | None = None
+    work = call_work(attempts.context, attempts.call.route.name)
     while True:
         try:
-            exchange = await attempts.open(target, EngineOptions())
+            exchange = await attempts.open(target, EngineOptions(work=work))
         except RequestError as error:
             if last_failure is not None:
                 return last_failure
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorestand_decisions.canary import canary_servers
+from sycamorestand_decisions.observed_servers import entry_place
 from sycamorestand_decisions.selection import Candidate
 from sycamorestand_decisions.selection import ServerSelector
 from sycamorestand_decisions.server_limits import HeldTokens
@@ -17,13 +18,18 @@
 from sycamorestand_model.in_force import takes_new_work
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
 
     from sycamorestand_decisions.selection import Outcome
     from sycamorestand_decisions.selection import ServerMetrics
+    from sycamorestand_decisions.server_room import SharedRoom
+    from sycamorestand_decisions.server_room import Work
     from sycamorestand_entry.ports import ControlPort
+    from sycamorestand_entry.ports import EntryAddress
     from sycamorestand_model.backend_servers import Announcement
     from sycamorestand_model.home_regions import Homes
+    from sycamorestand_model.server_loads import ObservedLoad
 
 SERVER_RETRY_S: Final = 1.0
 LIMIT_RETRY_S: Final = 1.0
@@ -36,6 +42,9 @@
     Outlier ejection compares a server with the other servers of its group.
     With one group for all, the median latency of a small model's servers
     would make every server of a large model an outlier.
+
+    ``observed`` returns what is known of a server's load. The rank of
+    ``entry_name`` among the entries decides which servers this one draws.
     """
 
     def __init__(
@@ -45,9 +54,15 @@
         loss: ServerLoss | None = None,
         limits: HeldTokens | None = None,
         outcomes: OutcomeReports | None = None,
+        observed: Callable[[str, float], ObservedLoad] | None = None,
+        entry_name: str = "",
     ) -> None:
         self._control = control
         self._random = random
+        self._observed = observed
+        self._entry_name = entry_name
+        self._place = 0.0
+        self._placed_for: tuple[EntryAddress, ...] | None = None
         self._loss = loss or ServerLoss()
         self._limits = limits or HeldTokens()
         self._outcomes = outcomes or OutcomeReports(control)
@@ -176,14 +191,15 @@
         again: bool = False,
         among: Collection[str] | None = None,
         unreachable: Collection[str] = (),
+        work: Work | None = None,
     ) -> Announcement:
         """Return the server for one attempt.
 
         With ``again`` an excluded server is chosen if there is no other,
         because its earlier attempt may have failed on a dead connection
         only; one that is ``unreachable`` only if all are. ``among`` limits
-        the choice to the servers that it names. Raises `NoBackendServer` if
-        no server can be chosen.
+        the choice to the servers that it names. ``work`` is what the request
+        needs. Raises `NoBackendServer` if no server can be chosen.
         """
         candidates = self.candidates(target, now_s)
         if among is not None:
@@ -196,12 +212,13 @@
                     LIMIT_RETRY_S,
                 )
             candidates = [c for c in candidates if c.name not in closed]
-        choose = self._selector(target).choose
+        choose = self._engine_selector(target).choose
         key = affinity_key or None
-        name = choose(candidates, now_s, key, frozenset(exclude))
+        name = choose(candidates, now_s, key, frozenset(exclude), work)
         if name is None and again:
-            name = choose(candidates, now_s, None, frozenset(unreachable))
-            name = name or choose(candidates, now_s)
+            left_out = frozenset(unreachable)
+            name = choose(candidates, now_s, None, left_out, work)
+            name = name or choose(candidates, now_s, work=work)
         server = self._control.backend_servers().get(name or "")
         if server is None:
             raise NoBackendServer(
@@ -255,6 +272,17 @@
         candidates = self.candidates(target, now_s)
         return self._selector(target).capacity(candidates, now_s)
 
+    def shared_room(self, target: str, now_s: float) -> SharedRoom | None:
+        """Return the room at the target's servers, all entries counted.
+
+        Ejected servers are left out. Return None where the servers do not
+        all report their slowness.
+        """
+        if self._observed is None:
+            return None
+        candidates = self.candidates(target, now_s)
+        return self._engine_selector(target).shared_room(candidates, now_s)
+
     def record_start(self, target: str, name: str, now_s: float) -> None:
         """Count a request that was written to the server."""
         self._limits.record_sent(name)
@@ -335,10 +363,33 @@
         group = _service(target)
         selector = self._selectors.get(group)
         if selector is None:
-            selector = ServerSelector(self._random)
+            selector = ServerSelector(self._random, self._observed)
             self._selectors[group] = selector
         return selector
 
+    def _engine_selector(self, target: str) -> ServerSelector:
+        """Return the target's selector, with the limits declared now."""
+        selector = self._selector(target)
+        if self._observed is not None:
+            declarations = self._control.in_force().declarations
+            service = declarations.services.get(_service(target))
+            engine = service.engine if service is not None else None
+            if engine is not None:
+                selector.set_engine(engine.slots, engine.kv_tokens)
+            else:
+                selector.set_engine(0, 0)
+            selector.set_place(self._own_place())
+        return selector
+
+    def _own_place(self) -> float:
+        """Return the place of this entry among those that control knows."""
+        addresses = self._control.addresses()
+        if addresses is not self._placed_for:
+            self._placed_for = addresses
+            names = {address.vm for address in addresses}
+            self._place = entry_place(self._entry_name, names)
+        return self._place
+
     def _held_for_s(self, server: Announcement, now_s: float) -> float:
         # Announcements carry no time of arrival, so the age of a report
         # counts from when this entry first saw it.
