--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_room.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_room.py
@@ -124,7 +124,7 @@
     """
     header = observed.header
     own = observed.own_requests
-    others, age_s, source = _others(observed, own - own_since)
+    others, age_s, source = _others(observed, max(0, own - own_since))
     if header is not None and header.slots > 0:
         slots = min(slots, header.slots) if slots > 0 else header.slots
     slots = max(1, slots)
