--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_room.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_room.py
@@ -159,9 +159,9 @@
     >>> idle = Room(24, None, 0, 0, 0.55, 0.0, "report", 24)
     >>> round(expected_s(idle, Work(0.2, 0.8)), 2)
     0.56
-    >>> full = idle._replace(free_slots=0, running=24, waiting=23)
+    >>> full = idle._replace(free_slots=0, running=24, waiting=11)
     >>> round(expected_s(full, Work(0.2, 0.8)), 2)
-    1.65
+    1.18
     """
     alone_s = work.prefill_s + work.answer_s
     share = min(1.0, (room.running + 1.0) / room.slots)
