--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
@@ -105,6 +105,9 @@
     def entry_count(self) -> int:
         return self.entries
 
+    def entry_place(self) -> float:
+        return 0.0
+
     def report(self, sample: VersionSample) -> None:
         self.samples.append(sample)
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/hub.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/hub.py
@@ -156,7 +156,9 @@
             # The count is sent with each lease. If it were sent once and
             # lost, the entry would use too large a share of the limits for as
             # long as it runs.
-            self._mesh.send(sender, EntryCount(len(self._tables.entries())))
+            vms = self._tables.entries()
+            rank = sum(vm < message.address.vm for vm in vms)
+            self._mesh.send(sender, EntryCount(len(vms), rank))
             return
         self.denied += 1
         reason = "behind"
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -97,6 +97,7 @@
             self.server_loss,
             self.server_limits.held,
             self.outcome_reports,
+            self.observed_loads.observed,
         )
         self.peer_entries = PeerEntries(
             settings.vm, settings.data_centre, self.random
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -103,6 +103,7 @@
         self._addresses: tuple[EntryAddress, ...] = ()
         self._addresses_by_control: dict[str, tuple[EntryAddress, ...]] = {}
         self._entries = 0
+        self._rank = 0
         self._stopping = False
         self._unreached: tuple[str, ...] = ()
         self._samples = SampleCounts()
@@ -163,6 +164,10 @@
         """Return the number of entries, 0 before the first lease."""
         return self._entries
 
+    def entry_place(self) -> float:
+        """Return this entry's rank among all, from 0 to below 1."""
+        return self._rank / max(1, self._entries)
+
     def report(self, sample: VersionSample) -> None:
         """Count the result of an attempt at a version."""
         self._samples.add(sample, time.time())
@@ -323,6 +328,7 @@
                 self._store_addresses(sender, message)
             case EntryCount():
                 self._entries = message.entries
+                self._rank = message.rank
             case _:
                 self._notify_listener(message)
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
@@ -47,6 +47,10 @@
         """
         ...
 
+    def entry_place(self) -> float:
+        """Return this entry's rank among all, from 0 to below 1."""
+        ...
+
     def report(self, sample: VersionSample) -> None: ...
 
     def send(self, message: Message) -> None:
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -45,9 +45,11 @@
     """The number of entries, sent with each lease.
 
     Each entry divides the limits that all entries share by this number.
+    ``rank`` is that of the receiver among their names, from 0 on.
     """
 
     entries: int
+    rank: int = 0
 
 
 class LeaseDenied(NamedTuple):
