List the servers of a service once for each change of them

Cause: for each choice an entry went through all known servers, and again for the version of a service without declared versions. Ten times a second the search for silent servers built a set of all addresses, to drop records that do not exist while no server is suspected.

Change: `ServerIndex` keeps the answers until the control port returns another mapping or other data centres drain. The fake control port returns a new mapping after a change, as the link does. `ServerLoss.has_records` tells whether there is anything to drop.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
@@ -79,6 +79,7 @@
         self.fake_ledger = ledger
         self.lease_s = 3.0
         self.servers: dict[str, Announcement] = {}
+        self._returned: dict[str, Announcement] = {}
         self.entry_addresses: tuple[EntryAddress, ...] = ()
         self.entries = 0
         self.samples: list[VersionSample] = []
@@ -97,7 +98,10 @@
         return self.lease_s
 
     def backend_servers(self) -> dict[str, Announcement]:
-        return self.servers
+        # Tests modify `servers`, but a returned mapping must not change.
+        if self._returned != self.servers:
+            self._returned = dict(self.servers)
+        return self._returned
 
     def addresses(self) -> tuple[EntryAddress, ...]:
         return self.entry_addresses
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_loss.py
@@ -88,6 +88,17 @@
         """Whether any server is unreachable."""
         return bool(self._lost or self._refusing)
 
+    @property
+    def has_records(self) -> bool:
+        """Whether there is anything that `forget_unused` might drop."""
+        return bool(
+            self._lost
+            or self._timed_out
+            or self._refusing
+            or self._returned
+            or self._checked_s
+        )
+
     def is_lost(self, address: str) -> bool:
         """Return whether the server is lost."""
         return address in self._lost
--- a/packages/sycamorestand-decisions/tests/test_server_loss.py
+++ b/packages/sycamorestand-decisions/tests/test_server_loss.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from itertools import pairwise
 import math
 from typing import Final
@@ -195,6 +196,28 @@
         assert not loss.is_check_due(ADDRESS, 9.5, 10.1)
 
 
+class TestHasRecords:
+    @pytest.mark.parametrize(
+        "record",
+        [
+            lambda loss: loss.record_timed_out_dial(ADDRESS),
+            lambda loss: loss.record_refused_dial(ADDRESS),
+            lambda loss: loss.record_check(ADDRESS, True, 1.0),
+            lambda loss: loss.record_check(ADDRESS, False, 1.0),
+        ],
+    )
+    def test_all_that_is_recorded_counts(
+        self, record: Callable[[ServerLoss], None]
+    ) -> None:
+        """The records of servers that have left would never be dropped."""
+        loss = ServerLoss()
+        assert not loss.has_records
+        record(loss)
+        assert loss.has_records
+        loss.forget_unused(set())
+        assert not loss.has_records
+
+
 class SimulatedServer:
     """A server that is silent or not, and accepts dials or not."""
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/targets.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/targets.py
@@ -13,7 +13,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 import time
 from typing import Final
 from typing import TYPE_CHECKING
@@ -26,7 +25,6 @@
 from sycamorestand_entry.errors import NoVersion
 from sycamorestand_model.declarations import version_id
 from sycamorestand_model.declarations import VERSION_SEPARATOR
-from sycamorestand_model.in_force import takes_new_work
 from sycamorestand_peer.messages import SessionsStay
 
 if TYPE_CHECKING:
@@ -160,14 +158,7 @@
     version of most servers is the one in use. Otherwise the next version
     would get requests before its roll-out compares the versions.
     """
-    in_force = context.control.in_force()
-    counts: Counter[str] = Counter()
-    for server in context.control.backend_servers().values():
-        if service in server.versions and takes_new_work(in_force, server):
-            counts.update(v for v in server.versions if v != service)
-    if len(counts) <= 1:
-        return service
-    return max(sorted(counts), key=lambda name: counts[name])
+    return context.servers.main_version(service)
 
 
 def _has_capacity(context: EntryContext, target: str) -> bool:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_watch.py
@@ -65,9 +65,10 @@
         """Return the addresses to check now, the last checked ones last."""
         now_s = self._now_s()
         used = set(self._pool.addresses_in_use())
-        servers = self._control.backend_servers().values()
-        announced = {server.address for server in servers}
-        self._loss.forget_unused(used | announced | self._checking)
+        if self._loss.has_records:
+            servers = self._control.backend_servers().values()
+            announced = {server.address for server in servers}
+            self._loss.forget_unused(used | announced | self._checking)
         due = [
             address
             for address in used | self._loss.suspected | self._loss.refusing
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -14,10 +14,12 @@
 from sycamorestand_entry.errors import NoBackendServer
 from sycamorestand_entry.errors import ServersLimited
 from sycamorestand_entry.outcome_reports import OutcomeReports
+from sycamorestand_entry.server_index import ServerIndex
 from sycamorestand_model.in_force import takes_new_work
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Sequence
 
     from sycamorestand_decisions.selection import Outcome
     from sycamorestand_decisions.selection import ServerMetrics
@@ -47,6 +49,7 @@
         outcomes: OutcomeReports | None = None,
     ) -> None:
         self._control = control
+        self._index = ServerIndex(control)
         self._random = random
         self._loss = loss or ServerLoss()
         self._limits = limits or HeldTokens()
@@ -61,13 +64,11 @@
         During a roll-out of the version, only as many of them as its share
         of the work needs.
         """
-        in_force = self._control.in_force()
+        is_lost = self._loss.is_lost
         holders = [
             server
-            for server in self._control.backend_servers().values()
-            if target in server.versions
-            and takes_new_work(in_force, server)
-            and not self._loss.is_lost(server.address)
+            for server in self._index.holders(target)
+            if not is_lost(server.address)
         ]
         share = self._rollout_share(target)
         if share < 1.0:
@@ -85,6 +86,13 @@
             for server in holders
         ]
 
+    def main_version(self, service: str) -> str:
+        """Return the version that most servers of the service have.
+
+        Return the service itself if they announce no or one version.
+        """
+        return self._index.main_version(service)
+
     def names_in(self, homes: Homes) -> set[str] | None:
         """Return the servers in these regions, None if anywhere will do."""
         if homes is None:
@@ -136,18 +144,13 @@
         """
         if not (self._loss.has_unreachable or not_reached):
             return False
-        in_force = self._control.in_force()
-        holders = [
-            server
-            for server in self._control.backend_servers().values()
-            if target in server.versions and takes_new_work(in_force, server)
-        ]
+        holders = self._index.holders(target)
         return self._reaches_none(target, holders, now_s, not_reached)
 
     def _reaches_none(
         self,
         target: str,
-        servers: list[Announcement],
+        servers: Sequence[Announcement],
         now_s: float,
         not_reached: Collection[str] = (),
     ) -> bool:
