Say who imports uvicorn through its parts

Change and result: the comment names the processes of the system; the name of the package is a constant.

--- a/packages/sycamorestand-peer/src/sycamorestand_peer/uvicorn_parts.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/uvicorn_parts.py
@@ -7,7 +7,7 @@
 code runs when anything else of it is asked for. The modules of uvicorn stay
 as they are. If `uvicorn` has been imported before, nothing is deferred.
 
-Import uvicorn through this module and never directly.
+The processes of the system import uvicorn through this module only.
 """
 
 from __future__ import annotations
@@ -16,8 +16,9 @@
 from importlib.util import module_from_spec
 import sys
 from typing import Any
+from typing import Final
 
-PACKAGE = "uvicorn"
+PACKAGE: Final = "uvicorn"
 
 
 def _defer_package() -> None:
