Keys of refused requests belong to their customers

Cause: a request that is refused is remembered by its key, so that a repeat before its Retry-After goes behind. Two customers may use the same key.

Change: the memory is by customer and key. A test shows that a repeat goes behind a request that came later and is longer.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/admission.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/admission.py
@@ -318,7 +318,7 @@
 
     def is_early(self, ticket: Ticket, now_s: float) -> bool:
         """Return whether the request is repeated before its retry time."""
-        return now_s < self.refused_until_s.get(ticket.key, now_s)
+        return now_s < self.refused_until_s.get(_repeat_key(ticket), now_s)
 
     def refuse(self, ticket: Ticket, now_s: float, wait_s: float) -> float:
         """Remember the refused request and return when to retry."""
@@ -328,7 +328,7 @@
         if ticket.key:
             if len(self.refused_until_s) >= MAX_REFUSED_KEYS:
                 self.refused_until_s.pop(next(iter(self.refused_until_s)))
-            self.refused_until_s[ticket.key] = now_s + retry_after_s
+            self.refused_until_s[_repeat_key(ticket)] = now_s + retry_after_s
         return retry_after_s
 
     def expected_wait_s(self, ticket: Ticket, urgency: Urgency) -> float:
@@ -387,6 +387,11 @@
     return max(MIN_SLACK_S, ticket.deadline_s - now_s - needed_s)
 
 
+def _repeat_key(ticket: Ticket) -> str:
+    """Return what repeats share; callers of two customers may use one key."""
+    return f"{ticket.customer} {ticket.key}"
+
+
 def _spread_s(wait_s: float, ticket: Ticket) -> float:
     """Return the time spread by the request's key, the same for each key."""
     key = ticket.key or f"{ticket.customer} {ticket.ticket_id}"
--- a/packages/sycamorestand-decisions/tests/test_waiting_order.py
+++ b/packages/sycamorestand-decisions/tests/test_waiting_order.py
@@ -298,3 +298,20 @@
             if number % 2:
                 admission.finish(number, number + 0.5, work / 10, False)
                 admission.start_ready(number + 0.5)
+
+
+class TestEarlyRepeat:
+    def test_repeat_goes_behind_a_later_request(self) -> None:
+        """Guards against a refused caller that overtakes by repeating."""
+        admission = Admission()
+        admission.set_capacity(POOL, 1)
+        base = Ticket(0, "a", 1.0, POOL, 2, 30.0, 2.0, 20.0)
+        admission.offer(base, 0.0)
+        refused = base._replace(ticket_id=1, deadline_s=2.0, key="k")
+        assert isinstance(admission.offer(refused, 0.0), Refused)
+        repeat = refused._replace(ticket_id=2, deadline_s=30.0)
+        admission.offer(repeat, 0.1)
+        other = base._replace(ticket_id=3, expected_s=2.5, key="l")
+        admission.offer(other, 0.2)
+        admission.finish(0, 1.0, 1.0, False)
+        assert [t.ticket_id for t in admission.start_ready(1.0)] == [3]
