Entry tells admission the priority, target and work of each request

Cause: admission control got "interactive" and one constant expected time for all calls and all streams of routes, so it could not tell a prompt of 800 tokens from one of 50,000, and used all slots of a target for this entry alone.

Change: routed requests pass their declared priority, latency target, deadline and expected time in a slot, from prefill rate, expected length and the usual time between events, or the median time of calls; at most 0.9 of the route's timeout, so that times learned under overload are corrected. The chat interface passes 2 or 8 and its key. Slots takes shared_room, by default none, and limits the capacity by the entry's part. A refusal carries its rule and figures: the decision NotAdmitted, the metric admission_refused; Admitted has the priority.

The test of a refusal in test_decision_log expected one decision; it now expects the second one, NotAdmitted, with its rule and place in the path.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/context.py
@@ -95,7 +95,9 @@
         self.peer_entries = PeerEntries(
             settings.vm, settings.data_centre, self.random
         )
-        self.slots = Slots(self.servers, self.metrics)
+        self.slots = Slots(
+            self.servers, self.metrics, entry_count=control.entry_count
+        )
         self.retries = RetryBudget(settings.retry_share)
         self.arrivals = ArrivalBudget(settings.allowance)
         self.loans = Loans(self.arrivals, control, self.now_s)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -28,6 +28,7 @@
 from sycamorestand_entry.part_watch import ServerRequest
 from sycamorestand_entry.reservation import reserve_server
 from sycamorestand_entry.server_limits import LIMIT_HEADER
+from sycamorestand_entry.slots import CHAT_PRIORITIES
 from sycamorestand_entry.slots import SlotRequest
 from sycamorestand_entry.sse import MalformedStream
 from sycamorestand_entry.upstream import BrokenConnection
@@ -116,9 +117,10 @@
                 work.customer,
                 work.weight,
                 work.version,
-                work.priority,
+                CHAT_PRIORITIES[work.priority],
                 work.deadline_at_s,
                 work.expected_s,
+                key=work.request_key,
             )
         )
         self._slot_since_s = time.monotonic()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
@@ -9,14 +9,22 @@
 
 from typing import ClassVar
 from typing import Literal
+from typing import TYPE_CHECKING
 
 from sycamorestand_model.errors import SycamorestandError
 
+if TYPE_CHECKING:
+    from sycamorestand_decisions.admission import Refused
+
 Run = Literal["not_run", "ran", "unknown"]
 
 
 class RequestError(SycamorestandError):
-    """Base class of errors that callers and backend servers receive."""
+    """Base class of errors that callers and backend servers receive.
+
+    ``admission`` is the decision of admission control, if it refused the
+    request.
+    """
 
     status: ClassVar[int] = 500
     code: ClassVar[str] = "internal_error"
@@ -32,6 +40,7 @@
         self.message = message
         self.retry_after_s = retry_after_s
         self.run: Run = run or self.default_run
+        self.admission: Refused | None = None
 
 
 class InternalError(RequestError):
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -55,6 +55,10 @@
         self.admissions = self._counter(
             "admissions_total", "Slots given and refused, by result"
         )
+        self.admission_refused = self._counter(
+            "admission_refused",
+            "Requests refused a slot, by priority and rule",
+        )
         self.queue_wait = self._counter(
             "queue_wait_seconds_total", "Time that requests waited for slots"
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/admitted.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/admitted.py
@@ -10,16 +10,22 @@
 
 import anyio
 
+from sycamorestand_decisions.slot_times import expected_call_s
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.routed.decision_log import Admitted
+from sycamorestand_entry.routed.decision_log import NotAdmitted
+from sycamorestand_entry.routed.engine_wait import EngineWait
 from sycamorestand_entry.slots import SlotRequest
 
 if TYPE_CHECKING:
+    from sycamorestand_decisions.admission import Refused
     from sycamorestand_entry.routed.attempts import Attempts
+    from sycamorestand_entry.routed.call import RoutedCall
 
-# Durations that admission control expects of a call and of a stream.
-EXPECTED_CALL_S: Final = 0.05
-EXPECTED_STREAM_S: Final = 1.0
+MS: Final = 1000
+# Times learned under overload must not rule out requests that have the whole
+# timeout of their route: without answers they would never be corrected.
+MAX_TIMEOUT_SHARE: Final = 0.9
 
 
 class Admission:
@@ -62,25 +68,65 @@
         return None
     call = attempts.call
     begin_s = time.monotonic()
-    is_stream = call.route.kind == "stream"
-    request = SlotRequest(
-        call.customer,
-        call.weight,
-        target,
-        "interactive",
-        call.deadline_at_s,
-        EXPECTED_STREAM_S if is_stream else EXPECTED_CALL_S,
-    )
     try:
-        slot = await attempts.context.slots.acquire(request)
-    except RequestError:
+        slot = await attempts.context.slots.acquire(
+            _slot_request(attempts, target, begin_s)
+        )
+    except RequestError as error:
         # The last server may have been lost while the request waited.
         if attempts.must_forward(target):
             return None
+        if error.admission is not None:
+            call.log.add(_not_admitted(call, target, error.admission))
         raise
     waited_s = time.monotonic() - begin_s
-    call.log.add(Admitted(target, int(waited_s * 1000)))
+    call.log.add(Admitted(target, int(waited_s * MS), call.priority))
     return slot
 
 
+def _slot_request(
+    attempts: Attempts, target: str, now_s: float
+) -> SlotRequest:
+    call = attempts.call
+    target_at_s = 0.0
+    if call.route.target_latency_ms:
+        left_ms = call.route.target_latency_ms - call.log.elapsed_ms()
+        target_at_s = now_s + left_ms / MS
+    if call.route.kind == "stream":
+        wait = EngineWait(attempts)
+        expected_s = wait.expected_s(target)
+        begin_s = wait.prefill_s(target, 0)
+    else:
+        times = attempts.context.answer_times
+        expected_s = expected_call_s(times.usual_total_s(call.route.name))
+        begin_s = expected_s
+    longest_s = MAX_TIMEOUT_SHARE * call.route.timeout_ms / MS
+    expected_s = min(expected_s, longest_s)
+    return SlotRequest(
+        call.customer,
+        call.weight,
+        target,
+        call.priority,
+        call.deadline_at_s,
+        expected_s,
+        target_at_s,
+        min(begin_s, expected_s),
+        call.attempt.decode("latin-1"),
+    )
+
+
+def _not_admitted(
+    call: RoutedCall, target: str, refused: Refused
+) -> NotAdmitted:
+    return NotAdmitted(
+        target,
+        call.priority,
+        refused.rule,
+        refused.waiting,
+        round(refused.expected_s, 3),
+        round(refused.limit_s, 3),
+        round(call.remaining_s(), 3),
+    )
+
+
 __all__ = ["admitted", "Admission"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -48,6 +48,27 @@
 
     target: str
     waited_ms: int
+    priority: int
+
+
+class NotAdmitted(NamedTuple):
+    """Admission control refused the request a slot; it has not run.
+
+    ``rule`` is ``too_long`` (the time in a slot is longer than what is left),
+    ``no_server``, ``queue_full``, ``wait`` (the expected wait is too long) or
+    ``overtaken`` (it waited until it could no longer end in time).
+    ``expected`` was over ``limit``, in seconds, or in requests for
+    ``queue_full``. ``waiting`` requests waited, and ``left_s`` were left to
+    the deadline.
+    """
+
+    target: str
+    priority: int
+    rule: str
+    waiting: int
+    expected: float
+    limit: float
+    left_s: float
 
 
 class Sent(NamedTuple):
@@ -200,6 +221,7 @@
 Decision = (
     Held
     | Admitted
+    | NotAdmitted
     | Sent
     | Forwarded
     | NotForwarded
@@ -348,6 +370,8 @@
         return f"{decision.entry}/{decision.model or '-'}"
     if isinstance(decision, AttemptEnded):
         return decision.outcome
+    if isinstance(decision, NotAdmitted):
+        return f"not-admitted:{decision.rule}"
     if isinstance(decision, NotImproved):
         return f"no-{decision.wish}:{decision.bound}"
     return type(decision).__name__
@@ -366,6 +390,7 @@
     "Held",
     "MAX_DECISIONS",
     "MovedOn",
+    "NotAdmitted",
     "NotForwarded",
     "NotImproved",
     "NotReached",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -14,6 +14,7 @@
 from sycamorestand_decisions.attempt_timeouts import PREFILL_TOKENS_PER_S
 from sycamorestand_decisions.attempt_timeouts import short_prefill_limit_s
 from sycamorestand_decisions.prefill import engine_rank
+from sycamorestand_decisions.slot_times import expected_stream_s
 from sycamorestand_model.declarations import VERSION_SEPARATOR
 
 if TYPE_CHECKING:
@@ -88,6 +89,15 @@
         gap_s = self._context.answer_times.event_gap_s(route)
         return self.prefill_s(target, size) + rest * gap_s
 
+    def expected_s(self, target: str) -> float:
+        """Return how long the call takes at the smallest model, in a slot."""
+        route = self._route.name
+        return expected_stream_s(
+            self.prefill_s(target, 0),
+            self._context.answer_lengths.rest_events(route, self._length()),
+            self._context.answer_times.event_gap_s(route),
+        )
+
     def is_short_of_time(self, target: str, size: int) -> bool:
         """Return whether the rest may not end before the deadline."""
         left_s = self._attempts.call.remaining_s()
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
@@ -12,6 +12,7 @@
 from sycamorestand_entry.part_watch import ServerRequest
 from sycamorestand_entry.server_limits import LIMIT_HEADER
 from sycamorestand_entry.servers import LIMIT_RETRY_S
+from sycamorestand_entry.slots import CHAT_PRIORITIES
 from sycamorestand_entry.slots import SERVICE_CALL_S
 from sycamorestand_entry.slots import SlotRequest
 from sycamorestand_entry.upstream import BrokenConnection
@@ -185,9 +186,10 @@
             call.customer,
             call.weight,
             call.service,
-            call.priority,
+            CHAT_PRIORITIES[call.priority],
             call.deadline_at_s,
             SERVICE_CALL_S,
+            key=call.request_key,
         )
     )
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/slots.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/slots.py
@@ -19,13 +19,18 @@
 import anyio
 
 from sycamorestand_decisions.admission import Admission
+from sycamorestand_decisions.admission import NO_SERVER
 from sycamorestand_decisions.admission import Refused
 from sycamorestand_decisions.admission import Started
 from sycamorestand_decisions.fair_queue import Ticket
+from sycamorestand_decisions.shared_room import RoomShare
+from sycamorestand_decisions.shared_room import SharedRoom
 from sycamorestand_entry.errors import NoBackendServer
 from sycamorestand_entry.errors import Overloaded
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sycamorestand_decisions.admission import PoolMetrics
     from sycamorestand_entry.metrics import Metrics
     from sycamorestand_entry.servers import Servers
@@ -46,25 +51,54 @@
 MAX_EXPECTED_TOKENS: Final = 1024
 
 
+# The names that the chat interface has for priorities, and their numbers.
+CHAT_PRIORITIES: Final = {"interactive": 2, "batch": 8}
+
+
 class SlotRequest(NamedTuple):
     """A request for a slot.
 
-    ``target`` is a version or a plain service, ``deadline_at_s`` is on the
-    monotonic clock, ``expected_s`` is the expected time in the slot.
+    ``target`` is a version or a plain service, ``priority`` a number from 0,
+    the highest, to 9. ``deadline_at_s`` and ``target_at_s`` are on the
+    monotonic clock; the latter is the latency target, 0 without one.
+    ``expected_s`` is the expected time in the slot, of which ``begin_s``
+    passes before what the latency target bounds. ``key`` is the same for
+    repeats of the request.
     """
 
     customer: str
     weight: float
     target: str
-    priority: str
+    priority: int
     deadline_at_s: float
     expected_s: float
+    target_at_s: float = 0.0
+    begin_s: float = 0.0
+    key: str = ""
+
+
+def no_shared_room(target: str, now_s: float) -> SharedRoom | None:
+    """Return None: the servers' loads are not shared among entries."""
+    return None
 
 
 class Slots:
-    """The slots of all versions and plain services, as one entry sees them."""
+    """The slots of all versions and plain services, as one entry sees them.
+
+    ``shared_room`` returns what is known of the slots that all entries share,
+    None where nothing is. ``entry_count`` returns the number of entries, 0 if
+    it is not known.
+    """
 
-    def __init__(self, servers: Servers, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        servers: Servers,
+        metrics: Metrics,
+        shared_room: Callable[
+            [str, float], SharedRoom | None
+        ] = no_shared_room,
+        entry_count: Callable[[], int] = int,
+    ) -> None:
         self._admission = Admission()
         self._servers = servers
         self._metrics = metrics
@@ -72,6 +106,9 @@
         self._waiting: dict[int, asyncio.Future[Refused | None]] = {}
         self._refreshed_s: dict[str, float] = {}
         self._without_slots: set[str] = set()
+        self._shared_room = shared_room
+        self._entry_count = entry_count
+        self._room_shares: dict[str, RoomShare] = {}
 
     async def acquire(self, request: SlotRequest) -> int:
         """Wait for a slot and return its id.
@@ -84,9 +121,9 @@
         ticket = Ticket(next(self._ids), *request)
         result = self._admission.offer(ticket, begin_s)
         if isinstance(result, Refused):
-            raise self._make_refusal(result)
+            raise self._make_refusal(result, request.priority)
         if not isinstance(result, Started):
-            await self._wait(ticket.ticket_id)
+            await self._wait(ticket)
             self._metrics.queue_wait.add({}, time.monotonic() - begin_s)
         self._metrics.admissions.inc({"result": type(result).__name__})
         return ticket.ticket_id
@@ -129,7 +166,8 @@
         for ticket, refused in self._admission.expire(now_s):
             self._resolve(ticket.ticket_id, refused)
 
-    async def _wait(self, ticket_id: int) -> None:
+    async def _wait(self, ticket: Ticket) -> None:
+        ticket_id = ticket.ticket_id
         future = asyncio.get_running_loop().create_future()
         self._waiting[ticket_id] = future
         try:
@@ -139,7 +177,7 @@
             self.cancel(ticket_id)
             raise
         if refused is not None:
-            raise self._make_refusal(refused)
+            raise self._make_refusal(refused, ticket.priority)
 
     def _start_ready(self, now_s: float) -> None:
         for ticket in self._admission.start_ready(now_s):
@@ -162,17 +200,30 @@
     def _set_capacity(self, target: str, now_s: float) -> None:
         self._refreshed_s[target] = now_s
         capacity = self._servers.capacity(target, now_s)
+        room = self._shared_room(target, now_s) if capacity else None
+        if room is None:
+            self._room_shares.pop(target, None)
+        else:
+            share = self._room_shares.setdefault(target, RoomShare())
+            capacity = share.capacity(
+                room, self._entry_count(), capacity, now_s
+            )
         if capacity:
             self._without_slots.discard(target)
         else:
             self._without_slots.add(target)
         self._admission.set_capacity(target, capacity)
 
-    def _make_refusal(self, refused: Refused) -> Overloaded | NoBackendServer:
+    def _make_refusal(
+        self, refused: Refused, priority: int
+    ) -> Overloaded | NoBackendServer:
         self._metrics.admissions.inc({"result": refused.reason})
-        if refused.reason.startswith("no backend server"):
-            return NoBackendServer(refused.reason, refused.retry_after_s)
-        return Overloaded(refused.reason, refused.retry_after_s)
+        labels = {"priority": str(priority), "rule": refused.rule}
+        self._metrics.admission_refused.inc(labels)
+        kind = NoBackendServer if refused.rule == NO_SERVER else Overloaded
+        error = kind(refused.reason, refused.retry_after_s)
+        error.admission = refused
+        return error
 
 
 def expected_chat_s(max_tokens: int) -> float:
@@ -181,8 +232,10 @@
 
 
 __all__ = [
+    "CHAT_PRIORITIES",
     "DEFAULT_TOKENS",
     "expected_chat_s",
+    "no_shared_room",
     "SERVICE_CALL_S",
     "SlotRequest",
     "Slots",
--- a/packages/sycamorestand-entry/tests/routed/test_decision_log.py
+++ b/packages/sycamorestand-entry/tests/routed/test_decision_log.py
@@ -138,9 +138,12 @@
         assert end["run"] == "not_run"
         assert end["retry_after_s"] > 0
         assert not end["expendable"]
-        (held,) = decisions_of(caplog, "r-2")
+        held, refused = decisions_of(caplog, "r-2")
         assert held["decision"] == "Held"
         assert held["missing"] == "server"
+        assert refused["decision"] == "NotAdmitted"
+        assert refused["rule"] == "no_server"
+        assert end["path"] == "Held not-admitted:no_server"
 
     async def test_missing_lease_is_logged_with_its_age(
         self, caplog: pytest.LogCaptureFixture
--- a/packages/sycamorestand-entry/tests/test_slots.py
+++ b/packages/sycamorestand-entry/tests/test_slots.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import time
+from typing import cast
+
 import anyio
 import pytest
 
@@ -12,6 +15,12 @@
 from sycamorestand_bench.fakes.loopback import Loopback
 from sycamorestand_bench.fakes.loopback import SETTINGS
 from sycamorestand_bench.fakes.loopback import start_loopback
+from sycamorestand_decisions.shared_room import SharedRoom
+from sycamorestand_entry.errors import Overloaded
+from sycamorestand_entry.metrics import Metrics
+from sycamorestand_entry.servers import Servers
+from sycamorestand_entry.slots import SlotRequest
+from sycamorestand_entry.slots import Slots
 
 pytestmark = pytest.mark.anyio
 
@@ -79,3 +88,50 @@
             with anyio.fail_after(10):
                 answer = await loopback.chat()
             assert answer.status == 200
+
+
+class TenSlots:
+    """Servers with ten slots of any target."""
+
+    def capacity(self, target: str, now_s: float) -> int:
+        """Return ten."""
+        return 10
+
+
+class TestSharedRoom:
+    async def test_entry_takes_its_part_of_the_free_slots(self) -> None:
+        """Guards against an entry that fills the slots that others share.
+
+        Of four free slots, an entry of two that has none of the requests
+        there may take one; its next request waits.
+        """
+        metrics = Metrics()
+        slots = Slots(
+            cast("Servers", TenSlots()),
+            metrics,
+            lambda target, now_s: SharedRoom(4, 6, 0),
+            lambda: 2,
+        )
+        request = SlotRequest(
+            "guild", 1.0, "nest", 3, time.monotonic() + 9, 1.0
+        )
+        first = await slots.acquire(request)
+        with anyio.move_on_after(0.05) as waited:
+            await slots.acquire(request)
+        assert waited.cancelled_caught
+        slots.finish(first, 1.0, False)
+        await slots.acquire(request)
+
+    async def test_refusal_is_counted_and_carries_its_figures(self) -> None:
+        """Guards against a refusal whose rule cannot be told afterwards."""
+        metrics = Metrics()
+        slots = Slots(cast("Servers", TenSlots()), metrics)
+        request = SlotRequest("guild", 1.0, "nest", 3, 0.0, 1.0)
+        with pytest.raises(Overloaded) as caught:
+            await slots.acquire(request)
+        refused = caught.value.admission
+        assert refused is not None
+        assert refused.rule == "too_long"
+        assert caught.value.run == "not_run"
+        line = b'admission_refused{priority="3",rule="too_long"} 1'
+        assert line in metrics.render()
