Shares of the classes are computed once per look at the queue

Cause: the look at all waiting requests, four times a second, computed the shares of all classes for each of them.

Change: once for each class; the scales of the priorities come from a table.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/fair_queue.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/fair_queue.py
@@ -130,12 +130,13 @@
         own = self._class(ticket.priority)
         flow = own.flows.get(ticket.customer)
         if flow is None:
-            return self._with_higher_s(own, 0.0, ticket.expected_s)
+            return self._ahead(own).work_before_s(0.0, ticket.expected_s)
         weight = own.weight if flow.waiting else own.weight + ticket.weight
         own_s = flow.work_before_s(urgency)
         own_s /= max(ticket.weight, MIN_WEIGHT)
         ahead = max(0.0, flow.virtual_s - own.virtual_s) + own_s
-        return self._with_higher_s(own, ahead * weight, ticket.expected_s)
+        before_s = ahead * weight
+        return self._ahead(own).work_before_s(before_s, ticket.expected_s)
 
     def push(self, ticket: Ticket, urgency: Urgency, latest_s: float) -> None:
         """Queue a request that must start by ``latest_s``."""
@@ -192,12 +193,13 @@
     ) -> Iterator[tuple[Ticket, float, float]]:
         """Yield each request, the service time before it, its latest start."""
         for own in self._waiting_classes():
+            others = self._ahead(own)
             for flow in own.flows.values():
                 ahead = max(0.0, flow.virtual_s - own.virtual_s)
                 for ticket_id in flow.in_order(now_s):
                     ticket = self._tickets[ticket_id]
-                    before_s = self._with_higher_s(
-                        own, ahead * own.weight, ticket.expected_s
+                    before_s = others.work_before_s(
+                        ahead * own.weight, ticket.expected_s
                     )
                     yield ticket, before_s, self._latest_s[ticket_id]
                     ahead += _cost_s(ticket)
@@ -251,15 +253,8 @@
         # A class's first request must not go before those of higher classes.
         return worst if missing[worst.priority] >= 1.0 else None
 
-    def _with_higher_s(
-        self, own: _PriorityClass, before_s: float, work_s: float
-    ) -> float:
-        """Return the work before a request, with that of other classes.
-
-        ``before_s`` is the work of its own class before it, ``work_s`` its
-        own. The higher classes take all but the kept share for as long as
-        their work lasts.
-        """
+    def _ahead(self, own: _PriorityClass) -> _Ahead:
+        """Return what the other classes do to the waits of a class."""
         share = 1.0
         higher_s = 0.0
         has_lower = False
@@ -271,17 +266,36 @@
                 has_lower = True
         if has_lower:
             share *= 1.0 - self._lower_share
-        if not higher_s:
-            return before_s / share
-        offered = sum(c.offered for c in self._classes.values())
-        share = max(share, FLOOR_SHARE * own.offered / max(1.0, offered))
-        return min((before_s + work_s) / share, before_s + higher_s)
+        if higher_s:
+            offered = sum(c.offered for c in self._classes.values())
+            floor = FLOOR_SHARE * own.offered / max(1.0, offered)
+            share = max(share, floor)
+        return _Ahead(share, higher_s)
 
     def _forget(self, ticket_id: int) -> None:
         self._tickets.pop(ticket_id, None)
         self._latest_s.pop(ticket_id, None)
 
 
+class _Ahead(NamedTuple):
+    """Share of the starts that a class gets, waiting work of higher ones."""
+
+    share: float
+    higher_s: float
+
+    def work_before_s(self, before_s: float, work_s: float) -> float:
+        """Return the work before a request, with that of other classes.
+
+        ``before_s`` is the work of its own class before it, ``work_s`` its
+        own. The higher classes take all but the kept share for as long as
+        their work lasts.
+        """
+        if not self.higher_s:
+            return before_s / self.share
+        by_share_s = (before_s + work_s) / self.share
+        return min(by_share_s, before_s + self.higher_s)
+
+
 class _Flow:
     """The waiting requests of one customer in one priority class."""
 
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/waiting_cost.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/waiting_cost.py
@@ -26,9 +26,15 @@
     from collections.abc import Iterable
 
 LOWEST_PRIORITY: Final = 9
-# Costs within a priority are from 1e-7 to 1e3, so that no amount of work or
+# Costs within a priority are from 1e-8 to 1e3, so that no amount of work or
 # time outweighs a priority.
 PRIORITY_FACTOR: Final = 1e12
+# By priority; a queue of two thousand requests is looked at four times a
+# second.
+SCALES: Final = tuple(
+    PRIORITY_FACTOR ** (LOWEST_PRIORITY - priority)
+    for priority in range(LOWEST_PRIORITY + 1)
+)
 MIN_WORK_S: Final = 1e-3
 MAX_WORK_S: Final = 1e3
 LATE_COST: Final = 1e-4
@@ -96,14 +102,14 @@
     >>> delay_cost(1, -1.0, 2.0, 9.0)
     0.0
     """
-    scale = PRIORITY_FACTOR ** (LOWEST_PRIORITY - known_priority(priority))
-    if math.isinf(left_to_target_s):
-        return float(scale * LATE_COST)
+    scale = SCALES[known_priority(priority)]
+    if left_to_target_s == math.inf:
+        return scale * LATE_COST
     if work_s > left_s:
         return 0.0
     if left_to_target_s < 0:
-        return float(scale * LATE_COST / (1.0 + left_s))
-    return float(scale / min(max(work_s, MIN_WORK_S), MAX_WORK_S))
+        return scale * LATE_COST / (1.0 + left_s)
+    return scale / min(max(work_s, MIN_WORK_S), MAX_WORK_S)
 
 
 def next_aged(
