--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -49,7 +49,7 @@
     from collections.abc import Sequence
 
     from sycamorestand_decisions.server_room import Room
-    from sycamorestand_decisions.server_room import SharedRoom
+    from sycamorestand_decisions.shared_room import SharedRoom
     from sycamorestand_model.server_loads import ObservedLoad
 
 SAMPLE_SIZE: Final = 2
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_room.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_room.py
@@ -22,6 +22,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorestand_decisions.load_estimate import HALF_LIFE_S
+from sycamorestand_decisions.shared_room import SharedRoom
 
 if TYPE_CHECKING:
     from sycamorestand_model.server_loads import LoadHeader
@@ -79,14 +80,6 @@
     is_call: bool = False
 
 
-class SharedRoom(NamedTuple):
-    """Free slots and requests in flight at the servers of a target."""
-
-    free_slots: int
-    in_flight: int
-    own_in_flight: int
-
-
 class OwnChanges:
     """Latest starts and ends of this entry's requests at one server.
 
@@ -248,7 +241,6 @@
     "OwnChanges",
     "Room",
     "shared_room",
-    "SharedRoom",
     "slowness_now",
     "Work",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -24,8 +24,8 @@
 
     from sycamorestand_decisions.selection import Outcome
     from sycamorestand_decisions.selection import ServerMetrics
-    from sycamorestand_decisions.server_room import SharedRoom
     from sycamorestand_decisions.server_room import Work
+    from sycamorestand_decisions.shared_room import SharedRoom
     from sycamorestand_entry.ports import ControlPort
     from sycamorestand_model.backend_servers import Announcement
     from sycamorestand_model.home_regions import Homes
--- a/packages/sycamorestand-entry/tests/test_servers.py
+++ b/packages/sycamorestand-entry/tests/test_servers.py
@@ -9,8 +9,8 @@
 
 from sycamorestand_bench.fakes.control_port import FakeControlPort
 from sycamorestand_bench.fakes.control_port import FakeLedger
-from sycamorestand_decisions.server_room import SharedRoom
 from sycamorestand_decisions.server_room import Work
+from sycamorestand_decisions.shared_room import SharedRoom
 from sycamorestand_entry.servers import Servers
 from sycamorestand_model.backend_servers import Announcement
 from sycamorestand_model.declarations import Declarations
