Escalations of urgent routes bear the same strain; fewer refusals

The test of the halving goes with it.

Change: the strain is the delay by the work alone. With a free slot a request is refused only if half of its expected time, without the waits learned since, is longer than its time left. A resumed stream counts with its prefill.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/admission.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/admission.py
@@ -159,8 +159,10 @@
         """Start a new request, queue it, or refuse it."""
         pool = self._pool(ticket.pool)
         pool.queue.record_offer(ticket.priority)
-        min_service_s = MIN_SERVICE_SHARE * pool.times.mean_s(
-            ticket.expected_s
+        # A ratio above one comes from waits at the servers, which end sooner
+        # than the ratio falls again.
+        min_service_s = MIN_SERVICE_SHARE * min(
+            ticket.expected_s, pool.times.mean_s(ticket.expected_s)
         )
         left_s = ticket.deadline_s - now_s
         if min_service_s > left_s:
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/further_attempts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/further_attempts.py
@@ -31,9 +31,6 @@
 # A larger model delays other requests noticeably if it reads the prompt for
 # this share of the target.
 FULL_WORK_SHARE: Final = 0.05
-# An urgent request escalates at this multiple of the delay at which other
-# requests do.
-URGENT_STRAIN_FACTOR: Final = 2.0
 
 
 def climb_reserve(confidence: int) -> float:
@@ -67,9 +64,7 @@
     return priority <= URGENT_PRIORITY or waited_s >= MIN_EARLY_WAIT_S
 
 
-def climb_strain(
-    delay_s: float, target_s: float, prefill_s: float, priority: int
-) -> float:
+def climb_strain(delay_s: float, target_s: float, prefill_s: float) -> float:
     """Return the strain at which an escalation is decided (`next_size`).
 
     It is the queueing delay ``delay_s`` at the servers as a share of the
@@ -78,18 +73,13 @@
     800 tokens in 30 ms and 50,000 tokens in two seconds, in which other
     requests wait. A prefill time of 0 is unknown and has the full weight.
 
-    >>> climb_strain(0.5, 1.0, 0.2, 1), climb_strain(0.5, 1.0, 0.2, 0)
+    >>> climb_strain(0.5, 1.0, 0.2), climb_strain(0.5, 1.0, 0.025)
     (0.5, 0.25)
-    >>> climb_strain(0.5, 1.0, 0.025, 1)
-    0.25
     """
     work = 1.0
     if prefill_s > 0:
         work = min(1.0, prefill_s / (target_s * FULL_WORK_SHARE))
-    strain = delay_s / target_s * work
-    if priority <= URGENT_PRIORITY:
-        strain /= URGENT_STRAIN_FACTOR
-    return strain
+    return delay_s / target_s * work
 
 
 __all__ = [
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/admitted.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/admitted.py
@@ -95,6 +95,10 @@
     if call.route.kind == "stream":
         work = EngineWait(attempts).work(target, 0)
         begin_s = work.prefill_s
+        if attempts.header_names.last_event in call.values:
+            # The caller has a part of the answer. Expected whole, the rest
+            # would be refused although it ends in time.
+            work = work._replace(answer_s=0.0)
     else:
         work = call_work(attempts.context, call.route.name)
         begin_s = work.answer_s
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -195,8 +195,7 @@
     """The answer was dropped and a larger model is asked.
 
     ``strain`` is the queue delay at the servers as a fraction of the
-    route's target latency, weighted by the work of the escalation and halved
-    for a request of priority 0.
+    route's target latency, weighted by the work of the escalation.
     """
 
     model: str
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -155,7 +155,6 @@
             self._queue_delay_s(target, largest),
             self.target_latency_s,
             self.prefill_s(target, size),
-            self._route.priority,
         )
 
     def record_answer_time(self, exchange: Exchange) -> None:
