--- a/packages/sycamorestand-model/src/sycamorestand_model/declarations.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/declarations.py
@@ -90,8 +90,9 @@
     ``key_hashes`` are salted hashes, see `sycamorestand_model.keys`. Each
     item of ``versions`` is a model name or ``model@version``. ``weight`` is
     the customer's weight in fair queueing. ``priority``, if it is set,
-    replaces the priority of the routes that the customer calls. Requests run
-    only in the ``home_regions``, in any region if there are none.
+    replaces the priority of the routes that the customer calls in the rank at
+    engines, and goes before it in admission (`urgency`). Requests run only in
+    the ``home_regions``, in any region if there are none.
     """
 
     name: str
