One lifetime of load reports, and plain names in their exchange

Cause: the time after which control drops a report stood in two modules, an interval had an alias, and told, news and tells were private names for reports.

Change: REPORT_LIFETIME_S stands with the checks that both sides share; an entry's part is take_report; messages, metrics and log lines keep their names.

Result: no change of behaviour; tests of sums, observed loads and exchange pass.

--- a/packages/sycamorestand-control/src/sycamorestand_control/load_exchange.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/load_exchange.py
@@ -1,12 +1,11 @@
-"""Tells all entries how much work each server has from all of them.
+"""Exchanges the sums of the work that all entries have at each server.
 
 The sums are soft state of every control process. Nothing is written to a
-log and no leader is needed, so that they also flow while there is none.
+log and no leader is needed, so that they are also sent while there is none.
 """
 
 from __future__ import annotations
 
-from typing import Final
 from typing import TYPE_CHECKING
 
 import anyio
@@ -27,8 +26,6 @@
     from sycamorestand_peer.mesh import PeerMesh
     from sycamorestand_peer.messages import EntryLoads
 
-EXCHANGE_INTERVAL_S: Final = INTERVAL_S
-
 
 class LoadExchange:
     """Adds up reports of entries, and exchanges the sums.
@@ -69,9 +66,9 @@
             self._sums.record_partial(sender, message.loads, boottime_s())
 
     async def run(self) -> None:
-        """Exchange sums every `EXCHANGE_INTERVAL_S`, until cancelled."""
+        """Exchange sums every `INTERVAL_S`, until cancelled."""
         while True:
-            await anyio.sleep(EXCHANGE_INTERVAL_S)
+            await anyio.sleep(INTERVAL_S)
             self.exchange(boottime_s())
 
     def exchange(self, now_s: float) -> None:
@@ -93,4 +90,4 @@
             self._mesh.send(address, message)
 
 
-__all__ = ["EXCHANGE_INTERVAL_S", "LoadExchange"]
+__all__ = ["LoadExchange"]
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/load_checks.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/load_checks.py
@@ -1,8 +1,9 @@
 """Checks of the server loads that other processes report.
 
 A process of another release, or one with a fault, may report counts and ages
-that cannot be true. One absurd report would keep all entries from a server,
-or send all of them there. Such a value is treated as missing.
+that cannot be true. Without these checks, one such report would keep all
+entries from a server, or send all of them there. Such a value is treated as
+missing.
 """
 
 from __future__ import annotations
@@ -13,7 +14,13 @@
 if TYPE_CHECKING:
     from sycamorestand_model.server_loads import LoadHeader
 
+# Senders repeat their reports every 0.5 s, and control processes their sums
+# every 1 s. One that is not repeated within this time is of a process that has
+# ended or is cut off.
+REPORT_LIFETIME_S: Final = 2.0
 MAX_COUNT: Final = 999_999_999
+# These exclude what cannot be true. How far an estimate follows a slowness
+# that can be true is bounded in `server_room`.
 MIN_SLOWNESS: Final = 0.01
 MAX_SLOWNESS: Final = 100.0
 # An older report does not reflect the current load.
@@ -49,5 +56,6 @@
     "MAX_HEADER_AGE_S",
     "MAX_SLOWNESS",
     "MIN_SLOWNESS",
+    "REPORT_LIFETIME_S",
     "sound_count",
 ]
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/load_sums.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/load_sums.py
@@ -1,13 +1,14 @@
 """Sums of the work that entries have in flight at each server.
 
-Many entries send to the same few servers. Each knows its own requests, and
-of the others' only what a server reported with its last answer. A burst at
-all entries therefore goes to the server that looked idle before it. The
-control processes add up what entries report, and tell all entries the sum.
+The load pattern is a burst at many entries that send to the same few servers.
+Each entry knows its own requests, and of the others' only what a server
+reported with its last answer, so that all send to the server that looked idle
+before the burst. The control processes add up what entries report, and send
+the sums to all entries.
 
 Every report is valid for a short time, so that the part of an entry or a
-control process that dies ends by itself. Control processes tell each other
-the sums of their own entries alone; no request is counted twice.
+control process that dies expires. Control processes send each other the sums
+of their own entries alone; no request is counted twice.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorestand_decisions.load_checks import is_sound_header
+from sycamorestand_decisions.load_checks import REPORT_LIFETIME_S
 from sycamorestand_decisions.load_checks import sound_count
 from sycamorestand_model.server_loads import SharedLoad
 
@@ -28,11 +30,13 @@
     from sycamorestand_model.server_loads import EntryLoad
     from sycamorestand_model.server_loads import LoadHeader
 
-KEEP_S: Final = 2.0
+# Between two messages to a receiver.
 INTERVAL_S: Final = 0.5
+# Entries use a sum for 3 s (`observed_loads`).
 ENTRY_REPEAT_S: Final = 2.0
-# A partial sum must be repeated well before it expires. Repeated every 2 s, an
-# unchanged one would expire at its receivers whenever a message is late.
+# A partial sum must be repeated well before its `REPORT_LIFETIME_S` ends.
+# Repeated every 2 s, an unchanged one would expire at its receivers whenever
+# a message is late.
 CONTROL_REPEAT_S: Final = 1.0
 MAX_PER_MESSAGE: Final = 64
 # Twice the target size, so that a fault cannot exhaust the memory.
@@ -47,7 +51,7 @@
     total: dict[str, SharedLoad]
 
 
-class _Told(NamedTuple):
+class _Report(NamedTuple):
     requests: int
     tokens: int
     header: LoadHeader | None
@@ -55,7 +59,7 @@
     at_s: float
 
 
-_Reports = dict[str, dict[str, _Told]]
+_Reports = dict[str, dict[str, _Report]]
 
 
 class LoadSums:
@@ -91,7 +95,7 @@
         """Return the sums over all valid reports of the known servers."""
         _drop_old(self._entries, now_s)
         _drop_old(self._controls, now_s)
-        partial: dict[str, _Told] = {}
+        partial: dict[str, _Report] = {}
         _add_up(partial, self._entries, known)
         total = dict(partial)
         _add_up(total, self._controls, known)
@@ -100,16 +104,16 @@
     def oldest_age_s(self, now_s: float) -> float:
         """Return the age of the oldest report in the sums, 0 without any."""
         at_s = [
-            told.at_s
+            report.at_s
             for reports in (self._entries, self._controls)
             for by_server in reports.values()
-            for told in by_server.values()
+            for report in by_server.values()
         ]
         return max(0.0, now_s - min(at_s)) if at_s else 0.0
 
 
 class UnsentLoads:
-    """Chooses the sums that receivers lack, for one kind of receiver.
+    """Chooses the sums to send next, for one kind of receiver.
 
     Changed sums come first, and all are repeated every ``repeat_s``. What a
     receiver gets is bounded: in one interval `MAX_PER_MESSAGE` servers, or the
@@ -130,7 +134,8 @@
         """
         nothing = SharedLoad(None, 0.0, 0, 0)
         gone = {name: nothing for name in self._sent if name not in sums}
-        # An interval is never exact; half of one is left for that.
+        # A call may come early by up to half an interval. Otherwise a sum
+        # would be repeated a whole interval late.
         repeat_s = self._repeat_s - INTERVAL_S / 2
         due: list[tuple[float, str]] = []
         for name, load in (*sums.items(), *gone.items()):
@@ -172,7 +177,7 @@
         if name not in by_server and len(by_server) >= MAX_SERVERS:
             continue
         is_sound = is_sound_header(header, age_s)
-        by_server[name] = _Told(
+        by_server[name] = _Report(
             sound_count(requests),
             sound_count(tokens),
             header if is_sound else None,
@@ -185,8 +190,8 @@
     for sender, by_server in list(reports.items()):
         old = [
             name
-            for name, told in by_server.items()
-            if now_s - told.at_s >= KEEP_S
+            for name, report in by_server.items()
+            if now_s - report.at_s >= REPORT_LIFETIME_S
         ]
         for name in old:
             del by_server[name]
@@ -195,37 +200,37 @@
 
 
 def _add_up(
-    sums: dict[str, _Told], reports: _Reports, known: Container[str]
+    sums: dict[str, _Report], reports: _Reports, known: Container[str]
 ) -> None:
     for by_server in reports.values():
-        for name, told in by_server.items():
+        for name, report in by_server.items():
             so_far = sums.get(name)
             if so_far is not None:
-                newest = max(so_far, told, key=_header_time)
-                sums[name] = _Told(
-                    so_far.requests + told.requests,
-                    so_far.tokens + told.tokens,
+                newest = max(so_far, report, key=_header_time)
+                sums[name] = _Report(
+                    so_far.requests + report.requests,
+                    so_far.tokens + report.tokens,
                     newest.header,
                     newest.header_s,
-                    told.at_s,
+                    report.at_s,
                 )
             elif name in known:
-                sums[name] = told
+                sums[name] = report
 
 
-def _header_time(told: _Told) -> float:
-    return told.header_s
+def _header_time(report: _Report) -> float:
+    return report.header_s
 
 
-def _shared(sums: dict[str, _Told], now_s: float) -> dict[str, SharedLoad]:
+def _shared(sums: dict[str, _Report], now_s: float) -> dict[str, SharedLoad]:
     return {
         name: SharedLoad(
-            told.header,
-            now_s - told.header_s if told.header is not None else 0.0,
-            told.requests,
-            told.tokens,
+            report.header,
+            now_s - report.header_s if report.header is not None else 0.0,
+            report.requests,
+            report.tokens,
         )
-        for name, told in sums.items()
+        for name, report in sums.items()
     }
 
 
@@ -233,7 +238,6 @@
     "CONTROL_REPEAT_S",
     "ENTRY_REPEAT_S",
     "INTERVAL_S",
-    "KEEP_S",
     "LoadSums",
     "MAX_PER_MESSAGE",
     "MAX_SENDERS",
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/observed_loads.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/observed_loads.py
@@ -1,12 +1,12 @@
 """What an entry knows of the load at each server when it chooses one.
 
-Servers of one service differ in speed, and each is disturbed for short times.
-Under high load, many entries choose between the same servers at once. An
-entry that goes by a server's last answer alone sends there what all others
-send there too, and one that goes by its own requests alone does not see
-theirs. This keeps the newest load that a server reported to any entry, how
-slow the server usually is, the entry's own work there and, for a short time,
-the work of all others.
+The load pattern is high load at servers of one service that differ in speed
+and are each disturbed for short times, while many entries choose between them
+at once. An entry that goes by a server's last answer alone sends requests
+where all others send theirs, and one that goes by its own requests alone does
+not see theirs. `ObservedLoads` keeps the newest load that a server reported
+to any entry, the server's usual slowness, the entry's own work there and, for
+a short time, the work of all others.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 
 from sycamorestand_decisions.load_checks import is_sound_header
 from sycamorestand_decisions.load_checks import MAX_HEADER_AGE_S
+from sycamorestand_decisions.load_checks import REPORT_LIFETIME_S
 from sycamorestand_decisions.load_checks import sound_count
 from sycamorestand_model.server_loads import EntryLoad
 from sycamorestand_model.server_loads import ObservedLoad
@@ -32,8 +33,6 @@
 # Control repeats unchanged sums every 2 s. Older ones show that this entry or
 # its control process is cut off.
 SHARED_MAX_AGE_S: Final = 3.0
-# Control drops what an entry reported after this time.
-TOLD_MAX_AGE_S: Final = 2.0
 # The lower quartile over 8 s of constant traffic leaves out disturbances of
 # up to 6 s, and follows a server that becomes faster within 2 s.
 SAMPLES: Final = 32
@@ -55,13 +54,13 @@
         "others_tokens",
         "own_header",
         "own_header_s",
+        "reported_requests",
+        "reported_s",
+        "reported_tokens",
         "requests",
         "sampled_s",
         "samples",
         "tokens",
-        "told_requests",
-        "told_s",
-        "told_tokens",
         "usual_slowness",
     )
 
@@ -73,9 +72,9 @@
         self.is_fresh = False
         self.requests = 0
         self.tokens = 0
-        self.told_requests = 0
-        self.told_tokens = 0
-        self.told_s = -math.inf
+        self.reported_requests = 0
+        self.reported_tokens = 0
+        self.reported_s = -math.inf
         self.others_requests = 0
         self.others_tokens = 0
         self.others_s = -math.inf
@@ -84,19 +83,19 @@
         self.usual_slowness = 0.0
 
     @property
-    def tells_slowness(self) -> bool:
+    def reports_slowness(self) -> bool:
         return self.header is not None and self.header.slowness > 0
 
 
 class ObservedLoads:
-    """The loads that one entry has read, counted and been told.
+    """The loads that one entry has read, counted and received from control.
 
     >>> from sycamorestand_model.server_loads import LoadHeader
     >>> from sycamorestand_model.server_loads import SharedLoad
     >>> loads = ObservedLoads()
     >>> loads.record_start("s-1", 800, 10.0)
     >>> loads.record_header("s-1", LoadHeader(3, 0, 48, 1.2), 10.1)
-    >>> loads.news(10.5)["s-1"].requests
+    >>> loads.take_report(10.5)["s-1"].requests
     1
     >>> loads.record_shared({"s-1": SharedLoad(None, 0.0, 5, 4000)}, 10.6)
     >>> loads.observed("s-1", 11.0).others_requests
@@ -136,15 +135,20 @@
     def record_shared(
         self, loads: Mapping[str, SharedLoad], now_s: float
     ) -> None:
-        """Store the sums over all entries, less this entry's own part."""
+        """Store the sums over all entries, less this entry's own part.
+
+        The own part is what this entry reported last. Where a sum was made
+        before that report arrived, the rest is off by the difference until
+        the next sum.
+        """
         self._shared_s = now_s
         for name, load in loads.items():
             state = self._state(name)
             if state is None:
                 continue
-            is_in_sum = now_s - state.told_s < TOLD_MAX_AGE_S
-            requests = state.told_requests if is_in_sum else 0
-            tokens = state.told_tokens if is_in_sum else 0
+            is_in_sum = now_s - state.reported_s < REPORT_LIFETIME_S
+            requests = state.reported_requests if is_in_sum else 0
+            tokens = state.reported_tokens if is_in_sum else 0
             state.others_requests = max(
                 0, sound_count(load.requests) - requests
             )
@@ -152,32 +156,32 @@
             state.others_s = now_s
             _store_shared_header(state, load, now_s)
 
-    def news(self, now_s: float) -> dict[str, EntryLoad]:
-        """Return what to tell control next, and take it as told.
+    def take_report(self, now_s: float) -> dict[str, EntryLoad]:
+        """Return what to report to control next, and record it as reported.
 
         These are the servers that report their slowness and have requests of
-        this entry, or have reported a load to it since the last time. The
-        end of the last request is told once.
+        this entry, or have reported a load to it since the last call. A
+        server at which the last request has ended is reported once more.
         """
         found: dict[str, EntryLoad] = {}
         for name, state in self._servers.items():
-            tells = state.tells_slowness
+            is_shared = state.reports_slowness
             if not (
-                state.told_requests
-                or state.told_tokens
-                or (tells and (state.requests or state.is_fresh))
+                state.reported_requests
+                or state.reported_tokens
+                or (is_shared and (state.requests or state.is_fresh))
             ):
                 continue
             age_s = now_s - state.own_header_s
             header = state.own_header
-            if not tells or age_s > MAX_HEADER_AGE_S:
+            if not is_shared or age_s > MAX_HEADER_AGE_S:
                 header, age_s = None, 0.0
-            state.told_requests = state.requests if tells else 0
-            state.told_tokens = state.tokens if tells else 0
-            state.told_s = now_s
+            state.reported_requests = state.requests if is_shared else 0
+            state.reported_tokens = state.tokens if is_shared else 0
+            state.reported_s = now_s
             state.is_fresh = False
             found[name] = EntryLoad(
-                header, age_s, state.told_requests, state.told_tokens
+                header, age_s, state.reported_requests, state.reported_tokens
             )
         return found
 
@@ -215,7 +219,7 @@
 
     def reporting_servers(self) -> int:
         """Return the number of servers that report their slowness."""
-        return sum(s.tells_slowness for s in self._servers.values())
+        return sum(s.reports_slowness for s in self._servers.values())
 
     def shared_age_s(self, now_s: float) -> float:
         """Return the age of the newest sums, infinite without any."""
@@ -240,7 +244,7 @@
     if header_s <= state.header_s or not header.slowness:
         return
     # A header that this entry reported comes back with the sums, a little
-    # younger by the time of transport. It is no further sample.
+    # younger by the time of transport. It must not count as another sample.
     if header != state.header:
         _sample(state, header.slowness, now_s)
     state.header, state.header_s = header, header_s
@@ -270,5 +274,4 @@
     "SAMPLE_INTERVAL_S",
     "SAMPLES",
     "SHARED_MAX_AGE_S",
-    "TOLD_MAX_AGE_S",
 ]
--- a/packages/sycamorestand-decisions/tests/test_load_sums.py
+++ b/packages/sycamorestand-decisions/tests/test_load_sums.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from sycamorestand_decisions.load_checks import REPORT_LIFETIME_S
 from sycamorestand_decisions.load_sums import ENTRY_REPEAT_S
 from sycamorestand_decisions.load_sums import INTERVAL_S
-from sycamorestand_decisions.load_sums import KEEP_S
 from sycamorestand_decisions.load_sums import LoadSums
 from sycamorestand_decisions.load_sums import MAX_PER_MESSAGE
 from sycamorestand_decisions.load_sums import MAX_SENDERS
@@ -42,8 +42,11 @@
         sums.record_partial("c2", {"s-1": shared}, 10.5)
         assert sums.sums(SERVERS, 10.5).total["s-1"].requests == 7
         assert sums.sums(SERVERS, 10.5).partial["s-1"].requests == 2
-        assert sums.sums(SERVERS, 10.0 + KEEP_S).total["s-1"].requests == 5
-        assert sums.sums(SERVERS, 10.5 + KEEP_S).total == {}
+        assert (
+            sums.sums(SERVERS, 10.0 + REPORT_LIFETIME_S).total["s-1"].requests
+            == 5
+        )
+        assert sums.sums(SERVERS, 10.5 + REPORT_LIFETIME_S).total == {}
         assert sums.oldest_age_s(20.0) == 0.0
 
     @pytest.mark.parametrize(
--- a/packages/sycamorestand-decisions/tests/test_observed_loads.py
+++ b/packages/sycamorestand-decisions/tests/test_observed_loads.py
@@ -22,24 +22,26 @@
         loads = ObservedLoads()
         loads.record_start("s-1", 100, 10.0)
         loads.record_header("s-1", LoadHeader(7, 1, 24), 10.0)
-        assert loads.news(10.5) == {}
+        assert loads.take_report(10.5) == {}
 
     def test_end_of_the_work_is_told_once(self) -> None:
         loads = ObservedLoads()
         loads.record_start("s-1", 100, 10.0)
         loads.record_header("s-1", HEADER, 10.0)
-        assert loads.news(10.5) == {"s-1": EntryLoad(HEADER, 0.5, 1, 100)}
+        assert loads.take_report(10.5) == {
+            "s-1": EntryLoad(HEADER, 0.5, 1, 100)
+        }
         loads.record_end("s-1", 100, 10.6)
-        assert loads.news(11.0) == {"s-1": EntryLoad(HEADER, 1.0, 0, 0)}
-        assert loads.news(11.5) == {}
+        assert loads.take_report(11.0) == {"s-1": EntryLoad(HEADER, 1.0, 0, 0)}
+        assert loads.take_report(11.5) == {}
 
     def test_work_is_taken_back_where_slowness_is_told_no_more(self) -> None:
         loads = ObservedLoads()
         loads.record_start("s-1", 100, 10.0)
         loads.record_header("s-1", HEADER, 10.0)
-        loads.news(10.5)
+        loads.take_report(10.5)
         loads.record_header("s-1", LoadHeader(7, 1, 24), 10.6)
-        assert loads.news(11.0) == {"s-1": EntryLoad(None, 0.0, 0, 0)}
+        assert loads.take_report(11.0) == {"s-1": EntryLoad(None, 0.0, 0, 0)}
         assert loads.observed("s-1", 11.0).usual_slowness == 0.0
 
     def test_headers_of_others_are_not_sent_back(self) -> None:
@@ -47,7 +49,7 @@
         loads = ObservedLoads()
         loads.record_shared({"s-1": SharedLoad(HEADER, 0.5, 3, 300)}, 10.0)
         loads.record_start("s-1", 100, 10.0)
-        assert loads.news(10.5) == {"s-1": EntryLoad(None, 0.0, 1, 100)}
+        assert loads.take_report(10.5) == {"s-1": EntryLoad(None, 0.0, 1, 100)}
 
 
 class TestObserved:
--- a/packages/sycamorestand-decisions/tests/test_shared_loads.py
+++ b/packages/sycamorestand-decisions/tests/test_shared_loads.py
@@ -10,10 +10,10 @@
 from hypothesis.strategies import booleans
 from hypothesis.strategies import integers
 
+from sycamorestand_decisions.load_checks import REPORT_LIFETIME_S
 from sycamorestand_decisions.load_sums import CONTROL_REPEAT_S
 from sycamorestand_decisions.load_sums import ENTRY_REPEAT_S
 from sycamorestand_decisions.load_sums import INTERVAL_S
-from sycamorestand_decisions.load_sums import KEEP_S
 from sycamorestand_decisions.load_sums import LoadSums
 from sycamorestand_decisions.load_sums import UnsentLoads
 from sycamorestand_decisions.observed_loads import ObservedLoads
@@ -27,7 +27,9 @@
 SERVER: Final = integers(0, len(SERVERS) - 1)
 # Reports, partial sums and sums each take an interval to arrive, and a server
 # that is gone from the sums another.
-QUIET_INTERVALS: Final = round((KEEP_S + ENTRY_REPEAT_S) / INTERVAL_S) + 4
+QUIET_INTERVALS: Final = (
+    round((REPORT_LIFETIME_S + ENTRY_REPEAT_S) / INTERVAL_S) + 4
+)
 
 
 class Entry:
@@ -102,7 +104,7 @@
             self.now_s += INTERVAL_S
             for number, entry in enumerate(self.entries):
                 sums = self.controls[entry.control].sums
-                news = entry.loads.news(self.now_s)
+                news = entry.loads.take_report(self.now_s)
                 sums.record_entry(f"e{number}", news, self.now_s)
             for number in range(CONTROLS):
                 self.send(number)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/load_reports.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/load_reports.py
@@ -1,4 +1,4 @@
-"""Tells control what work this entry has at servers, and hears the sums."""
+"""Reports this entry's work at servers to control and receives the sums."""
 
 from __future__ import annotations
 
@@ -21,11 +21,12 @@
 
 _LOG = logging.getLogger(__name__)
 REPORT_INTERVAL_S: Final = 0.5
+# More than the servers at which one entry has requests at the target size.
 MAX_PER_MESSAGE: Final = 256
 
 
 class LoadReports:
-    """Sends the news of `ObservedLoads` and stores the sums that come."""
+    """Sends the reports of `ObservedLoads` and stores the received sums."""
 
     def __init__(
         self,
@@ -52,8 +53,8 @@
     def send(self) -> None:
         """Send what has changed, if anything has."""
         self._observed.forget_except(self._control.backend_servers())
-        news = iter(self._observed.news(self._now_s()).items())
-        while loads := dict(islice(news, MAX_PER_MESSAGE)):
+        report = iter(self._observed.take_report(self._now_s()).items())
+        while loads := dict(islice(report, MAX_PER_MESSAGE)):
             self._control.send(EntryLoads(loads))
             self._metrics.load_messages.inc({"direction": "out"})
 
--- a/packages/sycamorestand-model/src/sycamorestand_model/server_loads.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/server_loads.py
@@ -10,7 +10,7 @@
 
     ``running`` and ``waiting`` count requests of all entries, ``slots`` is
     how many it runs at once. ``slowness`` is how long work takes on its
-    machine now, as a multiple of the usual time; 0.0 if it does not tell.
+    machine now, as a multiple of the usual time; 0.0 if it is not reported.
     """
 
     running: int
@@ -51,7 +51,7 @@
 
     ``header`` is the newest load that the server stated to this or another
     entry. ``usual_slowness`` is its slowness apart from short disturbances,
-    0.0 if it does not tell. ``own_requests`` and ``own_tokens`` are this
+    0.0 if it is not reported. ``own_requests`` and ``own_tokens`` are this
     entry's work in flight there, ``others_requests`` and ``others_tokens``
     that of all others; ``others_age_s`` is infinite while they are unknown.
     """
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -309,10 +309,11 @@
 
 
 class EntryLoads(NamedTuple):
-    """What an entry tells its control process of the servers' load.
+    """What an entry reports of the servers' load to its control process.
 
-    It holds the servers by name of which the entry has news. One at which
-    it has no request any more is told once.
+    ``loads`` has the servers, by name, at which the entry has requests or
+    that reported a load to it since its last report. A server at which its
+    last request has ended is reported once more.
     """
 
     loads: dict[str, EntryLoad]
