Names and limits of the choice among servers say what they bound

Cause: two modules had MIN_SLOWNESS and MAX_SLOWNESS with other values, the largest reserve of an escalation and the level of a loan were two constants with a comment that they are equal, and constants lacked their reasons.

Change: the bounds of an estimate have names of their own, equal limits are one constant, the doc comments name the load pattern.

Result: no change of behaviour; tests of selection, room, reserves, arrivals and load headers pass.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/arrivals.py
@@ -48,8 +48,8 @@
 ENTRIES_SHARE: Final = 0.5
 POOLED_SHARE: Final = 0.25
 REFILLED_SHARE: Final = 0.2
-# Share of the kept budget above one arrival, up to which an entry borrows. The
-# largest reserve of an escalation (`further_attempts`) is the same share.
+# Share of the kept budget above one arrival, up to which an entry borrows. It
+# is also the largest reserve of an escalation (`further_attempts`).
 URGENT_SHARE: Final = 0.25
 MAX_SERVICES: Final = 256
 # A busy entry spends several arrivals between two trades.
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/further_attempts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/further_attempts.py
@@ -8,9 +8,10 @@
 none for answers that are almost surely too poor.
 
 Each kind of improvement therefore leaves a reserve of its own, a share of what
-the entry may keep above one arrival. An escalation leaves the less, the lower
+the entry may keep above one arrival. The reserve of an escalation grows with
 the confidence of the answer that it replaces. A move leaves more than any
-escalation, unless its request is urgent. Attempts without which a caller gets
+escalation, unless its route is urgent (priority 0), when it leaves as much as
+the largest reserve of an escalation. Attempts without which a caller gets
 no answer leave no reserve.
 """
 
@@ -18,21 +19,24 @@
 
 from typing import Final
 
+from sycamorestand_decisions.arrivals import URGENT_SHARE
 from sycamorestand_decisions.size_ladder import ACCEPT_CONFIDENCE
 
 URGENT_PRIORITY: Final = 0
 # Reserve of an escalation whose answer is nearly good enough. An escalation at
 # confidence 0 has no reserve: such an answer is worth little more than none.
-MAX_CLIMB_RESERVE: Final = 0.25
+# A loan of arrivals covers no larger reserve.
+MAX_CLIMB_RESERVE: Final = URGENT_SHARE
+# A move only saves time, so it leaves more than any escalation.
 MOVE_RESERVE: Final = 0.5
-URGENT_MOVE_RESERVE: Final = 0.25
+URGENT_MOVE_RESERVE: Final = MAX_CLIMB_RESERVE
 # The time to the first event varies by this much at healthy servers.
 MIN_EARLY_WAIT_S: Final = 0.25
 # A larger model delays other requests noticeably if it reads the prompt for
 # this share of the target.
 FULL_WORK_SHARE: Final = 0.05
-# An urgent request escalates at this multiple of the delay at which other
-# requests do.
+# A request of an urgent route escalates up to this multiple of the delay up to
+# which other requests do.
 URGENT_STRAIN_FACTOR: Final = 2.0
 
 
@@ -61,6 +65,8 @@
 def may_leave_early(waited_s: float, priority: int) -> bool:
     """Return whether a request has waited long enough to leave a server.
 
+    ``priority`` is that of its route.
+
     >>> may_leave_early(0.1, 0), may_leave_early(0.1, 1)
     (True, False)
     """
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/load_checks.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/load_checks.py
@@ -19,8 +19,8 @@
 # ended or is cut off.
 REPORT_LIFETIME_S: Final = 2.0
 MAX_COUNT: Final = 999_999_999
-# These exclude what cannot be true. How far an estimate follows a slowness
-# that can be true is bounded in `server_room`.
+# These exclude what cannot be true. How far an estimate follows a slowness is
+# bounded in `server_room`.
 MIN_SLOWNESS: Final = 0.01
 MAX_SLOWNESS: Final = 100.0
 # An older report does not reflect the current load.
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/observed_servers.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/observed_servers.py
@@ -1,14 +1,15 @@
-"""Draw servers that report their slowness, and compare them by expected time.
-
-An entry that draws from all servers of a pool sends each of them a request
-every few seconds, and opens a connection for nearly every one. It therefore
-draws from a part of them. All entries order the servers in the same circle, by
-a hash of their names, and each begins at its own place, which is its rank
-among the entries. A server that leaves or is new changes one server of a part,
-or two if the part goes on at the beginning of the circle. The numbers of
-entries that draw from any two servers differ by a few at most. With rendezvous
-hashing, 2 to 12 of 22 entries would draw from one of 45 servers. Full servers
-are passed over, so a burst spreads to the next servers of the circle.
+"""The subset of servers that an entry draws from, and their expected times.
+
+The load pattern is many entries that share a pool of servers. An entry that
+draws from all of them sends each a request every few seconds, and opens a
+connection for nearly every one. It therefore draws from a subset. All entries
+order the servers in the same circle, by a hash of their names, and each begins
+at its own place, which is its rank among the entries. A server that leaves or
+is new changes one server of a subset, or two if the subset continues at the
+beginning of the circle. The numbers of entries that draw from any two servers
+differ by a few at most. With rendezvous hashing, 2 to 12 of 22 entries would
+draw from one of 45 servers. Full servers are passed over, so a burst spreads
+to the next servers of the circle.
 """
 
 from __future__ import annotations
@@ -43,8 +44,10 @@
 SUBSET_SIZE: Final = 16
 # Bounds the time of one choice while most servers of a large pool are full.
 MAX_EXAMINED: Final = 64
-TELLING_CHECK_S: Final = 0.5
-# Sets of candidates differ by version and by which servers are leaving.
+# Interval between two looks for servers that begin to report their slowness.
+REPORTING_CHECK_S: Final = 0.5
+# Sets of candidates differ by version and by which servers are leaving. The
+# bound limits the memory.
 MAX_CIRCLES: Final = 64
 
 
@@ -60,7 +63,7 @@
         self._place = 0.0
         self._slots = 0
         self._kv_tokens = 0
-        self._telling: set[str] = set()
+        self._reporting: set[str] = set()
         self._check_at_s = float("-inf")
         self._circles: dict[tuple[str, ...], list[str]] = {}
         self._changes: dict[str, OwnChanges] = {}
@@ -71,7 +74,7 @@
         self._kv_tokens = kv_tokens
 
     def set_place(self, place: float) -> None:
-        """Set the place of the entry's part, from 0 to below 1.
+        """Set where the entry's subset begins, from 0 to below 1.
 
         It is the entry's rank among all, as a share of their number.
         """
@@ -85,26 +88,29 @@
 
     def forget(self, name: str) -> None:
         """Drop the state of a server that has left for good."""
-        self._telling.discard(name)
+        self._reporting.discard(name)
         self._changes.pop(name, None)
 
-    def any_tells(self, candidates: Sequence[Candidate], now_s: float) -> bool:
+    def any_reports_slowness(
+        self, candidates: Sequence[Candidate], now_s: float
+    ) -> bool:
         """Return whether any of the candidates reports its slowness.
 
-        A server that begins to report it is noticed within half a second.
+        The servers are checked every `REPORTING_CHECK_S`, those of the call
+        that comes next.
         """
         if self._observed is None:
             return False
         if now_s >= self._check_at_s:
-            self._check_at_s = now_s + TELLING_CHECK_S
+            self._check_at_s = now_s + REPORTING_CHECK_S
             for candidate in candidates:
                 name = candidate.name
                 if self._observed(name, now_s).usual_slowness > 0:
-                    self._telling.add(name)
+                    self._reporting.add(name)
                 else:
-                    self._telling.discard(name)
-        telling = self._telling
-        return bool(telling) and any(c.name in telling for c in candidates)
+                    self._reporting.discard(name)
+        reporting = self._reporting
+        return bool(reporting) and any(c.name in reporting for c in candidates)
 
     def members(
         self,
@@ -115,8 +121,8 @@
     ) -> list[Candidate]:
         """Return the servers to draw from, empty if none is usable.
 
-        Full servers come after others, and for a call a server that is
-        disturbed comes last.
+        Full servers are among them only if fewer than `DRAWS` others are, and
+        for a call, servers that are disturbed only if there is no other.
         """
         by_name = {c.name: c for c in candidates}
         members: list[Candidate] = []
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -15,8 +15,8 @@
 
 Servers that report how slow they are get their requests by the time at which
 a request is expected to end there, see `server_room`. Four of them are drawn,
-from a part of the candidates that changes little, so that an entry keeps its
-connections.
+from a subset of the candidates that changes little, so that an entry keeps its
+connections (`observed_servers`).
 """
 
 from __future__ import annotations
@@ -112,7 +112,7 @@
         The caller must therefore make a new sequence when reports arrive, and
         must not change an existing one.
         """
-        if self._observed.any_tells(candidates, now_s):
+        if self._observed.any_reports_slowness(candidates, now_s):
             work = work or self._typical_work()
             return self._choose_soonest(
                 candidates, now_s, affinity_key, exclude, work
@@ -146,8 +146,9 @@
         """Return every candidate's score and state, lowest score first."""
         for candidate in candidates:
             self._sync_server(candidate)
-        tells = self._observed.any_tells(candidates, now_s)
-        work = self._typical_work() if tells else None
+        work = None
+        if self._observed.any_reports_slowness(candidates, now_s):
+            work = self._typical_work()
         scored = {c.name: self._score(c, now_s, work) for c in candidates}
         choices = [
             Choice(c.name, self._candidate_state(c, now_s, exclude), ())
@@ -252,7 +253,7 @@
         return total
 
     def set_place(self, place: float) -> None:
-        """Set from where in their circle this entry draws servers."""
+        """Set where the subset begins, the entry's rank from 0 to below 1."""
         self._observed.set_place(place)
 
     def set_engine(self, slots: int, kv_tokens: int) -> None:
@@ -270,19 +271,19 @@
         if not self._is_observed:
             return None
         rooms: list[tuple[Room, int]] = []
-        any_tells = False
+        any_reports = False
         for candidate in candidates:
             server = self._sync_server(candidate)
             if server.health.is_ejected(now_s):
                 continue
             observed = self._observed.load(candidate.name, now_s)
-            tells = observed.usual_slowness > 0
-            if not tells and (observed.header or server.has_answered):
+            reports = observed.usual_slowness > 0
+            if not reports and (observed.header or server.has_answered):
                 return None
-            any_tells = any_tells or tells
+            any_reports = any_reports or reports
             room = self._observed.room(candidate, now_s)
             rooms.append((room, observed.own_requests))
-        return shared_room(rooms) if any_tells else None
+        return shared_room(rooms) if any_reports else None
 
     def cache_event(
         self, name: str, prefix_keys: Sequence[str], stored: bool, now_s: float
@@ -401,7 +402,7 @@
     def _score(
         self, candidate: Candidate, now_s: float, work: Work | None = None
     ) -> float:
-        """Return the expected wait, with ``work`` the expected time."""
+        """Return the expected wait, or with ``work`` the expected time."""
         server = self._servers[candidate.name]
         if work is not None:
             usual_s = self._typical.latency_s
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_room.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_room.py
@@ -1,11 +1,11 @@
 """Estimate when a request would end at a server, from its observed load.
 
-Servers of one pool differ in speed by more than a factor of two, are slowed
-down for a second at a time, and are loaded by entries that know little of each
-other. A choice by counts alone sends long answers to slow servers, and fills
-the slots of a fast one last. The expected time of a request puts the free
-slots, the queue and the speed of a server into one unit, so that a full fast
-server can be compared with an idle slow one.
+The load pattern is a pool whose servers differ in speed by more than a factor
+of two, are slowed down for up to a second at a time, and are loaded by many
+entries at once. A choice by counts alone sends long answers to slow servers,
+and fills the slots of a fast one last. The expected time of a request puts the
+free slots, the queue and the speed of a server into one unit, so that a full
+fast server can be compared with an idle slow one.
 
 The load that a server reports counts the requests of all entries, but is late:
 the entry's own requests since then are added, and the part of the other
@@ -30,11 +30,12 @@
 
 Source = Literal["own", "shared", "report", "none"]
 
-# A disturbance lasts for about half a second, and its report is of no more
-# use once it has ended.
+# A disturbance lasts for about half a second. After this time, its report no
+# longer describes the server.
 MOMENTARY_S: Final = 1.0
-MIN_SLOWNESS: Final = 0.1
-MAX_SLOWNESS: Final = 10.0
+# A server that reports a false slowness looks at most this fast or slow.
+MIN_FOLLOWED_SLOWNESS: Final = 0.1
+MAX_FOLLOWED_SLOWNESS: Final = 10.0
 # An engine runs its requests in one batch, whose steps take about half as long
 # again when all slots are in use.
 FULL_BATCH_SLOWDOWN: Final = 0.5
@@ -42,9 +43,11 @@
 # newer report says. Requests that have ended since the sums were made are far
 # fewer than half; a server that reports less counts wrongly.
 MIN_SUMS_SHARE: Final = 0.5
-# A report older than this is of a disturbance that has probably ended.
+# An older report is of a disturbance that has probably ended.
 FRESH_REPORT_S: Final = 0.5
+# A server is disturbed above this multiple of its usual slowness.
 SLOW_RATIO: Final = 1.5
+# Of one server, kept until its next report; older ones are dropped.
 MAX_CHANGES: Final = 256
 
 
@@ -178,11 +181,11 @@
     if header is not None and header.slowness > 0:
         left = max(0.0, 1.0 - observed.header_age_s / MOMENTARY_S)
         now += (header.slowness - usual) * left
-    return min(MAX_SLOWNESS, max(MIN_SLOWNESS, now))
+    return min(MAX_FOLLOWED_SLOWNESS, max(MIN_FOLLOWED_SLOWNESS, now))
 
 
 def is_disturbed(observed: ObservedLoad) -> bool:
-    """Return whether the server says that it is slow at this moment."""
+    """Return whether the server has just reported to be unusually slow."""
     header = observed.header
     if header is None or observed.header_age_s > FRESH_REPORT_S:
         return False
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/shared_room.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/shared_room.py
@@ -1,19 +1,19 @@
 """An entry's part of the free slots that it shares with other entries.
 
 The load pattern is a service near its capacity with many entries. If each
-entry counted every free slot as its own, all would start into the same slots
-for as long as they do not know of each other, and the servers would queue. If
-each had a fixed share, slots of quiet entries would stay free while requests
-wait at busy ones.
-
-An entry may use the slots that its running requests hold and its part of the
-free ones. Half of the part follows its part of the requests in flight, half is
-the same for all entries, so that an entry whose callers have just come gets
-room too. All figures are taken as they were `KNOWN_AFTER_S` ago, also those of
-the entry itself, because what others know of it is that old. The capacities of
-all entries then add up to the slots, plus at most one for each entry, which an
+entry counted every free slot as its own, all would take the same slots until
+they learn of each other's requests, and requests would queue at the servers.
+If each had a fixed share, slots of quiet entries would stay free while
+requests wait at busy ones.
+
+An entry may use the slots that its running requests hold and a share of the
+free ones. Half of the share follows its share of the requests in flight, half
+is the same for all entries, so that an entry with new callers gets room too.
+All figures are taken as they were `KNOWN_AFTER_S` ago, also those of the entry
+itself, because what others know of it is that old. The capacities of all
+entries then add up to the slots, plus at most one for each entry, which an
 entry may always use. With its own newest figures, each entry would take its
-part of the same free slots again until it hears of the others.
+share of the same free slots again until it learns of the others' requests.
 """
 
 from __future__ import annotations
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/load_header.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/load_header.py
@@ -4,10 +4,12 @@
 
 from typing import Final
 
+from sycamorestand_decisions.load_checks import MAX_COUNT
+from sycamorestand_decisions.load_checks import MAX_SLOWNESS
 from sycamorestand_model.server_loads import LoadHeader
 
-MAX_DIGITS: Final = 9
-MAX_SLOWNESS_PERCENT: Final = 10_000
+MAX_DIGITS: Final = len(str(MAX_COUNT))
+MAX_SLOWNESS_PERCENT: Final = int(100 * MAX_SLOWNESS)
 
 
 def read_load_header(value: bytes) -> LoadHeader | None:
