Admission decides on a new request in three steps

Cause: offer was 55 lines with refusals spread over two tuples, refuse did not refuse, and the doc comment of Refused was not true of the rule overtaken.

Change: _refuse_too_long and _queue stand for themselves, record_refusal says what it does; limits have their reasons; levels of urgency are described where priorities are.

Result: no change of behaviour; tests of admission, waiting order, slots and urgency pass.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/admission.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/admission.py
@@ -41,7 +41,7 @@
 from sycamorestand_decisions.waiting_cost import Urgency
 
 MAX_WAIT_S: Final = 6.0
-# Nobody waits for the answers of the two lowest priorities.
+# From this priority on, no person waits for the answers.
 BACKGROUND_PRIORITY: Final = 8
 BACKGROUND_MAX_WAIT_S: Final = 60.0
 # A request waits only if it is expected to start within this share of its
@@ -69,6 +69,7 @@
 MAX_RETRY_AFTER_S: Final = 30.0
 # Callers that were refused at the same moment must not return together.
 RETRY_SPREAD: Final = 0.2
+# Bounds the memory of a pool; the oldest keys are dropped.
 MAX_REFUSED_KEYS: Final = 4096
 # A waiting request is refused early only if even this share of its estimated
 # wait is too long. Estimates for a few slots are off by that much, and half of
@@ -78,7 +79,6 @@
 # customers come and go, and the cost of a check grows with the queue length.
 RECHECK_S: Final = 0.25
 
-
 NO_SERVER: Final = "no_server"
 
 
@@ -99,10 +99,12 @@
     """The request did not run and will not; ``retry_after_s`` is advice.
 
     ``rule`` names the rule of the refusal: ``too_long``, ``no_server``,
-    ``queue_full``, ``wait`` or ``overtaken``. By it ``expected_s`` is over
-    ``limit_s``: the time in a slot for ``too_long``, the requests waiting for
-    ``queue_full`` and the wait for the others. ``waiting`` is the number of
-    waiting requests.
+    ``queue_full``, ``wait`` or ``overtaken``. ``expected_s`` was over
+    ``limit_s``: half of the expected time in a slot for ``too_long``, the
+    expected wait for ``wait``, and for ``queue_full`` the number of waiting
+    requests, not a time. For ``overtaken`` they are the expected wait and the
+    time to the deadline, either of which may be the larger. ``waiting`` is the
+    number of waiting requests.
     """
 
     reason: str
@@ -159,20 +161,9 @@
         """Start a new request, queue it, or refuse it."""
         pool = self._pool(ticket.pool)
         pool.queue.record_offer(ticket.priority)
-        min_service_s = MIN_SERVICE_SHARE * pool.times.mean_s(
-            ticket.expected_s
-        )
-        left_s = ticket.deadline_s - now_s
-        if min_service_s > left_s:
-            pool.refused_deadline += 1
-            return Refused(
-                "cannot finish in time",
-                _spread_s(MIN_RETRY_AFTER_S, ticket),
-                "too_long",
-                min_service_s,
-                left_s,
-                pool.queue.waiting,
-            )
+        refused = _refuse_too_long(pool, ticket, now_s)
+        if refused is not None:
+            return refused
         if pool.can_start_at_once(ticket):
             pool.queue.charge(ticket)
             self._start(pool, ticket)
@@ -182,28 +173,7 @@
             retry_after_s = _spread_s(MIN_RETRY_AFTER_S, ticket)
             reason = "no backend server for it"
             return Refused(reason, retry_after_s, NO_SERVER)
-        urgency = ticket.urgency(now_s, not pool.is_early(ticket, now_s))
-        wait_s = pool.expected_wait_s(ticket, urgency)
-        waiting = pool.queue.waiting
-        if (limit := _full_limit(pool, ticket)) <= waiting:
-            pool.refused_full += 1
-            retry_after_s = pool.refuse(ticket, now_s, wait_s)
-            return Refused(
-                *("queue full", retry_after_s, "queue_full"),
-                *(float(waiting), float(limit), waiting),
-            )
-        slack_s = _slack_s(pool, ticket, now_s)
-        longest_s = min(_max_wait_s(ticket), ADMIT_SLACK_SHARE * slack_s)
-        if wait_s > longest_s:
-            pool.refused_deadline += 1
-            retry_after_s = pool.refuse(ticket, now_s, wait_s)
-            return Refused(
-                *("cannot start in time", retry_after_s, "wait"),
-                *(wait_s, longest_s, waiting),
-            )
-        pool.queue.push(ticket, urgency, now_s + slack_s)
-        self._pool_of[ticket.ticket_id] = pool
-        return Waiting(ticket.ticket_id, wait_s)
+        return self._queue(pool, ticket, now_s)
 
     def start_ready(self, now_s: float) -> list[Ticket]:
         """Give free slots to waiting requests and return these requests."""
@@ -244,7 +214,7 @@
                 wait_s = pool.expected_wait_s(ticket, ticket.urgency(now_s))
                 answer = Refused(
                     "cannot start in time",
-                    pool.refuse(ticket, now_s, wait_s),
+                    pool.record_refusal(ticket, now_s, wait_s),
                     "overtaken",
                     wait_s,
                     ticket.deadline_s - now_s,
@@ -266,6 +236,39 @@
         """Return the counters of every pool by its name."""
         return {name: pool.metrics() for name, pool in self._pools.items()}
 
+    def _queue(
+        self, pool: _Pool, ticket: Ticket, now_s: float
+    ) -> Waiting | Refused:
+        """Queue a request that has to wait, or refuse it."""
+        urgency = ticket.urgency(now_s, not pool.is_early(ticket, now_s))
+        wait_s = pool.expected_wait_s(ticket, urgency)
+        waiting = pool.queue.waiting
+        if (limit := _full_limit(pool, ticket)) <= waiting:
+            pool.refused_full += 1
+            return Refused(
+                "queue full",
+                pool.record_refusal(ticket, now_s, wait_s),
+                "queue_full",
+                float(waiting),
+                float(limit),
+                waiting,
+            )
+        slack_s = _slack_s(pool, ticket, now_s)
+        longest_s = min(_max_wait_s(ticket), ADMIT_SLACK_SHARE * slack_s)
+        if wait_s > longest_s:
+            pool.refused_deadline += 1
+            return Refused(
+                "cannot start in time",
+                pool.record_refusal(ticket, now_s, wait_s),
+                "wait",
+                wait_s,
+                longest_s,
+                waiting,
+            )
+        pool.queue.push(ticket, urgency, now_s + slack_s)
+        self._pool_of[ticket.ticket_id] = pool
+        return Waiting(ticket.ticket_id, wait_s)
+
     def _start(self, pool: _Pool, ticket: Ticket) -> None:
         pool.in_flight[ticket.ticket_id] = ticket
         pool.running[ticket.customer] += 1
@@ -320,8 +323,10 @@
         """Return whether the request is repeated before its retry time."""
         return now_s < self.refused_until_s.get(_repeat_key(ticket), now_s)
 
-    def refuse(self, ticket: Ticket, now_s: float, wait_s: float) -> float:
-        """Remember the refused request and return when to retry."""
+    def record_refusal(
+        self, ticket: Ticket, now_s: float, wait_s: float
+    ) -> float:
+        """Return when to retry, and store it for the request's key."""
         wait_s = wait_s if self.slots else 0.0
         wait_s = min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
         retry_after_s = _spread_s(wait_s, ticket)
@@ -369,6 +374,25 @@
         )
 
 
+def _refuse_too_long(
+    pool: _Pool, ticket: Ticket, now_s: float
+) -> Refused | None:
+    """Refuse a request that cannot end in time even if it starts now."""
+    min_service_s = MIN_SERVICE_SHARE * pool.times.mean_s(ticket.expected_s)
+    left_s = ticket.deadline_s - now_s
+    if min_service_s <= left_s:
+        return None
+    pool.refused_deadline += 1
+    return Refused(
+        "cannot finish in time",
+        _spread_s(MIN_RETRY_AFTER_S, ticket),
+        "too_long",
+        min_service_s,
+        left_s,
+        pool.queue.waiting,
+    )
+
+
 def _full_limit(pool: _Pool, ticket: Ticket) -> int:
     """Return the number of waiting requests at which this one is refused."""
     own = pool.queue.count(ticket.customer, ticket.priority)
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/fair_queue.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/fair_queue.py
@@ -9,12 +9,12 @@
 rather than the share that its weight entitles it to. In a customer's turn its
 request with the highest delay cost starts (`waiting_cost`).
 
-The classes are the declared priorities, 0 the highest. The highest class that
-waits starts first, apart from a share of the starts that is kept for all lower
-classes together while they wait; among these the same rule holds. A class that
-got fewer of its requests started than `FLOOR_SHARE` of the share of all
-requests since the queue was last empty comes first, because the kept share can
-be too little where a lower class has much of the load.
+The classes are the priorities of the tickets, 0 the highest. The highest class
+that waits starts first, apart from a share of the starts that is kept for all
+lower classes together while they wait; among these the same rule holds. A
+class that got fewer of its requests started than `FLOOR_SHARE` of the share of
+all requests since the queue was last empty comes first, because the kept share
+can be too little where a lower class has much of the load.
 """
 
 from __future__ import annotations
@@ -39,8 +39,8 @@
 # A class must be served at least a quarter as often as all requests; starts
 # are whole and some started requests are late, so the floor is higher.
 FLOOR_SHARE: Final = 0.3
-# Older offers and starts count half, so that a queue that is never empty
-# follows the load of the last seconds.
+# Above this number of offers, all counts are halved, so that a queue that is
+# never empty follows the load of the last seconds.
 MAX_COUNTED: Final = 1024
 
 
@@ -48,7 +48,8 @@
     """A request as admission control sees it.
 
     ``pool`` is the model version or service that the request needs.
-    ``priority`` is 0 to 9, 0 the highest. ``deadline_s`` and ``target_at_s``
+    ``priority`` is 0 to 9, 0 the highest; for a routed call it is the level of
+    `UrgencyLevels`. ``deadline_s`` and ``target_at_s``
     are absolute times; the latter is the latency target, 0 if there is none.
     ``expected_s`` is the expected time in a slot, of which ``begin_s`` passes
     before what the target bounds. A request that is repeated has the ``key``
@@ -230,6 +231,11 @@
         chosen: _PriorityClass,
         work_s: float,
     ) -> None:
+        """Credit the lower classes for work of ``chosen``, or charge them.
+
+        The classes above the chosen one have let it start before them, and
+        the chosen one owes its share to those below it.
+        """
         for own in waiting[:-1]:
             if own is chosen:
                 kept = self._lower_share / (1.0 - self._lower_share)
@@ -278,7 +284,7 @@
 
 
 class _Ahead(NamedTuple):
-    """Share of the starts that a class gets, waiting work of higher ones."""
+    """The share of starts that a class gets, and the work of higher ones."""
 
     share: float
     higher_s: float
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/waiting_cost.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/waiting_cost.py
@@ -9,7 +9,7 @@
 serves most callers in time that way. Those that have missed their target
 follow in the order of their deadlines. A request that has waited for a third
 of the time to its deadline is aged: a quarter of the customer's work is for
-the aged ones, so that long work is not put off by short work for ever.
+the aged ones, so that short work cannot delay long work without end.
 Requests without a target keep the order in which they came: it is not known
 what a delay costs them, and with the least work first, long ones are admitted
 and refused seconds later.
@@ -29,14 +29,16 @@
 # Costs within a priority are from 1e-8 to 1e3, so that no amount of work or
 # time outweighs a priority.
 PRIORITY_FACTOR: Final = 1e12
-# By priority; a queue of two thousand requests is looked at four times a
-# second.
+# By priority, computed once: a queue of two thousand requests has its costs
+# computed four times a second.
 SCALES: Final = tuple(
     PRIORITY_FACTOR ** (LOWEST_PRIORITY - priority)
     for priority in range(LOWEST_PRIORITY + 1)
 )
+# Bounds of a request's work, so that costs stay within the range above.
 MIN_WORK_S: Final = 1e-3
 MAX_WORK_S: Final = 1e3
+# Below the cost of any request that can meet its target, 1 / `MAX_WORK_S`.
 LATE_COST: Final = 1e-4
 # Of the time from the arrival to the deadline.
 AGED_SHARE: Final = 1 / 3
--- a/packages/sycamorestand-model/src/sycamorestand_model/urgency.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/urgency.py
@@ -1,8 +1,10 @@
 """Order of requests by the priority of their customer, then of their route.
 
-A customer's priority goes before that of the route. Where all customers
-have the same one, it would make all kinds of request equally urgent, so the
-route's priority decides between requests of customers that are equal.
+Admission starts and refuses requests by the level that results. A customer's
+priority goes before that of the route. Where all customers have the same one,
+it would make all kinds of request equally urgent, so the route's priority
+decides between requests of customers that are equal. A customer without a
+priority has that of the route.
 """
 
 from __future__ import annotations
@@ -19,10 +21,11 @@
 
 
 class UrgencyLevels:
-    """The levels from 0, the most urgent, that declarations call for.
+    """The levels from 0, the most urgent, to 9 that the declarations give.
 
-    The pairs of priorities that occur are numbered in their order, so that
-    few priorities far apart give the same levels as few close together.
+    The pairs of priorities that can occur are numbered in their order, so
+    that few priorities far apart give the same levels as few close together.
+    From the tenth pair on, all have the last level.
 
     Example: with all customers at 1 and routes at 0, 1 and 2, requests of
     customers are at the levels 0, 1 and 2.
