Check finds unused entries and conflicting limits

Cause: check passed folders with entries that no request can use, such as a version that no profile offers, and with limits that contradict each other, such as a silence limit longer than the timeout.

Change: two modules of checks, nearly all of whose findings are warnings. A route's host is compared in any case, as look-ups do; a prefix with a space or '?' is an error, as no path holds one.

Two test set-ups had such entries. The valid folder's route quote climbed over two sizes with one attempt; it gets two, and still must have no findings. The misplaced service of another case is unused; that finding is expected too, so the case stays exact.

--- a/packages/sycamorestand-model/src/sycamorestand_model/check.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/check.py
@@ -1,4 +1,4 @@
-"""Check declarations: references, order of steps, shares and prices.
+"""Check declarations: references, order, limits and what no one uses.
 
 ``check`` needs no running cluster. It returns the findings of the readers
 together with those of the checks across declarations. For example,
@@ -21,7 +21,9 @@
 from sycamorestand_model.check_customers import check_customers
 from sycamorestand_model.check_customers import check_duplicate_keys
 from sycamorestand_model.check_customers import check_operators
+from sycamorestand_model.check_limits import check_limits
 from sycamorestand_model.check_routes import check_routes
+from sycamorestand_model.check_unused import check_unused
 from sycamorestand_model.declarations import CascadeStep
 from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.declarations import Model
@@ -249,6 +251,8 @@
     check_operators,
     check_duplicate_keys,
     check_routes,
+    check_limits,
+    check_unused,
 )
 
 __all__ = ["check", "check_declarations"]
--- a/packages/sycamorestand-model/src/sycamorestand_model/check_routes.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/check_routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Final
 from typing import TYPE_CHECKING
 
 from sycamorestand_model.check_context import declaration_place
@@ -14,23 +15,48 @@
     from sycamorestand_model.findings import Place
     from sycamorestand_model.routes import Route
 
+# A request line ends its path at either of them.
+_UNSENT_CHARACTERS: Final = frozenset(" ?")
+
 
 def check_routes(context: CheckContext) -> None:
     """Check every route, and that no two share a host and a path prefix."""
     route_by_prefix: dict[tuple[str, str], str] = {}
+    route_in_any_case: dict[tuple[str, str], str] = {}
     for route in context.declarations.routes.values():
         place = declaration_place(context, "routes", route.name)
         _check_targets(context, route, place)
         _check_sizes(context, route, place)
         _check_kind(context, route, place)
-        key = (route.host, route.path_prefix)
+        _check_path_prefix(context, route, place)
+        # Requests find their host in any case, and their path in its own.
+        key = (route.host.lower(), route.path_prefix)
         first_route = route_by_prefix.setdefault(key, route.name)
+        folded_key = (route.host.lower(), route.path_prefix.lower())
+        similar_route = route_in_any_case.setdefault(folded_key, route.name)
         if first_route != route.name:
             context.findings.error(
                 key_place(place, "path_prefix"),
                 f"routes.{first_route} has the same host and prefix",
                 "remove one, or give it a prefix of its own",
             )
+        elif similar_route != route.name:
+            context.findings.warning(
+                key_place(place, "path_prefix"),
+                f"routes.{similar_route} has the same prefix in another case",
+                "remove one unless callers send both",
+            )
+
+
+def _check_path_prefix(
+    context: CheckContext, route: Route, place: Place
+) -> None:
+    if not _UNSENT_CHARACTERS.isdisjoint(route.path_prefix):
+        context.findings.error(
+            key_place(place, "path_prefix"),
+            "holds a space or '?', which no path does, so it never matches",
+            "give the path without the query, as callers send it",
+        )
 
 
 def _check_targets(context: CheckContext, route: Route, place: Place) -> None:
@@ -45,6 +71,14 @@
             "the weights add up to 0, so no request would run",
             "give one of the targets a weight",
         )
+        return
+    for index, target in enumerate(route.targets):
+        if not target.weight:
+            context.findings.warning(
+                key_place(item_place(targets_place, index), "weight"),
+                "is 0, so the target gets no request",
+                "give it a weight, or remove it unless it is kept ready",
+            )
 
 
 def _check_sizes(context: CheckContext, route: Route, place: Place) -> None:
--- a/packages/sycamorestand-model/tests/test_check.py
+++ b/packages/sycamorestand-model/tests/test_check.py
@@ -6,15 +6,21 @@
 
 from sycamorestand_model.check import check
 from sycamorestand_model.check import check_declarations
+from sycamorestand_model.declarations import Declarations
+from sycamorestand_model.declarations import Service
 from sycamorestand_model.findings import finding_line
 from sycamorestand_model.findings import has_errors
 from sycamorestand_model.limits import MAX_FILE_BYTES
 from sycamorestand_model.limits import MAX_FINDINGS
 from sycamorestand_model.load import load_document
 from sycamorestand_model.load import load_folder
+from sycamorestand_model.routes import CallerLimits
+from sycamorestand_model.routes import Route
+from sycamorestand_model.routes import RouteTarget
 
 HASH = "b2$0011223344556677$00112233445566778899aabbccddeeff00112233"
 OTHER_HASH = "b2$0011223344556678$00112233445566778899aabbccddeeff00112233"
+THIRD_HASH = "b2$0011223344556679$00112233445566778899aabbccddeeff00112233"
 
 MODELS = """
 [models.cheap]
@@ -78,8 +84,23 @@
 targets = [{service = "nesting"}]
 kind = "stream"
 timeout_ms = 15_000
+max_attempts = 2
 sizes = ["small", "large"]
 """
+ROUTES_THAT_DIFFER = """
+[routes.a]
+host = "nest.example"
+path_prefix = "{}"
+targets = [{{service = "portal"}}]
+kind = "idempotent"
+timeout_ms = 2000
+[routes.b]
+host = "nest.example"
+path_prefix = "{}"
+targets = [{{service = "portal"}}]
+kind = "idempotent"
+timeout_ms = 2000
+"""
 VALID_FILES = {
     "routes-and-engines.toml": ROUTES,
     "models/all.toml": MODELS,
@@ -141,7 +162,10 @@
     ),
     "misplaced": (
         {"models/portal.toml": "[services.other]"},
-        ["services: services stand in the folder models/"],
+        [
+            "services: services stand in the folder models/",
+            "warning: models/portal.toml: services.other: no route leads",
+        ],
     ),
     "dangling references": (
         {
@@ -210,6 +234,95 @@
             "routes.again.path_prefix: routes.status has the same host",
         ],
     ),
+    "routes that no request finds": (
+        {"routes.toml": ROUTES_THAT_DIFFER.format("/Review/", "/review/ /")},
+        [
+            "warning: routes.toml: routes.a.path_prefix: routes.review has",
+            "error: routes.toml: routes.b.path_prefix: holds a space or '?'",
+        ],
+    ),
+    "target without weight": (
+        {
+            "routes-and-engines.toml": ROUTES.replace(
+                "weight = 90}",
+                'weight = 90}, {service = "portal", weight = 0}',
+            )
+        },
+        ["routes.review.targets[1].weight: is 0, so the target gets no"],
+    ),
+    "priority out of range and one attempt": (
+        {
+            "routes-and-engines.toml": ROUTES.replace(
+                "resumable = true", "priority = 10"
+            ).replace("max_attempts = 2", "max_attempts = 1")
+        },
+        ["routes.review.priority: out of range", "quote.sizes: with one"],
+    ),
+    "durations that contradict each other": (
+        {
+            "routes-and-engines.toml": ROUTES.replace(
+                "resumable = true",
+                "target_latency_ms = 20_001\nsilence_limit_ms = 30_000\n"
+                "gap_target_ms = 30_001\nresumable = true",
+            )
+        },
+        [
+            "warning: routes-and-engines.toml: routes.review.target_latency_ms"
+            ": 20001 is longer than timeout_ms, 20000",
+            "routes.review.gap_target_ms: 30001 is longer than silence_limit",
+            "routes.review.silence_limit_ms: 30000 is longer than timeout_ms",
+        ],
+    ),
+    "sizes of a call that runs once": (
+        {
+            "routes-and-engines.toml": ROUTES.replace(
+                '"stream"\ntimeout_ms = 15_000', '"once"\ntimeout_ms = 15_000'
+            )
+        },
+        ["quote.max_attempts: a call that", "quote.sizes: only a stream"],
+    ),
+    "more sizes than attempts": (
+        {
+            "routes-and-engines.toml": ROUTES.replace(
+                "sizes = [{", 'sizes = [{name = "tiny", cost = 0.01}, {'
+            ).replace('sizes = ["small"', 'sizes = ["tiny", "small"')
+        },
+        ["routes.quote.sizes: 2 attempts do not lead through 3 sizes"],
+    ),
+    "unused declarations": (
+        {
+            "models/more.toml": MODELS.replace("models.", "models.more-"),
+            "profiles/more.toml": PROFILES.replace("help", "more").replace(
+                "cheap", "more-cheap"
+            ),
+            "services/more.toml": "[services.more]",
+            "customers/acme.toml": CUSTOMERS.replace(
+                '"strong@1"', '"strong@1", "more-cheap@2", "more-cheap"'
+            ),
+        },
+        [
+            "profiles.more: no customer names it",
+            "services.more: no route leads to it and no customer may call it",
+            "models.more-strong: no profile, route or roll-out leads to it",
+            "customers.acme.versions[2]: no profile of acme offers more",
+            "customers.acme.versions[3]: no profile of acme offers more",
+        ],
+    ),
+    "home region of no route": (
+        {
+            "routes-and-engines.toml": ROUTES.replace(
+                "sizes = [", 'home_regions = ["north"]\nsizes = ['
+            ).replace('home_regions = ["north"]\n', "", 1),
+            "customers/far.toml": f"""
+[customers.far]
+key_hashes = ["{THIRD_HASH}"]
+profiles = []
+versions = []
+home_regions = ["south"]
+""",
+        },
+        ["customers.far.home_regions: no route may run in a home region"],
+    ),
     "pattern": (
         {"customers/acme.toml": CUSTOMERS.replace("strong@1", "str*")},
         [
@@ -336,6 +449,33 @@
         assert missing == []
         assert len(lines) == len(expected)
 
+    def test_typed_declarations_are_checked_beyond_their_schema(
+        self,
+    ) -> None:
+        """Hosts, priorities and limits that no reader has seen.
+
+        A host in upper case hid another route, as look-ups ignore case.
+        """
+        route = Route("a", "Nest", "/", (RouteTarget("s"),), "once", 1)
+        declared = Declarations(
+            services={"s": Service("s")},
+            routes={
+                "a": route,
+                "b": route._replace(name="b", host="nest", priority=10),
+            },
+            limits=CallerLimits(0, 0, 10, 9),
+        )
+        findings = check_declarations(declared)
+        paths = [(each.severity, each.key_path) for each in findings]
+        assert paths == [
+            ("warning", "operators"),
+            ("error", "routes.b.path_prefix"),
+            ("error", "routes.b.priority"),
+            ("warning", "limits.max_header_bytes"),
+            ("warning", "limits.max_body_bytes"),
+            ("warning", "limits.idle_timeout_ms"),
+        ]
+
     def test_one_run_reports_all_faults(self, tmp_path: Path) -> None:
         write_folder(tmp_path, {**VALID_FILES})
         for case in ("wrong types", "plain key", "shares", "no admin"):
