Check can compare with the committed revision

Cause: an operator who wanted findings and differences ran two commands, and plan prints the differences only.

An error ends it before a control process is asked; findings are printed also when none answers. The command moves beside plan, whose question it asks; the help texts and JSON fields of check stay.

--- a/packages/sycamorestand/src/sycamorestand/operator/applying.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/applying.py
@@ -1,4 +1,4 @@
-"""Commands that compare or replace the declarations: plan and apply."""
+"""Commands that check, compare or replace the declarations."""
 
 from __future__ import annotations
 
@@ -18,8 +18,9 @@
 from sycamorestand.operator.offline import check_answer
 from sycamorestand.operator.offline import check_lines
 from sycamorestand_control.operator_api.plain import from_plain
-from sycamorestand_model.check import check
+from sycamorestand_model.check import check as check_loaded
 from sycamorestand_model.codec import to_document
+from sycamorestand_model.findings import Finding
 from sycamorestand_model.findings import finding_line
 from sycamorestand_model.findings import has_errors
 from sycamorestand_model.load import load_folder
@@ -35,6 +36,45 @@
     notes: tuple[str, ...]
 
 
+class ComparedAnswer(NamedTuple):
+    """The findings of a check, with the differences to what is in force.
+
+    The fields of `CheckAnswer` come first, so programs read both alike.
+    """
+
+    errors: int
+    warnings: int
+    findings: tuple[Finding, ...]
+    plan: PlanAnswer
+
+
+def check(folder: Path, *, against_in_force: bool = False) -> Action:
+    """Check a folder of declarations and report every finding.
+
+    :param folder: the declarations folder
+    :param against_in_force: show after the findings what 'plan' shows, if
+        none is an error; asks a control process and changes nothing
+    """
+
+    async def act(context: Context) -> int:
+        loaded = load_folder(folder)
+        findings = check_loaded(loaded)
+        answer = check_answer(findings)
+        is_last = has_errors(findings) or not against_in_force
+        if is_last or not context.settings.json:
+            # Findings are shown even if no control process answers.
+            context.output.answer(answer, check_lines(answer))
+        if is_last:
+            return FINDINGS if has_errors(findings) else DONE
+        document = to_document(loaded.declarations)
+        planned = await _ask_plan(context.client(), document)
+        compared = ComparedAnswer(*answer, planned)
+        context.output.answer(compared, _plan_lines(planned))
+        return DONE
+
+    return act
+
+
 def plan(folder: Path) -> Action:
     """Show what applying the folder would change, and with what effects.
 
@@ -102,7 +142,7 @@
 
 def _checked_document(context: Context, folder: Path) -> dict[str, Any] | None:
     loaded = load_folder(folder)
-    findings = check(loaded)
+    findings = check_loaded(loaded)
     if has_errors(findings):
         answer = check_answer(findings)
         context.output.answer(answer, check_lines(answer))
@@ -137,4 +177,4 @@
     yield f"{count} differences to revision {answer.revision}"
 
 
-__all__ = ["apply", "plan", "PlanAnswer"]
+__all__ = ["apply", "check", "ComparedAnswer", "plan", "PlanAnswer"]
--- a/packages/sycamorestand/src/sycamorestand/operator/offline.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/offline.py
@@ -1,4 +1,4 @@
-"""Commands that need no control process: check, hash-key and new-key."""
+"""Commands that need no control process, and the findings of a check."""
 
 from __future__ import annotations
 
@@ -14,15 +14,11 @@
 from sycamorestand.operator.context import Action
 from sycamorestand.operator.context import Context
 from sycamorestand.operator.exits import DONE
-from sycamorestand.operator.exits import FINDINGS
 from sycamorestand.operator.exits import UsageError
-from sycamorestand_model.check import check as check_loaded
 from sycamorestand_model.findings import ERROR
 from sycamorestand_model.findings import Finding
 from sycamorestand_model.findings import finding_line
-from sycamorestand_model.findings import has_errors
 from sycamorestand_model.keys import hash_key as hash_of
-from sycamorestand_model.load import load_folder
 
 KEY_BYTES: Final = 24
 KEY_FILE_MODE: Final = 0o600
@@ -43,21 +39,6 @@
     key_hash: str
 
 
-def check(folder: Path) -> Action:
-    """Check a folder of declarations and report every finding.
-
-    :param folder: the declarations folder
-    """
-
-    async def act(context: Context) -> int:
-        findings = check_loaded(load_folder(folder))
-        answer = check_answer(findings)
-        context.output.answer(answer, check_lines(answer))
-        return FINDINGS if has_errors(findings) else DONE
-
-    return act
-
-
 def hash_key() -> Action:
     """Read a key from stdin and print its salted hash."""
 
@@ -125,7 +106,6 @@
 
 
 __all__ = [
-    "check",
     "check_answer",
     "check_lines",
     "CheckAnswer",
--- a/packages/sycamorestand/src/sycamorestand/operator/run.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/run.py
@@ -11,6 +11,7 @@
 import defopt
 
 from sycamorestand.operator.applying import apply
+from sycamorestand.operator.applying import check
 from sycamorestand.operator.applying import plan
 from sycamorestand.operator.changes import drain
 from sycamorestand.operator.changes import drain_data_centre
@@ -33,7 +34,6 @@
 from sycamorestand.operator.exits import INTERRUPTED
 from sycamorestand.operator.exits import SycactlError
 from sycamorestand.operator.explain_request import explain_request
-from sycamorestand.operator.offline import check
 from sycamorestand.operator.offline import hash_key
 from sycamorestand.operator.offline import new_key
 from sycamorestand.operator.output import Output
--- a/packages/sycamorestand/tests/operator/test_run.py
+++ b/packages/sycamorestand/tests/operator/test_run.py
@@ -50,6 +50,36 @@
         assert answer["errors"] == 2
         assert answer["findings"][0]["file"] == "more.toml"
 
+    def test_warnings_and_differences_come_in_one_command(
+        self, online: Command, folder: Path, state: Any
+    ) -> None:
+        (folder / "more.toml").write_text("[services.more]")
+        assert online("check", folder).code == 0
+        ended = online("check", folder, "--against-in-force")
+        assert ended.code == 0
+        findings, count, *plan = ended.out.splitlines()
+        assert findings.startswith("warning: more.toml: services.more: no")
+        assert count == "0 errors, 1 warnings"
+        assert plan == online("plan", folder).out.splitlines()
+        shown = online("check", folder, "--against-in-force", "--json").out
+        answer = json.loads(shown)
+        assert (answer["warnings"], answer["plan"]["revision"]) == (1, 5)
+        assert state.changes == []
+
+    def test_findings_are_printed_when_no_difference_can_be(
+        self, sycactl: Command, folder: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guard against findings lost with the control processes."""
+        monkeypatch.setenv("SYCACTL_CONTROLS", "127.0.0.1:1")
+        monkeypatch.setenv("SYCACTL_PATIENCE_S", "0.2")
+        command = ("check", folder, "--against-in-force")
+        ended = sycactl(*command)
+        assert (ended.code, ended.out) == (6, "0 errors, 0 warnings\n")
+        (folder / "more.toml").write_text("[services.a]\nb = 1")
+        ended = sycactl(*command)
+        assert (ended.code, ended.err) == (3, "")
+        assert "1 errors, 0 warnings" in ended.out
+
 
 class TestKeys:
     def test_new_key_is_written_only_to_a_private_file(
