Say which priority each decision of an entry goes by

Cause: a call has a priority, an urgency and a route with a priority, and no doc comment told them apart; limit, bound, wish and kind were two names each for one thing; a default of int stood for an unknown number of entries.

Change: doc comments name the level or the route's priority; one name each; unknown_entry_count is a function. Logged fields and labels are as before.

--- a/packages/sycamorestand-control/src/sycamorestand_control/orders/http_call.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/orders/http_call.py
@@ -67,6 +67,7 @@
 
 
 def _call_errors() -> tuple[type[Exception], ...]:
+    """Return the errors of a call. Evaluated only when one is raised."""
     import httpcore
 
     return (
@@ -85,7 +86,7 @@
     method: str, url: str, body: bytes, trace: Any
 ) -> Reply:
     # Only control processes that order engines make calls. The import takes
-    # 0.03 s of processor time, so that a start leaves it out.
+    # 0.03 s of processor time, so it is not made at the start of a process.
     import httpcore
 
     headers: dict[bytes | str, bytes | str] = {
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/admitted.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/admitted.py
@@ -23,8 +23,9 @@
     from sycamorestand_entry.routed.call import RoutedCall
 
 MS: Final = 1000
-# Times learned under overload must not rule out requests that have the whole
-# timeout of their route: without answers they would never be corrected.
+# Times learned under overload must not exceed the timeout of the route.
+# Otherwise all its requests would be refused, and without answers the times
+# would never be corrected.
 MAX_TIMEOUT_SHARE: Final = 0.9
 
 
@@ -87,6 +88,11 @@
 def _slot_request(
     attempts: Attempts, target: str, now_s: float
 ) -> SlotRequest:
+    """Return what the call needs, expected for the smallest model.
+
+    The target bounds the first event of a stream and the whole answer of a
+    call.
+    """
     call = attempts.call
     target_at_s = 0.0
     if call.route.target_latency_ms:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -85,7 +85,7 @@
 
 
 class _CachedRoutes(NamedTuple):
-    """What is worked out once for each revision of the configuration."""
+    """What is computed once for each revision of the configuration."""
 
     revision: int
     routes: RouteTable
@@ -93,7 +93,7 @@
 
 
 class _Caller(NamedTuple):
-    """Whose request it is; the fields are those of `RoutedCall`."""
+    """The customer of a request; the fields are those of `RoutedCall`."""
 
     customer: str
     priority: int
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -191,14 +191,17 @@
         the servers weighted by the work of the escalation.
         """
         reserve = climb_reserve(confidence)
-        limit = await self._arrivals.improvement_bound(reserve)
+        bound = await self._arrivals.improvement_bound(reserve)
         return await self._may_spend_on_improvement(
-            "climb", limit, reserve, strain
+            "climb", bound, reserve, strain
         )
 
-    def refuse_escalation(self, limit: str, strain: float) -> None:
-        """Log that the call does not escalate although it would if calm."""
-        self._refuse_improvement("climb", limit, 0.0, strain)
+    def refuse_escalation(self, bound: str, strain: float) -> None:
+        """Log the bound that forbids an escalation that the answer needs.
+
+        Without the strain, and with an attempt left, the call would escalate.
+        """
+        self._refuse_improvement("climb", bound, 0.0, strain)
 
     async def may_switch_server(self, target: str) -> bool:
         """Return whether to leave a slow server for one not tried yet.
@@ -211,9 +214,9 @@
         if not self._choice.has_untried(target):
             return False
         reserve = move_reserve(self.call.route.priority)
-        limit = await self._arrivals.improvement_bound(reserve)
-        limit = limit or self._reason_not_to_retry(overloaded=False)
-        return await self._may_spend_on_improvement("move", limit, reserve)
+        bound = await self._arrivals.improvement_bound(reserve)
+        bound = bound or self._reason_not_to_retry(overloaded=False)
+        return await self._may_spend_on_improvement("move", bound, reserve)
 
     async def may_fall_back(self, target: str) -> bool:
         """Return whether the call may make its fallback attempt.
@@ -305,31 +308,31 @@
 
     async def _may_spend_on_improvement(
         self,
-        wish: AttemptKind,
-        limit: str,
+        kind: AttemptKind,
+        bound: str,
         reserve: float,
         strain: float = 0.0,
     ) -> bool:
-        limit = limit or (BLOCKED if self._is_blocked() else "")
-        if limit:
-            self._refuse_improvement(wish, limit, reserve, strain)
+        bound = bound or (BLOCKED if self._is_blocked() else "")
+        if bound:
+            self._refuse_improvement(kind, bound, reserve, strain)
             return False
-        return await self._arrivals.spend(wish)
+        return await self._arrivals.spend(kind)
 
     def _refuse_improvement(
-        self, wish: AttemptKind, limit: str, reserve: float, strain: float
+        self, kind: AttemptKind, bound: str, reserve: float, strain: float
     ) -> None:
         share = self._arrivals.share()
         refused = NotImproved(
-            wish,
-            limit.replace(" ", "_"),
+            kind,
+            bound.replace(" ", "_"),
             round(share.left, LOGGED_DIGITS),
             round(share.most, LOGGED_DIGITS),
             round(reserve, LOGGED_DIGITS),
             round(strain, LOGGED_DIGITS),
         )
         self.call.log.add(refused)
-        self._arrivals.count_attempt(wish, limit)
+        self._arrivals.count_attempt(kind, bound)
 
     def _reason_not_to_retry(self, overloaded: bool) -> str:
         if not self.left:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/call.py
@@ -40,8 +40,10 @@
     ``forwarded`` is the attempt to make if another entry sent the call.
     ``prompt_parts`` names the parts of the prompt in their order; the last
     one belongs to this request or its session alone. ``parts`` are the names
-    by which control knows the request. ``urgency`` is the level of the
-    request among all that are declared, 0 the most urgent.
+    by which control knows the request. ``priority`` is the customer's, or the
+    route's if the customer has none; it gives the rank at engines. ``urgency``
+    is the level of `UrgencyLevels`, 0 the most urgent; admission goes by it.
+    Moves and escalations go by the priority of the ``route``.
     """
 
     route: Route
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -44,7 +44,10 @@
 
 
 class Admitted(NamedTuple):
-    """Admission control gave the request a slot of a service or version."""
+    """Admission control gave the request a slot of a service or version.
+
+    ``priority`` is the urgency level of the request (`UrgencyLevels`).
+    """
 
     target: str
     waited_ms: int
@@ -57,9 +60,10 @@
     ``rule`` is ``too_long`` (the time in a slot is longer than what is left),
     ``no_server``, ``queue_full``, ``wait`` (the expected wait is too long) or
     ``overtaken`` (it waited until it could no longer end in time).
-    ``expected`` was over ``limit``, in seconds, or in requests for
-    ``queue_full``. ``waiting`` requests waited, and ``left_s`` were left to
-    the deadline.
+    ``expected`` and ``limit`` are those of `Refused`, in seconds, or in
+    requests for ``queue_full``. ``priority`` is the urgency level of the
+    request (`UrgencyLevels`). ``waiting`` requests waited, and ``left_s`` were
+    left to the deadline.
     """
 
     target: str
@@ -196,7 +200,7 @@
 
     ``strain`` is the queue delay at the servers as a fraction of the
     route's target latency, weighted by the work of the escalation and halved
-    for a request of priority 0.
+    for a route of priority 0.
     """
 
     model: str
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_index.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_index.py
@@ -1,8 +1,8 @@
 """The backend servers that take new work, by version or service.
 
 Requests ask for the servers of a target thousands of times a second at 910
-servers, which change a few times a second. Each answer is therefore worked
-out once for each change, and only for targets that are asked for.
+servers, which change a few times a second. Each answer is therefore computed
+once for each change, and only for targets that are asked for.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 
 
 class ServerIndex:
-    """Answers from the servers and the configuration of this moment."""
+    """The servers of each target now, by their announcements."""
 
     def __init__(self, control: ControlPort) -> None:
         self._control = control
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/slots.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/slots.py
@@ -49,9 +49,8 @@
 # this limit on the estimate, the admission would refuse such requests as
 # unable to finish by their deadline.
 MAX_EXPECTED_TOKENS: Final = 1024
-
-
-# The names that the chat interface has for priorities, and their numbers.
+# Priorities of the chat interface. Routed requests may be more urgent, and the
+# two lowest priorities wait longer than others (`admission`).
 CHAT_PRIORITIES: Final = {"interactive": 2, "batch": 8}
 
 
@@ -82,6 +81,11 @@
     return None
 
 
+def unknown_entry_count() -> int:
+    """Return 0: the number of entries is not known."""
+    return 0
+
+
 class Slots:
     """The slots of all versions and plain services, as one entry sees them.
 
@@ -97,7 +101,7 @@
         shared_room: Callable[
             [str, float], SharedRoom | None
         ] = no_shared_room,
-        entry_count: Callable[[], int] = int,
+        entry_count: Callable[[], int] = unknown_entry_count,
     ) -> None:
         self._admission = Admission()
         self._servers = servers
@@ -239,4 +243,5 @@
     "SERVICE_CALL_S",
     "SlotRequest",
     "Slots",
+    "unknown_entry_count",
 ]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/uvicorn_parts.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/uvicorn_parts.py
@@ -22,7 +22,10 @@
 
 
 def _defer_package() -> None:
-    """Create the package without running the code of its `__init__`."""
+    """Create the package without running the code of its `__init__`.
+
+    That code runs when an attribute is read that the package lacks.
+    """
     spec = None if PACKAGE in sys.modules else find_spec(PACKAGE)
     if spec is None or spec.loader is None:
         return
