Calls of plain services are served as before but for slow servers

Cause: entries learn each other's loads half a second late and calls take 50 ms, so all sent their calls to the server that had been idle, and an entry's part of 18 slots among 64 entries is one call at a time.

Change: only engines are chosen by expected time and shared out by room; a plain server that says that it is slow now is left out while another is not.

The tests of calls failed on the code before or play its rule.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/observed_servers.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/observed_servers.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 from typing import TYPE_CHECKING
 from zlib import crc32
@@ -64,7 +65,7 @@
         self._slots = 0
         self._kv_tokens = 0
         self._reporting: set[str] = set()
-        self._check_at_s = float("-inf")
+        self._check_at_s: dict[str, float] = {}
         self._circles: dict[tuple[str, ...], list[str]] = {}
         self._changes: dict[str, OwnChanges] = {}
 
@@ -96,13 +97,16 @@
     ) -> bool:
         """Return whether any of the candidates reports its slowness.
 
-        The servers are checked every `REPORTING_CHECK_S`, those of the call
-        that comes next.
+        The servers of each version are checked every `REPORTING_CHECK_S`.
         """
-        if self._observed is None:
+        if self._observed is None or not candidates:
             return False
-        if now_s >= self._check_at_s:
-            self._check_at_s = now_s + REPORTING_CHECK_S
+        # Versions have servers of their own, so the first one names its set.
+        first = candidates[0].name
+        if now_s >= self._check_at_s.get(first, -math.inf):
+            if len(self._check_at_s) >= MAX_CIRCLES:
+                self._check_at_s.clear()
+            self._check_at_s[first] = now_s + REPORTING_CHECK_S
             for candidate in candidates:
                 name = candidate.name
                 if self._observed(name, now_s).usual_slowness > 0:
@@ -117,24 +121,19 @@
         candidates: Sequence[Candidate],
         now_s: float,
         is_usable: Callable[[Candidate], bool],
-        work: Work,
     ) -> list[Candidate]:
         """Return the servers to draw from, empty if none is usable.
 
-        Full servers are among them only if fewer than `DRAWS` others are, and
-        for a call, servers that are disturbed only if there is no other.
+        Full servers are among them only if fewer than `DRAWS` others are.
         """
         by_name = {c.name: c for c in candidates}
         members: list[Candidate] = []
         full: list[Candidate] = []
-        disturbed: list[Candidate] = []
         for name in self._in_order(tuple(by_name)):
             candidate = by_name[name]
             if not is_usable(candidate):
                 continue
-            if work.is_call and is_disturbed(self.load(name, now_s)):
-                disturbed.append(candidate)
-            elif self.room(candidate, now_s).free_slots < 1.0:
+            if self.room(candidate, now_s).free_slots < 1.0:
                 full.append(candidate)
             else:
                 members.append(candidate)
@@ -142,7 +141,23 @@
                     break
         if len(members) < DRAWS:
             members += full[: SUBSET_SIZE - len(members)]
-        return members or disturbed[:SUBSET_SIZE]
+        return members
+
+    def disturbed(
+        self, candidates: Sequence[Candidate], now_s: float
+    ) -> frozenset[str]:
+        """Return the servers that are slow at this moment, unless all are.
+
+        Calls of plain services are shorter than the loads that entries share
+        are old. With the choice by expected time, all entries would send
+        their calls to the server that was idle half a second ago.
+        """
+        names = frozenset(
+            candidate.name
+            for candidate in candidates
+            if is_disturbed(self.load(candidate.name, now_s))
+        )
+        return names if len(names) < len(candidates) else frozenset()
 
     def load(self, name: str, now_s: float) -> ObservedLoad:
         """Return what is known of the server's load."""
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/selection.py
@@ -113,9 +113,16 @@
         must not change an existing one.
         """
         if self._observed.any_reports_slowness(candidates, now_s):
-            work = work or self._typical_work()
-            return self._choose_soonest(
-                candidates, now_s, affinity_key, exclude, work
+            if work is None or not work.is_call:
+                return self._choose_soonest(
+                    candidates,
+                    now_s,
+                    affinity_key,
+                    exclude,
+                    work or self._typical_work(),
+                )
+            exclude |= self._observed.disturbed(
+                [c for c in candidates if c.name not in exclude], now_s
             )
         drawn = self._sample(candidates, now_s, exclude)
         if not drawn:
@@ -321,7 +328,6 @@
             candidates,
             now_s,
             lambda candidate: self._is_usable(candidate, now_s, exclude),
-            work,
         )
         drawn = self._random.sample(members, min(DRAWS, len(members)))
         drawn = drawn or self._sample(candidates, now_s, exclude)
--- a/packages/sycamorestand-decisions/tests/test_observed_servers.py
+++ b/packages/sycamorestand-decisions/tests/test_observed_servers.py
@@ -9,12 +9,10 @@
 from sycamorestand_decisions.candidates import Candidate
 from sycamorestand_decisions.observed_servers import ObservedServers
 from sycamorestand_decisions.observed_servers import SUBSET_SIZE
-from sycamorestand_decisions.server_room import Work
 from sycamorestand_model.server_loads import LoadHeader
 from sycamorestand_model.server_loads import ObservedLoad
 
 SLOTS = 24
-WORK = Work(0.1, 1.0)
 
 
 class TestMembers:
@@ -59,39 +57,43 @@
         names = names_of(20)
         assert len(part(0.3, names, full=names)) == SUBSET_SIZE
 
-    def test_disturbed_servers_come_last_for_calls(self) -> None:
+    def test_disturbed_servers_are_named_unless_all_are(self) -> None:
         """A call ends before the server's disturbance does."""
         names = names_of(3)
-        call = Work(0.0, 0.05, is_call=True)
-        assert part(0.0, names, slow=names[:2], work=call) == {"s2"}
-        assert part(0.0, names, slow=names, work=call) == set(names)
-        assert part(0.0, names, slow=names[:2]) == set(names)
-        old = part(0.0, names, slow=names[:2], work=call, age_s=0.6)
-        assert old == set(names)
+        candidates = [Candidate(name, SLOTS) for name in names]
+
+        def disturbed(slow: list[str], age_s: float) -> set[str]:
+            servers = ObservedServers(
+                lambda name, now_s: load(1.9 if name in slow else 1.2, age_s)
+            )
+            return set(servers.disturbed(candidates, 1.0))
+
+        assert disturbed(names[:2], 0.1) == {"s0", "s1"}
+        assert disturbed(names, 0.1) == set()
+        assert disturbed(names[:2], 0.6) == set()
 
 
 def names_of(count: int) -> list[str]:
     return [f"s{number}" for number in range(count)]
 
 
+def load(slowness: float, age_s: float, running: int = 0) -> ObservedLoad:
+    header = LoadHeader(running, 0, SLOTS, slowness)
+    return ObservedLoad(header, age_s, 1.2, 0, 0, 0, 0, float("inf"))
+
+
 def part(
     place: float,
     names: list[str],
     full: list[str] | tuple[()] = (),
     unusable: list[str] | tuple[()] = (),
-    slow: list[str] | tuple[()] = (),
-    work: Work = WORK,
-    age_s: float = 0.1,
 ) -> set[str]:
-    def observed(name: str, now_s: float) -> ObservedLoad:
-        running = SLOTS if name in full else 0
-        header = LoadHeader(running, 0, SLOTS, 1.9 if name in slow else 1.2)
-        return ObservedLoad(header, age_s, 1.2, 0, 0, 0, 0, float("inf"))
-
-    servers = ObservedServers(observed)
+    servers = ObservedServers(
+        lambda name, now_s: load(1.2, 0.1, SLOTS if name in full else 0)
+    )
     servers.set_place(place)
     candidates = [Candidate(name, SLOTS) for name in names]
     members = servers.members(
-        candidates, 0.0, lambda c: c.name not in unusable, work
+        candidates, 0.0, lambda c: c.name not in unusable
     )
     return {candidate.name for candidate in members}
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -29,6 +29,7 @@
     from sycamorestand_entry.ports import ControlPort
     from sycamorestand_model.backend_servers import Announcement
     from sycamorestand_model.home_regions import Homes
+    from sycamorestand_model.routes import EngineTraits
     from sycamorestand_model.server_loads import ObservedLoad
 
 SERVER_RETRY_S: Final = 1.0
@@ -272,9 +273,10 @@
         """Return the room at the target's servers, all entries counted.
 
         Ejected servers are left out. Return None where the servers do not
-        all report their slowness.
+        all report their slowness, and for plain services: their calls have
+        ended before the others' loads are known.
         """
-        if self._observed is None:
+        if self._observed is None or self._engine(target) is None:
             return None
         candidates = self.candidates(target, now_s)
         return self._engine_selector(target).shared_room(candidates, now_s)
@@ -367,9 +369,7 @@
         """Return the target's selector, with the limits declared now."""
         selector = self._selector(target)
         if self._observed is not None:
-            declarations = self._control.in_force().declarations
-            service = declarations.services.get(_service(target))
-            engine = service.engine if service is not None else None
+            engine = self._engine(target)
             if engine is not None:
                 selector.set_engine(engine.slots, engine.kv_tokens)
             else:
@@ -377,6 +377,12 @@
             selector.set_place(self._control.entry_place())
         return selector
 
+    def _engine(self, target: str) -> EngineTraits | None:
+        """Return the declared engines of the target, None if it has none."""
+        declarations = self._control.in_force().declarations
+        service = declarations.services.get(_service(target))
+        return service.engine if service is not None else None
+
     def _held_for_s(self, server: Announcement, now_s: float) -> float:
         # Announcements carry no time of arrival, so the age of a report
         # counts from when this entry first saw it.
--- a/packages/sycamorestand-entry/tests/test_servers.py
+++ b/packages/sycamorestand-entry/tests/test_servers.py
@@ -26,10 +26,13 @@
 )
 
 
+ENGINE = EngineTraits(slots=24, kv_tokens=0)
+
+
 class Scene:
     """An entry that knows three servers of a service."""
 
-    def __init__(self, engine: EngineTraits | None = None) -> None:
+    def __init__(self, engine: EngineTraits | None = ENGINE) -> None:
         service = Service("nest", engine=engine)
         declarations = Declarations(services={"nest": service})
         self.control = FakeControlPort(InForce(1, declarations), FakeLedger())
@@ -66,6 +69,12 @@
         silent.loads["s1"] = TOLD._replace(usual_slowness=0.0)
         assert silent.room() is None
 
+    def test_none_for_a_plain_service(self) -> None:
+        """Each of 64 entries had one of 18 slots, most of which were free."""
+        scene = Scene(engine=None)
+        scene.loads.update(dict.fromkeys(scene.loads, TOLD))
+        assert scene.room() is None
+
     def test_ejected_servers_are_left_out(self) -> None:
         scene = Scene()
         scene.loads.update(dict.fromkeys(scene.loads, TOLD))
--- a/packages/sycamorestand-model/src/sycamorestand_model/urgency.py
+++ b/packages/sycamorestand-model/src/sycamorestand_model/urgency.py
@@ -17,7 +17,8 @@
     from sycamorestand_model.declarations import Declarations
     from sycamorestand_model.routes import Route
 
-LEAST_URGENT: Final = 9
+# The levels after it are for work that nobody waits for.
+LEAST_URGENT: Final = 7
 
 
 class UrgencyLevels:
