sycactl shows the load of a service's servers

Operators saw only how many servers a control process had in its sums, not what they reported or what all entries had in flight there. The operators' API answers GET room with a row for each server, and sycactl room prints it. Any control process answers by itself, without a leader.

--- a/packages/sycamorestand-control/src/sycamorestand_control/load_exchange.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/load_exchange.py
@@ -24,6 +24,7 @@
     from collections.abc import Container
     from collections.abc import Iterable
 
+    from sycamorestand_model.server_loads import SharedLoad
     from sycamorestand_peer.mesh import PeerMesh
     from sycamorestand_peer.messages import EntryLoads
 
@@ -83,6 +84,10 @@
         for loads in self._to_others.take(partial, now_s):
             self._send(self._others(), SharedLoads(loads, is_partial=True))
 
+    def total(self) -> dict[str, SharedLoad]:
+        """Return what all entries know and have at each server now."""
+        return self._sums.sums(self._servers(), boottime_s()).total
+
     def oldest_age_s(self) -> float:
         """Return the age of the oldest report in the sums."""
         return self._sums.oldest_age_s(boottime_s())
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/backend.py
@@ -15,6 +15,7 @@
 from sycamorestand_control.operator_api.types import NodeRow
 from sycamorestand_control.operator_api.types import ReplaceVoterRequest
 from sycamorestand_control.operator_api.types import RolloutRow
+from sycamorestand_control.operator_api.types import RoomRow
 from sycamorestand_control.operator_api.types import StatusAnswer
 from sycamorestand_control.operator_api.types import TransferAnswer
 from sycamorestand_model.errors import SycamorestandError
@@ -83,6 +84,9 @@
     async def backends(self) -> tuple[BackendRow, ...]:
         """Return one row for each backend server."""
 
+    async def room(self, service: str) -> tuple[RoomRow, ...]:
+        """Return a row for each server of a service or version; "": all."""
+
     async def replace_voter(
         self, request: ReplaceVoterRequest
     ) -> ChangeAnswer:
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/routes.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/routes.py
@@ -217,6 +217,12 @@
     return Response(200, {"backends": to_plain(rows)})
 
 
+async def _room(call: Call) -> Response:
+    fields = read_query(call.query, {"service": ""})
+    rows = await call.backend.room(**fields)
+    return Response(200, {"room": to_plain(rows)})
+
+
 async def _rollouts(call: Call) -> Response:
     read_query(call.query, {})
     rows = await call.backend.rollouts()
@@ -266,6 +272,7 @@
     ("GET", f"{PREFIX}/bills"): Route(_bills, "operator"),
     ("GET", f"{PREFIX}/nodes"): Route(_nodes),
     ("GET", f"{PREFIX}/backends"): Route(_backends),
+    ("GET", f"{PREFIX}/room"): Route(_room),
     ("GET", f"{PREFIX}/rollouts"): Route(_rollouts),
     ("GET", f"{PREFIX}/explain"): Route(_explain),
     ("POST", f"{PREFIX}/replace-voter"): Route(
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/types.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/types.py
@@ -237,6 +237,25 @@
     announced_ms_ago: int = 0
 
 
+class RoomRow(NamedTuple):
+    """The load of a backend server that reports its slowness.
+
+    ``requests`` and ``tokens`` are those in flight there from all entries.
+    The figures before them are the newest that the server reported to an
+    entry. None stands for what no entry has reported in the last seconds.
+    """
+
+    name: str
+    serves: tuple[str, ...]
+    running: int | None = None
+    waiting: int | None = None
+    slots: int | None = None
+    slowness_percent: int | None = None
+    age_ms: int | None = None
+    requests: int | None = None
+    tokens: int | None = None
+
+
 class RolloutRow(NamedTuple):
     """A roll-out's committed progress and the reason for its state."""
 
@@ -287,6 +306,7 @@
     "Role",
     "ROLES",
     "RolloutRow",
+    "RoomRow",
     "StatusAnswer",
     "TransferAnswer",
     "VoterRow",
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -33,12 +33,14 @@
 from sycamorestand_control.operator_api.types import InForceAnswer
 from sycamorestand_control.operator_api.types import NodeRow
 from sycamorestand_control.operator_api.types import RolloutRow
+from sycamorestand_control.operator_api.types import RoomRow
 from sycamorestand_control.operator_api.types import StatusAnswer
 from sycamorestand_control.operator_api.types import TransferAnswer
 from sycamorestand_control.peer_queries import PeerQueries
 from sycamorestand_control.rows import backend_rows
 from sycamorestand_control.rows import merge_node_rows
 from sycamorestand_control.rows import node_rows
+from sycamorestand_control.rows import room_rows
 from sycamorestand_control.rows import voter_rows
 from sycamorestand_control.voter_tolerance import missing_voters
 from sycamorestand_control.voter_tolerance import voter_tolerance
@@ -57,6 +59,7 @@
     from sycamorestand_control.operator_api.types import ReplaceVoterRequest
     from sycamorestand_control.tables import SharedTables
     from sycamorestand_control.version_controller import VersionController
+    from sycamorestand_model.server_loads import SharedLoad
     from sycamorestand_peer.mesh import PeerMesh
     from sycamorestand_state.configuration import ConfigurationMachine
 
@@ -92,6 +95,7 @@
     limits_per_s: Callable[[], Mapping[str, float]] = dict
     voters_wanted: int = 1
     may_lose_data_centre: bool = False
+    loads: Callable[[], Mapping[str, SharedLoad]] = dict
 
     def voter_tolerance(self) -> VoterTolerance:
         """Return which losses the voters of the configuration survive."""
@@ -313,6 +317,10 @@
             self._parts.configuration.in_force().draining_data_centres,
         )
 
+    async def room(self, service: str) -> tuple[RoomRow, ...]:
+        """Return the shared loads as summed up by this process."""
+        return room_rows(self._parts.tables, self._parts.loads(), service)
+
     async def replace_voter(
         self, request: ReplaceVoterRequest
     ) -> ChangeAnswer:
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -204,6 +204,7 @@
             lambda: self.limits.limits_per_s,
             settings.voters_wanted,
             settings.may_lose_data_centre,
+            self.loads.total,
         )
         self.backend = ControlBackend(parts)
         self.voter_watch = VoterWatch(parts.missing_voters)
--- a/packages/sycamorestand-control/src/sycamorestand_control/rows.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/rows.py
@@ -8,17 +8,20 @@
 
 from sycamorestand_control.operator_api.types import BackendRow
 from sycamorestand_control.operator_api.types import NodeRow
+from sycamorestand_control.operator_api.types import RoomRow
 from sycamorestand_control.operator_api.types import VoterRow
 from sycamorestand_peer.clock import boottime_s
 
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from sycamorestand_consensus.replica_types import MemberStatus
     from sycamorestand_consensus.replica_types import ReplicaStatus
     from sycamorestand_control.tables import SharedTables
     from sycamorestand_model.backend_servers import Announcement
+    from sycamorestand_model.server_loads import SharedLoad
     from sycamorestand_peer.mesh import PeerMesh
     from sycamorestand_state.nodes import NodeRecord
 
@@ -94,6 +97,30 @@
     return tuple(rows)
 
 
+def room_rows(
+    tables: SharedTables, loads: Mapping[str, SharedLoad], service: str
+) -> tuple[RoomRow, ...]:
+    """Return the loads of the servers of a service, or of all for ""."""
+    rows = []
+    for name, server in sorted(tables.servers().items()):
+        if service and service not in server.versions:
+            continue
+        row = RoomRow(name, server.versions)
+        load = loads.get(name)
+        if load is not None:
+            row = row._replace(requests=load.requests, tokens=load.tokens)
+            if load.header is not None:
+                row = row._replace(
+                    running=load.header.running,
+                    waiting=load.header.waiting,
+                    slots=load.header.slots,
+                    slowness_percent=round(load.header.slowness * 100),
+                    age_ms=int(load.age_s * 1_000),
+                )
+        rows.append(row)
+    return tuple(rows)
+
+
 def voter_rows(
     status: ReplicaStatus, mesh: PeerMesh, tables: SharedTables
 ) -> tuple[VoterRow, ...]:
@@ -151,4 +178,10 @@
     return "serving"
 
 
-__all__ = ["backend_rows", "merge_node_rows", "node_rows", "voter_rows"]
+__all__ = [
+    "backend_rows",
+    "merge_node_rows",
+    "node_rows",
+    "room_rows",
+    "voter_rows",
+]
--- a/packages/sycamorestand-control/tests/operator_api/conftest.py
+++ b/packages/sycamorestand-control/tests/operator_api/conftest.py
@@ -86,6 +86,9 @@
     async def backends(self) -> tuple[()]:
         return ()
 
+    async def room(self, service: str) -> tuple[()]:
+        return ()
+
     async def rollouts(self) -> tuple[()]:
         return ()
 
--- a/packages/sycamorestand-control/tests/operator_api/test_app.py
+++ b/packages/sycamorestand-control/tests/operator_api/test_app.py
@@ -181,6 +181,7 @@
             "audit?after=3&limit=2",
             "nodes",
             "backends",
+            "room?service=stock",
             "rollouts",
             "explain?subject=cheap@1",
         ],
--- a/packages/sycamorestand/src/sycamorestand/operator/questions.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/questions.py
@@ -20,6 +20,7 @@
 from sycamorestand_control.operator_api.types import Explanation
 from sycamorestand_control.operator_api.types import NodeRow
 from sycamorestand_control.operator_api.types import RolloutRow
+from sycamorestand_control.operator_api.types import RoomRow
 from sycamorestand_control.operator_api.types import StatusAnswer
 from sycamorestand_control.operator_api.types import VoterRow
 from sycamorestand_model.errors import WireError
@@ -50,6 +51,15 @@
     return _list_action("/backends", "backends", BackendRow)
 
 
+def room(service: str = "") -> Action:
+    """Show the load of backend servers and what all entries have there.
+
+    :param service: show only servers of this service or model version
+    """
+
+    return _list_action("/room", "room", RoomRow, {"service": service})
+
+
 def rollout_status() -> Action:
     """Show the roll-outs, their steps and the reasons for their state."""
     return _list_action("/rollouts", "rollouts", RolloutRow)
@@ -118,9 +128,14 @@
     return act
 
 
-def _list_action(path: str, name: str, columns: Any) -> Action:
+def _list_action(
+    path: str,
+    name: str,
+    columns: Any,
+    fields: dict[str, Any] | None = None,
+) -> Action:
     async def act(context: Context) -> int:
-        body = await context.client().ask(path, {})
+        body = await context.client().ask(path, fields or {})
         if not isinstance(body, dict) or not isinstance(body.get(name), list):
             raise WireError(f"the answer has no list {name}")
         rows = [from_plain(columns, row) for row in body[name]]
@@ -188,5 +203,6 @@
     "explain",
     "nodes",
     "rollout_status",
+    "room",
     "status",
 ]
--- a/packages/sycamorestand/src/sycamorestand/operator/run.py
+++ b/packages/sycamorestand/src/sycamorestand/operator/run.py
@@ -43,6 +43,7 @@
 from sycamorestand.operator.questions import explain
 from sycamorestand.operator.questions import nodes
 from sycamorestand.operator.questions import rollout_status
+from sycamorestand.operator.questions import room
 from sycamorestand.operator.questions import status
 from sycamorestand.operator.settings import parse_settings
 from sycamorestand.operator.settings import settings_help
@@ -71,6 +72,7 @@
     "bills": bills,
     "nodes": nodes,
     "backends": backends,
+    "room": room,
     "replace-voter": replace_voter,
     "transfer-leadership": transfer_leadership,
     "rotate-session-key": rotate_session_key,
--- a/packages/sycamorestand/tests/operator/conftest.py
+++ b/packages/sycamorestand/tests/operator/conftest.py
@@ -31,6 +31,7 @@
 from sycamorestand_control.operator_api.types import OperatorIdentity
 from sycamorestand_control.operator_api.types import ReplaceVoterRequest
 from sycamorestand_control.operator_api.types import RolloutRow
+from sycamorestand_control.operator_api.types import RoomRow
 from sycamorestand_control.operator_api.types import StatusAnswer
 from sycamorestand_control.operator_api.types import TransferAnswer
 from sycamorestand_control.operator_api.types import VoterRow
@@ -122,6 +123,9 @@
         )
         return (row,)
 
+    async def room(self, service: str) -> tuple[RoomRow, ...]:
+        return (RoomRow("b1", (service,), 17, 2, 24, 120, 300, 5, 4000),)
+
     async def rollouts(self) -> tuple[RolloutRow, ...]:
         return (RolloutRow("cheap", "1", "2", "running", 1, 0.05),)
 
--- a/packages/sycamorestand/tests/operator/test_run.py
+++ b/packages/sycamorestand/tests/operator/test_run.py
@@ -21,6 +21,7 @@
     ("status",): "leader v1",
     ("nodes",): "no-lease",
     ("backends",): "leaving",
+    ("room", "stock"): "stock",
     ("audit",): "ben",
     ("bills",): "cheap@1",
     ("rollout", "status"): "running",
