Servers state a false load to two entries in a test

The soak cannot play a server that reports a false load: its entries serve no routes, and only the routed path reads the header. The servers of the routed tests get slots and state their load, and a test lets one of them state an idle, malformed or absurd load over real links.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_play.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_play.py
@@ -207,12 +207,14 @@
     is_public: bool = True,
     data_centres: Sequence[str] = ("marietta",),
     cold_requests_per_s: float = 0.0,
+    controls: int = 3,
 ) -> AsyncIterator[Play]:
     """Start a system whose servers answer all requests."""
     async with (
         start_system(
             folder,
             entries,
+            controls,
             is_public=is_public,
             cold_requests_per_s=cold_requests_per_s,
         ) as system,
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ending_servers.py
@@ -1,4 +1,4 @@
-"""Backend servers that end under certain requests, or name a limit.
+"""Backend servers that end under certain requests, or name a limit or load.
 
 Each start of a server is a new boot with a name of its own, at the address of
 the boot before it, as on a VM whose supervisor starts the process again.
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 import math
 import re
 from socket import SO_LINGER
@@ -48,6 +49,9 @@
 CAPACITY: Final = 64
 STREAM_PATH: Final = b"/review/"
 CALL_BODY: Final = b"answered"
+# In per cent, as servers state it.
+USUAL_SLOWNESS: Final = 100
+SLOT_POLL_S: Final = 0.005
 # A linger time of zero.
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 _PARTS: Final = re.compile(rb"x-parts: ([^\r]*)", re.IGNORECASE)
@@ -77,6 +81,9 @@
     The servers of the numbers in ``limits_per_s`` name a limit in answers.
     Each start of a server is cold for ``cold_s``, which it announces. The
     servers of the numbers in ``resetting`` reset each request and live on.
+    With ``slots``, each server runs so many requests at once, lets others
+    wait, and states its load in answers; the servers of the numbers in
+    ``false_loads`` state this value instead.
     """
 
     parts: frozenset[str] = frozenset()
@@ -89,13 +96,25 @@
     limits_per_s: Mapping[int, float] = {}
     cold_s: float = 0.0
     resetting: frozenset[int] = frozenset()
+    slots: int = 0
+    false_loads: Mapping[int, bytes] = {}
 
-    def headers(self, name: str) -> list[bytes]:
+    def headers(self, name: str, in_flight: int = 0) -> list[bytes]:
         """Return the headers that the server of this name adds."""
-        limit_per_s = self.limits_per_s.get(server_number(name))
-        if limit_per_s is None:
-            return []
-        return [b"x-limit: %s" % str(limit_per_s).encode()]
+        number = server_number(name)
+        headers: list[bytes] = []
+        limit_per_s = self.limits_per_s.get(number)
+        if limit_per_s is not None:
+            headers.append(b"x-limit: %s" % str(limit_per_s).encode())
+        if self.slots:
+            load = self.false_loads.get(number)
+            headers.append(b"x-load: %s" % (load or self._load(in_flight)))
+        return headers
+
+    def _load(self, in_flight: int) -> bytes:
+        running = min(in_flight, self.slots)
+        load = (running, in_flight - running, self.slots, USUAL_SLOWNESS)
+        return b"%d,%d,%d,%d" % load
 
 
 class EndingServers:
@@ -122,6 +141,8 @@
         self._announce = announce
         self._service = service
         self._ended: dict[str, anyio.Event] = {}
+        self._running: Counter[str] = Counter()
+        self._waiting: Counter[str] = Counter()
 
     async def run(
         self,
@@ -206,15 +227,35 @@
         parts = prompt_parts(request)
         attempt = _field(_ATTEMPT, request)
         body = request.partition(b"\r\n\r\n")[2]
-        self.arrivals.append(
-            Arrival(time.monotonic(), name, attempt, parts, body)
-        )
-        behaviour = self.behaviour
-        if server_number(name) in behaviour.resetting:
+        arrival = Arrival(time.monotonic(), name, attempt, parts, body)
+        self.arrivals.append(arrival)
+        if server_number(name) in self.behaviour.resetting:
             _abort(stream)
             return False
-        is_bad = body in behaviour.bodies or bool(
-            behaviour.parts.intersection(parts)
+        await self._wait_for_slot(name)
+        try:
+            return await self._answer_in_slot(request, stream, arrival)
+        finally:
+            self._running[name] -= 1
+
+    async def _wait_for_slot(self, name: str) -> None:
+        """Return once the server may run one more request, and count it."""
+        self._waiting[name] += 1
+        try:
+            while 0 < self.behaviour.slots <= self._running[name]:
+                await anyio.sleep(SLOT_POLL_S)
+        finally:
+            self._waiting[name] -= 1
+        self._running[name] += 1
+
+    async def _answer_in_slot(
+        self, request: bytes, stream: SocketStream, arrival: Arrival
+    ) -> bool:
+        """Answer a request that holds a slot of its server."""
+        name = arrival.server
+        behaviour = self.behaviour
+        is_bad = arrival.body in behaviour.bodies or bool(
+            behaviour.parts.intersection(arrival.parts)
         )
         is_ending = is_bad and len(self.ends) < behaviour.max_ends
         ends_at = behaviour.ends_at if is_ending else "nowhere"
@@ -225,7 +266,7 @@
             await anyio.sleep(PREFILL_S)
             await self._end_under_request(name)
         kind = b"content-type: text/event-stream"
-        named = behaviour.headers(name)
+        named = behaviour.headers(name, self._in_flight(name))
         await stream.send(answer_head(request, kind, *framing, *named))
         await anyio.sleep(PREFILL_S)
         found = _LAST_EVENT.search(request)
@@ -254,7 +295,7 @@
         if ends_at == "head":
             await self._end_under_request(name)
         length = b"content-length: %d" % len(CALL_BODY)
-        named = self.behaviour.headers(name)
+        named = self.behaviour.headers(name, self._in_flight(name))
         head = answer_head(request, length, *named)
         await stream.send(head + CALL_BODY[:1])
         await anyio.sleep(EVENT_PAUSE_S)
@@ -263,6 +304,9 @@
         await stream.send(CALL_BODY[1:])
         return True
 
+    def _in_flight(self, name: str) -> int:
+        return self._running[name] + self._waiting[name]
+
     async def _end_under_request(self, name: str) -> None:
         if name in self.running:
             self.ends.append(time.monotonic())
