Requests move as early as before, behind the larger reserve

Change: the bound goes; the reserve of half for moves stays, so that moves yield to escalations only where arrivals are short.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/attempt_timeouts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/attempt_timeouts.py
@@ -14,8 +14,7 @@
 The next request waits there for seconds, but only for a tenth of that
 elsewhere. A request with a short prefill loses nothing by moving, as none of
 it was read. It moves after a tenth of its latency target, unless requests wait
-as long at every server. Only an urgent request moves within a time by which
-the first events of healthy servers vary.
+as long at every server.
 
 The prefill time of a prompt is no sign of a fault, and a long prompt on a
 large model takes longer than any share of the target. If it were abandoned at
@@ -31,9 +30,6 @@
 from typing import Final
 from typing import NamedTuple
 
-from sycamorestand_decisions.further_attempts import may_leave_early
-from sycamorestand_decisions.further_attempts import MIN_EARLY_WAIT_S
-
 # A call moves to another server while two thirds of its time are left, as the
 # other server may be slow too. With a minimum below a quarter of a second, the
 # slowest hundredth of the calls of a calm server would be sent twice.
@@ -98,27 +94,22 @@
 
 
 def short_prefill_limit_s(
-    target_s: float, prefill_s: float, delay_s: float, priority: int
+    target_s: float, prefill_s: float, delay_s: float
 ) -> float | None:
     """Return after how long a request with a short prefill leaves a server.
 
     Returns None if the prefill is not short, or if the current queueing delay
-    ``delay_s`` shows that the request would wait as long elsewhere. A request
-    of another ``priority`` than 0 leaves no server before `MIN_EARLY_WAIT_S`.
-
-    >>> short_prefill_limit_s(2.0, 0.0, 0.0, 0)
-    0.2
-    >>> short_prefill_limit_s(2.0, 0.0, 0.0, 1)
-    0.25
-    >>> short_prefill_limit_s(2.0, 0.5, 0.0, 0) is None
+    ``delay_s`` shows that the request would wait as long elsewhere.
+
+    >>> short_prefill_limit_s(2.0, 0.02, 0.0)
+    0.24
+    >>> short_prefill_limit_s(2.0, 0.5, 0.0) is None
     True
     """
     limit_s = target_s * SHORT_PREFILL_WAIT_SHARE + 2 * prefill_s
     if not has_short_prefill(target_s, prefill_s) or delay_s > limit_s / 2:
         return None
-    if may_leave_early(limit_s, priority):
-        return limit_s
-    return MIN_EARLY_WAIT_S
+    return limit_s
 
 
 def has_short_prefill(target_s: float, prefill_s: float) -> bool:
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/further_attempts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/further_attempts.py
@@ -30,8 +30,6 @@
 # A move only saves time, so it leaves more than any escalation.
 MOVE_RESERVE: Final = 0.5
 URGENT_MOVE_RESERVE: Final = MAX_CLIMB_RESERVE
-# The time to the first event varies by this much at healthy servers.
-MIN_EARLY_WAIT_S: Final = 0.25
 # A larger model delays other requests noticeably if it reads the prompt for
 # this share of the target.
 FULL_WORK_SHARE: Final = 0.05
@@ -59,17 +57,6 @@
     return MOVE_RESERVE
 
 
-def may_leave_early(waited_s: float, priority: int) -> bool:
-    """Return whether a request has waited long enough to leave a server.
-
-    ``priority`` is that of its route.
-
-    >>> may_leave_early(0.1, 0), may_leave_early(0.1, 1)
-    (True, False)
-    """
-    return priority <= URGENT_PRIORITY or waited_s >= MIN_EARLY_WAIT_S
-
-
 def climb_strain(delay_s: float, target_s: float, prefill_s: float) -> float:
     """Return the strain at which an escalation is decided (`next_size`).
 
@@ -92,8 +79,6 @@
     "climb_reserve",
     "climb_strain",
     "MAX_CLIMB_RESERVE",
-    "may_leave_early",
-    "MIN_EARLY_WAIT_S",
     "MOVE_RESERVE",
     "move_reserve",
     "URGENT_MOVE_RESERVE",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/engine_wait.py
@@ -135,9 +135,7 @@
             return None
         delay_s = self._queue_delay_s(target, size)
         prefill_s = self.prefill_s(target, size)
-        return short_prefill_limit_s(
-            self.target_latency_s, prefill_s, delay_s, self._route.priority
-        )
+        return short_prefill_limit_s(self.target_latency_s, prefill_s, delay_s)
 
     def climb_strain(self, target: str, size: int) -> float:
         """Return the strain of an escalation to the model with this index.
