The log of an attempt says what its server asked for

An answer's rest (Retry-After of a 503) and leaving were read nowhere and stood in no log, so that the two hypotheses of the incident could not be told apart. Each attempt that ended now logs both; nothing acts on them yet.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/routed.py
@@ -52,6 +52,7 @@
     own=frozenset({b"authorization", b"x-deadline-ms", b"x-server"}),
     brittle=b"x-brittle",
     limit=b"x-limit",
+    leaving=b"x-leaving",
 )
 ROUTES: Final = (
     Route(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/decision_log.py
@@ -173,6 +173,8 @@
     """An attempt ended; ``reason`` is empty if its answer was used.
 
     ``events`` counts the events of a stream that came from the server.
+    ``rest_ms`` is the rest that the server asked for, 0 if none, and
+    ``says_leaving`` whether the server said that it leaves.
     """
 
     server: str
@@ -181,6 +183,8 @@
     first_byte_ms: int
     reason: str
     events: int = 0
+    rest_ms: int = 0
+    says_leaving: bool = False
 
 
 class PartRefused(NamedTuple):
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -30,6 +30,8 @@
 from sycamorestand_entry.routed.prompt_attempt import PromptAttempt
 from sycamorestand_entry.routed.prompt_attempt import record_blocked
 from sycamorestand_entry.server_end import has_ended
+from sycamorestand_entry.server_notices import read_notice
+from sycamorestand_entry.server_notices import ServerNotice
 from sycamorestand_entry.upstream import BrokenConnection
 from sycamorestand_entry.upstream import Echo
 from sycamorestand_entry.upstream import is_framed
@@ -103,6 +105,7 @@
         self._reason = ""
         self._is_framed = True
         self._tokens = 0
+        self._notice = ServerNotice()
         self._prompt = PromptAttempt(
             context.part_watch, call, self.is_forwarded
         )
@@ -194,6 +197,7 @@
         except UpstreamError as error:
             self.record_failure(error)
             raise
+        self._notice = read_notice(head, self._header_names.leaving)
         if self.is_forwarded:
             self._check_forwarded(head)
         else:
@@ -459,6 +463,8 @@
                 self._first_byte_ms,
                 self._reason,
                 self.event_count,
+                int(self._notice.rest_s * 1000),
+                self._notice.is_leaving,
             )
         )
         if not self._left_early or self._outcome not in FAILURES:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/header_names.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/header_names.py
@@ -9,6 +9,8 @@
 from typing import Final
 from typing import NamedTuple
 
+from sycamorestand_entry.server_notices import LEAVING_HEADER
+
 
 class HeaderNames(NamedTuple):
     """Names of headers, all in lower case.
@@ -20,7 +22,8 @@
     request that it did not run, and ``stamp`` in every answer; ``stamp`` is
     empty if servers do not stamp their answers. In ``brittle`` a server says
     how many requests it can turn away in a second without falling over, in
-    ``limit`` how many it takes in a second from all entries together.
+    ``limit`` how many it takes in a second from all entries together, in
+    ``leaving`` that it leaves.
     ``own`` are headers that
     only the system may set; the entry drops them from a caller's request.
     """
@@ -44,6 +47,7 @@
     own: frozenset[bytes]
     brittle: bytes = b""
     limit: bytes = b""
+    leaving: bytes = b""
 
 
 # The names of the project's own interface, see ``docs/callers.md``.
@@ -75,6 +79,7 @@
     ),
     brittle=b"x-server-brittle",
     limit=b"x-server-limit",
+    leaving=LEAVING_HEADER,
 )
 
 __all__ = ["DEFAULT_HEADER_NAMES", "HeaderNames"]
