Servers that ask for rest get no requests until it is over

Callers saw 502 and 503 from attempts at servers that had asked for rest: an answer's Retry-After was read at no door, and a refusal only lowered the server's limit, below one request of each entry it never came. So the server got every request that chose it, five or six in its three seconds.

Each door hands the answer's notice to the one place that knows which servers take nothing now (HeldTokens.is_open), which the choice, the servers that are known, the check after a dial and both doors of the own interface ask already. A shorter time does not end a longer one; a restart under the same id does. Servers at rest are no room for admission. A request for which all servers rest waits where the rest ends within a third of its time, and is refused at once otherwise, with a Retry-After of its own. After the rest the server gets one request, then two for each that it takes; the ends are spread by the number of entries.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
@@ -106,7 +106,7 @@
             self.limited_arrivals_s.append(time.monotonic())
         fault = self.switch.next_fault()
         if fault.kind == "refuse":
-            refusal = ((b"x-not-run", b"1"),)
+            refusal = fault.refusal_headers()
             await send_answer(send, 503, b"{}", headers=refusal)
             return
         content = msgspec.json.decode(body)
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/faults.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/faults.py
@@ -27,13 +27,22 @@
 
     It affects the next ``times`` requests, or all of them if ``times`` is
     negative. A fault within a stream is injected after ``after`` tokens.
-    ``pause_s`` is the delay of the faults that delay an answer.
+    ``pause_s`` is the delay of the faults that delay an answer, ``rest_s`` the
+    rest that a refusal asks for.
     """
 
     kind: FaultKind = "none"
     after: int = 0
     times: int = -1
     pause_s: float = 3600.0
+    rest_s: float = 0.0
+
+    def refusal_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        """Return the headers of a server's refusal."""
+        not_run = (b"x-not-run", b"1")
+        if not self.rest_s:
+            return (not_run,)
+        return (not_run, (b"retry-after", b"%g" % self.rest_s))
 
 
 class FaultSwitch:
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/service.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/service.py
@@ -51,7 +51,7 @@
             return
         fault = self.switch.next_fault()
         if fault.kind == "refuse":
-            refusal = ((b"x-not-run", b"1"),)
+            refusal = fault.refusal_headers()
             await send_answer(send, 503, b"{}", headers=refusal)
             return
         self.records.append(
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_limits.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_limits.py
@@ -20,6 +20,8 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.server_rests import ServerRests
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Sequence
@@ -103,7 +105,8 @@
     """The limits that an entry knows, and the tokens that it has.
 
     ``limits_per_s`` are those that servers name. A server that is cold has a
-    limit too, which its service declares and the leader knows.
+    limit too, which its service declares and the leader knows. One that asked
+    this entry for rest takes nothing at all for a while (``rests``).
 
     >>> held = HeldTokens()
     >>> held.set_limit("s-1", 0.5)
@@ -116,6 +119,7 @@
 
     def __init__(self) -> None:
         self.limits_per_s: dict[str, float] = {}
+        self.rests = ServerRests()
         self._cold_until_s: dict[str, float] = {}
         self._tokens: dict[str, deque[float]] = {}
 
@@ -133,8 +137,8 @@
         self._cold_until_s = until_s
 
     def has_limited(self, now_s: float) -> bool:
-        """Return whether any server has a limit now."""
-        if self.limits_per_s:
+        """Return whether any server has a limit now, or rests."""
+        if self.limits_per_s or self.rests.has_any():
             return True
         if self._cold_until_s and now_s >= max(self._cold_until_s.values()):
             self._cold_until_s = {}
@@ -147,6 +151,8 @@
 
     def is_open(self, server: str, now_s: float) -> bool:
         """Return whether a request may be sent to the server now."""
+        if not self.rests.is_open(server, now_s):
+            return False
         if not self._is_limited(server, now_s):
             return True
         tokens = self._tokens.get(server)
@@ -159,8 +165,9 @@
             return True
         return now_s < self._cold_until_s.get(server, -math.inf)
 
-    def record_sent(self, server: str) -> None:
+    def record_sent(self, server: str, now_s: float) -> None:
         """Use a token, as a request was sent to the server."""
+        self.rests.record_sent(server, now_s)
         tokens = self._tokens.get(server)
         if tokens:
             tokens.popleft()
--- a/packages/sycamorestand-decisions/tests/test_cold_servers.py
+++ b/packages/sycamorestand-decisions/tests/test_cold_servers.py
@@ -97,7 +97,7 @@
         is_open = [name for name in names if name not in closed]
         if is_open:
             name = random.choice(is_open)
-            held[entry].record_sent(name)
+            held[entry].record_sent(name, now_s)
             arrivals[name].append(now_s)
         for name in closed:
             buckets.set_limit(name, limit_per_s, now_s)
--- a/packages/sycamorestand-decisions/tests/test_server_limits.py
+++ b/packages/sycamorestand-decisions/tests/test_server_limits.py
@@ -73,7 +73,7 @@
         free = [n for n in names if held[number].is_open(n, at_s)]
         if free:
             name = random.choice(free)
-            held[number].record_sent(name)
+            held[number].record_sent(name, at_s)
             sent[name].append(at_s)
     return sent
 
@@ -176,7 +176,7 @@
         held.set_limit("s", 1.0)
         held.add("s", 0.0)
         held.add("s", 0.0)
-        held.record_sent("s")
+        held.record_sent("s", 0.0)
         assert held.is_open("s", TOKEN_LIFETIME_S / 2)
         assert not held.is_open("s", 2 * TOKEN_LIFETIME_S)
 
@@ -184,7 +184,7 @@
         held = HeldTokens()
         held.set_limit("s", 1.0)
         held.set_limit("s", NO_LIMIT)
-        held.record_sent("s")
+        held.record_sent("s", 0.0)
         assert held.is_open("s", 0.0)
         assert held.closed(["s"], 0.0) == []
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/claimed_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/claimed_call.py
@@ -169,7 +169,12 @@
         context = self._context
         homes = home_regions(context.control.in_force(), self._call.customer)
         among = context.servers.names_in(homes)
-        await reserve_server(context, self._call.service, among)
+        await reserve_server(
+            context,
+            self._call.service,
+            remaining_s(self._call.deadline_at_s),
+            among,
+        )
         return context.servers.choose(
             self._call.service, time.monotonic(), failed, among=among
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -28,6 +28,8 @@
 from sycamorestand_entry.part_watch import ServerRequest
 from sycamorestand_entry.reservation import reserve_server
 from sycamorestand_entry.server_limits import LIMIT_HEADER
+from sycamorestand_entry.server_notices import LEAVING_HEADER
+from sycamorestand_entry.server_notices import read_notice
 from sycamorestand_entry.slots import CHAT_PRIORITIES
 from sycamorestand_entry.slots import SlotRequest
 from sycamorestand_entry.sse import MalformedStream
@@ -185,6 +187,12 @@
             head.headers.get(LIMIT_HEADER),
             self._dispatched_s,
         )
+        self._context.server_limits.record_notice(
+            server.name,
+            head.status,
+            read_notice(head, LEAVING_HEADER),
+            self._dispatched_s,
+        )
         try:
             check_head(head, self._reader.events if resume else None)
         except Overloaded:
@@ -199,6 +207,7 @@
             await reserve_server(
                 context,
                 self._work.version,
+                remaining_s(self._work.deadline_at_s),
                 {self._server.name}
                 if resume and self._server
                 else self._at_home(),
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/idempotent_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/idempotent_call.py
@@ -100,7 +100,7 @@
         raise DeadlineExceeded("the deadline passed", run="not_run")
     homes = home_regions(context.control.in_force(), call.customer)
     among = context.servers.names_in(homes)
-    await reserve_server(context, call.service, among)
+    await reserve_server(context, call.service, limit_s, among)
     server = context.servers.choose(
         call.service, time.monotonic(), tried, again=True, among=among
     )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -105,6 +105,13 @@
             "limited_requests_total",
             "Requests for which all servers name a limit, by result",
         )
+        self.rests = self._counter(
+            "rests_total", "Answers in which a backend server asks for rest"
+        )
+        self.rested_requests = self._counter(
+            "rested_requests_total",
+            "Requests for which all servers rest, by result",
+        )
         self.load_messages = self._counter(
             "load_messages_total",
             "Messages with loads of backend servers, by direction",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/attempts.py
@@ -372,7 +372,9 @@
                 if exchange is not None:
                     return exchange
             allowed = self._choice.allowed(target, self.left > 0)
-            await reserve_server(self.context, target, allowed)
+            await reserve_server(
+                self.context, target, self.call.remaining_s(), allowed
+            )
             server = self._choice.choose(
                 target, options, self.sent, self.left > 0
             )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -203,6 +203,12 @@
         else:
             self._record_brittle(head)
             self._record_limit(head)
+            self._context.server_limits.record_notice(
+                self.destination.server.name,
+                head.status,
+                self._notice,
+                self.begin_s,
+            )
             self._record_load(head)
         rejection = rejection_reason(head, self._header_names, self._call)
         if rejection:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/server_choice.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/server_choice.py
@@ -58,14 +58,14 @@
 
     def has_untried(self, target: str) -> bool:
         """Return whether a server of the target was not tried yet."""
-        candidates = self._context.servers.candidates(
-            target, self._context.now_s()
-        )
+        now_s = self._context.now_s()
+        is_open = self._context.server_limits.held.is_open
         at_home = self._at_home()
         return any(
             server.name not in self._tried
             and (at_home is None or server.name in at_home)
-            for server in candidates
+            and is_open(server.name, now_s)
+            for server in self._context.servers.candidates(target, now_s)
         )
 
     def choose(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_limits.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_limits.py
@@ -1,9 +1,11 @@
-"""Requests to servers with a limit wait shortly for a token of control.
+"""Requests to servers that take few or none wait shortly, or are refused.
 
 A server names in its answers how many requests a second it takes from all
 entries together. The entry that hears of it tells control, which tells all
 others, so that they need not find out by themselves. A server that is cold
-has a limit until it is warm.
+has a limit until it is warm. One that asked this entry for rest gets nothing
+until then: a request for which all servers rest waits if one of them returns
+soon, and is refused at once otherwise.
 """
 
 from __future__ import annotations
@@ -18,6 +20,9 @@
 from sycamorestand_decisions.cold_servers import ColdServers
 from sycamorestand_decisions.server_limits import HeldTokens
 from sycamorestand_decisions.server_limits import NO_LIMIT
+from sycamorestand_entry.errors import ServersLimited
+from sycamorestand_entry.server_notices import TURNED_AWAY
+from sycamorestand_entry.server_notices import WRONG_SERVER
 from sycamorestand_model.in_force import cold_requests_per_s
 from sycamorestand_peer.messages import LimitsNamed
 from sycamorestand_peer.messages import TokensGranted
@@ -32,6 +37,7 @@
     from sycamorestand_decisions.server_loss import ServerLoss
     from sycamorestand_entry.metrics import Metrics
     from sycamorestand_entry.ports import ControlPort
+    from sycamorestand_entry.server_notices import ServerNotice
     from sycamorestand_model.backend_servers import Announcement
 
 _LOG = logging.getLogger(__name__)
@@ -46,6 +52,15 @@
 MAX_SERVERS_ASKED: Final = 16
 MAX_LIMIT_CHARACTERS: Final = 12
 MAX_LOGGED_SERVERS: Final = 8
+# Servers that rest at the same time do not get their next requests at the
+# same moment, which is later the more entries there are.
+SPREAD_SHARE: Final = 0.25
+SPREAD_PER_ENTRY_S: Final = 0.01
+# Callers of streams leave after two seconds of silence.
+MAX_REST_WAIT_S: Final = 1.5
+# Of its time left, what a request may wait for servers that rest.
+REST_WAIT_SHARE: Final = 1 / 3
+MIN_RETRY_AFTER_S: Final = 0.5
 NOTHING_RETURNED: Final[frozenset[str]] = frozenset()
 OK: Final = 200
 # The name on answers to the project's own interface.
@@ -106,7 +121,46 @@
         self._set_limit(server, limit_per_s)
         self._send((), 0, {server: limit_per_s})
 
-    def sync_cold(self) -> None:
+    def record_notice(
+        self, server: str, status: int, notice: ServerNotice, sent_s: float
+    ) -> None:
+        """Record what an answer says of the server's rest and leaving.
+
+        ``sent_s`` is when the request was sent.
+        """
+        rests = self.held.rests
+        if notice.rest_s:
+            self._record_rest(server, notice.rest_s)
+        elif status == TURNED_AWAY:
+            rests.record_turned_away(server, sent_s)
+        elif status != WRONG_SERVER:
+            rests.record_taken(server, sent_s)
+
+    def _record_rest(self, server: str, rest_s: float) -> None:
+        known = self._control.backend_servers().get(server)
+        if known is None:
+            return
+        spread_s = SPREAD_SHARE * rest_s
+        spread_s += SPREAD_PER_ENTRY_S * self._control.entry_count()
+        spread_s = self._random.uniform(0.0, min(spread_s, rest_s))
+        now_s = self._now_s()
+        rests = self.held.rests
+        if not rests.is_resting(server, now_s):
+            extra = {"backend_server": server, "rest_s": rest_s}
+            _LOG.warning("backend server asks for rest", extra=extra)
+        self._metrics.rests.inc({})
+        rests.record_rest(server, known.incarnation, rest_s + spread_s, now_s)
+
+    def sync_servers(self) -> None:
+        """Take in which servers have started again, and which are cold."""
+        servers = self._control.backend_servers()
+        if servers is not self._seen_servers and self.held.rests.has_any():
+            self.held.rests.forget_restarted(
+                {name: s.incarnation for name, s in servers.items()}
+            )
+        self._sync_cold()
+
+    def _sync_cold(self) -> None:
         """Take in which servers are cold, by all that is known here."""
         now_s = self._now_s()
         servers = self._control.backend_servers()
@@ -156,12 +210,19 @@
             extra = {"count": len(added), "backend_servers": names}
             _LOG.info("backend servers are cold", extra=extra)
 
-    async def reserve(self, servers: Sequence[str]) -> None:
+    async def reserve(
+        self, servers: Sequence[str], left_s: float = math.inf
+    ) -> None:
         """Ask for tokens if some of the servers may get no request now.
 
-        Wait for them only if none of the servers may.
+        Wait for them only if none of the servers may. ``left_s`` is the time
+        that the request has. Raises `ServersLimited` if all servers rest for
+        too long.
         """
+        await self._wait_for_rests(servers, left_s)
         now_s = self._now_s()
+        rests = self.held.rests
+        servers = [name for name in servers if rests.is_open(name, now_s)]
         closed = self.held.closed(servers, now_s)
         if not closed:
             return
@@ -183,6 +244,31 @@
             {"result": "sent" if self._is_any_open(servers) else "refused"}
         )
 
+    async def _wait_for_rests(
+        self, servers: Sequence[str], left_s: float
+    ) -> None:
+        """Wait while all servers rest; raise if that takes too long."""
+        rests = self.held.rests
+        if not rests.has_any():
+            return
+        begin_s = self._now_s()
+        give_up_s = begin_s + min(MAX_REST_WAIT_S, left_s * REST_WAIT_SHARE)
+        while (opens_in_s := rests.opens_in_s(servers, self._now_s())) > 0:
+            if self._now_s() + opens_in_s > give_up_s:
+                self._metrics.rested_requests.inc({"result": "refused"})
+                raise ServersLimited(
+                    "every backend server asked for rest",
+                    self._retry_after_s(opens_in_s),
+                )
+            await anyio.sleep(opens_in_s)
+        if self._now_s() > begin_s:
+            self._metrics.rested_requests.inc({"result": "waited"})
+
+    def _retry_after_s(self, opens_in_s: float) -> float:
+        """Return when a caller may return: each at a moment of its own."""
+        after_s = max(MIN_RETRY_AFTER_S, opens_in_s)
+        return self._random.uniform(after_s, 2 * after_s)
+
     async def _wait_for_answer(self, pause_s: float) -> None:
         """Wait until control answers; if it has, until the next question."""
         if self._answered.is_set():
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_notices.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_notices.py
@@ -73,4 +73,6 @@
     "read_notice",
     "read_rest_s",
     "ServerNotice",
+    "TURNED_AWAY",
+    "WRONG_SERVER",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/servers.py
@@ -227,6 +227,14 @@
         """Return the servers that name a limit and may get nothing now."""
         return set(self._limits.closed([c.name for c in candidates], now_s))
 
+    def _awake(
+        self, candidates: list[Candidate], now_s: float
+    ) -> list[Candidate]:
+        """Return those of the servers that do not rest, all if all do."""
+        is_resting = self._limits.rests.is_resting
+        awake = [c for c in candidates if not is_resting(c.name, now_s)]
+        return awake or candidates
+
     def has_available_server(
         self, target: str, now_s: float, among: Collection[str] | None = None
     ) -> bool:
@@ -265,8 +273,12 @@
         return server.load.age_s + self._held_for_s(server, now_s)
 
     def capacity(self, target: str, now_s: float) -> int:
-        """Return how many requests the target's servers can run at once."""
-        candidates = self.candidates(target, now_s)
+        """Return how many requests the target's servers can run at once.
+
+        Servers at rest run none, unless all rest: whether a request can wait
+        for the first of them is decided for each (`ServerLimits.reserve`).
+        """
+        candidates = self._awake(self.candidates(target, now_s), now_s)
         return self._selector(target).capacity(candidates, now_s)
 
     def shared_room(self, target: str, now_s: float) -> SharedRoom | None:
@@ -278,12 +290,12 @@
         """
         if self._observed is None or self._engine(target) is None:
             return None
-        candidates = self.candidates(target, now_s)
+        candidates = self._awake(self.candidates(target, now_s), now_s)
         return self._engine_selector(target).shared_room(candidates, now_s)
 
     def record_start(self, target: str, name: str, now_s: float) -> None:
         """Count a request that was written to the server."""
-        self._limits.record_sent(name)
+        self._limits.record_sent(name, now_s)
         self._selector(target).record_start(name, now_s)
 
     def record_first_byte(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
@@ -11,6 +11,8 @@
 from sycamorestand_entry.gate import DispatchIntent
 from sycamorestand_entry.part_watch import ServerRequest
 from sycamorestand_entry.server_limits import LIMIT_HEADER
+from sycamorestand_entry.server_notices import LEAVING_HEADER
+from sycamorestand_entry.server_notices import read_notice
 from sycamorestand_entry.servers import LIMIT_RETRY_S
 from sycamorestand_entry.slots import CHAT_PRIORITIES
 from sycamorestand_entry.slots import SERVICE_CALL_S
@@ -158,6 +160,9 @@
     context.server_limits.record_answer(
         server, head.status, head.headers.get(LIMIT_HEADER), sent_s
     )
+    context.server_limits.record_notice(
+        server, head.status, read_notice(head, LEAVING_HEADER), sent_s
+    )
     parts: list[bytes] = []
     size = 0
     try:
--- a/packages/sycamorestand-entry/tests/test_server_limits.py
+++ b/packages/sycamorestand-entry/tests/test_server_limits.py
@@ -232,7 +232,7 @@
             for n in range(servers)
         }
         limits = loopback.entry.context.server_limits
-        limits.sync_cold()
+        limits.sync_servers()
         return limits
 
     async def test_server_that_is_reached_again_is_presumed_cold(self) -> None:
@@ -242,7 +242,7 @@
             loss = loopback.entry.context.server_loss
             loss.record_refused_dial("10.0.0.1:80")
             loss.record_accepted_dial("10.0.0.1:80")
-            limits.sync_cold()
+            limits.sync_servers()
             now_s = loopback.entry.context.now_s()
             names = list(loopback.control.servers)
             assert limits.held.closed(names, now_s) == ["s-1"]
@@ -258,5 +258,5 @@
             for number in range(4):
                 loss.record_refused_dial(f"10.0.0.{number}:80")
             loss.record_accepted_dial("10.0.0.1:80")
-            limits.sync_cold()
+            limits.sync_servers()
             assert not limits.held.has_limited(loopback.entry.context.now_s())
