Servers that say in an answer that they leave get no more requests

The entry shows the server as leaving until it starts again, whatever reports say: the view that the choice, the gate, sessions and known servers read has it at once, also while control is lost. Control gets it as an announcement one number above the known one, so that its other entries and the orders of the leader hear it sooner, and a later report of the server counts for them: a false word does not take a server from all. An entry that had the attempt forwarded keeps the word too, as it passed it on. One message an entry and server; the table is bounded at 1,024.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
@@ -129,6 +129,11 @@
     def set_unreached(self, services: frozenset[str]) -> None:
         self.unreached = services
 
+    def record_leaving(self, server: str) -> None:
+        known = self.servers.get(server)
+        if known is not None:
+            self.servers[server] = known._replace(leaving=True)
+
     async def announce(self, announcement: Announcement) -> None:
         known = self.servers.get(announcement.name)
         if known is None or supersedes(announcement, known):
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -218,6 +218,17 @@
         message = AnnouncementRelay(announcement)
         self.mesh.send(self.control_address(), message)
 
+    def record_leaving(self, server: str) -> None:
+        """Send the server no more work, as it said that it leaves.
+
+        Control is told as by an announcement of the server, so that a later
+        one of the server counts for the other entries.
+        """
+        announcement = self._servers.record_leaving(server, boottime_s())
+        if announcement is not None:
+            message = AnnouncementRelay(announcement)
+            self.mesh.send(self.control_address(), message)
+
     async def write_ledger(
         self, records: Sequence[LedgerRecord]
     ) -> list[LedgerResult]:
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/server_view.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/server_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Final
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -14,6 +15,9 @@
     from sycamorestand_model.backend_servers import Announcement
 
 
+MAX_LEFT_SERVERS: Final = 1024
+
+
 class ServerView:
     """Replicate the directory of the control process in use.
 
@@ -26,6 +30,8 @@
         self._directory = BackendDirectory(name, epoch)
         self._origin = ""
         self._view: dict[str, Announcement] = {}
+        # By server, the incarnation that said that it leaves.
+        self._left: dict[str, int] = {}
 
     def servers(self) -> dict[str, Announcement]:
         """Return the servers by name; callers must not modify the dict."""
@@ -36,6 +42,21 @@
         self._directory.announce(announcement, now_s)
         self._refresh(now_s)
 
+    def record_leaving(self, name: str, now_s: float) -> Announcement | None:
+        """Show the server as leaving until it starts again.
+
+        Return the announcement that says so, None if the server is unknown
+        or was leaving already.
+        """
+        server = self._view.get(name)
+        if server is None or server.leaving:
+            return None
+        if len(self._left) >= MAX_LEFT_SERVERS:
+            del self._left[next(iter(self._left))]
+        self._left[name] = server.incarnation
+        self._refresh(now_s)
+        return server._replace(leaving=True, sequence=server.sequence + 1)
+
     def apply_directory_delta(
         self, origin: str, payload: bytes, now_s: float
     ) -> bool:
@@ -74,7 +95,11 @@
         for name, server in self._directory.servers().items():
             load = self._directory.load(name, now_s)
             view[name] = server if load is None else server._replace(load=load)
+        for name, incarnation in self._left.items():
+            shown = view.get(name)
+            if shown is not None and shown.incarnation == incarnation:
+                view[name] = shown._replace(leaving=True)
         self._view = view
 
 
-__all__ = ["ServerView"]
+__all__ = ["MAX_LEFT_SERVERS", "ServerView"]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
@@ -75,6 +75,14 @@
         """
         ...
 
+    def record_leaving(self, server: str) -> None:
+        """Send the server no more work, as it said that it leaves.
+
+        That holds until the server starts again, whatever its announcements
+        say. Control is told, and its word holds for the other entries.
+        """
+        ...
+
     async def announce(self, announcement: Announcement) -> None: ...
 
     async def write_ledger(
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -200,6 +200,7 @@
         self._notice = read_notice(head, self._header_names.leaving)
         if self.is_forwarded:
             self._check_forwarded(head)
+            self._record_forwarded_notice()
         else:
             self._record_brittle(head)
             self._record_limit(head)
@@ -245,6 +246,14 @@
                 self.destination.server.name, header, time.monotonic()
             )
 
+    def _record_forwarded_notice(self) -> None:
+        """Record what the other entry's server says of its leaving.
+
+        Its rest is for the entry that it turned away.
+        """
+        if self._notice.is_leaving:
+            self._context.control.record_leaving(self.forwarded_to)
+
     def _check_forwarded(self, head: ResponseHead) -> None:
         """Raise if the other entry did not get an answer of a server."""
         refusal = read_refusal(head.status, head.headers)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_limits.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_limits.py
@@ -128,6 +128,8 @@
 
         ``sent_s`` is when the request was sent.
         """
+        if notice.is_leaving:
+            self._control.record_leaving(server)
         rests = self.held.rests
         if notice.rest_s:
             self._record_rest(server, notice.rest_s)
--- a/packages/sycamorestand-entry/tests/routed/test_resting_servers.py
+++ b/packages/sycamorestand-entry/tests/routed/test_resting_servers.py
@@ -213,6 +213,37 @@
         assert engine.records == []
 
 
+class TestLeaving:
+    @pytest.mark.parametrize("path", ["/stock/1", "/order/1"])
+    async def test_server_that_says_so_gets_no_more(self, path: str) -> None:
+        """Requests went to the server until its announcement came."""
+
+        async def leave(request: bytes, stream: SocketStream) -> None:
+            lines = [b"content-length: 2", b"x-leaving: 1"]
+            await stream.send(answer_head(request, *lines) + b"ok")
+
+        async with start_routed() as loopback:
+            await loopback.add_server("s-1", leave)
+            await loopback.add_server("s-2", answer_ok)
+            for number in range(20):
+                answer = await loopback.ask(path, x_attempt=f"a{number}")
+                assert status(answer) == 200
+        assert received(loopback, "s-1") <= 1
+
+    async def test_calls_are_refused_at_once_when_all_leave(self) -> None:
+        async def leave(request: bytes, stream: SocketStream) -> None:
+            lines = [b"content-length: 2", b"x-leaving: 1"]
+            await stream.send(answer_head(request, *lines) + b"ok")
+
+        async with start_routed() as loopback:
+            await loopback.add_server("s-1", leave)
+            assert status(await loopback.ask("/order/1")) == 200
+            with anyio.fail_after(0.5):
+                answer = await loopback.ask("/order/1", x_attempt="a2")
+        assert status(answer) == 503
+        assert len(loopback.requests) == 1
+
+
 async def ask_stock(loopback: RoutedLoopback, attempt: str) -> None:
     await loopback.ask("/stock/1", x_attempt=attempt)
 
