The soak plays servers that ask for rest

In half of the runs all engines turn requests away for two to five seconds and ask for rest until then. An engine may get two requests from each entry later than a second after its rest began; an entry that was killed, stopped, frozen or cut off may not know of it. The check finds a scripted excess (test_checks).

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/engine.py
@@ -73,6 +73,8 @@
         # While set, answers name this limit, and arrivals are kept.
         self.limit_per_s: float | None = None
         self.limited_arrivals_s: list[float] = []
+        self.rests_until_s = 0.0
+        self.rest_arrivals_s: list[float] = []
 
     async def application(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one request.
@@ -104,7 +106,11 @@
     ) -> None:
         if self.limit_per_s is not None:
             self.limited_arrivals_s.append(time.monotonic())
+        now_s = time.monotonic()
         fault = self.switch.next_fault()
+        if now_s < self.rests_until_s:
+            self.rest_arrivals_s.append(now_s)
+            fault = Fault("refuse", rest_s=self.rests_until_s - now_s)
         if fault.kind == "refuse":
             refusal = fault.refusal_headers()
             await send_answer(send, 503, b"{}", headers=refusal)
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/checks.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/checks.py
@@ -45,12 +45,17 @@
 LIMIT_WINDOW_S: Final = 4.0
 LIMIT_RATIO: Final = 1.5
 LIMIT_SLACK: Final = 5.0
+# An entry knows of a rest half a second after the first refusal, and may send
+# this many until its end.
+REST_KNOWN_AFTER_S: Final = 1.0
+MAX_SENT_IN_REST: Final = 2
 MAX_SENT_AFTER: Final = 3
 HARMLESS_EVENTS: Final = (
     "stopped",
     "ending_prompt",
     "ending_request",
     "server_limit",
+    "server_rest",
 )
 CONNECT_ERRORS: Final = ("ConnectError", "ConnectTimeout")
 
@@ -74,7 +79,8 @@
     the address of each entry. ``ending_arrivals_s`` are the times at which
     requests that end engines reached one, ``ends_s`` those of the ends.
     ``limited_arrivals_s`` are those of requests that reached each engine
-    while it named a limit, which was first at ``limited_s``.
+    while it named a limit, which was first at ``limited_s``;
+    ``rest_arrivals_s`` and ``rested_s`` are those of a rest.
     """
 
     answers: Sequence[Answer]
@@ -93,6 +99,8 @@
     limited_arrivals_s: Mapping[str, Sequence[float]] = {}
     limited_s: float = math.inf
     drained: Sequence[ClosedPeriod] = ()
+    rest_arrivals_s: Mapping[str, Sequence[float]] = {}
+    rested_s: float = math.inf
 
 
 def collect_runs(world: World) -> list[Run]:
@@ -295,6 +303,22 @@
             yield f"{engine} got {most} requests within its limit's window"
 
 
+def _check_rests(observations: Observations) -> Iterable[str]:
+    """Check that no engine at rest got more than each entry may send.
+
+    An entry that was disturbed may not know of the rest.
+    """
+    from_s = observations.rested_s + REST_KNOWN_AFTER_S
+    disturbed = sum(
+        e.target in observations.addresses for e in observations.events
+    )
+    senders = len(observations.addresses) + disturbed
+    for engine, arrivals_s in observations.rest_arrivals_s.items():
+        late = sum(at_s >= from_s for at_s in arrivals_s)
+        if late > MAX_SENT_IN_REST * senders:
+            yield f"{engine} got {late} requests while it rested"
+
+
 def _check_changes_kept(observations: Observations) -> Iterable[str]:
     for control, entries in observations.audits.items():
         revisions = {e["change_id"]: e["revision"] for e in entries}
@@ -322,6 +346,7 @@
     "never reverts": _check_changes_kept,
     "requests that end engines": _check_ending_requests,
     "limits of engines": _check_limits,
+    "rests of engines": _check_rests,
 }
 
 __all__ = ["check", "Run", "collect_runs", "Observations"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
@@ -91,6 +91,7 @@
         self.events: list[Event] = []
         self.stops: list[PlannedStop] = []
         self.limited_s = math.inf
+        self.rested_s = math.inf
         self.leave_announced_s: dict[str, float] = {}
         self.load: Load | None = None
         self._system = system
@@ -184,6 +185,8 @@
                 self._start_ending(step, ENDING_REQUEST)
                 if self.load is not None:
                     self.load.ending_request = ENDING_REQUEST
+            case "server_rest":
+                self._rest_engines(step.for_s)
             case "server_limit":
                 self._limit_engines(step.for_s)
             case fault:
@@ -391,6 +394,17 @@
             for_s, lambda: self._system.call_in_loop(set_limit, None)
         )
 
+    def _rest_engines(self, for_s: float) -> None:
+        """Let all engines turn requests away and ask for rest."""
+        world = self._system.world
+        self.rested_s = time.monotonic()
+
+        def set_rest() -> None:
+            for engine in world.engines:
+                engine.rests_until_s = self.rested_s + for_s
+
+        self._system.call_in_loop(set_rest)
+
     def _announce_leave(self, name: str) -> None:
         self._system.call_in_loop(self._system.world.announce_leave, name)
         self.leave_announced_s[name] = time.monotonic()
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/run.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/run.py
@@ -226,6 +226,8 @@
             {e.name: e.limited_arrivals_s for e in system.world.engines},
             self._injector.limited_s,
             self._operator.drained,
+            {e.name: e.rest_arrivals_s for e in system.world.engines},
+            self._injector.rested_s,
         )
         # The findings of the monitor come first: a process that ended
         # unexpectedly explains most of the others.
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
@@ -97,10 +97,12 @@
     "ending_prompt": _FaultKind(0, "engines", 0.5, 2.0),
     "ending_request": _FaultKind(0, "engines", 0.5, 2.0),
     "server_limit": _FaultKind(0, "engines", 5.0, 9.0),
+    "server_rest": _FaultKind(0, "engines", 2.0, 5.0),
 }
 ENDING_PROMPT_PROBABILITY: Final = 0.3
 ENDING_REQUEST_PROBABILITY: Final = 0.4
 LIMIT_PROBABILITY: Final = 0.3
+REST_PROBABILITY: Final = 0.5
 
 
 def draw(seed: int, length_s: float, targets: Targets) -> Schedule:
@@ -121,7 +123,12 @@
             repeat_s = end_s + random.uniform(0.0, REPEAT_WITHIN_S)
             steps.append(_draw_repeat(random, step, repeat_s, targets))
     steps += _draw_ending(seed, length_s)
-    steps += _draw_limit(Random(f"limit {seed}"), length_s)
+    steps += _draw_of_engines(
+        "server_limit", LIMIT_PROBABILITY, Random(f"limit {seed}"), length_s
+    )
+    steps += _draw_of_engines(
+        "server_rest", REST_PROBABILITY, Random(f"rest {seed}"), length_s
+    )
     allowed: list[Step] = []
     for step in sorted(steps):
         if step.fault == "wipe":
@@ -217,16 +224,16 @@
     return [Step(round(at_s, 2), name, kind.targets, round(for_s, 2))]
 
 
-def _draw_limit(random: Random, length_s: float) -> list[Step]:
-    """Return at most one step, in which all engines name a limit."""
-    if random.random() >= LIMIT_PROBABILITY:
+def _draw_of_engines(
+    name: str, probability: float, random: Random, length_s: float
+) -> list[Step]:
+    """Return at most one step of this fault, which hits all engines."""
+    if random.random() >= probability:
         return []
-    kind = FAULT_KINDS["server_limit"]
+    kind = FAULT_KINDS[name]
     at_s = random.uniform(0.0, length_s / 2)
     for_s = random.uniform(kind.shortest_s, kind.longest_s)
-    return [
-        Step(round(at_s, 2), "server_limit", kind.targets, round(for_s, 2))
-    ]
+    return [Step(round(at_s, 2), name, kind.targets, round(for_s, 2))]
 
 
 def _draw_target(random: Random, kind: str, targets: Targets) -> str:
--- a/packages/sycamorestand-bench/tests/soak/test_checks.py
+++ b/packages/sycamorestand-bench/tests/soak/test_checks.py
@@ -103,7 +103,14 @@
     return s._replace(answers=[cut, *s.answers[1:]])
 
 
+def add_requests_in_rest(s: Observations) -> Observations:
+    # One entry that was stopped once may have sent four.
+    arrivals_s = [100.0, 101.2, 101.3, 101.4, 101.5, 101.6]
+    return s._replace(rest_arrivals_s={"small-1": arrivals_s}, rested_s=100.0)
+
+
 FAULTS: list[tuple[str, AddFault]] = [
+    ("rests of engines", add_requests_in_rest),
     ("allowed version", add_run(Run("dalton", "a", NEW, "POST"))),
     (
         "withdrawn version",
