A server without a token is again one that a call may move to

The check of untried servers asked for limits and cold servers too, where it only has to leave out those at rest: calls stayed at slow servers.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/server_choice.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/server_choice.py
@@ -59,12 +59,12 @@
     def has_untried(self, target: str) -> bool:
         """Return whether a server of the target was not tried yet."""
         now_s = self._context.now_s()
-        is_open = self._context.server_limits.held.is_open
+        may_get = self._context.server_limits.held.rests.is_open
         at_home = self._at_home()
         return any(
             server.name not in self._tried
             and (at_home is None or server.name in at_home)
-            and is_open(server.name, now_s)
+            and may_get(server.name, now_s)
             for server in self._context.servers.candidates(target, now_s)
         )
 
