--- a/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -117,6 +117,8 @@
     metrics = context.metrics
     metrics.lease_remaining.set({}, context.control.lease_remaining_s())
     metrics.entries.set({}, context.control.entry_count())
+    resting = context.server_limits.held.rests.resting(context.now_s())
+    metrics.resting_servers.set({}, len(resting))
     metrics.lost.set({}, len(context.server_loss.lost))
     blocked = context.control.in_force().blocked_parts
     metrics.blocked_parts.set({}, len(blocked))
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -101,6 +101,9 @@
         self.lost = self._gauge(
             "lost", "Backend servers that accept no connection"
         )
+        self.resting_servers = self._gauge(
+            "resting_servers", "Backend servers that asked for rest"
+        )
         self.limited_requests = self._counter(
             "limited_requests_total",
             "Requests for which all servers name a limit, by result",
