--- a/packages/sycamorestand-decisions/tests/test_rollout.py
+++ b/packages/sycamorestand-decisions/tests/test_rollout.py
@@ -310,6 +310,33 @@
         ]
         assert all(isinstance(verdict, Advance) for verdict in verdicts)
 
+    def test_version_that_is_far_slower_for_some_is_stopped(self) -> None:
+        """Four of sixteen answers took several times as long as any other.
+
+        They are too few to differ at the median or the slowest tenth, and
+        the version got all the work.
+        """
+        verdicts = [self.verdict_with_far(seed, 4) for seed in range(50)]
+        assert all(isinstance(verdict, Stop) for verdict in verdicts)
+
+    def test_one_far_answer_stops_no_version(self) -> None:
+        verdicts = [self.verdict_with_far(seed, 1) for seed in range(50)]
+        assert all(isinstance(verdict, Advance) for verdict in verdicts)
+
+    def verdict_with_far(self, seed: int, far: int) -> object:
+        """Return the verdict on 16 answers, of which so many are far."""
+        random = Random(seed)
+        old, new = empty_stats(), empty_stats()
+        for _ in range(200):
+            latency_ms = 80 * random.lognormvariate(0, 0.4)
+            add_sample(old, "hold", 0.0, False, latency_ms, None)
+        for number in range(16):
+            # Every other answer lies on the other side of the median.
+            latency_ms = 80 * (1.2 if number % 2 else 0.8)
+            slower = 6 if number < far else 1
+            add_sample(new, "hold", 0.0, False, slower * latency_ms, None)
+        return evaluate_rollout(old, new, self.LIMITED, 9.0)
+
     def verdict_among_spread(self, seed: int, least: float) -> object:
         """Return the verdict on 12 answers; ``least`` delays the fastest."""
         random = Random(seed)
