A roll-out sees that some answers are far slower than any before

Cause: the comparison asks only whether an answer lies above the median or the slowest tenth, not by how much; of a dozen answers, a third that take six times as long differ too little from chance in either.

Answers beyond the slowest fiftieth of the old version by one bucket are a signal of their own.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/comparison.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/comparison.py
@@ -25,22 +25,30 @@
     from sycamorestand_decisions.version_stats import ClassStats
     from sycamorestand_decisions.version_stats import VersionStats
 
-Signal = Literal["errors", "ratings", "latency", "typical latency"]
+Signal = Literal[
+    "errors", "ratings", "latency", "typical latency", "far latency"
+]
 CountFunction: TypeAlias = "Callable[[str, ClassStats], tuple[int, int]]"
 
 # Signals that can be compared with a version's own past. The load was
 # different then, which changes the median of all answers more than the share
 # of slow ones.
 PAST_SIGNALS: Final[tuple[Signal, ...]] = ("errors", "ratings", "latency")
-SIGNALS: Final[tuple[Signal, ...]] = (*PAST_SIGNALS, "typical latency")
+SIGNALS: Final[tuple[Signal, ...]] = (
+    *PAST_SIGNALS,
+    "typical latency",
+    "far latency",
+)
 # Differences that no user would act on: half an error in a hundred, two
 # answers in a hundred rated worse, one in twenty more that is slow, three in
-# twenty more that take longer than the median.
+# twenty more that take longer than the median, two in a hundred that take far
+# longer than nearly all.
 MARGINS: Final[dict[Signal, float]] = {
     "errors": 0.005,
     "ratings": 0.02,
     "latency": 0.05,
     "typical latency": 0.15,
+    "far latency": 0.02,
 }
 # Standard deviations added for the uncertainty of the reference. An error in
 # the reference is the same at every evaluation, so the sequential test does
@@ -53,11 +61,16 @@
 CLASS_WEIGHT: Final = 50.0
 # Shares of a reference's answers that count as slow. Prompts and queues spread
 # the slowest tenth so widely that a version twice as slow may not show there,
-# but it does at the median.
+# but it does at the median. Of a version that is several times slower for a
+# part of its requests, a dozen answers differ too little in either; but there
+# are some among them that the reference has none of.
 SLOW_SHARES: Final[dict[Signal, float]] = {
     "latency": 0.1,
     "typical latency": 0.5,
+    "far latency": 0.02,
 }
+# Latency buckets by which a far answer lies beyond those: 1.4 times as slow.
+FAR_BUCKETS: Final = 1
 MIN_TOTAL: Final = 6
 
 
@@ -257,6 +270,8 @@
     if signal == "ratings":
         return _count_not_passed
     edges = _slow_edges(reference, SLOW_SHARES[signal])
+    if signal == "far latency":
+        edges = {name: edge + FAR_BUCKETS for name, edge in edges.items()}
 
     def count_slow(request_class: str, counts: ClassStats) -> tuple[int, int]:
         edge = edges.get(request_class)
