Engines that ask for rest get no orders until it is over

An engine that turned an order away with 503 and Retry-After got the leader's next order at the planner's next look; the new test fails without the check. The leader keeps the rests of engines in the entries' own type and neither issues nor repeats an order to one before its end; a new leader knows of none.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ordered_engine.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/ordered_engine.py
@@ -80,7 +80,8 @@
         fault = self.switch.next_fault()
         match fault.kind:
             case "refuse":
-                await send_json(send, 503, {})
+                headers = fault.refusal_headers()
+                await send_answer(send, 503, b"{}", headers=headers)
             case "error":
                 self._apply_deliveries(order)
                 await send_json(send, 500, {})
--- a/packages/sycamorestand-bench/tests/fakes/test_ordered_engine.py
+++ b/packages/sycamorestand-bench/tests/fakes/test_ordered_engine.py
@@ -90,6 +90,26 @@
         assert await leader.channel.issue_order("load", "a", V1) == "failed"
         assert "not sent" in cluster.machine.orders()[0].detail
 
+    async def test_engine_at_rest_gets_no_orders(self) -> None:
+        """An engine that asked for rest got order after order."""
+        engine = FakeOrderedEngine("a")
+        engine.switch.fault = Fault("refuse", rest_s=3.0)
+        cluster = Cluster()
+        leader = Leader(cluster)
+        async with serve_on_port(engine.application) as address:
+            cluster.servers["a"] = engine.announcement(address)
+            await leader.elect()
+            assert (
+                await leader.channel.issue_order("load", "a", V1) == "failed"
+            )
+            engine.switch.fault = Fault()
+            for _ in range(4):
+                assert not await leader.channel.issue_order("load", "a", V1)
+                cluster.now_s += 0.7
+            assert len(engine.received) == 1
+            cluster.now_s += 0.3
+            assert await leader.channel.issue_order("load", "a", V1) == "done"
+
     async def test_stale_fencing_number_is_recorded_as_superseded(
         self,
     ) -> None:
--- a/packages/sycamorestand-control/src/sycamorestand_control/orders/channel.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/orders/channel.py
@@ -26,6 +26,7 @@
 from sycamorestand_control.orders.loading import announced_loads
 from sycamorestand_control.orders.loading import LOAD
 from sycamorestand_control.orders.loading import loading_versions
+from sycamorestand_decisions.server_rests import ServerRests
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_state.commands import RecordOrder
 from sycamorestand_state.orders import OrderIssuer
@@ -77,6 +78,7 @@
         self._now_s = now_s
         self._wall_now_s = wall_now_s
         self._term: _Term | None = None
+        self._rests = ServerRests()
         # By server, the orders that a task of this process is handling.
         self._in_progress: dict[str, RecordOrder] = {}
         self._send_counts: Counter[str] = Counter()
@@ -124,7 +126,7 @@
         announced = self._servers().get(server)
         if announced is None or announced.leaving:
             return ""
-        if announced.max_versions < 1:
+        if announced.max_versions < 1 or self._is_resting(announced):
             return ""
         if action == LOAD and self._count_loads() >= self._loads_at_once:
             return ""
@@ -184,6 +186,8 @@
             )
             await self._commit(failed_record)
             return
+        if self._is_resting(announced):
+            return
         record = term.issuer.resume(self._now_s(), order, self._wall_now_s())
         if record is not None:
             await self._carry_out(term, record, announced.address)
@@ -232,8 +236,24 @@
         self._send_counts[record.order_id] += 1
         outcome = await send_order(address, record, claim_send)
         self.superseded += outcome.superseded
+        announced = self._servers().get(record.backend_server)
+        if outcome.rest_s and announced is not None:
+            self._rests.record_rest(
+                announced.name,
+                announced.incarnation,
+                outcome.rest_s,
+                self._now_s(),
+            )
         return outcome
 
+    def _is_resting(self, server: Announcement) -> bool:
+        """Return whether the server turned an order away and asked for rest.
+
+        The requests of entries do not count: their rests are their own.
+        """
+        self._rests.forget_restarted({server.name: server.incarnation})
+        return self._rests.is_resting(server.name, self._now_s())
+
     async def _commit(self, record: RecordOrder) -> bool:
         """Commit a record; return False if it may be missing from the log.
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/orders/engine_call.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/orders/engine_call.py
@@ -12,6 +12,7 @@
 from sycamorestand_control.orders.http_call import call_once
 from sycamorestand_control.orders.http_call import NoAnswer
 from sycamorestand_control.orders.http_call import NotSent
+from sycamorestand_decisions.server_rests import read_rest_s
 from sycamorestand_state.orders import FencingNumber
 
 if TYPE_CHECKING:
@@ -32,12 +33,14 @@
 
     The order book has no phase for a stale fencing number, see
     docs/design/orders.md. Such an order has the phase ``failed``, and
-    ``superseded`` distinguishes it from other failures.
+    ``superseded`` distinguishes it from other failures. ``rest_s`` is how
+    long an engine that turned the order away wants no other one.
     """
 
     phase: Literal["done", "failed", "unknown"]
     detail: str
     superseded: bool = False
+    rest_s: float = 0.0
 
 
 async def send_order(
@@ -57,7 +60,11 @@
         return EngineOutcome("failed", f"not sent: {error}")
     except NoAnswer as error:
         return EngineOutcome("unknown", f"no answer: {error}")
-    return _to_outcome(reply.status)
+    outcome = _to_outcome(reply.status)
+    if reply.status != UNAVAILABLE_STATUS:
+        return outcome
+    retry_after = reply.headers.get("retry-after", "").encode("latin-1")
+    return outcome._replace(rest_s=read_rest_s(retry_after))
 
 
 def _to_outcome(status: int) -> EngineOutcome:
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_rests.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/server_rests.py
@@ -23,6 +23,26 @@
 # An answer to the first requests may take long or never come.
 NEXT_REQUEST_S: Final = 1.0
 MAX_RESTING_SERVERS: Final = 1024
+# Bounds a false value, after which the server is asked once more.
+MAX_REST_S: Final = 600.0
+MAX_DIGITS: Final = 12
+
+
+def read_rest_s(value: bytes) -> float:
+    """Return the seconds in a ``Retry-After`` header, at most `MAX_REST_S`.
+
+    Fractions are allowed. A date or another value yields 0: the clocks of
+    servers and entries may differ.
+
+    >>> read_rest_s(b"2.5"), read_rest_s(b"999999"), read_rest_s(b"-1")
+    (2.5, 600.0, 0.0)
+    """
+    digits = value.strip()
+    if not digits.replace(b".", b"", 1).isdigit():
+        return 0.0
+    if len(digits) > MAX_DIGITS and b"." not in digits[:MAX_DIGITS]:
+        return MAX_REST_S
+    return min(float(digits[:MAX_DIGITS]), MAX_REST_S)
 
 
 class ServerRests:
@@ -141,8 +161,10 @@
 
 __all__ = [
     "FIRST_REQUESTS",
+    "MAX_REST_S",
     "MAX_RESTING_SERVERS",
     "NEXT_REQUEST_S",
+    "read_rest_s",
     "RETURNED_AFTER",
     "ServerRests",
 ]
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_notices.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_notices.py
@@ -11,6 +11,8 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from sycamorestand_decisions.server_rests import read_rest_s
+
 if TYPE_CHECKING:
     from sycamorestand_entry.upstream import ResponseHead
 
@@ -21,9 +23,6 @@
 TURNED_AWAY: Final = 503
 # Another server than the one that was meant has answered.
 WRONG_SERVER: Final = 421
-# Bounds a false value, after which the server is asked once more.
-MAX_REST_S: Final = 600.0
-MAX_DIGITS: Final = 12
 
 
 class ServerNotice(NamedTuple):
@@ -50,28 +49,9 @@
     return ServerNotice(rest_s, is_leaving)
 
 
-def read_rest_s(value: bytes) -> float:
-    """Return the seconds in a ``Retry-After`` header, at most `MAX_REST_S`.
-
-    Fractions are allowed. A date or another value yields 0: the clocks of
-    servers and entries may differ.
-
-    >>> read_rest_s(b"2.5"), read_rest_s(b"999999"), read_rest_s(b"-1")
-    (2.5, 600.0, 0.0)
-    """
-    digits = value.strip()
-    if not digits.replace(b".", b"", 1).isdigit():
-        return 0.0
-    if len(digits) > MAX_DIGITS and b"." not in digits[:MAX_DIGITS]:
-        return MAX_REST_S
-    return min(float(digits[:MAX_DIGITS]), MAX_REST_S)
-
-
 __all__ = [
     "LEAVING_HEADER",
-    "MAX_REST_S",
     "read_notice",
-    "read_rest_s",
     "ServerNotice",
     "TURNED_AWAY",
     "WRONG_SERVER",
--- a/packages/sycamorestand-entry/tests/test_server_notices.py
+++ b/packages/sycamorestand-entry/tests/test_server_notices.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamorestand_entry.server_notices import MAX_REST_S
+from sycamorestand_decisions.server_rests import MAX_REST_S
 from sycamorestand_entry.server_notices import read_notice
 from sycamorestand_entry.server_notices import ServerNotice
 from sycamorestand_entry.upstream import ResponseHead
