Rest and leaving hold though the announcement ran out or said so before

Both are recorded with the incarnation that the request was sent to, and an answer of an earlier incarnation says nothing of the present one.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/control_port.py
@@ -129,10 +129,9 @@
     def set_unreached(self, services: frozenset[str]) -> None:
         self.unreached = services
 
-    def record_leaving(self, server: str) -> None:
-        known = self.servers.get(server)
-        if known is not None:
-            self.servers[server] = known._replace(leaving=True)
+    def record_leaving(self, server: Announcement) -> None:
+        if server.name in self.servers:
+            self.servers[server.name] = server._replace(leaving=True)
 
     async def announce(self, announcement: Announcement) -> None:
         known = self.servers.get(announcement.name)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/link.py
@@ -218,7 +218,7 @@
         message = AnnouncementRelay(announcement)
         self.mesh.send(self.control_address(), message)
 
-    def record_leaving(self, server: str) -> None:
+    def record_leaving(self, server: Announcement) -> None:
         """Send the server no more work, as it said that it leaves.
 
         Control is told as by an announcement of the server, so that a later
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/control/server_view.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/control/server_view.py
@@ -42,20 +42,27 @@
         self._directory.announce(announcement, now_s)
         self._refresh(now_s)
 
-    def record_leaving(self, name: str, now_s: float) -> Announcement | None:
+    def record_leaving(
+        self, server: Announcement, now_s: float
+    ) -> Announcement | None:
         """Show the server as leaving until it starts again.
 
-        Return the announcement that says so, None if the server is unknown
-        or was leaving already.
+        Return the announcement that says so, None if it would tell nothing
+        new.
         """
-        server = self._view.get(name)
-        if server is None or server.leaving:
+        name = server.name
+        if self._left.get(name, -1) >= server.incarnation:
             return None
         if len(self._left) >= MAX_LEFT_SERVERS:
             del self._left[next(iter(self._left))]
         self._left[name] = server.incarnation
+        shown = self._view.get(name)
         self._refresh(now_s)
-        return server._replace(leaving=True, sequence=server.sequence + 1)
+        if shown is None or shown.leaving:
+            return None
+        if shown.incarnation != server.incarnation:
+            return None
+        return shown._replace(leaving=True, sequence=shown.sequence + 1)
 
     def apply_directory_delta(
         self, origin: str, payload: bytes, now_s: float
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/engine_run.py
@@ -188,7 +188,7 @@
             self._dispatched_s,
         )
         self._context.server_limits.record_notice(
-            server.name,
+            server,
             head.status,
             read_notice(head, LEAVING_HEADER),
             self._dispatched_s,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/ports.py
@@ -75,7 +75,7 @@
         """
         ...
 
-    def record_leaving(self, server: str) -> None:
+    def record_leaving(self, server: Announcement) -> None:
         """Send the server no more work, as it said that it leaves.
 
         That holds until the server starts again, whatever its announcements
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/exchange.py
@@ -205,7 +205,7 @@
             self._record_brittle(head)
             self._record_limit(head)
             self._context.server_limits.record_notice(
-                self.destination.server.name,
+                self.destination.server,
                 head.status,
                 self._notice,
                 self.begin_s,
@@ -251,8 +251,10 @@
 
         Its rest is for the entry that it turned away.
         """
-        if self._notice.is_leaving:
-            self._context.control.record_leaving(self.forwarded_to)
+        control = self._context.control
+        server = control.backend_servers().get(self.forwarded_to)
+        if self._notice.is_leaving and server is not None:
+            control.record_leaving(server)
 
     def _check_forwarded(self, head: ResponseHead) -> None:
         """Raise if the other entry did not get an answer of a server."""
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server_limits.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server_limits.py
@@ -122,7 +122,11 @@
         self._send((), 0, {server: limit_per_s})
 
     def record_notice(
-        self, server: str, status: int, notice: ServerNotice, sent_s: float
+        self,
+        server: Announcement,
+        status: int,
+        notice: ServerNotice,
+        sent_s: float,
     ) -> None:
         """Record what an answer says of the server's rest and leaving.
 
@@ -134,24 +138,26 @@
         if notice.rest_s:
             self._record_rest(server, notice.rest_s)
         elif status == TURNED_AWAY:
-            rests.record_turned_away(server, sent_s)
+            rests.record_turned_away(server.name, sent_s)
         elif status != WRONG_SERVER:
-            rests.record_taken(server, sent_s)
+            rests.record_taken(server.name, sent_s)
 
-    def _record_rest(self, server: str, rest_s: float) -> None:
-        known = self._control.backend_servers().get(server)
-        if known is None:
+    def _record_rest(self, server: Announcement, rest_s: float) -> None:
+        known = self._control.backend_servers().get(server.name, server)
+        if known.incarnation != server.incarnation:
             return
         spread_s = SPREAD_SHARE * rest_s
         spread_s += SPREAD_PER_ENTRY_S * self._control.entry_count()
         spread_s = self._random.uniform(0.0, min(spread_s, rest_s))
         now_s = self._now_s()
         rests = self.held.rests
-        if not rests.is_resting(server, now_s):
-            extra = {"backend_server": server, "rest_s": rest_s}
+        if not rests.is_resting(server.name, now_s):
+            extra = {"backend_server": server.name, "rest_s": rest_s}
             _LOG.warning("backend server asks for rest", extra=extra)
         self._metrics.rests.inc({})
-        rests.record_rest(server, known.incarnation, rest_s + spread_s, now_s)
+        rests.record_rest(
+            server.name, server.incarnation, rest_s + spread_s, now_s
+        )
 
     def sync_servers(self) -> None:
         """Take in which servers have started again, and which are cold."""
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/service_call.py
@@ -122,7 +122,7 @@
             call.method == "HEAD",
             on_loss="end" if claim_held is None else "wait",
         )
-        answer = await _read_answer(context, connection, limit_s, server.name)
+        answer = await _read_answer(context, connection, limit_s, server)
         outcome = "overloaded" if answer.not_run else "ok"
         return answer
     except ServerLost as error:
@@ -152,13 +152,13 @@
     context: EntryContext,
     connection: UpstreamConnection,
     limit_s: float,
-    server: str,
+    server: Announcement,
 ) -> ServiceAnswer:
     sent_s = context.now_s()
     end_s = sent_s + limit_s
     head = await connection.read_head(limit_s)
     context.server_limits.record_answer(
-        server, head.status, head.headers.get(LIMIT_HEADER), sent_s
+        server.name, head.status, head.headers.get(LIMIT_HEADER), sent_s
     )
     context.server_limits.record_notice(
         server, head.status, read_notice(head, LEAVING_HEADER), sent_s
--- a/packages/sycamorestand-entry/tests/control/test_server_view.py
+++ b/packages/sycamorestand-entry/tests/control/test_server_view.py
@@ -33,7 +33,7 @@
         """A report from before the answer brought the server back."""
         view = ServerView("entry", 1)
         told_by_control(view, server())
-        told = view.record_leaving("s-1", 0.0)
+        told = view.record_leaving(server(), 0.0)
         assert told is not None
         assert (told.leaving, told.sequence) == (True, 5)
         view.announce(server(sequence=9), 0.1)
@@ -44,7 +44,7 @@
         """The server was listed again once its own record had run out."""
         view = ServerView("entry", 1)
         told_by_control(view, server())
-        view.record_leaving("s-1", 0.0)
+        view.record_leaving(server(), 0.0)
         view.announce(server(sequence=9), 2.0)
         for now_s in range(3, 90):
             view.announce(server(sequence=10 + now_s), now_s)
@@ -54,23 +54,40 @@
     def test_server_that_started_again_is_not_leaving(self) -> None:
         view = ServerView("entry", 1)
         told_by_control(view, server())
-        view.record_leaving("s-1", 0.0)
+        view.record_leaving(server(), 0.0)
         view.announce(server(incarnation=2, sequence=1), 0.1)
+        assert view.record_leaving(server(), 0.2) is None
         assert not view.servers()["s-1"].leaving
-        assert view.record_leaving("s-1", 0.2) is not None
+        again = server(incarnation=2, sequence=1)
+        assert view.record_leaving(again, 0.3) is not None
+
+    def test_holds_where_it_was_announced_as_leaving_before(self) -> None:
+        """A later report that it is ready counted after all."""
+        view = ServerView("entry", 1)
+        view.announce(server(leaving=True), 0.0)
+        assert view.record_leaving(server(), 0.0) is None
+        view.announce(server(sequence=9), 0.1)
+        assert view.servers()["s-1"].leaving
+
+    def test_holds_for_a_server_that_is_not_announced_now(self) -> None:
+        """Its announcement had run out when the answer came."""
+        view = ServerView("entry", 1)
+        assert view.record_leaving(server(), 0.0) is None
+        view.announce(server(sequence=9), 0.1)
+        assert view.servers()["s-1"].leaving
 
     def test_control_is_told_once(self) -> None:
         """Each answer of a leaving server was a message to control."""
         view = ServerView("entry", 1)
         told_by_control(view, server())
-        assert view.record_leaving("s-1", 0.0) is not None
-        assert view.record_leaving("s-1", 0.0) is None
-        assert view.record_leaving("s-9", 0.0) is None
+        assert view.record_leaving(server(), 0.0) is not None
+        assert view.record_leaving(server(), 0.0) is None
+        assert view.record_leaving(server("s-9"), 0.0) is None
 
     def test_table_is_bounded(self) -> None:
         view = ServerView("entry", 1)
         for number in range(MAX_LEFT_SERVERS + 10):
             name = f"s-{number}"
             view.announce(server(name), 0.0)
-            assert view.record_leaving(name, 0.0) is not None
+            assert view.record_leaving(server(name), 0.0) is not None
         assert len(view._left) == MAX_LEFT_SERVERS
--- a/packages/sycamorestand-entry/tests/routed/test_resting_servers.py
+++ b/packages/sycamorestand-entry/tests/routed/test_resting_servers.py
@@ -148,6 +148,26 @@
             answer = await loopback.ask("/stock/1", x_attempt="a2")
         assert status(answer) == 200
 
+    async def test_server_whose_announcement_ran_out_keeps_its_rest(
+        self,
+    ) -> None:
+        """It was announced again and got requests within its rest."""
+        async with start_routed() as loopback:
+            servers = loopback.control.servers
+
+            async def answer(request: bytes, stream: SocketStream) -> None:
+                announced = servers.pop("s-1")
+                await Resting().answer(request, stream)
+                await anyio.sleep(0.05)
+                servers["s-1"] = announced
+
+            await loopback.add_server("s-1", answer)
+            await loopback.ask("/order/1")
+            await anyio.sleep(0.1)
+            again = await loopback.ask("/order/1", x_attempt="a2")
+        assert status(again) == 503
+        assert received(loopback, "s-1") == 1
+
     async def test_report_that_it_is_ready_does_not_end_a_rest(self) -> None:
         """A server's announcement is older than its answer."""
         async with start_routed() as loopback:
