--- a/review/harness.py
+++ b/review/harness.py
@@ -133,9 +133,9 @@
         env["SYCAMORESTAND_BOOT"] = str(boot)
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
         env["PYTHONDONTWRITEBYTECODE"] = "1"
-        for name, value in entry.get("env", {}).items():
-            env[name] = str(self.world.ports["Metrics"] + (role == "control"))
-            del value
+        # All VMs share this machine, so the deploy file's port may be taken.
+        metrics_port = self.world.ports["Metrics"] + (role == "control")
+        env.update(dict.fromkeys(entry.get("env", {}), str(metrics_port)))
         log = open(folder / f"{self.name}-{role}.log", "ab")
         self.processes[role] = await asyncio.create_subprocess_exec(
             *words, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL,
