--- a/review/harness.py
+++ b/review/harness.py
@@ -36,6 +36,13 @@
     "ExposureSlack": 30, "RollbackMs": 5000, "RecoveryS": 12, "PassMs": 120,
     "ReuseWindowS": 10, "SessionS": 5, "ttl_max_s": 5,
 }
+# Those of demands/veldloop-results-grown.toml, printed the same way.
+VELDLOOP_BOUNDS = {
+    **BOUNDS, "ContactMs": 4000, "AckMs": 5000, "CatchUpS": 6, "DrainMs": 2500,
+    "ConfigApplyMs": 2500, "SkewMaxMs": 6000, "BudgetSlack": 168,
+    "ExposureShare": 0.0975, "RecoveryS": 15, "PassMs": 200, "ReuseWindowS": 9.8,
+    "SessionS": 8.5,
+}
 HEARTBEAT_S = 1.2
 
 
@@ -338,10 +345,12 @@
 
 
 class Run:
-    """One request that a server began to work on."""
+    """One request that a server began to work on; `came` is its arrival."""
 
-    def __init__(self, server: Server, attempt: str, path: str, at: float) -> None:
-        self.server, self.attempt, self.path, self.at = server, attempt, path, at
+    def __init__(self, server: Server, attempt: str, path: str, at: float,
+                 came: float) -> None:
+        self.server, self.attempt, self.path = server, attempt, path
+        self.at, self.came = at, came
         self.status = 0
 
 
@@ -446,6 +455,7 @@
             self._write(writer, 200, b"", {"Instance-Id": self.id})
             return True
         self.arrivals += 1
+        came = self.world.record.now()
         expected = headers.get("expect-instance", self.id)
         if expected != self.id:
             self._write(writer, 421, b"", {"Attempt-Id": attempt, "Not-Executed": "1"})
@@ -462,7 +472,7 @@
         finally:
             self.waiting -= 1
         self.running += 1
-        run = Run(self, attempt, path, self.world.record.now())
+        run = Run(self, attempt, path, self.world.record.now(), came)
         self.runs.append(run)
         try:
             if self.behave is not None:
