--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,9 @@
-"""The third roll-out of a service is acknowledged and never begins.
+"""A control process loses its disk right after the first acknowledgement.
 
-The operator rolls v2 out, goes back to v1 with a roll-out of v1, and then
-rolls v2 out once more. Each order is sent only after the one before has
-completed. Then all processes are killed, and the operator reads what became of
-the last order. With TROUBLE=0 there is the first order alone.
+The operator sends the first manifest until it is acknowledged. The machine
+that acknowledged it then loses its disk and is back a second later with an
+empty one. The other two machines of the core run undisturbed all the while.
+The manifest has to be read back within `RecoveryS`.
 """
 
 from __future__ import annotations
@@ -11,91 +11,93 @@
 import asyncio
 import json
 from pathlib import Path
+import shutil
 import sys
+import time
 
-HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent))
-
-from harness import CannotRun  # noqa: E402
-from harness import main  # noqa: E402
-from harness import manifest  # noqa: E402
-from harness import Operator  # noqa: E402
-from harness import Requester  # noqa: E402
-from harness import route  # noqa: E402
-from harness import Server  # noqa: E402
-from harness import ZONES  # noqa: E402
-
-SERVICE = "wuno96b"
-PATH = "/puxa403/"
-PER_S = 40
-DURATIONS_S = (8, 9, 10)
-# Longer than AckMs, for which an order may be sent again: the third order
-# cannot be a resend of the first.
-PAUSE_S = 4.5
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+import harness  # noqa: E402
+
+FIRST_ACK_LIMIT_S = 12.0
+DOWN_S = 1.0
 RECOVERY_S = 12.0
+READ_FOR_S = 8.0
+
+
+def world(record: harness.Record) -> harness.World:
+    return harness.World(record, cores=3, others=3)
+
+
+async def send_first_manifest(world: harness.World, vm: harness.Vm) -> None:
+    """Send the manifest to one machine until it is acknowledged."""
+    routes = [harness.route("receipt", "/receipt/", "lane-ledger")]
+    content = harness.manifest(7, routes, ["lane-ledger"])
+    body = json.dumps(content).encode()
+    end = time.monotonic() + FIRST_ACK_LIMIT_S
+    while time.monotonic() < end:
+        try:
+            answer = await harness.call(
+                vm.address("Control"), "POST", "/-/Config.Replace", body,
+                {"Content-Type": "application/json"})
+        except (OSError, ValueError, asyncio.TimeoutError):
+            answer = None
+        if answer is not None and answer.status == 200:
+            world.record.line(f"{vm.name} acknowledged manifest version 7")
+            return
+        await asyncio.sleep(0.1)
+    raise harness.CannotRun("the first manifest was not acknowledged")
+
+
+async def lose_disk(world: harness.World, vm: harness.Vm) -> None:
+    """Stop a machine, empty its disk and start it at its old address."""
+    vm.restart = False
+    for process in vm.processes.values():
+        process.kill()
+        await process.wait()
+    data = world.folder / f"{vm.name}-control-data"
+    shutil.rmtree(data)
+    shutil.rmtree(world.folder / f"{vm.name}-entry-data", ignore_errors=True)
+    vm.bootstrap = False
+    world.record.line(f"{vm.name} lost its disk")
+    await asyncio.sleep(DOWN_S)
+    vm.processes.clear()
+    await vm.start("entry")
+    await vm.start("control")
+    vm.restart = True
+    world.record.line(f"{vm.name} is back with an empty disk")
+
+
+async def read_back(world: harness.World) -> bool:
+    """Return whether any machine answers with the manifest in the time."""
+    operator = harness.Operator(world)
+    end = time.monotonic() + READ_FOR_S
+    while time.monotonic() < end:
+        try:
+            answer = await operator.order("GET", "/-/Config.Read", limit_s=2.0)
+        except TimeoutError:
+            continue
+        if answer.status == 200:
+            return json.loads(answer.body)["Version"] == 7
+    return False
+
+
+async def play(world: harness.World, trouble: bool) -> bool:
+    first = world.vms[0]
+    await send_first_manifest(world, first)
+    if trouble:
+        await lose_disk(world, first)
+    await asyncio.sleep(RECOVERY_S)
+    requester = harness.Requester(world)
+    server = harness.Server(world, "lane-ledger", "v1", harness.ZONES[0])
+    await server.start()
+    await asyncio.sleep(3)
+    for _ in range(5):
+        await requester.send("/receipt/1", "GET")
+    held = await read_back(world)
+    world.record.line(f"statuses of requests: {requester.statuses()}")
+    world.record.line(f"server ran {len(server.runs)} requests")
+    return held
 
 
-async def start_servers(world, version):
-    servers = [Server(world, SERVICE, version, zone) for zone in ZONES]
-    for server in servers:
-        await server.start()
-    return servers
-
-
-async def read(operator):
-    """Return status, state and target of the service's roll-out."""
-    answer = await operator.order("GET", f"/-/Rollouts.Read/{SERVICE}", log=False)
-    content = json.loads(answer.body or b"{}")
-    return answer.status, content.get("State", ""), content.get("Target", "")
-
-
-class Case:
-    async def play(self, world, trouble):
-        record = world.record
-        operator = Operator(world)
-        await asyncio.sleep(2)
-        await operator.order(
-            "POST", "/-/Config.Replace",
-            manifest(3, [route("r-1", PATH, SERVICE)], [SERVICE]), limit_s=20)
-        old = await start_servers(world, "v1")
-        await world.wait_ready()
-        await asyncio.sleep(2)
-        stop = asyncio.Event()
-        requester = Requester(world)
-        load = asyncio.create_task(requester.load(PATH, PER_S, stop))
-        targets = ("v2", "v1", "v2") if trouble else ("v2",)
-        for target, duration_s in zip(targets, DURATIONS_S):
-            order = {"Service": SERVICE, "Target": target, "DurationS": duration_s}
-            answer = await operator.order("POST", "/-/Rollouts.Start", order)
-            if answer.status != 200:
-                raise CannotRun("an order was not acknowledged")
-            new = await start_servers(world, target)
-            seen = None
-            end_s = record.now() + duration_s + 5
-            while record.now() < end_s and seen != (200, "completed", target):
-                now = await read(operator)
-                if now != seen:
-                    record.line(f"operator reads the roll-out to {target}: {now}")
-                    seen = now
-                await asyncio.sleep(0.25)
-            if seen == (200, "completed", target):
-                for server in old:
-                    await server.stop()
-                old = new
-            elif target != targets[-1] or len(targets) == 1:
-                raise CannotRun("a good version was not completed")
-            await asyncio.sleep(PAUSE_S)
-        stop.set()
-        await load
-        record.line("final fault: all processes are killed at the same moment")
-        for vm in world.vms:
-            for role in list(vm.processes):
-                world.kill(vm, role)
-        await asyncio.sleep(RECOVERY_S)
-        found = await read(operator)
-        record.line(f"operator reads back after the final fault: {found};"
-                    f" acknowledged last: a roll-out to {targets[-1]}")
-        return found[0] == 200 and found[2] == targets[-1]
-
-
-main(Case(), HERE)
+if __name__ == "__main__":
+    harness.main(sys.modules[__name__], Path(__file__).resolve().parent)
