--- a/review/harness.py
+++ b/review/harness.py
@@ -43,6 +43,10 @@
     "ExposureShare": 0.0975, "RecoveryS": 15, "PassMs": 200, "ReuseWindowS": 9.8,
     "SessionS": 8.5,
 }
+LIMITS = {"CpuShare": 0.968, "Cores": 2, "MemoryMb": 300, "MaxFds": 4100,
+          "LinkMbps": 1000.0, "DiskMb": 64}
+# Those of the machines with a disk of demands/veldloop-results-grown.toml.
+VELDLOOP_LIMITS = {**LIMITS, "CpuShare": 0.69, "MemoryMb": 128, "LinkMbps": 100.0}
 HEARTBEAT_S = 1.2
 
 
@@ -113,8 +117,7 @@
             "Listen": listen, "PortRange": [first, first + 15],
             "Seeds": [vm.address("Control") for vm in self.world.core()],
             "Bootstrap": self.bootstrap, "InFaultSet": self.disk,
-            "Limits": {"CpuShare": 0.968, "Cores": 2, "MemoryMb": 300,
-                       "MaxFds": 4100, "LinkMbps": 1000.0, "DiskMb": 64},
+            "Limits": self.world.limits,
             "Discovery": "registration", "Entry": "directory",
             "HeartbeatMs": int(HEARTBEAT_S * 1000),
             "Contracts": ["base", "drain", "config", "cost", "retry", "recover",
@@ -163,6 +166,7 @@
                  bounds: dict | None = None) -> None:
         self.record = record
         self.bounds = bounds or BOUNDS
+        self.limits = LIMITS
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         with open(ROOT / "deploy" / "system.toml", "rb") as file:
             self.roles = tomllib.load(file)["roles"]
