--- a/review/harness.py
+++ b/review/harness.py
@@ -47,6 +47,8 @@
           "LinkMbps": 1000.0, "DiskMb": 64}
 # Those of the machines with a disk of demands/veldloop-results-grown.toml.
 VELDLOOP_LIMITS = {**LIMITS, "CpuShare": 0.69, "MemoryMb": 128, "LinkMbps": 100.0}
+# Those of further/nile-storehouse.toml, which differ from jafa-lanes.
+NILE_BOUNDS = {**BOUNDS, "BudgetSlack": 58, "ReuseWindowS": 9.9}
 HEARTBEAT_S = 1.2
 
 
