--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,21 +1,23 @@
-"""Some hundred changes of a manifest with many routes.
+"""All machines lose power after old segments of the log were removed.
 
-The manifest has grown by many routes. The operator then changes one route's
-timeout again and again, with a few orders in progress at once, until some
-hundred changes are made. The platform kills a process whose memory exceeds
-`MemoryMb` and starts it again, as it does always.
+After some time of changes each voter makes a snapshot and removes the segment
+files that it covers. It does not sync the folder afterwards. At the loss of
+power one removed name is kept and the others are lost, as DEPLOY.md allows.
+The manifest has to be read back within `RecoveryS`.
 
-Without the disruption the same changes are made to the manifest without the
-additional routes.
+The stand-in for the disk holds a second name of each segment file, outside of
+the data folder. After the loss of power it gives the oldest removed file its
+name back. Without the disruption all processes are killed at the same moment,
+and the disks stay as they were.
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
+import os
 from pathlib import Path
 import random
-import signal
 import string
 import sys
 import time
@@ -23,23 +25,18 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import harness  # noqa: E402
 
-FIRST_ROUTES = 45
-MORE_ROUTES = 1804
-CHANGES = 900
+FIRST_ROUTES = 13
+MORE_ROUTES = 350
 IN_PROGRESS = 8
-CHANGES_LIMIT_S = 68.0
-MEMORY_MB = harness.VELDLOOP_LIMITS["MemoryMb"]
-CHECK_S = 0.2
-SETTLE_S = 2.0
-AFTER_S = 10.0
-LOAD_PER_S = 10.0
-MAX_ENDS = 3
+CHANGES_LIMIT_S = 80.0
+POLL_S = 0.02
+DOWN_S = 1.0
+RECOVERY_S = 12.0
+READ_FOR_S = 5.0
 
 
 def world(record: harness.Record) -> harness.World:
-    made = harness.World(record, cores=3, bounds=harness.VELDLOOP_BOUNDS)
-    made.limits = harness.VELDLOOP_LIMITS
-    return made
+    return harness.World(record, cores=3, bounds=harness.NILE_BOUNDS)
 
 
 def word() -> str:
@@ -47,55 +44,42 @@
     return "".join(random.choice(letters) for _ in range(7))
 
 
-def idle_routes(count: int) -> list[dict]:
-    return [harness.route(f"r-{word()}", f"/{word()}/", "results-core")
-            for _ in range(count)]
-
-
-def private_mb(pid: int) -> float:
-    """Return a process's private memory, without code that it maps."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("RssAnon:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
-
-def disk_mb(world: harness.World, vm: harness.Vm) -> float:
-    folder = world.folder / f"{vm.name}-control-data"
-    files = [path for path in folder.rglob("*") if path.is_file()]
-    return sum(path.stat().st_size for path in files) / 1e6
-
-
-class MemoryLimit:
-    """Kills processes whose private memory exceeds the limit."""
-
-    def __init__(self, world: harness.World) -> None:
-        self.world = world
-        self.ends: dict[str, int] = {}
-        self.most_mb = 0.0
-
-    async def run(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_S)
-            for vm in self.world.vms:
-                for role, process in list(vm.processes.items()):
-                    self.check(vm, role, process)
-
-    def check(self, vm: harness.Vm, role: str, process) -> None:
-        try:
-            used_mb = private_mb(process.pid)
-        except OSError:
-            return
-        self.most_mb = max(self.most_mb, used_mb)
-        if used_mb <= MEMORY_MB or process.returncode is not None:
-            return
-        name = f"{vm.name} {role}"
-        self.ends[name] = self.ends.get(name, 0) + 1
-        self.world.record.line(
-            f"{name} uses {used_mb:.0f} MB of {MEMORY_MB}: ended by the platform"
-            f" (its disk holds {disk_mb(self.world, vm):.0f} MB)")
-        self.world.killed.add((vm.name, role))
-        vm.signal(role, signal.SIGKILL)
+class Disk:
+    """What a voter's folder held, and which removals were not synced."""
+
+    def __init__(self, world: harness.World, vm: harness.Vm) -> None:
+        self.folder = world.folder / f"{vm.name}-control-data" / "group-0"
+        self.side = world.folder / f"{vm.name}-side"
+        self.side.mkdir()
+        self.vm = vm
+        self.newest = ""
+        self.newest_at_removal = ""
+        self.removed: list[str] = []
+
+    def look(self) -> None:
+        """Note new and removed segment files."""
+        present = {path.name for path in self.folder.glob("log-*.seg")}
+        for name in sorted(present):
+            if not (self.side / name).exists():
+                os.link(self.folder / name, self.side / name)
+        known = {path.name for path in self.side.iterdir()}
+        removed = sorted(known - present)
+        if removed != self.removed:
+            # A new segment syncs the folder, and earlier removals with it.
+            is_same = max(present) == self.newest
+            self.newest_at_removal = self.newest if is_same else ""
+            self.removed = removed
+        self.newest = max(present)
+
+    @property
+    def is_unsynced(self) -> bool:
+        """Whether two removals or more happened since the last sync."""
+        return len(self.removed) >= 2 and self.newest == self.newest_at_removal
+
+    def lose_power(self) -> None:
+        """Keep the name of the oldest removed file, lose the others."""
+        name = self.removed[0]
+        os.link(self.side / name, self.folder / name)
 
 
 class Changes:
@@ -106,80 +90,118 @@
         self.content = content
         self.sent = 0
         self.acknowledged = 0
-
-    async def run(self, limit: MemoryLimit) -> None:
-        end = time.monotonic() + CHANGES_LIMIT_S
-
-        async def make() -> None:
-            while self.sent < CHANGES and time.monotonic() < end:
-                if ended_by_themselves(limit):
-                    return
-                await self.one()
-
-        await asyncio.gather(*(make() for _ in range(IN_PROGRESS)))
+        self.newest = 0
 
     async def one(self, limit_s: float = 5.0) -> bool:
         self.sent += 1
         self.content["Version"] += 1 + self.sent % 3
+        version = self.content["Version"]
         routes = self.content["Routes"]
-        routes[1 + self.sent % (FIRST_ROUTES - 1)]["TimeoutMs"] = 800 + self.sent
+        routes[self.sent % FIRST_ROUTES]["TimeoutMs"] = 800 + self.sent % 900
         try:
             answer = await self.operator.order(
                 "POST", "/-/Config.Replace", self.content, limit_s, log=False)
         except TimeoutError:
             return False
-        self.acknowledged += answer.status == 200
-        return answer.status == 200
+        if answer.status != 200:
+            return False
+        self.acknowledged += 1
+        self.newest = max(self.newest, version)
+        return True
+
+    async def run(self, stop: asyncio.Event) -> None:
+        end = time.monotonic() + CHANGES_LIMIT_S
+
+        async def make() -> None:
+            while not stop.is_set() and time.monotonic() < end:
+                await self.one()
+
+        await asyncio.gather(*(make() for _ in range(IN_PROGRESS)))
 
 
-def ended_by_themselves(limit: MemoryLimit) -> bool:
-    """Return whether half of the core ended three times each, or more."""
-    often = [name for name, ends in limit.ends.items()
-             if name.endswith("control") and ends >= MAX_ENDS]
-    return len(often) >= 2
+async def stop_all(world: harness.World) -> None:
+    for vm in world.vms:
+        vm.restart = False
+    for vm in world.vms:
+        for process in vm.processes.values():
+            process.kill()
+    for vm in world.vms:
+        for process in vm.processes.values():
+            await process.wait()
+        vm.processes.clear()
+
+
+async def start_all(world: harness.World) -> None:
+    for vm in world.vms:
+        vm.bootstrap = False
+        await vm.start("entry")
+        await vm.start("control")
+        vm.restart = True
+
+
+async def read_back(world: harness.World, version: int) -> bool:
+    """Return whether the newest acknowledged manifest is read back."""
+    operator = harness.Operator(world)
+    end = time.monotonic() + READ_FOR_S
+    while time.monotonic() < end:
+        try:
+            answer = await operator.order(
+                "GET", "/-/Config.Read", limit_s=2.0, log=False)
+        except TimeoutError:
+            continue
+        if answer.status == 200:
+            found = json.loads(answer.body)["Version"]
+            world.record.line(f"read back: version {found}")
+            return found >= version
+    world.record.line("the manifest is not read back")
+    return False
 
 
 async def play(world: harness.World, trouble: bool) -> bool:
     record = world.record
     await asyncio.sleep(2)
-    read = harness.route("read", "/read/", "results-core")
-    content = harness.manifest(1, [read, *idle_routes(FIRST_ROUTES - 1)],
-                               ["results-core"])
-    changes = Changes(world, content)
+    routes = [harness.route(f"r-{word()}", f"/{word()}/", "bay-ledger")
+              for _ in range(FIRST_ROUTES + MORE_ROUTES)]
+    changes = Changes(world, harness.manifest(1, routes, ["bay-ledger"]))
     if not await changes.one(10.0):
         raise harness.CannotRun("the first manifest was not acknowledged")
-    for zone in harness.ZONES:
-        await harness.Server(world, "results-core", "v1", zone).start()
-    await world.wait_ready()
-    limit = MemoryLimit(world)
-    watch = asyncio.create_task(limit.run())
-    requester = harness.Requester(world)
+    disks = [Disk(world, vm) for vm in world.core()]
     stop = asyncio.Event()
-    load = asyncio.create_task(requester.load("/read/", LOAD_PER_S, stop))
-    if trouble:
-        content["Routes"] += idle_routes(MORE_ROUTES)
-    record.line(f"the manifest has {len(content['Routes'])} routes,"
-                f" {len(json.dumps(content))} bytes")
-    await changes.run(limit)
-    record.line(f"{changes.sent} changes sent, {changes.acknowledged} acknowledged")
-    before = list(requester.results)
-    # Nothing disturbs any machine from here on.
-    await asyncio.sleep(SETTLE_S)
-    requester.results.clear()
-    late = await changes.one(AFTER_S)
-    record.line(f"one more change: acknowledged {late}")
-    await asyncio.sleep(AFTER_S)
-    after = list(requester.results)
+    made = asyncio.create_task(changes.run(stop))
+    while not made.done():
+        for disk in disks:
+            disk.look()
+        if all(disk.removed for disk in disks):
+            break
+        await asyncio.sleep(POLL_S)
+    if not all(disk.is_unsynced for disk in disks):
+        raise harness.CannotRun(
+            f"no snapshot with two segments: {[d.removed for d in disks]}")
+    await stop_all(world)
     stop.set()
-    watch.cancel()
-    await load
-    served = [sum(s == 200 for s in each) / max(1, len(each))
-              for each in (before, after)]
-    record.line(f"served: {served[0]:.2f} before, {served[1]:.2f} after")
-    record.line(f"most private memory {limit.most_mb:.0f} MB, disks "
-                f"{[round(disk_mb(world, vm)) for vm in world.core()]} MB")
-    record.line(f"ends by memory: {limit.ends}")
-    return not ended_by_themselves(limit)
+    await made
+    record.line(f"{changes.sent} changes sent, {changes.acknowledged} acknowledged,"
+                f" the newest of them version {changes.newest}")
+    for disk in disks:
+        record.line(f"{disk.vm.name} removed {', '.join(disk.removed)}"
+                    f" and holds {disk.newest}")
+    if trouble:
+        for disk in disks:
+            disk.lose_power()
+        record.line("all machines lost power")
+    else:
+        record.line("all processes were killed")
+    await asyncio.sleep(DOWN_S)
+    await start_all(world)
+    await asyncio.sleep(RECOVERY_S)
+    held = await read_back(world, changes.newest)
+    record.line(f"processes that ended by themselves since: {len(world.own_ends)}")
+    log = world.folder / f"{world.vms[0].name}-control.log"
+    if not held:
+        lines = log.read_text(errors="replace").splitlines()
+        errors = [line for line in lines if "LogCorrupted" in line]
+        record.line("its log: " + (errors[-1].strip()[:300] if errors else "-"))
+    return held
 
 
 if __name__ == "__main__":
