--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,13 +1,12 @@
-"""A roll-out to a version that was rolled out before is lost.
+"""Some hundred changes of a manifest with many routes.
 
-Version v2 of a service is rolled out and turns bad later, so that the
-operator moves the service back to v1. Once v2 is repaired the operator orders
-it again, and the order is acknowledged. Right after that all processes of the
-core are killed, and are back within a second. The roll-out has to be known
-afterwards.
+The manifest has grown by many routes. The operator then changes one route's
+timeout again and again, with a few orders in progress at once, until some
+hundred changes are made. The platform kills a process whose memory exceeds
+`MemoryMb` and starts it again, as it does always.
 
-Without the disruption v2 is sound at once: it was never rolled out before the
-order that is acknowledged. The final fault is the same.
+Without the disruption the same changes are made to the manifest without the
+additional routes.
 """
 
 from __future__ import annotations
@@ -15,115 +14,172 @@
 import asyncio
 import json
 from pathlib import Path
+import random
+import signal
+import string
 import sys
 import time
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import harness  # noqa: E402
 
-SERVICE = "lane-ledger"
-DURATION_S = 12.0
-COMPLETE_LIMIT_S = 24.0
-LOAD_PER_S = 25.0
-RECOVERY_S = 12.0
-READ_FOR_S = 6.0
-GIVEN_STATES = ("running", "completed", "rolled_back")
+FIRST_ROUTES = 45
+MORE_ROUTES = 1804
+CHANGES = 900
+IN_PROGRESS = 8
+CHANGES_LIMIT_S = 82.0
+MEMORY_MB = harness.VELDLOOP_LIMITS["MemoryMb"]
+CHECK_S = 0.2
+SETTLE_S = 2.0
+AFTER_S = 6.0
+LOAD_PER_S = 10.0
+MAX_ENDS = 3
 
 
 def world(record: harness.Record) -> harness.World:
-    return harness.World(record, cores=3, others=3)
-
-
-async def start_servers(world: harness.World, version: str) -> list[harness.Server]:
-    servers = [harness.Server(world, SERVICE, version, zone) for zone in harness.ZONES]
-    for server in servers:
-        await server.start()
-    return servers
-
-
-async def order(world: harness.World, target: str) -> None:
-    """Order a roll-out; raise `CannotRun` if it is not acknowledged."""
-    content = {"Service": SERVICE, "Target": target, "DurationS": DURATION_S}
-    answer = await harness.Operator(world).order(
-        "POST", "/-/Rollouts.Start", content)
-    if answer.status != 200:
-        raise harness.CannotRun(f"the roll-out of {target} is not acknowledged")
-
-
-async def read(world: harness.World, limit_s: float = 2.0) -> tuple[int, dict]:
-    try:
-        answer = await harness.Operator(world).order(
-            "GET", f"/-/Rollouts.Read/{SERVICE}", limit_s=limit_s, log=False)
-    except TimeoutError:
-        return 0, {}
-    return answer.status, json.loads(answer.body or b"{}")
-
-
-async def complete(world: harness.World, target: str,
-                   old: list[harness.Server]) -> None:
-    """Wait until the roll-out is completed, then stop the old servers."""
-    end = time.monotonic() + COMPLETE_LIMIT_S
-    while time.monotonic() < end:
-        status, content = await read(world)
-        if content.get("State") == "completed":
-            world.record.line(f"the roll-out of {target} is completed")
-            for server in old:
-                await server.stop()
-            return
-        await asyncio.sleep(0.3)
-    raise harness.CannotRun(f"the roll-out of {target} was not completed")
+    made = harness.World(record, cores=3, bounds=harness.VELDLOOP_BOUNDS)
+    made.limits = harness.VELDLOOP_LIMITS
+    return made
 
 
-async def move(world: harness.World, target: str,
-               old: list[harness.Server]) -> list[harness.Server]:
-    """Move the service to servers of a version; return these."""
-    servers = await start_servers(world, target)
-    await asyncio.sleep(2)
-    await order(world, target)
-    await complete(world, target, old)
-    return servers
+def word() -> str:
+    letters = string.ascii_lowercase + string.digits
+    return "".join(random.choice(letters) for _ in range(7))
+
+
+def idle_routes(count: int) -> list[dict]:
+    return [harness.route(f"r-{word()}", f"/{word()}/", "results-core")
+            for _ in range(count)]
+
+
+def private_mb(pid: int) -> float:
+    """Return a process's private memory, without code that it maps."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("RssAnon:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
 
+def disk_mb(world: harness.World, vm: harness.Vm) -> float:
+    folder = world.folder / f"{vm.name}-control-data"
+    files = [path for path in folder.rglob("*") if path.is_file()]
+    return sum(path.stat().st_size for path in files) / 1e6
 
-async def kill_core(world: harness.World) -> None:
-    for vm in world.core():
-        world.kill(vm, "control")
-    await asyncio.sleep(RECOVERY_S)
+
+class MemoryLimit:
+    """Kills processes whose private memory exceeds the limit."""
+
+    def __init__(self, world: harness.World) -> None:
+        self.world = world
+        self.ends: dict[str, int] = {}
+        self.most_mb = 0.0
+
+    async def run(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_S)
+            for vm in self.world.vms:
+                for role, process in list(vm.processes.items()):
+                    self.check(vm, role, process)
+
+    def check(self, vm: harness.Vm, role: str, process) -> None:
+        try:
+            used_mb = private_mb(process.pid)
+        except OSError:
+            return
+        self.most_mb = max(self.most_mb, used_mb)
+        if used_mb <= MEMORY_MB or process.returncode is not None:
+            return
+        name = f"{vm.name} {role}"
+        self.ends[name] = self.ends.get(name, 0) + 1
+        self.world.record.line(
+            f"{name} uses {used_mb:.0f} MB of {MEMORY_MB}: ended by the platform"
+            f" (its disk holds {disk_mb(self.world, vm):.0f} MB)")
+        self.world.killed.add((vm.name, role))
+        vm.signal(role, signal.SIGKILL)
+
+
+class Changes:
+    """Makes changes of one manifest, some of them in progress at once."""
+
+    def __init__(self, world: harness.World, content: dict) -> None:
+        self.operator = harness.Operator(world)
+        self.content = content
+        self.sent = 0
+        self.acknowledged = 0
+
+    async def run(self, limit: MemoryLimit) -> None:
+        end = time.monotonic() + CHANGES_LIMIT_S
+
+        async def make() -> None:
+            while self.sent < CHANGES and time.monotonic() < end:
+                if ended_by_themselves(limit):
+                    return
+                await self.one()
+
+        await asyncio.gather(*(make() for _ in range(IN_PROGRESS)))
+
+    async def one(self, limit_s: float = 5.0) -> bool:
+        self.sent += 1
+        self.content["Version"] += 1 + self.sent % 3
+        routes = self.content["Routes"]
+        routes[1 + self.sent % (FIRST_ROUTES - 1)]["TimeoutMs"] = 800 + self.sent
+        try:
+            answer = await self.operator.order(
+                "POST", "/-/Config.Replace", self.content, limit_s, log=False)
+        except TimeoutError:
+            return False
+        self.acknowledged += answer.status == 200
+        return answer.status == 200
+
+
+def ended_by_themselves(limit: MemoryLimit) -> bool:
+    """Return whether half of the core ended three times each, or more."""
+    often = [name for name, ends in limit.ends.items()
+             if name.endswith("control") and ends >= MAX_ENDS]
+    return len(often) >= 2
 
 
 async def play(world: harness.World, trouble: bool) -> bool:
     record = world.record
     await asyncio.sleep(2)
-    routes = [harness.route("receipt", "/receipt/", SERVICE)]
-    await harness.Operator(world).order(
-        "POST", "/-/Config.Replace", harness.manifest(1, routes, [SERVICE]), 10.0)
-    servers = await start_servers(world, "v1")
+    read = harness.route("read", "/read/", "results-core")
+    content = harness.manifest(1, [read, *idle_routes(FIRST_ROUTES - 1)],
+                               ["results-core"])
+    changes = Changes(world, content)
+    if not await changes.one(10.0):
+        raise harness.CannotRun("the first manifest was not acknowledged")
+    for zone in harness.ZONES:
+        await harness.Server(world, "results-core", "v1", zone).start()
     await world.wait_ready()
+    limit = MemoryLimit(world)
+    watch = asyncio.create_task(limit.run())
     requester = harness.Requester(world)
     stop = asyncio.Event()
-    load = asyncio.create_task(requester.load("/receipt/", LOAD_PER_S, stop))
-    await asyncio.sleep(4)
+    load = asyncio.create_task(requester.load("/read/", LOAD_PER_S, stop))
     if trouble:
-        servers = await move(world, "v2", servers)
-        record.line("v2 turns bad later: the operator moves back to v1")
-        servers = await move(world, "v1", servers)
-    await start_servers(world, "v2")
-    await asyncio.sleep(2)
-    await order(world, "v2")
-    record.line(f"the roll-out is read as {await read(world)}")
-    await kill_core(world)
-    end = time.monotonic() + READ_FOR_S
-    held = False
-    while time.monotonic() < end and not held:
-        status, content = await read(world)
-        held = content.get("Target") == "v2" and content.get("State") in GIVEN_STATES
-        await asyncio.sleep(0.3)
-    record.line(f"after the final fault it is read as {status} {content}")
+        content["Routes"] += idle_routes(MORE_ROUTES)
+    record.line(f"the manifest has {len(content['Routes'])} routes,"
+                f" {len(json.dumps(content))} bytes")
+    await changes.run(limit)
+    record.line(f"{changes.sent} changes sent, {changes.acknowledged} acknowledged")
+    before = list(requester.results)
+    # Nothing disturbs any machine from here on.
+    await asyncio.sleep(SETTLE_S)
+    requester.results.clear()
+    late = await changes.one(AFTER_S)
+    record.line(f"one more change: acknowledged {late}")
+    await asyncio.sleep(AFTER_S)
+    after = list(requester.results)
     stop.set()
+    watch.cancel()
     await load
-    runs = {v: sum(len(s.runs) for s in world.servers
-                   if s.version == v and s._server is not None) for v in ("v1", "v2")}
-    record.line(f"runs at the servers that are up: {runs}")
-    return held
+    served = [sum(s == 200 for s in each) / max(1, len(each))
+              for each in (before, after)]
+    record.line(f"served: {served[0]:.2f} before, {served[1]:.2f} after")
+    record.line(f"most private memory {limit.most_mb:.0f} MB, disks "
+                f"{[round(disk_mb(world, vm)) for vm in world.core()]} MB")
+    record.line(f"ends by memory: {limit.ends}")
+    return not ended_by_themselves(limit)
 
 
 if __name__ == "__main__":
