--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,11 @@
-"""A control process loses its disk right after the first acknowledgement.
+"""One valid manifest ends every control process for good.
 
-The operator sends the first manifest until it is acknowledged. The machine
-that acknowledged it then loses its disk and is back a second later with an
-empty one. The other two machines of the core run undisturbed all the while.
-The manifest has to be read back within `RecoveryS`.
+A service is declared with `Engine` at first. A later manifest, which is valid,
+declares the same service without it, as a plain service. Nothing else is
+disturbed. The manifest has to be read back at the end.
+
+Without the disruption the later manifest keeps the service's `Engine`, and
+changes a time-out only.
 """
 
 from __future__ import annotations
@@ -11,91 +13,84 @@
 import asyncio
 import json
 from pathlib import Path
-import shutil
 import sys
 import time
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import harness  # noqa: E402
 
-FIRST_ACK_LIMIT_S = 12.0
-DOWN_S = 1.0
-RECOVERY_S = 12.0
-READ_FOR_S = 8.0
+SERVICE = "poolside-llm"
+# As `fleetbench wire` prints it for jafa-lanes.
+ENGINE = {
+    "Slots": 64, "KvTokens": 625049, "KvTokenBytes": 18432, "LinkMbps": 370000.0,
+    "Moves": True, "Backups": True, "Stride": 5, "most": 12, "PinMs": 4000.0,
+    "HoldMs": 2000.0, "HandleS": 5.0,
+    "Models": [{"Name": "daka510000", "Cost": 0.016}],
+}
+ACK_LIMIT_S = 4.0
+WAIT_S = 12.0
+READ_FOR_S = 6.0
 
 
 def world(record: harness.Record) -> harness.World:
     return harness.World(record, cores=3, others=3)
 
 
-async def send_first_manifest(world: harness.World, vm: harness.Vm) -> None:
-    """Send the manifest to one machine until it is acknowledged."""
-    routes = [harness.route("receipt", "/receipt/", "lane-ledger")]
-    content = harness.manifest(7, routes, ["lane-ledger"])
-    body = json.dumps(content).encode()
-    end = time.monotonic() + FIRST_ACK_LIMIT_S
-    while time.monotonic() < end:
-        try:
-            answer = await harness.call(
-                vm.address("Control"), "POST", "/-/Config.Replace", body,
-                {"Content-Type": "application/json"})
-        except (OSError, ValueError, asyncio.TimeoutError):
-            answer = None
-        if answer is not None and answer.status == 200:
-            world.record.line(f"{vm.name} acknowledged manifest version 7")
-            return
-        await asyncio.sleep(0.1)
-    raise harness.CannotRun("the first manifest was not acknowledged")
-
-
-async def lose_disk(world: harness.World, vm: harness.Vm) -> None:
-    """Stop a machine, empty its disk and start it at its old address."""
-    vm.restart = False
-    for process in vm.processes.values():
-        process.kill()
-        await process.wait()
-    data = world.folder / f"{vm.name}-control-data"
-    shutil.rmtree(data)
-    shutil.rmtree(world.folder / f"{vm.name}-entry-data", ignore_errors=True)
-    vm.bootstrap = False
-    world.record.line(f"{vm.name} lost its disk")
-    await asyncio.sleep(DOWN_S)
-    vm.processes.clear()
-    await vm.start("entry")
-    await vm.start("control")
-    vm.restart = True
-    world.record.line(f"{vm.name} is back with an empty disk")
-
-
-async def read_back(world: harness.World) -> bool:
-    """Return whether any machine answers with the manifest in the time."""
-    operator = harness.Operator(world)
+async def send(world: harness.World, content: dict, limit_s: float) -> bool:
+    try:
+        answer = await harness.Operator(world).order(
+            "POST", "/-/Config.Replace", content, limit_s)
+    except TimeoutError:
+        return False
+    return answer.status == 200
+
+
+async def read_back(world: harness.World, oldest: int) -> bool:
+    """Return whether a manifest of this version or a later one is read."""
     end = time.monotonic() + READ_FOR_S
     while time.monotonic() < end:
         try:
-            answer = await operator.order("GET", "/-/Config.Read", limit_s=2.0)
+            answer = await harness.Operator(world).order(
+                "GET", "/-/Config.Read", limit_s=2.0)
         except TimeoutError:
             continue
         if answer.status == 200:
-            return json.loads(answer.body)["Version"] == 7
+            return json.loads(answer.body)["Version"] >= oldest
     return False
 
 
 async def play(world: harness.World, trouble: bool) -> bool:
-    first = world.vms[0]
-    await send_first_manifest(world, first)
-    if trouble:
-        await lose_disk(world, first)
-    await asyncio.sleep(RECOVERY_S)
+    record = world.record
+    await asyncio.sleep(2)
+    routes = [harness.route("summary", "/summary/", SERVICE),
+              harness.route("receipt", "/receipt/", "lane-ledger")]
+    content = harness.manifest(7, routes, [SERVICE, "lane-ledger"])
+    content["Services"][0]["Engine"] = ENGINE
+    if not await send(world, content, 10.0):
+        raise harness.CannotRun("the first manifest was not acknowledged")
+    for zone in harness.ZONES:
+        await harness.Server(world, "lane-ledger", "v1", zone).start()
+    await world.wait_ready()
+    await asyncio.sleep(2)
     requester = harness.Requester(world)
-    server = harness.Server(world, "lane-ledger", "v1", harness.ZONES[0])
-    await server.start()
-    await asyncio.sleep(3)
-    for _ in range(5):
-        await requester.send("/receipt/1", "GET")
-    held = await read_back(world)
-    world.record.line(f"statuses of requests: {requester.statuses()}")
-    world.record.line(f"server ran {len(server.runs)} requests")
+    for _ in range(10):
+        await requester.send("/receipt/1", "GET", log=False)
+    record.line(f"statuses of requests before: {requester.statuses()}")
+    requester.sent.clear()
+    content["Version"] = 11
+    content["Routes"][0]["TimeoutMs"] = 900
+    if trouble:
+        del content["Services"][0]["Engine"]
+    acknowledged = await send(world, content, ACK_LIMIT_S)
+    record.line(f"manifest version 11 acknowledged: {acknowledged}")
+    await asyncio.sleep(WAIT_S)
+    for _ in range(10):
+        await requester.send("/receipt/1", "GET", log=False)
+    record.line(f"statuses of requests after: {requester.statuses()}")
+    held = await read_back(world, 11 if acknowledged else 7)
+    ends = {vm.name: world.own_ends.count(f"{vm.name} control")
+            for vm in world.core()}
+    record.line(f"control processes ended by themselves: {ends}")
     return held
 
 
