Say which committed command cannot be applied

The traceback names a line of code, not the entry: whether one entry or several, of which log, and whether the same one at each voter, could not be told; nor that a voter has committed more than it has applied, as no metric showed what is applied.

A line now has the log, the index, the term and the size of the entry, and log_applied_index stands beside log_commit_index.

--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/applier.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/applier.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+import logging
 from typing import Final
 
 from sycamorestand_consensus.messages import Entry
@@ -11,6 +12,7 @@
 from sycamorestand_consensus.replica_types import StateMachine
 from sycamorestand_consensus.waiters import PendingProposals
 
+LOG: Final = logging.getLogger(__name__)
 # After a restart thousands of entries may be committed at once. Applying
 # them all in one step would delay heartbeats; this many entries take a few
 # milliseconds.
@@ -21,10 +23,11 @@
     """State machine with the queue of entries to apply to it."""
 
     def __init__(
-        self, machine: StateMachine, proposals: PendingProposals
+        self, group: int, machine: StateMachine, proposals: PendingProposals
     ) -> None:
-        """Start before the first entry."""
+        """Start before the first entry of the log of ``group``."""
         self.applied_index = 0
+        self._group = group
         self._machine = machine
         self._proposals = proposals
         self._pending: deque[Entry] = deque()
@@ -55,7 +58,7 @@
             entry = self._pending.popleft()
             result = None
             if entry.kind == EntryKind.COMMAND:
-                result = self._machine.apply(entry.log_index, entry.data)
+                result = self._apply(entry)
             self.applied_index = entry.log_index
             self._proposals.resolve(entry, result)
 
@@ -63,6 +66,24 @@
         """Return the state machine's snapshot after ``applied_index``."""
         return self._machine.snapshot()
 
+    def _apply(self, entry: Entry) -> object:
+        try:
+            return self._machine.apply(entry.log_index, entry.data)
+        except Exception:
+            # A member that went on without this entry would have another
+            # state than the members that applied it.
+            LOG.critical(
+                "committed command cannot be applied: this member ends",
+                extra={
+                    "log": self._group,
+                    "index": entry.log_index,
+                    "term": entry.term,
+                    "size_bytes": len(entry.data),
+                },
+                exc_info=True,
+            )
+            raise
+
     def _restore(self, snapshot: Snapshot) -> None:
         self._machine.restore(snapshot.data)
         self.applied_index = snapshot.last_index
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica.py
@@ -99,7 +99,7 @@
         )
         self._proposals = PendingProposals()
         self._reads = PendingReads()
-        self._applier = Applier(machine, self._proposals)
+        self._applier = Applier(group, machine, self._proposals)
         self._core: Core | None = None
         self._inbox: list[tuple[str, bytes]] = []
         self._refused_payloads = 0
--- a/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -85,6 +85,12 @@
                 status.commit_index,
                 labels,
             )
+            self._set(
+                "log_applied_index",
+                "Entries of a log that the state machine has applied",
+                status.applied_index,
+                labels,
+            )
             self._set(
                 "log_leads",
                 "1 where this voter leads the log",
