A change that cannot be applied is refused, and ends no process

No manifest could be read back.

Cause: describe_difference read the fields of the old value in a new one that was None, while the committed command was applied. An error there ends the process, and the log keeps the command.

Ruled out: the push to entries, the conversion of the manifest, several bad entries.

The same cause elsewhere, found by generated sequences and by reading the doors: a full table of parts blocked for everyone, ledger times without a date, totals above 64 bits, commands that nobody can read from another control process, an error in the push after a change.

Change: a value that is gone or has come is described as that. The leader checks that a command can be read before it appends it, and refuses what the log never takes at once (it was tried again for 5 s, then "no leader"). A handler that fails refuses its command on every replica: handlers change nothing in place, so the states stay equal. Errors that a process has by itself (memory, stack, files) still end it. A control process whose revision at an entry differs from the leader's, as one of another release could, gets no lease.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/explore/checks.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/explore/checks.py
@@ -30,6 +30,9 @@
         """Begin with an empty history."""
         self._digest = b""
 
+    def check(self, command: bytes) -> None:
+        """Take every command."""
+
     def apply(self, index: int, command: bytes) -> object:
         """Update the digest with a command and return it."""
         text = b"%s|%d|%s" % (self._digest, index, command)
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/log.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/log.py
@@ -64,6 +64,9 @@
         """Create a counter at zero."""
         self.count = 0
 
+    def check(self, command: bytes) -> None:
+        """Take every command."""
+
     def apply(self, index: int, command: bytes) -> object:
         """Count a command and return the new count."""
         self.count += 1
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/applier.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/applier.py
@@ -6,6 +6,7 @@
 import logging
 from typing import Final
 
+from sycamorestand_consensus.errors import CommandRefused
 from sycamorestand_consensus.messages import Entry
 from sycamorestand_consensus.messages import EntryKind
 from sycamorestand_consensus.messages import Snapshot
@@ -37,6 +38,16 @@
         """Return whether committed entries wait to be applied."""
         return bool(self._pending)
 
+    def check(self, command: bytes) -> None:
+        """Raise ``CommandRefused`` if the state machine cannot read it.
+
+        Once such a command is committed, it ends every member.
+        """
+        try:
+            self._machine.check(command)
+        except Exception as error:
+            raise CommandRefused(f"it cannot be read: {error}") from error
+
     def restore_initial(self, snapshot: Snapshot) -> None:
         """Restore the snapshot recovered from disk, if there is one."""
         if snapshot.last_index > 0:
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/core.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/core.py
@@ -27,6 +27,7 @@
 from sycamorestand_consensus.election import set_election_deadline
 from sycamorestand_consensus.election import start_pre_vote
 from sycamorestand_consensus.errors import BootstrapRefused
+from sycamorestand_consensus.errors import CommandRefused
 from sycamorestand_consensus.errors import NotLeader
 from sycamorestand_consensus.errors import ProposalRefused
 from sycamorestand_consensus.inbox import handle_message
@@ -159,7 +160,7 @@
             raise NotLeader(state.transfer.target)
         settings = state.settings
         if len(command) > settings.max_command_bytes:
-            raise ProposalRefused(f"{len(command)} bytes are too many")
+            raise CommandRefused(f"{len(command)} bytes are too many")
         if state.uncommitted_bytes > settings.max_uncommitted_bytes:
             raise ProposalRefused("too many bytes wait for their commit")
         index = state.log.last_index + 1
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/errors.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/errors.py
@@ -35,6 +35,10 @@
     """The leader refused a command and did not append it."""
 
 
+class CommandRefused(ProposalRefused):
+    """The log takes no such command; another try is refused as well."""
+
+
 class MembershipRefused(ConsensusError):
     """The leader refused a membership change and did not append it."""
 
@@ -84,6 +88,7 @@
 __all__ = [
     "BootstrapRefused",
     "ChangeUnderWay",
+    "CommandRefused",
     "ConsensusError",
     "DiskFull",
     "LogCorrupted",
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica.py
@@ -167,6 +167,7 @@
         and ``ProposalLost`` if the outcome is unknown.
         """
         core = self._require_core()
+        self._applier.check(command)
         entry = core.propose(command, self._now())
         return await self._wait_applied(entry.log_index, entry.term)
 
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica_types.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica_types.py
@@ -9,8 +9,16 @@
 class StateMachine(Protocol):
     """State machine to which every member applies the same commands."""
 
+    def check(self, command: bytes) -> None:
+        """Raise an error if ``apply`` could not read the command."""
+        ...
+
     def apply(self, index: int, command: bytes) -> object:
-        """Apply a committed command; must be deterministic and not raise."""
+        """Apply a committed command; must be deterministic.
+
+        An error ends this member, and again at each start. It is for a
+        command that other members may be able to apply.
+        """
         ...
 
     def snapshot(self) -> bytes:
--- a/packages/sycamorestand-consensus/tests/test_replica.py
+++ b/packages/sycamorestand-consensus/tests/test_replica.py
@@ -13,6 +13,7 @@
 import pytest
 
 from sycamorestand_consensus.errors import BootstrapRefused
+from sycamorestand_consensus.errors import CommandRefused
 from sycamorestand_consensus.errors import LogCorrupted
 from sycamorestand_consensus.errors import MembershipRefused
 from sycamorestand_consensus.errors import NotLeader
@@ -25,6 +26,7 @@
 SETTINGS = ReplicaSettings(snapshot_every_entries=100, trailing_entries=10)
 GROUP = 0
 TIMEOUT_S = 60.0
+UNREADABLE = b"unreadable"
 
 
 class RecordingMachine:
@@ -33,6 +35,10 @@
     def __init__(self) -> None:
         self.applied: list[bytes] = []
 
+    def check(self, command: bytes) -> None:
+        if command == UNREADABLE:
+            raise ValueError("not a command")
+
     def apply(self, index: int, command: bytes) -> object:
         self.applied.append(command)
         return len(self.applied)
@@ -176,6 +182,21 @@
 
         anyio.run(scenario)
 
+    def test_command_that_nobody_can_read_is_not_appended(
+        self, tmp_path: Path
+    ) -> None:
+        """Guards against a committed command that ends every member."""
+
+        async def scenario() -> None:
+            async with group_of(tmp_path, 1) as network:
+                leader = (await network.leader()).replica
+                last_index = leader.status().last_index
+                with pytest.raises(CommandRefused):
+                    await leader.propose(UNREADABLE)
+                assert leader.status().last_index == last_index
+
+        anyio.run(scenario)
+
     def test_followers_refuse_and_name_the_leader(
         self, tmp_path: Path
     ) -> None:
--- a/packages/sycamorestand-control/src/sycamorestand_control/errors.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/errors.py
@@ -17,8 +17,18 @@
     """A proposal may have been committed; resend it with the same id."""
 
 
+class CommandRefused(ControlError):
+    """The log takes no such command; nothing was changed, nor would it be."""
+
+
 class StartRefused(ControlError):
     """The process cannot start with its settings and data folder."""
 
 
-__all__ = ["ControlError", "NoLeader", "OutcomeUnknown", "StartRefused"]
+__all__ = [
+    "CommandRefused",
+    "ControlError",
+    "NoLeader",
+    "OutcomeUnknown",
+    "StartRefused",
+]
--- a/packages/sycamorestand-control/src/sycamorestand_control/groups.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/groups.py
@@ -12,10 +12,12 @@
 import anyio
 import msgspec
 
+from sycamorestand_consensus.errors import CommandRefused as RefusedByLog
 from sycamorestand_consensus.errors import ConsensusError
 from sycamorestand_consensus.errors import NotLeader
 from sycamorestand_consensus.errors import ProposalLost
 from sycamorestand_consensus.replica import Replica
+from sycamorestand_control.errors import CommandRefused
 from sycamorestand_control.errors import NoLeader
 from sycamorestand_control.errors import OutcomeUnknown
 from sycamorestand_peer.clock import boottime_s
@@ -45,6 +47,7 @@
 STARTING: Final = "starting"
 NOT_LEADER: Final = "not_leader"
 LOST: Final = "lost"
+REFUSED: Final = "refused"
 
 
 class Group(NamedTuple):
@@ -164,7 +167,8 @@
         The command must be idempotent, such as one with a change id, a
         claim or a charge, because it is proposed again if the answer is
         lost. After ``timeout_s`` the method raises `OutcomeUnknown` if the
-        command may have been committed, and `NoLeader` otherwise.
+        command may have been committed, and `NoLeader` otherwise. It raises
+        `CommandRefused` at once for a command that the log never takes.
         """
         deadline_s = boottime_s() + timeout_s
         maybe_committed = False
@@ -173,6 +177,8 @@
                 return await self._propose_once(group, command)
             except (ProposalLost, PeerTimeout):
                 maybe_committed = True
+            except RefusedByLog as error:
+                raise CommandRefused(str(error)) from error
             except ConsensusError as error:
                 LOG.debug("not proposed", extra={"reason": str(error)})
             await anyio.sleep(RETRY_PAUSE_S)
@@ -195,6 +201,8 @@
             result = await replica.propose(message.command)
         except ProposalLost:
             return CallReply(message.call_id, LOST, b"")
+        except RefusedByLog as error:
+            return CallReply(message.call_id, REFUSED, str(error).encode())
         except ConsensusError:
             return CallReply(message.call_id, NOT_LEADER, b"")
         payload = msgspec.msgpack.encode(result)
@@ -210,6 +218,8 @@
         reply = await self._forward(address, group, command)
         if reply.failure == NOT_LEADER:
             raise NotLeader("")
+        if reply.failure == REFUSED:
+            raise RefusedByLog(reply.payload.decode())
         if reply.failure:
             raise ProposalLost(reply.failure)
         result_type = self._groups[group].result_type
--- a/packages/sycamorestand-control/src/sycamorestand_control/lease_service.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/lease_service.py
@@ -44,15 +44,23 @@
 
     An entry's lease ends before the lease of the process that granted it.
     While the process leads, it also grants the leases of all control
-    processes, including its own.
+    processes, including its own. ``revision_at`` returns the revision after
+    an index of the log, None if that is not known. ``differing`` holds the
+    control processes that had another one there.
     """
 
     def __init__(
-        self, mesh: PeerMesh, groups: LogGroups, revision: Callable[[], int]
+        self,
+        mesh: PeerMesh,
+        groups: LogGroups,
+        revision: Callable[[], int],
+        revision_at: Callable[[int], int | None] = lambda _: None,
     ) -> None:
         self._mesh = mesh
         self._groups = groups
         self._revision = revision
+        self._revision_at = revision_at
+        self.differing: set[str] = set()
         self._held = HeldLease()
         self._entries = control_table(boottime_s())
         self._term: _LeaderTerm | None = None
@@ -144,8 +152,13 @@
 
     def _renew(self) -> None:
         acked_revision = self._acked_revision()
+        status = self._groups.replicas[CONFIGURATION_GROUP].status()
         request = ControlLeaseRequest(
-            self._mesh.address, boottime_s(), acked_revision, self._revision()
+            self._mesh.address,
+            boottime_s(),
+            acked_revision,
+            self._revision(),
+            status.applied_index,
         )
         if self._leading_table() is not None:
             granted = self._grant_control(request)
@@ -178,7 +191,7 @@
         self, message: ControlLeaseRequest
     ) -> ControlLeaseGranted | None:
         table = self._leading_table()
-        if table is None:
+        if table is None or self._is_different(message):
             return None
         replica = self._groups.replicas[CONFIGURATION_GROUP]
         # The leader's lease is read after the request arrived: an earlier
@@ -196,6 +209,30 @@
             message.sent_at_s, grant.length_s, grant.revision
         )
 
+    def _is_different(self, message: ControlLeaseRequest) -> bool:
+        """Return whether a control process applied the log differently.
+
+        Replicas of one release cannot. One of another release might take
+        what this one refuses, and its entries would then act on a
+        configuration that nobody acknowledged; so it gets no lease.
+        """
+        expected = self._revision_at(message.applied_index)
+        if expected is None or expected == message.held_revision:
+            self.differing.discard(message.control)
+            return False
+        if message.control not in self.differing:
+            self.differing.add(message.control)
+            LOG.error(
+                "control process has another state: it gets no lease",
+                extra={
+                    "control": message.control,
+                    "index": message.applied_index,
+                    "revision": message.held_revision,
+                    "expected_revision": expected,
+                },
+            )
+        return True
+
     def _leading_table(self) -> LeaseTable | None:
         status = self._groups.replicas[CONFIGURATION_GROUP].status()
         if self._term is None or status.role != "leader":
--- a/packages/sycamorestand-control/src/sycamorestand_control/ledger_reader.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/ledger_reader.py
@@ -24,6 +24,11 @@
     def __init__(self, machines: Sequence[LedgerMachine]) -> None:
         self._machines = machines
 
+    @property
+    def faults(self) -> int:
+        """How many committed records were refused because of a fault."""
+        return sum(machine.faults for machine in self._machines)
+
     def bills(self, customer: str, after: int, limit: int) -> BillPage:
         """Return at most ``limit`` charges after a sequence, in order.
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -104,6 +104,12 @@
                 labels,
             )
 
+        self._set(
+            "failed_commands_total",
+            "Committed commands refused because of a fault of this release",
+            self._parts.configuration.faults + self._parts.ledger.faults,
+        )
+
     def _read_voters(self) -> None:
         found = self._parts.voter_tolerance()
         self._set("voters", "Voters of the configuration", found.voters)
@@ -134,6 +140,11 @@
             "How long this process may still grant leases",
             parts.leases.remaining_s(),
         )
+        self._set(
+            "differing_controls",
+            "Control processes that applied the log differently",
+            len(parts.leases.differing),
+        )
         self._set(
             "live_entry_leases",
             "Entries of this process whose lease may run",
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -14,6 +14,7 @@
 from sycamorestand_consensus.errors import ConsensusError
 from sycamorestand_control.change_commands import make_answer
 from sycamorestand_control.change_commands import make_command
+from sycamorestand_control.errors import CommandRefused
 from sycamorestand_control.errors import ControlError
 from sycamorestand_control.errors import NoLeader as NoLeaderAnswered
 from sycamorestand_control.errors import OutcomeUnknown as ProposalUnknown
@@ -46,6 +47,7 @@
 from sycamorestand_control.voter_tolerance import voter_tolerance
 from sycamorestand_control.voter_tolerance import VoterTolerance
 from sycamorestand_state.commands import encode_command
+from sycamorestand_state.errors import MalformedCommand
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -180,6 +182,8 @@
             result = await self._parts.groups.propose(
                 CONFIGURATION_GROUP, encode_command(command), PROPOSE_TIMEOUT_S
             )
+        except (MalformedCommand, CommandRefused) as error:
+            return ChangeAnswer("refused", configuration.revision, str(error))
         except NoLeaderAnswered as error:
             raise NoLeader(str(error)) from error
         except ProposalUnknown as error:
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -117,7 +117,10 @@
             self._other_controls,
         )
         self.leases = LeaseService(
-            self.mesh, self.groups, lambda: self.configuration.revision
+            self.mesh,
+            self.groups,
+            lambda: self.configuration.revision,
+            self._revision_at,
         )
         self.hub = EntryHub(
             self.mesh,
@@ -349,9 +352,22 @@
             )
         return groups
 
+    def _revision_at(self, index: int) -> int | None:
+        replica = self.groups.replicas[CONFIGURATION_GROUP]
+        if not 0 < index <= replica.status().applied_index:
+            return None
+        return self.configuration.revision_at(index)
+
     def _revision_applied(self) -> None:
         self.leases.revision_applied()
-        self.hub.revision_applied()
+        try:
+            self.hub.revision_applied()
+        except Exception:
+            # This runs while a committed command is applied, and the state
+            # has changed. An error raised further would end the process
+            # here at each start; renewals of leases push again.
+            self._count_fault()
+            LOG.exception("revision not sent to entries")
 
     def _shard_proposer(self, shard: int) -> Any:
         async def propose(command: bytes) -> Any:
@@ -474,6 +490,9 @@
         self._machine = machine
         self._on_revision = on_revision
 
+    def check(self, command: bytes) -> None:
+        self._machine.check(command)
+
     def apply(self, index: int, command: bytes) -> object:
         before = self._machine.revision
         result = self._machine.apply(index, command)
--- a/packages/sycamorestand-control/tests/test_hub.py
+++ b/packages/sycamorestand-control/tests/test_hub.py
@@ -49,6 +49,7 @@
         self.role = "leader"
         self.term = 1
         self.lease_s = 0.7
+        self.applied_index = 5
 
     def status(self) -> FakeReplica:
         return self
@@ -74,11 +75,15 @@
         self.mesh = FakeMesh(CONTROL)
         self.replica = FakeReplica()
         self.configuration = InForce(revision=1)
+        self.revisions = {self.replica.applied_index: 1}
         self.voters = ("10.0.0.1:8001", "127.0.0.1:8001")
         mesh: Any = self.mesh
         groups: Any = FakeGroups(self.replica)
         self.leases = LeaseService(
-            mesh, groups, lambda: self.configuration.revision
+            mesh,
+            groups,
+            lambda: self.configuration.revision,
+            self.revisions.get,
         )
         self.tables = SharedTables(mesh, ControlName("c", "d"), lambda: ())
         self.hub = EntryHub(
@@ -97,6 +102,8 @@
 
     def apply(self, revision: int) -> None:
         self.configuration = InForce(revision=revision)
+        self.replica.applied_index += 1
+        self.revisions[self.replica.applied_index] = revision
         self.leases.revision_applied()
         self.hub.revision_applied()
 
@@ -278,6 +285,30 @@
         assert harness.mesh.take_messages(ControlLeaseGranted) == []
 
 
+class TestDifferentState:
+    """Guards against entries that serve what no leader acknowledged."""
+
+    @pytest.mark.parametrize(
+        ("revision", "applied_index", "grants"),
+        [(1, 5, 1), (2, 5, 0), (1, 0, 1), (2, 9, 1)],
+        ids=["equal", "another revision", "older release", "not known here"],
+    )
+    async def test_process_that_applied_the_log_differently_gets_no_lease(
+        self,
+        harness: Harness,
+        revision: int,
+        applied_index: int,
+        grants: int,
+    ) -> None:
+        request = ControlLeaseRequest(
+            "127.0.0.1:8003", 1.0, revision, revision, applied_index
+        )
+        harness.leases.handle_request("127.0.0.1:8003", request)
+        sent = harness.mesh.take_messages(ControlLeaseGranted)
+        assert len(sent) == grants
+        assert len(harness.leases.differing) == 1 - grants
+
+
 class TestAddresses:
     async def test_a_stopping_entry_is_not_in_the_address_list(
         self, harness: Harness
--- a/packages/sycamorestand-control/tests/test_voter_repair_wired.py
+++ b/packages/sycamorestand-control/tests/test_voter_repair_wired.py
@@ -34,6 +34,9 @@
     def __init__(self) -> None:
         self.count = 0
 
+    def check(self, command: bytes) -> None:
+        pass
+
     def apply(self, index: int, command: bytes) -> int:
         self.count += 1
         return self.count
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -136,13 +136,16 @@
 class ControlLeaseRequest(NamedTuple):
     """A request of a control process to the leader for a lease.
 
-    The control process grants leases to entries only within this lease.
+    The control process grants leases to entries only within this lease. It
+    had ``held_revision`` after the entry ``applied_index`` of the log; 0
+    comes from a release that does not tell.
     """
 
     control: str
     sent_at_s: float
     acked_revision: int
     held_revision: int
+    applied_index: int = 0
 
 
 class Query(NamedTuple):
--- a/packages/sycamorestand-state/src/sycamorestand_state/blocked_parts.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/blocked_parts.py
@@ -96,17 +96,22 @@
 def _part_to_drop(blocked: dict[str, BlockedPart]) -> str:
     """Return the oldest part of the customer that has most of them.
 
-    A customer that makes up parts pushes out its own only.
+    A customer that makes up parts pushes out its own only. Where every part
+    is blocked for everyone alone, it is the oldest of all.
     """
     counts = Counter(
         customer for block in blocked.values() for customer in block.customers
     )
     # Voters may hold the parts in different orders.
-    largest = max(counts, key=lambda customer: (counts[customer], customer))
+    largest = max(
+        counts,
+        key=lambda customer: (counts[customer], customer),
+        default=None,
+    )
     return min(
         (block.revision, part)
         for part, block in blocked.items()
-        if largest in block.customers
+        if largest is None or largest in block.customers
     )[1]
 
 
--- a/packages/sycamorestand-state/src/sycamorestand_state/charges.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/charges.py
@@ -29,6 +29,7 @@
 # such figures would exceed the 64-bit integers of a snapshot.
 MAX_COST_MICROS: Final = 1_000_000_000_000
 MAX_TOKENS: Final = 1_000_000_000
+MAX_TOTAL: Final = 2**63 - 1
 DAY_S: Final = 86_400.0
 
 
@@ -104,7 +105,8 @@
         The result of a repeated charge is ``exists`` with the version and
         cost of the first one. The result is ``expired`` if only a
         tombstone of the key is left, ``conflict`` if the figures are
-        implausible, and ``full`` if there is no room.
+        implausible or exceed `MAX_TOTAL` together with earlier ones, and
+        ``full`` if there is no room.
         """
         key = (record.customer, record.request_key)
         known = self._lines.get(key)
@@ -116,11 +118,13 @@
             )
         if self._tombstones.holds(*key):
             return LedgerResult(EXPIRED)
-        if not _is_plausible(record):
+        total = self._total_with(record, clock_s)
+        if not _is_plausible(record) or _is_too_large(total):
             return LedgerResult(CONFLICT)
         if not self._make_room():
             return LedgerResult(FULL)
         self._add(key, record, clock_s)
+        self._totals[total[:3]] = total
         return LedgerResult(
             CREATED, version=record.version, cost_micros=record.cost_micros
         )
@@ -193,13 +197,12 @@
             record.output_tokens,
             clock_s,
         )
-        day = _utc_day(clock_s)
-        total_key = (record.customer, record.version, day)
-        total = self._totals.get(total_key)
-        if total is None:
-            total = DayTotal(*total_key, 0, 0, 0, 0)
-        self._totals[total_key] = DayTotal(
-            *total_key,
+
+    def _total_with(self, record: Charge, clock_s: float) -> DayTotal:
+        key = (record.customer, record.version, _utc_day(clock_s))
+        total = self._totals.get(key, DayTotal(*key, 0, 0, 0, 0))
+        return DayTotal(
+            *key,
             total.charges + 1,
             total.cost_micros + record.cost_micros,
             total.input_tokens + record.input_tokens,
@@ -228,6 +231,11 @@
     )
 
 
+def _is_too_large(total: DayTotal) -> bool:
+    """Return whether a snapshot could not hold the total."""
+    return max(*total[3:]) > MAX_TOTAL
+
+
 def _utc_day(now_s: float) -> str:
     return datetime.fromtimestamp(now_s, UTC).date().isoformat()
 
--- a/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
+import logging
 from typing import Any
 from typing import Final
 from typing import NamedTuple
@@ -38,6 +40,7 @@
 from sycamorestand_state.commands import BASE_REQUIRED_KINDS
 from sycamorestand_state.commands import BlockPart
 from sycamorestand_state.commands import Change
+from sycamorestand_state.commands import Command
 from sycamorestand_state.commands import CreateCluster
 from sycamorestand_state.commands import decode_command
 from sycamorestand_state.commands import DrainDataCentre
@@ -62,7 +65,9 @@
 from sycamorestand_state.configuration_state import to_in_force
 from sycamorestand_state.data_centres import drain_data_centre
 from sycamorestand_state.data_centres import undrain_data_centre
+from sycamorestand_state.errors import PROCESS_ERRORS
 from sycamorestand_state.order_book import OrderBook
+from sycamorestand_state.order_book import OrderDecision
 from sycamorestand_state.order_book import record_order
 from sycamorestand_state.results import AuditEntry
 from sycamorestand_state.results import ChangeResult
@@ -74,6 +79,12 @@
 from sycamorestand_state.rollouts import step_rollout
 from sycamorestand_state.rollouts import stop_rollout
 
+LOG: Final = logging.getLogger(__name__)
+# The text is the same on every replica; the error is in the log alone.
+FAULT_FINDING: Final = (
+    "the change cannot be applied because of a fault of this release; "
+    "nothing was changed, see the log of the control process"
+)
 # About 10 MB at 500 bytes an entry. This covers years of operators' changes,
 # or months with a busy roll-out each day. The oldest entries are dropped.
 MAX_AUDIT_ENTRIES: Final = 20_000
@@ -113,7 +124,11 @@
 
 
 class ConfigurationMachine:
-    """Applies committed commands to the configuration, in log order."""
+    """Applies committed commands to the configuration, in log order.
+
+    ``faults`` counts the commands that were refused because their handler
+    failed.
+    """
 
     def __init__(self) -> None:
         self._state = ConfigurationState()
@@ -122,6 +137,7 @@
         self._order_book = OrderBook()
         self._clock_s = 0.0
         self._in_force = to_in_force(self._state)
+        self.faults = 0
 
     @property
     def revision(self) -> int:
@@ -167,11 +183,27 @@
         ]
         return later[:limit]
 
+    def revision_at(self, index: int) -> int | None:
+        """Return the revision after an applied index of the log.
+
+        Returns None if the audit trail does not reach back that far.
+        """
+        count = bisect_right(self._audit, index, key=lambda e: e.log_index)
+        return self._audit[count - 1].revision if count else None
+
+    def check(self, command: bytes) -> None:
+        """Raise `MalformedCommand` or `UnknownCommand` for unreadable bytes.
+
+        The leader appends no command that this raises for.
+        """
+        decode_command(command)
+
     def apply(self, index: int, command: bytes) -> ChangeResult:
         """Apply the command at this index of the log.
 
         Raises `MalformedCommand` or `UnknownCommand` if the command cannot
-        be read. A refusal or conflict is returned as a result.
+        be read: another release may read it, and this replica must not go
+        on without it. A refusal or conflict is returned as a result.
         """
         decoded = decode_command(command)
         # The wall clocks of leaders differ, and ages must not decrease
@@ -218,8 +250,8 @@
             return self._answer_resend(
                 index, command, known, command_fingerprint
             )
-        decision = self._decide(command)
-        result = self._commit(index, command, decision)
+        decision, in_force = self._evaluate(index, command)
+        result = self._commit(index, command, decision, in_force)
         store_answer(
             self._answers,
             command.change_id,
@@ -240,7 +272,44 @@
             self._state,
             "this change id was used for another change; choose a new one",
         )
-        return self._commit(index, command, decision)
+        return self._commit(index, command, decision, self._in_force)
+
+    def _evaluate(
+        self, index: int, command: Change
+    ) -> tuple[Decision, InForce]:
+        """Return the decision and the configuration that it puts in force.
+
+        A handler that fails would end every process, and again at each
+        start. The command is refused instead. As handlers change nothing in
+        place, every replica that refuses it keeps the same state.
+        """
+        try:
+            decision = self._decide(command)
+            if decision.outcome != "applied":
+                return decision, self._in_force
+            state = decision.state._replace(revision=self.revision + 1)
+            return decision._replace(state=state), to_in_force(state)
+        except PROCESS_ERRORS:
+            raise
+        except Exception:
+            self._count_fault(index, command)
+            return refused(self._state, FAULT_FINDING), self._in_force
+
+    def _count_fault(self, index: int, command: Command) -> None:
+        self.faults += 1
+        name = (
+            command.change_id
+            if not isinstance(command, RecordOrder)
+            else command.order_id
+        )
+        LOG.exception(
+            "committed command failed and is refused",
+            extra={
+                "index": index,
+                "kind": type(command).__name__,
+                "change_id": name,
+            },
+        )
 
     def _decide(self, command: Change) -> Decision:
         finding = self._envelope_finding(command)
@@ -289,11 +358,14 @@
         return since[-MAX_CONFLICT_LINES:]
 
     def _commit(
-        self, index: int, command: Change, decision: Decision
+        self,
+        index: int,
+        command: Change,
+        decision: Decision,
+        in_force: InForce,
     ) -> ChangeResult:
-        if decision.outcome == "applied":
-            self._state = decision.state._replace(revision=self.revision + 1)
-            self._in_force = to_in_force(self._state)
+        self._state = decision.state
+        self._in_force = in_force
         message = _message(command)
         evidence = decision.evidence
         self._append_audit_entry(
@@ -321,7 +393,7 @@
         )
 
     def _apply_order(self, index: int, command: RecordOrder) -> ChangeResult:
-        decision = record_order(self._order_book, command)
+        decision = self._evaluate_order(index, command)
         self._order_book = decision.book
         outcome: Outcome = "applied" if decision.changed else "unchanged"
         if decision.finding:
@@ -346,6 +418,17 @@
         findings = (decision.finding,) if decision.finding else ()
         return ChangeResult(outcome, self.revision, decision.finding, findings)
 
+    def _evaluate_order(
+        self, index: int, command: RecordOrder
+    ) -> OrderDecision:
+        try:
+            return record_order(self._order_book, command)
+        except PROCESS_ERRORS:
+            raise
+        except Exception:
+            self._count_fault(index, command)
+            return OrderDecision(self._order_book, False, FAULT_FINDING)
+
     def _append_audit_entry(self, entry: AuditEntry) -> None:
         evidence = entry.evidence[:MAX_EVIDENCE_CHARACTERS]
         self._audit.append(entry._replace(evidence=evidence))
--- a/packages/sycamorestand-state/src/sycamorestand_state/difference.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/difference.py
@@ -38,11 +38,15 @@
 def _differences(path: str, old: Any, new: Any) -> Iterator[str]:
     if old == new:
         return
-    if isinstance(old, dict):
+    if isinstance(old, dict) and isinstance(new, dict):
         yield from _mapping_differences(path, old, new)
-    elif hasattr(old, "_fields"):
+    elif hasattr(old, "_fields") and type(old) is type(new):
         for field in old._fields:
             yield from _field_differences(_join(path, field), field, old, new)
+    elif new is None:
+        yield f"{path}: removed"
+    elif old is None and hasattr(new, "_fields"):
+        yield f"{path}: added"
     else:
         yield f"{path}: {_abbreviate(old)} -> {_abbreviate(new)}"
 
--- a/packages/sycamorestand-state/src/sycamorestand_state/errors.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/errors.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from sycamorestand_model.errors import SycamorestandError
 
 
@@ -27,8 +29,13 @@
     """A snapshot cannot be decoded as the state that it should hold."""
 
 
+# Errors that a process can have by itself. Any other error of a handler
+# follows from the state and the command, so that every replica has it.
+PROCESS_ERRORS: Final = (MemoryError, RecursionError, OSError)
+
 __all__ = [
     "MalformedCommand",
+    "PROCESS_ERRORS",
     "SnapshotUnreadable",
     "StateError",
     "UnknownCommand",
--- a/packages/sycamorestand-state/src/sycamorestand_state/ledger.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/ledger.py
@@ -15,6 +15,7 @@
 
 from collections.abc import Sequence
 import hashlib
+import logging
 from typing import Any
 from typing import Final
 from typing import NamedTuple
@@ -35,11 +36,13 @@
 from sycamorestand_state.claims import ClaimBook
 from sycamorestand_state.claims import ClaimLimits
 from sycamorestand_state.claims import ClaimsState
+from sycamorestand_state.claims import CONFLICT
 from sycamorestand_state.codec import decode_fields
 from sycamorestand_state.codec import decode_state
 from sycamorestand_state.codec import encode_fields
 from sycamorestand_state.codec import encode_state
 from sycamorestand_state.errors import MalformedCommand
+from sycamorestand_state.errors import PROCESS_ERRORS
 from sycamorestand_state.errors import SnapshotUnreadable
 from sycamorestand_state.pins import MAX_PINS
 from sycamorestand_state.pins import PinBook
@@ -56,6 +59,10 @@
     5: Pin,
 }
 SHARD_HASH_BYTES: Final = 8
+LOG: Final = logging.getLogger(__name__)
+# The end of the year 9999. A later time has no date, and could not be told
+# from that of a broken clock.
+MAX_CLOCK_S: Final = 253_402_300_799.0
 
 _CODE_BY_KIND: Final = {kind: code for code, kind in CODES.items()}
 _DECODERS: Final = {
@@ -107,7 +114,11 @@
 
 
 class LedgerMachine:
-    """Applies committed batches in the order of the shard's log."""
+    """Applies committed batches in the order of the shard's log.
+
+    ``faults`` counts the records that were refused because of an error in
+    this module or its books.
+    """
 
     def __init__(self, shard: int, limits: LedgerLimits | None = None) -> None:
         bounds = LedgerLimits() if limits is None else limits
@@ -118,17 +129,25 @@
         self._claims = ClaimBook(self._claim_tombstones, bounds.claims)
         self._charges = ChargeBook(self._charge_tombstones, bounds.charges)
         self._pins = PinBook(bounds.pins)
+        self.faults = 0
 
     @property
     def shard(self) -> int:
         """The number of this shard."""
         return self._shard
 
+    def check(self, command: bytes) -> None:
+        """Raise `MalformedCommand` or `UnknownCommand` for unreadable bytes.
+
+        The leader appends no batch that this raises for.
+        """
+        decode_batch(command)
+
     def apply(self, index: int, command: bytes) -> list[LedgerResult]:
         """Apply a batch and return the result of each of its records."""
         batch = decode_batch(command)
         self._advance_clock(batch)
-        return [self._apply_record(record) for record in batch.records]
+        return [self._evaluate(index, record) for record in batch.records]
 
     def snapshot(self) -> bytes:
         """Return the whole state as bytes; equal states give equal bytes."""
@@ -190,7 +209,7 @@
         if not stamps_s:
             return
         clock_s = min(batch.now_s, *stamps_s)
-        if clock_s <= self._clock_s:
+        if not self._clock_s < clock_s <= MAX_CLOCK_S:
             return
         self._clock_s = clock_s
         self._claims.expire(clock_s)
@@ -199,6 +218,25 @@
         self._charge_tombstones.expire(clock_s)
         self._pins.expire(clock_s)
 
+    def _evaluate(self, index: int, record: LedgerRecord) -> LedgerResult:
+        """Apply a record; refuse it if that fails.
+
+        The same record fails at the same place on every replica. An error
+        that was raised further would end every process, and again at each
+        start.
+        """
+        try:
+            return self._apply_record(record)
+        except PROCESS_ERRORS:
+            raise
+        except Exception:
+            self.faults += 1
+            LOG.exception(
+                "committed record failed and is refused",
+                extra={"index": index, "kind": type(record).__name__},
+            )
+            return LedgerResult(CONFLICT)
+
     def _apply_record(self, record: LedgerRecord) -> LedgerResult:
         match record:
             case Claim():
--- a/packages/sycamorestand-state/tests/test_blocked_parts.py
+++ b/packages/sycamorestand-state/tests/test_blocked_parts.py
@@ -86,6 +86,20 @@
         assert cluster.block("").outcome == "refused"
         assert cluster.block("x" * 65).outcome == "refused"
 
+    def test_oldest_goes_where_all_are_blocked_for_everyone_alone(
+        self,
+    ) -> None:
+        """Guards against a full table that ends every control process."""
+        cluster = Parts()
+        for number in range(MAX_BLOCKED_PARTS + 1):
+            command = BlockPart(
+                f"b{number}", SYSTEM, -1, f"p{number}", (), True, True, "", 2.0
+            )
+            assert cluster.run(command).outcome == "applied"
+        assert cluster.machine.faults == 0
+        assert "p0" not in cluster.blocked
+        assert len(cluster.blocked) == MAX_BLOCKED_PARTS
+
     def test_customer_that_makes_up_parts_pushes_out_its_own(self) -> None:
         """A flood of made-up names would bring back what ends servers."""
         cluster = Parts()
--- a/packages/sycamorestand-state/tests/test_configuration.py
+++ b/packages/sycamorestand-state/tests/test_configuration.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from hypothesis import given
 from hypothesis.stateful import initialize
 from hypothesis.stateful import invariant
@@ -8,9 +10,12 @@
 import hypothesis.strategies as st
 import pytest
 
+from sycamorestand_model.declarations import Customer
 from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.declarations import Rollout
+from sycamorestand_model.declarations import Service
 from sycamorestand_model.declarations import Version
+from sycamorestand_model.routes import EngineTraits
 from sycamorestand_model.routes import SourceDocument
 from sycamorestand_state.change_ids import MAX_CHANGE_ID_AGE_S
 from sycamorestand_state.change_ids import MAX_CHANGE_IDS
@@ -26,6 +31,7 @@
 from sycamorestand_state.commands import RotateSessionKey
 from sycamorestand_state.commands import UndrainVm
 from sycamorestand_state.commands import Withdraw
+from sycamorestand_state.configuration import _HANDLERS
 from sycamorestand_state.configuration import ConfigurationMachine
 from sycamorestand_state.errors import MalformedCommand
 from sycamorestand_state.errors import SnapshotUnreadable
@@ -486,3 +492,89 @@
         result = cluster.declare(declare(document=document))
         assert result.outcome == "refused"
         assert str(MAX_DECLARATIONS_BYTES) in result.message
+
+
+class TestOptionalFields:
+    """Guards against a field that is gone and ends every control process."""
+
+    ENGINE = EngineTraits(64, 625_049)
+
+    @pytest.mark.parametrize(
+        ("before", "after", "line"),
+        [
+            (ENGINE, None, "services.s.engine: removed"),
+            (None, ENGINE, "services.s.engine: added"),
+            (
+                ENGINE,
+                ENGINE._replace(slots=8),
+                "services.s.engine.slots: 64 -> 8",
+            ),
+        ],
+        ids=["gone", "come", "changed"],
+    )
+    def test_engine_of_a_service(
+        self,
+        before: EngineTraits | None,
+        after: EngineTraits | None,
+        line: str,
+    ) -> None:
+        cluster = Cluster()
+        service = Service("s", engine=before)
+        cluster.declare(declare(services={"s": service}))
+        changed = service._replace(engine=after)
+        result = cluster.declare(declare(services={"s": changed}))
+        assert result.outcome == "applied"
+        assert cluster.machine.audit(2, 9)[-1].difference == (line,)
+
+    @pytest.mark.parametrize("priorities", [(1, None), (None, 1)])
+    def test_priority_of_a_customer(
+        self, priorities: tuple[int | None, int | None]
+    ) -> None:
+        cluster = Cluster()
+        for priority in priorities:
+            customer = Customer("c", (), (), (), priority=priority)
+            result = cluster.declare(declare(customers={"c": customer}))
+            assert result.outcome == "applied"
+
+
+class TestFailingHandler:
+    @pytest.fixture
+    def fail_with(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> Callable[[Exception], None]:
+        def fail_with(error: Exception) -> None:
+            def handler(*_: object) -> None:
+                raise error
+
+            monkeypatch.setitem(_HANDLERS, DrainVm, handler)
+
+        return fail_with
+
+    def test_every_replica_refuses_the_command(
+        self, fail_with: Callable[[Exception], None]
+    ) -> None:
+        """Guards against a fault that ends each process at every start."""
+        cluster = Cluster()
+        copy = ConfigurationMachine()
+        copy.restore(cluster.machine.snapshot())
+        fail_with(ValueError("of this process"))
+        drain = DrainVm("d", "ann", ANY_REVISION, "vm-1", "", 2.0)
+        result = cluster.run(drain)
+        assert result == copy.apply(2, cluster.log[-1])
+        assert (result.outcome, result.revision) == ("refused", 1)
+        assert cluster.machine.snapshot() == copy.snapshot()
+        assert cluster.machine.faults == 1
+        assert cluster.run(drain).duplicate
+
+    @pytest.mark.parametrize("error", [MemoryError(), OSError()])
+    def test_error_of_one_process_is_raised(
+        self, fail_with: Callable[[Exception], None], error: Exception
+    ) -> None:
+        """Guards against a replica that alone refuses a command."""
+        cluster = Cluster()
+        fail_with(error)
+        drain = DrainVm("d", "ann", ANY_REVISION, "vm-1", "", 2.0)
+        with pytest.raises(type(error)):
+            cluster.run(drain)
+        assert cluster.machine.audit(1, 9) == []
+        assert cluster.machine.faults == 0
--- a/packages/sycamorestand-state/tests/test_ledger.py
+++ b/packages/sycamorestand-state/tests/test_ledger.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 from hypothesis import settings
@@ -322,6 +323,47 @@
         assert charges_csv(bills).splitlines()[1].startswith("1,guild,k,")
 
 
+class TestImplausibleFigures:
+    """Guards against a batch that ends every control process."""
+
+    @pytest.mark.parametrize("now_s", [math.nan, math.inf, 1e13])
+    @pytest.mark.parametrize("entry_now_s", [math.nan, math.inf, 1e13])
+    def test_time_without_a_date_does_not_move_the_clock(
+        self, shard: Shard, now_s: float, entry_now_s: float
+    ) -> None:
+        records = (
+            Claim("guild", "k", "f", "a", entry_now_s),
+            Charge("guild", "k", "nest@1", 5, 2, 3, entry_now_s),
+        )
+        results = shard.machine.apply(1, encode_batch(records, now_s))
+        assert [result.state for result in results] == ["created", "created"]
+        assert shard.machine.snapshot()
+        assert shard.charge("later").state == "created"
+        assert shard.machine.faults == 0
+
+    def test_total_that_no_snapshot_can_hold_is_refused(
+        self, shard: Shard, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        limit = "sycamorestand_state.charges.MAX_TOTAL"
+        monkeypatch.setattr(limit, 8)
+        assert shard.charge("k1").state == "created"
+        assert shard.charge("k2").state == "conflict"
+        assert shard.charge("k3", cost_micros=3).state == "created"
+
+    def test_record_whose_handler_fails_is_refused_alone(
+        self, shard: Shard, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def fail(*_: object) -> LedgerResult:
+            raise ValueError
+
+        monkeypatch.setattr(shard.machine._pins, "pin", fail)
+        claim = Claim("guild", "k", "f", "a", START_S)
+        pin = Pin("guild", "s", "nest@1", START_S)
+        states = [result.state for result in shard.run(pin, claim)]
+        assert states == ["conflict", "created"]
+        assert shard.machine.faults == 1
+
+
 class TestPins:
     def test_two_entries_agree_on_a_session(self, shard: Shard) -> None:
         assert shard.pin("s", "nest@1").version == "nest@1"
