--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/storage.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/storage.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 from pathlib import Path
 from typing import Final
@@ -42,6 +43,7 @@
 from sycamorestand_consensus.wire import LogReset
 from sycamorestand_consensus.wire import StoredRecord
 
+LOG: Final = logging.getLogger(__name__)
 CHECKSUM_BYTES: Final = 4
 
 
@@ -80,8 +82,13 @@
             self._prepare_folder(had_log)
             self._snapshot = _newest_snapshot(self._folder)
             image = DiskImage(self._snapshot)
-            self._read_segments(image)
-            recovered = self._recover(image)
+            try:
+                self._read_segments(image)
+                recovered = self._recover(image)
+            except LogCorrupted as error:
+                self._log_files(logging.CRITICAL, f"log unreadable: {error}")
+                raise
+            self._log_files(logging.INFO, "log read")
             self._hard = recovered.hard
             self._open_tail()
             if image.entries and not recovered.entries:
@@ -126,6 +133,21 @@
         self._folder.mkdir(parents=True, exist_ok=True)
         sync_folder(self._folder.parent)
 
+    def _log_files(self, level: int, message: str) -> None:
+        """Log which files there are and what the snapshot covers.
+
+        Without them a hole that the snapshot covers looks like one above it.
+        """
+        LOG.log(
+            level,
+            message,
+            extra={
+                "folder": str(self._folder),
+                "files": sorted(path.name for path in self._folder.iterdir()),
+                "snapshot_index": self._snapshot.last_index,
+            },
+        )
+
     def _recover(self, image: DiskImage) -> Recovered:
         try:
             return image.recovered()
@@ -226,10 +248,22 @@
 
     def _delete_covered(self) -> None:
         covered = self._snapshot.last_index
+        deleted = []
         # Segments are deleted from the oldest on, since a gap between
         # them would look like lost entries.
         while self._closed and self._closed[0].last_index <= covered:
-            self._closed.pop(0).path.unlink()
+            segment = self._closed.pop(0)
+            segment.path.unlink()
+            deleted.append(segment.number)
+        if deleted:
+            LOG.info(
+                "covered segments removed",
+                extra={
+                    "folder": str(self._folder),
+                    "segments": deleted,
+                    "snapshot_index": covered,
+                },
+            )
         current = _snapshot_path(self._folder, covered)
         for path in self._folder.glob("snapshot-*.snp"):
             if path != current:
