A log is read after any loss of power that brings removed files back

Cause: covered segments were removed without a sync of their folder, the oldest first, so that a gap should not come about. A loss of power keeps or loses each of these names by itself.

One sync follows the removals. Folders that are made are synced, files without their final name removed at the start.

--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/files.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/files.py
@@ -12,6 +12,7 @@
 from sycamorestand_consensus.errors import DiskFull
 from sycamorestand_consensus.errors import StorageError
 
+UNNAMED_SUFFIX: Final = ".new"
 # A file size limit that is too low (EFBIG) is temporary like a full disk, as
 # an operator can raise it. Treated as a broken disk, it would end every voter
 # under that limit.
@@ -47,6 +48,15 @@
         os.close(descriptor)
 
 
+def make_folder(folder: Path) -> None:
+    """Create a folder and those above it, and make their names durable."""
+    if folder.is_dir():
+        return
+    make_folder(folder.parent)
+    folder.mkdir(exist_ok=True)
+    sync_folder(folder.parent)
+
+
 def write_all(descriptor: int, data: bytes, offset_bytes: int) -> None:
     """Write all data at an offset, continuing after partial writes."""
     view = memoryview(data)
@@ -57,8 +67,11 @@
 
 
 def replace_file(path: Path, data: bytes) -> None:
-    """Replace a file's content; a crash leaves the old or the new one."""
-    temporary = path.with_suffix(".new")
+    """Replace a file's content; a crash leaves the old or the new one.
+
+    It may also leave a file of `UNNAMED_SUFFIX`, see `remove_unnamed`.
+    """
+    temporary = path.with_suffix(UNNAMED_SUFFIX)
     flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
     descriptor = os.open(temporary, flags, 0o600)
     try:
@@ -74,7 +87,18 @@
     sync_folder(path.parent)
 
 
+def remove_unnamed(folder: Path) -> None:
+    """Remove what a crash left of files that never got their name.
+
+    Each such file has a name of its own, so they would fill the disk.
+    """
+    for path in folder.glob(f"*{UNNAMED_SUFFIX}"):
+        path.unlink()
+
+
 __all__ = [
+    "make_folder",
+    "remove_unnamed",
     "replace_file",
     "storage_errors",
     "sync_folder",
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/identity.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/identity.py
@@ -11,6 +11,8 @@
 import msgspec
 
 from sycamorestand_consensus.errors import LogCorrupted
+from sycamorestand_consensus.files import make_folder
+from sycamorestand_consensus.files import remove_unnamed
 from sycamorestand_consensus.files import replace_file
 from sycamorestand_consensus.files import storage_errors
 
@@ -41,7 +43,8 @@
     and could help to elect a leader that lacks committed entries.
     """
     with storage_errors(folder):
-        folder.mkdir(parents=True, exist_ok=True)
+        make_folder(folder)
+        remove_unnamed(folder)
         path = folder / IDENTITY_FILE
         if path.exists():
             return _read_identity(path)
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/storage.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/storage.py
@@ -3,7 +3,9 @@
 The files ``log-NNNNNNNNNN.seg`` hold frames of records, in the order of
 their numbers. A file ``snapshot-NNNNNNNNNN.snp`` holds the state after
 that index. Each segment begins with the hard state, so the segments
-before it can be deleted once a snapshot covers their entries.
+before it can be deleted once a snapshot covers their entries. The snapshot
+names the first segment that is still needed: what a loss of power leaves of
+the earlier ones does not matter, and none of the others may be missing.
 """
 
 from __future__ import annotations
@@ -21,6 +23,8 @@
 from sycamorestand_consensus.errors import LogCorrupted
 from sycamorestand_consensus.errors import SafetyViolated
 from sycamorestand_consensus.errors import StorageError
+from sycamorestand_consensus.files import make_folder
+from sycamorestand_consensus.files import remove_unnamed
 from sycamorestand_consensus.files import replace_file
 from sycamorestand_consensus.files import storage_errors
 from sycamorestand_consensus.files import sync_folder
@@ -41,8 +45,10 @@
 from sycamorestand_consensus.wire import encode_records
 from sycamorestand_consensus.wire import encode_snapshot
 from sycamorestand_consensus.wire import LogReset
+from sycamorestand_consensus.wire import SavedSnapshot
 from sycamorestand_consensus.wire import StoredRecord
 
+FIRST_SEGMENT: Final = 1
 LOG: Final = logging.getLogger(__name__)
 CHECKSUM_BYTES: Final = 4
 
@@ -62,6 +68,7 @@
         self._segment_bytes = segment_bytes
         self._hard = HardState()
         self._snapshot = EMPTY_SNAPSHOT
+        self._first_segment = FIRST_SEGMENT
         self._closed: list[_Segment] = []
         self._segment_number = 0
         self._last_index = 0
@@ -80,7 +87,7 @@
         """
         with storage_errors(self._folder):
             self._prepare_folder(had_log)
-            self._snapshot = _newest_snapshot(self._folder)
+            self._read_snapshot()
             image = DiskImage(self._snapshot)
             try:
                 self._read_segments(image)
@@ -130,8 +137,8 @@
                 f"{self._folder} has lost its log; remove the whole data "
                 "folder to come back as a new member"
             )
-        self._folder.mkdir(parents=True, exist_ok=True)
-        sync_folder(self._folder.parent)
+        make_folder(self._folder)
+        remove_unnamed(self._folder)
 
     def _log_files(self, level: int, message: str) -> None:
         """Log which files there are and what the snapshot covers.
@@ -162,9 +169,34 @@
             return []
         return [LogReset(record.snapshot.last_index)]
 
+    def _read_snapshot(self) -> None:
+        saved = _newest_snapshot(self._folder)
+        if saved is None:
+            return
+        self._snapshot = saved.snapshot
+        # Earlier releases removed segments without saying which.
+        numbers = [_number(path) for path in self._segment_paths()]
+        oldest = min(numbers, default=FIRST_SEGMENT)
+        self._first_segment = saved.first_segment or oldest
+
+    def _segment_paths(self) -> list[Path]:
+        return sorted(self._folder.glob("log-*.seg"))
+
     def _read_segments(self, image: DiskImage) -> None:
-        paths = sorted(self._folder.glob("log-*.seg"))
-        for path in paths:
+        paths = [
+            path
+            for path in self._segment_paths()
+            if _number(path) >= self._first_segment
+        ]
+        if not paths and self._first_segment > FIRST_SEGMENT:
+            raise LogCorrupted(
+                _segment_path(self._folder, self._first_segment),
+                0,
+                "the segment is missing, and no other follows it",
+            )
+        for expected, path in enumerate(paths, start=self._first_segment):
+            if _number(path) != expected:
+                raise LogCorrupted(path, 0, "the preceding segment is missing")
             is_last = path == paths[-1]
             content = path.read_bytes()
             end = 0
@@ -174,11 +206,7 @@
                     last_index, _replay(path, end, image, frame.payload)
                 )
                 end = frame.end_bytes
-            number = int(path.stem.removeprefix("log-"))
-            if self._closed and number != self._closed[-1].number + 1:
-                raise LogCorrupted(path, 0, "the preceding segment is missing")
-            segment = _Segment(number, path, last_index)
-            self._closed.append(segment)
+            self._closed.append(_Segment(expected, path, last_index))
             self._size_bytes = end
 
     def _open_tail(self) -> None:
@@ -221,13 +249,13 @@
 
     def _roll(self) -> None:
         number = self._segment_number + 1
-        path = self._folder / f"log-{number:010d}.seg"
+        path = _segment_path(self._folder, number)
         first_frame = make_frame(len(MAGIC), encode_records([self._hard]))
         # The file is written under a temporary name first. A segment that
         # lacks its first frame after a crash would also lack the vote.
         replace_file(path, MAGIC + first_frame)
         if self._descriptor >= 0:
-            old_path = self._folder / f"log-{self._segment_number:010d}.seg"
+            old_path = _segment_path(self._folder, self._segment_number)
             segment = _Segment(
                 self._segment_number, old_path, self._last_index
             )
@@ -239,35 +267,43 @@
         self._size_bytes = len(MAGIC) + len(first_frame)
 
     def _write_snapshot(self, snapshot: Snapshot) -> None:
-        content = encode_snapshot(snapshot)
+        covered = snapshot.last_index
+        needed = [s for s in self._closed if s.last_index > covered]
+        first = needed[0].number if needed else self._segment_number
+        content = encode_snapshot(snapshot, first)
         checksum = zlib.crc32(content).to_bytes(CHECKSUM_BYTES, "little")
-        path = _snapshot_path(self._folder, snapshot.last_index)
+        path = _snapshot_path(self._folder, covered)
         replace_file(path, SNAPSHOT_MAGIC + checksum + content)
         self._snapshot = snapshot
+        self._first_segment = first
+        self._closed = [s for s in self._closed if s.number >= first]
         self._delete_due = True
 
     def _delete_covered(self) -> None:
         covered = self._snapshot.last_index
-        deleted = []
-        # Segments are deleted from the oldest on, since a gap between
-        # them would look like lost entries.
-        while self._closed and self._closed[0].last_index <= covered:
-            segment = self._closed.pop(0)
-            segment.path.unlink()
-            deleted.append(segment.number)
+        current = _snapshot_path(self._folder, covered)
+        deleted = [
+            path
+            for path in self._segment_paths()
+            if _number(path) < self._first_segment
+        ]
+        deleted += [
+            path
+            for path in self._folder.glob("snapshot-*.snp")
+            if path != current
+        ]
+        for path in deleted:
+            path.unlink()
         if deleted:
+            sync_folder(self._folder)
             LOG.info(
-                "covered segments removed",
+                "covered files removed",
                 extra={
                     "folder": str(self._folder),
-                    "segments": deleted,
+                    "files": sorted(path.name for path in deleted),
                     "snapshot_index": covered,
                 },
             )
-        current = _snapshot_path(self._folder, covered)
-        for path in self._folder.glob("snapshot-*.snp"):
-            if path != current:
-                path.unlink()
         self._delete_due = False
 
 
@@ -275,10 +311,18 @@
     return folder / f"snapshot-{index:010d}.snp"
 
 
-def _newest_snapshot(folder: Path) -> Snapshot:
+def _segment_path(folder: Path, number: int) -> Path:
+    return folder / f"log-{number:010d}.seg"
+
+
+def _number(path: Path) -> int:
+    return int(path.stem.removeprefix("log-"))
+
+
+def _newest_snapshot(folder: Path) -> SavedSnapshot | None:
     paths = sorted(folder.glob("snapshot-*.snp"))
     if not paths:
-        return EMPTY_SNAPSHOT
+        return None
     path = paths[-1]
     content = path.read_bytes()
     start = len(SNAPSHOT_MAGIC) + CHECKSUM_BYTES
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/wire.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/wire.py
@@ -16,6 +16,7 @@
 from sycamorestand_consensus.messages import HardState
 from sycamorestand_consensus.messages import LogAppend
 from sycamorestand_consensus.messages import LogTruncate
+from sycamorestand_consensus.messages import Membership
 from sycamorestand_consensus.messages import Message
 from sycamorestand_consensus.messages import Record
 from sycamorestand_consensus.messages import Snapshot
@@ -49,6 +50,27 @@
 StoredRecord = Record | LogReset
 
 
+class SavedSnapshot(NamedTuple):
+    """The content of a snapshot file.
+
+    The log goes on in the segment ``first_segment``: all before it hold only
+    entries that the snapshot covers. It is 0 in files of earlier releases.
+    """
+
+    last_index: int
+    last_term: int
+    membership: Membership
+    data: bytes
+    first_segment: int = 0
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """The snapshot without its place in the log."""
+        return Snapshot(
+            self.last_index, self.last_term, self.membership, self.data
+        )
+
+
 class PayloadRefused(ConsensusError):
     """The payload is not a valid message of this protocol."""
 
@@ -72,7 +94,7 @@
 _BODIES: Final = tuple(msgspec.msgpack.Decoder(type=t) for t in BODY_TYPES)
 _FRAMES: Final = msgspec.msgpack.Decoder(type=tuple[_Frame, ...])
 _RECORDS: Final = tuple(msgspec.msgpack.Decoder(type=t) for t in RECORD_TYPES)
-_SNAPSHOT: Final = msgspec.msgpack.Decoder(type=Snapshot)
+_SNAPSHOT: Final = msgspec.msgpack.Decoder(type=SavedSnapshot)
 
 
 def encode_message(message: Message) -> bytes:
@@ -131,12 +153,12 @@
     ]
 
 
-def encode_snapshot(snapshot: Snapshot) -> bytes:
+def encode_snapshot(snapshot: Snapshot, first_segment: int) -> bytes:
     """Encode the content of a snapshot file."""
-    return _ENCODER.encode(snapshot)
+    return _ENCODER.encode(SavedSnapshot(*snapshot, first_segment))
 
 
-def decode_snapshot(data: bytes) -> Snapshot:
+def decode_snapshot(data: bytes) -> SavedSnapshot:
     """Decode the content of a snapshot file; may raise ``MsgspecError``."""
     return _SNAPSHOT.decode(data)
 
@@ -152,6 +174,7 @@
 __all__ = [
     "LogReset",
     "PayloadRefused",
+    "SavedSnapshot",
     "StoredRecord",
     "decode_message",
     "decode_records",
