--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/log.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/log.py
@@ -25,6 +25,10 @@
         self.start_index = start_index
         self.start_term = start_term
         self._entries: list[Entry] = []
+        # What all entries up to each of them take since the start, so that
+        # the size of a part needs no pass over its entries.
+        self._ends_bytes: list[int] = []
+        self._start_bytes = 0
         self.append(entries)
 
     @property
@@ -32,6 +36,22 @@
         """Return the index of the last entry."""
         return self.start_index + len(self._entries)
 
+    @property
+    def size_bytes(self) -> int:
+        """Return what all entries in memory take."""
+        return self.size_after(self.start_index)
+
+    def size_after(self, index: int) -> int:
+        """Return what the entries in memory after ``index`` take."""
+        if not self._ends_bytes:
+            return 0
+        position = index - self.start_index
+        before = self._start_bytes
+        if position > 0:
+            position = min(position, len(self._ends_bytes))
+            before = self._ends_bytes[position - 1]
+        return self._ends_bytes[-1] - before
+
     @property
     def last_term(self) -> int:
         """Return the term of the last entry."""
@@ -67,7 +87,11 @@
             if entry.log_index != self.last_index + 1:
                 reason = f"entry {entry.log_index} follows {self.last_index}"
                 raise SafetyViolated(reason)
+            before = self._start_bytes
+            if self._ends_bytes:
+                before = self._ends_bytes[-1]
             self._entries.append(entry)
+            self._ends_bytes.append(before + entry_size_bytes(entry))
 
     def between(self, first: int, last: int) -> tuple[Entry, ...]:
         """Return the entries from ``first`` to ``last`` inclusive."""
@@ -81,7 +105,7 @@
         position = first - self.start_index - 1
         while position < len(self._entries):
             entry = self._entries[position]
-            size_bytes += len(entry.data) + ENTRY_OVERHEAD_BYTES
+            size_bytes += entry_size_bytes(entry)
             if chosen and size_bytes > max_bytes:
                 break
             chosen.append(entry)
@@ -91,6 +115,7 @@
     def truncate_from(self, index: int) -> None:
         """Delete the entries from ``index`` on."""
         del self._entries[index - self.start_index - 1 :]
+        del self._ends_bytes[index - self.start_index - 1 :]
 
     def compact_to(self, index: int) -> None:
         """Delete the entries up to ``index``, which a snapshot covers."""
@@ -99,15 +124,24 @@
         term = self.term_at(index)
         if term is None:
             raise SafetyViolated(f"entry {index} to compact is not in memory")
+        self._start_bytes = self._ends_bytes[index - self.start_index - 1]
         del self._entries[: index - self.start_index]
+        del self._ends_bytes[: index - self.start_index]
         self.start_index = index
         self.start_term = term
 
     def reset(self, index: int, term: int) -> None:
         """Delete all entries and start after a snapshot."""
         self._entries.clear()
+        self._ends_bytes.clear()
+        self._start_bytes = 0
         self.start_index = index
         self.start_term = term
 
 
-__all__ = ["MemoryLog"]
+def entry_size_bytes(entry: Entry) -> int:
+    """Return what an entry takes in a message, on disk and in memory."""
+    return len(entry.data) + ENTRY_OVERHEAD_BYTES
+
+
+__all__ = ["entry_size_bytes", "MemoryLog"]
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica.py
@@ -34,10 +34,12 @@
 from sycamorestand_consensus.identity import record_group
 from sycamorestand_consensus.raft_state import is_synced
 from sycamorestand_consensus.raft_state import Role
+from sycamorestand_consensus.replica_status import running_sizes
 from sycamorestand_consensus.replica_status import running_status
 from sycamorestand_consensus.replica_status import starting_status
 from sycamorestand_consensus.replica_status import state_name
 from sycamorestand_consensus.replica_types import MemberStatus
+from sycamorestand_consensus.replica_types import ReplicaSizes
 from sycamorestand_consensus.replica_types import ReplicaStatus
 from sycamorestand_consensus.replica_types import StateMachine
 from sycamorestand_consensus.settings import check_settings
@@ -199,6 +201,13 @@
             self._core, self._applier.applied_index, self._refused_payloads
         )
 
+    def sizes(self) -> ReplicaSizes:
+        """Return what this member holds in memory and on disk."""
+        if self._core is None:
+            return ReplicaSizes()
+        received = sum(len(payload) for _, payload in self._inbox)
+        return running_sizes(self._core, received, self._storage.size_bytes)
+
     async def add_learner(self, member_id: str, address: str) -> None:
         """Add a member that receives entries and has no vote.
 
@@ -315,7 +324,19 @@
         ):
             return
         data = self._applier.snapshot()
+        log_bytes = core.state.log.size_bytes
         core.compact(applied, data, self._now())
+        LOG.info(
+            "snapshot made",
+            extra={
+                "log": self._group,
+                "index": applied,
+                "entries": entries_since,
+                "snapshot_bytes": len(data),
+                "log_bytes_before": log_bytes,
+                "log_bytes": core.state.log.size_bytes,
+            },
+        )
         self._wake()
 
     def _log_role_change(self, core: Core) -> None:
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica_status.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica_status.py
@@ -4,6 +4,7 @@
 
 from sycamorestand_consensus.core import Core
 from sycamorestand_consensus.replica_types import MemberStatus
+from sycamorestand_consensus.replica_types import ReplicaSizes
 from sycamorestand_consensus.replica_types import ReplicaStatus
 
 
@@ -31,6 +32,21 @@
     )
 
 
+def running_sizes(
+    core: Core, received_bytes: int, disk_bytes: int
+) -> ReplicaSizes:
+    """Return what a member whose files are open holds."""
+    state = core.state
+    return ReplicaSizes(
+        log=state.log.size_bytes,
+        unsynced=state.log.size_after(state.stable_index),
+        uncommitted=state.log.size_after(state.commit_index),
+        snapshot=len(state.snapshot.data),
+        received=received_bytes,
+        disk=disk_bytes,
+    )
+
+
 def state_name(core: Core) -> str:
     """Return the ``state`` of ``ReplicaStatus`` for an open replica."""
     if core.state.blocked:
@@ -51,4 +67,4 @@
     return tuple(statuses)
 
 
-__all__ = ["running_status", "starting_status", "state_name"]
+__all__ = ["running_sizes", "running_status", "starting_status", "state_name"]
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica_types.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica_types.py
@@ -43,6 +43,23 @@
     match_index: int
 
 
+class ReplicaSizes(NamedTuple):
+    """What a replica holds at one moment, in bytes.
+
+    ``log`` is the part of the log that is in memory, ``unsynced`` the part
+    of it that is not on this disk, ``uncommitted`` the part that no
+    majority has. ``received`` is what has arrived and is not processed yet,
+    and ``disk`` what the files of the group take.
+    """
+
+    log: int = 0
+    unsynced: int = 0
+    uncommitted: int = 0
+    snapshot: int = 0
+    received: int = 0
+    disk: int = 0
+
+
 class ReplicaStatus(NamedTuple):
     """Status of a replica at one moment.
 
@@ -64,4 +81,4 @@
     payloads_refused: int = 0
 
 
-__all__ = ["MemberStatus", "ReplicaStatus", "StateMachine"]
+__all__ = ["MemberStatus", "ReplicaSizes", "ReplicaStatus", "StateMachine"]
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/storage.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/storage.py
@@ -57,6 +57,7 @@
     number: int
     path: Path
     last_index: int
+    size_bytes: int
 
 
 class Storage:
@@ -68,6 +69,7 @@
         self._segment_bytes = segment_bytes
         self._hard = HardState()
         self._snapshot = EMPTY_SNAPSHOT
+        self._snapshot_bytes = 0
         self._first_segment = FIRST_SEGMENT
         self._closed: list[_Segment] = []
         self._segment_number = 0
@@ -122,6 +124,12 @@
             if stored:
                 self._write_frame(stored)
 
+    @property
+    def size_bytes(self) -> int:
+        """The size of the files, as far as this process has written them."""
+        closed = sum(segment.size_bytes for segment in self._closed)
+        return closed + self._size_bytes + self._snapshot_bytes
+
     def close(self) -> None:
         """Close the open segment."""
         if self._descriptor >= 0:
@@ -174,6 +182,7 @@
         if saved is None:
             return
         self._snapshot = saved.snapshot
+        self._snapshot_bytes = len(saved.data)
         # Earlier releases removed segments without saying which.
         numbers = [_number(path) for path in self._segment_paths()]
         oldest = min(numbers, default=FIRST_SEGMENT)
@@ -206,7 +215,7 @@
                     last_index, _replay(path, end, image, frame.payload)
                 )
                 end = frame.end_bytes
-            self._closed.append(_Segment(expected, path, last_index))
+            self._closed.append(_Segment(expected, path, last_index, end))
             self._size_bytes = end
 
     def _open_tail(self) -> None:
@@ -257,7 +266,10 @@
         if self._descriptor >= 0:
             old_path = _segment_path(self._folder, self._segment_number)
             segment = _Segment(
-                self._segment_number, old_path, self._last_index
+                self._segment_number,
+                old_path,
+                self._last_index,
+                self._size_bytes,
             )
             self._closed.append(segment)
             os.close(self._descriptor)
@@ -275,6 +287,7 @@
         path = _snapshot_path(self._folder, covered)
         replace_file(path, SNAPSHOT_MAGIC + checksum + content)
         self._snapshot = snapshot
+        self._snapshot_bytes = len(content)
         self._first_segment = first
         self._closed = [s for s in self._closed if s.number >= first]
         self._delete_due = True
--- a/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from resource import getrusage
+from resource import RUSAGE_SELF
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -20,6 +22,7 @@
     from sycamorestand_control.orders.service import Orders
     from sycamorestand_control.part_controller import PartController
 
+BYTES_PER_KIBIBYTE: Final = 1024
 PREFIX: Final = "sycamorestand_control_"
 PROMETHEUS_TEXT: Final = ["text/plain"]
 
@@ -71,6 +74,11 @@
         self._read_prompt_parts()
         self._read_limits()
         self._read_loads()
+        self._set(
+            "peak_memory_bytes",
+            "The most memory that this process has used",
+            getrusage(RUSAGE_SELF).ru_maxrss * BYTES_PER_KIBIBYTE,
+        )
         content: bytes = render(self._registry, PROMETHEUS_TEXT)[0]
         return content
 
@@ -97,6 +105,13 @@
                 status.role == "leader",
                 labels,
             )
+            for part, size_bytes in replica.sizes()._asdict().items():
+                self._set(
+                    "log_bytes",
+                    "What a log holds, by part",
+                    size_bytes,
+                    {**labels, "part": part},
+                )
             self._set(
                 "log_disk_full",
                 "1 where the voter steps aside for want of disk",
@@ -174,6 +189,11 @@
 
     def _read_links(self) -> None:
         counters = self._parts.mesh.counters
+        self._set(
+            "link_queued_bytes",
+            "What waits to be sent to peers",
+            self._parts.mesh.queued_bytes(),
+        )
         for name, count in vars(counters).items():
             if isinstance(count, int):
                 self._set(f"link_{name}_total", f"Links: {name}", count)
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
@@ -186,6 +186,10 @@
         silence_s = self.silence_s(address)
         return self._relays.relay_for(address, silence_s, boottime_s())
 
+    def queued_bytes(self) -> int:
+        """Return what waits to be sent to all peers."""
+        return sum(link.queued_bytes for link in self._links.values())
+
     def close_link(self, address: str) -> None:
         """Close the link to a peer.
 
