Bound the audit trail and the answers to changes in bytes

Found by reading for bounds in numbers; not seen in service.

The trail keeps 4 MiB, the answers 2 MiB, an entry or an answer 256 lines or 16,384 characters, an order's detail 500. The limits are the same everywhere, as they decide the state. Both have a module of their own.

--- a/packages/sycamorestand-state/bench/measure_state.py
+++ b/packages/sycamorestand-state/bench/measure_state.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
+import random
 import sys
 from time import process_time
+import tracemalloc
 from typing import Final
 
 import msgspec
@@ -19,13 +21,19 @@
 from sycamorestand_model.declarations import Operator
 from sycamorestand_model.declarations import Profile
 from sycamorestand_model.declarations import Version
+from sycamorestand_model.routes import Route
+from sycamorestand_model.routes import RouteTarget
+from sycamorestand_model.routes import SourceDocument
 from sycamorestand_state.commands import ApplyDeclarations
 from sycamorestand_state.commands import CreateCluster
+from sycamorestand_state.commands import DrainVm
 from sycamorestand_state.commands import encode_command
+from sycamorestand_state.commands import UndrainVm
 from sycamorestand_state.configuration import ConfigurationMachine
 from sycamorestand_state.directory import BackendDirectory
 
 CHANGES: Final = 500
+FULL_HISTORY: Final = 8_000
 SERVERS: Final = 910
 SECONDS: Final = 20
 
@@ -34,6 +42,9 @@
     """Run each measurement and print its figures."""
     _measure_configuration("today", 10, 20)
     _measure_configuration("target", 300, 1_000)
+    for routes in (45, 1_849, 13_045):
+        _measure_routes(routes)
+    _measure_history()
     _measure_directory()
 
 
@@ -97,6 +108,76 @@
     )
 
 
+def _measure_routes(count: int) -> None:
+    """Measure a change of one route, of declarations and their document."""
+    rng = random.Random(count)
+    names = [f"r-{rng.getrandbits(36):07x}" for _ in range(count)]
+    routes = {
+        name: Route(
+            name, "shop.example", f"/{name}/", (RouteTarget("s"),), "once", 800
+        )
+        for name in names
+    }
+    operators = {"ann": Operator("ann", ("b2$x$y",), "admin")}
+    machine = ConfigurationMachine()
+    created = CreateCluster("c", "ann", 1.0, "c", b"k", 1, "b2$x$y")
+    machine.apply(1, encode_command(created))
+    commands = []
+    for number in (1, 2):
+        routes[names[0]] = routes[names[0]]._replace(timeout_ms=800 + number)
+        document = SourceDocument(number, msgspec.json.encode(routes))
+        declared = Declarations(
+            operators=operators, routes=dict(routes), document=document
+        )
+        change = ApplyDeclarations(
+            f"{number}", "ann", number, declared, "", 1.0
+        )
+        commands.append(encode_command(change))
+    del routes, document, declared, change
+    tracemalloc.start()
+    machine.apply(2, commands[0])
+    kept, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started_s = process_time()
+    machine.apply(3, commands[1])
+    applied_s = process_time()
+    snapshot = machine.snapshot()
+    saved_s = process_time()
+    sys.stdout.write(
+        f"routes: {count}\n"
+        f"  command {len(commands[0])} bytes, "
+        f"apply {(applied_s - started_s) * 1e3:.0f} ms, "
+        f"{kept / 1e6:.1f} MB kept, {peak / 1e6:.1f} MB at most\n"
+        f"  snapshot {len(snapshot)} bytes, made in "
+        f"{(saved_s - applied_s) * 1e3:.0f} ms\n"
+    )
+
+
+def _measure_history() -> None:
+    """Measure the audit trail and the answers at their limits."""
+    machine = ConfigurationMachine()
+    created = CreateCluster("c", "ann", 1.0, "c", b"k", 1, "b2$x$y")
+    machine.apply(1, encode_command(created))
+    tracemalloc.start()
+    for index in range(2, FULL_HISTORY):
+        reason = f"{index}: " + "repair of the cooling, " * 15
+        drain = DrainVm(f"d-{index}", "ann", -1, f"vm-{index}", reason, 1.0)
+        undrain = UndrainVm(f"u-{index}", "ann", -1, drain.vm, reason, 1.0)
+        machine.apply(2 * index, encode_command(drain))
+        machine.apply(2 * index + 1, encode_command(undrain))
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started_s = process_time()
+    size_bytes = len(machine.snapshot())
+    sizes = machine.sizes()
+    sys.stdout.write(
+        f"history of {2 * FULL_HISTORY} changes: audit trail "
+        f"{sizes.audit_trail} bytes, answers {sizes.answers} bytes\n"
+        f"  {kept / 1e6:.1f} MB kept, snapshot {size_bytes} bytes in "
+        f"{(process_time() - started_s) * 1e3:.0f} ms\n"
+    )
+
+
 def _measure_directory() -> None:
     control = BackendDirectory("c1", 1)
     entry = BackendDirectory("e1", 1)
--- a/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
@@ -9,20 +9,20 @@
 
 from __future__ import annotations
 
-from bisect import bisect_right
 import logging
 from typing import Any
 from typing import Final
 from typing import NamedTuple
 
 from sycamorestand_model.in_force import InForce
+from sycamorestand_state.audit_trail import AuditTrail
+from sycamorestand_state.audit_trail import within_limits
 from sycamorestand_state.blocked_parts import block_part
 from sycamorestand_state.blocked_parts import release_part
 from sycamorestand_state.blocked_parts import try_part
-from sycamorestand_state.change_ids import drop_expired
 from sycamorestand_state.change_ids import MAX_CHANGE_ID_CHARACTERS
-from sycamorestand_state.change_ids import store_answer
 from sycamorestand_state.change_ids import StoredAnswer
+from sycamorestand_state.change_ids import StoredAnswers
 from sycamorestand_state.changes import apply_declarations
 from sycamorestand_state.changes import create_cluster
 from sycamorestand_state.changes import drain_vm
@@ -85,10 +85,6 @@
     "the change cannot be applied because of a fault of this release; "
     "nothing was changed, see the log of the control process"
 )
-# About 10 MB at 500 bytes an entry. This covers years of operators' changes,
-# or months with a busy roll-out each day. The oldest entries are dropped.
-MAX_AUDIT_ENTRIES: Final = 20_000
-MAX_EVIDENCE_CHARACTERS: Final = 2_000
 # A conflict lists at most this many of the changes since its base revision,
 # and as many lines of each change's difference.
 MAX_CONFLICT_LINES: Final = 5
@@ -123,6 +119,13 @@
     clock_s: float
 
 
+class ConfigurationSizes(NamedTuple):
+    """What the history of changes takes, in bytes."""
+
+    audit_trail: int
+    answers: int
+
+
 class ConfigurationMachine:
     """Applies committed commands to the configuration, in log order.
 
@@ -132,8 +135,8 @@
 
     def __init__(self) -> None:
         self._state = ConfigurationState()
-        self._answers: dict[str, StoredAnswer] = {}
-        self._audit: list[AuditEntry] = []
+        self._answers = StoredAnswers()
+        self._audit = AuditTrail()
         self._order_book = OrderBook()
         self._clock_s = 0.0
         self._in_force = to_in_force(self._state)
@@ -178,18 +181,20 @@
 
     def audit(self, after_index: int, limit: int) -> list[AuditEntry]:
         """Return up to ``limit`` audit entries after an index of the log."""
-        later = [
-            entry for entry in self._audit if entry.log_index > after_index
-        ]
-        return later[:limit]
+        return self._audit.after(after_index, limit)
 
     def revision_at(self, index: int) -> int | None:
         """Return the revision after an applied index of the log.
 
         Returns None if the audit trail does not reach back that far.
         """
-        count = bisect_right(self._audit, index, key=lambda e: e.log_index)
-        return self._audit[count - 1].revision if count else None
+        return self._audit.revision_at(index)
+
+    def sizes(self) -> ConfigurationSizes:
+        """Return what the history of changes takes in memory."""
+        return ConfigurationSizes(
+            self._audit.size_bytes, self._answers.size_bytes
+        )
 
     def check(self, command: bytes) -> None:
         """Raise `MalformedCommand` or `UnknownCommand` for unreadable bytes.
@@ -218,8 +223,8 @@
         return encode_state(
             _Snapshot(
                 self._state,
-                list(self._answers.items()),
-                self._audit,
+                self._answers.items(),
+                self._audit.entries,
                 list(self._order_book.orders.values()),
                 (self._order_book.term, self._order_book.sequence),
                 self._clock_s,
@@ -233,15 +238,15 @@
         """
         loaded = decode_state(data, _Snapshot)
         self._state = loaded.state
-        self._answers = dict(loaded.answers)
-        self._audit = loaded.audit
+        self._answers = StoredAnswers(loaded.answers)
+        self._audit = AuditTrail(loaded.audit)
         orders = {order.order_id: order for order in loaded.orders}
         self._order_book = OrderBook(orders, *loaded.order_fence)
         self._clock_s = loaded.clock_s
         self._in_force = to_in_force(self._state)
 
     def _apply_change(self, index: int, command: Change) -> ChangeResult:
-        drop_expired(self._answers, self._clock_s)
+        self._answers.drop_expired(self._clock_s)
         command_fingerprint = fingerprint(
             (type(command).__name__, _without_time(command))
         )
@@ -252,8 +257,7 @@
             )
         decision, in_force = self._evaluate(index, command)
         result = self._commit(index, command, decision, in_force)
-        store_answer(
-            self._answers,
+        self._answers.store(
             command.change_id,
             StoredAnswer(command_fingerprint, result, self._clock_s),
         )
@@ -350,7 +354,7 @@
         since = [
             f"revision {entry.revision} by {entry.operator}: {entry.kind}, "
             + "; ".join(entry.difference[:MAX_CONFLICT_LINES])
-            for entry in self._audit
+            for entry in self._audit.entries
             if entry.outcome == "applied"
             and entry.revision > base_revision
             and entry.kind != RecordOrder.__name__
@@ -368,7 +372,7 @@
         self._in_force = in_force
         message = _message(command)
         evidence = decision.evidence
-        self._append_audit_entry(
+        self._audit.append(
             AuditEntry(
                 index,
                 self.revision,
@@ -384,12 +388,13 @@
                 message,
             )
         )
+        findings = within_limits(decision.findings, "findings")
         return ChangeResult(
             decision.outcome,
             self.revision,
-            "\n".join(decision.findings),
-            decision.findings,
-            decision.notes,
+            "\n".join(findings),
+            findings,
+            within_limits(decision.notes, "notes"),
         )
 
     def _apply_order(self, index: int, command: RecordOrder) -> ChangeResult:
@@ -401,7 +406,7 @@
         # A resend that changed nothing is left out of the audit trail, as
         # each retry of the leader would add an entry.
         if outcome != "unchanged":
-            self._append_audit_entry(
+            self._audit.append(
                 AuditEntry(
                     index,
                     self.revision,
@@ -429,11 +434,6 @@
             self._count_fault(index, command)
             return OrderDecision(self._order_book, False, FAULT_FINDING)
 
-    def _append_audit_entry(self, entry: AuditEntry) -> None:
-        evidence = entry.evidence[:MAX_EVIDENCE_CHARACTERS]
-        self._audit.append(entry._replace(evidence=evidence))
-        del self._audit[:-MAX_AUDIT_ENTRIES]
-
 
 def _without_time(command: Change) -> Change:
     # The leader sets a new time stamp on each resend.
@@ -462,4 +462,4 @@
     )
 
 
-__all__ = ["ConfigurationMachine", "MAX_AUDIT_ENTRIES"]
+__all__ = ["ConfigurationMachine", "ConfigurationSizes"]
--- a/packages/sycamorestand-state/src/sycamorestand_state/order_book.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/order_book.py
@@ -20,6 +20,8 @@
 FINISHED_PHASES: Final = frozenset({"done", "failed"})
 # Finished orders are kept for operators; the audit trail lists them too.
 MAX_FINISHED_ORDERS: Final = 500
+# An engine writes it.
+MAX_DETAIL_CHARACTERS: Final = 500
 
 
 class OrderBook(NamedTuple):
@@ -47,6 +49,7 @@
     A resend of the last record of an order changes nothing.
     """
     record = OrderRecord(*command)
+    record = record._replace(detail=record.detail[:MAX_DETAIL_CHARACTERS])
     known = book.orders.get(command.order_id)
     if known is not None and known._replace(now_s=record.now_s) == record:
         return OrderDecision(book, changed=False)
--- a/packages/sycamorestand-state/tests/test_configuration.py
+++ b/packages/sycamorestand-state/tests/test_configuration.py
@@ -17,6 +17,9 @@
 from sycamorestand_model.declarations import Version
 from sycamorestand_model.routes import EngineTraits
 from sycamorestand_model.routes import SourceDocument
+from sycamorestand_state.audit_trail import MAX_TRAIL_BYTES
+from sycamorestand_state.audit_trail import within_limits
+from sycamorestand_state.change_ids import MAX_ANSWERS_BYTES
 from sycamorestand_state.change_ids import MAX_CHANGE_ID_AGE_S
 from sycamorestand_state.change_ids import MAX_CHANGE_IDS
 from sycamorestand_state.commands import ANY_REVISION
@@ -329,6 +332,61 @@
         assert "secret" not in repr(cluster.machine.audit(0, 10))
 
 
+class TestSizes:
+    """Guards against a history that fills the memory of every process."""
+
+    def test_history_of_large_changes(self) -> None:
+        cluster = Cluster()
+        for turn in range(150):
+            sections = {
+                f"{turn}-{number}-{'x' * 100}": Service("s")
+                for number in range(300)
+            }
+            # All names disagree, so that each is a finding.
+            assert (
+                cluster.declare(declare(services=sections)).outcome
+                == "refused"
+            )
+            cluster.withdraw("nest@" + "y" * 20_000)
+        sizes = cluster.machine.sizes()
+        assert sizes.audit_trail <= MAX_TRAIL_BYTES
+        assert sizes.answers <= MAX_ANSWERS_BYTES
+        most_bytes = MAX_TRAIL_BYTES + MAX_ANSWERS_BYTES + 10_000
+        assert len(cluster.machine.snapshot()) < most_bytes
+        restored = ConfigurationMachine()
+        restored.restore(cluster.machine.snapshot())
+        assert restored.sizes() == sizes
+
+    def test_oldest_entries_and_answers_go_first(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        module = "sycamorestand_state"
+        monkeypatch.setattr(f"{module}.audit_trail.MAX_TRAIL_BYTES", 2_000)
+        monkeypatch.setattr(f"{module}.change_ids.MAX_ANSWERS_BYTES", 2_000)
+        cluster = Cluster()
+        drains = [
+            DrainVm(f"d{n}", "ann", ANY_REVISION, f"vm-{n}", "", 2.0)
+            for n in range(60)
+        ]
+        for drain in drains:
+            cluster.run(drain)
+        entries = cluster.machine.audit(0, 99)
+        assert entries[-1].change_id == "d59"
+        assert 10 < len(entries) < 40
+        assert cluster.run(drains[-1]).duplicate
+        assert not cluster.run(drains[0]).duplicate
+        assert cluster.machine.revision_at(entries[0].log_index - 1) is None
+        assert cluster.machine.revision_at(61) == 61
+
+    def test_lines_of_an_entry(self) -> None:
+        lines = tuple(str(number) for number in range(1_000))
+        assert within_limits(lines[:9], "lines") == lines[:9]
+        assert within_limits(lines, "lines")[-1] == "and 744 more lines"
+        (line, rest) = within_limits(("z" * 99_999, "a"), "findings")
+        assert len(line) == 16_384
+        assert rest == "and 1 more findings"
+
+
 class TestSnapshot:
     def test_bytes_that_are_no_snapshot_are_refused(self) -> None:
         with pytest.raises(SnapshotUnreadable):
