--- a/packages/sycamorestand-bench/src/sycamorestand_bench/explore/run.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/explore/run.py
@@ -77,6 +77,7 @@
         max_inflight_messages=rng.choice((1, 4, 64)),
         snapshot_chunk_bytes=rng.choice((5, 100_000)),
         trailing_entries=rng.choice((0, 3)),
+        **_draw_byte_limits(seed),
     )
     voters = rng.choice((3, 3, 3, 5))
     starts_alone = rng.random() < 0.2
@@ -85,6 +86,23 @@
     return cluster
 
 
+def _draw_byte_limits(seed: int) -> dict[str, int]:
+    """Return small limits for every eighth seed, else none.
+
+    They are drawn apart from what else the seed draws.
+    """
+    if seed % 8 != 1:
+        return {}
+    rng = random.Random(seed)
+    names = (
+        "max_backlog_bytes",
+        "max_inflight_bytes",
+        "snapshot_every_bytes",
+        "trailing_bytes",
+    )
+    return {name: rng.choice((1, 100, 300, 100_000)) for name in names}
+
+
 def _draw_weight(name: str, rng: random.Random) -> float:
     # Each run stresses other faults. With the same weights in all runs, rare
     # combinations would not occur.
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/applier.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/applier.py
@@ -15,9 +15,9 @@
 
 LOG: Final = logging.getLogger(__name__)
 # After a restart thousands of entries may be committed at once. Applying
-# them all in one step would delay heartbeats; this many entries take a few
-# milliseconds.
+# them all in one step would delay heartbeats.
 MAX_APPLY_ENTRIES: Final = 256
+MAX_APPLY_BYTES: Final = 256 * 1024
 
 
 class Applier:
@@ -64,9 +64,13 @@
         self._pending.extend(committed)
 
     def apply_pending(self) -> None:
-        """Apply at most ``MAX_APPLY_ENTRIES`` queued entries."""
+        """Apply queued entries, a limited number and size of them."""
+        size_bytes = 0
         for _ in range(min(MAX_APPLY_ENTRIES, len(self._pending))):
+            if size_bytes >= MAX_APPLY_BYTES:
+                return
             entry = self._pending.popleft()
+            size_bytes += len(entry.data)
             result = None
             if entry.kind == EntryKind.COMMAND:
                 result = self._apply(entry)
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/commit.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/commit.py
@@ -17,7 +17,6 @@
         return
     index = int(majority_value(state.membership, _synced_index(state)))
     if index > state.commit_index and is_from_current_term(state, index):
-        _release_bytes(state, index)
         state.commit_index = index
 
 
@@ -62,12 +61,6 @@
     return answered_round
 
 
-def _release_bytes(state: RaftState, index: int) -> None:
-    entries = state.log.between(state.commit_index + 1, index)
-    released = sum(len(entry.data) for entry in entries)
-    state.uncommitted_bytes = max(0, state.uncommitted_bytes - released)
-
-
 __all__ = [
     "advance_commit",
     "confirm_barriers",
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/core.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/core.py
@@ -47,6 +47,7 @@
 from sycamorestand_consensus.progress import Barrier
 from sycamorestand_consensus.raft_state import append_entries
 from sycamorestand_consensus.raft_state import close_batch
+from sycamorestand_consensus.raft_state import is_backlogged
 from sycamorestand_consensus.raft_state import mark_batches_synced
 from sycamorestand_consensus.raft_state import membership_at
 from sycamorestand_consensus.raft_state import RaftState
@@ -54,6 +55,7 @@
 from sycamorestand_consensus.raft_state import save_snapshot
 from sycamorestand_consensus.raft_state import set_hard_state
 from sycamorestand_consensus.replication import replicate
+from sycamorestand_consensus.replication import restart_snapshots
 from sycamorestand_consensus.replication import send_heartbeats
 from sycamorestand_consensus.settings import ReplicaSettings
 
@@ -161,11 +163,13 @@
         settings = state.settings
         if len(command) > settings.max_command_bytes:
             raise CommandRefused(f"{len(command)} bytes are too many")
-        if state.uncommitted_bytes > settings.max_uncommitted_bytes:
+        uncommitted_bytes = state.log.size_after(state.commit_index)
+        if uncommitted_bytes > settings.max_backlog_bytes:
             raise ProposalRefused("too many bytes wait for their commit")
+        if is_backlogged(state):
+            raise ProposalRefused("too many bytes wait for the disk")
         index = state.log.last_index + 1
         entry = Entry(index, state.term, EntryKind.COMMAND, command)
-        state.uncommitted_bytes += len(command)
         append_entries(state, (entry,))
         return entry
 
@@ -225,6 +229,7 @@
             return
         membership = membership_at(state, index)
         save_snapshot(state, Snapshot(index, term, membership, data))
+        restart_snapshots(state)
 
     def claim_lease_until_s(self, now_s: float) -> float:
         """Claim the leader's lease; return its end, 0 if there is none."""
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/election.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/election.py
@@ -208,7 +208,6 @@
     state.lease_from_s = lease_start_s(state)
     state.transfer_campaign = False
     state.round += 1
-    state.uncommitted_bytes = 0
     state.progress.clear()
     refresh_progress(state)
     # Entries of earlier terms are committed only through an entry of the
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/files.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/files.py
@@ -66,7 +66,7 @@
         offset_bytes += written
 
 
-def replace_file(path: Path, data: bytes) -> None:
+def replace_file(path: Path, *parts: bytes) -> None:
     """Replace a file's content; a crash leaves the old or the new one.
 
     It may also leave a file of `UNNAMED_SUFFIX`, see `remove_unnamed`.
@@ -75,7 +75,10 @@
     flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
     descriptor = os.open(temporary, flags, 0o600)
     try:
-        write_all(descriptor, data, 0)
+        offset_bytes = 0
+        for part in parts:
+            write_all(descriptor, part, offset_bytes)
+            offset_bytes += len(part)
         os.fsync(descriptor)
     except OSError:
         # On a full disk a partial file takes up space that is needed.
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/follower.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/follower.py
@@ -12,6 +12,7 @@
 from sycamorestand_consensus.messages import Stamp
 from sycamorestand_consensus.raft_state import append_entries
 from sycamorestand_consensus.raft_state import install_snapshot
+from sycamorestand_consensus.raft_state import is_backlogged
 from sycamorestand_consensus.raft_state import RaftState
 from sycamorestand_consensus.raft_state import send_after_sync
 from sycamorestand_consensus.raft_state import send_after_term_sync
@@ -20,10 +21,10 @@
 
 def on_append(state: RaftState, message: Message, append: Append) -> None:
     """Append entries from the leader and reply once they are synced."""
-    if state.blocked and append.entries:
-        # Entries are dropped while the disk is full, since queueing them
-        # would fill the memory. The reply to the next heartbeat tells the
-        # leader which entries are missing.
+    if append.entries and (state.blocked or is_backlogged(state)):
+        # Entries are dropped while the disk is full or hangs, since queueing
+        # them would fill the memory. The reply to the next heartbeat tells
+        # the leader which entries are missing.
         return
     append = _skip_snapshot_entries(state, append)
     if state.log.term_at(append.prev_index) != append.prev_term:
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/log.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections.abc import Iterable
 from typing import Final
 
@@ -52,6 +53,21 @@
             before = self._ends_bytes[position - 1]
         return self._ends_bytes[-1] - before
 
+    def size_between(self, first: int, last: int) -> int:
+        """Return what the entries from ``first`` to ``last`` take."""
+        return self.size_after(first - 1) - self.size_after(last)
+
+    def index_before(self, last: int, max_bytes: int) -> int:
+        """Return the index behind which at most ``max_bytes`` reach ``last``.
+
+        It is ``last`` itself if the entry there is larger.
+        """
+        if last <= self.start_index:
+            return last
+        end_bytes = self._ends_bytes[last - self.start_index - 1]
+        ends = [self._start_bytes, *self._ends_bytes]
+        return self.start_index + bisect_left(ends, end_bytes - max_bytes)
+
     @property
     def last_term(self) -> int:
         """Return the term of the last entry."""
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/raft_state.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/raft_state.py
@@ -56,7 +56,8 @@
     ``emitted_index`` were returned as committed or are in an installed
     snapshot. ``epoch`` counts truncations and resets of the log; batches
     of an earlier epoch do not advance ``stable_index``. ``open_sequence``
-    is the number of the batch that collects records.
+    is the number of the batch that collects records, ``snapshot_sequence``
+    that of the batch with the newest snapshot.
     """
 
     def __init__(
@@ -106,12 +107,12 @@
         self.barriers: list[Barrier] = []
         self.confirmed: list[Barrier] = []
         self.transfer: Transfer | None = None
-        self.uncommitted_bytes = 0
 
         self.epoch = 0
         self.open_sequence = 1
         self.synced_sequence = 0
         self.hard_state_sequence = 0
+        self.snapshot_sequence = 0
         self.records: list[Record] = []
         self.inflight_batches: deque[_InflightBatch] = deque()
         self.held_messages: deque[tuple[int, Message]] = deque()
@@ -140,6 +141,17 @@
     )
 
 
+def is_snapshot_synced(state: RaftState) -> bool:
+    """Return whether the newest snapshot is on disk."""
+    return state.synced_sequence >= state.snapshot_sequence
+
+
+def is_backlogged(state: RaftState) -> bool:
+    """Return whether too much of the log waits for this member's disk."""
+    unsynced_bytes = state.log.size_after(state.stable_index)
+    return unsynced_bytes > state.settings.max_backlog_bytes
+
+
 def send_now(state: RaftState, to: str, body: Body) -> None:
     """Send a message that does not depend on unsynced records."""
     _enqueue_message(state, _make_message(state, to, body))
@@ -208,10 +220,8 @@
 
 def save_snapshot(state: RaftState, snapshot: Snapshot) -> None:
     """Record a snapshot of this member's state and compact the log."""
-    state.snapshot = snapshot
-    state.records.append(SaveSnapshot(snapshot, keep_log=True))
-    kept = snapshot.last_index - state.settings.trailing_entries
-    state.log.compact_to(max(kept, state.log.start_index))
+    _record_snapshot(state, snapshot, keep_log=True)
+    state.log.compact_to(max(_kept_index(state), state.log.start_index))
     _prune_memberships(state)
 
 
@@ -226,8 +236,7 @@
         state.memberships = [(snapshot.last_index, snapshot.membership)]
         state.stable_index = 0
         state.epoch += 1
-    state.snapshot = snapshot
-    state.records.append(SaveSnapshot(snapshot, keep_log=keep_log))
+    _record_snapshot(state, snapshot, keep_log=keep_log)
     state.commit_index = snapshot.last_index
     state.emitted_index = snapshot.last_index
     state.install = snapshot
@@ -290,6 +299,39 @@
         state.outgoing.append(message)
 
 
+def _record_snapshot(
+    state: RaftState, snapshot: Snapshot, *, keep_log: bool
+) -> None:
+    state.snapshot = snapshot
+    state.snapshot_sequence = state.open_sequence
+    state.records.append(SaveSnapshot(snapshot, keep_log))
+
+
+def _kept_index(state: RaftState) -> int:
+    """Return the index behind which the log is kept after a snapshot.
+
+    A member that lags a little gets the entries behind it, and one that is
+    receiving an earlier snapshot those that follow it, within limits. Without
+    them it would need a whole snapshot once more.
+    """
+    settings = state.settings
+    last = state.snapshot.last_index
+    kept = max(
+        last - settings.trailing_entries,
+        state.log.index_before(last, settings.trailing_bytes),
+    )
+    limit = state.log.index_before(
+        last, settings.snapshot_every_bytes + settings.trailing_bytes
+    )
+    received = [
+        progress.snapshot.last_index
+        for progress in state.progress.values()
+        if progress.snapshot is not None
+        and progress.snapshot.last_index >= limit
+    ]
+    return min([kept, *received])
+
+
 def _record_memberships(state: RaftState, entries: tuple[Entry, ...]) -> None:
     for entry in entries:
         if entry.kind == EntryKind.MEMBERSHIP:
@@ -309,6 +351,8 @@
     "append_entries",
     "close_batch",
     "install_snapshot",
+    "is_backlogged",
+    "is_snapshot_synced",
     "is_synced",
     "mark_batches_synced",
     "membership_at",
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/replica.py
@@ -32,6 +32,8 @@
 from sycamorestand_consensus.errors import TransferFailed
 from sycamorestand_consensus.identity import open_identity
 from sycamorestand_consensus.identity import record_group
+from sycamorestand_consensus.log import ENTRY_OVERHEAD_BYTES
+from sycamorestand_consensus.raft_state import is_snapshot_synced
 from sycamorestand_consensus.raft_state import is_synced
 from sycamorestand_consensus.raft_state import Role
 from sycamorestand_consensus.replica_status import running_sizes
@@ -54,9 +56,6 @@
 
 LOG: Final = logging.getLogger(__name__)
 
-# Payloads beyond this many are dropped, as a network may do. A member that
-# cannot keep up catches up through later messages.
-INBOX_PAYLOADS: Final = 4096
 SEED_BITS: Final = 64
 
 
@@ -96,14 +95,13 @@
         self._storage = Storage(
             folder / f"group-{group}", settings.segment_bytes
         )
-        self._writer = Writer(
-            self._storage, now, self._wake, settings.disk_retry_s
-        )
+        self._writer = Writer(self._storage, now, self._wake, settings)
         self._proposals = PendingProposals()
         self._reads = PendingReads()
         self._applier = Applier(group, machine, self._proposals)
         self._core: Core | None = None
         self._inbox: list[tuple[str, bytes]] = []
+        self._inbox_bytes = 0
         self._refused_payloads = 0
         self._led_term = 0
         self._last_barrier_id = 0
@@ -140,11 +138,16 @@
         """Queue a payload that the member ``sender`` passed to ``send``.
 
         Payloads that arrive before ``run`` has opened the files are
-        dropped.
+        dropped, and those beyond ``max_backlog_bytes``, as a network may do.
+        A member that cannot keep up catches up through later messages.
         """
-        if self._core is None or len(self._inbox) >= INBOX_PAYLOADS:
+        if self._core is None:
+            return
+        size_bytes = self._inbox_bytes + len(payload) + ENTRY_OVERHEAD_BYTES
+        if size_bytes > self._settings.max_backlog_bytes:
             return
         self._inbox.append((sender, payload))
+        self._inbox_bytes = size_bytes
         self._wake()
 
     async def bootstrap(self, members: Sequence[tuple[str, str]]) -> None:
@@ -205,8 +208,9 @@
         """Return what this member holds in memory and on disk."""
         if self._core is None:
             return ReplicaSizes()
-        received = sum(len(payload) for _, payload in self._inbox)
-        return running_sizes(self._core, received, self._storage.size_bytes)
+        return running_sizes(
+            self._core, self._inbox_bytes, self._storage.size_bytes
+        )
 
     async def add_learner(self, member_id: str, address: str) -> None:
         """Add a member that receives entries and has no vote.
@@ -278,6 +282,7 @@
     def _process_inbox(self, core: Core) -> None:
         payloads = self._inbox
         self._inbox = []
+        self._inbox_bytes = 0
         for sender, payload in payloads:
             try:
                 message = decode_message(payload)
@@ -317,14 +322,11 @@
 
     def _compact(self, core: Core) -> None:
         applied = self._applier.applied_index
-        entries_since = applied - core.state.snapshot.last_index
-        if (
-            core.state.blocked
-            or entries_since < self._settings.snapshot_every_entries
-        ):
+        if not self._is_snapshot_due(core, applied):
             return
         data = self._applier.snapshot()
         log_bytes = core.state.log.size_bytes
+        entries_since = applied - core.state.snapshot.last_index
         core.compact(applied, data, self._now())
         LOG.info(
             "snapshot made",
@@ -339,6 +341,24 @@
         )
         self._wake()
 
+    def _is_snapshot_due(self, core: Core, applied: int) -> bool:
+        """Return whether a snapshot should be made now.
+
+        Only one waits for the disk, as each is held in memory. On a full disk
+        any entry is reason enough: what a snapshot covers can be removed.
+        """
+        state = core.state
+        last = state.snapshot.last_index
+        if applied <= last or not is_snapshot_synced(state):
+            return False
+        settings = self._settings
+        size_bytes = state.log.size_between(last + 1, applied)
+        return (
+            state.blocked
+            or applied - last >= settings.snapshot_every_entries
+            or size_bytes >= settings.snapshot_every_bytes
+        )
+
     def _log_role_change(self, core: Core) -> None:
         current = (core.state.role.value, state_name(core))
         if current == self._logged_state:
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/replication.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/replication.py
@@ -14,6 +14,7 @@
 from sycamorestand_consensus.messages import AppendReply
 from sycamorestand_consensus.messages import Entry
 from sycamorestand_consensus.messages import Message
+from sycamorestand_consensus.messages import Snapshot
 from sycamorestand_consensus.messages import SnapshotChunk
 from sycamorestand_consensus.messages import SnapshotReply
 from sycamorestand_consensus.messages import Stamp
@@ -56,6 +57,21 @@
         del state.progress[member_id]
 
 
+def restart_snapshots(state: RaftState) -> None:
+    """Send the newest snapshot to members that receive a useless one.
+
+    The log no longer holds what follows it. A member that is down would
+    otherwise keep its snapshot in this one's memory.
+    """
+    for progress in state.progress.values():
+        snapshot = progress.snapshot
+        if snapshot is None or snapshot.last_index >= state.log.start_index:
+            continue
+        progress.snapshot = state.snapshot
+        progress.offset_bytes = 0
+        progress.awaiting_reply = False
+
+
 def on_append_reply(
     state: RaftState, message: Message, reply: AppendReply
 ) -> None:
@@ -161,16 +177,25 @@
             _send_append(state, member_id, progress, with_entries=True)
             progress.awaiting_reply = True
         return
-    limit = state.settings.max_inflight_messages
-    while (
-        progress.next_index <= state.log.last_index
-        and len(progress.inflight) < limit
+    while progress.next_index <= state.log.last_index and _may_send_more(
+        state, progress
     ):
         last = _send_append(state, member_id, progress, with_entries=True)
         progress.inflight.append(last)
         progress.next_index = last + 1
 
 
+def _may_send_more(state: RaftState, progress: Progress) -> bool:
+    settings = state.settings
+    sent_bytes = state.log.size_between(
+        progress.match_index + 1, progress.next_index - 1
+    )
+    return (
+        len(progress.inflight) < settings.max_inflight_messages
+        and sent_bytes < settings.max_inflight_bytes
+    )
+
+
 def _send_append(
     state: RaftState,
     member_id: str,
@@ -200,12 +225,27 @@
     state: RaftState, member_id: str, progress: Progress
 ) -> None:
     progress.mode = SendMode.SNAPSHOT
-    progress.snapshot = state.snapshot
+    progress.snapshot = _snapshot_to_send(state)
     progress.offset_bytes = 0
     progress.inflight.clear()
     _send_chunk(state, member_id, progress, with_data=True)
 
 
+def _snapshot_to_send(state: RaftState) -> Snapshot:
+    """Return the newest snapshot, or one that others receive already.
+
+    So at most two are in memory, as long as the log still holds what follows
+    the older one.
+    """
+    useful = [
+        progress.snapshot
+        for progress in state.progress.values()
+        if progress.snapshot is not None
+        and progress.snapshot.last_index >= state.log.start_index
+    ]
+    return max(useful, default=state.snapshot, key=lambda s: s.last_index)
+
+
 def _send_chunk(
     state: RaftState,
     member_id: str,
@@ -241,5 +281,6 @@
     "on_snapshot_reply",
     "refresh_progress",
     "replicate",
+    "restart_snapshots",
     "send_heartbeats",
 ]
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/storage.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/storage.py
@@ -124,6 +124,19 @@
             if stored:
                 self._write_frame(stored)
 
+    def compact(self, snapshot: Snapshot) -> bool:
+        """Make a snapshot durable and remove what it covers, at once.
+
+        Returns whether it was new. Entries that it covers may not be written
+        yet.
+        """
+        with storage_errors(self._folder):
+            if snapshot is self._snapshot:
+                return False
+            self._write_snapshot(snapshot)
+            self._delete_covered()
+            return True
+
     @property
     def size_bytes(self) -> int:
         """The size of the files, as far as this process has written them."""
@@ -172,7 +185,9 @@
     def _prepare(self, record: Record) -> list[StoredRecord]:
         if not isinstance(record, SaveSnapshot):
             return [record]
-        self._write_snapshot(record.snapshot)
+        # `compact` may have written it already.
+        if record.snapshot is not self._snapshot:
+            self._write_snapshot(record.snapshot)
         if record.keep_log:
             return []
         return [LogReset(record.snapshot.last_index)]
@@ -285,7 +300,7 @@
         content = encode_snapshot(snapshot, first)
         checksum = zlib.crc32(content).to_bytes(CHECKSUM_BYTES, "little")
         path = _snapshot_path(self._folder, covered)
-        replace_file(path, SNAPSHOT_MAGIC + checksum + content)
+        replace_file(path, SNAPSHOT_MAGIC, checksum, content)
         self._snapshot = snapshot
         self._snapshot_bytes = len(content)
         self._first_segment = first
@@ -337,7 +352,7 @@
     if not paths:
         return None
     path = paths[-1]
-    content = path.read_bytes()
+    content = memoryview(path.read_bytes())
     start = len(SNAPSHOT_MAGIC) + CHECKSUM_BYTES
     if content[: len(SNAPSHOT_MAGIC)] != SNAPSHOT_MAGIC:
         raise LogCorrupted(path, 0, "not a snapshot of a known version")
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/wire.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/wire.py
@@ -158,7 +158,7 @@
     return _ENCODER.encode(SavedSnapshot(*snapshot, first_segment))
 
 
-def decode_snapshot(data: bytes) -> SavedSnapshot:
+def decode_snapshot(data: bytes | memoryview) -> SavedSnapshot:
     """Decode the content of a snapshot file; may raise ``MsgspecError``."""
     return _SNAPSHOT.decode(data)
 
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/writer.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/writer.py
@@ -9,8 +9,12 @@
 
 from sycamorestand_consensus.core import Core
 from sycamorestand_consensus.errors import DiskFull
+from sycamorestand_consensus.log import entry_size_bytes
 from sycamorestand_consensus.messages import Batch
+from sycamorestand_consensus.messages import LogAppend
 from sycamorestand_consensus.messages import Record
+from sycamorestand_consensus.messages import SaveSnapshot
+from sycamorestand_consensus.settings import ReplicaSettings
 from sycamorestand_consensus.storage import Storage
 
 
@@ -22,14 +26,15 @@
         storage: Storage,
         now: Callable[[], float],
         wake: Callable[[], None],
-        retry_s: float,
+        settings: ReplicaSettings,
     ) -> None:
         """Write to ``storage``; call ``wake`` when the core has new output."""
         self._storage = storage
         self._now = now
         self._wake = wake
-        self._retry_s = retry_s
+        self._settings = settings
         self._batches: list[Batch] = []
+        self._unwritten: list[Record] = []
         self._batch_queued = anyio.Event()
 
     def enqueue(self, batch: Batch) -> None:
@@ -41,15 +46,17 @@
         """Write queued batches and report them to the core, until cancelled.
 
         While the disk is full, the core is blocked and the write is retried
-        every ``retry_s``.
+        every ``disk_retry_s``.
         """
         while True:
             await self._batch_queued.wait()
             self._batch_queued = anyio.Event()
             batches = self._batches
             self._batches = []
-            records = [r for batch in batches for r in batch.records]
-            await self._write(core, records)
+            self._unwritten = [r for b in batches for r in b.records]
+            while self._unwritten:
+                part = _take(self._unwritten, self._settings.max_commit_bytes)
+                await self._write(core, part)
             core.mark_synced(batches[-1].sequence, self._now())
             self._wake()
 
@@ -63,11 +70,54 @@
                 # acknowledged can be lost.
                 core.set_blocked(True, self._now())
                 self._wake()
-                await anyio.sleep(self._retry_s)
+                if not await self._make_room():
+                    await anyio.sleep(self._settings.disk_retry_s)
                 continue
             if core.state.blocked:
                 core.set_blocked(False, self._now())
             return
 
+    async def _make_room(self) -> bool:
+        """Write a snapshot that waits behind the records; remove the rest.
+
+        Returns whether it was written. It may be written before the records,
+        as it holds committed entries only.
+        """
+        queued = (r for batch in self._batches for r in batch.records)
+        waiting = [
+            record.snapshot
+            for record in (*self._unwritten, *queued)
+            if isinstance(record, SaveSnapshot) and record.keep_log
+        ]
+        if not waiting:
+            return False
+        try:
+            return await to_thread.run_sync(self._storage.compact, waiting[-1])
+        except DiskFull:
+            return False
+
+
+def _take(records: list[Record], max_bytes: int) -> list[Record]:
+    """Remove and return the first record, and more up to the limit.
+
+    What is written at once is in memory three more times.
+    """
+    size_bytes = 0
+    count = 0
+    for record in records:
+        size_bytes += _size_bytes(record)
+        if count and size_bytes > max_bytes:
+            break
+        count += 1
+    taken = records[:count]
+    del records[:count]
+    return taken
+
+
+def _size_bytes(record: Record) -> int:
+    if not isinstance(record, LogAppend):
+        return 0
+    return sum(entry_size_bytes(entry) for entry in record.entries)
+
 
 __all__ = ["Writer"]
--- a/packages/sycamorestand-consensus/tests/test_core_machine.py
+++ b/packages/sycamorestand-consensus/tests/test_core_machine.py
@@ -30,14 +30,24 @@
         voters=sampled_from((1, 3, 5)),
         append_bytes=sampled_from((1, 100_000)),
         trailing=sampled_from((0, 3)),
+        few_bytes=sampled_from((1, 120, 100_000)),
     )
     def start(
-        self, seed: int, voters: int, append_bytes: int, trailing: int
+        self,
+        seed: int,
+        voters: int,
+        append_bytes: int,
+        trailing: int,
+        few_bytes: int,
     ) -> None:
         group = ReplicaSettings(
             max_append_bytes=append_bytes,
+            max_inflight_bytes=few_bytes,
+            max_backlog_bytes=few_bytes,
             snapshot_chunk_bytes=7,
+            snapshot_every_bytes=few_bytes,
             trailing_entries=trailing,
+            trailing_bytes=few_bytes,
         )
         self.cluster = Cluster(voters, group, seed)
         self.cluster.bootstrap(self.cluster.nodes)
--- a/packages/sycamorestand-control/src/sycamorestand_control/errors.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/errors.py
@@ -17,6 +17,10 @@
     """A proposal may have been committed; resend it with the same id."""
 
 
+class CallerLeft(ControlError):
+    """The caller of an order has closed its connection; nothing was done."""
+
+
 class CommandRefused(ControlError):
     """The log takes no such command; nothing was changed, nor would it be."""
 
@@ -26,6 +30,7 @@
 
 
 __all__ = [
+    "CallerLeft",
     "CommandRefused",
     "ControlError",
     "NoLeader",
--- a/packages/sycamorestand-control/src/sycamorestand_control/ledger_writer.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/ledger_writer.py
@@ -12,6 +12,7 @@
 import anyio
 
 from sycamorestand_control.errors import ControlError
+from sycamorestand_control.errors import NoLeader
 from sycamorestand_control.errors import OutcomeUnknown
 from sycamorestand_model.errors import SycamorestandError
 from sycamorestand_state.ledger import decode_batch
@@ -31,6 +32,9 @@
 # third and a fourth keep the leader's disk busy while the followers answer.
 # More proposals in flight would only make each of them smaller.
 MAX_IN_FLIGHT: Final = 4
+# Without a leader batches wait until their proposal times out. Entries send
+# more of them meanwhile.
+MAX_QUEUED_BYTES: Final = 4 * 1024 * 1024
 
 
 class _PendingBatch(NamedTuple):
@@ -63,8 +67,12 @@
     async def submit(self, batch: bytes) -> list[LedgerResult]:
         """Commit an encoded batch and return its results in order.
 
-        Raises the error of the proposal that contained the batch.
+        Raises the error of the proposal that contained the batch, and
+        `NoLeader` at once if too many bytes wait already.
         """
+        queued_bytes = sum(pending.size_bytes for pending in self._queue)
+        if queued_bytes + len(batch) > MAX_QUEUED_BYTES:
+            raise NoLeader("too many batches wait for the log")
         records = decode_batch(batch).records
         pending = _PendingBatch(tuple(records), len(batch), anyio.Event(), [])
         self._queue.append(pending)
--- a/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -19,6 +19,7 @@
     from sycamorestand_control.limit_controller import LimitController
     from sycamorestand_control.load_exchange import LoadExchange
     from sycamorestand_control.operator_backend import Parts
+    from sycamorestand_control.order_turns import OrderTurns
     from sycamorestand_control.orders.service import Orders
     from sycamorestand_control.part_controller import PartController
 
@@ -44,8 +45,10 @@
         prompt_parts: PartController,
         limits: LimitController,
         loads: LoadExchange,
+        turns: OrderTurns,
     ) -> None:
         self._parts = parts
+        self._turns = turns
         self._writers = writers
         self._orders = orders
         self._balancer = balancer
@@ -74,6 +77,16 @@
         self._read_prompt_parts()
         self._read_limits()
         self._read_loads()
+        self._set(
+            "order_bytes",
+            "Bodies of operators' requests that wait or are worked on",
+            self._turns.room.used_bytes,
+        )
+        self._set(
+            "orders_waiting",
+            "Orders with whole declarations that wait for their turn",
+            self._turns.waiting,
+        )
         self._set(
             "peak_memory_bytes",
             "The most memory that this process has used",
@@ -119,6 +132,13 @@
                 labels,
             )
 
+        for part, size in self._parts.configuration.sizes()._asdict().items():
+            self._set(
+                "configuration_bytes",
+                "What the history of changes takes, by part",
+                size,
+                {"part": part},
+            )
         self._set(
             "failed_commands_total",
             "Committed commands refused because of a fault of this release",
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/app.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/app.py
@@ -17,8 +17,9 @@
 
 from sycamorestand_control.operator_api.asgi import answer_lifespan
 from sycamorestand_control.operator_api.asgi import AsgiApp
+from sycamorestand_control.operator_api.asgi import decode_json
 from sycamorestand_control.operator_api.asgi import parse_query
-from sycamorestand_control.operator_api.asgi import read_json
+from sycamorestand_control.operator_api.asgi import read_body
 from sycamorestand_control.operator_api.asgi import Receive
 from sycamorestand_control.operator_api.asgi import respond
 from sycamorestand_control.operator_api.asgi import respond_text
@@ -43,9 +44,11 @@
 from sycamorestand_control.operator_api.errors import UNKNOWN_SUBJECT
 from sycamorestand_control.operator_api.plain import to_plain
 from sycamorestand_control.operator_api.routes import Call
+from sycamorestand_control.operator_api.routes import MAX_SMALL_BODY_BYTES
 from sycamorestand_control.operator_api.routes import role_suffices
 from sycamorestand_control.operator_api.routes import Route
 from sycamorestand_control.operator_api.routes import ROUTES
+from sycamorestand_control.order_turns import OrderTurns
 from sycamorestand_model.errors import SycamorestandError
 
 logger = logging.getLogger(__name__)
@@ -72,13 +75,16 @@
     authenticate: Authenticate,
     count_refusal: Callable[[str], None] = _ignore_refusal,
     render_metrics: Callable[[], bytes] = _render_no_metrics,
+    turns: OrderTurns | None = None,
 ) -> AsgiApp:
     """Return the ASGI application of the operators' API.
 
     ``count_refusal`` is called with the code of every error answer, and
-    ``render_metrics`` returns the page of `METRICS_PATH`.
+    ``render_metrics`` returns the page of `METRICS_PATH`. Requests with
+    large bodies wait for their ``turns``.
     """
     check_limiter = CapacityLimiter(1)
+    own_turns = OrderTurns(0) if turns is None else turns
 
     async def app(scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] == "lifespan":
@@ -94,7 +100,7 @@
     async def answer(scope: Scope, receive: Receive) -> Response:
         try:
             return await _answer_request(
-                backend, authenticate, check_limiter, scope, receive
+                backend, authenticate, check_limiter, own_turns, scope, receive
             )
         except ApiError as error:
             count_refusal(error.code)
@@ -107,6 +113,7 @@
     backend: OperatorBackend,
     authenticate: Authenticate,
     check_limiter: CapacityLimiter,
+    turns: OrderTurns,
     scope: Scope,
     receive: Receive,
 ) -> Response:
@@ -122,12 +129,18 @@
     if not role_suffices(identity.role, route.role):
         raise ApiError(403, FORBIDDEN, f"this takes the role {route.role}")
     fields = parse_query(scope)
-    body = None
-    if route.max_body_bytes:
-        body = await read_json(scope, receive, route.max_body_bytes)
-    return await _call_route(
-        route, Call(backend, identity, fields, body, check_limiter)
-    )
+    call = Call(backend, identity, fields, None, check_limiter)
+    if not route.max_body_bytes:
+        return await _call_route(route, call)
+    async with read_body(
+        scope, receive, route.max_body_bytes, turns.room
+    ) as body:
+        if len(body) <= MAX_SMALL_BODY_BYTES:
+            call = call._replace(body=decode_json(body))
+            return await _call_route(route, call)
+        async with turns.turn():
+            call = call._replace(body=decode_json(body))
+            return await _call_route(route, call)
 
 
 def _unknown_key_error(backend: OperatorBackend) -> ApiError:
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/asgi.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/asgi.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import MutableMapping
+import contextlib
 from typing import Any
 from typing import Final
 from typing import NamedTuple
@@ -18,6 +20,8 @@
 from sycamorestand_control.operator_api.errors import BODY_TOO_SLOW
 from sycamorestand_control.operator_api.errors import INVALID_REQUEST
 from sycamorestand_control.operator_api.errors import MALFORMED_JSON
+from sycamorestand_control.operator_api.errors import NO_ROOM
+from sycamorestand_peer.byte_room import ByteRoom
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
@@ -73,13 +77,8 @@
     return {key: values[0] for key, values in fields.items()}
 
 
-async def read_json(scope: Scope, receive: Receive, max_bytes: int) -> Any:
-    """Return the decoded JSON body of the request.
-
-    Raises `ApiError` if the body is larger than ``max_bytes``, takes longer
-    than `BODY_TIMEOUT_S` or is not JSON.
-    """
-    body = await _read_body(scope, receive, max_bytes)
+def decode_json(body: bytes) -> Any:
+    """Return the content of a JSON body; raise `ApiError` if it is none."""
     try:
         return msgspec.json.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
@@ -113,10 +112,35 @@
             return
 
 
-async def _read_body(scope: Scope, receive: Receive, max_bytes: int) -> bytes:
+@contextlib.asynccontextmanager
+async def read_body(
+    scope: Scope, receive: Receive, max_bytes: int, room: ByteRoom
+) -> AsyncIterator[bytes]:
+    """Read the body of the request and hold it in ``room``.
+
+    Raises `ApiError` if the body is larger than ``max_bytes``, takes longer
+    than `BODY_TIMEOUT_S`, or finds no room.
+    """
     declared_length = single_header(scope, b"content-length")
-    if declared_length.isdecimal() and int(declared_length) > max_bytes:
+    size_bytes = max_bytes
+    if declared_length.isdecimal():
+        size_bytes = int(declared_length)
+    if size_bytes > max_bytes:
         raise _body_too_large_error(max_bytes)
+    if not room.take(size_bytes):
+        raise ApiError(
+            503,
+            NO_ROOM,
+            "too many large requests wait here; ask another control process",
+            retry_after_s=1,
+        )
+    try:
+        yield await _read_in_time(receive, max_bytes)
+    finally:
+        room.release(size_bytes)
+
+
+async def _read_in_time(receive: Receive, max_bytes: int) -> bytes:
     try:
         with anyio.fail_after(BODY_TIMEOUT_S):
             return await _read_chunks(receive, max_bytes)
@@ -171,8 +195,9 @@
 __all__ = [
     "answer_lifespan",
     "AsgiApp",
+    "decode_json",
     "parse_query",
-    "read_json",
+    "read_body",
     "Receive",
     "respond",
     "respond_text",
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/errors.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/errors.py
@@ -17,6 +17,7 @@
 MALFORMED_JSON: Final = "malformed-json"
 INVALID_REQUEST: Final = "invalid-request"
 NO_LEADER: Final = "no-leader"
+NO_ROOM: Final = "no-room"
 BEHIND: Final = "behind"
 OUTCOME_UNKNOWN: Final = "outcome-unknown"
 INTERNAL_ERROR: Final = "internal-error"
@@ -57,6 +58,7 @@
     "MALFORMED_JSON",
     "METHOD_NOT_ALLOWED",
     "NO_LEADER",
+    "NO_ROOM",
     "OUTCOME_UNKNOWN",
     "UNAUTHENTICATED",
     "UNKNOWN_PATH",
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -145,8 +145,10 @@
         begin_s = time.monotonic()
         outcome = "no answer"
         revision = -1
+        changing = self._change(request)
+        request = request._replace(declarations=None)
         try:
-            answer = await self._change(request)
+            answer = await changing
             outcome, revision = answer.outcome, answer.revision
             return answer
         except NoLeader:
@@ -177,12 +179,17 @@
                 configuration.revision,
                 "an apply needs the revision that it was planned against",
             )
-        command = make_command(request, time.time(), self._parts.cluster_key())
+        try:
+            command = self._encode(request)
+        except MalformedCommand as error:
+            return ChangeAnswer("refused", configuration.revision, str(error))
+        # They take many times as much as the command, and what follows waits.
+        request = request._replace(declarations=None)
         try:
             result = await self._parts.groups.propose(
-                CONFIGURATION_GROUP, encode_command(command), PROPOSE_TIMEOUT_S
+                CONFIGURATION_GROUP, command, PROPOSE_TIMEOUT_S
             )
-        except (MalformedCommand, CommandRefused) as error:
+        except CommandRefused as error:
             return ChangeAnswer("refused", configuration.revision, str(error))
         except NoLeaderAnswered as error:
             raise NoLeader(str(error)) from error
@@ -192,6 +199,11 @@
             await self._catch_up(result.revision)
         return make_answer(result, self._conflicts(request.base_revision))
 
+    def _encode(self, request: ChangeRequest) -> bytes:
+        return encode_command(
+            make_command(request, time.time(), self._parts.cluster_key())
+        )
+
     async def _catch_up(self, revision: int) -> None:
         """Wait until this voter has applied a revision.
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from sycamorestand_consensus.errors import ConsensusError
-from sycamorestand_consensus.settings import ReplicaSettings
+from sycamorestand_consensus.settings import MEBIBYTE
+from sycamorestand_consensus.settings import settings_within
 from sycamorestand_control.arrival_lender import ArrivalLender
 from sycamorestand_control.background import keep_running
 from sycamorestand_control.errors import ControlError
@@ -38,6 +39,7 @@
 from sycamorestand_control.operator_backend import ControlBackend
 from sycamorestand_control.operator_backend import Parts
 from sycamorestand_control.operator_server import OperatorServer
+from sycamorestand_control.order_turns import OrderTurns
 from sycamorestand_control.orders.service import make_orders
 from sycamorestand_control.orders.service import OrderSettings
 from sycamorestand_control.part_controller import PartController
@@ -86,6 +88,8 @@
 
 LOG: Final = logging.getLogger(__name__)
 LEDGER_TIMEOUT_S: Final = 1.4
+# The share of the memory that messages to all peers may take while they wait.
+QUEUE_SHARE: Final = 1 / 8
 
 
 class ControlProcess:
@@ -104,12 +108,19 @@
             self._dispatch,
             settings.peer_listen or None,
             settings.tls,
+            int(settings.memory_limit_mb * MEBIBYTE * QUEUE_SHARE),
         )
+        self.turns = OrderTurns(int(settings.memory_limit_mb * MEBIBYTE))
+        groups = self._group_table()
         self.groups = LogGroups(
             self.mesh,
             settings.data_folder,
-            ReplicaSettings(),
-            self._group_table(),
+            settings_within(
+                int(settings.memory_limit_mb * MEBIBYTE),
+                int(settings.disk_limit_mb * MEBIBYTE),
+                len(groups),
+            ),
+            groups,
         )
         self.tables = SharedTables(
             self.mesh,
@@ -220,6 +231,7 @@
             self.parts,
             self.limits,
             self.loads,
+            self.turns,
         )
         self._tasks: anyio.abc.TaskGroup | None = None
         self._handlers = self._handler_table()
@@ -313,6 +325,7 @@
             authenticate,
             lambda code: self.metrics.refusals.inc({"code": code}),
             self.metrics.render,
+            self.turns,
         )
         return OperatorServer(
             application, settings.operator_host, settings.operator_port
--- a/packages/sycamorestand-control/src/sycamorestand_control/settings.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,10 @@
     from sycamorestand_peer.tls import TlsIdentity
 
 
+DEFAULT_MEMORY_LIMIT_MB: Final = 128.0
+DEFAULT_DISK_LIMIT_MB: Final = 256.0
+
+
 class ControlSettings(NamedTuple):
     """Settings of one control process, see ``sycamorestand control``.
 
@@ -20,7 +25,9 @@
     change while the process runs. ``allowance`` limits the arrivals of
     requests at backend servers beyond the first arrival of each request;
     entries are started with the same value. With ``may_lose_data_centre``
-    the process reports if the voters would not survive that.
+    the process reports if the voters would not survive that. What the process
+    holds in memory and on disk is bounded by shares of ``memory_limit_mb`` and
+    ``disk_limit_mb``, in MiB.
     """
 
     vm: str
@@ -42,6 +49,12 @@
     tls: TlsIdentity | None = None
     allowance: Allowance = Allowance()
     may_lose_data_centre: bool = False
+    memory_limit_mb: float = DEFAULT_MEMORY_LIMIT_MB
+    disk_limit_mb: float = DEFAULT_DISK_LIMIT_MB
 
 
-__all__ = ["ControlSettings"]
+__all__ = [
+    "ControlSettings",
+    "DEFAULT_DISK_LIMIT_MB",
+    "DEFAULT_MEMORY_LIMIT_MB",
+]
--- a/packages/sycamorestand-control/tests/test_ledger_writer.py
+++ b/packages/sycamorestand-control/tests/test_ledger_writer.py
@@ -3,9 +3,11 @@
 import anyio
 import pytest
 
+from sycamorestand_control.errors import NoLeader
 from sycamorestand_control.errors import OutcomeUnknown
 from sycamorestand_control.ledger_writer import LedgerWriter
 from sycamorestand_model.ledger import LedgerResult
+from sycamorestand_model.ledger import Outcome
 from sycamorestand_state.ledger import encode_batch
 
 pytestmark = pytest.mark.anyio
@@ -39,3 +41,23 @@
                     await writer.submit(batch)
                 assert await writer.submit(batch) == []
             tasks.cancel_scope.cancel()
+
+
+class TestQueue:
+    async def test_batches_beyond_the_room_are_refused_at_once(self) -> None:
+        """Guards against memory that fills while the log has no leader."""
+        writer = LedgerWriter(_no_answer)
+        outcome = Outcome("c", "k", "a", "done", answer=bytes(500_000))
+        batch = encode_batch([outcome], 1.0)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(8):
+                tasks.start_soon(writer.submit, batch)
+            await anyio.wait_all_tasks_blocked()
+            with pytest.raises(NoLeader):
+                await writer.submit(batch)
+            tasks.cancel_scope.cancel()
+
+
+async def _no_answer(command: bytes) -> list[LedgerResult]:
+    await anyio.sleep_forever()
+    return []
--- a/packages/sycamorestand-control/tests/test_process.py
+++ b/packages/sycamorestand-control/tests/test_process.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import os
 from pathlib import Path
 import socket
 
@@ -17,8 +18,10 @@
 from sycamorestand_control.process import ControlProcess
 from sycamorestand_control.settings import ControlSettings
 from sycamorestand_decisions.ending_parts import ENDS_TO_BLAME
+from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.keys import hash_key
 from sycamorestand_model.prompt_parts import Suspect
+from sycamorestand_model.routes import SourceDocument
 from sycamorestand_model.server_loads import EntryLoad
 from sycamorestand_peer.messages import EntryLoads
 from sycamorestand_peer.messages import LedgerBatch
@@ -27,6 +30,8 @@
 
 pytestmark = pytest.mark.anyio
 WAIT_S = 20
+# A change of a manifest of 1,849 routes, packed.
+LARGE_BYTES = 58_000
 
 
 def settings_in(folder: Path, **changes: object) -> ControlSettings:
@@ -237,3 +242,53 @@
             )
             assert answer.outcome == "accepted"
             assert not process.configuration.in_force().blocked_parts
+
+
+class TestLargeChanges:
+    async def test_log_stays_within_its_share_of_memory_and_disk(
+        self, tmp_path: Path
+    ) -> None:
+        """Guards against a process over its memory after some changes."""
+        settings = settings_in(tmp_path, memory_limit_mb=32.0)
+        async with running(settings) as process:
+            most_log = most_disk = 0
+            operators = process.configuration.in_force().declarations.operators
+            for number in range(1, 61):
+                content = b"%d" % number + os.urandom(LARGE_BYTES)
+                wanted = Declarations(
+                    operators=operators,
+                    document=SourceDocument(number, content),
+                )
+                answer = await process.backend.change(
+                    ChangeRequest(
+                        f"c-{number}",
+                        "apply",
+                        process.configuration.revision,
+                        declarations=wanted,
+                        operator="ann",
+                    )
+                )
+                assert answer.outcome == "accepted"
+                sizes = process.groups.replicas[0].sizes()
+                most_log = max(most_log, sizes.log)
+                most_disk = max(most_disk, sizes.disk)
+        assert most_log < 32 * 2**20 / 16
+        assert most_disk < 256 * 2**20 / 8
+
+    async def test_change_that_the_log_never_takes_is_refused_at_once(
+        self, tmp_path: Path
+    ) -> None:
+        """Guards against an operator that sends it again and again."""
+        async with running(settings_in(tmp_path)) as process:
+            operators = process.configuration.in_force().declarations.operators
+            wanted = Declarations(
+                operators=operators,
+                document=SourceDocument(1, os.urandom(2**21)),
+            )
+            request = ChangeRequest(
+                "large", "apply", 1, declarations=wanted, operator="ann"
+            )
+            with anyio.fail_after(2):
+                answer = await process.backend.change(request)
+            assert answer.outcome == "refused"
+            assert "too many" in answer.message
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import Any
 from typing import Final
 
@@ -101,9 +102,23 @@
 
 def encode(message: Message) -> tuple[int, bytes]:
     """Return the type code and the encoded body of a message."""
+    if isinstance(message, ConfigurationPush):
+        return _encode_push(message)
     return _CODES[type(message)], _ENCODER.encode(message)
 
 
+def code_of(kind: type[Any]) -> int:
+    """Return the type code of a type of messages."""
+    return _CODES[kind]
+
+
+@functools.lru_cache(maxsize=1)
+def _encode_push(message: ConfigurationPush) -> tuple[int, bytes]:
+    # A push goes to every entry. With a copy for each of them, the queues to
+    # the entries of a control process would hold it dozens of times.
+    return _CODES[ConfigurationPush], _ENCODER.encode(message)
+
+
 def decode(code: int, body: bytes | msgspec.Raw) -> Any:
     """Return the message of a type code and an encoded body.
 
@@ -137,6 +152,7 @@
 
 
 __all__ = [
+    "code_of",
     "decode",
     "encode",
     "pack_configuration",
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
@@ -10,7 +10,9 @@
 import anyio
 import pynng
 
+from sycamorestand_peer.byte_room import ByteRoom
 from sycamorestand_peer.clock import boottime_s
+from sycamorestand_peer.codec import code_of
 from sycamorestand_peer.codec import encode
 from sycamorestand_peer.frames import Frame
 from sycamorestand_peer.frames import MAX_FRAME_BYTES
@@ -34,10 +36,12 @@
 # dropped: leases and heartbeats are requested again, and the replicated log
 # is sent again.
 QUEUE_BYTES: Final = 4 * 1024 * 1024
+TOTAL_QUEUE_BYTES: Final = 64 * 1024 * 1024
 # Message types of which only the newest needs to be queued. A configuration
 # push is the largest message, and an entry requests it with each renewal
 # until it arrives: on a slow link twenty renewals queued twenty copies.
 SUPERSEDED_BY_NEWER: Final = (ConfigurationPush,)
+SHARED_CODES: Final = tuple(code_of(kind) for kind in SUPERSEDED_BY_NEWER)
 FRAME_BYTES: Final = MAX_FRAME_BYTES // 2
 SEND_TIMEOUT_MS: Final = 1_000
 RECONNECT_MS: Final = 100
@@ -51,7 +55,8 @@
 
     ``key`` returns the key that signs frames. ``next_sequence`` returns the
     number of the next frame. ``echo`` returns the incarnation and sequence
-    of the newest frame received from the link's peer.
+    of the newest frame received from the link's peer. All links of the
+    process share the ``room`` for queued messages.
     """
 
     address: str
@@ -61,6 +66,7 @@
     echo: Callable[[], tuple[int, int]]
     counters: MeshCounters
     tls: TlsIdentity | None
+    room: ByteRoom = ByteRoom(TOTAL_QUEUE_BYTES)
 
 
 class Link:
@@ -112,15 +118,17 @@
         return self._queued_bytes
 
     def queue(self, message: Message) -> None:
-        """Queue a message, or drop it if `QUEUE_BYTES` would be exceeded."""
+        """Queue a message, or drop it if there is no room.
+
+        That is if this link's queue would exceed `QUEUE_BYTES`, or those of
+        all links the room that they share.
+        """
         encoded = encode(message)
         if isinstance(message, SUPERSEDED_BY_NEWER):
             self._drop_queued(encoded[0])
-        if self._queued_bytes + len(encoded[1]) > QUEUE_BYTES:
+        if not self._append(encoded):
             self._owner.counters.dropped += 1
             return
-        self._queued.append(encoded)
-        self._queued_bytes += len(encoded[1])
         self._last_used_s = boottime_s()
         self._wake.set()
 
@@ -134,6 +142,13 @@
 
         Returns once the link is closed, or was not used for ``idle_s``.
         """
+        try:
+            await self._run(idle_s)
+        finally:
+            while self._queued:
+                self.take_batch()
+
+    async def _run(self, idle_s: float) -> None:
         while not self._is_finished(idle_s):
             with pynng.Pair1(
                 send_timeout=SEND_TIMEOUT_MS,
@@ -168,7 +183,7 @@
             if self._is_finished(idle_s):
                 return
             if not self._queued and self._health.is_heartbeat_due(now_s):
-                self._queued.append(encode(Heartbeat()))
+                self._append(encode(Heartbeat()))
             if self._queued and not await self._send_frame(socket):
                 return
 
@@ -203,10 +218,23 @@
 
     def _drop_queued(self, code: int) -> None:
         """Drop the queued messages of a type that a newer one supersedes."""
-        kept = [item for item in self._queued if item[0] != code]
         dropped = [item for item in self._queued if item[0] == code]
-        self._queued = kept
-        self._queued_bytes -= sum(len(body) for _, body in dropped)
+        self._queued = [item for item in self._queued if item[0] != code]
+        self._release(dropped)
+
+    def _append(self, encoded: tuple[int, bytes]) -> bool:
+        size_bytes = self._queued_bytes + len(encoded[1])
+        if size_bytes > QUEUE_BYTES:
+            return False
+        if not self._owner.room.take(_held_bytes(encoded)):
+            return False
+        self._queued.append(encoded)
+        self._queued_bytes = size_bytes
+        return True
+
+    def _release(self, items: list[tuple[int, bytes]]) -> None:
+        self._queued_bytes -= sum(len(body) for _, body in items)
+        self._owner.room.release(sum(_held_bytes(item) for item in items))
 
     def take_batch(self) -> tuple[tuple[int, bytes], ...]:
         """Remove and return the oldest queued messages that fit one frame."""
@@ -218,8 +246,17 @@
             item = self._queued.pop(0)
             size += len(item[1])
             taken.append(item)
-        self._queued_bytes = max(0, self._queued_bytes - size)
+        self._release(taken)
         return tuple(taken)
 
 
-__all__ = ["Link", "LinkOwner"]
+def _held_bytes(encoded: tuple[int, bytes]) -> int:
+    """Return what a queued message takes from the room of all links.
+
+    A configuration is encoded once, whatever the number of links.
+    """
+    code, body = encoded
+    return 0 if code in SHARED_CODES else len(body)
+
+
+__all__ = ["Link", "LinkOwner", "TOTAL_QUEUE_BYTES"]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
@@ -13,6 +13,7 @@
 import pynng
 
 from sycamorestand_model.errors import WireError
+from sycamorestand_peer.byte_room import ByteRoom
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.codec import decode
 from sycamorestand_peer.codec import encode
@@ -23,6 +24,7 @@
 from sycamorestand_peer.frames import open_frame
 from sycamorestand_peer.link import Link
 from sycamorestand_peer.link import LinkOwner
+from sycamorestand_peer.link import TOTAL_QUEUE_BYTES
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import Heartbeat
 from sycamorestand_peer.messages import Relayed
@@ -109,7 +111,7 @@
     signs. A key is rotated without a stop: on all processes the new key is
     added behind the old one, then moved to the front, and then the old one
     is removed. With ``tls`` connections use TLS, and peers without TLS
-    cannot connect.
+    cannot connect. The queues to all peers share ``queue_bytes``.
     """
 
     def __init__(
@@ -119,8 +121,10 @@
         handler: Handler,
         listen_address: str | None = None,
         tls: TlsIdentity | None = None,
+        queue_bytes: int = TOTAL_QUEUE_BYTES,
     ) -> None:
         self.address = address
+        self._queue_room = ByteRoom(queue_bytes)
         self._listen_address = listen_address or address
         self.incarnation = time.time_ns()
         self.counters = MeshCounters()
@@ -188,7 +192,7 @@
 
     def queued_bytes(self) -> int:
         """Return what waits to be sent to all peers."""
-        return sum(link.queued_bytes for link in self._links.values())
+        return self._queue_room.used_bytes
 
     def close_link(self, address: str) -> None:
         """Close the link to a peer.
@@ -243,6 +247,7 @@
                 lambda: self._echo(address),
                 self.counters,
                 self._tls,
+                self._queue_room,
             )
             link = Link(address, owner)
             self._links[address] = link
--- a/packages/sycamorestand-peer/tests/test_link.py
+++ b/packages/sycamorestand-peer/tests/test_link.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+from sycamorestand_peer.byte_room import ByteRoom
 from sycamorestand_peer.codec import decode
+from sycamorestand_peer.codec import encode
 from sycamorestand_peer.link import Link
 from sycamorestand_peer.link import LinkOwner
+from sycamorestand_peer.link import TOTAL_QUEUE_BYTES
 from sycamorestand_peer.mesh import MeshCounters
 from sycamorestand_peer.messages import ConfigurationPush
 from sycamorestand_peer.messages import Heartbeat
+from sycamorestand_peer.messages import ReplicaPayload
 
 PUSHES = 20
 PUSH_BYTES = 136_000
 
 
-def make_link() -> Link:
+def make_link(room: ByteRoom | None = None) -> Link:
     owner = LinkOwner(
         "127.0.0.1:1",
         1,
@@ -22,6 +26,7 @@
         lambda: (0, 0),
         MeshCounters(),
         None,
+        room or ByteRoom(TOTAL_QUEUE_BYTES),
     )
     return Link("127.0.0.1:2", owner)
 
@@ -63,3 +68,30 @@
         link.take_batch()
         link.queue(push(1))
         assert len(link.take_batch()) == 1
+
+
+class TestManyPeers:
+    """Guards against queues to many slow peers that fill the memory."""
+
+    def test_links_share_their_room(self) -> None:
+        room = ByteRoom(1_000_000)
+        links = [make_link(room) for _ in range(10)]
+        for link in links:
+            for _ in range(3):
+                link.queue(ReplicaPayload(0, "member", bytes(PUSH_BYTES)))
+        assert room.used_bytes <= room.limit_bytes
+        queued = [len(link.take_batch()) for link in links]
+        assert sum(queued) == 7
+        assert room.used_bytes == 0
+
+    def test_configuration_is_encoded_once_for_all(self) -> None:
+        room = ByteRoom(1_000_000)
+        newest = push(7)
+        bodies = []
+        for _ in range(60):
+            link = make_link(room)
+            link.queue(newest)
+            ((_, body),) = link.take_batch()
+            bodies.append(body)
+        assert all(body is bodies[0] for body in bodies)
+        assert bodies[0] == encode(newest)[1]
--- a/packages/sycamorestand/src/sycamorestand/process_settings.py
+++ b/packages/sycamorestand/src/sycamorestand/process_settings.py
@@ -148,6 +148,18 @@
         "1",
         "number of ledger shards, fixed by the first start",
     ),
+    Setting(
+        "memory_limit_mb",
+        number(32, 1_000_000),
+        "128",
+        "memory of this process in MiB; logs and queues get shares of it",
+    ),
+    Setting(
+        "disk_limit_mb",
+        number(16, 1_000_000),
+        "256",
+        "room for the data folder in MiB; logs get shares of it",
+    ),
     Setting(
         "weight_store_loads",
         integer(1, 1_000),
