Refuse bytes that come before a connection's first request

The report: a server stopped in its answer's head and closed; clients got a 200 with an empty or short body, framed as whole. Tests rule it out here: the head is cut at each byte on the connection, and at six places at every door (calls, orders, streams, forwarded ones, kept connections, servers that leave, another entry that stops, control's calls to engines). No caller gets a 200.

A related path could: a request that is sent resets the fields that were read, but not the parser. If a part of a head had come before the first request of a connection, the rest of it made a head without these fields; without its length, a short answer ended as whole at the close.

Bytes before any request break the connection now, as bytes after a complete answer do.

On the code before, of test_cut_heads.py:

FAILED ...::TestConnection::test_head_that_began_before_the_request[length] FAILED ...::TestConnection::test_head_that_began_before_the_request[length 0] FAILED ...::TestConnection::test_head_that_began_before_the_request[chunks] FAILED ...::TestConnection::test_head_that_began_before_the_request[close] E Failed: DID NOT RAISE UpstreamError

All other cases of the file pass before and after. After the change all tests of the entry and of control's orders pass.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -217,6 +217,10 @@
         if self._complete:
             self._fail(MalformedAnswer("bytes after the answer's end"))
             return
+        if self.sent_s == math.inf:
+            # They cannot be a part of the answer to the first request.
+            self._fail(MalformedAnswer("bytes before any request"))
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
