Split what grew: files of a log, guard of handlers, observed machine

Three places had the same guard against a handler that fails, and storage.py had grown to 383 lines. No change of behaviour.

Tests of consensus, state, control and platform pass.

--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/settings.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/settings.py
@@ -14,7 +14,6 @@
 KIBIBYTE: Final = 1024
 MEBIBYTE: Final = 1024 * KIBIBYTE
 
-
 # Shares of the memory and of the disk of a process. Between two snapshots, all
 # its logs together grow by the smaller one.
 MEMORY_SHARE: Final = 1 / 16
@@ -56,7 +55,7 @@
     snapshot_every_bytes: int = 4 * MEBIBYTE
     trailing_entries: int = 500
     trailing_bytes: int = MEBIBYTE
-    segment_bytes: int = 1_198_372
+    segment_bytes: int = int(4 * MEBIBYTE / SEGMENTS_PER_SNAPSHOT)
     disk_retry_s: float = 0.5
 
 
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/storage.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/storage.py
@@ -14,10 +14,6 @@
 import os
 from pathlib import Path
 from typing import Final
-from typing import NamedTuple
-import zlib
-
-import msgspec
 
 from sycamorestand_consensus.disk_image import DiskImage
 from sycamorestand_consensus.errors import LogCorrupted
@@ -29,6 +25,16 @@
 from sycamorestand_consensus.files import storage_errors
 from sycamorestand_consensus.files import sync_folder
 from sycamorestand_consensus.files import write_all
+from sycamorestand_consensus.log_folder import FIRST_SEGMENT
+from sycamorestand_consensus.log_folder import read_newest_snapshot
+from sycamorestand_consensus.log_folder import read_segments
+from sycamorestand_consensus.log_folder import Segment
+from sycamorestand_consensus.log_folder import segment_path
+from sycamorestand_consensus.log_folder import segments_before
+from sycamorestand_consensus.log_folder import segments_from
+from sycamorestand_consensus.log_folder import snapshot_path
+from sycamorestand_consensus.log_folder import snapshot_paths
+from sycamorestand_consensus.log_folder import write_snapshot_file
 from sycamorestand_consensus.messages import EMPTY_SNAPSHOT
 from sycamorestand_consensus.messages import HardState
 from sycamorestand_consensus.messages import LogAppend
@@ -38,26 +44,12 @@
 from sycamorestand_consensus.messages import Snapshot
 from sycamorestand_consensus.segment_format import MAGIC
 from sycamorestand_consensus.segment_format import make_frame
-from sycamorestand_consensus.segment_format import read_frames
-from sycamorestand_consensus.segment_format import SNAPSHOT_MAGIC
-from sycamorestand_consensus.wire import decode_records
-from sycamorestand_consensus.wire import decode_snapshot
 from sycamorestand_consensus.wire import encode_records
 from sycamorestand_consensus.wire import encode_snapshot
 from sycamorestand_consensus.wire import LogReset
-from sycamorestand_consensus.wire import SavedSnapshot
 from sycamorestand_consensus.wire import StoredRecord
 
-FIRST_SEGMENT: Final = 1
 LOG: Final = logging.getLogger(__name__)
-CHECKSUM_BYTES: Final = 4
-
-
-class _Segment(NamedTuple):
-    number: int
-    path: Path
-    last_index: int
-    size_bytes: int
 
 
 class Storage:
@@ -71,7 +63,7 @@
         self._snapshot = EMPTY_SNAPSHOT
         self._snapshot_bytes = 0
         self._first_segment = FIRST_SEGMENT
-        self._closed: list[_Segment] = []
+        self._closed: list[Segment] = []
         self._segment_number = 0
         self._last_index = 0
         self._descriptor = -1
@@ -92,7 +84,9 @@
             self._read_snapshot()
             image = DiskImage(self._snapshot)
             try:
-                self._read_segments(image)
+                self._closed = read_segments(
+                    self._folder, self._first_segment, image
+                )
                 recovered = self._recover(image)
             except LogCorrupted as error:
                 self._log_files(logging.CRITICAL, f"log unreadable: {error}")
@@ -150,7 +144,7 @@
             self._descriptor = -1
 
     def _prepare_folder(self, had_log: bool) -> None:
-        if had_log and not any(self._folder.glob("log-*.seg")):
+        if had_log and not segments_from(self._folder, FIRST_SEGMENT):
             # The identity file still exists but the log is gone. With an
             # empty log the member would vote again in terms in which it
             # has already voted.
@@ -193,46 +187,16 @@
         return [LogReset(record.snapshot.last_index)]
 
     def _read_snapshot(self) -> None:
-        saved = _newest_snapshot(self._folder)
+        saved = read_newest_snapshot(self._folder)
         if saved is None:
             return
         self._snapshot = saved.snapshot
         self._snapshot_bytes = len(saved.data)
         # Earlier releases removed segments without saying which.
-        numbers = [_number(path) for path in self._segment_paths()]
-        oldest = min(numbers, default=FIRST_SEGMENT)
+        found = segments_from(self._folder, FIRST_SEGMENT)
+        oldest = found[0][0] if found else FIRST_SEGMENT
         self._first_segment = saved.first_segment or oldest
 
-    def _segment_paths(self) -> list[Path]:
-        return sorted(self._folder.glob("log-*.seg"))
-
-    def _read_segments(self, image: DiskImage) -> None:
-        paths = [
-            path
-            for path in self._segment_paths()
-            if _number(path) >= self._first_segment
-        ]
-        if not paths and self._first_segment > FIRST_SEGMENT:
-            raise LogCorrupted(
-                _segment_path(self._folder, self._first_segment),
-                0,
-                "the segment is missing, and no other follows it",
-            )
-        for expected, path in enumerate(paths, start=self._first_segment):
-            if _number(path) != expected:
-                raise LogCorrupted(path, 0, "the preceding segment is missing")
-            is_last = path == paths[-1]
-            content = path.read_bytes()
-            end = 0
-            last_index = 0
-            for frame in read_frames(path, content, is_last=is_last):
-                last_index = max(
-                    last_index, _replay(path, end, image, frame.payload)
-                )
-                end = frame.end_bytes
-            self._closed.append(_Segment(expected, path, last_index, end))
-            self._size_bytes = end
-
     def _open_tail(self) -> None:
         if not self._closed:
             self._roll()
@@ -240,6 +204,7 @@
         segment = self._closed.pop()
         self._segment_number = segment.number
         self._last_index = segment.last_index
+        self._size_bytes = segment.size_bytes
         self._descriptor = os.open(segment.path, os.O_RDWR)
         os.ftruncate(self._descriptor, self._size_bytes)
         os.fsync(self._descriptor)
@@ -273,14 +238,14 @@
 
     def _roll(self) -> None:
         number = self._segment_number + 1
-        path = _segment_path(self._folder, number)
+        path = segment_path(self._folder, number)
         first_frame = make_frame(len(MAGIC), encode_records([self._hard]))
         # The file is written under a temporary name first. A segment that
         # lacks its first frame after a crash would also lack the vote.
         replace_file(path, MAGIC + first_frame)
         if self._descriptor >= 0:
-            old_path = _segment_path(self._folder, self._segment_number)
-            segment = _Segment(
+            old_path = segment_path(self._folder, self._segment_number)
+            segment = Segment(
                 self._segment_number,
                 old_path,
                 self._last_index,
@@ -298,9 +263,7 @@
         needed = [s for s in self._closed if s.last_index > covered]
         first = needed[0].number if needed else self._segment_number
         content = encode_snapshot(snapshot, first)
-        checksum = zlib.crc32(content).to_bytes(CHECKSUM_BYTES, "little")
-        path = _snapshot_path(self._folder, covered)
-        replace_file(path, SNAPSHOT_MAGIC, checksum, content)
+        write_snapshot_file(snapshot_path(self._folder, covered), content)
         self._snapshot = snapshot
         self._snapshot_bytes = len(content)
         self._first_segment = first
@@ -309,17 +272,9 @@
 
     def _delete_covered(self) -> None:
         covered = self._snapshot.last_index
-        current = _snapshot_path(self._folder, covered)
-        deleted = [
-            path
-            for path in self._segment_paths()
-            if _number(path) < self._first_segment
-        ]
-        deleted += [
-            path
-            for path in self._folder.glob("snapshot-*.snp")
-            if path != current
-        ]
+        current = snapshot_path(self._folder, covered)
+        deleted = segments_before(self._folder, self._first_segment)
+        deleted += [p for p in snapshot_paths(self._folder) if p != current]
         for path in deleted:
             path.unlink()
         if deleted:
@@ -335,49 +290,4 @@
         self._delete_due = False
 
 
-def _snapshot_path(folder: Path, index: int) -> Path:
-    return folder / f"snapshot-{index:010d}.snp"
-
-
-def _segment_path(folder: Path, number: int) -> Path:
-    return folder / f"log-{number:010d}.seg"
-
-
-def _number(path: Path) -> int:
-    return int(path.stem.removeprefix("log-"))
-
-
-def _newest_snapshot(folder: Path) -> SavedSnapshot | None:
-    paths = sorted(folder.glob("snapshot-*.snp"))
-    if not paths:
-        return None
-    path = paths[-1]
-    content = memoryview(path.read_bytes())
-    start = len(SNAPSHOT_MAGIC) + CHECKSUM_BYTES
-    if content[: len(SNAPSHOT_MAGIC)] != SNAPSHOT_MAGIC:
-        raise LogCorrupted(path, 0, "not a snapshot of a known version")
-    checksum = int.from_bytes(content[len(SNAPSHOT_MAGIC) : start], "little")
-    if zlib.crc32(content[start:]) != checksum:
-        raise LogCorrupted(path, start, "checksum of the snapshot failed")
-    try:
-        return decode_snapshot(content[start:])
-    except msgspec.MsgspecError as error:
-        raise LogCorrupted(path, start, str(error)) from error
-
-
-def _replay(path: Path, offset: int, image: DiskImage, payload: bytes) -> int:
-    last_index = 0
-    try:
-        for record in decode_records(payload):
-            if isinstance(record, LogReset):
-                image.drop_entries()
-                continue
-            image.replay(record)
-            if isinstance(record, LogAppend) and record.entries:
-                last_index = max(last_index, record.entries[-1].log_index)
-    except (msgspec.MsgspecError, IndexError, SafetyViolated) as error:
-        raise LogCorrupted(path, offset, str(error)) from error
-    return last_index
-
-
 __all__ = ["Storage"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -34,6 +34,7 @@
 from sycamorestand_control.load_exchange import LoadExchange
 from sycamorestand_control.membership import MembershipManager
 from sycamorestand_control.metrics import ControlMetrics
+from sycamorestand_control.observed_machine import ObservedMachine
 from sycamorestand_control.operator_api.app import make_operator_app
 from sycamorestand_control.operator_api.authentication import make_authenticate
 from sycamorestand_control.operator_backend import ControlBackend
@@ -355,7 +356,7 @@
     def _group_table(self) -> dict[int, Group]:
         groups = {
             CONFIGURATION_GROUP: Group(
-                _ObservedMachine(self.configuration, self._revision_applied),
+                ObservedMachine(self.configuration, self._revision_applied),
                 ChangeResult,
             )
         }
@@ -494,31 +495,4 @@
         self.mesh.send(sender, reply)
 
 
-class _ObservedMachine:
-    """A state machine that calls back after a new revision or a restore."""
-
-    def __init__(
-        self, machine: ConfigurationMachine, on_revision: Callable[[], None]
-    ) -> None:
-        self._machine = machine
-        self._on_revision = on_revision
-
-    def check(self, command: bytes) -> None:
-        self._machine.check(command)
-
-    def apply(self, index: int, command: bytes) -> object:
-        before = self._machine.revision
-        result = self._machine.apply(index, command)
-        if self._machine.revision > before:
-            self._on_revision()
-        return result
-
-    def snapshot(self) -> bytes:
-        return self._machine.snapshot()
-
-    def restore(self, data: bytes) -> None:
-        self._machine.restore(data)
-        self._on_revision()
-
-
 __all__ = ["ControlProcess"]
--- a/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Any
 from typing import Final
 from typing import NamedTuple
@@ -65,7 +64,8 @@
 from sycamorestand_state.configuration_state import to_in_force
 from sycamorestand_state.data_centres import drain_data_centre
 from sycamorestand_state.data_centres import undrain_data_centre
-from sycamorestand_state.errors import PROCESS_ERRORS
+from sycamorestand_state.fault_guard import FAULT_FINDING
+from sycamorestand_state.fault_guard import FaultGuard
 from sycamorestand_state.order_book import OrderBook
 from sycamorestand_state.order_book import OrderDecision
 from sycamorestand_state.order_book import record_order
@@ -79,12 +79,6 @@
 from sycamorestand_state.rollouts import step_rollout
 from sycamorestand_state.rollouts import stop_rollout
 
-LOG: Final = logging.getLogger(__name__)
-# The text is the same on every replica; the error is in the log alone.
-FAULT_FINDING: Final = (
-    "the change cannot be applied because of a fault of this release; "
-    "nothing was changed, see the log of the control process"
-)
 # A conflict lists at most this many of the changes since its base revision,
 # and as many lines of each change's difference.
 MAX_CONFLICT_LINES: Final = 5
@@ -127,11 +121,7 @@
 
 
 class ConfigurationMachine:
-    """Applies committed commands to the configuration, in log order.
-
-    ``faults`` counts the commands that were refused because their handler
-    failed.
-    """
+    """Applies committed commands to the configuration, in log order."""
 
     def __init__(self) -> None:
         self._state = ConfigurationState()
@@ -140,7 +130,12 @@
         self._order_book = OrderBook()
         self._clock_s = 0.0
         self._in_force = to_in_force(self._state)
-        self.faults = 0
+        self._guard = FaultGuard()
+
+    @property
+    def faults(self) -> int:
+        """How many commands were refused because their handler failed."""
+        return self._guard.faults
 
     @property
     def revision(self) -> int:
@@ -255,7 +250,11 @@
             return self._answer_resend(
                 index, command, known, command_fingerprint
             )
-        decision, in_force = self._evaluate(index, command)
+        decision, in_force = self._guard.call(
+            lambda: self._evaluate(command),
+            (refused(self._state, FAULT_FINDING), self._in_force),
+            _described(index, command, command.change_id),
+        )
         result = self._commit(index, command, decision, in_force)
         self._answers.store(
             command.change_id,
@@ -278,42 +277,16 @@
         )
         return self._commit(index, command, decision, self._in_force)
 
-    def _evaluate(
-        self, index: int, command: Change
-    ) -> tuple[Decision, InForce]:
+    def _evaluate(self, command: Change) -> tuple[Decision, InForce]:
         """Return the decision and the configuration that it puts in force.
 
-        A handler that fails would end every process, and again at each
-        start. The command is refused instead. As handlers change nothing in
-        place, every replica that refuses it keeps the same state.
+        Handlers change nothing in place.
         """
-        try:
-            decision = self._decide(command)
-            if decision.outcome != "applied":
-                return decision, self._in_force
-            state = decision.state._replace(revision=self.revision + 1)
-            return decision._replace(state=state), to_in_force(state)
-        except PROCESS_ERRORS:
-            raise
-        except Exception:
-            self._count_fault(index, command)
-            return refused(self._state, FAULT_FINDING), self._in_force
-
-    def _count_fault(self, index: int, command: Command) -> None:
-        self.faults += 1
-        name = (
-            command.change_id
-            if not isinstance(command, RecordOrder)
-            else command.order_id
-        )
-        LOG.exception(
-            "committed command failed and is refused",
-            extra={
-                "index": index,
-                "kind": type(command).__name__,
-                "change_id": name,
-            },
-        )
+        decision = self._decide(command)
+        if decision.outcome != "applied":
+            return decision, self._in_force
+        state = decision.state._replace(revision=self.revision + 1)
+        return decision._replace(state=state), to_in_force(state)
 
     def _decide(self, command: Change) -> Decision:
         finding = self._envelope_finding(command)
@@ -398,7 +371,11 @@
         )
 
     def _apply_order(self, index: int, command: RecordOrder) -> ChangeResult:
-        decision = self._evaluate_order(index, command)
+        decision = self._guard.call(
+            lambda: record_order(self._order_book, command),
+            OrderDecision(self._order_book, False, FAULT_FINDING),
+            _described(index, command, command.order_id),
+        )
         self._order_book = decision.book
         outcome: Outcome = "applied" if decision.changed else "unchanged"
         if decision.finding:
@@ -423,16 +400,13 @@
         findings = (decision.finding,) if decision.finding else ()
         return ChangeResult(outcome, self.revision, decision.finding, findings)
 
-    def _evaluate_order(
-        self, index: int, command: RecordOrder
-    ) -> OrderDecision:
-        try:
-            return record_order(self._order_book, command)
-        except PROCESS_ERRORS:
-            raise
-        except Exception:
-            self._count_fault(index, command)
-            return OrderDecision(self._order_book, False, FAULT_FINDING)
+
+def _described(index: int, command: Command, change_id: str) -> dict[str, Any]:
+    return {
+        "index": index,
+        "kind": type(command).__name__,
+        "change_id": change_id,
+    }
 
 
 def _without_time(command: Change) -> Change:
--- a/packages/sycamorestand-state/src/sycamorestand_state/ledger.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/ledger.py
@@ -15,7 +15,6 @@
 
 from collections.abc import Sequence
 import hashlib
-import logging
 from typing import Any
 from typing import Final
 from typing import NamedTuple
@@ -42,8 +41,8 @@
 from sycamorestand_state.codec import encode_fields
 from sycamorestand_state.codec import encode_state
 from sycamorestand_state.errors import MalformedCommand
-from sycamorestand_state.errors import PROCESS_ERRORS
 from sycamorestand_state.errors import SnapshotUnreadable
+from sycamorestand_state.fault_guard import FaultGuard
 from sycamorestand_state.pins import MAX_PINS
 from sycamorestand_state.pins import PinBook
 from sycamorestand_state.pins import PinsState
@@ -59,7 +58,6 @@
     5: Pin,
 }
 SHARD_HASH_BYTES: Final = 8
-LOG: Final = logging.getLogger(__name__)
 # The end of the year 9999. A later time has no date, and could not be told
 # from that of a broken clock.
 MAX_CLOCK_S: Final = 253_402_300_799.0
@@ -114,11 +112,7 @@
 
 
 class LedgerMachine:
-    """Applies committed batches in the order of the shard's log.
-
-    ``faults`` counts the records that were refused because of an error in
-    this module or its books.
-    """
+    """Applies committed batches in the order of the shard's log."""
 
     def __init__(self, shard: int, limits: LedgerLimits | None = None) -> None:
         bounds = LedgerLimits() if limits is None else limits
@@ -129,7 +123,12 @@
         self._claims = ClaimBook(self._claim_tombstones, bounds.claims)
         self._charges = ChargeBook(self._charge_tombstones, bounds.charges)
         self._pins = PinBook(bounds.pins)
-        self.faults = 0
+        self._guard = FaultGuard()
+
+    @property
+    def faults(self) -> int:
+        """How many records were refused because their handler failed."""
+        return self._guard.faults
 
     @property
     def shard(self) -> int:
@@ -219,23 +218,11 @@
         self._pins.expire(clock_s)
 
     def _evaluate(self, index: int, record: LedgerRecord) -> LedgerResult:
-        """Apply a record; refuse it if that fails.
-
-        The same record fails at the same place on every replica. An error
-        that was raised further would end every process, and again at each
-        start.
-        """
-        try:
-            return self._apply_record(record)
-        except PROCESS_ERRORS:
-            raise
-        except Exception:
-            self.faults += 1
-            LOG.exception(
-                "committed record failed and is refused",
-                extra={"index": index, "kind": type(record).__name__},
-            )
-            return LedgerResult(CONFLICT)
+        return self._guard.call(
+            lambda: self._apply_record(record),
+            LedgerResult(CONFLICT),
+            {"index": index, "kind": type(record).__name__},
+        )
 
     def _apply_record(self, record: LedgerRecord) -> LedgerResult:
         match record:
