--- a/packages/sycamorestand-state/src/sycamorestand_state/change_ids.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/change_ids.py
@@ -43,6 +43,7 @@
         self.size_bytes = 0
         for change_id, answer in answers:
             self._put(change_id, answer)
+        self._drop_surplus()
 
     def __len__(self) -> int:
         return len(self._answers)
@@ -58,11 +59,7 @@
     def store(self, change_id: str, answer: StoredAnswer) -> None:
         """Store an answer and evict the oldest ones beyond the bounds."""
         self._put(change_id, answer)
-        while (
-            len(self._answers) > MAX_CHANGE_IDS
-            or self.size_bytes > MAX_ANSWERS_BYTES
-        ):
-            self._drop(next(iter(self._answers)))
+        self._drop_surplus()
         self.drop_expired(answer.now_s)
 
     def drop_expired(self, now_s: float) -> None:
@@ -79,6 +76,13 @@
         self._sizes_bytes[change_id] = encoded_size_bytes((change_id, answer))
         self.size_bytes += self._sizes_bytes[change_id]
 
+    def _drop_surplus(self) -> None:
+        while (
+            len(self._answers) > MAX_CHANGE_IDS
+            or self.size_bytes > MAX_ANSWERS_BYTES
+        ):
+            self._drop(next(iter(self._answers)))
+
     def _drop(self, change_id: str) -> None:
         del self._answers[change_id]
         self.size_bytes -= self._sizes_bytes.pop(change_id)
--- a/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/configuration.py
@@ -69,6 +69,7 @@
 from sycamorestand_state.order_book import OrderBook
 from sycamorestand_state.order_book import OrderDecision
 from sycamorestand_state.order_book import record_order
+from sycamorestand_state.order_book import shortened
 from sycamorestand_state.results import AuditEntry
 from sycamorestand_state.results import ChangeResult
 from sycamorestand_state.results import ClusterIdentity
@@ -235,7 +236,7 @@
         self._state = loaded.state
         self._answers = StoredAnswers(loaded.answers)
         self._audit = AuditTrail(loaded.audit)
-        orders = {order.order_id: order for order in loaded.orders}
+        orders = {o.order_id: shortened(o) for o in loaded.orders}
         self._order_book = OrderBook(orders, *loaded.order_fence)
         self._clock_s = loaded.clock_s
         self._in_force = to_in_force(self._state)
--- a/packages/sycamorestand-state/src/sycamorestand_state/order_book.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/order_book.py
@@ -43,13 +43,17 @@
     finding: str = ""
 
 
+def shortened(record: OrderRecord) -> OrderRecord:
+    """Return the record with as much of its detail as is kept."""
+    return record._replace(detail=record.detail[:MAX_DETAIL_CHARACTERS])
+
+
 def record_order(book: OrderBook, command: RecordOrder) -> OrderDecision:
     """Record the intent or the outcome of an order, or refuse it.
 
     A resend of the last record of an order changes nothing.
     """
-    record = OrderRecord(*command)
-    record = record._replace(detail=record.detail[:MAX_DETAIL_CHARACTERS])
+    record = shortened(OrderRecord(*command))
     known = book.orders.get(command.order_id)
     if known is not None and known._replace(now_s=record.now_s) == record:
         return OrderDecision(book, changed=False)
@@ -124,5 +128,6 @@
     "OrderBook",
     "OrderDecision",
     "record_order",
+    "shortened",
     "UNFINISHED_PHASES",
 ]
--- a/packages/sycamorestand-state/tests/test_orders.py
+++ b/packages/sycamorestand-state/tests/test_orders.py
@@ -106,6 +106,19 @@
         assert result.outcome == "refused"
         assert "4.1" in result.message
 
+    def test_long_detail_of_an_earlier_release(
+        self, cluster: Cluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against replicas of which one knows a resent order."""
+        failed = order(phase="failed")._replace(detail="x" * 9_999)
+        with monkeypatch.context() as earlier:
+            module = "sycamorestand_state.order_book"
+            earlier.setattr(f"{module}.MAX_DETAIL_CHARACTERS", 10_000)
+            cluster.run(order())
+            cluster.run(failed)
+        cluster.machine.restore(cluster.machine.snapshot())
+        assert cluster.run(failed).outcome == "unchanged"
+
     def test_finished_orders_are_bounded_and_survive_a_restart(
         self, cluster: Cluster
     ) -> None:
