Shared room leaves something to each that shares it

With the queues to all peers share room, and so do the bodies of requests. Four peers that take nothing hold 4 MiB each, all of an eighth of 128 MiB: heartbeats, leases and the log to all other peers would have been dropped. Large orders that wait could have had a server's heartbeat refused with 503.

Each holder has 64 KiB of its own now, and a link gets at most as many bytes as are still free, so that links that take what they get leave as much to the others. A body of unknown length takes what has come of it, not the most that it may have.

On the code before:

FAILED test_link.py::TestManyPeers::test_slow_peers_leave_room_to_the_others FAILED test_link.py::TestManyPeers::test_full_room_holds_no_heartbeat_back FAILED test_http_server.py::TestRoom::test_full_room_refuses_no_heartbeat FAILED test_app.py::...::test_full_room_refuses_large_changes_alone[True] FAILED test_app.py::...::test_full_room_refuses_large_changes_alone[False]

The two tests of OrderTurns.room check its limit directly, as holders take their share through RoomShare.

--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/asgi.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/asgi.py
@@ -22,6 +22,7 @@
 from sycamorestand_control.operator_api.errors import MALFORMED_JSON
 from sycamorestand_control.operator_api.errors import NO_ROOM
 from sycamorestand_peer.byte_room import ByteRoom
+from sycamorestand_peer.byte_room import RoomShare
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
@@ -122,35 +123,34 @@
     than `BODY_TIMEOUT_S`, or finds no room.
     """
     declared_length = single_header(scope, b"content-length")
-    size_bytes = max_bytes
+    declared_bytes = 0
     if declared_length.isdecimal():
-        size_bytes = int(declared_length)
-    if size_bytes > max_bytes:
+        declared_bytes = int(declared_length)
+    if declared_bytes > max_bytes:
         raise _body_too_large_error(max_bytes)
-    if not room.take(size_bytes):
-        raise ApiError(
-            503,
-            NO_ROOM,
-            "too many large requests wait here; ask another control process",
-            retry_after_s=1,
-        )
+    held = RoomShare(room)
     try:
-        yield await _read_in_time(receive, max_bytes)
+        _hold(held, declared_bytes)
+        yield await _read_in_time(receive, max_bytes, held)
     finally:
-        room.release(size_bytes)
+        held.release_all()
 
 
-async def _read_in_time(receive: Receive, max_bytes: int) -> bytes:
+async def _read_in_time(
+    receive: Receive, max_bytes: int, held: RoomShare
+) -> bytes:
     try:
         with anyio.fail_after(BODY_TIMEOUT_S):
-            return await _read_chunks(receive, max_bytes)
+            return await _read_chunks(receive, max_bytes, held)
     except TimeoutError as error:
         raise ApiError(
             408, BODY_TOO_SLOW, "the body did not arrive in time"
         ) from error
 
 
-async def _read_chunks(receive: Receive, max_bytes: int) -> bytes:
+async def _read_chunks(
+    receive: Receive, max_bytes: int, held: RoomShare
+) -> bytes:
     body = bytearray()
     more = True
     while more:
@@ -161,9 +161,21 @@
         more = message.get("more_body", False)
         if len(body) > max_bytes:
             raise _body_too_large_error(max_bytes)
+        _hold(held, len(body))
     return bytes(body)
 
 
+def _hold(held: RoomShare, size_bytes: int) -> None:
+    more_bytes = max(0, size_bytes - held.held_bytes)
+    if not held.take(more_bytes):
+        raise ApiError(
+            503,
+            NO_ROOM,
+            "too many large requests wait here; ask another control process",
+            retry_after_s=1,
+        )
+
+
 def _body_too_large_error(max_bytes: int) -> ApiError:
     return ApiError(
         413, BODY_TOO_LARGE, f"the body has more than {max_bytes:,} bytes"
--- a/packages/sycamorestand-control/tests/operator_api/test_app.py
+++ b/packages/sycamorestand-control/tests/operator_api/test_app.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import json
 import threading
 from typing import Any
 
@@ -20,6 +21,7 @@
 from sycamorestand_control.operator_api.types import Conflict
 from sycamorestand_control.operator_api.types import OperatorIdentity
 from sycamorestand_control.operator_api.types import StatusAnswer
+from sycamorestand_control.order_turns import OrderTurns
 from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.errors import WireError
 
@@ -292,6 +294,22 @@
         ]
         assert backend.changes == []
 
+    @pytest.mark.parametrize("declares_length", [True, False])
+    def test_full_room_refuses_large_changes_alone(
+        self, call: Caller, turns: OrderTurns, declares_length: bool
+    ) -> None:
+        """Guards against bodies of waiting orders that fill the memory."""
+        turns.room.used_bytes = turns.room.limit_bytes
+        message = {**WITHDRAW, "message": "x" * 70_000}
+        body = json.dumps(message).encode()
+        length = (b"content-length", b"%d" % len(body))
+        headers = (length,) if declares_length else ()
+        reply = call("POST", CHANGES, body, headers=headers)
+        assert (reply.status, reply.code) == (503, "no-room")
+        assert reply.headers["retry-after"] == "1"
+        assert call("POST", CHANGES, WITHDRAW).status == 200
+        assert turns.room.free_bytes == 0
+
     def test_message_keeps_no_control_characters(
         self, call: Caller, backend: Any
     ) -> None:
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/byte_room.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/byte_room.py
@@ -2,30 +2,74 @@
 
 from __future__ import annotations
 
+from typing import Final
+
+# What each holder has besides: heartbeats, renewals and small requests go on
+# while large ones fill the room.
+OWN_BYTES: Final = 64 * 1024
+
 
 class ByteRoom:
-    """Counts the bytes that are held, up to a limit.
+    """Counts the bytes that are held, up to a limit."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+
+    @property
+    def free_bytes(self) -> int:
+        """How many bytes may still be taken."""
+        return self.limit_bytes - self.used_bytes
+
+
+class RoomShare:
+    """What one holder takes of a room, beyond its own `OWN_BYTES`.
 
     Example: a queue that shares its room with others::
 
-        if room.take(len(message)):
+        if share.take(len(message)):
             queue.append(message)
     """
 
-    def __init__(self, limit_bytes: int) -> None:
-        self.limit_bytes = limit_bytes
-        self.used_bytes = 0
+    def __init__(self, room: ByteRoom) -> None:
+        self.held_bytes = 0
+        self._room = room
 
     def take(self, size_bytes: int) -> bool:
-        """Take room for some bytes; return False if there is too little."""
-        if self.used_bytes + size_bytes > self.limit_bytes:
+        """Hold more bytes; return False if there is too little room."""
+        held_bytes = self.held_bytes + size_bytes
+        taken_bytes = _beyond_own(held_bytes) - _beyond_own(self.held_bytes)
+        if taken_bytes > self._room.free_bytes:
             return False
-        self.used_bytes += size_bytes
+        self._room.used_bytes += taken_bytes
+        self.held_bytes = held_bytes
         return True
 
+    def take_fairly(self, size_bytes: int) -> bool:
+        """Hold more bytes, in all at most as many as are free.
+
+        So holders that take all that they get leave as much to the others.
+        """
+        held_bytes = self.held_bytes + size_bytes
+        if held_bytes > max(OWN_BYTES, self._room.free_bytes):
+            return False
+        return self.take(size_bytes)
+
     def release(self, size_bytes: int) -> None:
-        """Give back room that `take` has granted."""
-        self.used_bytes -= size_bytes
+        """Give back bytes that are held."""
+        held_bytes = self.held_bytes - size_bytes
+        self._room.used_bytes -= _beyond_own(self.held_bytes) - _beyond_own(
+            held_bytes
+        )
+        self.held_bytes = held_bytes
+
+    def release_all(self) -> None:
+        """Give back all bytes that are held."""
+        self.release(self.held_bytes)
+
+
+def _beyond_own(held_bytes: int) -> int:
+    return max(0, held_bytes - OWN_BYTES)
 
 
-__all__ = ["ByteRoom"]
+__all__ = ["ByteRoom", "OWN_BYTES", "RoomShare"]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
@@ -11,6 +11,7 @@
 import pynng
 
 from sycamorestand_peer.byte_room import ByteRoom
+from sycamorestand_peer.byte_room import RoomShare
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.codec import code_of
 from sycamorestand_peer.codec import encode
@@ -66,7 +67,7 @@
     echo: Callable[[], tuple[int, int]]
     counters: MeshCounters
     tls: TlsIdentity | None
-    room: ByteRoom = ByteRoom(TOTAL_QUEUE_BYTES)
+    room: ByteRoom
 
 
 class Link:
@@ -91,6 +92,7 @@
         self._health = LinkHealth(boottime_s())
         self._queued: list[tuple[int, bytes]] = []
         self._queued_bytes = 0
+        self._share = RoomShare(owner.room)
         self._wake = anyio.Event()
         self._last_used_s = boottime_s()
         self._closed = False
@@ -120,8 +122,8 @@
     def queue(self, message: Message) -> None:
         """Queue a message, or drop it if there is no room.
 
-        That is if this link's queue would exceed `QUEUE_BYTES`, or those of
-        all links the room that they share.
+        That is if this link's queue would exceed `QUEUE_BYTES`, or what it
+        gets of the room that all links share.
         """
         encoded = encode(message)
         if isinstance(message, SUPERSEDED_BY_NEWER):
@@ -226,7 +228,7 @@
         size_bytes = self._queued_bytes + len(encoded[1])
         if size_bytes > QUEUE_BYTES:
             return False
-        if not self._owner.room.take(_held_bytes(encoded)):
+        if not self._share.take_fairly(_held_bytes(encoded)):
             return False
         self._queued.append(encoded)
         self._queued_bytes = size_bytes
@@ -234,7 +236,7 @@
 
     def _release(self, items: list[tuple[int, bytes]]) -> None:
         self._queued_bytes -= sum(len(body) for _, body in items)
-        self._owner.room.release(sum(_held_bytes(item) for item in items))
+        self._share.release(sum(_held_bytes(item) for item in items))
 
     def take_batch(self) -> tuple[tuple[int, bytes], ...]:
         """Remove and return the oldest queued messages that fit one frame."""
--- a/packages/sycamorestand-peer/tests/cut_off_process.py
+++ b/packages/sycamorestand-peer/tests/cut_off_process.py
@@ -12,7 +12,8 @@
 import anyio
 import anyio.to_thread
 
-from sycamorestand_peer import link as link_module
+from sycamorestand_peer.byte_room import ByteRoom
+import sycamorestand_peer.link as link_module
 from sycamorestand_peer.link import Link
 from sycamorestand_peer.link import LinkOwner
 from sycamorestand_peer.mesh import MeshCounters
@@ -36,6 +37,7 @@
         lambda: (0, 0),
         MeshCounters(),
         None,
+        ByteRoom(0),
     )
     link = Link(f"127.0.0.1:{port}", owner)
     async with anyio.create_task_group() as tasks:
