Lines and metrics tell whether a process was held up when it left a link

A link that is left as silent could not be told from one of a process that got no processor itself: the line named the peer alone. Dials that are given up before they connect are counted. The line of a change says how many voters the log had. No logic is changed.

--- a/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -214,6 +214,11 @@
             "What waits to be sent to peers",
             self._parts.mesh.queued_bytes(),
         )
+        self._set(
+            "held_up_seconds_total",
+            "Time for which this process got no processor",
+            self._parts.mesh.clock.held_up_s,
+        )
         for name, count in vars(counters).items():
             if isinstance(count, int):
                 self._set(f"link_{name}_total", f"Links: {name}", count)
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -167,10 +167,15 @@
                     "base_revision": request.base_revision,
                     "outcome": outcome,
                     "revision": revision,
+                    "voters": self._count_voters(),
                     "took_ms": int((time.monotonic() - begin_s) * 1000),
                 },
             )
 
+    def _count_voters(self) -> int:
+        replica = self._parts.groups.replicas[CONFIGURATION_GROUP]
+        return sum(member.voter for member in replica.status().members)
+
     async def _change(self, request: ChangeRequest) -> ChangeAnswer:
         configuration = self._parts.configuration
         if request.kind == "apply" and request.base_revision is None:
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sycamorestand_peer.loop_clock import LoopClock
     from sycamorestand_peer.mesh import MeshCounters
     from sycamorestand_peer.messages import Message
     from sycamorestand_peer.tls import TlsIdentity
@@ -57,7 +58,7 @@
     ``key`` returns the key that signs frames. ``next_sequence`` returns the
     number of the next frame. ``echo`` returns the incarnation and sequence
     of the newest frame received from the link's peer. All links of the
-    process share the ``room`` for queued messages.
+    process share the ``room`` for queued messages, and its ``clock``.
     """
 
     address: str
@@ -68,6 +69,7 @@
     counters: MeshCounters
     tls: TlsIdentity | None
     room: ByteRoom
+    clock: LoopClock
 
 
 class Link:
@@ -95,6 +97,7 @@
         self._share = RoomShare(owner.room)
         self._wake = anyio.Event()
         self._last_used_s = boottime_s()
+        self._dialled_s = boottime_s()
         self._closed = False
         self._redial_requested = False
 
@@ -163,6 +166,7 @@
                     secure_dialer(socket, self._owner.tls)
                 target = url(self.address, self._owner.tls)
                 socket.dial(target, block=False)
+                self._dialled_s = boottime_s()
                 self._redial_requested = False
                 await self._send_until_silent(socket, idle_s)
             self._health.reset()
@@ -180,7 +184,7 @@
             now_s = boottime_s()
             if self._health.is_silent(now_s):
                 self._owner.counters.redials += 1
-                LOG.info("link silent", extra={"peer": self.address})
+                self._log_silence(now_s)
                 return
             if self._is_finished(idle_s):
                 return
@@ -189,6 +193,15 @@
             if self._queued and not await self._send_frame(socket):
                 return
 
+    def _log_silence(self, now_s: float) -> None:
+        extra = {
+            "peer": self.address,
+            "dialled_s": round(now_s - self._dialled_s, 1),
+            "echo_s": round(self._health.silence_s(now_s), 1),
+            "held_up_s": round(self._owner.clock.held_up_s, 1),
+        }
+        LOG.info("link silent", extra=extra)
+
     def _is_finished(self, idle_s: float) -> bool:
         return self._closed or boottime_s() - self._last_used_s >= idle_s
 
@@ -212,6 +225,7 @@
             # The peer is unreachable or does not read. The messages in the
             # frame are stale by now; the link drops them and reconnects.
             self._owner.counters.dropped += len(messages)
+            self._owner.counters.unconnected += 1
             return False
         self._health.record_sent(sequence, boottime_s())
         self._owner.counters.frames_sent += 1
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
@@ -25,6 +25,7 @@
 from sycamorestand_peer.link import Link
 from sycamorestand_peer.link import LinkOwner
 from sycamorestand_peer.link import TOTAL_QUEUE_BYTES
+from sycamorestand_peer.loop_clock import LoopClock
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import Heartbeat
 from sycamorestand_peer.messages import Relayed
@@ -67,6 +68,7 @@
         self.malformed = 0
         self.faults = 0
         self.redials = 0
+        self.unconnected = 0
         self.dropped = 0
         self.relayed = 0
 
@@ -128,6 +130,7 @@
         self._listen_address = listen_address or address
         self.incarnation = time.time_ns()
         self.counters = MeshCounters()
+        self.clock = LoopClock()
         self._keys = keys
         self._tls = tls
         self._handler = handler
@@ -157,6 +160,7 @@
             listener.listen(url(self._listen_address, self._tls))
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
+                tasks.start_soon(self.clock.run)
                 for link in list(self._links.values()):
                     tasks.start_soon(self._run_link, link)
                 task_status.started()
@@ -248,6 +252,7 @@
                 self.counters,
                 self._tls,
                 self._queue_room,
+                self.clock,
             )
             link = Link(address, owner)
             self._links[address] = link
--- a/packages/sycamorestand-peer/tests/cut_off_process.py
+++ b/packages/sycamorestand-peer/tests/cut_off_process.py
@@ -16,6 +16,7 @@
 import sycamorestand_peer.link as link_module
 from sycamorestand_peer.link import Link
 from sycamorestand_peer.link import LinkOwner
+from sycamorestand_peer.loop_clock import LoopClock
 from sycamorestand_peer.mesh import MeshCounters
 from sycamorestand_peer.mesh import PeerMesh
 from sycamorestand_peer.messages import Heartbeat
@@ -38,6 +39,7 @@
         MeshCounters(),
         None,
         ByteRoom(0),
+        LoopClock(),
     )
     link = Link(f"127.0.0.1:{port}", owner)
     async with anyio.create_task_group() as tasks:
--- a/packages/sycamorestand-peer/tests/test_link.py
+++ b/packages/sycamorestand-peer/tests/test_link.py
@@ -8,6 +8,7 @@
 from sycamorestand_peer.link import Link
 from sycamorestand_peer.link import LinkOwner
 from sycamorestand_peer.link import TOTAL_QUEUE_BYTES
+from sycamorestand_peer.loop_clock import LoopClock
 from sycamorestand_peer.mesh import MeshCounters
 from sycamorestand_peer.messages import ConfigurationPush
 from sycamorestand_peer.messages import Heartbeat
@@ -27,6 +28,7 @@
         MeshCounters(),
         None,
         room or ByteRoom(TOTAL_QUEUE_BYTES),
+        LoopClock(),
     )
     return Link("127.0.0.1:2", owner)
 
