A process reads all frames that have arrived in each turn of its loop

What callers saw: two or three systems beside each other on few cores serve all requests until an engine ends; from then on none, to the end, and no change is confirmed. Alone, or with a core of their own, they serve all.

Cause: the mesh read one frame in each turn of the event loop (about four turns a frame, as each read is an operation of its own). The end of an engine makes turns long. Frames then came faster than they were read and waited ever longer; leases were granted too late, the echo of frames was older than 1.5 s, and links that worked were left and dialled anew, 50 to 90 a second, which made the turns longer still. Class: work taken one piece a turn, where the length of a turn grows with the work.

Change: after each read, what has arrived is read too, up to 64 frames.

--- a/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
@@ -52,6 +52,8 @@
 # which is longer than any lease, and only if they echo a frame sent after
 # the last one from that incarnation. Replayed frames carry no such echo.
 INCARNATION_CHANGE_S: Final = 5.0
+# Frames that are handled in a row, before other tasks of the process run.
+MAX_WAITING_FRAMES: Final = 64
 # A link that was unused for this long is closed: its VM no longer exists.
 LINK_IDLE_S: Final = 60.0
 
@@ -167,6 +169,7 @@
                 while True:
                     received = await listener.arecv_msg()
                     self._handle_frame(received.bytes, received.pipe)
+                    self._handle_waiting_frames(listener)
 
     def send(self, address: str, message: Message) -> None:
         """Queue a message to a peer.
@@ -278,6 +281,20 @@
         self._sequence += 1
         return self._sequence
 
+    def _handle_waiting_frames(self, listener: pynng.Pair1) -> None:
+        """Handle the frames that have arrived, up to `MAX_WAITING_FRAMES`.
+
+        With one frame in each turn of the event loop, a process whose turns
+        take long would read fewer frames than arrive. They would wait ever
+        longer, until leases run out and its peers leave their links.
+        """
+        for _ in range(MAX_WAITING_FRAMES):
+            try:
+                received = listener.recv_msg(block=False)
+            except pynng.TryAgain:
+                return
+            self._handle_frame(received.bytes, received.pipe)
+
     def _handle_frame(self, data: bytes, pipe: Any) -> None:
         self.counters.frames_received += 1
         self.counters.bytes_received += len(data)
