Election timeouts follow the time that votes take

What callers saw: four deployments on two cores, all control processes killed once; 503 to most requests for 16 s, and no change confirmed. The lines of one of them have terms 2 to 9 without a leader.

Cause: an election timeout is drawn between 0.8 and 1.4 s, however long the votes take. With a second or so for a vote and its sync, each candidate gives up, or meets the next one, before its votes have arrived.

Change: a member notes how long the newest vote took, also one that comes too late, and draws the next timeout between two and six times as long, from 2 s at most. A known leader ends it. Where votes come in time nothing changes.

--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/election.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/election.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from sycamorestand_consensus.lease import ended_term
 from sycamorestand_consensus.lease import is_last_leader
 from sycamorestand_consensus.lease import lease_start_s
@@ -26,18 +28,28 @@
 from sycamorestand_consensus.raft_state import set_hard_state
 from sycamorestand_consensus.replication import refresh_progress
 
+# Bounds of the election timeout, in times that a vote takes to arrive.
+MIN_TIMEOUT_DELAYS: Final = 2.0
+MAX_TIMEOUT_DELAYS: Final = 6.0
+MAX_VOTE_DELAY_S: Final = 2.0
+MAX_REMEMBERED_REQUESTS: Final = 8
+
 
 def set_election_deadline(state: RaftState) -> None:
     """Draw the next election timeout at random.
 
     Random timeouts make it rare that two candidates split the votes twice.
-    The last leader is the only member that has no promise to wait out
-    after a restart. It retries every ``heartbeat_s`` until enough of the
-    other members are up.
+    They grow with the time that votes take: members that get little
+    processor would otherwise campaign against each other before the votes
+    of any of them have arrived, term after term. The last leader is the
+    only member that has no promise to wait out after a restart. It retries
+    every ``heartbeat_s`` until enough of the other members are up.
     """
     settings = state.settings
+    delay_s = min(state.vote_delay_s, MAX_VOTE_DELAY_S)
     wait_s = state.random.uniform(
-        settings.election_min_s, settings.election_max_s
+        max(settings.election_min_s, MIN_TIMEOUT_DELAYS * delay_s),
+        max(settings.election_max_s, MAX_TIMEOUT_DELAYS * delay_s),
     )
     if _is_restarted_leader(state):
         wait_s = settings.heartbeat_s
@@ -72,6 +84,8 @@
     if term > state.term:
         cluster = state.hard.cluster
         set_hard_state(state, HardState(term, "", cluster))
+    if leader_id:
+        state.vote_delay_s = 0.0
     if state.role != Role.FOLLOWER:
         set_election_deadline(state)
     state.role = Role.FOLLOWER
@@ -137,6 +151,7 @@
     state: RaftState, message: Message, reply: VoteReply
 ) -> None:
     """Count a vote in the current election; ignore late replies."""
+    _record_vote_delay(state, reply)
     expected = Role.PRE_CANDIDATE if reply.pre else Role.CANDIDATE
     campaign_term = state.term + 1 if reply.pre else state.term
     if state.role != expected or reply.campaign_term != campaign_term:
@@ -145,6 +160,12 @@
     _count_votes(state)
 
 
+def _record_vote_delay(state: RaftState, reply: VoteReply) -> None:
+    requested_s = state.requested_s.get((reply.campaign_term, reply.pre))
+    if requested_s is not None:
+        state.vote_delay_s = state.now_s - requested_s
+
+
 def _can_grant_vote(
     state: RaftState, candidate: str, request: VoteRequest
 ) -> bool:
@@ -184,6 +205,9 @@
         transfer=state.transfer_campaign and not pre,
         ended_term=ended_term(state, pre=pre),
     )
+    state.requested_s[request.campaign_term, pre] = state.now_s
+    if len(state.requested_s) > MAX_REMEMBERED_REQUESTS:
+        del state.requested_s[next(iter(state.requested_s))]
     send = send_now if pre else send_after_sync
     for member_id in voters(state.membership):
         if member_id != state.member_id:
--- a/packages/sycamorestand-consensus/src/sycamorestand_consensus/raft_state.py
+++ b/packages/sycamorestand-consensus/src/sycamorestand_consensus/raft_state.py
@@ -96,6 +96,10 @@
         self.promise_until_s = now_s
         self.election_deadline_s = now_s
         self.votes: dict[str, bool] = {}
+        # When the votes of the newest campaigns were requested, by term and
+        # kind, and how long the newest vote took to arrive.
+        self.requested_s: dict[tuple[int, bool], float] = {}
+        self.vote_delay_s = 0.0
         self.transfer_campaign = False
         self.incoming_snapshot: tuple[int, int, bytearray] | None = None
 
