A SIGHUP ends no process, also while it starts

Cause: the platform's role opens its receiver of signals after its imports, which take a second on a busy machine; until then SIGHUP has its default action. The product's own processes ended by it at any time. Class: an event from outside before the process is ready for it, as SIGTERM in test_start.

--- a/packages/sycamorestand/tests/test_start.py
+++ b/packages/sycamorestand/tests/test_start.py
@@ -31,7 +31,8 @@
 
         On a busy machine the imports take seconds. An entry that got
         SIGTERM 2.7 s after its start, before its first log line, exited
-        with -15, which a supervisor takes for a crash.
+        with -15, which a supervisor takes for a crash, and one that was
+        told to read its settings again with -1.
         """
         (tmp_path / "anyio.py").write_text(SLOW_LIBRARY)
         process = subprocess.Popen(
@@ -42,6 +43,7 @@
         )
         assert process.stdout is not None
         assert process.stdout.readline() == "loading\n"
+        process.send_signal(signal.SIGHUP)
         process.terminate()
         assert process.wait(timeout=20) == 0
         process.stdout.close()
