A version that was rolled out before is rolled out again when it is ordered

Cause: the id of the command that starts a roll-out was made of the service and the version. The log keeps the outcome of each id for a week, and gave the third order that of the first. Class: an outcome kept under an id that a later order shares.

Change: both commands have an id of their own.

--- a/packages/sycamorestand-state/src/sycamorestand_state/change_ids.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/change_ids.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+import secrets
 from typing import Final
 from typing import NamedTuple
 
@@ -24,6 +25,9 @@
 MAX_ANSWERS_BYTES: Final = 2 * 1024 * 1024
 
 
+UNIQUE_BYTES: Final = 8
+
+
 class StoredAnswer(NamedTuple):
     """A fingerprint of the change with this id, and the answer it got."""
 
@@ -88,6 +92,17 @@
         self.size_bytes -= self._sizes_bytes.pop(change_id)
 
 
+def unique_change_id(*parts: object) -> str:
+    """Return an id that no other change has, which begins with the parts.
+
+    For a change that the system makes itself and sends once. An id made of
+    its subject alone would give a later change of the same subject the answer
+    to the first one.
+    """
+    suffix = secrets.token_hex(UNIQUE_BYTES)
+    return "-".join((*map(str, parts), suffix))
+
+
 __all__ = [
     "MAX_ANSWERS_BYTES",
     "MAX_CHANGE_ID_AGE_S",
@@ -95,4 +110,5 @@
     "MAX_CHANGE_IDS",
     "StoredAnswer",
     "StoredAnswers",
+    "unique_change_id",
 ]
