What the leader decides by itself is a change of its own each time

What operators would see: a roll-out whose shares are declared anew goes back a step and then stands still; a version is quarantined, which is lifted, and a clock that was set back lets the next quarantine have no effect.

Steps, stops and quarantines had ids of their subject and of a number or a time that may come again, and the log answered with the outcome that it had kept. What protects them from being made twice is in the commands: the run and the step that they leave.

Change: all of these, and those on prompt parts, have a unique id.

--- a/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
@@ -27,6 +27,7 @@
 from sycamorestand_peer.messages import PartsReport
 from sycamorestand_peer.messages import PartsWatched
 from sycamorestand_peer.messages import ServerEnded
+from sycamorestand_state.change_ids import unique_change_id
 from sycamorestand_state.commands import ANY_REVISION
 from sycamorestand_state.commands import BlockPart
 from sycamorestand_state.commands import ReleasePart
@@ -229,7 +230,7 @@
 def _block(blame: Blame) -> BlockPart:
     servers = ", ".join(blame.servers[:MAX_LOGGED_SERVERS])
     return BlockPart(
-        f"block-{blame.part}-{time.time_ns()}",
+        unique_change_id("block", blame.part),
         SYSTEM,
         ANY_REVISION,
         blame.part,
@@ -244,7 +245,7 @@
 
 def _try(trial: Trial) -> TryPart:
     return TryPart(
-        f"try-{trial.part}-{trial.number}-{time.time_ns()}",
+        unique_change_id("try", trial.part, trial.number),
         SYSTEM,
         ANY_REVISION,
         trial.part,
@@ -256,7 +257,7 @@
 
 def _release(part: str) -> ReleasePart:
     return ReleasePart(
-        f"release-{part}-{time.time_ns()}",
+        unique_change_id("release", part),
         SYSTEM,
         ANY_REVISION,
         part,
--- a/packages/sycamorestand-control/src/sycamorestand_control/version_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/version_controller.py
@@ -26,6 +26,7 @@
 from sycamorestand_model.declarations import Objective
 from sycamorestand_model.declarations import version_id
 from sycamorestand_model.declarations import VERSION_SEPARATOR
+from sycamorestand_state.change_ids import unique_change_id
 from sycamorestand_state.commands import ANY_REVISION
 from sycamorestand_state.commands import Quarantine
 from sycamorestand_state.commands import RolloutStep
@@ -152,7 +153,7 @@
             )
         if isinstance(verdict, Stop):
             return StopRollout(
-                f"stop-{model}-{monitored.started_revision}",
+                unique_change_id("stop", model),
                 SYSTEM,
                 ANY_REVISION,
                 model,
@@ -163,7 +164,7 @@
             )
         if isinstance(verdict, Advance):
             return RolloutStep(
-                f"step-{model}-{monitored.started_revision}-{monitored.step}",
+                unique_change_id("step", model, monitored.step),
                 SYSTEM,
                 ANY_REVISION,
                 model,
@@ -281,7 +282,7 @@
 
 def _quarantine(version: str, verdict: Stop, now_s: float) -> Quarantine:
     return Quarantine(
-        f"quarantine-{version}-{int(now_s)}",
+        unique_change_id("quarantine", version),
         SYSTEM,
         ANY_REVISION,
         version,
--- a/packages/sycamorestand-control/tests/test_version_controller.py
+++ b/packages/sycamorestand-control/tests/test_version_controller.py
@@ -8,9 +8,11 @@
 import msgspec
 import pytest
 
+from sycamorestand_control.version_controller import _quarantine
 from sycamorestand_control.version_controller import _step_elapsed_s
 from sycamorestand_control.version_controller import VersionController
 from sycamorestand_decisions.stats_rows import to_rows
+from sycamorestand_decisions.verdicts import Stop
 from sycamorestand_decisions.version_stats import add_sample
 from sycamorestand_decisions.version_stats import empty_stats
 from sycamorestand_model.declarations import CascadeStep
@@ -90,6 +92,22 @@
         )
         self.controller._sync_rollouts()
 
+    def declare_shares(self, shares: tuple[float, ...]) -> None:
+        """Declare the roll-out again, with other shares."""
+        in_force = self.machine.in_force()
+        rollouts = {"nest": Rollout("nest", "2", shares, 50, 0.0)}
+        command = ApplyDeclarations(
+            f"declare-{in_force.revision}",
+            "ann",
+            in_force.revision,
+            in_force.declarations._replace(rollouts=rollouts),
+            "",
+            4.0,
+        )
+        index = 100 + in_force.revision
+        result = self.machine.apply(index, encode_command(command))
+        assert result.outcome == "applied", result.message
+
     def report(self, version: str, requests: int, errors: int = 0) -> None:
         stats = empty_stats()
         for number in range(requests):
@@ -178,6 +196,24 @@
         await harness.check()
         assert harness.rollout().step == 2
 
+    async def test_a_step_is_taken_again_after_its_shares_changed(
+        self,
+    ) -> None:
+        """The second step got the outcome of the first: it stood still."""
+        harness = Harness(HELP)
+        harness.report(OLD, 300)
+        harness.report(NEW, 300)
+        await harness.check()
+        assert harness.rollout().step == 1
+        harness.declare_shares(SHARES[:1])
+        harness.declare_shares(SHARES)
+        await harness.check()
+        assert harness.rollout().step == 0
+        harness.report(OLD, 300)
+        harness.report(NEW, 300)
+        await harness.check()
+        assert harness.rollout().step == 1
+
     async def test_a_duplicate_report_counts_once(self) -> None:
         harness = Harness(HELP)
         harness.report(OLD, 30)
@@ -231,6 +267,14 @@
         await harness.check()
         assert OLD not in harness.controller._watch._recent
 
+    async def test_a_second_quarantine_at_the_same_time_is_another_change(
+        self,
+    ) -> None:
+        """A clock that was set back shows the time of the first one again."""
+        verdict = Stop("errors", ())
+        ids = {_quarantine(OLD, verdict, 9.0).change_id for _ in range(2)}
+        assert len(ids) == 2
+
     async def test_the_only_runnable_version_is_not_quarantined(self) -> None:
         """No other version of the model may run, so operators decide."""
         harness = Harness(HELP)
