--- a/packages/sycamorestand-bench/tests/test_explore.py
+++ b/packages/sycamorestand-bench/tests/test_explore.py
@@ -26,7 +26,7 @@
 SEEDS_WITHOUT_SAFEGUARD: Final = {
     "answer-before-sync": 77,
     "claim-without-promise": 1070,
-    "commit-earlier-terms": 20155,
+    "commit-earlier-terms": 10197,
     "count-own-unsynced-entries": 12,
     "end-promises-without-restart": 4,
     "forget-promise-in-restart": 2478,
