A reply to a call from before a restart is not taken for another one

What operators and callers would see: a control process restarts while its proposals wait at the leader; the late outcome of one of them is told for a change that is sent after the restart, which may be lost. An entry that restarts takes the ledger's results for others, or ends, as they are more or fewer than its records.

Cause: calls are numbered from one at each start, and their replies are found by the number alone. A frame that is sent before the peer knows of the restart is refused; a reply that is made afterwards is not.

Change: the numbers begin at random, in 62 bits.

Test failed before: AssertionError: assert b'earlier' == b'later'.

--- a/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import secrets
 import time
 from typing import Any
 from typing import Final
@@ -54,6 +55,7 @@
 INCARNATION_CHANGE_S: Final = 5.0
 # Frames that are handled in a row, before other tasks of the process run.
 MAX_WAITING_FRAMES: Final = 64
+CALL_ID_BITS: Final = 62
 # A link that was unused for this long is closed: its VM no longer exists.
 LINK_IDLE_S: Final = 60.0
 
@@ -142,7 +144,9 @@
         self._relays = Relays()
         self._sequence = 0
         self._calls: dict[int, tuple[anyio.Event, list[CallReply]]] = {}
-        self._next_call = 0
+        # A process may get a late reply to a call from before its restart.
+        # Ids that begin at random keep it from being taken for another one.
+        self._next_call = secrets.randbits(CALL_ID_BITS)
         self._tasks: TaskGroup | None = None
 
     async def run(
--- a/packages/sycamorestand-peer/tests/test_mesh.py
+++ b/packages/sycamorestand-peer/tests/test_mesh.py
@@ -6,9 +6,11 @@
 from typing import Any
 
 import anyio
+from anyio import wait_all_tasks_blocked
 import pytest
 
 from sycamorestand_bench.addresses import free_address
+from sycamorestand_peer.codec import encode
 from sycamorestand_peer.errors import PeerTimeout
 from sycamorestand_peer.frames import Frame
 from sycamorestand_peer.frames import seal
@@ -216,6 +218,30 @@
             await until(lambda: restarted.received)
             tasks.cancel_scope.cancel()
 
+    @pytest.mark.anyio
+    async def test_a_restarted_process_takes_no_reply_to_an_earlier_call(
+        self, until: Any
+    ) -> None:
+        """The outcome of a lost change was told for that of a later one."""
+        earlier = Process()
+        late = CallReply(earlier.mesh.next_call_id(), "", b"earlier")
+        mesh = Process(address=earlier.mesh.address).mesh
+        call_id = mesh.next_call_id()
+        peer = free_address()
+        replies: list[CallReply] = []
+
+        async def call() -> None:
+            batch = LedgerBatch(call_id, 0, b"")
+            replies.append(await mesh.call(peer, call_id, batch, NEVER_S))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call)
+            await wait_all_tasks_blocked()
+            for reply in (late, CallReply(call_id, "", b"later")):
+                mesh._deliver(peer, *encode(reply))
+            await until(lambda: replies)
+        assert replies[0].payload == b"later"
+
 
 def is_free(address: str) -> bool:
     """Return whether no socket listens on the address any more."""
