A process whose clock was set back takes an incarnation above its last one

What operators would see: a VM whose time of day was set back, and whose processes are then restarted, serves nothing for five seconds and more: its entry gets no lease, and what its control process says of its servers is refused by all others until the clock has passed the time of the last start. An entry that had stopped as planned stays out of the addresses for a minute, and its samples of a roll-out count for nothing.

Cause: the incarnation of a start is the time of day, and peers, tables, records and samples each take the highest one for the newest. Class: an id that comes again, or falls back. The mesh alone had a way out, after 5 s.

Change: a frame that echoes a higher incarnation of this process tells that its clock was set back; the process goes on above it, at once, and its tables begin a new epoch. No reader of incarnations has to know.

Tests failed before: TimeoutError (no message within 10 s); 'stale' instead of 'applied'.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/in_memory_control.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/in_memory_control.py
@@ -97,6 +97,8 @@
 
     def close_link(self, address: str) -> None: ...
 
+    def add_incarnation_listener(self, listener: Any) -> None: ...
+
     def take_messages(self, kind: type) -> list[Any]:
         """Remove the recorded messages of one type and return them."""
         matching = [m for _, m in self.sent if isinstance(m, kind)]
--- a/packages/sycamorestand-control/src/sycamorestand_control/tables.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/tables.py
@@ -97,6 +97,8 @@
         self._servers = BackendDirectory(mesh.address, mesh.incarnation)
         self._last_logged: dict[str, dict[str, object]] = {}
         self._entries = NodeRegistry(mesh.address, mesh.incarnation)
+        mesh.add_incarnation_listener(self._servers.begin_epoch)
+        mesh.add_incarnation_listener(self._entries.begin_epoch)
         self._states: dict[str, EntryState] = {}
         self._streams = {
             BACKEND_SERVERS: _DeltaStreams(
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/link.py
@@ -55,14 +55,15 @@
 class LinkOwner(NamedTuple):
     """The properties of the owning process that a link needs.
 
-    ``key`` returns the key that signs frames. ``next_sequence`` returns the
-    number of the next frame. ``echo`` returns the incarnation and sequence
-    of the newest frame received from the link's peer. All links of the
-    process share the ``room`` for queued messages, and its ``clock``.
+    ``incarnation`` returns the number of its start, ``key`` the key that
+    signs frames, and ``next_sequence`` the number of the next frame.
+    ``echo`` returns the incarnation and sequence of the newest frame received
+    from the link's peer. All links of the process share the ``room`` for
+    queued messages, and its ``clock``.
     """
 
     address: str
-    incarnation: int
+    incarnation: Callable[[], int]
     key: Callable[[], bytes]
     next_sequence: Callable[[], int]
     echo: Callable[[], tuple[int, int]]
@@ -212,7 +213,7 @@
         frame = Frame(
             self._owner.address,
             self.address,
-            self._owner.incarnation,
+            self._owner.incarnation(),
             sequence,
             echo_incarnation,
             echo_sequence,
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/mesh.py
@@ -143,6 +143,7 @@
         self._unconfirmed: dict[str, tuple[int, int]] = {}
         self._relays = Relays()
         self._sequence = 0
+        self._incarnation_listeners: list[Callable[[int], None]] = []
         self._calls: dict[int, tuple[anyio.Event, list[CallReply]]] = {}
         # A process may get a late reply to a call from before its restart.
         # Ids that begin at random keep it from being taken for another one.
@@ -205,6 +206,12 @@
         """Return what waits to be sent to all peers."""
         return self._queue_room.used_bytes
 
+    def add_incarnation_listener(
+        self, listener: Callable[[int], None]
+    ) -> None:
+        """Call ``listener`` with each incarnation that replaces the first."""
+        self._incarnation_listeners.append(listener)
+
     def close_link(self, address: str) -> None:
         """Close the link to a peer.
 
@@ -252,7 +259,7 @@
         if link is None:
             owner = LinkOwner(
                 self.address,
-                self.incarnation,
+                lambda: self.incarnation,
                 lambda: self._keys()[0],
                 self._next_sequence,
                 lambda: self._echo(address),
@@ -338,6 +345,7 @@
                     self.send(frame.sender, Heartbeat())
                 self._unconfirmed[frame.sender] = newest
             self._link(frame.sender)
+            self._exceed(frame.echo_incarnation)
             raise FrameRefused(Refusal.RECEIVER_INCARNATION, frame.sender)
         if last is None or frame.incarnation > last.incarnation:
             return
@@ -348,6 +356,23 @@
         elif frame.sequence <= last.sequence:
             raise FrameRefused(Refusal.REPEATED, frame.sender)
 
+    def _exceed(self, incarnation: int) -> None:
+        """Take an incarnation above one that a peer knows of this process.
+
+        The clock was set back before this start. Peers would refuse its
+        frames for seconds, and what it says of itself, which they order by
+        incarnations, until its clock has passed the time of the last start.
+        """
+        if incarnation <= self.incarnation:
+            return
+        self.incarnation = incarnation + 1
+        LOG.warning(
+            "clock was set back before this start",
+            extra={"incarnation": self.incarnation},
+        )
+        for listener in self._incarnation_listeners:
+            listener(self.incarnation)
+
     def _is_successor(
         self, frame: Frame, last: _LastFrame, now_s: float
     ) -> bool:
--- a/packages/sycamorestand-peer/tests/cut_off_process.py
+++ b/packages/sycamorestand-peer/tests/cut_off_process.py
@@ -32,7 +32,7 @@
     sequence = iter(range(1, sys.maxsize))
     owner = LinkOwner(
         "127.0.0.1:1",
-        1,
+        lambda: 1,
         lambda: KEY,
         lambda: next(sequence),
         lambda: (0, 0),
--- a/packages/sycamorestand-peer/tests/test_link.py
+++ b/packages/sycamorestand-peer/tests/test_link.py
@@ -21,7 +21,7 @@
 def make_link(room: ByteRoom | None = None) -> Link:
     owner = LinkOwner(
         "127.0.0.1:1",
-        1,
+        lambda: 1,
         lambda: b"key",
         lambda: 1,
         lambda: (0, 0),
--- a/packages/sycamorestand-peer/tests/test_replay.py
+++ b/packages/sycamorestand-peer/tests/test_replay.py
@@ -25,6 +25,7 @@
 PEER = "127.0.0.1:9"
 MESSAGE = AddressList(())
 CHANGE_BOUND = "sycamorestand_peer.mesh.INCARNATION_CHANGE_S"
+NEVER_S = 60.0
 
 pytestmark = pytest.mark.anyio
 
@@ -187,6 +188,24 @@
                 await until(lambda: one.received and two.received)
             await self._exchange(one, Process(address, incarnation=5))
 
+    async def test_a_peer_whose_clock_was_set_back_is_heard_at_once(
+        self, until: Any, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """It had no lease for seconds, and its tables were old for longer."""
+        monkeypatch.setattr(CHANGE_BOUND, NEVER_S)
+        address = free_address()
+        one, two = Process(), Process(address)
+        async with running(one):
+            async with running(two):
+                two.mesh.send(one.mesh.address, MESSAGE)
+                await until(lambda: one.received)
+            restarted = Process(address, incarnation=5)
+            told: list[int] = []
+            restarted.mesh.add_incarnation_listener(told.append)
+            await self._exchange(one, restarted)
+        assert restarted.mesh.incarnation > two.mesh.incarnation
+        assert told == [restarted.mesh.incarnation]
+
     async def _exchange(self, one: Process, two: Process) -> None:
         one.received.clear()
         async with running(two):
--- a/packages/sycamorestand-state/src/sycamorestand_state/registry.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/registry.py
@@ -104,6 +104,11 @@
         """The version of the records that were announced directly."""
         return self._own.version
 
+    def begin_epoch(self, epoch: int) -> None:
+        """Go on as after a restart, with an epoch above earlier ones."""
+        self._own.begin_epoch(epoch)
+        self._merged.begin_epoch(epoch)
+
     def digest(self) -> int:
         """Return the digest of the merged records."""
         return self._merged.digest
--- a/packages/sycamorestand-state/src/sycamorestand_state/versioned_map.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/versioned_map.py
@@ -79,6 +79,10 @@
         """A hash of all records, independent of their order."""
         return self._digest
 
+    def begin_epoch(self, epoch: int) -> None:
+        """Send what follows as a restarted owner, whose copies ask anew."""
+        self._epoch = epoch
+
     def put(self, name: str, record: T) -> None:
         """Set a record; an equal record is no change."""
         known = self._records.get(name)
--- a/packages/sycamorestand-state/tests/test_directory.py
+++ b/packages/sycamorestand-state/tests/test_directory.py
@@ -158,6 +158,23 @@
         assert entry.apply_delta(second, 0.0) == "stale"
         assert entry.servers() == {}
 
+    def test_a_control_process_whose_clock_was_set_back_is_followed(
+        self, entry: BackendDirectory
+    ) -> None:
+        """Its servers were unknown to the others until its clock was on."""
+        before = BackendDirectory("c1", 1_000)
+        before.announce(server("s-1"), 1.0)
+        assert entry.apply_delta(before.own_full(), 1.0) == "applied"
+        restarted = BackendDirectory("c1", 5)
+        restarted.announce(server("s-2"), 2.0)
+        assert entry.apply_delta(restarted.own_full(), 2.0) == "stale"
+        restarted.begin_epoch(1_001)
+        delta = restarted.own_delta_since(0)
+        assert delta is not None
+        assert entry.apply_delta(delta, 3.0) == "resync"
+        assert entry.apply_delta(restarted.own_full(), 3.0) == "applied"
+        assert set(entry.servers()) == {"s-2"}
+
     def test_a_different_digest_requests_a_full_delta(
         self, control: BackendDirectory, entry: BackendDirectory
     ) -> None:
