--- a/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
@@ -52,6 +52,7 @@
 # Entries forget a blame that is not repeated for some times this long.
 REPEAT_INTERVAL_S: Final = 1.0
 MAX_LOGGED_SERVERS: Final = 8
+MAX_LOGGED_PARTS: Final = 16
 NOTHING_WATCHED: Final = PartsWatched(())
 
 
@@ -97,6 +98,7 @@
         )
         if is_new:
             self.ends += 1
+            _log_end(message)
             self._forward(sender, message)
 
     def handle_parts_report(self, sender: str, message: PartsReport) -> None:
@@ -148,6 +150,10 @@
             self._sound.clear()
             return
         if not led:
+            LOG.info(
+                "ends known to the new leader",
+                extra={"ends": self._evidence.end_count},
+            )
             self._gaps.record_gap(now_s)
             for address in self._others():
                 self._mesh.send(address, EndsWanted())
@@ -227,6 +233,22 @@
         return [_block(blame) for blame in self._blames if may_block]
 
 
+def _log_end(message: ServerEnded) -> None:
+    """Log what an entry tells, also what speaks against nothing."""
+
+    def text(is_begun: bool) -> str:
+        parts = [s.part for s in message.suspects if s.is_begun == is_begun]
+        return ", ".join(parts[:MAX_LOGGED_PARTS])
+
+    extra = {
+        "backend_server": message.server,
+        "process": message.process,
+        "begun": text(True),
+        "waiting": text(False),
+    }
+    LOG.info("an entry tells of a server's end", extra=extra)
+
+
 def _block(blame: Blame) -> BlockPart:
     servers = ", ".join(blame.servers[:MAX_LOGGED_SERVERS])
     return BlockPart(
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
@@ -130,6 +130,11 @@
         self._watched_since_s: dict[str, float] = {}
         self._changed_s = -math.inf
 
+    @property
+    def end_count(self) -> int:
+        """The number of ends that are known."""
+        return len(self._ends)
+
     def has_changed_lately(self, now_s: float) -> bool:
         """Return whether `watch` and `blames` may return something new."""
         return now_s - self._changed_s < RECENT_S
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
@@ -287,6 +287,8 @@
         if block.trial is None:
             return
         key = (part, block.revision, block.trial.number)
+        extra = {"part": part, "trial": block.trial.number}
+        _LOG.info("trial of a blocked part", extra=extra)
         self._used_trials[key] = None
         if len(self._used_trials) > MAX_USED_TRIALS:
             self._used_trials.popitem(last=False)
