A request that waits for its head may end its server beside begun ones

What callers saw: requests with one part, which end servers before the head of their answer, went on to reach servers; what control knew did not add up to a block.

Cause: where a server had begun to answer any request, only those counted as what had ended it. What sound requests share was counted at all. Class: evidence that is there and is left out by an assumption on the server.

Change: begun and waiting requests count apart, and a part at the place where it was at more ends; the number of its requests is that of both places.

Test failed before: assert ['first'] == ['bad'], the part that all sound requests share was blamed.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/end_records.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/end_records.py
@@ -89,15 +89,22 @@
             return own < MAX_REQUESTS_PER_CUSTOMER
         return own < MAX_PARTS_PER_CUSTOMER
 
-    def suspects(self, now_s: float) -> dict[CustomerPart, int]:
+    def suspects(self, now_s: float) -> dict[bool, dict[CustomerPart, int]]:
         """Return the parts that may be to blame, with their requests.
 
-        Where the server had begun to answer requests, it is one of those.
+        They are kept apart by whether the server had begun to answer the
+        requests. One that waited for its head may have ended it as well.
         """
-        found = self._requests[True]
-        if not found and now_s - self.at_s >= SETTLE_S:
-            found = self._requests[False]
-        return {k: n for k, n in found.items() if k not in self.cleared}
+        is_settled = now_s - self.at_s >= SETTLE_S
+        return {
+            is_begun: {
+                key: requests
+                for key, requests in found.items()
+                if key not in self.cleared
+            }
+            for is_begun, found in self._requests.items()
+            if is_begun or is_settled
+        }
 
     def whole_requests(self) -> dict[CustomerPart, int]:
         """Return the requests that may be to blame, begun or not."""
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
@@ -25,7 +25,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter
 from collections import OrderedDict
 import math
 from typing import Final
@@ -80,12 +80,13 @@
 
 
 class _Count:
-    """The ends under one part.
+    """The ends under one part, at one place of its requests' answers.
 
     A refused request ``explained`` some of them.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, is_begun: bool) -> None:
+        self.is_begun = is_begun
         self.servers: list[str] = []
         self.explained: list[str] = []
         self.requests = 0
@@ -100,14 +101,32 @@
         return self.explained + self.servers
 
     @property
-    def unlikelihood(self) -> tuple[float, int]:
+    def unlikelihood(self) -> tuple[float, int, bool]:
         """The mean number of requests at an end, then fewer ends.
 
         A part that was answered after some of the ends is at fewer of them,
-        with fewer requests in all.
+        with fewer requests in all. Last, requests that wait are less likely
+        to end a server than those that it has begun to answer.
         """
         ends = len(self.explained) + len(self.servers)
-        return self.requests / ends, -ends
+        return self.requests / ends, -ends, not self.is_begun
+
+    def is_before(self, other: _Count) -> bool:
+        """Return whether more ends speak against the part here."""
+        own, others = (
+            (len(each.explained) + len(each.servers), each.is_begun)
+            for each in (self, other)
+        )
+        return own > others
+
+
+class _End(NamedTuple):
+    """One place of the answers at a server that ended."""
+
+    server: str
+    is_begun: bool
+    is_explained: bool
+    has_cleared: bool
 
 
 class EndingParts:
@@ -251,10 +270,11 @@
         """Return the ends that no blocked prompt part explains."""
         found: list[ServerEnd] = []
         for (server, _), end in self._ends.items():
-            parts = end.suspects(now_s)
+            suspects = end.suspects(now_s)
+            parts = _keys(suspects)
             if not any(_is_refused(key, blocked, ()) for key in parts):
                 requests = end.whole_requests()
-                found.append(ServerEnd(server, requests, parts))
+                found.append(ServerEnd(server, requests, _places(suspects)))
         return found
 
     def _is_ready(self, part: str, now_s: float) -> bool:
@@ -310,26 +330,36 @@
         now_s: float,
         found: Iterable[Blame] = (),
     ) -> dict[str, _Count]:
-        """Return how often servers ended under each part, unexplained."""
-        counts: dict[str, _Count] = defaultdict(_Count)
+        """Return how often servers ended under each part, unexplained.
+
+        What ends servers does so at the same place of its answers. A part
+        counts where it was at more ends: begun, or waiting for the head.
+        """
+        counts: dict[tuple[str, bool], _Count] = {}
         for (server, _), end in self._ends.items():
             suspects = end.suspects(now_s)
-            if any(_is_refused(key, blocked, found) for key in suspects):
+            parts = _keys(suspects)
+            if any(_is_refused(key, blocked, found) for key in parts):
                 continue
             is_explained = any(
                 _is_refused(key, blocked, found)
                 for key in end.whole_requests()
             )
-            for part in {key.part for key in suspects}:
-                count = counts[part]
-                ends = count.explained if is_explained else count.servers
-                ends.append(server)
-                counts[part].is_certain |= bool(end.cleared)
-            for key, requests in suspects.items():
-                counts[key.part].requests += requests
-                if not is_explained:
-                    counts[key.part].customers.add(key.customer)
-        return counts
+            for is_begun, requests in suspects.items():
+                _add_end(
+                    counts,
+                    _End(server, is_begun, is_explained, bool(end.cleared)),
+                    requests,
+                )
+        most: dict[str, _Count] = {}
+        requests: Counter[str] = Counter()
+        for (part, _), count in counts.items():
+            requests[part] += count.requests
+            if part not in most or count.is_before(most[part]):
+                most[part] = count
+        for part, count in most.items():
+            count.requests = requests[part]
+        return most
 
     def _drop_old(self, now_s: float) -> None:
         while self._ends:
@@ -340,6 +370,41 @@
             self._ends.popitem(last=False)
 
 
+def _keys(
+    suspects: Mapping[bool, Mapping[CustomerPart, int]],
+) -> set[CustomerPart]:
+    return {key for found in suspects.values() for key in found}
+
+
+def _places(
+    suspects: Mapping[bool, Mapping[CustomerPart, int]],
+) -> list[tuple[CustomerPart, bool]]:
+    return [
+        (key, is_begun)
+        for is_begun, found in suspects.items()
+        for key in found
+    ]
+
+
+def _add_end(
+    counts: dict[tuple[str, bool], _Count],
+    end: _End,
+    suspects: Mapping[CustomerPart, int],
+) -> None:
+    """Count an end under each of the parts."""
+    for part in {key.part for key in suspects}:
+        place = (part, end.is_begun)
+        count = counts.setdefault(place, _Count(end.is_begun))
+        ends = count.explained if end.is_explained else count.servers
+        ends.append(end.server)
+        count.is_certain |= end.has_cleared
+    for key, requests in suspects.items():
+        count = counts[key.part, end.is_begun]
+        count.requests += requests
+        if not end.is_explained:
+            count.customers.add(key.customer)
+
+
 def _is_refused(
     key: CustomerPart,
     blocked: Mapping[str, BlockedPart],
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_requests.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_requests.py
@@ -39,12 +39,13 @@
 class ServerEnd(NamedTuple):
     """A server that ended, with its requests and how many copies of each.
 
-    ``parts`` are those of the prompts that may be to blame as well.
+    ``parts`` are those of the prompts that may be to blame as well, and
+    whether the server had begun to answer their requests.
     """
 
     server: str
     requests: Mapping[CustomerPart, int]
-    parts: Collection[CustomerPart] = ()
+    parts: Collection[tuple[CustomerPart, bool]] = ()
 
 
 class EndingRequest(NamedTuple):
@@ -122,10 +123,10 @@
 
 
 def _ends_of_parts(ends: Sequence[ServerEnd]) -> list[set[int]]:
-    at: dict[CustomerPart, set[int]] = defaultdict(set)
+    at: dict[tuple[CustomerPart, bool], set[int]] = defaultdict(set)
     for number, end in enumerate(ends):
-        for key in end.parts:
-            at[key].add(number)
+        for place in end.parts:
+            at[place].add(number)
     return list(at.values())
 
 
--- a/packages/sycamorestand-decisions/tests/test_ending_parts.py
+++ b/packages/sycamorestand-decisions/tests/test_ending_parts.py
@@ -172,6 +172,23 @@
             cluster.end(waiting("bad"))
         assert [blame.part for blame in cluster.blames()] == ["bad"]
 
+    def test_part_that_waits_for_its_head_is_blamed_beside_begun_ones(
+        self,
+    ) -> None:
+        """Requests that end servers before the head were not counted where
+        others had begun, and the part that sound ones share was refused.
+        """
+        cluster = Cluster()
+        for number in range(ENDS_TO_BLAME):
+            beside = f"s{number % 4}"
+            cluster.end(
+                begun("first"),
+                begun(beside),
+                waiting("first"),
+                waiting("bad"),
+            )
+        assert [blame.part for blame in cluster.blames()] == ["bad"]
+
     def test_certain_if_other_parts_were_answered_meanwhile(self) -> None:
         cluster = Cluster()
         for _ in range(ENDS_TO_BLAME):
