--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
@@ -352,13 +352,13 @@
                     requests,
                 )
         most: dict[str, _Count] = {}
-        requests: Counter[str] = Counter()
+        totals: Counter[str] = Counter()
         for (part, _), count in counts.items():
-            requests[part] += count.requests
+            totals[part] += count.requests
             if part not in most or count.is_before(most[part]):
                 most[part] = count
         for part, count in most.items():
-            count.requests = requests[part]
+            count.requests = totals[part]
         return most
 
     def _drop_old(self, now_s: float) -> None:
