--- a/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
@@ -242,7 +242,7 @@
 
     extra = {
         "backend_server": message.server,
-        "process": message.process,
+        "entry_process": message.process,
         "begun": text(True),
         "waiting": text(False),
     }
--- a/packages/sycamorestand-control/tests/test_part_controller.py
+++ b/packages/sycamorestand-control/tests/test_part_controller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+import logging
 from typing import Any
 
 import pytest
@@ -121,6 +122,19 @@
         await harness.check()
         assert harness.blocked["bad"].customers == ("club",)
 
+    async def test_each_end_that_is_told_has_a_line(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """A field of the line had the name of one that logging sets itself,
+        which ended the handling of the message.
+        """
+        harness = Harness()
+        with caplog.at_level(logging.INFO):
+            harness.end(1)
+        (record,) = caplog.records
+        assert vars(record)["backend_server"] == "s-1"
+        assert vars(record)["begun"] == "bad"
+
     async def test_next_leader_knows_what_the_others_were_told(self) -> None:
         """A leader lost after the last end took all that it knew with it."""
         harness = Harness()
