An entry tells of a server's end at once, not at the next interval

Cause: what an entry had at a server that ended waited for the next interval of 0.1 s. A request that ends servers moves on to the next one at once, so an entry that is killed took two or three ends along. Class: what was learned is with one process alone.

Change: the report goes out when the dial has shown the end; repeats as before.

Test failed before: no message half an interval after the end (assert 0 == 1).

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
@@ -356,6 +356,8 @@
             server.name, server.incarnation, self.process, suspects
         )
         self._reports[server.name] = _Report(message, now_s, 0)
+        # What waits for the next interval is lost with the process.
+        self._send_ends(now_s)
 
     async def _send_reports(self) -> None:
         while True:
@@ -368,6 +370,10 @@
     def send_reports(self, now_s: float) -> None:
         """Send control what it does not have yet, some of it repeatedly."""
         self._sync_stages(now_s)
+        self._send_ends(now_s)
+        self._send_parts()
+
+    def _send_ends(self, now_s: float) -> None:
         for name, report in list(self._reports.items()):
             if now_s < report.next_s:
                 continue
@@ -379,6 +385,8 @@
             self._reports[name] = report._replace(
                 next_s=next_s, repeats=report.repeats + 1
             )
+
+    def _send_parts(self) -> None:
         if self._sound or self._refused:
             sound, self._sound = self._sound, set()
             refused, self._refused = self._refused, set()
--- a/packages/sycamorestand-entry/tests/test_part_watch.py
+++ b/packages/sycamorestand-entry/tests/test_part_watch.py
@@ -90,6 +90,17 @@
             ),
         )
 
+    async def test_end_is_told_before_the_next_interval(self) -> None:
+        """An entry that was killed took along what it would have told."""
+        harness = Harness()
+        async with anyio.create_task_group() as group:
+            group.start_soon(harness.watch.run)
+            await anyio.sleep(REPORT_INTERVAL_S / 10)
+            harness.watch.record_broken(ENDED, BEGUN)
+            await anyio.sleep(REPORT_INTERVAL_S / 2)
+            assert len(harness.control.sent_messages) == 1
+            group.cancel_scope.cancel()
+
     async def test_requests_at_a_server_that_lives_are_not_told(self) -> None:
         """Servers close connections for many reasons, such as a limit."""
         harness = Harness()
