A part is blamed once its rivals had time to be told and answered

What callers saw: with all entries and control processes restarted at once, the part that all sound requests share, or one that a quarter shares, was refused: 210, 212 and 205 of some 308 sound requests whole, once 0 of 311 (finding).

Cause: the leader compared parts whose evidence was at different stages. The bad part was watched later than the shared one, so that only that one could be blamed; at the newest end, entries with the bad one had not told yet; where one end of four had not been told, the bad part was no candidate at all. Class: a comparison of what is known, where one side is not known yet.

Tests failed before, 3: assert ['first'] == ['bad']; [Blame('s0')] == [] twice.

--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/end_records.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/end_records.py
@@ -89,13 +89,17 @@
             return own < MAX_REQUESTS_PER_CUSTOMER
         return own < MAX_PARTS_PER_CUSTOMER
 
+    def is_settled(self, now_s: float) -> bool:
+        """Return whether all entries had time to tell of the end."""
+        return now_s - self.at_s >= SETTLE_S
+
     def suspects(self, now_s: float) -> dict[bool, dict[CustomerPart, int]]:
         """Return the parts that may be to blame, with their requests.
 
         They are kept apart by whether the server had begun to answer the
         requests. One that waited for its head may have ended it as well.
         """
-        is_settled = now_s - self.at_s >= SETTLE_S
+        is_settled = self.is_settled(now_s)
         return {
             is_begun: {
                 key: requests
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
@@ -42,14 +42,18 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from sycamorestand_decisions.end_records import Server
     from sycamorestand_model.prompt_parts import BlockedPart
     from sycamorestand_model.prompt_parts import Suspect
 
+    _Ends = Sequence[tuple[Server, EndRecord]]
+
 # Five ends are allowed. One of them may not be seen, as the entry that had
 # the request was lost in the same moment.
 ENDS_TO_BLAME: Final = 4
+UNSEEN_ENDS: Final = 1
 ENDS_TO_WATCH: Final = 2
 # Ends of further customers' requests after which a part is blamed for all.
 FURTHER_ENDS: Final = 2
@@ -222,13 +226,14 @@
 
         Not among them are requests at ends that a ``blocked`` part explains.
         """
+        known = list(self._ends.items())
         ends = {
             part: len(count.servers)
-            for part, count in self._counts({}, now_s).items()
+            for part, count in _counts(known, {}, now_s).items()
             if len(count.servers) >= ENDS_TO_WATCH
         }
         several = requests_at_several_ends(
-            self._server_ends(blocked or {}, now_s), ENDS_TO_WATCH
+            _server_ends(known, blocked or {}, now_s), ENDS_TO_WATCH
         )
         ends.update({key.part: count for key, count in several.items()})
         watched = sorted(ends, key=lambda part: -ends[part])[:MAX_WATCHED]
@@ -240,10 +245,18 @@
     def blames(
         self, blocked: Mapping[str, BlockedPart], now_s: float
     ) -> list[Blame]:
-        """Return the parts to refuse from now on."""
-        found = self._request_blames(blocked, now_s)
+        """Return the parts to refuse from now on.
+
+        An end counts once all entries had time to tell of it.
+        """
+        ends = [
+            (server, end)
+            for server, end in self._ends.items()
+            if end.is_settled(now_s)
+        ]
+        found = self._request_blames(ends, blocked, now_s)
         while True:
-            counts = self._counts(blocked, now_s, found)
+            counts = _counts(ends, blocked, now_s, found)
             blame = self._further_customers(counts, blocked, found)
             if blame is None:
                 blame = self._most_likely(counts, blocked, now_s)
@@ -252,10 +265,10 @@
             found.append(blame)
 
     def _request_blames(
-        self, blocked: Mapping[str, BlockedPart], now_s: float
+        self, ends: _Ends, blocked: Mapping[str, BlockedPart], now_s: float
     ) -> list[Blame]:
         found = find_ending_requests(
-            self._server_ends(blocked, now_s),
+            _server_ends(ends, blocked, now_s),
             lambda key: _is_refused(key, blocked, ()),
             lambda key: self._is_ready(key.part, now_s),
         )
@@ -264,19 +277,6 @@
             for key, servers in found
         ]
 
-    def _server_ends(
-        self, blocked: Mapping[str, BlockedPart], now_s: float
-    ) -> list[ServerEnd]:
-        """Return the ends that no blocked prompt part explains."""
-        found: list[ServerEnd] = []
-        for (server, _), end in self._ends.items():
-            suspects = end.suspects(now_s)
-            parts = _keys(suspects)
-            if not any(_is_refused(key, blocked, ()) for key in parts):
-                requests = end.whole_requests()
-                found.append(ServerEnd(server, requests, _places(suspects)))
-        return found
-
     def _is_ready(self, part: str, now_s: float) -> bool:
         """Return whether entries had time to tell that it is answered."""
         return now_s - self._watched_since_s.get(part, now_s) >= WATCH_S
@@ -306,61 +306,24 @@
         candidates = [
             part
             for part, count in counts.items()
-            if len(count.ends) >= ENDS_TO_BLAME
+            if len(count.ends) >= ENDS_TO_BLAME - UNSEEN_ENDS
             and part not in blocked
-            and self._is_ready(part, now_s)
+            and part in self._watched_since_s
         ]
-        if not candidates:
+        most = max((len(counts[part].ends) for part in candidates), default=0)
+        if most < ENDS_TO_BLAME:
             return None
-        most = max(len(counts[part].ends) for part in candidates)
+        least = max(1, min(SIMILAR_SHARE * most, most - UNSEEN_ENDS))
         part = min(
-            (
-                part
-                for part in candidates
-                if len(counts[part].ends) >= SIMILAR_SHARE * most
-            ),
+            (part for part in candidates if len(counts[part].ends) >= least),
             key=lambda part: (*counts[part].unlikelihood, part),
         )
         count = counts[part]
+        if len(count.ends) < ENDS_TO_BLAME or not self._is_ready(part, now_s):
+            # One more end, or answers to it, will tell.
+            return None
         return _blame(part, count, is_for_everyone=len(count.customers) > 1)
 
-    def _counts(
-        self,
-        blocked: Mapping[str, BlockedPart],
-        now_s: float,
-        found: Iterable[Blame] = (),
-    ) -> dict[str, _Count]:
-        """Return how often servers ended under each part, unexplained.
-
-        What ends servers does so at the same place of its answers. A part
-        counts where it was at more ends: begun, or waiting for the head.
-        """
-        counts: dict[tuple[str, bool], _Count] = {}
-        for (server, _), end in self._ends.items():
-            suspects = end.suspects(now_s)
-            parts = _keys(suspects)
-            if any(_is_refused(key, blocked, found) for key in parts):
-                continue
-            is_explained = any(
-                _is_refused(key, blocked, found)
-                for key in end.whole_requests()
-            )
-            for is_begun, requests in suspects.items():
-                _add_end(
-                    counts,
-                    _End(server, is_begun, is_explained, bool(end.cleared)),
-                    requests,
-                )
-        most: dict[str, _Count] = {}
-        totals: Counter[str] = Counter()
-        for (part, _), count in counts.items():
-            totals[part] += count.requests
-            if part not in most or count.is_before(most[part]):
-                most[part] = count
-        for part, count in most.items():
-            count.requests = totals[part]
-        return most
-
     def _drop_old(self, now_s: float) -> None:
         while self._ends:
             oldest = next(iter(self._ends.values()))
@@ -370,6 +333,57 @@
             self._ends.popitem(last=False)
 
 
+def _server_ends(
+    ends: _Ends, blocked: Mapping[str, BlockedPart], now_s: float
+) -> list[ServerEnd]:
+    """Return the ends that no blocked prompt part explains."""
+    found: list[ServerEnd] = []
+    for (server, _), end in ends:
+        suspects = end.suspects(now_s)
+        parts = _keys(suspects)
+        if not any(_is_refused(key, blocked, ()) for key in parts):
+            requests = end.whole_requests()
+            found.append(ServerEnd(server, requests, _places(suspects)))
+    return found
+
+
+def _counts(
+    ends: _Ends,
+    blocked: Mapping[str, BlockedPart],
+    now_s: float,
+    found: Iterable[Blame] = (),
+) -> dict[str, _Count]:
+    """Return how often servers ended under each part, unexplained.
+
+    What ends servers does so at the same place of its answers. A part
+    counts where it was at more ends: begun, or waiting for the head.
+    """
+    counts: dict[tuple[str, bool], _Count] = {}
+    for (server, _), end in ends:
+        suspects = end.suspects(now_s)
+        parts = _keys(suspects)
+        if any(_is_refused(key, blocked, found) for key in parts):
+            continue
+        is_explained = any(
+            _is_refused(key, blocked, found) for key in end.whole_requests()
+        )
+        for is_begun, requests in suspects.items():
+            _add_end(
+                counts,
+                _End(server, is_begun, is_explained, bool(end.cleared)),
+                requests,
+            )
+    most: dict[str, _Count] = {}
+    totals: Counter[str] = Counter()
+    for (part, _), count in counts.items():
+        totals[part] += count.requests
+        if part not in most or count.is_before(most[part]):
+            most[part] = count
+    for part, count in most.items():
+        count.requests = totals[part]
+    return most
+
+
 def _keys(
     suspects: Mapping[bool, Mapping[CustomerPart, int]],
 ) -> set[CustomerPart]:
--- a/packages/sycamorestand-decisions/tests/test_ending_parts.py
+++ b/packages/sycamorestand-decisions/tests/test_ending_parts.py
@@ -189,6 +189,50 @@
             )
         assert [blame.part for blame in cluster.blames()] == ["bad"]
 
+    def test_shared_part_is_not_blamed_while_answers_to_the_bad_one_are_due(
+        self,
+    ) -> None:
+        """It had been watched for longer than the part to blame, and all
+        requests were refused until that one had been watched as long.
+        """
+        cluster = Cluster()
+        cluster.end(begun("first"))
+        cluster.end(begun("first", requests=2), begun("bad"))
+        cluster.parts.watch(cluster.now_s)
+        cluster.now_s += WATCH_S
+        for _ in range(ENDS_TO_BLAME):
+            cluster.end(begun("first", requests=2), begun("bad"))
+        assert [blame.part for blame in cluster.blames()] == ["bad"]
+
+    def test_newest_end_counts_once_all_entries_could_tell_of_it(
+        self,
+    ) -> None:
+        """The entry with the part to blame told of it last, and one that
+        sound requests share was blamed.
+        """
+        cluster = Cluster()
+        for _ in range(ENDS_TO_BLAME - 1):
+            cluster.end(begun("s0", requests=2), begun("bad"))
+        cluster.now_s += WATCH_S
+        cluster.parts.watch(cluster.now_s)
+        name = cluster.end(begun("s0"), entry="entry-2", pause_s=WATCH_S)
+        cluster.parts.watch(cluster.now_s)
+        assert cluster.parts.blames({}, cluster.now_s) == []
+        cluster.end(begun("bad"), server=name)
+        assert [blame.part for blame in cluster.blames()] == ["bad"]
+
+    def test_rarer_part_that_was_not_told_of_one_end_is_waited_for(
+        self,
+    ) -> None:
+        """The entry that had the bad request at one end was lost."""
+        cluster = Cluster()
+        cluster.end(begun("s0", requests=2))
+        for _ in range(ENDS_TO_BLAME - 1):
+            cluster.end(begun("s0", requests=2), begun("bad"))
+        assert cluster.blames() == []
+        cluster.end(begun("s0", requests=2), begun("bad"))
+        assert [blame.part for blame in cluster.blames()] == ["bad"]
+
     def test_certain_if_other_parts_were_answered_meanwhile(self) -> None:
         cluster = Cluster()
         for _ in range(ENDS_TO_BLAME):
