Entries hear that a part is not to blame any more

Cause: entries keep a blame for 3 s, for the case that their next control process does not know it yet; nothing told them that it was dropped. Class: a refusal that nobody takes back.

Change: control names the parts that it has blamed lately and does not any more; a move to another control process keeps the blame, as before.

Tests failed before: set() == {'request-unlucky'}; the part was still refused.

--- a/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
@@ -37,6 +37,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Set as AbstractSet
 
     from sycamorestand_control.groups import LogGroups
     from sycamorestand_decisions.ending_parts import Blame
@@ -51,6 +52,8 @@
 TICK_S: Final = 0.1
 # Entries forget a blame that is not repeated for some times this long.
 REPEAT_INTERVAL_S: Final = 1.0
+# Entries refuse a blamed part for less than this.
+CLEARED_S: Final = 4.0
 MAX_LOGGED_SERVERS: Final = 8
 MAX_LOGGED_PARTS: Final = 16
 NOTHING_WATCHED: Final = PartsWatched(())
@@ -84,6 +87,8 @@
         self._sent: dict[str, PartsWatched] = {}
         self._asked: set[str] = set()
         self._blames: list[Blame] = []
+        # When each part was blamed last.
+        self._blamed_s: dict[str, float] = {}
         self._repeat_s = 0.0
         self._leads = False
         self._waits = False
@@ -188,7 +193,8 @@
             blame.part: BlockedPart(blame.customers, blame.is_for_everyone)
             for blame in self._blames
         }
-        message = PartsWatched(self.watched, blamed)
+        cleared = self._cleared_blames(blamed.keys(), now_s)
+        message = PartsWatched(self.watched, blamed, cleared)
         attached = set(self._entries())
         self._ask_new_entries(attached, now_s)
         self._sent = {a: m for a, m in self._sent.items() if a in attached}
@@ -201,6 +207,20 @@
                 self._sent[address] = message
                 self._mesh.send(address, message)
 
+    def _cleared_blames(
+        self, blamed: AbstractSet[str], now_s: float
+    ) -> tuple[str, ...]:
+        """Return the parts that were blamed lately and are not to blame."""
+        self._blamed_s.update(dict.fromkeys(blamed, now_s))
+        self._blamed_s = {
+            part: at_s
+            for part, at_s in self._blamed_s.items()
+            if now_s - at_s < CLEARED_S
+        }
+        return tuple(
+            sorted(self._blamed_s.keys() - blamed - self._blocked.keys())
+        )
+
     def _ask_new_entries(self, attached: set[str], now_s: float) -> None:
         """Ask entries that come from another control process, now lost."""
         for address in attached - self._asked:
--- a/packages/sycamorestand-control/tests/test_part_controller.py
+++ b/packages/sycamorestand-control/tests/test_part_controller.py
@@ -99,6 +99,11 @@
         told = [m for _, m in self.mesh.sent if isinstance(m, PartsWatched)]
         return set(told[-1].blamed)
 
+    def cleared(self) -> set[str]:
+        """Return what entries were told last not to refuse any more."""
+        told = [m for _, m in self.mesh.sent if isinstance(m, PartsWatched)]
+        return set(told[-1].cleared)
+
     def told(self) -> Counter[str]:
         """Return how often entries were told to watch since the last call."""
         sent, self.mesh.sent = self.mesh.sent, []
@@ -274,6 +279,7 @@
         await harness.check()
         assert set(harness.blocked) == {"bad"}
         assert harness.blamed() == set()
+        assert harness.cleared() == {UNLUCKY}
 
     async def test_lost_control_process_puts_a_block_off_only_briefly(
         self,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/part_watch.py
@@ -410,6 +410,8 @@
         added = set(message.parts) - self._watched
         self._watched = frozenset(message.parts)
         self._watches_requests = any(map(is_request, self._watched))
+        for part in message.cleared:
+            self._blamed.pop(part, None)
         until_s = self._now_s() + BLAMED_S
         for part, block in message.blamed.items():
             self._blamed[part] = _Blamed(block, until_s)
--- a/packages/sycamorestand-entry/tests/test_part_watch.py
+++ b/packages/sycamorestand-entry/tests/test_part_watch.py
@@ -228,6 +228,18 @@
         harness.now_s += BLAMED_S
         assert not harness.watch.blocked("club", ("bad",))
 
+    def test_cleared_part_is_not_refused_until_the_blame_runs_out(
+        self,
+    ) -> None:
+        """Sound requests were refused for 3 s after control had found out
+        what ended servers.
+        """
+        harness = Harness()
+        tell = harness.control.listeners[PartsWatched]
+        tell(PartsWatched((), {"bad": BlockedPart(("club",))}))
+        tell(PartsWatched((), {}, ("bad",)))
+        assert not harness.watch.blocked("club", ("bad",))
+
     def test_released_part_is_not_blamed_any_more(self) -> None:
         harness = Harness()
         tell = harness.control.listeners[PartsWatched]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -237,10 +237,12 @@
     """The prompt parts of which control asks whether servers answer them.
 
     Those in ``blamed`` are about to be blocked, as soon as there is a leader.
+    Those in ``cleared`` were, until another cause showed.
     """
 
     parts: tuple[str, ...]
     blamed: dict[str, BlockedPart] = {}
+    cleared: tuple[str, ...] = ()
 
 
 class ArrivalTrade(NamedTuple):
