Control knows over its restart what servers ended under

What callers saw: all entries and control processes were restarted while a part of prompts ended servers; what had been told by then was gone, and as many servers ended again before it was blocked: 9 to 15 in all, up to 6 late.

Cause: the ends were in the memory of control processes alone. One that starts asks the others only as it becomes leader, and what one forwards while a link is down is not sent again, as a repeated report is no news to it. Class: what was learned is lost with one process, or unknown to one that starts.

Tests failed with the restoring and the asking taken out: not blocked after the restart; [] == ['c2'].

--- /dev/null
+++ b/packages/sycamorestand-control/src/sycamorestand_control/ends_file.py
@@ -0,0 +1,83 @@
+"""Keeps what is known of backend servers that ended, over a restart.
+
+A restart of all processes comes easily while servers end. Were all of it
+forgotten, what ends servers would end as many again before it is blocked.
+Each control process keeps a file of its own, as each gathers all that entries
+tell; one that is lost is asked for at the others.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import Final
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from anyio import to_thread
+import msgspec
+
+from sycamorestand_consensus.errors import StorageError
+from sycamorestand_consensus.files import make_folder
+from sycamorestand_consensus.files import replace_file
+from sycamorestand_consensus.files import storage_errors
+from sycamorestand_decisions.end_records import KnownEnd
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+LOG: Final = logging.getLogger(__name__)
+FILE_NAME: Final = "server-ends"
+
+
+class _Content(NamedTuple):
+    """``saved_s`` is the time of day, as a restart may reset other clocks."""
+
+    saved_s: float
+    ends: list[KnownEnd]
+
+
+class EndsFile:
+    """The file of one control process."""
+
+    def __init__(self, folder: Path) -> None:
+        self._path = folder / FILE_NAME
+
+    def read(self) -> list[KnownEnd]:
+        """Return the ends with their ages by now, none without the file."""
+        try:
+            data = self._path.read_bytes()
+            content = msgspec.msgpack.decode(data, type=_Content)
+        except FileNotFoundError:
+            return []
+        except (OSError, msgspec.MsgspecError) as error:
+            LOG.warning(
+                "ends of servers not read", extra={"reason": str(error)}
+            )
+            return []
+        # A clock that was set back must not make them younger.
+        passed_s = max(0.0, time.time() - content.saved_s)
+        return [
+            end._replace(age_s=end.age_s + passed_s) for end in content.ends
+        ]
+
+    async def write(self, ends: Sequence[KnownEnd]) -> None:
+        """Replace the file; log where that fails."""
+        content = _Content(time.time(), list(ends))
+        data = msgspec.msgpack.encode(content)
+        try:
+            await to_thread.run_sync(self._write, data)
+        except StorageError as error:
+            # They are still in memory, and at the other control processes.
+            LOG.warning(
+                "ends of servers not written", extra={"reason": str(error)}
+            )
+
+    def _write(self, data: bytes) -> None:
+        with storage_errors(self._path):
+            make_folder(self._path.parent)
+            replace_file(self._path, data)
+
+
+__all__ = ["EndsFile", "FILE_NAME"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
@@ -20,6 +20,7 @@
 from sycamorestand_control.groups import CONFIGURATION_GROUP
 from sycamorestand_decisions.ending_parts import EndingParts
 from sycamorestand_decisions.evidence_gaps import EvidenceGaps
+from sycamorestand_decisions.evidence_gaps import LOST_AFTER_S
 from sycamorestand_decisions.part_trials import PartTrials
 from sycamorestand_model.prompt_parts import BlockedPart
 from sycamorestand_peer.clock import boottime_s
@@ -39,6 +40,7 @@
     from collections.abc import Iterable
     from collections.abc import Set as AbstractSet
 
+    from sycamorestand_control.ends_file import EndsFile
     from sycamorestand_control.groups import LogGroups
     from sycamorestand_decisions.ending_parts import Blame
     from sycamorestand_decisions.part_trials import Trial
@@ -52,6 +54,7 @@
 TICK_S: Final = 0.1
 # Entries forget a blame that is not repeated for some times this long.
 REPEAT_INTERVAL_S: Final = 1.0
+SAVE_INTERVAL_S: Final = 0.3
 # Entries refuse a blamed part for less than this.
 CLEARED_S: Final = 4.0
 MAX_LOGGED_SERVERS: Final = 8
@@ -63,7 +66,8 @@
     """Gathers ends of servers, and blocks, tries and releases parts.
 
     ``entries`` and ``others`` return the peer addresses of the entries
-    attached here and of the other control processes.
+    attached here and of the other control processes; ``ends_file`` keeps what
+    is gathered over a restart.
     """
 
     def __init__(
@@ -73,19 +77,25 @@
         configuration: ConfigurationMachine,
         entries: Callable[[], Iterable[str]],
         others: Callable[[], Iterable[str]],
+        ends_file: EndsFile,
     ) -> None:
         self._mesh = mesh
         self._groups = groups
         self._configuration = configuration
         self._entries = entries
         self._others = others
+        self._ends_file = ends_file
         self._evidence = EndingParts()
+        self._evidence.restore(ends_file.read(), boottime_s())
+        # When what the file has changed last.
+        self._saved_s = self._evidence.changed_s
         self._gaps = EvidenceGaps()
         self._trials = PartTrials()
         self._blocked: dict[str, BlockedPart] = {}
         self._sound: dict[str, CustomerPart] = {}
         self._sent: dict[str, PartsWatched] = {}
         self._asked: set[str] = set()
+        self._heard: set[str] = set()
         self._blames: list[Blame] = []
         # When each part was blamed last.
         self._blamed_s: dict[str, float] = {}
@@ -135,9 +145,22 @@
 
     async def run(self) -> None:
         """Watch and decide every `TICK_S`, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._keep_saving)
+            while True:
+                await anyio.sleep(TICK_S)
+                await self.check(boottime_s())
+
+    async def _keep_saving(self) -> None:
+        """Write what is known, apart from decisions: a disk may be slow."""
         while True:
             await anyio.sleep(TICK_S)
-            await self.check(boottime_s())
+            if self._evidence.changed_s == self._saved_s:
+                continue
+            self._saved_s = self._evidence.changed_s
+            ends = self._evidence.known_ends(boottime_s())
+            await self._ends_file.write(ends)
+            await anyio.sleep(SAVE_INTERVAL_S)
 
     async def check(self, now_s: float) -> None:
         """Tell the entries what to watch and, while leading, decide."""
@@ -182,6 +205,18 @@
         for address in self._others():
             silence_s = self._mesh.silence_s(address)
             self._gaps.record_silence(silence_s, now_s)
+            self._ask_if_back(address, silence_s)
+
+    def _ask_if_back(self, address: str, silence_s: float) -> None:
+        """Ask a control process that is heard again, or for the first time.
+
+        What it forwarded meanwhile is lost, and is not sent again.
+        """
+        if silence_s > LOST_AFTER_S:
+            self._heard.discard(address)
+        elif address not in self._heard:
+            self._heard.add(address)
+            self._mesh.send(address, EndsWanted())
 
     def _push_watched(self, now_s: float) -> None:
         """Tell the entries what to watch, and what to refuse already.
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -17,6 +17,7 @@
 from sycamorestand_consensus.settings import settings_within
 from sycamorestand_control.arrival_lender import ArrivalLender
 from sycamorestand_control.background import keep_running
+from sycamorestand_control.ends_file import EndsFile
 from sycamorestand_control.errors import ControlError
 from sycamorestand_control.failure_controller import FailureController
 from sycamorestand_control.formation import create_cluster
@@ -179,6 +180,7 @@
             self.configuration,
             self.hub.attached_addresses,
             self._other_controls,
+            EndsFile(settings.data_folder),
         )
         self.lender = ArrivalLender(
             self.mesh, settings.allowance, self._voters
--- a/packages/sycamorestand-control/tests/test_part_controller.py
+++ b/packages/sycamorestand-control/tests/test_part_controller.py
@@ -4,11 +4,15 @@
 
 from collections import Counter
 import logging
+from pathlib import Path
 from typing import Any
 
+import anyio
 import pytest
 
 from sycamorestand_bench.fakes.in_memory_control import FakeMesh
+from sycamorestand_control.ends_file import EndsFile
+from sycamorestand_control.ends_file import FILE_NAME
 from sycamorestand_control.part_controller import PartController
 from sycamorestand_decisions.ending_parts import ENDS_TO_BLAME
 from sycamorestand_model.prompt_parts import BlockedPart
@@ -30,6 +34,7 @@
 BAD = (Suspect("club", "bad", True, 1),)
 UNLUCKY = REQUEST_PREFIX + "unlucky"
 TICK_S = 0.1
+NO_FOLDER = Path("no-folder")
 
 
 class FakeGroups:
@@ -53,7 +58,11 @@
 class Harness:
     """A control process with two entries and one other control process."""
 
-    def __init__(self, machine: ConfigurationMachine | None = None) -> None:
+    def __init__(
+        self,
+        machine: ConfigurationMachine | None = None,
+        folder: Path = NO_FOLDER,
+    ) -> None:
         self.machine = machine or ConfigurationMachine()
         if machine is None:
             create = CreateCluster("c", "ann", 1.0, "id", b"k" * 32, 1, "h")
@@ -68,6 +77,7 @@
             self.machine,
             lambda: self.entries,
             lambda: ["c2"],
+            EndsFile(folder),
         )
 
     def end(self, number: int, sender: str = "e1") -> ServerEnded:
@@ -303,3 +313,36 @@
         await harness.check()
         asked = [to for to, m in harness.mesh.sent if m == EndsWanted()]
         assert asked == ["e3"]
+
+
+class TestRestart:
+    async def test_ends_are_known_after_all_processes_were_restarted(
+        self, tmp_path: Path
+    ) -> None:
+        """What ends servers ended as many again before it was blocked."""
+        before = Harness(folder=tmp_path)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(before.parts.run)
+            for number in range(ENDS_TO_BLAME - 1):
+                before.end(number)
+            with anyio.fail_after(5):
+                while not (tmp_path / FILE_NAME).exists():
+                    await anyio.sleep(TICK_S)
+            tasks.cancel_scope.cancel()
+        after = Harness(folder=tmp_path)
+        after.end(ENDS_TO_BLAME)
+        await after.check()
+        assert after.blocked
+
+    async def test_control_process_that_is_heard_again_is_asked(self) -> None:
+        """What it had forwarded meanwhile reached nobody, for good."""
+        harness = Harness()
+        harness.groups.leads = False
+        await harness.check(0.2)
+        harness.mesh.sent.clear()
+        harness.mesh.silences_s["c2"] = 1.0
+        await harness.check(0.2)
+        harness.mesh.silences_s["c2"] = 0.0
+        await harness.check(0.2)
+        asked = [to for to, m in harness.mesh.sent if m == EndsWanted()]
+        assert asked == ["c2"]
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/end_records.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/end_records.py
@@ -9,13 +9,12 @@
 from typing import TYPE_CHECKING
 
 from sycamorestand_model.prompt_parts import CustomerPart
+from sycamorestand_model.prompt_parts import Suspect
 from sycamorestand_model.request_digest import is_request
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sycamorestand_model.prompt_parts import Suspect
-
 # Time for all entries to tell what they had at a server that ended.
 SETTLE_S: Final = 0.3
 MAX_PARTS_PER_END: Final = 64
@@ -35,6 +34,13 @@
     suspects: tuple[Suspect, ...]
 
 
+class KnownEnd(NamedTuple):
+    """A report with the seconds since the end was first told of."""
+
+    report: EndReport
+    age_s: float
+
+
 class EndRecord:
     """One server that ended at ``at_s``, with what each entry had there."""
 
@@ -128,4 +134,4 @@
         ]
 
 
-__all__ = ["EndRecord", "EndReport", "Server"]
+__all__ = ["EndRecord", "EndReport", "KnownEnd", "Server"]
--- a/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
+++ b/packages/sycamorestand-decisions/src/sycamorestand_decisions/ending_parts.py
@@ -34,6 +34,7 @@
 
 from sycamorestand_decisions.end_records import EndRecord
 from sycamorestand_decisions.end_records import EndReport
+from sycamorestand_decisions.end_records import KnownEnd
 from sycamorestand_decisions.ending_requests import find_ending_requests
 from sycamorestand_decisions.ending_requests import requests_at_several_ends
 from sycamorestand_decisions.ending_requests import ServerEnd
@@ -193,6 +194,26 @@
             for report in end.reports(server)
         ]
 
+    def known_ends(self, now_s: float) -> list[KnownEnd]:
+        """Return what speaks against any part, with its age."""
+        return [
+            KnownEnd(report, now_s - end.at_s)
+            for server, end in self._ends.items()
+            for report in end.reports(server)
+        ]
+
+    def restore(self, known: Iterable[KnownEnd], now_s: float) -> None:
+        """Add ends that were known before a restart of the process."""
+        for report, age_s in known:
+            self.record_end(*report, now_s - age_s)
+        self._drop_old(now_s)
+        self._changed_s = now_s
+
+    @property
+    def changed_s(self) -> float:
+        """When anything of it changed last."""
+        return self._changed_s
+
     def record_sound(
         self, sound: CustomerPart, is_blocked: bool, now_s: float
     ) -> None:
