An answer's trailers and chunk extensions are bounded

What other operators saw: a server sent bytes that were no answer, without end; the machine that had called it ran out of memory.

Cause: the bound of a head held until the head was there. Trailer fields came afterwards and went to the list of headers, which nobody emptied; a field or a chunk extension without end was kept by the parser, or read until the request's time was over. Trailers of an answer that is skipped counted as fields of the next head. Class: a bound in one state of a parser of what is kept in all.

Change: an answer with 64 KB since the last byte of its body is refused, and its server counts as faulty as for each answer that is none; trailers are not kept.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream.py
@@ -37,6 +37,8 @@
 # that a caller which reads slowly does not fill the memory of the entry.
 READ_AHEAD_BYTES: Final = 64 * 1024
 MAX_HEAD_BYTES: Final = 64 * 1024
+# Trailers and chunk extensions since the last byte of a body.
+MAX_FRAMING_BYTES: Final = 64 * 1024
 # An answer to another request, which is read before the one that is due.
 MAX_SKIPPED_BYTES: Final = 1024 * 1024
 
@@ -72,6 +74,8 @@
         self._headers: dict[bytes, bytes] = {}
         self._head: ResponseHead | None = None
         self._head_bytes = 0
+        self._in_head = True
+        self._framing_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._paused = False
@@ -135,6 +139,7 @@
         self._headers = {}
         self._head = None
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._complete = False
         self.reusable = False
         # Drop the body of an earlier answer that was complete but not read.
@@ -221,6 +226,7 @@
             # They cannot be a part of the answer to the first request.
             self._fail(MalformedAnswer("bytes before any request"))
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -235,6 +241,8 @@
                 self._fail(MalformedAnswer("no answer in its bytes"))
         elif self._unexpected:
             self._fail(MalformedAnswer("bytes after the answer's end"))
+        elif self._framing_bytes > MAX_FRAMING_BYTES and not self._complete:
+            self._fail(MalformedAnswer("no body in its bytes"))
         elif self._sink is None or not self._forward():
             self._wake()
 
@@ -258,11 +266,18 @@
         # or for the answer to the next request.
         if self._complete:
             self._unexpected = True
+        self._in_head = True
+        self._headers = {}
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._in_head:
+            # A trailer. It must not count as a field of the next head.
+            return
         self._headers[name.lower()] = value.strip()
 
     def on_headers_complete(self) -> None:
+        self._in_head = False
+        self._framing_bytes = 0
         status = self._parser.get_status_code()
         echo = self._echo
         if status < 200 or self._unexpected:
@@ -278,6 +293,7 @@
         self._headers = {}
 
     def on_body(self, body: bytes) -> None:
+        self._framing_bytes = 0
         if self._unexpected or self._skipping:
             return
         self._body.append(body)
--- /dev/null
+++ b/packages/sycamorestand-entry/tests/test_endless_answers.py
@@ -0,0 +1,90 @@
+"""Servers whose answers have bytes without end that are no body."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import pytest
+
+from sycamorestand_entry.upstream import MalformedAnswer
+from sycamorestand_entry.upstream import UpstreamConnection
+
+CHUNKED: Final = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+FIELDS: Final = b"".join(b"x%d: v\r\n" % number for number in range(64))
+# What comes once, and what comes after it without end.
+ENDLESS: Final = {
+    "head": (b"HTTP/1.1 200 OK\r\n", FIELDS),
+    "field of a head": (b"HTTP/1.1 200 OK\r\nx: ", b"v" * 1024),
+    "hints": (b"", b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" * 16),
+    "trailers": (CHUNKED + b"1\r\na\r\n0\r\n", FIELDS),
+    "field of a trailer": (CHUNKED + b"1\r\na\r\n0\r\nx: ", b"v" * 1024),
+    "chunk extension": (CHUNKED + b"1;x=", b"v" * 1024),
+}
+MOST_BYTES: Final = 1024 * 1024
+SENT_BYTES: Final = 128 * 1024
+
+
+class FakeTransport(asyncio.Transport):
+    """A transport that a test feeds by hand."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_aborted = False
+        self.is_paused = False
+
+    def write(self, data: object) -> None:
+        pass
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+    def pause_reading(self) -> None:
+        self.is_paused = True
+
+
+def answer_bytes(
+    feed: Callable[[bytes], bool], first: bytes, more: bytes
+) -> int:
+    """Feed an answer until it is refused; return the bytes after it began."""
+    if first:
+        feed(first)
+    sent_bytes = 0
+    while sent_bytes < MOST_BYTES and feed(more):
+        sent_bytes += len(more)
+    return sent_bytes
+
+
+class TestEndlessAnswers:
+    @pytest.mark.parametrize("kind", ENDLESS)
+    def test_answer_without_end_is_refused(self, kind: str) -> None:
+        """An entry kept 481 MB of one answer's trailers."""
+        loop = asyncio.new_event_loop()
+        transport = FakeTransport()
+        connection = UpstreamConnection(loop)
+        connection.connection_made(transport)
+        connection.send(b"GET /x HTTP/1.1\r\nhost: x\r\n\r\n")
+
+        def feed(data: bytes) -> bool:
+            connection.data_received(data)
+            return not transport.is_aborted
+
+        assert answer_bytes(feed, *ENDLESS[kind]) <= SENT_BYTES
+        assert isinstance(connection._error, MalformedAnswer)
+        loop.close()
+
+    def test_answer_of_many_small_chunks_is_not_refused(self) -> None:
+        """The framing of a long stream is longer than its bound in all."""
+        loop = asyncio.new_event_loop()
+        transport = FakeTransport()
+        connection = UpstreamConnection(loop)
+        connection.connection_made(transport)
+        connection.send(b"GET /x HTTP/1.1\r\nhost: x\r\n\r\n")
+        connection.data_received(CHUNKED)
+        for _ in range(SENT_BYTES):
+            connection.data_received(b"1\r\na\r\n")
+            connection._body.clear()
+        connection.data_received(b"0\r\nx: v\r\n\r\n")
+        assert not transport.is_aborted
+        loop.close()
