One bound for heads, trailers and chunk extensions at every door

What callers saw: a peer without any key filled 400 to 900 MB of a process in 3 s on one connection, with trailers without end.

Cause: the entry bounded a head, the doors of control and of the platform nothing; trailers came after the head and went to the request's headers, where the application read them as such.

Change: the base of all doors bounds what comes without a byte of a body, and the time of a head; the entry's protocol keeps its own words for refusals. Trailers are no headers. A refusal waits for the answer that is under way, in the middle of which it was written before.

--- a/packages/sycamorestand-peer/src/sycamorestand_peer/http_server.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/http_server.py
@@ -1,5 +1,7 @@
 """A base for HTTP servers whose planned stop resets no connection.
 
+Its connections bound what they keep before a request's consumer has it.
+
 On shutdown uvicorn closes its listeners and its idle connections at once.
 The kernel then resets connections that wait to be accepted and connections
 with a request that has arrived but was not read. Callers of reset
@@ -17,17 +19,95 @@
 from select import POLLIN
 import socket
 from typing import Final
+from typing import NamedTuple
 
 from sycamorestand_peer.uvicorn_parts import Config
 from sycamorestand_peer.uvicorn_parts import HttpToolsProtocol
 from sycamorestand_peer.uvicorn_parts import Server
 
 POLL_INTERVAL_S: Final = 0.05
+# Of a head, or of trailers and chunk extensions since the last byte of a body.
+MAX_FRAMING_BYTES: Final = 64 * 1024
+# uvicorn has no timeout for the rest of a head, so connections that send
+# only a part of one would use up the process's file descriptors.
+HEAD_TIMEOUT_S: Final = 10.0
 _LOG = logging.getLogger(__name__)
 
 
+class RequestFault(NamedTuple):
+    """Why the bytes of a connection are not read on."""
+
+    status: int
+    reason: str
+
+
+HEAD_TOO_LARGE: Final = RequestFault(431, "the headers are too large")
+HEAD_TIMED_OUT: Final = RequestFault(408, "the request's head did not come")
+NO_REQUEST: Final = RequestFault(400, "the bytes received are no HTTP request")
+
+
 class HttpProtocol(HttpToolsProtocol):
-    """A connection that stays open while it has an unread request."""
+    """A connection that stays open while it has an unread request.
+
+    It bounds what uvicorn does not: the bytes of a head, of trailers and of
+    chunk extensions, and the time that a head may take. Trailers are not
+    kept; uvicorn adds them to the headers.
+    """
+
+    head_timeout_s = HEAD_TIMEOUT_S
+    _framing_bytes = 0
+    _in_head = True
+    _head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        super().connection_made(transport)
+        self._begin_head()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._end_head()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        self._framing_bytes += len(data)
+        super().data_received(data)
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._refuse(HEAD_TOO_LARGE)
+
+    def on_message_begin(self) -> None:
+        self._begin_head()
+        super().on_message_begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._in_head:
+            super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        self._end_head()
+        self._framing_bytes = 0
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        self._framing_bytes = 0
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        self._framing_bytes = 0
+        super().on_message_complete()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse bytes that are not an HTTP request; uvicorn calls this."""
+        self._refuse(NO_REQUEST)
+
+    def refusal(self, fault: RequestFault) -> bytes:
+        """Return the response to a head that is not read on."""
+        head = (
+            f"HTTP/1.1 {fault.status} Refused\r\n"
+            "content-length: 0\r\n"
+            "connection: close\r\n\r\n"
+        )
+        return head.encode()
 
     def timeout_keep_alive_handler(self) -> None:
         """Close the idle connection, unless a request has arrived on it."""
@@ -39,20 +119,57 @@
 
         An idle connection with an unread request is not closed.
         """
-        idle = self.cycle is None or self.cycle.response_complete
-        if not idle or not self.has_unread():
+        if not (self._is_answered() and self.has_unread()):
             super().shutdown()
 
     def has_unread(self) -> bool:
-        """Return whether the socket holds unread bytes of a request.
+        """Return whether a request has begun to arrive, also in the socket.
 
         The event loop of a busy process may run a timer before it reads
         bytes that have already arrived.
         """
+        if self._in_head and self._framing_bytes > 0:
+            return True
         readable = poll()
         readable.register(self.transport.get_extra_info("socket"), POLLIN)
         return bool(readable.poll(0))
 
+    def _is_answered(self) -> bool:
+        return self.cycle is None or self.cycle.response_complete
+
+    def _begin_head(self) -> None:
+        self._end_head()
+        self._in_head = True
+        self._framing_bytes = 0
+        self._head_timer = self.loop.call_later(
+            self.head_timeout_s, self._refuse, HEAD_TIMED_OUT
+        )
+
+    def _end_head(self) -> None:
+        self._in_head = False
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _refuse(self, fault: RequestFault) -> None:
+        """Answer a head that is not read on, and close the connection.
+
+        A response that is under way goes first, and is the last one.
+        """
+        in_head = self._in_head
+        self._end_head()
+        if self.transport.is_closing():
+            return
+        extra = {"status": fault.status, "reason": fault.reason}
+        _LOG.info("connection refused", extra=extra)
+        if in_head and not self._is_answered():
+            self.cycle.keep_alive = False
+            self.flow.pause_reading()
+            return
+        if in_head:
+            self.transport.write(self.refusal(fault))
+        self.transport.close()
+
 
 class HttpServer(Server):
     """A server on ``listeners`` whose planned stop resets no connection.
@@ -122,4 +239,12 @@
         )
 
 
-__all__ = ["HttpProtocol", "HttpServer", "POLL_INTERVAL_S"]
+__all__ = [
+    "HEAD_TOO_LARGE",
+    "HttpProtocol",
+    "HttpServer",
+    "MAX_FRAMING_BYTES",
+    "NO_REQUEST",
+    "POLL_INTERVAL_S",
+    "RequestFault",
+]
