Incomplete heads and bodies are bounded over all connections

What callers would see: some tens of large bodies that come slowly, or hundreds of heads below their bound, take the memory of a VM, and all its requests end.

Cause: each request had a bound of its own, all together none, but for the operators' and the platform's doors. Class: a bound for one of what many bring.

A head or a body takes at most as much as is left for others, so that small requests are read beside any number of large ones. What has no room is refused as not run (503), and may be sent to another entry.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/errors.py
@@ -184,6 +184,13 @@
     code = "overloaded"
 
 
+class MemoryFull(RequestError):
+    """The entry has no room for the request; another entry may have it."""
+
+    status = 503
+    code = "memory_full"
+
+
 class NoLease(RequestError):
     """The entry's configuration may be out of date."""
 
@@ -275,6 +282,7 @@
     "InternalError",
     "KeyReused",
     "LedgerFailed",
+    "MemoryFull",
     "NoBackendServer",
     "NoLease",
     "NotAllowed",
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/http_protocol.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/http_protocol.py
@@ -16,6 +16,7 @@
 
 from sycamorestand_entry.errors import BadRequest
 from sycamorestand_entry.errors import HeadersTooLarge
+from sycamorestand_entry.errors import MemoryFull
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import RequestTimeout
 from sycamorestand_entry.http_messages import error_content
@@ -33,7 +34,7 @@
 ABORT_S: Final = 0.2
 _ERRORS: Final[dict[int, type[RequestError]]] = {
     error.status: error
-    for error in (BadRequest, HeadersTooLarge, RequestTimeout)
+    for error in (BadRequest, HeadersTooLarge, MemoryFull, RequestTimeout)
 }
 
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -12,6 +12,7 @@
 import anyio
 from anyio.abc import TaskStatus
 
+from sycamorestand_entry.body_memory import hold_bodies
 from sycamorestand_entry.context import EntryContext
 from sycamorestand_entry.http_protocol import EntryProtocol
 from sycamorestand_entry.state_log import log_changes
@@ -92,7 +93,8 @@
     async with anyio.create_task_group() as background:
         context = EntryContext(settings, control, background, random)
         entry = RunningEntry(context, host, port)
-        config = _uvicorn_config(context, application_factory(context))
+        application = hold_bodies(application_factory(context))
+        config = _uvicorn_config(context, application)
         server = _Server(config, [listener])
         if settings.stop_limit_s:
             left_s = settings.stop_limit_s - accept_period_s(settings)
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/byte_room.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/byte_room.py
@@ -23,7 +23,7 @@
 
 
 class RoomShare:
-    """What one holder takes of a room, beyond its own `OWN_BYTES`.
+    """What one holder takes of a room, beyond its own bytes.
 
     Example: a queue that shares its room with others::
 
@@ -31,14 +31,17 @@
             queue.append(message)
     """
 
-    def __init__(self, room: ByteRoom) -> None:
+    def __init__(self, room: ByteRoom, own_bytes: int = OWN_BYTES) -> None:
         self.held_bytes = 0
         self._room = room
+        self._own_bytes = own_bytes
 
     def take(self, size_bytes: int) -> bool:
         """Hold more bytes; return False if there is too little room."""
         held_bytes = self.held_bytes + size_bytes
-        taken_bytes = _beyond_own(held_bytes) - _beyond_own(self.held_bytes)
+        taken_bytes = self._beyond_own(held_bytes) - self._beyond_own(
+            self.held_bytes
+        )
         if taken_bytes > self._room.free_bytes:
             return False
         self._room.used_bytes += taken_bytes
@@ -51,25 +54,24 @@
         So holders that take all that they get leave as much to the others.
         """
         held_bytes = self.held_bytes + size_bytes
-        if held_bytes > max(OWN_BYTES, self._room.free_bytes):
+        if held_bytes > max(self._own_bytes, self._room.free_bytes):
             return False
         return self.take(size_bytes)
 
     def release(self, size_bytes: int) -> None:
         """Give back bytes that are held."""
         held_bytes = self.held_bytes - size_bytes
-        self._room.used_bytes -= _beyond_own(self.held_bytes) - _beyond_own(
-            held_bytes
-        )
+        self._room.used_bytes -= self._beyond_own(
+            self.held_bytes
+        ) - self._beyond_own(held_bytes)
         self.held_bytes = held_bytes
 
     def release_all(self) -> None:
         """Give back all bytes that are held."""
         self.release(self.held_bytes)
 
-
-def _beyond_own(held_bytes: int) -> int:
-    return max(0, held_bytes - OWN_BYTES)
+    def _beyond_own(self, held_bytes: int) -> int:
+        return max(0, held_bytes - self._own_bytes)
 
 
 __all__ = ["ByteRoom", "OWN_BYTES", "RoomShare"]
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/http_server.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/http_server.py
@@ -21,6 +21,8 @@
 from typing import Final
 from typing import NamedTuple
 
+from sycamorestand_peer.byte_room import ByteRoom
+from sycamorestand_peer.byte_room import RoomShare
 from sycamorestand_peer.uvicorn_parts import Config
 from sycamorestand_peer.uvicorn_parts import HttpToolsProtocol
 from sycamorestand_peer.uvicorn_parts import Server
@@ -28,6 +30,9 @@
 POLL_INTERVAL_S: Final = 0.05
 # Of a head, or of trailers and chunk extensions since the last byte of a body.
 MAX_FRAMING_BYTES: Final = 64 * 1024
+# Of all heads that are incomplete, and of each one besides.
+MAX_HEADS_BYTES: Final = 16 * 1024 * 1024
+OWN_HEAD_BYTES: Final = 8 * 1024
 # uvicorn has no timeout for the rest of a head, so connections that send
 # only a part of one would use up the process's file descriptors.
 HEAD_TIMEOUT_S: Final = 10.0
@@ -43,6 +48,7 @@
 
 HEAD_TOO_LARGE: Final = RequestFault(431, "the headers are too large")
 HEAD_TIMED_OUT: Final = RequestFault(408, "the request's head did not come")
+HEADS_TOO_MANY: Final = RequestFault(503, "too many heads are incomplete")
 NO_REQUEST: Final = RequestFault(400, "the bytes received are no HTTP request")
 
 
@@ -55,14 +61,19 @@
     """
 
     head_timeout_s = HEAD_TIMEOUT_S
+    # All connections of the process share it.
+    heads_room = ByteRoom(MAX_HEADS_BYTES)
     _framing_bytes = 0
     _in_head = True
+    _in_message = False
+    _begun_messages = 0
     _head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
     ) -> None:
         super().connection_made(transport)
+        self._head_share = RoomShare(self.heads_room, OWN_HEAD_BYTES)
         self._begin_head()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -71,11 +82,19 @@
 
     def data_received(self, data: bytes) -> None:
         self._framing_bytes += len(data)
+        self._begun_messages = 0
+        is_between = not self._in_message
         super().data_received(data)
+        if is_between and self._begun_messages == 1 and self._in_head:
+            self._framing_bytes = len(data)
         if self._framing_bytes > MAX_FRAMING_BYTES:
             self._refuse(HEAD_TOO_LARGE)
+        elif self._in_head and not self._hold_head():
+            self._refuse(HEADS_TOO_MANY)
 
     def on_message_begin(self) -> None:
+        self._in_message = True
+        self._begun_messages += 1
         self._begin_head()
         super().on_message_begin()
 
@@ -93,6 +112,7 @@
         super().on_body(body)
 
     def on_message_complete(self) -> None:
+        self._in_message = False
         self._framing_bytes = 0
         super().on_message_complete()
 
@@ -147,10 +167,15 @@
 
     def _end_head(self) -> None:
         self._in_head = False
+        self._head_share.release_all()
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
 
+    def _hold_head(self) -> bool:
+        added_bytes = self._framing_bytes - self._head_share.held_bytes
+        return self._head_share.take_fairly(added_bytes)
+
     def _refuse(self, fault: RequestFault) -> None:
         """Answer a head that is not read on, and close the connection.
 
@@ -240,10 +265,13 @@
 
 
 __all__ = [
+    "HEAD_TIMEOUT_S",
     "HEAD_TOO_LARGE",
+    "HEADS_TOO_MANY",
     "HttpProtocol",
     "HttpServer",
     "MAX_FRAMING_BYTES",
+    "MAX_HEADS_BYTES",
     "NO_REQUEST",
     "POLL_INTERVAL_S",
     "RequestFault",
--- a/packages/sycamorestand-peer/tests/test_http_server.py
+++ b/packages/sycamorestand-peer/tests/test_http_server.py
@@ -11,6 +11,8 @@
 
 import pytest
 
+from sycamorestand_peer.byte_room import ByteRoom
+from sycamorestand_peer.http_server import HEAD_TIMEOUT_S
 from sycamorestand_peer.http_server import HttpProtocol
 from sycamorestand_peer.http_server import HttpServer
 from sycamorestand_peer.uvicorn_parts import Config
@@ -105,6 +107,33 @@
     await serving
 
 
+class TestManyConnections:
+    async def test_small_head_is_read_beside_many_incomplete_ones(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Heads below their bound took all memory together."""
+        monkeypatch.setattr(HttpProtocol, "heads_room", ByteRoom(256 * 1024))
+        async with open_door() as door:
+            writers = []
+            for _ in range(100):
+                _, writer = await asyncio.open_connection(
+                    "127.0.0.1", door.port
+                )
+                writer.write(
+                    HEAD + b"x: " + bytes(60_000).replace(b"\0", b"v")
+                )
+                writers.append(writer)
+            closing = SOUND.replace(b"host", b"connection: close\r\nhost")
+            assert (await door.ask(closing)).endswith(b"\r\n\r\nok")
+            connections = door.server.server_state.connections
+            async with asyncio.timeout(HEAD_TIMEOUT_S / 2):
+                while len(connections) > 32:
+                    await asyncio.sleep(0.01)
+            for writer in writers:
+                writer.close()
+        assert HttpProtocol.heads_room.used_bytes == 0
+
+
 class TestEndlessRequests:
     @pytest.mark.parametrize("kind", ENDLESS)
     async def test_request_without_end_is_refused(self, kind: str) -> None:
