A port that no address has names no server

Cause: the pattern of addresses accepted any five digits; the dial raised OverflowError, which counts as no failure of the server. Class: a value that is checked where it is read for less than its later readers need.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_pool.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/upstream_pool.py
@@ -155,7 +155,7 @@
                     host.strip("[]"),
                     int(port),
                 )
-        except (OSError, ValueError) as error:
+        except (OSError, OverflowError, ValueError) as error:
             if isinstance(error, TimeoutError) or _is_unreachable(error):
                 raise ConnectTimedOut("it takes no connection") from error
             raise ConnectFailed("it takes no connection") from error
--- a/packages/sycamorestand-entry/tests/test_upstream_pool.py
+++ b/packages/sycamorestand-entry/tests/test_upstream_pool.py
@@ -106,7 +106,8 @@
             assert pool.idle_count(address) == 0
 
     @pytest.mark.parametrize(
-        "address", ["127.0.0.1:1", "127.0.0.1:x", "nowhere", ""]
+        "address",
+        ["127.0.0.1:1", "127.0.0.1:70000", "127.0.0.1:x", "nowhere", ""],
     )
     async def test_bad_address_raises_connect_failed(
         self, address: str
