A number beyond 64 bits in a report breaks no table

Cause: the integers of reports had no bounds, and messages hold 64 bits. The record was kept before its hash was computed, which raised; so each table that held it failed as it was sent.

--- a/packages/sycamorestand-state/src/sycamorestand_state/registry.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/registry.py
@@ -118,7 +118,10 @@
         return self._merged.records
 
     def announce(self, announcement: A, now_s: float) -> bool:
-        """Store a direct announcement; return False if it is old."""
+        """Store a direct announcement; return False if it is old.
+
+        Raises `OverflowError` for numbers that no message holds.
+        """
         name = announcement.name
         heard = self._heard.get(name)
         if heard is not None and not _is_newer(
@@ -127,7 +130,14 @@
             return False
         lease_s = min(announcement.lease_s, MAX_LEASE_S)
         self._heard[name] = _Heard(announcement, now_s + lease_s)
-        self._publish(name, now_s)
+        try:
+            self._publish(name, now_s)
+        except OverflowError:
+            # It cannot be sent, and must not go out with the next merge.
+            del self._heard[name]
+            if heard is not None:
+                self._heard[name] = heard
+            raise
         return True
 
     def expire(self, now_s: float) -> tuple[str, ...]:
--- a/packages/sycamorestand-state/src/sycamorestand_state/versioned_map.py
+++ b/packages/sycamorestand-state/src/sycamorestand_state/versioned_map.py
@@ -84,14 +84,19 @@
         self._epoch = epoch
 
     def put(self, name: str, record: T) -> None:
-        """Set a record; an equal record is no change."""
+        """Set a record; an equal record is no change.
+
+        Raises what the encoder does, and keeps the record before.
+        """
         known = self._records.get(name)
         if known == record:
             return
+        # Raises where the record cannot be sent, before it is kept.
+        digest = self._digest ^ record_hash(name, record)
         if known is not None:
-            self._digest ^= record_hash(name, known)
+            digest ^= record_hash(name, known)
+        self._digest = digest
         self._records[name] = record
-        self._digest ^= record_hash(name, record)
         self._count_change(name)
 
     def remove(self, name: str) -> None:
--- a/packages/sycamorestand-state/tests/test_directory.py
+++ b/packages/sycamorestand-state/tests/test_directory.py
@@ -57,6 +57,19 @@
         assert control.announce(server(incarnation=2, capacity=8), 0.0)
         assert control.servers()["b1"].capacity == 8
 
+    def test_record_that_cannot_be_sent_is_not_kept(
+        self, control: BackendDirectory
+    ) -> None:
+        """It was kept without a version, and no table that held it could be
+        sent any more.
+        """
+        assert control.announce(server(), 0.0)
+        before = (control.digest(), dict(control.servers()))
+        with pytest.raises(OverflowError):
+            control.announce(server("b2", capacity=2**64), 0.0)
+        assert (control.digest(), dict(control.servers())) == before
+        assert control.announce(server("b2"), 0.0)
+
     def test_renewals_cause_no_delta(self, control: BackendDirectory) -> None:
         for sequence in range(1, 20):
             load = LoadReport(running=sequence)
