--- a/packages/sycamorestand-peer/src/sycamorestand_peer/http_server.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/http_server.py
@@ -177,9 +177,9 @@
         return self._head_share.take_fairly(added_bytes)
 
     def _refuse(self, fault: RequestFault) -> None:
-        """Answer a head that is not read on, and close the connection.
+        """Answer a request that is not read on, and close the connection.
 
-        A response that is under way goes first, and is the last one.
+        A response that is under way to an earlier one goes first.
         """
         in_head = self._in_head
         self._end_head()
@@ -191,10 +191,18 @@
             self.cycle.keep_alive = False
             self.flow.pause_reading()
             return
-        if in_head:
+        if in_head or self._is_unanswered():
             self.transport.write(self.refusal(fault))
+        if not in_head:
+            # The application must not write behind the refusal.
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
         self.transport.close()
 
+    def _is_unanswered(self) -> bool:
+        """Return whether the request is the first, and not answered yet."""
+        return not (self.pipeline or self.cycle.response_started)
+
 
 class HttpServer(Server):
     """A server on ``listeners`` whose planned stop resets no connection.
--- a/packages/sycamorestand-peer/tests/test_http_server.py
+++ b/packages/sycamorestand-peer/tests/test_http_server.py
@@ -144,6 +144,12 @@
             closing = SOUND.replace(b"host", b"connection: close\r\nhost")
             assert (await door.ask(closing)).endswith(b"\r\n\r\nok")
 
+    async def test_bad_chunk_is_answered_once(self) -> None:
+        async with open_door() as door:
+            answer = await door.ask(CHUNKED + b"x\r\n")
+            assert answer.startswith(b"HTTP/1.1 400")
+            assert answer.count(b"HTTP/1.1") == 1
+
     async def test_trailer_is_no_header(self) -> None:
         """uvicorn adds trailers to the headers, which name the caller."""
         async with open_door() as door:
