Ends are not restored after a long time down

Found while reading the change: a control process that had been down while an operator released a part would have told of its ends again, and had it blocked. What the file says counts within 60 s, after which the others know better.

New test failed without the bound: [KnownEnd] == [].

--- a/packages/sycamorestand-control/src/sycamorestand_control/ends_file.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/ends_file.py
@@ -29,6 +29,9 @@
 
 LOG: Final = logging.getLogger(__name__)
 FILE_NAME: Final = "server-ends"
+# A restart takes less. After a longer one the others know better: parts may
+# have been answered, or released by an operator.
+MAX_DOWN_S: Final = 60.0
 
 
 class _Content(NamedTuple):
@@ -45,7 +48,10 @@
         self._path = folder / FILE_NAME
 
     def read(self) -> list[KnownEnd]:
-        """Return the ends with their ages by now, none without the file."""
+        """Return the ends with their ages by now.
+
+        Return none without the file, or after a long time.
+        """
         try:
             data = self._path.read_bytes()
             content = msgspec.msgpack.decode(data, type=_Content)
@@ -58,6 +64,8 @@
             return []
         # A clock that was set back must not make them younger.
         passed_s = max(0.0, time.time() - content.saved_s)
+        if passed_s > MAX_DOWN_S:
+            return []
         return [
             end._replace(age_s=end.age_s + passed_s) for end in content.ends
         ]
@@ -80,4 +88,4 @@
             replace_file(self._path, data)
 
 
-__all__ = ["EndsFile", "FILE_NAME"]
+__all__ = ["EndsFile", "FILE_NAME", "MAX_DOWN_S"]
--- a/packages/sycamorestand-control/tests/test_ends_file.py
+++ b/packages/sycamorestand-control/tests/test_ends_file.py
@@ -9,6 +9,7 @@
 
 from sycamorestand_control.ends_file import EndsFile
 from sycamorestand_control.ends_file import FILE_NAME
+from sycamorestand_control.ends_file import MAX_DOWN_S
 from sycamorestand_decisions.end_records import EndReport
 from sycamorestand_decisions.end_records import KnownEnd
 from sycamorestand_model.prompt_parts import Suspect
@@ -34,6 +35,18 @@
         monkeypatch.setattr(time, "time", lambda: 0.0)
         assert file.read() == [END]
 
+    async def test_what_may_have_been_released_meanwhile_is_not_read(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A control process that was down for long would have had a part
+        blocked again that an operator had released.
+        """
+        file = EndsFile(tmp_path)
+        await file.write([END])
+        later_s = time.time() + MAX_DOWN_S + 1.0
+        monkeypatch.setattr(time, "time", lambda: later_s)
+        assert file.read() == []
+
     async def test_damaged_file_does_not_keep_the_process_from_starting(
         self, tmp_path: Path
     ) -> None:
