Control restores the ends of the last 20 s, and asks no more questions

Cause: a control process that was heard again after half a second was asked for all it knew, and a restart restored ends of an hour; parts that had been answered meanwhile spoke against nothing elsewhere, and did here again. Class: evidence is passed on without what clears it.

--- a/packages/sycamorestand-control/src/sycamorestand_control/ends_file.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/ends_file.py
@@ -3,7 +3,7 @@
 A restart of all processes comes easily while servers end. Were all of it
 forgotten, what ends servers would end as many again before it is blocked.
 Each control process keeps a file of its own, as each gathers all that entries
-tell; one that is lost is asked for at the others.
+tell.
 """
 
 from __future__ import annotations
@@ -29,9 +29,8 @@
 
 LOG: Final = logging.getLogger(__name__)
 FILE_NAME: Final = "server-ends"
-# A restart takes less. After a longer one the others know better: parts may
-# have been answered, or released by an operator.
-MAX_DOWN_S: Final = 60.0
+# The parts at older ends may have been answered, or released by an operator.
+MAX_AGE_S: Final = 20.0
 
 
 class _Content(NamedTuple):
@@ -48,10 +47,7 @@
         self._path = folder / FILE_NAME
 
     def read(self) -> list[KnownEnd]:
-        """Return the ends with their ages by now.
-
-        Return none without the file, or after a long time.
-        """
+        """Return the newest ends with their ages by now."""
         try:
             data = self._path.read_bytes()
             content = msgspec.msgpack.decode(data, type=_Content)
@@ -64,15 +60,15 @@
             return []
         # A clock that was set back must not make them younger.
         passed_s = max(0.0, time.time() - content.saved_s)
-        if passed_s > MAX_DOWN_S:
-            return []
-        return [
+        ends = [
             end._replace(age_s=end.age_s + passed_s) for end in content.ends
         ]
+        return [end for end in ends if end.age_s <= MAX_AGE_S]
 
     async def write(self, ends: Sequence[KnownEnd]) -> None:
-        """Replace the file; log where that fails."""
-        content = _Content(time.time(), list(ends))
+        """Replace the file by the newest ends; log where that fails."""
+        newest = [end for end in ends if end.age_s <= MAX_AGE_S]
+        content = _Content(time.time(), newest)
         data = msgspec.msgpack.encode(content)
         try:
             await to_thread.run_sync(self._write, data)
@@ -92,4 +88,4 @@
             temporary.rename(self._path)
 
 
-__all__ = ["EndsFile", "FILE_NAME", "MAX_DOWN_S"]
+__all__ = ["EndsFile", "FILE_NAME", "MAX_AGE_S"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/part_controller.py
@@ -20,7 +20,6 @@
 from sycamorestand_control.groups import CONFIGURATION_GROUP
 from sycamorestand_decisions.ending_parts import EndingParts
 from sycamorestand_decisions.evidence_gaps import EvidenceGaps
-from sycamorestand_decisions.evidence_gaps import LOST_AFTER_S
 from sycamorestand_decisions.part_trials import PartTrials
 from sycamorestand_model.prompt_parts import BlockedPart
 from sycamorestand_peer.clock import boottime_s
@@ -95,7 +94,6 @@
         self._sound: dict[str, CustomerPart] = {}
         self._sent: dict[str, PartsWatched] = {}
         self._asked: set[str] = set()
-        self._heard: set[str] = set()
         self._blames: list[Blame] = []
         # When each part was blamed last.
         self._blamed_s: dict[str, float] = {}
@@ -205,18 +203,6 @@
         for address in self._others():
             silence_s = self._mesh.silence_s(address)
             self._gaps.record_silence(silence_s, now_s)
-            self._ask_if_back(address, silence_s)
-
-    def _ask_if_back(self, address: str, silence_s: float) -> None:
-        """Ask a control process that is heard again, or for the first time.
-
-        What it forwarded meanwhile is lost, and is not sent again.
-        """
-        if silence_s > LOST_AFTER_S:
-            self._heard.discard(address)
-        elif address not in self._heard:
-            self._heard.add(address)
-            self._mesh.send(address, EndsWanted())
 
     def _push_watched(self, now_s: float) -> None:
         """Tell the entries what to watch, and what to refuse already.
