The declared limits of heads and idle connections are in force

What callers saw: with an idle time of 24 s declared, a connection used again after four fifths of it was closed, and heads beyond the limit were served.

--- a/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/server.py
@@ -16,6 +16,7 @@
 
 from sycamorestand_entry.body_memory import hold_bodies
 from sycamorestand_entry.context import EntryContext
+from sycamorestand_entry.http_limits import declared_limits
 from sycamorestand_entry.http_limits import own_limits
 from sycamorestand_entry.http_protocol import EntryProtocol
 from sycamorestand_entry.state_log import log_changes
@@ -174,7 +175,10 @@
 
 def _uvicorn_config(context: EntryContext, application: Any) -> Config:
     settings = context.settings
-    limits = own_limits(settings)
+    if settings.follows_declared_limits:
+        limits = declared_limits(context.control)
+    else:
+        limits = own_limits(settings)
     protocol = functools.partial(EntryProtocol, door=HttpDoor(limits))
     return Config(
         application,
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/settings.py
@@ -31,6 +31,9 @@
     ``session_idle_s`` is how long after its last request a session may
     continue. ``silent_idle_s`` is how long a connection may have been idle
     and still carry a non-idempotent request.
+    ``follows_declared_limits`` is whether the limits on heads and idle
+    connections are those of the declarations, in place of ``keep_alive_s``,
+    ``header_timeout_s`` and ``max_header_bytes``.
     ``forwarding_key`` is the key with which other entries sign the requests
     that this one shall forward; without it, this one forwards none.
     """
@@ -46,6 +49,7 @@
     address_spread_s: float = 2.0
     keep_alive_s: float = 5
     header_timeout_s: float = 10.0
+    follows_declared_limits: bool = False
     stop_limit_s: float = 0.0
     connect_timeout_s: float = 1.0
     first_byte_timeout_s: float = 5.0
