Requests sent in advance are all answered in a planned stop

What callers saw: of pipelined requests at a stopping entry the later ones got no answer, as the first answer said Connection: close and the entry closed.

Cause: the close was decided when the first answer began, without a look at what had come behind it.

Change: an answer announces the close only where no further request has come.

Evidence: test_pipelined_requests_are_all_answered, three orders, two answers on (assert 2 == 3), three now, the last with the close.

--- a/packages/sycamorestand-entry/tests/test_stop.py
+++ b/packages/sycamorestand-entry/tests/test_stop.py
@@ -171,6 +171,28 @@
         assert first.startswith(b"HTTP/1.1 200")
         assert second.startswith(b"HTTP/1.1 200")
 
+    async def test_pipelined_requests_are_all_answered(self) -> None:
+        """The first answer closed the connection under the second request."""
+        async with start_loopback() as loopback:
+            service = FakeService("s-1", ("orders",))
+            service.switch.fault = Fault("slow", pause_s=0.5)
+            await loopback.add_service(service)
+            caller = send_order(loopback.entry.port, 1)
+            caller.sendall(order_bytes(2) + order_bytes(3))
+            with anyio.fail_after(10):
+                while not service.records:
+                    await anyio.sleep(0.01)
+            loopback.entry.begin_stop()
+            answers = b""
+            with anyio.fail_after(20):
+                while piece := await anyio.to_thread.run_sync(
+                    caller.recv, 4096
+                ):
+                    answers += piece
+            caller.close()
+        assert answers.count(b"HTTP/1.1 200") == 3
+        assert answers.count(b"connection: close") == 1
+
     async def test_running_answers_are_finished(self) -> None:
         """A stream and an order are running when the entry stops.
 
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/http_connection.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/http_connection.py
@@ -328,7 +328,8 @@
         """Go on with the next request, once this one has come whole."""
         exchange = self.exchange
         assert exchange is not None
-        if exchange.should_close or not exchange.may_persist:
+        is_stopping = exchange.should_close and not self.has_unread()
+        if is_stopping or not exchange.may_persist:
             self._close()
         elif self._state is State.WHOLE:
             self._wait_idle()
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/http_exchange.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/http_exchange.py
@@ -151,7 +151,9 @@
         if not is_framed:
             self._is_chunked = True
             lines.append(b"transfer-encoding: chunked\r\n")
-        if is_closing:
+        # A client that has sent a further request in advance would not get
+        # an answer to it.
+        if is_closing and not self._connection.has_unread():
             self.may_persist = False
         if not self.may_persist:
             lines.append(CLOSE)
