Limits on connections are settings, have metrics, and fill no log

Cause: of the refusals of a door one could see a log line each, and no figure; a crowd of requests refused for memory wrote a line each. The entry's memory, head, header time and idle time could not be set.

Change: sycamorestand_entry_connections, connection_bytes and refused_connections_total by reason, the same of control; settings memory_limit_mb, max_header_bytes, header_timeout_s and idle_timeout_s of an entry, with the defaults that held before. A planned stop waits for 256 further requests of a connection at most.

--- a/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/metrics.py
@@ -12,6 +12,8 @@
 from aioprometheus.collectors import Registry
 from aioprometheus.renderer import render
 
+from sycamorestand_peer.http_budget import PROCESS_BUDGET
+
 if TYPE_CHECKING:
     from sycamorestand_control.arrival_lender import ArrivalLender
     from sycamorestand_control.leader_balancer import LeaderBalancer
@@ -87,6 +89,7 @@
             "Orders with whole declarations that wait for their turn",
             self._turns.waiting,
         )
+        self._read_connections()
         self._set(
             "peak_memory_bytes",
             "The most memory that this process has used",
@@ -145,6 +148,25 @@
             self._parts.configuration.faults + self._parts.ledger.faults,
         )
 
+    def _read_connections(self) -> None:
+        self._set(
+            "connections",
+            "Connections of clients at all doors",
+            PROCESS_BUDGET.connections,
+        )
+        self._set(
+            "connection_bytes",
+            "What connections take of the room that they share",
+            PROCESS_BUDGET.room.used_bytes,
+        )
+        for reason, count in PROCESS_BUDGET.refusals.items():
+            self._set(
+                "refused_connections_total",
+                "Connections that are not read on, by reason",
+                count,
+                {"reason": reason},
+            )
+
     def _read_voters(self) -> None:
         found = self._parts.voter_tolerance()
         self._set("voters", "Voters of the configuration", found.voters)
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/body_memory.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/body_memory.py
@@ -30,6 +30,7 @@
 # What each body may have besides.
 OWN_BYTES: Final = 4 * 1024
 RETRY_S: Final = 1.0
+NO_BODY_ROOM: Final = "body_memory"
 
 
 def hold_bodies(
@@ -47,6 +48,7 @@
         async def receive_held() -> Message:
             message = await receive()
             if not share.take_fairly(len(message.get("body", b""))):
+                PROCESS_BUDGET.refused(NO_BODY_ROOM)
                 raise MemoryFull("too many bodies are being read", RETRY_S)
             return message
 
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/listings.py
@@ -13,6 +13,7 @@
 from sycamorestand_entry.http_messages import JSON
 from sycamorestand_entry.http_messages import Request
 from sycamorestand_entry.http_messages import Responder
+from sycamorestand_peer.http_budget import PROCESS_BUDGET
 
 if TYPE_CHECKING:
     from sycamorestand_entry.context import EntryContext
@@ -125,6 +126,10 @@
     unreached = context.servers.unreached_services(context.now_s())
     metrics.unreached.set({}, len(unreached))
     metrics.addresses.set({}, len(context.control.addresses()))
+    metrics.connections.set({}, PROCESS_BUDGET.connections)
+    metrics.connection_bytes.set({}, PROCESS_BUDGET.room.used_bytes)
+    for reason, count in PROCESS_BUDGET.refusals.items():
+        metrics.refused_connections.set({"reason": reason}, count)
     loads = context.observed_loads
     metrics.load_reporting_servers.set({}, loads.reporting_servers())
     shared_age_s = loads.shared_age_s(context.now_s())
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/metrics.py
@@ -142,6 +142,17 @@
         self.lease_remaining = self._gauge(
             "lease_remaining_seconds", "What is left of the lease"
         )
+        self.connections = self._gauge(
+            "connections", "Connections of clients at all doors"
+        )
+        self.connection_bytes = self._gauge(
+            "connection_bytes",
+            "What connections and bodies take of the room that they share",
+        )
+        self.refused_connections = self._gauge(
+            "refused_connections_total",
+            "Connections that are not read on, by reason",
+        )
         self.in_flight = self._gauge(
             "in_flight", "Requests that run, by backend server"
         )
--- a/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
+++ b/packages/sycamorestand-entry/src/sycamorestand_entry/routed/application.py
@@ -20,6 +20,7 @@
 from sycamorestand_entry.blocked_requests import check_blocked
 from sycamorestand_entry.errors import DeadlineExceeded
 from sycamorestand_entry.errors import InternalError
+from sycamorestand_entry.errors import MemoryFull
 from sycamorestand_entry.errors import NoLease
 from sycamorestand_entry.errors import RequestError
 from sycamorestand_entry.errors import RequestTimeout
@@ -150,7 +151,9 @@
                 log.elapsed_ms() / 1000,
                 log.first_byte_ms / 1000,
             )
-            log.write(result, responder.status, detail)
+            # A crowd of these has one line in a while, see `HttpBudget`.
+            if result != MemoryFull.code:
+                log.write(result, responder.status, detail)
 
     async def _answer(
         self,
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/http_connection.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/http_connection.py
@@ -60,6 +60,8 @@
 # that is closed with unread bytes is reset, and the refusal is lost.
 LINGER_S: Final = 2.0
 LINGER_BYTES: Final = 1024 * 1024
+# So often a planned stop waits for one more request of a connection.
+MAX_KEPT_OPEN: Final = 256
 # All connections read into it, one after the other.
 _BUFFER: Final = bytearray(BODY_READ_BYTES)
 _VIEW: Final = memoryview(_BUFFER)
@@ -153,6 +155,7 @@
         self._body_left_bytes = 0
         self._unsent_bytes = 0
         self._linger_bytes = 0
+        self._kept_open = 0
         self._slice_bytes = 0
         self._calls = 0
         self.target = b""
@@ -328,7 +331,7 @@
         """Go on with the next request, once this one has come whole."""
         exchange = self.exchange
         assert exchange is not None
-        is_stopping = exchange.should_close and not self.has_unread()
+        is_stopping = exchange.should_close and not self.may_stay_open()
         if is_stopping or not exchange.may_persist:
             self._close()
         elif self._state is State.WHOLE:
@@ -337,6 +340,14 @@
         else:
             self.read_on()
 
+    def may_stay_open(self) -> bool:
+        """Return whether a planned stop waits for a further request.
+
+        It has come, and not behind too many others.
+        """
+        self._kept_open += 1
+        return self._kept_open <= MAX_KEPT_OPEN and self.has_unread()
+
     def has_unread(self) -> bool:
         """Return whether a request has begun to arrive, also in the socket.
 
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/http_exchange.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/http_exchange.py
@@ -153,7 +153,7 @@
             lines.append(b"transfer-encoding: chunked\r\n")
         # A client that has sent a further request in advance would not get
         # an answer to it.
-        if is_closing and not self._connection.has_unread():
+        if is_closing and not self._connection.may_stay_open():
             self.may_persist = False
         if not self.may_persist:
             lines.append(CLOSE)
--- a/packages/sycamorestand/src/sycamorestand/entry_process.py
+++ b/packages/sycamorestand/src/sycamorestand/entry_process.py
@@ -13,6 +13,7 @@
 from sycamorestand_entry.server import serve_entry
 from sycamorestand_entry.settings import EntrySettings
 from sycamorestand_model.entry_reports import EntryAddress
+from sycamorestand_peer.http_budget import PROCESS_BUDGET
 
 if TYPE_CHECKING:
     from sycamorestand_entry.server import RunningEntry
@@ -20,6 +21,7 @@
 
 async def run_entry(values: dict[str, Any], stop: anyio.Event) -> None:
     """Serve callers until ``stop`` is set and the planned stop is complete."""
+    PROCESS_BUDGET.configure(values["memory_limit_mb"])
     settings = make_entry_settings(values)
     address = EntryAddress(
         settings.vm,
@@ -66,6 +68,9 @@
         rating_url=values["rating_url"],
         address_ttl_s=values["address_ttl_s"],
         forwarding_key=new_forwarding_key(),
+        max_header_bytes=values["max_header_bytes"],
+        header_timeout_s=values["header_timeout_s"],
+        keep_alive_s=values["idle_timeout_s"],
     )
 
 
--- a/packages/sycamorestand/src/sycamorestand/process_settings.py
+++ b/packages/sycamorestand/src/sycamorestand/process_settings.py
@@ -64,6 +64,13 @@
     Setting("log_level", text, "INFO", "lowest level that is logged"),
 )
 
+MEMORY_LIMIT: Final = Setting(
+    "memory_limit_mb",
+    number(32, 1_000_000),
+    "128",
+    "memory of this process in MiB; connections, logs and queues get shares",
+)
+
 ENTRY_SETTINGS: Final = (
     *COMMON_SETTINGS,
     Setting("region", optional_text, "", "region of the data centre"),
@@ -90,6 +97,25 @@
         "seconds for which callers may cache an answer with addresses",
     ),
     Setting("rating_url", optional_text, "", "URL of the rating service"),
+    MEMORY_LIMIT,
+    Setting(
+        "max_header_bytes",
+        integer(1_024, 1_000_000),
+        "32768",
+        "largest head of a request",
+    ),
+    Setting(
+        "header_timeout_s",
+        number(0.1, 3_600),
+        "10",
+        "seconds that the head of a request may take",
+    ),
+    Setting(
+        "idle_timeout_s",
+        number(1, 3_600),
+        "5",
+        "seconds that a connection may be idle",
+    ),
 )
 
 CONTROL_SETTINGS: Final = (
@@ -148,12 +174,7 @@
         "1",
         "number of ledger shards, fixed by the first start",
     ),
-    Setting(
-        "memory_limit_mb",
-        number(32, 1_000_000),
-        "128",
-        "memory of this process in MiB; logs and queues get shares of it",
-    ),
+    MEMORY_LIMIT,
     Setting(
         "disk_limit_mb",
         number(16, 1_000_000),
--- a/packages/sycamorestand/tests/test_settings.py
+++ b/packages/sycamorestand/tests/test_settings.py
@@ -79,6 +79,9 @@
                 "port": 0,
                 "rating_url": "",
                 "address_ttl_s": 30,
+                "max_header_bytes": 32_768,
+                "header_timeout_s": 10.0,
+                "idle_timeout_s": 5.0,
                 "backend_key_file": KeyFile(path),
             }
         )
