The soak brings crowds of clients that do not behave

One crowd in seven of ten runs, at an entry or at a control process, drawn apart so that the schedules of seeds stay as they were: 300 legal heads whose bodies do not come, requests in advance, unread answers, bytes as chunks, empty lines. The bound of a process's memory, 128 MB, was there.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/checks.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/checks.py
@@ -65,6 +65,7 @@
     "server_rest",
     "server_endless",
     "request_endless",
+    "crowd",
 )
 CONNECT_ERRORS: Final = ("ConnectError", "ConnectTimeout")
 
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/injector.py
@@ -16,6 +16,9 @@
 from sycamorestand_bench.fakes.faults import Fault
 from sycamorestand_bench.fakes.faults import FaultKind
 from sycamorestand_bench.soak.schedule import LINK_SEPARATOR
+from sycamorestand_bench.system.crowds import Door
+from sycamorestand_bench.system.crowds import hold_crowd
+from sycamorestand_bench.system.crowds import KINDS
 from sycamorestand_bench.system.endless_bytes import send_endless_request
 
 if TYPE_CHECKING:
@@ -42,6 +45,14 @@
 ENDING_PROMPT: Final = "a prompt under which engines end"
 ENGINE_LIMIT_PER_S: Final = 3.0
 ENDING_REQUEST: Final = "a request under which engines end"
+# The kinds of a crowd, and how many clients there are of each.
+CROWD: Final[Mapping[str, int]] = {
+    "tiny requests": 3,
+    "unread answers": 10,
+    "named lines, no body": 300,
+    "bytes as chunks": 3,
+    "empty line after an answer": 30,
+}
 SERVER_FAULTS: Final[Mapping[str, FaultKind]] = {
     "server_error": "error",
     "server_cut": "cut",
@@ -204,6 +215,8 @@
                 self._answer_endlessly(step)
             case "request_endless":
                 self._ask_endlessly(step)
+            case "crowd":
+                self._bring_crowd(step)
             case "server_limit":
                 self._limit_engines(step.for_s)
             case fault:
@@ -399,6 +412,22 @@
 
         self._system.call_in_loop(begin)
 
+    def _bring_crowd(self, step: Step) -> None:
+        """Let clients of several kinds stand at one process."""
+        if step.target in self._cluster.controls:
+            port = self._cluster.controls[step.target].operator_port
+        else:
+            port = self._cluster.entries[step.target].port
+        door = Door("127.0.0.1", port, "/readyz")
+
+        def begin() -> None:
+            for name, clients in CROWD.items():
+                self._system.tasks.start_soon(
+                    hold_crowd, KINDS[name], door, clients, step.for_s
+                )
+
+        self._system.call_in_loop(begin)
+
     def _start_ending(
         self, step: Step, message: str, after_s: float = 0.0
     ) -> None:
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/mutants/sitecustomize.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/mutants/sitecustomize.py
@@ -170,6 +170,13 @@
     _replace(protocol, "_cost_bytes", lambda self: 0)
 
 
+def charge_nothing() -> None:
+    """Let clients' connections keep what they send, at no charge."""
+    from sycamorestand_peer.http_connection import HttpProtocol
+
+    _replace(HttpProtocol, "_cost_bytes", lambda self: 0)
+
+
 def end_by_itself() -> None:
     """End the process `LIFETIME_S` after its start."""
     timer = threading.Timer(LIFETIME_S, os._exit, (3,))
@@ -190,6 +197,7 @@
     "forget-the-newest": ("never reverts", forget_the_newest),
     "tell-of-no-end": ("requests that end engines", tell_of_no_end),
     "keep-all-trailers": ("bounded", keep_all_trailers),
+    "charge-nothing": ("bounded", charge_nothing),
     "end-by-itself": ("lives", end_by_itself),
 }
 
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
@@ -104,6 +104,7 @@
     "server_rest": _FaultKind(0, "engines", 2.0, 5.0),
     "server_endless": _FaultKind(0, "engine", 1.0, 4.0),
     "request_endless": _FaultKind(0, "entry", 1.0, 4.0),
+    "crowd": _FaultKind(0, "process", 1.0, 4.0),
 }
 ENDING_PROMPT_PROBABILITY: Final = 0.3
 ENDING_REQUEST_PROBABILITY: Final = 0.4
@@ -112,6 +113,7 @@
 LIMIT_PROBABILITY: Final = 0.3
 REST_PROBABILITY: Final = 0.5
 ENDLESS_PROBABILITY: Final = 0.5
+CROWD_PROBABILITY: Final = 0.7
 
 
 def draw(seed: int, length_s: float, targets: Targets) -> Schedule:
@@ -140,6 +142,7 @@
     )
     steps += _draw_endless(seed, length_s, targets)
     steps += _draw_power(seed, length_s, targets)
+    steps += _draw_crowd(seed, length_s, targets)
     allowed: list[Step] = []
     for step in sorted(steps):
         if step.fault in WIPING_FAULTS:
@@ -251,6 +254,15 @@
     return [_make_step(random, "power", at_s, targets)]
 
 
+def _draw_crowd(seed: int, length_s: float, targets: Targets) -> list[Step]:
+    """Return at most one step, a crowd of clients at one process."""
+    random = Random(f"crowd {seed}")
+    if random.random() >= CROWD_PROBABILITY:
+        return []
+    at_s = random.uniform(0.0, length_s)
+    return [_make_step(random, "crowd", at_s, targets)]
+
+
 def _draw_endless(seed: int, length_s: float, targets: Targets) -> list[Step]:
     """Return at most one step of each fault that sends without end."""
     steps: list[Step] = []
