A connection that is closed lets its client read the answer, and ends in time

Cause: a connection that was closed with unread requests behind its answer was reset, and the answer lost; one whose client did not read the last bytes of an answer below the high-water mark waited for them for good.

Change: closing has a time: 2 s where all is written, 60 s where a part of an answer is left; what still comes is read and dropped for as long.

--- a/packages/sycamorestand-peer/src/sycamorestand_peer/http_connection.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/http_connection.py
@@ -56,8 +56,7 @@
 IDLE_SLACK_S: Final = DELAY_S + CHECK_INTERVAL_S
 # What an answer's client may leave unread for how long.
 UNREAD_ANSWER_S: Final = 60.0
-# How long and how much is read of a request that is refused: a connection
-# that is closed with unread bytes is reset, and the refusal is lost.
+# How long and how much is read behind what is refused, see `close`.
 LINGER_S: Final = 2.0
 LINGER_BYTES: Final = 1024 * 1024
 # So often a planned stop waits for one more request of a connection.
@@ -333,13 +332,43 @@
         assert exchange is not None
         is_stopping = exchange.should_close and not self.may_stay_open()
         if is_stopping or not exchange.may_persist:
-            self._close()
+            self.close()
         elif self._state is State.WHOLE:
             self._wait_idle()
             self.read_on()
         else:
             self.read_on()
 
+    def close(self) -> None:
+        """Close once the client has read what was written.
+
+        A socket that is closed with unread bytes is reset, and the client
+        loses the answer. So what still comes is read for a while.
+        """
+        if not self._is_admitted:
+            return
+        is_unread = self._state is State.BODY or self.has_unread()
+        unsent_bytes = self.transport.get_write_buffer_size()
+        for_s = UNREAD_ANSWER_S if unsent_bytes else LINGER_S
+        self._wait(State.CLOSING, self._budget.closing, for_s)
+        self._rest = b""
+        self._headers = []
+        self.target = b""
+        self._parser = None
+        # The application may still hold the request, see `_leave`.
+        if self._task is None or self._task.done():
+            self._share.hold(unsent_bytes)
+        if is_unread:
+            self.transport.write_eof()
+            self._resume_reading()
+        else:
+            self.transport.close()
+
+    def charge(self) -> None:
+        """Charge what the connection keeps now."""
+        if self._is_admitted:
+            self._share.hold(self._cost_bytes())
+
     def may_stay_open(self) -> bool:
         """Return whether a planned stop waits for a further request.
 
@@ -367,14 +396,17 @@
         """
         if self.exchange is not None and not self.exchange.response_complete:
             self.exchange.should_close = True
-        elif self._state is State.CLOSING or not self.has_unread():
-            self.transport.close()
+        elif self._state is not State.CLOSING and not self.has_unread():
+            self.close()
 
     # For the budget
 
     def is_evictable(self) -> bool:
         if self._state is State.IDLE:
             return not self.has_unread()
+        if self._state is State.CLOSING:
+            # What is left of an answer is still being read.
+            return not self.transport.get_write_buffer_size()
         exchange = self.exchange
         if self._state is State.BODY and exchange is not None:
             return not exchange.response_started
@@ -405,7 +437,7 @@
         if self._is_used:
             # That is no refusal, so there is no log line.
             self._budget.refusals[IDLE_TIMED_OUT] += 1
-            self._close()
+            self.close()
         else:
             self._refuse(HEAD_TIMED_OUT)
 
@@ -498,7 +530,7 @@
         if fault is not None:
             self._refuse(fault)
             return False
-        self._share.hold(self._cost_bytes())
+        self.charge()
         return True
 
     def _cost_bytes(self) -> int:
@@ -535,7 +567,7 @@
         """Keep what is not parsed yet; read on if nothing stands before it."""
         self._rest = rest
         if rest:
-            self._share.hold(self._cost_bytes())
+            self.charge()
         if self._state is State.WHOLE:
             # A few bytes more, so that a client that leaves is noticed.
             if len(rest) < AHEAD_READ_BYTES:
@@ -583,7 +615,7 @@
         if not self._is_used:
             idle_timeout_s = max(idle_timeout_s, self._limits.header_timeout_s)
         self._wait(State.IDLE, self._budget.idle, idle_timeout_s + DELAY_S)
-        self._share.hold(self._cost_bytes())
+        self.charge()
 
     def _charge_unsent(self) -> None:
         if not self._is_admitted:
@@ -591,11 +623,10 @@
         unsent_bytes = self.transport.get_write_buffer_size()
         grows = unsent_bytes > self._unsent_bytes
         self._unsent_bytes = unsent_bytes
-        cost_bytes = self._cost_bytes()
-        if grows and not self._share.fits(cost_bytes):
+        if grows and not self._share.fits(self._cost_bytes()):
             self.give_up_answer()
         else:
-            self._share.hold(cost_bytes)
+            self.charge()
 
     def _refuse(self, fault: RequestFault) -> None:
         """Answer a request that is not read on, and close the connection."""
@@ -605,12 +636,12 @@
         exchange = self.exchange
         if exchange is not None and exchange.response_started:
             self.disconnect()
-            self.transport.close()
+            self.close()
             return
         # The application must not write behind the refusal.
         self.disconnect()
         self.transport.write(self.refusal(fault))
-        self._linger()
+        self.close()
 
     def disconnect(self) -> None:
         """Let the application write nothing more of its answer."""
@@ -620,12 +651,6 @@
             exchange.body = bytearray()
             exchange.news.set()
 
-    def _close(self) -> None:
-        if self._state is State.BODY:
-            self._linger()
-        else:
-            self.transport.close()
-
     def _leave(self) -> None:
         """Give back what the connection holds; it has ended, or ends now."""
         if not self._is_admitted:
@@ -646,19 +671,6 @@
         else:
             self._task.add_done_callback(lambda _: self._share.release_all())
 
-    def _linger(self) -> None:
-        """Let the client read what was written, then close."""
-        self._wait(State.CLOSING, self._budget.closing, LINGER_S)
-        self._rest = b""
-        self._headers = []
-        self.target = b""
-        self._parser = None
-        # The application may still hold the request, see `_leave`.
-        if self._task is None or self._task.done():
-            self._share.hold(self._unsent_bytes)
-        self.transport.write_eof()
-        self._resume_reading()
-
     def _make_scope(self, version: str) -> dict[str, Any]:
         url = httptools.parse_url(self.target)
         path = url.path.decode("ascii")
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/http_exchange.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/http_exchange.py
@@ -112,6 +112,7 @@
             return {"type": "http.disconnect"}
         body = bytes(self.body)
         self.body = bytearray()
+        self._connection.charge()
         return {
             "type": "http.request",
             "body": body,
@@ -187,7 +188,7 @@
 
     async def _fail(self) -> None:
         if self.response_started:
-            self._connection.transport.close()
+            self._connection.close()
             return
         for message in FAILED:
             await self.send(message)
