A group without progress is logged: why, since when, who answers

Change: each control process watches its logs and writes a line once one has been without a leader, or its leader without a majority, for longer than an election takes, each 10 s, and at the end. No decision is changed.

--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -45,6 +45,8 @@
 from sycamorestand_control.orders.service import make_orders
 from sycamorestand_control.orders.service import OrderSettings
 from sycamorestand_control.part_controller import PartController
+from sycamorestand_control.progress_watch import group_progress
+from sycamorestand_control.progress_watch import ProgressWatch
 from sycamorestand_control.rating_exchange import RatingExchange
 from sycamorestand_control.session_relay import SessionRelay
 from sycamorestand_control.tables import ControlName
@@ -228,6 +230,13 @@
         )
         self.backend = ControlBackend(parts)
         self.voter_watch = VoterWatch(parts.missing_voters)
+        self.progress_watches = [
+            ProgressWatch(
+                number,
+                functools.partial(group_progress, replica, self.mesh),
+            )
+            for number, replica in self.groups.replicas.items()
+        ]
         self.metrics = ControlMetrics(
             parts,
             self.ledger_writers,
@@ -272,6 +281,7 @@
                 self.failures.run,
                 self.balancer.run,
                 self.voter_watch.run,
+                *(watch.run for watch in self.progress_watches),
                 *(writer.run for writer in self.ledger_writers),
             ):
                 tasks.start_soon(keep_running, task, self._count_fault)
