Say which control processes wait to vote, and that none can answer

With a voter gone for good, no line at the leader said that a process asks to join nor why it does not vote, and one without a disk that hears of no voter answered 503 without a line.

Change: the leader of the configuration logs each process that asks to join once, and who waits to vote and why when that changes, at most each 5 s. A control process without a disk logs when none that can answer is heard, whom it asks and for how long, and when one is heard again. No logic changes.

--- a/packages/sycamorestand-control/src/sycamorestand_control/membership.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/membership.py
@@ -17,6 +17,7 @@
 from sycamorestand_control.joining import is_voter
 from sycamorestand_control.voter_repair import next_change
 from sycamorestand_control.voter_repair import ObservedMember
+from sycamorestand_control.voter_repair import waiting_reason
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import JoinRequest
@@ -42,6 +43,8 @@
 # A commit takes milliseconds, or seconds on a busy machine or during an
 # election. Without a quorum it never completes.
 CHANGE_WAIT_S: Final = 5.0
+# A learner that catches up changes the reason for its wait with each round.
+WAIT_LOG_INTERVAL_S: Final = 5.0
 # A loop whose round takes this long was suspended or got no processor time.
 SUSPENDED_AFTER_S: Final = 1.0
 
@@ -81,6 +84,9 @@
         self._leading_since_s: dict[int, float] = {}
         self._joiners: dict[str, JoinRequest] = {}
         self._last_asked_s: dict[str, float] = {}
+        self._logged_joiners: set[str] = set()
+        self._logged_wait: tuple[tuple[str, ...], str] = ((), "")
+        self._next_wait_log_s = 0.0
 
     def waiting_joiners(self) -> tuple[JoinRequest, ...]:
         """Return the processes that ask to join and are not members yet."""
@@ -130,13 +136,14 @@
                     self._leading_since_s.pop(group, None)
                     continue
                 since_s = self._leading_since_s.setdefault(group, now_s)
+                self._log_joiners(replica)
                 try:
                     if self._replace_lost:
                         await self._repair_voters(replica, since_s)
                     else:
                         await self._admit_one(replica)
                 except ConsensusError as error:
-                    LOG.debug("not admitted", extra={"reason": str(error)})
+                    self._log_wait(replica, str(error))
 
     async def replace_voter(
         self, group: int, old_id: str, new_id: str
@@ -229,6 +236,10 @@
         ]
         change = next_change(own_id, observed, joiners, self._voters_wanted)
         if change is None:
+            reason = waiting_reason(
+                own_id, observed, joiners, self._voters_wanted
+            )
+            self._log_wait(replica, reason)
             return
         if change.kind == "add":
             await replica.add_learner(change.member_id, change.address)
@@ -241,6 +252,43 @@
             extra={"step": change.kind, "member": change.member_id},
         )
 
+    def _log_joiners(self, replica: Replica) -> None:
+        """Log each process that asks to join the configuration, once."""
+        if replica is not self._configuration_replica():
+            return
+        for joiner in self.waiting_joiners():
+            if joiner.member_id not in self._logged_joiners:
+                self._logged_joiners.add(joiner.member_id)
+                extra = {
+                    "joiner": joiner.vm,
+                    "address": joiner.address,
+                    "member": joiner.member_id,
+                }
+                LOG.info("control process asks to join", extra=extra)
+        self._logged_joiners &= set(self._joiners)
+
+    def _log_wait(self, replica: Replica, reason: str) -> None:
+        """Log which processes do not vote yet and why, when it changes."""
+        if replica is not self._configuration_replica():
+            return
+        waiting = tuple(
+            sorted(
+                joiner.member_id
+                for joiner in self._joiners.values()
+                if self._is_asking(joiner)
+                and not is_voter(replica, joiner.member_id)
+            )
+        )
+        now_s = boottime_s()
+        is_known = (waiting, reason) == self._logged_wait
+        if is_known or now_s < self._next_wait_log_s:
+            return
+        self._logged_wait = (waiting, reason)
+        self._next_wait_log_s = now_s + WAIT_LOG_INTERVAL_S
+        if waiting:
+            extra = {"members": waiting, "reason": reason}
+            LOG.info("control processes wait to vote", extra=extra)
+
     def _silent_s(
         self,
         member: MemberStatus,
--- a/packages/sycamorestand-control/src/sycamorestand_control/redirector.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/redirector.py
@@ -35,6 +35,7 @@
 # Later, the process may have been replaced by one at another address.
 FORGET_AFTER_S: Final = 3600.0
 MAX_CONTROLS: Final = 64
+CHECK_INTERVAL_S: Final = 0.5
 
 
 class Redirector:
@@ -54,6 +55,8 @@
         self._mesh = PeerMesh(address, cluster_keys, self._handle_message)
         self._known: dict[str, None] = {}
         self._heard_s: dict[str, float] = {}
+        self._none_since_s = boottime_s()
+        self._serving_logged = True
         self.add_known(known)
 
     def add_known(self, addresses: Iterable[str]) -> None:
@@ -78,7 +81,30 @@
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Answer until cancelled."""
-        await self._mesh.run(task_status=task_status)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_serving)
+            await self._mesh.run(task_status=task_status)
+
+    async def _watch_serving(self) -> None:
+        while True:
+            await anyio.sleep(CHECK_INTERVAL_S)
+            self._log_serving(boottime_s())
+
+    def _log_serving(self, now_s: float) -> None:
+        """Log when no process that can answer is heard, and when one is."""
+        serving = self.serving()
+        none_for_s = round(now_s - self._none_since_s, 1)
+        if serving:
+            self._none_since_s = now_s
+        if bool(serving) == self._serving_logged:
+            return
+        self._serving_logged = bool(serving)
+        if serving:
+            extra = {"serving": serving, "none_for_s": none_for_s}
+            LOG.info("control processes heard that can answer", extra=extra)
+        else:
+            extra = {"asked": self._controls(), "none_for_s": none_for_s}
+            LOG.warning("no control process heard can answer", extra=extra)
 
     def _handle_message(self, sender: str, message: Any) -> None:
         match message:
--- a/packages/sycamorestand-control/src/sycamorestand_control/voter_repair.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/voter_repair.py
@@ -79,11 +79,7 @@
     """
     voters = [m for m in members if m.voter]
     learners = [m for m in members if not m.voter]
-    lost = [
-        m
-        for m in voters
-        if m.member_id != own_id and _is_lost(m, (*members, *joiners))
-    ]
+    lost = _lost_voters(own_id, members, joiners)
     return (
         _remove_dead_learner(learners, joiners, members)
         or _remove_surplus(voters, lost, voters_wanted)
@@ -94,6 +90,38 @@
     )
 
 
+def waiting_reason(
+    own_id: str,
+    members: Sequence[ObservedMember],
+    joiners: Sequence[ObservedMember],
+    voters_wanted: int,
+) -> str:
+    """Return in words why no joiner becomes a voter now, for the log."""
+    voters = [m for m in members if m.voter]
+    lost = _lost_voters(own_id, members, joiners)
+    alive = _count_alive([voter for voter in voters if voter not in lost])
+    if len(voters) > voters_wanted:
+        return f"{len(voters)} vote, a lost one is removed first"
+    if len(voters) == voters_wanted and not lost:
+        return f"{len(voters)} voters are wanted and none is lost"
+    if alive + 1 <= (len(voters) + 1) // 2:
+        return f"{alive} of {len(voters)} voters answer, too few for one more"
+    return "no learner asks to join"
+
+
+def _lost_voters(
+    own_id: str,
+    members: Sequence[ObservedMember],
+    joiners: Sequence[ObservedMember],
+) -> list[ObservedMember]:
+    observed = (*members, *joiners)
+    return [
+        each
+        for each in members
+        if each.voter and each.member_id != own_id and _is_lost(each, observed)
+    ]
+
+
 def _is_lost(
     voter: ObservedMember, observed: Sequence[ObservedMember]
 ) -> bool:
@@ -205,4 +233,10 @@
     return sum(member.silent_s < ALIVE_WITHIN_S for member in members)
 
 
-__all__ = ["next_change", "ObservedMember", "SILENCE_S", "MembershipChange"]
+__all__ = [
+    "MembershipChange",
+    "next_change",
+    "ObservedMember",
+    "SILENCE_S",
+    "waiting_reason",
+]
--- a/packages/sycamorestand-control/tests/test_membership.py
+++ b/packages/sycamorestand-control/tests/test_membership.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
+import logging
 from typing import Any
 
+import anyio
 import pytest
 
 from sycamorestand_consensus.errors import ChangeUnderWay
@@ -209,3 +211,25 @@
         module = "sycamorestand_control.membership."
         monkeypatch.setattr(module + "JOINER_SILENCE_S", 0.0)
         assert harness.waiting() == []
+
+
+class TestLog:
+    @pytest.mark.anyio
+    async def test_process_that_asks_to_join_is_logged_once(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """No line of the leader said that a process waits, and why."""
+        caplog.set_level(logging.INFO, "sycamorestand_control.membership")
+        harness = Harness(FakeReplica(catches_up=False))
+        harness.ask("new", "new:1")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(harness.membership.run)
+            with anyio.fail_after(5):
+                while "control processes wait to vote" not in caplog.messages:
+                    await anyio.sleep(0.02)
+            harness.ask("new", "new:1")
+            await anyio.sleep(0.5)
+            tasks.cancel_scope.cancel()
+        assert caplog.messages.count("control process asks to join") == 1
+        reasons = [vars(record).get("reason") for record in caplog.records]
+        assert "it has not caught up" in reasons
--- a/packages/sycamorestand-control/tests/test_voter_repair.py
+++ b/packages/sycamorestand-control/tests/test_voter_repair.py
@@ -8,6 +8,7 @@
 from sycamorestand_control.voter_repair import next_change
 from sycamorestand_control.voter_repair import ObservedMember
 from sycamorestand_control.voter_repair import SILENCE_S
+from sycamorestand_control.voter_repair import waiting_reason
 
 LEADER = ObservedMember("a", "a:1", 0.0, voter=True)
 OTHER = ObservedMember("b", "b:1", 0.1, voter=True)
@@ -147,3 +148,18 @@
             assert len(voters) > WANTED
             rest = [m for m in voters if m is not subject]
             assert 2 * sum(m.silent_s < 0.8 for m in rest) > len(rest)
+
+
+class TestWaitingReason:
+    def test_reason_why_a_spare_does_not_vote(self) -> None:
+        """No line said why a process that asked to join was not let in."""
+
+        def reason(*members: ObservedMember) -> str:
+            return waiting_reason("a", members, (SPARE,), WANTED)
+
+        assert "none is lost" in reason(LEADER, OTHER, HEALTHY)
+        lost_too = OTHER._replace(silent_s=SILENCE_S)
+        assert "too few" in reason(LEADER, lost_too, LOST)
+        fourth = ObservedMember("d", "d:1", 0.1, voter=True)
+        assert "removed first" in reason(LEADER, OTHER, LOST, fourth)
+        assert "no learner" in reason(LEADER, OTHER, LOST)
