--- a/packages/sycamorestand-control/src/sycamorestand_control/groups.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/groups.py
@@ -14,8 +14,8 @@
 
 from sycamorestand_consensus.errors import CommandRefused as RefusedByLog
 from sycamorestand_consensus.errors import ConsensusError
-from sycamorestand_consensus.errors import NotLeader
 from sycamorestand_consensus.errors import ProposalLost
+from sycamorestand_consensus.errors import ProposalRefused
 from sycamorestand_consensus.replica import Replica
 from sycamorestand_control.errors import CommandRefused
 from sycamorestand_control.errors import NoLeader
@@ -158,6 +158,12 @@
         """Return the leader's peer address, empty if it is unknown."""
         return self.address_of(self.replicas[group].status().leader_id)
 
+    def missing_leader_reason(self, group: int) -> str:
+        """Return why no leader of a log can be asked, for a message."""
+        if self.replicas[group].status().state == BLANK:
+            return "this process is in no cluster"
+        return "no leader is known"
+
     def address_of(self, member_id: str) -> str:
         """Return a member's peer address, empty if it is unknown."""
         if member_id and member_id not in self._addresses:
@@ -182,19 +188,24 @@
         """
         deadline_s = boottime_s() + timeout_s
         maybe_committed = False
+        reason = "no time was left to propose it"
         while boottime_s() < deadline_s:
             try:
                 return await self._propose_once(group, command, while_forming)
-            except (ProposalLost, PeerTimeout):
+            except (ProposalLost, PeerTimeout) as error:
                 maybe_committed = True
+                reason = str(error)
             except RefusedByLog as error:
                 raise CommandRefused(str(error)) from error
             except ConsensusError as error:
-                LOG.debug("not proposed", extra={"reason": str(error)})
+                reason = str(error)
+                LOG.debug("not proposed", extra={"reason": reason})
             await anyio.sleep(RETRY_PAUSE_S)
         if maybe_committed:
-            raise OutcomeUnknown("the change may have been made; resend it")
-        raise NoLeader("no leader answered; nothing was changed")
+            raise OutcomeUnknown(
+                f"{reason}; the change may have been made; resend it"
+            )
+        raise NoLeader(f"{reason}; nothing was changed")
 
     async def handle_forward(
         self, sender: str, message: ProposalForward
@@ -209,12 +220,12 @@
             return CallReply(message.call_id, NOT_LEADER, b"")
         try:
             result = await self._propose_as_leader(replica, message.command)
-        except ProposalLost:
-            return CallReply(message.call_id, LOST, b"")
+        except ProposalLost as error:
+            return CallReply(message.call_id, LOST, str(error).encode())
         except RefusedByLog as error:
             return CallReply(message.call_id, REFUSED, str(error).encode())
-        except ConsensusError:
-            return CallReply(message.call_id, NOT_LEADER, b"")
+        except ConsensusError as error:
+            return CallReply(message.call_id, NOT_LEADER, str(error).encode())
         payload = msgspec.msgpack.encode(result)
         return CallReply(message.call_id, "", payload)
 
@@ -228,14 +239,15 @@
             )
         address = self.leader_address(group)
         if not address:
-            raise NotLeader("")
+            raise ProposalRefused(self.missing_leader_reason(group))
         reply = await self._forward(address, group, command)
+        reason = reply.payload.decode() if reply.failure else ""
         if reply.failure == NOT_LEADER:
-            raise NotLeader("")
+            raise ProposalRefused(f"{address} answers: {reason}")
         if reply.failure == REFUSED:
-            raise RefusedByLog(reply.payload.decode())
+            raise RefusedByLog(reason)
         if reply.failure:
-            raise ProposalLost(reply.failure)
+            raise ProposalLost(f"{address} answers: {reason}")
         result_type = self._groups[group].result_type
         return msgspec.msgpack.decode(reply.payload, type=result_type)
 
@@ -244,7 +256,9 @@
     ) -> Any:
         voters = sum(member.voter for member in replica.status().members)
         if voters < self._voters_needed and not while_forming:
-            raise TooFewVoters(f"{voters} of {self._voters_needed} voters")
+            raise TooFewVoters(
+                f"too few voters ({voters} of {self._voters_needed})"
+            )
         return await replica.propose(command)
 
     async def _forward(
@@ -275,7 +289,7 @@
                 await anyio.sleep(LEADER_CHECK_INTERVAL_S)
             tasks.cancel_scope.cancel()
         if not replies:
-            raise PeerTimeout(f"{address} gave no answer as leader")
+            raise PeerTimeout(f"the leader at {address} does not answer")
         return replies[0]
 
     def _make_sender(self, group: int) -> Any:
--- a/packages/sycamorestand-control/src/sycamorestand_control/peer_queries.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/peer_queries.py
@@ -76,11 +76,13 @@
                 raise QueryRefused(str(error)) from error
         address = self._groups.leader_address(group)
         if not address:
-            raise NoLeader("no leader is known")
+            raise NoLeader(self._groups.missing_leader_reason(group))
         try:
             return await self._query(address, kind, payload, timeout_s)
         except PeerTimeout as error:
-            raise NoLeader(str(error)) from error
+            raise NoLeader(
+                f"the leader at {address} does not answer"
+            ) from error
 
     async def query_each(
         self, addresses: Iterable[str], kind: str, timeout_s: float
