Control processes without a disk learn whom to send callers to

What callers saw: with settings that name voters alone, no fault and six control processes, 25 of 66 tries of changes and 88 of 195 reads got 503 from processes without a disk, for ever; with nine 81 of 119 tries.

Cause: such a process knew just those that reported to it, and processes with a disk reported only to the addresses in their own settings and to the members of the log. Whose settings name it decided what it knew. It also sent callers to any process that it heard, with a leader or not.

Change: all control processes exchange ControlReports, in place of the names in the table "controls" (control_exchange.py): each second, at once when the report changes or a process is learned of, and as the answer to a process that does not know this one. Each passes on whom it heard itself and the members of its log. A redirector waits up to 0.5 s for one that serves, sends callers only to those, and otherwise answers 503 with the reason in body and log. Tables go to members and to processes with a disk. A report of counts from any known control process counts as forwarded.

A process of an earlier release logs a fault for each report that it does not read; it goes on with the names that it had.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/in_memory_control.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/in_memory_control.py
@@ -6,8 +6,9 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from sycamorestand_control.control_directory import ControlDirectory
+from sycamorestand_control.control_directory import ControlReport
 from sycamorestand_control.hub import EntryHub
-from sycamorestand_control.tables import ControlName
 from sycamorestand_control.tables import SharedTables
 from sycamorestand_entry.control.link import ControlLink
 from sycamorestand_entry.control.link import LinkSettings
@@ -34,8 +35,10 @@
         self._mesh = FakeMesh()
         mesh: Any = self._mesh
         leases: Any = _Leases(configuration.revision)
-        name = ControlName("vm-control", DATA_CENTRES[0])
-        tables = SharedTables(mesh, name, tuple)
+        directory = ControlDirectory(CONTROL)
+        own = ControlReport("vm-control", DATA_CENTRES[0])
+        directory.record(CONTROL, own)
+        tables = SharedTables(mesh, directory, tuple)
         self._hub = EntryHub(
             mesh, leases, tables, lambda: configuration, tuple
         )
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -17,6 +17,10 @@
 from sycamorestand_consensus.settings import settings_within
 from sycamorestand_control.arrival_lender import ArrivalLender
 from sycamorestand_control.background import keep_running
+from sycamorestand_control.control_directory import ControlDirectory
+from sycamorestand_control.control_directory import ControlReport
+from sycamorestand_control.control_exchange import ControlExchange
+from sycamorestand_control.control_exchange import CONTROLS
 from sycamorestand_control.ends_file import EndsFile
 from sycamorestand_control.errors import ControlError
 from sycamorestand_control.failure_controller import FailureController
@@ -47,7 +51,6 @@
 from sycamorestand_control.part_controller import PartController
 from sycamorestand_control.rating_exchange import RatingExchange
 from sycamorestand_control.session_relay import SessionRelay
-from sycamorestand_control.tables import ControlName
 from sycamorestand_control.tables import SharedTables
 from sycamorestand_control.version_controller import VersionController
 from sycamorestand_control.voter_watch import VoterWatch
@@ -99,7 +102,6 @@
 
     def __init__(self, settings: ControlSettings) -> None:
         self._settings = settings
-        self._control_addresses = settings.control_addresses
         self.configuration = ConfigurationMachine()
         self.shards = [
             LedgerMachine(number) for number in range(settings.ledger_shards)
@@ -126,10 +128,14 @@
             # No more can vote than the settings name.
             min(settings.voters_wanted, 1 + len(settings.control_addresses)),
         )
+        self.directory = ControlDirectory(
+            settings.peer_address, settings.control_addresses
+        )
+        self.exchange = ControlExchange(
+            self.mesh, self.directory, self._own_report, self._members
+        )
         self.tables = SharedTables(
-            self.mesh,
-            ControlName(settings.vm, settings.data_centre),
-            self._other_controls,
+            self.mesh, self.directory, self._other_controls
         )
         self.leases = LeaseService(
             self.mesh,
@@ -142,7 +148,7 @@
             self.leases,
             self.tables,
             self.configuration.in_force,
-            self._other_controls,
+            self._controls_for_entries,
             self._voters,
         )
         self.version_controller = VersionController(
@@ -257,6 +263,7 @@
             await tasks.start(self.mesh.run)
             tasks.start_soon(self.groups.run)
             for task in (
+                self.exchange.run,
                 self.leases.run,
                 self.hub.run,
                 self.tables.run,
@@ -291,21 +298,21 @@
         Entries and joining processes that start with these ask there, also
         where a process has no disk and has to be told who votes.
         """
-        self._control_addresses = addresses
+        self.directory.set_named(addresses)
 
     async def _form_cluster(self) -> None:
         if self._settings.first_start:
             await create_cluster(
                 self._settings, self.mesh, self.groups, self.configuration
             )
-        if not self._other_controls():
+        if not self.exchange.addresses():
             return
         assert self._tasks is not None
         join = functools.partial(
             ask_to_join,
             self.mesh,
             self.groups,
-            self._other_controls,
+            self.exchange.addresses,
             self._settings.vm,
             self._settings.replace_lost_voters,
         )
@@ -338,12 +345,37 @@
         )
 
     def _other_controls(self) -> tuple[str, ...]:
-        """Return the peer addresses of all other control processes."""
-        replica = self.groups.replicas[CONFIGURATION_GROUP]
-        members = {member.address for member in replica.status().members}
-        members.update(self._control_addresses)
-        members.discard(self.mesh.address)
-        return tuple(sorted(members))
+        """Return the peer addresses of those that share what entries tell.
+
+        These are the other members of the log and the processes with a disk
+        that are heard.
+        """
+        others = {*self._members(), *self.directory.with_disk()}
+        others.discard(self.mesh.address)
+        return tuple(sorted(others))
+
+    def _controls_for_entries(self) -> tuple[str, ...]:
+        """Return where an entry that gets no lease here may ask."""
+        return self._other_controls() or self.exchange.addresses()
+
+    def _own_report(self) -> ControlReport:
+        status = self.groups.replicas[CONFIGURATION_GROUP].status()
+        serves = bool(status.members) and bool(status.leader_id)
+        if status.role == "leader":
+            serves = serves and self.leases.remaining_s() > 0
+        return ControlReport(
+            self._settings.vm,
+            self._settings.data_centre,
+            True,
+            serves,
+            bool(status.members),
+            self.groups.member_id,
+        )
+
+    def _members(self) -> tuple[str, ...]:
+        """Return the peer addresses of all members, this one included."""
+        members = self.groups.replicas[CONFIGURATION_GROUP].status().members
+        return tuple(member.address for member in members)
 
     def _cold_limit_per_s(self, name: str) -> float:
         """Return what a backend server takes while it is cold."""
@@ -406,7 +438,7 @@
             ReplicaPayload: self.groups.receive,
             LeaseRequest: self.hub.handle_lease_request,
             AnnouncementRelay: self._handle_announcement,
-            TableUpdate: self.tables.handle_update,
+            TableUpdate: self._handle_table_update,
             TableResync: self.tables.handle_resync,
             ControlLeaseRequest: self.leases.handle_request,
             ControlLeaseGranted: self._handle_lease_grant,
@@ -428,6 +460,12 @@
             Query: self._handle_query,
         }
 
+    def _handle_table_update(self, sender: str, message: TableUpdate) -> None:
+        if message.table == CONTROLS:
+            self.exchange.handle_report(sender, message)
+        else:
+            self.tables.handle_update(sender, message)
+
     def _handle_announcement(
         self, sender: str, message: AnnouncementRelay
     ) -> None:
@@ -449,8 +487,7 @@
         """
         self.version_controller.handle_report(message)
         leader = self.groups.leader_address(CONFIGURATION_GROUP)
-        forwarded = sender in self._other_controls()
-        if forwarded:
+        if sender in self.exchange.addresses():
             return
         self.ratings.add_ratings(sender, message.ratings)
         if leader and leader != self.mesh.address:
--- a/packages/sycamorestand-control/src/sycamorestand_control/redirector.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/redirector.py
@@ -14,6 +14,10 @@
 
 import anyio
 
+from sycamorestand_control.control_directory import ControlDirectory
+from sycamorestand_control.control_directory import ControlReport
+from sycamorestand_control.control_exchange import ControlExchange
+from sycamorestand_control.control_exchange import CONTROLS
 from sycamorestand_control.joining import FORWARDED
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.mesh import PeerMesh
@@ -30,20 +34,18 @@
     from sycamorestand_peer.key_file import KeySource
 
 LOG: Final = logging.getLogger(__name__)
-# A control process sends an empty update each second.
-HEARD_WITHIN_S: Final = 3.0
-# Later, the process may have been replaced by one at another address.
-FORGET_AFTER_S: Final = 3600.0
-MAX_CONTROLS: Final = 64
 CHECK_INTERVAL_S: Final = 0.5
+# A link carries a heartbeat each 0.5 s. Callers are sent to a process that
+# was silent for longer only where all that serve were.
+REACHED_WITHIN_S: Final = 1.5
+REFUSAL_LOG_INTERVAL_S: Final = 1.0
 
 
 class Redirector:
     """Answers lease and join requests with the control processes it knows.
 
-    ``known`` are the addresses in the settings, with or without a disk. The
-    control processes with one report to those addresses every second, so
-    that the redirector hears of all that serve.
+    ``known`` are the addresses in the settings, with or without a disk;
+    ``vm`` and ``data_centre`` are those of this process.
     """
 
     def __init__(
@@ -51,39 +53,69 @@
         address: str,
         cluster_keys: KeySource,
         known: Iterable[str],
+        vm: str = "",
+        data_centre: str = "",
     ) -> None:
         self._mesh = PeerMesh(address, cluster_keys, self._handle_message)
-        self._known: dict[str, None] = {}
-        self._heard_s: dict[str, float] = {}
+        self.directory = ControlDirectory(address, known)
+        report = ControlReport(vm, data_centre, has_disk=False)
+        self._exchange = ControlExchange(
+            self._mesh, self.directory, lambda: report
+        )
+        self._reported = anyio.Event()
         self._none_since_s = boottime_s()
         self._serving_logged = True
-        self.add_known(known)
+        self._refused = 0
+        self._next_refusal_log_s = 0.0
 
-    def add_known(self, addresses: Iterable[str]) -> None:
-        """Add addresses of control processes, from new settings."""
-        for address in addresses:
-            if address != self._mesh.address:
-                self._known.pop(address, None)
-                self._known[address] = None
-        while len(self._known) > MAX_CONTROLS:
-            del self._known[next(iter(self._known))]
+    def set_control_addresses(self, addresses: Iterable[str]) -> None:
+        """Replace the addresses of control processes in the settings."""
+        self.directory.set_named(addresses)
 
     def serving(self) -> tuple[str, ...]:
-        """Return the control processes with a disk that were just heard.
+        """Return the control processes that can answer orders and reads.
 
         The one that was heard last comes first.
         """
-        oldest_s = boottime_s() - HEARD_WITHIN_S
-        recent = [a for a, at_s in self._heard_s.items() if at_s > oldest_s]
-        return tuple(sorted(recent, key=lambda a: -self._heard_s[a]))
+        serving = self.directory.serving()
+        reached = tuple(
+            address
+            for address in serving
+            if self._mesh.silence_s(address) < REACHED_WITHIN_S
+        )
+        return reached or serving
+
+    async def wait_serving(self, timeout_s: float) -> tuple[str, ...]:
+        """Return `serving`, or wait for the first; empty after a timeout."""
+        with anyio.move_on_after(timeout_s):
+            while not self.serving():
+                await self._reported.wait()
+        return self.serving()
+
+    def refuse(self, path: str) -> str:
+        """Log a call that nobody can answer, and return why in words.
+
+        At most one line a second says how many there were.
+        """
+        reason = self._reason()
+        self._refused += 1
+        now_s = boottime_s()
+        if now_s >= self._next_refusal_log_s:
+            self._next_refusal_log_s = now_s + REFUSAL_LOG_INTERVAL_S
+            extra = {"path": path, "calls": self._refused, "reason": reason}
+            LOG.warning("calls refused", extra=extra)
+            self._refused = 0
+        return reason
 
     async def run(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Answer until cancelled."""
         async with anyio.create_task_group() as tasks:
+            await tasks.start(self._mesh.run)
+            tasks.start_soon(self._exchange.run)
             tasks.start_soon(self._watch_serving)
-            await self._mesh.run(task_status=task_status)
+            task_status.started()
 
     async def _watch_serving(self) -> None:
         while True:
@@ -103,13 +135,23 @@
             extra = {"serving": serving, "none_for_s": none_for_s}
             LOG.info("control processes heard that can answer", extra=extra)
         else:
-            extra = {"asked": self._controls(), "none_for_s": none_for_s}
+            asked = self._exchange.addresses()
+            extra = {"asked": asked, "none_for_s": none_for_s}
             LOG.warning("no control process heard can answer", extra=extra)
 
+    def _reason(self) -> str:
+        heard = len(self.directory.with_disk())
+        if heard:
+            return f"none of {heard} control processes has a leader"
+        asked = ", ".join(self._exchange.addresses())
+        return f"no control process with a disk is heard; asked: {asked}"
+
     def _handle_message(self, sender: str, message: Any) -> None:
         match message:
-            case TableUpdate():
-                self._record_heard(sender)
+            case TableUpdate(table=table) if table == CONTROLS:
+                self._exchange.handle_report(sender, message)
+                self._reported.set()
+                self._reported = anyio.Event()
             case LeaseRequest():
                 denial = LeaseDenied(
                     message.sent_at_s, "no_quorum", self._controls()
@@ -118,26 +160,18 @@
             case JoinRequest(call_id=call_id) if call_id != FORWARDED:
                 self._forward(message)
 
-    def _record_heard(self, sender: str) -> None:
-        now_s = boottime_s()
-        if sender not in self._heard_s:
-            LOG.info("control process heard", extra={"control": sender})
-        self._heard_s[sender] = now_s
-        if len(self._heard_s) > MAX_CONTROLS:
-            self._heard_s = {
-                address: at_s
-                for address, at_s in self._heard_s.items()
-                if now_s - at_s < FORGET_AFTER_S
-            }
-
     def _controls(self) -> tuple[str, ...]:
         """Return all addresses that may be of use, the surest first."""
-        heard = sorted(self._heard_s, key=lambda a: -self._heard_s[a])
-        return tuple(dict.fromkeys((*heard, *self._known)))[:MAX_CONTROLS]
+        ordered = (
+            *self.serving(),
+            *self.directory.with_disk(),
+            *self._exchange.addresses(),
+        )
+        return tuple(dict.fromkeys(ordered))
 
     def _forward(self, request: JoinRequest) -> None:
         """Tell every control process of a joining one, as any may lead."""
-        for address in self.serving():
+        for address in self.directory.with_disk():
             if address != request.address:
                 self._mesh.send(address, request._replace(call_id=FORWARDED))
 
--- a/packages/sycamorestand-control/src/sycamorestand_control/tables.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/tables.py
@@ -37,6 +37,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sycamorestand_control.control_directory import ControlDirectory
     from sycamorestand_model.backend_servers import Announcement
     from sycamorestand_peer.mesh import PeerMesh
     from sycamorestand_peer.messages import LeaseRequest
@@ -51,7 +52,6 @@
 BACKEND_SERVERS: Final = "backend_servers"
 ENTRIES: Final = "entries"
 LOADS: Final = "loads"
-CONTROLS: Final = "controls"
 # An entry that got no grant for this long refuses new work, so callers are
 # no longer sent to it.
 NODE_LEASE_S: Final = ENTRY_LEASE_S
@@ -81,18 +81,19 @@
 class SharedTables:
     """The backend servers and entries that this process knows.
 
-    ``others`` returns the peer addresses of the other control processes.
+    ``controls`` has the reports of the control processes. ``others`` returns
+    the peer addresses of those that the tables are sent to.
     ``resyncs`` counts the deltas that showed a gap.
     """
 
     def __init__(
         self,
         mesh: PeerMesh,
-        name: ControlName,
+        controls: ControlDirectory,
         others: Callable[[], tuple[str, ...]],
     ) -> None:
         self._mesh = mesh
-        self._names = {mesh.address: name}
+        self._controls = controls
         self._others = others
         self._servers = BackendDirectory(mesh.address, mesh.incarnation)
         self._last_logged: dict[str, dict[str, object]] = {}
@@ -179,7 +180,10 @@
 
         Both of its parts are empty while the process is not known.
         """
-        return self._names.get(address, UNNAMED)
+        report = self._controls.report_of(address)
+        if report is None:
+            return UNNAMED
+        return ControlName(report.vm, report.data_centre)
 
     def load(self, name: str) -> Any:
         """Return the last reported load of a backend server, if any."""
@@ -218,10 +222,6 @@
             update = msgspec.msgpack.decode(message.payload, type=LoadUpdate)
             self._servers.apply_loads(update, now_s)
             return
-        if message.table == CONTROLS:
-            name = msgspec.msgpack.decode(message.payload, type=ControlName)
-            self._names[sender] = name
-            return
         if message.table == BACKEND_SERVERS:
             delta = msgspec.msgpack.decode(
                 message.payload, type=DirectoryDelta
@@ -273,12 +273,6 @@
             if now_s >= next_loads_s:
                 next_loads_s = now_s + LOADS_INTERVAL_S
                 self._send_own_loads()
-                self._send_name()
-
-    def _send_name(self) -> None:
-        payload = msgspec.msgpack.encode(self._names[self._mesh.address])
-        for address in self._others():
-            self._mesh.send(address, TableUpdate(CONTROLS, payload))
 
     def _send_own_loads(self) -> None:
         own = self._servers.own_full().changed
--- a/packages/sycamorestand-control/tests/test_hub.py
+++ b/packages/sycamorestand-control/tests/test_hub.py
@@ -8,9 +8,9 @@
 import pytest
 
 from sycamorestand_bench.fakes.in_memory_control import FakeMesh
+from sycamorestand_control.control_directory import ControlDirectory
 from sycamorestand_control.hub import EntryHub
 from sycamorestand_control.lease_service import LeaseService
-from sycamorestand_control.tables import ControlName
 from sycamorestand_control.tables import SharedTables
 from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.entry_reports import EntryAddress
@@ -85,7 +85,9 @@
             lambda: self.configuration.revision,
             self.revisions.get,
         )
-        self.tables = SharedTables(mesh, ControlName("c", "d"), lambda: ())
+        self.tables = SharedTables(
+            mesh, ControlDirectory(mesh.address), lambda: ()
+        )
         self.hub = EntryHub(
             mesh,
             self.leases,
--- a/packages/sycamorestand-control/tests/test_tables.py
+++ b/packages/sycamorestand-control/tests/test_tables.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from sycamorestand_bench.addresses import free_address
-from sycamorestand_control.tables import ControlName
+from sycamorestand_control.control_directory import ControlDirectory
 from sycamorestand_control.tables import SharedTables
 from sycamorestand_model.backend_servers import Announcement
 from sycamorestand_peer.codec import encode
@@ -23,7 +23,7 @@
     ) -> None:
         """Others refused the servers that announce themselves here."""
         mesh = PeerMesh(free_address(), lambda: (KEY,), lambda *_: None)
-        tables = SharedTables(mesh, ControlName("c", "d"), lambda: ())
+        tables = SharedTables(mesh, ControlDirectory(mesh.address), lambda: ())
         tables.handle_announcement(
             Announcement("s", "engine", "10.0.0.1:80", "d", 1, 1, ("nest@1",))
         )
--- a/packages/sycamorestand/tests/system/test_redirector.py
+++ b/packages/sycamorestand/tests/system/test_redirector.py
@@ -26,6 +26,18 @@
 pytestmark = pytest.mark.anyio
 
 
+@asynccontextmanager
+async def run_redirector(
+    address: str, *known: str
+) -> AsyncIterator[Redirector]:
+    """Start a redirector whose settings name these."""
+    async with anyio.create_task_group() as tasks:
+        redirector = Redirector(address, lambda: (CLUSTER_KEY,), known)
+        await tasks.start(redirector.run)
+        yield redirector
+        tasks.cancel_scope.cancel()
+
+
 @asynccontextmanager
 async def start_redirector(
     system: RoutedSystem, address: str
@@ -34,11 +46,8 @@
     for control in system.controls:
         process = control.process
         process.set_control_addresses((address,))
-    async with anyio.create_task_group() as tasks:
-        redirector = Redirector(address, lambda: (CLUSTER_KEY,), (address,))
-        await tasks.start(redirector.run)
+    async with run_redirector(address, address) as redirector:
         yield redirector
-        tasks.cancel_scope.cancel()
 
 
 class TestRedirector:
@@ -99,3 +108,41 @@
             gone = lost.process.mesh.address
             await wait_until(lambda: gone not in redirector.serving())
             assert len(redirector.serving()) == 2
+
+
+class TestRedirectorThatNobodyNames:
+    async def test_it_knows_the_voters_that_its_settings_name(
+        self, tmp_path: Path
+    ) -> None:
+        """It heard of nobody and refused each order and read for ever."""
+        async with start_system(tmp_path, 0) as system:
+            named = system.controls[0].process.mesh.address
+            async with run_redirector(free_address(), named) as redirector:
+                await wait_until(lambda: len(redirector.serving()) == 3)
+                assert await redirector.wait_serving(0.0)
+
+    async def test_it_learns_of_voters_from_another_redirector(
+        self, tmp_path: Path
+    ) -> None:
+        """Its settings may name processes without a disk alone."""
+        first = free_address()
+        async with (
+            start_system(tmp_path, 0) as system,
+            start_redirector(system, first),
+            run_redirector(free_address(), first) as redirector,
+        ):
+            await wait_until(lambda: len(redirector.serving()) == 3)
+
+    async def test_it_names_no_voter_without_a_leader(
+        self, tmp_path: Path
+    ) -> None:
+        """Callers waited in vain at a voter that had lost the others."""
+        async with start_system(tmp_path, 0) as system:
+            kept = system.controls[0]
+            named = kept.process.mesh.address
+            async with run_redirector(free_address(), named) as redirector:
+                await wait_until(lambda: len(redirector.serving()) == 3)
+                for control in system.controls[1:]:
+                    await control.kill()
+                await wait_until(lambda: not redirector.serving())
+                assert named in redirector.directory.with_disk()
