A control process logs which may create the cluster, and why there is none

A first start whose first seed has no disk forms no cluster. Callers see silence at control processes with a disk and 503 at those without one; no line says which process has to create the cluster, nor since when the others wait. Change: at the first start each control process logs the creator by its settings; one that belongs to no cluster logs the creator, the reason and whom it waits for, at each change and each 10 s.

--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -21,6 +21,8 @@
 from sycamorestand_control.errors import ControlError
 from sycamorestand_control.failure_controller import FailureController
 from sycamorestand_control.formation import create_cluster
+from sycamorestand_control.forming_watch import FormingState
+from sycamorestand_control.forming_watch import FormingWatch
 from sycamorestand_control.groups import CONFIGURATION_GROUP
 from sycamorestand_control.groups import FIRST_LEDGER_GROUP
 from sycamorestand_control.groups import Group
@@ -228,6 +230,7 @@
         )
         self.backend = ControlBackend(parts)
         self.voter_watch = VoterWatch(parts.missing_voters)
+        self.forming_watch = FormingWatch(self._forming_state)
         self.metrics = ControlMetrics(
             parts,
             self.ledger_writers,
@@ -272,6 +275,7 @@
                 self.failures.run,
                 self.balancer.run,
                 self.voter_watch.run,
+                self.forming_watch.run,
                 *(writer.run for writer in self.ledger_writers),
             ):
                 tasks.start_soon(keep_running, task, self._count_fault)
@@ -311,6 +315,16 @@
         )
         self._tasks.start_soon(keep_running, join, self._count_fault)
 
+    def _forming_state(self) -> FormingState | None:
+        if self.configuration.cluster is not None:
+            return None
+        if self._settings.first_start:
+            return FormingState(self.mesh.address, "first start")
+        members = self._voters()
+        if members:
+            return FormingState("", "creation not committed", members)
+        return FormingState("", "not let in", self._other_controls())
+
     def _count_fault(self) -> None:
         self.mesh.counters.faults += 1
 
