The first seed with a disk creates the cluster, and keeps that right

Callers got silence at control processes with a disk and 503 at the others, for good: where the first seed has no disk, and where the creating process is killed before the creation is committed. Cause: who creates is taken from the settings of one start alone, as the first seed's address while it is the first start. A first seed without a disk cannot, nobody else may, and a process that is killed comes back with settings that say nothing of the first start. Change: the first of the seeds with a disk creates, once each seed before it has reported that it has none; silence decides nothing. A seed with a disk writes the seeds up to its place to a synced file before the long imports, narrows it to itself before its first use, and removes it once the creation is committed; each step of the creation is repeated until then. An emptied disk has no file, hence no right.

Open: a creator whose disk is emptied, or that is killed before the file is written, before the creation is committed; a seed without a disk that is never heard. No cluster forms then, and none is created twice.

--- a/packages/sycamorestand-control/src/sycamorestand_control/joining.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/joining.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 from typing import Final
 from typing import TYPE_CHECKING
@@ -38,16 +39,19 @@
 
     A process that does not answer in `JOIN_TIMEOUT_S` is skipped.
     """
-    for address in controls:
+    replies: list[bytes] = []
+
+    async def ask(address: str) -> None:
         call_id = mesh.next_call_id()
         request = JoinRequest(call_id, groups.member_id, mesh.address, vm)
-        try:
+        with contextlib.suppress(PeerTimeout):
             reply = await mesh.call(address, call_id, request, JOIN_TIMEOUT_S)
-        except PeerTimeout:
-            continue
-        if reply.payload == IN_CLUSTER:
-            return True
-    return False
+            replies.append(reply.payload)
+
+    async with anyio.create_task_group() as tasks:
+        for address in controls:
+            tasks.start_soon(ask, address)
+    return IN_CLUSTER in replies
 
 
 async def ask_to_join(
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -24,8 +24,8 @@
 from sycamorestand_control.ends_file import EndsFile
 from sycamorestand_control.errors import ControlError
 from sycamorestand_control.failure_controller import FailureController
+from sycamorestand_control.formation import ClusterCreator
 from sycamorestand_control.formation import create_cluster
-from sycamorestand_control.forming_watch import FormingState
 from sycamorestand_control.forming_watch import FormingWatch
 from sycamorestand_control.groups import CONFIGURATION_GROUP
 from sycamorestand_control.groups import FIRST_LEDGER_GROUP
@@ -139,6 +139,15 @@
         self.tables = SharedTables(
             self.mesh, self.directory, self._other_controls
         )
+        self.creator = ClusterCreator(
+            settings,
+            self.mesh,
+            self.groups,
+            self.configuration,
+            self.directory,
+        )
+        # Later settings may name none of the seeds of the first start.
+        self.set_control_addresses(settings.control_addresses)
         self.leases = LeaseService(
             self.mesh,
             self.groups,
@@ -236,7 +245,7 @@
         )
         self.backend = ControlBackend(parts)
         self.voter_watch = VoterWatch(parts.missing_voters)
-        self.forming_watch = FormingWatch(self._forming_state)
+        self.forming_watch = FormingWatch(self.creator.state)
         self.metrics = ControlMetrics(
             parts,
             self.ledger_writers,
@@ -302,16 +311,19 @@
         Entries and joining processes that start with these ask there, also
         where a process has no disk and has to be told who votes.
         """
-        self.directory.set_named(addresses)
+        self.directory.set_named((*addresses, *self.creator.seeds))
 
     async def _form_cluster(self) -> None:
         if self._settings.first_start:
             await create_cluster(
                 self._settings, self.mesh, self.groups, self.configuration
             )
+        assert self._tasks is not None
+        self._tasks.start_soon(
+            keep_running, self.creator.run, self._count_fault
+        )
         if not self.exchange.addresses():
             return
-        assert self._tasks is not None
         join = functools.partial(
             ask_to_join,
             self.mesh,
@@ -322,16 +334,6 @@
         )
         self._tasks.start_soon(keep_running, join, self._count_fault)
 
-    def _forming_state(self) -> FormingState | None:
-        if self.configuration.cluster is not None:
-            return None
-        if self._settings.first_start:
-            return FormingState(self.mesh.address, "first start")
-        members = self._voters()
-        if members:
-            return FormingState("", "creation not committed", members)
-        return FormingState("", "not let in", self._other_controls())
-
     def _count_fault(self) -> None:
         self.mesh.counters.faults += 1
 
--- a/packages/sycamorestand-control/tests/test_forming.py
+++ b/packages/sycamorestand-control/tests/test_forming.py
@@ -1,20 +1,26 @@
-"""Nothing is acknowledged that the loss of one disk can take."""
+"""A first start forms one cluster, and loses nothing it acknowledged."""
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
+import contextlib
 from pathlib import Path
+import shutil
 
 import anyio
 import pytest
 
 from sycamorestand_bench.addresses import free_address
 from sycamorestand_bench.addresses import free_port
-from sycamorestand_control import errors
+from sycamorestand_control.creation_right import CreationRight
+from sycamorestand_control.creation_right import record_first_start
+from sycamorestand_control.errors import NoLeader as NoVoters
 from sycamorestand_control.groups import CONFIGURATION_GROUP
 from sycamorestand_control.groups import FIRST_LEDGER_GROUP
 from sycamorestand_control.operator_api.backend import NoLeader
 from sycamorestand_control.operator_api.types import ChangeRequest
 from sycamorestand_control.process import ControlProcess
+from sycamorestand_control.redirector import Redirector
 from sycamorestand_control.settings import ControlSettings
 from sycamorestand_model.keys import hash_key
 from sycamorestand_state.ledger import encode_batch
@@ -25,6 +31,9 @@
 FORMED_VOTERS = 3
 
 
+KEY = b"k" * 32
+
+
 def make_settings(
     folder: Path, number: int, addresses: list[str]
 ) -> ControlSettings:
@@ -35,7 +44,7 @@
         data_centre="dalton",
         peer_address=addresses[number],
         data_folder=own_folder,
-        cluster_keys=lambda: (b"k" * 32,),
+        cluster_keys=lambda: (KEY,),
         control_addresses=tuple(
             a for a in addresses if a != addresses[number]
         ),
@@ -63,7 +72,7 @@
             first = ControlProcess(make_settings(tmp_path, 0, addresses))
             await tasks.start(first.run, stop)
             batch = encode_batch([], 1.0)
-            with pytest.raises(errors.NoLeader):
+            with pytest.raises(NoVoters):
                 await first.groups.propose(FIRST_LEDGER_GROUP, batch, 1.0)
             assert [voters(first, log) for log in LOGS] == [1, 1]
             for number in range(1, 4):
@@ -86,3 +95,180 @@
             with pytest.raises(NoLeader):
                 await first.backend.change(change)
             tasks.cancel_scope.cancel()
+
+
+class FirstStart:
+    """Control processes with a disk, and those without one, of one system.
+
+    The settings name the seeds, as the platform has it; the processes find
+    the others by reports.
+    """
+
+    def __init__(
+        self, folder: Path, disks: int, others: int, seeds: str
+    ) -> None:
+        self._folder = folder
+        self._addresses = {
+            name: free_address()
+            for name in (
+                *(f"d{number}" for number in range(disks)),
+                *(f"r{number}" for number in range(others)),
+            )
+        }
+        self.seeds = tuple(self._addresses[name] for name in seeds.split())
+
+    def folder(self, name: str) -> Path:
+        return self._folder / name
+
+    def record(self, name: str) -> None:
+        """Do what a process with a disk does first at a first start."""
+        address = self._addresses[name]
+        record_first_start(self.folder(name), address, self.seeds)
+
+    def process(self, name: str) -> ControlProcess:
+        return ControlProcess(
+            ControlSettings(
+                vm=name,
+                data_centre="dalton",
+                peer_address=self._addresses[name],
+                data_folder=self.folder(name),
+                cluster_keys=lambda: (KEY,),
+                control_addresses=tuple(
+                    seed
+                    for seed in self.seeds
+                    if seed != self._addresses[name]
+                ),
+                operator_port=free_port(),
+                voters_wanted=FORMED_VOTERS,
+                replace_lost_voters=True,
+            )
+        )
+
+    def redirector(self, name: str) -> Redirector:
+        return Redirector(
+            self._addresses[name],
+            lambda: (KEY,),
+            self.seeds,
+            name,
+            "dalton",
+        )
+
+    @contextlib.asynccontextmanager
+    async def running(
+        self, names: str, *, first: bool = True
+    ) -> AsyncIterator[list[ControlProcess]]:
+        """Run processes until they are killed at the end of the block."""
+        controls = []
+        async with anyio.create_task_group() as tasks:
+            for name in names.split():
+                if name.startswith("r"):
+                    tasks.start_soon(self.redirector(name).run)
+                    continue
+                if first:
+                    self.record(name)
+                controls.append(self.process(name))
+                tasks.start_soon(controls[-1].run, anyio.Event())
+            yield controls
+            tasks.cancel_scope.cancel()
+
+
+async def wait_formed(controls: list[ControlProcess]) -> None:
+    """Wait until all know one cluster, and one commits a change."""
+    with anyio.fail_after(WAIT_S):
+        while not all(each.configuration.cluster for each in controls):
+            await anyio.sleep(0.02)
+    clusters = [each.configuration.cluster for each in controls]
+    assert clusters.count(clusters[0]) == len(clusters)
+    change = ChangeRequest("1", "drain", None, "vm-9", operator="ann")
+    answer = await controls[0].backend.change(change)
+    assert answer.outcome == "accepted"
+
+
+class TestFirstStart:
+    @pytest.mark.parametrize(
+        "seeds",
+        ["d1 d0 d2", "r0 d0 d1", "r0 r1 d2", "d2 r0 r1"],
+    )
+    async def test_cluster_forms_whichever_seeds_have_a_disk(
+        self, tmp_path: Path, seeds: str
+    ) -> None:
+        """No cluster formed where the first seed had no disk."""
+        system = FirstStart(tmp_path, 3, 3, seeds)
+        async with system.running("r0 r1 r2 d0 d1 d2") as controls:
+            await wait_formed(controls)
+            with anyio.fail_after(WAIT_S):
+                while any(
+                    CreationRight(system.folder(name)).read()
+                    for name in ("d0", "d1", "d2")
+                ):
+                    await anyio.sleep(0.02)
+
+    async def test_silent_seed_decides_nothing(self, tmp_path: Path) -> None:
+        """It may have a disk, and be about to create a cluster."""
+        system = FirstStart(tmp_path, 3, 1, "r0 d0 d1")
+        async with system.running("d0 d1 d2") as controls:
+            await anyio.sleep(2.0)
+            assert not any(
+                member
+                for each in controls
+                for replica in each.groups.replicas.values()
+                for member in replica.status().members
+            )
+            async with system.running("r0"):
+                await wait_formed(controls)
+
+    @pytest.mark.parametrize("seeds", ["d0 d1 d2", "r0 d0 d1"])
+    async def test_creator_that_is_killed_at_its_start_still_creates(
+        self, tmp_path: Path, seeds: str
+    ) -> None:
+        """It came back as one that waits to be let in, and all waited."""
+        system = FirstStart(tmp_path, 3, 1, seeds)
+        for name in ("d0", "d1", "d2"):
+            system.record(name)
+        names = "r0 d0 d1 d2"
+        async with system.running(names, first=False) as controls:
+            await wait_formed(controls)
+
+    async def test_creator_that_is_killed_between_two_logs_goes_on(
+        self, tmp_path: Path
+    ) -> None:
+        """Its ledger stayed blank for good, and no cluster was created."""
+        system = FirstStart(tmp_path, 3, 0, "d0 d1 d2")
+        system.record("d0")
+        killed = system.process("d0")
+        own = [(killed.groups.member_id, system.seeds[0])]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(killed.groups.run)
+            replica = killed.groups.replicas[CONFIGURATION_GROUP]
+            await replica.bootstrap(own)
+            tasks.cancel_scope.cancel()
+        async with system.running("d0 d1 d2", first=False) as controls:
+            await wait_formed(controls)
+
+    async def test_creator_that_is_killed_before_the_commit_goes_on(
+        self, tmp_path: Path
+    ) -> None:
+        """Both logs had a voter, and nobody created the cluster."""
+        system = FirstStart(tmp_path, 3, 0, "d0 d1 d2")
+        system.record("d0")
+        killed = system.process("d0")
+        own = [(killed.groups.member_id, system.seeds[0])]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(killed.groups.run)
+            await killed.groups.bootstrap_blank(own)
+            tasks.cancel_scope.cancel()
+        async with system.running("d0 d1 d2", first=False) as controls:
+            await wait_formed(controls)
+
+    async def test_emptied_disk_creates_no_second_cluster(
+        self, tmp_path: Path
+    ) -> None:
+        """A second cluster would forget what the first acknowledged."""
+        system = FirstStart(tmp_path, 3, 0, "d0 d1 d2")
+        async with system.running("d0 d1 d2") as controls:
+            await wait_formed(controls)
+        shutil.rmtree(system.folder("d0"))
+        async with system.running("d0", first=False) as controls:
+            await anyio.sleep(2.0)
+            assert controls[0].configuration.cluster is None
+            assert await controls[0].groups.is_blank()
