A first seed without a disk appoints the creator if no seed has one

Callers got 503 or silence for good where the settings of the first start name three control processes without a disk: no process that may create knows of it. Change: the first seed, in its first start only and once the other two seeds have reported that they have no disk, appoints one blank process that it hears, by its address and member id, and repeats just that until it hears of a cluster.

Open: the appointing seed killed before its appointment arrives, the appointee's disk emptied before the creation is committed.

--- a/packages/sycamorestand-control/src/sycamorestand_control/formation.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/formation.py
@@ -27,6 +27,7 @@
     from sycamorestand_control.groups import LogGroups
     from sycamorestand_control.settings import ControlSettings
     from sycamorestand_peer.mesh import PeerMesh
+    from sycamorestand_peer.messages import CreationAppointment
     from sycamorestand_state.configuration import ConfigurationMachine
 
 LOG: Final = logging.getLogger(__name__)
@@ -119,6 +120,19 @@
             await anyio.sleep(POLL_S)
         self._drop_right()
 
+    async def handle_appointment(
+        self, sender: str, message: CreationAppointment
+    ) -> None:
+        """Take the right that the first seed grants to this data folder.
+
+        An emptied disk has another member id, so that its former right does
+        not come back with a repeated appointment.
+        """
+        is_meant = message.member_id == self._groups.member_id
+        if is_meant and not self.seeds and await self._groups.is_blank():
+            LOG.info("appointed as creator", extra={"by": sender})
+            self._narrow_right()
+
     def state(self) -> FormingState | None:
         """Return who may create the cluster, None once there is one."""
         if self._configuration.cluster is not None:
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -65,6 +65,7 @@
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import ControlLeaseGranted
 from sycamorestand_peer.messages import ControlLeaseRequest
+from sycamorestand_peer.messages import CreationAppointment
 from sycamorestand_peer.messages import EndsWanted
 from sycamorestand_peer.messages import EntryLoads
 from sycamorestand_peer.messages import JoinRequest
@@ -459,6 +460,7 @@
             ControlLeaseRequest: self.leases.handle_request,
             ControlLeaseGranted: self._handle_lease_grant,
             JoinRequest: self.membership.handle_join_request,
+            CreationAppointment: self._handle_appointment,
             SampleReport: self._handle_sample_report,
             SessionsStay: self.sessions.handle_sessions_stay,
             ServerEnded: self.parts.handle_server_ended,
@@ -492,6 +494,11 @@
     ) -> None:
         self.leases.handle_grant(message)
 
+    def _handle_appointment(
+        self, sender: str, message: CreationAppointment
+    ) -> None:
+        self._start_task(self.creator.handle_appointment, sender, message)
+
     def _handle_sample_report(
         self, sender: str, message: SampleReport
     ) -> None:
--- a/packages/sycamorestand-control/src/sycamorestand_control/redirector.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/redirector.py
@@ -18,6 +18,8 @@
 from sycamorestand_control.control_directory import ControlReport
 from sycamorestand_control.control_exchange import ControlExchange
 from sycamorestand_control.control_exchange import CONTROLS
+from sycamorestand_control.creator_appointer import CreatorAppointer
+from sycamorestand_control.forming_watch import FormingWatch
 from sycamorestand_control.joining import FORWARDED
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.mesh import PeerMesh
@@ -28,6 +30,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from anyio.abc import TaskStatus
 
@@ -45,7 +48,8 @@
     """Answers lease and join requests with the control processes it knows.
 
     ``known`` are the addresses in the settings, with or without a disk;
-    ``vm`` and ``data_centre`` are those of this process.
+    ``vm`` and ``data_centre`` are those of this process, and ``first_seeds``
+    the seeds if this is the first start.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         known: Iterable[str],
         vm: str = "",
         data_centre: str = "",
+        first_seeds: Sequence[str] = (),
     ) -> None:
         self._mesh = PeerMesh(address, cluster_keys, self._handle_message)
         self.directory = ControlDirectory(address, known)
@@ -62,6 +67,10 @@
         self._exchange = ControlExchange(
             self._mesh, self.directory, lambda: report
         )
+        self._appointer = CreatorAppointer(
+            self._mesh, first_seeds, self.directory
+        )
+        self._forming_watch = FormingWatch(self._appointer.state)
         self._reported = anyio.Event()
         self._none_since_s = boottime_s()
         self._serving_logged = True
@@ -115,6 +124,8 @@
             await tasks.start(self._mesh.run)
             tasks.start_soon(self._exchange.run)
             tasks.start_soon(self._watch_serving)
+            tasks.start_soon(self._appointer.run)
+            tasks.start_soon(self._forming_watch.run)
             task_status.started()
 
     async def _watch_serving(self) -> None:
--- a/packages/sycamorestand-control/tests/test_forming.py
+++ b/packages/sycamorestand-control/tests/test_forming.py
@@ -144,13 +144,15 @@
             )
         )
 
-    def redirector(self, name: str) -> Redirector:
+    def redirector(self, name: str, first: bool = True) -> Redirector:
+        seeds = self.seeds if first else ()
         return Redirector(
             self._addresses[name],
             lambda: (KEY,),
             self.seeds,
             name,
             "dalton",
+            seeds,
         )
 
     @contextlib.asynccontextmanager
@@ -162,7 +164,7 @@
         async with anyio.create_task_group() as tasks:
             for name in names.split():
                 if name.startswith("r"):
-                    tasks.start_soon(self.redirector(name).run)
+                    tasks.start_soon(self.redirector(name, first).run)
                     continue
                 if first:
                     self.record(name)
@@ -187,7 +189,7 @@
 class TestFirstStart:
     @pytest.mark.parametrize(
         "seeds",
-        ["d1 d0 d2", "r0 d0 d1", "r0 r1 d2", "d2 r0 r1"],
+        ["d1 d0 d2", "r0 d0 d1", "r0 r1 d2", "d2 r0 r1", "r2 r1 r0"],
     )
     async def test_cluster_forms_whichever_seeds_have_a_disk(
         self, tmp_path: Path, seeds: str
@@ -260,6 +262,20 @@
         async with system.running("d0 d1 d2", first=False) as controls:
             await wait_formed(controls)
 
+    async def test_appointed_process_that_is_killed_still_creates(
+        self, tmp_path: Path
+    ) -> None:
+        """The first seed, which appointed it, is gone by then."""
+        system = FirstStart(tmp_path, 3, 3, "r0 r1 r2")
+        rights = [CreationRight(tmp_path / f"d{number}") for number in (0, 1)]
+        async with system.running("r0 r1 r2 d0"):
+            with anyio.fail_after(WAIT_S):
+                while not rights[0].read():
+                    await anyio.sleep(0.005)
+        async with system.running("d0 d1 d2 r1 r2", first=False) as controls:
+            await wait_formed(controls)
+        assert not rights[1].read()
+
     async def test_emptied_disk_creates_no_second_cluster(
         self, tmp_path: Path
     ) -> None:
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/codec.py
@@ -25,6 +25,7 @@
 from sycamorestand_peer.messages import ControlLeaseGranted
 from sycamorestand_peer.messages import ControlLeaseRequest
 from sycamorestand_peer.messages import ControlList
+from sycamorestand_peer.messages import CreationAppointment
 from sycamorestand_peer.messages import EndsWanted
 from sycamorestand_peer.messages import EntryCount
 from sycamorestand_peer.messages import EntryLoads
@@ -91,6 +92,7 @@
     34: ServersWatched,
     35: EntryLoads,
     36: SharedLoads,
+    37: CreationAppointment,
 }
 _IN_FORCE_DECODER: Final = msgspec.msgpack.Decoder(InForce)
 _CODES: Final = {kind: code for code, kind in _TYPES.items()}
--- a/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
+++ b/packages/sycamorestand-peer/src/sycamorestand_peer/messages.py
@@ -368,6 +368,12 @@
     vm: str
 
 
+class CreationAppointment(NamedTuple):
+    """The right to create the cluster, for the disk with a member id."""
+
+    member_id: str
+
+
 Message = (
     Heartbeat
     | LeaseRequest
@@ -405,6 +411,7 @@
     | EndsWanted
     | EntryLoads
     | SharedLoads
+    | CreationAppointment
 )
 
 __all__ = [
@@ -417,6 +424,7 @@
     "ControlLeaseGranted",
     "ControlLeaseRequest",
     "ControlList",
+    "CreationAppointment",
     "ServerBoot",
     "EndsWanted",
     "EntryCount",
