--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -24,7 +24,9 @@
 from sycamorestand_control.ends_file import EndsFile
 from sycamorestand_control.errors import ControlError
 from sycamorestand_control.failure_controller import FailureController
+from sycamorestand_control.formation import ClusterCreator
 from sycamorestand_control.formation import create_cluster
+from sycamorestand_control.forming_watch import FormingWatch
 from sycamorestand_control.groups import CONFIGURATION_GROUP
 from sycamorestand_control.groups import FIRST_LEDGER_GROUP
 from sycamorestand_control.groups import Group
@@ -65,6 +67,7 @@
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import ControlLeaseGranted
 from sycamorestand_peer.messages import ControlLeaseRequest
+from sycamorestand_peer.messages import CreationAppointment
 from sycamorestand_peer.messages import EndsWanted
 from sycamorestand_peer.messages import EntryLoads
 from sycamorestand_peer.messages import JoinRequest
@@ -139,6 +142,15 @@
         self.tables = SharedTables(
             self.mesh, self.directory, self._other_controls
         )
+        self.creator = ClusterCreator(
+            settings,
+            self.mesh,
+            self.groups,
+            self.configuration,
+            self.directory,
+        )
+        # Later settings may name none of the seeds of the first start.
+        self.set_control_addresses(settings.control_addresses)
         self.leases = LeaseService(
             self.mesh,
             self.groups,
@@ -243,6 +255,7 @@
             )
             for number, replica in self.groups.replicas.items()
         ]
+        self.forming_watch = FormingWatch(self.creator.state)
         self.metrics = ControlMetrics(
             parts,
             self.ledger_writers,
@@ -289,6 +302,7 @@
                 self.balancer.run,
                 self.voter_watch.run,
                 *(watch.run for watch in self.progress_watches),
+                self.forming_watch.run,
                 *(writer.run for writer in self.ledger_writers),
             ):
                 tasks.start_soon(keep_running, task, self._count_fault)
@@ -308,16 +322,19 @@
         Entries and joining processes that start with these ask there, also
         where a process has no disk and has to be told who votes.
         """
-        self.directory.set_named(addresses)
+        self.directory.set_named((*addresses, *self.creator.seeds))
 
     async def _form_cluster(self) -> None:
         if self._settings.first_start:
             await create_cluster(
                 self._settings, self.mesh, self.groups, self.configuration
             )
+        assert self._tasks is not None
+        self._tasks.start_soon(
+            keep_running, self.creator.run, self._count_fault
+        )
         if not self.exchange.addresses():
             return
-        assert self._tasks is not None
         join = functools.partial(
             ask_to_join,
             self.mesh,
@@ -453,6 +470,7 @@
             ControlLeaseRequest: self.leases.handle_request,
             ControlLeaseGranted: self._handle_lease_grant,
             JoinRequest: self.membership.handle_join_request,
+            CreationAppointment: self._handle_appointment,
             SampleReport: self._handle_sample_report,
             SessionsStay: self.sessions.handle_sessions_stay,
             ServerEnded: self.parts.handle_server_ended,
@@ -486,6 +504,11 @@
     ) -> None:
         self.leases.handle_grant(message)
 
+    def _handle_appointment(
+        self, sender: str, message: CreationAppointment
+    ) -> None:
+        self._start_task(self.creator.handle_appointment, sender, message)
+
     def _handle_sample_report(
         self, sender: str, message: SampleReport
     ) -> None:
