The test of lost control processes waits for the election

test_lost_control_processes_are_not_named_to_callers looked at the voters that are named at the moment in which the killed leader no longer is. Since a redirector names only those that have a leader, one or both of the others are left out until they have elected one: 'assert 1 == 2' in one of four runs, at a load of 20. It now asks that just the two others are named after that, so that neither the lost one comes back nor another stays away.

--- a/packages/sycamorestand/tests/system/test_redirector.py
+++ b/packages/sycamorestand/tests/system/test_redirector.py
@@ -104,10 +104,13 @@
         ):
             await wait_until(lambda: len(redirector.serving()) == 3)
             lost = system.leader()
-            await lost.kill()
             gone = lost.process.mesh.address
+            others = set(redirector.serving()) - {gone}
+            await lost.kill()
             await wait_until(lambda: gone not in redirector.serving())
-            assert len(redirector.serving()) == 2
+            # The others serve again once they have elected a leader.
+            await wait_until(lambda: set(redirector.serving()) == others)
+            assert len(others) == 2
 
 
 class TestRedirectorThatNobodyNames:
