A newcomer asks every control process that it learns of to join

Cause: a joining process asked the addresses in its settings alone, and a process without a disk passed its request on to those that it happened to hear. A newcomer that knew nobody at its start never asked at all. A request that nobody answered held the next ones to all others for a second.

Change: requests go to all that the exchange of reports knows by then, each 0.5 s, without waiting for replies; the task always starts.

Evidence: two of the three tests of TestNewcomer fail on the commit before: test_it_asks_a_process_that_it_learns_of and test_redirector_knows_that_a_cluster_exists, with TimeoutError and a missing answer. The third passes there, by the exchange.

--- a/packages/sycamorestand-control/src/sycamorestand_control/joining.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/joining.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -20,7 +19,6 @@
     from sycamorestand_control.groups import LogGroups
     from sycamorestand_peer.mesh import PeerMesh
 
-LOG: Final = logging.getLogger(__name__)
 JOIN_INTERVAL_S: Final = 0.5
 JOIN_TIMEOUT_S: Final = 1.0
 # An election takes up to 1.4 s and may have to be repeated once.
@@ -39,10 +37,11 @@
     A process that does not answer in `JOIN_TIMEOUT_S` is skipped.
     """
     for address in controls:
-        call_id = mesh.next_call_id()
-        request = JoinRequest(call_id, groups.member_id, mesh.address, vm)
+        request = _make_request(mesh, groups, vm)
         try:
-            reply = await mesh.call(address, call_id, request, JOIN_TIMEOUT_S)
+            reply = await mesh.call(
+                address, request.call_id, request, JOIN_TIMEOUT_S
+            )
         except PeerTimeout:
             continue
         if reply.payload == IN_CLUSTER:
@@ -60,7 +59,10 @@
     """Ask all other control processes until this one votes in every log.
 
     Every process is asked, because only the leader acts on a request and a
-    joining process does not know which one leads. With ``keep_asking`` the
+    joining process does not know which one leads. ``controls`` returns those
+    that are known by then, none at first where the settings name none. One
+    that does not answer delays no request to the others. With
+    ``keep_asking`` the
     loop never ends: a voter that was replaced while it was cut off finds no
     leader, and its own log does not show the replacement. It asks again
     when it has had no leader for `NO_LEADER_S`.
@@ -73,21 +75,14 @@
         if votes_everywhere and not keep_asking:
             return
         if not votes_everywhere or boottime_s() - leader_seen_s > NO_LEADER_S:
-            async with anyio.create_task_group() as tasks:
-                for address in controls():
-                    tasks.start_soon(_ask_one, mesh, groups, address, vm)
+            for address in controls():
+                mesh.send(address, _make_request(mesh, groups, vm))
         await anyio.sleep(JOIN_INTERVAL_S)
 
 
-async def _ask_one(
-    mesh: PeerMesh, groups: LogGroups, address: str, vm: str
-) -> None:
+def _make_request(mesh: PeerMesh, groups: LogGroups, vm: str) -> JoinRequest:
     call_id = mesh.next_call_id()
-    request = JoinRequest(call_id, groups.member_id, mesh.address, vm)
-    try:
-        await mesh.call(address, call_id, request, JOIN_TIMEOUT_S)
-    except PeerTimeout:
-        LOG.debug("no answer to join request", extra={"peer": address})
+    return JoinRequest(call_id, groups.member_id, mesh.address, vm)
 
 
 def _is_leader_missing(groups: LogGroups) -> bool:
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -305,8 +305,6 @@
             await create_cluster(
                 self._settings, self.mesh, self.groups, self.configuration
             )
-        if not self.exchange.addresses():
-            return
         assert self._tasks is not None
         join = functools.partial(
             ask_to_join,
--- a/packages/sycamorestand-control/src/sycamorestand_control/redirector.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/redirector.py
@@ -19,8 +19,10 @@
 from sycamorestand_control.control_exchange import ControlExchange
 from sycamorestand_control.control_exchange import CONTROLS
 from sycamorestand_control.joining import FORWARDED
+from sycamorestand_control.joining import IN_CLUSTER
 from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.mesh import PeerMesh
+from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import JoinRequest
 from sycamorestand_peer.messages import LeaseDenied
 from sycamorestand_peer.messages import LeaseRequest
@@ -159,6 +161,7 @@
                 self._mesh.send(sender, denial)
             case JoinRequest(call_id=call_id) if call_id != FORWARDED:
                 self._forward(message)
+                self._answer_join(sender, call_id)
 
     def _controls(self) -> tuple[str, ...]:
         """Return all addresses that may be of use, the surest first."""
@@ -169,6 +172,12 @@
         )
         return tuple(dict.fromkeys(ordered))
 
+    def _answer_join(self, sender: str, call_id: int) -> None:
+        """Say whether a cluster exists; without one, it may be created."""
+        has_cluster = self.directory.cluster_heard()
+        payload = IN_CLUSTER if has_cluster else b""
+        self._mesh.send(sender, CallReply(call_id, "", payload))
+
     def _forward(self, request: JoinRequest) -> None:
         """Tell every control process of a joining one, as any may lead."""
         for address in self.directory.with_disk():
--- a/packages/sycamorestand/tests/system/test_redirector.py
+++ b/packages/sycamorestand/tests/system/test_redirector.py
@@ -20,6 +20,7 @@
 from sycamorestand_bench.fakes.routed_system import RoutedSystem
 from sycamorestand_bench.fakes.routed_system import start_system
 from sycamorestand_bench.fakes.routed_system import wait_until
+from sycamorestand_control.joining import cluster_exists
 from sycamorestand_control.redirector import Redirector
 from sycamorestand_control.settings import ControlSettings
 
@@ -149,3 +150,75 @@
                     await control.kill()
                 await wait_until(lambda: not redirector.serving())
                 assert named in redirector.directory.with_disk()
+
+
+class TestNewcomer:
+    async def test_redirector_that_nobody_names_passes_its_request_on(
+        self, tmp_path: Path
+    ) -> None:
+        """A removed voter's successor was let in by nobody.
+
+        Its settings named processes without a disk, which no voter's
+        settings named. The next removal ended the group.
+        """
+        address = free_address()
+        async with start_system(tmp_path, 0) as system:
+            named = system.controls[0].process.mesh.address
+            async with (
+                run_redirector(address, named),
+                run_newcomer(tmp_path, free_address(), address),
+            ):
+                leader = system.leader().process.membership
+                await wait_until(lambda: bool(leader.waiting_joiners()))
+
+    async def test_it_asks_a_process_that_it_learns_of(
+        self, tmp_path: Path
+    ) -> None:
+        """It asked nobody for ever where its settings named itself alone."""
+        own = free_address()
+        async with (
+            start_system(tmp_path, 0) as system,
+            run_newcomer(tmp_path, own, own),
+        ):
+            system.controls[0].process.set_control_addresses((own,))
+            leader = system.leader().process.membership
+            await wait_until(lambda: bool(leader.waiting_joiners()))
+
+    async def test_redirector_knows_that_a_cluster_exists(
+        self, tmp_path: Path
+    ) -> None:
+        """A process on an empty disk could have created a second one."""
+        address = free_address()
+        async with (
+            start_system(tmp_path, 0) as system,
+            start_redirector(system, address) as redirector,
+        ):
+            await wait_until(lambda: len(redirector.serving()) == 3)
+            process = system.controls[0].process
+            assert await cluster_exists(
+                process.mesh, process.groups, (address,), "control-0"
+            )
+
+
+@asynccontextmanager
+async def run_newcomer(
+    folder: Path, address: str, *known: str
+) -> AsyncIterator[Control]:
+    """Start a control process on an empty disk whose settings name these."""
+    data_folder = folder / "newcomer"
+    data_folder.mkdir()
+    settings = ControlSettings(
+        "control-9",
+        "dalton",
+        address,
+        data_folder,
+        lambda: (CLUSTER_KEY,),
+        control_addresses=tuple(each for each in known if each != address),
+        operator_port=free_port(),
+        replace_lost_voters=True,
+    )
+    control = Control(settings)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(control.run)
+        yield control
+        tasks.cancel_scope.cancel()
