--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -333,8 +333,6 @@
         self._tasks.start_soon(
             keep_running, self.creator.run, self._count_fault
         )
-        if not self.exchange.addresses():
-            return
         join = functools.partial(
             ask_to_join,
             self.mesh,
