Answer orders and reads while their callers still wait

A caller waits a second. A voter without a leader tried a change for 5 s and held the turn that the next order needs, so that several tries in a row ended in silence; a leader without its majority waited for a commit or a read barrier without any limit.

All waits of a call now share one limit of 0.75 s, and half a microsecond more for each byte of the body: for a leader, the turn, a forward, the commit and catching up. Work on a large body is not cut. An order waits for a leader before it takes the turn; one that gets no turn in time is answered 503. A leader's read barrier ends after 0.5 s, so that a voter that asked can still say why. A proposal that is cut stays in the log: it is reported as an unknown outcome, and the order sent again has the same change id or finds its effect. The leader's own decisions and ledger batches keep their limits. Changes of the operators' API are tried for 5 s as before, but one with a large body waits for a leader without the turn and gives the turn back after each try.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/log_voters.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/log_voters.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 from pathlib import Path
 from typing import Any
@@ -46,20 +47,24 @@
 class Voter:
     """One voter; while ``is_cut_off`` it neither hears nor is heard."""
 
-    def __init__(self, folder: Path, voters_needed: int = 1) -> None:
+    def __init__(
+        self, folder: Path, voters_needed: int = 1, group: Group | None = None
+    ) -> None:
         folder.mkdir()
         self.is_cut_off = False
         self.queries: Any = None
         self.mesh = PeerMesh(
             free_address(), lambda: (b"k" * 32,), self._dispatch
         )
+        group = group or Group(Machine(), int)
+        self.machine = group.machine
         self._send = self.mesh.send
         self.mesh.send = self._send_unless_cut_off  # type: ignore[method-assign]
         self.groups = LogGroups(
             self.mesh,
             folder,
             ReplicaSettings(),
-            {CONFIGURATION_GROUP: Group(Machine(), int)},
+            {CONFIGURATION_GROUP: group},
             voters_needed,
         )
 
@@ -91,13 +96,18 @@
 
 @contextlib.asynccontextmanager
 async def running_voters(
-    folder: Path, count: int = 3, voters_needed: int = 1
+    folder: Path,
+    count: int = 3,
+    voters_needed: int = 1,
+    make_group: Callable[[], Group | None] = lambda: None,
 ) -> AsyncIterator[list[Voter]]:
     """Run voters of one log; the first one in the list leads."""
     async with anyio.create_task_group() as tasks:
         voters = []
         for number in range(count):
-            voters.append(Voter(folder / str(number), voters_needed))
+            voters.append(
+                Voter(folder / str(number), voters_needed, make_group())
+            )
             await voters[-1].start(tasks)
         members = [(v.groups.member_id, v.mesh.address) for v in voters]
         for voter in voters:
--- a/packages/sycamorestand-control/src/sycamorestand_control/errors.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/errors.py
@@ -22,6 +22,10 @@
     """The caller of an order has closed its connection; nothing was done."""
 
 
+class TurnTimeout(ControlError):
+    """An order got no turn in time; nothing was done."""
+
+
 class CommandRefused(ControlError):
     """The log takes no such command; nothing was changed, nor would it be."""
 
@@ -42,4 +46,5 @@
     "OutcomeUnknown",
     "StartRefused",
     "TooFewVoters",
+    "TurnTimeout",
 ]
--- a/packages/sycamorestand-control/src/sycamorestand_control/groups.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/groups.py
@@ -25,6 +25,7 @@
 from sycamorestand_peer.errors import PeerTimeout
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import ProposalForward
+from sycamorestand_peer.messages import Query
 from sycamorestand_peer.messages import ReplicaPayload
 
 if TYPE_CHECKING:
@@ -33,6 +34,7 @@
 
     from sycamorestand_consensus.replica_types import StateMachine
     from sycamorestand_consensus.settings import ReplicaSettings
+    from sycamorestand_control.wait_limit import WaitLimit
     from sycamorestand_peer.mesh import PeerMesh
 
 LOG: Final = logging.getLogger(__name__)
@@ -164,18 +166,40 @@
             return "this process is in no cluster"
         return "no leader is known"
 
+    def unconfirmed_reason(self, group: int) -> str:
+        """Return why this process, as the leader, got no confirmation."""
+        if self.replicas[group].leader_lease_remaining_s() > 0:
+            return "the leader's majority takes too long"
+        return "no majority answers the leader"
+
     def address_of(self, member_id: str) -> str:
         """Return a member's peer address, empty if it is unknown."""
         if member_id and member_id not in self._addresses:
             self._learn_addresses()
         return self._addresses.get(member_id, "")
 
+    async def wait_for_leader(self, group: int, waits: WaitLimit) -> None:
+        """Wait until a log's leader is known.
+
+        Raises `NoLeader` if none is known in time, and at once in a process
+        that is in no cluster: nobody elects it a leader.
+        """
+        with waits.counted(), anyio.move_on_after(waits.left_s):
+            while not self.is_leader(group) and not self.leader_address(group):
+                if self.replicas[group].status().state == BLANK:
+                    break
+                await anyio.sleep(RETRY_PAUSE_S)
+            else:
+                return
+        raise NoLeader(self.missing_leader_reason(group))
+
     async def propose(
         self,
         group: int,
         command: bytes,
         timeout_s: float,
         while_forming: bool = False,
+        is_cut: bool = False,
     ) -> Any:
         """Commit a command through the leader and return its result.
 
@@ -185,13 +209,20 @@
         command may have been committed, and `NoLeader` otherwise. It raises
         `CommandRefused` at once for a command that the log never takes.
         Only a command that nobody relies on may come ``while_forming``.
+
+        A proposal of this process as the leader is waited for until it is
+        committed or lost, also beyond ``timeout_s``, unless ``is_cut``. One
+        that is cut stays in the log and may be committed later.
         """
         deadline_s = boottime_s() + timeout_s
         maybe_committed = False
         reason = "no time was left to propose it"
         while boottime_s() < deadline_s:
             try:
-                return await self._propose_once(group, command, while_forming)
+                left_s = deadline_s - boottime_s() if is_cut else None
+                return await self._propose_once(
+                    group, command, while_forming, left_s
+                )
             except (ProposalLost, PeerTimeout) as error:
                 maybe_committed = True
                 reason = str(error)
@@ -230,17 +261,26 @@
         return CallReply(message.call_id, "", payload)
 
     async def _propose_once(
-        self, group: int, command: bytes, while_forming: bool
+        self,
+        group: int,
+        command: bytes,
+        while_forming: bool,
+        left_s: float | None,
     ) -> Any:
         replica = self.replicas[group]
         if self.is_leader(group):
-            return await self._propose_as_leader(
-                replica, command, while_forming
-            )
+            with anyio.move_on_after(left_s):
+                return await self._propose_as_leader(
+                    replica, command, while_forming
+                )
+            raise ProposalLost(self.unconfirmed_reason(group))
         address = self.leader_address(group)
         if not address:
             raise ProposalRefused(self.missing_leader_reason(group))
-        reply = await self._forward(address, group, command)
+        # A command in time takes as long as its bytes do; a second one would
+        # only follow it.
+        timeout_s = FORWARD_TIMEOUT_S if left_s is None else left_s
+        reply = await self._forward(address, group, command, timeout_s)
         reason = reply.payload.decode() if reply.failure else ""
         if reply.failure == NOT_LEADER:
             raise ProposalRefused(f"{address} answers: {reason}")
@@ -262,7 +302,7 @@
         return await replica.propose(command)
 
     async def _forward(
-        self, address: str, group: int, command: bytes
+        self, address: str, group: int, command: bytes, timeout_s: float
     ) -> CallReply:
         """Have the leader propose, and give up when it no longer leads.
 
@@ -272,6 +312,22 @@
         """
         call_id = self._mesh.next_call_id()
         message = ProposalForward(call_id, group, command)
+        return await self.call_leader(
+            group, address, call_id, message, timeout_s
+        )
+
+    async def call_leader(
+        self,
+        group: int,
+        address: str,
+        call_id: int,
+        message: ProposalForward | Query,
+        timeout_s: float,
+    ) -> CallReply:
+        """Return the reply of a leader, as long as no other one is known.
+
+        Raises `PeerTimeout` if there is none in time, or another leader.
+        """
         replies: list[CallReply] = []
         async with anyio.create_task_group() as tasks:
 
@@ -279,7 +335,7 @@
                 with contextlib.suppress(PeerTimeout):
                     replies.append(
                         await self._mesh.call(
-                            address, call_id, message, FORWARD_TIMEOUT_S
+                            address, call_id, message, timeout_s
                         )
                     )
                 tasks.cancel_scope.cancel()
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/app.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/app.py
@@ -9,10 +9,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import functools
 import logging
 from typing import Any
 from typing import Final
 
+import anyio
 from anyio import CapacityLimiter
 
 from sycamorestand_control.operator_api.asgi import answer_lifespan
@@ -49,12 +51,15 @@
 from sycamorestand_control.operator_api.routes import Route
 from sycamorestand_control.operator_api.routes import ROUTES
 from sycamorestand_control.order_turns import OrderTurns
+from sycamorestand_control.wait_limit import WaitLimit
 from sycamorestand_model.errors import SycamorestandError
 
 logger = logging.getLogger(__name__)
 
 BEARER: Final = "bearer "
 METRICS_PATH: Final = "/metrics"
+LEADER_WAIT_S: Final = 5.0
+RETRY_PAUSE_S: Final = 0.2
 RESEND_HINT: Final = (
     "the outcome is unknown; resend the same change id to any control "
     "process to learn it"
@@ -138,9 +143,50 @@
         if len(body) <= MAX_SMALL_BODY_BYTES:
             call = call._replace(body=decode_json(body))
             return await _call_route(route, call)
-        async with turns.turn():
-            call = call._replace(body=decode_json(body))
-            return await _call_route(route, call)
+        return await _call_route(
+            route._replace(
+                answer=functools.partial(
+                    _answer_in_turn, route, turns, bytes(body)
+                )
+            ),
+            call,
+        )
+
+
+async def _answer_in_turn(
+    route: Route, turns: OrderTurns, body: bytes, call: Call
+) -> Response:
+    """Answer a request with a large body, in its turn.
+
+    A change is tried for `LEADER_WAIT_S`, as one with a small body is. It
+    holds no turn while no leader is known, and gives it back after each try:
+    the next order would wait for as long.
+    """
+    total = WaitLimit(limit_s=LEADER_WAIT_S)
+    unknown: OutcomeUnknown | None = None
+    while True:
+        try:
+            if route.changes:
+                await call.backend.wait_for_leader(total)
+            with total.counted():
+                async with turns.turn():
+                    return await route.answer(
+                        call._replace(
+                            body=decode_json(body), waits=WaitLimit(len(body))
+                        )
+                    )
+        except OutcomeUnknown as error:
+            unknown = error
+            if not total.left_s:
+                raise
+        except NoLeader:
+            # An earlier try may still be committed.
+            if not total.left_s:
+                if unknown is not None:
+                    raise unknown from None
+                raise
+        with total.counted():
+            await anyio.sleep(RETRY_PAUSE_S)
 
 
 def _unknown_key_error(backend: OperatorBackend) -> ApiError:
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/backend.py
@@ -18,6 +18,7 @@
 from sycamorestand_control.operator_api.types import RoomRow
 from sycamorestand_control.operator_api.types import StatusAnswer
 from sycamorestand_control.operator_api.types import TransferAnswer
+from sycamorestand_control.wait_limit import WaitLimit
 from sycamorestand_model.errors import SycamorestandError
 
 
@@ -60,8 +61,16 @@
     `sycamorestand_model.check.check` without errors.
     """
 
-    async def change(self, request: ChangeRequest) -> ChangeAnswer:
-        """Commit one change, or return why it was not committed."""
+    async def wait_for_leader(self, waits: WaitLimit) -> None:
+        """Wait until a leader is known, within ``waits``."""
+
+    async def change(
+        self, request: ChangeRequest, waits: WaitLimit | None = None
+    ) -> ChangeAnswer:
+        """Commit one change, or return why it was not committed.
+
+        Waits for ``waits`` at most, else for some seconds.
+        """
 
     async def declarations(self) -> DeclarationsAnswer:
         """Return the committed declarations, with their key hashes."""
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_api/routes.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_api/routes.py
@@ -30,6 +30,7 @@
 from sycamorestand_control.operator_api.types import OperatorIdentity
 from sycamorestand_control.operator_api.types import Role
 from sycamorestand_control.operator_api.types import ROLES
+from sycamorestand_control.wait_limit import WaitLimit
 from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.findings import Finding
 from sycamorestand_model.findings import has_errors
@@ -53,7 +54,8 @@
 class Call(NamedTuple):
     """An authenticated request whose body has been read.
 
-    ``checks`` limits how many checks of declarations run at once.
+    ``checks`` limits how many checks of declarations run at once. A call that
+    holds the turn of orders waits for ``waits`` at most.
     """
 
     backend: OperatorBackend
@@ -61,6 +63,7 @@
     query: dict[str, str]
     body: Any
     checks: CapacityLimiter
+    waits: WaitLimit | None = None
 
 
 class Route(NamedTuple):
@@ -117,7 +120,7 @@
         raise ApiError(403, FORBIDDEN, f"{request.kind} takes the role admin")
     if request.kind == "apply":
         return await _apply(call, request)
-    return _change_response(await call.backend.change(request))
+    return _change_response(await call.backend.change(request, call.waits))
 
 
 async def _apply(call: Call, request: ChangeRequest) -> Response:
@@ -130,7 +133,7 @@
     if call.identity.role != "admin":
         await _refuse_operator_changes(call.backend, request, declarations)
     answer = await call.backend.change(
-        request._replace(declarations=declarations)
+        request._replace(declarations=declarations), call.waits
     )
     return _change_response(
         answer._replace(findings=answer.findings + findings)
--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from typing import Any
 from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -46,6 +47,7 @@
 from sycamorestand_control.voter_tolerance import missing_voters
 from sycamorestand_control.voter_tolerance import voter_tolerance
 from sycamorestand_control.voter_tolerance import VoterTolerance
+from sycamorestand_control.wait_limit import WaitLimit
 from sycamorestand_state.commands import encode_command
 from sycamorestand_state.errors import MalformedCommand
 
@@ -69,6 +71,8 @@
 QUERY_TIMEOUT_S: Final = 1.0
 HAND_OVER_TIMEOUT_S: Final = 4.0
 LOG: Final = logging.getLogger(__name__)
+# Shorter than the wait of a caller, so that the leader still tells the reason.
+BARRIER_S: Final = 0.5
 CATCH_UP_S: Final = 1.0
 CATCH_UP_PAUSE_S: Final = 0.02
 REPLACE_TIMEOUT_S: Final = 25.0
@@ -140,12 +144,26 @@
             },
         )
 
-    async def change(self, request: ChangeRequest) -> ChangeAnswer:
-        """Commit one change through the leader, and log the outcome."""
+    async def wait_for_leader(self, waits: WaitLimit) -> None:
+        """Wait until a leader is known, or raise `NoLeader`."""
+        try:
+            await self._parts.groups.wait_for_leader(
+                CONFIGURATION_GROUP, waits
+            )
+        except NoLeaderAnswered as error:
+            raise NoLeader(str(error)) from error
+
+    async def change(
+        self, request: ChangeRequest, waits: WaitLimit | None = None
+    ) -> ChangeAnswer:
+        """Commit one change through the leader, and log the outcome.
+
+        Waits for ``waits`` at most, else for `PROPOSE_TIMEOUT_S`.
+        """
         begin_s = time.monotonic()
         outcome = "no answer"
         revision = -1
-        changing = self._change(request)
+        changing = self._change(request, waits)
         request = request._replace(declarations=None)
         try:
             answer = await changing
@@ -176,7 +194,9 @@
         replica = self._parts.groups.replicas[CONFIGURATION_GROUP]
         return sum(member.voter for member in replica.status().members)
 
-    async def _change(self, request: ChangeRequest) -> ChangeAnswer:
+    async def _change(
+        self, request: ChangeRequest, waits: WaitLimit | None
+    ) -> ChangeAnswer:
         configuration = self._parts.configuration
         if request.kind == "apply" and request.base_revision is None:
             return ChangeAnswer(
@@ -191,9 +211,7 @@
         # They take many times as much as the command, and what follows waits.
         request = request._replace(declarations=None)
         try:
-            result = await self._parts.groups.propose(
-                CONFIGURATION_GROUP, command, PROPOSE_TIMEOUT_S
-            )
+            result = await self._propose(command, waits)
         except CommandRefused as error:
             return ChangeAnswer("refused", configuration.revision, str(error))
         except NoLeaderAnswered as error:
@@ -201,41 +219,58 @@
         except ProposalUnknown as error:
             raise OutcomeUnknown(str(error)) from error
         if result.outcome == "conflict":
-            await self._catch_up(result.revision)
+            await self._catch_up(
+                result.revision, waits or WaitLimit(limit_s=CATCH_UP_S)
+            )
         return make_answer(result, self._conflicts(request.base_revision))
 
+    async def _propose(self, command: bytes, waits: WaitLimit | None) -> Any:
+        propose = self._parts.groups.propose
+        if waits is None:
+            return await propose(
+                CONFIGURATION_GROUP, command, PROPOSE_TIMEOUT_S
+            )
+        with waits.counted():
+            return await propose(
+                CONFIGURATION_GROUP, command, waits.left_s, is_cut=True
+            )
+
     def _encode(self, request: ChangeRequest) -> bytes:
         return encode_command(
             make_command(request, time.time(), self._parts.cluster_key())
         )
 
-    async def _catch_up(self, revision: int) -> None:
+    async def _catch_up(self, revision: int, waits: WaitLimit) -> None:
         """Wait until this voter has applied a revision.
 
         The leader may report a conflict before this voter has learned of
         the conflicting commit, and the answer would list no conflicts.
-        Gives up after `CATCH_UP_S`.
+        Gives up when ``waits`` is over.
         """
-        with anyio.move_on_after(CATCH_UP_S):
+        with waits.counted(), anyio.move_on_after(waits.left_s):
             while self._parts.configuration.revision < revision:
                 await anyio.sleep(CATCH_UP_PAUSE_S)
 
-    async def catch_up_with_leader(self) -> None:
+    async def catch_up_with_leader(
+        self, waits: WaitLimit | None = None
+    ) -> None:
         """Wait until this voter has applied every acknowledged change.
 
         The newest revision comes from the leader, which confirms its quorum
         first: a leader that was deposed without noticing would report an
         outdated one. Raises `NoLeader` if no leader can confirm it, or if
-        this voter does not catch up in `CATCH_UP_S`.
+        this voter does not catch up within ``waits``.
         """
+        waits = waits or WaitLimit()
         try:
-            answer = await self.queries.query_leader(
-                SETTLED, b"", QUERY_TIMEOUT_S
-            )
+            with waits.counted():
+                answer = await self.queries.query_leader(
+                    SETTLED, b"", waits.left_s
+                )
         except ControlError as error:
             raise NoLeader(str(error)) from error
         revision = msgspec.msgpack.decode(answer, type=int)
-        await self._catch_up(revision)
+        await self._catch_up(revision, waits)
         if self._parts.configuration.revision < revision:
             raise NoLeader("this voter lags behind the newest revision")
 
@@ -435,7 +470,11 @@
     async def _answer_settled(self, payload: bytes) -> bytes:
         replica = self._parts.groups.replicas[CONFIGURATION_GROUP]
         try:
-            await replica.read_barrier()
+            with anyio.fail_after(BARRIER_S):
+                await replica.read_barrier()
+        except TimeoutError as error:
+            reason = self._parts.groups.unconfirmed_reason(CONFIGURATION_GROUP)
+            raise NoLeaderAnswered(reason) from error
         except ConsensusError as error:
             raise NoLeaderAnswered(str(error)) from error
         return msgspec.msgpack.encode(self._parts.configuration.revision)
--- a/packages/sycamorestand-control/src/sycamorestand_control/order_turns.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/order_turns.py
@@ -18,12 +18,17 @@
 from collections.abc import Callable
 import contextlib
 from typing import Final
+from typing import TYPE_CHECKING
 
 import anyio
 
 from sycamorestand_control.errors import CallerLeft
+from sycamorestand_control.errors import TurnTimeout
 from sycamorestand_peer.byte_room import ByteRoom
 
+if TYPE_CHECKING:
+    from sycamorestand_control.wait_limit import WaitLimit
+
 ROOM_SHARE: Final = 1 / 16
 # The largest body that any interface takes has to find room by itself.
 MIN_ROOM_BYTES: Final = 8 * 1024 * 1024
@@ -48,16 +53,22 @@
 
     @contextlib.asynccontextmanager
     async def turn(
-        self, has_left: Callable[[], Awaitable[bool]] = _has_not_left
+        self,
+        has_left: Callable[[], Awaitable[bool]] = _has_not_left,
+        waits: WaitLimit | None = None,
     ) -> AsyncIterator[None]:
-        """Wait for this order's turn.
+        """Wait for this order's turn, within ``waits`` if that is given.
 
-        Raises `CallerLeft` if the caller has left by then: it has sent the
-        order elsewhere.
+        Raises `TurnTimeout` if the turn does not come in time, and
+        `CallerLeft` if the caller has left by then: it has sent the order
+        elsewhere.
         """
         self.waiting += 1
         try:
-            await self._turn.acquire()
+            if waits is None:
+                await self._turn.acquire()
+            else:
+                await self._acquire_within(waits)
         finally:
             self.waiting -= 1
         try:
@@ -67,5 +78,11 @@
         finally:
             self._turn.release()
 
+    async def _acquire_within(self, waits: WaitLimit) -> None:
+        with waits.counted(), anyio.move_on_after(waits.left_s) as scope:
+            await self._turn.acquire()
+        if scope.cancelled_caught:
+            raise TurnTimeout("another order has its turn")
+
 
 __all__ = ["OrderTurns"]
--- a/packages/sycamorestand-control/tests/operator_api/conftest.py
+++ b/packages/sycamorestand-control/tests/operator_api/conftest.py
@@ -23,6 +23,7 @@
 from sycamorestand_control.operator_api.types import StatusAnswer
 from sycamorestand_control.operator_api.types import TransferAnswer
 from sycamorestand_control.order_turns import OrderTurns
+from sycamorestand_control.wait_limit import WaitLimit
 from sycamorestand_model.codec import to_document
 from sycamorestand_model.declarations import Customer
 from sycamorestand_model.declarations import Declarations
@@ -56,7 +57,12 @@
         if self.failure is not None:
             raise self.failure
 
-    async def change(self, request: ChangeRequest) -> ChangeAnswer:
+    async def wait_for_leader(self, waits: WaitLimit) -> None:
+        return
+
+    async def change(
+        self, request: ChangeRequest, waits: WaitLimit | None = None
+    ) -> ChangeAnswer:
         self._fail()
         self.changes.append(request)
         return self.answer
--- a/packages/sycamorestand-control/tests/operator_api/test_app.py
+++ b/packages/sycamorestand-control/tests/operator_api/test_app.py
@@ -18,10 +18,12 @@
 from sycamorestand_control.operator_api.routes import ROUTES
 from sycamorestand_control.operator_api.types import AuditPage
 from sycamorestand_control.operator_api.types import ChangeAnswer
+from sycamorestand_control.operator_api.types import ChangeRequest
 from sycamorestand_control.operator_api.types import Conflict
 from sycamorestand_control.operator_api.types import OperatorIdentity
 from sycamorestand_control.operator_api.types import StatusAnswer
 from sycamorestand_control.order_turns import OrderTurns
+from sycamorestand_control.wait_limit import WaitLimit
 from sycamorestand_model.declarations import Declarations
 from sycamorestand_model.errors import WireError
 
@@ -310,6 +312,42 @@
         assert call("POST", CHANGES, WITHDRAW).status == 200
         assert turns.room.free_bytes == 0
 
+    def test_large_change_holds_no_turn_while_no_leader_is_known(
+        self, call: Caller, backend: Any, turns: OrderTurns
+    ) -> None:
+        """Guards against an order that keeps the next ones waiting.
+
+        The process knows no leader at first, and the one that it then knows
+        is lost before it answers. The user's change is still made, once.
+        """
+        change = backend.change
+        failures: list[Exception] = [
+            NoLeader("no leader is known"),
+            OutcomeUnknown("the leader does not answer"),
+        ]
+
+        async def wait_for_leader(waits: WaitLimit) -> None:
+            with anyio.fail_after(1):
+                async with turns.turn():
+                    pass
+            if len(failures) == 2:
+                raise failures.pop(0)
+
+        async def lose_the_leader_once(
+            request: ChangeRequest, waits: WaitLimit
+        ) -> ChangeAnswer:
+            assert waits.left_s < 1
+            if failures:
+                raise failures.pop(0)
+            answer: ChangeAnswer = await change(request, waits)
+            return answer
+
+        backend.wait_for_leader = wait_for_leader
+        backend.change = lose_the_leader_once
+        body = json.dumps(WITHDRAW).encode() + b" " * 70_000
+        assert call("POST", CHANGES, body).status == 200
+        assert len(backend.changes) == 1
+
     def test_message_keeps_no_control_characters(
         self, call: Caller, backend: Any
     ) -> None:
--- a/packages/sycamorestand-control/tests/test_order_turns.py
+++ b/packages/sycamorestand-control/tests/test_order_turns.py
@@ -4,7 +4,9 @@
 import pytest
 
 from sycamorestand_control.errors import CallerLeft
+from sycamorestand_control.errors import TurnTimeout
 from sycamorestand_control.order_turns import OrderTurns
+from sycamorestand_control.wait_limit import WaitLimit
 
 pytestmark = pytest.mark.anyio
 MEMORY_BYTES = 2**28
@@ -43,6 +45,26 @@
         async with turns.turn():
             assert turns.waiting == 0
 
+    async def test_order_that_waits_too_long_is_refused(self) -> None:
+        """It waited for as long as the orders before it did."""
+        turns = OrderTurns(MEMORY_BYTES)
+        has_given_up = anyio.Event()
+        waits = WaitLimit(limit_s=0.01)
+
+        async def give_up() -> None:
+            with pytest.raises(TurnTimeout, match="another order"):
+                async with turns.turn(waits=waits):
+                    pytest.fail("two at once")
+            has_given_up.set()
+
+        async with anyio.create_task_group() as tasks, turns.turn():
+            tasks.start_soon(give_up)
+            await has_given_up.wait()
+        assert waits.left_s < 0.01
+        assert turns.waiting == 0
+        async with turns.turn(waits=WaitLimit(limit_s=0.01)):
+            assert turns.waiting == 0
+
     async def test_cancelled_order_leaves_its_turn_to_the_next(self) -> None:
         turns = OrderTurns(MEMORY_BYTES)
         has_given_up = anyio.Event()
--- a/packages/sycamorestand/tests/operator/conftest.py
+++ b/packages/sycamorestand/tests/operator/conftest.py
@@ -35,6 +35,7 @@
 from sycamorestand_control.operator_api.types import StatusAnswer
 from sycamorestand_control.operator_api.types import TransferAnswer
 from sycamorestand_control.operator_api.types import VoterRow
+from sycamorestand_control.wait_limit import WaitLimit
 from sycamorestand_model.declarations import Declarations
 
 EXAMPLES = Path(__file__).parents[4] / "examples"
@@ -66,7 +67,12 @@
         self.fault = ""
         self.has_leader = True
 
-    async def change(self, request: ChangeRequest) -> ChangeAnswer:
+    async def wait_for_leader(self, waits: WaitLimit) -> None:
+        return
+
+    async def change(
+        self, request: ChangeRequest, waits: WaitLimit | None = None
+    ) -> ChangeAnswer:
         if not self.has_leader:
             raise NoLeader("an election runs")
         state = self.state
