Read from the next leader if the first one does not answer

A read, or an order that first catches up, asked one leader and waited for it until its limit, also after the voters had elected another. The query is now given up as soon as another leader is known, and sent to that one within what is left of the call's time, as forwarded changes are.

On the code before:

FAILED test_answer_times.py::TestRead::test_read_follows_the_next_leader NoLeader: the leader at 127.0.0.1:14802 does not answer

--- a/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/operator_backend.py
@@ -264,7 +264,7 @@
         waits = waits or WaitLimit()
         try:
             with waits.counted():
-                answer = await self.queries.query_leader(
+                answer = await self.queries.read_from_leader(
                     SETTLED, b"", waits.left_s
                 )
         except ControlError as error:
--- a/packages/sycamorestand-control/src/sycamorestand_control/peer_queries.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/peer_queries.py
@@ -15,6 +15,7 @@
 from sycamorestand_control.errors import ControlError
 from sycamorestand_control.errors import NoLeader
 from sycamorestand_control.groups import CONFIGURATION_GROUP
+from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.errors import PeerTimeout
 from sycamorestand_peer.messages import CallReply
 from sycamorestand_peer.messages import Query
@@ -84,6 +85,42 @@
                 f"the leader at {address} does not answer"
             ) from error
 
+    async def read_from_leader(
+        self,
+        kind: str,
+        payload: bytes,
+        timeout_s: float,
+        group: int = CONFIGURATION_GROUP,
+    ) -> bytes:
+        """Return the leader's answer to a query that changes nothing.
+
+        If the leader is replaced before it answers, the next one is queried
+        in what is left of the time. Raises the errors of `query_leader`.
+        """
+        deadline_s = boottime_s() + timeout_s
+        reason = "no time was left to ask the leader"
+        while (left_s := deadline_s - boottime_s()) > 0:
+            address = self._groups.leader_address(group)
+            if self._groups.is_leader(group) or not address:
+                with anyio.move_on_after(left_s):
+                    return await self.query_leader(
+                        kind, payload, left_s, group
+                    )
+                raise NoLeader(self._groups.unconfirmed_reason(group))
+            call_id = self._mesh.next_call_id()
+            query = Query(call_id, kind, payload)
+            try:
+                reply = await self._groups.call_leader(
+                    group, address, call_id, query, left_s
+                )
+            except PeerTimeout as error:
+                reason = str(error)
+                continue
+            if reply.failure:
+                raise QueryRefused(reply.failure)
+            return reply.payload
+        raise NoLeader(reason)
+
     async def query_each(
         self, addresses: Iterable[str], kind: str, timeout_s: float
     ) -> list[bytes]:
