Control processes with a disk keep whom they knew over a restart

Where all processes end at once and settings are drawn anew, a process without a disk whose settings name itself or others without a disk, and that no other settings name, is known to nobody.

Change: each process with a disk writes the addresses that it knows to known-controls in its data folder when they change, at most each second, and reports to those for 10 minutes after its start. The file is not synced.

Evidence: test_it_is_found_again_after_a_restart_of_all fails on the commit before with TimeoutError after 30 s, and passes now.

--- a/packages/sycamorestand-control/src/sycamorestand_control/control_directory.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/control_directory.py
@@ -69,7 +69,7 @@
         self._named: tuple[str, ...] = ()
         self._reports: dict[str, ControlReport] = {}
         self._heard_s: dict[str, float] = {}
-        self._told_s: dict[str, float] = {}
+        self._told_until_s: dict[str, float] = {}
         self._has_heard_cluster = False
         self.set_named(named)
 
@@ -86,9 +86,15 @@
         self._heard_s[sender] = now_s
         self._has_heard_cluster |= report.in_cluster
         for address in self._without_own(report.known):
-            self._told_s[address] = now_s
+            self._list_until(address, now_s + TOLD_WITHIN_S)
         self._forget(now_s)
 
+    def recall(self, addresses: Iterable[str]) -> None:
+        """List processes that were known before this process started."""
+        until_s = self._now_s() + FORGET_AFTER_S
+        for address in self._without_own(addresses):
+            self._list_until(address, until_s)
+
     def report_of(self, address: str) -> ControlReport | None:
         """Return a process's last report, None if it was never heard."""
         return self._reports.get(address)
@@ -130,8 +136,8 @@
         now_s = self._now_s()
         told = [
             address
-            for address, at_s in self._told_s.items()
-            if now_s - at_s < TOLD_WITHIN_S
+            for address, until_s in self._told_until_s.items()
+            if now_s < until_s
         ]
         heard = self._heard_last_first()
         every = dict.fromkeys((*self._named, *heard, *told))
@@ -159,11 +165,17 @@
             if is_old or place >= MAX_CONTROLS:
                 del self._heard_s[address]
                 del self._reports[address]
-        newest_first = sorted(self._told_s, key=lambda a: -self._told_s[a])
+        newest_first = sorted(
+            self._told_until_s, key=lambda a: -self._told_until_s[a]
+        )
         for place, address in enumerate(newest_first):
-            is_old = now_s - self._told_s[address] >= TOLD_WITHIN_S
+            is_old = now_s >= self._told_until_s[address]
             if is_old or place >= MAX_CONTROLS:
-                del self._told_s[address]
+                del self._told_until_s[address]
+
+    def _list_until(self, address: str, until_s: float) -> None:
+        earlier_s = self._told_until_s.get(address, 0.0)
+        self._told_until_s[address] = max(earlier_s, until_s)
 
 
 __all__ = ["ControlDirectory", "ControlReport", "MAX_CONTROLS"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -31,6 +31,7 @@
 from sycamorestand_control.groups import LogGroups
 from sycamorestand_control.hub import EntryHub
 from sycamorestand_control.joining import ask_to_join
+from sycamorestand_control.known_controls_file import KnownControlsFile
 from sycamorestand_control.leader_balancer import LeaderBalancer
 from sycamorestand_control.lease_service import LeaseService
 from sycamorestand_control.ledger_reader import LedgerReader
@@ -134,6 +135,10 @@
         self.exchange = ControlExchange(
             self.mesh, self.directory, self._own_report, self._members
         )
+        self.known_controls = KnownControlsFile(
+            settings.data_folder, self.exchange.addresses
+        )
+        self.directory.recall(self.known_controls.read())
         self.tables = SharedTables(
             self.mesh, self.directory, self._other_controls
         )
@@ -264,6 +269,7 @@
             tasks.start_soon(self.groups.run)
             for task in (
                 self.exchange.run,
+                self.known_controls.run,
                 self.leases.run,
                 self.hub.run,
                 self.tables.run,
--- a/packages/sycamorestand-control/tests/test_control_directory.py
+++ b/packages/sycamorestand-control/tests/test_control_directory.py
@@ -77,6 +77,18 @@
         assert len(addresses) == MAX_CONTROLS
         assert addresses[:2] == (NAMED, f"10.1.0.{2 * MAX_CONTROLS - 1}:1")
 
+    def test_recalled_address_is_listed_for_a_while(self) -> None:
+        """A process that starts later than the others was not told."""
+        clock = Clock()
+        directory = make_directory(clock)
+        directory.recall((TOLD, OWN))
+        directory.record(HEARD, REPORT._replace(known=(TOLD,)))
+        clock.at_s += FORGET_AFTER_S - 1.0
+        assert TOLD in directory.addresses()
+        assert TOLD not in directory.heard_lately()
+        clock.at_s += 1.0
+        assert TOLD not in directory.addresses()
+
     def test_new_settings_replace_the_named(self) -> None:
         directory = make_directory(Clock())
         directory.set_named((OWN, TOLD))
--- a/packages/sycamorestand/tests/system/test_redirector.py
+++ b/packages/sycamorestand/tests/system/test_redirector.py
@@ -137,6 +137,22 @@
         ):
             await wait_until(lambda: len(redirector.serving()) == 3)
 
+    async def test_it_is_found_again_after_a_restart_of_all(
+        self, tmp_path: Path
+    ) -> None:
+        """Settings of the new starts named no process with a disk to it."""
+        address = free_address()
+        async with start_system(tmp_path, 0) as system:
+            async with start_redirector(system, address) as redirector:
+                await wait_until(lambda: len(redirector.serving()) == 3)
+                # Each voter writes what it knows within a second.
+                await anyio.sleep(1.5)
+            for control in system.controls:
+                await control.kill()
+            system.restart_controls()
+            async with run_redirector(address, address) as redirector:
+                await wait_until(lambda: len(redirector.serving()) == 3)
+
     async def test_it_names_no_voter_without_a_leader(
         self, tmp_path: Path
     ) -> None:
