--- a/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/soak.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/scenarios/soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import json
 import os
 from pathlib import Path
@@ -14,6 +15,7 @@
 
 from sycamorestand_bench.soak.mutants import sitecustomize as mutants
 from sycamorestand_bench.soak.mutants.sitecustomize import MUTANT_VARIABLE
+from sycamorestand_bench.soak.run import Outcome
 from sycamorestand_bench.soak.run import play
 from sycamorestand_bench.soak.run import targets
 from sycamorestand_bench.soak.schedule import decode
@@ -58,7 +60,11 @@
         numbers = range(seed, seed + seeds)
         schedules = [draw(n, seconds, targets()) for n in numbers]
     for schedule in schedules:
-        failed += _run_schedule(schedule, Path(logs) if logs else None)
+        failed += run_schedule(
+            schedule,
+            Path(logs) if logs else None,
+            lambda folder, steps: play(folder, EXAMPLES, steps),
+        )
     return 1 if failed else 0
 
 
@@ -69,13 +75,17 @@
     return Path(tempfile.mkdtemp(prefix="soak-", dir=logs))
 
 
-def _run_schedule(schedule: Schedule, logs: Path | None) -> bool:
+def run_schedule(
+    schedule: Schedule,
+    logs: Path | None,
+    play_schedule: Callable[[Path, Schedule], Outcome],
+) -> bool:
     """Run a schedule, print its result, and return whether it failed."""
     folder = make_folder(logs)
     (folder / "schedule").write_bytes(encode(schedule))
     begin_s = time.monotonic()
     try:
-        outcome = play(folder, EXAMPLES, schedule)
+        outcome = play_schedule(folder, schedule)
     except Exception:
         # The remaining seeds still run.
         traceback.print_exc()
@@ -99,4 +109,4 @@
     return bool(outcome.findings)
 
 
-__all__ = ["main", "make_folder"]
+__all__ = ["main", "make_folder", "run_schedule"]
--- a/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/soak/schedule.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from random import Random
 from typing import Final
 from typing import NamedTuple
@@ -171,23 +172,24 @@
     return "\n".join([head, *lines, ""]).encode()
 
 
-def decode(text: bytes) -> Schedule:
+def decode(text: bytes, kinds: Collection[str] = FAULT_KINDS) -> Schedule:
     """Parse the text of `encode`; lines that begin with ``#`` are comments.
 
-    Raises `ValueError` with the line that cannot be parsed.
+    ``kinds`` are the faults that a step may name. Raises `ValueError` with
+    the line that cannot be parsed.
     """
     lines = [line.strip() for line in text.decode().splitlines()]
     rows = [line for line in lines if line and not line.startswith("#")]
     head = rows[0].split() if rows else []
     if len(head) != 4 or head[::2] != ["seed", "length_s"]:
         raise ValueError(f"not the first line of a schedule: {rows[:1]!r}")
-    steps = tuple(_read_step(row) for row in rows[1:])
+    steps = tuple(_read_step(row, kinds) for row in rows[1:])
     return Schedule(int(head[1]), float(head[3]), steps)
 
 
-def _read_step(row: str) -> Step:
+def _read_step(row: str, kinds: Collection[str]) -> Step:
     parts = row.split()
-    if len(parts) != 4 or parts[1] not in FAULT_KINDS:
+    if len(parts) != 4 or parts[1] not in kinds:
         raise ValueError(f"not a step of a schedule: {row!r}")
     return msgspec.convert(
         [float(parts[0]), parts[1], parts[2], float(parts[3])], Step
