A log waits for voters that no settings name before it takes commands

Cause: a log needs as many voters as are wanted, or as the settings name if that is fewer. The settings name three control processes at most, so that a group that wants five, as two disks may be lost, acknowledged its first changes with three or four voters; two lost disks could take them.

Change: control processes with a disk that are heard count as well.

--- a/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/log_voters.py
+++ b/packages/sycamorestand-bench/src/sycamorestand_bench/fakes/log_voters.py
@@ -65,7 +65,7 @@
             folder,
             ReplicaSettings(),
             {CONFIGURATION_GROUP: group},
-            voters_needed,
+            lambda: voters_needed,
         )
 
     @property
--- a/packages/sycamorestand-control/src/sycamorestand_control/groups.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/groups.py
@@ -29,6 +29,7 @@
 from sycamorestand_peer.messages import ReplicaPayload
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
     from pathlib import Path
 
@@ -63,11 +64,15 @@
     result_type: Any
 
 
+def _one_voter() -> int:
+    return 1
+
+
 class LogGroups:
     """Runs the replicated logs of this process and proposes to them.
 
     All logs share the links between processes. The group number in each
-    message identifies the log. While a log has fewer than ``voters_needed``
+    message identifies the log. While a log has fewer than ``voters_needed()``
     it takes no command but the one that creates the cluster: the loss of one
     disk could take what is committed, or leave no majority for good.
     """
@@ -78,7 +83,7 @@
         folder: Path,
         settings: ReplicaSettings,
         groups: Mapping[int, Group],
-        voters_needed: int = 1,
+        voters_needed: Callable[[], int] = _one_voter,
     ) -> None:
         self._mesh = mesh
         self._voters_needed = voters_needed
@@ -295,10 +300,9 @@
         self, replica: Replica, command: bytes, while_forming: bool = False
     ) -> Any:
         voters = sum(member.voter for member in replica.status().members)
-        if voters < self._voters_needed and not while_forming:
-            raise TooFewVoters(
-                f"too few voters ({voters} of {self._voters_needed})"
-            )
+        needed = self._voters_needed()
+        if voters < needed and not while_forming:
+            raise TooFewVoters(f"too few voters ({voters} of {needed})")
         return await replica.propose(command)
 
     async def _forward(
--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -131,8 +131,7 @@
                 len(groups),
             ),
             groups,
-            # No more can vote than the settings name.
-            min(settings.voters_wanted, 1 + len(settings.control_addresses)),
+            self._voters_needed,
         )
         self.directory = ControlDirectory(
             settings.peer_address, settings.control_addresses
@@ -389,6 +388,16 @@
         """Return where an entry that gets no lease here may ask."""
         return self._other_controls() or self.exchange.addresses()
 
+    def _voters_needed(self) -> int:
+        """Return how many voters a log needs before it takes commands.
+
+        As many as are wanted, or as there can be: no more can vote than the
+        settings name or this process hears. The settings name a few only.
+        """
+        named = len(self._settings.control_addresses)
+        others = max(named, len(self.directory.with_disk()))
+        return min(self._settings.voters_wanted, 1 + others)
+
     def _own_report(self) -> ControlReport:
         status = self.groups.replicas[CONFIGURATION_GROUP].status()
         serves = bool(status.members) and bool(status.leader_id)
--- a/packages/sycamorestand-control/tests/test_forming.py
+++ b/packages/sycamorestand-control/tests/test_forming.py
@@ -97,6 +97,40 @@
             tasks.cancel_scope.cancel()
 
 
+class TestVotersNeeded:
+    async def test_change_waits_for_voters_that_no_settings_name(
+        self, tmp_path: Path
+    ) -> None:
+        """Three of five voters acknowledged what two lost disks took.
+
+        Settings name three control processes at most.
+        """
+        wanted = 5
+        addresses = [free_address() for _ in range(wanted)]
+        async with anyio.create_task_group() as tasks:
+            stop = anyio.Event()
+            started = []
+            for number in range(wanted):
+                settings = make_settings(tmp_path, number, addresses)
+                named = settings.control_addresses[:FORMED_VOTERS]
+                process = ControlProcess(
+                    settings._replace(
+                        control_addresses=named, voters_wanted=wanted
+                    )
+                )
+                await tasks.start(process.run, stop)
+                started.append(process)
+            first = started[0]
+            with anyio.fail_after(WAIT_S):
+                while len(first.directory.with_disk()) < wanted - 1:
+                    await anyio.sleep(0.01)
+            change = ChangeRequest("1", "drain", None, "vm-9", operator="ann")
+            answer = await first.backend.change(change)
+            assert answer.outcome == "accepted"
+            assert voters(first, CONFIGURATION_GROUP) == wanted
+            tasks.cancel_scope.cancel()
+
+
 class FirstStart:
     """Control processes with a disk, and those without one, of one system.
 
