Before the first change a log waits 10 s for all voters that are wanted

Cause: control processes that no settings name count once they are heard. A leader that has heard three of five so far acknowledged with three voters.

Change: where the settings may not name all control processes, as on the platform with three seeds, the leader takes no first change with fewer voters than wanted in its first 10 s. After that it goes on with those there are: an installation with fewer disks than wanted would otherwise never serve.

--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -62,6 +62,7 @@
 from sycamorestand_decisions.server_limits import NO_LIMIT
 from sycamorestand_model.in_force import cold_requests_per_s
 from sycamorestand_model.ledger import LedgerResult
+from sycamorestand_peer.clock import boottime_s
 from sycamorestand_peer.mesh import PeerMesh
 from sycamorestand_peer.messages import AnnouncementRelay
 from sycamorestand_peer.messages import ArrivalTrade
@@ -101,6 +102,11 @@
 LEDGER_TIMEOUT_S: Final = 1.4
 # The share of the memory that messages to all peers may take while they wait.
 QUEUE_SHARE: Final = 1 / 8
+# Control processes that no settings name start with the others and have
+# joined by then, also on a busy machine.
+FORMING_S: Final = 10.0
+# The revision after the creation of the cluster.
+CREATION_REVISION: Final = 1
 
 
 class ControlProcess:
@@ -108,6 +114,7 @@
 
     def __init__(self, settings: ControlSettings) -> None:
         self._settings = settings
+        self._started_s = boottime_s()
         self.configuration = ConfigurationMachine()
         self.shards = [
             LedgerMachine(number) for number in range(settings.ledger_shards)
@@ -392,11 +399,20 @@
         """Return how many voters a log needs before it takes commands.
 
         As many as are wanted, or as there can be: no more can vote than the
-        settings name or this process hears. The settings name a few only.
+        settings name or this process hears. Settings that do not name all
+        leave the others `FORMING_S` to be heard before the first change.
         """
-        named = len(self._settings.control_addresses)
+        settings = self._settings
+        is_forming = (
+            not settings.names_all_controls
+            and self.configuration.revision <= CREATION_REVISION
+            and boottime_s() - self._started_s < FORMING_S
+        )
+        if is_forming:
+            return settings.voters_wanted
+        named = len(settings.control_addresses)
         others = max(named, len(self.directory.with_disk()))
-        return min(self._settings.voters_wanted, 1 + others)
+        return min(settings.voters_wanted, 1 + others)
 
     def _own_report(self) -> ControlReport:
         status = self.groups.replicas[CONFIGURATION_GROUP].status()
--- a/packages/sycamorestand-control/src/sycamorestand_control/settings.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/settings.py
@@ -27,7 +27,8 @@
     entries are started with the same value. With ``may_lose_data_centre``
     the process reports if the voters would not survive that. What the process
     holds in memory and on disk is bounded by shares of ``memory_limit_mb`` and
-    ``disk_limit_mb``, in MiB.
+    ``disk_limit_mb``, in MiB. Where ``names_all_controls`` is not set, there
+    may be more control processes than ``control_addresses``.
     """
 
     vm: str
@@ -51,6 +52,7 @@
     may_lose_data_centre: bool = False
     memory_limit_mb: float = DEFAULT_MEMORY_LIMIT_MB
     disk_limit_mb: float = DEFAULT_DISK_LIMIT_MB
+    names_all_controls: bool = True
 
 
 __all__ = [
--- a/packages/sycamorestand-control/tests/test_forming.py
+++ b/packages/sycamorestand-control/tests/test_forming.py
@@ -97,40 +97,6 @@
             tasks.cancel_scope.cancel()
 
 
-class TestVotersNeeded:
-    async def test_change_waits_for_voters_that_no_settings_name(
-        self, tmp_path: Path
-    ) -> None:
-        """Three of five voters acknowledged what two lost disks took.
-
-        Settings name three control processes at most.
-        """
-        wanted = 5
-        addresses = [free_address() for _ in range(wanted)]
-        async with anyio.create_task_group() as tasks:
-            stop = anyio.Event()
-            started = []
-            for number in range(wanted):
-                settings = make_settings(tmp_path, number, addresses)
-                named = settings.control_addresses[:FORMED_VOTERS]
-                process = ControlProcess(
-                    settings._replace(
-                        control_addresses=named, voters_wanted=wanted
-                    )
-                )
-                await tasks.start(process.run, stop)
-                started.append(process)
-            first = started[0]
-            with anyio.fail_after(WAIT_S):
-                while len(first.directory.with_disk()) < wanted - 1:
-                    await anyio.sleep(0.01)
-            change = ChangeRequest("1", "drain", None, "vm-9", operator="ann")
-            answer = await first.backend.change(change)
-            assert answer.outcome == "accepted"
-            assert voters(first, CONFIGURATION_GROUP) == wanted
-            tasks.cancel_scope.cancel()
-
-
 class FirstStart:
     """Control processes with a disk, and those without one, of one system.
 
@@ -167,6 +133,7 @@
                 peer_address=self._addresses[name],
                 data_folder=self.folder(name),
                 cluster_keys=lambda: (KEY,),
+                names_all_controls=len(self.seeds) < 3,
                 control_addresses=tuple(
                     seed
                     for seed in self.seeds
@@ -322,3 +289,54 @@
             await anyio.sleep(2.0)
             assert controls[0].configuration.cluster is None
             assert await controls[0].groups.is_blank()
+
+
+class TestVotersNeeded:
+    async def test_change_waits_for_voters_that_no_settings_name(
+        self, tmp_path: Path
+    ) -> None:
+        """Three of five voters acknowledged what two lost disks took.
+
+        Settings name three control processes at most.
+        """
+        wanted = 5
+        addresses = [free_address() for _ in range(wanted)]
+        async with anyio.create_task_group() as tasks:
+            stop = anyio.Event()
+            started = []
+            for number in range(wanted):
+                settings = make_settings(tmp_path, number, addresses)
+                named = settings.control_addresses[:FORMED_VOTERS]
+                process = ControlProcess(
+                    settings._replace(
+                        control_addresses=named, voters_wanted=wanted
+                    )
+                )
+                await tasks.start(process.run, stop)
+                started.append(process)
+            first = started[0]
+            with anyio.fail_after(WAIT_S):
+                while len(first.directory.with_disk()) < wanted - 1:
+                    await anyio.sleep(0.01)
+            change = ChangeRequest("1", "drain", None, "vm-9", operator="ann")
+            answer = await first.backend.change(change)
+            assert answer.outcome == "accepted"
+            assert voters(first, CONFIGURATION_GROUP) == wanted
+            tasks.cancel_scope.cancel()
+
+    async def test_change_waits_for_five_voters_where_two_disks_may_go(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Three voters acknowledged it: two of these disks had it alone.
+
+        The three seeds are not all the control processes that may vote.
+        """
+        monkeypatch.setattr(f"{__name__}.FORMED_VOTERS", 5)
+        system = FirstStart(tmp_path, 5, 0, "d0 d1 d2")
+        async with system.running("d0 d1 d2") as controls:
+            with anyio.fail_after(WAIT_S):
+                while voters(controls[0], CONFIGURATION_GROUP) < 3:
+                    await anyio.sleep(0.02)
+            change = ChangeRequest("1", "drain", None, "vm-9", operator="ann")
+            with pytest.raises(NoLeader):
+                await controls[0].backend.change(change)
