--- a/packages/sycamorestand-control/src/sycamorestand_control/formation.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/formation.py
@@ -135,7 +135,10 @@
 
     def state(self) -> FormingState | None:
         """Return who may create the cluster, None once there is one."""
-        if self._configuration.cluster is not None:
+        replica = self._groups.replicas[CONFIGURATION_GROUP]
+        if self._configuration.cluster is not None or (
+            replica.status().members and not self.seeds
+        ):
             return None
         own = self._mesh.address
         if self._settings.first_start:
