Review: a creator keeps its right beside its own earlier report; recalled addresses end

A creator that was killed before the log that it began was synced came back blank with its right, asked a process without a disk, and was told of a cluster: its own report. The right was removed and no cluster ever formed. A process without a disk now leaves the asker's own report out.

Addresses of the last run were kept for 600 s from each start and written again, so that one that is gone was kept for good by restarts, and 64 of them left no room for addresses that others pass on.

--- a/packages/sycamorestand-control/src/sycamorestand_control/control_directory.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/control_directory.py
@@ -29,6 +29,9 @@
 # A process that was cut off for longer is found through the settings or the
 # members of the log.
 FORGET_AFTER_S: Final = 600.0
+# An address that is gone is not handed down over restarts that are further
+# apart.
+RECALLED_S: Final = 60.0
 MAX_CONTROLS: Final = 64
 
 
@@ -70,7 +73,9 @@
         self._reports: dict[str, ControlReport] = {}
         self._heard_s: dict[str, float] = {}
         self._told_until_s: dict[str, float] = {}
-        self._has_heard_cluster = False
+        self._recalled: tuple[str, ...] = ()
+        self._recalled_until_s = 0.0
+        self._in_cluster: set[str] = set()
         self.set_named(named)
 
     def set_named(self, addresses: Iterable[str]) -> None:
@@ -84,16 +89,16 @@
         if sender == self._own_address:
             return
         self._heard_s[sender] = now_s
-        self._has_heard_cluster |= report.in_cluster
+        if report.in_cluster and len(self._in_cluster) < MAX_CONTROLS:
+            self._in_cluster.add(sender)
         for address in self._without_own(report.known):
-            self._list_until(address, now_s + TOLD_WITHIN_S)
+            self._told_until_s[address] = now_s + TOLD_WITHIN_S
         self._forget(now_s)
 
     def recall(self, addresses: Iterable[str]) -> None:
         """List processes that were known before this process started."""
-        until_s = self._now_s() + FORGET_AFTER_S
-        for address in self._without_own(addresses):
-            self._list_until(address, until_s)
+        self._recalled = self._without_own(addresses)
+        self._recalled_until_s = self._now_s() + RECALLED_S
 
     def report_of(self, address: str) -> ControlReport | None:
         """Return a process's last report, None if it was never heard."""
@@ -131,7 +136,7 @@
         """Return all processes to report to and to ask, at most 64.
 
         These are the ones in the settings, then those that were heard, then
-        those that others have passed on lately.
+        those that others have passed on lately, then recalled ones.
         """
         now_s = self._now_s()
         told = [
@@ -140,12 +145,16 @@
             if now_s < until_s
         ]
         heard = self._heard_last_first()
-        every = dict.fromkeys((*self._named, *heard, *told))
+        recalled = self._recalled if now_s < self._recalled_until_s else ()
+        every = dict.fromkeys((*self._named, *heard, *told, *recalled))
         return tuple(every)[:MAX_CONTROLS]
 
-    def cluster_heard(self) -> bool:
-        """Return whether any process heard so far belongs to a cluster."""
-        return self._has_heard_cluster
+    def cluster_heard(self, besides: str = "") -> bool:
+        """Return whether any process heard so far belongs to a cluster.
+
+        What the process ``besides`` has reported itself does not count.
+        """
+        return bool(self._in_cluster - {besides})
 
     def _without_own(self, addresses: Iterable[str]) -> tuple[str, ...]:
         others = (each for each in addresses if each != self._own_address)
@@ -173,9 +182,5 @@
             if is_old or place >= MAX_CONTROLS:
                 del self._told_until_s[address]
 
-    def _list_until(self, address: str, until_s: float) -> None:
-        earlier_s = self._told_until_s.get(address, 0.0)
-        self._told_until_s[address] = max(earlier_s, until_s)
-
 
 __all__ = ["ControlDirectory", "ControlReport", "MAX_CONTROLS"]
--- a/packages/sycamorestand-control/src/sycamorestand_control/redirector.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/redirector.py
@@ -184,8 +184,12 @@
         return tuple(dict.fromkeys(ordered))
 
     def _answer_join(self, sender: str, call_id: int) -> None:
-        """Say whether a cluster exists; without one, it may be created."""
-        has_cluster = self.directory.cluster_heard()
+        """Say whether a cluster exists; without one, it may be created.
+
+        The asker's own earlier report is no cluster of another process: it
+        may have been killed before the cluster that it began was synced.
+        """
+        has_cluster = self.directory.cluster_heard(besides=sender)
         payload = IN_CLUSTER if has_cluster else b""
         self._mesh.send(sender, CallReply(call_id, "", payload))
 
