Entries are told of all control processes that may grant a lease

A voter whose other members are all gone named just these to an entry that it could give no lease, and left out those that its settings name and it hears. By reading, in the review; no test shows it.

--- a/packages/sycamorestand-control/src/sycamorestand_control/process.py
+++ b/packages/sycamorestand-control/src/sycamorestand_control/process.py
@@ -393,7 +393,8 @@
 
     def _controls_for_entries(self) -> tuple[str, ...]:
         """Return where an entry that gets no lease here may ask."""
-        return self._other_controls() or self.exchange.addresses()
+        every = (*self._other_controls(), *self.exchange.addresses())
+        return tuple(dict.fromkeys(every))
 
     def _voters_needed(self) -> int:
         """Return how many voters a log needs before it takes commands.
